--- /dev/null
+++ b/bench/src/demo.ts
@@ -0,0 +1,122 @@
+/** One run of the whole system: an engine dies, a booking is sent three times, a host drains. */
+
+import { request } from "undici";
+import { expectedTokens, textOfTokens } from "@cardamomglade/stand-ins";
+import { callerKey, Fleet, fleetModel, readLedger } from "./harness/fleet.js";
+import { readAnswer, type ReadAnswer } from "./harness/readAnswer.js";
+
+const answers = 10;
+const tokensPerAnswer = 600;
+const killAfterMs = 4000;
+const drainAfterMs = 7000;
+
+const prompts = [
+  "Summarise this supplier contract: tulips and carnations, delivered at dawn, priced per crate.",
+  "Review these yearbook captions: names, spelling, class and page for every photo.",
+];
+
+interface Ledger {
+  readonly runs: readonly { readonly path: string }[];
+}
+
+const promptAt = (index: number): string =>
+  `${prompts[index % prompts.length] ?? ""} Document ${String(index)}.`;
+
+const pause = (ms: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, ms));
+
+const longestGapAfter = (answer: ReadAnswer, moment: number): number => {
+  const times = answer.partsAt.filter((at) => at >= moment - 100);
+  const gaps = times.slice(1).map((at, index) => at - (times[index] ?? at));
+  return Math.max(0, ...gaps);
+};
+
+const book = async (url: string): Promise<string> => {
+  const res = await request(`${url}/v1/services/bookings/book`, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer ${callerKey(0)}`,
+      "idempotency-key": "trolley-7",
+      "content-type": "application/json",
+    },
+    body: JSON.stringify({ trolley: 7, day: "2026-12-05" }),
+  });
+  return `${String(res.statusCode)} ${await res.body.text()}`;
+};
+
+const run = async (fleet: Fleet): Promise<boolean> => {
+  const asked = Array.from({ length: answers }, (_, index) =>
+    readAnswer({
+      url: fleet.routers[index % fleet.routers.length]?.callersUrl ?? "",
+      key: callerKey(index % 2),
+      model: fleetModel.model,
+      prompt: promptAt(index),
+      maxTokens: tokensPerAnswer,
+    }),
+  );
+  await pause(killAfterMs);
+  const [victim, leaver] = fleet.engines;
+  const killedAt = performance.now();
+  victim?.process.signal("SIGKILL");
+  console.log(`killed ${victim?.name ?? ""}`);
+
+  const booked: string[] = [];
+  for (const router of fleet.routers)
+    booked.push(await book(router.callersUrl));
+  console.log(`booked with one key at three routers: ${booked.join(" | ")}`);
+
+  await pause(drainAfterMs - killAfterMs);
+  const emptyBy = new Date(Date.now() + 5000).toISOString();
+  await fleet.putIntent({
+    ...fleet.intent,
+    leaving: [{ host: `host-${leaver?.name ?? ""}`, emptyBy }],
+  });
+  console.log(`draining host-${leaver?.name ?? ""}`);
+
+  const read = await Promise.all(asked);
+  const rows = read.map((answer, index) => {
+    const expected = textOfTokens(
+      expectedTokens({
+        ...fleetModel,
+        prompt: promptAt(index),
+        maxTokens: tokensPerAnswer,
+      }),
+    );
+    const isExact = answer.text === expected && answer.isWhole;
+    return {
+      answer: index,
+      expected: tokensPerAnswer,
+      received: answer.completionTokens,
+      missing: Math.max(0, tokensPerAnswer - answer.completionTokens),
+      repeated: Math.max(0, answer.completionTokens - tokensPerAnswer),
+      exact: isExact,
+      "longest gap ms": Math.round(longestGapAfter(answer, killedAt)),
+      error: answer.error ?? "",
+    };
+  });
+  console.table(rows);
+  const ledgers = await Promise.all(
+    fleet.services.map((service) => readLedger<Ledger>(service)),
+  );
+  const bookings = ledgers
+    .flatMap(({ runs }) => runs)
+    .filter(({ path }) => path === "/book").length;
+  console.log(`bookings run: ${String(bookings)}`);
+  return (
+    bookings === 1 &&
+    rows.every(
+      ({ exact, missing, repeated }) =>
+        exact && missing === 0 && repeated === 0,
+    )
+  );
+};
+
+const fleet = await Fleet.create({ engines: 4, routers: 3 });
+try {
+  const isGood = await run(fleet);
+  console.log(isGood ? "every answer whole, one booking" : "FAILED");
+  process.exitCode = isGood ? 0 : 1;
+} finally {
+  await fleet.stop();
+}
+process.exit();
--- /dev/null
+++ b/bench/src/harness/fleet.ts
@@ -0,0 +1,366 @@
+/** A fleet of stand-ins and routers for one experiment. */
+
+import { createHash } from "node:crypto";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import path from "node:path";
+import { request } from "undici";
+import { KeyValueClient } from "@cardamomglade/platform";
+import { configKey } from "@cardamomglade/router";
+import {
+  BackEndType,
+  CallMethod,
+  LogLevel,
+  OperatorRight,
+  Priority,
+  type BackEnd,
+  type Customer,
+  type Intent,
+  type RecoveryPolicy,
+  type Settings,
+} from "@cardamomglade/schema";
+import type { Fault } from "@cardamomglade/stand-ins";
+import {
+  findFreePort,
+  startProcess,
+  waitForLine,
+  type StartedProcess,
+} from "./processes.js";
+
+/** What a fleet is made of. */
+export interface FleetOptions {
+  readonly engines: number;
+  readonly routers: number;
+  readonly services?: number;
+  readonly customers?: number;
+  readonly engineFlags?: readonly string[];
+  readonly recovery?: RecoveryPolicy;
+  readonly mode?: "deterministic" | "differing";
+}
+
+/** A stand-in and its address. */
+export interface FleetMember {
+  readonly name: string;
+  readonly url: string;
+  readonly process: StartedProcess;
+}
+
+/** A router and its addresses. */
+export interface FleetRouter {
+  readonly name: string;
+  readonly callersUrl: string;
+  readonly administrationUrl: string;
+  readonly settingsFile: string;
+  readonly process: StartedProcess;
+}
+
+const prefix = "/cardamomglade/";
+const zones = ["zone-a", "zone-b", "zone-c"];
+const region = "region-1";
+const pollMs = 20;
+const readyTimeoutMs = 10_000;
+const callTimeoutMs = 2000;
+
+/** Model and version that every fleet serves. */
+export const fleetModel = { model: "reader", version: "v1" };
+
+/** Caller key of the customer with an index. */
+export const callerKey = (index: number): string =>
+  `caller-key-of-customer-${String(index)}`;
+
+/** Token of the fleet's operator, who has all rights. */
+export const operatorToken = "operator-token-of-the-fleet";
+
+const sha256 = (text: string): string =>
+  createHash("sha256").update(text).digest("hex");
+const zoneOf = (index: number): string =>
+  zones[index % zones.length] ?? "zone-a";
+
+const customerAt = (index: number): Customer => ({
+  name: `customer-${String(index)}`,
+  keyHashes: [sha256(callerKey(index))],
+  priority: Priority.Standard,
+  weight: 1,
+  limits: { concurrent: 100_000, tokensPerSecond: 10_000_000 },
+});
+
+const backEndOf = (
+  member: FleetMember,
+  type: BackEndType,
+  index: number,
+): BackEnd => ({
+  name: member.name,
+  type,
+  url: member.url,
+  host: `host-${member.name}`,
+  zone: zoneOf(index),
+  region,
+  checksFencing: true,
+  slots: 32,
+});
+
+/** A running fleet. */
+export class Fleet {
+  routers: FleetRouter[] = [];
+  engines: FleetMember[] = [];
+  services: FleetMember[] = [];
+  intent: Intent;
+  private readonly keyValueClient: KeyValueClient;
+
+  private constructor(
+    readonly options: FleetOptions,
+    readonly keyValue: FleetMember,
+    private readonly folder: string,
+  ) {
+    this.keyValueClient = KeyValueClient.create({ endpoints: [keyValue.url] });
+    this.intent = {
+      customers: [],
+      models: [],
+      backEnds: [],
+      deployments: [],
+      services: [],
+      leaving: [],
+    };
+  }
+
+  /** Starts everything and waits until every router is ready. */
+  static async create(options: FleetOptions): Promise<Fleet> {
+    const folder = await mkdtemp(path.join(tmpdir(), "cardamomglade-"));
+    const keyValue = await startStandIn("key-value", "key-value", []);
+    const fleet = new Fleet(options, keyValue, folder);
+    await fleet.startBackEnds();
+    fleet.intent = fleet.createIntent();
+    await fleet.putIntent(fleet.intent);
+    await fleet.startRouters();
+    return fleet;
+  }
+
+  /** Puts an intent in force, by the store. */
+  async putIntent(intent: Intent): Promise<void> {
+    this.intent = intent;
+    const operation = {
+      type: "put" as const,
+      key: `${prefix}${configKey}`,
+      value: JSON.stringify(intent),
+    };
+    const outcome = await this.keyValueClient.transact(
+      { compare: [], success: [operation], failure: [] },
+      Date.now() + callTimeoutMs,
+    );
+    if (outcome.type !== "done")
+      throw new Error(
+        `the intent could not be put: ${outcome.failure.message}`,
+      );
+  }
+
+  async startRouter(
+    name: string,
+    index: number,
+    seeds: readonly string[],
+    peersPort: number,
+  ): Promise<FleetRouter> {
+    const settingsFile = path.join(this.folder, `${name}.json`);
+    await writeFile(
+      settingsFile,
+      JSON.stringify(this.settingsOf(name, index, seeds, peersPort)),
+    );
+    const started = startProcess({
+      name,
+      script: "cardamomglade",
+      args: ["route", "--settings", settingsFile],
+    });
+    const line = await waitForLine(
+      started,
+      ({ message }) => message === "listening",
+    );
+    const { detail } = line.context as { detail: string };
+    const [callersUrl = "", administrationUrl = ""] = detail.split(" ");
+    return {
+      name,
+      callersUrl,
+      administrationUrl,
+      settingsFile,
+      process: started,
+    };
+  }
+
+  /** Stops every process of the fleet. */
+  async stop(): Promise<void> {
+    const members = [
+      ...this.routers,
+      ...this.engines,
+      ...this.services,
+      this.keyValue,
+    ];
+    for (const { process: one } of members) one.signal("SIGKILL");
+    await Promise.all(members.map(({ process: one }) => one.exited));
+    await this.keyValueClient.close();
+    await rm(this.folder, { recursive: true, force: true });
+  }
+
+  private async startBackEnds(): Promise<void> {
+    const {
+      engines,
+      services = 1,
+      engineFlags = [],
+      mode = "deterministic",
+    } = this.options;
+    const loaded = `${fleetModel.model}:${fleetModel.version}`;
+    const flags = ["--loaded", loaded, "--mode", mode, ...engineFlags];
+    this.engines = await Promise.all(
+      range(engines).map((index) =>
+        startStandIn("engine", `engine-${String(index)}`, flags),
+      ),
+    );
+    this.services = await Promise.all(
+      range(services).map((index) =>
+        startStandIn("service", `service-${String(index)}`, []),
+      ),
+    );
+  }
+
+  private async startRouters(): Promise<void> {
+    const ports = await Promise.all(
+      range(this.options.routers).map(() => findFreePort()),
+    );
+    const seeds = ports.map((port) => `ws://127.0.0.1:${String(port)}`);
+    const started = ports.map((port, index) =>
+      this.startRouter(`router-${String(index)}`, index, seeds, port),
+    );
+    this.routers = await Promise.all(started);
+    await Promise.all(this.routers.map(waitUntilReady));
+  }
+
+  private createIntent(): Intent {
+    const customers = range(this.options.customers ?? 2).map(customerAt);
+    const names = customers.map(({ name }) => name);
+    const { model, version } = fleetModel;
+    return {
+      customers,
+      models: [
+        { name: model, versions: [{ version, weightBytes: 1_000_000 }] },
+      ],
+      backEnds: [
+        ...this.engines.map((member, index) =>
+          backEndOf(member, BackEndType.Engine, index),
+        ),
+        ...this.services.map((member, index) =>
+          backEndOf(member, BackEndType.Service, index),
+        ),
+      ],
+      deployments: [
+        {
+          name: "reader-main",
+          model,
+          version,
+          backEnds: this.engines.map(({ name }) => name),
+          customers: names,
+          recovery: this.options.recovery ?? {
+            type: "latencyFirst",
+            hedge: true,
+          },
+        },
+      ],
+      services: [
+        {
+          name: "bookings",
+          backEnds: this.services.map(({ name }) => name),
+          customers: names,
+          nonRepeatable: [{ method: CallMethod.Post, path: "/book" }],
+          timeoutMs: 10_000,
+        },
+      ],
+      leaving: [],
+    };
+  }
+
+  private settingsOf(
+    name: string,
+    index: number,
+    seeds: readonly string[],
+    peersPort: number,
+  ): Partial<Settings> {
+    const address = "127.0.0.1";
+    return {
+      router: { name, host: `host-${name}`, zone: zoneOf(index), region },
+      listen: {
+        callers: { address, port: 0 },
+        administration: { address, port: 0 },
+        peers: { address, port: peersPort },
+      },
+      keyValue: {
+        endpoints: [this.keyValue.url],
+        prefix,
+        callTimeoutMs,
+        fleetWritesPerSecond: 200,
+        fleetReadsPerSecond: 1000,
+      },
+      peers: { seeds: [...seeds], sharedSecret: "shared-secret-of-the-peers" },
+      cursorKey: "cursor-key-of-the-fleet",
+      operators: [
+        {
+          name: "operator",
+          tokenHash: sha256(operatorToken),
+          rights: [
+            OperatorRight.Read,
+            OperatorRight.Plan,
+            OperatorRight.Confirm,
+          ],
+        },
+      ],
+      log: { level: LogLevel.Info },
+    };
+  }
+}
+
+const range = (count: number): number[] =>
+  Array.from({ length: count }, (_, index) => index);
+
+const startStandIn = async (
+  kind: string,
+  name: string,
+  flags: readonly string[],
+): Promise<FleetMember> => {
+  const started = startProcess({
+    name,
+    script: "stand-in",
+    args: [kind, "--name", name, ...flags],
+  });
+  const line = await waitForLine(started, ({ url }) => typeof url === "string");
+  return { name, url: String(line.url), process: started };
+};
+
+/** Waits until a router has a configuration in force. */
+export const waitUntilReady = async ({
+  name,
+  administrationUrl,
+}: FleetRouter): Promise<void> => {
+  const deadline = Date.now() + readyTimeoutMs;
+  while (Date.now() < deadline) {
+    const res = await request(`${administrationUrl}/health/ready`);
+    await res.body.dump();
+    if (res.statusCode === 200) return;
+    await new Promise((resolve) => setTimeout(resolve, pollMs));
+  }
+  throw new Error(
+    `router "${name}" was not ready within ${String(readyTimeoutMs)} ms`,
+  );
+};
+
+/** Orders a fault of a stand-in. */
+export const orderFault = async (
+  member: FleetMember,
+  fault: Fault,
+): Promise<void> => {
+  const res = await request(`${member.url}/faults`, {
+    method: "POST",
+    body: JSON.stringify(fault),
+  });
+  await res.body.dump();
+};
+
+/** A stand-in's record of what was really run. */
+export const readLedger = async <T>(member: FleetMember): Promise<T> => {
+  const res = await request(`${member.url}/ledger`);
+  return (await res.body.json()) as T;
+};
--- /dev/null
+++ b/bench/src/harness/processes.ts
@@ -0,0 +1,104 @@
+/** Processes of an experiment: started, stopped and killed by their own ids. */
+
+import { spawn, type ChildProcess } from "node:child_process";
+import { createServer, type AddressInfo } from "node:net";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+/** A started process. */
+export interface StartedProcess {
+  readonly name: string;
+  readonly pid: number;
+  /** Lines of its output that are JSON objects. */
+  readonly lines: readonly Readonly<Record<string, unknown>>[];
+  signal(signal: NodeJS.Signals): void;
+  /** Sends SIGTERM and waits; kills after the grace. */
+  stop(graceMs?: number): Promise<number | null>;
+  readonly exited: Promise<number | null>;
+}
+
+/** What to start. */
+export interface ProcessOptions {
+  readonly name: string;
+  readonly script: "stand-in" | "cardamomglade";
+  readonly args: readonly string[];
+}
+
+const scripts = {
+  "stand-in": fileURLToPath(
+    import.meta.resolve("@cardamomglade/stand-ins/main"),
+  ),
+  cardamomglade: fileURLToPath(import.meta.resolve("cardamomglade/main")),
+};
+
+const startTimeoutMs = 10_000;
+const pollMs = 10;
+
+/** A port on 127.0.0.1 that was free a moment ago. */
+export const findFreePort = (): Promise<number> =>
+  new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once("error", reject);
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => {
+        resolve(port);
+      });
+    });
+  });
+
+const collectLines = (child: ChildProcess): Record<string, unknown>[] => {
+  const lines: Record<string, unknown>[] = [];
+  if (child.stdout === null) return lines;
+  createInterface({ input: child.stdout }).on("line", (line) => {
+    if (line.startsWith("{"))
+      lines.push(JSON.parse(line) as Record<string, unknown>);
+  });
+  return lines;
+};
+
+/** Starts a process; its errors go to this process's standard error. */
+export const startProcess = ({
+  name,
+  script,
+  args,
+}: ProcessOptions): StartedProcess => {
+  const child = spawn(process.execPath, [scripts[script], ...args], {
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  const lines = collectLines(child);
+  const exited = new Promise<number | null>((resolve) =>
+    child.once("exit", resolve),
+  );
+  const stop = async (graceMs = 5000) => {
+    child.kill("SIGTERM");
+    const timer = setTimeout(() => child.kill("SIGKILL"), graceMs);
+    const code = await exited;
+    clearTimeout(timer);
+    return code;
+  };
+  return {
+    name,
+    pid: child.pid ?? 0,
+    lines,
+    exited,
+    stop,
+    signal: (signal) => child.kill(signal),
+  };
+};
+
+/** The first output line that fits, or an error after the start timeout. */
+export const waitForLine = async (
+  started: StartedProcess,
+  fits: (line: Readonly<Record<string, unknown>>) => boolean,
+): Promise<Readonly<Record<string, unknown>>> => {
+  const deadline = Date.now() + startTimeoutMs;
+  while (Date.now() < deadline) {
+    const found = started.lines.find(fits);
+    if (found !== undefined) return found;
+    await new Promise((resolve) => setTimeout(resolve, pollMs));
+  }
+  throw new Error(
+    `process "${started.name}" did not start within ${String(startTimeoutMs)} ms`,
+  );
+};
--- /dev/null
+++ b/bench/src/harness/readAnswer.ts
@@ -0,0 +1,98 @@
+/** Reads one streamed answer and notes when its parts came. */
+
+import { createParser } from "eventsource-parser";
+import { Agent, request } from "undici";
+
+const agent = new Agent({
+  connections: null,
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+});
+
+/** What to ask for. */
+export interface AskOptions {
+  readonly url: string;
+  readonly key: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+}
+
+/** An answer as the caller saw it. */
+export interface ReadAnswer {
+  readonly text: string;
+  readonly isWhole: boolean;
+  readonly error: string | undefined;
+  readonly completionTokens: number;
+  readonly lastEventId: string;
+  /** Moments at which parts arrived. */
+  readonly partsAt: readonly number[];
+  readonly askedAt: number;
+}
+
+interface Chunk {
+  choices?: { text: string }[];
+  usage?: { completion_tokens: number };
+  error?: { type: string; message: string };
+}
+
+/** Asks a router for a streamed completion and reads it to its end. */
+export const readAnswer = async (options: AskOptions): Promise<ReadAnswer> => {
+  const askedAt = performance.now();
+  const partsAt: number[] = [];
+  let text = "";
+  let isWhole = false;
+  let error: string | undefined;
+  let completionTokens = 0;
+  let lastEventId = "";
+  const parser = createParser({
+    onEvent: ({ data, id }) => {
+      if (id !== undefined) lastEventId = id;
+      if (data === "[DONE]") {
+        isWhole = true;
+        return;
+      }
+      const chunk = JSON.parse(data) as Chunk;
+      if (chunk.error !== undefined)
+        error = `${chunk.error.type}: ${chunk.error.message}`;
+      completionTokens = chunk.usage?.completion_tokens ?? completionTokens;
+      text += chunk.choices?.[0]?.text ?? "";
+      partsAt.push(performance.now());
+    },
+  });
+  try {
+    const res = await request(`${options.url}/v1/completions`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer ${options.key}`,
+        "content-type": "application/json",
+      },
+      body: JSON.stringify({
+        model: options.model,
+        prompt: options.prompt,
+        max_tokens: options.maxTokens,
+        stream: true,
+      }),
+      dispatcher: agent,
+    });
+    if (res.statusCode !== 200)
+      error = `${String(res.statusCode)}: ${await res.body.text()}`;
+    else {
+      const decoder = new TextDecoder();
+      for await (const part of res.body)
+        parser.feed(decoder.decode(part as Uint8Array, { stream: true }));
+    }
+  } catch (failure) {
+    error = String(failure);
+  }
+  return {
+    text,
+    isWhole,
+    error,
+    completionTokens,
+    lastEventId,
+    partsAt,
+    askedAt,
+  };
+};
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,153 @@
+// Linter settings: typescript-eslint's strict and stylistic sets, doc comments on exports, the direction of imports.
+import js from "@eslint/js";
+import jsdoc from "eslint-plugin-jsdoc";
+import tseslint from "typescript-eslint";
+
+// What each folder may import of the workspace.
+const allowedImports = {
+  "packages/common": [],
+  "packages/schema": ["common"],
+  "packages/decisions": ["common", "schema"],
+  "packages/platform": ["common", "schema"],
+  "packages/upstream": ["common", "schema"],
+  "packages/peers": ["common", "schema"],
+  "packages/client": ["common"],
+  "packages/router": [
+    "common",
+    "schema",
+    "decisions",
+    "platform",
+    "upstream",
+    "peers",
+  ],
+  "packages/cli": ["common", "schema", "router", "platform"],
+  "stand-ins": ["common", "schema"],
+};
+
+const workspacePackages = [
+  "common",
+  "schema",
+  "decisions",
+  "platform",
+  "upstream",
+  "peers",
+  "client",
+  "router",
+  "stand-ins",
+  "bench",
+];
+
+const directionOf = ([folder, allowed]) => ({
+  files: [`${folder}/src/**/*.ts`],
+  ignores: ["**/*.test.ts"],
+  rules: {
+    "no-restricted-imports": [
+      "error",
+      {
+        paths: workspacePackages
+          .filter((name) => !allowed.includes(name))
+          .map((name) => ({
+            name: `@cardamomglade/${name}`,
+            message: `${folder} must not import ${name}`,
+          })),
+      },
+    ],
+  },
+});
+
+// Decisions take time and random numbers from their events and state.
+const pureDecisions = {
+  files: ["packages/decisions/src/**/*.ts"],
+  ignores: ["**/*.test.ts"],
+  rules: {
+    "no-restricted-properties": [
+      "error",
+      { object: "Date", property: "now", message: "time comes on the event" },
+      { object: "Math", property: "random", message: "draw from the state" },
+      {
+        object: "performance",
+        property: "now",
+        message: "time comes on the event",
+      },
+    ],
+    "no-restricted-globals": [
+      "error",
+      "setTimeout",
+      "setInterval",
+      "fetch",
+      "process",
+    ],
+  },
+};
+
+export default tseslint.config(
+  {
+    ignores: [
+      "**/dist/**",
+      "**/node_modules/**",
+      "**/generated/**",
+      "**/results/**",
+    ],
+  },
+  js.configs.recommended,
+  {
+    files: ["**/*.ts"],
+    extends: [
+      ...tseslint.configs.strictTypeChecked,
+      ...tseslint.configs.stylisticTypeChecked,
+    ],
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    plugins: { jsdoc },
+    rules: {
+      "jsdoc/require-jsdoc": [
+        "error",
+        {
+          publicOnly: true,
+          require: {
+            ArrowFunctionExpression: true,
+            ClassDeclaration: true,
+            FunctionDeclaration: true,
+          },
+          contexts: [
+            "TSInterfaceDeclaration",
+            "TSTypeAliasDeclaration",
+            "TSEnumDeclaration",
+            "VariableDeclaration",
+          ],
+          enableFixer: false,
+        },
+      ],
+    },
+  },
+  {
+    files: ["**/*.test.ts"],
+    rules: {
+      // node:test returns promises that the runner awaits.
+      "@typescript-eslint/no-floating-promises": [
+        "error",
+        {
+          allowForKnownSafeCalls: [
+            {
+              from: "package",
+              package: "node:test",
+              name: ["test", "describe", "it", "before", "after"],
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ["**/*.mjs", "**/*.js"],
+    languageOptions: {
+      globals: { console: "readonly", process: "readonly", URL: "readonly" },
+    },
+  },
+  pureDecisions,
+  ...Object.entries(allowedImports).map(directionOf),
+);
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,3 @@
+/** Caller library. */
+
+export {};
--- /dev/null
+++ b/packages/common/src/backoff.ts
@@ -0,0 +1,21 @@
+/** Exponential backoff with full jitter. */
+
+import type { Moment } from "./types.js";
+
+/** Bounds of a backoff in milliseconds. */
+export interface BackoffBounds {
+  readonly baseMs: number;
+  readonly maxMs: number;
+}
+
+/** Moment of the next try; `random` is uniform in [0, 1). */
+export const nextTryAt = (
+  now: Moment,
+  failures: number,
+  bounds: BackoffBounds,
+  random: number,
+): Moment => {
+  const exponent = Math.min(failures, 30);
+  const ceiling = Math.min(bounds.maxMs, bounds.baseMs * 2 ** exponent);
+  return now + Math.ceil(random * ceiling);
+};
--- /dev/null
+++ b/packages/common/src/hybridClock.ts
@@ -0,0 +1,56 @@
+/** Hybrid logical clock: readings sort as text in causal order. */
+
+import type { Moment } from "./types.js";
+
+/** A clock's state: wall time, logical counter and process name. */
+export interface HybridClock {
+  readonly wall: Moment;
+  readonly counter: number;
+  readonly process: string;
+}
+
+const wallDigits = 13;
+const counterDigits = 6;
+
+/** A clock that has seen nothing. */
+export const createHybridClock = (process: string): HybridClock => ({
+  wall: 0,
+  counter: 0,
+  process,
+});
+
+/** Advances the clock for a local event. */
+export const tickHybridClock = (
+  clock: HybridClock,
+  now: Moment,
+): HybridClock => {
+  const wall = Math.max(clock.wall, Math.floor(now));
+  const counter = wall === clock.wall ? clock.counter + 1 : 0;
+  return { ...clock, wall, counter };
+};
+
+/** Text form, fixed width, `wall-counter-process`. */
+export const formatHybridClock = (clock: HybridClock): string => {
+  const wall = String(clock.wall).padStart(wallDigits, "0");
+  const counter = String(clock.counter).padStart(counterDigits, "0");
+  return `${wall}-${counter}-${clock.process}`;
+};
+
+/** Advances the clock past a reading received from another process; ignores a malformed reading. */
+export const receiveHybridClock = (
+  clock: HybridClock,
+  reading: string,
+  now: Moment,
+): HybridClock => {
+  const [wallText = "", counterText = ""] = reading.split("-");
+  const wall = Number(wallText);
+  const counter = Number(counterText);
+  if (!Number.isSafeInteger(wall) || !Number.isSafeInteger(counter)) {
+    return tickHybridClock(clock, now);
+  }
+  if (wall < clock.wall || wall < Math.floor(now)) {
+    return tickHybridClock(clock, now);
+  }
+  const next = wall === clock.wall ? Math.max(counter, clock.counter) : counter;
+  return { ...clock, wall, counter: next + 1 };
+};
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,29 @@
+/** Pieces shared by every package. */
+
+export { assertNever } from "./assertNever.js";
+export { nextTryAt, type BackoffBounds } from "./backoff.js";
+export { createChannel, type Channel } from "./channel.js";
+export { foldEvents } from "./foldEvents.js";
+export {
+  draw,
+  seedGenerator,
+  type Draw,
+  type GeneratorState,
+} from "./generator.js";
+export { hash32, hash64, rendezvousOrder } from "./hash.js";
+export {
+  createHybridClock,
+  formatHybridClock,
+  receiveHybridClock,
+  tickHybridClock,
+  type HybridClock,
+} from "./hybridClock.js";
+export { err, ok } from "./result.js";
+export {
+  runProcess,
+  type Decide,
+  type Driver,
+  type ProcessSpec,
+  type RunningProcess,
+} from "./runProcess.js";
+export { Ran, type Moment, type Result, type Step } from "./types.js";
--- /dev/null
+++ b/packages/decisions/src/recovery/index.ts
@@ -0,0 +1,14 @@
+/** Recovery of streams from the death of engines. */
+
+export { createStream, type StreamOptions } from "./createStream.js";
+export { decideRecovery } from "./decideRecovery.js";
+export {
+  AttemptFailure,
+  StreamFailure,
+  type AttemptNumber,
+  type AttemptState,
+  type RecoveryCommand,
+  type RecoveryEvent,
+  type StreamPhase,
+  type StreamState,
+} from "./types.js";
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,3 @@
+/** Mesh between routers. */
+
+export {};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,7 @@
+/** Clients of the platform's services, behind small interfaces. */
+
+export {
+  KeyValueClient,
+  type KeyValueClientOptions,
+} from "./keyValueClient.js";
+export * from "./types.js";
--- /dev/null
+++ b/packages/router/src/actions/candidatesOf.ts
@@ -0,0 +1,14 @@
+/** Back ends that may take new work. */
+
+import type { BackEnd } from "@cardamomglade/schema";
+import type { ConfigInForce } from "@cardamomglade/decisions";
+
+/** The named back ends, without those on leaving hosts. */
+export const candidatesOf = (
+  config: ConfigInForce,
+  names: readonly string[],
+): BackEnd[] =>
+  names
+    .map((name) => config.backEnds.get(name))
+    .filter((backEnd) => backEnd !== undefined)
+    .filter((backEnd) => !config.leavingHosts.has(backEnd.host));
--- /dev/null
+++ b/packages/router/src/actions/serviceCallArrived.ts
@@ -0,0 +1,104 @@
+/** A caller asked for a call of a plain service. */
+
+import { chooseBackEnd } from "@cardamomglade/decisions";
+import type { CallPattern, Service } from "@cardamomglade/schema";
+import { ErrorType, notRun, type ApiError } from "../errors.js";
+import type { RouterState, ServiceRequest } from "../types.js";
+import { candidatesOf } from "./candidatesOf.js";
+import type { Action, RouterStep } from "./types.js";
+
+const matches = (pattern: CallPattern, { call }: ServiceRequest): boolean => {
+  if (pattern.method !== call.method) return false;
+  return pattern.path.endsWith("*")
+    ? call.path.startsWith(pattern.path.slice(0, -1))
+    : call.path === pattern.path;
+};
+
+const isNonRepeatable = (service: Service, request: ServiceRequest): boolean =>
+  service.nonRepeatable.some((pattern) => matches(pattern, request));
+
+const refuse = (
+  state: RouterState,
+  requestId: string,
+  error: ApiError,
+): RouterStep => ({
+  state,
+  commands: [{ type: "failAnswer", requestId, error }],
+});
+
+/** Sends a call to a replica of its service. */
+export const sendServiceCall = (
+  state: RouterState,
+  request: ServiceRequest,
+): RouterStep => {
+  const { requestId } = request.call;
+  const service = state.config.services.get(request.service);
+  const candidates = candidatesOf(state.config, service?.backEnds ?? []);
+  const { zone, region } = state.router;
+  const backEnd = chooseBackEnd(state.routing, {
+    candidates,
+    avoid: [],
+    zone,
+    region,
+    prompt: "",
+  });
+  if (backEnd === undefined) {
+    state.serviceCalls.delete(requestId);
+    return refuse(
+      state,
+      requestId,
+      notRun(
+        ErrorType.NoCapacity,
+        `service "${request.service}" has no back end`,
+      ),
+    );
+  }
+  state.serviceCalls.set(requestId, { request, backEnd: backEnd.name });
+  return {
+    state,
+    commands: [{ type: "callService", url: backEnd.url, call: request.call }],
+  };
+};
+
+/** Claims a non-repeatable call first; sends any other at once. */
+export const serviceCallArrived: Action<"serviceCallArrived"> = (
+  state,
+  { request },
+) => {
+  const { requestId, body, deadline } = request.call;
+  const { key, customer } = request;
+  if (state.draining)
+    return refuse(
+      state,
+      requestId,
+      notRun(ErrorType.Draining, "this router is draining"),
+    );
+  const service = state.config.services.get(request.service);
+  if (!service?.customers.includes(customer)) {
+    return refuse(
+      state,
+      requestId,
+      notRun(
+        ErrorType.NotFound,
+        `service "${request.service}" does not serve customer "${customer}"`,
+      ),
+    );
+  }
+  if (!isNonRepeatable(service, request))
+    return sendServiceCall(state, request);
+  if (key === undefined) {
+    return refuse(
+      state,
+      requestId,
+      notRun(
+        ErrorType.KeyMissing,
+        "this call may not be repeated and needs an Idempotency-Key",
+      ),
+    );
+  }
+  state.serviceCalls.set(requestId, { request });
+  return {
+    state,
+    commands: [{ type: "claimCall", requestId, customer, key, body, deadline }],
+  };
+};
--- /dev/null
+++ b/packages/router/src/actions/timePassed.ts
@@ -0,0 +1,21 @@
+/** Time passed: deadlines and silence are looked at. */
+
+import type { RouterCommand, RouterState } from "../types.js";
+import { stepStream } from "./stepStream.js";
+import type { Action } from "./types.js";
+
+/** Tells every stream the time. */
+export const timePassed: Action<"timePassed"> = (state, { at }) => {
+  let current: RouterState = state;
+  const commands: RouterCommand[] = [];
+  for (const entry of [...state.streams.values()]) {
+    const step = stepStream({
+      state: current,
+      entry,
+      event: { type: "timePassed", at },
+    });
+    current = step.state;
+    commands.push(...step.commands);
+  }
+  return { state: current, commands };
+};
--- /dev/null
+++ b/packages/router/src/administration/authorize.ts
@@ -0,0 +1,23 @@
+/** Names the operator of a token and checks a right. */
+
+import type { Operator, OperatorRight } from "@cardamomglade/schema";
+import { bearerOf, hashSecret, isSameHash } from "../callers/authenticate.js";
+
+/** Outcome of an authorization. */
+export type Authorization =
+  | { readonly type: "allowed"; readonly operator: string }
+  | { readonly type: "unknown" }
+  | { readonly type: "forbidden"; readonly operator: string };
+
+/** Checks the Authorization header of a request for a right. */
+export const authorize = (
+  operators: readonly Operator[],
+  header: string | undefined,
+  right: OperatorRight,
+): Authorization => {
+  const hash = hashSecret(bearerOf(header) ?? "");
+  const found = operators.find(({ tokenHash }) => isSameHash(tokenHash, hash));
+  if (found === undefined) return { type: "unknown" };
+  const type = found.rights.includes(right) ? "allowed" : "forbidden";
+  return { type, operator: found.name };
+};
--- /dev/null
+++ b/packages/router/src/callers/authenticate.ts
@@ -0,0 +1,33 @@
+/** Names the customer of a caller's key. */
+
+import { createHash, timingSafeEqual } from "node:crypto";
+import type { Customer } from "@cardamomglade/schema";
+import type { ConfigInForce } from "@cardamomglade/decisions";
+
+const scheme = "Bearer ";
+
+/** SHA-256 of a secret in hex. */
+export const hashSecret = (secret: string): string =>
+  createHash("sha256").update(secret).digest("hex");
+
+/** Whether two hex hashes are equal, in constant time. */
+export const isSameHash = (a: string, b: string): boolean =>
+  a.length === b.length && timingSafeEqual(Buffer.from(a), Buffer.from(b));
+
+/** The secret in an Authorization header. */
+export const bearerOf = (header: string | undefined): string | undefined =>
+  header?.startsWith(scheme) === true ? header.slice(scheme.length) : undefined;
+
+/** The customer whose key the header carries. */
+export const authenticate = (
+  config: ConfigInForce,
+  header: string | undefined,
+): Customer | undefined => {
+  const key = bearerOf(header);
+  if (key === undefined) return undefined;
+  const hash = hashSecret(key);
+  const customer = config.customersByKeyHash.get(hash);
+  const isKnown =
+    customer?.keyHashes.some((known) => isSameHash(known, hash)) ?? false;
+  return isKnown ? customer : undefined;
+};
--- /dev/null
+++ b/packages/router/src/callers/parseGeneration.ts
@@ -0,0 +1,58 @@
+/** Reads a generation request from a caller's body. */
+
+import type { ErrorObject } from "ajv";
+import { err, ok, type Result } from "@cardamomglade/common";
+import {
+  validateChatBody,
+  validateCompletionBody,
+  type ChatBody,
+  type CompletionBody,
+} from "@cardamomglade/schema";
+import { ErrorType, notRun, type ApiError } from "../errors.js";
+import type { AnswerShape } from "./answerWriter.js";
+import { parseBody } from "./readBody.js";
+
+/** A caller's body, its prompt as one text. */
+export interface ParsedGeneration {
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stop: readonly string[];
+  readonly isStreamed: boolean;
+  /** Text that a returning caller already holds. */
+  readonly prefix?: string;
+}
+
+const defaultMaxTokens = 1024;
+
+const promptOf = (body: CompletionBody | ChatBody): string =>
+  "messages" in body
+    ? body.messages.map(({ role, content }) => `${role}: ${content}`).join("\n")
+    : body.prompt;
+
+const malformed = (errors: readonly ErrorObject[] | null | undefined) => {
+  const first = errors?.[0];
+  const place = first?.instancePath === "" ? "body" : first?.instancePath;
+  const message = `${place ?? "body"} ${first?.message ?? "is malformed"}`;
+  return err(notRun(ErrorType.Malformed, message));
+};
+
+/** The parsed body, or a typed error that names the place. */
+export const parseGeneration = (
+  text: string,
+  shape: AnswerShape,
+): Result<ParsedGeneration, ApiError> => {
+  const parsed = parseBody(text);
+  if (parsed.type === "err") return parsed;
+  const validate = shape === "chat" ? validateChatBody : validateCompletionBody;
+  const body = parsed.value;
+  if (!validate(body)) return malformed(validate.errors);
+  return ok({
+    model: body.model,
+    prompt: promptOf(body),
+    maxTokens: body.max_tokens ?? defaultMaxTokens,
+    stop: body.stop ?? [],
+    isStreamed: body.stream ?? false,
+    ...(body.prefix === undefined ? {} : { prefix: body.prefix }),
+  });
+};
--- /dev/null
+++ b/packages/router/src/callers/parseServiceCall.ts
@@ -0,0 +1,54 @@
+/** Reads a service call from a caller's request. */
+
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import { err, ok, type Moment, type Result } from "@cardamomglade/common";
+import { CallMethod, type Customer } from "@cardamomglade/schema";
+import { ErrorType, notRun, type ApiError } from "../errors.js";
+import type { ServiceRequest } from "../types.js";
+
+/** Path prefix of calls of plain services. */
+export const servicePrefix = "/v1/services/";
+
+const isMethod = (method: string | undefined): method is CallMethod =>
+  Object.values<string | undefined>(CallMethod).includes(method);
+
+/** What the request's head does not tell. */
+export interface ServiceCallOptions {
+  readonly customer: Customer;
+  readonly body: string;
+  readonly deadline: Moment;
+}
+
+/** Name of the service a path addresses. */
+export const serviceNameOf = (url: string): string =>
+  url.slice(servicePrefix.length).split(/[/?]/)[0] ?? "";
+
+/** The call, or a typed error. */
+export const parseServiceCall = (
+  req: IncomingMessage,
+  { customer, body, deadline }: ServiceCallOptions,
+): Result<ServiceRequest, ApiError> => {
+  const url = req.url ?? "";
+  const service = serviceNameOf(url);
+  const path = url.slice(servicePrefix.length + service.length) || "/";
+  const { method } = req;
+  if (!isMethod(method)) {
+    const message = `method ${method ?? ""} is not served`;
+    return err(notRun(ErrorType.Malformed, message));
+  }
+  const key = req.headers["idempotency-key"];
+  return ok({
+    customer: customer.name,
+    service,
+    ...(typeof key === "string" ? { key } : {}),
+    call: {
+      requestId: randomUUID(),
+      method,
+      path,
+      contentType: req.headers["content-type"] ?? "application/json",
+      body,
+      deadline,
+    },
+  });
+};
--- /dev/null
+++ b/packages/router/src/callers/readBody.ts
@@ -0,0 +1,32 @@
+/** Reads a request's body up to a bound. */
+
+import type { IncomingMessage } from "node:http";
+import { err, ok, type Result } from "@cardamomglade/common";
+import { ErrorType, notRun, type ApiError } from "../errors.js";
+
+/** The body as text, or why it could not be read. */
+export const readBody = async (
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<string, ApiError>> => {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > maxBytes)
+      return err(
+        notRun(ErrorType.TooLarge, `body exceeds ${String(maxBytes)} bytes`),
+      );
+    chunks.push(chunk as Buffer);
+  }
+  return ok(Buffer.concat(chunks).toString("utf8"));
+};
+
+/** Parsed JSON, or a typed error. */
+export const parseBody = (text: string): Result<unknown, ApiError> => {
+  try {
+    return ok(JSON.parse(text) as unknown);
+  } catch {
+    return err(notRun(ErrorType.Malformed, "the body is not JSON"));
+  }
+};
--- /dev/null
+++ b/packages/router/src/decide.ts
@@ -0,0 +1,60 @@
+/** The router's decision: one action an event type. */
+
+import { assertNever } from "@cardamomglade/common";
+import { createConfig, createRouting } from "@cardamomglade/decisions";
+import type { RouterIdentity } from "@cardamomglade/schema";
+import { claimResolved } from "./actions/claimResolved.js";
+import { configurationRead } from "./actions/configurationRead.js";
+import { drainStarted } from "./actions/drainStarted.js";
+import { generationArrived } from "./actions/generationArrived.js";
+import { serviceCallArrived } from "./actions/serviceCallArrived.js";
+import { serviceCallEnded } from "./actions/serviceCallEnded.js";
+import {
+  attemptBroken,
+  attemptEnded,
+  callerLeft,
+  tokensReceived,
+} from "./actions/streamEvents.js";
+import { timePassed } from "./actions/timePassed.js";
+import type { RouterStep } from "./actions/types.js";
+import type { RouterEvent, RouterState } from "./types.js";
+
+/** State of a router that has just started. */
+export const createRouterState = (router: RouterIdentity): RouterState => ({
+  router,
+  draining: false,
+  config: createConfig(),
+  routing: createRouting(),
+  streams: new Map(),
+  serviceCalls: new Map(),
+});
+
+/** Folds one event into the router's state. */
+export const decide = (state: RouterState, event: RouterEvent): RouterStep => {
+  switch (event.type) {
+    case "configurationRead":
+      return configurationRead(state, event);
+    case "generationArrived":
+      return generationArrived(state, event);
+    case "callerLeft":
+      return callerLeft(state, event);
+    case "tokensReceived":
+      return tokensReceived(state, event);
+    case "attemptEnded":
+      return attemptEnded(state, event);
+    case "attemptBroken":
+      return attemptBroken(state, event);
+    case "serviceCallArrived":
+      return serviceCallArrived(state, event);
+    case "claimResolved":
+      return claimResolved(state, event);
+    case "serviceCallEnded":
+      return serviceCallEnded(state, event);
+    case "timePassed":
+      return timePassed(state, event);
+    case "drainStarted":
+      return drainStarted(state, event);
+    default:
+      return assertNever(event);
+  }
+};
--- /dev/null
+++ b/packages/router/src/errors.ts
@@ -0,0 +1,57 @@
+/** Typed errors towards callers. */
+
+import { Ran } from "@cardamomglade/common";
+
+/** Kinds of errors a caller sees. */
+export enum ErrorType {
+  Malformed = "malformed",
+  Unauthorized = "unauthorized",
+  Forbidden = "forbidden",
+  NotFound = "notFound",
+  TooLarge = "tooLarge",
+  KeyConflict = "keyConflict",
+  KeyMissing = "keyMissing",
+  Overloaded = "overloaded",
+  Draining = "draining",
+  NoCapacity = "noCapacity",
+  DeadlineExceeded = "deadlineExceeded",
+  StoreUnavailable = "storeUnavailable",
+  OutcomeUnknown = "outcomeUnknown",
+  Internal = "internal",
+}
+
+/** An error as sent to a caller; `ran` is "no" only where that is proved. */
+export interface ApiError {
+  readonly type: ErrorType;
+  readonly message: string;
+  readonly ran: Ran;
+  /** Seconds after which a retry may succeed. */
+  readonly retryAfterS?: number;
+}
+
+const statuses: Readonly<Record<ErrorType, number>> = {
+  [ErrorType.Malformed]: 400,
+  [ErrorType.Unauthorized]: 401,
+  [ErrorType.Forbidden]: 403,
+  [ErrorType.NotFound]: 404,
+  [ErrorType.TooLarge]: 413,
+  [ErrorType.KeyConflict]: 422,
+  [ErrorType.KeyMissing]: 400,
+  [ErrorType.Overloaded]: 429,
+  [ErrorType.Draining]: 503,
+  [ErrorType.NoCapacity]: 503,
+  [ErrorType.DeadlineExceeded]: 504,
+  [ErrorType.StoreUnavailable]: 503,
+  [ErrorType.OutcomeUnknown]: 502,
+  [ErrorType.Internal]: 500,
+};
+
+/** HTTP status of an error. */
+export const statusOf = (error: ApiError): number => statuses[error.type];
+
+/** An error of a request that was not run. */
+export const notRun = (type: ErrorType, message: string): ApiError => ({
+  type,
+  message,
+  ran: Ran.No,
+});
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,7 @@
+/** The router process and its pieces. */
+
+export { createRouter, type Router } from "./createRouter.js";
+export { createRouterState, decide } from "./decide.js";
+export { configKey } from "./drivers/configDriver.js";
+export { ErrorType, statusOf, type ApiError } from "./errors.js";
+export type * from "./types.js";
--- /dev/null
+++ b/packages/router/src/replay.test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { foldEvents } from "@cardamomglade/common";
+import { AttemptFailure } from "@cardamomglade/decisions";
+import {
+  BackEndType,
+  FinishReason,
+  Priority,
+  type BackEnd,
+  type EngineToken,
+  type Intent,
+} from "@cardamomglade/schema";
+import { createRouterState, decide } from "./decide.js";
+import type { RouterCommand, RouterEvent } from "./types.js";
+
+const backEnd = (name: string): BackEnd => ({
+  name,
+  type: BackEndType.Engine,
+  url: `http://${name}`,
+  host: `host-${name}`,
+  zone: "a",
+  region: "r",
+  checksFencing: true,
+  slots: 8,
+});
+
+const intent: Intent = {
+  customers: [],
+  models: [],
+  backEnds: [backEnd("one"), backEnd("two")],
+  deployments: [
+    {
+      name: "d",
+      model: "m",
+      version: "v1",
+      backEnds: ["one", "two"],
+      customers: ["stall"],
+      recovery: { type: "latencyFirst", hedge: true },
+    },
+  ],
+  services: [],
+  leaving: [],
+};
+
+const tokens = (from: number, count: number): EngineToken[] =>
+  Array.from({ length: count }, (_, index) => ({
+    id: from + index,
+    text: ` t${String(from + index)}`,
+  }));
+
+const recorded: RouterEvent[] = [
+  { type: "configurationRead", at: 1, accepted: { revision: 5, intent } },
+  {
+    type: "generationArrived",
+    at: 2,
+    request: {
+      requestId: "q",
+      customer: "stall",
+      priority: Priority.Standard,
+      model: "m",
+      prompt: "p",
+      maxTokens: 6,
+      stop: [],
+      deadline: 60_000,
+    },
+  },
+  {
+    type: "tokensReceived",
+    at: 3,
+    requestId: "q",
+    attempt: 0,
+    offset: 0,
+    tokens: tokens(0, 3),
+  },
+  {
+    type: "attemptBroken",
+    at: 4,
+    requestId: "q",
+    attempt: 0,
+    failure: AttemptFailure.Connection,
+  },
+  {
+    type: "tokensReceived",
+    at: 5,
+    requestId: "q",
+    attempt: 0,
+    offset: 3,
+    tokens: tokens(90, 2),
+  },
+  {
+    type: "tokensReceived",
+    at: 6,
+    requestId: "q",
+    attempt: 1,
+    offset: 3,
+    tokens: tokens(3, 3),
+  },
+  {
+    type: "attemptEnded",
+    at: 7,
+    requestId: "q",
+    attempt: 1,
+    offset: 6,
+    reason: FinishReason.Length,
+  },
+];
+
+const router = { name: "r1", host: "h", zone: "a", region: "r" };
+
+const replay = () => foldEvents(decide, createRouterState(router), recorded);
+
+const deliveredIds = (commands: readonly RouterCommand[]): number[] =>
+  commands.flatMap((command) =>
+    command.type === "deliver" ? command.tokens.map(({ id }) => id) : [],
+  );
+
+test("a recorded event sequence replays to the same commands", () => {
+  assert.deepEqual(replay().commands, replay().commands);
+});
+
+test("a resumed answer has every token once and nothing of the lost attempt", () => {
+  const { commands, state } = replay();
+  assert.deepEqual(deliveredIds(commands), [0, 1, 2, 3, 4, 5]);
+  const opened = commands.filter(({ type }) => type === "openAttempt");
+  assert.deepEqual(
+    opened.map((command) =>
+      command.type === "openAttempt" ? command.order.prefix : [],
+    ),
+    [[], [0, 1, 2]],
+  );
+  assert.equal(state.streams.size, 0);
+});
--- /dev/null
+++ b/packages/router/src/types.ts
@@ -0,0 +1,202 @@
+/** State, events and commands of the router process. */
+
+import type { Moment } from "@cardamomglade/common";
+import type {
+  AcceptedConfig,
+  AttemptFailure,
+  ClaimOutcome,
+  ConfigInForce,
+  RecordedAnswer,
+  RoutingState,
+  StreamState,
+} from "@cardamomglade/decisions";
+import type {
+  Deployment,
+  EngineToken,
+  FinishReason,
+  Priority,
+  RouterIdentity,
+  TimelineEvent,
+} from "@cardamomglade/schema";
+import type {
+  GenerationOrder,
+  ServiceCall,
+  ServiceOutcome,
+} from "@cardamomglade/upstream";
+import type { ApiError } from "./errors.js";
+
+/** A generation as a caller asked for it. */
+export interface GenerationRequest {
+  readonly requestId: string;
+  readonly customer: string;
+  readonly priority: Priority;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stop: readonly string[];
+  readonly deadline: Moment;
+}
+
+/** One stream with what is needed to open further attempts; owned by the fold. */
+export interface StreamEntry {
+  readonly request: GenerationRequest;
+  readonly deployment: Deployment;
+  /** Ids of all accepted tokens; the fold appends in place. */
+  readonly accepted: number[];
+  stream: StreamState;
+}
+
+/** A call of a plain service as a caller asked for it. */
+export interface ServiceRequest {
+  readonly customer: string;
+  readonly service: string;
+  /** Idempotency key; set where the call may not be repeated. */
+  readonly key?: string;
+  readonly call: ServiceCall;
+}
+
+/** One service call under way. */
+export interface ServiceEntry {
+  readonly request: ServiceRequest;
+  readonly backEnd?: string;
+}
+
+/** State of the router process. Maps are owned by the fold and changed in place. */
+export interface RouterState {
+  readonly router: RouterIdentity;
+  readonly draining: boolean;
+  readonly config: ConfigInForce;
+  readonly routing: RoutingState;
+  readonly streams: Map<string, StreamEntry>;
+  readonly serviceCalls: Map<string, ServiceEntry>;
+}
+
+/** What happens to the router process. */
+export type RouterEvent =
+  | {
+      readonly type: "configurationRead";
+      readonly at: Moment;
+      readonly accepted: AcceptedConfig;
+    }
+  | {
+      readonly type: "generationArrived";
+      readonly at: Moment;
+      readonly request: GenerationRequest;
+    }
+  | {
+      readonly type: "callerLeft";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
+  | {
+      readonly type: "tokensReceived";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly offset: number;
+      readonly tokens: readonly EngineToken[];
+    }
+  | {
+      readonly type: "attemptEnded";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly offset: number;
+      readonly reason: FinishReason;
+    }
+  | {
+      readonly type: "attemptBroken";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly failure: AttemptFailure;
+    }
+  | {
+      readonly type: "serviceCallArrived";
+      readonly at: Moment;
+      readonly request: ServiceRequest;
+    }
+  | {
+      readonly type: "claimResolved";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly outcome: ClaimOutcome;
+    }
+  | {
+      readonly type: "serviceCallEnded";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly outcome: ServiceOutcome;
+    }
+  | { readonly type: "timePassed"; readonly at: Moment }
+  | { readonly type: "drainStarted"; readonly at: Moment };
+
+/** One event by its type. */
+export type RouterEventOf<T extends RouterEvent["type"]> = Extract<
+  RouterEvent,
+  { type: T }
+>;
+
+/** What the router process does. */
+export type RouterCommand =
+  | {
+      readonly type: "openAttempt";
+      readonly url: string;
+      readonly order: GenerationOrder;
+    }
+  | {
+      readonly type: "cancelAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "deliver";
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly offset: number;
+      readonly tokens: readonly EngineToken[];
+    }
+  | {
+      readonly type: "finishAnswer";
+      readonly requestId: string;
+      readonly reason: FinishReason;
+      readonly completionTokens: number;
+    }
+  | {
+      readonly type: "failAnswer";
+      readonly requestId: string;
+      readonly error: ApiError;
+    }
+  | {
+      readonly type: "claimCall";
+      readonly requestId: string;
+      readonly customer: string;
+      readonly key: string;
+      readonly body: string;
+      readonly deadline: Moment;
+    }
+  | {
+      readonly type: "callService";
+      readonly url: string;
+      readonly call: ServiceCall;
+    }
+  | {
+      readonly type: "recordAnswer";
+      readonly requestId: string;
+      readonly answer: RecordedAnswer;
+    }
+  | {
+      readonly type: "answerCall";
+      readonly requestId: string;
+      readonly answer: RecordedAnswer;
+    }
+  | {
+      readonly type: "record";
+      readonly event: Omit<TimelineEvent, "at" | "process">;
+    };
+
+/** One command by its type. */
+export type RouterCommandOf<T extends RouterCommand["type"]> = Extract<
+  RouterCommand,
+  { type: T }
+>;
--- /dev/null
+++ b/packages/schema/src/checkDocument.ts
@@ -0,0 +1,115 @@
+/** Parses and validates a JSON document, collecting every finding with its place. */
+
+import type { ErrorObject, ValidateFunction } from "ajv";
+import {
+  findNodeAtLocation,
+  parse,
+  parseTree,
+  printParseErrorCode,
+  type Node,
+  type ParseError,
+} from "jsonc-parser";
+import { err, ok, type Result } from "@cardamomglade/common";
+import type { Finding } from "./findings.js";
+import { nearestName } from "./nearestName.js";
+
+interface Place {
+  readonly line: number;
+  readonly column: number;
+}
+
+const placeOf = (text: string, offset: number): Place => {
+  const before = text.slice(0, offset).split("\n");
+  return { line: before.length, column: (before.at(-1) ?? "").length + 1 };
+};
+
+const pathOf = (pointer: string): (string | number)[] =>
+  pointer
+    .split("/")
+    .slice(1)
+    .map((part) => part.replaceAll("~1", "/").replaceAll("~0", "~"))
+    .map((part) => (/^\d+$/.test(part) ? Number(part) : part));
+
+const nodeAt = (tree: Node | undefined, pointer: string): Node | undefined =>
+  tree === undefined ? undefined : findNodeAtLocation(tree, pathOf(pointer));
+
+const propertyOffset = (node: Node | undefined, key: string) =>
+  node?.children?.find((child) => child.children?.[0]?.value === key)?.offset;
+
+const knownKeys = (error: ErrorObject): string[] => {
+  const parent = error.parentSchema as { properties?: object } | undefined;
+  return Object.keys(parent?.properties ?? {});
+};
+
+const stringsOf = (value: unknown): string =>
+  Array.isArray(value) ? value.map(String).join(", ") : String(value);
+
+const messageOf = (error: ErrorObject): string => {
+  const params = error.params as Record<string, unknown>;
+  switch (error.keyword) {
+    case "additionalProperties": {
+      const key = String(params.additionalProperty);
+      const nearest = nearestName(key, knownKeys(error));
+      const hint =
+        nearest === undefined ? "" : `; nearest known is "${nearest}"`;
+      return `unknown key "${key}"${hint}`;
+    }
+    case "required":
+      return `key "${String(params.missingProperty)}" is missing`;
+    case "enum":
+      return `expected one of ${stringsOf(params.allowedValues)}`;
+    case "const":
+      return `expected ${JSON.stringify(params.allowedValue)}`;
+    case "type":
+      return `expected ${stringsOf(params.type)}`;
+    default:
+      return `expected: ${error.message ?? error.keyword}`;
+  }
+};
+
+const toFinding = (
+  file: string,
+  text: string,
+  tree: Node | undefined,
+  error: ErrorObject,
+): Finding => {
+  const node = nodeAt(tree, error.instancePath);
+  const params = error.params as Record<string, unknown>;
+  const key = params.additionalProperty;
+  const inside =
+    typeof key === "string" ? propertyOffset(node, key) : undefined;
+  const offset = inside ?? node?.offset ?? 0;
+  const pointer =
+    typeof key === "string"
+      ? `${error.instancePath}/${key}`
+      : error.instancePath;
+  return { file, ...placeOf(text, offset), pointer, message: messageOf(error) };
+};
+
+const syntaxFinding = (
+  file: string,
+  text: string,
+  error: ParseError,
+): Finding => ({
+  file,
+  ...placeOf(text, error.offset),
+  pointer: "",
+  message: `JSON syntax: ${printParseErrorCode(error.error)}`,
+});
+
+/** The validated document, with defaults filled in, or all findings. */
+export const checkDocument = <T>(
+  file: string,
+  text: string,
+  validate: ValidateFunction<T>,
+): Result<T, readonly Finding[]> => {
+  const errors: ParseError[] = [];
+  const value: unknown = parse(text, errors, { disallowComments: true });
+  if (errors.length > 0) {
+    return err(errors.map((error) => syntaxFinding(file, text, error)));
+  }
+  if (validate(value)) return ok(value);
+  const tree = parseTree(text);
+  const found = validate.errors ?? [];
+  return err(found.map((error) => toFinding(file, text, tree, error)));
+};
--- /dev/null
+++ b/packages/schema/src/index.ts
@@ -0,0 +1,36 @@
+/** Schemas of settings, intents, messages and events: generated types, validators and checks. */
+
+export * from "./generated/callers.js";
+export * from "./generated/engines.js";
+export type {
+  Adapter,
+  BackEnd,
+  CallPattern,
+  CostFirst,
+  Customer,
+  CustomerLimits,
+  Deployment,
+  Intent,
+  LatencyFirst,
+  LeavingHost,
+  Model,
+  ModelVersion,
+  RecoveryPolicy,
+  Service,
+} from "./generated/intent.js";
+export { BackEndType, CallMethod, Priority } from "./generated/intent.js";
+export * from "./generated/peers.js";
+export type {
+  ListenAddress,
+  Operator,
+  RouterIdentity,
+  Settings,
+  TlsSettings,
+} from "./generated/settings.js";
+export { LogLevel, OperatorRight } from "./generated/settings.js";
+export type { TimelineEvent } from "./generated/timeline.js";
+export { TimelineTopic } from "./generated/timeline.js";
+export * from "../generated/validators.js";
+export { checkDocument } from "./checkDocument.js";
+export { formatFinding, type Finding } from "./findings.js";
+export { nearestName } from "./nearestName.js";
--- /dev/null
+++ b/packages/upstream/src/index.ts
@@ -0,0 +1,5 @@
+/** Clients of engines and plain services. */
+
+export { EngineClient } from "./engineClient.js";
+export { ServiceClient } from "./serviceClient.js";
+export * from "./types.js";
--- /dev/null
+++ b/packages/upstream/src/types.ts
@@ -0,0 +1,92 @@
+/** Interfaces towards engines and plain services. */
+
+import type { Moment } from "@cardamomglade/common";
+import type {
+  CallMethod,
+  EngineToken,
+  FinishReason,
+  LoadReport,
+  Priority,
+} from "@cardamomglade/schema";
+
+/** What to generate, and from where on. */
+export interface GenerationOrder {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly model: string;
+  readonly version: string;
+  readonly adapter?: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stop: readonly string[];
+  readonly priority: Priority;
+  /** Token ids of the answer so far; generation continues after them. */
+  readonly prefix: readonly number[];
+}
+
+/** Why a stream broke. */
+export interface StreamBreak {
+  readonly type: "connection" | "refused" | "malformed";
+  readonly message: string;
+}
+
+/** What an engine's stream reports; `finished` or `broken` is last. */
+export type EngineStreamEvent =
+  | { readonly type: "opened"; readonly version: string }
+  | {
+      readonly type: "tokens";
+      readonly offset: number;
+      readonly tokens: readonly EngineToken[];
+    }
+  | {
+      readonly type: "finished";
+      readonly offset: number;
+      readonly reason: FinishReason;
+    }
+  | { readonly type: "broken"; readonly cause: StreamBreak };
+
+/** An open stream. */
+export interface EngineStream {
+  pause(): void;
+  resume(): void;
+  /** Stops listening and cancels the engine's work. */
+  cancel(): void;
+}
+
+/** Client of all engines. */
+export interface Engines {
+  generate(
+    url: string,
+    order: GenerationOrder,
+    onEvent: (event: EngineStreamEvent) => void,
+  ): EngineStream;
+  readLoad(url: string, deadline: Moment): Promise<LoadReport | undefined>;
+  close(): Promise<void>;
+}
+
+/** One call of a plain service. */
+export interface ServiceCall {
+  readonly requestId: string;
+  readonly method: CallMethod;
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: string;
+  readonly deadline: Moment;
+}
+
+/** How a service call ended; `notSent` is proof that it was not run. */
+export type ServiceOutcome =
+  | {
+      readonly type: "answered";
+      readonly status: number;
+      readonly contentType: string;
+      readonly body: string;
+    }
+  | { readonly type: "notSent"; readonly message: string }
+  | { readonly type: "unknown"; readonly message: string };
+
+/** Client of all plain services. It never retries. */
+export interface Services {
+  call(url: string, call: ServiceCall): Promise<ServiceOutcome>;
+  close(): Promise<void>;
+}
--- /dev/null
+++ b/stand-ins/src/faults.ts
@@ -0,0 +1,107 @@
+/** Faults on order: posted as JSON, looked up where they act. */
+
+/** A fault; `until` is a moment after which it is gone, `count` the times it acts. */
+export type Fault = FaultKind & {
+  readonly until?: number;
+  readonly count?: number;
+};
+
+type FaultKind =
+  | { readonly type: "crash" }
+  | { readonly type: "freeze"; readonly forMs: number }
+  | { readonly type: "slow"; readonly factor: number }
+  | { readonly type: "delay"; readonly path?: string; readonly byMs: number }
+  | { readonly type: "outage" }
+  | { readonly type: "dropAnswer"; readonly path?: string }
+  | {
+      readonly type: "refuse";
+      readonly path?: string;
+      readonly status?: number;
+    }
+  | { readonly type: "dropConnections"; readonly fromPort: number }
+  | { readonly type: "reportLag"; readonly byMs: number }
+  | { readonly type: "cacheGaps"; readonly every: number }
+  | { readonly type: "fencing"; readonly mode: "check" | "ignore" }
+  | { readonly type: "stall" }
+  | { readonly type: "trickle"; readonly everyMs: number }
+  | { readonly type: "wrongOffset" }
+  | { readonly type: "wrongVersion" };
+
+/** A fault type's name. */
+export type FaultType = FaultKind["type"];
+
+type FaultOf<T extends FaultType> = Extract<Fault, { type: T }>;
+
+interface ActiveFault {
+  readonly fault: Fault;
+  left: number;
+}
+
+/** The faults in force in one stand-in. */
+export class Faults {
+  private active: ActiveFault[] = [];
+
+  private constructor() {
+    // Created by `create`.
+  }
+
+  static create(): Faults {
+    return new Faults();
+  }
+
+  add(fault: Fault): void {
+    this.active.push({ fault, left: fault.count ?? Infinity });
+  }
+
+  clear(): void {
+    this.active = [];
+  }
+
+  list(): Fault[] {
+    return this.active.map(({ fault }) => fault);
+  }
+
+  /** The first fault of a type in force, without using it up. */
+  peek<T extends FaultType>(type: T, path?: string): FaultOf<T> | undefined {
+    return this.find(type, path)?.fault as FaultOf<T> | undefined;
+  }
+
+  /** The first fault of a type in force; uses up one of its times. */
+  take<T extends FaultType>(type: T, path?: string): FaultOf<T> | undefined {
+    const found = this.find(type, path);
+    if (found === undefined) return undefined;
+    found.left -= 1;
+    return found.fault as FaultOf<T>;
+  }
+
+  private find(type: FaultType, path?: string): ActiveFault | undefined {
+    const now = Date.now();
+    this.active = this.active.filter(
+      ({ fault, left }) => left > 0 && (fault.until ?? Infinity) > now,
+    );
+    return this.active.find(
+      ({ fault }) => fault.type === type && matchesPath(fault, path),
+    );
+  }
+}
+
+const matchesPath = (fault: Fault, path?: string): boolean => {
+  if (path === undefined || !("path" in fault)) return true;
+  return path.startsWith(fault.path ?? "");
+};
+
+// Blocks the whole process, as a paused machine would.
+const blockProcess = (forMs: number): void => {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, forMs);
+};
+
+const crashCode = 137;
+
+/** Faults that act at once when posted. */
+export const actOnArrival = (fault: Fault): void => {
+  if (fault.type === "crash") process.exit(crashCode);
+  if (fault.type === "freeze")
+    setTimeout(() => {
+      blockProcess(fault.forMs);
+    }, 1);
+};
--- /dev/null
+++ b/stand-ins/src/index.ts
@@ -0,0 +1,15 @@
+/** Small stand-ins for the platform and the back ends. */
+
+export { startEngine } from "./engine/startEngine.js";
+export type { EngineOptions, TokenMode } from "./engine/types.js";
+export type { Fault } from "./faults.js";
+export {
+  expectedTokens,
+  textOfTokens,
+  type ExpectedAnswerOptions,
+} from "./engine/expectedAnswer.js";
+export { startHosts } from "./startHosts.js";
+export type { StandInServer } from "./httpServer.js";
+export { startKeyValue } from "./keyValue/startKeyValue.js";
+export { startService } from "./startService.js";
+export { startWeights } from "./startWeights.js";
--- /dev/null
+++ b/stand-ins/src/main.ts
@@ -0,0 +1,100 @@
+/** Command line of the stand-ins: one process a stand-in. */
+
+import { cac } from "cac";
+import type { LoadedModel } from "@cardamomglade/schema";
+import {
+  startEngine,
+  startHosts,
+  startKeyValue,
+  startService,
+  startWeights,
+} from "./index.js";
+import type { StandInServer } from "./httpServer.js";
+import type { TokenMode } from "./engine/types.js";
+
+interface Flags {
+  port: number;
+  name: string;
+  mode: TokenMode;
+  stepMs: number;
+  slots: number;
+  prefillMs: number;
+  cacheBlocks: number;
+  memoryBytes: number;
+  loaded: string;
+  bytesPerSecond: number;
+}
+
+const parseLoaded = (text: string): LoadedModel[] =>
+  text
+    .split(",")
+    .filter((part) => part !== "")
+    .map((part) => {
+      const [model = "", version = "", adapter] = part.split(":");
+      return { model, version, ...(adapter === undefined ? {} : { adapter }) };
+    });
+
+const start = async (kind: string, flags: Flags): Promise<StandInServer> => {
+  switch (kind) {
+    case "key-value":
+      return startKeyValue(flags.port);
+    case "engine":
+      return startEngine(flags.port, {
+        name: flags.name,
+        mode: flags.mode,
+        stepMs: flags.stepMs,
+        slots: flags.slots,
+        prefillMsPerBlock: flags.prefillMs,
+        cacheBlocks: flags.cacheBlocks,
+        memoryBytes: flags.memoryBytes,
+        loaded: parseLoaded(flags.loaded),
+      });
+    case "service":
+      return startService(flags.port);
+    case "hosts":
+      return startHosts(flags.port);
+    case "weights":
+      return startWeights(flags.port, flags.bytesPerSecond);
+    default:
+      throw new Error(
+        `unknown stand-in "${kind}"; known are key-value, engine, service, hosts, weights`,
+      );
+  }
+};
+
+const cli = cac("stand-in");
+cli
+  .command(
+    "<kind>",
+    "Start a stand-in: key-value, engine, service, hosts or weights",
+  )
+  .option("--port <port>", "Port on 127.0.0.1; 0 takes a free one", {
+    default: 0,
+  })
+  .option("--name <name>", "Name in messages", { default: "stand-in" })
+  .option("--mode <mode>", "Engine: deterministic or differing", {
+    default: "deterministic",
+  })
+  .option("--step-ms <ms>", "Engine: time of one batch step", { default: 20 })
+  .option("--slots <count>", "Engine: generations at once", { default: 32 })
+  .option("--prefill-ms <ms>", "Engine: time for one uncached prompt block", {
+    default: 5,
+  })
+  .option("--cache-blocks <count>", "Engine: prefix blocks kept", {
+    default: 2048,
+  })
+  .option("--memory-bytes <bytes>", "Engine: memory for weights", {
+    default: 1e12,
+  })
+  .option(
+    "--loaded <list>",
+    "Engine: model:version[:adapter], separated by commas",
+    { default: "" },
+  )
+  .option("--bytes-per-second <rate>", "Weights: rate", { default: 1e9 })
+  .action(async (kind: string, flags: Flags) => {
+    const server = await start(kind, flags);
+    console.log(JSON.stringify({ standIn: kind, url: server.url }));
+  });
+cli.help();
+cli.parse();
--- /dev/null
+++ b/stand-ins/src/startWeights.ts
@@ -0,0 +1,24 @@
+/** The weight-store stand-in: gives out weights at a limited rate. */
+
+import { sendJson, startServer, type StandInServer } from "./httpServer.js";
+
+/** Starts a weight store; a fetch is booked after those before it. */
+export const startWeights = (
+  port: number,
+  bytesPerSecond: number,
+): Promise<StandInServer> => {
+  let freeAt = 0;
+  return startServer(port, () => (call) => {
+    if (call.path === "/rate") {
+      sendJson(call.res, 200, { bytesPerSecond });
+      return true;
+    }
+    if (call.path !== "/fetch") return false;
+    const bytes = Number(call.query.get("bytes") ?? 0);
+    freeAt = Math.max(freeAt, Date.now()) + (bytes / bytesPerSecond) * 1000;
+    setTimeout(() => {
+      sendJson(call.res, 200, { bytes });
+    }, freeAt - Date.now());
+    return true;
+  });
+};
