--- /dev/null
+++ b/bench/src/experiments/index.ts
@@ -0,0 +1,7 @@
+/** All experiments, by name. */
+
+import type { Experiment } from "../types.js";
+import { smoke } from "./smoke.js";
+
+/** Every experiment, in the order that `all` runs them. */
+export const experiments: readonly Experiment[] = [smoke];
--- /dev/null
+++ b/bench/src/report/formatRow.ts
@@ -0,0 +1,26 @@
+/** Text of a row: `name value unit bound verdict`. */
+
+import type { Row } from "../types.js";
+import { isWithinBound } from "./judgeRow.js";
+
+const maxDigits = 3;
+
+const formatNumber = (value: number): string =>
+  Number.isInteger(value) ? String(value) : value.toFixed(maxDigits);
+
+const formatBound = ({ bound }: Row): string => {
+  if (bound === undefined) return "-";
+  const sign = bound.type === "atMost" ? "<=" : ">=";
+  return `${sign}${formatNumber(bound.value)}`;
+};
+
+const verdictOf = (row: Row): string => {
+  if (row.bound === undefined) return "-";
+  return isWithinBound(row) ? "ok" : "MISSED";
+};
+
+/** One line of a bench's output. */
+export const formatRow = (row: Row): string => {
+  const { name, value, unit } = row;
+  return `${name} ${formatNumber(value)} ${unit} ${formatBound(row)} ${verdictOf(row)}`;
+};
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -55,6 +55,17 @@
   },
 });
 
+// The system's clock can be stepped; the monotonic one of `common` cannot.
+const monotonicTime = {
+  files: ["packages/*/src/**/*.ts"],
+  rules: {
+    "no-restricted-properties": [
+      "error",
+      { object: "Date", property: "now", message: "use now() of common" },
+    ],
+  },
+};
+
 // Decisions take time and random numbers from their events and state.
 const pureDecisions = {
   files: ["packages/decisions/src/**/*.ts"],
@@ -148,6 +159,7 @@
       globals: { console: "readonly", process: "readonly", URL: "readonly" },
     },
   },
+  monotonicTime,
   pureDecisions,
   ...Object.entries(allowedImports).map(directionOf),
 );
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 /** Pieces shared by every package. */
 
+export { abortAt } from "./abortAt.js";
 export { assertNever } from "./assertNever.js";
 export { nextTryAt, type BackoffBounds } from "./backoff.js";
 export { createChannel, type Channel } from "./channel.js";
@@ -18,6 +19,7 @@
   tickHybridClock,
   type HybridClock,
 } from "./hybridClock.js";
+export { now } from "./now.js";
 export { err, ok } from "./result.js";
 export {
   runProcess,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,7 @@
 /** Pure decisions, each usable by itself. */
 
 export * from "./config/index.js";
+export * from "./lease/index.js";
 export * from "./ledger/index.js";
 export * from "./recovery/index.js";
 export * from "./routing/index.js";
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,3 +1,3 @@
 /** Mesh between routers. */
 
-export {};
+export type * from "./types.js";
--- a/packages/platform/src/keyValueClient.ts
+++ b/packages/platform/src/keyValueClient.ts
@@ -1,7 +1,7 @@
 /** Client of the key-value service over its JSON gateway. */
 
 import { Agent, request } from "undici";
-import type { Moment } from "@cardamomglade/common";
+import { abortAt, now, type Moment } from "@cardamomglade/common";
 import {
   CallKind,
   type CallFailure,
@@ -226,7 +226,7 @@
     body: object,
     deadline: Moment,
   ): Promise<Outcome<T>> {
-    const remaining = deadline - Date.now();
+    const remaining = deadline - now();
     if (remaining <= 0) {
       return {
         type: "refused",
@@ -243,7 +243,7 @@
         body: JSON.stringify(body),
         headers: { "content-type": "application/json" },
         dispatcher: this.agent,
-        signal: AbortSignal.timeout(remaining),
+        signal: abortAt(deadline),
       });
       if (res.statusCode !== 200) {
         const message = `${path} answered ${String(res.statusCode)}: ${await res.body.text()}`;
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -7,6 +7,7 @@
   createChannel,
   runProcess,
   type RunningProcess,
+  now,
 } from "@cardamomglade/common";
 import {
   LogLevel,
@@ -111,10 +112,10 @@
   };
   const isBusy = () => view().streams.size > 0 || view().serviceCalls.size > 0;
   const drain = async () => {
-    const deadline = Date.now() + settings.drain.graceMs;
-    control.push({ type: "drainStarted", at: Date.now() });
+    const deadline = now() + settings.drain.graceMs;
+    control.push({ type: "drainStarted", at: now() });
     await sleep(settings.drain.unreadyMs);
-    while (isBusy() && Date.now() < deadline) await sleep(drainPollMs);
+    while (isBusy() && now() < deadline) await sleep(drainPollMs);
     await stop();
   };
   return { callersUrl, administrationUrl, state: () => view(), drain, stop };
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -7,6 +7,11 @@
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import {
+  peerLinked,
+  peerLost,
+  peerMessageReceived,
+} from "./actions/peerEvents.js";
 import { serviceCallArrived } from "./actions/serviceCallArrived.js";
 import { serviceCallEnded } from "./actions/serviceCallEnded.js";
 import {
@@ -27,6 +32,7 @@
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  linkedPeers: new Set(),
 });
 
 /** Folds one event into the router's state. */
@@ -50,6 +56,12 @@
       return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "peerLinked":
+      return peerLinked(state, event);
+    case "peerLost":
+      return peerLost(state, event);
+    case "peerMessageReceived":
+      return peerMessageReceived(state, event);
     case "timePassed":
       return timePassed(state, event);
     case "drainStarted":
--- a/packages/router/src/drivers/callerDriver.ts
+++ b/packages/router/src/drivers/callerDriver.ts
@@ -7,7 +7,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { createChannel } from "@cardamomglade/common";
+import { createChannel, now } from "@cardamomglade/common";
 import type { Customer, Settings } from "@cardamomglade/schema";
 import { authenticate } from "../callers/authenticate.js";
 import {
@@ -79,7 +79,7 @@
   const watchCaller = (res: ServerResponse, requestId: string) => {
     res.on("close", () => {
       if (!waiting.delete(requestId)) return;
-      channel.push({ type: "callerLeft", at: Date.now(), requestId });
+      channel.push({ type: "callerLeft", at: now(), requestId });
     });
   };
 
@@ -92,7 +92,7 @@
     }
     const { model, prompt, maxTokens, stop, isStreamed } = parsed.value;
     const requestId = randomUUID();
-    const at = Date.now();
+    const at = now();
     const writer = AnswerWriter.create(res, {
       requestId,
       model,
@@ -129,7 +129,7 @@
   };
 
   const callService = ({ req, res, customer, body }: CallerRequest) => {
-    const at = Date.now();
+    const at = now();
     const service = view().config.services.get(serviceNameOf(req.url ?? ""));
     const longest = service?.timeoutMs ?? Infinity;
     const deadline = at + Math.min(timeoutOf(req, settings), longest);
@@ -207,7 +207,7 @@
   const deliver = (command: Extract<RouterCommand, { type: "deliver" }>) => {
     const entry = waiting.get(command.requestId);
     if (entry?.type !== "answer") return;
-    const at = Date.now();
+    const at = now();
     metrics.observe(
       entry.delivered ? Latency.BetweenTokens : Latency.FirstToken,
       at - entry.lastAt,
@@ -247,7 +247,7 @@
         waiting.delete(command.requestId);
         if (entry?.type !== "call") return;
         metrics.count(Counter.ServiceCalls);
-        metrics.observe(Latency.ServiceCall, Date.now() - entry.arrivedAt);
+        metrics.observe(Latency.ServiceCall, now() - entry.arrivedAt);
         entry.res.writeHead(command.answer.status, {
           "content-type": command.answer.contentType,
         });
--- a/packages/router/src/drivers/configDriver.ts
+++ b/packages/router/src/drivers/configDriver.ts
@@ -1,6 +1,6 @@
 /** Reads the configuration: list, then watch, and list again after a gap. */
 
-import { createChannel } from "@cardamomglade/common";
+import { createChannel, now } from "@cardamomglade/common";
 import { checkDocument, LogLevel, validateIntent } from "@cardamomglade/schema";
 import type {
   KeyValue,
@@ -39,7 +39,7 @@
       return;
     }
     const accepted = { revision: entry.modRevision, intent: checked.value };
-    channel.push({ type: "configurationRead", at: Date.now(), accepted });
+    channel.push({ type: "configurationRead", at: now(), accepted });
   };
 
   const retry = () => {
@@ -61,7 +61,7 @@
   const list = async () => {
     const outcome = await keyValue.range(key, {
       prefix: false,
-      deadline: Date.now() + callTimeoutMs,
+      deadline: now() + callTimeoutMs,
     });
     if (outcome.type !== "done") {
       log(LogLevel.Warn, "configuration could not be listed", {
--- a/packages/router/src/drivers/engineDriver.ts
+++ b/packages/router/src/drivers/engineDriver.ts
@@ -1,6 +1,6 @@
 /** Opens and cancels attempts on engines. */
 
-import { createChannel } from "@cardamomglade/common";
+import { createChannel, now } from "@cardamomglade/common";
 import { AttemptFailure } from "@cardamomglade/decisions";
 import type {
   Engines,
@@ -23,7 +23,7 @@
   event: EngineStreamEvent,
 ): RouterEvent | undefined => {
   const { requestId, attempt } = order;
-  const at = Date.now();
+  const at = now();
   switch (event.type) {
     case "opened":
       return event.version === order.version
--- a/packages/router/src/drivers/ledgerDriver.ts
+++ b/packages/router/src/drivers/ledgerDriver.ts
@@ -1,7 +1,7 @@
 /** Keeps the claims of non-repeatable calls in the key-value service. */
 
 import { createHash } from "node:crypto";
-import { createChannel, Ran } from "@cardamomglade/common";
+import { createChannel, Ran, now } from "@cardamomglade/common";
 import {
   judgeClaim,
   type ClaimOutcome,
@@ -65,7 +65,7 @@
       type: "claimed",
       requestId,
       bodyHash: claim.bodyHash,
-      expiresAt: Date.now() + keyLifetimeMs,
+      expiresAt: now() + keyLifetimeMs,
     };
     const outcome = await keyValue.transact(
       {
@@ -94,7 +94,7 @@
       type: "answered",
       requestId,
       bodyHash: claim.bodyHash,
-      expiresAt: Date.now() + keyLifetimeMs,
+      expiresAt: now() + keyLifetimeMs,
       answer,
     };
     await keyValue.transact(
@@ -103,7 +103,7 @@
         success: [{ type: "put", key, value: JSON.stringify(record) }],
         failure: [],
       },
-      Date.now() + recordTimeoutMs,
+      now() + recordTimeoutMs,
     );
   };
 
@@ -117,7 +117,7 @@
       void claimCall(command).then((outcome) => {
         channel.push({
           type: "claimResolved",
-          at: Date.now(),
+          at: now(),
           requestId,
           outcome,
         });
--- a/packages/router/src/drivers/serviceDriver.ts
+++ b/packages/router/src/drivers/serviceDriver.ts
@@ -1,6 +1,6 @@
 /** Calls plain services. */
 
-import { createChannel } from "@cardamomglade/common";
+import { createChannel, now } from "@cardamomglade/common";
 import type { Services } from "@cardamomglade/upstream";
 import type { RouterEvent } from "../types.js";
 import type { RouterDriver } from "./types.js";
@@ -16,7 +16,7 @@
       void services.call(command.url, command.call).then((outcome) => {
         channel.push({
           type: "serviceCallEnded",
-          at: Date.now(),
+          at: now(),
           requestId,
           outcome,
         });
--- a/packages/router/src/drivers/tickDriver.ts
+++ b/packages/router/src/drivers/tickDriver.ts
@@ -1,6 +1,6 @@
 /** Tells the process the time. */
 
-import { createChannel } from "@cardamomglade/common";
+import { createChannel, now } from "@cardamomglade/common";
 import type { RouterEvent } from "../types.js";
 import type { RouterDriver } from "./types.js";
 
@@ -10,7 +10,7 @@
 export const createTickDriver = (): RouterDriver => {
   const channel = createChannel<RouterEvent>();
   const timer = setInterval(() => {
-    channel.push({ type: "timePassed", at: Date.now() });
+    channel.push({ type: "timePassed", at: now() });
   }, tickEveryMs);
   return {
     events: channel.stream,
--- a/packages/router/src/drivers/timelineDriver.ts
+++ b/packages/router/src/drivers/timelineDriver.ts
@@ -5,6 +5,7 @@
   createHybridClock,
   formatHybridClock,
   tickHybridClock,
+  now,
 } from "@cardamomglade/common";
 import type { TimelineEvent } from "@cardamomglade/schema";
 import type { RouterEvent } from "../types.js";
@@ -25,7 +26,7 @@
     events: createChannel<RouterEvent>().stream,
     perform: (command) => {
       if (command.type !== "record") return;
-      clock = tickHybridClock(clock, Date.now());
+      clock = tickHybridClock(clock, now());
       ring.push({ ...command.event, at: formatHybridClock(clock), process });
       if (ring.length > keptEvents) ring.shift();
     },
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -14,6 +14,7 @@
   Deployment,
   EngineToken,
   FinishReason,
+  PeerMessage,
   Priority,
   RouterIdentity,
   TimelineEvent,
@@ -69,6 +70,8 @@
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
+  /** Routers with an open link to this one. */
+  readonly linkedPeers: ReadonlySet<string>;
 }
 
 /** What happens to the router process. */
@@ -128,6 +131,22 @@
       readonly requestId: string;
       readonly outcome: ServiceOutcome;
     }
+  | {
+      readonly type: "peerLinked";
+      readonly at: Moment;
+      readonly peer: string;
+    }
+  | {
+      readonly type: "peerLost";
+      readonly at: Moment;
+      readonly peer: string;
+    }
+  | {
+      readonly type: "peerMessageReceived";
+      readonly at: Moment;
+      readonly peer: string;
+      readonly message: PeerMessage;
+    }
   | { readonly type: "timePassed"; readonly at: Moment }
   | { readonly type: "drainStarted"; readonly at: Moment };
 
@@ -190,6 +209,11 @@
       readonly requestId: string;
       readonly answer: RecordedAnswer;
     }
+  | {
+      readonly type: "sendToPeer";
+      readonly peer: string;
+      readonly message: PeerMessage;
+    }
   | {
       readonly type: "record";
       readonly event: Omit<TimelineEvent, "at" | "process">;
--- a/packages/upstream/src/engineClient.ts
+++ b/packages/upstream/src/engineClient.ts
@@ -2,7 +2,7 @@
 
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import { Agent, request, type Dispatcher } from "undici";
-import type { Moment } from "@cardamomglade/common";
+import { abortAt, now, type Moment } from "@cardamomglade/common";
 import {
   validateEngineChunk,
   validateLoadReport,
@@ -81,7 +81,7 @@
     this.ended = true;
     this.abort.abort();
     const id = `${this.order.requestId}.${String(this.order.attempt)}`;
-    const signal = AbortSignal.timeout(cancelTimeoutMs);
+    const signal = abortAt(now() + cancelTimeoutMs);
     request(`${this.url}/v1/streams/${id}`, {
       method: "DELETE",
       dispatcher: this.agent,
@@ -198,7 +198,7 @@
     deadline: Moment,
   ): Promise<LoadReport | undefined> {
     try {
-      const signal = AbortSignal.timeout(Math.max(1, deadline - Date.now()));
+      const signal = abortAt(deadline);
       const res = await request(`${url}/load`, {
         dispatcher: this.agent,
         signal,
--- a/packages/upstream/src/serviceClient.ts
+++ b/packages/upstream/src/serviceClient.ts
@@ -1,5 +1,6 @@
 /** Client of plain services: one call, one try. */
 
+import { abortAt, now } from "@cardamomglade/common";
 import { Agent, request } from "undici";
 import { CallMethod } from "@cardamomglade/schema";
 import type { ServiceCall, ServiceOutcome, Services } from "./types.js";
@@ -40,7 +41,7 @@
   }
 
   async call(url: string, call: ServiceCall): Promise<ServiceOutcome> {
-    const remaining = call.deadline - Date.now();
+    const remaining = call.deadline - now();
     if (remaining <= 0) return { type: "notSent", message: "deadline passed" };
     try {
       const res = await request(`${url}${call.path}`, {
@@ -51,7 +52,7 @@
           "x-request-id": call.requestId,
         },
         dispatcher: this.agent,
-        signal: AbortSignal.timeout(remaining),
+        signal: abortAt(call.deadline),
       });
       const body = await res.body.text();
       const contentType = String(
