Serve callers and administration over TLS, reloaded without restart

Settings had TLS entries that nothing read. Certificates are now read from their files, and again when the files change; a pair that does not match is refused and the old one stays in force (test). No effect on plain listeners: demo and tests as before.

--- a/packages/router/src/administration/createAdministrationServer.ts
+++ b/packages/router/src/administration/serveAdministration.ts
@@ -1,11 +1,6 @@
-/** HTTP server of the administration API. */
+/** Requests to the administration API. */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Operator } from "@cardamomglade/schema";
 import { readBody } from "../callers/readBody.js";
 import { authorize } from "./authorize.js";
@@ -33,11 +28,12 @@
 ): AdministrationRoute | undefined =>
   routes.find((route) => route.method === req.method && route.path === path);
 
-/** Creates the server; the caller listens. */
-export const createAdministrationServer = (
+/** Serves the routes on a server; the caller listens. */
+export const serveAdministration = (
+  server: Server,
   operators: readonly Operator[],
   routes: readonly AdministrationRoute[],
-): Server => {
+): void => {
   const answer = async (
     req: IncomingMessage,
   ): Promise<AdministrationAnswer> => {
@@ -79,7 +75,7 @@
     });
   };
 
-  return createServer((req, res) => {
+  server.on("request", (req: IncomingMessage, res: ServerResponse) => {
     answer(req)
       .catch((error: unknown) => errorAnswer(500, "internal", String(error)))
       .then((answered) => {
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -16,7 +16,7 @@
 } from "@cardamomglade/schema";
 import { KeyValueClient } from "@cardamomglade/platform";
 import { EngineClient, ServiceClient } from "@cardamomglade/upstream";
-import { createAdministrationServer } from "./administration/createAdministrationServer.js";
+import { serveAdministration } from "./administration/serveAdministration.js";
 import { createHealthRoutes } from "./administration/healthRoutes.js";
 import { createMetricsRoute } from "./administration/metricsRoute.js";
 import { createTimelineRoute } from "./administration/timelineRoute.js";
@@ -29,6 +29,7 @@
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
 import { createLog } from "./log.js";
+import { createHttpServer } from "./tls/createHttpServer.js";
 import { Metrics } from "./metrics.js";
 import type { RouterEvent, RouterState } from "./types.js";
 
@@ -44,15 +45,16 @@
 
 const drainPollMs = 50;
 
-const listen = (
+const startListening = (
   server: Server,
-  { address, port }: ListenAddress,
+  { address, port, tls }: ListenAddress,
 ): Promise<string> =>
   new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, address, () => {
       const bound = server.address() as AddressInfo;
-      resolve(`http://${address}:${String(bound.port)}`);
+      const scheme = tls === undefined ? "http" : "https";
+      resolve(`${scheme}://${address}:${String(bound.port)}`);
     });
   });
 
@@ -68,8 +70,25 @@
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
+  const maxHeaderBytes = settings.limits.headerBytes;
+  const { listen } = settings;
+  const callersServer = await createHttpServer({
+    listen: listen.callers,
+    maxHeaderBytes,
+    log,
+  });
+  const administrationServer = await createHttpServer({
+    listen: listen.administration,
+    maxHeaderBytes,
+    log,
+  });
   const { prefix } = settings.keyValue;
-  const callers = createCallerDriver({ settings, view, metrics });
+  const callers = createCallerDriver({
+    settings,
+    view,
+    metrics,
+    server: callersServer,
+  });
   const timeline = createTimelineDriver(settings.router.name);
   const drivers = [
     callers,
@@ -91,23 +110,23 @@
   const running = runProcess({ decide, state: initial, drivers, onFailure });
   started.process = running;
 
-  const administration = createAdministrationServer(settings.operators, [
+  serveAdministration(administrationServer, settings.operators, [
     ...createHealthRoutes(view),
     createMetricsRoute(view, metrics),
     createTimelineRoute(timeline.recorded),
   ]);
-  const callersUrl = await listen(callers.server, settings.listen.callers);
-  const administrationUrl = await listen(
-    administration,
-    settings.listen.administration,
+  const callersUrl = await startListening(callersServer, listen.callers);
+  const administrationUrl = await startListening(
+    administrationServer,
+    listen.administration,
   );
   log(LogLevel.Info, "listening", {
     detail: `${callersUrl} ${administrationUrl}`,
   });
 
   const stop = async () => {
-    administration.close();
-    administration.closeAllConnections();
+    administrationServer.close();
+    administrationServer.closeAllConnections();
     await running.stop();
   };
   const isBusy = () => view().streams.size > 0 || view().serviceCalls.size > 0;
--- a/packages/router/src/drivers/callerDriver.ts
+++ b/packages/router/src/drivers/callerDriver.ts
@@ -2,7 +2,6 @@
 
 import { randomUUID } from "node:crypto";
 import {
-  createServer,
   type IncomingMessage,
   type Server,
   type ServerResponse,
@@ -32,11 +31,10 @@
   readonly settings: Settings;
   readonly view: StateView;
   readonly metrics: Metrics;
+  /** Serves callers once it listens. */
+  readonly server: Server;
 }
 
-/** A driver that listens. */
-export type ListeningDriver = RouterDriver & { readonly server: Server };
-
 type Waiting =
   | {
       readonly type: "answer";
@@ -71,8 +69,8 @@
 /** Serves callers: generations, plain services and the list of models. */
 export const createCallerDriver = (
   options: CallerDriverOptions,
-): ListeningDriver => {
-  const { settings, view, metrics } = options;
+): RouterDriver => {
+  const { settings, view, metrics, server } = options;
   const channel = createChannel<RouterEvent>();
   const waiting = new Map<string, Waiting>();
 
@@ -197,12 +195,9 @@
     dispatch({ req, res, customer, body: body.value });
   };
 
-  const server = createServer(
-    { maxHeaderSize: settings.limits.headerBytes },
-    (req, res) => {
-      serve(req, res).catch(() => res.destroy());
-    },
-  );
+  server.on("request", (req: IncomingMessage, res: ServerResponse) => {
+    serve(req, res).catch(() => res.destroy());
+  });
 
   const deliver = (command: Extract<RouterCommand, { type: "deliver" }>) => {
     const entry = waiting.get(command.requestId);
@@ -260,7 +255,6 @@
 
   return {
     events: channel.stream,
-    server,
     perform,
     stop: () =>
       new Promise((resolve) => {
