End the process when a decision throws, go on when a command does

An exception in a decision went up into whatever driver had pushed the event and the fold went on with maps half changed; one in a command lost the commands after it.

--- a/packages/cli/src/commands/route.ts
+++ b/packages/cli/src/commands/route.ts
@@ -17,6 +17,12 @@
         resolve(0);
       });
     };
+    const abandon = () => {
+      void router.stop().then(() => {
+        resolve(1);
+      });
+    };
+    void router.failed.then(abandon);
     process.once("SIGTERM", drain);
     process.once("SIGINT", drain);
   });
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -25,6 +25,7 @@
   runProcess,
   type Decide,
   type Driver,
+  type ProcessFailure,
   type ProcessSpec,
   type RunningProcess,
 } from "./runProcess.js";
--- a/packages/common/src/runProcess.ts
+++ b/packages/common/src/runProcess.ts
@@ -14,12 +14,17 @@
 /** A decision: folds one event into state and commands; no I/O, no clock. */
 export type Decide<S, E, C> = (state: S, event: E) => Step<S, C>;
 
+/** A decision that threw ends the fold; a command that threw is dropped. */
+export type ProcessFailure =
+  | { readonly type: "decide"; readonly error: unknown }
+  | { readonly type: "perform"; readonly error: unknown };
+
 /** What to run. */
 export interface ProcessSpec<S, E, C> {
   readonly decide: Decide<S, E, C>;
   readonly state: S;
   readonly drivers: readonly Driver<E, C>[];
-  readonly onFailure: (failure: unknown) => void;
+  readonly onFailure: (failure: ProcessFailure) => void;
 }
 
 /** A running process. */
@@ -38,8 +43,9 @@
   spec: ProcessSpec<S, E, C>,
 ): RunningProcess<S> => {
   let current = spec.state;
-  const waiting: E[] = [];
+  let waiting: E[] = [];
   let draining = false;
+  let failed = false;
   const ordered = createChannel<E>();
 
   const advance = (state: S, event: E): Advanced<S, C> => {
@@ -50,21 +56,30 @@
 
   const performAll = (commands: readonly C[]) => {
     for (const command of commands) {
-      for (const driver of spec.drivers) driver.perform(command);
+      for (const driver of spec.drivers) perform(driver, command);
+    }
+  };
+
+  const perform = (driver: Driver<E, C>, command: C) => {
+    try {
+      driver.perform(command);
+    } catch (error) {
+      spec.onFailure({ type: "perform", error });
     }
   };
 
+  // A decision that throws may have left maps half changed, so no event follows it.
   const drain = () => {
-    if (draining) return;
+    if (draining || failed) return;
     draining = true;
     try {
-      for (let event = waiting.shift(); event !== undefined;) {
-        ordered.push(event);
-        event = waiting.shift();
-      }
-    } finally {
-      draining = false;
+      for (const event of waiting) ordered.push(event);
+    } catch (error) {
+      failed = true;
+      spec.onFailure({ type: "decide", error });
     }
+    waiting = [];
+    draining = false;
   };
 
   const enqueue = (event: E) => {
@@ -72,13 +87,16 @@
     drain();
   };
 
+  const onStreamFailure = (error: unknown) => {
+    spec.onFailure({ type: "decide", error });
+  };
   ordered.stream
     .loop(advance, spec.state)
     .observe(performAll)
-    .catch(spec.onFailure);
+    .catch(onStreamFailure);
   mergeArray(spec.drivers.map((driver) => driver.events))
     .observe(enqueue)
-    .catch(spec.onFailure);
+    .catch(onStreamFailure);
 
   return {
     state: () => current,
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -6,6 +6,7 @@
 import {
   createChannel,
   runProcess,
+  type ProcessFailure,
   type RunningProcess,
   now,
 } from "@cardamomglade/common";
@@ -28,7 +29,7 @@
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
-import { createLog } from "./log.js";
+import { createLog, type Log } from "./log.js";
 import { createHttpServer } from "./tls/createHttpServer.js";
 import { Metrics } from "./metrics.js";
 import type { RouterEvent, RouterState } from "./types.js";
@@ -37,6 +38,8 @@
 export interface Router {
   readonly callersUrl: string;
   readonly administrationUrl: string;
+  /** Resolves when the process cannot go on; the daemon then exits. */
+  readonly failed: Promise<void>;
   state(): RouterState;
   /** Takes no new work, waits for work under way up to the grace, then stops. */
   drain(): Promise<void>;
@@ -58,6 +61,26 @@
     });
   });
 
+interface FailureWatch {
+  readonly failed: Promise<void>;
+  readonly onFailure: (failure: ProcessFailure) => void;
+}
+
+const watchFailures = (log: Log): FailureWatch => {
+  let end: () => void = () => undefined;
+  const failed = new Promise<void>((resolve) => {
+    end = resolve;
+  });
+  const onFailure = ({ type, error }: ProcessFailure) => {
+    const detail = error instanceof Error ? error.stack : String(error);
+    log(LogLevel.Error, `the process failed to ${type}`, {
+      detail: detail ?? "",
+    });
+    if (type === "decide") end();
+  };
+  return { failed, onFailure };
+};
+
 /** Starts a router with checked settings. */
 export const createRouter = async (settings: Settings): Promise<Router> => {
   const log = createLog(settings.router, settings.log.level);
@@ -104,9 +127,7 @@
       stop: () => keyValue.close(),
     },
   ];
-  const onFailure = (failure: unknown) => {
-    log(LogLevel.Error, "the process fold failed", { detail: String(failure) });
-  };
+  const { failed, onFailure } = watchFailures(log);
   const running = runProcess({ decide, state: initial, drivers, onFailure });
   started.process = running;
 
@@ -137,5 +158,12 @@
     while (isBusy() && now() < deadline) await sleep(drainPollMs);
     await stop();
   };
-  return { callersUrl, administrationUrl, state: () => view(), drain, stop };
+  return {
+    callersUrl,
+    administrationUrl,
+    failed,
+    state: () => view(),
+    drain,
+    stop,
+  };
 };
