--- a/packages/platform/src/keyValueClient.ts
+++ b/packages/platform/src/keyValueClient.ts
@@ -1,6 +1,6 @@
 /** Client of the key-value service over its JSON gateway. */
 
-import { Agent, request } from "undici";
+import { Agent, request, type buildConnector } from "undici";
 import { abortAt, now, type Moment } from "@cardamomglade/common";
 import {
   CallKind,
@@ -29,6 +29,8 @@
 /** Where the service is. */
 export interface KeyValueClientOptions {
   readonly endpoints: readonly string[];
+  /** Makes connections; plain ones where it is left out. */
+  readonly connector?: buildConnector.connector;
 }
 
 interface WireRange {
@@ -73,16 +75,20 @@
 
 /** The service over HTTP; one client a process. */
 export class KeyValueClient implements KeyValue {
-  private readonly agent = new Agent({
-    connections: 16,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  private readonly agent: Agent;
   private readonly made = { read: 0, write: 0, lease: 0, watch: 0 };
   private next = 0;
 
-  private constructor(private readonly options: KeyValueClientOptions) {}
+  private constructor(private readonly options: KeyValueClientOptions) {
+    const { connector: connect } = options;
+    this.agent = new Agent({
+      connections: 16,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      ...(connect && { connect }),
+    });
+  }
 
   /** A client; connects on first use. */
   static create(options: KeyValueClientOptions): KeyValueClient {
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -30,6 +30,7 @@
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
 import { createLog, type Log } from "./log.js";
+import { createConnector } from "./tls/createConnector.js";
 import { createHttpServer } from "./tls/createHttpServer.js";
 import { Metrics } from "./metrics.js";
 import type { RouterEvent, RouterState } from "./types.js";
@@ -47,6 +48,7 @@
 }
 
 const drainPollMs = 50;
+const connectTimeoutMs = 400;
 
 const startListening = (
   server: Server,
@@ -85,8 +87,19 @@
 export const createRouter = async (settings: Settings): Promise<Router> => {
   const log = createLog(settings.router, settings.log.level);
   const metrics = Metrics.create();
+  const connectKeyValue = await createConnector({
+    tls: settings.keyValue.tls,
+    connectTimeoutMs,
+    log,
+  });
+  const connectUpstream = await createConnector({
+    tls: settings.upstreamTls,
+    connectTimeoutMs,
+    log,
+  });
   const keyValue = KeyValueClient.create({
     endpoints: settings.keyValue.endpoints,
+    connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
   const initial = createRouterState(settings.router);
@@ -116,8 +129,8 @@
   const drivers = [
     callers,
     timeline,
-    createEngineDriver(EngineClient.create()),
-    createServiceDriver(ServiceClient.create()),
+    createEngineDriver(EngineClient.create(connectUpstream)),
+    createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
     createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
     createTickDriver(),
--- a/packages/router/src/tls/createHttpServer.test.ts
+++ b/packages/router/src/tls/createHttpServer.test.ts
@@ -43,7 +43,7 @@
   await writeCertificate("first");
   const files = await TlsFiles.create(settings, quiet);
   const names: string[] = [];
-  files.onChange(({ cert }) => names.push(cert));
+  files.onChange(({ cert }) => names.push(cert ?? ""));
   const second = await writeCertificate("second");
   await files.reload();
   assert.deepEqual(names, [second]);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -21,6 +21,7 @@
 export { BackEndType, CallMethod, Priority } from "./generated/intent.js";
 export * from "./generated/peers.js";
 export type {
+  ClientTlsSettings,
   ListenAddress,
   Operator,
   RouterIdentity,
--- a/packages/upstream/src/engineClient.ts
+++ b/packages/upstream/src/engineClient.ts
@@ -1,7 +1,7 @@
 /** Client of model engines: streams over SSE. */
 
 import { createParser, type EventSourceMessage } from "eventsource-parser";
-import { Agent, request, type Dispatcher } from "undici";
+import { Agent, request, type buildConnector, type Dispatcher } from "undici";
 import { abortAt, now, type Moment } from "@cardamomglade/common";
 import {
   validateEngineChunk,
@@ -17,7 +17,6 @@
 } from "./types.js";
 
 const doneMarker = "[DONE]";
-const connectTimeoutMs = 400;
 const cancelTimeoutMs = 2000;
 
 const messageOf = (error: unknown): string =>
@@ -168,21 +167,21 @@
 
 /** Engines over HTTP; one client a process. */
 export class EngineClient implements Engines {
-  private readonly agent = new Agent({
-    connections: null,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect: { timeout: connectTimeoutMs },
-  });
-
-  private constructor() {
-    // Created by `create`.
+  private readonly agent: Agent;
+
+  private constructor(connect: buildConnector.connector) {
+    this.agent = new Agent({
+      connections: null,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect,
+    });
   }
 
   /** A client; connects on first use. */
-  static create(): EngineClient {
-    return new EngineClient();
+  static create(connector: buildConnector.connector): EngineClient {
+    return new EngineClient(connector);
   }
 
   generate(
--- a/packages/upstream/src/serviceClient.ts
+++ b/packages/upstream/src/serviceClient.ts
@@ -1,12 +1,10 @@
 /** Client of plain services: one call, one try. */
 
 import { abortAt, now } from "@cardamomglade/common";
-import { Agent, request } from "undici";
+import { Agent, request, type buildConnector } from "undici";
 import { CallMethod } from "@cardamomglade/schema";
 import type { ServiceCall, ServiceOutcome, Services } from "./types.js";
 
-const connectTimeoutMs = 400;
-
 const neverSentCodes = new Set([
   "ECONNREFUSED",
   "UND_ERR_CONNECT_TIMEOUT",
@@ -23,21 +21,21 @@
 
 /** Plain services over HTTP; one client a process. */
 export class ServiceClient implements Services {
-  private readonly agent = new Agent({
-    connections: 32,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    connect: { timeout: connectTimeoutMs },
-  });
+  private readonly agent: Agent;
 
-  private constructor() {
-    // Created by `create`.
+  private constructor(connect: buildConnector.connector) {
+    this.agent = new Agent({
+      connections: 32,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect,
+    });
   }
 
   /** A client; connects on first use. */
-  static create(): ServiceClient {
-    return new ServiceClient();
+  static create(connector: buildConnector.connector): ServiceClient {
+    return new ServiceClient(connector);
   }
 
   async call(url: string, call: ServiceCall): Promise<ServiceOutcome> {
