Link routers by an authenticated mesh

Routers had an interface for messages to each other but no links. Each pair now keeps one WebSocket link. A message for a router without a link dials it and waits up to 2 s.

--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,3 +1,5 @@
 /** Mesh between routers. */
 
+export { decodeMessage, encodeMessage } from "./codec.js";
+export { PeerMesh } from "./peerMesh.js";
 export type * from "./types.js";
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -25,6 +25,7 @@
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
+import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -71,8 +72,10 @@
   const { prefix } = settings.keyValue;
   const callers = createCallerDriver({ settings, view, metrics });
   const timeline = createTimelineDriver(settings.router.name);
+  const peers = await createPeerDriver(settings, view);
   const drivers = [
     callers,
+    peers,
     timeline,
     createEngineDriver(EngineClient.create()),
     createServiceDriver(ServiceClient.create()),
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -33,6 +33,7 @@
   streams: new Map(),
   serviceCalls: new Map(),
   linkedPeers: new Set(),
+  peerUrls: new Map(),
 });
 
 /** Folds one event into the router's state. */
--- /dev/null
+++ b/packages/router/src/drivers/peerDriver.ts
@@ -0,0 +1,130 @@
+/** Links to other routers. */
+
+import { readFile } from "node:fs/promises";
+import { createChannel, now, rendezvousOrder } from "@cardamomglade/common";
+import { PeerMesh, type LinkTls, type MeshEvent } from "@cardamomglade/peers";
+import type {
+  PeerMessage,
+  PeerSettings,
+  Settings,
+  TlsSettings,
+} from "@cardamomglade/schema";
+import type { RouterEvent } from "../types.js";
+import type { RouterDriver, StateView } from "./types.js";
+
+/** Seeds that one router dials; gossip finds the others. */
+const dialedSeeds = 8;
+const waitingPerPeer = 64;
+const waitingMs = 2000;
+
+interface WaitingMessage {
+  readonly message: PeerMessage;
+  readonly deadline: number;
+}
+
+/** The driver and its address towards other routers. */
+export type PeerDriver = RouterDriver & { readonly url: string };
+
+const readTls = async (
+  tls: TlsSettings | undefined,
+): Promise<LinkTls | undefined> => {
+  if (tls === undefined) return undefined;
+  const [key, cert, ca] = await Promise.all([
+    readFile(tls.keyFile, "utf8"),
+    readFile(tls.certificateFile, "utf8"),
+    tls.authorityFile === undefined
+      ? undefined
+      : readFile(tls.authorityFile, "utf8"),
+  ]);
+  const requestCert = tls.requireClientCertificate;
+  return { key, cert, requestCert, ...(ca === undefined ? {} : { ca }) };
+};
+
+const toRouterEvent = (event: MeshEvent): RouterEvent => {
+  const at = now();
+  const { peer } = event;
+  switch (event.type) {
+    case "linked":
+      return { type: "peerLinked", at, peer };
+    case "lost":
+      return { type: "peerLost", at, peer };
+    case "received":
+      return { type: "peerMessageReceived", at, peer, message: event.message };
+  }
+};
+
+const createMesh = async (
+  { router, listen }: Settings,
+  peers: PeerSettings,
+  onEvent: (event: MeshEvent) => void,
+): Promise<PeerMesh> => {
+  const listenTls = await readTls(listen.peers.tls);
+  const dialTls = await readTls(peers.tls);
+  return PeerMesh.create({
+    router: router.name,
+    address: listen.peers.address,
+    port: listen.peers.port,
+    sharedSecret: peers.sharedSecret,
+    ...(listenTls === undefined ? {} : { listenTls }),
+    ...(dialTls === undefined ? {} : { dialTls }),
+    onEvent,
+  });
+};
+
+/** Listens for other routers; does nothing where the settings name no mesh. */
+export const createPeerDriver = async (
+  settings: Settings,
+  view: StateView,
+): Promise<PeerDriver> => {
+  const channel = createChannel<RouterEvent>();
+  const idle = () => Promise.resolve();
+  if (settings.peers === undefined)
+    return {
+      events: channel.stream,
+      url: "",
+      perform: () => undefined,
+      stop: idle,
+    };
+  const waiting = new Map<string, WaitingMessage[]>();
+
+  const flush = (peer: string) => {
+    const messages = waiting.get(peer) ?? [];
+    waiting.delete(peer);
+    for (const { message, deadline } of messages)
+      if (deadline > now()) mesh.send(peer, message);
+  };
+
+  const mesh = await createMesh(settings, settings.peers, (event) => {
+    channel.push(toRouterEvent(event));
+    if (event.type === "linked") flush(event.peer);
+  });
+
+  const send = (peer: string, message: PeerMessage) => {
+    if (mesh.send(peer, message)) return;
+    const url = view().peerUrls.get(peer);
+    if (url === undefined) return;
+    const queue = waiting.get(peer) ?? [];
+    const live = queue.filter(({ deadline }) => deadline > now());
+    if (live.length < waitingPerPeer)
+      live.push({ message, deadline: now() + waitingMs });
+    waiting.set(peer, live);
+    mesh.connect(url);
+  };
+
+  const { name } = settings.router;
+  const seeds = rendezvousOrder(name, settings.peers.seeds);
+  const dialSeeds = () => {
+    const others = seeds.filter((seed) => seed !== mesh.url);
+    for (const seed of others.slice(0, dialedSeeds)) mesh.connect(seed);
+  };
+  setImmediate(dialSeeds);
+
+  return {
+    events: channel.stream,
+    url: mesh.url,
+    perform: (command) => {
+      if (command.type === "sendToPeer") send(command.peer, command.message);
+    },
+    stop: () => mesh.close(),
+  };
+};
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -72,6 +72,8 @@
   readonly serviceCalls: Map<string, ServiceEntry>;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
+  /** Peer addresses of known routers, by name. */
+  readonly peerUrls: ReadonlyMap<string, string>;
 }
 
 /** What happens to the router process. */
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -23,6 +23,7 @@
 export type {
   ListenAddress,
   Operator,
+  PeerSettings,
   RouterIdentity,
   Settings,
   TlsSettings,
