--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -26,6 +26,7 @@
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
+import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -126,8 +127,10 @@
     server: callersServer,
   });
   const timeline = createTimelineDriver(settings.router.name);
+  const peers = await createPeerDriver(settings, view);
   const drivers = [
     callers,
+    peers,
     timeline,
     createEngineDriver(EngineClient.create(connectUpstream)),
     createServiceDriver(ServiceClient.create(connectUpstream)),
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -24,6 +24,7 @@
   ClientTlsSettings,
   ListenAddress,
   Operator,
+  PeerSettings,
   RouterIdentity,
   Settings,
   TlsSettings,
