--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -27,6 +27,7 @@
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
+import { createLogDriver } from "./drivers/logDriver.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -132,6 +133,7 @@
     callers,
     peers,
     timeline,
+    createLogDriver(log),
     createEngineDriver(EngineClient.create(connectUpstream)),
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
@@ -162,6 +164,7 @@
   });
 
   const stop = async () => {
+    log(LogLevel.Info, "stopping");
     administrationServer.close();
     administrationServer.closeAllConnections();
     await running.stop();
--- a/packages/router/src/log.ts
+++ b/packages/router/src/log.ts
@@ -16,6 +16,9 @@
   readonly requestId?: string;
   readonly customer?: string;
   readonly backEnd?: string;
+  readonly attempt?: number;
+  readonly offset?: number;
+  readonly revision?: number;
   readonly detail?: string;
 }
 
