Move streams early, hedge silent ones, count each attempt once

A stream could have one attempt only, so neither an early move nor a hedge was possible, and a back end dropped from the configuration was released without having been counted. Streams now have phases: assigning, running, probing, seeking, hedged. A move holds the old attempt's tokens until the new one speaks; a hedge takes the first valid token of either. Silence is judged by each stream's and engine's own token times within bounds; time in which this process did not run is no silence. In-flight counts follow the set of opened attempts.

Tests: a move that succeeds, fails, is overtaken by the end of the answer, and one whose caller leaves; each ends with exact counts.

--- a/packages/decisions/src/recovery/createStream.ts
+++ b/packages/decisions/src/recovery/createStream.ts
@@ -10,18 +10,23 @@
   readonly policy: RecoveryPolicy;
   readonly deadline: Moment;
   readonly accepted: number;
+  /** Number of the first attempt. */
+  readonly firstAttempt?: number;
 }
 
 /** A stream that waits for its first back end. */
-export const createStream = (
-  options: StreamOptions,
-): Step<StreamState, RecoveryCommand> => ({
+export const createStream = ({
+  firstAttempt = 0,
+  ...options
+}: StreamOptions): Step<StreamState, RecoveryCommand> => ({
   state: {
     ...options,
-    attemptsMade: 0,
+    attemptsMade: firstAttempt,
+    failures: 0,
     lost: [],
     wasted: 0,
-    phase: { type: "assigning", avoid: [] },
+    isPaused: false,
+    phase: { type: "assigning", avoid: [], retryAt: 0 },
   },
   commands: [{ type: "assignBackEnd", avoid: [] }],
 });
--- a/packages/decisions/src/recovery/decideRecovery.ts
+++ b/packages/decisions/src/recovery/decideRecovery.ts
@@ -1,182 +1,74 @@
 /** Recovery of one stream: every token once, from one attempt at a time. */
 
-import { assertNever, type Step } from "@cardamomglade/common";
+import { assertNever, type Moment } from "@cardamomglade/common";
+import { attemptFinished } from "./attemptFinished.js";
 import {
-  AttemptFailure,
-  StreamFailure,
-  type AttemptNumber,
-  type AttemptState,
-  type RecoveryCommand,
+  assigned,
+  cancel,
+  isOpen,
+  loseCurrent,
+  notAssigned,
+  openAttempts,
+  seekChallenger,
+  unchanged,
+  type EventOf,
+  type RecoveryStep,
+} from "./attempts.js";
+import { timePassed } from "./timePassed.js";
+import { attemptFailed, tokensArrived } from "./tokensArrived.js";
+import {
+  ChallengeReason,
   type RecoveryEvent,
+  type StreamPhase,
   type StreamState,
 } from "./types.js";
 
-type RecoveryStep = Step<StreamState, RecoveryCommand>;
-
-type EventOf<T extends RecoveryEvent["type"]> = Extract<
-  RecoveryEvent,
-  { type: T }
->;
-
-const silenceLimitMs = 1000;
-
-const unchanged = (state: StreamState): RecoveryStep => ({
-  state,
-  commands: [],
-});
-
-const currentAttempt = (
-  state: StreamState,
-  attempt: AttemptNumber,
-): AttemptState | undefined => {
-  if (state.phase.type !== "running") return undefined;
-  const { current } = state.phase;
-  return current.attempt === attempt ? current : undefined;
-};
-
-const assigned = (
-  state: StreamState,
-  event: EventOf<"backEndAssigned">,
-): RecoveryStep => {
-  if (state.phase.type !== "assigning") return unchanged(state);
-  const attempt = state.attemptsMade;
-  const { backEnd, at } = event;
-  const from = state.accepted;
-  const current = { attempt, backEnd, from, lastHeardAt: at };
-  return {
-    state: {
-      ...state,
-      attemptsMade: attempt + 1,
-      phase: { type: "running", current },
-    },
-    commands: [{ type: "openAttempt", attempt, backEnd, from }],
-  };
-};
-
-const fail = (state: StreamState, failure: StreamFailure): RecoveryStep => ({
+const callerGone = (state: StreamState): RecoveryStep => ({
   state: { ...state, phase: { type: "failed" } },
-  commands: [{ type: "fail", failure }],
+  commands: openAttempts(state.phase).map(cancel),
 });
 
-const loseAttempt = (
-  state: StreamState,
-  current: AttemptState,
-): RecoveryStep => {
-  const lost = [...state.lost, current.backEnd];
-  const { attempt, backEnd } = current;
-  return {
-    state: { ...state, lost, phase: { type: "assigning", avoid: lost } },
-    commands: [
-      { type: "cancelAttempt", attempt, backEnd },
-      { type: "assignBackEnd", avoid: lost },
-    ],
-  };
-};
+const move = (state: StreamState, at: Moment): RecoveryStep =>
+  state.phase.type === "running"
+    ? seekChallenger(state, state.phase.current, ChallengeReason.Move, at)
+    : unchanged(state);
 
-const tokensArrived = (
+const probed = (
   state: StreamState,
-  event: EventOf<"tokensArrived">,
+  { attempt, at, isAlive }: EventOf<"backEndProbed">,
 ): RecoveryStep => {
-  const current = currentAttempt(state, event.attempt);
-  if (current === undefined) {
-    return unchanged({ ...state, wasted: state.wasted + event.count });
-  }
-  if (event.offset > state.accepted) {
-    return failAttempt(state, {
-      type: "attemptFailed",
-      at: event.at,
-      attempt: event.attempt,
-      failure: AttemptFailure.WrongOffset,
-    });
+  const { phase } = state;
+  if (phase.type !== "probing" || phase.current.attempt !== attempt) {
+    return unchanged(state);
   }
-  const skip = state.accepted - event.offset;
-  const fresh = Math.max(0, event.count - skip);
-  const heard = { ...current, lastHeardAt: event.at };
-  const next: StreamState = {
-    ...state,
-    accepted: state.accepted + fresh,
-    wasted: state.wasted + event.count - fresh,
-    phase: { type: "running", current: heard },
-  };
-  if (fresh === 0) return unchanged(next);
-  const { attempt } = event;
-  const offset = state.accepted;
-  return {
-    state: next,
-    commands: [{ type: "deliver", attempt, offset, skip }],
-  };
-};
-
-const failAttempt = (
-  state: StreamState,
-  event: EventOf<"attemptFailed">,
-): RecoveryStep => {
-  const current = currentAttempt(state, event.attempt);
-  if (current === undefined) return unchanged(state);
-  return loseAttempt(state, current);
+  if (!isAlive) return loseCurrent(state, phase.current, at);
+  const current = { ...phase.current, lastHeardAt: at, isProbed: true };
+  return unchanged({ ...state, phase: { type: "running", current } });
 };
 
-const finishAttempt = (
-  state: StreamState,
-  event: EventOf<"attemptFinished">,
-): RecoveryStep => {
-  const current = currentAttempt(state, event.attempt);
-  if (current === undefined) return unchanged(state);
-  if (event.offset !== state.accepted) return loseAttempt(state, current);
-  return {
-    state: { ...state, phase: { type: "finished" } },
-    commands: [{ type: "finish", reason: event.reason }],
-  };
-};
+const pause = (state: StreamState): RecoveryStep => ({
+  state: { ...state, isPaused: true },
+  commands: openAttempts(state.phase).map(({ attempt }) => ({
+    type: "pauseAttempt",
+    attempt,
+  })),
+});
 
-const callerGone = (state: StreamState): RecoveryStep => {
-  const ended: StreamState = { ...state, phase: { type: "failed" } };
-  if (state.phase.type !== "running") return unchanged(ended);
-  const { attempt, backEnd } = state.phase.current;
+// What the engine sent while the caller was slow is still on its way.
+const resume = (state: StreamState, at: Moment): RecoveryStep => {
+  const { phase } = state;
+  const heardNow: StreamPhase = isOpen(phase)
+    ? { ...phase, current: { ...phase.current, lastHeardAt: at } }
+    : phase;
   return {
-    state: ended,
-    commands: [{ type: "cancelAttempt", attempt, backEnd }],
+    state: { ...state, isPaused: false, phase: heardNow },
+    commands: openAttempts(phase).map(({ attempt }) => ({
+      type: "resumeAttempt",
+      attempt,
+    })),
   };
 };
 
-const timePassed = (
-  state: StreamState,
-  event: EventOf<"timePassed">,
-): RecoveryStep => {
-  if (state.phase.type === "finished" || state.phase.type === "failed") {
-    return unchanged(state);
-  }
-  if (event.at >= state.deadline) {
-    const gone = callerGone(state);
-    const failed = fail(gone.state, StreamFailure.DeadlineExceeded);
-    return {
-      state: failed.state,
-      commands: [...gone.commands, ...failed.commands],
-    };
-  }
-  if (state.phase.type === "assigning") {
-    return {
-      state,
-      commands: [{ type: "assignBackEnd", avoid: state.phase.avoid }],
-    };
-  }
-  const { current } = state.phase;
-  const silentSince = event.at - current.lastHeardAt;
-  return silentSince > silenceLimitMs
-    ? loseAttempt(state, current)
-    : unchanged(state);
-};
-
-// Back ends avoided so far may be all there are; the next try may use any of them.
-const noBackEnd = (state: StreamState): RecoveryStep => {
-  if (state.phase.type !== "assigning") return unchanged(state);
-  return unchanged({
-    ...state,
-    lost: [],
-    phase: { type: "assigning", avoid: [] },
-  });
-};
-
 /** Folds one event into a stream's state. */
 export const decideRecovery = (
   state: StreamState,
@@ -186,13 +78,21 @@
     case "backEndAssigned":
       return assigned(state, event);
     case "noBackEnd":
-      return noBackEnd(state);
+      return notAssigned(state, event);
     case "tokensArrived":
       return tokensArrived(state, event);
     case "attemptFinished":
-      return finishAttempt(state, event);
+      return attemptFinished(state, event);
     case "attemptFailed":
-      return failAttempt(state, event);
+      return attemptFailed(state, event);
+    case "backEndProbed":
+      return probed(state, event);
+    case "moveRequested":
+      return move(state, event.at);
+    case "callerSlow":
+      return pause(state);
+    case "callerReady":
+      return resume(state, event.at);
     case "callerGone":
       return callerGone(state);
     case "timePassed":
--- a/packages/decisions/src/recovery/index.ts
+++ b/packages/decisions/src/recovery/index.ts
@@ -2,8 +2,15 @@
 
 export { createStream, type StreamOptions } from "./createStream.js";
 export { decideRecovery } from "./decideRecovery.js";
+export {
+  createEnginePace,
+  observeGap,
+  type EnginePace,
+  type TokenPace,
+} from "./tokenPace.js";
 export {
   AttemptFailure,
+  ChallengeReason,
   StreamFailure,
   type AttemptNumber,
   type AttemptState,
--- a/packages/router/src/actions/generationArrived.ts
+++ b/packages/router/src/actions/generationArrived.ts
@@ -58,6 +58,8 @@
     request,
     deployment,
     accepted: [],
+    open: new Map(),
+    held: [],
     stream: started.state,
   };
   state.streams.set(requestId, entry);
--- /dev/null
+++ b/packages/router/src/actions/moveStreams.test.ts
@@ -0,0 +1,167 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AttemptFailure } from "@cardamomglade/decisions";
+import {
+  BackEndType,
+  FinishReason,
+  Priority,
+  type BackEnd,
+  type Intent,
+} from "@cardamomglade/schema";
+import { createRouterState, decide } from "../decide.js";
+import type { RouterCommand, RouterEvent, RouterState } from "../types.js";
+import { moveStreamsFrom } from "./moveStreams.js";
+
+const backEnd = (name: string): BackEnd => ({
+  name,
+  type: BackEndType.Engine,
+  url: `http://${name}`,
+  host: `host-${name}`,
+  zone: "a",
+  region: "r",
+  checksFencing: true,
+  slots: 8,
+});
+
+const intent: Intent = {
+  customers: [],
+  models: [],
+  backEnds: [backEnd("one"), backEnd("two")],
+  deployments: [
+    {
+      name: "d",
+      model: "m",
+      version: "v1",
+      backEnds: ["one", "two"],
+      customers: ["stall"],
+      recovery: { type: "latencyFirst", hedge: true },
+    },
+  ],
+  services: [],
+  leaving: [],
+};
+
+const request = {
+  requestId: "q",
+  customer: "stall",
+  priority: Priority.Standard,
+  model: "m",
+  prompt: "p",
+  maxTokens: 6,
+  stop: [],
+  deadline: 60_000,
+};
+
+class Run {
+  state: RouterState = createRouterState({
+    name: "r1",
+    host: "h",
+    zone: "a",
+    region: "r",
+  });
+  commands: RouterCommand[] = [];
+
+  hear(event: RouterEvent): void {
+    const step = decide(this.state, event);
+    this.state = step.state;
+    this.commands.push(...step.commands);
+  }
+
+  tokens(attempt: number, offset: number, ids: readonly number[]): void {
+    const tokens = ids.map((id) => ({ id, text: ` t${String(id)}` }));
+    const at = 10 + offset;
+    const requestId = "q";
+    this.hear({
+      type: "tokensReceived",
+      at,
+      requestId,
+      attempt,
+      offset,
+      tokens,
+    });
+  }
+
+  delivered(): number[] {
+    return this.commands.flatMap((command) =>
+      command.type === "deliver" ? command.tokens.map(({ id }) => id) : [],
+    );
+  }
+
+  inFlight(): number[] {
+    return ["one", "two"].map(
+      (name) => this.state.routing.inFlight.get(name) ?? 0,
+    );
+  }
+}
+
+const startMove = (): Run => {
+  const run = new Run();
+  run.hear({
+    type: "configurationRead",
+    at: 1,
+    accepted: { revision: 5, intent },
+  });
+  run.hear({ type: "generationArrived", at: 2, request });
+  run.tokens(0, 0, [0, 1]);
+  const step = moveStreamsFrom(run.state, "host-one", 20);
+  run.state = step.state;
+  run.commands.push(...step.commands);
+  assert.deepEqual(run.inFlight(), [1, 1]);
+  return run;
+};
+
+const finish = (run: Run, attempt: number, offset: number): void => {
+  run.hear({
+    type: "attemptEnded",
+    at: 50,
+    requestId: "q",
+    attempt,
+    offset,
+    reason: FinishReason.Length,
+  });
+};
+
+test("a moved stream has one generation's text and drops what was held", () => {
+  const run = startMove();
+  run.tokens(0, 2, [2]);
+  assert.deepEqual(run.delivered(), [0, 1]);
+  run.tokens(1, 2, [92, 93]);
+  run.tokens(0, 3, [3]);
+  assert.deepEqual(run.delivered(), [0, 1, 92, 93]);
+  assert.deepEqual(run.inFlight(), [0, 1]);
+  finish(run, 1, 4);
+  assert.deepEqual(run.inFlight(), [0, 0]);
+});
+
+test("a stream whose move fails goes on with what was held", () => {
+  const run = startMove();
+  run.tokens(0, 2, [2]);
+  run.hear({
+    type: "attemptBroken",
+    at: 30,
+    requestId: "q",
+    attempt: 1,
+    failure: AttemptFailure.Connection,
+  });
+  assert.deepEqual(run.delivered(), [0, 1, 2]);
+  assert.deepEqual(run.inFlight(), [1, 0]);
+  run.tokens(0, 3, [3]);
+  finish(run, 0, 4);
+  assert.deepEqual(run.delivered(), [0, 1, 2, 3]);
+  assert.deepEqual(run.inFlight(), [0, 0]);
+});
+
+test("an answer that ends during its move ends with what was held", () => {
+  const run = startMove();
+  run.tokens(0, 2, [2]);
+  finish(run, 0, 3);
+  assert.deepEqual(run.delivered(), [0, 1, 2]);
+  assert.deepEqual(run.inFlight(), [0, 0]);
+  assert.equal(run.state.streams.size, 0);
+});
+
+test("a caller that leaves during a move releases both attempts", () => {
+  const run = startMove();
+  run.hear({ type: "callerLeft", at: 30, requestId: "q" });
+  assert.deepEqual(run.inFlight(), [0, 0]);
+});
--- /dev/null
+++ b/packages/router/src/actions/moveStreams.ts
@@ -0,0 +1,27 @@
+/** Moves streams early from back ends that are leaving. */
+
+import type { RouterCommand, RouterState } from "../types.js";
+import { stepStream } from "./stepStream.js";
+import type { RouterStep } from "./types.js";
+
+/** Starts a move of every stream whose current attempt runs on a host or back end; repeated calls move what is left. */
+export const moveStreamsFrom = (
+  state: RouterState,
+  hostOrBackEnd: string,
+  at: number,
+): RouterStep => {
+  const isLeft = (name: string): boolean =>
+    name === hostOrBackEnd ||
+    state.config.backEnds.get(name)?.host === hostOrBackEnd;
+  let current = state;
+  const commands: RouterCommand[] = [];
+  for (const entry of [...state.streams.values()]) {
+    const { phase } = entry.stream;
+    if (phase.type !== "running" || !isLeft(phase.current.backEnd)) continue;
+    const event = { type: "moveRequested" as const, at };
+    const step = stepStream({ state: current, entry, event });
+    current = step.state;
+    commands.push(...step.commands);
+  }
+  return { state: current, commands };
+};
--- /dev/null
+++ b/packages/router/src/actions/observeEngine.ts
@@ -0,0 +1,42 @@
+/** Notes an engine's token times. */
+
+import {
+  createEnginePace,
+  observeGap,
+  type AttemptState,
+  type RecoveryEvent,
+} from "@cardamomglade/decisions";
+import type { RouterState, StreamEntry } from "../types.js";
+
+type Tokens = Extract<RecoveryEvent, { type: "tokensArrived" }>;
+
+const attemptOf = (
+  { stream }: StreamEntry,
+  attempt: number,
+): AttemptState | undefined => {
+  const { phase } = stream;
+  if (!("current" in phase)) return undefined;
+  if (phase.current.attempt === attempt) return phase.current;
+  return phase.type === "hedged" && phase.challenger.attempt === attempt
+    ? phase.challenger
+    : undefined;
+};
+
+/** Adds the time since an open attempt's last token to its engine's pace. */
+export const observeEngine = (
+  state: RouterState,
+  entry: StreamEntry,
+  { attempt, at }: Tokens,
+): void => {
+  const found = attemptOf(entry, attempt);
+  if (found === undefined || entry.stream.isPaused) return;
+  const pace = state.engines.get(found.backEnd) ?? createEnginePace(at);
+  const gapMs = at - found.lastHeardAt;
+  if (found.next > found.from) {
+    pace.betweenTokens = observeGap(pace.betweenTokens, gapMs);
+  } else {
+    pace.firstToken = observeGap(pace.firstToken, gapMs);
+  }
+  pace.lastHeardAt = at;
+  state.engines.set(found.backEnd, pace);
+};
--- a/packages/router/src/actions/stepStream.ts
+++ b/packages/router/src/actions/stepStream.ts
@@ -1,11 +1,11 @@
 /** Drives one stream's recovery and turns its commands into the router's. */
 
-import { assertNever, Ran } from "@cardamomglade/common";
+import { assertNever } from "@cardamomglade/common";
 import {
   chooseBackEnd,
   countInFlight,
   decideRecovery,
-  StreamFailure,
+  AttemptFailure,
   type RecoveryCommand,
   type RecoveryEvent,
   type RoutingState,
@@ -15,9 +15,9 @@
   type BackEnd,
   type EngineToken,
 } from "@cardamomglade/schema";
-import { ErrorType, type ApiError } from "../errors.js";
 import type { RouterCommand, RouterState, StreamEntry } from "../types.js";
 import { candidatesOf } from "./candidatesOf.js";
+import { streamError } from "./streamErrors.js";
 import type { RouterStep } from "./types.js";
 
 /** Work of one step: the stream's entry, what arrived with the event, and what has come of it so far. */
@@ -30,6 +30,11 @@
   routing: RoutingState;
 }
 
+type CommandOf<T extends RecoveryCommand["type"]> = Extract<
+  RecoveryCommand,
+  { type: T }
+>;
+
 const choose = (
   work: StreamWork,
   avoid: readonly string[],
@@ -58,19 +63,22 @@
 
 const openAttempt = (
   work: StreamWork,
-  command: Extract<RecoveryCommand, { type: "openAttempt" }>,
+  { attempt, from, backEnd: name }: CommandOf<"openAttempt">,
 ): void => {
-  const { state, entry } = work;
+  const { state, entry, at } = work;
   const { request, deployment } = entry;
-  const backEnd = state.config.backEnds.get(command.backEnd);
-  if (backEnd === undefined) return;
-  work.routing = countInFlight(work.routing, backEnd.name, 1);
+  const backEnd = state.config.backEnds.get(name);
+  if (backEnd === undefined) {
+    const failure = AttemptFailure.Refused;
+    decide(work, { type: "attemptFailed", at, attempt, failure });
+    return;
+  }
+  entry.open.set(attempt, name);
+  work.routing = countInFlight(work.routing, name, 1);
   const adapter =
     deployment.adapter === undefined ? {} : { adapter: deployment.adapter };
   const { requestId, prompt, maxTokens, stop, priority } = request;
   const { model, version } = deployment;
-  const { attempt, from } = command;
-  const prefix = entry.accepted.slice(0, from);
   const order = {
     requestId,
     attempt,
@@ -81,7 +89,7 @@
     maxTokens,
     stop,
     priority,
-    prefix,
+    prefix: entry.accepted.slice(0, from),
   };
   work.commands.push(
     { type: "openAttempt", url: backEnd.url, order },
@@ -92,51 +100,66 @@
         name: from > 0 || attempt > 0 ? "resumed" : "opened",
         request: requestId,
         attempt,
-        backEnd: backEnd.name,
+        backEnd: name,
         offset: from,
       },
     },
   );
 };
 
+// Each opened attempt is counted once and released once.
+const release = (work: StreamWork, attempt: number): void => {
+  const backEnd = work.entry.open.get(attempt);
+  if (backEnd === undefined) return;
+  work.entry.open.delete(attempt);
+  work.routing = countInFlight(work.routing, backEnd, -1);
+};
+
 const deliver = (
   work: StreamWork,
-  command: Extract<RecoveryCommand, { type: "deliver" }>,
+  attempt: number,
+  offset: number,
+  tokens: readonly EngineToken[],
+): void => {
+  const { accepted, request } = work.entry;
+  for (const token of tokens) accepted.push(token.id);
+  const { requestId } = request;
+  work.commands.push({ type: "deliver", requestId, attempt, offset, tokens });
+};
+
+const deliverHeld = (
+  work: StreamWork,
+  { attempt, offset }: CommandOf<"deliverHeld">,
+): void => {
+  const { held } = work.entry;
+  work.entry.held = [];
+  deliver(work, attempt, offset, held);
+};
+
+const probe = (
+  work: StreamWork,
+  { attempt, backEnd, deadline }: CommandOf<"probeBackEnd">,
 ): void => {
-  const { entry } = work;
-  const tokens = work.tokens.slice(command.skip);
-  for (const token of tokens) entry.accepted.push(token.id);
-  const { requestId } = entry.request;
+  const { requestId } = work.entry.request;
+  const url = work.state.config.backEnds.get(backEnd)?.url;
+  if (url === undefined) return;
   work.commands.push({
-    type: "deliver",
+    type: "probeBackEnd",
     requestId,
-    attempt: command.attempt,
-    offset: command.offset,
-    tokens,
+    attempt,
+    url,
+    deadline,
   });
 };
 
-const errorOf = (failure: StreamFailure): ApiError => {
-  switch (failure) {
-    case StreamFailure.DeadlineExceeded:
-      return {
-        type: ErrorType.DeadlineExceeded,
-        message: "the answer was not complete by its deadline",
-        ran: Ran.Unknown,
-      };
-    case StreamFailure.NoBackEnd:
-      return {
-        type: ErrorType.NoCapacity,
-        message: "no back end serves the model",
-        ran: Ran.Unknown,
-      };
-    default:
-      return assertNever(failure);
-  }
-};
-
-const release = (work: StreamWork, backEnd: string): void => {
-  work.routing = countInFlight(work.routing, backEnd, -1);
+const finish = (work: StreamWork, command: CommandOf<"finish">): void => {
+  const { request, accepted } = work.entry;
+  work.commands.push({
+    type: "finishAnswer",
+    requestId: request.requestId,
+    reason: command.reason,
+    completionTokens: accepted.length,
+  });
 };
 
 const perform = (work: StreamWork, command: RecoveryCommand): void => {
@@ -148,44 +171,55 @@
     case "openAttempt":
       openAttempt(work, command);
       return;
-    case "cancelAttempt":
-      release(work, command.backEnd);
-      work.commands.push({
-        type: "cancelAttempt",
-        requestId,
-        attempt: command.attempt,
-      });
+    case "cancelAttempt": {
+      const { attempt } = command;
+      release(work, attempt);
+      work.commands.push({ type: "cancelAttempt", requestId, attempt });
+      return;
+    }
+    case "closeAttempt":
+      release(work, command.attempt);
+      return;
+    case "probeBackEnd":
+      probe(work, command);
+      return;
+    case "pauseAttempt":
+    case "resumeAttempt":
+      work.commands.push({ ...command, requestId });
       return;
     case "deliver":
-      deliver(work, command);
+      deliver(
+        work,
+        command.attempt,
+        command.offset,
+        work.tokens.slice(command.skip),
+      );
+      return;
+    case "hold":
+      work.entry.held.push(...work.tokens);
+      return;
+    case "dropHeld":
+      work.entry.held = [];
+      return;
+    case "deliverHeld":
+      deliverHeld(work, command);
       return;
     case "finish":
-      work.commands.push({
-        type: "finishAnswer",
-        requestId,
-        reason: command.reason,
-        completionTokens: work.entry.accepted.length,
-      });
+      finish(work, command);
       return;
-    case "fail":
-      work.commands.push({
-        type: "failAnswer",
-        requestId,
-        error: errorOf(command.failure),
-      });
+    case "fail": {
+      const error = streamError(work.entry.stream, command.failure);
+      work.commands.push({ type: "failAnswer", requestId, error });
       return;
+    }
     default:
       assertNever(command);
   }
 };
 
 const decide = (work: StreamWork, event: RecoveryEvent): void => {
-  const before = work.entry.stream;
-  const step = decideRecovery(before, event);
+  const step = decideRecovery(work.entry.stream, event);
   work.entry.stream = step.state;
-  if (before.phase.type === "running" && step.state.phase.type === "finished") {
-    release(work, before.phase.current.backEnd);
-  }
   for (const command of step.commands) perform(work, command);
 };
 
@@ -201,28 +235,36 @@
   readonly tokens?: readonly EngineToken[];
 }
 
+const createWork = (
+  state: RouterState,
+  entry: StreamEntry,
+  at: number,
+  tokens: readonly EngineToken[] = [],
+): StreamWork => ({
+  state,
+  entry,
+  at,
+  tokens,
+  commands: [],
+  routing: state.routing,
+});
+
+const endWork = ({ state, entry, routing, commands }: StreamWork) => {
+  if (isOver(entry)) state.streams.delete(entry.request.requestId);
+  const next = routing === state.routing ? state : { ...state, routing };
+  return { state: next, commands };
+};
+
 /** Folds a recovery event; drops the stream when it is over. */
 export const stepStream = ({
   state,
   entry,
   event,
-  tokens = [],
+  tokens,
 }: StreamStepOptions): RouterStep => {
-  const work: StreamWork = {
-    state,
-    entry,
-    at: event.at,
-    tokens,
-    commands: [],
-    routing: state.routing,
-  };
+  const work = createWork(state, entry, event.at, tokens);
   decide(work, event);
-  if (isOver(entry)) state.streams.delete(entry.request.requestId);
-  const next =
-    work.routing === state.routing
-      ? state
-      : { ...state, routing: work.routing };
-  return { state: next, commands: work.commands };
+  return endWork(work);
 };
 
 /** Performs the commands a new stream starts with. */
@@ -232,17 +274,7 @@
   at: number,
   commands: readonly RecoveryCommand[],
 ): RouterStep => {
-  const work: StreamWork = {
-    state,
-    entry,
-    at,
-    tokens: [],
-    commands: [],
-    routing: state.routing,
-  };
+  const work = createWork(state, entry, at);
   for (const command of commands) perform(work, command);
-  return {
-    state: { ...state, routing: work.routing },
-    commands: work.commands,
-  };
+  return endWork(work);
 };
--- /dev/null
+++ b/packages/router/src/actions/streamErrors.ts
@@ -0,0 +1,34 @@
+/** Errors of streams as callers see them. */
+
+import { assertNever, Ran } from "@cardamomglade/common";
+import { StreamFailure, type StreamState } from "@cardamomglade/decisions";
+import { ErrorType, type ApiError } from "../errors.js";
+
+const ranOf = ({ accepted, attemptsMade }: StreamState): Ran => {
+  if (accepted > 0) return Ran.Yes;
+  return attemptsMade === 0 ? Ran.No : Ran.Unknown;
+};
+
+/** The error of a stream that could not be completed. */
+export const streamError = (
+  stream: StreamState,
+  failure: StreamFailure,
+): ApiError => {
+  const ran = ranOf(stream);
+  switch (failure) {
+    case StreamFailure.DeadlineExceeded:
+      return {
+        type: ErrorType.DeadlineExceeded,
+        message: "the answer was not complete by its deadline",
+        ran,
+      };
+    case StreamFailure.NoBackEnd:
+      return {
+        type: ErrorType.NoCapacity,
+        message: "no back end with the answer's model, adapter and version",
+        ran,
+      };
+    default:
+      return assertNever(failure);
+  }
+};
--- a/packages/router/src/actions/streamEvents.ts
+++ b/packages/router/src/actions/streamEvents.ts
@@ -3,6 +3,7 @@
 import type { RecoveryEvent } from "@cardamomglade/decisions";
 import type { EngineToken } from "@cardamomglade/schema";
 import type { RouterState } from "../types.js";
+import { observeEngine } from "./observeEngine.js";
 import { stepStream } from "./stepStream.js";
 import type { Action, RouterStep } from "./types.js";
 
@@ -14,6 +15,7 @@
 ): RouterStep => {
   const entry = state.streams.get(requestId);
   if (entry === undefined) return { state, commands: [] };
+  if (event.type === "tokensArrived") observeEngine(state, entry, event);
   return stepStream({ state, entry, event, tokens });
 };
 
@@ -51,3 +53,17 @@
 /** A caller closed its connection. */
 export const callerLeft: Action<"callerLeft"> = (state, { at, requestId }) =>
   step(state, requestId, { type: "callerGone", at });
+
+/** A probe of a silent stream's back end came back. */
+export const backEndProbed: Action<"backEndProbed"> = (
+  state,
+  { at, requestId, attempt, isAlive },
+) => step(state, requestId, { type: "backEndProbed", at, attempt, isAlive });
+
+/** A caller takes no more just now. */
+export const callerSlow: Action<"callerSlow"> = (state, { at, requestId }) =>
+  step(state, requestId, { type: "callerSlow", at });
+
+/** A slow caller takes more again. */
+export const callerReady: Action<"callerReady"> = (state, { at, requestId }) =>
+  step(state, requestId, { type: "callerReady", at });
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -17,7 +17,10 @@
 import {
   attemptBroken,
   attemptEnded,
+  backEndProbed,
   callerLeft,
+  callerReady,
+  callerSlow,
   tokensReceived,
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
@@ -32,6 +35,8 @@
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  engines: new Map(),
+  tickedAt: undefined,
   linkedPeers: new Set(),
 });
 
@@ -50,6 +55,12 @@
       return attemptEnded(state, event);
     case "attemptBroken":
       return attemptBroken(state, event);
+    case "backEndProbed":
+      return backEndProbed(state, event);
+    case "callerSlow":
+      return callerSlow(state, event);
+    case "callerReady":
+      return callerReady(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
     case "claimResolved":
--- a/packages/router/src/drivers/engineDriver.ts
+++ b/packages/router/src/drivers/engineDriver.ts
@@ -9,7 +9,7 @@
   GenerationOrder,
   StreamBreak,
 } from "@cardamomglade/upstream";
-import type { RouterEvent } from "../types.js";
+import type { RouterCommand, RouterCommandOf, RouterEvent } from "../types.js";
 import type { RouterDriver } from "./types.js";
 
 const failures: Readonly<Record<StreamBreak["type"], AttemptFailure>> = {
@@ -18,6 +18,14 @@
   malformed: AttemptFailure.Malformed,
 };
 
+interface AttemptId {
+  readonly requestId: string;
+  readonly attempt: number;
+}
+
+const idOf = ({ requestId, attempt }: AttemptId): string =>
+  `${requestId}.${String(attempt)}`;
+
 const toRouterEvent = (
   order: GenerationOrder,
   event: EngineStreamEvent,
@@ -70,7 +78,7 @@
   const open = new Map<string, EngineStream>();
 
   const openAttempt = (url: string, order: GenerationOrder) => {
-    const id = `${order.requestId}.${String(order.attempt)}`;
+    const id = idOf(order);
     const stream = engines.generate(url, order, (event) => {
       if (event.type === "finished" || event.type === "broken") open.delete(id);
       const routed = toRouterEvent(order, event);
@@ -79,16 +87,40 @@
     open.set(id, stream);
   };
 
+  const probe = async (command: RouterCommandOf<"probeBackEnd">) => {
+    const { requestId, attempt, url, deadline } = command;
+    const isAlive = await engines.isAlive(url, deadline);
+    const at = now();
+    channel.push({ type: "backEndProbed", at, requestId, attempt, isAlive });
+  };
+
+  const perform = (command: RouterCommand) => {
+    switch (command.type) {
+      case "openAttempt":
+        openAttempt(command.url, command.order);
+        return;
+      case "cancelAttempt": {
+        const id = idOf(command);
+        open.get(id)?.cancel();
+        open.delete(id);
+        return;
+      }
+      case "pauseAttempt":
+        open.get(idOf(command))?.pause();
+        return;
+      case "resumeAttempt":
+        open.get(idOf(command))?.resume();
+        return;
+      case "probeBackEnd":
+        void probe(command);
+        return;
+      default:
+    }
+  };
+
   return {
     events: channel.stream,
-    perform: (command) => {
-      if (command.type === "openAttempt")
-        openAttempt(command.url, command.order);
-      if (command.type !== "cancelAttempt") return;
-      const id = `${command.requestId}.${String(command.attempt)}`;
-      open.get(id)?.cancel();
-      open.delete(id);
-    },
+    perform,
     stop: () => engines.close(),
   };
 };
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -6,6 +6,7 @@
   AttemptFailure,
   ClaimOutcome,
   ConfigInForce,
+  EnginePace,
   RecordedAnswer,
   RoutingState,
   StreamState,
@@ -44,6 +45,10 @@
   readonly deployment: Deployment;
   /** Ids of all accepted tokens; the fold appends in place. */
   readonly accepted: number[];
+  /** Back ends of open attempts, by attempt; each is counted in flight. */
+  readonly open: Map<number, string>;
+  /** Tokens that wait until a move has succeeded or failed. */
+  held: EngineToken[];
   stream: StreamState;
 }
 
@@ -70,6 +75,10 @@
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
+  /** Token times seen of each engine. */
+  readonly engines: Map<string, EnginePace>;
+  /** Moment of the last tick. */
+  readonly tickedAt: Moment | undefined;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
 }
@@ -114,6 +123,23 @@
       readonly attempt: number;
       readonly failure: AttemptFailure;
     }
+  | {
+      readonly type: "backEndProbed";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly isAlive: boolean;
+    }
+  | {
+      readonly type: "callerSlow";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
+  | {
+      readonly type: "callerReady";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
   | {
       readonly type: "serviceCallArrived";
       readonly at: Moment;
@@ -168,6 +194,23 @@
       readonly requestId: string;
       readonly attempt: number;
     }
+  | {
+      readonly type: "pauseAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "resumeAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "probeBackEnd";
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly url: string;
+      readonly deadline: Moment;
+    }
   | {
       readonly type: "deliver";
       readonly requestId: string;
--- a/packages/upstream/src/engineClient.ts
+++ b/packages/upstream/src/engineClient.ts
@@ -210,6 +210,18 @@
     }
   }
 
+  async isAlive(url: string, deadline: Moment): Promise<boolean> {
+    try {
+      const signal = abortAt(deadline);
+      const dispatcher = this.agent;
+      const res = await request(`${url}/health`, { dispatcher, signal });
+      await res.body.dump();
+      return res.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+
   async close(): Promise<void> {
     await this.agent.destroy();
   }
--- a/packages/upstream/src/types.ts
+++ b/packages/upstream/src/types.ts
@@ -60,6 +60,8 @@
     order: GenerationOrder,
     onEvent: (event: EngineStreamEvent) => void,
   ): EngineStream;
+  /** Whether the engine answers its health check by a deadline. */
+  isAlive(url: string, deadline: Moment): Promise<boolean>;
   readLoad(url: string, deadline: Moment): Promise<LoadReport | undefined>;
   close(): Promise<void>;
 }
