Hold named roles through leases

A role is pursued by a pure fold: grant, put the holder key where it does not exist, keep alive, give up. A lost answer to the claim is resolved by sending the same compare again, which reads the holder back.

--- /dev/null
+++ b/packages/decisions/src/lease/heldLeaseOf.ts
@@ -0,0 +1,16 @@
+/** The lease that a state holds now. */
+
+import type { Moment } from "@cardamomglade/common";
+import { isLeaseHeld } from "./isLeaseHeld.js";
+import type { HeldLease, LeaseState } from "./types.js";
+
+/** The lease, or undefined where it is not held or its deadline has passed. */
+export const heldLeaseOf = (
+  { role, phase }: LeaseState,
+  at: Moment,
+): HeldLease | undefined => {
+  if (phase.type !== "held") return undefined;
+  const { fencing, heldUntil } = phase;
+  const lease = { role, fencing, heldUntil };
+  return isLeaseHeld(lease, at) ? lease : undefined;
+};
--- a/packages/decisions/src/lease/index.ts
+++ b/packages/decisions/src/lease/index.ts
@@ -1,4 +1,15 @@
 /** Leases held through the key-value service. */
 
+export { createLease, type LeaseOptions } from "./createLease.js";
+export { decideLease } from "./decideLease.js";
+export { heldLeaseOf } from "./heldLeaseOf.js";
 export { isLeaseHeld } from "./isLeaseHeld.js";
-export type { HeldLease } from "./types.js";
+export type {
+  FoundHolder,
+  HeldLease,
+  LeaseCall,
+  LeaseCommand,
+  LeaseEvent,
+  LeasePhase,
+  LeaseState,
+} from "./types.js";
--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -1,10 +1,11 @@
 /** Time passed: deadlines and silence are looked at. */
 
 import type { RouterCommand, RouterState } from "../types.js";
+import { passLeaseTime } from "./leaseRoles.js";
 import { stepStream } from "./stepStream.js";
 import type { Action } from "./types.js";
 
-/** Tells every stream the time. */
+/** Tells every stream and every lease the time. */
 export const timePassed: Action<"timePassed"> = (state, { at }) => {
   let current: RouterState = state;
   const commands: RouterCommand[] = [];
@@ -17,5 +18,6 @@
     current = step.state;
     commands.push(...step.commands);
   }
+  commands.push(...passLeaseTime(current, at));
   return { state: current, commands };
 };
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -24,6 +24,7 @@
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
+import { createLeaseDriver } from "./drivers/leaseDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
@@ -64,7 +65,7 @@
     endpoints: settings.keyValue.endpoints,
   });
   const control = createChannel<RouterEvent>();
-  const initial = createRouterState(settings.router);
+  const initial = createRouterState(settings.router, settings.ledger);
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
@@ -77,6 +78,7 @@
     createEngineDriver(EngineClient.create()),
     createServiceDriver(ServiceClient.create()),
     createConfigDriver(keyValue, prefix, log),
+    createLeaseDriver(keyValue, prefix),
     createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
     createTickDriver(),
     {
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -7,6 +7,7 @@
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import { leaseAnswered } from "./actions/leaseAnswered.js";
 import {
   peerLinked,
   peerLost,
@@ -24,14 +25,26 @@
 import type { RouterStep } from "./actions/types.js";
 import type { RouterEvent, RouterState } from "./types.js";
 
+const defaultLeaseTtlMs = 5000;
+
+/** What settings give to a router's state. */
+export interface RouterStateOptions {
+  readonly leaseTtlMs?: number;
+}
+
 /** State of a router that has just started. */
-export const createRouterState = (router: RouterIdentity): RouterState => ({
+export const createRouterState = (
+  router: RouterIdentity,
+  { leaseTtlMs = defaultLeaseTtlMs }: RouterStateOptions = {},
+): RouterState => ({
   router,
   draining: false,
   config: createConfig(),
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  leases: new Map(),
+  leaseTtlMs,
   linkedPeers: new Set(),
 });
 
@@ -56,6 +69,8 @@
       return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "leaseAnswered":
+      return leaseAnswered(state, event);
     case "peerLinked":
       return peerLinked(state, event);
     case "peerLost":
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,7 +1,12 @@
 /** The router process and its pieces. */
 
 export { createRouter, type Router } from "./createRouter.js";
-export { createRouterState, decide } from "./decide.js";
+export {
+  createRouterState,
+  decide,
+  type RouterStateOptions,
+} from "./decide.js";
+export { heldLease, releaseLease, wantLease } from "./actions/leaseRoles.js";
 export { configKey } from "./drivers/configDriver.js";
 export { ErrorType, statusOf, type ApiError } from "./errors.js";
 export type * from "./types.js";
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -6,6 +6,9 @@
   AttemptFailure,
   ClaimOutcome,
   ConfigInForce,
+  LeaseCall,
+  LeaseEvent,
+  LeaseState,
   RecordedAnswer,
   RoutingState,
   StreamState,
@@ -70,6 +73,9 @@
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
+  /** Pursued roles by name. */
+  readonly leases: Map<string, LeaseState>;
+  readonly leaseTtlMs: number;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
 }
@@ -131,6 +137,12 @@
       readonly requestId: string;
       readonly outcome: ServiceOutcome;
     }
+  | {
+      readonly type: "leaseAnswered";
+      readonly at: Moment;
+      readonly role: string;
+      readonly answer: LeaseEvent;
+    }
   | {
       readonly type: "peerLinked";
       readonly at: Moment;
@@ -209,6 +221,11 @@
       readonly requestId: string;
       readonly answer: RecordedAnswer;
     }
+  | {
+      readonly type: "leaseCall";
+      readonly role: string;
+      readonly call: LeaseCall;
+    }
   | {
       readonly type: "sendToPeer";
       readonly peer: string;
