--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -46,6 +46,7 @@
   leases: new Map(),
   leaseTtlMs,
   linkedPeers: new Set(),
+  peerUrls: new Map(),
 });
 
 /** Folds one event into the router's state. */
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -21,8 +21,10 @@
 export { BackEndType, CallMethod, Priority } from "./generated/intent.js";
 export * from "./generated/peers.js";
 export type {
+  ClientTlsSettings,
   ListenAddress,
   Operator,
+  PeerSettings,
   RouterIdentity,
   Settings,
   TlsSettings,
