--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -2,6 +2,7 @@
 
 import type { RecoveryEvent } from "@cardamomglade/decisions";
 import type { RouterCommand, RouterState } from "../types.js";
+import { passLeaseTime } from "./leaseRoles.js";
 import { stepStream } from "./stepStream.js";
 import type { Action } from "./types.js";
 
@@ -13,7 +14,7 @@
   return sinceMs > longestTickMs ? sinceMs : 0;
 };
 
-/** Tells every stream the time. */
+/** Tells every stream and every lease the time. */
 export const timePassed: Action<"timePassed"> = (state, { at }) => {
   const event: RecoveryEvent = {
     type: "timePassed",
@@ -28,5 +29,6 @@
     current = step.state;
     commands.push(...step.commands);
   }
+  commands.push(...passLeaseTime(current, at));
   return { state: current, commands };
 };
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -25,6 +25,7 @@
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
+import { createLeaseDriver } from "./drivers/leaseDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
@@ -104,7 +105,7 @@
     connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
-  const initial = createRouterState(settings.router);
+  const initial = createRouterState(settings.router, settings.ledger);
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
@@ -137,6 +138,7 @@
     createEngineDriver(EngineClient.create(connectUpstream)),
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
+    createLeaseDriver(keyValue, prefix),
     createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
     createTickDriver(),
     {
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -7,6 +7,9 @@
   ClaimOutcome,
   ConfigInForce,
   EnginePace,
+  LeaseCall,
+  LeaseEvent,
+  LeaseState,
   RecordedAnswer,
   RoutingState,
   StreamState,
@@ -79,6 +82,9 @@
   readonly engines: Map<string, EnginePace>;
   /** Moment of the last tick. */
   readonly tickedAt: Moment | undefined;
+  /** Pursued roles by name. */
+  readonly leases: Map<string, LeaseState>;
+  readonly leaseTtlMs: number;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
   /** Peer addresses of known routers, by name. */
@@ -159,6 +165,12 @@
       readonly requestId: string;
       readonly outcome: ServiceOutcome;
     }
+  | {
+      readonly type: "leaseAnswered";
+      readonly at: Moment;
+      readonly role: string;
+      readonly answer: LeaseEvent;
+    }
   | {
       readonly type: "peerLinked";
       readonly at: Moment;
@@ -254,6 +266,11 @@
       readonly requestId: string;
       readonly answer: RecordedAnswer;
     }
+  | {
+      readonly type: "leaseCall";
+      readonly role: string;
+      readonly call: LeaseCall;
+    }
   | {
       readonly type: "sendToPeer";
       readonly peer: string;
