Keep the configuration as one linear history by compare-and-swap

The store held a bare intent and the revision of the store's key, so a lost answer could not be told from a race and a peer could not hand the configuration on. A record now has its own revision, who, why, when, the plan and a change id; earlier revisions are kept beside it. A change whose answer was lost is sent again with the same comparison and found by its id. Routers relist every 5 s beside the watch, ask peers while they have no configuration, and take only newer revisions.

--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -1,12 +1,12 @@
 /** A fleet of stand-ins and routers for one experiment. */
 
-import { createHash } from "node:crypto";
+import { createHash, randomUUID } from "node:crypto";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { request } from "undici";
 import { KeyValueClient } from "@cardamomglade/platform";
-import { configKey } from "@cardamomglade/router";
+import { ConfigStore } from "@cardamomglade/router";
 import {
   BackEndType,
   CallMethod,
@@ -138,19 +138,23 @@
   /** Puts an intent in force, by the store. */
   async putIntent(intent: Intent): Promise<void> {
     this.intent = intent;
-    const operation = {
-      type: "put" as const,
-      key: `${prefix}${configKey}`,
-      value: JSON.stringify(intent),
+    const store = ConfigStore.create(this.keyValueClient, prefix);
+    const deadline = Date.now() + callTimeoutMs;
+    const base = await store.read(deadline);
+    if (base.type === "err")
+      throw new Error(`the configuration could not be read: ${base.error}`);
+    const revision = (base.value.config?.revision ?? 0) + 1;
+    const change = {
+      by: "fleet",
+      why: "put by an experiment",
+      at: Date.now(),
+      planDigest: "",
+      changeId: randomUUID(),
     };
-    const outcome = await this.keyValueClient.transact(
-      { compare: [], success: [operation], failure: [] },
-      Date.now() + callTimeoutMs,
-    );
-    if (outcome.type !== "done")
-      throw new Error(
-        `the intent could not be put: ${outcome.failure.message}`,
-      );
+    const next = { revision, intent, change };
+    const outcome = await store.commit(base.value, next, deadline);
+    if (outcome.type !== "committed")
+      throw new Error(`the intent could not be put: ${outcome.type}`);
   }
 
   async startRouter(
--- a/packages/decisions/src/config/applyConfig.ts
+++ b/packages/decisions/src/config/applyConfig.ts
@@ -1,6 +1,7 @@
 /** Puts an accepted configuration in force. */
 
 import type { Deployment, Intent } from "@cardamomglade/schema";
+import { servedDeployments } from "./servedDeployments.js";
 import type { AcceptedConfig, ConfigInForce } from "./types.js";
 
 const emptyIntent: Intent = {
@@ -24,27 +25,57 @@
   return groups;
 };
 
-const indexConfig = ({ revision, intent }: AcceptedConfig): ConfigInForce => ({
-  revision,
-  intent,
-  customersByKeyHash: new Map(
-    intent.customers.flatMap((customer) =>
-      customer.keyHashes.map((hash) => [hash, customer] as const),
+const leavingHostsOf = (
+  intent: Intent,
+  listed: ReadonlySet<string>,
+): ReadonlySet<string> =>
+  new Set([...intent.leaving.map(({ host }) => host), ...listed]);
+
+const indexConfig = (
+  accepted: AcceptedConfig,
+  listedLeaving: ReadonlySet<string>,
+): ConfigInForce => {
+  const { revision, intent } = accepted;
+  return {
+    revision,
+    intent,
+    accepted,
+    customersByKeyHash: new Map(
+      intent.customers.flatMap((customer) =>
+        customer.keyHashes.map((hash) => [hash, customer] as const),
+      ),
     ),
-  ),
-  backEnds: new Map(intent.backEnds.map((backEnd) => [backEnd.name, backEnd])),
-  services: new Map(intent.services.map((service) => [service.name, service])),
-  deploymentsByModel: groupByModel(intent.deployments),
-  leavingHosts: new Set(intent.leaving.map(({ host }) => host)),
-});
+    backEnds: new Map(
+      intent.backEnds.map((backEnd) => [backEnd.name, backEnd]),
+    ),
+    services: new Map(
+      intent.services.map((service) => [service.name, service]),
+    ),
+    deploymentsByModel: groupByModel(servedDeployments(accepted)),
+    leavingHosts: leavingHostsOf(intent, listedLeaving),
+    listedLeaving,
+  };
+};
 
 /** A router's configuration before it has read any; revision 0. */
 export const createConfig = (): ConfigInForce =>
-  indexConfig({ revision: 0, intent: emptyIntent });
+  indexConfig({ revision: 0, intent: emptyIntent }, new Set());
 
 /** The newer of the two: a revision never falls. */
 export const applyConfig = (
   current: ConfigInForce,
   accepted: AcceptedConfig,
 ): ConfigInForce =>
-  accepted.revision > current.revision ? indexConfig(accepted) : current;
+  accepted.revision > current.revision
+    ? indexConfig(accepted, current.listedLeaving)
+    : current;
+
+/** Marks the hosts that the platform's list tells as leaving; the intent's marks stay. */
+export const applyListedLeaving = (
+  current: ConfigInForce,
+  listedLeaving: ReadonlySet<string>,
+): ConfigInForce => ({
+  ...current,
+  listedLeaving,
+  leavingHosts: leavingHostsOf(current.intent, listedLeaving),
+});
--- a/packages/decisions/src/config/index.ts
+++ b/packages/decisions/src/config/index.ts
@@ -1,4 +1,16 @@
 /** The configuration in force. */
 
-export { applyConfig, createConfig } from "./applyConfig.js";
-export type { AcceptedConfig, ConfigInForce } from "./types.js";
+export {
+  applyConfig,
+  applyListedLeaving,
+  createConfig,
+} from "./applyConfig.js";
+export { formatConfigRecord, parseConfigRecord } from "./configRecord.js";
+export { isConfigWatcher, type WatcherQuery } from "./isConfigWatcher.js";
+export {
+  judgeCommit,
+  type CommitReads,
+  type CommitVerdict,
+} from "./judgeCommit.js";
+export { servedDeployments } from "./servedDeployments.js";
+export type { AcceptedConfig, ConfigChange, ConfigInForce } from "./types.js";
--- a/packages/router/src/actions/configurationRead.ts
+++ b/packages/router/src/actions/configurationRead.ts
@@ -7,10 +7,11 @@
 /** Puts the configuration in force if it is newer. */
 export const configurationRead: Action<"configurationRead"> = (
   state,
-  event,
+  { accepted, source = "store" },
 ) => {
-  const config = applyConfig(state.config, event.accepted);
+  const config = applyConfig(state.config, accepted);
   if (config === state.config) return { state, commands: [] };
+  const { revision } = config;
   return {
     state: { ...state, config },
     commands: [
@@ -19,7 +20,8 @@
         event: {
           topic: TimelineTopic.Configuration,
           name: "inForce",
-          revision: config.revision,
+          revision,
+          detail: source,
         },
       },
     ],
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -1,16 +1,24 @@
 /** Events of the mesh between routers. */
 
 import { assertNever } from "@cardamomglade/common";
+import {
+  askLinkedPeer,
+  configOfferReceived,
+  configRequestReceived,
+  forgetConfigPeer,
+  hearConfigGossip,
+} from "./configurationPeers.js";
 import type { Action } from "./types.js";
 
 /** A link to another router opened. */
 export const peerLinked: Action<"peerLinked"> = (state, { peer }) => ({
   state: { ...state, linkedPeers: new Set([...state.linkedPeers, peer]) },
-  commands: [],
+  commands: askLinkedPeer(state, peer),
 });
 
 /** A link to another router closed. */
 export const peerLost: Action<"peerLost"> = (state, { peer }) => {
+  forgetConfigPeer(state, peer);
   const left = [...state.linkedPeers].filter((other) => other !== peer);
   return { state: { ...state, linkedPeers: new Set(left) }, commands: [] };
 };
@@ -18,13 +26,16 @@
 /** Another router sent a message; each type has an action of its own. */
 export const peerMessageReceived: Action<"peerMessageReceived"> = (
   state,
-  { message },
+  { at, peer, message },
 ) => {
   switch (message.type) {
-    case "hello":
     case "gossip":
+      return { state, commands: hearConfigGossip(state, peer, message) };
     case "configRequest":
+      return configRequestReceived(state, peer, message);
     case "configOffer":
+      return configOfferReceived(state, at, peer, message);
+    case "hello":
     case "forwardedCall":
     case "forwardedAnswer":
       return { state, commands: [] };
--- /dev/null
+++ b/packages/router/src/configuration/configStore.ts
@@ -0,0 +1,141 @@
+/** The configuration's linear history in the key-value service. */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  nextTryAt,
+  now,
+  type Moment,
+  type Result,
+  err,
+  ok,
+} from "@cardamomglade/common";
+import {
+  formatConfigRecord,
+  judgeCommit,
+  parseConfigRecord,
+  type AcceptedConfig,
+  type CommitVerdict,
+} from "@cardamomglade/decisions";
+import type {
+  KeyValue,
+  KeyValueEntry,
+  TransactionResult,
+} from "@cardamomglade/platform";
+
+/** Key of the accepted configuration below the prefix. */
+export const configKey = "config/current";
+const historyPrefix = "config/history/";
+const keptRevisions = 32;
+const revisionDigits = 9;
+const retryBounds = { baseMs: 100, maxMs: 1000 };
+
+/** A configuration and the store's revision of its key; 0 where there is none. */
+export interface StoredConfig {
+  readonly config: AcceptedConfig | undefined;
+  readonly modRevision: number;
+}
+
+/** How a change ended; after `unknown` the same change may be tried again. */
+export type CommitOutcome = CommitVerdict | { readonly type: "unknown" };
+
+const historyKey = (prefix: string, revision: number): string =>
+  `${prefix}${historyPrefix}${String(revision).padStart(revisionDigits, "0")}`;
+
+const configOf = (
+  entry: KeyValueEntry | undefined,
+): AcceptedConfig | undefined => {
+  if (entry === undefined) return undefined;
+  const parsed = parseConfigRecord(entry.key, entry.value);
+  return parsed.type === "ok" ? parsed.value : undefined;
+};
+
+/** Reads and changes the configuration. */
+export class ConfigStore {
+  private constructor(
+    private readonly keyValue: KeyValue,
+    private readonly prefix: string,
+  ) {}
+
+  static create(keyValue: KeyValue, prefix: string): ConfigStore {
+    return new ConfigStore(keyValue, prefix);
+  }
+
+  /** The current configuration, or why it cannot be read. */
+  async read(deadline: Moment): Promise<Result<StoredConfig, string>> {
+    const key = `${this.prefix}${configKey}`;
+    const outcome = await this.keyValue.range(key, { prefix: false, deadline });
+    if (outcome.type !== "done") return err(outcome.failure.message);
+    const [entry] = outcome.value.entries;
+    const modRevision = entry?.modRevision ?? 0;
+    return ok({ config: configOf(entry), modRevision });
+  }
+
+  /** Kept revisions, oldest first. */
+  async history(
+    deadline: Moment,
+  ): Promise<Result<readonly AcceptedConfig[], string>> {
+    const key = `${this.prefix}${historyPrefix}`;
+    const outcome = await this.keyValue.range(key, { prefix: true, deadline });
+    if (outcome.type !== "done") return err(outcome.failure.message);
+    const records = outcome.value.entries.map(configOf);
+    return ok(records.filter((record) => record !== undefined));
+  }
+
+  /**
+   * Writes the next revision over the one read. A lost answer is found out by
+   * sending the same comparison again, which cannot hold twice.
+   */
+  async commit(
+    base: StoredConfig,
+    next: AcceptedConfig,
+    deadline: Moment,
+  ): Promise<CommitOutcome> {
+    for (let failures = 0; ; failures += 1) {
+      const outcome = await this.keyValue.transact(
+        this.transactionFor(base, next),
+        deadline,
+      );
+      if (outcome.type === "done") return verdictOf(next, outcome.value);
+      const nextAt = nextTryAt(now(), failures, retryBounds, Math.random());
+      if (nextAt >= deadline) return { type: "unknown" };
+      await sleep(nextAt - now());
+    }
+  }
+
+  private transactionFor(base: StoredConfig, next: AcceptedConfig) {
+    const key = `${this.prefix}${configKey}`;
+    const value = formatConfigRecord(next);
+    const kept = historyKey(this.prefix, next.revision);
+    const dropped = historyKey(this.prefix, next.revision - keptRevisions);
+    const forget =
+      next.revision > keptRevisions
+        ? [{ type: "delete" as const, key: dropped }]
+        : [];
+    return {
+      compare: [
+        { type: "modRevision" as const, key, revision: base.modRevision },
+      ],
+      success: [
+        { type: "put" as const, key, value },
+        { type: "put" as const, key: kept, value },
+        ...forget,
+      ],
+      failure: [
+        { type: "read" as const, key },
+        { type: "read" as const, key: kept },
+      ],
+    };
+  }
+}
+
+const verdictOf = (
+  next: AcceptedConfig,
+  result: TransactionResult,
+): CommitVerdict => {
+  if (result.succeeded) return { type: "committed", revision: next.revision };
+  const [current, written] = result.reads;
+  return judgeCommit(next.change?.changeId ?? "", {
+    current: configOf(current?.[0]),
+    written: configOf(written?.[0]),
+  });
+};
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -4,6 +4,7 @@
 import { createConfig, createRouting } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { claimResolved } from "./actions/claimResolved.js";
+import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
@@ -29,6 +30,7 @@
   router,
   draining: false,
   config: createConfig(),
+  configMesh: createConfigMesh(),
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
--- a/packages/router/src/drivers/configDriver.ts
+++ b/packages/router/src/drivers/configDriver.ts
@@ -1,21 +1,23 @@
-/** Reads the configuration: list, then watch, and list again after a gap. */
+/** Reads the configuration: list, then watch, and list again after a gap or a while. */
 
-import { createChannel, now } from "@cardamomglade/common";
-import { checkDocument, LogLevel, validateIntent } from "@cardamomglade/schema";
+import { createChannel, nextTryAt, now } from "@cardamomglade/common";
+import { parseConfigRecord } from "@cardamomglade/decisions";
+import { LogLevel } from "@cardamomglade/schema";
 import type {
   KeyValue,
   KeyValueEntry,
   WatchHandle,
 } from "@cardamomglade/platform";
+import { configKey } from "../configuration/configStore.js";
 import type { Log } from "../log.js";
 import type { RouterEvent } from "../types.js";
 import type { RouterDriver } from "./types.js";
 
-const retryAfterMs = 500;
 const callTimeoutMs = 2000;
-
-/** Key of the accepted configuration below the prefix. */
-export const configKey = "config/current";
+const retryBounds = { baseMs: 250, maxMs: 2000 };
+const watcherRelistMs = 5000;
+// A router without a watch of its own hears changes from its peers.
+const meshRelistMs = 60_000;
 
 /** Drives a list and a watch of the configuration's key. */
 export const createConfigDriver = (
@@ -27,61 +29,101 @@
   const key = `${prefix}${configKey}`;
   let handle: WatchHandle | undefined;
   let timer: NodeJS.Timeout | undefined;
-  let stopped = false;
+  let isWatching = true;
+  let isListing = false;
+  let isStopped = false;
+  let failures = 0;
+  let seenRevision = 0;
 
   const report = (entry: KeyValueEntry) => {
-    const checked = checkDocument(key, entry.value, validateIntent);
-    if (checked.type === "err") {
-      log(
-        LogLevel.Error,
-        `configuration at revision ${String(entry.modRevision)} is malformed`,
-      );
+    if (entry.modRevision <= seenRevision) return;
+    seenRevision = entry.modRevision;
+    const parsed = parseConfigRecord(key, entry.value);
+    if (parsed.type === "err") {
+      log(LogLevel.Error, "a malformed configuration is not put in force", {
+        detail: parsed.error.join("; "),
+      });
       return;
     }
-    const accepted = { revision: entry.modRevision, intent: checked.value };
-    channel.push({ type: "configurationRead", at: now(), accepted });
+    const accepted = parsed.value;
+    channel.push({
+      type: "configurationRead",
+      at: now(),
+      accepted,
+      source: "store",
+    });
+  };
+
+  const listAt = (moment: number) => {
+    clearTimeout(timer);
+    if (isStopped) return;
+    timer = setTimeout(() => void list(), Math.max(0, moment - now()));
   };
 
-  const retry = () => {
-    if (stopped) return;
-    timer = setTimeout(() => void list(), retryAfterMs);
+  const listAfterFailure = () => {
+    listAt(nextTryAt(now(), failures, retryBounds, Math.random()));
+    failures += 1;
+  };
+
+  const closeWatch = () => {
+    handle?.close();
+    handle = undefined;
   };
 
   const watch = (fromRevision: number) => {
-    handle = keyValue.watch(key, { prefix: false, fromRevision }, (event) => {
-      if (event.type !== "changes") {
-        retry();
-        return;
-      }
-      for (const change of event.changes)
-        if (change.type === "put") report(change.entry);
-    });
+    const opened = keyValue.watch(
+      key,
+      { prefix: false, fromRevision },
+      (event) => {
+        if (handle !== opened) return;
+        if (event.type !== "changes") {
+          handle = undefined;
+          listAfterFailure();
+          return;
+        }
+        for (const change of event.changes)
+          if (change.type === "put") report(change.entry);
+      },
+    );
+    handle = opened;
   };
 
   const list = async () => {
-    const outcome = await keyValue.range(key, {
-      prefix: false,
-      deadline: now() + callTimeoutMs,
-    });
+    if (isListing) return;
+    isListing = true;
+    const before = seenRevision;
+    const deadline = now() + callTimeoutMs;
+    const outcome = await keyValue.range(key, { prefix: false, deadline });
+    isListing = false;
     if (outcome.type !== "done") {
       log(LogLevel.Warn, "configuration could not be listed", {
         detail: outcome.failure.message,
       });
-      retry();
+      listAfterFailure();
       return;
     }
-    for (const entry of outcome.value.entries) report(entry);
-    watch(outcome.value.revision + 1);
+    failures = 0;
+    const { entries, revision } = outcome.value;
+    for (const entry of entries) report(entry);
+    // A list that is ahead of the watch shows that the watch is not to be relied on.
+    if (!isWatching || seenRevision > before) closeWatch();
+    if (isWatching && handle === undefined) watch(revision + 1);
+    listAt(now() + (isWatching ? watcherRelistMs : meshRelistMs));
   };
 
   setImmediate(() => void list());
   return {
     events: channel.stream,
-    perform: () => undefined,
+    perform: (command) => {
+      if (command.type !== "watchConfiguration") return;
+      isWatching = command.isWatching;
+      if (!isWatching) closeWatch();
+      listAt(now());
+    },
     stop: () => {
-      stopped = true;
+      isStopped = true;
       clearTimeout(timer);
-      handle?.close();
+      closeWatch();
       return Promise.resolve();
     },
   };
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -2,6 +2,6 @@
 
 export { createRouter, type Router } from "./createRouter.js";
 export { createRouterState, decide } from "./decide.js";
-export { configKey } from "./drivers/configDriver.js";
+export { configKey, ConfigStore } from "./configuration/configStore.js";
 export { ErrorType, statusOf, type ApiError } from "./errors.js";
 export type * from "./types.js";
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -62,11 +62,22 @@
   readonly backEnd?: string;
 }
 
+/** How this router gets the configuration: by its own watch or by its peers. */
+export interface ConfigMesh {
+  readonly isWatching: boolean;
+  /** When a peer is asked next. */
+  readonly askAt: Moment;
+  readonly asked: number;
+  /** Zones of the routers known to be alive; owned by the fold. */
+  readonly zones: Map<string, string>;
+}
+
 /** State of the router process. Maps are owned by the fold and changed in place. */
 export interface RouterState {
   readonly router: RouterIdentity;
   readonly draining: boolean;
   readonly config: ConfigInForce;
+  readonly configMesh: ConfigMesh;
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
@@ -80,6 +91,8 @@
       readonly type: "configurationRead";
       readonly at: Moment;
       readonly accepted: AcceptedConfig;
+      /** Where it was read; the store where nothing is said. */
+      readonly source?: string;
     }
   | {
       readonly type: "generationArrived";
@@ -214,6 +227,10 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | {
+      readonly type: "watchConfiguration";
+      readonly isWatching: boolean;
+    }
   | {
       readonly type: "record";
       readonly event: Omit<TimelineEvent, "at" | "process">;
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -1,5 +1,6 @@
 /** Schemas of settings, intents, messages and events: generated types, validators and checks. */
 
+export * from "./generated/administration.js";
 export * from "./generated/callers.js";
 export * from "./generated/engines.js";
 export type {
