--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -6,6 +6,7 @@
 import {
   createChannel,
   runProcess,
+  type ProcessFailure,
   type RunningProcess,
   now,
 } from "@cardamomglade/common";
@@ -25,10 +26,12 @@
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
+import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
-import { createLog } from "./log.js";
+import { createLog, type Log } from "./log.js";
+import { createConnector } from "./tls/createConnector.js";
 import { createHttpServer } from "./tls/createHttpServer.js";
 import { Metrics } from "./metrics.js";
 import type { RouterEvent, RouterState } from "./types.js";
@@ -37,6 +40,8 @@
 export interface Router {
   readonly callersUrl: string;
   readonly administrationUrl: string;
+  /** Resolves when the process cannot go on; the daemon then exits. */
+  readonly failed: Promise<void>;
   state(): RouterState;
   /** Takes no new work, waits for work under way up to the grace, then stops. */
   drain(): Promise<void>;
@@ -44,6 +49,7 @@
 }
 
 const drainPollMs = 50;
+const connectTimeoutMs = 400;
 
 const startListening = (
   server: Server,
@@ -58,12 +64,43 @@
     });
   });
 
+interface FailureWatch {
+  readonly failed: Promise<void>;
+  readonly onFailure: (failure: ProcessFailure) => void;
+}
+
+const watchFailures = (log: Log): FailureWatch => {
+  let end: () => void = () => undefined;
+  const failed = new Promise<void>((resolve) => {
+    end = resolve;
+  });
+  const onFailure = ({ type, error }: ProcessFailure) => {
+    const detail = error instanceof Error ? error.stack : String(error);
+    log(LogLevel.Error, `the process failed to ${type}`, {
+      detail: detail ?? "",
+    });
+    if (type === "decide") end();
+  };
+  return { failed, onFailure };
+};
+
 /** Starts a router with checked settings. */
 export const createRouter = async (settings: Settings): Promise<Router> => {
   const log = createLog(settings.router, settings.log.level);
   const metrics = Metrics.create();
+  const connectKeyValue = await createConnector({
+    tls: settings.keyValue.tls,
+    connectTimeoutMs,
+    log,
+  });
+  const connectUpstream = await createConnector({
+    tls: settings.upstreamTls,
+    connectTimeoutMs,
+    log,
+  });
   const keyValue = KeyValueClient.create({
     endpoints: settings.keyValue.endpoints,
+    connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
   const initial = createRouterState(settings.router);
@@ -90,11 +127,13 @@
     server: callersServer,
   });
   const timeline = createTimelineDriver(settings.router.name);
+  const peers = await createPeerDriver(settings, view);
   const drivers = [
     callers,
+    peers,
     timeline,
-    createEngineDriver(EngineClient.create()),
-    createServiceDriver(ServiceClient.create()),
+    createEngineDriver(EngineClient.create(connectUpstream)),
+    createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
     createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
     createTickDriver(),
@@ -104,9 +143,7 @@
       stop: () => keyValue.close(),
     },
   ];
-  const onFailure = (failure: unknown) => {
-    log(LogLevel.Error, "the process fold failed", { detail: String(failure) });
-  };
+  const { failed, onFailure } = watchFailures(log);
   const running = runProcess({ decide, state: initial, drivers, onFailure });
   started.process = running;
 
@@ -137,5 +174,12 @@
     while (isBusy() && now() < deadline) await sleep(drainPollMs);
     await stop();
   };
-  return { callersUrl, administrationUrl, state: () => view(), drain, stop };
+  return {
+    callersUrl,
+    administrationUrl,
+    failed,
+    state: () => view(),
+    drain,
+    stop,
+  };
 };
