--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -7,6 +7,6 @@
   type RouterStateOptions,
 } from "./decide.js";
 export { heldLease, releaseLease, wantLease } from "./actions/leaseRoles.js";
-export { configKey } from "./drivers/configDriver.js";
+export { configKey, ConfigStore } from "./configuration/configStore.js";
 export { ErrorType, statusOf, type ApiError } from "./errors.js";
 export type * from "./types.js";
