Merge the time lines of all routers in causal order

Each router keeps the newest 8192 events and serves them to operators with the right to read, by request and from a clock reading on. Events come from the commands the router performs, so the fold needs no further recording.

--- a/packages/common/src/hybridClock.ts
+++ b/packages/common/src/hybridClock.ts
@@ -11,6 +11,15 @@
 
 const wallDigits = 13;
 const counterDigits = 6;
+const counterLimit = 10 ** counterDigits;
+const maxAheadMs = 3_600_000;
+const readingPattern = /^(\d{13})-(\d{6})-/;
+
+// Readings have a fixed width; a full counter runs over into the wall time.
+const carry = (clock: HybridClock): HybridClock =>
+  clock.counter < counterLimit
+    ? clock
+    : { ...clock, wall: clock.wall + 1, counter: 0 };
 
 /** A clock that has seen nothing. */
 export const createHybridClock = (process: string): HybridClock => ({
@@ -26,7 +35,7 @@
 ): HybridClock => {
   const wall = Math.max(clock.wall, Math.floor(now));
   const counter = wall === clock.wall ? clock.counter + 1 : 0;
-  return { ...clock, wall, counter };
+  return carry({ ...clock, wall, counter });
 };
 
 /** Text form, fixed width, `wall-counter-process`. */
@@ -36,21 +45,20 @@
   return `${wall}-${counter}-${clock.process}`;
 };
 
-/** Advances the clock past a reading received from another process; ignores a malformed reading. */
+/** Advances the clock past a reading received from another process; ignores one that is malformed or over an hour ahead. */
 export const receiveHybridClock = (
   clock: HybridClock,
   reading: string,
   now: Moment,
 ): HybridClock => {
-  const [wallText = "", counterText = ""] = reading.split("-");
-  const wall = Number(wallText);
-  const counter = Number(counterText);
-  if (!Number.isSafeInteger(wall) || !Number.isSafeInteger(counter)) {
-    return tickHybridClock(clock, now);
-  }
+  const parts = readingPattern.exec(reading);
+  if (parts === null) return tickHybridClock(clock, now);
+  const wall = Number(parts[1]);
+  const counter = Number(parts[2]);
+  if (wall > now + maxAheadMs) return tickHybridClock(clock, now);
   if (wall < clock.wall || wall < Math.floor(now)) {
     return tickHybridClock(clock, now);
   }
   const next = wall === clock.wall ? Math.max(counter, clock.counter) : counter;
-  return { ...clock, wall, counter: next + 1 };
+  return carry({ ...clock, wall, counter: next + 1 });
 };
--- a/packages/router/src/administration/timelineRoute.ts
+++ b/packages/router/src/administration/timelineRoute.ts
@@ -1,13 +1,46 @@
 /** Time line of this process. */
 
-import type { TimelineEvent } from "@cardamomglade/schema";
-import type { AdministrationRoute } from "./types.js";
+import { OperatorRight } from "@cardamomglade/schema";
+import type { StateView } from "../drivers/types.js";
+import type { EventRing } from "../timeline/eventRing.js";
+import type { AdministrationAnswer, AdministrationRoute } from "./types.js";
 
-/** `GET /timeline`. */
+const readingPattern = /^\d{13}(-\d{6}(-.*)?)?$/;
+
+const malformedSince = (since: string): AdministrationAnswer => ({
+  status: 400,
+  body: {
+    error: {
+      type: "malformed",
+      message: `since "${since}" is no clock reading; expected 13 digits of milliseconds, or a reading of an event`,
+    },
+  },
+});
+
+/** `GET /timeline?request=&since=`: events of this process, oldest first. */
 export const createTimelineRoute = (
-  recorded: () => readonly TimelineEvent[],
+  view: StateView,
+  ring: EventRing,
 ): AdministrationRoute => ({
   method: "GET",
   path: "/timeline",
-  handle: () => ({ status: 200, body: { events: recorded() } }),
+  right: OperatorRight.Read,
+  handle: ({ query }) => {
+    const since = query.get("since");
+    const request = query.get("request");
+    if (since !== null && !readingPattern.test(since))
+      return malformedSince(since);
+    const { router, linkedPeers } = view();
+    const body = {
+      process: router.name,
+      zone: router.zone,
+      peers: [...linkedPeers],
+      droppedUpTo: ring.droppedUpTo(),
+      events: ring.read({
+        ...(request === null ? {} : { request }),
+        ...(since === null ? {} : { since }),
+      }),
+    };
+    return { status: 200, body };
+  },
 });
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -25,6 +25,7 @@
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
+import { createProcessClock } from "./drivers/processClock.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -70,7 +71,8 @@
 
   const { prefix } = settings.keyValue;
   const callers = createCallerDriver({ settings, view, metrics });
-  const timeline = createTimelineDriver(settings.router.name);
+  const clock = createProcessClock(settings.router.name);
+  const timeline = createTimelineDriver(settings.router.name, clock);
   const drivers = [
     callers,
     timeline,
@@ -94,7 +96,7 @@
   const administration = createAdministrationServer(settings.operators, [
     ...createHealthRoutes(view),
     createMetricsRoute(view, metrics),
-    createTimelineRoute(timeline.recorded),
+    createTimelineRoute(view, timeline.ring),
   ]);
   const callersUrl = await listen(callers.server, settings.listen.callers);
   const administrationUrl = await listen(
--- a/packages/router/src/drivers/timelineDriver.ts
+++ b/packages/router/src/drivers/timelineDriver.ts
@@ -1,36 +1,42 @@
-/** Bounded ring of time-line events. */
+/** Records what the process does on its time line. */
 
-import {
-  createChannel,
-  createHybridClock,
-  formatHybridClock,
-  tickHybridClock,
-  now,
-} from "@cardamomglade/common";
-import type { TimelineEvent } from "@cardamomglade/schema";
-import type { RouterEvent } from "../types.js";
+import { createChannel } from "@cardamomglade/common";
+import { EventRing } from "../timeline/eventRing.js";
+import { eventOfCommand } from "../timeline/eventOfCommand.js";
+import { FirstDeliveries } from "../timeline/firstDeliveries.js";
+import type { RouterCommand, RouterEvent } from "../types.js";
+import type { ProcessClock } from "./processClock.js";
 import type { RouterDriver } from "./types.js";
 
-const keptEvents = 4096;
+const keptEvents = 8192;
 
 /** A driver that keeps the newest events. */
-export type TimelineDriver = RouterDriver & {
-  readonly recorded: () => readonly TimelineEvent[];
-};
+export type TimelineDriver = RouterDriver & { readonly ring: EventRing };
 
 /** Records events of one process. */
-export const createTimelineDriver = (process: string): TimelineDriver => {
-  const ring: TimelineEvent[] = [];
-  let clock = createHybridClock(process);
+export const createTimelineDriver = (
+  process: string,
+  clock: ProcessClock,
+): TimelineDriver => {
+  const ring = EventRing.create(keptEvents);
+  const deliveries = FirstDeliveries.create();
+
+  const isLeftOut = (command: RouterCommand): boolean =>
+    command.type === "deliver" &&
+    !deliveries.isFirst(command.requestId, command.attempt);
+
+  const perform = (command: RouterCommand) => {
+    if (isLeftOut(command)) return;
+    const event = eventOfCommand(command);
+    if (event !== undefined) ring.add({ ...event, at: clock.stamp(), process });
+    if (command.type === "finishAnswer" || command.type === "failAnswer")
+      deliveries.forget(command.requestId);
+  };
+
   return {
     events: createChannel<RouterEvent>().stream,
-    perform: (command) => {
-      if (command.type !== "record") return;
-      clock = tickHybridClock(clock, now());
-      ring.push({ ...command.event, at: formatHybridClock(clock), process });
-      if (ring.length > keptEvents) ring.shift();
-    },
-    recorded: () => ring,
+    perform,
+    ring,
     stop: () => Promise.resolve(),
   };
 };
--- /dev/null
+++ b/packages/router/src/timeline/eventOfCommand.ts
@@ -0,0 +1,75 @@
+/** Time-line events that commands stand for. */
+
+import { TimelineTopic, type TimelineEvent } from "@cardamomglade/schema";
+import type { RouterCommand } from "../types.js";
+
+/** An event before its process and clock reading are known. */
+export type UnstampedEvent = Omit<TimelineEvent, "at" | "process">;
+
+/** The event of a command; undefined for commands that the time line leaves out. */
+export const eventOfCommand = (
+  command: RouterCommand,
+): UnstampedEvent | undefined => {
+  switch (command.type) {
+    case "record":
+      return command.event;
+    case "cancelAttempt":
+      return {
+        topic: TimelineTopic.Attempt,
+        name: "cancelled",
+        request: command.requestId,
+        attempt: command.attempt,
+      };
+    case "deliver":
+      return {
+        topic: TimelineTopic.Attempt,
+        name: "delivering",
+        request: command.requestId,
+        attempt: command.attempt,
+        offset: command.offset,
+      };
+    case "finishAnswer":
+      return {
+        topic: TimelineTopic.Request,
+        name: "finished",
+        request: command.requestId,
+        offset: command.completionTokens,
+        detail: command.reason,
+      };
+    case "failAnswer":
+      return {
+        topic: TimelineTopic.Request,
+        name: "failed",
+        request: command.requestId,
+        detail: `${command.error.type}, ran: ${command.error.ran}`,
+      };
+    case "claimCall":
+      return {
+        topic: TimelineTopic.Claim,
+        name: "requested",
+        request: command.requestId,
+        customer: command.customer,
+      };
+    case "callService":
+      return {
+        topic: TimelineTopic.Request,
+        name: "sent",
+        request: command.call.requestId,
+        detail: `${command.call.method} ${command.call.path}`,
+      };
+    case "recordAnswer":
+      return {
+        topic: TimelineTopic.Claim,
+        name: "answered",
+        request: command.requestId,
+      };
+    case "answerCall":
+      return {
+        topic: TimelineTopic.Request,
+        name: "answered",
+        request: command.requestId,
+      };
+    default:
+      return undefined;
+  }
+};
