--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -6,6 +6,7 @@
 import {
   createChannel,
   runProcess,
+  type ProcessFailure,
   type RunningProcess,
   now,
 } from "@cardamomglade/common";
@@ -16,7 +17,7 @@
 } from "@cardamomglade/schema";
 import { KeyValueClient } from "@cardamomglade/platform";
 import { EngineClient, ServiceClient } from "@cardamomglade/upstream";
-import { createAdministrationServer } from "./administration/createAdministrationServer.js";
+import { serveAdministration } from "./administration/serveAdministration.js";
 import { createHealthRoutes } from "./administration/healthRoutes.js";
 import { createMetricsRoute } from "./administration/metricsRoute.js";
 import { createTimelineRoute } from "./administration/timelineRoute.js";
@@ -25,11 +26,14 @@
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
+import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createProcessClock } from "./drivers/processClock.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
-import { createLog } from "./log.js";
+import { createLog, type Log } from "./log.js";
+import { createConnector } from "./tls/createConnector.js";
+import { createHttpServer } from "./tls/createHttpServer.js";
 import { Metrics } from "./metrics.js";
 import type { RouterEvent, RouterState } from "./types.js";
 
@@ -37,6 +41,8 @@
 export interface Router {
   readonly callersUrl: string;
   readonly administrationUrl: string;
+  /** Resolves when the process cannot go on; the daemon then exits. */
+  readonly failed: Promise<void>;
   state(): RouterState;
   /** Takes no new work, waits for work under way up to the grace, then stops. */
   drain(): Promise<void>;
@@ -44,40 +50,92 @@
 }
 
 const drainPollMs = 50;
+const connectTimeoutMs = 400;
 
-const listen = (
+const startListening = (
   server: Server,
-  { address, port }: ListenAddress,
+  { address, port, tls }: ListenAddress,
 ): Promise<string> =>
   new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, address, () => {
       const bound = server.address() as AddressInfo;
-      resolve(`http://${address}:${String(bound.port)}`);
+      const scheme = tls === undefined ? "http" : "https";
+      resolve(`${scheme}://${address}:${String(bound.port)}`);
     });
   });
 
+interface FailureWatch {
+  readonly failed: Promise<void>;
+  readonly onFailure: (failure: ProcessFailure) => void;
+}
+
+const watchFailures = (log: Log): FailureWatch => {
+  let end: () => void = () => undefined;
+  const failed = new Promise<void>((resolve) => {
+    end = resolve;
+  });
+  const onFailure = ({ type, error }: ProcessFailure) => {
+    const detail = error instanceof Error ? error.stack : String(error);
+    log(LogLevel.Error, `the process failed to ${type}`, {
+      detail: detail ?? "",
+    });
+    if (type === "decide") end();
+  };
+  return { failed, onFailure };
+};
+
 /** Starts a router with checked settings. */
 export const createRouter = async (settings: Settings): Promise<Router> => {
   const log = createLog(settings.router, settings.log.level);
   const metrics = Metrics.create();
+  const connectKeyValue = await createConnector({
+    tls: settings.keyValue.tls,
+    connectTimeoutMs,
+    log,
+  });
+  const connectUpstream = await createConnector({
+    tls: settings.upstreamTls,
+    connectTimeoutMs,
+    log,
+  });
   const keyValue = KeyValueClient.create({
     endpoints: settings.keyValue.endpoints,
+    connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
   const initial = createRouterState(settings.router);
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
+  const maxHeaderBytes = settings.limits.headerBytes;
+  const { listen } = settings;
+  const callersServer = await createHttpServer({
+    listen: listen.callers,
+    maxHeaderBytes,
+    log,
+  });
+  const administrationServer = await createHttpServer({
+    listen: listen.administration,
+    maxHeaderBytes,
+    log,
+  });
   const { prefix } = settings.keyValue;
-  const callers = createCallerDriver({ settings, view, metrics });
+  const callers = createCallerDriver({
+    settings,
+    view,
+    metrics,
+    server: callersServer,
+  });
   const clock = createProcessClock(settings.router.name);
   const timeline = createTimelineDriver(settings.router.name, clock);
+  const peers = await createPeerDriver(settings, view);
   const drivers = [
     callers,
+    peers,
     timeline,
-    createEngineDriver(EngineClient.create()),
-    createServiceDriver(ServiceClient.create()),
+    createEngineDriver(EngineClient.create(connectUpstream)),
+    createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
     createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
     createTickDriver(),
@@ -87,29 +145,27 @@
       stop: () => keyValue.close(),
     },
   ];
-  const onFailure = (failure: unknown) => {
-    log(LogLevel.Error, "the process fold failed", { detail: String(failure) });
-  };
+  const { failed, onFailure } = watchFailures(log);
   const running = runProcess({ decide, state: initial, drivers, onFailure });
   started.process = running;
 
-  const administration = createAdministrationServer(settings.operators, [
+  serveAdministration(administrationServer, settings.operators, [
     ...createHealthRoutes(view),
     createMetricsRoute(view, metrics),
     createTimelineRoute(view, timeline.ring),
   ]);
-  const callersUrl = await listen(callers.server, settings.listen.callers);
-  const administrationUrl = await listen(
-    administration,
-    settings.listen.administration,
+  const callersUrl = await startListening(callersServer, listen.callers);
+  const administrationUrl = await startListening(
+    administrationServer,
+    listen.administration,
   );
   log(LogLevel.Info, "listening", {
     detail: `${callersUrl} ${administrationUrl}`,
   });
 
   const stop = async () => {
-    administration.close();
-    administration.closeAllConnections();
+    administrationServer.close();
+    administrationServer.closeAllConnections();
     await running.stop();
   };
   const isBusy = () => view().streams.size > 0 || view().serviceCalls.size > 0;
@@ -120,5 +176,12 @@
     while (isBusy() && now() < deadline) await sleep(drainPollMs);
     await stop();
   };
-  return { callersUrl, administrationUrl, state: () => view(), drain, stop };
+  return {
+    callersUrl,
+    administrationUrl,
+    failed,
+    state: () => view(),
+    drain,
+    stop,
+  };
 };
