Carry the hybrid clock on gossip and forwarded calls

Causal order over processes needs the clock on every message between them; a message without a reading leaves the receiver's clock as it is.

--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -129,7 +129,7 @@
   });
   const clock = createProcessClock(settings.router.name);
   const timeline = createTimelineDriver(settings.router.name, clock);
-  const peers = await createPeerDriver(settings, view);
+  const peers = await createPeerDriver(settings, view, clock);
   const drivers = [
     callers,
     peers,
--- a/packages/router/src/drivers/peerDriver.ts
+++ b/packages/router/src/drivers/peerDriver.ts
@@ -10,6 +10,8 @@
   TlsSettings,
 } from "@cardamomglade/schema";
 import type { RouterEvent } from "../types.js";
+import { observeMessage, stampMessage } from "./messageClock.js";
+import type { ProcessClock } from "./processClock.js";
 import type { RouterDriver, StateView } from "./types.js";
 
 /** Seeds that one router dials; gossip finds the others. */
@@ -75,6 +77,7 @@
 export const createPeerDriver = async (
   settings: Settings,
   view: StateView,
+  clock: ProcessClock,
 ): Promise<PeerDriver> => {
   const channel = createChannel<RouterEvent>();
   const idle = () => Promise.resolve();
@@ -95,6 +98,7 @@
   };
 
   const mesh = await createMesh(settings, settings.peers, (event) => {
+    if (event.type === "received") observeMessage(clock, event.message);
     channel.push(toRouterEvent(event));
     if (event.type === "linked") flush(event.peer);
   });
@@ -123,7 +127,8 @@
     events: channel.stream,
     url: mesh.url,
     perform: (command) => {
-      if (command.type === "sendToPeer") send(command.peer, command.message);
+      if (command.type === "sendToPeer")
+        send(command.peer, stampMessage(clock, command.message));
     },
     stop: () => mesh.close(),
   };
