--- /dev/null
+++ b/bench/src/checker/checkLeaving.ts
@@ -0,0 +1,77 @@
+/** Leaving back ends get no new work, and planned stops cut nobody off. */
+
+import type {
+  CallerAnswer,
+  CallerCall,
+  PlannedStop,
+  RunRecord,
+  Violation,
+} from "./types.js";
+
+const newWorkAllowedMs = 3000;
+
+const checkNewWork = (record: RunRecord): Violation[] =>
+  record.leaving.flatMap(({ backEnds, markedAt }) =>
+    [...record.generations, ...record.runs]
+      .filter(
+        ({ backEnd, startedAt }) =>
+          backEnds.includes(backEnd) && startedAt > markedAt + newWorkAllowedMs,
+      )
+      .map(({ backEnd, requestId, startedAt }) => ({
+        type: "newWorkOnLeaving" as const,
+        subject: backEnd,
+        message: `request ${requestId} started ${String(startedAt - markedAt)} ms after the mark`,
+      })),
+  );
+
+const isExcused = (
+  { routerFaults }: RunRecord,
+  { router, askedAt, endedAt }: CallerAnswer | CallerCall,
+): boolean =>
+  routerFaults.some(
+    (fault) =>
+      fault.router === router &&
+      fault.from <= endedAt &&
+      fault.until >= askedAt,
+  );
+
+const isCut = (
+  record: RunRecord,
+  stop: PlannedStop,
+  one: CallerAnswer | CallerCall,
+): boolean =>
+  one.outcome.type === "broken" &&
+  one.askedAt < stop.at &&
+  one.endedAt >= stop.at &&
+  !isExcused(record, one);
+
+const ranOn = (
+  { generations }: RunRecord,
+  { requestId }: CallerAnswer,
+  backEnds: readonly string[],
+): boolean =>
+  generations.some(
+    (run) => run.requestId === requestId && backEnds.includes(run.backEnd),
+  );
+
+const checkStop = (record: RunRecord, stop: PlannedStop): Violation[] => {
+  const touched =
+    stop.type === "router"
+      ? [...record.answers, ...record.calls].filter(
+          ({ router }) => router === stop.router,
+        )
+      : record.answers.filter((answer) => ranOn(record, answer, stop.backEnds));
+  return touched
+    .filter((one) => isCut(record, stop, one))
+    .map((one) => ({
+      type: "cutByPlannedStop",
+      subject: "key" in one ? one.key : one.requestId,
+      message: `was under way on "${one.router}" at a planned stop and broke`,
+    }));
+};
+
+/** Checks marks of leaving and planned stops. */
+export const checkLeaving = (record: RunRecord): Violation[] => [
+  ...checkNewWork(record),
+  ...record.plannedStops.flatMap((stop) => checkStop(record, stop)),
+];
--- a/bench/src/harness/readAnswer.ts
+++ b/bench/src/harness/readAnswer.ts
@@ -26,15 +26,20 @@
   readonly error: string | undefined;
   readonly completionTokens: number;
   readonly lastEventId: string;
+  /** The request's id, as the answer names it. */
+  readonly requestId: string;
+  /** Whether the request was run, where an error says so. */
+  readonly ran: string | undefined;
   /** Moments at which parts arrived. */
   readonly partsAt: readonly number[];
   readonly askedAt: number;
 }
 
 interface Chunk {
+  id?: string;
   choices?: { text: string }[];
   usage?: { completion_tokens: number };
-  error?: { type: string; message: string };
+  error?: { type: string; message: string; ran?: string };
 }
 
 /** Asks a router for a streamed completion and reads it to its end. */
@@ -46,6 +51,8 @@
   let error: string | undefined;
   let completionTokens = 0;
   let lastEventId = "";
+  let requestId = "";
+  let ran: string | undefined;
   const parser = createParser({
     onEvent: ({ data, id }) => {
       if (id !== undefined) lastEventId = id;
@@ -54,8 +61,11 @@
         return;
       }
       const chunk = JSON.parse(data) as Chunk;
-      if (chunk.error !== undefined)
+      requestId = chunk.id ?? requestId;
+      if (chunk.error !== undefined) {
         error = `${chunk.error.type}: ${chunk.error.message}`;
+        ran = chunk.error.ran;
+      }
       completionTokens = chunk.usage?.completion_tokens ?? completionTokens;
       text += chunk.choices?.[0]?.text ?? "";
       partsAt.push(performance.now());
@@ -76,9 +86,11 @@
       }),
       dispatcher: agent,
     });
-    if (res.statusCode !== 200)
-      error = `${String(res.statusCode)}: ${await res.body.text()}`;
-    else {
+    if (res.statusCode !== 200) {
+      const body = await res.body.text();
+      error = `${String(res.statusCode)}: ${body}`;
+      ran = (JSON.parse(body) as Chunk).error?.ran;
+    } else {
       const decoder = new TextDecoder();
       for await (const part of res.body)
         parser.feed(decoder.decode(part as Uint8Array, { stream: true }));
@@ -92,6 +104,8 @@
     error,
     completionTokens,
     lastEventId,
+    requestId,
+    ran,
     partsAt,
     askedAt,
   };
--- a/stand-ins/src/engine/makeToken.ts
+++ b/stand-ins/src/engine/makeToken.ts
@@ -32,6 +32,15 @@
   prompt: string,
 ): number => hash32(`${model}\n${version}\n${adapter}\n${prompt}`);
 
+/** The token with an id. */
+export const tokenOf = (id: number): EngineToken => {
+  if (id === splitHeadId) return { id, text: "", bytes: [splitHeadByte] };
+  if (id === splitTailId) return { id, text: "", bytes: [splitTailByte] };
+  if (id < firstWordId) return { id, text: "" };
+  const word = [...contractWords, ...captionWords][id - firstWordId] ?? "";
+  return { id, text: ` ${word}` };
+};
+
 /** The token after a digest; a split head is always followed by its tail. */
 export const makeToken = (
   digest: number,
--- a/stand-ins/src/engine/types.ts
+++ b/stand-ins/src/engine/types.ts
@@ -62,7 +62,10 @@
   readonly model: string;
   readonly version: string;
   readonly from: number;
+  /** Token ids that the generation continued after. */
+  readonly prefix: readonly number[];
   readonly prefixDigest: number;
+  readonly startedAt: number;
   readonly prefilled: number;
   tokens: number[];
   text: string;
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -1,7 +1,12 @@
 /** Small stand-ins for the platform and the back ends. */
 
 export { startEngine } from "./engine/startEngine.js";
-export type { EngineOptions, TokenMode } from "./engine/types.js";
+export { extendDigest, seedDigest, tokenOf } from "./engine/makeToken.js";
+export type {
+  EngineLedgerEntry,
+  EngineOptions,
+  TokenMode,
+} from "./engine/types.js";
 export type { Fault } from "./faults.js";
 export {
   expectedTokens,
@@ -11,5 +16,5 @@
 export { startHosts } from "./startHosts.js";
 export type { StandInServer } from "./httpServer.js";
 export { startKeyValue } from "./keyValue/startKeyValue.js";
-export { startService } from "./startService.js";
+export { startService, type ServiceLedgerEntry } from "./startService.js";
 export { startWeights } from "./startWeights.js";
--- a/stand-ins/src/startService.ts
+++ b/stand-ins/src/startService.ts
@@ -14,6 +14,7 @@
   readonly path: string;
   readonly body: string;
   readonly number: number;
+  readonly startedAt: number;
 }
 
 const serve = (ledger: ServiceLedgerEntry[], call: Call): boolean => {
@@ -33,6 +34,7 @@
     path: call.path,
     body: call.body,
     number,
+    startedAt: Date.now(),
   });
   sendJson(call.res, 200, { number, path: call.path });
   return true;
