--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -29,6 +29,7 @@
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
+import { createProcessClock } from "./drivers/processClock.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -128,8 +129,9 @@
     metrics,
     server: callersServer,
   });
-  const timeline = createTimelineDriver(settings.router.name);
-  const peers = await createPeerDriver(settings, view);
+  const clock = createProcessClock(settings.router.name);
+  const timeline = createTimelineDriver(settings.router.name, clock);
+  const peers = await createPeerDriver(settings, view, clock);
   const drivers = [
     callers,
     peers,
@@ -154,7 +156,7 @@
   serveAdministration(administrationServer, settings.operators, [
     ...createHealthRoutes(view),
     createMetricsRoute(view, metrics),
-    createTimelineRoute(timeline.recorded),
+    createTimelineRoute(view, timeline.ring),
   ]);
   const callersUrl = await startListening(callersServer, listen.callers);
   const administrationUrl = await startListening(
