--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -94,32 +94,42 @@
   outputs.set(`src/generated/${schema.$id}.ts`, await typesOf(schema));
 }
 
-const ajv = new Ajv({
-  schemas,
-  allErrors: true,
-  useDefaults: true,
-  strict: false,
-  verbose: true,
-  code: { source: true, esm: true },
-});
-const exported = {};
-const declarations = [
-  `/** ${note} */`,
-  `import type { ValidateFunction } from "ajv";`,
-];
+// One module a schema, so that a change of one schema touches no other's code.
+const validatorsOf = (schema) => {
+  const ajv = new Ajv({
+    schemas: [schema],
+    allErrors: true,
+    useDefaults: true,
+    strict: false,
+    verbose: true,
+    code: { source: true, esm: true },
+  });
+  const exported = Object.fromEntries(
+    validatedTypes(schema).map(({ type, ref }) => [`validate${type}`, ref]),
+  );
+  return toImports(standalone(ajv, exported));
+};
+
+const declarationsOf = (schema) =>
+  validatedTypes(schema)
+    .map(
+      ({ type }) =>
+        `export declare const validate${type}: ValidateFunction<import("../src/generated/${schema.$id}.js").${type}>;`,
+    )
+    .join("\n");
+
 for (const schema of schemas) {
-  for (const { type, ref } of validatedTypes(schema)) {
-    exported[`validate${type}`] = ref;
-    declarations.push(
-      `export declare const validate${type}: ValidateFunction<import("../src/generated/${schema.$id}.js").${type}>;`,
-    );
-  }
+  const name = `generated/${schema.$id}`;
+  outputs.set(`${name}.js`, `/** ${note} */\n${validatorsOf(schema)}`);
+  outputs.set(
+    `${name}.d.ts`,
+    `/** ${note} */\nimport type { ValidateFunction } from "ajv";\n${declarationsOf(schema)}`,
+  );
 }
-outputs.set(
-  "generated/validators.js",
-  `/** ${note} */\n${toImports(standalone(ajv, exported))}`,
-);
-outputs.set("generated/validators.d.ts", declarations.join("\n"));
+const ids = schemas.map(({ $id }) => $id);
+const reexports = ids.map((id) => `export * from "./${id}.js";`).join("\n");
+outputs.set("generated/validators.js", `/** ${note} */\n${reexports}`);
+outputs.set("generated/validators.d.ts", `/** ${note} */\n${reexports}`);
 
 let drifted = false;
 for (const [name, text] of outputs) {
