Check intents across references and plan the way to them

An intent was checked against its schema only, and a version could only be changed by hand. Checks now find unknown and doubled names, shared keys, memory that does not fit, versions the weight store lacks and hosts that hold the last replica, all together with their place. A plan is its own execution run on a simulated world: loads, then the switch, then unloads; engines that cannot hold two versions are freed by halves.

Tests: over 60 random fleets of 2 to 6 engines and any order of carrying out orders, every served deployment kept an engine with its weights and no memory was exceeded, and the intent was reached.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -2,9 +2,11 @@
 
 import { readFile } from "node:fs/promises";
 import { err, type Result } from "@cardamomglade/common";
+import { checkIntent } from "@cardamomglade/router";
 import {
   checkDocument,
   formatFinding,
+  locateFindings,
   validateIntent,
   validateSettings,
   type Finding,
@@ -34,13 +36,25 @@
 const isIntentText = (text: string): boolean =>
   /"(customers|deployments|backEnds)"\s*:/.test(text);
 
+const checkIntentText = (
+  file: string,
+  text: string,
+): Result<Intent, readonly Finding[]> => {
+  const checked = checkDocument(file, text, validateIntent);
+  if (checked.type === "err") return checked;
+  const faults = checkIntent(checked.value);
+  return faults.length === 0
+    ? checked
+    : err(locateFindings(file, text, faults));
+};
+
 const checkFile = async (
   file: string,
 ): Promise<Result<Settings | Intent, readonly Finding[]>> => {
   try {
     const text = await readFile(file, "utf8");
     return isIntentText(text)
-      ? checkDocument(file, text, validateIntent)
+      ? checkIntentText(file, text)
       : checkDocument(file, text, validateSettings);
   } catch {
     return err([unreadable(file, `file "${file}" cannot be read`)]);
--- /dev/null
+++ b/packages/decisions/src/placement/index.ts
@@ -0,0 +1,17 @@
+/** Placement of weights on engines and the plans for it. */
+
+export { createPlan, type PlanBody, type PlanOptions } from "./createPlan.js";
+export { nextOrders } from "./nextOrders.js";
+export { firstServing, nextServing } from "./nextServing.js";
+export {
+  simulatePlan,
+  type PlanRates,
+  type SimulatedPlan,
+} from "./simulatePlan.js";
+export type {
+  BlockedOrder,
+  EngineObservation,
+  EngineOrder,
+  OrderChoice,
+  PlacementWorld,
+} from "./types.js";
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,5 +1,6 @@
 /** The router process and its pieces. */
 
+export { checkIntent } from "@cardamomglade/decisions";
 export { createRouter, type Router } from "./createRouter.js";
 export { createRouterState, decide } from "./decide.js";
 export { configKey, ConfigStore } from "./configuration/configStore.js";
--- a/packages/schema/src/checkDocument.ts
+++ b/packages/schema/src/checkDocument.ts
@@ -18,7 +18,8 @@
   readonly column: number;
 }
 
-const placeOf = (text: string, offset: number): Place => {
+/** Line and column of an offset, from 1. */
+export const placeOf = (text: string, offset: number): Place => {
   const before = text.slice(0, offset).split("\n");
   return { line: before.length, column: (before.at(-1) ?? "").length + 1 };
 };
@@ -30,7 +31,11 @@
     .map((part) => part.replaceAll("~1", "/").replaceAll("~0", "~"))
     .map((part) => (/^\d+$/.test(part) ? Number(part) : part));
 
-const nodeAt = (tree: Node | undefined, pointer: string): Node | undefined =>
+/** The node that a JSON pointer names. */
+export const nodeAt = (
+  tree: Node | undefined,
+  pointer: string,
+): Node | undefined =>
   tree === undefined ? undefined : findNodeAtLocation(tree, pathOf(pointer));
 
 const propertyOffset = (node: Node | undefined, key: string) =>
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -36,4 +36,5 @@
 export * from "../generated/validators.js";
 export { checkDocument } from "./checkDocument.js";
 export { formatFinding, type Finding } from "./findings.js";
+export { locateFindings } from "./locateFindings.js";
 export { nearestName } from "./nearestName.js";
