--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -1,21 +1,22 @@
-/** Time passed: deadlines and silence are looked at. */
+/** Time passed: every part looks at its deadlines. */
 
+import type { Moment } from "@cardamomglade/common";
 import type { RouterCommand, RouterState } from "../types.js";
 import { tendConfiguration } from "./configurationPeers.js";
-import { stepStream } from "./stepStream.js";
-import type { Action } from "./types.js";
+import { tendLeases } from "./leaseRoles.js";
+import { tendStreams } from "./tendStreams.js";
+import type { Action, RouterStep } from "./types.js";
 
-/** Tells the configuration and every stream the time. */
+type Tend = (state: RouterState, at: Moment) => RouterStep;
+
+const parts: readonly Tend[] = [tendConfiguration, tendLeases, tendStreams];
+
+/** Tells every part the time, in order. */
 export const timePassed: Action<"timePassed"> = (state, { at }) => {
-  const tended = tendConfiguration(state, at);
-  let current: RouterState = tended.state;
-  const commands: RouterCommand[] = [...tended.commands];
-  for (const entry of [...state.streams.values()]) {
-    const step = stepStream({
-      state: current,
-      entry,
-      event: { type: "timePassed", at },
-    });
+  let current = state;
+  const commands: RouterCommand[] = [];
+  for (const tend of parts) {
+    const step = tend(current, at);
     current = step.state;
     commands.push(...step.commands);
   }
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -25,8 +25,10 @@
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
+import { createLeaseDriver } from "./drivers/leaseDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
+import { createLogDriver } from "./drivers/logDriver.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -103,7 +105,7 @@
     connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
-  const initial = createRouterState(settings.router);
+  const initial = createRouterState(settings.router, settings.ledger);
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
@@ -132,9 +134,11 @@
     callers,
     peers,
     timeline,
+    createLogDriver(log),
     createEngineDriver(EngineClient.create(connectUpstream)),
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
+    createLeaseDriver(keyValue, prefix),
     createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
     createTickDriver(),
     {
@@ -162,6 +166,7 @@
   });
 
   const stop = async () => {
+    log(LogLevel.Info, "stopping");
     administrationServer.close();
     administrationServer.closeAllConnections();
     await running.stop();
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -6,6 +6,10 @@
   AttemptFailure,
   ClaimOutcome,
   ConfigInForce,
+  EnginePace,
+  LeaseCall,
+  LeaseEvent,
+  LeaseState,
   RecordedAnswer,
   RoutingState,
   StreamState,
@@ -44,6 +48,10 @@
   readonly deployment: Deployment;
   /** Ids of all accepted tokens; the fold appends in place. */
   readonly accepted: number[];
+  /** Back ends of open attempts, by attempt; each is counted in flight. */
+  readonly open: Map<number, string>;
+  /** Tokens that wait until a move has succeeded or failed. */
+  held: EngineToken[];
   stream: StreamState;
 }
 
@@ -81,6 +89,13 @@
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
+  /** Token times seen of each engine. */
+  readonly engines: Map<string, EnginePace>;
+  /** Moment of the last tick. */
+  readonly tickedAt: Moment | undefined;
+  /** Pursued roles by name. */
+  readonly leases: Map<string, LeaseState>;
+  readonly leaseTtlMs: number;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
   /** Peer addresses of known routers, by name. */
@@ -129,6 +144,23 @@
       readonly attempt: number;
       readonly failure: AttemptFailure;
     }
+  | {
+      readonly type: "backEndProbed";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly isAlive: boolean;
+    }
+  | {
+      readonly type: "callerSlow";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
+  | {
+      readonly type: "callerReady";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
   | {
       readonly type: "serviceCallArrived";
       readonly at: Moment;
@@ -146,6 +178,12 @@
       readonly requestId: string;
       readonly outcome: ServiceOutcome;
     }
+  | {
+      readonly type: "leaseAnswered";
+      readonly at: Moment;
+      readonly role: string;
+      readonly answer: LeaseEvent;
+    }
   | {
       readonly type: "peerLinked";
       readonly at: Moment;
@@ -183,6 +221,23 @@
       readonly requestId: string;
       readonly attempt: number;
     }
+  | {
+      readonly type: "pauseAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "resumeAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "probeBackEnd";
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly url: string;
+      readonly deadline: Moment;
+    }
   | {
       readonly type: "deliver";
       readonly requestId: string;
@@ -224,6 +279,11 @@
       readonly requestId: string;
       readonly answer: RecordedAnswer;
     }
+  | {
+      readonly type: "leaseCall";
+      readonly role: string;
+      readonly call: LeaseCall;
+    }
   | {
       readonly type: "sendToPeer";
       readonly peer: string;
