Find routers and their deaths by gossip over the mesh

A router knew only the seeds in its settings. A silent router is probed through others, then suspected, then dead; it refutes by a higher incarnation. Suspicion lasts longer while most of a router's own probes fail, shorter where others confirm it, and a paused router forgives the time of its own pause.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,5 +3,6 @@
 export * from "./config/index.js";
 export * from "./lease/index.js";
 export * from "./ledger/index.js";
+export * from "./membership/index.js";
 export * from "./recovery/index.js";
 export * from "./routing/index.js";
--- /dev/null
+++ b/packages/decisions/src/membership/index.ts
@@ -0,0 +1,11 @@
+/** Membership of routers by gossip. */
+
+export { createMembership, decideMembership } from "./decideMembership.js";
+export { countPresent, isPresent } from "./table.js";
+export type {
+  Heartbeat,
+  Member,
+  MembershipCommand,
+  MembershipEvent,
+  MembershipState,
+} from "./types.js";
--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -1,10 +1,11 @@
 /** Time passed: deadlines and silence are looked at. */
 
 import type { RouterCommand, RouterState } from "../types.js";
+import { stepMembership } from "./memberEvents.js";
 import { stepStream } from "./stepStream.js";
 import type { Action } from "./types.js";
 
-/** Tells every stream the time. */
+/** Tells every stream and membership the time. */
 export const timePassed: Action<"timePassed"> = (state, { at }) => {
   let current: RouterState = state;
   const commands: RouterCommand[] = [];
@@ -17,5 +18,10 @@
     current = step.state;
     commands.push(...step.commands);
   }
-  return { state: current, commands };
+  const member = stepMembership(current, {
+    type: "timePassed",
+    at,
+    heartbeat: { revision: current.config.revision, demand: [] },
+  });
+  return { state: member.state, commands: [...commands, ...member.commands] };
 };
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -104,6 +104,13 @@
     administration,
     settings.listen.administration,
   );
+  control.push({
+    type: "addressesBound",
+    at: now(),
+    peersUrl: peers.url,
+    callersUrl,
+    administrationUrl,
+  });
   log(LogLevel.Info, "listening", {
     detail: `${callersUrl} ${administrationUrl}`,
   });
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -1,12 +1,17 @@
 /** The router's decision: one action an event type. */
 
 import { assertNever } from "@cardamomglade/common";
-import { createConfig, createRouting } from "@cardamomglade/decisions";
+import {
+  createConfig,
+  createMembership,
+  createRouting,
+} from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { claimResolved } from "./actions/claimResolved.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import { addressesBound } from "./actions/memberEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -33,7 +38,7 @@
   streams: new Map(),
   serviceCalls: new Map(),
   linkedPeers: new Set(),
-  peerUrls: new Map(),
+  membership: createMembership(router),
 });
 
 /** Folds one event into the router's state. */
@@ -63,6 +68,8 @@
       return peerLost(state, event);
     case "peerMessageReceived":
       return peerMessageReceived(state, event);
+    case "addressesBound":
+      return addressesBound(state, event);
     case "timePassed":
       return timePassed(state, event);
     case "drainStarted":
--- a/packages/router/src/drivers/peerDriver.ts
+++ b/packages/router/src/drivers/peerDriver.ts
@@ -9,7 +9,7 @@
   Settings,
   TlsSettings,
 } from "@cardamomglade/schema";
-import type { RouterEvent } from "../types.js";
+import type { RouterCommand, RouterEvent } from "../types.js";
 import type { RouterDriver, StateView } from "./types.js";
 
 /** Seeds that one router dials; gossip finds the others. */
@@ -101,30 +101,52 @@
 
   const send = (peer: string, message: PeerMessage) => {
     if (mesh.send(peer, message)) return;
-    const url = view().peerUrls.get(peer);
-    if (url === undefined) return;
+    const url = view().membership.members.get(peer)?.record.url;
+    if (url === undefined || url === "") return;
     const queue = waiting.get(peer) ?? [];
     const live = queue.filter(({ deadline }) => deadline > now());
     if (live.length < waitingPerPeer)
       live.push({ message, deadline: now() + waitingMs });
     waiting.set(peer, live);
     mesh.connect(url);
+    if (queue.length === 0) forgetUnwanted(url);
+  };
+
+  // An address dialed for one message is not dialed again for ever.
+  const forgetUnwanted = (url: string) => {
+    const timer = setTimeout(() => {
+      const isWanted = seeds.has(url) || view().membership.neighbours.has(url);
+      if (!isWanted) mesh.forget(url);
+    }, waitingMs);
+    timer.unref();
   };
 
   const { name } = settings.router;
-  const seeds = rendezvousOrder(name, settings.peers.seeds);
-  const dialSeeds = () => {
-    const others = seeds.filter((seed) => seed !== mesh.url);
-    for (const seed of others.slice(0, dialedSeeds)) mesh.connect(seed);
+  const others = settings.peers.seeds.filter((seed) => seed !== mesh.url);
+  const seeds = new Set(rendezvousOrder(name, others).slice(0, dialedSeeds));
+  setImmediate(() => {
+    for (const seed of seeds) mesh.connect(seed);
+  });
+
+  const perform = (command: RouterCommand) => {
+    switch (command.type) {
+      case "sendToPeer":
+        send(command.peer, command.message);
+        return;
+      case "connectPeer":
+        mesh.connect(command.url);
+        return;
+      case "forgetPeer":
+        if (!seeds.has(command.url)) mesh.forget(command.url);
+        return;
+      default:
+    }
   };
-  setImmediate(dialSeeds);
 
   return {
     events: channel.stream,
     url: mesh.url,
-    perform: (command) => {
-      if (command.type === "sendToPeer") send(command.peer, command.message);
-    },
+    perform,
     stop: () => mesh.close(),
   };
 };
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -6,6 +6,7 @@
   AttemptFailure,
   ClaimOutcome,
   ConfigInForce,
+  MembershipState,
   RecordedAnswer,
   RoutingState,
   StreamState,
@@ -72,8 +73,7 @@
   readonly serviceCalls: Map<string, ServiceEntry>;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
-  /** Peer addresses of known routers, by name. */
-  readonly peerUrls: ReadonlyMap<string, string>;
+  readonly membership: MembershipState;
 }
 
 /** What happens to the router process. */
@@ -149,6 +149,13 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | {
+      readonly type: "addressesBound";
+      readonly at: Moment;
+      readonly peersUrl: string;
+      readonly callersUrl: string;
+      readonly administrationUrl: string;
+    }
   | { readonly type: "timePassed"; readonly at: Moment }
   | { readonly type: "drainStarted"; readonly at: Moment };
 
@@ -216,6 +223,8 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | { readonly type: "connectPeer"; readonly url: string }
+  | { readonly type: "forgetPeer"; readonly url: string }
   | {
       readonly type: "record";
       readonly event: Omit<TimelineEvent, "at" | "process">;
