--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -163,6 +163,13 @@
     administrationServer,
     listen.administration,
   );
+  control.push({
+    type: "addressesBound",
+    at: now(),
+    peersUrl: peers.url,
+    callersUrl,
+    administrationUrl,
+  });
   log(LogLevel.Info, "listening", {
     detail: `${callersUrl} ${administrationUrl}`,
   });
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -1,7 +1,11 @@
 /** The router's decision: one action an event type. */
 
 import { assertNever } from "@cardamomglade/common";
-import { createConfig, createRouting } from "@cardamomglade/decisions";
+import {
+  createConfig,
+  createMembership,
+  createRouting,
+} from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { claimResolved } from "./actions/claimResolved.js";
 import { createConfigMesh } from "./actions/configurationPeers.js";
@@ -9,6 +13,7 @@
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
+import { addressesBound } from "./actions/memberEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -53,7 +58,7 @@
   leases: new Map(),
   leaseTtlMs,
   linkedPeers: new Set(),
-  peerUrls: new Map(),
+  membership: createMembership(router),
 });
 
 /** Folds one event into the router's state. */
@@ -91,6 +96,8 @@
       return peerLost(state, event);
     case "peerMessageReceived":
       return peerMessageReceived(state, event);
+    case "addressesBound":
+      return addressesBound(state, event);
     case "timePassed":
       return timePassed(state, event);
     case "drainStarted":
