Answer unreadable requests with typed errors

A head over the bound got an untyped 431 and other broken requests an empty 400. Both now carry the same error shape as every other refusal, with ran no; tests send both.

--- a/packages/router/src/tls/createHttpServer.ts
+++ b/packages/router/src/tls/createHttpServer.ts
@@ -4,6 +4,7 @@
 import { createServer as createTlsServer } from "node:https";
 import type { ListenAddress } from "@cardamomglade/schema";
 import type { Log } from "../log.js";
+import { answerClientErrors } from "./answerClientErrors.js";
 import { TlsFiles } from "./tlsFiles.js";
 
 /** What a server needs. */
@@ -20,7 +21,8 @@
   log,
 }: HttpServerOptions): Promise<Server> => {
   const maxHeaderSize = maxHeaderBytes;
-  if (listen.tls === undefined) return createServer({ maxHeaderSize });
+  if (listen.tls === undefined)
+    return answerClientErrors(createServer({ maxHeaderSize }));
   const files = await TlsFiles.create(listen.tls, log);
   const requestCert = listen.tls.requireClientCertificate;
   const options = { requestCert, rejectUnauthorized: requestCert };
@@ -35,5 +37,5 @@
   server.once("close", () => {
     files.close();
   });
-  return server;
+  return answerClientErrors(server);
 };
