Keep claims in leased shards with group commits

A claim cost two writes of its own, and a router that died left no one who could judge its keys. Keys now belong to a fixed number of shards, each held by one router under a lease. The router that a caller reached asks the holder, which gathers claims and puts them in one transaction that also compares its fencing number; the caller's router makes the call and reports its end. A commit with a lost answer is sent again unchanged, and its own batch key tells whether it was written. A new holder reads the shard before it answers.

"No" is said only while the holder's lease is valid and its record has no such key; a claim that no holder answered is told as unknown.

--- a/packages/decisions/src/ledger/judgeClaim.ts
+++ b/packages/decisions/src/ledger/judgeClaim.ts
@@ -1,17 +1,21 @@
-/** What an existing claim means for a new request. */
+/** What an existing record means for a new request. */
 
 import { assertNever } from "@cardamomglade/common";
-import type { ClaimOutcome, ClaimRecord, ClaimRequest } from "./types.js";
+import type { ClaimOutcome, ClaimRequest, StandingRecord } from "./types.js";
 
-/** Judges the record found in place of a new claim; never allows a second run. */
+/**
+ * Judges the record found in place of a new claim; never allows a second run.
+ * Only the origin of a request may run it, and does so once, so that its own
+ * claim found again is a leave to run.
+ */
 export const judgeClaim = (
-  req: ClaimRequest,
-  found: ClaimRecord,
+  { bodyHash, requestId }: Pick<ClaimRequest, "bodyHash" | "requestId">,
+  found: StandingRecord,
 ): ClaimOutcome => {
-  if (found.bodyHash !== req.bodyHash) return { type: "conflict" };
+  if (found.bodyHash !== bodyHash) return { type: "conflict" };
   switch (found.type) {
     case "claimed":
-      return found.requestId === req.requestId
+      return found.requestId === requestId
         ? { type: "run" }
         : { type: "unknown" };
     case "answered":
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,4 +4,5 @@
   KeyValueClient,
   type KeyValueClientOptions,
 } from "./keyValueClient.js";
+export { mirrorPrefix, type MirrorOptions } from "./mirrorPrefix.js";
 export * from "./types.js";
--- /dev/null
+++ b/packages/router/src/actions/claimAnswered.ts
@@ -0,0 +1,132 @@
+/** The holder of a ledger shard told what a claim led to. */
+
+import { assertNever, Ran, type Moment } from "@cardamomglade/common";
+import {
+  ClaimVerdict,
+  TimelineTopic,
+  type ClaimAnswer,
+} from "@cardamomglade/schema";
+import { ErrorType, notRun, type ApiError } from "../errors.js";
+import type { OriginClaim, RouterState } from "../types.js";
+import { askAfterMove, endClaim, reportEnd } from "./ledgerClaims.js";
+import { sendServiceCall } from "./serviceCallArrived.js";
+import type { RouterStep } from "./types.js";
+
+const nothing = (state: RouterState): RouterStep => ({ state, commands: [] });
+
+const refuse = (
+  state: RouterState,
+  requestId: string,
+  error: ApiError,
+): RouterStep => {
+  state.serviceCalls.delete(requestId);
+  state.ledger.claims.delete(requestId);
+  return { state, commands: [{ type: "failAnswer", requestId, error }] };
+};
+
+const outcomeUnknown: ApiError = {
+  type: ErrorType.OutcomeUnknown,
+  message:
+    "an earlier call with this key was sent and its outcome is not known; it is not run again",
+  ran: Ran.Unknown,
+};
+
+const notRecorded: ApiError = {
+  type: ErrorType.StoreUnavailable,
+  message: "the claim could not be recorded; the call was not run",
+  ran: Ran.No,
+  retryAfterS: 1,
+};
+
+const notLookedUp: ApiError = {
+  type: ErrorType.StoreUnavailable,
+  message:
+    "this call was not sent, but earlier calls with its key could not be looked up",
+  ran: Ran.Unknown,
+  retryAfterS: 1,
+};
+
+/** Tells the caller of a claim that no holder answered in time. */
+export const claimTimedOut = (
+  state: RouterState,
+  requestId: string,
+): RouterStep => {
+  state.serviceCalls.delete(requestId);
+  return {
+    state,
+    commands: [{ type: "failAnswer", requestId, error: notLookedUp }],
+  };
+};
+
+const run = (
+  state: RouterState,
+  claim: OriginClaim,
+  at: Moment,
+): RouterStep => {
+  const { requestId, deadline } = claim;
+  const entry = state.serviceCalls.get(requestId);
+  const end = { type: "notSent" as const };
+  if (entry === undefined || at >= deadline) {
+    const commands = endClaim(state, requestId, end, at);
+    state.serviceCalls.delete(requestId);
+    const error = notRun(ErrorType.DeadlineExceeded, "the deadline passed");
+    return {
+      state,
+      commands: [...commands, { type: "failAnswer", requestId, error }],
+    };
+  }
+  claim.phase = { type: "calling" };
+  const step = sendServiceCall(state, entry.request);
+  const given = state.serviceCalls.has(requestId)
+    ? []
+    : endClaim(state, requestId, end, at);
+  const event = {
+    topic: TimelineTopic.Claim,
+    name: "claimed",
+    request: requestId,
+  };
+  return {
+    state: step.state,
+    commands: [{ type: "record", event }, ...step.commands, ...given],
+  };
+};
+
+/** Runs a call whose claim is new; answers any other from the ledger. */
+export const claimAnswered = (
+  state: RouterState,
+  { request: requestId, verdict, answer }: ClaimAnswer,
+  at: Moment,
+): RouterStep => {
+  const claim = state.ledger.claims.get(requestId);
+  if (claim === undefined) return nothing(state);
+  if (claim.phase.type !== "asking") {
+    const commands =
+      verdict === ClaimVerdict.Run ? reportEnd(state, claim, at) : [];
+    return { state, commands };
+  }
+  switch (verdict) {
+    case ClaimVerdict.Run:
+      return run(state, claim, at);
+    case ClaimVerdict.Repeat: {
+      if (answer === undefined) return refuse(state, requestId, outcomeUnknown);
+      state.serviceCalls.delete(requestId);
+      state.ledger.claims.delete(requestId);
+      return { state, commands: [{ type: "answerCall", requestId, answer }] };
+    }
+    case ClaimVerdict.Conflict:
+      return refuse(
+        state,
+        requestId,
+        notRun(ErrorType.KeyConflict, "the key was used with another body"),
+      );
+    case ClaimVerdict.Unknown:
+      return refuse(state, requestId, outcomeUnknown);
+    case ClaimVerdict.NotRun:
+      return refuse(state, requestId, notRecorded);
+    case ClaimVerdict.Moved:
+      askAfterMove(claim, at);
+      return nothing(state);
+    default:
+      return assertNever(verdict);
+  }
+};
--- a/packages/router/src/actions/leaseRoles.ts
+++ b/packages/router/src/actions/leaseRoles.ts
@@ -11,6 +11,7 @@
 } from "@cardamomglade/decisions";
 import { TimelineTopic } from "@cardamomglade/schema";
 import type { RouterCommand, RouterState } from "../types.js";
+import { followLease } from "./ledgerShards.js";
 import type { RouterStep } from "./types.js";
 
 /** The lease on a role, or undefined where it is not held at that moment. */
@@ -23,12 +24,16 @@
   return lease === undefined ? undefined : heldLeaseOf(lease, at);
 };
 
-const toRouterCommand = (
+const toRouterCommands = (
+  state: RouterState,
   role: string,
   command: LeaseCommand,
-): RouterCommand => {
+  at: Moment,
+): RouterCommand[] => {
   if (command.type === "call")
-    return { type: "leaseCall", role, call: command.call };
+    return [{ type: "leaseCall", role, call: command.call }];
+  const followed = followLease(state, role, command, at);
+  if (command.type === "extended") return followed;
   const revision =
     command.type === "lost" ? {} : { revision: command.lease.fencing };
   const event = {
@@ -37,7 +42,7 @@
     detail: role,
     ...revision,
   };
-  return { type: "record", event };
+  return [{ type: "record", event }, ...followed];
 };
 
 /** Folds an event of one role's lease. */
@@ -51,9 +56,9 @@
     state.leases.get(role) ?? createLease({ role, holder: router.name, ttlMs });
   const step = decideLease(lease, event);
   state.leases.set(role, step.state);
-  const commands = step.commands
-    .filter(({ type }) => type !== "extended")
-    .map((command) => toRouterCommand(role, command));
+  const commands = step.commands.flatMap((command) =>
+    toRouterCommands(state, role, command, event.at),
+  );
   return { state, commands };
 };
 
@@ -64,8 +69,11 @@
   at: Moment,
   tryAt: Moment = at,
 ): RouterStep => {
-  if (state.draining || state.leases.get(role)?.isWanted === true)
-    return { state, commands: [] };
+  const lease = state.leases.get(role);
+  const isPursued =
+    lease?.isWanted === true &&
+    (lease.phase.type !== "idle" || lease.phase.tryAt <= tryAt);
+  if (state.draining || isPursued) return { state, commands: [] };
   return stepLease(state, role, { type: "wanted", at, tryAt });
 };
 
--- /dev/null
+++ b/packages/router/src/actions/ledgerClaims.ts
@@ -0,0 +1,200 @@
+/** Claims of the non-repeatable calls that came to this router. */
+
+import { createHash } from "node:crypto";
+import type { Moment } from "@cardamomglade/common";
+import { roleOfShard, shardOf, type CallEnd } from "@cardamomglade/decisions";
+import {
+  CallEndKind,
+  WhileStoreDown,
+  type PeerMessage,
+  type RecordedAnswer,
+} from "@cardamomglade/schema";
+import type {
+  OriginClaim,
+  RouterCommand,
+  RouterState,
+  ServiceRequest,
+} from "../types.js";
+import { sendMessage } from "./ledgerShards.js";
+
+const hashChars = 32;
+const askEveryMs = 500;
+const askAfterMoveMs = 100;
+const reportEveryMs = 1000;
+const keepEndMs = 120_000;
+const refuseAfterMs = 1000;
+const maxKeptBytes = 65_536;
+
+const endKinds: Readonly<Record<CallEnd["type"], CallEndKind>> = {
+  answered: CallEndKind.Answered,
+  notSent: CallEndKind.NotSent,
+  unknown: CallEndKind.Unknown,
+};
+
+const hashOf = (...parts: readonly string[]): string =>
+  createHash("sha256")
+    .update(JSON.stringify(parts))
+    .digest("hex")
+    .slice(0, hashChars);
+
+const holderOf = (
+  { ledger }: RouterState,
+  { shard }: OriginClaim,
+): string | undefined => ledger.holders.get(roleOfShard(shard));
+
+const questionOf = (claim: OriginClaim, at: Moment): PeerMessage => {
+  const { requestId: request, shard, key, bodyHash, deadline } = claim;
+  const remainingMs = deadline - at;
+  const question = { request, shard, key, bodyHash, remainingMs };
+  return { type: "claimQuestion", ...question };
+};
+
+const ask = (
+  state: RouterState,
+  claim: OriginClaim,
+  at: Moment,
+): RouterCommand[] => {
+  const holder = holderOf(state, claim);
+  claim.phase = { type: "asking", askAt: at + askEveryMs };
+  if (holder === undefined) return [];
+  return [sendMessage(state, holder, questionOf(claim, at))];
+};
+
+/** Asks the holder of the key's shard whether the call may be made. */
+export const startClaim = (
+  state: RouterState,
+  request: ServiceRequest,
+  key: string,
+  at: Moment,
+): RouterCommand[] => {
+  const { requestId, method, path, body, deadline } = request.call;
+  const scoped = hashOf(request.customer, request.service, key);
+  const claim: OriginClaim = {
+    requestId,
+    shard: shardOf(scoped, state.ledger.shardCount),
+    key: scoped,
+    bodyHash: hashOf(method, path, body),
+    askedAt: at,
+    deadline,
+    phase: { type: "asking", askAt: at },
+  };
+  state.ledger.claims.set(requestId, claim);
+  return ask(state, claim, at);
+};
+
+/** Asks again soon, where the router that was asked does not hold the shard. */
+export const askAfterMove = (claim: OriginClaim, at: Moment): void => {
+  claim.phase = { type: "asking", askAt: at + askAfterMoveMs };
+};
+
+/** Asks at once those whose shard has a new holder. */
+export const askAgain = (
+  state: RouterState,
+  before: ReadonlyMap<string, string>,
+  at: Moment,
+): RouterCommand[] => {
+  const hasMoved = (claim: OriginClaim) => {
+    const holder = holderOf(state, claim);
+    return (
+      holder !== undefined && holder !== before.get(roleOfShard(claim.shard))
+    );
+  };
+  const commands: RouterCommand[] = [];
+  for (const claim of state.ledger.claims.values()) {
+    if (!hasMoved(claim)) continue;
+    if (claim.phase.type === "asking") commands.push(...ask(state, claim, at));
+    if (claim.phase.type === "ended")
+      commands.push(...reportEnd(state, claim, at));
+  }
+  return commands;
+};
+
+/** Tells the holder how a call ended; asked for again until it is confirmed. */
+export const reportEnd = (
+  state: RouterState,
+  claim: OriginClaim,
+  at: Moment,
+): RouterCommand[] => {
+  const { phase, requestId: request, shard, key } = claim;
+  if (phase.type !== "ended") return [];
+  claim.phase = { ...phase, reportAt: at + reportEveryMs };
+  const holder = holderOf(state, claim);
+  if (holder === undefined) return [];
+  const { end } = phase;
+  const kind = endKinds[end.type];
+  const answer = end.type === "answered" ? { answer: end.answer } : {};
+  const named = { request, shard, key, end: kind, ...answer };
+  return [sendMessage(state, holder, { type: "endReport", ...named })];
+};
+
+const notKept = JSON.stringify({
+  error: {
+    type: "answerNotKept",
+    message: "the call ran; its answer was too large to keep",
+    ran: "yes",
+  },
+});
+
+const boundAnswer = (answer: RecordedAnswer): RecordedAnswer =>
+  Buffer.byteLength(answer.body) <= maxKeptBytes
+    ? answer
+    : { ...answer, contentType: "application/json", body: notKept };
+
+/** Reports the end of a claimed call to the holder of its shard. */
+export const endClaim = (
+  state: RouterState,
+  requestId: string,
+  end: CallEnd,
+  at: Moment,
+): RouterCommand[] => {
+  const claim = state.ledger.claims.get(requestId);
+  if (claim === undefined) return [];
+  const kept: CallEnd =
+    end.type === "answered"
+      ? { type: "answered", answer: boundAnswer(end.answer) }
+      : end;
+  const keepUntil = at + keepEndMs;
+  claim.phase = { type: "ended", end: kept, reportAt: at, keepUntil };
+  return reportEnd(state, claim, at);
+};
+
+/** Stops reporting; a call that was not sent stays known, so that a late leave to run is given back. */
+export const confirmEnd = (state: RouterState, requestId: string): void => {
+  const claim = state.ledger.claims.get(requestId);
+  if (claim?.phase.type !== "ended") return;
+  if (claim.phase.end.type === "notSent")
+    claim.phase = { ...claim.phase, reportAt: Infinity };
+  else state.ledger.claims.delete(requestId);
+};
+
+const isHopeless = (
+  { ledger }: RouterState,
+  { deadline, askedAt }: OriginClaim,
+  at: Moment,
+): boolean =>
+  at >= deadline ||
+  (ledger.limits.whileStoreDown === WhileStoreDown.Refuse &&
+    at >= askedAt + refuseAfterMs);
+
+/** Asks and reports again where it is due; returns the claims that ran out of time. */
+export const passClaimTime = (
+  state: RouterState,
+  at: Moment,
+): { readonly commands: RouterCommand[]; readonly timedOut: string[] } => {
+  const commands: RouterCommand[] = [];
+  const timedOut: string[] = [];
+  for (const claim of state.ledger.claims.values()) {
+    const { phase, requestId } = claim;
+    if (phase.type === "asking" && isHopeless(state, claim, at)) {
+      timedOut.push(requestId);
+      commands.push(...endClaim(state, requestId, { type: "notSent" }, at));
+    } else if (phase.type === "asking" && at >= phase.askAt) {
+      commands.push(...ask(state, claim, at));
+    } else if (phase.type === "ended" && at >= phase.keepUntil) {
+      state.ledger.claims.delete(requestId);
+    } else if (phase.type === "ended" && at >= phase.reportAt) {
+      commands.push(...reportEnd(state, claim, at));
+    }
+  }
+  return { commands, timedOut };
+};
--- /dev/null
+++ b/packages/router/src/actions/ledgerMessages.ts
@@ -0,0 +1,67 @@
+/** Messages between the origin of a call and the holder of its ledger shard. */
+
+import { assertNever, type Moment } from "@cardamomglade/common";
+import type { CallEnd, ClaimRequest } from "@cardamomglade/decisions";
+import {
+  CallEndKind,
+  ClaimVerdict,
+  type ClaimQuestion,
+  type EndReport,
+} from "@cardamomglade/schema";
+import type { RouterState } from "../types.js";
+import { sendMessage, stepShard } from "./ledgerShards.js";
+import type { RouterStep } from "./types.js";
+
+/** Another router, or this one, asks for a claim. */
+export const claimQuestion = (
+  state: RouterState,
+  origin: string,
+  message: ClaimQuestion,
+  at: Moment,
+): RouterStep => {
+  const { request: requestId, key, bodyHash, remainingMs } = message;
+  const shard = state.ledger.shards.get(message.shard);
+  if (shard === undefined) {
+    const moved = sendMessage(state, origin, {
+      type: "claimAnswer",
+      request: requestId,
+      verdict: ClaimVerdict.Moved,
+    });
+    return { state, commands: [moved] };
+  }
+  const deadline = at + remainingMs;
+  const request: ClaimRequest = { requestId, key, bodyHash, origin, deadline };
+  const commands = stepShard(state, shard, { type: "claimAsked", at, request });
+  return { state, commands };
+};
+
+const endOf = ({ end, answer }: EndReport): CallEnd => {
+  switch (end) {
+    case CallEndKind.Answered:
+      return answer === undefined
+        ? { type: "unknown" }
+        : { type: "answered", answer };
+    case CallEndKind.NotSent:
+      return { type: "notSent" };
+    case CallEndKind.Unknown:
+      return { type: "unknown" };
+    default:
+      return assertNever(end);
+  }
+};
+
+/** An origin reports how a claimed call ended. */
+export const endReport = (
+  state: RouterState,
+  origin: string,
+  message: EndReport,
+  at: Moment,
+): RouterStep => {
+  const shard = state.ledger.shards.get(message.shard);
+  if (shard === undefined) return { state, commands: [] };
+  const { request: requestId, key } = message;
+  const end = endOf(message);
+  const named = { key, requestId, origin, end };
+  const event = { type: "callEnded" as const, at, ...named };
+  return { state, commands: stepShard(state, shard, event) };
+};
--- /dev/null
+++ b/packages/router/src/actions/ledgerPlacement.ts
@@ -0,0 +1,64 @@
+/** Which ledger shards this router pursues. */
+
+import type { Moment } from "@cardamomglade/common";
+import { planShards, roleOfShard } from "@cardamomglade/decisions";
+import type { RouterCommand, RouterState } from "../types.js";
+import { askAgain } from "./ledgerClaims.js";
+import { releaseLease, wantLease } from "./leaseRoles.js";
+import type { Action } from "./types.js";
+
+const planEveryMs = 2000;
+/** Time for links to other routers to open before the first bid. */
+const firstBidAfterMs = 500;
+
+const place = (state: RouterState, at: Moment): RouterCommand[] => {
+  const { shardCount: shards, holders } = state.ledger;
+  const self = state.router.name;
+  const routers = [self, ...state.linkedPeers];
+  const plan = planShards({ self, routers, shards, holders }, at);
+  const bids = plan.bids.flatMap(({ shard, tryAt }) => [
+    ...wantLease(state, roleOfShard(shard), at, tryAt).commands,
+  ]);
+  const isIdle = (shard: number) =>
+    state.leases.get(roleOfShard(shard))?.phase.type === "idle";
+  const given = plan.foreign
+    .filter(isIdle)
+    .flatMap((shard) => [
+      ...releaseLease(state, roleOfShard(shard), at).commands,
+    ]);
+  return [...bids, ...given];
+};
+
+/** Looks at the placement where it is due; gives up at most one shard. */
+export const passPlacementTime = (
+  state: RouterState,
+  at: Moment,
+): RouterCommand[] => {
+  const { ledger, router, linkedPeers } = state;
+  if (state.draining || ledger.planAt === undefined || at < ledger.planAt)
+    return [];
+  ledger.planAt = at + planEveryMs;
+  const { shardCount: shards, holders } = ledger;
+  const routers = [router.name, ...linkedPeers];
+  const plan = planShards({ self: router.name, routers, shards, holders }, at);
+  const handed =
+    plan.handOver === undefined
+      ? []
+      : releaseLease(state, roleOfShard(plan.handOver), at).commands;
+  return [...place(state, at), ...handed];
+};
+
+/** Takes the holders of all roles over; bids for free shards and asks new holders. */
+export const holdersRead: Action<"holdersRead"> = (state, { at, holders }) => {
+  const { ledger } = state;
+  const before = ledger.holders;
+  ledger.holders = new Map(holders.map(({ role, router }) => [role, router]));
+  const asked = askAgain(state, before, at);
+  if (ledger.planAt === undefined) {
+    ledger.planAt = at + firstBidAfterMs;
+    return { state, commands: asked };
+  }
+  const isStarting = ledger.planAt > at && before.size === 0;
+  const placed = state.draining || isStarting ? [] : place(state, at);
+  return { state, commands: [...asked, ...placed] };
+};
--- /dev/null
+++ b/packages/router/src/actions/ledgerShards.ts
@@ -0,0 +1,132 @@
+/** Ledger shards that this router holds. */
+
+import { assertNever, type Moment } from "@cardamomglade/common";
+import {
+  createShard,
+  decideShard,
+  shardOfRole,
+  type ClaimOutcome,
+  type LeaseCommand,
+  type ShardCommand,
+  type ShardEvent,
+  type ShardState,
+} from "@cardamomglade/decisions";
+import { ClaimVerdict, type PeerMessage } from "@cardamomglade/schema";
+import type { RouterCommand, RouterState } from "../types.js";
+
+const readTimeoutMs = 3000;
+
+const verdicts: Readonly<Record<ClaimOutcome["type"], ClaimVerdict>> = {
+  run: ClaimVerdict.Run,
+  repeat: ClaimVerdict.Repeat,
+  conflict: ClaimVerdict.Conflict,
+  unknown: ClaimVerdict.Unknown,
+  notRun: ClaimVerdict.NotRun,
+  moved: ClaimVerdict.Moved,
+};
+
+/** Sends a message to a router, which may be this one. */
+export const sendMessage = (
+  { router }: RouterState,
+  peer: string,
+  message: PeerMessage,
+): RouterCommand =>
+  peer === router.name
+    ? { type: "loopBack", message }
+    : { type: "sendToPeer", peer, message };
+
+const answerMessage = ({
+  requestId,
+  outcome,
+}: Extract<ShardCommand, { type: "answerClaim" }>): PeerMessage => ({
+  type: "claimAnswer",
+  request: requestId,
+  verdict: verdicts[outcome.type],
+  ...(outcome.type === "repeat" ? { answer: outcome.answer } : {}),
+});
+
+const toRouterCommand = (
+  state: RouterState,
+  { shard, lease: { fencing } }: ShardState,
+  command: ShardCommand,
+  at: Moment,
+): RouterCommand => {
+  switch (command.type) {
+    case "readShard":
+      return {
+        type: "readShard",
+        shard,
+        fencing,
+        deadline: at + readTimeoutMs,
+      };
+    case "commit": {
+      const { commit, deadline } = command;
+      return { type: "commitShard", shard, fencing, commit, deadline };
+    }
+    case "answerClaim":
+      return sendMessage(state, command.origin, answerMessage(command));
+    case "confirmEnd":
+      return sendMessage(state, command.origin, {
+        type: "endConfirmation",
+        request: command.requestId,
+      });
+    case "wake":
+      return { type: "wakeShard", shard, fencing, wakeAt: command.at };
+    default:
+      return assertNever(command);
+  }
+};
+
+/** Folds an event into a held shard; the shard is dropped when its term is over. */
+export const stepShard = (
+  state: RouterState,
+  shard: ShardState,
+  event: ShardEvent,
+): RouterCommand[] => {
+  const { commands } = decideShard(shard, event);
+  if (shard.isOver) state.ledger.shards.delete(shard.shard);
+  return commands.map((command) =>
+    toRouterCommand(state, shard, command, event.at),
+  );
+};
+
+/** Opens, extends or ends a shard as its lease changes. */
+export const followLease = (
+  state: RouterState,
+  role: string,
+  change: Exclude<LeaseCommand, { type: "call" }>,
+  at: Moment,
+): RouterCommand[] => {
+  const number = shardOfRole(role);
+  if (number === undefined) return [];
+  const { shards, limits } = state.ledger;
+  const held = shards.get(number);
+  switch (change.type) {
+    case "acquired": {
+      const shard = createShard(number, change.lease, limits, at);
+      shards.set(number, shard);
+      return stepShard(state, shard, { type: "timePassed", at });
+    }
+    case "extended": {
+      const { lease } = change;
+      return held === undefined
+        ? []
+        : stepShard(state, held, { type: "extended", at, lease });
+    }
+    case "lost":
+      return held === undefined
+        ? []
+        : stepShard(state, held, { type: "ended", at });
+    default:
+      return assertNever(change);
+  }
+};
+
+/** Tells every held shard the time. */
+export const passShardTime = (
+  state: RouterState,
+  at: Moment,
+): RouterCommand[] =>
+  [...state.ledger.shards.values()].flatMap((shard) =>
+    stepShard(state, shard, { type: "timePassed", at }),
+  );
--- /dev/null
+++ b/packages/router/src/actions/ledgerState.ts
@@ -0,0 +1,53 @@
+/** The ledger as a router starts with it. */
+
+import { WhileStoreDown } from "@cardamomglade/schema";
+import type { LedgerState } from "../types.js";
+
+/** Settings of the ledger and the fleet's budget of writes. */
+export interface LedgerOptions {
+  readonly shards: number;
+  readonly keyLifetimeMs: number;
+  readonly maxShardBytes: number;
+  readonly whileStoreDown: WhileStoreDown;
+  readonly fleetWritesPerSecond: number;
+}
+
+const msPerSecond = 1000;
+/** Share of the write budget that group commits may use. */
+const commitShare = 0.8;
+
+const defaultOptions: LedgerOptions = {
+  shards: 8,
+  keyLifetimeMs: 86_400_000,
+  maxShardBytes: 8_388_608,
+  whileStoreDown: WhileStoreDown.Wait,
+  fleetWritesPerSecond: 200,
+};
+
+/** State before any holder is known; the write budget sets the commit interval of each shard. */
+export const createLedger = (
+  options: LedgerOptions = defaultOptions,
+): LedgerState => {
+  const { shards, keyLifetimeMs, maxShardBytes, whileStoreDown } = options;
+  const commitsPerSecond =
+    (options.fleetWritesPerSecond * commitShare) / shards;
+  return {
+    shardCount: shards,
+    limits: {
+      commitIntervalMs: msPerSecond / commitsPerSecond,
+      keyLifetimeMs,
+      maxBytes: maxShardBytes,
+      whileStoreDown,
+    },
+    holders: new Map(),
+    planAt: undefined,
+    shards: new Map(),
+    claims: new Map(),
+  };
+};
+
+/** Whether the end of a call still has to be recorded. */
+export const hasOpenClaims = ({ claims }: LedgerState): boolean =>
+  [...claims.values()].some(
+    ({ phase }) => phase.type !== "ended" || phase.reportAt !== Infinity,
+  );
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -1,6 +1,9 @@
 /** Events of the mesh between routers. */
 
 import { assertNever } from "@cardamomglade/common";
+import { claimAnswered } from "./claimAnswered.js";
+import { confirmEnd } from "./ledgerClaims.js";
+import { claimQuestion, endReport } from "./ledgerMessages.js";
 import type { Action } from "./types.js";
 
 /** A link to another router opened. */
@@ -18,15 +21,22 @@
 /** Another router sent a message; each type has an action of its own. */
 export const peerMessageReceived: Action<"peerMessageReceived"> = (
   state,
-  { message },
+  { message, peer, at },
 ) => {
   switch (message.type) {
     case "hello":
     case "gossip":
     case "configRequest":
     case "configOffer":
-    case "forwardedCall":
-    case "forwardedAnswer":
+      return { state, commands: [] };
+    case "claimQuestion":
+      return claimQuestion(state, peer, message, at);
+    case "claimAnswer":
+      return claimAnswered(state, message, at);
+    case "endReport":
+      return endReport(state, peer, message, at);
+    case "endConfirmation":
+      confirmEnd(state, message.request);
       return { state, commands: [] };
     default:
       return assertNever(message);
--- a/packages/router/src/actions/serviceCallArrived.ts
+++ b/packages/router/src/actions/serviceCallArrived.ts
@@ -5,6 +5,7 @@
 import { ErrorType, notRun, type ApiError } from "../errors.js";
 import type { RouterState, ServiceRequest } from "../types.js";
 import { candidatesOf } from "./candidatesOf.js";
+import { startClaim } from "./ledgerClaims.js";
 import type { Action, RouterStep } from "./types.js";
 
 const matches = (pattern: CallPattern, { call }: ServiceRequest): boolean => {
@@ -63,9 +64,9 @@
 /** Claims a non-repeatable call first; sends any other at once. */
 export const serviceCallArrived: Action<"serviceCallArrived"> = (
   state,
-  { request },
+  { request, at },
 ) => {
-  const { requestId, body, deadline } = request.call;
+  const { requestId } = request.call;
   const { key, customer } = request;
   if (state.draining)
     return refuse(
@@ -97,8 +98,5 @@
     );
   }
   state.serviceCalls.set(requestId, { request });
-  return {
-    state,
-    commands: [{ type: "claimCall", requestId, customer, key, body, deadline }],
-  };
+  return { state, commands: startClaim(state, request, key, at) };
 };
--- a/packages/router/src/actions/serviceCallEnded.ts
+++ b/packages/router/src/actions/serviceCallEnded.ts
@@ -2,13 +2,13 @@
 
 import { assertNever, Ran } from "@cardamomglade/common";
 import { ErrorType, notRun } from "../errors.js";
-import type { RouterCommand } from "../types.js";
+import { endClaim } from "./ledgerClaims.js";
 import type { Action } from "./types.js";
 
 /** Records the answer of a non-repeatable call and answers the caller. */
 export const serviceCallEnded: Action<"serviceCallEnded"> = (
   state,
-  { requestId, outcome },
+  { requestId, outcome, at },
 ) => {
   const entry = state.serviceCalls.get(requestId);
   if (entry === undefined) return { state, commands: [] };
@@ -17,10 +17,8 @@
     case "answered": {
       const { status, contentType, body } = outcome;
       const answer = { status, contentType, body };
-      const recorded: RouterCommand[] =
-        entry.request.key === undefined
-          ? []
-          : [{ type: "recordAnswer", requestId, answer }];
+      const end = { type: "answered" as const, answer };
+      const recorded = endClaim(state, requestId, end, at);
       return {
         state,
         commands: [...recorded, { type: "answerCall", requestId, answer }],
@@ -30,6 +28,7 @@
       return {
         state,
         commands: [
+          ...endClaim(state, requestId, { type: "notSent" }, at),
           {
             type: "failAnswer",
             requestId,
@@ -43,7 +42,11 @@
         message: outcome.message,
         ran: Ran.Unknown,
       };
-      return { state, commands: [{ type: "failAnswer", requestId, error }] };
+      const ended = endClaim(state, requestId, { type: "unknown" }, at);
+      return {
+        state,
+        commands: [...ended, { type: "failAnswer", requestId, error }],
+      };
     }
     default:
       return assertNever(outcome);
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -22,10 +22,12 @@
 import { createMetricsRoute } from "./administration/metricsRoute.js";
 import { createTimelineRoute } from "./administration/timelineRoute.js";
 import { createRouterState, decide } from "./decide.js";
+import { createLedger, hasOpenClaims } from "./actions/ledgerState.js";
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLeaseDriver } from "./drivers/leaseDriver.js";
+import { createLeaseHoldersDriver } from "./drivers/leaseHoldersDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
@@ -104,7 +106,13 @@
     connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
-  const initial = createRouterState(settings.router, settings.ledger);
+  const initial = createRouterState(settings.router, {
+    leaseTtlMs: settings.ledger.leaseTtlMs,
+    ledger: createLedger({
+      ...settings.ledger,
+      fleetWritesPerSecond: settings.keyValue.fleetWritesPerSecond,
+    }),
+  });
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
@@ -137,7 +145,8 @@
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
     createLeaseDriver(keyValue, prefix),
-    createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
+    createLeaseHoldersDriver(keyValue, prefix),
+    createLedgerDriver({ keyValue, prefix, router: settings.router.name, log }),
     createTickDriver(),
     {
       events: control.stream,
@@ -168,7 +177,10 @@
     administrationServer.closeAllConnections();
     await running.stop();
   };
-  const isBusy = () => view().streams.size > 0 || view().serviceCalls.size > 0;
+  const isBusy = () => {
+    const { streams, serviceCalls, ledger } = view();
+    return streams.size > 0 || serviceCalls.size > 0 || hasOpenClaims(ledger);
+  };
   const drain = async () => {
     const deadline = now() + settings.drain.graceMs;
     control.push({ type: "drainStarted", at: now() });
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -3,10 +3,12 @@
 import { assertNever } from "@cardamomglade/common";
 import { createConfig, createRouting } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
-import { claimResolved } from "./actions/claimResolved.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import { holdersRead } from "./actions/ledgerPlacement.js";
+import { shardReported } from "./actions/ledgerShardReported.js";
+import { createLedger } from "./actions/ledgerState.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
 import {
   peerLinked,
@@ -23,19 +25,23 @@
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
 import type { RouterStep } from "./actions/types.js";
-import type { RouterEvent, RouterState } from "./types.js";
+import type { LedgerState, RouterEvent, RouterState } from "./types.js";
 
 const defaultLeaseTtlMs = 5000;
 
 /** What settings give to a router's state. */
 export interface RouterStateOptions {
   readonly leaseTtlMs?: number;
+  readonly ledger?: LedgerState;
 }
 
 /** State of a router that has just started. */
 export const createRouterState = (
   router: RouterIdentity,
-  { leaseTtlMs = defaultLeaseTtlMs }: RouterStateOptions = {},
+  {
+    leaseTtlMs = defaultLeaseTtlMs,
+    ledger = createLedger(),
+  }: RouterStateOptions = {},
 ): RouterState => ({
   router,
   draining: false,
@@ -43,6 +49,7 @@
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  ledger,
   leases: new Map(),
   leaseTtlMs,
   linkedPeers: new Set(),
@@ -66,10 +73,12 @@
       return attemptBroken(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
-    case "claimResolved":
-      return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "holdersRead":
+      return holdersRead(state, event);
+    case "shardReported":
+      return shardReported(state, event);
     case "leaseAnswered":
       return leaseAnswered(state, event);
     case "peerLinked":
--- a/packages/router/src/drivers/ledgerDriver.ts
+++ b/packages/router/src/drivers/ledgerDriver.ts
@@ -1,128 +1,189 @@
-/** Keeps the claims of non-repeatable calls in the key-value service. */
+/** Reads and writes the ledger shards in the key-value service. */
 
-import { createHash } from "node:crypto";
-import { createChannel, Ran, now } from "@cardamomglade/common";
+import { createChannel, now, type Moment } from "@cardamomglade/common";
 import {
-  judgeClaim,
-  type ClaimOutcome,
-  type ClaimRecord,
-  type ClaimRequest,
-  type RecordedAnswer,
+  roleOfShard,
+  type Commit,
+  type ReadBatch,
+  type ShardEvent,
 } from "@cardamomglade/decisions";
-import type { KeyValue, KeyValueEntry } from "@cardamomglade/platform";
+import type {
+  KeyValue,
+  KeyValueEntry,
+  Operation,
+  Transaction,
+  TransactionResult,
+} from "@cardamomglade/platform";
+import {
+  checkDocument,
+  LogLevel,
+  validateShardBatch,
+  type CallRecord,
+} from "@cardamomglade/schema";
+import type { Log } from "../log.js";
 import type { RouterCommandOf, RouterEvent } from "../types.js";
+import { rolesFolder } from "./leaseDriver.js";
 import type { RouterDriver } from "./types.js";
 
-const recordTimeoutMs = 5000;
-
-interface OpenClaim {
-  readonly key: string;
-  readonly claim: ClaimRequest;
+/** What the ledger needs. */
+export interface LedgerDriverOptions {
+  readonly keyValue: KeyValue;
+  readonly prefix: string;
+  /** This router's name: the peer of messages to itself. */
+  readonly router: string;
+  readonly log: Log;
 }
 
-const hashOf = (text: string): string =>
-  createHash("sha256").update(text).digest("hex");
-
-const recordOf = (entry: KeyValueEntry | undefined): ClaimRecord | undefined =>
-  entry === undefined ? undefined : (JSON.parse(entry.value) as ClaimRecord);
+const batchText = (records: readonly CallRecord[]): string =>
+  JSON.stringify({ records });
 
-/** Drives claims: created before the call goes out, answered after it. */
-export const createLedgerDriver = (
-  keyValue: KeyValue,
-  prefix: string,
-  keyLifetimeMs: number,
-): RouterDriver => {
+/** Drives reads, group commits and timers of shards, and messages to this router itself. */
+export const createLedgerDriver = ({
+  keyValue,
+  prefix,
+  router,
+  log,
+}: LedgerDriverOptions): RouterDriver => {
   const channel = createChannel<RouterEvent>();
-  const open = new Map<string, OpenClaim>();
+  const timers = new Set<NodeJS.Timeout>();
 
-  const readBack = async (
-    key: string,
-    claim: ClaimRequest,
-  ): Promise<ClaimOutcome> => {
-    const read = await keyValue.range(key, {
-      prefix: false,
-      deadline: claim.deadline,
-    });
-    if (read.type !== "done") return { type: "unknown" };
-    const found = recordOf(read.value.entries[0]);
-    // An unseen claim may still be on its way, so it is not proof.
-    return found === undefined ? { type: "unknown" } : judgeClaim(claim, found);
+  const folderOf = (shard: number): string =>
+    `${prefix}ledger/${String(shard)}/`;
+  const holderKeyOf = (shard: number): string =>
+    `${prefix}${rolesFolder}${roleOfShard(shard)}`;
+
+  const toBatch = (
+    folder: string,
+    entry: KeyValueEntry,
+  ): ReadBatch | undefined => {
+    const checked = checkDocument(entry.key, entry.value, validateShardBatch);
+    if (checked.type === "err") {
+      log(LogLevel.Error, `ledger batch "${entry.key}" is malformed`);
+      return undefined;
+    }
+    const name = entry.key.slice(folder.length);
+    const bytes = Buffer.byteLength(entry.value);
+    return { name, bytes, records: checked.value.records };
   };
 
-  const claimCall = async (
-    command: RouterCommandOf<"claimCall">,
-  ): Promise<ClaimOutcome> => {
-    const { requestId, deadline, body } = command;
-    const key = `${prefix}ledger/${command.customer}/${hashOf(command.key)}`;
-    const claim: ClaimRequest = {
-      requestId,
-      key: command.key,
-      bodyHash: hashOf(body),
-      deadline,
-    };
-    open.set(requestId, { key, claim });
-    const record: ClaimRecord = {
-      type: "claimed",
-      requestId,
-      bodyHash: claim.bodyHash,
-      expiresAt: now() + keyLifetimeMs,
-    };
-    const outcome = await keyValue.transact(
-      {
-        compare: [{ type: "createRevision", key, revision: 0 }],
-        success: [{ type: "put", key, value: JSON.stringify(record) }],
-        failure: [{ type: "read", key }],
-      },
-      deadline,
+  const readShard = async (
+    command: RouterCommandOf<"readShard">,
+  ): Promise<ShardEvent> => {
+    const folder = folderOf(command.shard);
+    const { deadline } = command;
+    const outcome = await keyValue.range(folder, { prefix: true, deadline });
+    if (outcome.type !== "done") return { type: "readFailed", at: now() };
+    const batches = outcome.value.entries.map((entry) =>
+      toBatch(folder, entry),
     );
-    if (outcome.type === "refused") return { type: "notRun", ran: Ran.No };
-    if (outcome.type === "unknown") return readBack(key, claim);
-    if (outcome.value.succeeded) return { type: "run" };
-    const found = recordOf(outcome.value.reads[0]?.[0]);
-    return found === undefined ? { type: "unknown" } : judgeClaim(claim, found);
+    const read = batches.filter((batch) => batch !== undefined);
+    return read.length === batches.length
+      ? { type: "read", at: now(), batches: read }
+      : { type: "readFailed", at: now() };
+  };
+
+  const operationsOf = (folder: string, commit: Commit): Operation[] => {
+    const { merge, deletes, batch, records } = commit;
+    const put = (name: string, kept: readonly CallRecord[]): Operation => ({
+      type: "put",
+      key: `${folder}${name}`,
+      value: batchText(kept),
+    });
+    return [
+      ...deletes.map((name): Operation => ({
+        type: "delete",
+        key: `${folder}${name}`,
+      })),
+      ...(merge === undefined ? [] : [put(merge.name, merge.records)]),
+      put(batch, records),
+    ];
+  };
+
+  // A batch found under its name was written by an earlier try of this commit.
+  const judgeCommit = (result: TransactionResult) => {
+    if (result.succeeded) return "committed" as const;
+    const isWritten = (result.reads[0]?.length ?? 0) > 0;
+    return isWritten ? ("committed" as const) : ("superseded" as const);
   };
 
-  const recordAnswer = async (
-    requestId: string,
-    answer: RecordedAnswer,
-  ): Promise<void> => {
-    const claimed = open.get(requestId);
-    open.delete(requestId);
-    if (claimed === undefined) return;
-    const { key, claim } = claimed;
-    const record: ClaimRecord = {
-      type: "answered",
-      requestId,
-      bodyHash: claim.bodyHash,
-      expiresAt: now() + keyLifetimeMs,
-      answer,
+  const commitShard = async ({
+    shard,
+    fencing,
+    commit,
+    deadline,
+  }: RouterCommandOf<"commitShard">): Promise<ShardEvent> => {
+    const { batch } = commit;
+    const folder = folderOf(shard);
+    const key = `${folder}${batch}`;
+    const holder = holderKeyOf(shard);
+    const transaction: Transaction = {
+      compare: [
+        { type: "createRevision", key: holder, revision: fencing },
+        { type: "createRevision", key, revision: 0 },
+      ],
+      success: operationsOf(folder, commit),
+      failure: [{ type: "read", key }],
     };
-    await keyValue.transact(
-      {
-        compare: [],
-        success: [{ type: "put", key, value: JSON.stringify(record) }],
-        failure: [],
-      },
-      now() + recordTimeoutMs,
-    );
+    const result = await keyValue.transact(transaction, deadline);
+    const outcome =
+      result.type === "done" ? judgeCommit(result.value) : "unknown";
+    return { type: "commitAnswered", at: now(), batch, outcome };
+  };
+
+  const report = (
+    { shard, fencing }: { readonly shard: number; readonly fencing: number },
+    event: ShardEvent,
+  ) => {
+    const { at } = event;
+    channel.push({ type: "shardReported", at, shard, fencing, report: event });
+  };
+
+  const wakeAt = (moment: Moment, wake: () => void) => {
+    const delayMs = Math.max(0, Math.ceil(moment - now()));
+    const timer = setTimeout(() => {
+      timers.delete(timer);
+      if (now() < moment) wakeAt(moment, wake);
+      else wake();
+    }, delayMs);
+    timers.add(timer);
   };
 
   return {
     events: channel.stream,
     perform: (command) => {
-      if (command.type === "recordAnswer")
-        void recordAnswer(command.requestId, command.answer);
-      if (command.type !== "claimCall") return;
-      const { requestId } = command;
-      void claimCall(command).then((outcome) => {
-        channel.push({
-          type: "claimResolved",
-          at: now(),
-          requestId,
-          outcome,
-        });
-      });
+      switch (command.type) {
+        case "readShard":
+          void readShard(command).then((event) => {
+            report(command, event);
+          });
+          return;
+        case "commitShard":
+          void commitShard(command).then((event) => {
+            report(command, event);
+          });
+          return;
+        case "wakeShard":
+          wakeAt(command.wakeAt, () => {
+            report(command, { type: "timePassed", at: now() });
+          });
+          return;
+        case "loopBack": {
+          const { message } = command;
+          const at = now();
+          channel.push({
+            type: "peerMessageReceived",
+            at,
+            peer: router,
+            message,
+          });
+          return;
+        }
+        default:
+      }
+    },
+    stop: () => {
+      for (const timer of timers) clearTimeout(timer);
+      return Promise.resolve();
     },
-    stop: () => Promise.resolve(),
   };
 };
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -4,13 +4,16 @@
 import type {
   AcceptedConfig,
   AttemptFailure,
-  ClaimOutcome,
+  CallEnd,
+  Commit,
   ConfigInForce,
   LeaseCall,
   LeaseEvent,
   LeaseState,
-  RecordedAnswer,
   RoutingState,
+  ShardEvent,
+  ShardLimits,
+  ShardState,
   StreamState,
 } from "@cardamomglade/decisions";
 import type {
@@ -18,6 +21,7 @@
   EngineToken,
   FinishReason,
   PeerMessage,
+  RecordedAnswer,
   Priority,
   RouterIdentity,
   TimelineEvent,
@@ -65,6 +69,49 @@
   readonly backEnd?: string;
 }
 
+/** Where a claim of this router stands. */
+export type ClaimPhase =
+  | { readonly type: "asking"; readonly askAt: Moment }
+  | { readonly type: "calling" }
+  | {
+      /** The end is reported until it is confirmed, and kept until `keepUntil`. */
+      readonly type: "ended";
+      readonly end: CallEnd;
+      readonly reportAt: Moment;
+      readonly keepUntil: Moment;
+    };
+
+/** The claim of a non-repeatable call that a caller sent to this router. */
+export interface OriginClaim {
+  readonly requestId: string;
+  readonly shard: number;
+  readonly key: string;
+  readonly bodyHash: string;
+  readonly askedAt: Moment;
+  readonly deadline: Moment;
+  phase: ClaimPhase;
+}
+
+/** The ledger of non-repeatable calls as this router sees it; changed in place by the fold. */
+export interface LedgerState {
+  readonly shardCount: number;
+  readonly limits: ShardLimits;
+  /** Holders by role, as last read. */
+  holders: ReadonlyMap<string, string>;
+  /** Moment of the next look at the placement; undefined until holders were read. */
+  planAt: Moment | undefined;
+  /** Shards that this router holds. */
+  readonly shards: Map<number, ShardState>;
+  /** Claims of this router's callers, by request. */
+  readonly claims: Map<string, OriginClaim>;
+}
+
+/** A role's holder key. */
+export interface RoleHolder {
+  readonly role: string;
+  readonly router: string;
+}
+
 /** State of the router process. Maps are owned by the fold and changed in place. */
 export interface RouterState {
   readonly router: RouterIdentity;
@@ -73,6 +120,7 @@
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
+  readonly ledger: LedgerState;
   /** Pursued roles by name. */
   readonly leases: Map<string, LeaseState>;
   readonly leaseTtlMs: number;
@@ -128,16 +176,22 @@
       readonly request: ServiceRequest;
     }
   | {
-      readonly type: "claimResolved";
+      readonly type: "serviceCallEnded";
       readonly at: Moment;
       readonly requestId: string;
-      readonly outcome: ClaimOutcome;
+      readonly outcome: ServiceOutcome;
     }
   | {
-      readonly type: "serviceCallEnded";
+      readonly type: "holdersRead";
       readonly at: Moment;
-      readonly requestId: string;
-      readonly outcome: ServiceOutcome;
+      readonly holders: readonly RoleHolder[];
+    }
+  | {
+      readonly type: "shardReported";
+      readonly at: Moment;
+      readonly shard: number;
+      readonly fencing: number;
+      readonly report: ShardEvent;
     }
   | {
       readonly type: "leaseAnswered";
@@ -200,28 +254,39 @@
       readonly requestId: string;
       readonly error: ApiError;
     }
-  | {
-      readonly type: "claimCall";
-      readonly requestId: string;
-      readonly customer: string;
-      readonly key: string;
-      readonly body: string;
-      readonly deadline: Moment;
-    }
   | {
       readonly type: "callService";
       readonly url: string;
       readonly call: ServiceCall;
     }
   | {
-      readonly type: "recordAnswer";
+      readonly type: "answerCall";
       readonly requestId: string;
       readonly answer: RecordedAnswer;
     }
   | {
-      readonly type: "answerCall";
-      readonly requestId: string;
-      readonly answer: RecordedAnswer;
+      readonly type: "readShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly deadline: Moment;
+    }
+  | {
+      readonly type: "commitShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly commit: Commit;
+      readonly deadline: Moment;
+    }
+  | {
+      readonly type: "wakeShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly wakeAt: Moment;
+    }
+  | {
+      /** A message to this router itself, as if a peer had sent it. */
+      readonly type: "loopBack";
+      readonly message: PeerMessage;
     }
   | {
       readonly type: "leaseCall";
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -19,6 +19,14 @@
   Service,
 } from "./generated/intent.js";
 export { BackEndType, CallMethod, Priority } from "./generated/intent.js";
+export type {
+  AnsweredCall,
+  CallRecord,
+  ClaimedCall,
+  RecordedAnswer,
+  ReleasedCall,
+  ShardBatch,
+} from "./generated/ledger.js";
 export * from "./generated/peers.js";
 export type {
   ClientTlsSettings,
@@ -29,7 +37,11 @@
   Settings,
   TlsSettings,
 } from "./generated/settings.js";
-export { LogLevel, OperatorRight } from "./generated/settings.js";
+export {
+  LogLevel,
+  OperatorRight,
+  WhileStoreDown,
+} from "./generated/settings.js";
 export type { TimelineEvent } from "./generated/timeline.js";
 export { TimelineTopic } from "./generated/timeline.js";
 export * from "../generated/validators.js";
