--- a/packages/router/src/actions/leaseRoles.ts
+++ b/packages/router/src/actions/leaseRoles.ts
@@ -88,10 +88,10 @@
 };
 
 /** Tells every pursued role the time. */
-export const passLeaseTime = (
-  state: RouterState,
-  at: Moment,
-): RouterCommand[] =>
-  [...state.leases.keys()].flatMap((role) => [
-    ...stepLease(state, role, { type: "timePassed", at }).commands,
-  ]);
+export const tendLeases = (state: RouterState, at: Moment): RouterStep => {
+  const roles = [...state.leases.keys()];
+  const steps = roles.map((role) =>
+    stepLease(state, role, { type: "timePassed", at }),
+  );
+  return { state, commands: steps.flatMap(({ commands }) => commands) };
+};
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -4,16 +4,24 @@
 import { claimAnswered } from "./claimAnswered.js";
 import { confirmEnd } from "./ledgerClaims.js";
 import { claimQuestion, endReport } from "./ledgerMessages.js";
+import {
+  askLinkedPeer,
+  configOfferReceived,
+  configRequestReceived,
+  forgetConfigPeer,
+  hearConfigGossip,
+} from "./configurationPeers.js";
 import type { Action } from "./types.js";
 
 /** A link to another router opened. */
 export const peerLinked: Action<"peerLinked"> = (state, { peer }) => ({
   state: { ...state, linkedPeers: new Set([...state.linkedPeers, peer]) },
-  commands: [],
+  commands: askLinkedPeer(state, peer),
 });
 
 /** A link to another router closed. */
 export const peerLost: Action<"peerLost"> = (state, { peer }) => {
+  forgetConfigPeer(state, peer);
   const left = [...state.linkedPeers].filter((other) => other !== peer);
   return { state: { ...state, linkedPeers: new Set(left) }, commands: [] };
 };
@@ -21,14 +29,15 @@
 /** Another router sent a message; each type has an action of its own. */
 export const peerMessageReceived: Action<"peerMessageReceived"> = (
   state,
-  { message, peer, at },
+  { at, peer, message },
 ) => {
   switch (message.type) {
-    case "hello":
     case "gossip":
+      return { state, commands: hearConfigGossip(state, peer, message) };
     case "configRequest":
+      return configRequestReceived(state, peer, message);
     case "configOffer":
-      return { state, commands: [] };
+      return configOfferReceived(state, at, peer, message);
     case "claimQuestion":
       return claimQuestion(state, peer, message, at);
     case "claimAnswer":
@@ -38,6 +47,8 @@
     case "endConfirmation":
       confirmEnd(state, message.request);
       return { state, commands: [] };
+    case "hello":
+      return { state, commands: [] };
     default:
       return assertNever(message);
   }
--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -1,41 +1,30 @@
-/** Time passed: deadlines and silence are looked at. */
+/** Time passed: every part looks at its deadlines. */
 
 import type { Moment } from "@cardamomglade/common";
 import type { RouterCommand, RouterState } from "../types.js";
-import { claimTimedOut } from "./claimAnswered.js";
-import { passLeaseTime } from "./leaseRoles.js";
-import { passClaimTime } from "./ledgerClaims.js";
-import { passPlacementTime } from "./ledgerPlacement.js";
-import { passShardTime } from "./ledgerShards.js";
-import { stepStream } from "./stepStream.js";
-import type { Action } from "./types.js";
+import { tendConfiguration } from "./configurationPeers.js";
+import { tendLeases } from "./leaseRoles.js";
+import { tendLedger } from "./tendLedger.js";
+import { tendStreams } from "./tendStreams.js";
+import type { Action, RouterStep } from "./types.js";
 
-const passLedgerTime = (state: RouterState, at: Moment): RouterCommand[] => {
-  const claims = passClaimTime(state, at);
-  const failed = claims.timedOut.flatMap((requestId) => [
-    ...claimTimedOut(state, requestId).commands,
-  ]);
-  return [
-    ...passShardTime(state, at),
-    ...passPlacementTime(state, at),
-    ...claims.commands,
-    ...failed,
-  ];
-};
+type Tend = (state: RouterState, at: Moment) => RouterStep;
+
+const parts: readonly Tend[] = [
+  tendConfiguration,
+  tendLeases,
+  tendLedger,
+  tendStreams,
+];
 
-/** Tells every stream and every lease the time. */
+/** Tells every part the time, in order. */
 export const timePassed: Action<"timePassed"> = (state, { at }) => {
-  let current: RouterState = state;
+  let current = state;
   const commands: RouterCommand[] = [];
-  for (const entry of [...state.streams.values()]) {
-    const step = stepStream({
-      state: current,
-      entry,
-      event: { type: "timePassed", at },
-    });
+  for (const tend of parts) {
+    const step = tend(current, at);
     current = step.state;
     commands.push(...step.commands);
   }
-  commands.push(...passLeaseTime(current, at), ...passLedgerTime(current, at));
   return { state: current, commands };
 };
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -30,6 +30,8 @@
 import { createLeaseHoldersDriver } from "./drivers/leaseHoldersDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
+import { createLogDriver } from "./drivers/logDriver.js";
+import { createProcessClock } from "./drivers/processClock.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -135,12 +137,14 @@
     metrics,
     server: callersServer,
   });
-  const timeline = createTimelineDriver(settings.router.name);
-  const peers = await createPeerDriver(settings, view);
+  const clock = createProcessClock(settings.router.name);
+  const timeline = createTimelineDriver(settings.router.name, clock);
+  const peers = await createPeerDriver(settings, view, clock);
   const drivers = [
     callers,
     peers,
     timeline,
+    createLogDriver(log),
     createEngineDriver(EngineClient.create(connectUpstream)),
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
@@ -161,7 +165,7 @@
   serveAdministration(administrationServer, settings.operators, [
     ...createHealthRoutes(view),
     createMetricsRoute(view, metrics),
-    createTimelineRoute(timeline.recorded),
+    createTimelineRoute(view, timeline.ring),
   ]);
   const callersUrl = await startListening(callersServer, listen.callers);
   const administrationUrl = await startListening(
@@ -173,6 +177,7 @@
   });
 
   const stop = async () => {
+    log(LogLevel.Info, "stopping");
     administrationServer.close();
     administrationServer.closeAllConnections();
     await running.stop();
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -3,6 +3,7 @@
 import { assertNever } from "@cardamomglade/common";
 import { createConfig, createRouting } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
+import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
@@ -20,7 +21,10 @@
 import {
   attemptBroken,
   attemptEnded,
+  backEndProbed,
   callerLeft,
+  callerReady,
+  callerSlow,
   tokensReceived,
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
@@ -46,10 +50,13 @@
   router,
   draining: false,
   config: createConfig(),
+  configMesh: createConfigMesh(),
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
   ledger,
+  engines: new Map(),
+  tickedAt: undefined,
   leases: new Map(),
   leaseTtlMs,
   linkedPeers: new Set(),
@@ -71,6 +78,12 @@
       return attemptEnded(state, event);
     case "attemptBroken":
       return attemptBroken(state, event);
+    case "backEndProbed":
+      return backEndProbed(state, event);
+    case "callerSlow":
+      return callerSlow(state, event);
+    case "callerReady":
+      return callerReady(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
     case "serviceCallEnded":
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,5 +1,6 @@
 /** The router process and its pieces. */
 
+export { checkIntent } from "@cardamomglade/decisions";
 export { createRouter, type Router } from "./createRouter.js";
 export {
   createRouterState,
@@ -7,6 +8,6 @@
   type RouterStateOptions,
 } from "./decide.js";
 export { heldLease, releaseLease, wantLease } from "./actions/leaseRoles.js";
-export { configKey } from "./drivers/configDriver.js";
+export { configKey, ConfigStore } from "./configuration/configStore.js";
 export { ErrorType, statusOf, type ApiError } from "./errors.js";
 export type * from "./types.js";
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -7,6 +7,7 @@
   CallEnd,
   Commit,
   ConfigInForce,
+  EnginePace,
   LeaseCall,
   LeaseEvent,
   LeaseState,
@@ -51,6 +52,10 @@
   readonly deployment: Deployment;
   /** Ids of all accepted tokens; the fold appends in place. */
   readonly accepted: number[];
+  /** Back ends of open attempts, by attempt; each is counted in flight. */
+  readonly open: Map<number, string>;
+  /** Tokens that wait until a move has succeeded or failed. */
+  held: EngineToken[];
   stream: StreamState;
 }
 
@@ -112,15 +117,30 @@
   readonly router: string;
 }
 
+/** How this router gets the configuration: by its own watch or by its peers. */
+export interface ConfigMesh {
+  readonly isWatching: boolean;
+  /** When a peer is asked next. */
+  readonly askAt: Moment;
+  readonly asked: number;
+  /** Zones of the routers known to be alive; owned by the fold. */
+  readonly zones: Map<string, string>;
+}
+
 /** State of the router process. Maps are owned by the fold and changed in place. */
 export interface RouterState {
   readonly router: RouterIdentity;
   readonly draining: boolean;
   readonly config: ConfigInForce;
+  readonly configMesh: ConfigMesh;
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
   readonly ledger: LedgerState;
+  /** Token times seen of each engine. */
+  readonly engines: Map<string, EnginePace>;
+  /** Moment of the last tick. */
+  readonly tickedAt: Moment | undefined;
   /** Pursued roles by name. */
   readonly leases: Map<string, LeaseState>;
   readonly leaseTtlMs: number;
@@ -136,6 +156,8 @@
       readonly type: "configurationRead";
       readonly at: Moment;
       readonly accepted: AcceptedConfig;
+      /** Where it was read; the store where nothing is said. */
+      readonly source?: string;
     }
   | {
       readonly type: "generationArrived";
@@ -170,6 +192,23 @@
       readonly attempt: number;
       readonly failure: AttemptFailure;
     }
+  | {
+      readonly type: "backEndProbed";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly isAlive: boolean;
+    }
+  | {
+      readonly type: "callerSlow";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
+  | {
+      readonly type: "callerReady";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
   | {
       readonly type: "serviceCallArrived";
       readonly at: Moment;
@@ -236,6 +275,23 @@
       readonly requestId: string;
       readonly attempt: number;
     }
+  | {
+      readonly type: "pauseAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "resumeAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "probeBackEnd";
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly url: string;
+      readonly deadline: Moment;
+    }
   | {
       readonly type: "deliver";
       readonly requestId: string;
@@ -298,6 +354,10 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | {
+      readonly type: "watchConfiguration";
+      readonly isWatching: boolean;
+    }
   | {
       readonly type: "record";
       readonly event: Omit<TimelineEvent, "at" | "process">;
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -1,5 +1,6 @@
 /** Schemas of settings, intents, messages and events: generated types, validators and checks. */
 
+export * from "./generated/administration.js";
 export * from "./generated/callers.js";
 export * from "./generated/engines.js";
 export type {
@@ -47,4 +48,5 @@
 export * from "../generated/validators.js";
 export { checkDocument } from "./checkDocument.js";
 export { formatFinding, type Finding } from "./findings.js";
+export { locateFindings } from "./locateFindings.js";
 export { nearestName } from "./nearestName.js";
