--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -6,6 +6,7 @@
 import { tendConfiguration } from "./configurationPeers.js";
 import { tendLeases } from "./leaseRoles.js";
 import { tendMembership } from "./memberEvents.js";
+import { tendLedger } from "./tendLedger.js";
 import { tendStreams } from "./tendStreams.js";
 import type { Action, RouterStep } from "./types.js";
 
@@ -15,6 +16,7 @@
   tendConfiguration,
   tendLeases,
   tendMembership,
+  tendLedger,
   tendStreams,
 ];
 
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -7,11 +7,13 @@
   createRouting,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
-import { claimResolved } from "./actions/claimResolved.js";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import { holdersRead } from "./actions/ledgerPlacement.js";
+import { shardReported } from "./actions/ledgerShardReported.js";
+import { createLedger } from "./actions/ledgerState.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
 import { addressesBound } from "./actions/memberEvents.js";
 import {
@@ -32,19 +34,23 @@
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
 import type { RouterStep } from "./actions/types.js";
-import type { RouterEvent, RouterState } from "./types.js";
+import type { LedgerState, RouterEvent, RouterState } from "./types.js";
 
 const defaultLeaseTtlMs = 5000;
 
 /** What settings give to a router's state. */
 export interface RouterStateOptions {
   readonly leaseTtlMs?: number;
+  readonly ledger?: LedgerState;
 }
 
 /** State of a router that has just started. */
 export const createRouterState = (
   router: RouterIdentity,
-  { leaseTtlMs = defaultLeaseTtlMs }: RouterStateOptions = {},
+  {
+    leaseTtlMs = defaultLeaseTtlMs,
+    ledger = createLedger(),
+  }: RouterStateOptions = {},
 ): RouterState => ({
   router,
   draining: false,
@@ -53,6 +59,7 @@
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  ledger,
   engines: new Map(),
   tickedAt: undefined,
   leases: new Map(),
@@ -84,10 +91,12 @@
       return callerReady(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
-    case "claimResolved":
-      return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "holdersRead":
+      return holdersRead(state, event);
+    case "shardReported":
+      return shardReported(state, event);
     case "leaseAnswered":
       return leaseAnswered(state, event);
     case "peerLinked":
