Carry out plans, empty leaving hosts, drain the router itself

Plans could be made but not confirmed or carried out, a leaving host kept its long streams, and the host list was not read. The administration API now plans, confirms by digest and base revision, and tells status, history and reasons. The holder of the executor role loads, switches and unloads, paced by the weight store, fenced, resumed from what engines report. A host is left from the first mark of the intent or the list on; streams that would outlive its moment move early. The router's drain is unready first, serves what the balancer still sends, and ends open streams with a typed error that another router takes up.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export { abortAt } from "./abortAt.js";
 export { assertNever } from "./assertNever.js";
 export { nextTryAt, type BackoffBounds } from "./backoff.js";
+export { canonicalText } from "./canonicalText.js";
 export { createChannel, type Channel } from "./channel.js";
 export { foldEvents } from "./foldEvents.js";
 export {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,7 @@
 /** Pure decisions, each usable by itself. */
 
 export * from "./config/index.js";
+export * from "./drain/index.js";
 export * from "./intent/index.js";
 export * from "./lease/index.js";
 export * from "./placement/index.js";
--- a/packages/decisions/src/intent/diffIntents.ts
+++ b/packages/decisions/src/intent/diffIntents.ts
@@ -1,5 +1,6 @@
 /** What differs between two intents. */
 
+import { canonicalText } from "@cardamomglade/common";
 import type { Difference, Intent } from "@cardamomglade/schema";
 
 interface Keyed {
@@ -13,7 +14,7 @@
 const entriesOf = (
   list: readonly { name?: string; host?: string }[],
 ): Keyed[] =>
-  list.map((item) => ({ key: keyOf(item), text: JSON.stringify(item) }));
+  list.map((item) => ({ key: keyOf(item), text: canonicalText(item) }));
 
 const diffLists = (
   part: string,
--- a/packages/decisions/src/placement/index.ts
+++ b/packages/decisions/src/placement/index.ts
@@ -15,3 +15,12 @@
   OrderChoice,
   PlacementWorld,
 } from "./types.js";
+export { createExecution, decideExecution } from "./decideExecution.js";
+export type {
+  ExecutionCommand,
+  ExecutionContext,
+  ExecutionEvent,
+  ExecutionState,
+  FailedOrder,
+  GivenOrder,
+} from "./executionTypes.js";
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,4 +4,9 @@
   KeyValueClient,
   type KeyValueClientOptions,
 } from "./keyValueClient.js";
+export {
+  readHostList,
+  readStoredWeights,
+  readWeightRate,
+} from "./readPlatform.js";
 export * from "./types.js";
--- /dev/null
+++ b/packages/router/src/actions/hostListRead.ts
@@ -0,0 +1,36 @@
+/** The platform's host list was read. */
+
+import { applyListedLeaving, readHostMarks } from "@cardamomglade/decisions";
+import { TimelineTopic } from "@cardamomglade/schema";
+import type { RouterCommand, RouterState } from "../types.js";
+import type { Action } from "./types.js";
+
+const changesOf = (
+  before: ReadonlySet<string>,
+  after: ReadonlySet<string>,
+): RouterCommand[] => {
+  const record = (name: string, host: string): RouterCommand => ({
+    type: "record",
+    event: { topic: TimelineTopic.Drain, name, detail: host },
+  });
+  return [
+    ...[...after]
+      .filter((host) => !before.has(host))
+      .map((host) => record("hostListedLeaving", host)),
+    ...[...before]
+      .filter((host) => !after.has(host))
+      .map((host) => record("hostListedLive", host)),
+  ];
+};
+
+/** Marks the hosts told as leaving; a mark of the intent stays whatever the list says. */
+export const hostListRead: Action<"hostListRead"> = (state, { at, hosts }) => {
+  const hostMarks = readHostMarks(state.hostMarks, hosts, at);
+  const before = state.config.listedLeaving;
+  const marked = new Set(hostMarks.keys());
+  const commands = changesOf(before, marked);
+  const next: RouterState = { ...state, hostMarks };
+  if (commands.length === 0) return { state: next, commands };
+  const config = applyListedLeaving(state.config, marked);
+  return { state: { ...next, config }, commands };
+};
--- /dev/null
+++ b/packages/router/src/actions/leaving.test.ts
@@ -0,0 +1,169 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { foldEvents } from "@cardamomglade/common";
+import { AttemptFailure } from "@cardamomglade/decisions";
+import {
+  BackEndType,
+  HostStatus,
+  Priority,
+  type BackEnd,
+  type Intent,
+} from "@cardamomglade/schema";
+import { createRouterState, decide } from "../decide.js";
+import type { RouterCommand, RouterEvent } from "../types.js";
+
+const backEnd = (name: string, zone: string): BackEnd => ({
+  name,
+  type: BackEndType.Engine,
+  url: `http://${name}`,
+  host: `host-${name}`,
+  zone,
+  region: "r",
+  checksFencing: true,
+  slots: 8,
+});
+
+const intent: Intent = {
+  customers: [],
+  models: [],
+  backEnds: [backEnd("one", "a"), backEnd("two", "b"), backEnd("three", "c")],
+  deployments: [
+    {
+      name: "d",
+      model: "m",
+      version: "v1",
+      backEnds: ["one", "two", "three"],
+      customers: ["stall"],
+      recovery: { type: "latencyFirst", hedge: true },
+    },
+  ],
+  services: [],
+  leaving: [],
+};
+
+const router = { name: "r1", host: "h", zone: "a", region: "r" };
+const emptyBy = new Date(20_000).toISOString();
+
+const read = (revision: number, leaving: string[]): RouterEvent => ({
+  type: "configurationRead",
+  at: 1,
+  accepted: {
+    revision,
+    intent: { ...intent, leaving: leaving.map((host) => ({ host, emptyBy })) },
+  },
+});
+
+const list = (at: number, host: string, status: HostStatus): RouterEvent => ({
+  type: "hostListRead",
+  at,
+  hosts: [{ host, status }],
+});
+
+const ask = (requestId: string, at: number): RouterEvent => ({
+  type: "generationArrived",
+  at,
+  request: {
+    requestId,
+    customer: "stall",
+    priority: Priority.Standard,
+    model: "m",
+    prompt: "p",
+    maxTokens: 5000,
+    stop: [],
+    deadline: 600_000,
+  },
+});
+
+const urlsOf = (commands: readonly RouterCommand[]): string[] =>
+  commands.flatMap((command) =>
+    command.type === "openAttempt" ? [command.url] : [],
+  );
+
+const fold = (events: readonly RouterEvent[]) =>
+  foldEvents(decide, createRouterState(router), events);
+
+test("a host takes no new work from the mark of the list or the intent on, and a live list undoes no intent", () => {
+  const listed = fold([
+    read(1, []),
+    list(2, "host-one", HostStatus.Leaving),
+    ask("q", 3),
+  ]);
+  assert.ok(!urlsOf(listed.commands).includes("http://one"));
+  const wrong = fold([
+    read(1, ["host-one"]),
+    list(2, "host-one", HostStatus.Live),
+    list(100_000, "host-one", HostStatus.Live),
+    ask("q", 100_001),
+  ]);
+  assert.ok(!urlsOf(wrong.commands).includes("http://one"));
+  const kept = fold([
+    list(2, "host-one", HostStatus.Leaving),
+    read(1, []),
+    ask("q", 3),
+  ]);
+  assert.ok(!urlsOf(kept.commands).includes("http://one"));
+});
+
+test("a stream leaves its host at a token boundary, also when the zone it moves to is lost", () => {
+  const token = (id: number) => ({ id, text: "t" });
+  const tokens = (attempt: number, offset: number, at: number) => ({
+    type: "tokensReceived" as const,
+    at,
+    requestId: "q",
+    attempt,
+    offset,
+    tokens: [token(offset)],
+  });
+  const before = fold([read(1, []), ask("q", 2), tokens(0, 0, 10)]);
+  assert.deepEqual(urlsOf(before.commands), ["http://one"]);
+  const moved = foldEvents(decide, before.state, [
+    read(2, ["host-one"]),
+    { type: "timePassed", at: 300 },
+  ]);
+  const [target = ""] = urlsOf(moved.commands);
+  assert.notEqual(target, "http://one");
+  const lost = foldEvents(decide, moved.state, [
+    {
+      type: "attemptBroken",
+      at: 310,
+      requestId: "q",
+      attempt: 1,
+      failure: AttemptFailure.Connection,
+    },
+    ...Array.from({ length: 40 }, (_, index): RouterEvent[] => [
+      tokens(0, 1 + index, 320 + 50 * index),
+      { type: "timePassed", at: 321 + 50 * index },
+    ]).flat(),
+  ]);
+  const later = urlsOf(lost.commands);
+  assert.ok(later.length > 0, "the move is made again");
+  assert.ok(!later.includes("http://one"));
+  assert.ok(!lost.commands.some(({ type }) => type === "failAnswer"));
+});
+
+test("at the end of the grace an open stream gets a typed end, and no engine goes on", () => {
+  const ended = fold([
+    read(1, []),
+    ask("q", 2),
+    { type: "drainAnnounced", at: 3 },
+    ask("during", 4),
+    { type: "drainStarted", at: 5 },
+    ask("late", 6),
+    { type: "graceEnded", at: 7 },
+  ]);
+  const errors = ended.commands.flatMap((command) =>
+    command.type === "failAnswer"
+      ? [[command.requestId, command.error.type, command.error.ran]]
+      : [],
+  );
+  assert.deepEqual(errors, [
+    ["late", "draining", "no"],
+    ["q", "draining", "unknown"],
+    ["during", "draining", "unknown"],
+  ]);
+  assert.equal(ended.state.streams.size, 0);
+  const cancelled = ended.commands.filter(
+    ({ type }) => type === "cancelAttempt",
+  );
+  assert.equal(cancelled.length, 2);
+});
--- a/packages/router/src/actions/moveStreams.ts
+++ b/packages/router/src/actions/moveStreams.ts
@@ -4,11 +4,15 @@
 import { stepStream } from "./stepStream.js";
 import type { RouterStep } from "./types.js";
 
-/** Starts a move of every stream whose current attempt runs on a host or back end; repeated calls move what is left. */
+/**
+ * Starts a move of the streams whose current attempt runs on a host or back end,
+ * of the chosen ones where some are chosen; repeated calls move what is left.
+ */
 export const moveStreamsFrom = (
   state: RouterState,
   hostOrBackEnd: string,
   at: number,
+  chosen?: ReadonlySet<string>,
 ): RouterStep => {
   const isLeft = (name: string): boolean =>
     name === hostOrBackEnd ||
@@ -16,6 +20,7 @@
   let current = state;
   const commands: RouterCommand[] = [];
   for (const entry of [...state.streams.values()]) {
+    if (chosen?.has(entry.request.requestId) === false) continue;
     const { phase } = entry.stream;
     if (phase.type !== "running" || !isLeft(phase.current.backEnd)) continue;
     const event = { type: "moveRequested" as const, at };
--- /dev/null
+++ b/packages/router/src/actions/orderEvents.ts
@@ -0,0 +1,98 @@
+/** Execution of plans: the executor role and what it hears. */
+
+import {
+  assertNever,
+  rendezvousOrder,
+  type Moment,
+} from "@cardamomglade/common";
+import {
+  decideExecution,
+  type ExecutionCommand,
+  type ExecutionEvent,
+} from "@cardamomglade/decisions";
+import { TimelineTopic } from "@cardamomglade/schema";
+import type { RouterCommand, RouterState } from "../types.js";
+import { heldLease, releaseLease, wantLease } from "./leaseRoles.js";
+import type { Action, RouterStep } from "./types.js";
+
+/** Name of the role whose holder carries out plans. */
+export const executorRole = "executor";
+const candidates = 3;
+
+const toCommands = (command: ExecutionCommand): RouterCommand[] => {
+  switch (command.type) {
+    case "sendOrder": {
+      const { order, fencing } = command;
+      const event = {
+        topic: TimelineTopic.Configuration,
+        name: `${order.type}Ordered`,
+        backEnd: order.backEnd,
+        revision: fencing,
+        detail: `${order.weight.model}:${order.weight.version}`,
+      };
+      return [
+        { type: "execute", command },
+        { type: "record", event },
+      ];
+    }
+    case "observe":
+    case "commitServing":
+    case "report":
+      return [{ type: "execute", command }];
+    default:
+      return assertNever(command);
+  }
+};
+
+const step = (
+  state: RouterState,
+  at: Moment,
+  event: ExecutionEvent,
+): RouterStep => {
+  const lease = heldLease(state, executorRole, at);
+  const context = {
+    at,
+    router: state.router.name,
+    lease,
+    accepted: state.config.accepted,
+  };
+  const decided = decideExecution(state.execution, context, event);
+  return {
+    state: { ...state, execution: decided.state },
+    commands: decided.commands.flatMap(toCommands),
+  };
+};
+
+// A few routers pursue the role, so that its upkeep does not grow with the fleet.
+const isCandidate = ({ router, configMesh }: RouterState): boolean => {
+  const routers = new Set([...configMesh.zones.keys(), router.name]);
+  return rendezvousOrder(executorRole, [...routers])
+    .slice(0, candidates)
+    .includes(router.name);
+};
+
+/** Pursues the executor role and looks at the engines while it is held. */
+export const tendExecution = (state: RouterState, at: Moment): RouterStep => {
+  const isWanted =
+    !state.draining && state.config.revision > 0 && isCandidate(state);
+  const pursued = isWanted
+    ? wantLease(state, executorRole, at)
+    : releaseLease(state, executorRole, at);
+  const stepped = step(pursued.state, at, { type: "timePassed" });
+  return {
+    state: stepped.state,
+    commands: [...pursued.commands, ...stepped.commands],
+  };
+};
+
+/** The engines were looked at. */
+export const enginesObserved: Action<"enginesObserved"> = (
+  state,
+  { at, observed, bytesPerSecond },
+) => step(state, at, { type: "observed", observed, bytesPerSecond });
+
+/** An engine answered an order, or did not. */
+export const orderAnswered: Action<"orderAnswered"> = (
+  state,
+  { at, order, reason },
+) => step(state, at, { type: "orderAnswered", order, reason });
--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -3,13 +3,21 @@
 import type { Moment } from "@cardamomglade/common";
 import type { RouterCommand, RouterState } from "../types.js";
 import { tendConfiguration } from "./configurationPeers.js";
+import { tendLeavingHosts } from "./drainHosts.js";
 import { tendLeases } from "./leaseRoles.js";
+import { tendExecution } from "./orderEvents.js";
 import { tendStreams } from "./tendStreams.js";
 import type { Action, RouterStep } from "./types.js";
 
 type Tend = (state: RouterState, at: Moment) => RouterStep;
 
-const parts: readonly Tend[] = [tendConfiguration, tendLeases, tendStreams];
+const parts: readonly Tend[] = [
+  tendConfiguration,
+  tendLeases,
+  tendExecution,
+  tendLeavingHosts,
+  tendStreams,
+];
 
 /** Tells every part the time, in order. */
 export const timePassed: Action<"timePassed"> = (state, { at }) => {
--- a/packages/router/src/administration/healthRoutes.ts
+++ b/packages/router/src/administration/healthRoutes.ts
@@ -4,7 +4,7 @@
 import type { AdministrationRoute } from "./types.js";
 
 const isReady = (view: StateView): boolean =>
-  !view().draining && view().config.revision > 0;
+  !view().draining && !view().unready && view().config.revision > 0;
 
 /** Live: the process answers. Ready: it has a configuration and is not draining. */
 export const createHealthRoutes = (view: StateView): AdministrationRoute[] => [
--- a/packages/router/src/configuration/configStore.ts
+++ b/packages/router/src/configuration/configStore.ts
@@ -17,8 +17,10 @@
   type CommitVerdict,
 } from "@cardamomglade/decisions";
 import type {
+  Compare,
   KeyValue,
   KeyValueEntry,
+  Transaction,
   TransactionResult,
 } from "@cardamomglade/platform";
 
@@ -83,16 +85,18 @@
 
   /**
    * Writes the next revision over the one read. A lost answer is found out by
-   * sending the same comparison again, which cannot hold twice.
+   * sending the same comparison again, which cannot hold twice. The guard's
+   * comparisons hold too, such as that a lease is still held.
    */
   async commit(
     base: StoredConfig,
     next: AcceptedConfig,
     deadline: Moment,
+    guard: readonly Compare[] = [],
   ): Promise<CommitOutcome> {
     for (let failures = 0; ; failures += 1) {
       const outcome = await this.keyValue.transact(
-        this.transactionFor(base, next),
+        this.transactionFor(base, next, guard),
         deadline,
       );
       if (outcome.type === "done") return verdictOf(next, outcome.value);
@@ -102,7 +106,11 @@
     }
   }
 
-  private transactionFor(base: StoredConfig, next: AcceptedConfig) {
+  private transactionFor(
+    base: StoredConfig,
+    next: AcceptedConfig,
+    guard: readonly Compare[],
+  ): Transaction {
     const key = `${this.prefix}${configKey}`;
     const value = formatConfigRecord(next);
     const kept = historyKey(this.prefix, next.revision);
@@ -114,6 +122,7 @@
     return {
       compare: [
         { type: "modRevision" as const, key, revision: base.modRevision },
+        ...guard,
       ],
       success: [
         { type: "put" as const, key, value },
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -2,13 +2,11 @@
 
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
 import {
   createChannel,
   runProcess,
   type ProcessFailure,
   type RunningProcess,
-  now,
 } from "@cardamomglade/common";
 import {
   LogLevel,
@@ -18,12 +16,20 @@
 import { KeyValueClient } from "@cardamomglade/platform";
 import { EngineClient, ServiceClient } from "@cardamomglade/upstream";
 import { serveAdministration } from "./administration/serveAdministration.js";
+import { createConfirmRoute } from "./administration/confirmRoute.js";
+import { createExplainRoute } from "./administration/explainRoute.js";
 import { createHealthRoutes } from "./administration/healthRoutes.js";
 import { createMetricsRoute } from "./administration/metricsRoute.js";
+import { createPlanRoutes } from "./administration/planRoutes.js";
+import { createStatusRoutes } from "./administration/statusRoutes.js";
 import { createTimelineRoute } from "./administration/timelineRoute.js";
+import { drainRouter } from "./drainRouter.js";
 import { createRouterState, decide } from "./decide.js";
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
+import { createHostListDriver } from "./drivers/hostListDriver.js";
+import { createOrderDriver } from "./drivers/orderDriver.js";
+import { ConfigStore } from "./configuration/configStore.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLeaseDriver } from "./drivers/leaseDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
@@ -51,7 +57,6 @@
   stop(): Promise<void>;
 }
 
-const drainPollMs = 50;
 const connectTimeoutMs = 400;
 
 const startListening = (
@@ -132,12 +137,27 @@
   const clock = createProcessClock(settings.router.name);
   const timeline = createTimelineDriver(settings.router.name, clock);
   const peers = await createPeerDriver(settings, view, clock);
+  const engines = EngineClient.create(connectUpstream);
+  const store = ConfigStore.create(keyValue, prefix);
+  const weightStoreUrl = settings.weightStore?.url;
+  const world = { store, engines, weightStoreUrl };
   const drivers = [
     callers,
     peers,
     timeline,
     createLogDriver(log),
-    createEngineDriver(EngineClient.create(connectUpstream)),
+    createEngineDriver(engines),
+    createOrderDriver({
+      view,
+      engines,
+      keyValue,
+      prefix,
+      store,
+      weightStoreUrl,
+      connector: connectUpstream,
+      log,
+    }),
+    createHostListDriver(settings.hostList?.url, log),
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
     createLeaseDriver(keyValue, prefix),
@@ -157,6 +177,10 @@
     ...createHealthRoutes(view),
     createMetricsRoute(view, metrics),
     createTimelineRoute(view, timeline.ring),
+    ...createPlanRoutes(world),
+    createConfirmRoute(world),
+    ...createStatusRoutes({ view, keyValue, prefix, store }),
+    createExplainRoute(view, timeline.ring),
   ]);
   const callersUrl = await startListening(callersServer, listen.callers);
   const administrationUrl = await startListening(
@@ -173,12 +197,15 @@
     administrationServer.closeAllConnections();
     await running.stop();
   };
-  const isBusy = () => view().streams.size > 0 || view().serviceCalls.size > 0;
   const drain = async () => {
-    const deadline = now() + settings.drain.graceMs;
-    control.push({ type: "drainStarted", at: now() });
-    await sleep(settings.drain.unreadyMs);
-    while (isBusy() && now() < deadline) await sleep(drainPollMs);
+    await drainRouter({
+      settings: settings.drain,
+      view,
+      callersServer,
+      push: (event) => {
+        control.push(event);
+      },
+    });
     await stop();
   };
   return {
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -1,14 +1,21 @@
 /** The router's decision: one action an event type. */
 
 import { assertNever } from "@cardamomglade/common";
-import { createConfig, createRouting } from "@cardamomglade/decisions";
+import {
+  createConfig,
+  createExecution,
+  createRouting,
+} from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { claimResolved } from "./actions/claimResolved.js";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
+import { drainAnnounced, graceEnded } from "./actions/drainEvents.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import { hostListRead } from "./actions/hostListRead.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
+import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -43,8 +50,12 @@
 ): RouterState => ({
   router,
   draining: false,
+  unready: false,
   config: createConfig(),
   configMesh: createConfigMesh(),
+  execution: createExecution(),
+  hostMarks: new Map(),
+  drainLookAt: 0,
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
@@ -93,6 +104,16 @@
       return peerMessageReceived(state, event);
     case "timePassed":
       return timePassed(state, event);
+    case "hostListRead":
+      return hostListRead(state, event);
+    case "enginesObserved":
+      return enginesObserved(state, event);
+    case "orderAnswered":
+      return orderAnswered(state, event);
+    case "drainAnnounced":
+      return drainAnnounced(state, event);
+    case "graceEnded":
+      return graceEnded(state, event);
     case "drainStarted":
       return drainStarted(state, event);
     default:
--- /dev/null
+++ b/packages/router/src/drainRouter.ts
@@ -0,0 +1,60 @@
+/** Drains a router: unready first, then no new work, then a typed end for what is left. */
+
+import { once } from "node:events";
+import type { Server } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { now, type Moment } from "@cardamomglade/common";
+import type { Settings } from "@cardamomglade/schema";
+import type { StateView } from "./drivers/types.js";
+import type { RouterEvent } from "./types.js";
+
+/** What a drain works with. */
+export interface DrainOptions {
+  readonly settings: Settings["drain"];
+  readonly view: StateView;
+  readonly callersServer: Server;
+  readonly push: (event: RouterEvent) => void;
+}
+
+const pollMs = 20;
+const flushTimeoutMs = 1000;
+const releaseTimeoutMs = 1000;
+
+const waitUntil = async (
+  isDone: () => boolean,
+  deadline: Moment,
+): Promise<void> => {
+  while (!isDone() && now() < deadline) await sleep(pollMs);
+};
+
+// Answers that have ended may still be on their way to a caller.
+const flushAnswers = async (server: Server): Promise<void> => {
+  if (!server.listening) return;
+  const closed = once(server, "close");
+  server.close();
+  await Promise.race([
+    closed,
+    sleep(flushTimeoutMs, undefined, { ref: false }),
+  ]);
+};
+
+/** Ends when the router may stop; no later than the grace and the flush after it. */
+export const drainRouter = async ({
+  settings,
+  view,
+  callersServer,
+  push,
+}: DrainOptions): Promise<void> => {
+  const deadline = now() + settings.graceMs;
+  const isIdle = () =>
+    view().streams.size === 0 && view().serviceCalls.size === 0;
+  push({ type: "drainAnnounced", at: now() });
+  await sleep(Math.min(settings.unreadyMs, settings.graceMs));
+  push({ type: "drainStarted", at: now() });
+  await waitUntil(isIdle, deadline);
+  push({ type: "graceEnded", at: now() });
+  await flushAnswers(callersServer);
+  const holdsNone = () =>
+    [...view().leases.values()].every(({ phase }) => phase.type === "idle");
+  await waitUntil(holdsNone, now() + releaseTimeoutMs);
+};
--- /dev/null
+++ b/packages/router/src/drivers/hostListDriver.ts
@@ -0,0 +1,52 @@
+/** Polls the platform's host list. */
+
+import { createChannel, now } from "@cardamomglade/common";
+import { readHostList } from "@cardamomglade/platform";
+import { LogLevel } from "@cardamomglade/schema";
+import type { Log } from "../log.js";
+import type { RouterEvent } from "../types.js";
+import type { RouterDriver } from "./types.js";
+
+const pollEveryMs = 1000;
+const pollTimeoutMs = 1000;
+
+/** Drives reads of the list; a list that cannot be read changes nothing. */
+export const createHostListDriver = (
+  url: string | undefined,
+  log: Log,
+): RouterDriver => {
+  const channel = createChannel<RouterEvent>();
+  let isFailing = false;
+  let isReading = false;
+
+  const poll = async (from: string) => {
+    if (isReading) return;
+    isReading = true;
+    const read = await readHostList(from, now() + pollTimeoutMs);
+    isReading = false;
+    if (read.type === "ok") {
+      isFailing = false;
+      const hosts = read.value;
+      channel.push({ type: "hostListRead", at: now(), hosts });
+      return;
+    }
+    if (!isFailing)
+      log(LogLevel.Warn, "the host list could not be read", {
+        detail: read.error,
+      });
+    isFailing = true;
+  };
+
+  const timer =
+    url === undefined
+      ? undefined
+      : setInterval(() => void poll(url), pollEveryMs);
+  return {
+    events: channel.stream,
+    perform: () => undefined,
+    stop: () => {
+      clearInterval(timer);
+      return Promise.resolve();
+    },
+  };
+};
--- /dev/null
+++ b/packages/router/src/drivers/orderDriver.ts
@@ -0,0 +1,167 @@
+/** Observes engines and sends them orders for the holder of the executor role. */
+
+import {
+  assertNever,
+  abortAt,
+  createChannel,
+  now,
+} from "@cardamomglade/common";
+import type { ExecutionCommand } from "@cardamomglade/decisions";
+import { readWeightRate, type KeyValue } from "@cardamomglade/platform";
+import { LogLevel } from "@cardamomglade/schema";
+import type { Engines } from "@cardamomglade/upstream";
+import { Agent, request, type buildConnector, type Dispatcher } from "undici";
+import { executorRole } from "../actions/orderEvents.js";
+import { observeEngines } from "../administration/readWorld.js";
+import type { ConfigStore } from "../configuration/configStore.js";
+import type { Log } from "../log.js";
+import type { RouterEvent } from "../types.js";
+import { rolesFolder } from "./leaseDriver.js";
+import type { RouterDriver, StateView } from "./types.js";
+
+/** Key of the executor's report below the prefix. */
+export const executionKey = "executor/status";
+
+/** What the driver works with. */
+export interface OrderDriverOptions {
+  readonly view: StateView;
+  readonly engines: Engines;
+  readonly keyValue: KeyValue;
+  readonly prefix: string;
+  readonly store: ConfigStore;
+  readonly weightStoreUrl: string | undefined;
+  readonly connector: buildConnector.connector;
+  readonly log: Log;
+}
+
+type CommandOf<T extends ExecutionCommand["type"]> = Extract<
+  ExecutionCommand,
+  { type: T }
+>;
+
+const observeTimeoutMs = 800;
+const commitTimeoutMs = 2000;
+const reportTimeoutMs = 2000;
+// Without a weight store, loads are taken to need no fetch.
+const localBytesPerSecond = 1e12;
+
+const sendOrder = async (
+  url: string,
+  { order, fencing, notAfter }: CommandOf<"sendOrder">,
+  dispatcher: Dispatcher,
+): Promise<string | undefined> => {
+  if (now() >= notAfter) return "the lease ran out before the order was sent";
+  try {
+    const res = await request(`${url}/orders`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ type: order.type, fencing, ...order.weight }),
+      signal: abortAt(notAfter),
+      dispatcher,
+    });
+    await res.body.dump();
+    return res.statusCode === 200
+      ? undefined
+      : `the engine answered ${String(res.statusCode)}`;
+  } catch (error) {
+    return `the engine did not answer: ${String(error)}`;
+  }
+};
+
+/** Drives observations, orders, commits of what is served, and reports. */
+export const createOrderDriver = (
+  options: OrderDriverOptions,
+): RouterDriver => {
+  const { view, engines, keyValue, prefix, store, weightStoreUrl } = options;
+  const channel = createChannel<RouterEvent>();
+  const dispatcher = new Agent({ connect: options.connector });
+  let isObserving = false;
+
+  const observe = async () => {
+    if (isObserving) return;
+    isObserving = true;
+    const deadline = now() + observeTimeoutMs;
+    const { backEnds } = view().config.intent;
+    const [observed, rate] = await Promise.all([
+      observeEngines(engines, backEnds, deadline),
+      weightStoreUrl === undefined
+        ? undefined
+        : readWeightRate(weightStoreUrl, deadline),
+    ]);
+    isObserving = false;
+    const bytesPerSecond =
+      rate?.type === "ok" ? rate.value : localBytesPerSecond;
+    channel.push({
+      type: "enginesObserved",
+      at: now(),
+      observed,
+      bytesPerSecond,
+    });
+  };
+
+  const order = async (command: CommandOf<"sendOrder">) => {
+    const url = view().config.backEnds.get(command.order.backEnd)?.url;
+    const reason =
+      url === undefined
+        ? "the back end is no longer in the intent"
+        : await sendOrder(url, command, dispatcher);
+    const { order } = command;
+    channel.push({ type: "orderAnswered", at: now(), order, reason });
+  };
+
+  const commitServing = async (command: CommandOf<"commitServing">) => {
+    const { base, serving, fencing, notAfter } = command;
+    const deadline = Math.min(notAfter, now() + commitTimeoutMs);
+    const stored = await store.read(deadline);
+    if (stored.type === "err") return;
+    if (stored.value.config?.revision !== base.revision) return;
+    const revision = base.revision + 1;
+    const change = {
+      by: view().router.name,
+      why: `carries out revision ${String(base.revision)}`,
+      at: now(),
+      planDigest: base.change?.planDigest ?? "",
+      changeId: `executor ${String(fencing)} ${String(revision)}`,
+    };
+    const next = { revision, intent: base.intent, serving, change };
+    const key = `${prefix}${rolesFolder}${executorRole}`;
+    const guard = { type: "createRevision" as const, key, revision: fencing };
+    const outcome = await store.commit(stored.value, next, deadline, [guard]);
+    if (outcome.type === "committed") return;
+    options.log(LogLevel.Warn, "the served deployments were not changed", {
+      detail: outcome.type,
+    });
+  };
+
+  const report = async ({ status }: CommandOf<"report">) => {
+    const key = `${prefix}${executionKey}`;
+    const value = JSON.stringify(status);
+    await keyValue.transact(
+      { compare: [], success: [{ type: "put", key, value }], failure: [] },
+      now() + reportTimeoutMs,
+    );
+  };
+
+  const execute = (command: ExecutionCommand): Promise<void> | undefined => {
+    switch (command.type) {
+      case "observe":
+        return observe();
+      case "sendOrder":
+        return order(command);
+      case "commitServing":
+        return commitServing(command);
+      case "report":
+        return report(command);
+      default:
+        return assertNever(command);
+    }
+  };
+
+  return {
+    events: channel.stream,
+    perform: (command) => {
+      if (command.type === "execute") void execute(command.command);
+    },
+    stop: () => dispatcher.destroy(),
+  };
+};
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -6,7 +6,12 @@
   AttemptFailure,
   ClaimOutcome,
   ConfigInForce,
+  EngineObservation,
+  EngineOrder,
   EnginePace,
+  ExecutionCommand,
+  ExecutionState,
+  HostMarks,
   LeaseCall,
   LeaseEvent,
   LeaseState,
@@ -18,6 +23,7 @@
   Deployment,
   EngineToken,
   FinishReason,
+  ListedHost,
   PeerMessage,
   Priority,
   RouterIdentity,
@@ -84,8 +90,15 @@
 export interface RouterState {
   readonly router: RouterIdentity;
   readonly draining: boolean;
+  /** Whether the balancer is told to send no more. */
+  readonly unready: boolean;
   readonly config: ConfigInForce;
   readonly configMesh: ConfigMesh;
+  readonly execution: ExecutionState;
+  /** Hosts that the platform's list marks as leaving. */
+  readonly hostMarks: HostMarks;
+  /** When leaving hosts are looked at next. */
+  readonly drainLookAt: Moment;
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
@@ -201,6 +214,26 @@
       readonly message: PeerMessage;
     }
   | { readonly type: "timePassed"; readonly at: Moment }
+  | {
+      readonly type: "hostListRead";
+      readonly at: Moment;
+      readonly hosts: readonly ListedHost[];
+    }
+  | {
+      readonly type: "enginesObserved";
+      readonly at: Moment;
+      readonly observed: ReadonlyMap<string, EngineObservation>;
+      readonly bytesPerSecond: number;
+    }
+  | {
+      readonly type: "orderAnswered";
+      readonly at: Moment;
+      readonly order: EngineOrder;
+      /** Undefined where the engine took the order. */
+      readonly reason: string | undefined;
+    }
+  | { readonly type: "drainAnnounced"; readonly at: Moment }
+  | { readonly type: "graceEnded"; readonly at: Moment }
   | { readonly type: "drainStarted"; readonly at: Moment };
 
 /** One event by its type. */
@@ -289,6 +322,7 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | { readonly type: "execute"; readonly command: ExecutionCommand }
   | {
       readonly type: "watchConfiguration";
       readonly isWatching: boolean;
--- a/stand-ins/src/main.ts
+++ b/stand-ins/src/main.ts
@@ -23,6 +23,7 @@
   memoryBytes: number;
   loaded: string;
   bytesPerSecond: number;
+  weights: string;
 }
 
 const parseLoaded = (text: string): LoadedModel[] =>
@@ -54,7 +55,11 @@
     case "hosts":
       return startHosts(flags.port);
     case "weights":
-      return startWeights(flags.port, flags.bytesPerSecond);
+      return startWeights(
+        flags.port,
+        flags.bytesPerSecond,
+        flags.weights === "" ? undefined : parseLoaded(flags.weights),
+      );
     default:
       throw new Error(
         `unknown stand-in "${kind}"; known are key-value, engine, service, hosts, weights`,
@@ -91,6 +96,9 @@
     "Engine: model:version[:adapter], separated by commas",
     { default: "" },
   )
+  .option("--weights <list>", "Weights: held, model:version[:adapter]", {
+    default: "",
+  })
   .option("--bytes-per-second <rate>", "Weights: rate", { default: 1e9 })
   .action(async (kind: string, flags: Flags) => {
     const server = await start(kind, flags);
