--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -4,9 +4,11 @@
 import type { RouterState } from "../types.js";
 import { chainSteps } from "./chainSteps.js";
 import { tendConfiguration } from "./configurationPeers.js";
+import { tendLeavingHosts } from "./drainHosts.js";
 import { tendLeases } from "./leaseRoles.js";
 import { tendMembership } from "./memberEvents.js";
 import { tendLedger } from "./tendLedger.js";
+import { tendExecution } from "./orderEvents.js";
 import { tendStreams } from "./tendStreams.js";
 import type { Action, RouterStep } from "./types.js";
 
@@ -17,6 +19,8 @@
   tendLeases,
   tendMembership,
   tendLedger,
+  tendExecution,
+  tendLeavingHosts,
   tendStreams,
 ];
 
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -4,11 +4,13 @@
 import {
   createConfig,
   createMembership,
+  createExecution,
   createRouting,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
+import { drainAnnounced, graceEnded } from "./actions/drainEvents.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
 import { holdersRead } from "./actions/ledgerPlacement.js";
@@ -16,6 +18,8 @@
 import { createLedger } from "./actions/ledgerState.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
 import { addressesBound } from "./actions/memberEvents.js";
+import { hostListRead } from "./actions/hostListRead.js";
+import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -54,8 +58,12 @@
 ): RouterState => ({
   router,
   draining: false,
+  unready: false,
   config: createConfig(),
   configMesh: createConfigMesh(),
+  execution: createExecution(),
+  hostMarks: new Map(),
+  drainLookAt: 0,
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
@@ -109,6 +117,16 @@
       return addressesBound(state, event);
     case "timePassed":
       return timePassed(state, event);
+    case "hostListRead":
+      return hostListRead(state, event);
+    case "enginesObserved":
+      return enginesObserved(state, event);
+    case "orderAnswered":
+      return orderAnswered(state, event);
+    case "drainAnnounced":
+      return drainAnnounced(state, event);
+    case "graceEnded":
+      return graceEnded(state, event);
     case "drainStarted":
       return drainStarted(state, event);
     default:
