--- /dev/null
+++ b/packages/router/src/actions/tendStreams.ts
@@ -0,0 +1,33 @@
+/** Streams as time passes: deadlines and silence are looked at. */
+
+import type { Moment } from "@cardamomglade/common";
+import type { RecoveryEvent } from "@cardamomglade/decisions";
+import type { RouterCommand, RouterState } from "../types.js";
+import { stepStream } from "./stepStream.js";
+import type { RouterStep } from "./types.js";
+
+const longestTickMs = 150;
+
+// While this process did not run, engines may well have spoken.
+const stalledOf = ({ tickedAt }: RouterState, at: Moment): number => {
+  const sinceMs = tickedAt === undefined ? 0 : at - tickedAt;
+  return sinceMs > longestTickMs ? sinceMs : 0;
+};
+
+/** Tells every stream the time. */
+export const tendStreams = (state: RouterState, at: Moment): RouterStep => {
+  const event: RecoveryEvent = {
+    type: "timePassed",
+    at,
+    stalledMs: stalledOf(state, at),
+    engines: state.engines,
+  };
+  let current: RouterState = { ...state, tickedAt: at };
+  const commands: RouterCommand[] = [];
+  for (const entry of [...state.streams.values()]) {
+    const step = stepStream({ state: current, entry, event });
+    current = step.state;
+    commands.push(...step.commands);
+  }
+  return { state: current, commands };
+};
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -4,9 +4,11 @@
 import { createConfig, createRouting } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { claimResolved } from "./actions/claimResolved.js";
+import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import { leaseAnswered } from "./actions/leaseAnswered.js";
 import {
   peerLinked,
   peerLost,
@@ -17,21 +19,39 @@
 import {
   attemptBroken,
   attemptEnded,
+  backEndProbed,
   callerLeft,
+  callerReady,
+  callerSlow,
   tokensReceived,
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
 import type { RouterStep } from "./actions/types.js";
 import type { RouterEvent, RouterState } from "./types.js";
 
+const defaultLeaseTtlMs = 5000;
+
+/** What settings give to a router's state. */
+export interface RouterStateOptions {
+  readonly leaseTtlMs?: number;
+}
+
 /** State of a router that has just started. */
-export const createRouterState = (router: RouterIdentity): RouterState => ({
+export const createRouterState = (
+  router: RouterIdentity,
+  { leaseTtlMs = defaultLeaseTtlMs }: RouterStateOptions = {},
+): RouterState => ({
   router,
   draining: false,
   config: createConfig(),
+  configMesh: createConfigMesh(),
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  engines: new Map(),
+  tickedAt: undefined,
+  leases: new Map(),
+  leaseTtlMs,
   linkedPeers: new Set(),
   peerUrls: new Map(),
 });
@@ -51,12 +71,20 @@
       return attemptEnded(state, event);
     case "attemptBroken":
       return attemptBroken(state, event);
+    case "backEndProbed":
+      return backEndProbed(state, event);
+    case "callerSlow":
+      return callerSlow(state, event);
+    case "callerReady":
+      return callerReady(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
     case "claimResolved":
       return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "leaseAnswered":
+      return leaseAnswered(state, event);
     case "peerLinked":
       return peerLinked(state, event);
     case "peerLost":
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -6,6 +6,10 @@
   AttemptFailure,
   ClaimOutcome,
   ConfigInForce,
+  EnginePace,
+  LeaseCall,
+  LeaseEvent,
+  LeaseState,
   RecordedAnswer,
   RoutingState,
   StreamState,
@@ -44,6 +48,10 @@
   readonly deployment: Deployment;
   /** Ids of all accepted tokens; the fold appends in place. */
   readonly accepted: number[];
+  /** Back ends of open attempts, by attempt; each is counted in flight. */
+  readonly open: Map<number, string>;
+  /** Tokens that wait until a move has succeeded or failed. */
+  held: EngineToken[];
   stream: StreamState;
 }
 
@@ -62,14 +70,32 @@
   readonly backEnd?: string;
 }
 
+/** How this router gets the configuration: by its own watch or by its peers. */
+export interface ConfigMesh {
+  readonly isWatching: boolean;
+  /** When a peer is asked next. */
+  readonly askAt: Moment;
+  readonly asked: number;
+  /** Zones of the routers known to be alive; owned by the fold. */
+  readonly zones: Map<string, string>;
+}
+
 /** State of the router process. Maps are owned by the fold and changed in place. */
 export interface RouterState {
   readonly router: RouterIdentity;
   readonly draining: boolean;
   readonly config: ConfigInForce;
+  readonly configMesh: ConfigMesh;
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
+  /** Token times seen of each engine. */
+  readonly engines: Map<string, EnginePace>;
+  /** Moment of the last tick. */
+  readonly tickedAt: Moment | undefined;
+  /** Pursued roles by name. */
+  readonly leases: Map<string, LeaseState>;
+  readonly leaseTtlMs: number;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
   /** Peer addresses of known routers, by name. */
@@ -82,6 +108,8 @@
       readonly type: "configurationRead";
       readonly at: Moment;
       readonly accepted: AcceptedConfig;
+      /** Where it was read; the store where nothing is said. */
+      readonly source?: string;
     }
   | {
       readonly type: "generationArrived";
@@ -116,6 +144,23 @@
       readonly attempt: number;
       readonly failure: AttemptFailure;
     }
+  | {
+      readonly type: "backEndProbed";
+      readonly at: Moment;
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly isAlive: boolean;
+    }
+  | {
+      readonly type: "callerSlow";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
+  | {
+      readonly type: "callerReady";
+      readonly at: Moment;
+      readonly requestId: string;
+    }
   | {
       readonly type: "serviceCallArrived";
       readonly at: Moment;
@@ -133,6 +178,12 @@
       readonly requestId: string;
       readonly outcome: ServiceOutcome;
     }
+  | {
+      readonly type: "leaseAnswered";
+      readonly at: Moment;
+      readonly role: string;
+      readonly answer: LeaseEvent;
+    }
   | {
       readonly type: "peerLinked";
       readonly at: Moment;
@@ -170,6 +221,23 @@
       readonly requestId: string;
       readonly attempt: number;
     }
+  | {
+      readonly type: "pauseAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "resumeAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "probeBackEnd";
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly url: string;
+      readonly deadline: Moment;
+    }
   | {
       readonly type: "deliver";
       readonly requestId: string;
@@ -211,11 +279,20 @@
       readonly requestId: string;
       readonly answer: RecordedAnswer;
     }
+  | {
+      readonly type: "leaseCall";
+      readonly role: string;
+      readonly call: LeaseCall;
+    }
   | {
       readonly type: "sendToPeer";
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | {
+      readonly type: "watchConfiguration";
+      readonly isWatching: boolean;
+    }
   | {
       readonly type: "record";
       readonly event: Omit<TimelineEvent, "at" | "process">;
