--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -28,8 +28,8 @@
 import { createLeaseDriver } from "./drivers/leaseDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
-import { createProcessClock } from "./drivers/processClock.js";
 import { createLogDriver } from "./drivers/logDriver.js";
+import { createProcessClock } from "./drivers/processClock.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -163,6 +163,13 @@
     administrationServer,
     listen.administration,
   );
+  control.push({
+    type: "addressesBound",
+    at: now(),
+    peersUrl: peers.url,
+    callersUrl,
+    administrationUrl,
+  });
   log(LogLevel.Info, "listening", {
     detail: `${callersUrl} ${administrationUrl}`,
   });
