--- a/packages/router/src/actions/memberEvents.ts
+++ b/packages/router/src/actions/memberEvents.ts
@@ -1,6 +1,6 @@
 /** Drives membership and turns its commands into the router's. */
 
-import { assertNever } from "@cardamomglade/common";
+import { assertNever, type Moment } from "@cardamomglade/common";
 import {
   decideMembership,
   type MembershipCommand,
@@ -57,3 +57,11 @@
     callersUrl,
     administrationUrl,
   });
+
+/** Sends heartbeats and looks at silent routers. */
+export const tendMembership = (state: RouterState, at: Moment): RouterStep =>
+  stepMembership(state, {
+    type: "timePassed",
+    at,
+    heartbeat: { revision: state.config.revision, demand: [] },
+  });
--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -1,38 +1,30 @@
-/** Time passed: deadlines and silence are looked at. */
+/** Time passed: every part looks at its deadlines. */
 
-import type { RecoveryEvent } from "@cardamomglade/decisions";
+import type { Moment } from "@cardamomglade/common";
 import type { RouterCommand, RouterState } from "../types.js";
-import { stepMembership } from "./memberEvents.js";
-import { stepStream } from "./stepStream.js";
-import type { Action } from "./types.js";
+import { tendConfiguration } from "./configurationPeers.js";
+import { tendLeases } from "./leaseRoles.js";
+import { tendMembership } from "./memberEvents.js";
+import { tendStreams } from "./tendStreams.js";
+import type { Action, RouterStep } from "./types.js";
 
-const longestTickMs = 150;
+type Tend = (state: RouterState, at: Moment) => RouterStep;
 
-// While this process did not run, engines may well have spoken.
-const stalledOf = ({ tickedAt }: RouterState, at: number): number => {
-  const sinceMs = tickedAt === undefined ? 0 : at - tickedAt;
-  return sinceMs > longestTickMs ? sinceMs : 0;
-};
+const parts: readonly Tend[] = [
+  tendConfiguration,
+  tendLeases,
+  tendStreams,
+  tendMembership,
+];
 
-/** Tells every stream and membership the time. */
+/** Tells every part the time, in order. */
 export const timePassed: Action<"timePassed"> = (state, { at }) => {
-  const event: RecoveryEvent = {
-    type: "timePassed",
-    at,
-    stalledMs: stalledOf(state, at),
-    engines: state.engines,
-  };
-  let current: RouterState = { ...state, tickedAt: at };
+  let current = state;
   const commands: RouterCommand[] = [];
-  for (const entry of [...state.streams.values()]) {
-    const step = stepStream({ state: current, entry, event });
+  for (const tend of parts) {
+    const step = tend(current, at);
     current = step.state;
     commands.push(...step.commands);
   }
-  const member = stepMembership(current, {
-    type: "timePassed",
-    at,
-    heartbeat: { revision: current.config.revision, demand: [] },
-  });
-  return { state: member.state, commands: [...commands, ...member.commands] };
+  return { state: current, commands };
 };
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -25,9 +25,11 @@
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
+import { createLeaseDriver } from "./drivers/leaseDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
+import { createProcessClock } from "./drivers/processClock.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
 import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
@@ -104,7 +106,7 @@
     connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
-  const initial = createRouterState(settings.router);
+  const initial = createRouterState(settings.router, settings.ledger);
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
@@ -127,8 +129,9 @@
     metrics,
     server: callersServer,
   });
-  const timeline = createTimelineDriver(settings.router.name);
-  const peers = await createPeerDriver(settings, view);
+  const clock = createProcessClock(settings.router.name);
+  const timeline = createTimelineDriver(settings.router.name, clock);
+  const peers = await createPeerDriver(settings, view, clock);
   const drivers = [
     callers,
     peers,
@@ -137,6 +140,7 @@
     createEngineDriver(EngineClient.create(connectUpstream)),
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
+    createLeaseDriver(keyValue, prefix),
     createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
     createTickDriver(),
     {
@@ -152,7 +156,7 @@
   serveAdministration(administrationServer, settings.operators, [
     ...createHealthRoutes(view),
     createMetricsRoute(view, metrics),
-    createTimelineRoute(timeline.recorded),
+    createTimelineRoute(view, timeline.ring),
   ]);
   const callersUrl = await startListening(callersServer, listen.callers);
   const administrationUrl = await startListening(
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -7,6 +7,9 @@
   ClaimOutcome,
   ConfigInForce,
   EnginePace,
+  LeaseCall,
+  LeaseEvent,
+  LeaseState,
   MembershipState,
   RecordedAnswer,
   RoutingState,
@@ -68,11 +71,22 @@
   readonly backEnd?: string;
 }
 
+/** How this router gets the configuration: by its own watch or by its peers. */
+export interface ConfigMesh {
+  readonly isWatching: boolean;
+  /** When a peer is asked next. */
+  readonly askAt: Moment;
+  readonly asked: number;
+  /** Zones of the routers known to be alive; owned by the fold. */
+  readonly zones: Map<string, string>;
+}
+
 /** State of the router process. Maps are owned by the fold and changed in place. */
 export interface RouterState {
   readonly router: RouterIdentity;
   readonly draining: boolean;
   readonly config: ConfigInForce;
+  readonly configMesh: ConfigMesh;
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
@@ -80,6 +94,9 @@
   readonly engines: Map<string, EnginePace>;
   /** Moment of the last tick. */
   readonly tickedAt: Moment | undefined;
+  /** Pursued roles by name. */
+  readonly leases: Map<string, LeaseState>;
+  readonly leaseTtlMs: number;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
   readonly membership: MembershipState;
@@ -91,6 +108,8 @@
       readonly type: "configurationRead";
       readonly at: Moment;
       readonly accepted: AcceptedConfig;
+      /** Where it was read; the store where nothing is said. */
+      readonly source?: string;
     }
   | {
       readonly type: "generationArrived";
@@ -159,6 +178,12 @@
       readonly requestId: string;
       readonly outcome: ServiceOutcome;
     }
+  | {
+      readonly type: "leaseAnswered";
+      readonly at: Moment;
+      readonly role: string;
+      readonly answer: LeaseEvent;
+    }
   | {
       readonly type: "peerLinked";
       readonly at: Moment;
@@ -261,6 +286,11 @@
       readonly requestId: string;
       readonly answer: RecordedAnswer;
     }
+  | {
+      readonly type: "leaseCall";
+      readonly role: string;
+      readonly call: LeaseCall;
+    }
   | {
       readonly type: "sendToPeer";
       readonly peer: string;
@@ -268,6 +298,10 @@
     }
   | { readonly type: "connectPeer"; readonly url: string }
   | { readonly type: "forgetPeer"; readonly url: string }
+  | {
+      readonly type: "watchConfiguration";
+      readonly isWatching: boolean;
+    }
   | {
       readonly type: "record";
       readonly event: Omit<TimelineEvent, "at" | "process">;
