Choose back ends by load, prefix, pace, health and distance

Back ends were chosen by own counts and zone alone, and each count copied a map. The choice now weighs own work in flight plus others' by late reports, the expected wait, prefix blocks believed held (from cache events with gaps and from own requests), the measured pace, zone and region. A few candidates are drawn at random beside the holders of the prefix, so that routers with the same news do not all pick one. Failures eject a back end for a growing time; new and returning ones grow to their share. An engine that reports other versions gets nothing. Round robin and least-in-flight are settings for comparison. The hash chain of prefix blocks is one function for router and stand-in.

Tests on a virtual clock: sixteen routers with the same late news, late, overtaken, future and contradictory reports, gaps, ejection and return, all engines gone and back, a slow engine, spill between regions, 300 random schedules of news. The test of moves uses least-in-flight, since the balanced choice is drawn at random; its checks are unchanged.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -20,6 +20,7 @@
   type HybridClock,
 } from "./hybridClock.js";
 export { now } from "./now.js";
+export { prefixBlocks } from "./prefixBlocks.js";
 export { err, ok } from "./result.js";
 export {
   runProcess,
--- /dev/null
+++ b/packages/decisions/src/routing/chooseBackEnd.test.ts
@@ -0,0 +1,289 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { prefixBlocks } from "@cardamomglade/common";
+import {
+  BackEndType,
+  CacheEventType,
+  type BackEnd,
+  type LoadReport,
+} from "@cardamomglade/schema";
+import {
+  chooseBackEnd,
+  countInFlight,
+  createRouting,
+  noteCache,
+  noteEnded,
+  noteLoad,
+  noteOpened,
+  noteTokens,
+  viewOf,
+  type RoutingState,
+} from "./index.js";
+
+const loaded = { model: "m", version: "v1" };
+
+const backEnd = (index: number, zone = "a", region = "r"): BackEnd => ({
+  name: `e${String(index)}`,
+  type: BackEndType.Engine,
+  url: `http://e${String(index)}`,
+  host: `h${String(index)}`,
+  zone,
+  region,
+  checksFencing: true,
+  slots: 16,
+});
+
+const engines = Array.from({ length: 12 }, (_, index) => backEnd(index));
+
+const report = (at: number, running: number, versions = [loaded]) => ({
+  type: "report" as const,
+  report: {
+    at,
+    running,
+    queued: 0,
+    slots: 16,
+    loaded: versions,
+  } satisfies LoadReport,
+});
+
+const create = (seed = 1, at = 100_000): RoutingState => {
+  const state = createRouting({ type: "balanced" }, seed);
+  state.at = at;
+  return state;
+};
+
+const choose = (
+  state: RoutingState,
+  candidates: readonly BackEnd[],
+  prompt = "",
+): string | undefined =>
+  chooseBackEnd(state, {
+    candidates,
+    avoid: [],
+    zone: "a",
+    region: "r",
+    prompt,
+    loaded,
+  })?.name;
+
+const fail = (state: RoutingState, name: string, id: string) => {
+  noteOpened(state, { id, backEnd: name, model: "m", prompt: "" }, state.at);
+  noteEnded(state, id, "failed", state.at);
+};
+
+test("sixteen routers with the same late news do not pick one engine", () => {
+  const picks = new Map<string, number>();
+  for (let router = 0; router < 16; router += 1) {
+    const state = create(router);
+    engines.forEach(({ name }, index) => {
+      noteLoad(state, name, report(98_000, index === 3 ? 0 : 8), state.at);
+    });
+    for (let request = 0; request < 6; request += 1) {
+      const chosen = choose(state, engines) ?? "";
+      countInFlight(state, chosen, 1);
+      picks.set(chosen, (picks.get(chosen) ?? 0) + 1);
+    }
+  }
+  const most = Math.max(...picks.values());
+  assert.ok(most < (16 * 6) / 2, `one engine got ${String(most)} of 96`);
+});
+
+test("a late report counts others' work once and own work as it is now", () => {
+  const state = create();
+  for (let index = 0; index < 4; index += 1) countInFlight(state, "e0", 1);
+  state.at += 1000;
+  for (let index = 0; index < 3; index += 1) countInFlight(state, "e0", 1);
+  noteLoad(state, "e0", report(state.at - 500, 10), state.at);
+  assert.equal(viewOf(state, "e0").own, 7);
+  assert.equal(viewOf(state, "e0").heard?.others, 6);
+});
+
+test("an overtaken, a future and a contradictory report leave a sane count", () => {
+  const state = create();
+  countInFlight(state, "e0", 1);
+  noteLoad(state, "e0", report(99_900, 5), state.at);
+  noteLoad(state, "e0", report(99_000, 50), state.at);
+  assert.equal(viewOf(state, "e0").heard?.report.running, 5);
+  noteLoad(state, "e0", report(state.at + 60_000, 0), state.at);
+  assert.equal(viewOf(state, "e0").heard?.others, 0);
+  assert.equal(viewOf(state, "e0").own, 1);
+});
+
+test("without any report the own counts spread the work", () => {
+  const state = create();
+  for (let request = 0; request < 120; request += 1)
+    countInFlight(state, choose(state, engines) ?? "", 1);
+  const counts = engines.map(({ name }) => viewOf(state, name).own);
+  assert.ok(Math.max(...counts) <= 16, counts.join(" "));
+  assert.ok(Math.min(...counts) >= 5, counts.join(" "));
+});
+
+test("an engine without the version gets nothing until it reports the version", () => {
+  const state = create();
+  const [one, two] = [backEnd(0), backEnd(1)];
+  noteLoad(state, one.name, report(state.at, 0, []), state.at);
+  noteLoad(state, two.name, report(state.at, 15), state.at);
+  for (let turn = 0; turn < 20; turn += 1)
+    assert.equal(choose(state, [one, two]), two.name);
+  noteLoad(state, two.name, report(state.at + 1, 0, []), state.at + 1);
+  state.at += 1;
+  assert.equal(choose(state, [one, two]), undefined);
+  noteLoad(state, one.name, report(state.at + 1, 0), state.at + 1);
+  assert.equal(choose(state, [one, two]), one.name);
+});
+
+test("a prefix holder is preferred, but not above its bound of load", () => {
+  const state = create();
+  const prompt = "contract ".repeat(400);
+  const blocks = prefixBlocks("m", prompt);
+  const events = blocks.map((block, sequence) => ({
+    sequence,
+    type: CacheEventType.Stored,
+    block,
+  }));
+  noteCache(state, "e5", { events, next: events.length }, state.at);
+  assert.equal(choose(state, engines, prompt), "e5");
+  engines.forEach(({ name }) => {
+    const running = name === "e5" ? 15 : 4;
+    noteLoad(state, name, report(state.at, running), state.at);
+  });
+  assert.notEqual(choose(state, engines, prompt), "e5");
+});
+
+test("blocks confirmed before a gap are forgotten after a grace, later ones are not", () => {
+  const state = create();
+  const [old = "", fresh = ""] = prefixBlocks("m", "x".repeat(600));
+  const stored = (sequence: number, block: string) => ({
+    sequence,
+    type: CacheEventType.Stored,
+    block,
+  });
+  noteCache(state, "e0", { events: [stored(0, old)], next: 1 }, state.at);
+  const later = state.at + 100;
+  noteCache(state, "e0", { events: [stored(5, fresh)], next: 6 }, later);
+  const view = viewOf(state, "e0");
+  assert.equal(view.gapAt, later);
+  noteCache(state, "e0", { events: [stored(0, fresh)], next: 1 }, later + 1);
+  assert.equal(view.blocks.has(old), false, "a restarted engine holds nothing");
+});
+
+test("failures eject, an ejection ends, and the share grows back", () => {
+  const state = create();
+  const pair = [backEnd(0), backEnd(1)];
+  fail(state, "e0", "1");
+  fail(state, "e0", "2");
+  for (let turn = 0; turn < 20; turn += 1)
+    assert.equal(choose(state, pair), "e1");
+  state.at += 1500;
+  const picks = { e0: 0, e1: 0 };
+  for (let turn = 0; turn < 12; turn += 1) {
+    const chosen = choose(state, pair) as "e0" | "e1";
+    picks[chosen] += 1;
+    countInFlight(state, chosen, 1);
+  }
+  assert.ok(picks.e0 >= 1 && picks.e0 < picks.e1 / 2, JSON.stringify(picks));
+  state.at += 20_000;
+  for (let turn = 0; turn < 16; turn += 1)
+    countInFlight(state, choose(state, pair) ?? "", 1);
+  const { own } = viewOf(state, "e0");
+  assert.ok(own >= 12, String(own));
+});
+
+test("all engines of a model gone and back: work goes on where they are", () => {
+  const state = create();
+  engines.forEach(({ name }, index) => {
+    fail(state, name, `a${String(index)}`);
+    fail(state, name, `b${String(index)}`);
+  });
+  assert.notEqual(choose(state, engines), undefined, "some engine is tried");
+  state.at += 60_000;
+  const used = new Set<string | undefined>();
+  for (let turn = 0; turn < 200; turn += 1) {
+    const chosen = choose(state, engines) ?? "";
+    countInFlight(state, chosen, 1);
+    used.add(chosen);
+  }
+  assert.equal(used.size, engines.length);
+});
+
+test("a slow engine gets little, and is tried again when its pace is old news", () => {
+  const state = create();
+  const pair = [backEnd(0), backEnd(1)];
+  for (const [name, paceMs] of [
+    ["e0", 60],
+    ["e1", 20],
+  ] as const) {
+    noteOpened(
+      state,
+      { id: name, backEnd: name, model: "m", prompt: "" },
+      state.at,
+    );
+    for (let token = 0; token < 50; token += 1)
+      noteTokens(state, name, 1, state.at + token * paceMs);
+  }
+  state.at += 3000;
+  for (let turn = 0; turn < 12; turn += 1) {
+    assert.equal(choose(state, pair), "e1");
+    countInFlight(state, "e1", 1);
+  }
+  state.at += 200_000;
+  assert.equal(choose(state, pair), "e0");
+});
+
+test("the own region serves until it is full, then the other one helps", () => {
+  const state = create();
+  const near = [backEnd(0, "a"), backEnd(1, "b")];
+  const far = [backEnd(2, "d", "other")];
+  for (let turn = 0; turn < 32; turn += 1) {
+    const chosen = choose(state, [...near, ...far]) ?? "";
+    assert.notEqual(chosen, "e2");
+    countInFlight(state, chosen, 1);
+  }
+  const spilled = Array.from({ length: 16 }, () => {
+    const chosen = choose(state, [...near, ...far]) ?? "";
+    countInFlight(state, chosen, 1);
+    return chosen;
+  });
+  assert.ok(spilled.includes("e2"));
+});
+
+test("any sequence of news leaves counts that are not negative and a choice among the candidates", () => {
+  const step = fc.oneof(
+    fc.record({
+      type: fc.constant("count" as const),
+      engine: fc.nat(3),
+      change: fc.constantFrom(1 as const, -1 as const),
+    }),
+    fc.record({
+      type: fc.constant("report" as const),
+      engine: fc.nat(3),
+      lateMs: fc.integer({ min: -2000, max: 20_000 }),
+      running: fc.nat(40),
+    }),
+    fc.record({ type: fc.constant("fail" as const), engine: fc.nat(3) }),
+    fc.record({ type: fc.constant("wait" as const), ms: fc.nat(5000) }),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const state = create();
+      const four = engines.slice(0, 4);
+      steps.forEach((one, index) => {
+        if (one.type === "wait") state.at += one.ms;
+        else if (one.type === "fail")
+          fail(state, `e${String(one.engine)}`, String(index));
+        else if (one.type === "count")
+          countInFlight(state, `e${String(one.engine)}`, one.change);
+        else {
+          const news = report(state.at - one.lateMs, one.running);
+          noteLoad(state, `e${String(one.engine)}`, news, state.at);
+        }
+        const chosen = choose(state, four);
+        assert.ok(four.some(({ name }) => name === chosen));
+      });
+      for (const { own, heard } of state.backEnds.values())
+        assert.ok(own >= 0 && (heard?.others ?? 0) >= 0);
+    }),
+    { seed: 11, numRuns: 300 },
+  );
+});
--- /dev/null
+++ b/packages/decisions/src/routing/costOf.ts
@@ -0,0 +1,71 @@
+/** Expected cost of work at a back end, in milliseconds. */
+
+import type { BackEnd } from "@cardamomglade/schema";
+import {
+  defaultPaceMs,
+  loadCostMs,
+  paceHalfLifeMs,
+  regionCostMs,
+  reportLifeMs,
+  typicalTokens,
+  zoneCostMs,
+} from "./constants.js";
+import { rampOf } from "./ejection.js";
+import { countHeld } from "./noteCache.js";
+import type { RoutingQuery, RoutingState } from "./types.js";
+import { viewOf } from "./views.js";
+
+/** Work at a back end: own work now and others' by the newest report. */
+export const loadOf = (state: RoutingState, { name }: BackEnd): number => {
+  const view = viewOf(state, name);
+  const { heard } = view;
+  if (heard === undefined || state.at - heard.heardAt > reportLifeMs)
+    return view.own;
+  return view.own + heard.others;
+};
+
+/** Load in shares of the slots that a back end may use now. */
+export const loadShareOf = (state: RoutingState, backEnd: BackEnd): number => {
+  const ramp = rampOf(viewOf(state, backEnd.name), state.at);
+  return loadOf(state, backEnd) / Math.max(1, backEnd.slots * ramp);
+};
+
+/** Expected wait for a slot. */
+export const waitMsOf = (state: RoutingState, backEnd: BackEnd): number => {
+  const ramp = rampOf(viewOf(state, backEnd.name), state.at);
+  const slots = Math.max(1, backEnd.slots * ramp);
+  const ahead = loadOf(state, backEnd) + 1 - slots;
+  return ahead <= 0 ? 0 : (ahead / slots) * state.attemptMs;
+};
+
+/** Time between tokens: the measured one fades when nothing new is heard. */
+export const paceMsOf = (state: RoutingState, { name }: BackEnd): number => {
+  const { paceMs, pacedAt } = viewOf(state, name);
+  if (paceMs === 0) return defaultPaceMs;
+  const fade = 0.5 ** ((state.at - pacedAt) / paceHalfLifeMs);
+  return defaultPaceMs + (paceMs - defaultPaceMs) * fade;
+};
+
+const distanceMsOf = (query: RoutingQuery, backEnd: BackEnd): number => {
+  if (backEnd.region !== query.region) return regionCostMs;
+  return backEnd.zone === query.zone ? 0 : zoneCostMs;
+};
+
+/** Expected time to the answer's end, and what load and distance weigh. */
+export const costOf = (
+  state: RoutingState,
+  query: RoutingQuery,
+  blocks: readonly string[],
+  backEnd: BackEnd,
+): number => {
+  const view = viewOf(state, backEnd.name);
+  const missing = blocks.length - countHeld(view, blocks, state.at);
+  const share = Math.min(1, loadShareOf(state, backEnd));
+  return (
+    waitMsOf(state, backEnd) +
+    missing * state.blockMs +
+    paceMsOf(state, backEnd) * typicalTokens +
+    share * share * loadCostMs +
+    distanceMsOf(query, backEnd)
+  );
+};
--- /dev/null
+++ b/packages/router/src/actions/loadEvents.ts
@@ -0,0 +1,89 @@
+/** What the router's events tell of back ends. */
+
+import {
+  noteCache,
+  noteEnded,
+  noteLoad,
+  noteOpened,
+  noteTokens,
+  type RoutingState,
+} from "@cardamomglade/decisions";
+import type { RouterCommand, RouterEvent, RouterState } from "../types.js";
+import type { Action, RouterStep } from "./types.js";
+
+const attemptId = (requestId: string, attempt: number): string =>
+  `${requestId}.${String(attempt)}`;
+
+/** A load report was read, or could not be. */
+export const loadRead: Action<"loadRead"> = (state, { at, backEnd, news }) => {
+  noteLoad(state.routing, backEnd, news, at);
+  return { state, commands: [] };
+};
+
+/** Cache events were read. */
+export const cacheEventsRead: Action<"cacheEventsRead"> = (
+  state,
+  { at, backEnd, read },
+) => {
+  noteCache(state.routing, backEnd, read, at);
+  return { state, commands: [] };
+};
+
+/** Notes what an event tells of a back end, before the event is folded. */
+export const observeEvent = (state: RouterState, event: RouterEvent): void => {
+  const { routing } = state;
+  const { at } = event;
+  routing.at = at;
+  switch (event.type) {
+    case "tokensReceived": {
+      const { requestId, attempt, tokens } = event;
+      noteTokens(routing, attemptId(requestId, attempt), tokens.length, at);
+      return;
+    }
+    case "attemptEnded":
+      noteEnded(
+        routing,
+        attemptId(event.requestId, event.attempt),
+        "finished",
+        at,
+      );
+      return;
+    case "attemptBroken":
+      noteEnded(
+        routing,
+        attemptId(event.requestId, event.attempt),
+        "failed",
+        at,
+      );
+      return;
+    default:
+  }
+};
+
+const observeCommand = (
+  state: RouterState,
+  routing: RoutingState,
+  command: RouterCommand,
+): void => {
+  switch (command.type) {
+    case "openAttempt": {
+      const { requestId, attempt, model, prompt } = command.order;
+      const backEnd = state.streams.get(requestId)?.open.get(attempt);
+      if (backEnd === undefined) return;
+      const id = attemptId(requestId, attempt);
+      noteOpened(routing, { id, backEnd, model, prompt }, routing.at);
+      return;
+    }
+    case "cancelAttempt": {
+      const id = attemptId(command.requestId, command.attempt);
+      noteEnded(routing, id, "cancelled", routing.at);
+      return;
+    }
+    default:
+  }
+};
+
+/** Notes what a step's commands do to back ends. */
+export const observeCommands = ({ state, commands }: RouterStep): void => {
+  for (const command of commands) observeCommand(state, state.routing, command);
+};
--- a/packages/router/src/actions/moveStreams.test.ts
+++ b/packages/router/src/actions/moveStreams.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { AttemptFailure } from "@cardamomglade/decisions";
+import { AttemptFailure, viewOf } from "@cardamomglade/decisions";
 import {
   BackEndType,
   FinishReason,
@@ -53,12 +53,15 @@
 };
 
 class Run {
-  state: RouterState = createRouterState({
-    name: "r1",
-    host: "h",
-    zone: "a",
-    region: "r",
-  });
+  state: RouterState = createRouterState(
+    {
+      name: "r1",
+      host: "h",
+      zone: "a",
+      region: "r",
+    },
+    { strategy: { type: "leastInFlight" } },
+  );
   commands: RouterCommand[] = [];
 
   hear(event: RouterEvent): void {
@@ -88,9 +91,7 @@
   }
 
   inFlight(): number[] {
-    return ["one", "two"].map(
-      (name) => this.state.routing.inFlight.get(name) ?? 0,
-    );
+    return ["one", "two"].map((name) => viewOf(this.state.routing, name).own);
   }
 }
 
--- a/packages/router/src/actions/stepStream.ts
+++ b/packages/router/src/actions/stepStream.ts
@@ -42,13 +42,15 @@
   const { state, entry } = work;
   const candidates = candidatesOf(state.config, entry.deployment.backEnds);
   const { zone, region } = state.router;
-  return chooseBackEnd(work.routing, {
-    candidates,
-    avoid,
-    zone,
-    region,
-    prompt: entry.request.prompt,
-  });
+  const { model, version, adapter } = entry.deployment;
+  const loaded = {
+    model,
+    version,
+    ...(adapter === undefined ? {} : { adapter }),
+  };
+  const { prompt } = entry.request;
+  const query = { candidates, avoid, zone, region, prompt, loaded };
+  return chooseBackEnd(work.routing, query);
 };
 
 const assignBackEnd = (work: StreamWork, avoid: readonly string[]): void => {
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -10,13 +10,19 @@
   type RunningProcess,
   now,
 } from "@cardamomglade/common";
+import type { RoutingStrategy } from "@cardamomglade/decisions";
 import {
   LogLevel,
+  RoutingStrategyName,
   type ListenAddress,
   type Settings,
 } from "@cardamomglade/schema";
 import { KeyValueClient } from "@cardamomglade/platform";
-import { EngineClient, ServiceClient } from "@cardamomglade/upstream";
+import {
+  CacheEventClient,
+  EngineClient,
+  ServiceClient,
+} from "@cardamomglade/upstream";
 import { serveAdministration } from "./administration/serveAdministration.js";
 import { createHealthRoutes } from "./administration/healthRoutes.js";
 import { createMetricsRoute } from "./administration/metricsRoute.js";
@@ -27,6 +33,7 @@
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLeaseDriver } from "./drivers/leaseDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
+import { createLoadDriver } from "./drivers/loadDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
 import { createProcessClock } from "./drivers/processClock.js";
@@ -54,6 +61,12 @@
 const drainPollMs = 50;
 const connectTimeoutMs = 400;
 
+const strategies: Readonly<Record<RoutingStrategyName, RoutingStrategy>> = {
+  [RoutingStrategyName.Balanced]: { type: "balanced" },
+  [RoutingStrategyName.RoundRobin]: { type: "roundRobin" },
+  [RoutingStrategyName.LeastInFlight]: { type: "leastInFlight" },
+};
+
 const startListening = (
   server: Server,
   { address, port, tls }: ListenAddress,
@@ -106,7 +119,10 @@
     connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
-  const initial = createRouterState(settings.router, settings.ledger);
+  const initial = createRouterState(settings.router, {
+    ...settings.ledger,
+    strategy: strategies[settings.routing.strategy],
+  });
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
@@ -132,16 +148,18 @@
   const clock = createProcessClock(settings.router.name);
   const timeline = createTimelineDriver(settings.router.name, clock);
   const peers = await createPeerDriver(settings, view, clock);
+  const engines = EngineClient.create(connectUpstream);
   const drivers = [
     callers,
     peers,
     timeline,
     createLogDriver(log),
-    createEngineDriver(EngineClient.create(connectUpstream)),
+    createEngineDriver(engines),
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
     createLeaseDriver(keyValue, prefix),
     createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
+    createLoadDriver(engines, CacheEventClient.create(connectUpstream), view),
     createTickDriver(),
     {
       events: control.stream,
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -1,10 +1,11 @@
 /** The router's decision: one action an event type. */
 
-import { assertNever } from "@cardamomglade/common";
+import { assertNever, hash32 } from "@cardamomglade/common";
 import {
   createConfig,
   createMembership,
   createRouting,
+  type RoutingStrategy,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { claimResolved } from "./actions/claimResolved.js";
@@ -13,6 +14,12 @@
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
+import {
+  cacheEventsRead,
+  loadRead,
+  observeCommands,
+  observeEvent,
+} from "./actions/loadEvents.js";
 import { addressesBound } from "./actions/memberEvents.js";
 import {
   peerLinked,
@@ -39,18 +46,19 @@
 /** What settings give to a router's state. */
 export interface RouterStateOptions {
   readonly leaseTtlMs?: number;
+  readonly strategy?: RoutingStrategy;
 }
 
 /** State of a router that has just started. */
 export const createRouterState = (
   router: RouterIdentity,
-  { leaseTtlMs = defaultLeaseTtlMs }: RouterStateOptions = {},
+  { leaseTtlMs = defaultLeaseTtlMs, strategy }: RouterStateOptions = {},
 ): RouterState => ({
   router,
   draining: false,
   config: createConfig(),
   configMesh: createConfigMesh(),
-  routing: createRouting(),
+  routing: createRouting(strategy, hash32(router.name)),
   streams: new Map(),
   serviceCalls: new Map(),
   engines: new Map(),
@@ -61,8 +69,15 @@
   membership: createMembership(router),
 });
 
-/** Folds one event into the router's state. */
+/** Folds one event into the router's state; back ends are observed on the way. */
 export const decide = (state: RouterState, event: RouterEvent): RouterStep => {
+  observeEvent(state, event);
+  const step = act(state, event);
+  observeCommands(step);
+  return step;
+};
+
+const act = (state: RouterState, event: RouterEvent): RouterStep => {
   switch (event.type) {
     case "configurationRead":
       return configurationRead(state, event);
@@ -96,6 +111,10 @@
       return peerLost(state, event);
     case "peerMessageReceived":
       return peerMessageReceived(state, event);
+    case "loadRead":
+      return loadRead(state, event);
+    case "cacheEventsRead":
+      return cacheEventsRead(state, event);
     case "addressesBound":
       return addressesBound(state, event);
     case "timePassed":
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -10,12 +10,14 @@
   LeaseCall,
   LeaseEvent,
   LeaseState,
+  LoadNews,
   MembershipState,
   RecordedAnswer,
   RoutingState,
   StreamState,
 } from "@cardamomglade/decisions";
 import type {
+  CacheEvents,
   Deployment,
   EngineToken,
   FinishReason,
@@ -200,6 +202,18 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | {
+      readonly type: "loadRead";
+      readonly at: Moment;
+      readonly backEnd: string;
+      readonly news: LoadNews;
+    }
+  | {
+      readonly type: "cacheEventsRead";
+      readonly at: Moment;
+      readonly backEnd: string;
+      readonly read: CacheEvents;
+    }
   | {
       readonly type: "addressesBound";
       readonly at: Moment;
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -30,7 +30,11 @@
   Settings,
   TlsSettings,
 } from "./generated/settings.js";
-export { LogLevel, OperatorRight } from "./generated/settings.js";
+export {
+  LogLevel,
+  OperatorRight,
+  RoutingStrategyName,
+} from "./generated/settings.js";
 export type { TimelineEvent } from "./generated/timeline.js";
 export { TimelineTopic } from "./generated/timeline.js";
 export * from "../generated/validators.js";
--- a/stand-ins/src/engine/batcher.ts
+++ b/stand-ins/src/engine/batcher.ts
@@ -1,9 +1,10 @@
 /** Continuous batching: each step makes one token for every running generation. */
 
+import { prefixBlocks } from "@cardamomglade/common";
 import type { EngineToken } from "@cardamomglade/schema";
 import type { Faults } from "../faults.js";
 import { extendDigest, makeToken, seedDigest } from "./makeToken.js";
-import { prefixBlocks, PrefixCache } from "./prefixCache.js";
+import { PrefixCache } from "./prefixCache.js";
 import type {
   EngineLedgerEntry,
   EngineOptions,
--- a/stand-ins/src/engine/prefixCache.ts
+++ b/stand-ins/src/engine/prefixCache.ts
@@ -1,22 +1,9 @@
 /** Bounded cache of prompt prefix blocks, least recently used out first. */
 
-import { hash64 } from "@cardamomglade/common";
 import { CacheEventType, type CacheEvent } from "@cardamomglade/schema";
 
-const blockChars = 256;
 const keptEvents = 4096;
 
-/** Hashes of a prompt's prefix blocks; each covers all text before it. */
-export const prefixBlocks = (model: string, prompt: string): string[] => {
-  const blocks: string[] = [];
-  let chained = model;
-  for (let at = 0; at < prompt.length; at += blockChars) {
-    chained = hash64(`${chained}\n${prompt.slice(at, at + blockChars)}`);
-    blocks.push(chained);
-  }
-  return blocks;
-};
-
 /** The cache and its events. */
 export class PrefixCache {
   private readonly blocks = new Set<string>();
