--- a/packages/router/src/actions/memberEvents.ts
+++ b/packages/router/src/actions/memberEvents.ts
@@ -1,6 +1,7 @@
 /** Drives membership and turns its commands into the router's. */
 
-import { assertNever, type Moment } from "@cardamomglade/common";
+import type { Moment } from "@cardamomglade/common";
+import { assertNever } from "@cardamomglade/common";
 import {
   decideMembership,
   type MembershipCommand,
@@ -58,10 +59,8 @@
     administrationUrl,
   });
 
-/** Sends heartbeats and looks at silent routers. */
-export const tendMembership = (state: RouterState, at: Moment): RouterStep =>
-  stepMembership(state, {
-    type: "timePassed",
-    at,
-    heartbeat: { revision: state.config.revision, demand: [] },
-  });
+/** Tells membership the time. */
+export const tendMembership = (state: RouterState, at: Moment): RouterStep => {
+  const heartbeat = { revision: state.config.revision, demand: [] };
+  return stepMembership(state, { type: "timePassed", at, heartbeat });
+};
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -1,8 +1,7 @@
 /** Events of the mesh between routers. */
 
-import { assertNever, type Moment } from "@cardamomglade/common";
-import type { Gossip } from "@cardamomglade/schema";
-import type { RouterState } from "../types.js";
+import { assertNever } from "@cardamomglade/common";
+import { chainSteps } from "./chainSteps.js";
 import {
   askLinkedPeer,
   configOfferReceived,
@@ -11,17 +10,18 @@
   hearConfigGossip,
 } from "./configurationPeers.js";
 import { stepMembership } from "./memberEvents.js";
-import type { Action, RouterStep } from "./types.js";
+import type { Action } from "./types.js";
 
 /** A link to another router opened. */
 export const peerLinked: Action<"peerLinked"> = (state, { at, peer }) => {
   const linkedPeers = new Set([...state.linkedPeers, peer]);
-  const asked = askLinkedPeer(state, peer);
-  const step = stepMembership(
-    { ...state, linkedPeers },
-    { type: "linked", at, peer },
-  );
-  return { state: step.state, commands: [...asked, ...step.commands] };
+  return chainSteps({ ...state, linkedPeers }, [
+    (current) => stepMembership(current, { type: "linked", at, peer }),
+    (current) => ({
+      state: current,
+      commands: askLinkedPeer(current, peer),
+    }),
+  ]);
 };
 
 /** A link to another router closed. */
@@ -34,26 +34,6 @@
   );
 };
 
-interface HeardGossip {
-  readonly at: Moment;
-  readonly peer: string;
-  readonly gossip: Gossip;
-}
-
-const gossipReceived = (
-  state: RouterState,
-  { at, peer, gossip }: HeardGossip,
-): RouterStep => {
-  const config = hearConfigGossip(state, peer, gossip);
-  const step = stepMembership(state, {
-    type: "gossipReceived",
-    at,
-    peer,
-    gossip,
-  });
-  return { state: step.state, commands: [...config, ...step.commands] };
-};
-
 /** Another router sent a message; each type has an action of its own. */
 export const peerMessageReceived: Action<"peerMessageReceived"> = (
   state,
@@ -61,7 +41,19 @@
 ) => {
   switch (message.type) {
     case "gossip":
-      return gossipReceived(state, { at, peer, gossip: message });
+      return chainSteps(state, [
+        (current) =>
+          stepMembership(current, {
+            type: "gossipReceived",
+            at,
+            peer,
+            gossip: message,
+          }),
+        (current) => ({
+          state: current,
+          commands: hearConfigGossip(current, peer, message),
+        }),
+      ]);
     case "configRequest":
       return configRequestReceived(state, peer, message);
     case "configOffer":
