Admit by fair shares, shared limits and budgets of retries

Every request was started at once and every lost attempt retried. Requests now start where a back end has a slot, the customer is below its limits and nobody who waits is before it; else they wait in a bounded queue, in order of work had by weight and class, at most 0.8 s (batch 5 s), or are refused at once with Retry-After and ran "no". Fleet-wide limits on concurrent requests and tokens a second are divided by demand told on heartbeats. Retries of new work draw on a tenth of first attempts, per customer and per back end; streams with delivered tokens always go on but put the budgets into debt.

Tests on a virtual clock: bursts, weights, classes, refusals, queue bounds, 400 random schedules in which every request ends once; eight routers overshoot a limit of 100 by at most one each, halves of a partition at most twofold, 300 random storms of retries stay within a tenth, the first credit and time's.

--- /dev/null
+++ b/packages/decisions/src/admission/admission.test.ts
@@ -0,0 +1,181 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { Priority } from "@cardamomglade/schema";
+import {
+  admit,
+  createAdmission,
+  endRequest,
+  leaveQueue,
+  Refusal,
+  refuseLate,
+  startNext,
+  type AdmissionRequest,
+  type Capacity,
+} from "./index.js";
+
+let serial = 0;
+
+const request = (
+  customer: string,
+  options: Partial<AdmissionRequest> = {},
+): AdmissionRequest => {
+  serial += 1;
+  return {
+    requestId: `q${String(serial)}`,
+    customer,
+    deployment: "d",
+    priority: Priority.Standard,
+    weight: 1,
+    tokens: 100,
+    chars: 10,
+    deadline: 1e9,
+    ...options,
+  };
+};
+
+const open: Capacity = {
+  isAllowed: () => true,
+  hasRoom: () => true,
+  startsPerSecond: () => 100,
+};
+const full: Capacity = { ...open, hasRoom: () => false };
+
+const startedCustomers = (
+  state: ReturnType<typeof createAdmission>,
+  count: number,
+): string[] =>
+  Array.from({ length: count }, () => startNext(state, open)?.customer ?? "");
+
+test("a burst of one customer does not hold back a small one", () => {
+  const state = createAdmission();
+  for (let index = 0; index < 50; index += 1)
+    admit(state, request("large"), full, 0);
+  admit(state, request("small"), full, 0);
+  assert.ok(startedCustomers(state, 3).includes("small"));
+});
+
+test("starts follow the weights of customers that wait", () => {
+  const state = createAdmission();
+  for (let index = 0; index < 40; index += 1) {
+    admit(state, request("one"), full, 0);
+    admit(state, request("three", { weight: 3 }), full, 0);
+  }
+  const started = startedCustomers(state, 40);
+  const three = started.filter((customer) => customer === "three").length;
+  assert.ok(three >= 28 && three <= 32, String(three));
+});
+
+test("interactive work goes before batch, which still gets its part", () => {
+  const state = createAdmission();
+  for (let index = 0; index < 60; index += 1) {
+    admit(state, request("batch", { priority: Priority.Batch }), full, 0);
+    admit(state, request("owner", { priority: Priority.Interactive }), full, 0);
+  }
+  const started = startedCustomers(state, 51);
+  const batch = started.filter((customer) => customer === "batch").length;
+  assert.ok(batch >= 2 && batch <= 5, String(batch));
+});
+
+test("a request that cannot start in time is refused at once with a time to retry", () => {
+  const state = createAdmission();
+  const slow: Capacity = { ...full, startsPerSecond: () => 0.5 };
+  assert.deepEqual(admit(state, request("a"), slow, 0), {
+    type: "refuse",
+    refusal: Refusal.Capacity,
+    retryAfterS: 2,
+  });
+  const limited: Capacity = { ...slow, isAllowed: () => false };
+  const verdict = admit(state, request("a"), limited, 0);
+  assert.equal(verdict.type === "refuse" && verdict.refusal, Refusal.Limit);
+  const soon = { ...full, startsPerSecond: () => 10 };
+  const hasNoTime = request("a", { deadline: 50 });
+  assert.equal(admit(state, hasNoTime, soon, 0).type, "refuse");
+  assert.equal(admit(state, request("a"), soon, 0).type, "wait");
+});
+
+test("who waited too long is refused, who left is forgotten", () => {
+  const state = createAdmission();
+  const late = request("a");
+  const left = request("a");
+  admit(state, late, full, 0);
+  admit(state, left, full, 0);
+  assert.equal(leaveQueue(state, left.requestId), true);
+  assert.equal(leaveQueue(state, left.requestId), false);
+  assert.deepEqual(refuseLate(state, full, 799), []);
+  const refused = refuseLate(state, full, 800);
+  assert.deepEqual(
+    refused.map(({ requestId }) => requestId),
+    [late.requestId],
+  );
+  assert.equal(state.waiting, 0);
+  assert.equal(state.lines.size, 0);
+});
+
+test("a customer at its limit holds nobody else back", () => {
+  const state = createAdmission();
+  const onlyB: Capacity = { ...open, isAllowed: (name) => name === "b" };
+  assert.equal(admit(state, request("a"), onlyB, 0).type, "wait");
+  assert.equal(admit(state, request("b"), onlyB, 0).type, "start");
+});
+
+test("the queue is bounded in requests and in size", () => {
+  const state = createAdmission();
+  const quick: Capacity = { ...full, startsPerSecond: () => 1e6 };
+  const huge = request("a", { chars: 17 * 1024 * 1024 });
+  const verdict = admit(state, huge, quick, 0);
+  assert.equal(verdict.type === "refuse" && verdict.refusal, Refusal.QueueFull);
+  for (let index = 0; index < 3000; index += 1)
+    admit(state, request("a"), quick, 0);
+  assert.equal(state.waiting, 2000);
+});
+
+test("every request ends once: started, refused, left or still waiting", () => {
+  const customers = fc.constantFrom("a", "b", "c");
+  const step = fc.oneof(
+    fc.record({
+      type: fc.constant("arrive" as const),
+      customer: customers,
+      hasRoom: fc.boolean(),
+    }),
+    fc.record({ type: fc.constant("free" as const) }),
+    fc.record({ type: fc.constant("wait" as const), ms: fc.nat(900) }),
+    fc.record({ type: fc.constant("leave" as const), index: fc.nat(30) }),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
+      const state = createAdmission();
+      const asked: string[] = [];
+      const ended = new Map<string, number>();
+      const end = (id: string) => ended.set(id, (ended.get(id) ?? 0) + 1);
+      let at = 0;
+      for (const one of steps) {
+        if (one.type === "wait") at += one.ms;
+        if (one.type === "arrive") {
+          const arrived = request(one.customer);
+          asked.push(arrived.requestId);
+          const capacity = one.hasRoom ? open : full;
+          if (admit(state, arrived, capacity, at).type !== "wait")
+            end(arrived.requestId);
+        }
+        if (one.type === "free") {
+          const started = startNext(state, open);
+          if (started !== undefined) end(started.requestId);
+        }
+        if (one.type === "leave") {
+          const id = asked[one.index] ?? "";
+          if (leaveQueue(state, id)) end(id);
+          endRequest(state, id);
+        }
+        for (const { requestId } of refuseLate(state, full, at)) end(requestId);
+      }
+      const waiting = [...state.lines.values()].flatMap(
+        ({ requests }) => requests,
+      );
+      assert.equal(waiting.length, state.waiting);
+      assert.equal(ended.size + waiting.length, asked.length);
+      assert.ok([...ended.values()].every((count) => count === 1));
+    }),
+    { seed: 5, numRuns: 400 },
+  );
+});
--- a/packages/decisions/src/config/applyConfig.ts
+++ b/packages/decisions/src/config/applyConfig.ts
@@ -40,6 +40,9 @@
     revision,
     intent,
     accepted,
+    customers: new Map(
+      intent.customers.map((customer) => [customer.name, customer]),
+    ),
     customersByKeyHash: new Map(
       intent.customers.flatMap((customer) =>
         customer.keyHashes.map((hash) => [hash, customer] as const),
--- a/packages/decisions/src/config/types.ts
+++ b/packages/decisions/src/config/types.ts
@@ -32,6 +32,7 @@
   readonly revision: number;
   readonly intent: Intent;
   readonly accepted: AcceptedConfig;
+  readonly customers: ReadonlyMap<string, Customer>;
   readonly customersByKeyHash: ReadonlyMap<string, Customer>;
   readonly backEnds: ReadonlyMap<string, BackEnd>;
   readonly services: ReadonlyMap<string, Service>;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,10 +1,12 @@
 /** Pure decisions, each usable by itself. */
 
+export * from "./admission/index.js";
 export * from "./config/index.js";
 export * from "./intent/index.js";
 export * from "./lease/index.js";
 export * from "./placement/index.js";
 export * from "./ledger/index.js";
+export * from "./limits/index.js";
 export * from "./membership/index.js";
 export * from "./recovery/index.js";
 export * from "./routing/index.js";
--- /dev/null
+++ b/packages/decisions/src/limits/limits.test.ts
@@ -0,0 +1,165 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  allowanceOf,
+  createLimits,
+  createRetryBudgets,
+  demandOf,
+  earnRetry,
+  fillBalance,
+  forgetDemand,
+  hearDemand,
+  refillRetries,
+  takeRetry,
+  tendLimits,
+  useOf,
+  type LimitsState,
+} from "./index.js";
+
+const limits = { concurrent: 100, tokensPerSecond: 1000 };
+const roundMs = 1000;
+
+interface Fleet {
+  readonly routers: LimitsState[];
+  at: number;
+}
+
+const createFleet = (count: number): Fleet => ({
+  routers: Array.from({ length: count }, () => createLimits()),
+  at: 1000,
+});
+
+const exchange = (
+  { routers, at }: Fleet,
+  canTalk: (a: number, b: number) => boolean = () => true,
+) => {
+  const told = routers.map(demandOf);
+  routers.forEach((router, here) => {
+    told.forEach((demand, there) => {
+      if (here === there) return;
+      if (canTalk(here, there)) hearDemand(router, String(there), demand, at);
+      else forgetDemand(router, String(there));
+    });
+    tendLimits(router, at);
+  });
+};
+
+/** Each router takes all that its share gives, up to what its callers want. */
+const fill = (fleet: Fleet, wants: readonly number[], present: number) => {
+  fleet.routers.forEach((router, index) => {
+    const use = useOf(router, "c");
+    const want = wants[index] ?? 0;
+    const { concurrent } = allowanceOf(router, "c", limits, present, fleet.at);
+    const allowed = Math.floor(concurrent);
+    use.inFlight = Math.min(want, Math.max(use.inFlight, allowed));
+    if (use.inFlight > allowed) use.inFlight = allowed;
+    use.waiting = want - use.inFlight;
+  });
+};
+
+const total = ({ routers }: Fleet) =>
+  routers.reduce((sum, router) => sum + useOf(router, "c").inFlight, 0);
+
+test("a limit is divided by demand and is not overshot by more than one a router", () => {
+  const fleet = createFleet(8);
+  let most = 0;
+  for (let round = 0; round < 40; round += 1) {
+    fill(fleet, [100, 100, 0, 0, 0, 0, 0, 20], 8);
+    most = Math.max(most, total(fleet));
+    exchange(fleet);
+    fleet.at += roundMs;
+  }
+  assert.ok(most <= limits.concurrent + 8, String(most));
+  assert.ok(total(fleet) >= 0.9 * limits.concurrent, String(total(fleet)));
+});
+
+test("halves of a partition overshoot at most twofold, and not after it", () => {
+  const fleet = createFleet(6);
+  const wants = [50, 50, 50, 50, 50, 50];
+  for (let round = 0; round < 10; round += 1) {
+    fill(fleet, wants, 6);
+    exchange(fleet);
+    fleet.at += roundMs;
+  }
+  const isSameHalf = (a: number, b: number) => a < 3 === b < 3;
+  let most = 0;
+  for (let round = 0; round < 20; round += 1) {
+    fill(fleet, wants, 3);
+    most = Math.max(most, total(fleet));
+    exchange(fleet, isSameHalf);
+    fleet.at += roundMs;
+  }
+  assert.ok(most <= 2 * limits.concurrent + 6, String(most));
+  for (let round = 0; round < 5; round += 1) {
+    exchange(fleet);
+    fleet.at += roundMs;
+    fill(fleet, wants, 6);
+  }
+  assert.ok(total(fleet) <= limits.concurrent + 6, String(total(fleet)));
+});
+
+test("a router that heard nobody takes its equal part only", () => {
+  const router = createLimits();
+  useOf(router, "c").waiting = 80;
+  const { concurrent } = allowanceOf(router, "c", limits, 10, 0);
+  assert.equal(concurrent, 10);
+});
+
+test("old demand is forgotten, idle customers too", () => {
+  const router = createLimits();
+  const demand = { customer: "c", inFlight: 95, tokensPerSecond: 0 };
+  hearDemand(router, "p", [demand], 0);
+  assert.ok(allowanceOf(router, "c", limits, 2, 1000).concurrent < 5);
+  assert.equal(allowanceOf(router, "c", limits, 2, 60_000).concurrent, 50);
+  tendLimits(router, 60_000);
+  assert.equal(router.customers.size, 0);
+});
+
+test("a balance fills at the rate up to two seconds of it and can be overdrawn once", () => {
+  const use = useOf(createLimits(), "c");
+  fillBalance(use, 100, 0);
+  assert.equal(use.balance, 200);
+  use.balance -= 500;
+  fillBalance(use, 100, 1000);
+  assert.equal(use.balance, -200);
+  fillBalance(use, 100, 60_000);
+  assert.equal(use.balance, 200);
+});
+
+test("in any storm retries of new work stay within a tenth, the first credit and the time's", () => {
+  const step = fc.oneof(
+    { weight: 5, arbitrary: fc.constant("first" as const) },
+    { weight: 10, arbitrary: fc.constant("retry" as const) },
+    { weight: 2, arbitrary: fc.constant("resume" as const) },
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 800 }), (steps) => {
+      const budgets = createRetryBudgets();
+      const attempt = { customer: "c", backEnd: "e", accepted: 0 };
+      let first = 0;
+      let retries = 0;
+      for (const one of steps) {
+        if (one === "first") {
+          first += 1;
+          earnRetry(budgets, attempt);
+        } else if (one === "retry") {
+          if (takeRetry(budgets, attempt)) retries += 1;
+        } else {
+          const resumed = takeRetry(budgets, { ...attempt, accepted: 7 });
+          assert.equal(resumed, true, "a stream with tokens goes on");
+        }
+      }
+      assert.ok(retries <= 10 + first * 0.1 + 1e-6);
+    }),
+    { seed: 3, numRuns: 300 },
+  );
+});
+
+test("credit comes back with time", () => {
+  const budgets = createRetryBudgets();
+  const attempt = { customer: "c", backEnd: "e", accepted: 0 };
+  while (takeRetry(budgets, attempt));
+  refillRetries(budgets, 10_000);
+  assert.equal(takeRetry(budgets, attempt), true);
+});
--- a/packages/decisions/src/membership/decideMembership.ts
+++ b/packages/decisions/src/membership/decideMembership.ts
@@ -95,7 +95,10 @@
     const onBehalfOf = { router: peer, probe: gossip.probe };
     return [sendProbe(state, gossip.relayTo, at, onBehalfOf)];
   }
-  const message = composeGossip(state, { ack: gossip.probe });
+  const message = composeGossip(state, {
+    ack: gossip.probe,
+    withDemand: true,
+  });
   return [{ type: "send", peer, message }];
 };
 
--- a/packages/decisions/src/membership/probes.ts
+++ b/packages/decisions/src/membership/probes.ts
@@ -105,7 +105,7 @@
     member.roundTripMs += smoothing * (at - probe.sentAt - member.roundTripMs);
   if (probe.onBehalfOf === undefined) return [];
   const { router, probe: ack } = probe.onBehalfOf;
-  const message = composeGossip(state, { ack });
+  const message = composeGossip(state, { ack, withDemand: true });
   return [{ type: "send", peer: router, message }];
 };
 
--- /dev/null
+++ b/packages/router/src/actions/admission.ts
@@ -0,0 +1,217 @@
+/** Admission of generations: started, queued or refused before an upstream is touched. */
+
+import { assertNever, type Moment } from "@cardamomglade/common";
+import {
+  admit,
+  endRequest,
+  leaveQueue,
+  Refusal,
+  refuseLate,
+  startNext,
+  useOf,
+  type AdmissionRequest,
+} from "@cardamomglade/decisions";
+import { TimelineTopic, type Deployment } from "@cardamomglade/schema";
+import { ErrorType, notRun, type ApiError } from "../errors.js";
+import type {
+  GenerationRequest,
+  RouterCommand,
+  RouterEvent,
+  RouterState,
+  WaitingGeneration,
+} from "../types.js";
+import { capacityOf } from "./admissionCapacity.js";
+import type { RouterStep } from "./types.js";
+
+/** Starts an admitted generation. */
+export type StartGeneration = (
+  state: RouterState,
+  waiting: WaitingGeneration,
+  at: Moment,
+) => RouterStep;
+
+const requestOf = (
+  state: RouterState,
+  request: GenerationRequest,
+  deployment: Deployment,
+): AdmissionRequest => {
+  const { requestId, customer, priority, maxTokens, prompt, deadline } =
+    request;
+  const weight = state.config.customers.get(customer)?.weight ?? 1;
+  return {
+    requestId,
+    customer,
+    deployment: deployment.name,
+    priority,
+    weight,
+    tokens: maxTokens,
+    chars: prompt.length,
+    deadline,
+  };
+};
+
+const messages: Readonly<Record<Refusal, string>> = {
+  [Refusal.Limit]: "the customer's limit is reached",
+  [Refusal.Capacity]: "no back end has a free slot in time",
+  [Refusal.QueueFull]: "the queue of waiting requests is full",
+};
+
+const errorOf = (refusal: Refusal, retryAfterS: number): ApiError => {
+  const type =
+    refusal === Refusal.Limit ? ErrorType.Overloaded : ErrorType.NoCapacity;
+  return { ...notRun(type, messages[refusal]), retryAfterS };
+};
+
+const refuse = (
+  requestId: string,
+  customer: string,
+  refusal: Refusal,
+  retryAfterS: number,
+): RouterCommand[] => [
+  { type: "failAnswer", requestId, error: errorOf(refusal, retryAfterS) },
+  {
+    type: "record",
+    event: {
+      topic: TimelineTopic.Limit,
+      name: "refused",
+      request: requestId,
+      customer,
+      detail: refusal,
+    },
+  },
+];
+
+/** Counts a start against the customer's limits. */
+const countStart = (
+  state: RouterState,
+  { customer, maxTokens }: GenerationRequest,
+): void => {
+  const use = useOf(state.limits, customer);
+  use.inFlight += 1;
+  use.balance -= maxTokens;
+  use.tokensOrdered += maxTokens;
+};
+
+/** A step where the generation waits or is refused; undefined where it starts now. */
+export const admitGeneration = (
+  state: RouterState,
+  { request, deployment }: WaitingGeneration,
+  at: Moment,
+): RouterStep | undefined => {
+  const { requestId, customer } = request;
+  const asked = requestOf(state, request, deployment);
+  const verdict = admit(state.admission, asked, capacityOf(state, at), at);
+  switch (verdict.type) {
+    case "start":
+      countStart(state, request);
+      return undefined;
+    case "wait":
+      useOf(state.limits, customer).waiting += 1;
+      state.waiting.set(requestId, { request, deployment });
+      return { state, commands: [] };
+    case "refuse": {
+      const { refusal, retryAfterS } = verdict;
+      const commands = refuse(requestId, customer, refusal, retryAfterS);
+      return { state, commands };
+    }
+    default:
+      return assertNever(verdict);
+  }
+};
+
+const takeWaiting = (
+  state: RouterState,
+  requestId: string,
+): WaitingGeneration | undefined => {
+  const waiting = state.waiting.get(requestId);
+  if (waiting === undefined) return undefined;
+  state.waiting.delete(requestId);
+  useOf(state.limits, waiting.request.customer).waiting -= 1;
+  return waiting;
+};
+
+/** A request is over: its slot is free, tokens that it did not use are given back. */
+const settle = (
+  state: RouterState,
+  requestId: string,
+  usedTokens: number,
+): boolean => {
+  const admitted = endRequest(state.admission, requestId);
+  if (admitted === undefined) return false;
+  const use = useOf(state.limits, admitted.customer);
+  use.inFlight = Math.max(0, use.inFlight - 1);
+  use.balance += Math.max(0, admitted.tokens - usedTokens);
+  return true;
+};
+
+const settleCommands = (
+  state: RouterState,
+  commands: readonly RouterCommand[],
+): boolean => {
+  let hasEnded = false;
+  for (const command of commands) {
+    if (command.type === "finishAnswer")
+      hasEnded =
+        settle(state, command.requestId, command.completionTokens) || hasEnded;
+    if (command.type === "failAnswer")
+      hasEnded = settle(state, command.requestId, Infinity) || hasEnded;
+  }
+  return hasEnded;
+};
+
+const callerLeft = (state: RouterState, requestId: string): boolean => {
+  if (leaveQueue(state.admission, requestId)) takeWaiting(state, requestId);
+  return settle(state, requestId, Infinity);
+};
+
+const refuseWaiting = (state: RouterState, at: Moment): RouterCommand[] =>
+  refuseLate(state.admission, capacityOf(state, at), at).flatMap(
+    ({ requestId, refusal, retryAfterS }) => {
+      const customer = takeWaiting(state, requestId)?.request.customer ?? "";
+      return refuse(requestId, customer, refusal, retryAfterS);
+    },
+  );
+
+const startWaiting = (
+  state: RouterState,
+  at: Moment,
+  start: StartGeneration,
+): RouterStep => {
+  let current = state;
+  const commands: RouterCommand[] = [];
+  for (;;) {
+    if (current.admission.waiting === 0) return { state: current, commands };
+    const next = startNext(current.admission, capacityOf(current, at));
+    const waiting =
+      next === undefined ? undefined : takeWaiting(current, next.requestId);
+    if (waiting === undefined) return { state: current, commands };
+    countStart(current, waiting.request);
+    const step = start(current, waiting, at);
+    current = step.state;
+    commands.push(...step.commands);
+  }
+};
+
+const mayFreeRoom = ({ type }: RouterEvent): boolean =>
+  type === "timePassed" || type === "loadRead";
+
+/** Frees what ended with a step and starts who waited for it. */
+export const tendAdmission = (
+  { state, commands }: RouterStep,
+  event: RouterEvent,
+  start: StartGeneration,
+): RouterStep => {
+  const { at } = event;
+  let isFreed = settleCommands(state, commands);
+  if (event.type === "callerLeft")
+    isFreed = callerLeft(state, event.requestId) || isFreed;
+  if (state.admission.waiting === 0) return { state, commands };
+  if (!isFreed && !mayFreeRoom(event)) return { state, commands };
+  const refused = event.type === "timePassed" ? refuseWaiting(state, at) : [];
+  const started = startWaiting(state, at, start);
+  settleCommands(started.state, started.commands);
+  return {
+    state: started.state,
+    commands: [...commands, ...refused, ...started.commands],
+  };
+};
--- /dev/null
+++ b/packages/router/src/actions/admissionCapacity.ts
@@ -0,0 +1,105 @@
+/** What limits the customers and deployments of this router just now. */
+
+import type { Moment } from "@cardamomglade/common";
+import {
+  allowanceOf,
+  countPresent,
+  eligibleOf,
+  fillBalance,
+  loadOf,
+  rampOf,
+  useOf,
+  viewOf,
+  type Capacity,
+} from "@cardamomglade/decisions";
+import type { BackEnd, Deployment } from "@cardamomglade/schema";
+import type { RouterState } from "../types.js";
+import { candidatesOf } from "./candidatesOf.js";
+
+const findDeployment = (
+  state: RouterState,
+  name: string,
+): Deployment | undefined =>
+  state.config.intent.deployments.find((one) => one.name === name);
+
+const eligibleFor = (state: RouterState, name: string): BackEnd[] => {
+  const deployment = findDeployment(state, name);
+  if (deployment === undefined) return [];
+  const { model, version, adapter, backEnds } = deployment;
+  const { zone, region } = state.router;
+  const loaded = {
+    model,
+    version,
+    ...(adapter === undefined ? {} : { adapter }),
+  };
+  const candidates = candidatesOf(state.config, backEnds);
+  const query = { candidates, avoid: [], zone, region, prompt: "", loaded };
+  return eligibleOf(state.routing, query);
+};
+
+const slotsOf = (state: RouterState, { name, slots }: BackEnd): number =>
+  Math.max(1, slots * rampOf(viewOf(state.routing, name), state.routing.at));
+
+/** This router's part of the work at some back ends, at least an equal one. */
+const ownPart = (
+  state: RouterState,
+  backEnds: readonly BackEnd[],
+  routers: number,
+): number => {
+  let own = 0;
+  let all = 0;
+  for (const backEnd of backEnds) {
+    own += viewOf(state.routing, backEnd.name).own;
+    all += loadOf(state.routing, backEnd);
+  }
+  return Math.max(1 / routers, all === 0 ? 0 : own / all);
+};
+
+const isAllowed = (
+  state: RouterState,
+  name: string,
+  routers: number,
+  at: Moment,
+): boolean => {
+  const customer = state.config.customers.get(name);
+  // The caller was authenticated before a newer configuration dropped it.
+  if (customer === undefined) return true;
+  const { limits } = customer;
+  const allowance = allowanceOf(state.limits, name, limits, routers, at);
+  const use = useOf(state.limits, name);
+  fillBalance(use, allowance.tokensPerSecond, at);
+  return use.inFlight + 1 <= allowance.concurrent && use.balance > 0;
+};
+
+/** Capacity as this router sees it; each question is worked out once. */
+export const capacityOf = (state: RouterState, at: Moment): Capacity => {
+  const routers = Math.max(1, countPresent(state.membership));
+  const eligible = new Map<string, BackEnd[]>();
+  const allowed = new Map<string, boolean>();
+  const backEndsOf = (deployment: string): BackEnd[] => {
+    const known = eligible.get(deployment);
+    if (known !== undefined) return known;
+    const found = eligibleFor(state, deployment);
+    eligible.set(deployment, found);
+    return found;
+  };
+  return {
+    isAllowed: (customer) => {
+      const known = allowed.get(customer);
+      if (known !== undefined) return known;
+      const answer = isAllowed(state, customer, routers, at);
+      allowed.set(customer, answer);
+      return answer;
+    },
+    hasRoom: (deployment) =>
+      backEndsOf(deployment).some(
+        (one) => loadOf(state.routing, one) + 1 <= slotsOf(state, one),
+      ),
+    startsPerSecond: (deployment) => {
+      const backEnds = backEndsOf(deployment);
+      const slots = backEnds.reduce((sum, one) => sum + one.slots, 0);
+      const perSecond = (slots / state.routing.attemptMs) * 1000;
+      return perSecond * ownPart(state, backEnds, routers);
+    },
+  };
+};
--- a/packages/router/src/actions/generationArrived.ts
+++ b/packages/router/src/actions/generationArrived.ts
@@ -4,6 +4,7 @@
 import { TimelineTopic, type Deployment } from "@cardamomglade/schema";
 import { ErrorType, notRun, type ApiError } from "../errors.js";
 import type { GenerationRequest, RouterState, StreamEntry } from "../types.js";
+import { admitGeneration, type StartGeneration } from "./admission.js";
 import { startStream } from "./stepStream.js";
 import type { Action, RouterStep } from "./types.js";
 
@@ -24,12 +25,12 @@
   commands: [{ type: "failAnswer", requestId, error }],
 });
 
-/** Starts a stream, or refuses without touching an upstream. */
+/** Starts a stream, lets it wait, or refuses without touching an upstream. */
 export const generationArrived: Action<"generationArrived"> = (
   state,
   { request, at },
 ) => {
-  const { requestId, model, deadline, customer } = request;
+  const { requestId, model, customer } = request;
   if (state.draining) {
     return refuse(
       state,
@@ -48,6 +49,20 @@
       ),
     );
   }
+  const generation = { request, deployment };
+  return (
+    admitGeneration(state, generation, at) ??
+    startGeneration(state, generation, at)
+  );
+};
+
+/** Starts the stream of an admitted generation. */
+export const startGeneration: StartGeneration = (
+  state,
+  { request, deployment },
+  at,
+) => {
+  const { requestId, deadline, customer } = request;
   const started = createStream({
     requestId,
     policy: deployment.recovery,
--- a/packages/router/src/actions/memberEvents.ts
+++ b/packages/router/src/actions/memberEvents.ts
@@ -1,9 +1,12 @@
 /** Drives membership and turns its commands into the router's. */
 
-import type { Moment } from "@cardamomglade/common";
-import { assertNever } from "@cardamomglade/common";
+import { assertNever, type Moment } from "@cardamomglade/common";
 import {
   decideMembership,
+  demandOf,
+  limitPeriodMs,
+  refillRetries,
+  tendLimits,
   type MembershipCommand,
   type MembershipEvent,
 } from "@cardamomglade/decisions";
@@ -59,8 +62,12 @@
     administrationUrl,
   });
 
-/** Tells membership the time. */
+/** Tells membership the time, with the demand that the heartbeats carry. */
 export const tendMembership = (state: RouterState, at: Moment): RouterStep => {
-  const heartbeat = { revision: state.config.revision, demand: [] };
+  const { limits, retryBudgets, config } = state;
+  if (at >= limits.periodEndsAt) refillRetries(retryBudgets, limitPeriodMs);
+  tendLimits(limits, at);
+  const demand = demandOf(limits);
+  const heartbeat = { revision: config.revision, demand };
   return stepMembership(state, { type: "timePassed", at, heartbeat });
 };
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -1,6 +1,7 @@
 /** Events of the mesh between routers. */
 
 import { assertNever } from "@cardamomglade/common";
+import { forgetDemand, hearDemand } from "@cardamomglade/decisions";
 import { chainSteps } from "./chainSteps.js";
 import {
   askLinkedPeer,
@@ -27,6 +28,7 @@
 /** A link to another router closed. */
 export const peerLost: Action<"peerLost"> = (state, { at, peer }) => {
   forgetConfigPeer(state, peer);
+  forgetDemand(state.limits, peer);
   const left = [...state.linkedPeers].filter((other) => other !== peer);
   return stepMembership(
     { ...state, linkedPeers: new Set(left) },
@@ -41,6 +43,7 @@
 ) => {
   switch (message.type) {
     case "gossip":
+      hearDemand(state.limits, peer, message.demand, at);
       return chainSteps(state, [
         (current) =>
           stepMembership(current, {
--- a/packages/router/src/actions/stepStream.ts
+++ b/packages/router/src/actions/stepStream.ts
@@ -17,6 +17,7 @@
 } from "@cardamomglade/schema";
 import type { RouterCommand, RouterState, StreamEntry } from "../types.js";
 import { candidatesOf } from "./candidatesOf.js";
+import { mayAttempt } from "./retryBudget.js";
 import { streamError } from "./streamErrors.js";
 import type { RouterStep } from "./types.js";
 
@@ -60,6 +61,10 @@
     decide(work, { type: "noBackEnd", at });
     return;
   }
+  if (!mayAttempt(work.state, work.entry, backEnd.name)) {
+    decide(work, { type: "noBackEnd", at, isPaced: true });
+    return;
+  }
   decide(work, { type: "backEndAssigned", at, backEnd: backEnd.name });
 };
 
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -198,7 +198,10 @@
     administrationServer.closeAllConnections();
     await running.stop();
   };
-  const isBusy = () => view().streams.size > 0 || view().serviceCalls.size > 0;
+  const isBusy = () => {
+    const { streams, waiting, serviceCalls } = view();
+    return streams.size + waiting.size + serviceCalls.size > 0;
+  };
   const drain = async () => {
     const deadline = now() + settings.drain.graceMs;
     control.push({ type: "drainStarted", at: now() });
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -2,17 +2,24 @@
 
 import { assertNever, hash32 } from "@cardamomglade/common";
 import {
+  createAdmission,
   createConfig,
+  createLimits,
   createMembership,
+  createRetryBudgets,
   createRouting,
   type RoutingStrategy,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
+import { tendAdmission } from "./actions/admission.js";
 import { claimResolved } from "./actions/claimResolved.js";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainStarted } from "./actions/drainStarted.js";
-import { generationArrived } from "./actions/generationArrived.js";
+import {
+  generationArrived,
+  startGeneration,
+} from "./actions/generationArrived.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
 import {
   cacheEventsRead,
@@ -67,12 +74,16 @@
   leaseTtlMs,
   linkedPeers: new Set(),
   membership: createMembership(router),
+  admission: createAdmission(),
+  waiting: new Map(),
+  limits: createLimits(),
+  retryBudgets: createRetryBudgets(),
 });
 
 /** Folds one event into the router's state; back ends are observed on the way. */
 export const decide = (state: RouterState, event: RouterEvent): RouterStep => {
   observeEvent(state, event);
-  const step = act(state, event);
+  const step = tendAdmission(act(state, event), event, startGeneration);
   observeCommands(step);
   return step;
 };
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -3,6 +3,7 @@
 import type { Moment } from "@cardamomglade/common";
 import type {
   AcceptedConfig,
+  AdmissionState,
   AttemptFailure,
   ClaimOutcome,
   ConfigInForce,
@@ -10,9 +11,11 @@
   LeaseCall,
   LeaseEvent,
   LeaseState,
+  LimitsState,
   LoadNews,
   MembershipState,
   RecordedAnswer,
+  RetryBudgets,
   RoutingState,
   StreamState,
 } from "@cardamomglade/decisions";
@@ -45,6 +48,12 @@
   readonly deadline: Moment;
 }
 
+/** An admitted or waiting generation and the deployment that serves it. */
+export interface WaitingGeneration {
+  readonly request: GenerationRequest;
+  readonly deployment: Deployment;
+}
+
 /** One stream with what is needed to open further attempts; owned by the fold. */
 export interface StreamEntry {
   readonly request: GenerationRequest;
@@ -102,6 +111,11 @@
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
   readonly membership: MembershipState;
+  readonly admission: AdmissionState;
+  /** Generations that wait for a slot, by request. */
+  readonly waiting: Map<string, WaitingGeneration>;
+  readonly limits: LimitsState;
+  readonly retryBudgets: RetryBudgets;
 }
 
 /** What happens to the router process. */
