--- a/packages/decisions/src/membership/probes.ts
+++ b/packages/decisions/src/membership/probes.ts
@@ -69,7 +69,7 @@
     isRelayed: onBehalfOf !== undefined,
     ...behalf,
   });
-  const message = composeGossip(state, at, { probe: number, withDemand: true });
+  const message = composeGossip(state, { probe: number, withDemand: true });
   return { type: "send", peer: target, message };
 };
 
@@ -105,7 +105,7 @@
     member.roundTripMs += smoothing * (at - probe.sentAt - member.roundTripMs);
   if (probe.onBehalfOf === undefined) return [];
   const { router, probe: ack } = probe.onBehalfOf;
-  const message = composeGossip(state, at, { ack });
+  const message = composeGossip(state, { ack, withDemand: true });
   return [{ type: "send", peer: router, message }];
 };
 
@@ -123,7 +123,7 @@
     .map((peer) => ({
       type: "send" as const,
       peer,
-      message: composeGossip(state, at, {
+      message: composeGossip(state, {
         probe: number,
         relayTo: probe.target,
       }),
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -9,13 +9,19 @@
   type ProcessFailure,
   type RunningProcess,
 } from "@cardamomglade/common";
+import type { RoutingStrategy } from "@cardamomglade/decisions";
 import {
   LogLevel,
+  RoutingStrategyName,
   type ListenAddress,
   type Settings,
 } from "@cardamomglade/schema";
 import { KeyValueClient } from "@cardamomglade/platform";
-import { EngineClient, ServiceClient } from "@cardamomglade/upstream";
+import {
+  CacheEventClient,
+  EngineClient,
+  ServiceClient,
+} from "@cardamomglade/upstream";
 import { serveAdministration } from "./administration/serveAdministration.js";
 import { createConfirmRoute } from "./administration/confirmRoute.js";
 import { createExplainRoute } from "./administration/explainRoute.js";
@@ -36,6 +42,7 @@
 import { createLeaseDriver } from "./drivers/leaseDriver.js";
 import { createLeaseHoldersDriver } from "./drivers/leaseHoldersDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
+import { createLoadDriver } from "./drivers/loadDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
 import { createProcessClock } from "./drivers/processClock.js";
@@ -62,6 +69,12 @@
 
 const connectTimeoutMs = 400;
 
+const strategies: Readonly<Record<RoutingStrategyName, RoutingStrategy>> = {
+  [RoutingStrategyName.Balanced]: { type: "balanced" },
+  [RoutingStrategyName.RoundRobin]: { type: "roundRobin" },
+  [RoutingStrategyName.LeastInFlight]: { type: "leastInFlight" },
+};
+
 const startListening = (
   server: Server,
   { address, port, tls }: ListenAddress,
@@ -120,6 +133,7 @@
       ...settings.ledger,
       fleetWritesPerSecond: settings.keyValue.fleetWritesPerSecond,
     }),
+    strategy: strategies[settings.routing.strategy],
   });
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
@@ -172,6 +186,7 @@
     createLeaseDriver(keyValue, prefix),
     createLeaseHoldersDriver(keyValue, prefix),
     createLedgerDriver({ keyValue, prefix, router: settings.router.name, log }),
+    createLoadDriver(engines, CacheEventClient.create(connectUpstream), view),
     createTickDriver(),
     {
       events: control.stream,
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -1,22 +1,36 @@
 /** The router's decision: one action an event type. */
 
-import { assertNever } from "@cardamomglade/common";
+import { assertNever, hash32 } from "@cardamomglade/common";
 import {
+  createAdmission,
   createConfig,
+  createLimits,
   createMembership,
   createExecution,
+  createRetryBudgets,
   createRouting,
+  type RoutingStrategy,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
+import { tendAdmission } from "./actions/admission.js";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainAnnounced, graceEnded } from "./actions/drainEvents.js";
 import { drainStarted } from "./actions/drainStarted.js";
-import { generationArrived } from "./actions/generationArrived.js";
 import { holdersRead } from "./actions/ledgerPlacement.js";
 import { shardReported } from "./actions/ledgerShardReported.js";
 import { createLedger } from "./actions/ledgerState.js";
+import {
+  generationArrived,
+  startGeneration,
+} from "./actions/generationArrived.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
+import {
+  cacheEventsRead,
+  loadRead,
+  observeCommands,
+  observeEvent,
+} from "./actions/loadEvents.js";
 import { addressesBound } from "./actions/memberEvents.js";
 import { hostListRead } from "./actions/hostListRead.js";
 import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
@@ -46,6 +60,7 @@
 export interface RouterStateOptions {
   readonly leaseTtlMs?: number;
   readonly ledger?: LedgerState;
+  readonly strategy?: RoutingStrategy;
 }
 
 /** State of a router that has just started. */
@@ -54,6 +69,7 @@
   {
     leaseTtlMs = defaultLeaseTtlMs,
     ledger = createLedger(),
+    strategy,
   }: RouterStateOptions = {},
 ): RouterState => ({
   router,
@@ -64,7 +80,7 @@
   execution: createExecution(),
   hostMarks: new Map(),
   drainLookAt: 0,
-  routing: createRouting(),
+  routing: createRouting(strategy, hash32(router.name)),
   streams: new Map(),
   serviceCalls: new Map(),
   ledger,
@@ -74,10 +90,21 @@
   leaseTtlMs,
   linkedPeers: new Set(),
   membership: createMembership(router),
+  admission: createAdmission(),
+  waiting: new Map(),
+  limits: createLimits(),
+  retryBudgets: createRetryBudgets(),
 });
 
-/** Folds one event into the router's state. */
+/** Folds one event into the router's state; back ends are observed on the way. */
 export const decide = (state: RouterState, event: RouterEvent): RouterStep => {
+  observeEvent(state, event);
+  const step = tendAdmission(act(state, event), event, startGeneration);
+  observeCommands(step);
+  return step;
+};
+
+const act = (state: RouterState, event: RouterEvent): RouterStep => {
   switch (event.type) {
     case "configurationRead":
       return configurationRead(state, event);
@@ -113,6 +140,10 @@
       return peerLost(state, event);
     case "peerMessageReceived":
       return peerMessageReceived(state, event);
+    case "loadRead":
+      return loadRead(state, event);
+    case "cacheEventsRead":
+      return cacheEventsRead(state, event);
     case "addressesBound":
       return addressesBound(state, event);
     case "timePassed":
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -42,6 +42,7 @@
   LogLevel,
   OperatorRight,
   WhileStoreDown,
+  RoutingStrategyName,
 } from "./generated/settings.js";
 export type { TimelineEvent } from "./generated/timeline.js";
 export { TimelineTopic } from "./generated/timeline.js";
