--- a/packages/router/src/actions/serviceCallArrived.ts
+++ b/packages/router/src/actions/serviceCallArrived.ts
@@ -1,5 +1,6 @@
 /** A caller asked for a call of a plain service. */
 
+import { Ran } from "@cardamomglade/common";
 import { chooseBackEnd } from "@cardamomglade/decisions";
 import type { CallPattern, Service } from "@cardamomglade/schema";
 import { ErrorType, notRun, type ApiError } from "../errors.js";
@@ -61,6 +62,13 @@
   };
 };
 
+// A call with a key may repeat one that ran: that was not looked up.
+const drainingError = (key: string | undefined): ApiError => ({
+  type: ErrorType.Draining,
+  message: "this router is draining; the call was not sent",
+  ran: key === undefined ? Ran.No : Ran.Unknown,
+});
+
 /** Claims a non-repeatable call first; sends any other at once. */
 export const serviceCallArrived: Action<"serviceCallArrived"> = (
   state,
@@ -68,12 +76,7 @@
 ) => {
   const { requestId } = request.call;
   const { key, customer } = request;
-  if (state.draining)
-    return refuse(
-      state,
-      requestId,
-      notRun(ErrorType.Draining, "this router is draining"),
-    );
+  if (state.draining) return refuse(state, requestId, drainingError(key));
   const service = state.config.services.get(request.service);
   if (!service?.customers.includes(customer)) {
     return refuse(
