--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -5,5 +5,6 @@
 export * from "./lease/index.js";
 export * from "./placement/index.js";
 export * from "./ledger/index.js";
+export * from "./membership/index.js";
 export * from "./recovery/index.js";
 export * from "./routing/index.js";
--- a/packages/router/src/actions/leaseRoles.ts
+++ b/packages/router/src/actions/leaseRoles.ts
@@ -95,3 +95,10 @@
   );
   return { state, commands: steps.flatMap(({ commands }) => commands) };
 };
+
+/** Gives every pursued role up. */
+export const releaseLeases = (state: RouterState, at: Moment): RouterStep => {
+  const roles = [...state.leases.keys()];
+  const steps = roles.map((role) => releaseLease(state, role, at));
+  return { state, commands: steps.flatMap(({ commands }) => commands) };
+};
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -4,6 +4,7 @@
 import { claimAnswered } from "./claimAnswered.js";
 import { confirmEnd } from "./ledgerClaims.js";
 import { claimQuestion, endReport } from "./ledgerMessages.js";
+import { chainSteps } from "./chainSteps.js";
 import {
   askLinkedPeer,
   configOfferReceived,
@@ -11,19 +12,29 @@
   forgetConfigPeer,
   hearConfigGossip,
 } from "./configurationPeers.js";
+import { stepMembership } from "./memberEvents.js";
 import type { Action } from "./types.js";
 
 /** A link to another router opened. */
-export const peerLinked: Action<"peerLinked"> = (state, { peer }) => ({
-  state: { ...state, linkedPeers: new Set([...state.linkedPeers, peer]) },
-  commands: askLinkedPeer(state, peer),
-});
+export const peerLinked: Action<"peerLinked"> = (state, { at, peer }) => {
+  const linkedPeers = new Set([...state.linkedPeers, peer]);
+  return chainSteps({ ...state, linkedPeers }, [
+    (current) => stepMembership(current, { type: "linked", at, peer }),
+    (current) => ({
+      state: current,
+      commands: askLinkedPeer(current, peer),
+    }),
+  ]);
+};
 
 /** A link to another router closed. */
-export const peerLost: Action<"peerLost"> = (state, { peer }) => {
+export const peerLost: Action<"peerLost"> = (state, { at, peer }) => {
   forgetConfigPeer(state, peer);
   const left = [...state.linkedPeers].filter((other) => other !== peer);
-  return { state: { ...state, linkedPeers: new Set(left) }, commands: [] };
+  return stepMembership(
+    { ...state, linkedPeers: new Set(left) },
+    { type: "lost", at, peer },
+  );
 };
 
 /** Another router sent a message; each type has an action of its own. */
@@ -33,7 +44,19 @@
 ) => {
   switch (message.type) {
     case "gossip":
-      return { state, commands: hearConfigGossip(state, peer, message) };
+      return chainSteps(state, [
+        (current) =>
+          stepMembership(current, {
+            type: "gossipReceived",
+            at,
+            peer,
+            gossip: message,
+          }),
+        (current) => ({
+          state: current,
+          commands: hearConfigGossip(current, peer, message),
+        }),
+      ]);
     case "configRequest":
       return configRequestReceived(state, peer, message);
     case "configOffer":
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -1,7 +1,11 @@
 /** The router's decision: one action an event type. */
 
 import { assertNever } from "@cardamomglade/common";
-import { createConfig, createRouting } from "@cardamomglade/decisions";
+import {
+  createConfig,
+  createMembership,
+  createRouting,
+} from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
@@ -11,6 +15,7 @@
 import { shardReported } from "./actions/ledgerShardReported.js";
 import { createLedger } from "./actions/ledgerState.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
+import { addressesBound } from "./actions/memberEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -60,7 +65,7 @@
   leases: new Map(),
   leaseTtlMs,
   linkedPeers: new Set(),
-  peerUrls: new Map(),
+  membership: createMembership(router),
 });
 
 /** Folds one event into the router's state. */
@@ -100,6 +105,8 @@
       return peerLost(state, event);
     case "peerMessageReceived":
       return peerMessageReceived(state, event);
+    case "addressesBound":
+      return addressesBound(state, event);
     case "timePassed":
       return timePassed(state, event);
     case "drainStarted":
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -11,6 +11,7 @@
   LeaseCall,
   LeaseEvent,
   LeaseState,
+  MembershipState,
   RoutingState,
   ShardEvent,
   ShardLimits,
@@ -146,8 +147,7 @@
   readonly leaseTtlMs: number;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
-  /** Peer addresses of known routers, by name. */
-  readonly peerUrls: ReadonlyMap<string, string>;
+  readonly membership: MembershipState;
 }
 
 /** What happens to the router process. */
@@ -254,6 +254,13 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | {
+      readonly type: "addressesBound";
+      readonly at: Moment;
+      readonly peersUrl: string;
+      readonly callersUrl: string;
+      readonly administrationUrl: string;
+    }
   | { readonly type: "timePassed"; readonly at: Moment }
   | { readonly type: "drainStarted"; readonly at: Moment };
 
@@ -354,6 +361,8 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | { readonly type: "connectPeer"; readonly url: string }
+  | { readonly type: "forgetPeer"; readonly url: string }
   | {
       readonly type: "watchConfiguration";
       readonly isWatching: boolean;
