Break the circuit to the key-value service and check its answers

The client took any JSON for an answer, called a service that was down as often as it was asked, and nothing proved that its transport sends a call only once.

Answers are now checked against a schema; a malformed one leaves the outcome unknown. After five failures calls are refused unsent, one probe at a time goes out at a jittered moment, and the share let through grows over a second once the service answers. A router keeps within the fleet's budget of calls by itself. The watch no longer reports a loss after a compaction, which made a mirror resume at the compacted revision for ever.

Tests: 200 clients meet the end of an outage without a peak; the stand-in closes before it runs, before headers, mid-body, after the answer and on a reused connection, for POST, PUT and GET, and no call arrives twice or is told as not sent after it arrived.

--- a/packages/platform/src/keyValueClient.ts
+++ b/packages/platform/src/keyValueClient.ts
@@ -1,10 +1,19 @@
 /** Client of the key-value service over its JSON gateway. */
 
-import { Agent, request, type buildConnector } from "undici";
-import { abortAt, now, type Moment } from "@cardamomglade/common";
+import type { Moment } from "@cardamomglade/common";
+import {
+  validateLeaseAnswer,
+  validateRangeAnswer,
+  validateTransactionAnswer,
+  type LeaseAnswer,
+  type RangeAnswer,
+  type RangeResponse,
+  type TransactionAnswer,
+} from "@cardamomglade/schema";
+import { Gateway, type GatewayOptions } from "./gateway.js";
+import { readWatch } from "./readWatch.js";
 import {
   CallKind,
-  type CallFailure,
   type KeyValue,
   type KeyValueEntry,
   type LeaseGrant,
@@ -12,87 +21,26 @@
   type RangeResult,
   type Transaction,
   type TransactionResult,
-  type WatchChange,
   type WatchEvent,
   type WatchHandle,
 } from "./types.js";
-import {
-  fromWire,
-  prefixEnd,
-  toEntry,
-  toWire,
-  toWireTransaction,
-  type WireEntry,
-  type WireHeader,
-} from "./wire.js";
+import { prefixEnd, toEntry, toWire, toWireTransaction } from "./wire.js";
 
-/** Where the service is. */
-export interface KeyValueClientOptions {
-  readonly endpoints: readonly string[];
-  /** Makes connections; plain ones where it is left out. */
-  readonly connector?: buildConnector.connector;
-}
-
-interface WireRange {
-  header?: WireHeader;
-  kvs?: WireEntry[];
-}
-interface WireTransactionAnswer {
-  header?: WireHeader;
-  succeeded?: boolean;
-  responses?: { response_range?: WireRange }[];
-}
-interface WireLease {
-  ID?: string;
-  TTL?: string;
-  result?: { ID?: string; TTL?: string };
-}
-interface WireWatch {
-  result?: {
-    header?: WireHeader;
-    canceled?: boolean;
-    compact_revision?: string;
-    events?: { type?: string; kv: WireEntry }[];
-  };
-}
+/** Where the service is, and the budgets of calls. */
+export type KeyValueClientOptions = GatewayOptions;
 
 const msPerSecond = 1000;
 
-const failureOf = (error: unknown): CallFailure => {
-  const message = error instanceof Error ? error.message : String(error);
-  const name = error instanceof Error ? error.name : "";
-  const type =
-    name === "TimeoutError" || name === "AbortError" ? "timeout" : "connection";
-  return { type, message };
-};
-
-// Refused connections never reached the service, so the call had no effect.
-const wasNeverSent = (error: unknown): boolean =>
-  error instanceof Error && "code" in error && error.code === "ECONNREFUSED";
-
-const entriesOf = (range: WireRange | undefined): KeyValueEntry[] =>
+const entriesOf = (range: RangeResponse | undefined): KeyValueEntry[] =>
   (range?.kvs ?? []).map(toEntry);
 
 /** The service over HTTP; one client a process. */
 export class KeyValueClient implements KeyValue {
-  private readonly agent: Agent;
-  private readonly made = { read: 0, write: 0, lease: 0, watch: 0 };
-  private next = 0;
-
-  private constructor(private readonly options: KeyValueClientOptions) {
-    const { connector: connect } = options;
-    this.agent = new Agent({
-      connections: 16,
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      ...(connect && { connect }),
-    });
-  }
+  private constructor(private readonly gateway: Gateway) {}
 
   /** A client; connects on first use. */
   static create(options: KeyValueClientOptions): KeyValueClient {
-    return new KeyValueClient(options);
+    return new KeyValueClient(Gateway.create(options));
   }
 
   async range(
@@ -101,14 +49,15 @@
   ): Promise<Outcome<RangeResult>> {
     const end = options.prefix ? { range_end: prefixEnd(key) } : {};
     const body = { key: toWire(key), ...end };
-    const outcome = await this.call<WireRange>(
-      CallKind.Read,
-      "/v3/kv/range",
+    const outcome = await this.gateway.call<RangeAnswer>({
+      kind: CallKind.Read,
+      path: "/v3/kv/range",
       body,
-      options.deadline,
-    );
+      deadline: options.deadline,
+      isAnswer: validateRangeAnswer,
+    });
     if (outcome.type !== "done") return outcome;
-    const revision = Number(outcome.value.header?.revision ?? 0);
+    const revision = Number(outcome.value.header.revision ?? 0);
     return {
       type: "done",
       value: { revision, entries: entriesOf(outcome.value) },
@@ -120,12 +69,13 @@
     deadline: Moment,
   ): Promise<Outcome<TransactionResult>> {
     const body = toWireTransaction(transaction);
-    const outcome = await this.call<WireTransactionAnswer>(
-      CallKind.Write,
-      "/v3/kv/txn",
+    const outcome = await this.gateway.call<TransactionAnswer>({
+      kind: CallKind.Write,
+      path: "/v3/kv/txn",
       body,
       deadline,
-    );
+      isAnswer: validateTransactionAnswer,
+    });
     if (outcome.type !== "done") return outcome;
     const answer = outcome.value;
     const ranges = (answer.responses ?? []).filter(
@@ -135,7 +85,7 @@
       type: "done",
       value: {
         succeeded: answer.succeeded ?? false,
-        revision: Number(answer.header?.revision ?? 0),
+        revision: Number(answer.header.revision ?? 0),
         reads: ranges.map((one) => entriesOf(one.response_range)),
       },
     };
@@ -157,12 +107,13 @@
   }
 
   async revokeLease(id: string, deadline: Moment): Promise<Outcome<void>> {
-    const outcome = await this.call<unknown>(
-      CallKind.Lease,
-      "/v3/lease/revoke",
-      { ID: id },
+    const outcome = await this.gateway.call<LeaseAnswer>({
+      kind: CallKind.Lease,
+      path: "/v3/lease/revoke",
+      body: { ID: id },
       deadline,
-    );
+      isAnswer: validateLeaseAnswer,
+    });
     return outcome.type === "done"
       ? { type: "done", value: undefined }
       : outcome;
@@ -182,8 +133,8 @@
         start_revision: String(options.fromRevision),
       },
     };
-    this.made.watch += 1;
-    void this.runWatch(body, abort.signal, onEvent);
+    this.gateway.count(CallKind.Watch);
+    void readWatch(this.gateway, body, abort.signal, onEvent);
     return {
       close: () => {
         abort.abort();
@@ -192,16 +143,11 @@
   }
 
   counts() {
-    return { ...this.made };
+    return this.gateway.counts();
   }
 
   async close(): Promise<void> {
-    await this.agent.destroy();
-  }
-
-  private endpoint(): string {
-    const { endpoints } = this.options;
-    return endpoints[this.next % endpoints.length] ?? "";
+    await this.gateway.close();
   }
 
   private async leaseCall(
@@ -209,12 +155,13 @@
     body: object,
     deadline: Moment,
   ): Promise<Outcome<LeaseGrant>> {
-    const outcome = await this.call<WireLease>(
-      CallKind.Lease,
+    const outcome = await this.gateway.call<LeaseAnswer>({
+      kind: CallKind.Lease,
       path,
       body,
       deadline,
-    );
+      isAnswer: validateLeaseAnswer,
+    });
     if (outcome.type !== "done") return outcome;
     const lease = outcome.value.result ?? outcome.value;
     return {
@@ -225,106 +172,4 @@
       },
     };
   }
-
-  private async call<T>(
-    kind: CallKind,
-    path: string,
-    body: object,
-    deadline: Moment,
-  ): Promise<Outcome<T>> {
-    const remaining = deadline - now();
-    if (remaining <= 0) {
-      return {
-        type: "refused",
-        failure: {
-          type: "timeout",
-          message: `deadline of ${path} passed before it was sent`,
-        },
-      };
-    }
-    this.made[kind] += 1;
-    try {
-      const res = await request(`${this.endpoint()}${path}`, {
-        method: "POST",
-        body: JSON.stringify(body),
-        headers: { "content-type": "application/json" },
-        dispatcher: this.agent,
-        signal: abortAt(deadline),
-      });
-      if (res.statusCode !== 200) {
-        const message = `${path} answered ${String(res.statusCode)}: ${await res.body.text()}`;
-        const type = res.statusCode < 500 ? "refused" : "unknown";
-        return { type, failure: { type: "status", message } };
-      }
-      return { type: "done", value: (await res.body.json()) as T };
-    } catch (error) {
-      this.next += 1;
-      return {
-        type: wasNeverSent(error) ? "refused" : "unknown",
-        failure: failureOf(error),
-      };
-    }
-  }
-
-  private async runWatch(
-    body: object,
-    signal: AbortSignal,
-    onEvent: (event: WatchEvent) => void,
-  ): Promise<void> {
-    try {
-      const res = await request(`${this.endpoint()}/v3/watch`, {
-        method: "POST",
-        body: JSON.stringify(body),
-        dispatcher: this.agent,
-        signal,
-      });
-      const decoder = new TextDecoder();
-      let rest = "";
-      for await (const chunk of res.body) {
-        const lines = (
-          rest + decoder.decode(chunk as Uint8Array, { stream: true })
-        ).split("\n");
-        rest = lines.pop() ?? "";
-        for (const line of lines)
-          reportWatch(JSON.parse(line) as WireWatch, onEvent);
-      }
-      onEvent({
-        type: "lost",
-        failure: { type: "connection", message: "watch ended" },
-      });
-    } catch (error) {
-      if (signal.aborted) return;
-      this.next += 1;
-      onEvent({ type: "lost", failure: failureOf(error) });
-    }
-  }
 }
-
-const toChange = (event: { type?: string; kv: WireEntry }): WatchChange =>
-  event.type === "DELETE"
-    ? {
-        type: "delete",
-        key: fromWire(event.kv.key),
-        modRevision: Number(event.kv.mod_revision ?? 0),
-      }
-    : { type: "put", entry: toEntry(event.kv) };
-
-const reportWatch = (
-  message: WireWatch,
-  onEvent: (event: WatchEvent) => void,
-): void => {
-  const { result } = message;
-  if (result === undefined) return;
-  const compactRevision = Number(result.compact_revision ?? 0);
-  if (compactRevision > 0) {
-    onEvent({ type: "compacted", compactRevision });
-    return;
-  }
-  const changes = (result.events ?? []).map(toChange);
-  if (changes.length === 0) return;
-  onEvent({
-    type: "changes",
-    revision: Number(result.header?.revision ?? 0),
-    changes,
-  });
-};
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -21,7 +21,14 @@
 
 /** Why a call did not end in an answer. */
 export interface CallFailure {
-  readonly type: "timeout" | "connection" | "status" | "malformed" | "budget";
+  readonly type:
+    | "timeout"
+    | "connection"
+    | "status"
+    | "unavailable"
+    | "malformed"
+    | "budget"
+    | "circuitOpen";
   readonly message: string;
 }
 
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -7,20 +7,7 @@
   Transaction,
 } from "./types.js";
 import { assertNever } from "@cardamomglade/common";
-
-/** A key-value pair as sent by the gateway; zero fields are left out. */
-export interface WireEntry {
-  key: string;
-  value?: string;
-  create_revision?: string;
-  mod_revision?: string;
-  lease?: string;
-}
-
-/** The header of every answer. */
-export interface WireHeader {
-  revision?: string;
-}
+import type { WireEntry } from "@cardamomglade/schema";
 
 /** Encodes text for the gateway. */
 export const toWire = (text: string): string =>
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -105,6 +105,8 @@
   });
   const keyValue = KeyValueClient.create({
     endpoints: settings.keyValue.endpoints,
+    writesPerSecond: settings.keyValue.fleetWritesPerSecond,
+    readsPerSecond: settings.keyValue.fleetReadsPerSecond,
     connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -20,6 +20,14 @@
   Service,
 } from "./generated/intent.js";
 export { BackEndType, CallMethod, Priority } from "./generated/intent.js";
+export type {
+  LeaseAnswer,
+  RangeAnswer,
+  RangeResponse,
+  TransactionAnswer,
+  WatchMessage,
+  WireEntry,
+} from "./generated/keyValue.js";
 export type {
   AnsweredCall,
   CallRecord,
--- a/stand-ins/src/faults.ts
+++ b/stand-ins/src/faults.ts
@@ -6,6 +6,10 @@
   readonly count?: number;
 };
 
+/** When a service closes a call's connection; at `keepAlive`, when the next call arrives on it. */
+export type CloseStage =
+  "beforeRun" | "beforeHeaders" | "midBody" | "afterAnswer" | "keepAlive";
+
 type FaultKind =
   | { readonly type: "crash" }
   | { readonly type: "freeze"; readonly forMs: number }
@@ -23,6 +27,11 @@
   | { readonly type: "cacheGaps"; readonly every: number }
   | { readonly type: "fencing"; readonly mode: "check" | "ignore" }
   | { readonly type: "stall" }
+  | {
+      readonly type: "close";
+      readonly path?: string;
+      readonly stage: CloseStage;
+    }
   | { readonly type: "trickle"; readonly everyMs: number }
   | { readonly type: "wrongOffset" }
   | { readonly type: "wrongVersion" };
--- a/stand-ins/src/index.ts
+++ b/stand-ins/src/index.ts
@@ -7,7 +7,7 @@
   EngineOptions,
   TokenMode,
 } from "./engine/types.js";
-export type { Fault } from "./faults.js";
+export type { CloseStage, Fault } from "./faults.js";
 export {
   expectedTokens,
   textOfTokens,
