Take up answers at any router by a signed cursor, bound slow callers

A router's death ended its callers' answers, and a character split between two tokens was lost when a connection broke there. Each event id is now a signed cursor (request, attempt, back end, offset, digest of delivered tokens, customer, deployment, version, deadline) that points between whole characters only. With Last-Event-ID any router attaches to the engine's own stream, else continues from prefix_token_ids that the digest proves, else answers prefixNeeded. An engine cancels only for a stream's newest reader, so a router that wakes does not end what another took up.

What one turn of the loop brings for a caller is one write. A caller that leaves more than answerBufferBytes unread pauses its engine's stream, and the pause is no silence. A stop sequence that crosses the start of a continuation ends the answer at the token where an unbroken run ends. Chunks of another stream or version break the attempt.

--- a/packages/decisions/src/recovery/attemptFinished.ts
+++ b/packages/decisions/src/recovery/attemptFinished.ts
@@ -19,8 +19,11 @@
 
 type Finished = EventOf<"attemptFinished">;
 
-const close = ({ attempt, backEnd }: AttemptState): RecoveryCommand => ({
-  type: "closeAttempt",
+const close = (
+  { attempt, backEnd }: AttemptState,
+  { isCut = false }: Finished,
+): RecoveryCommand => ({
+  type: isCut ? "cancelAttempt" : "closeAttempt",
   attempt,
   backEnd,
 });
@@ -31,10 +34,10 @@
 const finishCurrent = (
   state: StreamState,
   phase: OpenPhase,
-  { reason }: Finished,
+  event: Finished,
 ): RecoveryStep => {
   const { current } = phase;
-  const commands: RecoveryCommand[] = [close(current)];
+  const commands: RecoveryCommand[] = [];
   if (phase.type === "hedged") {
     commands.push(cancel(phase.challenger));
     if (phase.held > 0) {
@@ -42,20 +45,21 @@
       commands.push({ type: "deliverHeld", attempt, offset: state.accepted });
     }
   }
+  commands.push(close(current, event));
   return {
     state: {
       ...state,
       accepted: endOf(state, phase),
       phase: { type: "finished" },
     },
-    commands: [...commands, { type: "finish", reason }],
+    commands: [...commands, { type: "finish", reason: event.reason }],
   };
 };
 
 const finishChallenger = (
   state: StreamState,
   phase: Extract<OpenPhase, { type: "hedged" }>,
-  { reason }: Finished,
+  event: Finished,
 ): RecoveryStep => ({
   state: {
     ...state,
@@ -64,9 +68,9 @@
   },
   commands: [
     cancel(phase.current),
-    close(phase.challenger),
+    close(phase.challenger, event),
     { type: "dropHeld" },
-    { type: "finish", reason },
+    { type: "finish", reason: event.reason },
   ],
 });
 
--- a/packages/decisions/src/recovery/attempts.ts
+++ b/packages/decisions/src/recovery/attempts.ts
@@ -9,6 +9,7 @@
 import { unknownPace } from "./tokenPace.js";
 import {
   ChallengeReason,
+  StreamFailure,
   type AttemptNumber,
   type AttemptState,
   type RecoveryCommand,
@@ -71,7 +72,8 @@
   return nextTryAt(at, state.failures, retryBounds, hash32(seed) / hashRange);
 };
 
-const createAttempt = (
+/** An attempt that begins after the accepted tokens. */
+export const createAttempt = (
   state: StreamState,
   attempt: AttemptNumber,
   backEnd: string,
@@ -141,12 +143,24 @@
   });
 };
 
+const failUnknown = (
+  state: StreamState,
+  current: AttemptState,
+): RecoveryStep => ({
+  state: { ...state, phase: { type: "failed" } },
+  commands: [
+    cancel(current),
+    { type: "fail", failure: StreamFailure.PrefixUnknown },
+  ],
+});
+
 /** Gives up the only attempt and asks for another back end. */
 export const loseCurrent = (
   state: StreamState,
   current: AttemptState,
   at: Moment,
 ): RecoveryStep => {
+  if (state.isPrefixUnknown) return failUnknown(state, current);
   const lost = [...state.lost, current.backEnd];
   const failures = state.failures + 1;
   const isImmediate = failures <= immediateFailures;
--- a/packages/decisions/src/recovery/decideRecovery.ts
+++ b/packages/decisions/src/recovery/decideRecovery.ts
@@ -29,7 +29,7 @@
 });
 
 const move = (state: StreamState, at: Moment): RecoveryStep =>
-  state.phase.type === "running"
+  state.phase.type === "running" && !state.isPrefixUnknown
     ? seekChallenger(state, state.phase.current, ChallengeReason.Move, at)
     : unchanged(state);
 
--- a/packages/decisions/src/recovery/index.ts
+++ b/packages/decisions/src/recovery/index.ts
@@ -1,6 +1,11 @@
 /** Recovery of streams from the death of engines. */
 
-export { createStream, type StreamOptions } from "./createStream.js";
+export {
+  attachStream,
+  createStream,
+  type RunningAttempt,
+  type StreamOptions,
+} from "./createStream.js";
 export { decideRecovery } from "./decideRecovery.js";
 export {
   createEnginePace,
--- a/packages/decisions/src/recovery/timePassed.ts
+++ b/packages/decisions/src/recovery/timePassed.ts
@@ -88,7 +88,8 @@
   current: AttemptState,
   at: Moment,
 ): RecoveryStep => {
-  const { policy } = state;
+  const { policy, isPrefixUnknown } = state;
+  if (isPrefixUnknown) return loseCurrent(state, current, at);
   switch (policy.type) {
     case "latencyFirst":
       return policy.hedge
--- a/packages/decisions/src/recovery/types.ts
+++ b/packages/decisions/src/recovery/types.ts
@@ -83,6 +83,8 @@
   readonly wasted: number;
   /** Whether the caller is too slow to take more. */
   readonly isPaused: boolean;
+  /** Whether the accepted tokens are not known here, so that no other attempt can continue. */
+  readonly isPrefixUnknown: boolean;
   readonly phase: StreamPhase;
 }
 
@@ -112,6 +114,8 @@
       readonly attempt: AttemptNumber;
       readonly offset: number;
       readonly reason: FinishReason;
+      /** Whether the router ended the answer and the engine still runs. */
+      readonly isCut?: boolean;
     }
   | {
       readonly type: "attemptFailed";
@@ -141,6 +145,8 @@
 export enum StreamFailure {
   DeadlineExceeded = "deadlineExceeded",
   NoBackEnd = "noBackEnd",
+  /** The engine's own stream is gone and the accepted tokens are not known. */
+  PrefixUnknown = "prefixUnknown",
 }
 
 /** What a stream asks for. */
@@ -152,6 +158,13 @@
       readonly backEnd: string;
       readonly from: number;
     }
+  | {
+      /** Takes up a stream that the engine already runs. */
+      readonly type: "attachAttempt";
+      readonly attempt: AttemptNumber;
+      readonly backEnd: string;
+      readonly from: number;
+    }
   | {
       readonly type: "cancelAttempt";
       readonly attempt: AttemptNumber;
--- a/packages/router/src/actions/generationArrived.ts
+++ b/packages/router/src/actions/generationArrived.ts
@@ -1,19 +1,48 @@
 /** A caller asked for a generation. */
 
-import { createStream } from "@cardamomglade/decisions";
+import type { Moment, Step } from "@cardamomglade/common";
+import {
+  attachStream,
+  createStream,
+  type RecoveryCommand,
+  type StreamState,
+} from "@cardamomglade/decisions";
 import { TimelineTopic, type Deployment } from "@cardamomglade/schema";
 import { ErrorType, notRun, type ApiError } from "../errors.js";
 import type { GenerationRequest, RouterState, StreamEntry } from "../types.js";
-import { startStream } from "./stepStream.js";
+import { dropStream, startStream } from "./stepStream.js";
+import { tailOf } from "./stopSequences.js";
 import type { Action, RouterStep } from "./types.js";
 
 const deploymentFor = (
   state: RouterState,
-  request: GenerationRequest,
+  { model, customer, returnPoint }: GenerationRequest,
 ): Deployment | undefined =>
   state.config.deploymentsByModel
-    .get(request.model)
-    ?.find(({ customers }) => customers.includes(request.customer));
+    .get(model)
+    ?.find(
+      ({ name, customers }) =>
+        customers.includes(customer) &&
+        (returnPoint === undefined || returnPoint.deployment === name),
+    );
+
+const openStream = (
+  state: RouterState,
+  { requestId, deadline, returnPoint }: GenerationRequest,
+  { recovery: policy }: Deployment,
+  at: Moment,
+): Step<StreamState, RecoveryCommand> => {
+  const options = { requestId, policy, deadline };
+  if (returnPoint === undefined) {
+    return createStream({ ...options, accepted: 0 });
+  }
+  const { offset, firstAttempt, prefix, backEnd } = returnPoint;
+  const isPrefixUnknown = prefix === undefined;
+  const returned = { ...options, accepted: offset, firstAttempt };
+  return isPrefixUnknown || state.config.backEnds.has(backEnd)
+    ? attachStream({ ...returned, isPrefixUnknown }, returnPoint, at)
+    : createStream(returned);
+};
 
 const refuse = (
   state: RouterState,
@@ -29,7 +58,7 @@
   state,
   { request, at },
 ) => {
-  const { requestId, model, deadline, customer } = request;
+  const { requestId, model, customer } = request;
   if (state.draining) {
     return refuse(
       state,
@@ -48,30 +77,35 @@
       ),
     );
   }
-  const started = createStream({
-    requestId,
-    policy: deployment.recovery,
-    deadline,
-    accepted: 0,
-  });
+  const started = openStream(state, request, deployment, at);
   const entry: StreamEntry = {
     request,
     deployment,
-    accepted: [],
+    accepted: [...(request.returnPoint?.prefix ?? [])],
     open: new Map(),
     held: [],
+    borders: new Map(),
+    tail: tailOf(request, request.returnPoint?.text ?? ""),
     stream: started.state,
   };
+  const replaced = state.streams.get(requestId);
+  const freed =
+    replaced === undefined
+      ? { state, commands: [] }
+      : dropStream(state, replaced, at);
   state.streams.set(requestId, entry);
-  const step = startStream(state, entry, at, started.commands);
+  const step = startStream(freed.state, entry, at, started.commands);
   const arrived = {
     type: "record" as const,
     event: {
       topic: TimelineTopic.Request,
-      name: "arrived",
+      name: request.returnPoint === undefined ? "arrived" : "returned",
       request: requestId,
       customer,
     },
   };
-  return { state: step.state, commands: [arrived, ...step.commands] };
+  return {
+    state: step.state,
+    commands: [...freed.commands, arrived, ...step.commands],
+  };
 };
--- a/packages/router/src/actions/stepStream.ts
+++ b/packages/router/src/actions/stepStream.ts
@@ -3,33 +3,23 @@
 import { assertNever } from "@cardamomglade/common";
 import {
   chooseBackEnd,
-  countInFlight,
   decideRecovery,
   AttemptFailure,
   type RecoveryCommand,
   type RecoveryEvent,
-  type RoutingState,
 } from "@cardamomglade/decisions";
 import {
   TimelineTopic,
   type BackEnd,
   type EngineToken,
 } from "@cardamomglade/schema";
-import type { RouterCommand, RouterState, StreamEntry } from "../types.js";
+import type { RouterState, StreamEntry } from "../types.js";
 import { candidatesOf } from "./candidatesOf.js";
+import { tailOf, watchBorder } from "./stopSequences.js";
+import { count, createWork, release, type StreamWork } from "./streamWork.js";
 import { streamError } from "./streamErrors.js";
 import type { RouterStep } from "./types.js";
 
-/** Work of one step: the stream's entry, what arrived with the event, and what has come of it so far. */
-interface StreamWork {
-  readonly state: RouterState;
-  readonly entry: StreamEntry;
-  readonly at: number;
-  readonly tokens: readonly EngineToken[];
-  readonly commands: RouterCommand[];
-  routing: RoutingState;
-}
-
 type CommandOf<T extends RecoveryCommand["type"]> = Extract<
   RecoveryCommand,
   { type: T }
@@ -73,8 +63,8 @@
     decide(work, { type: "attemptFailed", at, attempt, failure });
     return;
   }
-  entry.open.set(attempt, name);
-  work.routing = countInFlight(work.routing, name, 1);
+  count(work, attempt, name);
+  if (from > 0) watchBorder(entry, attempt);
   const adapter =
     deployment.adapter === undefined ? {} : { adapter: deployment.adapter };
   const { requestId, prompt, maxTokens, stop, priority } = request;
@@ -107,12 +97,33 @@
   );
 };
 
-// Each opened attempt is counted once and released once.
-const release = (work: StreamWork, attempt: number): void => {
-  const backEnd = work.entry.open.get(attempt);
-  if (backEnd === undefined) return;
-  work.entry.open.delete(attempt);
-  work.routing = countInFlight(work.routing, backEnd, -1);
+const attachAttempt = (
+  work: StreamWork,
+  { attempt, from: offset, backEnd: name }: CommandOf<"attachAttempt">,
+): void => {
+  const { state, entry, at } = work;
+  const url = state.config.backEnds.get(name)?.url;
+  if (url === undefined) {
+    const failure = AttemptFailure.Refused;
+    decide(work, { type: "attemptFailed", at, attempt, failure });
+    return;
+  }
+  count(work, attempt, name);
+  const { requestId } = entry.request;
+  const { version } = entry.deployment;
+  const order = { requestId, attempt, version, offset };
+  const event = {
+    topic: TimelineTopic.Attempt,
+    name: "attached",
+    request: requestId,
+    attempt,
+    backEnd: name,
+    offset,
+  };
+  work.commands.push(
+    { type: "attachAttempt", url, order },
+    { type: "record", event },
+  );
 };
 
 const deliver = (
@@ -121,10 +132,18 @@
   offset: number,
   tokens: readonly EngineToken[],
 ): void => {
-  const { accepted, request } = work.entry;
+  const { entry } = work;
+  const { accepted, request, deployment, open } = entry;
   for (const token of tokens) accepted.push(token.id);
+  if (request.stop.length > 0) {
+    const text = tokens.map((token) => token.text).join("");
+    entry.tail = tailOf(request, entry.tail + text);
+  }
   const { requestId } = request;
-  work.commands.push({ type: "deliver", requestId, attempt, offset, tokens });
+  const { name, version } = deployment;
+  const backEnd = open.get(attempt) ?? "";
+  const source = { deployment: name, version, attempt, backEnd };
+  work.commands.push({ type: "deliver", requestId, source, offset, tokens });
 };
 
 const deliverHeld = (
@@ -153,12 +172,12 @@
 };
 
 const finish = (work: StreamWork, command: CommandOf<"finish">): void => {
-  const { request, accepted } = work.entry;
+  const { request, stream } = work.entry;
   work.commands.push({
     type: "finishAnswer",
     requestId: request.requestId,
     reason: command.reason,
-    completionTokens: accepted.length,
+    completionTokens: stream.accepted,
   });
 };
 
@@ -171,6 +190,9 @@
     case "openAttempt":
       openAttempt(work, command);
       return;
+    case "attachAttempt":
+      attachAttempt(work, command);
+      return;
     case "cancelAttempt": {
       const { attempt } = command;
       release(work, attempt);
@@ -235,20 +257,6 @@
   readonly tokens?: readonly EngineToken[];
 }
 
-const createWork = (
-  state: RouterState,
-  entry: StreamEntry,
-  at: number,
-  tokens: readonly EngineToken[] = [],
-): StreamWork => ({
-  state,
-  entry,
-  at,
-  tokens,
-  commands: [],
-  routing: state.routing,
-});
-
 const endWork = ({ state, entry, routing, commands }: StreamWork) => {
   if (isOver(entry)) state.streams.delete(entry.request.requestId);
   const next = routing === state.routing ? state : { ...state, routing };
@@ -278,3 +286,19 @@
   for (const command of commands) perform(work, command);
   return endWork(work);
 };
+
+/** Stops reading a stream that another connection of its caller takes up. */
+export const dropStream = (
+  state: RouterState,
+  entry: StreamEntry,
+  at: number,
+): RouterStep => {
+  const work = createWork(state, entry, at);
+  const { requestId } = entry.request;
+  for (const attempt of [...entry.open.keys()]) {
+    release(work, attempt);
+    work.commands.push({ type: "detachAttempt", requestId, attempt });
+  }
+  state.streams.delete(requestId);
+  return endWork(work);
+};
--- a/packages/router/src/actions/streamErrors.ts
+++ b/packages/router/src/actions/streamErrors.ts
@@ -28,6 +28,13 @@
         message: "no back end with the answer's model, adapter and version",
         ran,
       };
+    case StreamFailure.PrefixUnknown:
+      return {
+        type: ErrorType.PrefixNeeded,
+        message:
+          "the engine's stream is gone; send prefix_token_ids with Last-Event-ID",
+        ran,
+      };
     default:
       return assertNever(failure);
   }
--- a/packages/router/src/actions/streamEvents.ts
+++ b/packages/router/src/actions/streamEvents.ts
@@ -1,35 +1,62 @@
 /** Events of running streams. */
 
 import type { RecoveryEvent } from "@cardamomglade/decisions";
-import type { EngineToken } from "@cardamomglade/schema";
-import type { RouterState } from "../types.js";
+import { FinishReason } from "@cardamomglade/schema";
+import type { RouterState, StreamEntry } from "../types.js";
 import { observeEngine } from "./observeEngine.js";
 import { stepStream } from "./stepStream.js";
+import { findBorderStop } from "./stopSequences.js";
 import type { Action, RouterStep } from "./types.js";
 
 const step = (
   state: RouterState,
   requestId: string,
   event: RecoveryEvent,
-  tokens: readonly EngineToken[] = [],
 ): RouterStep => {
   const entry = state.streams.get(requestId);
   if (entry === undefined) return { state, commands: [] };
-  if (event.type === "tokensArrived") observeEngine(state, entry, event);
-  return stepStream({ state, entry, event, tokens });
+  return stepStream({ state, entry, event });
+};
+
+const stopAt = (
+  first: RouterStep,
+  entry: StreamEntry,
+  event: Extract<RecoveryEvent, { type: "tokensArrived" }>,
+): RouterStep => {
+  const { at, attempt, offset, count } = event;
+  const second = stepStream({
+    state: first.state,
+    entry,
+    event: {
+      type: "attemptFinished",
+      at,
+      attempt,
+      offset: offset + count,
+      reason: FinishReason.Stop,
+      isCut: true,
+    },
+  });
+  return {
+    state: second.state,
+    commands: [...first.commands, ...second.commands],
+  };
 };
 
 /** An engine sent tokens. */
 export const tokensReceived: Action<"tokensReceived"> = (
   state,
   { at, requestId, attempt, offset, tokens },
-) =>
-  step(
-    state,
-    requestId,
-    { type: "tokensArrived", at, attempt, offset, count: tokens.length },
-    tokens,
-  );
+) => {
+  const entry = state.streams.get(requestId);
+  if (entry === undefined) return { state, commands: [] };
+  const end = findBorderStop(entry, attempt, tokens);
+  const count = end ?? tokens.length;
+  const event = { type: "tokensArrived" as const, at, attempt, offset, count };
+  observeEngine(state, entry, event);
+  const kept = end === undefined ? tokens : tokens.slice(0, end);
+  const step = stepStream({ state, entry, event, tokens: kept });
+  return end === undefined ? step : stopAt(step, entry, event);
+};
 
 /** An engine finished an attempt. */
 export const attemptEnded: Action<"attemptEnded"> = (
--- a/packages/router/src/callers/answerWriter.ts
+++ b/packages/router/src/callers/answerWriter.ts
@@ -1,50 +1,44 @@
 /** Writes one answer to a caller, streamed or whole. */
 
 import type { ServerResponse } from "node:http";
-import { assertNever } from "@cardamomglade/common";
 import type { EngineToken, FinishReason } from "@cardamomglade/schema";
-import { statusOf, type ApiError } from "../errors.js";
+import type { ApiError } from "../errors.js";
+import type { AnswerSource } from "../types.js";
+import { answerOf, chunkOf, type AnswerHead } from "./answerChunks.js";
+import { sendError } from "./sendError.js";
 import { TokenText } from "./tokenText.js";
 
-/** Which OpenAI-style shape an answer has. */
-export type AnswerShape = "chat" | "completion";
-
 /** What a writer needs to know of its request. */
-export interface AnswerOptions {
-  readonly requestId: string;
-  readonly model: string;
-  readonly shape: AnswerShape;
+export interface AnswerOptions extends AnswerHead {
   readonly isStreamed: boolean;
   readonly promptTokens: number;
-  /** Event id of the answer up to an offset. */
-  readonly cursorAt: (attempt: number, offset: number) => string;
+  /** Event id of the answer up to and with the given tokens. */
+  readonly cursorAfter: (
+    source: AnswerSource,
+    tokenIds: readonly number[],
+  ) => string;
 }
 
-/** Answers with a typed error. */
-export const sendError = (res: ServerResponse, error: ApiError): void => {
-  if (res.destroyed || res.writableEnded) return;
-  const { type, message, ran, retryAfterS } = error;
-  const retry =
-    retryAfterS === undefined ? {} : { "retry-after": String(retryAfterS) };
-  res.writeHead(statusOf(error), {
-    "content-type": "application/json",
-    ...retry,
-  });
-  res.end(JSON.stringify({ error: { type, message, ran } }));
-};
-
 const streamHeaders = {
   "content-type": "text/event-stream",
   "cache-control": "no-store",
 };
 
+const keepAliveComment = ":\n\n";
+
 /** Writer of one answer. */
 export class AnswerWriter {
   private readonly text = TokenText.create();
   private whole = "";
+  private source: AnswerSource | undefined;
+  private readyIds: number[] = [];
+  private readyText = "";
+  // Tokens since the last whole character; a cursor never points between them.
+  private splitIds: number[] = [];
+  private splitText = "";
 
   private constructor(
-    private readonly res: ServerResponse,
+    readonly res: ServerResponse,
     private readonly options: AnswerOptions,
   ) {}
 
@@ -52,26 +46,40 @@
     return new AnswerWriter(res, options);
   }
 
-  /** Adds tokens; returns false where the caller is slow. */
-  deliver(
-    attempt: number,
-    offset: number,
-    tokens: readonly EngineToken[],
-  ): boolean {
-    const text = this.text.push(tokens);
-    if (!this.options.isStreamed) {
-      this.whole += text;
-      return true;
-    }
+  /** Bytes that the caller has not taken yet. */
+  get bufferedBytes(): number {
+    return this.res.writableLength;
+  }
+
+  /** Adds tokens; they go out with the next flush. */
+  deliver(source: AnswerSource, tokens: readonly EngineToken[]): void {
+    this.source = source;
+    for (const token of tokens) this.add(token);
+  }
+
+  /** Writes what was gathered as one event. */
+  flush(): void {
+    if (!this.options.isStreamed || this.source === undefined) return;
+    if (this.readyIds.length === 0) return;
+    const ids = this.readyIds;
+    const id = this.options.cursorAfter(this.source, ids);
+    const chunk = chunkOf(this.options, this.readyText, null);
+    this.readyIds = [];
+    this.readyText = "";
     this.start();
-    const id = this.options.cursorAt(attempt, offset + tokens.length);
-    return this.res.write(
-      `id: ${id}\ndata: ${JSON.stringify(this.chunk(text, null))}\n\n`,
-    );
+    const data = JSON.stringify({ ...chunk, token_ids: ids });
+    this.res.write(`id: ${id}\ndata: ${data}\n\n`);
+  }
+
+  /** Shows a caller of a silent stream that this router lives. */
+  keepAlive(): void {
+    if (this.res.headersSent && this.options.isStreamed)
+      this.res.write(keepAliveComment);
   }
 
   finish(reason: FinishReason, completionTokens: number): void {
-    const rest = this.text.end();
+    this.flush();
+    const rest = this.splitText + this.text.end();
     const { promptTokens } = this.options;
     const usage = {
       prompt_tokens: promptTokens,
@@ -79,17 +87,15 @@
       total_tokens: promptTokens + completionTokens,
     };
     if (!this.options.isStreamed) {
+      const answer = answerOf(this.options, this.whole + rest, reason);
       this.res.writeHead(200, { "content-type": "application/json" });
-      this.res.end(
-        JSON.stringify({ ...this.answer(this.whole + rest, reason), usage }),
-      );
+      this.res.end(JSON.stringify({ ...answer, usage }));
       return;
     }
     this.start();
-    this.res.write(
-      `data: ${JSON.stringify({ ...this.chunk(rest, reason), usage })}\n\n`,
-    );
-    this.res.end("data: [DONE]\n\n");
+    const chunk = chunkOf(this.options, rest, reason);
+    const data = JSON.stringify({ ...chunk, token_ids: this.splitIds, usage });
+    this.res.end(`data: ${data}\n\ndata: [DONE]\n\n`);
   }
 
   fail(error: ApiError): void {
@@ -97,65 +103,28 @@
       sendError(this.res, error);
       return;
     }
+    this.flush();
     const { type, message, ran } = error;
-    this.res.end(
-      `event: error\ndata: ${JSON.stringify({ error: { type, message, ran } })}\n\n`,
-    );
-  }
-
-  private start(): void {
-    if (!this.res.headersSent) this.res.writeHead(200, streamHeaders);
+    const data = JSON.stringify({ error: { type, message, ran } });
+    this.res.end(`event: error\ndata: ${data}\n\n`);
   }
 
-  private chunk(text: string, finish: FinishReason | null) {
-    const { requestId: id, model, shape } = this.options;
-    switch (shape) {
-      case "chat":
-        return {
-          id,
-          object: "chat.completion.chunk",
-          model,
-          choices: [
-            { index: 0, delta: { content: text }, finish_reason: finish },
-          ],
-        };
-      case "completion":
-        return {
-          id,
-          object: "text_completion",
-          model,
-          choices: [{ index: 0, text, finish_reason: finish }],
-        };
-      default:
-        return assertNever(shape);
+  private add(token: EngineToken): void {
+    const text = this.text.push(token);
+    if (!this.options.isStreamed) {
+      this.whole += text;
+      return;
     }
+    this.splitIds.push(token.id);
+    this.splitText += text;
+    if (!this.text.isWhole) return;
+    this.readyIds.push(...this.splitIds);
+    this.readyText += this.splitText;
+    this.splitIds = [];
+    this.splitText = "";
   }
 
-  private answer(text: string, finish: FinishReason) {
-    const { requestId: id, model, shape } = this.options;
-    switch (shape) {
-      case "chat":
-        return {
-          id,
-          object: "chat.completion",
-          model,
-          choices: [
-            {
-              index: 0,
-              message: { role: "assistant", content: text },
-              finish_reason: finish,
-            },
-          ],
-        };
-      case "completion":
-        return {
-          id,
-          object: "text_completion",
-          model,
-          choices: [{ index: 0, text, finish_reason: finish }],
-        };
-      default:
-        return assertNever(shape);
-    }
+  private start(): void {
+    if (!this.res.headersSent) this.res.writeHead(200, streamHeaders);
   }
 }
--- /dev/null
+++ b/packages/router/src/callers/openAnswers.ts
@@ -0,0 +1,156 @@
+/** The answers that callers of this router are waiting for. */
+
+import type { ServerResponse } from "node:http";
+import { now } from "@cardamomglade/common";
+import type { ApiError } from "../errors.js";
+import { Counter, Latency, type Metrics } from "../metrics.js";
+import type { RouterCommandOf, RouterEvent } from "../types.js";
+import { AnswerWriter, type AnswerOptions } from "./answerWriter.js";
+
+interface OpenAnswer {
+  readonly writer: AnswerWriter;
+  lastAt: number;
+  isDelivered: boolean;
+  isSlow: boolean;
+  resumedAt: number | undefined;
+}
+
+/** What open answers need. */
+export interface OpenAnswersOptions {
+  readonly metrics: Metrics;
+  /** Bytes that one slow caller may leave unread before its stream is paused. */
+  readonly bufferBytes: number;
+  readonly push: (event: RouterEvent) => void;
+}
+
+const keepAliveMs = 500;
+
+/** Open answers by request id; gathers what one turn of the loop brings into one write a caller. */
+export class OpenAnswers {
+  private readonly answers = new Map<string, OpenAnswer>();
+  private gathered = new Set<string>();
+  private readonly timer: NodeJS.Timeout;
+
+  private constructor(private readonly options: OpenAnswersOptions) {
+    this.timer = setInterval(() => {
+      this.keepAlive();
+    }, keepAliveMs);
+  }
+
+  static create(options: OpenAnswersOptions): OpenAnswers {
+    return new OpenAnswers(options);
+  }
+
+  /** Waits for an answer; an older connection of the same request is closed. */
+  open(res: ServerResponse, options: AnswerOptions): void {
+    const { requestId } = options;
+    const older = this.answers.get(requestId);
+    const writer = AnswerWriter.create(res, options);
+    const answer: OpenAnswer = {
+      writer,
+      lastAt: now(),
+      isDelivered: false,
+      isSlow: false,
+      resumedAt: undefined,
+    };
+    this.answers.set(requestId, answer);
+    older?.writer.res.destroy();
+    res.on("drain", () => {
+      this.drained(requestId, answer);
+    });
+    res.on("close", () => {
+      if (this.answers.get(requestId) !== answer) return;
+      this.answers.delete(requestId);
+      this.options.push({ type: "callerLeft", at: now(), requestId });
+    });
+  }
+
+  /** Notes that an answer goes on elsewhere. */
+  noteResume(requestId: string): void {
+    const answer = this.answers.get(requestId);
+    if (answer === undefined) return;
+    this.options.metrics.count(Counter.Resumes);
+    answer.resumedAt ??= now();
+  }
+
+  deliver({ requestId, source, tokens }: RouterCommandOf<"deliver">): void {
+    const answer = this.answers.get(requestId);
+    if (answer === undefined) return;
+    this.observe(answer, tokens.length);
+    answer.writer.deliver(source, tokens);
+    if (this.gathered.size === 0) {
+      setImmediate(() => {
+        this.flush();
+      });
+    }
+    this.gathered.add(requestId);
+  }
+
+  finish(command: RouterCommandOf<"finishAnswer">): void {
+    const { requestId, reason, completionTokens } = command;
+    const answer = this.answers.get(requestId);
+    this.answers.delete(requestId);
+    answer?.writer.finish(reason, completionTokens);
+  }
+
+  /** Whether there was such an answer. */
+  fail(requestId: string, error: ApiError): boolean {
+    const answer = this.answers.get(requestId);
+    this.answers.delete(requestId);
+    answer?.writer.fail(error);
+    return answer !== undefined;
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private observe(answer: OpenAnswer, tokens: number): void {
+    const { metrics } = this.options;
+    const at = now();
+    const latency = answer.isDelivered
+      ? Latency.BetweenTokens
+      : Latency.FirstToken;
+    metrics.observe(latency, at - answer.lastAt);
+    metrics.count(Counter.Tokens, tokens);
+    if (answer.resumedAt !== undefined) {
+      metrics.observe(Latency.Resume, at - answer.resumedAt);
+    }
+    answer.resumedAt = undefined;
+    answer.lastAt = at;
+    answer.isDelivered = true;
+  }
+
+  private flush(): void {
+    const ids = this.gathered;
+    this.gathered = new Set();
+    for (const requestId of ids) {
+      const answer = this.answers.get(requestId);
+      if (answer === undefined) continue;
+      answer.writer.flush();
+      this.watchBuffer(requestId, answer);
+    }
+  }
+
+  private watchBuffer(requestId: string, answer: OpenAnswer): void {
+    const { res, bufferedBytes } = answer.writer;
+    const { bufferBytes, push } = this.options;
+    const bound = Math.max(bufferBytes, res.writableHighWaterMark);
+    if (answer.isSlow || bufferedBytes <= bound) return;
+    answer.isSlow = true;
+    push({ type: "callerSlow", at: now(), requestId });
+  }
+
+  private drained(requestId: string, answer: OpenAnswer): void {
+    if (!answer.isSlow || this.answers.get(requestId) !== answer) return;
+    answer.isSlow = false;
+    this.options.push({ type: "callerReady", at: now(), requestId });
+  }
+
+  private keepAlive(): void {
+    const idleSince = now() - keepAliveMs;
+    for (const { writer, lastAt, isSlow } of this.answers.values()) {
+      if (lastAt < idleSince && !isSlow) writer.keepAlive();
+    }
+  }
+}
--- a/packages/router/src/callers/parseGeneration.ts
+++ b/packages/router/src/callers/parseGeneration.ts
@@ -9,7 +9,7 @@
   type CompletionBody,
 } from "@cardamomglade/schema";
 import { ErrorType, notRun, type ApiError } from "../errors.js";
-import type { AnswerShape } from "./answerWriter.js";
+import type { AnswerShape } from "./answerChunks.js";
 import { parseBody } from "./readBody.js";
 
 /** A caller's body, its prompt as one text. */
@@ -21,6 +21,8 @@
   readonly isStreamed: boolean;
   /** Text that a returning caller already holds. */
   readonly prefix?: string;
+  /** Ids of the tokens that a returning caller already holds. */
+  readonly prefixTokenIds?: readonly number[];
 }
 
 const defaultMaxTokens = 1024;
@@ -54,5 +56,8 @@
     stop: body.stop ?? [],
     isStreamed: body.stream ?? false,
     ...(body.prefix === undefined ? {} : { prefix: body.prefix }),
+    ...(body.prefix_token_ids === undefined
+      ? {}
+      : { prefixTokenIds: body.prefix_token_ids }),
   });
 };
--- a/packages/router/src/drivers/callerDriver.ts
+++ b/packages/router/src/drivers/callerDriver.ts
@@ -1,29 +1,38 @@
 /** Caller API over HTTP. */
 
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import {
   type IncomingMessage,
   type Server,
   type ServerResponse,
 } from "node:http";
-import { createChannel, now } from "@cardamomglade/common";
+import { createChannel, now, ok, type Result } from "@cardamomglade/common";
 import type { Customer, Settings } from "@cardamomglade/schema";
 import { authenticate } from "../callers/authenticate.js";
+import type { AnswerShape } from "../callers/answerChunks.js";
 import {
-  AnswerWriter,
-  sendError,
-  type AnswerShape,
-} from "../callers/answerWriter.js";
-import { parseGeneration } from "../callers/parseGeneration.js";
+  checkReturn,
+  digestRequest,
+  type CheckedReturn,
+} from "../callers/checkReturn.js";
+import { createCursorSource } from "../callers/createCursorSource.js";
+import { emptyDigest } from "../callers/cursor.js";
+import { OpenAnswers } from "../callers/openAnswers.js";
+import {
+  parseGeneration,
+  type ParsedGeneration,
+} from "../callers/parseGeneration.js";
 import {
   parseServiceCall,
   serviceNameOf,
   servicePrefix,
 } from "../callers/parseServiceCall.js";
+import { parseTimeout } from "../callers/parseTimeout.js";
+import { sendError } from "../callers/sendError.js";
 import { readBody } from "../callers/readBody.js";
 import { ErrorType, notRun, type ApiError } from "../errors.js";
 import { Counter, Latency, type Metrics } from "../metrics.js";
-import type { RouterCommand, RouterEvent } from "../types.js";
+import type { RouterCommand, RouterCommandOf, RouterEvent } from "../types.js";
 import type { RouterDriver, StateView } from "./types.js";
 
 /** What the caller API needs. */
@@ -35,19 +44,10 @@
   readonly server: Server;
 }
 
-type Waiting =
-  | {
-      readonly type: "answer";
-      readonly writer: AnswerWriter;
-      readonly arrivedAt: number;
-      lastAt: number;
-      delivered: boolean;
-    }
-  | {
-      readonly type: "call";
-      readonly res: ServerResponse;
-      readonly arrivedAt: number;
-    };
+interface WaitingCall {
+  readonly res: ServerResponse;
+  readonly arrivedAt: number;
+}
 
 interface CallerRequest {
   readonly req: IncomingMessage;
@@ -58,13 +58,12 @@
 
 const charsPerToken = 4;
 
-const timeoutOf = (req: IncomingMessage, settings: Settings): number => {
-  const asked = Number(req.headers["x-request-timeout-ms"] ?? NaN);
-  const longest = settings.limits.requestTimeoutMs;
-  return Number.isFinite(asked) && asked > 0
-    ? Math.min(asked, longest)
-    : longest;
-};
+// Attempts of different routers on one request never share a number.
+const attemptStride = 1000;
+const attemptRanges = 2 ** 31;
+
+const drawFirstAttempt = (): number =>
+  randomInt(1, attemptRanges) * attemptStride;
 
 /** Serves callers: generations, plain services and the list of models. */
 export const createCallerDriver = (
@@ -72,72 +71,103 @@
 ): RouterDriver => {
   const { settings, view, metrics, server } = options;
   const channel = createChannel<RouterEvent>();
-  const waiting = new Map<string, Waiting>();
+  const push = (event: RouterEvent) => {
+    channel.push(event);
+  };
+  const waiting = new Map<string, WaitingCall>();
+  const answers = OpenAnswers.create({
+    metrics,
+    bufferBytes: settings.limits.answerBufferBytes,
+    push,
+  });
 
-  const watchCaller = (res: ServerResponse, requestId: string) => {
-    res.on("close", () => {
-      if (!waiting.delete(requestId)) return;
-      channel.push({ type: "callerLeft", at: now(), requestId });
+  const findReturn = (
+    { req, customer }: CallerRequest,
+    parsed: ParsedGeneration,
+    at: number,
+  ): Result<CheckedReturn | undefined, ApiError> => {
+    const eventId = req.headers["last-event-id"];
+    if (typeof eventId !== "string") return ok(undefined);
+    return checkReturn({
+      cursorKey: settings.cursorKey,
+      eventId,
+      customer: customer.name,
+      parsed,
+      config: view().config,
+      at,
+      firstAttempt: drawFirstAttempt(),
     });
   };
 
-  const generate = (call: CallerRequest, shape: AnswerShape) => {
-    const { req, res, customer, body } = call;
-    const parsed = parseGeneration(body, shape);
-    if (parsed.type === "err") {
-      sendError(res, parsed.error);
-      return;
-    }
-    const { model, prompt, maxTokens, stop, isStreamed } = parsed.value;
-    const requestId = randomUUID();
+  const startAnswer = (
+    { req, res, customer }: CallerRequest,
+    shape: AnswerShape,
+    parsed: ParsedGeneration,
+    returned: CheckedReturn | undefined,
+  ) => {
+    const { model, prompt, maxTokens, stop, isStreamed } = parsed;
+    const { name, priority } = customer;
     const at = now();
-    const writer = AnswerWriter.create(res, {
+    const requestId = returned?.cursor.requestId ?? randomUUID();
+    const deadline =
+      returned?.cursor.deadline ?? at + parseTimeout(req, settings);
+    const cursorAfter = createCursorSource(settings.cursorKey, {
+      requestId,
+      customer: name,
+      request: digestRequest(parsed),
+      deadline,
+      offset: returned?.cursor.offset ?? 0,
+      digest: returned?.cursor.digest ?? emptyDigest,
+    });
+    const promptTokens = Math.ceil(prompt.length / charsPerToken);
+    answers.open(res, {
       requestId,
       model,
       shape,
       isStreamed,
-      promptTokens: Math.ceil(prompt.length / charsPerToken),
-      cursorAt: (attempt, offset) =>
-        `${requestId}.${String(attempt)}.${String(offset)}`,
-    });
-    waiting.set(requestId, {
-      type: "answer",
-      writer,
-      arrivedAt: at,
-      lastAt: at,
-      delivered: false,
-    });
-    watchCaller(res, requestId);
-    const { name, priority } = customer;
-    const deadline = at + timeoutOf(req, settings);
-    channel.push({
-      type: "generationArrived",
-      at,
-      request: {
-        requestId,
-        customer: name,
-        priority,
-        model,
-        prompt,
-        maxTokens,
-        stop,
-        deadline,
-      },
+      promptTokens,
+      cursorAfter,
     });
+    const request = {
+      requestId,
+      customer: name,
+      priority,
+      model,
+      prompt,
+      maxTokens,
+      stop,
+      deadline,
+      ...(returned === undefined ? {} : { returnPoint: returned.point }),
+    };
+    push({ type: "generationArrived", at, request });
+  };
+
+  const generate = (call: CallerRequest, shape: AnswerShape) => {
+    const parsed = parseGeneration(call.body, shape);
+    if (parsed.type === "err") {
+      sendError(call.res, parsed.error);
+      return;
+    }
+    const returned = findReturn(call, parsed.value, now());
+    if (returned.type === "err") {
+      sendError(call.res, returned.error);
+      return;
+    }
+    startAnswer(call, shape, parsed.value, returned.value);
   };
 
   const callService = ({ req, res, customer, body }: CallerRequest) => {
     const at = now();
     const service = view().config.services.get(serviceNameOf(req.url ?? ""));
     const longest = service?.timeoutMs ?? Infinity;
-    const deadline = at + Math.min(timeoutOf(req, settings), longest);
+    const deadline = at + Math.min(parseTimeout(req, settings), longest);
     const parsed = parseServiceCall(req, { customer, body, deadline });
     if (parsed.type === "err") {
       sendError(res, parsed.error);
       return;
     }
     const request = parsed.value;
-    waiting.set(request.call.requestId, { type: "call", res, arrivedAt: at });
+    waiting.set(request.call.requestId, { res, arrivedAt: at });
     channel.push({ type: "serviceCallArrived", at, request });
   };
 
@@ -199,56 +229,43 @@
     serve(req, res).catch(() => res.destroy());
   });
 
-  const deliver = (command: Extract<RouterCommand, { type: "deliver" }>) => {
-    const entry = waiting.get(command.requestId);
-    if (entry?.type !== "answer") return;
-    const at = now();
-    metrics.observe(
-      entry.delivered ? Latency.BetweenTokens : Latency.FirstToken,
-      at - entry.lastAt,
-    );
-    metrics.count(Counter.Tokens, command.tokens.length);
-    entry.lastAt = at;
-    entry.delivered = true;
-    entry.writer.deliver(command.attempt, command.offset, command.tokens);
-  };
-
   const fail = (requestId: string, error: ApiError) => {
-    const entry = waiting.get(requestId);
-    if (entry === undefined) return;
+    const call = waiting.get(requestId);
     waiting.delete(requestId);
-    metrics.count(Counter.Failures);
-    if (entry.type === "call") sendError(entry.res, error);
-    else entry.writer.fail(error);
+    const isFailed = answers.fail(requestId, error);
+    if (call !== undefined) sendError(call.res, error);
+    if (isFailed || call !== undefined) metrics.count(Counter.Failures);
+  };
+
+  const answerCall = (command: RouterCommandOf<"answerCall">) => {
+    const call = waiting.get(command.requestId);
+    if (call === undefined) return;
+    waiting.delete(command.requestId);
+    const { status, contentType, body } = command.answer;
+    metrics.count(Counter.ServiceCalls);
+    metrics.observe(Latency.ServiceCall, now() - call.arrivedAt);
+    call.res.writeHead(status, { "content-type": contentType });
+    call.res.end(body);
   };
 
   const perform = (command: RouterCommand) => {
     switch (command.type) {
+      case "openAttempt":
+        if (command.order.attempt > 0)
+          answers.noteResume(command.order.requestId);
+        return;
       case "deliver":
-        deliver(command);
+        answers.deliver(command);
         return;
-      case "finishAnswer": {
-        const entry = waiting.get(command.requestId);
-        waiting.delete(command.requestId);
-        if (entry?.type === "answer")
-          entry.writer.finish(command.reason, command.completionTokens);
+      case "finishAnswer":
+        answers.finish(command);
         return;
-      }
       case "failAnswer":
         fail(command.requestId, command.error);
         return;
-      case "answerCall": {
-        const entry = waiting.get(command.requestId);
-        waiting.delete(command.requestId);
-        if (entry?.type !== "call") return;
-        metrics.count(Counter.ServiceCalls);
-        metrics.observe(Latency.ServiceCall, now() - entry.arrivedAt);
-        entry.res.writeHead(command.answer.status, {
-          "content-type": command.answer.contentType,
-        });
-        entry.res.end(command.answer.body);
+      case "answerCall":
+        answerCall(command);
         return;
-      }
       default:
     }
   };
@@ -258,6 +275,7 @@
     perform,
     stop: () =>
       new Promise((resolve) => {
+        answers.stop();
         server.close(() => {
           resolve();
         });
--- a/packages/router/src/drivers/engineDriver.ts
+++ b/packages/router/src/drivers/engineDriver.ts
@@ -6,7 +6,6 @@
   Engines,
   EngineStream,
   EngineStreamEvent,
-  GenerationOrder,
   StreamBreak,
 } from "@cardamomglade/upstream";
 import type { RouterCommand, RouterCommandOf, RouterEvent } from "../types.js";
@@ -16,6 +15,7 @@
   connection: AttemptFailure.Connection,
   refused: AttemptFailure.Refused,
   malformed: AttemptFailure.Malformed,
+  wrongVersion: AttemptFailure.WrongVersion,
 };
 
 interface AttemptId {
@@ -27,22 +27,11 @@
   `${requestId}.${String(attempt)}`;
 
 const toRouterEvent = (
-  order: GenerationOrder,
+  { requestId, attempt }: AttemptId,
   event: EngineStreamEvent,
-): RouterEvent | undefined => {
-  const { requestId, attempt } = order;
+): RouterEvent => {
   const at = now();
   switch (event.type) {
-    case "opened":
-      return event.version === order.version
-        ? undefined
-        : {
-            type: "attemptBroken",
-            at,
-            requestId,
-            attempt,
-            failure: AttemptFailure.WrongVersion,
-          };
     case "tokens":
       return {
         type: "tokensReceived",
@@ -77,14 +66,9 @@
   const channel = createChannel<RouterEvent>();
   const open = new Map<string, EngineStream>();
 
-  const openAttempt = (url: string, order: GenerationOrder) => {
-    const id = idOf(order);
-    const stream = engines.generate(url, order, (event) => {
-      if (event.type === "finished" || event.type === "broken") open.delete(id);
-      const routed = toRouterEvent(order, event);
-      if (routed !== undefined) channel.push(routed);
-    });
-    open.set(id, stream);
+  const listen = (order: AttemptId) => (event: EngineStreamEvent) => {
+    if (event.type !== "tokens") open.delete(idOf(order));
+    channel.push(toRouterEvent(order, event));
   };
 
   const probe = async (command: RouterCommandOf<"probeBackEnd">) => {
@@ -97,8 +81,23 @@
   const perform = (command: RouterCommand) => {
     switch (command.type) {
       case "openAttempt":
-        openAttempt(command.url, command.order);
+        open.set(
+          idOf(command.order),
+          engines.generate(command.url, command.order, listen(command.order)),
+        );
         return;
+      case "attachAttempt":
+        open.set(
+          idOf(command.order),
+          engines.attach(command.url, command.order, listen(command.order)),
+        );
+        return;
+      case "detachAttempt": {
+        const id = idOf(command);
+        open.get(id)?.detach();
+        open.delete(id);
+        return;
+      }
       case "cancelAttempt": {
         const id = idOf(command);
         open.get(id)?.cancel();
--- a/packages/router/src/errors.ts
+++ b/packages/router/src/errors.ts
@@ -17,6 +17,8 @@
   DeadlineExceeded = "deadlineExceeded",
   StoreUnavailable = "storeUnavailable",
   OutcomeUnknown = "outcomeUnknown",
+  /** The answer can go on only from a prefix that the caller has not sent. */
+  PrefixNeeded = "prefixNeeded",
   Internal = "internal",
 }
 
@@ -43,6 +45,7 @@
   [ErrorType.DeadlineExceeded]: 504,
   [ErrorType.StoreUnavailable]: 503,
   [ErrorType.OutcomeUnknown]: 502,
+  [ErrorType.PrefixNeeded]: 409,
   [ErrorType.Internal]: 500,
 };
 
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -21,12 +21,35 @@
   TimelineEvent,
 } from "@cardamomglade/schema";
 import type {
+  AttachOrder,
   GenerationOrder,
   ServiceCall,
   ServiceOutcome,
 } from "@cardamomglade/upstream";
 import type { ApiError } from "./errors.js";
 
+/** Where a returning caller stands in an answer that an earlier connection began. */
+export interface ReturnPoint {
+  readonly attempt: number;
+  readonly backEnd: string;
+  readonly offset: number;
+  readonly deployment: string;
+  /** Number of the first new attempt. */
+  readonly firstAttempt: number;
+  /** Proved ids of the delivered tokens; without them only the engine's own stream can go on. */
+  readonly prefix?: readonly number[];
+  /** Text that the caller holds. */
+  readonly text: string;
+}
+
+/** Which attempt delivered tokens come from. */
+export interface AnswerSource {
+  readonly deployment: string;
+  readonly version: string;
+  readonly attempt: number;
+  readonly backEnd: string;
+}
+
 /** A generation as a caller asked for it. */
 export interface GenerationRequest {
   readonly requestId: string;
@@ -37,6 +60,13 @@
   readonly maxTokens: number;
   readonly stop: readonly string[];
   readonly deadline: Moment;
+  readonly returnPoint?: ReturnPoint;
+}
+
+/** Text before and after the start of a continuation. */
+export interface StopBorder {
+  readonly before: string;
+  after: string;
 }
 
 /** One stream with what is needed to open further attempts; owned by the fold. */
@@ -49,6 +79,10 @@
   readonly open: Map<number, string>;
   /** Tokens that wait until a move has succeeded or failed. */
   held: EngineToken[];
+  /** Texts around the start of each continuation, while a stop sequence may cross it; by attempt. */
+  readonly borders: Map<number, StopBorder>;
+  /** The answer's last characters, as many as the longest stop sequence. */
+  tail: string;
   stream: StreamState;
 }
 
@@ -191,11 +225,21 @@
       readonly url: string;
       readonly order: GenerationOrder;
     }
+  | {
+      readonly type: "attachAttempt";
+      readonly url: string;
+      readonly order: AttachOrder;
+    }
   | {
       readonly type: "cancelAttempt";
       readonly requestId: string;
       readonly attempt: number;
     }
+  | {
+      readonly type: "detachAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
   | {
       readonly type: "pauseAttempt";
       readonly requestId: string;
@@ -216,7 +260,7 @@
   | {
       readonly type: "deliver";
       readonly requestId: string;
-      readonly attempt: number;
+      readonly source: AnswerSource;
       readonly offset: number;
       readonly tokens: readonly EngineToken[];
     }
--- a/packages/upstream/src/types.ts
+++ b/packages/upstream/src/types.ts
@@ -24,15 +24,22 @@
   readonly prefix: readonly number[];
 }
 
+/** Which running stream to take up, and from where on. */
+export interface AttachOrder {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly version: string;
+  readonly offset: number;
+}
+
 /** Why a stream broke. */
 export interface StreamBreak {
-  readonly type: "connection" | "refused" | "malformed";
+  readonly type: "connection" | "refused" | "malformed" | "wrongVersion";
   readonly message: string;
 }
 
 /** What an engine's stream reports; `finished` or `broken` is last. */
 export type EngineStreamEvent =
-  | { readonly type: "opened"; readonly version: string }
   | {
       readonly type: "tokens";
       readonly offset: number;
@@ -49,8 +56,10 @@
 export interface EngineStream {
   pause(): void;
   resume(): void;
-  /** Stops listening and cancels the engine's work. */
+  /** Stops listening and cancels the engine's work, unless another reader took it up. */
   cancel(): void;
+  /** Stops listening; the engine goes on. */
+  detach(): void;
 }
 
 /** Client of all engines. */
@@ -60,6 +69,12 @@
     order: GenerationOrder,
     onEvent: (event: EngineStreamEvent) => void,
   ): EngineStream;
+  /** Takes up a stream that the engine runs or has kept. */
+  attach(
+    url: string,
+    order: AttachOrder,
+    onEvent: (event: EngineStreamEvent) => void,
+  ): EngineStream;
   /** Whether the engine answers its health check by a deadline. */
   isAlive(url: string, deadline: Moment): Promise<boolean>;
   readLoad(url: string, deadline: Moment): Promise<LoadReport | undefined>;
--- a/stand-ins/src/engine/batcher.ts
+++ b/stand-ins/src/engine/batcher.ts
@@ -75,6 +75,8 @@
       lastId: prefix.at(-1) ?? 0,
       tail: "",
       readyAt: Infinity,
+      reader: body.reader,
+      closeReader: undefined,
       listener: undefined,
       state: "queued",
       finish: undefined,
@@ -220,6 +222,6 @@
   length: number,
 ): string | undefined => {
   const stops = generation.body.stop ?? [];
-  if (stops.some((stop) => generation.tail.endsWith(stop))) return "stop";
+  if (stops.some((stop) => generation.tail.includes(stop))) return "stop";
   return length >= generation.body.max_tokens ? "length" : undefined;
 };
--- a/stand-ins/src/engine/startEngine.ts
+++ b/stand-ins/src/engine/startEngine.ts
@@ -68,6 +68,8 @@
     "cache-control": "no-store",
   });
   res.flushHeaders();
+  generation.closeReader?.();
+  generation.closeReader = () => res.destroy();
   const done = (finish: string | undefined) => {
     if (finish !== undefined) res.end("data: [DONE]\n\n");
   };
@@ -97,7 +99,13 @@
 
 const streamCall = (engine: EngineContext, call: Call): boolean => {
   const id = decodeURIComponent(call.path.slice("/v1/streams/".length));
+  const reader = call.query.get("reader") ?? undefined;
   if (call.method === "DELETE") {
+    const newest = engine.batcher.generations.get(id)?.reader;
+    if (reader !== undefined && newest !== undefined && reader !== newest) {
+      sendJson(call.res, 409, { error: `stream ${id} has another reader` });
+      return true;
+    }
     const known = engine.batcher.cancel(id);
     sendJson(call.res, known ? 200 : 404, { id });
     return true;
@@ -114,6 +122,7 @@
     });
     return true;
   }
+  generation.reader = reader;
   streamTo(generation, call.res, offset);
   return true;
 };
--- a/stand-ins/src/engine/types.ts
+++ b/stand-ins/src/engine/types.ts
@@ -29,6 +29,8 @@
   readonly stop?: readonly string[];
   readonly priority?: string;
   readonly continue_from?: readonly number[];
+  /** Names who reads the stream; only the newest reader may cancel. */
+  readonly reader?: string;
 }
 
 /** One generation as it runs. */
@@ -44,6 +46,8 @@
   lastId: number;
   tail: string;
   readyAt: number;
+  reader: string | undefined;
+  closeReader: (() => void) | undefined;
   listener:
     | ((
         tokens: readonly EngineToken[],
