Fuzz the decoders; bound what a malformed sender can make a router keep

Arbitrary input at each boundary found four faults, each now held by a seeded test: a malformed key-value answer rejected the call's promise or gave a revision that is no number (now an unknown outcome), an answer or watch line without an end filled the memory (now 32 MB and 16 million characters), so did an engine's event without an end (now 4 million characters), and a document nested a hundred thousand deep threw (now a finding). Peer messages, caller bodies, token text and clock readings held.

--- a/packages/platform/src/keyValueClient.ts
+++ b/packages/platform/src/keyValueClient.ts
@@ -20,6 +20,7 @@
   fromWire,
   prefixEnd,
   toEntry,
+  toNumber,
   toWire,
   toWireTransaction,
   type WireEntry,
@@ -57,6 +58,8 @@
 }
 
 const msPerSecond = 1000;
+const maxAnswerBytes = 32 * 1024 * 1024;
+const maxWatchLineChars = 16 * 1024 * 1024;
 
 const failureOf = (error: unknown): CallFailure => {
   const message = error instanceof Error ? error.message : String(error);
@@ -73,21 +76,65 @@
 const entriesOf = (range: WireRange | undefined): KeyValueEntry[] =>
   (range?.kvs ?? []).map(toEntry);
 
+/** Any answer; each call reads the fields of its own. */
+type WireAnswer = WireRange & WireTransactionAnswer & WireLease;
+
+interface WireCall {
+  readonly kind: CallKind;
+  readonly path: string;
+  readonly body: object;
+}
+
+const resultOf = (answer: WireTransactionAnswer): TransactionResult => {
+  const ranges = (answer.responses ?? []).filter(
+    (one) => one.response_range !== undefined,
+  );
+  return {
+    succeeded: answer.succeeded ?? false,
+    revision: toNumber(answer.header?.revision),
+    reads: ranges.map((one) => entriesOf(one.response_range)),
+  };
+};
+
+const grantOf = (answer: WireLease): LeaseGrant => {
+  const lease = answer.result ?? answer;
+  return {
+    id: lease.ID ?? "0",
+    ttlMs: toNumber(lease.TTL) * msPerSecond,
+  };
+};
+
+const decodeAnswer = <T>(
+  path: string,
+  answer: WireAnswer,
+  decode: (answer: WireAnswer) => T,
+): Outcome<T> => {
+  try {
+    return { type: "done", value: decode(answer) };
+  } catch (error) {
+    const message = `${path} answered a malformed body: ${String(error)}`;
+    return { type: "unknown", failure: { type: "malformed", message } };
+  }
+};
+
 /** The service over HTTP; one client a process. */
 export class KeyValueClient implements KeyValue {
   private readonly agent: Agent;
+  private readonly watchAgent: Agent;
   private readonly made = { read: 0, write: 0, lease: 0, watch: 0 };
   private next = 0;
 
   private constructor(private readonly options: KeyValueClientOptions) {
     const { connector: connect } = options;
-    this.agent = new Agent({
-      connections: 16,
+    const common = {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       ...(connect && { connect }),
-    });
+    };
+    const maxResponseSize = maxAnswerBytes;
+    this.agent = new Agent({ ...common, connections: 16, maxResponseSize });
+    this.watchAgent = new Agent({ ...common, connections: null });
   }
 
   /** A client; connects on first use. */
@@ -101,18 +148,14 @@
   ): Promise<Outcome<RangeResult>> {
     const end = options.prefix ? { range_end: prefixEnd(key) } : {};
     const body = { key: toWire(key), ...end };
-    const outcome = await this.call<WireRange>(
-      CallKind.Read,
-      "/v3/kv/range",
-      body,
+    return this.call(
+      { kind: CallKind.Read, path: "/v3/kv/range", body },
       options.deadline,
+      (answer) => ({
+        revision: toNumber(answer.header?.revision),
+        entries: entriesOf(answer),
+      }),
     );
-    if (outcome.type !== "done") return outcome;
-    const revision = Number(outcome.value.header?.revision ?? 0);
-    return {
-      type: "done",
-      value: { revision, entries: entriesOf(outcome.value) },
-    };
   }
 
   async transact(
@@ -120,25 +163,11 @@
     deadline: Moment,
   ): Promise<Outcome<TransactionResult>> {
     const body = toWireTransaction(transaction);
-    const outcome = await this.call<WireTransactionAnswer>(
-      CallKind.Write,
-      "/v3/kv/txn",
-      body,
+    return this.call(
+      { kind: CallKind.Write, path: "/v3/kv/txn", body },
       deadline,
+      resultOf,
     );
-    if (outcome.type !== "done") return outcome;
-    const answer = outcome.value;
-    const ranges = (answer.responses ?? []).filter(
-      (one) => one.response_range !== undefined,
-    );
-    return {
-      type: "done",
-      value: {
-        succeeded: answer.succeeded ?? false,
-        revision: Number(answer.header?.revision ?? 0),
-        reads: ranges.map((one) => entriesOf(one.response_range)),
-      },
-    };
   }
 
   async grantLease(
@@ -157,15 +186,11 @@
   }
 
   async revokeLease(id: string, deadline: Moment): Promise<Outcome<void>> {
-    const outcome = await this.call<unknown>(
-      CallKind.Lease,
-      "/v3/lease/revoke",
-      { ID: id },
+    return this.call(
+      { kind: CallKind.Lease, path: "/v3/lease/revoke", body: { ID: id } },
       deadline,
+      () => undefined,
     );
-    return outcome.type === "done"
-      ? { type: "done", value: undefined }
-      : outcome;
   }
 
   watch(
@@ -196,7 +221,7 @@
   }
 
   async close(): Promise<void> {
-    await this.agent.destroy();
+    await Promise.all([this.agent.destroy(), this.watchAgent.destroy()]);
   }
 
   private endpoint(): string {
@@ -209,28 +234,14 @@
     body: object,
     deadline: Moment,
   ): Promise<Outcome<LeaseGrant>> {
-    const outcome = await this.call<WireLease>(
-      CallKind.Lease,
-      path,
-      body,
-      deadline,
-    );
-    if (outcome.type !== "done") return outcome;
-    const lease = outcome.value.result ?? outcome.value;
-    return {
-      type: "done",
-      value: {
-        id: lease.ID ?? "0",
-        ttlMs: Number(lease.TTL ?? 0) * msPerSecond,
-      },
-    };
+    return this.call({ kind: CallKind.Lease, path, body }, deadline, grantOf);
   }
 
+  // An answer that cannot be decoded leaves the call's effect unknown.
   private async call<T>(
-    kind: CallKind,
-    path: string,
-    body: object,
+    { kind, path, body }: WireCall,
     deadline: Moment,
+    decode: (answer: WireAnswer) => T,
   ): Promise<Outcome<T>> {
     const remaining = deadline - now();
     if (remaining <= 0) {
@@ -256,7 +267,7 @@
         const type = res.statusCode < 500 ? "refused" : "unknown";
         return { type, failure: { type: "status", message } };
       }
-      return { type: "done", value: (await res.body.json()) as T };
+      return decodeAnswer(path, (await res.body.json()) as WireAnswer, decode);
     } catch (error) {
       this.next += 1;
       return {
@@ -275,7 +286,7 @@
       const res = await request(`${this.endpoint()}/v3/watch`, {
         method: "POST",
         body: JSON.stringify(body),
-        dispatcher: this.agent,
+        dispatcher: this.watchAgent,
         signal,
       });
       const decoder = new TextDecoder();
@@ -285,6 +296,10 @@
           rest + decoder.decode(chunk as Uint8Array, { stream: true })
         ).split("\n");
         rest = lines.pop() ?? "";
+        if (rest.length > maxWatchLineChars)
+          throw new Error(
+            `a watch line exceeds ${String(maxWatchLineChars)} characters`,
+          );
         for (const line of lines)
           reportWatch(JSON.parse(line) as WireWatch, onEvent);
       }
@@ -305,7 +320,7 @@
     ? {
         type: "delete",
         key: fromWire(event.kv.key),
-        modRevision: Number(event.kv.mod_revision ?? 0),
+        modRevision: toNumber(event.kv.mod_revision),
       }
     : { type: "put", entry: toEntry(event.kv) };
 
@@ -315,7 +330,7 @@
 ): void => {
   const { result } = message;
   if (result === undefined) return;
-  const compactRevision = Number(result.compact_revision ?? 0);
+  const compactRevision = toNumber(result.compact_revision);
   if (compactRevision > 0) {
     onEvent({ type: "compacted", compactRevision });
     return;
@@ -324,7 +339,7 @@
   if (changes.length === 0) return;
   onEvent({
     type: "changes",
-    revision: Number(result.header?.revision ?? 0),
+    revision: toNumber(result.header?.revision),
     changes,
   });
 };
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -43,12 +43,20 @@
   return Buffer.from([0]).toString("base64");
 };
 
+/** Decodes a 64-bit number; a missing one is 0, a malformed one is an error. */
+export const toNumber = (text: string | undefined): number => {
+  const value = Number(text ?? 0);
+  if (!Number.isSafeInteger(value) || value < 0)
+    throw new Error(`"${String(text)}" is no number`);
+  return value;
+};
+
 /** Decodes an entry. */
 export const toEntry = (entry: WireEntry): KeyValueEntry => ({
   key: fromWire(entry.key),
   value: fromWire(entry.value ?? ""),
-  createRevision: Number(entry.create_revision ?? 0),
-  modRevision: Number(entry.mod_revision ?? 0),
+  createRevision: toNumber(entry.create_revision),
+  modRevision: toNumber(entry.mod_revision),
   lease: entry.lease ?? "0",
 });
 
--- a/packages/schema/src/checkDocument.ts
+++ b/packages/schema/src/checkDocument.ts
@@ -102,8 +102,7 @@
   message: `JSON syntax: ${printParseErrorCode(error.error)}`,
 });
 
-/** The validated document, with defaults filled in, or all findings. */
-export const checkDocument = <T>(
+const checkText = <T>(
   file: string,
   text: string,
   validate: ValidateFunction<T>,
@@ -118,3 +117,19 @@
   const found = validate.errors ?? [];
   return err(found.map((error) => toFinding(file, text, tree, error)));
 };
+
+/** The validated document, with defaults filled in, or all findings. */
+export const checkDocument = <T>(
+  file: string,
+  text: string,
+  validate: ValidateFunction<T>,
+): Result<T, readonly Finding[]> => {
+  try {
+    return checkText(file, text, validate);
+  } catch (error) {
+    // The parser recurses; a deeply nested document exhausts the stack.
+    if (!(error instanceof RangeError)) throw error;
+    const message = "the document is nested too deeply";
+    return err([{ file, line: 1, column: 1, pointer: "", message }]);
+  }
+};
--- a/packages/upstream/src/engineClient.ts
+++ b/packages/upstream/src/engineClient.ts
@@ -18,6 +18,7 @@
 
 const doneMarker = "[DONE]";
 const cancelTimeoutMs = 2000;
+const maxEventChars = 4 * 1024 * 1024;
 
 const messageOf = (error: unknown): string =>
   error instanceof Error ? error.message : String(error);
@@ -41,9 +42,14 @@
 class OpenStream implements EngineStream {
   private readonly abort = new AbortController();
   private readonly parser = createParser({
+    maxBufferSize: maxEventChars,
     onEvent: (message) => {
       this.hear(message);
     },
+    onError: (error) => {
+      if (error.type === "max-buffer-size-exceeded")
+        this.fail({ type: "malformed", message: error.message });
+    },
   });
   private readonly decoder = new TextDecoder();
   private body: Dispatcher.ResponseData["body"] | undefined;
@@ -109,6 +115,7 @@
       }
       this.body = res.body;
       res.body.on("data", (chunk: Uint8Array) => {
+        if (this.ended) return;
         this.parser.feed(this.decoder.decode(chunk, { stream: true }));
       });
       res.body.on("end", () => {
