--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -2,6 +2,9 @@
 
 import { assertNever } from "@cardamomglade/common";
 import { chainSteps } from "./chainSteps.js";
+import { claimAnswered } from "./claimAnswered.js";
+import { confirmEnd } from "./ledgerClaims.js";
+import { claimQuestion, endReport } from "./ledgerMessages.js";
 import {
   askLinkedPeer,
   configOfferReceived,
@@ -58,9 +61,16 @@
       return configRequestReceived(state, peer, message);
     case "configOffer":
       return configOfferReceived(state, at, peer, message);
+    case "claimQuestion":
+      return claimQuestion(state, peer, message, at);
+    case "claimAnswer":
+      return claimAnswered(state, message, at);
+    case "endReport":
+      return endReport(state, peer, message, at);
+    case "endConfirmation":
+      confirmEnd(state, message.request);
+      return { state, commands: [] };
     case "hello":
-    case "forwardedCall":
-    case "forwardedAnswer":
       return { state, commands: [] };
     default:
       return assertNever(message);
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -4,16 +4,22 @@
 import {
   createConfig,
   createMembership,
+  createExecution,
   createRouting,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
-import { claimResolved } from "./actions/claimResolved.js";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
+import { drainAnnounced, graceEnded } from "./actions/drainEvents.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import { holdersRead } from "./actions/ledgerPlacement.js";
+import { shardReported } from "./actions/ledgerShardReported.js";
+import { createLedger } from "./actions/ledgerState.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
 import { addressesBound } from "./actions/memberEvents.js";
+import { hostListRead } from "./actions/hostListRead.js";
+import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -32,27 +38,36 @@
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
 import type { RouterStep } from "./actions/types.js";
-import type { RouterEvent, RouterState } from "./types.js";
+import type { LedgerState, RouterEvent, RouterState } from "./types.js";
 
 const defaultLeaseTtlMs = 5000;
 
 /** What settings give to a router's state. */
 export interface RouterStateOptions {
   readonly leaseTtlMs?: number;
+  readonly ledger?: LedgerState;
 }
 
 /** State of a router that has just started. */
 export const createRouterState = (
   router: RouterIdentity,
-  { leaseTtlMs = defaultLeaseTtlMs }: RouterStateOptions = {},
+  {
+    leaseTtlMs = defaultLeaseTtlMs,
+    ledger = createLedger(),
+  }: RouterStateOptions = {},
 ): RouterState => ({
   router,
   draining: false,
+  unready: false,
   config: createConfig(),
   configMesh: createConfigMesh(),
+  execution: createExecution(),
+  hostMarks: new Map(),
+  drainLookAt: 0,
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  ledger,
   engines: new Map(),
   tickedAt: undefined,
   leases: new Map(),
@@ -84,10 +99,12 @@
       return callerReady(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
-    case "claimResolved":
-      return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "holdersRead":
+      return holdersRead(state, event);
+    case "shardReported":
+      return shardReported(state, event);
     case "leaseAnswered":
       return leaseAnswered(state, event);
     case "peerLinked":
@@ -100,6 +117,16 @@
       return addressesBound(state, event);
     case "timePassed":
       return timePassed(state, event);
+    case "hostListRead":
+      return hostListRead(state, event);
+    case "enginesObserved":
+      return enginesObserved(state, event);
+    case "orderAnswered":
+      return orderAnswered(state, event);
+    case "drainAnnounced":
+      return drainAnnounced(state, event);
+    case "graceEnded":
+      return graceEnded(state, event);
     case "drainStarted":
       return drainStarted(state, event);
     default:
