Try for the executor's lease once a term, not at every tick

The candidates that do not hold the role asked for it anew at every tick, and each asking overrode the wait after a refusal.

--- a/packages/router/src/actions/leaseRoles.ts
+++ b/packages/router/src/actions/leaseRoles.ts
@@ -77,6 +77,16 @@
   return stepLease(state, role, { type: "wanted", at, tryAt });
 };
 
+/** Pursues a role at the lease's own pace; may be asked for at every tick. */
+export const keepWantingLease = (
+  state: RouterState,
+  role: string,
+  at: Moment,
+): RouterStep =>
+  state.leases.get(role)?.isWanted === true
+    ? { state, commands: [] }
+    : wantLease(state, role, at);
+
 /** Gives a role up; revokes its lease where one is held. */
 export const releaseLease = (
   state: RouterState,
--- a/packages/router/src/actions/orderEvents.ts
+++ b/packages/router/src/actions/orderEvents.ts
@@ -12,7 +12,7 @@
 } from "@cardamomglade/decisions";
 import { TimelineTopic } from "@cardamomglade/schema";
 import type { RouterCommand, RouterState } from "../types.js";
-import { heldLease, releaseLease, wantLease } from "./leaseRoles.js";
+import { heldLease, releaseLease, keepWantingLease } from "./leaseRoles.js";
 import type { Action, RouterStep } from "./types.js";
 
 /** Name of the role whose holder carries out plans. */
@@ -76,7 +76,7 @@
   const isWanted =
     !state.draining && state.config.revision > 0 && isCandidate(state);
   const pursued = isWanted
-    ? wantLease(state, executorRole, at)
+    ? keepWantingLease(state, executorRole, at)
     : releaseLease(state, executorRole, at);
   const stepped = step(pursued.state, at, { type: "timePassed" });
   return {
