--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -1,9 +1,15 @@
 /** All experiments, by name. */
 
 import type { Experiment } from "../types.js";
+import { capacity } from "./capacity.js";
 import { checker } from "./checker.js";
 import { faults } from "./faults.js";
 import { smoke } from "./smoke.js";
 
 /** Every experiment, in the order that `all` runs them. */
-export const experiments: readonly Experiment[] = [smoke, checker, faults];
+export const experiments: readonly Experiment[] = [
+  smoke,
+  checker,
+  faults,
+  capacity,
+];
