--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -6,6 +6,7 @@
 import standaloneModule from "ajv/dist/standalone/index.js";
 import { compile } from "json-schema-to-typescript";
 import * as prettier from "prettier";
+import { renderReference } from "./reference.mjs";
 
 const standalone = standaloneModule.default ?? standaloneModule;
 const root = fileURLToPath(new URL("../packages/schema/", import.meta.url));
@@ -131,10 +132,18 @@
 outputs.set("generated/validators.js", `/** ${note} */\n${reexports}`);
 outputs.set("generated/validators.d.ts", `/** ${note} */\n${reexports}`);
 
+for (const schema of schemas)
+  outputs.set(`../../docs/reference/${schema.$id}.md`, renderReference(schema));
+
+const parserOf = (name) => {
+  if (name.endsWith(".md")) return "markdown";
+  return name.endsWith(".js") ? "babel" : "typescript";
+};
+
 let drifted = false;
 for (const [name, text] of outputs) {
   const file = path.join(root, name);
-  const parser = name.endsWith(".js") ? "babel" : "typescript";
+  const parser = parserOf(name);
   const formatted = dropRemarks(await prettier.format(text, { parser }));
   if (!check) {
     await writeFile(file, formatted);
@@ -144,7 +153,7 @@
   if (current !== formatted) {
     drifted = true;
     console.error(
-      `packages/schema/${name} differs from its schema; run npm run generate`,
+      `${path.relative(process.cwd(), file)} differs from its schema; run npm run generate`,
     );
   }
 }
