--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -7,20 +7,7 @@
   Transaction,
 } from "./types.js";
 import { assertNever } from "@cardamomglade/common";
-
-/** A key-value pair as sent by the gateway; zero fields are left out. */
-export interface WireEntry {
-  key: string;
-  value?: string;
-  create_revision?: string;
-  mod_revision?: string;
-  lease?: string;
-}
-
-/** The header of every answer. */
-export interface WireHeader {
-  revision?: string;
-}
+import type { WireEntry } from "@cardamomglade/schema";
 
 /** Encodes text for the gateway. */
 export const toWire = (text: string): string =>
@@ -43,20 +30,12 @@
   return Buffer.from([0]).toString("base64");
 };
 
-/** Decodes a 64-bit number; a missing one is 0, a malformed one is an error. */
-export const toNumber = (text: string | undefined): number => {
-  const value = Number(text ?? 0);
-  if (!Number.isSafeInteger(value) || value < 0)
-    throw new Error(`"${String(text)}" is no number`);
-  return value;
-};
-
 /** Decodes an entry. */
 export const toEntry = (entry: WireEntry): KeyValueEntry => ({
   key: fromWire(entry.key),
   value: fromWire(entry.value ?? ""),
-  createRevision: toNumber(entry.create_revision),
-  modRevision: toNumber(entry.mod_revision),
+  createRevision: Number(entry.create_revision ?? 0),
+  modRevision: Number(entry.mod_revision ?? 0),
   lease: entry.lease ?? "0",
 });
 
