--- a/packages/upstream/src/openStream.ts
+++ b/packages/upstream/src/openStream.ts
@@ -13,6 +13,8 @@
   StreamBreak,
 } from "./types.js";
 
+const maxEventChars = 4 * 1024 * 1024;
+
 /** How a stream begins: as a new generation, or as one that the engine runs already. */
 export type StreamStart =
   | { readonly type: "generate"; readonly order: GenerationOrder }
@@ -60,9 +62,14 @@
 export class OpenStream implements EngineStream {
   private readonly abort = new AbortController();
   private readonly parser = createParser({
+    maxBufferSize: maxEventChars,
     onEvent: (message) => {
       this.hear(message);
     },
+    onError: (error) => {
+      if (error.type === "max-buffer-size-exceeded")
+        this.fail({ type: "malformed", message: error.message });
+    },
   });
   private readonly decoder = new TextDecoder();
   private readonly id: string;
@@ -147,6 +154,7 @@
   private read(body: Dispatcher.ResponseData["body"]): void {
     this.body = body;
     body.on("data", (chunk: Uint8Array) => {
+      if (this.ended) return;
       this.parser.feed(this.decoder.decode(chunk, { stream: true }));
     });
     body.on("end", () => {
