--- a/packages/router/src/actions/drainStarted.ts
+++ b/packages/router/src/actions/drainStarted.ts
@@ -1,17 +1,17 @@
 /** The router was told to drain. */
 
 import { TimelineTopic } from "@cardamomglade/schema";
-import { releaseLease } from "./leaseRoles.js";
+import { chainSteps } from "./chainSteps.js";
+import { releaseLeases } from "./leaseRoles.js";
+import { stepMembership } from "./memberEvents.js";
 import type { Action } from "./types.js";
 
-/** Takes no new work from now on and gives its leases up. */
+/** Takes no new work from now on, gives its leases up and tells its peers. */
 export const drainStarted: Action<"drainStarted"> = (state, { at }) => {
   const event = { topic: TimelineTopic.Drain, name: "started" };
-  const released = [...state.leases.keys()].flatMap((role) => [
-    ...releaseLease(state, role, at).commands,
+  return chainSteps({ ...state, draining: true }, [
+    (current) => ({ state: current, commands: [{ type: "record", event }] }),
+    (current) => releaseLeases(current, at),
+    (current) => stepMembership(current, { type: "leaving", at }),
   ]);
-  return {
-    state: { ...state, draining: true },
-    commands: [{ type: "record", event }, ...released],
-  };
 };
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -1,26 +1,35 @@
 /** Events of the mesh between routers. */
 
 import { assertNever } from "@cardamomglade/common";
+import { chainSteps } from "./chainSteps.js";
 import {
   askLinkedPeer,
   configOfferReceived,
   configRequestReceived,
-  forgetConfigPeer,
   hearConfigGossip,
 } from "./configurationPeers.js";
+import { stepMembership } from "./memberEvents.js";
 import type { Action } from "./types.js";
 
 /** A link to another router opened. */
-export const peerLinked: Action<"peerLinked"> = (state, { peer }) => ({
-  state: { ...state, linkedPeers: new Set([...state.linkedPeers, peer]) },
-  commands: askLinkedPeer(state, peer),
-});
+export const peerLinked: Action<"peerLinked"> = (state, { at, peer }) => {
+  const linkedPeers = new Set([...state.linkedPeers, peer]);
+  return chainSteps({ ...state, linkedPeers }, [
+    (current) => stepMembership(current, { type: "linked", at, peer }),
+    (current) => ({
+      state: current,
+      commands: askLinkedPeer(current, peer),
+    }),
+  ]);
+};
 
 /** A link to another router closed. */
-export const peerLost: Action<"peerLost"> = (state, { peer }) => {
-  forgetConfigPeer(state, peer);
+export const peerLost: Action<"peerLost"> = (state, { at, peer }) => {
   const left = [...state.linkedPeers].filter((other) => other !== peer);
-  return { state: { ...state, linkedPeers: new Set(left) }, commands: [] };
+  return stepMembership(
+    { ...state, linkedPeers: new Set(left) },
+    { type: "lost", at, peer },
+  );
 };
 
 /** Another router sent a message; each type has an action of its own. */
@@ -30,7 +39,19 @@
 ) => {
   switch (message.type) {
     case "gossip":
-      return { state, commands: hearConfigGossip(state, peer, message) };
+      return chainSteps(state, [
+        (current) =>
+          stepMembership(current, {
+            type: "gossipReceived",
+            at,
+            peer,
+            gossip: message,
+          }),
+        (current) => ({
+          state: current,
+          commands: hearConfigGossip(current, peer, message),
+        }),
+      ]);
     case "configRequest":
       return configRequestReceived(state, peer, message);
     case "configOffer":
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from "node:net";
 import {
   createChannel,
+  now,
   runProcess,
   type ProcessFailure,
   type RunningProcess,
@@ -187,6 +188,13 @@
     administrationServer,
     listen.administration,
   );
+  control.push({
+    type: "addressesBound",
+    at: now(),
+    peersUrl: peers.url,
+    callersUrl,
+    administrationUrl,
+  });
   log(LogLevel.Info, "listening", {
     detail: `${callersUrl} ${administrationUrl}`,
   });
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -4,6 +4,7 @@
 import {
   createConfig,
   createExecution,
+  createMembership,
   createRouting,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
@@ -16,6 +17,7 @@
 import { hostListRead } from "./actions/hostListRead.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
 import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
+import { addressesBound } from "./actions/memberEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -64,7 +66,7 @@
   leases: new Map(),
   leaseTtlMs,
   linkedPeers: new Set(),
-  peerUrls: new Map(),
+  membership: createMembership(router),
 });
 
 /** Folds one event into the router's state. */
@@ -102,6 +104,8 @@
       return peerLost(state, event);
     case "peerMessageReceived":
       return peerMessageReceived(state, event);
+    case "addressesBound":
+      return addressesBound(state, event);
     case "timePassed":
       return timePassed(state, event);
     case "hostListRead":
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -15,6 +15,7 @@
   LeaseCall,
   LeaseEvent,
   LeaseState,
+  MembershipState,
   RecordedAnswer,
   RoutingState,
   StreamState,
@@ -79,11 +80,11 @@
 /** How this router gets the configuration: by its own watch or by its peers. */
 export interface ConfigMesh {
   readonly isWatching: boolean;
+  /** Whether this router pursues the executor role. */
+  readonly isExecutorCandidate: boolean;
   /** When a peer is asked next. */
   readonly askAt: Moment;
   readonly asked: number;
-  /** Zones of the routers known to be alive; owned by the fold. */
-  readonly zones: Map<string, string>;
 }
 
 /** State of the router process. Maps are owned by the fold and changed in place. */
@@ -111,8 +112,7 @@
   readonly leaseTtlMs: number;
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
-  /** Peer addresses of known routers, by name. */
-  readonly peerUrls: ReadonlyMap<string, string>;
+  readonly membership: MembershipState;
 }
 
 /** What happens to the router process. */
@@ -213,6 +213,13 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | {
+      readonly type: "addressesBound";
+      readonly at: Moment;
+      readonly peersUrl: string;
+      readonly callersUrl: string;
+      readonly administrationUrl: string;
+    }
   | { readonly type: "timePassed"; readonly at: Moment }
   | {
       readonly type: "hostListRead";
@@ -323,6 +330,8 @@
       readonly message: PeerMessage;
     }
   | { readonly type: "execute"; readonly command: ExecutionCommand }
+  | { readonly type: "connectPeer"; readonly url: string }
+  | { readonly type: "forgetPeer"; readonly url: string }
   | {
       readonly type: "watchConfiguration";
       readonly isWatching: boolean;
