--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -48,6 +48,17 @@
     : err(locateFindings(file, text, faults));
 };
 
+/** A checked intent of a file, or all findings. */
+export const readIntent = async (
+  file: string,
+): Promise<Result<Intent, readonly Finding[]>> => {
+  try {
+    return checkIntentText(file, await readFile(file, "utf8"));
+  } catch {
+    return err([unreadable(file, `file "${file}" cannot be read`)]);
+  }
+};
+
 const checkFile = async (
   file: string,
 ): Promise<Result<Settings | Intent, readonly Finding[]>> => {
--- /dev/null
+++ b/packages/cli/src/commands/printAnswer.ts
@@ -0,0 +1,82 @@
+/** Answers of the administration API for people. */
+
+import {
+  exitCodeOf,
+  type AdministrationAnswer,
+  type AdministrationFlags,
+  type ExitCode,
+} from "../administration.js";
+
+interface Problem {
+  readonly type: string;
+  readonly message: string;
+}
+
+interface Placed {
+  readonly pointer: string;
+  readonly message: string;
+  readonly earliest?: number;
+}
+
+const printPlaced = (list: readonly Placed[]): void => {
+  for (const { pointer, message, earliest } of list) {
+    const hint =
+      earliest === undefined
+        ? ""
+        : `; the earliest is ${new Date(earliest).toISOString()}`;
+    console.error(`${pointer} ${message}${hint}`);
+  }
+};
+
+/** Prints a plan as tables. */
+export const printPlan = (body: AdministrationAnswer["body"]): void => {
+  const plan = body as {
+    digest?: string;
+    baseRevision?: number;
+    differences?: object[];
+    steps?: { stage: number; detail: string; expectedMs: number }[];
+    unmet?: Placed[];
+    expectedMs?: number;
+  };
+  console.log(
+    `plan ${plan.digest ?? ""} on revision ${String(plan.baseRevision ?? 0)}`,
+  );
+  console.table(plan.differences ?? []);
+  const rows = (plan.steps ?? []).map(({ stage, detail, expectedMs }) => ({
+    stage,
+    step: detail,
+    "expected s": Math.round(expectedMs / 100) / 10,
+  }));
+  console.table(rows);
+  console.log(
+    `expected: ${String(Math.ceil((plan.expectedMs ?? 0) / 1000))} s`,
+  );
+  printPlaced(plan.unmet ?? []);
+};
+
+const printProblem = (body: AdministrationAnswer["body"]): void => {
+  const { type, message } = body.error as Problem;
+  console.error(`${type}: ${message}`);
+  printPlaced((body.findings ?? []) as Placed[]);
+  if (body.yours !== undefined) {
+    console.error("your change, against the plan's base:");
+    console.error(JSON.stringify(body.yours, null, 2));
+    console.error("accepted in the meantime:");
+    console.error(JSON.stringify(body.theirs, null, 2));
+  }
+  if (body.fresh === undefined) return;
+  console.error("a fresh plan:");
+  printPlan(body.fresh as AdministrationAnswer["body"]);
+};
+
+/** Prints an answer and returns its exit code. */
+export const printAnswer = (
+  flags: AdministrationFlags,
+  answer: AdministrationAnswer,
+  print: (body: AdministrationAnswer["body"]) => void,
+): ExitCode => {
+  if (flags.json === true) console.log(JSON.stringify(answer.body));
+  else if (answer.body.error !== undefined) printProblem(answer.body);
+  else print(answer.body);
+  return exitCodeOf(answer);
+};
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,86 @@
+/** Commands that tell what is in force, how it came about and why. */
+
+import {
+  callAdministration,
+  ExitCode,
+  type AdministrationAnswer,
+  type AdministrationFlags,
+} from "../administration.js";
+import { printAnswer } from "./printAnswer.js";
+
+type Body = AdministrationAnswer["body"];
+
+const timeOf = (at: unknown): string =>
+  typeof at === "number" ? new Date(at).toISOString() : "";
+
+const printStatus = (body: Body): void => {
+  const { router, revision, storeRevision, store, change } = body;
+  const { by, why, at } = (change ?? {}) as Body;
+  console.table([
+    { router, revision, storeRevision, store, by, why, at: timeOf(at) },
+  ]);
+  console.table(body.leaving);
+  const execution = body.execution as
+    { router: string; at: number; steps: object[] } | undefined;
+  if (execution === undefined) return;
+  console.log(`carried out by ${execution.router}, ${timeOf(execution.at)}`);
+  console.table(execution.steps);
+};
+
+const printHistory = (body: Body): void => {
+  const revisions = body.revisions as Body[];
+  console.table(
+    revisions.map(({ revision, by, why, at, planDigest }) => ({
+      revision,
+      by,
+      why,
+      at: timeOf(at),
+      plan: String(planDigest).slice(0, 12),
+    })),
+  );
+};
+
+/** Status of every given router. */
+export const status = async (flags: AdministrationFlags): Promise<ExitCode> => {
+  const urls = (flags.routers ?? "").split(",").filter((url) => url !== "");
+  const path = "/status";
+  const results = await Promise.all(
+    urls.map((routers) =>
+      callAdministration({ ...flags, routers }, { method: "GET", path }),
+    ),
+  );
+  const codes = results.map((answer) =>
+    printAnswer(flags, answer, printStatus),
+  );
+  return codes.find((code) => code !== ExitCode.Done) ?? ExitCode.Done;
+};
+
+/** The kept revisions. */
+export const history = async (flags: AdministrationFlags): Promise<ExitCode> =>
+  printAnswer(
+    flags,
+    await callAdministration(flags, { method: "GET", path: "/history" }),
+    printHistory,
+  );
+
+/** What the given routers know of a request, a host or a customer. */
+export const explain = async (
+  subject: string,
+  flags: AdministrationFlags,
+): Promise<ExitCode> => {
+  const urls = (flags.routers ?? "").split(",").filter((url) => url !== "");
+  const path = `/explain?subject=${encodeURIComponent(subject)}`;
+  const results = await Promise.all(
+    urls.map((routers) =>
+      callAdministration({ ...flags, routers }, { method: "GET", path }),
+    ),
+  );
+  const known = results.filter(({ status: code }) => code === 200);
+  const shown = known.length > 0 ? known : results.slice(0, 1);
+  const codes = shown.map((answer) =>
+    printAnswer(flags, answer, (body) => {
+      console.log(JSON.stringify(body, null, 2));
+    }),
+  );
+  return codes[0] ?? ExitCode.Unavailable;
+};
