--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -1,7 +1,15 @@
 /** All experiments, by name. */
 
 import type { Experiment } from "../types.js";
+import { config } from "./config.js";
+import { leaving } from "./leaving.js";
+import { rolling } from "./rolling.js";
 import { smoke } from "./smoke.js";
 
 /** Every experiment, in the order that `all` runs them. */
-export const experiments: readonly Experiment[] = [smoke];
+export const experiments: readonly Experiment[] = [
+  smoke,
+  config,
+  leaving,
+  rolling,
+];
--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -36,6 +36,8 @@
   readonly engineFlags?: readonly string[];
   readonly recovery?: RecoveryPolicy;
   readonly mode?: "deterministic" | "differing";
+  /** Settings of every router besides the fleet's own. */
+  readonly settings?: Partial<Settings>;
 }
 
 /** A stand-in and its address. */
@@ -157,6 +159,14 @@
       throw new Error(`the intent could not be put: ${outcome.type}`);
   }
 
+  /** The kept revisions of the configuration, oldest first. */
+  async readHistory(): Promise<readonly number[]> {
+    const store = ConfigStore.create(this.keyValueClient, prefix);
+    const read = await store.history(Date.now() + callTimeoutMs);
+    if (read.type === "err") throw new Error(read.error);
+    return read.value.map(({ revision }) => revision);
+  }
+
   async startRouter(
     name: string,
     index: number,
@@ -168,6 +178,27 @@
       settingsFile,
       JSON.stringify(this.settingsOf(name, index, seeds, peersPort)),
     );
+    return this.launchRouter(name, settingsFile);
+  }
+
+  /** Stops a router by SIGTERM and starts another with the same settings. */
+  async replaceRouter(
+    old: FleetRouter,
+    index: number,
+    graceMs: number,
+  ): Promise<FleetRouter> {
+    const code = await old.process.stop(graceMs);
+    if (code !== 0)
+      throw new Error(`router "${old.name}" ended with ${String(code)}`);
+    const fresh = await this.launchRouter(old.name, old.settingsFile);
+    this.routers[index] = fresh;
+    return fresh;
+  }
+
+  private async launchRouter(
+    name: string,
+    settingsFile: string,
+  ): Promise<FleetRouter> {
     const started = startProcess({
       name,
       script: "cardamomglade",
@@ -313,6 +344,7 @@
         },
       ],
       log: { level: LogLevel.Info },
+      ...this.options.settings,
     };
   }
 }
@@ -320,7 +352,8 @@
 const range = (count: number): number[] =>
   Array.from({ length: count }, (_, index) => index);
 
-const startStandIn = async (
+/** Starts a stand-in of a kind. */
+export const startStandIn = async (
   kind: string,
   name: string,
   flags: readonly string[],
