--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -1,7 +1,9 @@
 /** All experiments, by name. */
 
 import type { Experiment } from "../types.js";
+import { checker } from "./checker.js";
 import { config } from "./config.js";
+import { faults } from "./faults.js";
 import { leaving } from "./leaving.js";
 import { rolling } from "./rolling.js";
 import { smoke } from "./smoke.js";
@@ -9,6 +11,8 @@
 /** Every experiment, in the order that `all` runs them. */
 export const experiments: readonly Experiment[] = [
   smoke,
+  checker,
+  faults,
   config,
   leaving,
   rolling,
--- a/bench/src/experiments/rolling.ts
+++ b/bench/src/experiments/rolling.ts
@@ -108,10 +108,11 @@
 
 const replaceAll = async (fleet: Fleet): Promise<number[]> => {
   const tookMs: number[] = [];
-  for (const [index, old] of [...fleet.routers].entries()) {
+  for (const index of fleet.routers.keys()) {
     const from = performance.now();
-    const replaced = await fleet.replaceRouter(old, index, stopGraceMs);
-    await waitUntilReady(replaced);
+    await fleet.replaceRouter(index, stopGraceMs);
+    const fresh = fleet.routers[index];
+    if (fresh !== undefined) await waitUntilReady(fresh);
     tookMs.push(performance.now() - from);
     await sleep(pollEveryMs);
   }
--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -137,8 +137,8 @@
     return fleet;
   }
 
-  /** Puts an intent in force, by the store. */
-  async putIntent(intent: Intent): Promise<void> {
+  /** Puts an intent in force, by the store; returns its revision. */
+  async putIntent(intent: Intent): Promise<number> {
     this.intent = intent;
     const store = ConfigStore.create(this.keyValueClient, prefix);
     const deadline = Date.now() + callTimeoutMs;
@@ -157,6 +157,7 @@
     const outcome = await store.commit(base.value, next, deadline);
     if (outcome.type !== "committed")
       throw new Error(`the intent could not be put: ${outcome.type}`);
+    return revision;
   }
 
   /** The kept revisions of the configuration, oldest first. */
@@ -178,45 +179,23 @@
       settingsFile,
       JSON.stringify(this.settingsOf(name, index, seeds, peersPort)),
     );
-    return this.launchRouter(name, settingsFile);
+    return launchRouter(name, settingsFile);
   }
 
-  /** Stops a router by SIGTERM and starts another with the same settings. */
-  async replaceRouter(
-    old: FleetRouter,
-    index: number,
-    graceMs: number,
-  ): Promise<FleetRouter> {
-    const code = await old.process.stop(graceMs);
-    if (code !== 0)
-      throw new Error(`router "${old.name}" ended with ${String(code)}`);
-    const fresh = await this.launchRouter(old.name, old.settingsFile);
-    this.routers[index] = fresh;
-    return fresh;
+  /** Starts a dead router again, with its settings; its addresses change. */
+  async restartRouter(index: number): Promise<void> {
+    const old = this.routers[index];
+    if (old === undefined) return;
+    this.routers[index] = await launchRouter(old.name, old.settingsFile);
   }
 
-  private async launchRouter(
-    name: string,
-    settingsFile: string,
-  ): Promise<FleetRouter> {
-    const started = startProcess({
-      name,
-      script: "cardamomglade",
-      args: ["route", "--settings", settingsFile],
-    });
-    const line = await waitForLine(
-      started,
-      ({ message }) => message === "listening",
-    );
-    const { detail } = line.context as { detail: string };
-    const [callersUrl = "", administrationUrl = ""] = detail.split(" ");
-    return {
-      name,
-      callersUrl,
-      administrationUrl,
-      settingsFile,
-      process: started,
-    };
+  /** Stops a router by SIGTERM and starts another with the same settings. */
+  async replaceRouter(index: number, graceMs: number): Promise<void> {
+    const old = this.routers[index];
+    const code = await old?.process.stop(graceMs);
+    if (code !== 0)
+      throw new Error(`router "${old?.name ?? ""}" ended with ${String(code)}`);
+    await this.restartRouter(index);
   }
 
   /** Stops every process of the fleet. */
@@ -352,6 +331,30 @@
 const range = (count: number): number[] =>
   Array.from({ length: count }, (_, index) => index);
 
+const launchRouter = async (
+  name: string,
+  settingsFile: string,
+): Promise<FleetRouter> => {
+  const started = startProcess({
+    name,
+    script: "cardamomglade",
+    args: ["route", "--settings", settingsFile],
+  });
+  const line = await waitForLine(
+    started,
+    ({ message }) => message === "listening",
+  );
+  const { detail } = line.context as { detail: string };
+  const [callersUrl = "", administrationUrl = ""] = detail.split(" ");
+  return {
+    name,
+    callersUrl,
+    administrationUrl,
+    settingsFile,
+    process: started,
+  };
+};
+
 /** Starts a stand-in of a kind. */
 export const startStandIn = async (
   kind: string,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,6 +4,7 @@
   KeyValueClient,
   type KeyValueClientOptions,
 } from "./keyValueClient.js";
+export { mirrorPrefix, type MirrorOptions } from "./mirrorPrefix.js";
 export {
   readHostList,
   readStoredWeights,
--- a/packages/router/src/actions/drainEvents.ts
+++ b/packages/router/src/actions/drainEvents.ts
@@ -4,6 +4,7 @@
 import { TimelineTopic } from "@cardamomglade/schema";
 import { ErrorType, type ApiError } from "../errors.js";
 import type { RouterCommand, StreamEntry } from "../types.js";
+import { releaseLeases } from "./leaseRoles.js";
 import { callerLeft } from "./streamEvents.js";
 import type { Action } from "./types.js";
 
@@ -31,7 +32,7 @@
   ran: Ran.Unknown,
 };
 
-/** The grace is over: callers of open streams get a typed end that can be taken up elsewhere. */
+/** The drain is over: callers of open streams get a typed end that can be taken up elsewhere; leases are given up. */
 export const graceEnded: Action<"graceEnded"> = (state, { at }) => {
   let current = state;
   const commands: RouterCommand[] = [];
@@ -54,5 +55,10 @@
   for (const requestId of current.serviceCalls.keys())
     commands.push({ type: "failAnswer", requestId, error: unfinishedCall });
   current.serviceCalls.clear();
-  return { state: current, commands };
+  // Its own calls are over, so other routers may take its shards.
+  const released = releaseLeases(current, at);
+  return {
+    state: released.state,
+    commands: [...commands, ...released.commands],
+  };
 };
--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -6,8 +6,9 @@
 import { tendConfiguration } from "./configurationPeers.js";
 import { tendLeavingHosts } from "./drainHosts.js";
 import { tendLeases } from "./leaseRoles.js";
-import { tendExecution } from "./orderEvents.js";
 import { tendMembership } from "./memberEvents.js";
+import { tendLedger } from "./tendLedger.js";
+import { tendExecution } from "./orderEvents.js";
 import { tendStreams } from "./tendStreams.js";
 import type { Action, RouterStep } from "./types.js";
 
@@ -16,9 +17,10 @@
 const parts: readonly Tend[] = [
   tendConfiguration,
   tendLeases,
+  tendMembership,
+  tendLedger,
   tendExecution,
   tendLeavingHosts,
-  tendMembership,
   tendStreams,
 ];
 
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -26,6 +26,7 @@
 import { createTimelineRoute } from "./administration/timelineRoute.js";
 import { drainRouter } from "./drainRouter.js";
 import { createRouterState, decide } from "./decide.js";
+import { createLedger } from "./actions/ledgerState.js";
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createHostListDriver } from "./drivers/hostListDriver.js";
@@ -33,6 +34,7 @@
 import { ConfigStore } from "./configuration/configStore.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLeaseDriver } from "./drivers/leaseDriver.js";
+import { createLeaseHoldersDriver } from "./drivers/leaseHoldersDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
@@ -112,7 +114,13 @@
     connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
-  const initial = createRouterState(settings.router, settings.ledger);
+  const initial = createRouterState(settings.router, {
+    leaseTtlMs: settings.ledger.leaseTtlMs,
+    ledger: createLedger({
+      ...settings.ledger,
+      fleetWritesPerSecond: settings.keyValue.fleetWritesPerSecond,
+    }),
+  });
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
 
@@ -162,7 +170,8 @@
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
     createLeaseDriver(keyValue, prefix),
-    createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
+    createLeaseHoldersDriver(keyValue, prefix),
+    createLedgerDriver({ keyValue, prefix, router: settings.router.name, log }),
     createTickDriver(),
     {
       events: control.stream,
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -3,21 +3,23 @@
 import { assertNever } from "@cardamomglade/common";
 import {
   createConfig,
-  createExecution,
   createMembership,
+  createExecution,
   createRouting,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
-import { claimResolved } from "./actions/claimResolved.js";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainAnnounced, graceEnded } from "./actions/drainEvents.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
-import { hostListRead } from "./actions/hostListRead.js";
+import { holdersRead } from "./actions/ledgerPlacement.js";
+import { shardReported } from "./actions/ledgerShardReported.js";
+import { createLedger } from "./actions/ledgerState.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
-import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
 import { addressesBound } from "./actions/memberEvents.js";
+import { hostListRead } from "./actions/hostListRead.js";
+import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -36,19 +38,23 @@
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
 import type { RouterStep } from "./actions/types.js";
-import type { RouterEvent, RouterState } from "./types.js";
+import type { LedgerState, RouterEvent, RouterState } from "./types.js";
 
 const defaultLeaseTtlMs = 5000;
 
 /** What settings give to a router's state. */
 export interface RouterStateOptions {
   readonly leaseTtlMs?: number;
+  readonly ledger?: LedgerState;
 }
 
 /** State of a router that has just started. */
 export const createRouterState = (
   router: RouterIdentity,
-  { leaseTtlMs = defaultLeaseTtlMs }: RouterStateOptions = {},
+  {
+    leaseTtlMs = defaultLeaseTtlMs,
+    ledger = createLedger(),
+  }: RouterStateOptions = {},
 ): RouterState => ({
   router,
   draining: false,
@@ -61,6 +67,7 @@
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  ledger,
   engines: new Map(),
   tickedAt: undefined,
   leases: new Map(),
@@ -92,10 +99,12 @@
       return callerReady(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
-    case "claimResolved":
-      return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "holdersRead":
+      return holdersRead(state, event);
+    case "shardReported":
+      return shardReported(state, event);
     case "leaseAnswered":
       return leaseAnswered(state, event);
     case "peerLinked":
--- a/packages/router/src/drainRouter.ts
+++ b/packages/router/src/drainRouter.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { now, type Moment } from "@cardamomglade/common";
 import type { Settings } from "@cardamomglade/schema";
+import { hasOpenClaims } from "./actions/ledgerState.js";
 import type { StateView } from "./drivers/types.js";
 import type { RouterEvent } from "./types.js";
 
@@ -46,8 +47,12 @@
   push,
 }: DrainOptions): Promise<void> => {
   const deadline = now() + settings.graceMs;
-  const isIdle = () =>
-    view().streams.size === 0 && view().serviceCalls.size === 0;
+  const isIdle = () => {
+    const { streams, serviceCalls, ledger } = view();
+    return (
+      streams.size === 0 && serviceCalls.size === 0 && !hasOpenClaims(ledger)
+    );
+  };
   push({ type: "drainAnnounced", at: now() });
   await sleep(Math.min(settings.unreadyMs, settings.graceMs));
   push({ type: "drainStarted", at: now() });
--- a/packages/router/src/drivers/messageClock.ts
+++ b/packages/router/src/drivers/messageClock.ts
@@ -10,8 +10,10 @@
 ): PeerMessage => {
   switch (message.type) {
     case "gossip":
-    case "forwardedCall":
-    case "forwardedAnswer":
+    case "claimQuestion":
+    case "claimAnswer":
+    case "endReport":
+    case "endConfirmation":
       return { ...message, at: clock.stamp() };
     default:
       return message;
