--- a/packages/decisions/src/membership/decideMembership.ts
+++ b/packages/decisions/src/membership/decideMembership.ts
@@ -2,9 +2,7 @@
 
 import {
   assertNever,
-  createHybridClock,
   hash32,
-  receiveHybridClock,
   seedGenerator,
   type Moment,
   type Step,
@@ -45,7 +43,6 @@
     incarnation: 0,
     status: MemberStatus.Alive,
   },
-  clock: createHybridClock(router.name),
   generator: seedGenerator(hash32(router.name)),
   heartbeat: { revision: 0, demand: [] },
   members: new Map(),
@@ -67,10 +64,9 @@
 const introduce = (
   state: MembershipState,
   peer: string,
-  at: Moment,
 ): MembershipCommand[] => {
   state.links.add(peer);
-  const message = composeGossip(state, at, {
+  const message = composeGossip(state, {
     members: [state.self, ...takeRepair(state)],
     withDemand: true,
   });
@@ -99,7 +95,10 @@
     const onBehalfOf = { router: peer, probe: gossip.probe };
     return [sendProbe(state, gossip.relayTo, at, onBehalfOf)];
   }
-  const message = composeGossip(state, at, { ack: gossip.probe });
+  const message = composeGossip(state, {
+    ack: gossip.probe,
+    withDemand: true,
+  });
   return [{ type: "send", peer, message }];
 };
 
@@ -119,7 +118,7 @@
   if (!isMistaken && !isDue) return [];
   state.nextRepairAt = at + repairEveryMs;
   const members = isMistaken ? [known] : takeRepair(state);
-  const message = composeGossip(state, at, { members });
+  const message = composeGossip(state, { members });
   return [{ type: "send", peer, message }];
 };
 
@@ -129,7 +128,6 @@
   gossip: Gossip,
   at: Moment,
 ): MembershipCommand[] => {
-  state.clock = receiveHybridClock(state.clock, gossip.at, at);
   const commands = gossip.members.flatMap((record) =>
     mergeRecord(state, record, peer, at),
   );
@@ -173,13 +171,13 @@
   state.news.set(state.self.router, 0);
 };
 
-const leave = (state: MembershipState, at: Moment): MembershipCommand[] => {
+const leave = (state: MembershipState): MembershipCommand[] => {
   state.self = { ...state.self, status: MemberStatus.Left };
   state.news.set(state.self.router, 0);
   return [...state.links].map((peer) => ({
     type: "send" as const,
     peer,
-    message: composeGossip(state, at, { members: [state.self] }),
+    message: composeGossip(state, { members: [state.self] }),
   }));
 };
 
@@ -193,7 +191,7 @@
       listening(state, event);
       return [];
     case "linked":
-      return introduce(state, event.peer, at);
+      return introduce(state, event.peer);
     case "lost":
       return loseLink(state, event.peer, at);
     case "gossipReceived":
@@ -201,7 +199,7 @@
     case "timePassed":
       return timePassed(state, event.heartbeat, at);
     case "leaving":
-      return leave(state, at);
+      return leave(state);
     default:
       return assertNever(event);
   }
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -3,6 +3,7 @@
 import type { Moment } from "@cardamomglade/common";
 import type {
   AcceptedConfig,
+  AdmissionState,
   AttemptFailure,
   CallEnd,
   Commit,
@@ -16,7 +17,10 @@
   LeaseCall,
   LeaseEvent,
   LeaseState,
+  LimitsState,
+  LoadNews,
   MembershipState,
+  RetryBudgets,
   RoutingState,
   ShardEvent,
   ShardLimits,
@@ -24,6 +28,7 @@
   StreamState,
 } from "@cardamomglade/decisions";
 import type {
+  CacheEvents,
   Deployment,
   EngineToken,
   FinishReason,
@@ -53,6 +58,12 @@
   readonly deadline: Moment;
 }
 
+/** An admitted or waiting generation and the deployment that serves it. */
+export interface WaitingGeneration {
+  readonly request: GenerationRequest;
+  readonly deployment: Deployment;
+}
+
 /** One stream with what is needed to open further attempts; owned by the fold. */
 export interface StreamEntry {
   readonly request: GenerationRequest;
@@ -161,6 +172,11 @@
   /** Routers with an open link to this one. */
   readonly linkedPeers: ReadonlySet<string>;
   readonly membership: MembershipState;
+  readonly admission: AdmissionState;
+  /** Generations that wait for a slot, by request. */
+  readonly waiting: Map<string, WaitingGeneration>;
+  readonly limits: LimitsState;
+  readonly retryBudgets: RetryBudgets;
 }
 
 /** What happens to the router process. */
@@ -267,6 +283,18 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | {
+      readonly type: "loadRead";
+      readonly at: Moment;
+      readonly backEnd: string;
+      readonly news: LoadNews;
+    }
+  | {
+      readonly type: "cacheEventsRead";
+      readonly at: Moment;
+      readonly backEnd: string;
+      readonly read: CacheEvents;
+    }
   | {
       readonly type: "addressesBound";
       readonly at: Moment;
