--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -7,6 +7,7 @@
 import { leaving } from "./leaving.js";
 import { rolling } from "./rolling.js";
 import { smoke } from "./smoke.js";
+import { versions } from "./versions.js";
 
 /** Every experiment, in the order that `all` runs them. */
 export const experiments: readonly Experiment[] = [
@@ -16,4 +17,5 @@
   config,
   leaving,
   rolling,
+  versions,
 ];
