--- a/packages/router/src/configuration/configStore.test.ts
+++ b/packages/router/src/configuration/configStore.test.ts
@@ -8,16 +8,9 @@
   parseConfigRecord,
   type AcceptedConfig,
 } from "@cardamomglade/decisions";
-import type {
-  KeyValue,
-  KeyValueEntry,
-  Outcome,
-  Transaction,
-  TransactionResult,
-  WatchEvent,
-} from "@cardamomglade/platform";
 import { createRouterState, decide } from "../decide.js";
 import { createConfigDriver } from "../drivers/configDriver.js";
+import { createFakeKeyValue, type WriteFate } from "../testing/fakeKeyValue.js";
 import type { RouterEvent } from "../types.js";
 import { ConfigStore } from "./configStore.js";
 
@@ -38,87 +31,12 @@
   change: { by: "o", why: "w", at: 1, planDigest: "", changeId },
 });
 
-/** What a write meets: it happens or not, and its answer comes or not. */
-type WriteFate = "answered" | "lost" | "dropped";
-
-const createFakeStore = (fates: WriteFate[] = []) => {
-  const entries = new Map<string, KeyValueEntry>();
-  const watches: ((event: WatchEvent) => void)[] = [];
-  let revision = 1;
-  let writes = 0;
-  const apply = ({
-    compare,
-    success,
-    failure,
-  }: Transaction): TransactionResult => {
-    const succeeded = compare.every(
-      (one) =>
-        one.type === "modRevision" &&
-        (entries.get(one.key)?.modRevision ?? 0) === one.revision,
-    );
-    const reads: KeyValueEntry[][] = [];
-    for (const operation of succeeded ? success : failure) {
-      const { key } = operation;
-      const found = entries.get(key);
-      if (operation.type === "read")
-        reads.push(found === undefined ? [] : [found]);
-      if (operation.type !== "put") continue;
-      const modRevision = revision + 1;
-      const { value } = operation;
-      const entry = { key, value, modRevision, createRevision: 1, lease: "0" };
-      entries.set(key, entry);
-    }
-    if (succeeded) revision += 1;
-    if (succeeded) writes += 1;
-    return { succeeded, revision, reads };
-  };
-  const lost: Outcome<never> = {
-    type: "unknown",
-    failure: { type: "timeout", message: "no answer" },
-  };
-  const keyValue = {
-    range: (key: string, { prefix }: { prefix: boolean }) =>
-      Promise.resolve({
-        type: "done" as const,
-        value: {
-          revision,
-          entries: [...entries.values()].filter((entry) =>
-            prefix ? entry.key.startsWith(key) : entry.key === key,
-          ),
-        },
-      }),
-    transact: (transaction: Transaction) => {
-      const fate = fates.shift() ?? "answered";
-      if (fate === "dropped") return Promise.resolve(lost);
-      const value = apply(transaction);
-      return Promise.resolve(
-        fate === "lost" ? lost : { type: "done" as const, value },
-      );
-    },
-    watch: (
-      _key: string,
-      _options: object,
-      on: (event: WatchEvent) => void,
-    ) => {
-      watches.push(on);
-      return { close: () => undefined };
-    },
-  } as unknown as KeyValue;
-  const put = (key: string, value: string) =>
-    apply({
-      compare: [],
-      success: [{ type: "put", key, value }],
-      failure: [],
-    });
-  return { keyValue, watches, put, writes: () => writes };
-};
-
 test("a confirmed change whose answer is lost is found, and written once", async () => {
   const fates = fc.array(fc.constantFrom<WriteFate>("lost", "dropped"), {
     maxLength: 3,
   });
   const property = fc.asyncProperty(fates, async (drawn) => {
-    const fake = createFakeStore([...drawn]);
+    const fake = createFakeKeyValue([...drawn]);
     const store = ConfigStore.create(fake.keyValue, "/");
     const base = { config: undefined, modRevision: 0 };
     const deadline = now() + 60_000;
@@ -130,7 +48,7 @@
 });
 
 test("of two operators at one base revision, the second is told of the first", async () => {
-  const fake = createFakeStore(["lost", "dropped"]);
+  const fake = createFakeKeyValue(["lost", "dropped"]);
   const store = ConfigStore.create(fake.keyValue, "/");
   const base = { config: undefined, modRevision: 0 };
   const deadline = now() + 60_000;
@@ -147,7 +65,7 @@
 });
 
 test("an unanswered change ends as unknown, never as refused", async () => {
-  const fake = createFakeStore(["dropped"]);
+  const fake = createFakeKeyValue(["dropped"]);
   const store = ConfigStore.create(fake.keyValue, "/");
   const base = { config: undefined, modRevision: 0 };
   const outcome = await store.commit(base, configAt(1, "c"), now());
@@ -220,7 +138,7 @@
 });
 
 test("a compacted watch is followed by a list; a malformed change is passed over", async () => {
-  const fake = createFakeStore();
+  const fake = createFakeKeyValue();
   const key = "/config/current";
   fake.put(key, formatConfigRecord(configAt(1)));
   const driver = createConfigDriver(fake.keyValue, "/", () => undefined);
--- /dev/null
+++ b/packages/router/src/testing/fakeKeyValue.ts
@@ -0,0 +1,86 @@
+/** Keys, transactions and watches in memory, with writes whose answers are lost. */
+
+import type {
+  KeyValue,
+  KeyValueEntry,
+  Outcome,
+  Transaction,
+  TransactionResult,
+  WatchEvent,
+} from "@cardamomglade/platform";
+
+/** What a write meets: it happens or not, and its answer comes or not. */
+export type WriteFate = "answered" | "lost" | "dropped";
+
+/** A key-value service in memory whose next writes meet the given fates. */
+export const createFakeKeyValue = (fates: WriteFate[] = []) => {
+  const entries = new Map<string, KeyValueEntry>();
+  const watches: ((event: WatchEvent) => void)[] = [];
+  let revision = 1;
+  let writes = 0;
+  const apply = ({
+    compare,
+    success,
+    failure,
+  }: Transaction): TransactionResult => {
+    const succeeded = compare.every(
+      (one) =>
+        one.type === "modRevision" &&
+        (entries.get(one.key)?.modRevision ?? 0) === one.revision,
+    );
+    const reads: KeyValueEntry[][] = [];
+    for (const operation of succeeded ? success : failure) {
+      const { key } = operation;
+      const found = entries.get(key);
+      if (operation.type === "read")
+        reads.push(found === undefined ? [] : [found]);
+      if (operation.type !== "put") continue;
+      const modRevision = revision + 1;
+      const { value } = operation;
+      const entry = { key, value, modRevision, createRevision: 1, lease: "0" };
+      entries.set(key, entry);
+    }
+    if (succeeded) revision += 1;
+    if (succeeded) writes += 1;
+    return { succeeded, revision, reads };
+  };
+  const lost: Outcome<never> = {
+    type: "unknown",
+    failure: { type: "timeout", message: "no answer" },
+  };
+  const keyValue = {
+    range: (key: string, { prefix }: { prefix: boolean }) =>
+      Promise.resolve({
+        type: "done" as const,
+        value: {
+          revision,
+          entries: [...entries.values()].filter((entry) =>
+            prefix ? entry.key.startsWith(key) : entry.key === key,
+          ),
+        },
+      }),
+    transact: (transaction: Transaction) => {
+      const fate = fates.shift() ?? "answered";
+      if (fate === "dropped") return Promise.resolve(lost);
+      const value = apply(transaction);
+      return Promise.resolve(
+        fate === "lost" ? lost : { type: "done" as const, value },
+      );
+    },
+    watch: (
+      _key: string,
+      _options: object,
+      on: (event: WatchEvent) => void,
+    ) => {
+      watches.push(on);
+      return { close: () => undefined };
+    },
+  } as unknown as KeyValue;
+  const put = (key: string, value: string) =>
+    apply({
+      compare: [],
+      success: [{ type: "put", key, value }],
+      failure: [],
+    });
+  return { keyValue, watches, put, writes: () => writes };
+};
