Look seldom at engines that need nothing

The executor asked every engine for its load each second, for ever: at 820 replicas 820 calls a second from one router. Once a revision is seen to be carried out and the term is 30 s old it looks every 30 s, and at once after a new revision. Late orders of a paused leader are still found.

--- a/packages/decisions/src/placement/decideExecution.ts
+++ b/packages/decisions/src/placement/decideExecution.ts
@@ -25,6 +25,9 @@
 type Observed = Extract<ExecutionEvent, { type: "observed" }>;
 
 const observeEveryMs = 1000;
+const settledObserveEveryMs = 30_000;
+// Late orders of the term before are looked for this long.
+const termWatchMs = 30_000;
 const longestOrderMs = 5000;
 const longestRequestMs = 1_800_000;
 const loadGraceMs = 10_000;
@@ -36,6 +39,7 @@
 /** An executor that has done nothing. */
 export const createExecution = (): ExecutionState => ({
   observeAt: 0,
+  settledRevision: undefined,
   fencing: 0,
   termBeganAt: 0,
   fetchFreeAt: 0,
@@ -147,6 +151,25 @@
   return { state: { ...state, given, fetchFreeAt }, commands };
 };
 
+// Looks seldom at engines that need nothing, so that the cost stays small in a large fleet.
+const settle = (
+  state: ExecutionState,
+  { at, accepted }: PlacementWorld,
+  { orders, blocked }: OrderChoice,
+): ExecutionState => {
+  const isSettled =
+    orders.length === 0 &&
+    blocked.length === 0 &&
+    at >= state.termBeganAt + termWatchMs;
+  return isSettled
+    ? {
+        ...state,
+        observeAt: at + settledObserveEveryMs,
+        settledRevision: accepted.revision,
+      }
+    : state;
+};
+
 const report = (
   state: ExecutionState,
   { at, router, accepted }: ExecutionContext,
@@ -193,8 +216,8 @@
     return { state: before, commands: [{ ...command, fencing, notAfter }] };
   }
   const choice = nextOrders(world);
-  const settled = settleGiven(before, choice, at);
-  const gave = giveOrders(settled, world, choice, lease, event.bytesPerSecond);
+  const known = settle(settleGiven(before, choice, at), world, choice);
+  const gave = giveOrders(known, world, choice, lease, event.bytesPerSecond);
   const told = report(gave.state, context, choice);
   return { state: told.state, commands: [...gave.commands, ...told.commands] };
 };
@@ -211,9 +234,13 @@
   const state = beginTerm(before, context, lease);
   switch (event.type) {
     case "timePassed": {
-      if (at < state.observeAt) return { state, commands: [] };
+      const { settledRevision } = state;
+      const isChanged =
+        settledRevision !== undefined && settledRevision !== accepted.revision;
+      if (at < state.observeAt && !isChanged) return { state, commands: [] };
+      const observeAt = at + observeEveryMs;
       return {
-        state: { ...state, observeAt: at + observeEveryMs },
+        state: { ...state, observeAt, settledRevision: undefined },
         commands: [{ type: "observe" }],
       };
     }
--- a/packages/decisions/src/placement/execution.test.ts
+++ b/packages/decisions/src/placement/execution.test.ts
@@ -212,3 +212,29 @@
   );
   assert.deepEqual(idle.commands, []);
 });
+
+test("engines that need nothing are looked at every 30 s, and at once after a change", () => {
+  const fleet = fleetOf(true);
+  for (const [backEnd, engine] of fleet.engines)
+    engine.take(
+      { type: "load", backEnd, weight: { model: "m", version: "v" } },
+      7,
+    );
+  const lease = leaseOf(7, 600_000);
+  let state = createExecution();
+  const looks: number[] = [];
+  for (let at = 0; at <= 150_000; at += tickMs) {
+    const revision = at < 140_000 ? 1 : 2;
+    const accepted = { revision, intent: fleet.intent, serving: [] };
+    const context = { at, router: "r", lease, accepted };
+    const told = decideExecution(state, context, { type: "timePassed" });
+    state = told.state;
+    if (told.commands.length === 0) continue;
+    looks.push(at);
+    const observed = look(fleet);
+    const event = { type: "observed" as const, observed, bytesPerSecond };
+    state = decideExecution(state, context, event).state;
+  }
+  const late = looks.filter((at) => at > 30_000);
+  assert.deepEqual(late, [60_000, 90_000, 120_000, 140_000]);
+});
--- a/packages/decisions/src/placement/executionTypes.ts
+++ b/packages/decisions/src/placement/executionTypes.ts
@@ -23,6 +23,8 @@
 /** What the executor keeps; all of it can be lost, for it resumes from what engines report. */
 export interface ExecutionState {
   readonly observeAt: Moment;
+  /** Revision that was seen to be carried out in full. */
+  readonly settledRevision: number | undefined;
   /** Fencing number of the term that the rest belongs to. */
   readonly fencing: number;
   readonly termBeganAt: Moment;
