--- a/packages/router/src/timeline/eventOfCommand.ts
+++ b/packages/router/src/timeline/eventOfCommand.ts
@@ -50,7 +50,7 @@
         topic: TimelineTopic.Attempt,
         name: "delivering",
         request: command.requestId,
-        attempt: command.attempt,
+        attempt: command.source.attempt,
         offset: command.offset,
       };
     case "finishAnswer":
