--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -10,7 +10,6 @@
   askLinkedPeer,
   configOfferReceived,
   configRequestReceived,
-  forgetConfigPeer,
   hearConfigGossip,
 } from "./configurationPeers.js";
 import { stepMembership } from "./memberEvents.js";
@@ -30,7 +29,6 @@
 
 /** A link to another router closed. */
 export const peerLost: Action<"peerLost"> = (state, { at, peer }) => {
-  forgetConfigPeer(state, peer);
   forgetDemand(state.limits, peer);
   const left = [...state.linkedPeers].filter((other) => other !== peer);
   return stepMembership(
