--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,7 @@
 
 export * from "./admission/index.js";
 export * from "./config/index.js";
+export * from "./drain/index.js";
 export * from "./intent/index.js";
 export * from "./lease/index.js";
 export * from "./placement/index.js";
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -2,13 +2,12 @@
 
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
 import {
   createChannel,
+  now,
   runProcess,
   type ProcessFailure,
   type RunningProcess,
-  now,
 } from "@cardamomglade/common";
 import type { RoutingStrategy } from "@cardamomglade/decisions";
 import {
@@ -24,14 +23,24 @@
   ServiceClient,
 } from "@cardamomglade/upstream";
 import { serveAdministration } from "./administration/serveAdministration.js";
+import { createConfirmRoute } from "./administration/confirmRoute.js";
+import { createExplainRoute } from "./administration/explainRoute.js";
 import { createHealthRoutes } from "./administration/healthRoutes.js";
 import { createMetricsRoute } from "./administration/metricsRoute.js";
+import { createPlanRoutes } from "./administration/planRoutes.js";
+import { createStatusRoutes } from "./administration/statusRoutes.js";
 import { createTimelineRoute } from "./administration/timelineRoute.js";
+import { drainRouter } from "./drainRouter.js";
 import { createRouterState, decide } from "./decide.js";
+import { createLedger } from "./actions/ledgerState.js";
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
+import { createHostListDriver } from "./drivers/hostListDriver.js";
+import { createOrderDriver } from "./drivers/orderDriver.js";
+import { ConfigStore } from "./configuration/configStore.js";
 import { createEngineDriver } from "./drivers/engineDriver.js";
 import { createLeaseDriver } from "./drivers/leaseDriver.js";
+import { createLeaseHoldersDriver } from "./drivers/leaseHoldersDriver.js";
 import { createLedgerDriver } from "./drivers/ledgerDriver.js";
 import { createLoadDriver } from "./drivers/loadDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
@@ -58,7 +67,6 @@
   stop(): Promise<void>;
 }
 
-const drainPollMs = 50;
 const connectTimeoutMs = 400;
 
 const strategies: Readonly<Record<RoutingStrategyName, RoutingStrategy>> = {
@@ -120,8 +128,12 @@
   });
   const control = createChannel<RouterEvent>();
   const initial = createRouterState(settings.router, {
-    ...settings.ledger,
     strategy: strategies[settings.routing.strategy],
+    leaseTtlMs: settings.ledger.leaseTtlMs,
+    ledger: createLedger({
+      ...settings.ledger,
+      fleetWritesPerSecond: settings.keyValue.fleetWritesPerSecond,
+    }),
   });
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
@@ -149,16 +161,31 @@
   const timeline = createTimelineDriver(settings.router.name, clock);
   const peers = await createPeerDriver(settings, view, clock);
   const engines = EngineClient.create(connectUpstream);
+  const store = ConfigStore.create(keyValue, prefix);
+  const weightStoreUrl = settings.weightStore?.url;
+  const world = { store, engines, weightStoreUrl };
   const drivers = [
     callers,
     peers,
     timeline,
     createLogDriver(log),
     createEngineDriver(engines),
+    createOrderDriver({
+      view,
+      engines,
+      keyValue,
+      prefix,
+      store,
+      weightStoreUrl,
+      connector: connectUpstream,
+      log,
+    }),
+    createHostListDriver(settings.hostList?.url, log),
     createServiceDriver(ServiceClient.create(connectUpstream)),
     createConfigDriver(keyValue, prefix, log),
     createLeaseDriver(keyValue, prefix),
-    createLedgerDriver(keyValue, prefix, settings.ledger.keyLifetimeMs),
+    createLeaseHoldersDriver(keyValue, prefix),
+    createLedgerDriver({ keyValue, prefix, router: settings.router.name, log }),
     createLoadDriver(engines, CacheEventClient.create(connectUpstream), view),
     createTickDriver(),
     {
@@ -175,6 +202,10 @@
     ...createHealthRoutes(view),
     createMetricsRoute(view, metrics),
     createTimelineRoute(view, timeline.ring),
+    ...createPlanRoutes(world),
+    createConfirmRoute(world),
+    ...createStatusRoutes({ view, keyValue, prefix, store }),
+    createExplainRoute(view, timeline.ring),
   ]);
   const callersUrl = await startListening(callersServer, listen.callers);
   const administrationUrl = await startListening(
@@ -198,15 +229,15 @@
     administrationServer.closeAllConnections();
     await running.stop();
   };
-  const isBusy = () => {
-    const { streams, waiting, serviceCalls } = view();
-    return streams.size + waiting.size + serviceCalls.size > 0;
-  };
   const drain = async () => {
-    const deadline = now() + settings.drain.graceMs;
-    control.push({ type: "drainStarted", at: now() });
-    await sleep(settings.drain.unreadyMs);
-    while (isBusy() && now() < deadline) await sleep(drainPollMs);
+    await drainRouter({
+      settings: settings.drain,
+      view,
+      callersServer,
+      push: (event) => {
+        control.push(event);
+      },
+    });
     await stop();
   };
   return {
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -6,20 +6,24 @@
   createConfig,
   createLimits,
   createMembership,
+  createExecution,
   createRetryBudgets,
   createRouting,
   type RoutingStrategy,
 } from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
 import { tendAdmission } from "./actions/admission.js";
-import { claimResolved } from "./actions/claimResolved.js";
 import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
+import { drainAnnounced, graceEnded } from "./actions/drainEvents.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import {
   generationArrived,
   startGeneration,
 } from "./actions/generationArrived.js";
+import { holdersRead } from "./actions/ledgerPlacement.js";
+import { shardReported } from "./actions/ledgerShardReported.js";
+import { createLedger } from "./actions/ledgerState.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
 import {
   cacheEventsRead,
@@ -28,6 +32,8 @@
   observeEvent,
 } from "./actions/loadEvents.js";
 import { addressesBound } from "./actions/memberEvents.js";
+import { hostListRead } from "./actions/hostListRead.js";
+import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -46,7 +52,7 @@
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
 import type { RouterStep } from "./actions/types.js";
-import type { RouterEvent, RouterState } from "./types.js";
+import type { LedgerState, RouterEvent, RouterState } from "./types.js";
 
 const defaultLeaseTtlMs = 5000;
 
@@ -54,20 +60,30 @@
 export interface RouterStateOptions {
   readonly leaseTtlMs?: number;
   readonly strategy?: RoutingStrategy;
+  readonly ledger?: LedgerState;
 }
 
 /** State of a router that has just started. */
 export const createRouterState = (
   router: RouterIdentity,
-  { leaseTtlMs = defaultLeaseTtlMs, strategy }: RouterStateOptions = {},
+  {
+    leaseTtlMs = defaultLeaseTtlMs,
+    strategy,
+    ledger = createLedger(),
+  }: RouterStateOptions = {},
 ): RouterState => ({
   router,
   draining: false,
+  unready: false,
   config: createConfig(),
   configMesh: createConfigMesh(),
+  execution: createExecution(),
+  hostMarks: new Map(),
+  drainLookAt: 0,
   routing: createRouting(strategy, hash32(router.name)),
   streams: new Map(),
   serviceCalls: new Map(),
+  ledger,
   engines: new Map(),
   tickedAt: undefined,
   leases: new Map(),
@@ -110,10 +126,12 @@
       return callerReady(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
-    case "claimResolved":
-      return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "holdersRead":
+      return holdersRead(state, event);
+    case "shardReported":
+      return shardReported(state, event);
     case "leaseAnswered":
       return leaseAnswered(state, event);
     case "peerLinked":
@@ -130,6 +148,16 @@
       return addressesBound(state, event);
     case "timePassed":
       return timePassed(state, event);
+    case "hostListRead":
+      return hostListRead(state, event);
+    case "enginesObserved":
+      return enginesObserved(state, event);
+    case "orderAnswered":
+      return orderAnswered(state, event);
+    case "drainAnnounced":
+      return drainAnnounced(state, event);
+    case "graceEnded":
+      return graceEnded(state, event);
     case "drainStarted":
       return drainStarted(state, event);
     default:
--- a/packages/router/src/timeline/eventOfCommand.ts
+++ b/packages/router/src/timeline/eventOfCommand.ts
@@ -1,11 +1,36 @@
 /** Time-line events that commands stand for. */
 
-import { TimelineTopic, type TimelineEvent } from "@cardamomglade/schema";
+import {
+  TimelineTopic,
+  type PeerMessage,
+  type TimelineEvent,
+} from "@cardamomglade/schema";
 import type { RouterCommand } from "../types.js";
 
 /** An event before its process and clock reading are known. */
 export type UnstampedEvent = Omit<TimelineEvent, "at" | "process">;
 
+const eventOfMessage = (message: PeerMessage): UnstampedEvent | undefined => {
+  const topic = TimelineTopic.Claim;
+  switch (message.type) {
+    case "claimQuestion":
+      return { topic, name: "asked", request: message.request };
+    case "claimAnswer":
+      return { topic, name: message.verdict, request: message.request };
+    case "endReport":
+      return {
+        topic,
+        name: "ended",
+        request: message.request,
+        detail: message.end,
+      };
+    case "endConfirmation":
+      return { topic, name: "recorded", request: message.request };
+    default:
+      return undefined;
+  }
+};
+
 /** The event of a command; undefined for commands that the time line leaves out. */
 export const eventOfCommand = (
   command: RouterCommand,
@@ -43,13 +68,9 @@
         request: command.requestId,
         detail: `${command.error.type}, ran: ${command.error.ran}`,
       };
-    case "claimCall":
-      return {
-        topic: TimelineTopic.Claim,
-        name: "requested",
-        request: command.requestId,
-        customer: command.customer,
-      };
+    case "sendToPeer":
+    case "loopBack":
+      return eventOfMessage(command.message);
     case "callService":
       return {
         topic: TimelineTopic.Request,
@@ -57,12 +78,6 @@
         request: command.call.requestId,
         detail: `${command.call.method} ${command.call.path}`,
       };
-    case "recordAnswer":
-      return {
-        topic: TimelineTopic.Claim,
-        name: "answered",
-        request: command.requestId,
-      };
     case "answerCall":
       return {
         topic: TimelineTopic.Request,
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -5,18 +5,26 @@
   AcceptedConfig,
   AdmissionState,
   AttemptFailure,
-  ClaimOutcome,
+  CallEnd,
+  Commit,
   ConfigInForce,
+  EngineObservation,
+  EngineOrder,
   EnginePace,
+  ExecutionCommand,
+  ExecutionState,
+  HostMarks,
   LeaseCall,
   LeaseEvent,
   LeaseState,
   LimitsState,
   LoadNews,
   MembershipState,
-  RecordedAnswer,
   RetryBudgets,
   RoutingState,
+  ShardEvent,
+  ShardLimits,
+  ShardState,
   StreamState,
 } from "@cardamomglade/decisions";
 import type {
@@ -24,8 +32,10 @@
   Deployment,
   EngineToken,
   FinishReason,
+  ListedHost,
   PeerMessage,
   Priority,
+  RecordedAnswer,
   RouterIdentity,
   TimelineEvent,
 } from "@cardamomglade/schema";
@@ -82,6 +92,49 @@
   readonly backEnd?: string;
 }
 
+/** Where a claim of this router stands. */
+export type ClaimPhase =
+  | { readonly type: "asking"; readonly askAt: Moment }
+  | { readonly type: "calling" }
+  | {
+      /** The end is reported until it is confirmed, and kept until `keepUntil`. */
+      readonly type: "ended";
+      readonly end: CallEnd;
+      readonly reportAt: Moment;
+      readonly keepUntil: Moment;
+    };
+
+/** The claim of a non-repeatable call that a caller sent to this router. */
+export interface OriginClaim {
+  readonly requestId: string;
+  readonly shard: number;
+  readonly key: string;
+  readonly bodyHash: string;
+  readonly askedAt: Moment;
+  readonly deadline: Moment;
+  phase: ClaimPhase;
+}
+
+/** The ledger of non-repeatable calls as this router sees it; changed in place by the fold. */
+export interface LedgerState {
+  readonly shardCount: number;
+  readonly limits: ShardLimits;
+  /** Holders by role, as last read. */
+  holders: ReadonlyMap<string, string>;
+  /** Moment of the next look at the placement; undefined until holders were read. */
+  planAt: Moment | undefined;
+  /** Shards that this router holds. */
+  readonly shards: Map<number, ShardState>;
+  /** Claims of this router's callers, by request. */
+  readonly claims: Map<string, OriginClaim>;
+}
+
+/** A role's holder key. */
+export interface RoleHolder {
+  readonly role: string;
+  readonly router: string;
+}
+
 /** How this router gets the configuration: by its own watch or by its peers. */
 export interface ConfigMesh {
   readonly isWatching: boolean;
@@ -96,11 +149,19 @@
 export interface RouterState {
   readonly router: RouterIdentity;
   readonly draining: boolean;
+  /** Whether the balancer is told to send no more. */
+  readonly unready: boolean;
   readonly config: ConfigInForce;
   readonly configMesh: ConfigMesh;
+  readonly execution: ExecutionState;
+  /** Hosts that the platform's list marks as leaving. */
+  readonly hostMarks: HostMarks;
+  /** When leaving hosts are looked at next. */
+  readonly drainLookAt: Moment;
   readonly routing: RoutingState;
   readonly streams: Map<string, StreamEntry>;
   readonly serviceCalls: Map<string, ServiceEntry>;
+  readonly ledger: LedgerState;
   /** Token times seen of each engine. */
   readonly engines: Map<string, EnginePace>;
   /** Moment of the last tick. */
@@ -183,16 +244,22 @@
       readonly request: ServiceRequest;
     }
   | {
-      readonly type: "claimResolved";
+      readonly type: "serviceCallEnded";
       readonly at: Moment;
       readonly requestId: string;
-      readonly outcome: ClaimOutcome;
+      readonly outcome: ServiceOutcome;
     }
   | {
-      readonly type: "serviceCallEnded";
+      readonly type: "holdersRead";
       readonly at: Moment;
-      readonly requestId: string;
-      readonly outcome: ServiceOutcome;
+      readonly holders: readonly RoleHolder[];
+    }
+  | {
+      readonly type: "shardReported";
+      readonly at: Moment;
+      readonly shard: number;
+      readonly fencing: number;
+      readonly report: ShardEvent;
     }
   | {
       readonly type: "leaseAnswered";
@@ -236,6 +303,26 @@
       readonly administrationUrl: string;
     }
   | { readonly type: "timePassed"; readonly at: Moment }
+  | {
+      readonly type: "hostListRead";
+      readonly at: Moment;
+      readonly hosts: readonly ListedHost[];
+    }
+  | {
+      readonly type: "enginesObserved";
+      readonly at: Moment;
+      readonly observed: ReadonlyMap<string, EngineObservation>;
+      readonly bytesPerSecond: number;
+    }
+  | {
+      readonly type: "orderAnswered";
+      readonly at: Moment;
+      readonly order: EngineOrder;
+      /** Undefined where the engine took the order. */
+      readonly reason: string | undefined;
+    }
+  | { readonly type: "drainAnnounced"; readonly at: Moment }
+  | { readonly type: "graceEnded"; readonly at: Moment }
   | { readonly type: "drainStarted"; readonly at: Moment };
 
 /** One event by its type. */
@@ -291,28 +378,39 @@
       readonly requestId: string;
       readonly error: ApiError;
     }
-  | {
-      readonly type: "claimCall";
-      readonly requestId: string;
-      readonly customer: string;
-      readonly key: string;
-      readonly body: string;
-      readonly deadline: Moment;
-    }
   | {
       readonly type: "callService";
       readonly url: string;
       readonly call: ServiceCall;
     }
   | {
-      readonly type: "recordAnswer";
+      readonly type: "answerCall";
       readonly requestId: string;
       readonly answer: RecordedAnswer;
     }
   | {
-      readonly type: "answerCall";
-      readonly requestId: string;
-      readonly answer: RecordedAnswer;
+      readonly type: "readShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly deadline: Moment;
+    }
+  | {
+      readonly type: "commitShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly commit: Commit;
+      readonly deadline: Moment;
+    }
+  | {
+      readonly type: "wakeShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly wakeAt: Moment;
+    }
+  | {
+      /** A message to this router itself, as if a peer had sent it. */
+      readonly type: "loopBack";
+      readonly message: PeerMessage;
     }
   | {
       readonly type: "leaseCall";
@@ -326,6 +424,7 @@
     }
   | { readonly type: "connectPeer"; readonly url: string }
   | { readonly type: "forgetPeer"; readonly url: string }
+  | { readonly type: "execute"; readonly command: ExecutionCommand }
   | {
       readonly type: "watchConfiguration";
       readonly isWatching: boolean;
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -20,6 +20,14 @@
   Service,
 } from "./generated/intent.js";
 export { BackEndType, CallMethod, Priority } from "./generated/intent.js";
+export type {
+  AnsweredCall,
+  CallRecord,
+  ClaimedCall,
+  RecordedAnswer,
+  ReleasedCall,
+  ShardBatch,
+} from "./generated/ledger.js";
 export * from "./generated/peers.js";
 export type {
   ClientTlsSettings,
@@ -34,6 +42,7 @@
   LogLevel,
   OperatorRight,
   RoutingStrategyName,
+  WhileStoreDown,
 } from "./generated/settings.js";
 export type { TimelineEvent } from "./generated/timeline.js";
 export { TimelineTopic } from "./generated/timeline.js";
