--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -13,6 +13,7 @@
   LogLevel,
   OperatorRight,
   Priority,
+  RoutingStrategyName,
   type BackEnd,
   type Customer,
   type Intent,
@@ -36,6 +37,9 @@
   readonly engineFlags?: readonly string[];
   readonly recovery?: RecoveryPolicy;
   readonly mode?: "deterministic" | "differing";
+  /** Requests that an engine runs at once. */
+  readonly slots?: number;
+  readonly strategy?: RoutingStrategyName;
 }
 
 /** A stand-in and its address. */
@@ -88,6 +92,7 @@
   member: FleetMember,
   type: BackEndType,
   index: number,
+  slots = 32,
 ): BackEnd => ({
   name: member.name,
   type,
@@ -96,7 +101,7 @@
   zone: zoneOf(index),
   region,
   checksFencing: true,
-  slots: 32,
+  slots,
 });
 
 /** A running fleet. */
@@ -201,7 +206,11 @@
       mode = "deterministic",
     } = this.options;
     const loaded = `${fleetModel.model}:${fleetModel.version}`;
-    const flags = ["--loaded", loaded, "--mode", mode, ...engineFlags];
+    const slots = String(this.options.slots ?? 32);
+    const flags = [
+      ...["--loaded", loaded, "--mode", mode, "--slots", slots],
+      ...engineFlags,
+    ];
     this.engines = await Promise.all(
       range(engines).map((index) =>
         startStandIn("engine", `engine-${String(index)}`, flags),
@@ -237,7 +246,7 @@
       ],
       backEnds: [
         ...this.engines.map((member, index) =>
-          backEndOf(member, BackEndType.Engine, index),
+          backEndOf(member, BackEndType.Engine, index, this.options.slots),
         ),
         ...this.services.map((member, index) =>
           backEndOf(member, BackEndType.Service, index),
@@ -304,6 +313,9 @@
         },
       ],
       log: { level: LogLevel.Info },
+      routing: {
+        strategy: this.options.strategy ?? RoutingStrategyName.Balanced,
+      },
     };
   }
 }
--- a/packages/decisions/src/routing/chooseBackEnd.ts
+++ b/packages/decisions/src/routing/chooseBackEnd.ts
@@ -7,10 +7,11 @@
   drawnPerTier,
   holderLoadBound,
   holdersTried,
-  regionSpillMs,
+  homeShare,
   reportLifeMs,
+  slowestPace,
 } from "./constants.js";
-import { costOf, loadShareOf, waitMsOf } from "./costOf.js";
+import { costOf, hasSlot, loadShareOf, paceMsOf } from "./costOf.js";
 import { isEjected } from "./ejection.js";
 import { countHeld } from "./noteCache.js";
 import { isLoadedIn } from "./noteLoad.js";
@@ -43,6 +44,16 @@
   return healthy.length === 0 ? open : healthy;
 };
 
+/** The eligible ones without those far slower than the fastest. */
+export const usableOf = (
+  state: RoutingState,
+  eligible: readonly BackEnd[],
+): BackEnd[] => {
+  const paces = eligible.map((one) => paceMsOf(state, one));
+  const most = Math.min(...paces) * slowestPace;
+  return eligible.filter((_, index) => (paces[index] ?? 0) <= most);
+};
+
 const random = (state: RoutingState): number => {
   const drawn = draw(state.generator);
   state.generator = drawn.state;
@@ -104,15 +115,27 @@
   return held.slice(0, holdersTried).map(({ backEnd }) => backEnd);
 };
 
-/** The back end at which all routers first look for a prefix that none holds yet. */
+/** The back end at which all routers look first for a prefix that none holds yet. */
 const homeOf = (
   blocks: readonly string[],
   from: readonly BackEnd[],
-): BackEnd[] => {
+): BackEnd | undefined => {
   const [first] = blocks;
-  if (first === undefined) return [];
-  const home = leastBy(from, ({ name }) => hash32(`${first}\n${name}`));
-  return home === undefined ? [] : [home];
+  if (first === undefined) return undefined;
+  return leastBy(from, ({ name }) => hash32(`${first}\n${name}`));
+};
+
+/** Nearest region with a free slot; where none has one, the own region. */
+const poolOf = (
+  state: RoutingState,
+  { region }: RoutingQuery,
+  usable: readonly BackEnd[],
+): BackEnd[] => {
+  const near = usable.filter((one) => one.region === region);
+  const free = usable.filter((one) => hasSlot(state, one));
+  const freeNear = free.filter((one) => one.region === region);
+  const pools = [freeNear, free, near];
+  return pools.find((pool) => pool.length > 0) ?? [...usable];
 };
 
 const chooseBalanced = (
@@ -122,22 +145,22 @@
 ): BackEnd | undefined => {
   const model = query.loaded?.model ?? "";
   const blocks = prefixBlocks(model, query.prompt, blocksTried);
-  const near = eligible.filter(({ region }) => region === query.region);
-  const inZone = near.filter(({ zone }) => zone === query.zone);
-  const inRegion = near.filter(({ zone }) => zone !== query.zone);
-  const holders = holdersOf(state, blocks, near);
+  const pool = poolOf(state, query, usableOf(state, eligible));
+  const holders = holdersOf(state, blocks, pool);
+  const home = holders.length === 0 ? homeOf(blocks, pool) : undefined;
+  const inZone = pool.filter(({ zone }) => zone === query.zone);
+  const elsewhere = pool.filter(({ zone }) => zone !== query.zone);
   const tried = [
     ...holders,
-    ...(holders.length === 0 ? homeOf(blocks, near) : []),
+    ...(home === undefined ? [] : [home]),
     ...drawFrom(state, inZone, drawnPerTier),
-    ...drawFrom(state, inRegion, drawnPerTier),
+    ...drawFrom(state, elsewhere, drawnPerTier),
   ];
-  const spills = tried.every((one) => waitMsOf(state, one) > regionSpillMs);
-  if (spills) {
-    const far = eligible.filter(({ region }) => region !== query.region);
-    tried.push(...drawFrom(state, far, drawnPerTier));
-  }
-  return leastBy(tried, (one) => costOf(state, query, blocks, one));
+  const homeMs = blocks.length * state.blockMs * homeShare;
+  return leastBy(tried, (one) => {
+    const cost = costOf(state, query, blocks, one);
+    return one === home ? cost - homeMs : cost;
+  });
 };
 
 /** The candidate to use, or undefined where there is none. */
--- a/packages/decisions/src/routing/constants.ts
+++ b/packages/decisions/src/routing/constants.ts
@@ -6,9 +6,6 @@
 /** Cost of leaving the region. */
 export const regionCostMs = 150;
 
-/** Expected wait in the own region above which the other regions are looked at. */
-export const regionSpillMs = 300;
-
 /** Cost of a full back end over an empty one; it spreads work before queues form. */
 export const loadCostMs = 150;
 
@@ -21,6 +18,15 @@
 /** Load of a prefix holder, in shares of the mean, above which it is passed over. */
 export const holderLoadBound = 1.25;
 
+/** Pace, in multiples of the fastest, above which a back end gets no work while others serve. */
+export const slowestPace = 2;
+
+/** Part of a full prefix that the first place to look for it is worth. */
+export const homeShare = 0.5;
+
+/** Fleet size up to which own work tells what the others have at a back end. */
+export const routersAlike = 16;
+
 /** Tokens of a typical answer, for the cost of a slow back end. */
 export const typicalTokens = 100;
 
--- a/packages/decisions/src/routing/costOf.ts
+++ b/packages/decisions/src/routing/costOf.ts
@@ -7,21 +7,40 @@
   paceHalfLifeMs,
   regionCostMs,
   reportLifeMs,
+  routersAlike,
   typicalTokens,
   zoneCostMs,
 } from "./constants.js";
 import { rampOf } from "./ejection.js";
 import { countHeld } from "./noteCache.js";
-import type { RoutingQuery, RoutingState } from "./types.js";
+import type { BackEndView, RoutingQuery, RoutingState } from "./types.js";
 import { viewOf } from "./views.js";
 
-/** Work at a back end: own work now and others' by the newest report. */
-export const loadOf = (state: RoutingState, { name }: BackEnd): number => {
-  const view = viewOf(state, name);
+/**
+ * Work of other routers: by the newest report, which fades with its age. In a
+ * small fleet the others are then taken to have as much there as this router.
+ */
+const othersAt = (state: RoutingState, view: BackEndView): number => {
+  const alike = view.own * (state.routers - 1);
+  const isAlike = state.routers <= routersAlike;
   const { heard } = view;
   if (heard === undefined || state.at - heard.heardAt > reportLifeMs)
-    return view.own;
-  return view.own + heard.others;
+    return isAlike ? alike : 0;
+  if (!isAlike) return heard.others;
+  const belief = Math.exp((heard.trueAt - state.at) / state.attemptMs);
+  return belief * heard.others + (1 - belief) * alike;
+};
+
+/** Work at a back end: own work now and what others are expected to have there. */
+export const loadOf = (state: RoutingState, { name }: BackEnd): number => {
+  const view = viewOf(state, name);
+  return view.own + othersAt(state, view);
+};
+
+/** Whether a back end has a slot free. */
+export const hasSlot = (state: RoutingState, backEnd: BackEnd): boolean => {
+  const ramp = rampOf(viewOf(state, backEnd.name), state.at);
+  return loadOf(state, backEnd) + 1 <= Math.max(1, backEnd.slots * ramp);
 };
 
 /** Load in shares of the slots that a back end may use now. */
--- a/packages/decisions/src/routing/index.ts
+++ b/packages/decisions/src/routing/index.ts
@@ -1,8 +1,7 @@
 /** Choice of back ends. */
 
-export { chooseBackEnd, eligibleOf } from "./chooseBackEnd.js";
-export { loadOf, waitMsOf } from "./costOf.js";
-export { isEjected, rampOf } from "./ejection.js";
+export { chooseBackEnd, eligibleOf, usableOf } from "./chooseBackEnd.js";
+export { hasSlot, loadOf } from "./costOf.js";
 export {
   noteEnded,
   noteOpened,
--- a/packages/decisions/src/routing/noteAttempt.ts
+++ b/packages/decisions/src/routing/noteAttempt.ts
@@ -10,7 +10,7 @@
 
 const paceSmoothing = 0.05;
 const blockSmoothing = 0.02;
-const attemptSmoothing = 0.05;
+const attemptSmoothing = 0.1;
 const longestBlockMs = 200;
 
 /** An attempt as it is opened. */
--- a/packages/decisions/src/routing/types.ts
+++ b/packages/decisions/src/routing/types.ts
@@ -64,6 +64,8 @@
   generator: GeneratorState;
   readonly backEnds: Map<string, BackEndView>;
   readonly attempts: Map<string, OpenAttempt>;
+  /** Routers that take part, this one included. */
+  routers: number;
   /** Position of round robin. */
   turn: number;
   /** Smoothed time to fill one block of the prefix cache. */
--- a/packages/decisions/src/routing/views.ts
+++ b/packages/decisions/src/routing/views.ts
@@ -5,7 +5,7 @@
 import type { BackEndView, RoutingState, RoutingStrategy } from "./types.js";
 
 const defaultBlockMs = 5;
-const defaultAttemptMs = 4000;
+const defaultAttemptMs = 2000;
 
 /** What a router that has just started knows. */
 export const createRouting = (
@@ -18,6 +18,7 @@
   generator: seedGenerator(seed),
   backEnds: new Map(),
   attempts: new Map(),
+  routers: 1,
   turn: seed,
   blockMs: defaultBlockMs,
   attemptMs: defaultAttemptMs,
--- a/packages/router/src/actions/admissionCapacity.ts
+++ b/packages/router/src/actions/admissionCapacity.ts
@@ -6,8 +6,9 @@
   countPresent,
   eligibleOf,
   fillBalance,
+  hasSlot,
   loadOf,
-  rampOf,
+  usableOf,
   useOf,
   viewOf,
   type Capacity,
@@ -34,12 +35,9 @@
   };
   const candidates = candidatesOf(state.config, backEnds);
   const query = { candidates, avoid: [], zone, region, prompt: "", loaded };
-  return eligibleOf(state.routing, query);
+  return usableOf(state.routing, eligibleOf(state.routing, query));
 };
 
-const slotsOf = (state: RouterState, { name, slots }: BackEnd): number =>
-  Math.max(1, slots * rampOf(viewOf(state.routing, name), state.routing.at));
-
 /** This router's part of the work at some back ends, at least an equal one. */
 const ownPart = (
   state: RouterState,
@@ -92,9 +90,7 @@
       return answer;
     },
     hasRoom: (deployment) =>
-      backEndsOf(deployment).some(
-        (one) => loadOf(state.routing, one) + 1 <= slotsOf(state, one),
-      ),
+      backEndsOf(deployment).some((one) => hasSlot(state.routing, one)),
     startsPerSecond: (deployment) => {
       const backEnds = backEndsOf(deployment);
       const slots = backEnds.reduce((sum, one) => sum + one.slots, 0);
--- a/packages/router/src/actions/memberEvents.ts
+++ b/packages/router/src/actions/memberEvents.ts
@@ -2,6 +2,7 @@
 
 import { assertNever, type Moment } from "@cardamomglade/common";
 import {
+  countPresent,
   decideMembership,
   demandOf,
   limitPeriodMs,
@@ -65,6 +66,7 @@
 /** Tells membership the time, with the demand that the heartbeats carry. */
 export const tendMembership = (state: RouterState, at: Moment): RouterStep => {
   const { limits, retryBudgets, config } = state;
+  state.routing.routers = Math.max(1, countPresent(state.membership));
   if (at >= limits.periodEndsAt) refillRetries(retryBudgets, limitPeriodMs);
   tendLimits(limits, at);
   const demand = demandOf(limits);
