--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -124,16 +124,18 @@
   });
   const keyValue = KeyValueClient.create({
     endpoints: settings.keyValue.endpoints,
+    writesPerSecond: settings.keyValue.fleetWritesPerSecond,
+    readsPerSecond: settings.keyValue.fleetReadsPerSecond,
     connector: connectKeyValue,
   });
   const control = createChannel<RouterEvent>();
   const initial = createRouterState(settings.router, {
-    strategy: strategies[settings.routing.strategy],
     leaseTtlMs: settings.ledger.leaseTtlMs,
     ledger: createLedger({
       ...settings.ledger,
       fleetWritesPerSecond: settings.keyValue.fleetWritesPerSecond,
     }),
+    strategy: strategies[settings.routing.strategy],
   });
   const started: { process?: RunningProcess<RouterState> } = {};
   const view = () => started.process?.state() ?? initial;
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -17,13 +17,13 @@
 import { configurationRead } from "./actions/configurationRead.js";
 import { drainAnnounced, graceEnded } from "./actions/drainEvents.js";
 import { drainStarted } from "./actions/drainStarted.js";
+import { holdersRead } from "./actions/ledgerPlacement.js";
+import { shardReported } from "./actions/ledgerShardReported.js";
+import { createLedger } from "./actions/ledgerState.js";
 import {
   generationArrived,
   startGeneration,
 } from "./actions/generationArrived.js";
-import { holdersRead } from "./actions/ledgerPlacement.js";
-import { shardReported } from "./actions/ledgerShardReported.js";
-import { createLedger } from "./actions/ledgerState.js";
 import { leaseAnswered } from "./actions/leaseAnswered.js";
 import {
   cacheEventsRead,
@@ -59,8 +59,8 @@
 /** What settings give to a router's state. */
 export interface RouterStateOptions {
   readonly leaseTtlMs?: number;
-  readonly strategy?: RoutingStrategy;
   readonly ledger?: LedgerState;
+  readonly strategy?: RoutingStrategy;
 }
 
 /** State of a router that has just started. */
@@ -68,8 +68,8 @@
   router: RouterIdentity,
   {
     leaseTtlMs = defaultLeaseTtlMs,
-    strategy,
     ledger = createLedger(),
+    strategy,
   }: RouterStateOptions = {},
 ): RouterState => ({
   router,
--- a/packages/router/src/drainRouter.ts
+++ b/packages/router/src/drainRouter.ts
@@ -50,7 +50,9 @@
   const isIdle = () => {
     const { streams, waiting, serviceCalls, ledger } = view();
     return (
-      streams.size + waiting.size + serviceCalls.size === 0 &&
+      streams.size === 0 &&
+      waiting.size === 0 &&
+      serviceCalls.size === 0 &&
       !hasOpenClaims(ledger)
     );
   };
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -20,6 +20,14 @@
   Service,
 } from "./generated/intent.js";
 export { BackEndType, CallMethod, Priority } from "./generated/intent.js";
+export type {
+  LeaseAnswer,
+  RangeAnswer,
+  RangeResponse,
+  TransactionAnswer,
+  WatchMessage,
+  WireEntry,
+} from "./generated/keyValue.js";
 export type {
   AnsweredCall,
   CallRecord,
@@ -41,8 +49,8 @@
 export {
   LogLevel,
   OperatorRight,
-  RoutingStrategyName,
   WhileStoreDown,
+  RoutingStrategyName,
 } from "./generated/settings.js";
 export type { TimelineEvent } from "./generated/timeline.js";
 export { TimelineTopic } from "./generated/timeline.js";
