--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -7,6 +7,9 @@
 import { faults } from "./faults.js";
 import { leaving } from "./leaving.js";
 import { rolling } from "./rolling.js";
+import { membership } from "./membership.js";
+import { overload } from "./overload.js";
+import { routing } from "./routing.js";
 import { smoke } from "./smoke.js";
 import { versions } from "./versions.js";
 
@@ -20,4 +23,7 @@
   leaving,
   rolling,
   versions,
+  routing,
+  overload,
+  membership,
 ];
