--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -5,7 +5,8 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { request } from "undici";
-import { KeyValueClient } from "@cardamomglade/platform";
+import { now } from "@cardamomglade/common";
+import { KeyValueClient, type KeyValueEntry } from "@cardamomglade/platform";
 import { ConfigStore } from "@cardamomglade/router";
 import {
   BackEndType,
@@ -36,6 +37,7 @@
   readonly engineFlags?: readonly string[];
   readonly recovery?: RecoveryPolicy;
   readonly mode?: "deterministic" | "differing";
+  readonly ledger?: Partial<Settings["ledger"]>;
 }
 
 /** A stand-in and its address. */
@@ -135,8 +137,8 @@
     return fleet;
   }
 
-  /** Puts an intent in force, by the store. */
-  async putIntent(intent: Intent): Promise<void> {
+  /** Puts an intent in force, by the store; returns its revision. */
+  async putIntent(intent: Intent): Promise<number> {
     this.intent = intent;
     const store = ConfigStore.create(this.keyValueClient, prefix);
     const deadline = Date.now() + callTimeoutMs;
@@ -155,6 +157,15 @@
     const outcome = await store.commit(base.value, next, deadline);
     if (outcome.type !== "committed")
       throw new Error(`the intent could not be put: ${outcome.type}`);
+    return revision;
+  }
+
+  /** Entries of the key-value service below a prefix. */
+  async readKeys(below: string): Promise<readonly KeyValueEntry[]> {
+    const deadline = now() + callTimeoutMs;
+    const options = { prefix: true, deadline };
+    const outcome = await this.keyValueClient.range(below, options);
+    return outcome.type === "done" ? outcome.value.entries : [];
   }
 
   async startRouter(
@@ -168,24 +179,14 @@
       settingsFile,
       JSON.stringify(this.settingsOf(name, index, seeds, peersPort)),
     );
-    const started = startProcess({
-      name,
-      script: "cardamomglade",
-      args: ["route", "--settings", settingsFile],
-    });
-    const line = await waitForLine(
-      started,
-      ({ message }) => message === "listening",
-    );
-    const { detail } = line.context as { detail: string };
-    const [callersUrl = "", administrationUrl = ""] = detail.split(" ");
-    return {
-      name,
-      callersUrl,
-      administrationUrl,
-      settingsFile,
-      process: started,
-    };
+    return launchRouter(name, settingsFile);
+  }
+
+  /** Starts a dead router again, with its settings; its addresses change. */
+  async restartRouter(index: number): Promise<void> {
+    const old = this.routers[index];
+    if (old === undefined) return;
+    this.routers[index] = await launchRouter(old.name, old.settingsFile);
   }
 
   /** Stops every process of the fleet. */
@@ -312,6 +313,9 @@
           ],
         },
       ],
+      ...(this.options.ledger && {
+        ledger: this.options.ledger as Settings["ledger"],
+      }),
       log: { level: LogLevel.Info },
     };
   }
@@ -320,6 +324,30 @@
 const range = (count: number): number[] =>
   Array.from({ length: count }, (_, index) => index);
 
+const launchRouter = async (
+  name: string,
+  settingsFile: string,
+): Promise<FleetRouter> => {
+  const started = startProcess({
+    name,
+    script: "cardamomglade",
+    args: ["route", "--settings", settingsFile],
+  });
+  const line = await waitForLine(
+    started,
+    ({ message }) => message === "listening",
+  );
+  const { detail } = line.context as { detail: string };
+  const [callersUrl = "", administrationUrl = ""] = detail.split(" ");
+  return {
+    name,
+    callersUrl,
+    administrationUrl,
+    settingsFile,
+    process: started,
+  };
+};
+
 const startStandIn = async (
   kind: string,
   name: string,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,4 +5,9 @@
   type KeyValueClientOptions,
 } from "./keyValueClient.js";
 export { mirrorPrefix, type MirrorOptions } from "./mirrorPrefix.js";
+export {
+  readHostList,
+  readStoredWeights,
+  readWeightRate,
+} from "./readPlatform.js";
 export * from "./types.js";
--- a/packages/router/src/actions/drainStarted.ts
+++ b/packages/router/src/actions/drainStarted.ts
@@ -2,16 +2,14 @@
 
 import { TimelineTopic } from "@cardamomglade/schema";
 import { chainSteps } from "./chainSteps.js";
-import { releaseLeases } from "./leaseRoles.js";
 import { stepMembership } from "./memberEvents.js";
 import type { Action } from "./types.js";
 
-/** Takes no new work from now on, gives its leases up and tells its peers. */
+/** Takes no new work from now on and tells its peers. */
 export const drainStarted: Action<"drainStarted"> = (state, { at }) => {
   const event = { topic: TimelineTopic.Drain, name: "started" };
   return chainSteps({ ...state, draining: true }, [
     (current) => ({ state: current, commands: [{ type: "record", event }] }),
-    (current) => releaseLeases(current, at),
     (current) => stepMembership(current, { type: "leaving", at }),
   ]);
 };
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -1,10 +1,10 @@
 /** Events of the mesh between routers. */
 
 import { assertNever } from "@cardamomglade/common";
+import { chainSteps } from "./chainSteps.js";
 import { claimAnswered } from "./claimAnswered.js";
 import { confirmEnd } from "./ledgerClaims.js";
 import { claimQuestion, endReport } from "./ledgerMessages.js";
-import { chainSteps } from "./chainSteps.js";
 import {
   askLinkedPeer,
   configOfferReceived,
