--- a/packages/decisions/src/membership/types.ts
+++ b/packages/decisions/src/membership/types.ts
@@ -1,10 +1,6 @@
 /** Types of membership by gossip. */
 
-import type {
-  GeneratorState,
-  HybridClock,
-  Moment,
-} from "@cardamomglade/common";
+import type { GeneratorState, Moment } from "@cardamomglade/common";
 import type {
   CustomerDemand,
   Gossip,
@@ -45,7 +41,6 @@
 /** A router's view of all routers; owned by the fold and changed in place. */
 export interface MembershipState {
   self: MemberRecord;
-  clock: HybridClock;
   generator: GeneratorState;
   heartbeat: Heartbeat;
   readonly members: Map<string, Member>;
--- a/packages/router/src/actions/leaseRoles.ts
+++ b/packages/router/src/actions/leaseRoles.ts
@@ -68,12 +68,25 @@
   role: string,
   at: Moment,
   tryAt: Moment = at,
+): RouterStep => {
+  const isPursued = state.leases.get(role)?.isWanted === true;
+  if (state.draining || isPursued) return { state, commands: [] };
+  return stepLease(state, role, { type: "wanted", at, tryAt });
+};
+
+/** Tries earlier for a wanted role that became free. */
+export const hastenLease = (
+  state: RouterState,
+  role: string,
+  at: Moment,
+  tryAt: Moment,
 ): RouterStep => {
   const lease = state.leases.get(role);
-  const isPursued =
+  const isWaiting =
     lease?.isWanted === true &&
-    (lease.phase.type !== "idle" || lease.phase.tryAt <= tryAt);
-  if (state.draining || isPursued) return { state, commands: [] };
+    lease.phase.type === "idle" &&
+    lease.phase.tryAt > tryAt;
+  if (!isWaiting) return { state, commands: [] };
   return stepLease(state, role, { type: "wanted", at, tryAt });
 };
 
--- a/packages/router/src/actions/serviceCallArrived.ts
+++ b/packages/router/src/actions/serviceCallArrived.ts
@@ -63,9 +63,13 @@
 };
 
 // A call with a key may repeat one that ran: that was not looked up.
-const drainingError = (key: string | undefined): ApiError => ({
-  type: ErrorType.Draining,
-  message: "this router is draining; the call was not sent",
+const notSent = (
+  key: string | undefined,
+  type: ErrorType,
+  message: string,
+): ApiError => ({
+  type,
+  message,
   ran: key === undefined ? Ran.No : Ran.Unknown,
 });
 
@@ -76,13 +80,17 @@
 ) => {
   const { requestId } = request.call;
   const { key, customer } = request;
-  if (state.draining) return refuse(state, requestId, drainingError(key));
+  if (state.draining) {
+    const message = "this router is draining; the call was not sent";
+    return refuse(state, requestId, notSent(key, ErrorType.Draining, message));
+  }
   const service = state.config.services.get(request.service);
   if (!service?.customers.includes(customer)) {
     return refuse(
       state,
       requestId,
-      notRun(
+      notSent(
+        key,
         ErrorType.NotFound,
         `service "${request.service}" does not serve customer "${customer}"`,
       ),
--- a/packages/router/src/actions/stepStream.ts
+++ b/packages/router/src/actions/stepStream.ts
@@ -17,6 +17,7 @@
 } from "@cardamomglade/schema";
 import type { RouterCommand, RouterState, StreamEntry } from "../types.js";
 import { candidatesOf } from "./candidatesOf.js";
+import { mayAttempt } from "./retryBudget.js";
 import { streamError } from "./streamErrors.js";
 import type { RouterStep } from "./types.js";
 
@@ -42,13 +43,15 @@
   const { state, entry } = work;
   const candidates = candidatesOf(state.config, entry.deployment.backEnds);
   const { zone, region } = state.router;
-  return chooseBackEnd(work.routing, {
-    candidates,
-    avoid,
-    zone,
-    region,
-    prompt: entry.request.prompt,
-  });
+  const { model, version, adapter } = entry.deployment;
+  const loaded = {
+    model,
+    version,
+    ...(adapter === undefined ? {} : { adapter }),
+  };
+  const { prompt } = entry.request;
+  const query = { candidates, avoid, zone, region, prompt, loaded };
+  return chooseBackEnd(work.routing, query);
 };
 
 const assignBackEnd = (work: StreamWork, avoid: readonly string[]): void => {
@@ -58,6 +61,10 @@
     decide(work, { type: "noBackEnd", at });
     return;
   }
+  if (!mayAttempt(work.state, work.entry, backEnd.name)) {
+    decide(work, { type: "noBackEnd", at, isPaced: true });
+    return;
+  }
   decide(work, { type: "backEndAssigned", at, backEnd: backEnd.name });
 };
 
