--- a/packages/decisions/src/lease/index.ts
+++ b/packages/decisions/src/lease/index.ts
@@ -4,6 +4,12 @@
 export { decideLease } from "./decideLease.js";
 export { heldLeaseOf } from "./heldLeaseOf.js";
 export { isLeaseHeld } from "./isLeaseHeld.js";
+export {
+  mayOrder,
+  orderWindow,
+  type OrderWindow,
+  type OrderWindowOptions,
+} from "./orderWindow.js";
 export type {
   FoundHolder,
   HeldLease,
--- /dev/null
+++ b/packages/decisions/src/ledger/decideShard.test.ts
@@ -0,0 +1,163 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { WhileStoreDown } from "@cardamomglade/schema";
+import { createShard } from "./createShard.js";
+import { decideShard } from "./decideShard.js";
+import type {
+  ClaimRequest,
+  Commit,
+  ReadBatch,
+  ShardCommand,
+  ShardEvent,
+  ShardState,
+} from "./types.js";
+
+const limits = {
+  commitIntervalMs: 10,
+  keyLifetimeMs: 1000,
+  maxBytes: 100_000,
+  whileStoreDown: WhileStoreDown.Wait,
+};
+const lease = { role: "ledger-0", fencing: 7, heldUntil: 1_000_000 };
+
+interface Holder {
+  readonly state: ShardState;
+  readonly stored: Map<string, ReadBatch>;
+  readonly commands: ShardCommand[];
+}
+
+const write = (stored: Map<string, ReadBatch>, commit: Commit): void => {
+  const { merge, deletes, batch, records, bytes } = commit;
+  for (const name of deletes) stored.delete(name);
+  if (merge !== undefined) stored.set(merge.name, merge);
+  stored.set(batch, { name: batch, bytes, records });
+};
+
+// Folds an event and performs every commit at once.
+const fold = (holder: Holder, event: ShardEvent): void => {
+  const { commands } = decideShard(holder.state, event);
+  holder.commands.push(...commands);
+  for (const command of commands) {
+    if (command.type !== "commit") continue;
+    write(holder.stored, command.commit);
+    const { batch } = command.commit;
+    const { at } = event;
+    fold(holder, { type: "commitAnswered", at, batch, outcome: "committed" });
+  }
+};
+
+const open = (stored: Map<string, ReadBatch>, at: number): Holder => {
+  const state = createShard(0, lease, limits, at);
+  const holder = { state, stored, commands: [] };
+  fold(holder, { type: "read", at, batches: [...stored.values()] });
+  return holder;
+};
+
+const ask = (
+  holder: Holder,
+  key: string,
+  at: number,
+  requestId = key,
+): void => {
+  const request: ClaimRequest = {
+    requestId,
+    key,
+    bodyHash: "b",
+    origin: "r",
+    deadline: at + 500,
+  };
+  fold(holder, { type: "claimAsked", at, request });
+};
+
+const answer = (holder: Holder, key: string, at: number): void => {
+  const body = { status: 200, contentType: "text/plain", body: key };
+  fold(holder, {
+    type: "callEnded",
+    at,
+    key,
+    requestId: key,
+    origin: "r",
+    end: { type: "answered", answer: body },
+  });
+};
+
+const verdictOf = (holder: Holder, requestId: string): string | undefined =>
+  holder.commands.flatMap((command) =>
+    command.type === "answerClaim" && command.requestId === requestId
+      ? [command.outcome.type]
+      : [],
+  )[0];
+
+test("compaction keeps every record that stands, and a new holder reads them", () => {
+  const stored = new Map<string, ReadBatch>();
+  const holder = open(stored, 0);
+  for (let index = 0; index < 300; index += 1) {
+    const at = index * 2;
+    ask(holder, `k${String(index)}`, at);
+    fold(holder, { type: "timePassed", at: at + 1 });
+    if (index % 2 === 0) answer(holder, `k${String(index)}`, at + 1);
+  }
+  fold(holder, { type: "timePassed", at: 650 });
+  assert.ok(stored.size <= 33, `${String(stored.size)} batches are kept`);
+  const next = open(stored, 660);
+  for (let index = 0; index < 300; index += 1)
+    ask(next, `k${String(index)}`, 1100, `again${String(index)}`);
+  fold(next, { type: "timePassed", at: 1200 });
+  assert.equal(verdictOf(next, "again298"), "repeat");
+  assert.equal(verdictOf(next, "again299"), "unknown");
+});
+
+test("expired keys leave the key-value service and the holder's memory", () => {
+  const stored = new Map<string, ReadBatch>();
+  const holder = open(stored, 0);
+  for (let index = 0; index < 20; index += 1) {
+    ask(holder, `k${String(index)}`, index * 20);
+    answer(holder, `k${String(index)}`, index * 20 + 10);
+  }
+  ask(holder, "late", 5000);
+  assert.equal(stored.size, 1);
+  assert.equal(holder.state.entries.size, 1);
+});
+
+test("a full shard refuses a new claim and says that it was not run", () => {
+  const holder = open(new Map(), 0);
+  holder.state.bytes = limits.maxBytes;
+  ask(holder, "k", 1);
+  assert.equal(verdictOf(holder, "k"), "notRun");
+});
+
+test("the same key with another body conflicts, also while the first is under way", () => {
+  const holder = open(new Map(), 0);
+  ask(holder, "k", 0);
+  const request = { requestId: "q", key: "k", bodyHash: "x", origin: "r" };
+  fold(holder, {
+    type: "claimAsked",
+    at: 1,
+    request: { ...request, deadline: 500 },
+  });
+  assert.equal(verdictOf(holder, "q"), "conflict");
+});
+
+test("a claim whose commit is lost is sent again unchanged and runs once", () => {
+  const state = createShard(0, lease, limits, 0);
+  decideShard(state, { type: "read", at: 0, batches: [] });
+  const request = { requestId: "q", key: "k", bodyHash: "b", origin: "r" };
+  const asked = decideShard(state, {
+    type: "claimAsked",
+    at: 1,
+    request: { ...request, deadline: 5000 },
+  });
+  const first = asked.commands.find(({ type }) => type === "commit");
+  assert.ok(first?.type === "commit");
+  const { batch } = first.commit;
+  decideShard(state, {
+    type: "commitAnswered",
+    at: 100,
+    batch,
+    outcome: "unknown",
+  });
+  const again = decideShard(state, { type: "timePassed", at: 1000 });
+  const second = again.commands.find(({ type }) => type === "commit");
+  assert.ok(second?.type === "commit");
+  assert.equal(second.commit, first.commit);
+});
