--- a/packages/router/src/actions/ledgerPlacement.ts
+++ b/packages/router/src/actions/ledgerPlacement.ts
@@ -4,7 +4,7 @@
 import { planShards, roleOfShard, shardOfRole } from "@cardamomglade/decisions";
 import type { RouterCommand, RouterState } from "../types.js";
 import { askAgain } from "./ledgerClaims.js";
-import { hastenLease, releaseLease, wantLease } from "./leaseRoles.js";
+import { releaseLease, wantLease } from "./leaseRoles.js";
 import type { Action } from "./types.js";
 
 const planEveryMs = 2000;
@@ -18,7 +18,6 @@
   const plan = planShards({ self, routers, shards, holders }, at);
   const bids = plan.bids.flatMap(({ shard, tryAt }) => [
     ...wantLease(state, roleOfShard(shard), at, tryAt).commands,
-    ...hastenLease(state, roleOfShard(shard), at, tryAt).commands,
   ]);
   const isIdle = (shard: number) =>
     state.leases.get(roleOfShard(shard))?.phase.type === "idle";
@@ -51,10 +50,12 @@
 
 // Roles other than shards are tried for as soon as they are free.
 const hasten = (state: RouterState, at: Moment): RouterCommand[] =>
-  [...state.leases.keys()]
+  [...state.leases.values()]
+    .filter(({ isWanted }) => isWanted)
+    .map(({ role }) => role)
     .filter((role) => shardOfRole(role) === undefined)
     .filter((role) => !state.ledger.holders.has(role))
-    .flatMap((role) => [...hastenLease(state, role, at, at).commands]);
+    .flatMap((role) => [...wantLease(state, role, at, at).commands]);
 
 /** Takes the holders of all roles over; bids for free shards and asks new holders. */
 export const holdersRead: Action<"holdersRead"> = (state, { at, holders }) => {
