--- a/packages/router/src/administration/metricsRoute.ts
+++ b/packages/router/src/administration/metricsRoute.ts
@@ -1,5 +1,6 @@
 /** Metrics in Prometheus text. */
 
+import type { KeyValue } from "@cardamomglade/platform";
 import type { StateView } from "../drivers/types.js";
 import type { Metrics } from "../metrics.js";
 import type { AdministrationRoute } from "./types.js";
@@ -8,14 +9,22 @@
 export const createMetricsRoute = (
   view: StateView,
   metrics: Metrics,
+  keyValue: Pick<KeyValue, "counts">,
 ): AdministrationRoute => ({
   method: "GET",
   path: "/metrics",
   handle: () => {
-    const { streams, config } = view();
+    const { streams, config, ledger } = view();
+    const calls = keyValue.counts();
     const gauges = {
       streams_open: streams.size,
       config_revision: config.revision,
+      ledger_shards_held: ledger.shards.size,
+      ledger_claims_open: ledger.claims.size,
+      key_value_reads_total: calls.read,
+      key_value_writes_total: calls.write,
+      key_value_lease_calls_total: calls.lease,
+      key_value_watches_total: calls.watch,
       resident_bytes: process.memoryUsage.rss(),
     };
     const contentType = "text/plain; version=0.0.4";
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -202,7 +202,7 @@
 
   serveAdministration(administrationServer, settings.operators, [
     ...createHealthRoutes(view),
-    createMetricsRoute(view, metrics),
+    createMetricsRoute(view, metrics, keyValue),
     createTimelineRoute(view, timeline.ring),
     ...createPlanRoutes(world),
     createConfirmRoute(world),
