--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -1,6 +1,7 @@
 /** All experiments, by name. */
 
 import type { Experiment } from "../types.js";
+import { capacity } from "./capacity.js";
 import { checker } from "./checker.js";
 import { faults } from "./faults.js";
 import { leases } from "./leases.js";
@@ -16,4 +17,5 @@
   ledger,
   leases,
   storeDown,
+  capacity,
 ];
--- a/packages/platform/src/readWatch.ts
+++ b/packages/platform/src/readWatch.ts
@@ -34,6 +34,8 @@
   throw new Error("the watch sent a malformed message");
 };
 
+const maxLineChars = 16 * 1024 * 1024;
+
 // Messages are lines; the rest of the last chunk waits for the next one.
 async function* readLines(
   body: AsyncIterable<unknown>,
@@ -44,6 +46,8 @@
     const text = decoder.decode(chunk as Uint8Array, { stream: true });
     const lines = (rest + text).split("\n");
     rest = lines.pop() ?? "";
+    if (rest.length > maxLineChars)
+      throw new Error(`a line exceeds ${String(maxLineChars)} characters`);
     yield* lines;
   }
 }
