--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -12,12 +12,18 @@
 import { routing } from "./routing.js";
 import { smoke } from "./smoke.js";
 import { versions } from "./versions.js";
+import { leases } from "./leases.js";
+import { ledger } from "./ledger.js";
+import { storeDown } from "./storeDown.js";
 
 /** Every experiment, in the order that `all` runs them. */
 export const experiments: readonly Experiment[] = [
   smoke,
   checker,
   faults,
+  ledger,
+  leases,
+  storeDown,
   capacity,
   config,
   leaving,
--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -5,7 +5,8 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { request } from "undici";
-import { KeyValueClient } from "@cardamomglade/platform";
+import { now } from "@cardamomglade/common";
+import { KeyValueClient, type KeyValueEntry } from "@cardamomglade/platform";
 import { ConfigStore } from "@cardamomglade/router";
 import {
   BackEndType,
@@ -42,6 +43,7 @@
   /** Requests that an engine runs at once. */
   readonly slots?: number;
   readonly strategy?: RoutingStrategyName;
+  readonly ledger?: Partial<Settings["ledger"]>;
 }
 
 /** A stand-in and its address. */
@@ -173,6 +175,14 @@
     return read.value.map(({ revision }) => revision);
   }
 
+  /** Entries of the key-value service below a prefix. */
+  async readKeys(below: string): Promise<readonly KeyValueEntry[]> {
+    const deadline = now() + callTimeoutMs;
+    const options = { prefix: true, deadline };
+    const outcome = await this.keyValueClient.range(below, options);
+    return outcome.type === "done" ? outcome.value.entries : [];
+  }
+
   async startRouter(
     name: string,
     index: number,
@@ -331,6 +341,9 @@
           ],
         },
       ],
+      ...(this.options.ledger && {
+        ledger: this.options.ledger as Settings["ledger"],
+      }),
       log: { level: LogLevel.Info },
       ...this.options.settings,
       routing: {
--- a/packages/decisions/src/lease/decideLease.ts
+++ b/packages/decisions/src/lease/decideLease.ts
@@ -21,6 +21,8 @@
 const marginShare = 0.1;
 const renewShare = 1 / 3;
 const renewRetryShare = 1 / 10;
+/** Terms to wait where another router holds the role; its loss is heard of earlier. */
+const termsUntilRetry = 6;
 const backoff = { baseMs: 100, maxMs: 5000 };
 
 /** Time by which a holder stops before the service's own deadline. */
@@ -125,7 +127,7 @@
   if (phase.type !== "claiming" || phase.sentAt !== sentAt) return none(state);
   const { leaseId, heldUntil } = phase;
   if (found?.leaseId !== leaseId) {
-    const tryAt = at + state.ttlMs;
+    const tryAt = at + state.ttlMs * termsUntilRetry;
     const idle = withPhase(state, { type: "idle", tryAt });
     return { state: idle, commands: [revoke(leaseId, at, state)] };
   }
--- a/packages/platform/src/gateway.ts
+++ b/packages/platform/src/gateway.ts
@@ -1,5 +1,6 @@
 /** Calls of the JSON gateway: deadline, circuit breaker, budget and check of the answer. */
 
+import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, request, type buildConnector } from "undici";
 import { abortAt, now, type Moment } from "@cardamomglade/common";
 import {
@@ -67,6 +68,7 @@
   error instanceof Error && "code" in error && error.code === "ECONNREFUSED";
 
 const connections = 16;
+const closeTimeoutMs = 1000;
 const maxAnswerBytes = 32 * 1024 * 1024;
 
 const readText = async (body: AsyncIterable<unknown>): Promise<string> => {
@@ -87,6 +89,7 @@
   private breaker: Breaker = createBreaker();
   private readonly budgets = new Map<CallKind, CallBudget>();
   private readonly made = { read: 0, write: 0, lease: 0, watch: 0 };
+  private readonly leaseCalls = new Set<Promise<unknown>>();
   private next = 0;
 
   private constructor(private readonly options: GatewayOptions) {
@@ -126,7 +129,10 @@
     this.next += 1;
   }
 
+  /** Waits for lease calls, so that leases given up are free at once. */
   async close(): Promise<void> {
+    const over = sleep(closeTimeoutMs, undefined, { ref: false });
+    await Promise.race([Promise.allSettled(this.leaseCalls), over]);
     await this.agent.destroy();
   }
 
@@ -136,7 +142,9 @@
     const refused = this.refuse(options, at);
     if (refused !== undefined) return { type: "refused", failure: refused };
     this.made[options.kind] += 1;
-    const outcome = await this.send(options);
+    const sent = this.send(options);
+    if (options.kind === CallKind.Lease) this.keep(sent);
+    const outcome = await sent;
     const isAnswered =
       outcome.type === "done" || answeredFailures.has(outcome.failure.type);
     this.breaker = isAnswered
@@ -145,6 +153,11 @@
     return outcome;
   }
 
+  private keep(sent: Promise<unknown>): void {
+    this.leaseCalls.add(sent);
+    void sent.finally(() => this.leaseCalls.delete(sent));
+  }
+
   // A call that is refused here was never sent, so it had no effect.
   private refuse(
     { kind, path, deadline }: CallOptions<unknown>,
@@ -154,20 +167,19 @@
       const message = `deadline of ${path} passed before it was sent`;
       return { type: "timeout", message };
     }
+    const budget = this.budgets.get(kind);
+    const left = budget && takeCall(budget, at);
+    if (budget !== undefined && left === undefined) {
+      const message = `${path} was not sent: ${String(budget.perSecond)} calls a second are used up`;
+      return { type: "budget", message };
+    }
     const { breaker, isAllowed } = admitCall(this.breaker, at, Math.random());
     this.breaker = breaker;
     if (!isAllowed) {
       const message = `${path} was not sent: the service does not answer`;
       return { type: "circuitOpen", message };
     }
-    const budget = this.budgets.get(kind);
-    if (budget === undefined) return undefined;
-    const left = takeCall(budget, at);
-    if (left === undefined) {
-      const message = `${path} was not sent: ${String(budget.perSecond)} calls a second are used up`;
-      return { type: "budget", message };
-    }
-    this.budgets.set(kind, left);
+    if (left !== undefined) this.budgets.set(kind, left);
     return undefined;
   }
 
--- a/packages/router/src/actions/ledgerPlacement.ts
+++ b/packages/router/src/actions/ledgerPlacement.ts
@@ -1,7 +1,7 @@
 /** Which ledger shards this router pursues. */
 
 import type { Moment } from "@cardamomglade/common";
-import { planShards, roleOfShard } from "@cardamomglade/decisions";
+import { planShards, roleOfShard, shardOfRole } from "@cardamomglade/decisions";
 import type { RouterCommand, RouterState } from "../types.js";
 import { askAgain } from "./ledgerClaims.js";
 import { releaseLease, wantLease } from "./leaseRoles.js";
@@ -48,12 +48,21 @@
   return [...place(state, at), ...handed];
 };
 
+// Roles other than shards are tried for as soon as they are free.
+const hasten = (state: RouterState, at: Moment): RouterCommand[] =>
+  [...state.leases.values()]
+    .filter(({ isWanted }) => isWanted)
+    .map(({ role }) => role)
+    .filter((role) => shardOfRole(role) === undefined)
+    .filter((role) => !state.ledger.holders.has(role))
+    .flatMap((role) => [...wantLease(state, role, at, at).commands]);
+
 /** Takes the holders of all roles over; bids for free shards and asks new holders. */
 export const holdersRead: Action<"holdersRead"> = (state, { at, holders }) => {
   const { ledger } = state;
   const before = ledger.holders;
   ledger.holders = new Map(holders.map(({ role, router }) => [role, router]));
-  const asked = askAgain(state, before, at);
+  const asked = [...askAgain(state, before, at), ...hasten(state, at)];
   if (ledger.planAt === undefined) {
     ledger.planAt = at + firstBidAfterMs;
     return { state, commands: asked };
