--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -1,12 +1,12 @@
 /** A fleet of stand-ins and routers for one experiment. */
 
-import { createHash } from "node:crypto";
+import { createHash, randomUUID } from "node:crypto";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
 import { request } from "undici";
 import { KeyValueClient } from "@cardamomglade/platform";
-import { configKey } from "@cardamomglade/router";
+import { ConfigStore } from "@cardamomglade/router";
 import {
   BackEndType,
   CallMethod,
@@ -135,22 +135,27 @@
     return fleet;
   }
 
-  /** Puts an intent in force, by the store. */
-  async putIntent(intent: Intent): Promise<void> {
+  /** Puts an intent in force, by the store; returns its revision. */
+  async putIntent(intent: Intent): Promise<number> {
     this.intent = intent;
-    const operation = {
-      type: "put" as const,
-      key: `${prefix}${configKey}`,
-      value: JSON.stringify(intent),
+    const store = ConfigStore.create(this.keyValueClient, prefix);
+    const deadline = Date.now() + callTimeoutMs;
+    const base = await store.read(deadline);
+    if (base.type === "err")
+      throw new Error(`the configuration could not be read: ${base.error}`);
+    const revision = (base.value.config?.revision ?? 0) + 1;
+    const change = {
+      by: "fleet",
+      why: "put by an experiment",
+      at: Date.now(),
+      planDigest: "",
+      changeId: randomUUID(),
     };
-    const outcome = await this.keyValueClient.transact(
-      { compare: [], success: [operation], failure: [] },
-      Date.now() + callTimeoutMs,
-    );
-    if (outcome.type !== "done")
-      throw new Error(
-        `the intent could not be put: ${outcome.failure.message}`,
-      );
+    const next = { revision, intent, change };
+    const outcome = await store.commit(base.value, next, deadline);
+    if (outcome.type !== "committed")
+      throw new Error(`the intent could not be put: ${outcome.type}`);
+    return revision;
   }
 
   async startRouter(
@@ -164,24 +169,14 @@
       settingsFile,
       JSON.stringify(this.settingsOf(name, index, seeds, peersPort)),
     );
-    const started = startProcess({
-      name,
-      script: "cardamomglade",
-      args: ["route", "--settings", settingsFile],
-    });
-    const line = await waitForLine(
-      started,
-      ({ message }) => message === "listening",
-    );
-    const { detail } = line.context as { detail: string };
-    const [callersUrl = "", administrationUrl = ""] = detail.split(" ");
-    return {
-      name,
-      callersUrl,
-      administrationUrl,
-      settingsFile,
-      process: started,
-    };
+    return launchRouter(name, settingsFile);
+  }
+
+  /** Starts a dead router again, with its settings; its addresses change. */
+  async restartRouter(index: number): Promise<void> {
+    const old = this.routers[index];
+    if (old === undefined) return;
+    this.routers[index] = await launchRouter(old.name, old.settingsFile);
   }
 
   /** Stops every process of the fleet. */
@@ -316,6 +311,30 @@
 const range = (count: number): number[] =>
   Array.from({ length: count }, (_, index) => index);
 
+const launchRouter = async (
+  name: string,
+  settingsFile: string,
+): Promise<FleetRouter> => {
+  const started = startProcess({
+    name,
+    script: "cardamomglade",
+    args: ["route", "--settings", settingsFile],
+  });
+  const line = await waitForLine(
+    started,
+    ({ message }) => message === "listening",
+  );
+  const { detail } = line.context as { detail: string };
+  const [callersUrl = "", administrationUrl = ""] = detail.split(" ");
+  return {
+    name,
+    callersUrl,
+    administrationUrl,
+    settingsFile,
+    process: started,
+  };
+};
+
 const startStandIn = async (
   kind: string,
   name: string,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,4 +4,10 @@
   KeyValueClient,
   type KeyValueClientOptions,
 } from "./keyValueClient.js";
+export { mirrorPrefix, type MirrorOptions } from "./mirrorPrefix.js";
+export {
+  readHostList,
+  readStoredWeights,
+  readWeightRate,
+} from "./readPlatform.js";
 export * from "./types.js";
--- a/packages/router/src/actions/drainStarted.ts
+++ b/packages/router/src/actions/drainStarted.ts
@@ -1,12 +1,15 @@
 /** The router was told to drain. */
 
 import { TimelineTopic } from "@cardamomglade/schema";
+import { chainSteps } from "./chainSteps.js";
+import { stepMembership } from "./memberEvents.js";
 import type { Action } from "./types.js";
 
-/** Takes no new work from now on. */
-export const drainStarted: Action<"drainStarted"> = (state) => ({
-  state: { ...state, draining: true },
-  commands: [
-    { type: "record", event: { topic: TimelineTopic.Drain, name: "started" } },
-  ],
-});
+/** Takes no new work from now on and tells its peers. */
+export const drainStarted: Action<"drainStarted"> = (state, { at }) => {
+  const event = { topic: TimelineTopic.Drain, name: "started" };
+  return chainSteps({ ...state, draining: true }, [
+    (current) => ({ state: current, commands: [{ type: "record", event }] }),
+    (current) => stepMembership(current, { type: "leaving", at }),
+  ]);
+};
--- /dev/null
+++ b/packages/router/src/actions/leaseRoles.ts
@@ -0,0 +1,104 @@
+/** Roles that this router pursues through leases. */
+
+import type { Moment } from "@cardamomglade/common";
+import {
+  createLease,
+  decideLease,
+  heldLeaseOf,
+  type HeldLease,
+  type LeaseCommand,
+  type LeaseEvent,
+} from "@cardamomglade/decisions";
+import { TimelineTopic } from "@cardamomglade/schema";
+import type { RouterCommand, RouterState } from "../types.js";
+import { followLease } from "./ledgerShards.js";
+import type { RouterStep } from "./types.js";
+
+/** The lease on a role, or undefined where it is not held at that moment. */
+export const heldLease = (
+  state: RouterState,
+  role: string,
+  at: Moment,
+): HeldLease | undefined => {
+  const lease = state.leases.get(role);
+  return lease === undefined ? undefined : heldLeaseOf(lease, at);
+};
+
+const toRouterCommands = (
+  state: RouterState,
+  role: string,
+  command: LeaseCommand,
+  at: Moment,
+): RouterCommand[] => {
+  if (command.type === "call")
+    return [{ type: "leaseCall", role, call: command.call }];
+  const followed = followLease(state, role, command, at);
+  if (command.type === "extended") return followed;
+  const revision =
+    command.type === "lost" ? {} : { revision: command.lease.fencing };
+  const event = {
+    topic: TimelineTopic.Lease,
+    name: command.type,
+    detail: role,
+    ...revision,
+  };
+  return [{ type: "record", event }, ...followed];
+};
+
+/** Folds an event of one role's lease. */
+export const stepLease = (
+  state: RouterState,
+  role: string,
+  event: LeaseEvent,
+): RouterStep => {
+  const { router, leaseTtlMs: ttlMs } = state;
+  const lease =
+    state.leases.get(role) ?? createLease({ role, holder: router.name, ttlMs });
+  const step = decideLease(lease, event);
+  state.leases.set(role, step.state);
+  const commands = step.commands.flatMap((command) =>
+    toRouterCommands(state, role, command, event.at),
+  );
+  return { state, commands };
+};
+
+/** Starts to pursue a role; tries from `tryAt` on. */
+export const wantLease = (
+  state: RouterState,
+  role: string,
+  at: Moment,
+  tryAt: Moment = at,
+): RouterStep => {
+  const lease = state.leases.get(role);
+  const isPursued =
+    lease?.isWanted === true &&
+    (lease.phase.type !== "idle" || lease.phase.tryAt <= tryAt);
+  if (state.draining || isPursued) return { state, commands: [] };
+  return stepLease(state, role, { type: "wanted", at, tryAt });
+};
+
+/** Gives a role up; revokes its lease where one is held. */
+export const releaseLease = (
+  state: RouterState,
+  role: string,
+  at: Moment,
+): RouterStep => {
+  if (state.leases.get(role)?.isWanted !== true) return { state, commands: [] };
+  return stepLease(state, role, { type: "unwanted", at });
+};
+
+/** Tells every pursued role the time. */
+export const tendLeases = (state: RouterState, at: Moment): RouterStep => {
+  const roles = [...state.leases.keys()];
+  const steps = roles.map((role) =>
+    stepLease(state, role, { type: "timePassed", at }),
+  );
+  return { state, commands: steps.flatMap(({ commands }) => commands) };
+};
+
+/** Gives every pursued role up. */
+export const releaseLeases = (state: RouterState, at: Moment): RouterStep => {
+  const roles = [...state.leases.keys()];
+  const steps = roles.map((role) => releaseLease(state, role, at));
+  return { state, commands: steps.flatMap(({ commands }) => commands) };
+};
--- a/packages/router/src/actions/peerEvents.ts
+++ b/packages/router/src/actions/peerEvents.ts
@@ -1,32 +1,76 @@
 /** Events of the mesh between routers. */
 
 import { assertNever } from "@cardamomglade/common";
+import { chainSteps } from "./chainSteps.js";
+import { claimAnswered } from "./claimAnswered.js";
+import { confirmEnd } from "./ledgerClaims.js";
+import { claimQuestion, endReport } from "./ledgerMessages.js";
+import {
+  askLinkedPeer,
+  configOfferReceived,
+  configRequestReceived,
+  forgetConfigPeer,
+  hearConfigGossip,
+} from "./configurationPeers.js";
+import { stepMembership } from "./memberEvents.js";
 import type { Action } from "./types.js";
 
 /** A link to another router opened. */
-export const peerLinked: Action<"peerLinked"> = (state, { peer }) => ({
-  state: { ...state, linkedPeers: new Set([...state.linkedPeers, peer]) },
-  commands: [],
-});
+export const peerLinked: Action<"peerLinked"> = (state, { at, peer }) => {
+  const linkedPeers = new Set([...state.linkedPeers, peer]);
+  return chainSteps({ ...state, linkedPeers }, [
+    (current) => stepMembership(current, { type: "linked", at, peer }),
+    (current) => ({
+      state: current,
+      commands: askLinkedPeer(current, peer),
+    }),
+  ]);
+};
 
 /** A link to another router closed. */
-export const peerLost: Action<"peerLost"> = (state, { peer }) => {
+export const peerLost: Action<"peerLost"> = (state, { at, peer }) => {
+  forgetConfigPeer(state, peer);
   const left = [...state.linkedPeers].filter((other) => other !== peer);
-  return { state: { ...state, linkedPeers: new Set(left) }, commands: [] };
+  return stepMembership(
+    { ...state, linkedPeers: new Set(left) },
+    { type: "lost", at, peer },
+  );
 };
 
 /** Another router sent a message; each type has an action of its own. */
 export const peerMessageReceived: Action<"peerMessageReceived"> = (
   state,
-  { message },
+  { at, peer, message },
 ) => {
   switch (message.type) {
-    case "hello":
     case "gossip":
+      return chainSteps(state, [
+        (current) =>
+          stepMembership(current, {
+            type: "gossipReceived",
+            at,
+            peer,
+            gossip: message,
+          }),
+        (current) => ({
+          state: current,
+          commands: hearConfigGossip(current, peer, message),
+        }),
+      ]);
     case "configRequest":
+      return configRequestReceived(state, peer, message);
     case "configOffer":
-    case "forwardedCall":
-    case "forwardedAnswer":
+      return configOfferReceived(state, at, peer, message);
+    case "claimQuestion":
+      return claimQuestion(state, peer, message, at);
+    case "claimAnswer":
+      return claimAnswered(state, message, at);
+    case "endReport":
+      return endReport(state, peer, message, at);
+    case "endConfirmation":
+      confirmEnd(state, message.request);
+      return { state, commands: [] };
+    case "hello":
       return { state, commands: [] };
     default:
       return assertNever(message);
--- /dev/null
+++ b/packages/router/src/actions/tendLedger.ts
@@ -0,0 +1,21 @@
+/** Time passed: claims, held shards and their placement are looked at. */
+
+import type { Moment } from "@cardamomglade/common";
+import type { RouterState } from "../types.js";
+import { claimTimedOut } from "./claimAnswered.js";
+import { passClaimTime } from "./ledgerClaims.js";
+import { passPlacementTime } from "./ledgerPlacement.js";
+import { passShardTime } from "./ledgerShards.js";
+import type { RouterStep } from "./types.js";
+
+/** Tells every claim and every shard the time. */
+export const tendLedger = (state: RouterState, at: Moment): RouterStep => {
+  const claims = passClaimTime(state, at);
+  const failed = claims.timedOut.flatMap((requestId) => [
+    ...claimTimedOut(state, requestId).commands,
+  ]);
+  const shards = passShardTime(state, at);
+  const placed = passPlacementTime(state, at);
+  const commands = [...shards, ...placed, ...claims.commands, ...failed];
+  return { state, commands };
+};
--- a/packages/router/src/actions/timePassed.ts
+++ b/packages/router/src/actions/timePassed.ts
@@ -1,32 +1,32 @@
-/** Time passed: deadlines and silence are looked at. */
+/** Time passed: every part looks at its deadlines. */
 
-import type { RecoveryEvent } from "@cardamomglade/decisions";
-import type { RouterCommand, RouterState } from "../types.js";
-import { stepStream } from "./stepStream.js";
-import type { Action } from "./types.js";
+import type { Moment } from "@cardamomglade/common";
+import type { RouterState } from "../types.js";
+import { chainSteps } from "./chainSteps.js";
+import { tendConfiguration } from "./configurationPeers.js";
+import { tendLeavingHosts } from "./drainHosts.js";
+import { tendLeases } from "./leaseRoles.js";
+import { tendMembership } from "./memberEvents.js";
+import { tendLedger } from "./tendLedger.js";
+import { tendExecution } from "./orderEvents.js";
+import { tendStreams } from "./tendStreams.js";
+import type { Action, RouterStep } from "./types.js";
 
-const longestTickMs = 150;
+type Tend = (state: RouterState, at: Moment) => RouterStep;
 
-// While this process did not run, engines may well have spoken.
-const stalledOf = ({ tickedAt }: RouterState, at: number): number => {
-  const sinceMs = tickedAt === undefined ? 0 : at - tickedAt;
-  return sinceMs > longestTickMs ? sinceMs : 0;
-};
+const parts: readonly Tend[] = [
+  tendConfiguration,
+  tendLeases,
+  tendMembership,
+  tendLedger,
+  tendExecution,
+  tendLeavingHosts,
+  tendStreams,
+];
 
-/** Tells every stream the time. */
-export const timePassed: Action<"timePassed"> = (state, { at }) => {
-  const event: RecoveryEvent = {
-    type: "timePassed",
-    at,
-    stalledMs: stalledOf(state, at),
-    engines: state.engines,
-  };
-  let current: RouterState = { ...state, tickedAt: at };
-  const commands: RouterCommand[] = [];
-  for (const entry of [...state.streams.values()]) {
-    const step = stepStream({ state: current, entry, event });
-    current = step.state;
-    commands.push(...step.commands);
-  }
-  return { state: current, commands };
-};
+/** Tells every part the time, in order. */
+export const timePassed: Action<"timePassed"> = (state, { at }) =>
+  chainSteps(
+    state,
+    parts.map((tend) => (current) => tend(current, at)),
+  );
--- a/packages/router/src/callers/openAnswers.ts
+++ b/packages/router/src/callers/openAnswers.ts
@@ -34,7 +34,7 @@
   private constructor(private readonly options: OpenAnswersOptions) {
     this.timer = setInterval(() => {
       this.keepAlive();
-    }, keepAliveMs);
+    }, keepAliveMs).unref();
   }
 
   static create(options: OpenAnswersOptions): OpenAnswers {
--- a/packages/router/src/decide.ts
+++ b/packages/router/src/decide.ts
@@ -1,12 +1,25 @@
 /** The router's decision: one action an event type. */
 
 import { assertNever } from "@cardamomglade/common";
-import { createConfig, createRouting } from "@cardamomglade/decisions";
+import {
+  createConfig,
+  createMembership,
+  createExecution,
+  createRouting,
+} from "@cardamomglade/decisions";
 import type { RouterIdentity } from "@cardamomglade/schema";
-import { claimResolved } from "./actions/claimResolved.js";
+import { createConfigMesh } from "./actions/configurationPeers.js";
 import { configurationRead } from "./actions/configurationRead.js";
+import { drainAnnounced, graceEnded } from "./actions/drainEvents.js";
 import { drainStarted } from "./actions/drainStarted.js";
 import { generationArrived } from "./actions/generationArrived.js";
+import { holdersRead } from "./actions/ledgerPlacement.js";
+import { shardReported } from "./actions/ledgerShardReported.js";
+import { createLedger } from "./actions/ledgerState.js";
+import { leaseAnswered } from "./actions/leaseAnswered.js";
+import { addressesBound } from "./actions/memberEvents.js";
+import { hostListRead } from "./actions/hostListRead.js";
+import { enginesObserved, orderAnswered } from "./actions/orderEvents.js";
 import {
   peerLinked,
   peerLost,
@@ -25,20 +38,42 @@
 } from "./actions/streamEvents.js";
 import { timePassed } from "./actions/timePassed.js";
 import type { RouterStep } from "./actions/types.js";
-import type { RouterEvent, RouterState } from "./types.js";
+import type { LedgerState, RouterEvent, RouterState } from "./types.js";
+
+const defaultLeaseTtlMs = 5000;
+
+/** What settings give to a router's state. */
+export interface RouterStateOptions {
+  readonly leaseTtlMs?: number;
+  readonly ledger?: LedgerState;
+}
 
 /** State of a router that has just started. */
-export const createRouterState = (router: RouterIdentity): RouterState => ({
+export const createRouterState = (
+  router: RouterIdentity,
+  {
+    leaseTtlMs = defaultLeaseTtlMs,
+    ledger = createLedger(),
+  }: RouterStateOptions = {},
+): RouterState => ({
   router,
   draining: false,
+  unready: false,
   config: createConfig(),
+  configMesh: createConfigMesh(),
+  execution: createExecution(),
+  hostMarks: new Map(),
+  drainLookAt: 0,
   routing: createRouting(),
   streams: new Map(),
   serviceCalls: new Map(),
+  ledger,
   engines: new Map(),
   tickedAt: undefined,
+  leases: new Map(),
+  leaseTtlMs,
   linkedPeers: new Set(),
-  peerUrls: new Map(),
+  membership: createMembership(router),
 });
 
 /** Folds one event into the router's state. */
@@ -64,18 +99,34 @@
       return callerReady(state, event);
     case "serviceCallArrived":
       return serviceCallArrived(state, event);
-    case "claimResolved":
-      return claimResolved(state, event);
     case "serviceCallEnded":
       return serviceCallEnded(state, event);
+    case "holdersRead":
+      return holdersRead(state, event);
+    case "shardReported":
+      return shardReported(state, event);
+    case "leaseAnswered":
+      return leaseAnswered(state, event);
     case "peerLinked":
       return peerLinked(state, event);
     case "peerLost":
       return peerLost(state, event);
     case "peerMessageReceived":
       return peerMessageReceived(state, event);
+    case "addressesBound":
+      return addressesBound(state, event);
     case "timePassed":
       return timePassed(state, event);
+    case "hostListRead":
+      return hostListRead(state, event);
+    case "enginesObserved":
+      return enginesObserved(state, event);
+    case "orderAnswered":
+      return orderAnswered(state, event);
+    case "drainAnnounced":
+      return drainAnnounced(state, event);
+    case "graceEnded":
+      return graceEnded(state, event);
     case "drainStarted":
       return drainStarted(state, event);
     default:
--- a/packages/router/src/drivers/peerDriver.ts
+++ b/packages/router/src/drivers/peerDriver.ts
@@ -9,7 +9,9 @@
   Settings,
   TlsSettings,
 } from "@cardamomglade/schema";
-import type { RouterEvent } from "../types.js";
+import type { RouterCommand, RouterEvent } from "../types.js";
+import { observeMessage, stampMessage } from "./messageClock.js";
+import type { ProcessClock } from "./processClock.js";
 import type { RouterDriver, StateView } from "./types.js";
 
 /** Seeds that one router dials; gossip finds the others. */
@@ -75,6 +77,7 @@
 export const createPeerDriver = async (
   settings: Settings,
   view: StateView,
+  clock: ProcessClock,
 ): Promise<PeerDriver> => {
   const channel = createChannel<RouterEvent>();
   const idle = () => Promise.resolve();
@@ -95,36 +98,59 @@
   };
 
   const mesh = await createMesh(settings, settings.peers, (event) => {
+    if (event.type === "received") observeMessage(clock, event.message);
     channel.push(toRouterEvent(event));
     if (event.type === "linked") flush(event.peer);
   });
 
   const send = (peer: string, message: PeerMessage) => {
     if (mesh.send(peer, message)) return;
-    const url = view().peerUrls.get(peer);
-    if (url === undefined) return;
+    const url = view().membership.members.get(peer)?.record.url;
+    if (url === undefined || url === "") return;
     const queue = waiting.get(peer) ?? [];
     const live = queue.filter(({ deadline }) => deadline > now());
     if (live.length < waitingPerPeer)
       live.push({ message, deadline: now() + waitingMs });
     waiting.set(peer, live);
     mesh.connect(url);
+    if (queue.length === 0) forgetUnwanted(url);
+  };
+
+  // An address dialed for one message is not dialed again for ever.
+  const forgetUnwanted = (url: string) => {
+    const timer = setTimeout(() => {
+      const isWanted = seeds.has(url) || view().membership.neighbours.has(url);
+      if (!isWanted) mesh.forget(url);
+    }, waitingMs);
+    timer.unref();
   };
 
   const { name } = settings.router;
-  const seeds = rendezvousOrder(name, settings.peers.seeds);
-  const dialSeeds = () => {
-    const others = seeds.filter((seed) => seed !== mesh.url);
-    for (const seed of others.slice(0, dialedSeeds)) mesh.connect(seed);
+  const others = settings.peers.seeds.filter((seed) => seed !== mesh.url);
+  const seeds = new Set(rendezvousOrder(name, others).slice(0, dialedSeeds));
+  setImmediate(() => {
+    for (const seed of seeds) mesh.connect(seed);
+  });
+
+  const perform = (command: RouterCommand) => {
+    switch (command.type) {
+      case "sendToPeer":
+        send(command.peer, stampMessage(clock, command.message));
+        return;
+      case "connectPeer":
+        mesh.connect(command.url);
+        return;
+      case "forgetPeer":
+        if (!seeds.has(command.url)) mesh.forget(command.url);
+        return;
+      default:
+    }
   };
-  setImmediate(dialSeeds);
 
   return {
     events: channel.stream,
     url: mesh.url,
-    perform: (command) => {
-      if (command.type === "sendToPeer") send(command.peer, command.message);
-    },
+    perform,
     stop: () => mesh.close(),
   };
 };
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -1,5 +1,6 @@
 /** Schemas of settings, intents, messages and events: generated types, validators and checks. */
 
+export * from "./generated/administration.js";
 export * from "./generated/callers.js";
 export * from "./generated/engines.js";
 export type {
@@ -19,6 +20,14 @@
   Service,
 } from "./generated/intent.js";
 export { BackEndType, CallMethod, Priority } from "./generated/intent.js";
+export type {
+  AnsweredCall,
+  CallRecord,
+  ClaimedCall,
+  RecordedAnswer,
+  ReleasedCall,
+  ShardBatch,
+} from "./generated/ledger.js";
 export * from "./generated/peers.js";
 export type {
   ClientTlsSettings,
@@ -29,10 +38,15 @@
   Settings,
   TlsSettings,
 } from "./generated/settings.js";
-export { LogLevel, OperatorRight } from "./generated/settings.js";
+export {
+  LogLevel,
+  OperatorRight,
+  WhileStoreDown,
+} from "./generated/settings.js";
 export type { TimelineEvent } from "./generated/timeline.js";
 export { TimelineTopic } from "./generated/timeline.js";
 export * from "../generated/validators.js";
 export { checkDocument } from "./checkDocument.js";
 export { formatFinding, type Finding } from "./findings.js";
+export { locateFindings } from "./locateFindings.js";
 export { nearestName } from "./nearestName.js";
