--- a/packages/decisions/src/membership/compose.ts
+++ b/packages/decisions/src/membership/compose.ts
@@ -1,10 +1,5 @@
 /** Composes heartbeats: news first, bounded. */
 
-import {
-  formatHybridClock,
-  tickHybridClock,
-  type Moment,
-} from "@cardamomglade/common";
 import type {
   CustomerDemand,
   Gossip,
@@ -69,17 +64,16 @@
   readonly withDemand?: boolean;
 }
 
-/** A heartbeat to send now. */
+/** A heartbeat to send. */
 export const composeGossip = (
   state: MembershipState,
-  at: Moment,
   { members = [], withDemand = false, ...rest }: GossipParts,
 ): Gossip => {
-  state.clock = tickHybridClock(state.clock, at);
   return {
     type: "gossip",
     from: state.self.router,
-    at: formatHybridClock(state.clock),
+    // Stamped with the process's clock when it is sent.
+    at: "",
     revision: state.heartbeat.revision,
     members: [...takeNews(state), ...members],
     demand: withDemand ? takeDemand(state) : [],
--- a/packages/router/src/actions/generationArrived.ts
+++ b/packages/router/src/actions/generationArrived.ts
@@ -10,6 +10,7 @@
 import { TimelineTopic, type Deployment } from "@cardamomglade/schema";
 import { ErrorType, notRun, type ApiError } from "../errors.js";
 import type { GenerationRequest, RouterState, StreamEntry } from "../types.js";
+import { admitGeneration, type StartGeneration } from "./admission.js";
 import { dropStream, startStream } from "./stepStream.js";
 import { tailOf } from "./stopSequences.js";
 import type { Action, RouterStep } from "./types.js";
@@ -53,7 +54,7 @@
   commands: [{ type: "failAnswer", requestId, error }],
 });
 
-/** Starts a stream, or refuses without touching an upstream. */
+/** Starts a stream, lets it wait, or refuses without touching an upstream. */
 export const generationArrived: Action<"generationArrived"> = (
   state,
   { request, at },
@@ -75,6 +76,21 @@
       ),
     );
   }
+  const generation = { request, deployment };
+  const isReturned = request.returnPoint !== undefined;
+  const refused = isReturned
+    ? undefined
+    : admitGeneration(state, generation, at);
+  return refused ?? startGeneration(state, generation, at);
+};
+
+/** Starts the stream of an admitted generation. */
+export const startGeneration: StartGeneration = (
+  state,
+  { request, deployment },
+  at,
+) => {
+  const { requestId, customer } = request;
   const started = openStream(state, request, deployment, at);
   const entry: StreamEntry = {
     request,
--- a/packages/router/src/actions/serviceCallArrived.ts
+++ b/packages/router/src/actions/serviceCallArrived.ts
@@ -1,5 +1,6 @@
 /** A caller asked for a call of a plain service. */
 
+import { Ran } from "@cardamomglade/common";
 import { chooseBackEnd } from "@cardamomglade/decisions";
 import type { CallPattern, Service } from "@cardamomglade/schema";
 import { ErrorType, notRun, type ApiError } from "../errors.js";
@@ -61,6 +62,17 @@
   };
 };
 
+// A call with a key may repeat one that ran: that was not looked up.
+const refuseUnsent = (
+  state: RouterState,
+  { call, key }: ServiceRequest,
+  type: ErrorType,
+  message: string,
+): RouterStep => {
+  const ran = key === undefined ? Ran.No : Ran.Unknown;
+  return refuse(state, call.requestId, { type, message, ran });
+};
+
 /** Claims a non-repeatable call first; sends any other at once. */
 export const serviceCallArrived: Action<"serviceCallArrived"> = (
   state,
@@ -69,20 +81,19 @@
   const { requestId } = request.call;
   const { key, customer } = request;
   if (state.draining)
-    return refuse(
+    return refuseUnsent(
       state,
-      requestId,
-      notRun(ErrorType.Draining, "this router is draining"),
+      request,
+      ErrorType.Draining,
+      "this router is draining; the call was not sent",
     );
   const service = state.config.services.get(request.service);
   if (!service?.customers.includes(customer)) {
-    return refuse(
+    return refuseUnsent(
       state,
-      requestId,
-      notRun(
-        ErrorType.NotFound,
-        `service "${request.service}" does not serve customer "${customer}"`,
-      ),
+      request,
+      ErrorType.NotFound,
+      `service "${request.service}" does not serve customer "${customer}"`,
     );
   }
   if (!isNonRepeatable(service, request))
--- a/packages/router/src/drainRouter.ts
+++ b/packages/router/src/drainRouter.ts
@@ -48,9 +48,12 @@
 }: DrainOptions): Promise<void> => {
   const deadline = now() + settings.graceMs;
   const isIdle = () => {
-    const { streams, serviceCalls, ledger } = view();
+    const { streams, waiting, serviceCalls, ledger } = view();
     return (
-      streams.size === 0 && serviceCalls.size === 0 && !hasOpenClaims(ledger)
+      streams.size === 0 &&
+      waiting.size === 0 &&
+      serviceCalls.size === 0 &&
+      !hasOpenClaims(ledger)
     );
   };
   push({ type: "drainAnnounced", at: now() });
--- a/packages/router/src/drivers/callerDriver.ts
+++ b/packages/router/src/drivers/callerDriver.ts
@@ -6,7 +6,13 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { createChannel, now, ok, type Result } from "@cardamomglade/common";
+import {
+  createChannel,
+  now,
+  ok,
+  Ran,
+  type Result,
+} from "@cardamomglade/common";
 import type { Customer, Settings } from "@cardamomglade/schema";
 import { authenticate } from "../callers/authenticate.js";
 import type { AnswerShape } from "../callers/answerChunks.js";
@@ -65,6 +71,16 @@
 const drawFirstAttempt = (): number =>
   randomInt(1, attemptRanges) * attemptStride;
 
+// Without a configuration no key is known, and a call with an Idempotency-Key may have run elsewhere.
+const refusalOfUnknown = (req: IncomingMessage, revision: number): ApiError => {
+  if (revision > 0)
+    return notRun(ErrorType.Unauthorized, "the caller key is not known");
+  const isKeyed = req.headers["idempotency-key"] !== undefined;
+  const ran = isKeyed ? Ran.Unknown : Ran.No;
+  const message = "this router has no configuration yet";
+  return { type: ErrorType.Starting, message, ran, retryAfterS: 1 };
+};
+
 /** Serves callers: generations, plain services and the list of models. */
 export const createCallerDriver = (
   options: CallerDriverOptions,
@@ -207,13 +223,11 @@
 
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
-    const customer = authenticate(view().config, req.headers.authorization);
+    const { config } = view();
+    const customer = authenticate(config, req.headers.authorization);
     if (customer === undefined) {
       req.resume();
-      sendError(
-        res,
-        notRun(ErrorType.Unauthorized, "the caller key is not known"),
-      );
+      sendError(res, refusalOfUnknown(req, config.revision));
       return;
     }
     const body = await readBody(req, settings.limits.bodyBytes);
