--- a/packages/decisions/src/recovery/attempts.ts
+++ b/packages/decisions/src/recovery/attempts.ts
@@ -85,7 +85,7 @@
   next: state.accepted,
   lastHeardAt: at,
   pace: unknownPace,
-  isProbed: false,
+  probedAt: undefined,
 });
 
 /** Opens an attempt on the assigned back end. */
--- a/packages/decisions/src/recovery/decideRecovery.ts
+++ b/packages/decisions/src/recovery/decideRecovery.ts
@@ -42,7 +42,7 @@
     return unchanged(state);
   }
   if (!isAlive) return loseCurrent(state, phase.current, at);
-  const current = { ...phase.current, lastHeardAt: at, isProbed: true };
+  const current = { ...phase.current, probedAt: at };
   return unchanged({ ...state, phase: { type: "running", current } });
 };
 
--- a/packages/decisions/src/recovery/timePassed.ts
+++ b/packages/decisions/src/recovery/timePassed.ts
@@ -16,6 +16,7 @@
 import {
   betweenTokensLimit,
   firstTokenLimit,
+  probedLimitMs,
   resumedTokenLimit,
   type EnginePace,
 } from "./tokenPace.js";
@@ -35,6 +36,7 @@
   at: Moment,
   engine: EnginePace | undefined,
 ): number => {
+  if (attempt.probedAt !== undefined) return probedLimitMs;
   if (attempt.next > attempt.from)
     return betweenTokensLimit(attempt.pace, engine);
   return state.accepted > 0
@@ -49,7 +51,8 @@
 ): boolean => {
   if (state.isPaused) return false;
   const engine = engines?.get(attempt.backEnd);
-  return at - attempt.lastHeardAt > silenceLimit(state, attempt, at, engine);
+  const since = Math.max(attempt.lastHeardAt, attempt.probedAt ?? 0);
+  return at - since > silenceLimit(state, attempt, at, engine);
 };
 
 const shift = (attempt: AttemptState, byMs: number): AttemptState => ({
@@ -96,7 +99,8 @@
         ? seekChallenger(state, current, ChallengeReason.Silence, at)
         : loseCurrent(state, current, at);
     case "costFirst": {
-      if (current.isProbed) return loseCurrent(state, current, at);
+      if (current.probedAt !== undefined)
+        return loseCurrent(state, current, at);
       const until = at + policy.probeTimeoutMs;
       const { attempt, backEnd } = current;
       return {
--- a/packages/decisions/src/recovery/tokenPace.ts
+++ b/packages/decisions/src/recovery/tokenPace.ts
@@ -32,6 +32,9 @@
 const resumedTokenBounds: LimitBounds = { floorMs: 800, ceilingMs: 1500 };
 const firstTokenBounds: LimitBounds = { floorMs: 1200, ceilingMs: 30_000 };
 const unknownFirstTokenMs = 2000;
+/** How long an attempt that was silent before may be silent again after its back end was found alive. */
+export const probedLimitMs = 800;
+
 const queueAllowance = 4;
 const engineSilenceMs = 1500;
 
--- a/packages/decisions/src/recovery/tokensArrived.ts
+++ b/packages/decisions/src/recovery/tokensArrived.ts
@@ -13,7 +13,7 @@
   type OpenPhase,
   type RecoveryStep,
 } from "./attempts.js";
-import { observeGap } from "./tokenPace.js";
+import { observeGap, probedLimitMs } from "./tokenPace.js";
 import {
   ChallengeReason,
   type AttemptState,
@@ -23,16 +23,19 @@
 
 type Tokens = EventOf<"tokensArrived">;
 
-const heard = (attempt: AttemptState, event: Tokens): AttemptState => ({
-  ...attempt,
-  next: event.offset + event.count,
-  lastHeardAt: event.at,
-  isProbed: false,
-  pace:
-    attempt.next === attempt.from
-      ? attempt.pace
-      : observeGap(attempt.pace, event.at - attempt.lastHeardAt),
-});
+// A gap that led to a probe is no sign of the stream's usual pace.
+const heard = (attempt: AttemptState, event: Tokens): AttemptState => {
+  const gapMs = event.at - attempt.lastHeardAt;
+  const isLate = attempt.probedAt !== undefined && gapMs > probedLimitMs;
+  const isFirst = attempt.next === attempt.from;
+  return {
+    ...attempt,
+    next: event.offset + event.count,
+    lastHeardAt: event.at,
+    probedAt: isLate ? attempt.probedAt : undefined,
+    pace: isFirst || isLate ? attempt.pace : observeGap(attempt.pace, gapMs),
+  };
+};
 
 // An attempt that began before the accepted prefix repeats tokens; those are skipped.
 const accept = (
--- a/packages/decisions/src/recovery/types.ts
+++ b/packages/decisions/src/recovery/types.ts
@@ -35,8 +35,8 @@
   readonly next: number;
   readonly lastHeardAt: Moment;
   readonly pace: TokenPace;
-  /** Whether a probe found its back end alive since its last token. */
-  readonly isProbed: boolean;
+  /** Moment at which a probe found its back end alive; forgotten at a token that comes in time. */
+  readonly probedAt: Moment | undefined;
 }
 
 /** Where a stream stands. */
