--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -1,11 +1,19 @@
 /** All experiments, by name. */
 
 import type { Experiment } from "../types.js";
+import { capacity } from "./capacity.js";
 import { checker } from "./checker.js";
+import { config } from "./config.js";
 import { faults } from "./faults.js";
 import { recovery } from "./recovery.js";
 import { routerDeath } from "./routerDeath.js";
+import { leaving } from "./leaving.js";
+import { rolling } from "./rolling.js";
+import { membership } from "./membership.js";
+import { overload } from "./overload.js";
+import { routing } from "./routing.js";
 import { smoke } from "./smoke.js";
+import { versions } from "./versions.js";
 
 /** Every experiment, in the order that `all` runs them. */
 export const experiments: readonly Experiment[] = [
@@ -14,4 +22,12 @@
   routerDeath,
   checker,
   faults,
+  capacity,
+  config,
+  leaving,
+  rolling,
+  versions,
+  routing,
+  overload,
+  membership,
 ];
--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -13,6 +13,7 @@
   LogLevel,
   OperatorRight,
   Priority,
+  RoutingStrategyName,
   type BackEnd,
   type Customer,
   type Intent,
@@ -36,6 +37,11 @@
   readonly engineFlags?: readonly string[];
   readonly recovery?: RecoveryPolicy;
   readonly mode?: "deterministic" | "differing";
+  /** Settings of every router besides the fleet's own. */
+  readonly settings?: Partial<Settings>;
+  /** Requests that an engine runs at once. */
+  readonly slots?: number;
+  readonly strategy?: RoutingStrategyName;
 }
 
 /** A stand-in and its address. */
@@ -88,6 +94,7 @@
   member: FleetMember,
   type: BackEndType,
   index: number,
+  slots = 32,
 ): BackEnd => ({
   name: member.name,
   type,
@@ -96,7 +103,7 @@
   zone: zoneOf(index),
   region,
   checksFencing: true,
-  slots: 32,
+  slots,
 });
 
 /** A running fleet. */
@@ -158,6 +165,14 @@
     return revision;
   }
 
+  /** The kept revisions of the configuration, oldest first. */
+  async readHistory(): Promise<readonly number[]> {
+    const store = ConfigStore.create(this.keyValueClient, prefix);
+    const read = await store.history(Date.now() + callTimeoutMs);
+    if (read.type === "err") throw new Error(read.error);
+    return read.value.map(({ revision }) => revision);
+  }
+
   async startRouter(
     name: string,
     index: number,
@@ -179,6 +194,15 @@
     this.routers[index] = await launchRouter(old.name, old.settingsFile);
   }
 
+  /** Stops a router by SIGTERM and starts another with the same settings. */
+  async replaceRouter(index: number, graceMs: number): Promise<void> {
+    const old = this.routers[index];
+    const code = await old?.process.stop(graceMs);
+    if (code !== 0)
+      throw new Error(`router "${old?.name ?? ""}" ended with ${String(code)}`);
+    await this.restartRouter(index);
+  }
+
   /** Stops every process of the fleet. */
   async stop(): Promise<void> {
     const members = [
@@ -201,7 +225,11 @@
       mode = "deterministic",
     } = this.options;
     const loaded = `${fleetModel.model}:${fleetModel.version}`;
-    const flags = ["--loaded", loaded, "--mode", mode, ...engineFlags];
+    const slots = String(this.options.slots ?? 32);
+    const flags = [
+      ...["--loaded", loaded, "--mode", mode, "--slots", slots],
+      ...engineFlags,
+    ];
     this.engines = await Promise.all(
       range(engines).map((index) =>
         startStandIn("engine", `engine-${String(index)}`, flags),
@@ -237,7 +265,7 @@
       ],
       backEnds: [
         ...this.engines.map((member, index) =>
-          backEndOf(member, BackEndType.Engine, index),
+          backEndOf(member, BackEndType.Engine, index, this.options.slots),
         ),
         ...this.services.map((member, index) =>
           backEndOf(member, BackEndType.Service, index),
@@ -304,6 +332,10 @@
         },
       ],
       log: { level: LogLevel.Info },
+      ...this.options.settings,
+      routing: {
+        strategy: this.options.strategy ?? RoutingStrategyName.Balanced,
+      },
     };
   }
 }
@@ -335,7 +367,8 @@
   };
 };
 
-const startStandIn = async (
+/** Starts a stand-in of a kind. */
+export const startStandIn = async (
   kind: string,
   name: string,
   flags: readonly string[],
--- a/packages/router/src/actions/drainHosts.ts
+++ b/packages/router/src/actions/drainHosts.ts
@@ -2,7 +2,8 @@
 
 import type { Moment } from "@cardamomglade/common";
 import { chooseMoves, type LeavingStream } from "@cardamomglade/decisions";
-import type { RouterCommand, RouterState, StreamEntry } from "../types.js";
+import type { RouterState, StreamEntry } from "../types.js";
+import { chainSteps } from "./chainSteps.js";
 import { moveStreamsFrom } from "./moveStreams.js";
 import type { RouterStep } from "./types.js";
 
@@ -64,12 +65,11 @@
 ): RouterStep => {
   if (at < state.drainLookAt || state.config.leavingHosts.size === 0)
     return { state, commands: [] };
-  let current: RouterState = { ...state, drainLookAt: at + lookEveryMs };
-  const commands: RouterCommand[] = [];
-  for (const host of state.config.leavingHosts) {
-    const step = drainHost(current, host, at);
-    current = step.state;
-    commands.push(...step.commands);
-  }
-  return { state: current, commands };
+  const looked = { ...state, drainLookAt: at + lookEveryMs };
+  return chainSteps(
+    looked,
+    [...state.config.leavingHosts].map(
+      (host) => (current) => drainHost(current, host, at),
+    ),
+  );
 };
--- a/packages/router/src/callers/tokenText.ts
+++ b/packages/router/src/callers/tokenText.ts
@@ -36,7 +36,7 @@
 
   push(token: EngineToken): string {
     if (token.bytes === undefined && this.missingBytes === 0) return token.text;
-    this.decoder ??= new TextDecoder();
+    this.decoder ??= new TextDecoder("utf-8", { ignoreBOM: true });
     const bytes =
       token.bytes === undefined
         ? Buffer.from(token.text)
