--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -5,6 +5,8 @@
 import { checker } from "./checker.js";
 import { config } from "./config.js";
 import { faults } from "./faults.js";
+import { recovery } from "./recovery.js";
+import { routerDeath } from "./routerDeath.js";
 import { leaving } from "./leaving.js";
 import { rolling } from "./rolling.js";
 import { membership } from "./membership.js";
@@ -19,6 +21,8 @@
 /** Every experiment, in the order that `all` runs them. */
 export const experiments: readonly Experiment[] = [
   smoke,
+  recovery,
+  routerDeath,
   checker,
   faults,
   ledger,
--- a/packages/router/src/actions/generationArrived.ts
+++ b/packages/router/src/actions/generationArrived.ts
@@ -1,6 +1,6 @@
 /** A caller asked for a generation. */
 
-import type { Moment, Step } from "@cardamomglade/common";
+import { Ran, type Moment, type Step } from "@cardamomglade/common";
 import {
   attachStream,
   createStream,
@@ -61,11 +61,9 @@
 ) => {
   const { requestId, model, customer } = request;
   if (state.draining) {
-    return refuse(
-      state,
-      requestId,
-      notRun(ErrorType.Draining, "this router is draining"),
-    );
+    const ran = request.returnPoint === undefined ? Ran.No : Ran.Yes;
+    const message = "this router is draining";
+    return refuse(state, requestId, { type: ErrorType.Draining, message, ran });
   }
   const deployment = deploymentFor(state, request);
   if (deployment === undefined) {
@@ -79,10 +77,11 @@
     );
   }
   const generation = { request, deployment };
-  return (
-    admitGeneration(state, generation, at) ??
-    startGeneration(state, generation, at)
-  );
+  const isReturned = request.returnPoint !== undefined;
+  const refused = isReturned
+    ? undefined
+    : admitGeneration(state, generation, at);
+  return refused ?? startGeneration(state, generation, at);
 };
 
 /** Starts the stream of an admitted generation. */
