--- a/packages/router/src/actions/serviceCallArrived.ts
+++ b/packages/router/src/actions/serviceCallArrived.ts
@@ -63,15 +63,15 @@
 };
 
 // A call with a key may repeat one that ran: that was not looked up.
-const notSent = (
-  key: string | undefined,
+const refuseUnsent = (
+  state: RouterState,
+  { call, key }: ServiceRequest,
   type: ErrorType,
   message: string,
-): ApiError => ({
-  type,
-  message,
-  ran: key === undefined ? Ran.No : Ran.Unknown,
-});
+): RouterStep => {
+  const ran = key === undefined ? Ran.No : Ran.Unknown;
+  return refuse(state, call.requestId, { type, message, ran });
+};
 
 /** Claims a non-repeatable call first; sends any other at once. */
 export const serviceCallArrived: Action<"serviceCallArrived"> = (
@@ -80,20 +80,20 @@
 ) => {
   const { requestId } = request.call;
   const { key, customer } = request;
-  if (state.draining) {
-    const message = "this router is draining; the call was not sent";
-    return refuse(state, requestId, notSent(key, ErrorType.Draining, message));
-  }
+  if (state.draining)
+    return refuseUnsent(
+      state,
+      request,
+      ErrorType.Draining,
+      "this router is draining; the call was not sent",
+    );
   const service = state.config.services.get(request.service);
   if (!service?.customers.includes(customer)) {
-    return refuse(
+    return refuseUnsent(
       state,
-      requestId,
-      notSent(
-        key,
-        ErrorType.NotFound,
-        `service "${request.service}" does not serve customer "${customer}"`,
-      ),
+      request,
+      ErrorType.NotFound,
+      `service "${request.service}" does not serve customer "${customer}"`,
     );
   }
   if (!isNonRepeatable(service, request))
