--- a/bench/src/demo.ts
+++ b/bench/src/demo.ts
@@ -1,9 +1,11 @@
 /** One run of the whole system: an engine dies, a booking is sent three times, a host drains. */
 
-import { request } from "undici";
 import { expectedTokens, textOfTokens } from "@cardamomglade/stand-ins";
-import { callerKey, Fleet, fleetModel, readLedger } from "./harness/fleet.js";
-import { readAnswer, type ReadAnswer } from "./harness/readAnswer.js";
+import { checkRecord } from "./checker/checkRecord.js";
+import type { Violation } from "./checker/types.js";
+import { Fleet, fleetModel, type FleetRouter } from "./harness/fleet.js";
+import type { ReadAnswer } from "./harness/readAnswer.js";
+import { RunRecorder } from "./harness/runRecorder.js";
 
 const answers = 10;
 const tokensPerAnswer = 600;
@@ -15,10 +17,6 @@
   "Review these yearbook captions: names, spelling, class and page for every photo.",
 ];
 
-interface Ledger {
-  readonly runs: readonly { readonly path: string }[];
-}
-
 const promptAt = (index: number): string =>
   `${prompts[index % prompts.length] ?? ""} Document ${String(index)}.`;
 
@@ -31,43 +29,47 @@
   return Math.max(0, ...gaps);
 };
 
-const book = async (url: string): Promise<string> => {
-  const res = await request(`${url}/v1/services/bookings/book`, {
-    method: "POST",
-    headers: {
-      authorization: `Bearer ${callerKey(0)}`,
-      "idempotency-key": "trolley-7",
-      "content-type": "application/json",
-    },
-    body: JSON.stringify({ trolley: 7, day: "2026-12-05" }),
-  });
-  return `${String(res.statusCode)} ${await res.body.text()}`;
+const book = async (
+  recorder: RunRecorder,
+  router: FleetRouter,
+): Promise<string> => {
+  const body = JSON.stringify({ trolley: 7, day: "2026-12-05" });
+  const sent = await recorder.call({ router, key: "trolley-7", body });
+  const { outcome, answer } = sent;
+  return outcome.type === "whole" ? answer : `${outcome.type}: ${answer}`;
+};
+
+const printViolations = (violations: readonly Violation[]): void => {
+  for (const { type, subject, message } of violations)
+    console.log(`${type}: ${subject}: ${message}`);
+  console.log(`promises broken: ${String(violations.length)}`);
 };
 
 const run = async (fleet: Fleet): Promise<boolean> => {
-  const asked = Array.from({ length: answers }, (_, index) =>
-    readAnswer({
-      url: fleet.routers[index % fleet.routers.length]?.callersUrl ?? "",
-      key: callerKey(index % 2),
-      model: fleetModel.model,
+  const recorder = RunRecorder.create(fleet);
+  const asked = Array.from({ length: answers }, (_, index) => {
+    const router = fleet.routers[index % fleet.routers.length];
+    if (router === undefined) throw new Error("the fleet has no router");
+    return recorder.ask({
+      router,
+      customer: index % 2,
       prompt: promptAt(index),
       maxTokens: tokensPerAnswer,
-    }),
-  );
+    });
+  });
   await pause(killAfterMs);
   const [victim, leaver] = fleet.engines;
   const killedAt = performance.now();
-  victim?.process.signal("SIGKILL");
+  if (victim !== undefined) await recorder.killEngine(victim);
   console.log(`killed ${victim?.name ?? ""}`);
 
   const booked: string[] = [];
-  for (const router of fleet.routers)
-    booked.push(await book(router.callersUrl));
+  for (const router of fleet.routers) booked.push(await book(recorder, router));
   console.log(`booked with one key at three routers: ${booked.join(" | ")}`);
 
   await pause(drainAfterMs - killAfterMs);
   const emptyBy = new Date(Date.now() + 5000).toISOString();
-  await fleet.putIntent({
+  await recorder.putIntent({
     ...fleet.intent,
     leaving: [{ host: `host-${leaver?.name ?? ""}`, emptyBy }],
   });
@@ -95,15 +97,14 @@
     };
   });
   console.table(rows);
-  const ledgers = await Promise.all(
-    fleet.services.map((service) => readLedger<Ledger>(service)),
-  );
-  const bookings = ledgers
-    .flatMap(({ runs }) => runs)
-    .filter(({ path }) => path === "/book").length;
+  const record = await recorder.finish();
+  const violations = checkRecord(record);
+  printViolations(violations);
+  const bookings = record.runs.filter(({ path }) => path === "/book").length;
   console.log(`bookings run: ${String(bookings)}`);
   return (
     bookings === 1 &&
+    violations.length === 0 &&
     rows.every(
       ({ exact, missing, repeated }) =>
         exact && missing === 0 && repeated === 0,
--- a/bench/src/faults/runWorkload.ts
+++ b/bench/src/faults/runWorkload.ts
@@ -24,7 +24,7 @@
   recorder: RunRecorder,
   endsAt: number,
 ): Promise<void> => {
-  const asked: Promise<void>[] = [];
+  const asked: Promise<unknown>[] = [];
   for (let index = 0; Date.now() < endsAt; index += 1) {
     asked.push(
       recorder.ask({
@@ -47,7 +47,7 @@
 ): Promise<void> => {
   const key = `booking-${String(index)}`;
   const body = JSON.stringify({ trolley: index });
-  const sends: Promise<void>[] = [];
+  const sends: Promise<unknown>[] = [];
   for (let send = 0; send < sendsPerKey; send += 1) {
     const router = routerAt(fleet, index + send);
     sends.push(recorder.call({ router, key, body }));
@@ -62,7 +62,7 @@
   recorder: RunRecorder,
   endsAt: number,
 ): Promise<void> => {
-  const sent: Promise<void>[] = [];
+  const sent: Promise<unknown>[] = [];
   for (let index = 0; Date.now() < endsAt; index += 1) {
     sent.push(sendKey(fleet, recorder, index));
     await sleep(bookEveryMs);
--- a/bench/src/harness/runRecorder.ts
+++ b/bench/src/harness/runRecorder.ts
@@ -107,7 +107,12 @@
   }
 
   /** Asks for a generation and reads it to its end. */
-  async ask({ router, customer, prompt, maxTokens }: Asked): Promise<void> {
+  async ask({
+    router,
+    customer,
+    prompt,
+    maxTokens,
+  }: Asked): Promise<ReadAnswer> {
     const askedAt = Date.now();
     this.asked += 1;
     const answer = await readAnswer({
@@ -131,10 +136,11 @@
       longestGapMs: longestGap(answer),
       outcome: outcomeOfAnswer(answer),
     });
+    return answer;
   }
 
   /** Sends a non-repeatable call. */
-  async call({ router, key, body }: Sent): Promise<void> {
+  async call({ router, key, body }: Sent): Promise<CallerCall> {
     const askedAt = Date.now();
     let answer = "";
     let outcome: CallerOutcome;
@@ -158,7 +164,7 @@
       outcome = { type: "broken", message: String(error) };
     }
     const endedAt = Date.now();
-    this.calls.push({
+    const call = {
       router: router.name,
       key,
       body,
@@ -166,7 +172,9 @@
       endedAt,
       answer,
       outcome,
-    });
+    };
+    this.calls.push(call);
+    return call;
   }
 
   /** Puts an intent in force and notes its revision. */
