--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -3,8 +3,12 @@
 import type { Experiment } from "../types.js";
 import { capacity } from "./capacity.js";
 import { checker } from "./checker.js";
+import { config } from "./config.js";
 import { faults } from "./faults.js";
+import { leaving } from "./leaving.js";
+import { rolling } from "./rolling.js";
 import { smoke } from "./smoke.js";
+import { versions } from "./versions.js";
 
 /** Every experiment, in the order that `all` runs them. */
 export const experiments: readonly Experiment[] = [
@@ -12,4 +16,8 @@
   checker,
   faults,
   capacity,
+  config,
+  leaving,
+  rolling,
+  versions,
 ];
--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -36,6 +36,8 @@
   readonly engineFlags?: readonly string[];
   readonly recovery?: RecoveryPolicy;
   readonly mode?: "deterministic" | "differing";
+  /** Settings of every router besides the fleet's own. */
+  readonly settings?: Partial<Settings>;
 }
 
 /** A stand-in and its address. */
@@ -158,6 +160,14 @@
     return revision;
   }
 
+  /** The kept revisions of the configuration, oldest first. */
+  async readHistory(): Promise<readonly number[]> {
+    const store = ConfigStore.create(this.keyValueClient, prefix);
+    const read = await store.history(Date.now() + callTimeoutMs);
+    if (read.type === "err") throw new Error(read.error);
+    return read.value.map(({ revision }) => revision);
+  }
+
   async startRouter(
     name: string,
     index: number,
@@ -179,6 +189,15 @@
     this.routers[index] = await launchRouter(old.name, old.settingsFile);
   }
 
+  /** Stops a router by SIGTERM and starts another with the same settings. */
+  async replaceRouter(index: number, graceMs: number): Promise<void> {
+    const old = this.routers[index];
+    const code = await old?.process.stop(graceMs);
+    if (code !== 0)
+      throw new Error(`router "${old?.name ?? ""}" ended with ${String(code)}`);
+    await this.restartRouter(index);
+  }
+
   /** Stops every process of the fleet. */
   async stop(): Promise<void> {
     const members = [
@@ -304,6 +323,7 @@
         },
       ],
       log: { level: LogLevel.Info },
+      ...this.options.settings,
     };
   }
 }
@@ -335,7 +355,8 @@
   };
 };
 
-const startStandIn = async (
+/** Starts a stand-in of a kind. */
+export const startStandIn = async (
   kind: string,
   name: string,
   flags: readonly string[],
--- a/packages/router/src/actions/orderEvents.ts
+++ b/packages/router/src/actions/orderEvents.ts
@@ -1,10 +1,6 @@
 /** Execution of plans: the executor role and what it hears. */
 
-import {
-  assertNever,
-  rendezvousOrder,
-  type Moment,
-} from "@cardamomglade/common";
+import { assertNever, type Moment } from "@cardamomglade/common";
 import {
   decideExecution,
   type ExecutionCommand,
@@ -17,7 +13,6 @@
 
 /** Name of the role whose holder carries out plans. */
 export const executorRole = "executor";
-const candidates = 3;
 
 const toCommands = (command: ExecutionCommand): RouterCommand[] => {
   switch (command.type) {
@@ -63,18 +58,12 @@
   };
 };
 
-// A few routers pursue the role, so that its upkeep does not grow with the fleet.
-const isCandidate = ({ router, configMesh }: RouterState): boolean => {
-  const routers = new Set([...configMesh.zones.keys(), router.name]);
-  return rendezvousOrder(executorRole, [...routers])
-    .slice(0, candidates)
-    .includes(router.name);
-};
-
 /** Pursues the executor role and looks at the engines while it is held. */
 export const tendExecution = (state: RouterState, at: Moment): RouterStep => {
   const isWanted =
-    !state.draining && state.config.revision > 0 && isCandidate(state);
+    !state.draining &&
+    state.config.revision > 0 &&
+    state.configMesh.isExecutorCandidate;
   const pursued = isWanted
     ? wantLease(state, executorRole, at)
     : releaseLease(state, executorRole, at);
--- a/packages/router/src/callers/callerBodies.fuzz.test.ts
+++ b/packages/router/src/callers/callerBodies.fuzz.test.ts
@@ -65,8 +65,8 @@
         bytes: [...bytes.subarray(places[index], end)],
       }));
       const writer = TokenText.create();
-      const written = tokens.map((token) => writer.push(token)).join("");
-      assert.equal(written + writer.end(), bytes.toString());
+      const read = tokens.map((token) => writer.push(token)).join("");
+      assert.equal(read + writer.end(), bytes.toString());
     },
   );
   fc.assert(property, { seed, numRuns: 300 });
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -172,11 +172,11 @@
 /** How this router gets the configuration: by its own watch or by its peers. */
 export interface ConfigMesh {
   readonly isWatching: boolean;
+  /** Whether this router pursues the executor role. */
+  readonly isExecutorCandidate: boolean;
   /** When a peer is asked next. */
   readonly askAt: Moment;
   readonly asked: number;
-  /** Zones of the routers known to be alive; owned by the fold. */
-  readonly zones: Map<string, string>;
 }
 
 /** State of the router process. Maps are owned by the fold and changed in place. */
@@ -466,9 +466,9 @@
       readonly peer: string;
       readonly message: PeerMessage;
     }
+  | { readonly type: "execute"; readonly command: ExecutionCommand }
   | { readonly type: "connectPeer"; readonly url: string }
   | { readonly type: "forgetPeer"; readonly url: string }
-  | { readonly type: "execute"; readonly command: ExecutionCommand }
   | {
       readonly type: "watchConfiguration";
       readonly isWatching: boolean;
--- a/packages/upstream/src/openStream.ts
+++ b/packages/upstream/src/openStream.ts
@@ -13,6 +13,8 @@
   StreamBreak,
 } from "./types.js";
 
+const maxEventChars = 4 * 1024 * 1024;
+
 /** How a stream begins: as a new generation, or as one that the engine runs already. */
 export type StreamStart =
   | { readonly type: "generate"; readonly order: GenerationOrder }
@@ -56,8 +58,6 @@
   }
 };
 
-const maxEventChars = 4 * 1024 * 1024;
-
 /** Reports each event once and nothing after the last. */
 export class OpenStream implements EngineStream {
   private readonly abort = new AbortController();
