--- a/packages/router/src/administration/readWorld.ts
+++ b/packages/router/src/administration/readWorld.ts
@@ -1,11 +1,11 @@
 /** The world that a plan is made for: configuration, engines, weight store. */
 
 import { err, now, ok, type Moment, type Result } from "@cardamomglade/common";
-import type {
-  AcceptedConfig,
-  EngineObservation,
-  PlacementWorld,
-  WeightName,
+import {
+  createConfig,
+  type EngineObservation,
+  type PlacementWorld,
+  type WeightName,
 } from "@cardamomglade/decisions";
 import { readStoredWeights, readWeightRate } from "@cardamomglade/platform";
 import { BackEndType, type BackEnd, type Intent } from "@cardamomglade/schema";
@@ -35,17 +35,16 @@
 // Without a weight store, loads are taken to need no fetch.
 const localBytesPerSecond = 1e12;
 
-const emptyIntent: Intent = {
-  customers: [],
-  models: [],
-  backEnds: [],
-  deployments: [],
-  services: [],
-  leaving: [],
+/** The weight store's rate. */
+export const readRate = async (
+  url: string | undefined,
+  deadline: Moment,
+): Promise<number> => {
+  if (url === undefined) return localBytesPerSecond;
+  const rate = await readWeightRate(url, deadline);
+  return rate.type === "ok" ? rate.value : localBytesPerSecond;
 };
 
-const noConfig: AcceptedConfig = { revision: 0, intent: emptyIntent };
-
 /** What the engines report, by back end; those that do not answer are missing. */
 export const observeEngines = async (
   engines: Engines,
@@ -88,18 +87,18 @@
   const at = now();
   const stored = await store.read(at + readTimeoutMs);
   if (stored.type === "err") return err(stored.error);
-  const accepted = stored.value.config ?? noConfig;
+  const accepted = stored.value.config ?? createConfig().accepted;
   const deadline = now() + observeTimeoutMs;
   const url = weightStoreUrl;
-  const [observed, rate, weights] = await Promise.all([
+  const [observed, bytesPerSecond, weights] = await Promise.all([
     observeEngines(engines, backEndsOf(accepted.intent, target), deadline),
-    url === undefined ? undefined : readWeightRate(url, deadline),
+    readRate(url, deadline),
     url === undefined ? undefined : readStoredWeights(url, deadline),
   ]);
   return ok({
     stored: stored.value,
     world: { at, accepted, observed, settledAt: at },
-    bytesPerSecond: rate?.type === "ok" ? rate.value : localBytesPerSecond,
+    bytesPerSecond,
     weights: weights?.type === "ok" ? weights.value : undefined,
   });
 };
--- a/packages/router/src/drivers/orderDriver.ts
+++ b/packages/router/src/drivers/orderDriver.ts
@@ -7,12 +7,12 @@
   now,
 } from "@cardamomglade/common";
 import type { ExecutionCommand } from "@cardamomglade/decisions";
-import { readWeightRate, type KeyValue } from "@cardamomglade/platform";
+import type { KeyValue } from "@cardamomglade/platform";
 import { LogLevel } from "@cardamomglade/schema";
 import type { Engines } from "@cardamomglade/upstream";
 import { Agent, request, type buildConnector, type Dispatcher } from "undici";
 import { executorRole } from "../actions/orderEvents.js";
-import { observeEngines } from "../administration/readWorld.js";
+import { observeEngines, readRate } from "../administration/readWorld.js";
 import type { ConfigStore } from "../configuration/configStore.js";
 import type { Log } from "../log.js";
 import type { RouterEvent } from "../types.js";
@@ -42,8 +42,6 @@
 const observeTimeoutMs = 800;
 const commitTimeoutMs = 2000;
 const reportTimeoutMs = 2000;
-// Without a weight store, loads are taken to need no fetch.
-const localBytesPerSecond = 1e12;
 
 const sendOrder = async (
   url: string,
@@ -82,15 +80,11 @@
     isObserving = true;
     const deadline = now() + observeTimeoutMs;
     const { backEnds } = view().config.intent;
-    const [observed, rate] = await Promise.all([
+    const [observed, bytesPerSecond] = await Promise.all([
       observeEngines(engines, backEnds, deadline),
-      weightStoreUrl === undefined
-        ? undefined
-        : readWeightRate(weightStoreUrl, deadline),
+      readRate(weightStoreUrl, deadline),
     ]);
     isObserving = false;
-    const bytesPerSecond =
-      rate?.type === "ok" ? rate.value : localBytesPerSecond;
     channel.push({
       type: "enginesObserved",
       at: now(),
