Test that a router takes its peer's configuration while the store is down

The request on linking, the offer and its taking were tested apart. Run together now: the new router has revision 7 in force and its time line names the peer.

--- a/packages/router/src/configuration/configStore.test.ts
+++ b/packages/router/src/configuration/configStore.test.ts
@@ -161,3 +161,47 @@
   await driver.stop();
   assert.deepEqual(seen, [1, 2]);
 });
+
+test("a router that starts while the store is down takes its peer's configuration and says so", () => {
+  const identity = (name: string) => ({
+    name,
+    host: "h",
+    zone: "a",
+    region: "r",
+  });
+  const fresh = foldEvents(decide, createRouterState(identity("new")), [
+    { type: "peerLinked", at: 1, peer: "old" },
+  ]);
+  const sent = (commands: typeof fresh.commands) =>
+    commands.flatMap((command) =>
+      command.type === "sendToPeer" &&
+      ["configRequest", "configOffer"].includes(command.message.type)
+        ? [command.message]
+        : [],
+    );
+  const asked = sent(fresh.commands);
+  const answers = foldEvents(decide, createRouterState(identity("old")), [
+    { type: "configurationRead", at: 1, accepted: configAt(7) },
+    ...asked.map((message): RouterEvent => ({
+      type: "peerMessageReceived",
+      at: 2,
+      peer: "new",
+      message,
+    })),
+  ]);
+  const taken = foldEvents(
+    decide,
+    fresh.state,
+    sent(answers.commands).map((message): RouterEvent => ({
+      type: "peerMessageReceived",
+      at: 3,
+      peer: "old",
+      message,
+    })),
+  );
+  assert.equal(taken.state.config.revision, 7);
+  const inForce = taken.commands.find(
+    (command) => command.type === "record" && command.event.name === "inForce",
+  );
+  assert.equal(inForce?.type === "record" && inForce.event.detail, "peer old");
+});
