--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -1,6 +1,7 @@
 /** All experiments, by name. */
 
 import type { Experiment } from "../types.js";
+import { capacity } from "./capacity.js";
 import { checker } from "./checker.js";
 import { config } from "./config.js";
 import { faults } from "./faults.js";
@@ -14,6 +15,7 @@
   smoke,
   checker,
   faults,
+  capacity,
   config,
   leaving,
   rolling,
