--- a/bench/src/harness/processes.ts
+++ b/bench/src/harness/processes.ts
@@ -1,7 +1,7 @@
 /** Processes of an experiment: started, stopped and killed by their own ids. */
 
 import { spawn, type ChildProcess } from "node:child_process";
-import { createServer, type AddressInfo } from "node:net";
+import { createServer } from "node:net";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 
@@ -34,19 +34,34 @@
 const startTimeoutMs = 10_000;
 const pollMs = 10;
 
-/** A port on 127.0.0.1 that was free a moment ago. */
-export const findFreePort = (): Promise<number> =>
-  new Promise((resolve, reject) => {
+// Below the range from which the system gives out ports by itself.
+const firstPort = 20_000;
+const portRange = 10_000;
+const portsPerRun = 50;
+let nextPort = (process.pid * portsPerRun) % portRange;
+
+const isFree = (port: number): Promise<boolean> =>
+  new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
+    server.once("error", () => {
+      resolve(false);
+    });
+    server.listen(port, "127.0.0.1", () => {
       server.close(() => {
-        resolve(port);
+        resolve(true);
       });
     });
   });
 
+/** A port on 127.0.0.1 that was free a moment ago; never the same twice. */
+export const findFreePort = async (): Promise<number> => {
+  for (;;) {
+    nextPort = (nextPort + 1) % portRange;
+    const port = firstPort + nextPort;
+    if (await isFree(port)) return port;
+  }
+};
+
 const collectLines = (child: ChildProcess): Record<string, unknown>[] => {
   const lines: Record<string, unknown>[] = [];
   if (child.stdout === null) return lines;
