Keep prefixes in place while counts err, admit by the sum of slots

Others' work is expected from own work smoothed over 3 s instead of the count of the moment, and room is the sum over all engines.

--- a/packages/decisions/src/admission/admission.ts
+++ b/packages/decisions/src/admission/admission.ts
@@ -16,8 +16,8 @@
 
 /** Longest time in the queue, by class. */
 const longestWaitMs: Readonly<Record<Priority, number>> = {
-  [Priority.Interactive]: 800,
-  [Priority.Standard]: 800,
+  [Priority.Interactive]: 600,
+  [Priority.Standard]: 600,
   [Priority.Batch]: 5000,
 };
 
--- a/packages/decisions/src/routing/chooseBackEnd.ts
+++ b/packages/decisions/src/routing/chooseBackEnd.ts
@@ -91,27 +91,33 @@
   return best;
 };
 
-/** Holders of the longest prefix, without those loaded well above the mean. */
+/** Those loaded at most a bound above the mean: a prefix may draw work to them. */
+const withinBound = (
+  state: RoutingState,
+  from: readonly BackEnd[],
+): BackEnd[] => {
+  const shares = from.map((one) => loadShareOf(state, one));
+  const mean = shares.reduce((a, b) => a + b, 0) / Math.max(1, from.length);
+  return from.filter(
+    ({ slots }, index) =>
+      (shares[index] ?? 0) <= holderLoadBound * mean + 1 / slots,
+  );
+};
+
+/** Holders of the longest prefix. */
 const holdersOf = (
   state: RoutingState,
   blocks: readonly string[],
   from: readonly BackEnd[],
 ): BackEnd[] => {
-  if (blocks.length === 0 || from.length === 0) return [];
-  const shares = from.map((one) => loadShareOf(state, one));
-  const mean = shares.reduce((a, b) => a + b, 0) / from.length;
+  if (blocks.length === 0) return [];
   const held = from
-    .map((backEnd, index) => ({
+    .map((backEnd) => ({
       backEnd,
-      share: shares[index] ?? 0,
       blocks: countHeld(viewOf(state, backEnd.name), blocks, state.at),
     }))
-    .filter(
-      (one) =>
-        one.blocks > 0 &&
-        one.share <= holderLoadBound * mean + 1 / one.backEnd.slots,
-    );
-  held.sort((a, b) => b.blocks - a.blocks || a.share - b.share);
+    .filter((one) => one.blocks > 0);
+  held.sort((a, b) => b.blocks - a.blocks);
   return held.slice(0, holdersTried).map(({ backEnd }) => backEnd);
 };
 
@@ -145,9 +151,12 @@
 ): BackEnd | undefined => {
   const model = query.loaded?.model ?? "";
   const blocks = prefixBlocks(model, query.prompt, blocksTried);
-  const pool = poolOf(state, query, usableOf(state, eligible));
-  const holders = holdersOf(state, blocks, pool);
-  const home = holders.length === 0 ? homeOf(blocks, pool) : undefined;
+  const usable = usableOf(state, eligible);
+  const pool = poolOf(state, query, usable);
+  const near = usable.filter(({ region }) => region === query.region);
+  const bounded = withinBound(state, near);
+  const holders = holdersOf(state, blocks, bounded);
+  const home = holders.length === 0 ? homeOf(blocks, bounded) : undefined;
   const inZone = pool.filter(({ zone }) => zone === query.zone);
   const elsewhere = pool.filter(({ zone }) => zone !== query.zone);
   const tried = [
--- a/packages/decisions/src/routing/constants.ts
+++ b/packages/decisions/src/routing/constants.ts
@@ -27,6 +27,9 @@
 /** Fleet size up to which own work tells what the others have at a back end. */
 export const routersAlike = 16;
 
+/** Time over which own work is smoothed to tell what the others have. */
+export const smoothingMs = 3000;
+
 /** Tokens of a typical answer, for the cost of a slow back end. */
 export const typicalTokens = 100;
 
--- a/packages/decisions/src/routing/costOf.ts
+++ b/packages/decisions/src/routing/costOf.ts
@@ -14,14 +14,14 @@
 import { rampOf } from "./ejection.js";
 import { countHeld } from "./noteCache.js";
 import type { BackEndView, RoutingQuery, RoutingState } from "./types.js";
-import { viewOf } from "./views.js";
+import { smoothOwnOf, viewOf } from "./views.js";
 
 /**
  * Work of other routers: by the newest report, which fades with its age. In a
  * small fleet the others are then taken to have as much there as this router.
  */
 const othersAt = (state: RoutingState, view: BackEndView): number => {
-  const alike = view.own * (state.routers - 1);
+  const alike = smoothOwnOf(view, state.at) * (state.routers - 1);
   const isAlike = state.routers <= routersAlike;
   const { heard } = view;
   if (heard === undefined || state.at - heard.heardAt > reportLifeMs)
@@ -37,22 +37,23 @@
   return view.own + othersAt(state, view);
 };
 
+/** Slots that a back end may use now. */
+export const slotsOf = (
+  state: RoutingState,
+  { name, slots }: BackEnd,
+): number => Math.max(1, slots * rampOf(viewOf(state, name), state.at));
+
 /** Whether a back end has a slot free. */
-export const hasSlot = (state: RoutingState, backEnd: BackEnd): boolean => {
-  const ramp = rampOf(viewOf(state, backEnd.name), state.at);
-  return loadOf(state, backEnd) + 1 <= Math.max(1, backEnd.slots * ramp);
-};
+export const hasSlot = (state: RoutingState, backEnd: BackEnd): boolean =>
+  loadOf(state, backEnd) + 1 <= slotsOf(state, backEnd);
 
 /** Load in shares of the slots that a back end may use now. */
-export const loadShareOf = (state: RoutingState, backEnd: BackEnd): number => {
-  const ramp = rampOf(viewOf(state, backEnd.name), state.at);
-  return loadOf(state, backEnd) / Math.max(1, backEnd.slots * ramp);
-};
+export const loadShareOf = (state: RoutingState, backEnd: BackEnd): number =>
+  loadOf(state, backEnd) / slotsOf(state, backEnd);
 
 /** Expected wait for a slot. */
 export const waitMsOf = (state: RoutingState, backEnd: BackEnd): number => {
-  const ramp = rampOf(viewOf(state, backEnd.name), state.at);
-  const slots = Math.max(1, backEnd.slots * ramp);
+  const slots = slotsOf(state, backEnd);
   const ahead = loadOf(state, backEnd) + 1 - slots;
   return ahead <= 0 ? 0 : (ahead / slots) * state.attemptMs;
 };
--- a/packages/decisions/src/routing/index.ts
+++ b/packages/decisions/src/routing/index.ts
@@ -1,7 +1,7 @@
 /** Choice of back ends. */
 
 export { chooseBackEnd, eligibleOf, usableOf } from "./chooseBackEnd.js";
-export { hasSlot, loadOf } from "./costOf.js";
+export { loadOf, slotsOf } from "./costOf.js";
 export {
   noteEnded,
   noteOpened,
--- a/packages/decisions/src/routing/types.ts
+++ b/packages/decisions/src/routing/types.ts
@@ -29,6 +29,9 @@
 export interface BackEndView {
   /** Own work in flight. */
   own: number;
+  /** Own work smoothed over time, up to a moment. */
+  smoothOwn: number;
+  smoothedAt: Moment;
   /** Recent changes of `own`, oldest first. */
   changes: CountChange[];
   heard: HeardReport | undefined;
--- a/packages/decisions/src/routing/views.ts
+++ b/packages/decisions/src/routing/views.ts
@@ -1,7 +1,7 @@
 /** What a router knows of each back end. */
 
 import { seedGenerator, type Moment } from "@cardamomglade/common";
-import { reportLifeMs } from "./constants.js";
+import { reportLifeMs, smoothingMs } from "./constants.js";
 import type { BackEndView, RoutingState, RoutingStrategy } from "./types.js";
 
 const defaultBlockMs = 5;
@@ -30,6 +30,8 @@
   if (known !== undefined) return known;
   const view: BackEndView = {
     own: 0,
+    smoothOwn: 0,
+    smoothedAt: state.at,
     changes: [],
     heard: undefined,
     blocks: new Map(),
@@ -59,6 +61,13 @@
   return Math.max(0, own);
 };
 
+/** Own work smoothed over the last seconds. */
+export const smoothOwnOf = (view: BackEndView, at: Moment): number => {
+  const sinceMs = Math.max(0, at - view.smoothedAt);
+  const old = Math.exp(-sinceMs / smoothingMs);
+  return view.own + (view.smoothOwn - view.own) * old;
+};
+
 /** Adds `change` to a back end's count of own work. */
 export const countInFlight = (
   state: RoutingState,
@@ -67,6 +76,8 @@
 ): RoutingState => {
   const view = viewOf(state, backEnd);
   trimChanges(view, state.at);
+  view.smoothOwn = smoothOwnOf(view, state.at);
+  view.smoothedAt = state.at;
   view.own = Math.max(0, view.own + change);
   view.changes.push({ at: state.at, change });
   return state;
--- a/packages/router/src/actions/admissionCapacity.ts
+++ b/packages/router/src/actions/admissionCapacity.ts
@@ -6,8 +6,8 @@
   countPresent,
   eligibleOf,
   fillBalance,
-  hasSlot,
   loadOf,
+  slotsOf,
   usableOf,
   useOf,
   viewOf,
@@ -69,6 +69,20 @@
   return use.inFlight + 1 <= allowance.concurrent && use.balance > 0;
 };
 
+/** Whether the work at some back ends leaves a slot free; one count may err, the sum less so. */
+const hasRoomAt = (
+  { routing }: RouterState,
+  backEnds: readonly BackEnd[],
+): boolean => {
+  let load = 0;
+  let slots = 0;
+  for (const backEnd of backEnds) {
+    load += loadOf(routing, backEnd);
+    slots += slotsOf(routing, backEnd);
+  }
+  return load + 1 <= slots;
+};
+
 /** Capacity as this router sees it; each question is worked out once. */
 export const capacityOf = (state: RouterState, at: Moment): Capacity => {
   const routers = Math.max(1, countPresent(state.membership));
@@ -89,8 +103,7 @@
       allowed.set(customer, answer);
       return answer;
     },
-    hasRoom: (deployment) =>
-      backEndsOf(deployment).some((one) => hasSlot(state.routing, one)),
+    hasRoom: (deployment) => hasRoomAt(state, backEndsOf(deployment)),
     startsPerSecond: (deployment) => {
       const backEnds = backEndsOf(deployment);
       const slots = backEnds.reduce((sum, one) => sum + one.slots, 0);
