--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -40,6 +40,8 @@
   /** Requests that an engine runs at once. */
   readonly slots?: number;
   readonly strategy?: RoutingStrategyName;
+  /** Settings of every router besides the fleet's own. */
+  readonly settings?: Partial<Settings>;
 }
 
 /** A stand-in and its address. */
@@ -163,6 +165,14 @@
     return revision;
   }
 
+  /** The kept revisions of the configuration, oldest first. */
+  async readHistory(): Promise<readonly number[]> {
+    const store = ConfigStore.create(this.keyValueClient, prefix);
+    const read = await store.history(Date.now() + callTimeoutMs);
+    if (read.type === "err") throw new Error(read.error);
+    return read.value.map(({ revision }) => revision);
+  }
+
   async startRouter(
     name: string,
     index: number,
@@ -184,6 +194,15 @@
     this.routers[index] = await launchRouter(old.name, old.settingsFile);
   }
 
+  /** Stops a router by SIGTERM and starts another with the same settings. */
+  async replaceRouter(index: number, graceMs: number): Promise<void> {
+    const old = this.routers[index];
+    const code = await old?.process.stop(graceMs);
+    if (code !== 0)
+      throw new Error(`router "${old?.name ?? ""}" ended with ${String(code)}`);
+    await this.restartRouter(index);
+  }
+
   /** Stops every process of the fleet. */
   async stop(): Promise<void> {
     const members = [
@@ -316,6 +335,7 @@
       routing: {
         strategy: this.options.strategy ?? RoutingStrategyName.Balanced,
       },
+      ...this.options.settings,
     };
   }
 }
@@ -347,7 +367,8 @@
   };
 };
 
-const startStandIn = async (
+/** Starts a stand-in of a kind. */
+export const startStandIn = async (
   kind: string,
   name: string,
   flags: readonly string[],
--- a/packages/platform/src/gateway.ts
+++ b/packages/platform/src/gateway.ts
@@ -67,6 +67,19 @@
   error instanceof Error && "code" in error && error.code === "ECONNREFUSED";
 
 const connections = 16;
+const maxAnswerBytes = 32 * 1024 * 1024;
+
+const readText = async (body: AsyncIterable<unknown>): Promise<string> => {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += (chunk as Uint8Array).length;
+    if (bytes > maxAnswerBytes)
+      throw new Error(`the answer exceeds ${String(maxAnswerBytes)} bytes`);
+    chunks.push(chunk as Uint8Array);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+};
 
 /** The gateway behind the client; every call is sent at most once. */
 export class Gateway {
@@ -168,7 +181,7 @@
         dispatcher: this.agent,
         signal: abortAt(deadline),
       });
-      const text = await res.body.text();
+      const text = await readText(res.body);
       if (res.statusCode !== 200) {
         const message = `${path} answered ${String(res.statusCode)}: ${text}`;
         return refusingStatuses.has(res.statusCode)
--- a/packages/router/src/actions/configurationPeers.ts
+++ b/packages/router/src/actions/configurationPeers.ts
@@ -1,5 +1,6 @@
 /** The configuration between routers: asked for, offered, and who watches the store. */
 
+import { rendezvousOrder } from "@cardamomglade/common";
 import {
   formatConfigRecord,
   isConfigWatcher,
@@ -20,13 +21,14 @@
 >;
 
 const askEveryMs = 1000;
+const executorCandidates = 3;
 
 /** What a router that has just started knows of its peers' configurations. */
 export const createConfigMesh = (): ConfigMesh => ({
   isWatching: true,
+  isExecutorCandidate: false,
   askAt: 0,
   asked: 0,
-  zones: new Map(),
 });
 
 const ask = (state: RouterState, peer: string): RouterCommand => ({
@@ -78,23 +80,33 @@
   return { state, commands: [{ type: "record", event }] };
 };
 
-/** Notes where routers are; asks one whose heartbeat names a newer revision. */
+/** Asks a router whose heartbeat names a newer revision. */
 export const hearConfigGossip = (
   state: RouterState,
   peer: string,
-  { revision, members }: MessageOf<"gossip">,
-): RouterCommand[] => {
-  const { zones } = state.configMesh;
-  for (const { router, zone, status } of members) {
-    if (status === MemberStatus.Alive) zones.set(router, zone);
-    else zones.delete(router);
-  }
-  return revision > state.config.revision ? [ask(state, peer)] : [];
-};
+  { revision }: MessageOf<"gossip">,
+): RouterCommand[] =>
+  revision > state.config.revision ? [ask(state, peer)] : [];
+
+// A few routers pursue the role, so that its upkeep does not grow with the fleet.
+const isExecutorCandidate = (
+  router: string,
+  zones: ReadonlyMap<string, string>,
+): boolean =>
+  rendezvousOrder("executor", [...zones.keys()])
+    .slice(0, executorCandidates)
+    .includes(router);
 
-/** Forgets where a lost router is. */
-export const forgetConfigPeer = (state: RouterState, peer: string): void => {
-  state.configMesh.zones.delete(peer);
+/** Zones of the routers known to be alive, this one among them. */
+const zonesOf = ({
+  router,
+  membership,
+}: RouterState): ReadonlyMap<string, string> => {
+  const alive = [...membership.members.values()]
+    .map(({ record }) => record)
+    .filter(({ status }) => status === MemberStatus.Alive);
+  const zones = new Map(alive.map((record) => [record.router, record.zone]));
+  return zones.set(router.name, router.zone);
 };
 
 const watchCommands = (
@@ -116,17 +128,16 @@
   const before = state.configMesh;
   if (at < before.askAt) return { state, commands: [] };
   const { name, zone } = state.router;
-  const { zones } = before;
-  zones.set(name, zone);
+  const zones = zonesOf(state);
   const isWatching = isConfigWatcher({ router: name, zone, zones });
   const peers = [...state.linkedPeers];
   const peer = peers[before.asked % Math.max(1, peers.length)];
   const isAsking = !isWatching || state.config.revision === 0;
   const configMesh = {
     isWatching,
+    isExecutorCandidate: isExecutorCandidate(name, zones),
     askAt: at + askEveryMs,
     asked: before.asked + 1,
-    zones,
   };
   const asks = isAsking && peer !== undefined ? [ask(state, peer)] : [];
   const commands = [...watchCommands(before, configMesh), ...asks];
--- a/packages/router/src/drivers/timelineDriver.ts
+++ b/packages/router/src/drivers/timelineDriver.ts
@@ -23,7 +23,7 @@
 
   const isLeftOut = (command: RouterCommand): boolean =>
     command.type === "deliver" &&
-    !deliveries.isFirst(command.requestId, command.attempt);
+    !deliveries.isFirst(command.requestId, command.source.attempt);
 
   const perform = (command: RouterCommand) => {
     if (isLeftOut(command)) return;
--- a/packages/router/src/errors.ts
+++ b/packages/router/src/errors.ts
@@ -12,11 +12,14 @@
   KeyConflict = "keyConflict",
   KeyMissing = "keyMissing",
   Overloaded = "overloaded",
+  Starting = "starting",
   Draining = "draining",
   NoCapacity = "noCapacity",
   DeadlineExceeded = "deadlineExceeded",
   StoreUnavailable = "storeUnavailable",
   OutcomeUnknown = "outcomeUnknown",
+  /** The answer can go on only from a prefix that the caller has not sent. */
+  PrefixNeeded = "prefixNeeded",
   Internal = "internal",
 }
 
@@ -38,11 +41,13 @@
   [ErrorType.KeyConflict]: 422,
   [ErrorType.KeyMissing]: 400,
   [ErrorType.Overloaded]: 429,
+  [ErrorType.Starting]: 503,
   [ErrorType.Draining]: 503,
   [ErrorType.NoCapacity]: 503,
   [ErrorType.DeadlineExceeded]: 504,
   [ErrorType.StoreUnavailable]: 503,
   [ErrorType.OutcomeUnknown]: 502,
+  [ErrorType.PrefixNeeded]: 409,
   [ErrorType.Internal]: 500,
 };
 
