--- a/packages/decisions/src/limits/limits.test.ts
+++ b/packages/decisions/src/limits/limits.test.ts
@@ -99,6 +99,14 @@
   assert.ok(total(fleet) <= limits.concurrent + 6, String(total(fleet)));
 });
 
+test("routers that all want the whole limit before any news stay within it", () => {
+  const fleet = createFleet(3);
+  exchange(fleet);
+  fill(fleet, [300, 300, 300], 3);
+  fill(fleet, [300, 300, 300], 3);
+  assert.ok(total(fleet) <= limits.concurrent + 3, String(total(fleet)));
+});
+
 test("a router that heard nobody takes its equal part only", () => {
   const router = createLimits();
   useOf(router, "c").waiting = 80;
--- a/packages/decisions/src/limits/shareOf.ts
+++ b/packages/decisions/src/limits/shareOf.ts
@@ -20,7 +20,8 @@
 export const shareOf = (parts: ShareParts): number => {
   const { limit, routers, ownUse, ownDemand, othersUse, othersDemand } = parts;
   const demand = ownDemand + othersDemand;
-  if (demand > limit) return (limit * ownDemand) / demand;
   const left = Math.max(0, limit - ownUse - othersUse);
-  return ownUse + left / Math.max(1, routers);
+  const grown = ownUse + left / Math.max(1, routers);
+  // News of others' demand may be missing yet, so growth is bounded here too.
+  return demand > limit ? Math.min(grown, (limit * ownDemand) / demand) : grown;
 };
