--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -345,10 +345,10 @@
         ledger: this.options.ledger as Settings["ledger"],
       }),
       log: { level: LogLevel.Info },
-      ...this.options.settings,
       routing: {
         strategy: this.options.strategy ?? RoutingStrategyName.Balanced,
       },
+      ...this.options.settings,
     };
   }
 }
