Sign cursors in two parts; tell returning callers that their answer ran

The part that stays the same is now encoded and signed once an attempt, the digest mixes numbers.

A returning caller that was refused was told that its answer had not run, and could be refused for want of room; it now goes on before new work.

--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -15,6 +15,7 @@
 import { routing } from "./routing.js";
 import { smoke } from "./smoke.js";
 import { versions } from "./versions.js";
+import { forwarding } from "./forwarding.js";
 import { leases } from "./leases.js";
 import { ledger } from "./ledger.js";
 import { storeDown } from "./storeDown.js";
@@ -24,6 +25,7 @@
   smoke,
   recovery,
   massLoss,
+  forwarding,
   routerDeath,
   checker,
   faults,
--- a/bench/src/harness/processes.ts
+++ b/bench/src/harness/processes.ts
@@ -17,20 +17,21 @@
   readonly exited: Promise<number | null>;
 }
 
-/** What to start. */
-export interface ProcessOptions {
-  readonly name: string;
-  readonly script: "stand-in" | "cardamomglade";
-  readonly args: readonly string[];
-}
-
 const scripts = {
   "stand-in": fileURLToPath(
     import.meta.resolve("@cardamomglade/stand-ins/main"),
   ),
+  "byte-pipe": fileURLToPath(new URL("../bytePipe.js", import.meta.url)),
   cardamomglade: fileURLToPath(import.meta.resolve("cardamomglade/main")),
 };
 
+/** What to start. */
+export interface ProcessOptions {
+  readonly name: string;
+  readonly script: keyof typeof scripts;
+  readonly args: readonly string[];
+}
+
 const startTimeoutMs = 10_000;
 const pollMs = 10;
 
--- a/packages/router/src/actions/admission.ts
+++ b/packages/router/src/actions/admission.ts
@@ -98,7 +98,12 @@
   { request, deployment }: WaitingGeneration,
   at: Moment,
 ): RouterStep | undefined => {
-  const { requestId, customer } = request;
+  const { requestId, customer, returnPoint } = request;
+  // Part of its answer is delivered: it goes on before any new work.
+  if (returnPoint !== undefined) {
+    countStart(state, request);
+    return undefined;
+  }
   const asked = requestOf(state, request, deployment);
   const verdict = admit(state.admission, asked, capacityOf(state, at), at);
   switch (verdict.type) {
--- a/packages/router/src/actions/generationArrived.ts
+++ b/packages/router/src/actions/generationArrived.ts
@@ -8,7 +8,7 @@
   type StreamState,
 } from "@cardamomglade/decisions";
 import { TimelineTopic, type Deployment } from "@cardamomglade/schema";
-import { ErrorType, notRun, type ApiError } from "../errors.js";
+import { ErrorType, type ApiError } from "../errors.js";
 import type { GenerationRequest, RouterState, StreamEntry } from "../types.js";
 import { admitGeneration, type StartGeneration } from "./admission.js";
 import { dropStream, startStream } from "./stepStream.js";
@@ -45,36 +45,32 @@
     : createStream(returned);
 };
 
+// A returning caller holds tokens of an answer that ran elsewhere.
 const refuse = (
   state: RouterState,
-  requestId: string,
-  error: ApiError,
-): RouterStep => ({
-  state,
-  commands: [{ type: "failAnswer", requestId, error }],
-});
+  { requestId, returnPoint }: GenerationRequest,
+  type: ErrorType,
+  message: string,
+): RouterStep => {
+  const ran = returnPoint === undefined ? Ran.No : Ran.Yes;
+  const error: ApiError = { type, message, ran };
+  return { state, commands: [{ type: "failAnswer", requestId, error }] };
+};
 
 /** Starts a stream, lets it wait, or refuses without touching an upstream. */
 export const generationArrived: Action<"generationArrived"> = (
   state,
   { request, at },
 ) => {
-  const { requestId, model, customer } = request;
+  const { model, customer } = request;
   if (state.draining) {
-    const ran = request.returnPoint === undefined ? Ran.No : Ran.Yes;
     const message = "this router is draining";
-    return refuse(state, requestId, { type: ErrorType.Draining, message, ran });
+    return refuse(state, request, ErrorType.Draining, message);
   }
   const deployment = deploymentFor(state, request);
   if (deployment === undefined) {
-    return refuse(
-      state,
-      requestId,
-      notRun(
-        ErrorType.NotFound,
-        `model "${model}" does not serve customer "${customer}"`,
-      ),
-    );
+    const message = `model "${model}" does not serve customer "${customer}"`;
+    return refuse(state, request, ErrorType.NotFound, message);
   }
   const generation = { request, deployment };
   const isReturned = request.returnPoint !== undefined;
--- a/packages/router/src/callers/checkReturn.test.ts
+++ b/packages/router/src/callers/checkReturn.test.ts
@@ -9,7 +9,13 @@
   digestRequest,
   type ReturnOptions,
 } from "./checkReturn.js";
-import { emptyDigest, extendTokenDigest, formatCursor } from "./cursor.js";
+import {
+  createCursorHead,
+  cursorKeyOf,
+  emptyDigest,
+  extendTokenDigest,
+  formatCursor,
+} from "./cursor.js";
 
 const cursorKey = "cursor-key-of-the-test";
 const prefixTokenIds = [7, 2, 3, 9];
@@ -53,7 +59,9 @@
   offset: prefixTokenIds.length,
   digest: extendTokenDigest(emptyDigest, prefixTokenIds),
 };
-const eventId = formatCursor(cursorKey, cursor);
+const key = cursorKeyOf(cursorKey);
+const head = createCursorHead(key, cursor);
+const eventId = formatCursor(key, head, cursor.offset, cursor.digest);
 const options: ReturnOptions = {
   cursorKey,
   eventId,
@@ -92,6 +100,21 @@
   );
 });
 
+test("digests of different token sequences differ (seed 4)", () => {
+  const ids = fc.array(fc.nat(200_000), { maxLength: 20 });
+  const digestOf = (of: readonly number[]) =>
+    extendTokenDigest(emptyDigest, of);
+  fc.assert(
+    fc.property(ids, ids, (one, other) => {
+      fc.pre(one.join() !== other.join());
+      assert.notEqual(digestOf(one), digestOf(other));
+    }),
+    { seed: 4, numRuns: 2000 },
+  );
+  const split = extendTokenDigest(digestOf([5, 6]), [7]);
+  assert.equal(split, digestOf([5, 6, 7]));
+});
+
 test("a cursor of another fleet or customer is forbidden", () => {
   const foreignKey = refusal({ cursorKey: "cursor-key-of-another" });
   assert.equal(foreignKey.type, ErrorType.Forbidden);
--- a/packages/router/src/callers/checkReturn.ts
+++ b/packages/router/src/callers/checkReturn.ts
@@ -15,6 +15,7 @@
   CursorFault,
   emptyDigest,
   extendTokenDigest,
+  cursorKeyOf,
   parseCursor,
   type Cursor,
 } from "./cursor.js";
@@ -71,7 +72,7 @@
   options: ReturnOptions,
 ): Result<CheckedReturn, ApiError> => {
   const { cursorKey, eventId, customer, parsed, firstAttempt } = options;
-  const read = parseCursor(cursorKey, eventId);
+  const read = parseCursor(cursorKeyOf(cursorKey), eventId);
   if (read.type === "err") {
     const type =
       read.error === CursorFault.Forged
--- a/packages/router/src/callers/createCursorSource.ts
+++ b/packages/router/src/callers/createCursorSource.ts
@@ -1,17 +1,37 @@
 /** Event ids of one answer. */
 
 import type { AnswerSource } from "../types.js";
-import { extendTokenDigest, formatCursor, type Cursor } from "./cursor.js";
+import {
+  createCursorHead,
+  cursorKeyOf,
+  extendTokenDigest,
+  formatCursor,
+  type Cursor,
+  type CursorHead,
+} from "./cursor.js";
 
 /** What is the same in every cursor of an answer, and where it starts. */
 export type CursorStart = Omit<Cursor, keyof AnswerSource>;
 
 /** Advances over delivered tokens and signs a cursor for each event. */
-export const createCursorSource = (key: string, start: CursorStart) => {
+export const createCursorSource = (secret: string, start: CursorStart) => {
+  const key = cursorKeyOf(secret);
   let { offset, digest } = start;
+  let current: AnswerSource | undefined;
+  let head: CursorHead | undefined;
+
+  const headOf = (source: AnswerSource): CursorHead => {
+    const isSame =
+      current?.attempt === source.attempt && current.backEnd === source.backEnd;
+    if (head !== undefined && isSame) return head;
+    current = source;
+    head = createCursorHead(key, { ...start, ...source });
+    return head;
+  };
+
   return (source: AnswerSource, tokenIds: readonly number[]): string => {
     offset += tokenIds.length;
     digest = extendTokenDigest(digest, tokenIds);
-    return formatCursor(key, { ...start, ...source, offset, digest });
+    return formatCursor(key, headOf(source), offset, digest);
   };
 };
--- a/packages/router/src/callers/cursor.ts
+++ b/packages/router/src/callers/cursor.ts
@@ -1,13 +1,12 @@
 /** Signed cursors: where a caller stands in an answer. */
 
-import { createHmac, timingSafeEqual } from "node:crypto";
 import {
-  err,
-  hash64,
-  ok,
-  type Moment,
-  type Result,
-} from "@cardamomglade/common";
+  createHmac,
+  createSecretKey,
+  timingSafeEqual,
+  type KeyObject,
+} from "node:crypto";
+import { err, ok, type Moment, type Result } from "@cardamomglade/common";
 
 /** What a cursor says; it is signed as a whole. */
 export interface Cursor {
@@ -32,10 +31,11 @@
   Forged = "forged",
 }
 
-const signatureBytes = 18;
-const format = 1;
+const signatureChars = 24;
+const format = 2;
+const laneRadix = 36;
 
-type Fields = readonly [
+type HeadFields = readonly [
   number,
   string,
   string,
@@ -45,32 +45,55 @@
   number,
   number,
   string,
-  number,
-  string,
 ];
 
 /** Digest of an answer before its first token. */
-export const emptyDigest = "";
+export const emptyDigest = "0-0";
+
+const mixLane = (lane: number, id: number): number => {
+  const mixed = Math.imul(lane ^ id, 0x85ebca6b);
+  return Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35) ^ (mixed >>> 16);
+};
 
 /** Digest of delivered tokens, extended by more. */
 export const extendTokenDigest = (
   digest: string,
   tokenIds: readonly number[],
 ): string => {
-  let extended = digest;
-  for (const id of tokenIds) extended = hash64(`${extended}.${String(id)}`);
-  return extended;
+  const lanes = digest.split("-").map((lane) => parseInt(lane, laneRadix));
+  let [low = 0, high = 0] = lanes;
+  for (const id of tokenIds) {
+    low = mixLane(low + 1, id);
+    high = mixLane(high ^ low, id + 1);
+  }
+  return [low, high].map((lane) => (lane >>> 0).toString(laneRadix)).join("-");
 };
 
-const signatureOf = (key: string, payload: string): Buffer =>
+const sign = (key: KeyObject, text: string): string =>
   createHmac("sha256", key)
-    .update(payload)
-    .digest()
-    .subarray(0, signatureBytes);
+    .update(text)
+    .digest("base64url")
+    .slice(0, signatureChars);
+
+/** Key that signs cursors. */
+export const cursorKeyOf = (secret: string): KeyObject =>
+  createSecretKey(Buffer.from(secret));
 
-/** The cursor as an event id. */
-export const formatCursor = (key: string, cursor: Cursor): string => {
-  const fields: Fields = [
+/** The part of an answer's cursors that stays the same, with its signature. */
+export interface CursorHead {
+  readonly text: string;
+  readonly signature: string;
+}
+
+/** What a head says. */
+export type CursorHeadFields = Omit<Cursor, "offset" | "digest">;
+
+/** Signs what stays the same, once for many cursors. */
+export const createCursorHead = (
+  key: KeyObject,
+  cursor: CursorHeadFields,
+): CursorHead => {
+  const fields: HeadFields = [
     format,
     cursor.requestId,
     cursor.customer,
@@ -80,40 +103,58 @@
     Math.ceil(cursor.deadline),
     cursor.attempt,
     cursor.backEnd,
-    cursor.offset,
-    cursor.digest,
   ];
-  const payload = Buffer.from(JSON.stringify(fields)).toString("base64url");
-  return `${payload}.${signatureOf(key, payload).toString("base64url")}`;
+  const text = Buffer.from(JSON.stringify(fields)).toString("base64url");
+  return { text, signature: sign(key, text) };
 };
 
-const parseFields = (payload: string): Fields | undefined => {
-  const text = Buffer.from(payload, "base64url").toString("utf8");
-  const fields = JSON.parse(text) as Fields;
+const signatureOf = (
+  key: KeyObject,
+  { signature }: CursorHead,
+  tail: string,
+): string => sign(key, `${signature}.${tail}`);
+
+/** The cursor as an event id: head, place and signature of both. */
+export const formatCursor = (
+  key: KeyObject,
+  head: CursorHead,
+  offset: number,
+  digest: string,
+): string => {
+  const tail = `${String(offset)}.${digest}`;
+  return `${head.text}.${tail}.${signatureOf(key, head, tail)}`;
+};
+
+const parseHead = (text: string): HeadFields | undefined => {
+  const json = Buffer.from(text, "base64url").toString("utf8");
+  const fields = JSON.parse(json) as HeadFields;
   return fields[0] === format ? fields : undefined;
 };
 
+const isSame = (given: string, expected: string): boolean =>
+  given.length === expected.length &&
+  timingSafeEqual(Buffer.from(given), Buffer.from(expected));
+
 /** The cursor of an event id, if this fleet signed it. */
 export const parseCursor = (
-  key: string,
+  key: KeyObject,
   text: string,
 ): Result<Cursor, CursorFault> => {
-  const [payload, signature, ...rest] = text.split(".");
-  if (payload === undefined || signature === undefined || rest.length > 0)
+  const [head, place, digest, signature, ...rest] = text.split(".");
+  if (head === undefined || place === undefined || rest.length > 0)
+    return err(CursorFault.Malformed);
+  if (digest === undefined || signature === undefined)
     return err(CursorFault.Malformed);
-  const given = Buffer.from(signature, "base64url");
-  const expected = signatureOf(key, payload);
-  if (given.length !== expected.length || !timingSafeEqual(given, expected))
-    return err(CursorFault.Forged);
-  const fields = parseFields(payload);
+  const signed = { text: head, signature: sign(key, head) };
+  const expected = signatureOf(key, signed, `${place}.${digest}`);
+  if (!isSame(signature, expected)) return err(CursorFault.Forged);
+  const fields = parseHead(head);
   if (fields === undefined) return err(CursorFault.Malformed);
   const [, requestId, customer, deployment, version, request] = fields;
-  const [deadline, attempt, backEnd, offset, digest] = fields.slice(6) as [
+  const [deadline, attempt, backEnd] = fields.slice(6) as [
     number,
     number,
     string,
-    number,
-    string,
   ];
   return ok({
     requestId,
@@ -124,7 +165,7 @@
     deadline,
     attempt,
     backEnd,
-    offset,
+    offset: Number(place),
     digest,
   });
 };
