--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -17,6 +17,7 @@
 import { explain, history, status } from "./commands/status.js";
 import { timeline, type TimelineFlags } from "./commands/timeline.js";
 
+const usageExitCode = 2;
 const cli = cac("cardamomglade");
 
 const exitWith = async (code: Promise<number>): Promise<void> => {
@@ -94,6 +95,10 @@
 ).action((subject: string, flags: AdministrationFlags) =>
   exitWith(explain(subject, flags)),
 );
+cli.addEventListener("command:*", () => {
+  console.error(`unknown command "${cli.args.join(" ")}"; see --help`);
+  process.exitCode = usageExitCode;
+});
 cli.help();
 cli.version("0.1.0");
 cli.parse();
