--- a/bench/src/experiments/config.ts
+++ b/bench/src/experiments/config.ts
@@ -10,6 +10,7 @@
   readEvents,
 } from "../harness/administration.js";
 import { Fleet, orderFault, readLedger } from "../harness/fleet.js";
+import { percentile } from "../harness/streamLoad.js";
 import type { Experiment, Row } from "../types.js";
 
 const routers = 8;
@@ -30,9 +31,6 @@
   readonly calls: Readonly<Record<string, number>>;
 }
 
-const percentile = (sorted: readonly number[], share: number): number =>
-  sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
-
 const withWeight = (intent: Intent, weight: number): Intent => ({
   ...intent,
   customers: intent.customers.map((customer) => ({ ...customer, weight })),
