--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,10 @@
 // What each folder may import of the workspace.
 const allowedImports = {
   "packages/common": [],
+  "packages/observe": ["common"],
   "packages/schema": ["common"],
+  "packages/relay": ["common", "observe"],
+  platform: ["common", "observe", "platform", "relay"],
   "packages/decisions": ["common", "schema"],
   "packages/platform": ["common", "schema"],
   "packages/upstream": ["common", "schema"],
@@ -16,6 +19,7 @@
     "common",
     "schema",
     "decisions",
+    "observe",
     "platform",
     "upstream",
     "peers",
@@ -26,8 +30,10 @@
 
 const workspacePackages = [
   "common",
+  "observe",
   "schema",
   "decisions",
+  "relay",
   "platform",
   "upstream",
   "peers",
@@ -57,7 +63,7 @@
 
 // The system's clock can be stepped; the monotonic one of `common` cannot.
 const monotonicTime = {
-  files: ["packages/*/src/**/*.ts"],
+  files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
   rules: {
     "no-restricted-properties": [
       "error",
@@ -68,7 +74,10 @@
 
 // Decisions take time and random numbers from their events and state.
 const pureDecisions = {
-  files: ["packages/decisions/src/**/*.ts"],
+  files: [
+    "packages/decisions/src/**/*.ts",
+    "packages/relay/src/decisions/**/*.ts",
+  ],
   ignores: ["**/*.test.ts"],
   rules: {
     "no-restricted-properties": [
@@ -98,6 +107,7 @@
       "**/node_modules/**",
       "**/generated/**",
       "**/results/**",
+      "target/**",
     ],
   },
   js.configs.recommended,
--- /dev/null
+++ b/packages/observe/src/metrics.ts
@@ -0,0 +1,67 @@
+/** Counters and latency histograms in Prometheus text. */
+
+import { build, type Histogram } from "hdr-histogram-js";
+
+const quantiles = [0.5, 0.95, 0.99, 1];
+const highestUs = 3_600_000_000;
+const usPerMs = 1000;
+const usPerSecond = 1_000_000;
+
+/** The metrics of one process; counters and latencies are named by the user's enums. */
+export class Metrics<Counter extends string, Latency extends string> {
+  private readonly counters = new Map<Counter, number>();
+  private readonly histograms = new Map<Latency, Histogram>();
+
+  private constructor() {
+    // Created by `create`.
+  }
+
+  static create<Counter extends string, Latency extends string>(): Metrics<
+    Counter,
+    Latency
+  > {
+    return new Metrics();
+  }
+
+  count(counter: Counter, by = 1): void {
+    this.counters.set(counter, (this.counters.get(counter) ?? 0) + by);
+  }
+
+  observe(latency: Latency, ms: number): void {
+    this.histogram(latency).recordValue(
+      Math.min(highestUs, Math.max(0, Math.round(ms * usPerMs))),
+    );
+  }
+
+  /** Prometheus text; `gauges` are added as they are. */
+  render(gauges: Readonly<Record<string, number>>): string {
+    const lines: string[] = [];
+    for (const [name, value] of this.counters)
+      lines.push(`cardamomglade_${name} ${String(value)}`);
+    for (const [name, value] of Object.entries(gauges))
+      lines.push(`cardamomglade_${name} ${String(value)}`);
+    for (const [name, histogram] of this.histograms)
+      lines.push(...renderHistogram(name, histogram));
+    return `${lines.join("\n")}\n`;
+  }
+
+  private histogram(latency: Latency): Histogram {
+    const known = this.histograms.get(latency);
+    if (known !== undefined) return known;
+    const created = build({
+      highestTrackableValue: highestUs,
+      numberOfSignificantValueDigits: 2,
+    });
+    this.histograms.set(latency, created);
+    return created;
+  }
+}
+
+const renderHistogram = (name: string, histogram: Histogram): string[] => {
+  const full = `cardamomglade_${name}`;
+  const rows = quantiles.map((quantile) => {
+    const value = histogram.getValueAtPercentile(quantile * 100) / usPerSecond;
+    return `${full}{quantile="${String(quantile)}"} ${String(value)}`;
+  });
+  return [...rows, `${full}_count ${String(histogram.totalCount)}`];
+};
--- a/packages/platform/src/mirrorPrefix.ts
+++ b/packages/platform/src/mirrorPrefix.ts
@@ -14,16 +14,24 @@
   readonly prefix: string;
   readonly callTimeoutMs: number;
   readonly resyncMs: number;
+  /** Longest pause between tries while the service does not answer. */
+  readonly longestPauseMs?: number;
 }
 
-const retry = { baseMs: 100, maxMs: 2000 };
+const retryBaseMs = 100;
+const defaultLongestPauseMs = 2000;
 
 /** Reports all entries after each change; the handle ends it. */
 export const mirrorPrefix = (
-  keyValue: KeyValue,
-  { prefix, callTimeoutMs, resyncMs }: MirrorOptions,
+  keyValue: Pick<KeyValue, "range" | "watch">,
+  options: MirrorOptions,
   onEntries: (entries: readonly KeyValueEntry[]) => void,
 ): WatchHandle => {
+  const { prefix, callTimeoutMs, resyncMs } = options;
+  const retry = {
+    baseMs: retryBaseMs,
+    maxMs: options.longestPauseMs ?? defaultLongestPauseMs,
+  };
   const entries = new Map<string, KeyValueEntry>();
   let revision = 0;
   let failures = 0;
--- /dev/null
+++ b/packages/relay/src/createRelay.ts
@@ -0,0 +1,119 @@
+/** The relay process: drivers around the decisions. */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  createChannel,
+  now,
+  runProcess,
+  type Driver,
+  type Moment,
+} from "@cardamomglade/common";
+import { Severity, type Log } from "@cardamomglade/observe";
+import {
+  createRelayState,
+  decideRelay,
+  isReady,
+  type RelayStateOptions,
+} from "./decisions/decideRelay.js";
+import type {
+  DecisionContext,
+  RelayCommand,
+  RelayEvent,
+} from "./decisions/types.js";
+import { createFrontDriver } from "./drivers/frontDriver.js";
+import { createLogDriver } from "./drivers/logDriver.js";
+import { createReplicaDriver } from "./drivers/replicaDriver.js";
+import { createTextServer } from "./drivers/textServer.js";
+import { createTickDriver } from "./drivers/tickDriver.js";
+import type { ListenAddress } from "./drivers/types.js";
+import { createRelayMetrics } from "./metrics.js";
+import type { ReplicaProtocol } from "./types.js";
+
+/** What a relay needs. */
+export interface RelayOptions {
+  readonly front: ListenAddress;
+  readonly readiness: ListenAddress;
+  readonly metrics: ListenAddress;
+  readonly protocol: ReplicaProtocol;
+  readonly state: RelayStateOptions;
+  readonly log: Log<DecisionContext>;
+  /** Drivers of the platform, which tell configuration and replicas. */
+  readonly platform: readonly Driver<RelayEvent, RelayCommand>[];
+  /** Gauges of the platform's clients, for the metrics. */
+  readonly gauges: () => Readonly<Record<string, number>>;
+}
+
+/** A running relay. */
+export interface Relay {
+  /** Stops without cutting off anybody who ends by the deadline. */
+  drain(deadline: Moment): Promise<void>;
+}
+
+// Readiness is asked each second; two misses take a process out, and callers that come until then are served.
+const noticeMs = 2500;
+const drainPollMs = 50;
+
+/** Starts a relay. */
+export const createRelay = (options: RelayOptions): Relay => {
+  const { log, protocol } = options;
+  const metrics = createRelayMetrics();
+  const front = createFrontDriver({
+    listen: options.front,
+    names: protocol.headers,
+    metrics,
+  });
+  const orders = createChannel<RelayEvent>();
+  const running = runProcess({
+    decide: decideRelay,
+    state: createRelayState(options.state),
+    drivers: [
+      front,
+      createReplicaDriver(protocol, metrics),
+      createTickDriver(),
+      createLogDriver(log),
+      ...options.platform,
+      {
+        events: orders.stream,
+        perform: () => undefined,
+        stop: () => Promise.resolve(),
+      },
+    ],
+    onFailure: ({ type, error }) => {
+      const detail = error instanceof Error ? error.stack : String(error);
+      log(Severity.Error, "a decision or command failed", { type, detail });
+    },
+  });
+
+  createTextServer(options.readiness, () =>
+    isReady(running.state())
+      ? { status: 200, text: "ready\n" }
+      : { status: 503, text: "not ready\n" },
+  );
+  createTextServer(options.metrics, () => {
+    const { exchanges, replicas, config } = running.state();
+    const text = metrics.render({
+      requests_under_way: exchanges.size,
+      replicas_known: replicas.size,
+      configuration_version: config?.version ?? 0,
+      ...options.gauges(),
+    });
+    return { status: 200, text };
+  });
+
+  return {
+    drain: async (deadline) => {
+      const noticeEnds = now() + noticeMs;
+      orders.push({ type: "drainStarted", at: now() });
+      front.beginDrain();
+      while (now() < deadline) {
+        const isIdle = running.state().exchanges.size === 0;
+        if (now() >= noticeEnds) {
+          front.closeIdle();
+          if (isIdle) break;
+        }
+        await sleep(drainPollMs);
+      }
+      await running.stop();
+    },
+  };
+};
--- /dev/null
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -0,0 +1,149 @@
+/** What replicas answer to attempts, and how attempts are lost. */
+
+import { assertNever } from "@cardamomglade/common";
+import { Severity } from "@cardamomglade/observe";
+import { RequestKind, type Replica } from "../types.js";
+import { closeAttempt, completeExchange } from "./endExchange.js";
+import { noteAnswer, noteHeard, noteLoss } from "./replicaViews.js";
+import { sendAgain } from "./sendAttempt.js";
+import {
+  AttemptFailure,
+  type Attempt,
+  type Exchange,
+  type RelayCommand,
+  type RelayEventOf,
+  type RelayState,
+  type WholeAnswer,
+} from "./types.js";
+
+interface Found {
+  readonly exchange: Exchange;
+  readonly attempt: Attempt;
+}
+
+/** The exchange of an event, if the event is of its attempt under way. */
+export const findAttempt = (
+  state: RelayState,
+  { key, attempt: number }: { readonly key: string; readonly attempt: number },
+): Found | undefined => {
+  const exchange = state.exchanges.get(key);
+  const attempt = exchange?.attempt;
+  if (exchange === undefined || attempt?.number !== number) return undefined;
+  return { exchange, attempt };
+};
+
+/** The log line of a lost attempt. */
+const lossLine = (
+  { request, lastEventId }: Exchange,
+  { number, replica, sentAt, heardAt }: Attempt,
+  at: number,
+  reason: string,
+): RelayCommand => ({
+  type: "log",
+  severity: Severity.Info,
+  message: "attempt lost",
+  context: {
+    requestId: request.requestId,
+    attempt: number,
+    replica: replica.id,
+    zone: replica.zone,
+    afterEvent: lastEventId,
+    runningMs: Math.round(at - sentAt),
+    silentMs: Math.round(at - heardAt),
+    reason,
+  },
+});
+
+/** Whether an attempt's copy may be used after its loss; a refused copy is none. */
+const copyAfter = (attempt: Attempt, exchange: Exchange): Replica | undefined =>
+  attempt.copyTo ?? exchange.copyHolder;
+
+/** Goes on elsewhere after the attempt under way was lost. */
+export const loseAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  reason: string,
+): RelayCommand[] => {
+  exchange.copyHolder = copyAfter(attempt, exchange);
+  const line = lossLine(exchange, attempt, state.at, reason);
+  closeAttempt(state, exchange);
+  return [line, ...sendAgain(state, exchange, reason)];
+};
+
+/** An attempt ended without an answer. */
+export const attemptFailed = (
+  state: RelayState,
+  event: RelayEventOf<"attemptFailed">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  const { exchange, attempt } = found;
+  const { failure, detail, at } = event;
+  switch (failure) {
+    case AttemptFailure.NotSent:
+      noteLoss(state, attempt.replica, at);
+      if (exchange.attempts === 1) exchange.mayHaveRun = false;
+      exchange.attempts -= 1;
+      break;
+    case AttemptFailure.Broken:
+      noteLoss(state, attempt.replica, at);
+      break;
+    case AttemptFailure.Malformed:
+      noteAnswer(state, attempt.replica.id, true);
+      break;
+    default:
+      return assertNever(failure);
+  }
+  return loseAttempt(state, exchange, attempt, `${failure}: ${detail}`);
+};
+
+const isFailedRun = ({ head }: WholeAnswer): boolean => head.status >= 500;
+
+const mayTryElsewhere = ({ route, attempts }: Exchange): boolean => {
+  if (attempts >= route.maxAttempts) return false;
+  return route.kind === RequestKind.Idempotent || route.canResume;
+};
+
+/** A replica gave a whole answer. */
+export const answered = (
+  state: RelayState,
+  event: RelayEventOf<"answered">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  const { exchange, attempt } = found;
+  const { answer, at, key } = event;
+  const { status, isNotRun } = answer.head;
+  noteHeard(state, attempt.replica.id, at);
+  if (isNotRun) {
+    if (attempt.start.type === "copy") exchange.copyHolder = undefined;
+    if (exchange.attempts === 1) exchange.mayHaveRun = false;
+    const line = lossLine(
+      exchange,
+      attempt,
+      at,
+      `not run, status ${String(status)}`,
+    );
+    closeAttempt(state, exchange);
+    return [line, ...sendAgain(state, exchange, "the replica refused")];
+  }
+  const isFailure = isFailedRun(answer);
+  noteAnswer(state, attempt.replica.id, isFailure);
+  const hasBegun = exchange.head !== undefined;
+  if (isFailure && (hasBegun || mayTryElsewhere(exchange))) {
+    exchange.failedAnswer = hasBegun ? undefined : answer;
+    return loseAttempt(
+      state,
+      exchange,
+      attempt,
+      `failed, status ${String(status)}`,
+    );
+  }
+  if (hasBegun)
+    return loseAttempt(state, exchange, attempt, "an answer without events");
+  return [
+    { type: "deliverAnswer", key, answer },
+    completeExchange(state, exchange, status),
+  ];
+};
--- /dev/null
+++ b/packages/relay/src/decisions/constants.ts
@@ -0,0 +1,76 @@
+/** Times, limits and weights of the relay's decisions. */
+
+/** Time between two ticks. */
+export const tickMs = 25;
+
+/** A tick this late means that the process itself stood still. */
+export const stallMs = 200;
+
+/** Silence of an engine after which it is probed: longer than one event takes beside a prompt. */
+export const probeAfterMs = 260;
+
+/** Time in which a living replica answers a probe, a round trip between zones included. */
+export const probeTimeoutMs = 150;
+
+/** How long a replica is avoided after a loss: about the time of a restart. */
+export const suspicionMs = 1300;
+
+/** Losses within this time at one zone are taken as one event. */
+export const jointLossMs = 400;
+
+/** Losses of different replicas that put their whole zone in doubt. */
+export const jointLosses = 2;
+
+/** Silence of one stream at an engine that answers: its connection is then taken as dead. */
+export const deadConnectionMs = 1500;
+
+/** Events that an engine made and that did not arrive, after which a connection is taken as dead. */
+export const eventsBehind = 3;
+
+/** Silence of a stream before its engine's event count is believed over the connection. */
+export const behindAfterMs = 450;
+
+/** A repeatable request waits this many times its target latency before it is sent elsewhere. */
+export const patienceInTargets = 2;
+
+/** Shortest wait before a repeatable request is sent elsewhere. */
+export const leastPatienceMs = 300;
+
+/** Time after a replica's leaving is seen at which streams move off it, as a share of the drain timeout. */
+export const moveAfterDrainShare = 0.4;
+
+/** Weight of the newest answer in a replica's share of failures. */
+export const failureWeight = 1 / 8;
+
+/** Routers assumed to share the extra repeats, as long as their number is not known. */
+export const routersAssumed = 16;
+
+/** Cost of a prompt being read at an engine, in prompts. */
+export const readingCost = 1;
+
+/** Cost of a stream that runs at an engine, in prompts. */
+export const runningCost = 0.3;
+
+/** Cost of another zone, in prompts. */
+export const engineZoneCost = 0.15;
+
+/** Cost of a request in flight at a plain replica, as a share of its slots. */
+export const slotCost = 1;
+
+/** Cost of another zone for a plain request, as a share of a replica's slots. */
+export const plainZoneCost = 0.12;
+
+/** Cost of a share of failures of 1, as a share of a replica's slots. */
+export const failureCost = 3;
+
+/** Width of the random part of a cost, so that routers with the same news differ. */
+export const randomCost = 0.1;
+
+/** Shortest and longest pause that a refused caller is told to make. */
+export const retryAfterMs = { least: 100, most: 400 };
+
+/** Pause told to callers while this process does not know its configuration. */
+export const unknownRetryAfterMs = { least: 300, most: 900 };
+
+/** Time after the store's return in which living replicas register again. */
+export const registrationMs = 2200;
--- /dev/null
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -0,0 +1,114 @@
+/** The relay's fold: events into state and commands. */
+
+import { assertNever, seedGenerator, type Step } from "@cardamomglade/common";
+import { Severity } from "@cardamomglade/observe";
+import { answered, attemptFailed } from "./attemptEvents.js";
+import { callerLeft } from "./callerLeft.js";
+import { probed } from "./probes.js";
+import { requestArrived } from "./requestArrived.js";
+import { eventsArrived, streamBegan, streamEnded } from "./streamEvents.js";
+import { timePassed } from "./timePassed.js";
+import type {
+  RelayCommand,
+  RelayEvent,
+  RelayState,
+  RepeatLimits,
+} from "./types.js";
+import {
+  configRead,
+  replicasRead,
+  storeAnswered,
+  storeFailed,
+} from "./worldChanged.js";
+
+/** What a relay starts with. */
+export interface RelayStateOptions {
+  readonly zone: string;
+  readonly seed: number;
+  readonly repeatLimits: RepeatLimits;
+  /** Time that a leaving replica goes on serving. */
+  readonly drainTimeoutMs: number;
+}
+
+/** A relay that knows nothing yet. */
+export const createRelayState = (options: RelayStateOptions): RelayState => ({
+  zone: options.zone,
+  at: 0,
+  tickedAt: 0,
+  generator: seedGenerator(options.seed),
+  config: undefined,
+  routes: undefined,
+  configAt: 0,
+  hasReplicas: false,
+  replicas: new Map(),
+  vanished: new Map(),
+  exchanges: new Map(),
+  repeats: new Map(),
+  repeatLimits: options.repeatLimits,
+  drainTimeoutMs: options.drainTimeoutMs,
+  store: { type: "unknown" },
+  isDraining: false,
+});
+
+const drainStarted = (state: RelayState): RelayCommand[] => {
+  state.isDraining = true;
+  return [
+    {
+      type: "log",
+      severity: Severity.Info,
+      message: "stopping: no longer ready",
+      context: { underWay: state.exchanges.size },
+    },
+  ];
+};
+
+const commandsOf = (state: RelayState, event: RelayEvent): RelayCommand[] => {
+  switch (event.type) {
+    case "configRead":
+      return configRead(state, event);
+    case "replicasRead":
+      return replicasRead(state, event);
+    case "storeAnswered":
+      return storeAnswered(state, event);
+    case "storeFailed":
+      return storeFailed(state, event);
+    case "requestArrived":
+      return requestArrived(state, event);
+    case "answered":
+      return answered(state, event);
+    case "streamBegan":
+      return streamBegan(state, event);
+    case "eventsArrived":
+      return eventsArrived(state, event);
+    case "streamEnded":
+      return streamEnded(state, event);
+    case "attemptFailed":
+      return attemptFailed(state, event);
+    case "probed":
+      return probed(state, event);
+    case "callerLeft":
+      return callerLeft(state, event);
+    case "timePassed":
+      return timePassed(state, event);
+    case "drainStarted":
+      return drainStarted(state);
+    default:
+      return assertNever(event);
+  }
+};
+
+/** Decides one event. */
+export const decideRelay = (
+  state: RelayState,
+  event: RelayEvent,
+): Step<RelayState, RelayCommand> => {
+  state.at = Math.max(state.at, event.at);
+  return { state, commands: commandsOf(state, event) };
+};
+
+/** Whether requests can be served: the configuration and the replicas are known, and no stop was asked for. */
+export const isReady = ({
+  config,
+  hasReplicas,
+  isDraining,
+}: RelayState): boolean => config !== undefined && hasReplicas && !isDraining;
--- /dev/null
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -0,0 +1,100 @@
+/** Ends exchanges: counts attempts down, tells the caller, writes the last line. */
+
+import type { Moment } from "@cardamomglade/common";
+import { Severity } from "@cardamomglade/observe";
+import { refuse, refuseNotRun } from "./refusals.js";
+import type {
+  DecisionContext,
+  Exchange,
+  RelayCommand,
+  RelayState,
+} from "./types.js";
+
+/** Takes the attempt under way out of the counts; the exchange then has none. */
+export const closeAttempt = (state: RelayState, exchange: Exchange): void => {
+  const { attempt } = exchange;
+  if (attempt === undefined) return;
+  exchange.attempt = undefined;
+  const view = state.replicas.get(attempt.replica.id);
+  if (view === undefined) return;
+  view.inFlight = Math.max(0, view.inFlight - 1);
+  if (!attempt.hasEvents) view.reading = Math.max(0, view.reading - 1);
+};
+
+/** Gives up the attempt under way: its connection is closed at once. */
+export const abandonAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { attempt, key } = exchange;
+  if (attempt === undefined) return [];
+  closeAttempt(state, exchange);
+  return [{ type: "abandon", key, attempt: attempt.number }];
+};
+
+/** What every last line of a request tells. */
+export const summaryOf = (exchange: Exchange, at: Moment): DecisionContext => ({
+  requestId: exchange.request.requestId,
+  route: exchange.route.name,
+  attempts: exchange.attempts,
+  lastEventId: exchange.lastEventId,
+  tookMs: Math.round(at - exchange.request.arrivedAt),
+});
+
+/** Forgets an exchange whose caller has its answer. */
+export const completeExchange = (
+  state: RelayState,
+  exchange: Exchange,
+  status: number,
+): RelayCommand => {
+  const replica = exchange.attempt?.replica.id;
+  closeAttempt(state, exchange);
+  state.exchanges.delete(exchange.key);
+  return {
+    type: "log",
+    severity: Severity.Info,
+    message: "request answered",
+    context: { ...summaryOf(exchange, state.at), status, replica },
+  };
+};
+
+/** Ends an exchange that cannot be answered by a replica any more. */
+export const failExchange = (
+  state: RelayState,
+  exchange: Exchange,
+  reason: string,
+): RelayCommand[] => {
+  const { key, request, head, mayHaveRun, failedAnswer } = exchange;
+  const commands = abandonAttempt(state, exchange);
+  state.exchanges.delete(key);
+  const context = summaryOf(exchange, state.at);
+  if (head !== undefined) {
+    return [
+      ...commands,
+      { type: "breakOff", key },
+      {
+        type: "log",
+        severity: Severity.Warn,
+        message: "stream broken off",
+        context: { ...context, reason },
+      },
+    ];
+  }
+  if (failedAnswer !== undefined) {
+    const { status } = failedAnswer.head;
+    return [
+      ...commands,
+      { type: "deliverAnswer", key, answer: failedAnswer },
+      {
+        type: "log",
+        severity: Severity.Info,
+        message: "request answered with the replica's failure",
+        context: { ...context, status, reason },
+      },
+    ];
+  }
+  const refused = { key, requestId: request.requestId, reason, context };
+  if (!mayHaveRun) return [...commands, ...refuseNotRun(state, refused)];
+  const status = state.at >= exchange.deadline ? 504 : 502;
+  return [...commands, ...refuse(refused, status, undefined)];
+};
--- /dev/null
+++ b/packages/relay/src/decisions/probes.ts
@@ -0,0 +1,121 @@
+/** Probes of silent engines: look before leaving one. */
+
+import type { Moment } from "@cardamomglade/common";
+import { Severity } from "@cardamomglade/observe";
+import type { EngineReport, ReportedRun } from "../types.js";
+import { loseAttempt } from "./attemptEvents.js";
+import {
+  behindAfterMs,
+  deadConnectionMs,
+  eventsBehind,
+  probeAfterMs,
+} from "./constants.js";
+import { noteHeard, noteLoss } from "./replicaViews.js";
+import type {
+  Attempt,
+  Exchange,
+  RelayCommand,
+  RelayEventOf,
+  RelayState,
+} from "./types.js";
+
+/** Leaves an attempt that will not answer: its connection is closed, the request goes on elsewhere. */
+export const leaveAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  reason: string,
+): RelayCommand[] => [
+  { type: "abandon", key: exchange.key, attempt: attempt.number },
+  ...loseAttempt(state, exchange, attempt, reason),
+];
+
+/** Probes the engine of a silent stream, once at a time. */
+export const probeSilent = (
+  state: RelayState,
+  { replica, heardAt }: Attempt,
+): RelayCommand[] => {
+  const view = state.replicas.get(replica.id);
+  if (view === undefined || view.probedAt !== undefined) return [];
+  const { at } = state;
+  if (at - Math.max(view.heardAt, heardAt) < probeAfterMs) return [];
+  view.probedAt = at;
+  return [{ type: "probe", replica, sentAt: at }];
+};
+
+const attemptsAt = (state: RelayState, replicaId: string) => {
+  const found: { exchange: Exchange; attempt: Attempt }[] = [];
+  for (const exchange of state.exchanges.values()) {
+    const { attempt, route } = exchange;
+    if (attempt?.replica.id !== replicaId || !route.canResume) continue;
+    found.push({ exchange, attempt });
+  }
+  return found;
+};
+
+const isConnectionDead = (
+  { lastEventId }: Exchange,
+  { heardAt, hasEvents }: Attempt,
+  run: ReportedRun | undefined,
+  at: Moment,
+): boolean => {
+  const silentMs = at - heardAt;
+  const isBehind =
+    run !== undefined && run.eventsMade >= lastEventId + eventsBehind;
+  if (isBehind && silentMs >= behindAfterMs) return true;
+  return hasEvents && silentMs >= deadConnectionMs;
+};
+
+const leaveDeadConnections = (
+  state: RelayState,
+  replicaId: string,
+  report: EngineReport | undefined,
+): RelayCommand[] =>
+  attemptsAt(state, replicaId).flatMap(({ exchange, attempt }) => {
+    const { requestId } = exchange.request;
+    const run = report?.runs.find((one) => one.requestId === requestId);
+    return isConnectionDead(exchange, attempt, run, state.at)
+      ? leaveAttempt(state, exchange, attempt, "the connection is silent")
+      : [];
+  });
+
+/** A probe was answered or not. */
+export const probed = (
+  state: RelayState,
+  {
+    replica: replicaId,
+    sentAt,
+    report,
+    isAnswered,
+    at,
+  }: RelayEventOf<"probed">,
+): RelayCommand[] => {
+  const view = state.replicas.get(replicaId);
+  if (view === undefined) return [];
+  view.probedAt = undefined;
+  if (isAnswered) {
+    noteHeard(state, replicaId, at);
+    return leaveDeadConnections(state, replicaId, report);
+  }
+  if (view.heardAt >= sentAt) return [];
+  noteLoss(state, view.replica, at);
+  const silent = attemptsAt(state, replicaId).filter(
+    ({ attempt }) => attempt.heardAt < sentAt,
+  );
+  return [
+    {
+      type: "log",
+      severity: Severity.Info,
+      message: "replica does not answer",
+      context: {
+        replica: replicaId,
+        zone: view.replica.zone,
+        silentMs: Math.round(at - view.heardAt),
+        streams: silent.length,
+      },
+    },
+    ...silent.flatMap(({ exchange, attempt }) =>
+      leaveAttempt(state, exchange, attempt, "the replica does not answer"),
+    ),
+  ];
+};
--- /dev/null
+++ b/packages/relay/src/decisions/refusals.ts
@@ -0,0 +1,41 @@
+/** Refusals and failures of the relay's own, and the pause that callers are told. */
+
+import { Severity } from "@cardamomglade/observe";
+import { random } from "./chooseReplica.js";
+import { retryAfterMs } from "./constants.js";
+import type { DecisionContext, RelayCommand, RelayState } from "./types.js";
+
+/** A pause drawn between bounds, so that refused callers do not return together. */
+export const drawPause = (
+  state: RelayState,
+  { least, most }: { readonly least: number; readonly most: number },
+): number => least + random(state) * (most - least);
+
+/** Whose request is refused, and what led to it. */
+export interface RefusedRequest {
+  readonly key: string;
+  readonly requestId: string;
+  readonly reason: string;
+  readonly context: DecisionContext;
+}
+
+/** Ends a request with an answer of the relay's own. */
+export const refuse = (
+  { key, requestId, reason, context }: RefusedRequest,
+  status: number,
+  pauseMs: number | undefined,
+): RelayCommand[] => [
+  { type: "refuse", key, status, reason, retryAfterMs: pauseMs },
+  {
+    type: "log",
+    severity: Severity.Info,
+    message: "request refused",
+    context: { requestId, status, reason, retryAfterMs: pauseMs, ...context },
+  },
+];
+
+/** Refuses a request that has not run, with a pause after which it may be sent again. */
+export const refuseNotRun = (
+  state: RelayState,
+  refused: RefusedRequest,
+): RelayCommand[] => refuse(refused, 503, drawPause(state, retryAfterMs));
--- /dev/null
+++ b/packages/relay/src/decisions/repeatBudget.ts
@@ -0,0 +1,43 @@
+/** Bounds repeats to a share of first sendings, service by service, over a sliding window. */
+
+import type { Moment } from "@cardamomglade/common";
+import { routersAssumed } from "./constants.js";
+import type { RelayState, RepeatBudget } from "./types.js";
+
+const budgetOf = (state: RelayState, service: string): RepeatBudget => {
+  const known = state.repeats.get(service);
+  if (known !== undefined) return known;
+  const created: RepeatBudget = { firsts: [], repeats: [] };
+  state.repeats.set(service, created);
+  return created;
+};
+
+const dropOlder = (moments: Moment[], than: Moment): Moment[] => {
+  const first = moments.findIndex((moment) => moment > than);
+  return first === -1 ? [] : moments.slice(first);
+};
+
+/** Counts the first sending of a request. */
+export const noteFirst = (
+  state: RelayState,
+  service: string,
+  at: Moment,
+): void => {
+  budgetOf(state, service).firsts.push(at);
+};
+
+/** Whether one more repeat may be sent to a service now; counts it if so. */
+export const takeRepeat = (
+  state: RelayState,
+  service: string,
+  at: Moment,
+): boolean => {
+  const { share, extra, windowMs } = state.repeatLimits;
+  const budget = budgetOf(state, service);
+  budget.firsts = dropOlder(budget.firsts, at - windowMs);
+  budget.repeats = dropOlder(budget.repeats, at - windowMs);
+  const allowed = share * budget.firsts.length + extra / routersAssumed;
+  if (budget.repeats.length + 1 > allowed) return false;
+  budget.repeats.push(at);
+  return true;
+};
--- /dev/null
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -0,0 +1,86 @@
+/** What is believed of replicas: heard, lost, avoided. */
+
+import type { Moment } from "@cardamomglade/common";
+import { ReplicaState, type Replica } from "../types.js";
+import {
+  failureWeight,
+  jointLosses,
+  jointLossMs,
+  suspicionMs,
+} from "./constants.js";
+import type { RelayState, ReplicaView } from "./types.js";
+
+/** A replica of which nothing was heard yet. */
+export const createReplicaView = (replica: Replica): ReplicaView => ({
+  replica,
+  inFlight: 0,
+  reading: 0,
+  heardAt: 0,
+  suspectUntil: 0,
+  probedAt: undefined,
+  failureShare: 0,
+  lostAt: 0,
+  leavingSince: undefined,
+});
+
+/** Whether a replica may get new work at all. */
+export const isOpen = ({ replica, leavingSince }: ReplicaView): boolean =>
+  replica.state === ReplicaState.Ready && leavingSince === undefined;
+
+/** Whether a replica is avoided because of a recent loss. */
+export const isSuspect = (view: ReplicaView, at: Moment): boolean =>
+  view.suspectUntil > at;
+
+/** Notes a sign of life; it ends suspicion. */
+export const noteHeard = (
+  state: RelayState,
+  replicaId: string,
+  at: Moment,
+): void => {
+  const view = state.replicas.get(replicaId);
+  if (view === undefined) return;
+  view.heardAt = at;
+  view.suspectUntil = 0;
+};
+
+/** Notes an answer of a replica that ran the request, for its share of failures. */
+export const noteAnswer = (
+  state: RelayState,
+  replicaId: string,
+  isFailure: boolean,
+): void => {
+  const view = state.replicas.get(replicaId);
+  if (view === undefined) return;
+  const value = isFailure ? 1 : 0;
+  view.failureShare += failureWeight * (value - view.failureShare);
+};
+
+const neighboursOf = (state: RelayState, { id, service, zone }: Replica) =>
+  [...state.replicas.values()].filter(
+    ({ replica }) =>
+      replica.id !== id && replica.service === service && replica.zone === zone,
+  );
+
+/**
+ * Notes that a replica lost work. Where others of its zone did so at the same
+ * time, those of the zone that were not heard since are avoided too.
+ */
+export const noteLoss = (
+  state: RelayState,
+  replica: Replica,
+  at: Moment,
+): void => {
+  const view = state.replicas.get(replica.id);
+  if (view === undefined) return;
+  view.lostAt = at;
+  view.suspectUntil = at + suspicionMs;
+  const neighbours = neighboursOf(state, replica);
+  const lost = neighbours.filter(({ lostAt }) => at - lostAt < jointLossMs);
+  if (lost.length + 1 < jointLosses) return;
+  for (const neighbour of neighbours)
+    if (at - neighbour.heardAt > jointLossMs)
+      neighbour.suspectUntil = Math.max(
+        neighbour.suspectUntil,
+        at + suspicionMs,
+      );
+};
--- /dev/null
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -0,0 +1,105 @@
+/** Takes in a caller's request: route, customer, deadline, first attempt. */
+
+import type { CallerRequest, Route } from "../types.js";
+import { random } from "./chooseReplica.js";
+import { unknownRetryAfterMs } from "./constants.js";
+import { drawPause, refuse, type RefusedRequest } from "./refusals.js";
+import { findRoute, type RouteTable } from "./routeTable.js";
+import { sendFirst } from "./sendAttempt.js";
+import type {
+  Exchange,
+  RelayCommand,
+  RelayEventOf,
+  RelayState,
+} from "./types.js";
+
+const pathOf = ({ target }: CallerRequest): string => {
+  const end = target.indexOf("?");
+  return end === -1 ? target : target.slice(0, end);
+};
+
+const chooseService = (state: RelayState, { targets }: Route): string => {
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = random(state) * total;
+  for (const { service, weight } of targets) {
+    left -= weight;
+    if (left < 0) return service;
+  }
+  return targets.at(-1)?.service ?? "";
+};
+
+type Identity =
+  | { readonly type: "known"; readonly customer: string | undefined }
+  | { readonly type: "unknown" };
+
+const identify = (
+  { customerByKey }: RouteTable,
+  route: Route,
+  { key }: CallerRequest,
+): Identity => {
+  if (customerByKey === undefined)
+    return { type: "known", customer: undefined };
+  const customer = key === undefined ? undefined : customerByKey.get(key);
+  if (customer !== undefined) return { type: "known", customer: customer.name };
+  return route.isOpen
+    ? { type: "known", customer: undefined }
+    : { type: "unknown" };
+};
+
+const createExchange = (
+  state: RelayState,
+  { key, request }: RelayEventOf<"requestArrived">,
+  route: Route,
+  customer: string | undefined,
+): Exchange => ({
+  key,
+  request,
+  route,
+  service: chooseService(state, route),
+  customer,
+  deadline: Math.min(
+    request.arrivedAt + route.timeoutMs,
+    request.callerDeadline ?? Infinity,
+  ),
+  attempt: undefined,
+  attempts: 0,
+  tried: new Set(),
+  mayHaveRun: false,
+  head: undefined,
+  lastEventId: request.lastEventId ?? 0,
+  copyHolder: undefined,
+  failedAnswer: undefined,
+});
+
+/** Routes a request and sends it, or refuses it at once. */
+export const requestArrived = (
+  state: RelayState,
+  event: RelayEventOf<"requestArrived">,
+): RelayCommand[] => {
+  const { key, request } = event;
+  const { routes, config } = state;
+  const refused = (reason: string): RefusedRequest => ({
+    key,
+    requestId: request.requestId,
+    reason,
+    context: {
+      host: request.hostname,
+      path: request.target,
+      configVersion: config?.version,
+      configAgeMs: config && Math.round(state.at - state.configAt),
+    },
+  });
+  if (routes === undefined || !state.hasReplicas) {
+    const pauseMs = drawPause(state, unknownRetryAfterMs);
+    return refuse(refused("the configuration is not known yet"), 503, pauseMs);
+  }
+  const route = findRoute(routes, request.hostname, pathOf(request));
+  if (route === undefined)
+    return refuse(refused("no route for this host and path"), 404, undefined);
+  const identity = identify(routes, route, request);
+  if (identity.type === "unknown")
+    return refuse(refused("the key is not known"), 401, undefined);
+  const exchange = createExchange(state, event, route, identity.customer);
+  state.exchanges.set(key, exchange);
+  return sendFirst(state, exchange);
+};
--- /dev/null
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -0,0 +1,91 @@
+/** Streams: each event reaches the caller once, in order, whichever replica made it. */
+
+import { noteAnswer, noteHeard } from "./replicaViews.js";
+import { findAttempt, loseAttempt } from "./attemptEvents.js";
+import { completeExchange } from "./endExchange.js";
+import type {
+  Exchange,
+  RelayCommand,
+  RelayEventOf,
+  RelayState,
+  StreamEvent,
+} from "./types.js";
+
+/** A replica began a stream; the caller sees the head of the first one. */
+export const streamBegan = (
+  state: RelayState,
+  event: RelayEventOf<"streamBegan">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  const { exchange, attempt } = found;
+  attempt.heardAt = event.at;
+  noteHeard(state, attempt.replica.id, event.at);
+  if (exchange.head !== undefined) return [];
+  exchange.head = event.head;
+  return [{ type: "beginStream", key: event.key, head: event.head }];
+};
+
+interface Accepted {
+  readonly events: readonly StreamEvent[];
+  readonly isGap: boolean;
+}
+
+/** The events that follow the last one delivered; repeated ones are dropped. */
+const acceptEvents = (
+  { lastEventId }: Exchange,
+  events: readonly StreamEvent[],
+): Accepted => {
+  const accepted: StreamEvent[] = [];
+  let last = lastEventId;
+  for (const event of events) {
+    if (event.id <= last) continue;
+    if (event.id !== last + 1) return { events: accepted, isGap: true };
+    accepted.push(event);
+    last = event.id;
+  }
+  return { events: accepted, isGap: false };
+};
+
+/** Events of a stream arrived. */
+export const eventsArrived = (
+  state: RelayState,
+  event: RelayEventOf<"eventsArrived">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  const { exchange, attempt } = found;
+  const { at, key } = event;
+  attempt.heardAt = at;
+  noteHeard(state, attempt.replica.id, at);
+  if (!attempt.hasEvents) {
+    attempt.hasEvents = true;
+    const view = state.replicas.get(attempt.replica.id);
+    if (view !== undefined) view.reading = Math.max(0, view.reading - 1);
+  }
+  const { events, isGap } = acceptEvents(exchange, event.events);
+  exchange.lastEventId = events.at(-1)?.id ?? exchange.lastEventId;
+  const commands: RelayCommand[] =
+    events.length === 0 ? [] : [{ type: "deliverEvents", key, events }];
+  if (!isGap) return commands;
+  commands.push({ type: "abandon", key, attempt: attempt.number });
+  commands.push(
+    ...loseAttempt(state, exchange, attempt, "an event is missing"),
+  );
+  return commands;
+};
+
+/** The replica ended its stream in the protocol's way. */
+export const streamEnded = (
+  state: RelayState,
+  event: RelayEventOf<"streamEnded">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  const { exchange, attempt } = found;
+  noteAnswer(state, attempt.replica.id, false);
+  return [
+    { type: "finishStream", key: event.key },
+    completeExchange(state, exchange, exchange.head?.status ?? 200),
+  ];
+};
--- /dev/null
+++ b/packages/relay/src/decisions/types.ts
@@ -0,0 +1,293 @@
+/** Types of the relay's fold. */
+
+import type { GeneratorState, Moment } from "@cardamomglade/common";
+import type { Severity, LogValue } from "@cardamomglade/observe";
+import type {
+  CallerRequest,
+  EngineReport,
+  RelayConfig,
+  Replica,
+  RequestLimits,
+  Route,
+} from "../types.js";
+import type { RouteTable } from "./routeTable.js";
+
+/** What this process believes of one replica. */
+export interface ReplicaView {
+  replica: Replica;
+  /** Own attempts under way. */
+  inFlight: number;
+  /** Own attempts whose prompt is still being read. */
+  reading: number;
+  /** Newest moment at which anything was heard of it. */
+  heardAt: Moment;
+  /** Avoided until then. */
+  suspectUntil: Moment;
+  /** Moment at which the newest probe was sent; undefined when none is under way. */
+  probedAt: Moment | undefined;
+  /** Smoothed share of failed answers. */
+  failureShare: number;
+  /** Moment at which an attempt there was last lost. */
+  lostAt: Moment;
+  /** Moment at which its leaving was first seen; undefined while it stays. */
+  leavingSince: Moment | undefined;
+}
+
+/** How a request is sent to a replica. */
+export type AttemptStart =
+  | { readonly type: "fresh" }
+  | { readonly type: "copy"; readonly holder: Replica };
+
+/** One sending of a request to one replica. */
+export interface Attempt {
+  readonly number: number;
+  readonly replica: Replica;
+  readonly start: AttemptStart;
+  readonly sentAt: Moment;
+  /** Where the run's memory is copied to while it runs. */
+  readonly copyTo: Replica | undefined;
+  heardAt: Moment;
+  hasEvents: boolean;
+}
+
+/** A replica's answer without its body. */
+export interface AnswerHead {
+  readonly status: number;
+  /** Names and values in turn, as sent, without those of one connection. */
+  readonly headers: readonly string[];
+  readonly seal: string | undefined;
+  readonly isStream: boolean;
+  /** Whether the replica states that it did not run the request. */
+  readonly isNotRun: boolean;
+}
+
+/** One event of a stream, as its replica sent it. */
+export interface StreamEvent {
+  readonly id: number;
+  readonly bytes: Uint8Array;
+}
+
+/** One caller request under way. */
+export interface Exchange {
+  readonly key: string;
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly service: string;
+  readonly customer: string | undefined;
+  /** The final answer is due by then. */
+  readonly deadline: Moment;
+  attempt: Attempt | undefined;
+  attempts: number;
+  readonly tried: Set<string>;
+  /** Whether some replica may have begun to run the request. */
+  mayHaveRun: boolean;
+  /** Head that the caller was given; set once a stream has begun. */
+  head: AnswerHead | undefined;
+  /** Last event delivered to the caller, of this or an earlier answer. */
+  lastEventId: number;
+  /** Replica that holds the newest copy of the run's memory. */
+  copyHolder: Replica | undefined;
+  /** Last failed answer of a replica, kept in case no other attempt is possible. */
+  failedAnswer: WholeAnswer | undefined;
+}
+
+/** A whole answer of a replica. */
+export interface WholeAnswer {
+  readonly head: AnswerHead;
+  readonly body: Uint8Array;
+}
+
+/** Why an attempt ended without an answer. */
+export enum AttemptFailure {
+  /** No connection: the request was not sent. */
+  NotSent = "notSent",
+  /** The connection broke off before the answer was whole. */
+  Broken = "broken",
+  /** The answer is not one to this request. */
+  Malformed = "malformed",
+}
+
+/** Whether the store answers. */
+export type StoreState =
+  | { readonly type: "unknown" }
+  | { readonly type: "answering"; readonly since: Moment }
+  | { readonly type: "silent"; readonly since: Moment };
+
+/** State of the fold; its maps are owned by the fold and changed in place. */
+export interface RelayState {
+  readonly zone: string;
+  at: Moment;
+  /** Moment of the newest tick. */
+  tickedAt: Moment;
+  generator: GeneratorState;
+  config: RelayConfig | undefined;
+  routes: RouteTable | undefined;
+  configAt: Moment;
+  hasReplicas: boolean;
+  readonly replicas: Map<string, ReplicaView>;
+  /** Replicas that vanished around an outage of the store, kept until a moment. */
+  readonly vanished: Map<string, Moment>;
+  readonly exchanges: Map<string, Exchange>;
+  readonly repeats: Map<string, RepeatBudget>;
+  readonly repeatLimits: RepeatLimits;
+  readonly drainTimeoutMs: number;
+  store: StoreState;
+  isDraining: boolean;
+}
+
+/** Bounds of repeats, for the whole fleet. */
+export interface RepeatLimits {
+  /** Repeats for each first sending. */
+  readonly share: number;
+  /** Repeats of the whole fleet in a window beyond that share. */
+  readonly extra: number;
+  readonly windowMs: number;
+}
+
+/** First sendings and repeats to one service in the current windows. */
+export interface RepeatBudget {
+  firsts: Moment[];
+  repeats: Moment[];
+}
+
+/** What happened. */
+export type RelayEvent =
+  | {
+      readonly type: "configRead";
+      readonly at: Moment;
+      readonly config: RelayConfig;
+    }
+  | {
+      readonly type: "replicasRead";
+      readonly at: Moment;
+      readonly replicas: readonly Replica[];
+    }
+  | {
+      readonly type: "storeAnswered";
+      readonly at: Moment;
+      readonly detail: string;
+    }
+  | {
+      readonly type: "storeFailed";
+      readonly at: Moment;
+      readonly detail: string;
+    }
+  | {
+      readonly type: "requestArrived";
+      readonly at: Moment;
+      readonly key: string;
+      readonly request: CallerRequest;
+    }
+  | {
+      readonly type: "answered";
+      readonly at: Moment;
+      readonly key: string;
+      readonly attempt: number;
+      readonly answer: WholeAnswer;
+    }
+  | {
+      readonly type: "streamBegan";
+      readonly at: Moment;
+      readonly key: string;
+      readonly attempt: number;
+      readonly head: AnswerHead;
+    }
+  | {
+      readonly type: "eventsArrived";
+      readonly at: Moment;
+      readonly key: string;
+      readonly attempt: number;
+      readonly events: readonly StreamEvent[];
+    }
+  | {
+      readonly type: "streamEnded";
+      readonly at: Moment;
+      readonly key: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "attemptFailed";
+      readonly at: Moment;
+      readonly key: string;
+      readonly attempt: number;
+      readonly failure: AttemptFailure;
+      readonly detail: string;
+    }
+  | {
+      readonly type: "probed";
+      readonly at: Moment;
+      readonly replica: string;
+      readonly sentAt: Moment;
+      readonly report: EngineReport | undefined;
+      readonly isAnswered: boolean;
+    }
+  | {
+      readonly type: "callerLeft";
+      readonly at: Moment;
+      readonly key: string;
+    }
+  | { readonly type: "timePassed"; readonly at: Moment }
+  | { readonly type: "drainStarted"; readonly at: Moment };
+
+/** A fold event of one type. */
+export type RelayEventOf<Type extends RelayEvent["type"]> = Extract<
+  RelayEvent,
+  { readonly type: Type }
+>;
+
+/** What a log line of a decision may carry. */
+export type DecisionContext = Readonly<Record<string, LogValue>>;
+
+/** What to do. */
+export type RelayCommand =
+  | {
+      readonly type: "send";
+      readonly key: string;
+      readonly attempt: Attempt;
+      readonly request: CallerRequest;
+      readonly customer: string | undefined;
+      readonly deadline: Moment;
+      /** Events that the caller has; the replica goes on after it. */
+      readonly lastEventId: number | undefined;
+    }
+  | {
+      readonly type: "abandon";
+      readonly key: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "deliverAnswer";
+      readonly key: string;
+      readonly answer: WholeAnswer;
+    }
+  | {
+      readonly type: "beginStream";
+      readonly key: string;
+      readonly head: AnswerHead;
+    }
+  | {
+      readonly type: "deliverEvents";
+      readonly key: string;
+      readonly events: readonly StreamEvent[];
+    }
+  | { readonly type: "finishStream"; readonly key: string }
+  | { readonly type: "breakOff"; readonly key: string }
+  | {
+      readonly type: "refuse";
+      readonly key: string;
+      readonly status: number;
+      readonly reason: string;
+      readonly retryAfterMs: number | undefined;
+    }
+  | {
+      readonly type: "probe";
+      readonly replica: Replica;
+      readonly sentAt: Moment;
+    }
+  | { readonly type: "applyLimits"; readonly limits: RequestLimits }
+  | {
+      readonly type: "log";
+      readonly severity: Severity;
+      readonly message: string;
+      readonly context: DecisionContext;
+    };
--- /dev/null
+++ b/packages/relay/src/decisions/worldChanged.ts
@@ -0,0 +1,156 @@
+/** News of the store: configuration, replicas, outages. */
+
+import type { Moment } from "@cardamomglade/common";
+import { Severity } from "@cardamomglade/observe";
+import { ReplicaState, type Replica } from "../types.js";
+import { registrationMs } from "./constants.js";
+import { createReplicaView } from "./replicaViews.js";
+import { buildRouteTable } from "./routeTable.js";
+import type { RelayCommand, RelayEventOf, RelayState } from "./types.js";
+
+/** A configuration was read; an older one than that in force is passed over. */
+export const configRead = (
+  state: RelayState,
+  { config, at }: RelayEventOf<"configRead">,
+): RelayCommand[] => {
+  const known = state.config?.version ?? -Infinity;
+  if (config.version <= known) return [];
+  state.config = config;
+  state.routes = buildRouteTable(config);
+  state.configAt = at;
+  return [
+    { type: "applyLimits", limits: config.limits },
+    {
+      type: "log",
+      severity: Severity.Info,
+      message: "configuration in force",
+      context: {
+        configVersion: config.version,
+        routes: config.routes.length,
+        services: config.services.length,
+        customers: config.customers?.length,
+      },
+    },
+  ];
+};
+
+const isSameProcess = (a: Replica, b: Replica): boolean =>
+  a.host === b.host && a.port === b.port && a.startedAt === b.startedAt;
+
+const replicaLine = (
+  message: string,
+  { id, service, zone, state: replicaState }: Replica,
+): RelayCommand => ({
+  type: "log",
+  severity: Severity.Info,
+  message,
+  context: { replica: id, service, zone, state: replicaState },
+});
+
+const noteReplica = (state: RelayState, replica: Replica): RelayCommand[] => {
+  const known = state.replicas.get(replica.id);
+  state.vanished.delete(replica.id);
+  if (known === undefined || !isSameProcess(known.replica, replica)) {
+    const view = createReplicaView(replica);
+    state.replicas.set(replica.id, view);
+    if (replica.state === ReplicaState.Draining) view.leavingSince = state.at;
+    return [replicaLine("replica registered", replica)];
+  }
+  const wasReady = known.replica.state === ReplicaState.Ready;
+  known.replica = replica;
+  if (replica.state === ReplicaState.Ready) {
+    known.leavingSince = undefined;
+    return [];
+  }
+  known.leavingSince ??= state.at;
+  return wasReady ? [replicaLine("replica is leaving", replica)] : [];
+};
+
+const removeReplica = (state: RelayState, replica: Replica): RelayCommand => {
+  const view = state.replicas.get(replica.id);
+  const isServing = view !== undefined && view.inFlight > 0;
+  if (view !== undefined && isServing) view.leavingSince ??= state.at;
+  else state.replicas.delete(replica.id);
+  return replicaLine("replica is gone", replica);
+};
+
+/** Moment until which replicas that vanish are kept: their entries may have lapsed in an outage. */
+const keptUntil = ({ store, at }: RelayState): Moment => {
+  switch (store.type) {
+    case "answering":
+      return store.since + registrationMs;
+    case "silent":
+      return Infinity;
+    case "unknown":
+      return at;
+  }
+};
+
+/** All registered replicas were read. */
+export const replicasRead = (
+  state: RelayState,
+  { replicas }: RelayEventOf<"replicasRead">,
+): RelayCommand[] => {
+  state.hasReplicas = true;
+  const named = new Set(replicas.map(({ id }) => id));
+  const commands = replicas.flatMap((replica) => noteReplica(state, replica));
+  const until = keptUntil(state);
+  for (const { replica, leavingSince } of [...state.replicas.values()]) {
+    if (named.has(replica.id) || state.vanished.has(replica.id)) continue;
+    if (leavingSince === undefined && until > state.at)
+      state.vanished.set(replica.id, until);
+    else if (leavingSince === undefined)
+      commands.push(removeReplica(state, replica));
+  }
+  return commands;
+};
+
+/** Drops replicas that did not register again after an outage, and those whose last work is done. */
+export const dropVanished = (state: RelayState): RelayCommand[] => {
+  const commands: RelayCommand[] = [];
+  for (const [id, until] of state.vanished) {
+    if (until > state.at) continue;
+    state.vanished.delete(id);
+    const view = state.replicas.get(id);
+    if (view !== undefined) commands.push(removeReplica(state, view.replica));
+  }
+  return commands;
+};
+
+/** The store answered. */
+export const storeAnswered = (
+  state: RelayState,
+  { at, detail }: RelayEventOf<"storeAnswered">,
+): RelayCommand[] => {
+  const { store } = state;
+  if (store.type === "answering") return [];
+  state.store = { type: "answering", since: at };
+  for (const id of state.vanished.keys())
+    state.vanished.set(id, at + registrationMs);
+  const silentMs = store.type === "silent" ? at - store.since : 0;
+  return [
+    {
+      type: "log",
+      severity: Severity.Info,
+      message: "store answers",
+      context: { detail, silentMs: Math.round(silentMs) },
+    },
+  ];
+};
+
+/** A call to the store failed. */
+export const storeFailed = (
+  state: RelayState,
+  { at, detail }: RelayEventOf<"storeFailed">,
+): RelayCommand[] => {
+  if (state.store.type === "silent") return [];
+  state.store = { type: "silent", since: at };
+  return [
+    {
+      type: "log",
+      severity: Severity.Warn,
+      message: "store does not answer",
+      context: { detail },
+    },
+  ];
+};
--- /dev/null
+++ b/packages/relay/src/drivers/eventSplitter.ts
@@ -0,0 +1,72 @@
+/** Cuts the bytes of an event stream into whole events, byte for byte. */
+
+import type { StreamEvent } from "../decisions/types.js";
+
+/** Why bytes are not an event stream with ids. */
+export interface SplitError {
+  readonly message: string;
+}
+
+/** What came of a chunk. */
+export interface SplitResult {
+  readonly events: readonly StreamEvent[];
+  readonly error: SplitError | undefined;
+}
+
+const maxEventBytes = 1024 * 1024; // an event holds a few tokens
+const newline = 0x0a;
+const carriageReturn = 0x0d;
+const idField = /^id: ?(\d+)\r?$/m;
+
+/** Offset behind the blank line that ends an event, or -1. */
+const endOfEvent = (bytes: Buffer, from: number): number => {
+  let at = bytes.indexOf(newline, from);
+  while (at !== -1) {
+    const next = bytes[at + 1];
+    if (next === newline) return at + 2;
+    if (next === carriageReturn && bytes[at + 2] === newline) return at + 3;
+    at = bytes.indexOf(newline, at + 1);
+  }
+  return -1;
+};
+
+/** Keeps the bytes of an event until it is whole. */
+export class EventSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  private constructor() {
+    // Created by `create`.
+  }
+
+  static create(): EventSplitter {
+    return new EventSplitter();
+  }
+
+  /** Whether part of an event waits for its end. */
+  hasRest(): boolean {
+    return this.rest.length > 0;
+  }
+
+  push(chunk: Buffer): SplitResult {
+    const bytes =
+      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const events: StreamEvent[] = [];
+    let from = 0;
+    for (;;) {
+      const end = endOfEvent(bytes, from);
+      if (end === -1) break;
+      const event = bytes.subarray(from, end);
+      const id = idField.exec(event.toString("latin1"))?.[1];
+      if (id === undefined)
+        return { events, error: { message: "an event without an id" } };
+      events.push({ id: Number(id), bytes: event });
+      from = end;
+    }
+    this.rest = bytes.subarray(from);
+    const error =
+      this.rest.length > maxEventBytes
+        ? { message: `an event exceeds ${String(maxEventBytes)} bytes` }
+        : undefined;
+    return { events, error };
+  }
+}
--- /dev/null
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -0,0 +1,237 @@
+/** Serves callers: reads requests, writes answers. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { createChannel, now } from "@cardamomglade/common";
+import type {
+  AnswerHead,
+  RelayCommand,
+  RelayEvent,
+  WholeAnswer,
+} from "../decisions/types.js";
+import { Counter, Latency, type RelayMetrics } from "../metrics.js";
+import type { HeaderNames, RequestLimits } from "../types.js";
+import { forwardableHeaders } from "./connectionHeaders.js";
+import { readRequest } from "./readRequest.js";
+import type { ListenAddress, RelayDriver } from "./types.js";
+
+/** What the front needs. */
+export interface FrontOptions {
+  readonly listen: ListenAddress;
+  readonly names: HeaderNames;
+  readonly metrics: RelayMetrics;
+}
+
+/** The front also stops by steps: first it asks callers to leave, then it closes. */
+export interface FrontDriver extends RelayDriver {
+  /** Every answer from now on closes its connection. */
+  beginDrain(): void;
+  /** Closes connections without a request under way. */
+  closeIdle(): void;
+}
+
+interface Waiting {
+  readonly res: ServerResponse;
+  readonly arrivedAt: number;
+  hasEvents: boolean;
+}
+
+// Before the configuration is known; its own limits follow.
+const initialLimits: RequestLimits = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+
+const checkEveryMs = 500; // how often Node looks for connections with late heads
+const mostWaitingBytes = 4 * 1024 * 1024; // of one answer that its caller does not read
+const framing: ReadonlySet<string> = new Set(["content-length"]);
+const bodilessStatuses = new Set([204, 304]);
+
+/** The front of one process. */
+export const createFrontDriver = (options: FrontOptions): FrontDriver => {
+  const { names, metrics } = options;
+  const channel = createChannel<RelayEvent>();
+  const waiting = new Map<string, Waiting>();
+  let limits = initialLimits;
+  let isDraining = false;
+  let lastKey = 0;
+
+  const server = createServer({
+    connectionsCheckingInterval: checkEveryMs,
+    requestTimeout: 0,
+    noDelay: true,
+    maxHeaderSize: initialLimits.headerBytes,
+  });
+
+  const applyLimits = (newLimits: RequestLimits) => {
+    limits = newLimits;
+    server.headersTimeout = limits.headerTimeoutMs;
+    server.keepAliveTimeout = limits.idleTimeoutMs;
+  };
+  applyLimits(initialLimits);
+
+  const writeOwn = (
+    res: ServerResponse,
+    status: number,
+    reason: string,
+    retryAfterMs?: number,
+  ) => {
+    const body = JSON.stringify({ error: reason });
+    if (isDraining) res.setHeader("connection", "close");
+    if (retryAfterMs !== undefined)
+      res.setHeader("retry-after", (retryAfterMs / 1000).toFixed(3));
+    res.writeHead(status, {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
+    });
+    res.end(body);
+  };
+
+  const rejectUnread = (res: ServerResponse, status: number, why: string) => {
+    metrics.count(Counter.Refusals);
+    res.setHeader("connection", "close");
+    writeOwn(res, status, why);
+  };
+
+  const accept = (res: ServerResponse, key: string, arrivedAt: number) => {
+    waiting.set(key, { res, arrivedAt, hasEvents: false });
+    res.on("close", () => {
+      if (!waiting.delete(key)) return;
+      metrics.count(Counter.CallersLeft);
+      channel.push({ type: "callerLeft", at: now(), key });
+    });
+  };
+
+  const serve = async (req: IncomingMessage, res: ServerResponse) => {
+    metrics.count(Counter.Requests);
+    const read = await readRequest(req, names, limits);
+    switch (read.type) {
+      case "whole": {
+        lastKey += 1;
+        const key = String(lastKey);
+        const { request } = read;
+        accept(res, key, request.arrivedAt);
+        channel.push({ type: "requestArrived", at: now(), key, request });
+        return;
+      }
+      case "tooLarge":
+        rejectUnread(res, 413, "the body is too long");
+        return;
+      case "tooSlow":
+        rejectUnread(res, 408, "the body did not arrive in time");
+        return;
+      case "brokenOff":
+        return;
+    }
+  };
+  server.on("request", (req: IncomingMessage, res: ServerResponse) => {
+    void serve(req, res);
+  });
+  server.listen(options.listen.port, options.listen.host);
+
+  const take = (key: string): Waiting | undefined => {
+    const found = waiting.get(key);
+    waiting.delete(key);
+    return found;
+  };
+
+  const writeHead = (
+    res: ServerResponse,
+    head: AnswerHead,
+    length?: number,
+  ) => {
+    const headers = forwardableHeaders(head.headers, framing);
+    if (length !== undefined) headers.push("content-length", String(length));
+    if (isDraining) headers.push("connection", "close");
+    res.writeHead(head.status, headers);
+  };
+
+  const deliverAnswer = (key: string, { head, body }: WholeAnswer) => {
+    const found = take(key);
+    if (found === undefined) return;
+    metrics.count(Counter.Answers);
+    metrics.observe(Latency.Answer, now() - found.arrivedAt);
+    const { res } = found;
+    const isBodiless =
+      res.req.method === "HEAD" || bodilessStatuses.has(head.status);
+    writeHead(res, head, isBodiless ? undefined : body.length);
+    res.end(body);
+  };
+
+  const deliverEvents = (
+    command: Extract<RelayCommand, { type: "deliverEvents" }>,
+  ) => {
+    const found = waiting.get(command.key);
+    if (found === undefined) return;
+    const { res } = found;
+    metrics.count(Counter.Events, command.events.length);
+    if (!found.hasEvents)
+      metrics.observe(Latency.FirstEvent, now() - found.arrivedAt);
+    found.hasEvents = true;
+    for (const { bytes } of command.events) res.write(bytes);
+    if (res.writableLength > mostWaitingBytes) res.destroy();
+  };
+
+  const perform = (command: RelayCommand) => {
+    switch (command.type) {
+      case "deliverAnswer":
+        deliverAnswer(command.key, command.answer);
+        return;
+      case "beginStream": {
+        const found = waiting.get(command.key);
+        if (found === undefined) return;
+        writeHead(found.res, command.head);
+        found.res.flushHeaders();
+        return;
+      }
+      case "deliverEvents":
+        deliverEvents(command);
+        return;
+      case "finishStream": {
+        const found = take(command.key);
+        metrics.count(Counter.Answers);
+        found?.res.end();
+        return;
+      }
+      case "breakOff":
+        metrics.count(Counter.BrokenOff);
+        take(command.key)?.res.destroy();
+        return;
+      case "refuse": {
+        const found = take(command.key);
+        if (found === undefined) return;
+        const { status, reason, retryAfterMs } = command;
+        metrics.count(Counter.Refusals);
+        writeOwn(found.res, status, reason, retryAfterMs);
+        return;
+      }
+      case "applyLimits":
+        applyLimits(command.limits);
+        return;
+      default:
+    }
+  };
+
+  return {
+    events: channel.stream,
+    perform,
+    beginDrain: () => {
+      isDraining = true;
+    },
+    closeIdle: () => {
+      server.closeIdleConnections();
+    },
+    stop: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeAllConnections();
+      }),
+  };
+};
--- /dev/null
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -0,0 +1,98 @@
+/** Reads a caller's request whole, within the limits of the configuration. */
+
+import type { IncomingMessage } from "node:http";
+import { now, type Moment } from "@cardamomglade/common";
+import type { CallerRequest, HeaderNames, RequestLimits } from "../types.js";
+import { forwardableHeaders } from "./connectionHeaders.js";
+
+/** A request that was read, or why it was not. */
+export type RequestRead =
+  | { readonly type: "whole"; readonly request: CallerRequest }
+  | { readonly type: "tooLarge" }
+  | { readonly type: "tooSlow" }
+  | { readonly type: "brokenOff" };
+
+const bearer = /^Bearer +(\S+)\s*$/i;
+
+const headerOf = (req: IncomingMessage, name: string): string | undefined => {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+};
+
+const numberOf = (text: string | undefined): number | undefined => {
+  if (text === undefined || !/^\d+(\.\d+)?$/.test(text.trim()))
+    return undefined;
+  return Number(text);
+};
+
+const keyOf = (req: IncomingMessage): string | undefined =>
+  bearer.exec(req.headers.authorization ?? "")?.[1];
+
+/** Headers of a request that the relay writes itself. */
+const rewritten = (names: HeaderNames): ReadonlySet<string> =>
+  new Set([
+    ...names.reserved,
+    names.budgetMs,
+    names.lastEventId,
+    "authorization",
+    "content-length",
+  ]);
+
+const describe = (
+  req: IncomingMessage,
+  names: HeaderNames,
+  arrivedAt: Moment,
+  body: Buffer,
+): CallerRequest => {
+  const budgetMs = numberOf(headerOf(req, names.budgetMs));
+  return {
+    requestId: headerOf(req, names.requestId) ?? "",
+    hostname: req.headers.host ?? "",
+    method: req.method ?? "GET",
+    target: req.url ?? "/",
+    key: keyOf(req),
+    headers: forwardableHeaders(req.rawHeaders, rewritten(names)),
+    body,
+    hasBody:
+      req.headers["content-length"] !== undefined ||
+      req.headers["transfer-encoding"] !== undefined,
+    arrivedAt,
+    callerDeadline: budgetMs === undefined ? undefined : arrivedAt + budgetMs,
+    lastEventId: numberOf(headerOf(req, names.lastEventId)),
+  };
+};
+
+/** Reads the body; the request's head has arrived. */
+export const readRequest = (
+  req: IncomingMessage,
+  names: HeaderNames,
+  limits: RequestLimits,
+): Promise<RequestRead> =>
+  new Promise((resolve) => {
+    const arrivedAt = now();
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const timer = setTimeout(() => {
+      resolve({ type: "tooSlow" });
+    }, limits.idleTimeoutMs);
+    const finish = (read: RequestRead) => {
+      clearTimeout(timer);
+      resolve(read);
+    };
+    req.on("data", (chunk: Buffer) => {
+      timer.refresh();
+      bytes += chunk.length;
+      if (bytes > limits.bodyBytes) finish({ type: "tooLarge" });
+      else chunks.push(chunk);
+    });
+    req.on("end", () => {
+      const request = describe(req, names, arrivedAt, Buffer.concat(chunks));
+      finish({ type: "whole", request });
+    });
+    req.on("error", () => {
+      finish({ type: "brokenOff" });
+    });
+    req.on("close", () => {
+      finish({ type: "brokenOff" });
+    });
+  });
--- /dev/null
+++ b/packages/relay/src/drivers/types.ts
@@ -0,0 +1,13 @@
+/** Types of the relay's drivers. */
+
+import type { Driver } from "@cardamomglade/common";
+import type { RelayCommand, RelayEvent } from "../decisions/types.js";
+
+/** Turns I/O into events of the relay and performs its commands. */
+export type RelayDriver = Driver<RelayEvent, RelayCommand>;
+
+/** Where a server listens. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
--- /dev/null
+++ b/packages/relay/src/index.ts
@@ -0,0 +1,10 @@
+/** Relays HTTP requests to replicas, and goes on at another one when a replica is lost. */
+
+export { createRelay, type Relay, type RelayOptions } from "./createRelay.js";
+export type {
+  DecisionContext,
+  RelayCommand,
+  RelayEvent,
+} from "./decisions/types.js";
+export type { ListenAddress } from "./drivers/types.js";
+export * from "./types.js";
--- /dev/null
+++ b/packages/relay/src/types.ts
@@ -0,0 +1,162 @@
+/** What the relay knows of the world: configuration, replicas and callers. */
+
+import type { Moment } from "@cardamomglade/common";
+
+/** What may be repeated of a request. */
+export enum RequestKind {
+  /** A stream of events. */
+  Streaming = "streaming",
+  /** Runs at most once. */
+  NonIdempotent = "nonIdempotent",
+  /** May run more than once. */
+  Idempotent = "idempotent",
+}
+
+/** A service that takes part of a route's requests. */
+export interface RouteTarget {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** Where requests of a host and path go, and how they are handled. */
+export interface Route {
+  readonly name: string;
+  readonly hostname: string;
+  /** Begins and ends with a slash. */
+  readonly prefix: string;
+  readonly kind: RequestKind;
+  readonly timeoutMs: number;
+  /** Latency within which an answer is worth most to its caller. */
+  readonly targetLatencyMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly targets: readonly RouteTarget[];
+  /** Replicas that one caller request may be sent to. */
+  readonly maxAttempts: number;
+  /** Whether requests need no key. */
+  readonly isOpen: boolean;
+  /** Whether a stream may go on at another replica after its last event. */
+  readonly canResume: boolean;
+  /** Longest pause between two events of an answer that is in time. */
+  readonly longestPauseMs: number | undefined;
+}
+
+/** What a service's engines can do beyond running requests. */
+export interface EngineAbilities {
+  /** Keep a copy of a run's memory at another engine while it runs. */
+  readonly copies: boolean;
+  readonly memoryTokens: number;
+}
+
+/** A set of replicas that take the same requests. */
+export interface Service {
+  readonly name: string;
+  /** Set where the replicas are engines. */
+  readonly engine: EngineAbilities | undefined;
+}
+
+/** What callers may send, and how long they may take. */
+export interface RequestLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** A customer and the keys of its callers. */
+export interface Customer {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority: number | undefined;
+}
+
+/** One version of the configuration. */
+export interface RelayConfig {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly Service[];
+  readonly limits: RequestLimits;
+  /** Undefined where callers need no keys. */
+  readonly customers: readonly Customer[] | undefined;
+}
+
+/** What a replica says of itself. */
+export enum ReplicaState {
+  Ready = "ready",
+  Draining = "draining",
+}
+
+/** A replica as it is registered. */
+export interface Replica {
+  readonly id: string;
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly zone: string;
+  readonly slots: number;
+  readonly state: ReplicaState;
+  /** Start of its process, by its own clock. */
+  readonly startedAt: Moment;
+}
+
+/** Names of headers on the wire; all in lower case. */
+export interface HeaderNames {
+  readonly requestId: string;
+  readonly budgetMs: string;
+  readonly expectedReplica: string;
+  readonly customer: string;
+  readonly seal: string;
+  readonly notRun: string;
+  readonly copyTo: string;
+  readonly continueFrom: string;
+  readonly lastEventId: string;
+  /** Headers that only the relay sets; dropped from callers' requests. */
+  readonly reserved: readonly string[];
+}
+
+/** How replicas are called; translated by the platform's adapter. */
+export interface ReplicaProtocol {
+  readonly headers: HeaderNames;
+  /** Path of an engine's report. */
+  readonly reportPath: string;
+  /** Value that names a copy of a run's memory. */
+  readonly copyName: (holder: Replica, requestId: string) => string;
+  readonly readReport: (text: string) => EngineReport | undefined;
+}
+
+/** A run as its engine reports it. */
+export interface ReportedRun {
+  readonly requestId: string;
+  readonly memoryTokens: number;
+  readonly eventsMade: number;
+}
+
+/** An engine's report of itself; some hundred milliseconds old. */
+export interface EngineReport {
+  readonly queued: number;
+  readonly active: number;
+  readonly memoryUsed: number;
+  readonly memoryTotal: number;
+  readonly runs: readonly ReportedRun[];
+}
+
+/** The caller's request, whole. */
+export interface CallerRequest {
+  /** The caller's id of this attempt; empty where it sent none. */
+  readonly requestId: string;
+  readonly hostname: string;
+  readonly method: string;
+  /** Path with query, as sent. */
+  readonly target: string;
+  readonly key: string | undefined;
+  /** Names and values in turn, as sent, without those of one connection. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+  /** Whether it declared a body, even an empty one. */
+  readonly hasBody: boolean;
+  readonly arrivedAt: Moment;
+  /** Moment at which the caller stops waiting; undefined where it did not say. */
+  readonly callerDeadline: Moment | undefined;
+  /** Last event that the caller has of an earlier answer. */
+  readonly lastEventId: number | undefined;
+}
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -52,7 +52,7 @@
 import { createLog, type Log } from "./log.js";
 import { createConnector } from "./tls/createConnector.js";
 import { createHttpServer } from "./tls/createHttpServer.js";
-import { Metrics } from "./metrics.js";
+import { createMetrics } from "./metrics.js";
 import type { RouterEvent, RouterState } from "./types.js";
 
 /** A running router. */
@@ -111,7 +111,7 @@
 /** Starts a router with checked settings. */
 export const createRouter = async (settings: Settings): Promise<Router> => {
   const log = createLog(settings.router, settings.log.level);
-  const metrics = Metrics.create();
+  const metrics = createMetrics();
   const connectKeyValue = await createConnector({
     tls: settings.keyValue.tls,
     connectTimeoutMs,
--- a/packages/router/src/log.ts
+++ b/packages/router/src/log.ts
@@ -1,16 +1,12 @@
-/** JSON-line logs. */
+/** The router's log lines. */
 
-import "./enableLog.js";
-import { Roarr, ROARR } from "roarr";
+import {
+  createLog as createProcessLog,
+  type Log as ProcessLog,
+  Severity,
+} from "@cardamomglade/observe";
 import { LogLevel, type RouterIdentity } from "@cardamomglade/schema";
 
-const ranks: Readonly<Record<LogLevel, number>> = {
-  [LogLevel.Debug]: 20,
-  [LogLevel.Info]: 30,
-  [LogLevel.Warn]: 40,
-  [LogLevel.Error]: 50,
-};
-
 /** What a log line may name besides its message; never a secret. */
 export interface LogContext {
   readonly requestId?: string;
@@ -29,16 +25,20 @@
   context?: LogContext,
 ) => void;
 
+const severities: Readonly<Record<LogLevel, Severity>> = {
+  [LogLevel.Debug]: Severity.Debug,
+  [LogLevel.Info]: Severity.Info,
+  [LogLevel.Warn]: Severity.Warn,
+  [LogLevel.Error]: Severity.Error,
+};
+
 /** A log that names the router, its machine and its zone on every line. */
 export const createLog = (router: RouterIdentity, lowest: LogLevel): Log => {
-  ROARR.write = (line) => process.stdout.write(`${line}\n`);
-  const logger = Roarr.child({
-    router: router.name,
-    machine: router.host,
-    zone: router.zone,
-  });
-  return (level, message, context = {}) => {
-    if (ranks[level] < ranks[lowest]) return;
-    logger[level]({ ...context }, message);
+  const log: ProcessLog<LogContext> = createProcessLog(
+    { router: router.name, machine: router.host, zone: router.zone },
+    severities[lowest],
+  );
+  return (level, message, context) => {
+    log(severities[level], message, context);
   };
 };
--- a/packages/router/src/metrics.ts
+++ b/packages/router/src/metrics.ts
@@ -1,11 +1,6 @@
-/** Counters and latency histograms in Prometheus text. */
+/** What the router counts and measures. */
 
-import { build, type Histogram } from "hdr-histogram-js";
-
-const quantiles = [0.5, 0.95, 0.99, 1];
-const highestUs = 3_600_000_000;
-const usPerMs = 1000;
-const usPerSecond = 1_000_000;
+import { Metrics as ProcessMetrics } from "@cardamomglade/observe";
 
 /** Counted events. */
 export enum Counter {
@@ -25,58 +20,8 @@
   ServiceCall = "service_call_seconds",
 }
 
-/** The metrics of one process. */
-export class Metrics {
-  private readonly counters = new Map<Counter, number>();
-  private readonly histograms = new Map<Latency, Histogram>();
-
-  private constructor() {
-    // Created by `create`.
-  }
-
-  static create(): Metrics {
-    return new Metrics();
-  }
-
-  count(counter: Counter, by = 1): void {
-    this.counters.set(counter, (this.counters.get(counter) ?? 0) + by);
-  }
-
-  observe(latency: Latency, ms: number): void {
-    this.histogram(latency).recordValue(
-      Math.min(highestUs, Math.max(0, Math.round(ms * usPerMs))),
-    );
-  }
-
-  /** Prometheus text; `gauges` are added as they are. */
-  render(gauges: Readonly<Record<string, number>>): string {
-    const lines: string[] = [];
-    for (const [name, value] of this.counters)
-      lines.push(`cardamomglade_${name} ${String(value)}`);
-    for (const [name, value] of Object.entries(gauges))
-      lines.push(`cardamomglade_${name} ${String(value)}`);
-    for (const [name, histogram] of this.histograms)
-      lines.push(...renderHistogram(name, histogram));
-    return `${lines.join("\n")}\n`;
-  }
-
-  private histogram(latency: Latency): Histogram {
-    const known = this.histograms.get(latency);
-    if (known !== undefined) return known;
-    const created = build({
-      highestTrackableValue: highestUs,
-      numberOfSignificantValueDigits: 2,
-    });
-    this.histograms.set(latency, created);
-    return created;
-  }
-}
+/** The metrics of one router. */
+export type Metrics = ProcessMetrics<Counter, Latency>;
 
-const renderHistogram = (name: string, histogram: Histogram): string[] => {
-  const full = `cardamomglade_${name}`;
-  const rows = quantiles.map((quantile) => {
-    const value = histogram.getValueAtPercentile(quantile * 100) / usPerSecond;
-    return `${full}{quantile="${String(quantile)}"} ${String(value)}`;
-  });
-  return [...rows, `${full}_count ${String(histogram.totalCount)}`];
-};
+/** Metrics without any observation. */
+export const createMetrics = (): Metrics => ProcessMetrics.create();
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -7,7 +7,7 @@
 import { judgeResults, parseKnownRed } from "./knownRed.mjs";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
-const folders = ["packages", "stand-ins", "bench"];
+const folders = ["packages", "platform", "stand-ins", "bench"];
 const knownRedFile = path.join(root, "KNOWN-RED.txt");
 
 const testsBelow = (folder) =>
