Close the listener in a drain; pass on unframed answers unframed

The connection ends without an error in both the whole and the cut case (seen on the socket's events), so they now end with the caller's connection too, which claims nothing.

--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -57,6 +57,8 @@
   readonly headers: readonly string[];
   readonly seal: string | undefined;
   readonly isStream: boolean;
+  /** Whether the answer says where it ends; otherwise it ends with its connection. */
+  readonly isFramed: boolean;
   /** Whether the replica states that it did not run the request. */
   readonly isNotRun: boolean;
 }
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -29,7 +29,7 @@
 export interface FrontDriver extends RelayDriver {
   /** Every answer from now on closes its connection. */
   beginDrain(): void;
-  /** Closes connections without a request under way. */
+  /** Takes no new connections, and closes those without a request under way. */
   closeIdle(): void;
 }
 
@@ -52,6 +52,15 @@
 const framing: ReadonlySet<string> = new Set(["content-length"]);
 const bodilessStatuses = new Set([204, 304]);
 
+/**
+ * Leaves the answer's end to the end of its connection, as its replica did: a
+ * length of the relay's own would call an answer whole that may be cut short.
+ */
+const endWithConnection = (res: ServerResponse): void => {
+  res.useChunkedEncodingByDefault = false;
+  res.shouldKeepAlive = false;
+};
+
 /** The front of one process. */
 export const createFrontDriver = (options: FrontOptions): FrontDriver => {
   const { names, metrics } = options;
@@ -159,7 +168,9 @@
     const { res } = found;
     const isBodiless =
       res.req.method === "HEAD" || bodilessStatuses.has(head.status);
-    writeHead(res, head, isBodiless ? undefined : body.length);
+    if (!head.isFramed && !isBodiless) endWithConnection(res);
+    const isSized = head.isFramed && !isBodiless;
+    writeHead(res, head, isSized ? body.length : undefined);
     res.end(body);
   };
 
@@ -224,14 +235,13 @@
       isDraining = true;
     },
     closeIdle: () => {
+      if (server.listening) server.close();
       server.closeIdleConnections();
     },
-    stop: () =>
-      new Promise((resolve) => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
+    stop: () => {
+      if (server.listening) server.close();
+      server.closeAllConnections();
+      return Promise.resolve();
+    },
   };
 };
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -60,6 +60,11 @@
   return added;
 };
 
+/** Whether an answer says where it ends; any other ends with its connection, and a reset cuts it. */
+const isFramed = ({ headers }: IncomingMessage): boolean =>
+  headers["content-length"] !== undefined ||
+  headers["transfer-encoding"] !== undefined;
+
 /** A call under way. */
 export class ReplicaCall {
   private readonly req: ClientRequest;
@@ -117,7 +122,7 @@
 
   private onError(error: Error): void {
     // Bytes after a whole answer belong to no request; the answer itself stands.
-    if (this.res?.complete === true) return;
+    if (this.res?.complete === true && isFramed(this.res)) return;
     const failure = this.isConnected
       ? AttemptFailure.Broken
       : AttemptFailure.NotSent;
@@ -144,6 +149,7 @@
       isStream:
         status === 200 &&
         (res.headers["content-type"] ?? "").startsWith("text/event-stream"),
+      isFramed: isFramed(res),
       isNotRun: res.headers[names.notRun] !== undefined || status === 421,
     };
   }
