Ask for a copy anew when its holder is lost

The relay now asks the engine to copy the run to another holder, renews such copies before they lapse, takes a new process at an address as proof that the one before is gone, and uses a copy only after a first event.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -2,9 +2,14 @@
 
 import { assertNever } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
-import { RequestKind, type Replica } from "../types.js";
+import { RequestKind } from "../types.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
-import { noteAnswer, noteHeard, noteLoss } from "./replicaViews.js";
+import {
+  noteAnswer,
+  noteHeard,
+  noteLoss,
+  noteReplaced,
+} from "./replicaViews.js";
 import { sendAgain } from "./sendAttempt.js";
 import {
   AttemptFailure,
@@ -54,10 +59,6 @@
   },
 });
 
-/** Whether an attempt's copy may be used after its loss; a refused copy is none. */
-const copyAfter = (attempt: Attempt, exchange: Exchange): Replica | undefined =>
-  attempt.copyTo ?? exchange.copyHolder;
-
 /** Goes on elsewhere after the attempt under way was lost. */
 export const loseAttempt = (
   state: RelayState,
@@ -65,7 +66,8 @@
   attempt: Attempt,
   reason: string,
 ): RelayCommand[] => {
-  exchange.copyHolder = copyAfter(attempt, exchange);
+  // A copy begins with the first event; what was read before is lost.
+  exchange.copy = attempt.hasEvents ? attempt.copy : undefined;
   const line = lossLine(exchange, attempt, state.at, reason);
   closeAttempt(state, exchange);
   return [line, ...sendAgain(state, exchange, reason)];
@@ -105,6 +107,8 @@
   return route.kind === RequestKind.Idempotent || route.canResume;
 };
 
+const misdirectedStatus = 421; // another process answers at the replica's address
+
 /** A replica gave a whole answer. */
 export const answered = (
   state: RelayState,
@@ -117,7 +121,7 @@
   const { status, isNotRun } = answer.head;
   noteHeard(state, attempt.replica.id, at);
   if (isNotRun) {
-    if (attempt.start.type === "copy") exchange.copyHolder = undefined;
+    if (status === misdirectedStatus) noteReplaced(state, attempt.replica, at);
     if (exchange.attempts === 1) exchange.mayHaveRun = false;
     const line = lossLine(
       exchange,
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -39,6 +39,9 @@
 /** Time after a replica's leaving is seen at which streams move off it, as a share of the drain timeout. */
 export const moveAfterDrainShare = 0.4;
 
+/** Time after which a copy that was asked for is asked for again: engines drop it after some seconds. */
+export const copyLifeMs = 2500;
+
 /** Weight of the newest answer in a replica's share of failures. */
 export const failureWeight = 1 / 8;
 
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -7,6 +7,7 @@
 import { probed } from "./probes.js";
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamBegan, streamEnded } from "./streamEvents.js";
+import { runCopied } from "./runCopies.js";
 import { timePassed } from "./timePassed.js";
 import type {
   RelayCommand,
@@ -86,6 +87,8 @@
       return attemptFailed(state, event);
     case "probed":
       return probed(state, event);
+    case "runCopied":
+      return runCopied(state, event);
     case "callerLeft":
       return callerLeft(state, event);
     case "timePassed":
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -21,11 +21,14 @@
   failureShare: 0,
   lostAt: 0,
   leavingSince: undefined,
+  replacedAt: undefined,
 });
 
 /** Whether a replica may get new work at all. */
-export const isOpen = ({ replica, leavingSince }: ReplicaView): boolean =>
-  replica.state === ReplicaState.Ready && leavingSince === undefined;
+export const isOpen = (view: ReplicaView): boolean =>
+  view.replica.state === ReplicaState.Ready &&
+  view.leavingSince === undefined &&
+  view.replacedAt === undefined;
 
 /** Whether a replica is avoided because of a recent loss. */
 export const isSuspect = (view: ReplicaView, at: Moment): boolean =>
@@ -43,6 +46,17 @@
   view.suspectUntil = 0;
 };
 
+/** Notes that another process has the replica's address: the replica is gone. */
+export const noteReplaced = (
+  state: RelayState,
+  { id }: Replica,
+  at: Moment,
+): void => {
+  const view = state.replicas.get(id);
+  if (view === undefined) return;
+  view.replacedAt ??= at;
+};
+
 /** Notes an answer of a replica that ran the request, for its share of failures. */
 export const noteAnswer = (
   state: RelayState,
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -63,11 +63,12 @@
   ),
   attempt: undefined,
   attempts: 0,
+  nextNumber: 0,
   tried: new Set(),
   mayHaveRun: false,
   head: undefined,
   lastEventId: request.lastEventId ?? 0,
-  copyHolder: undefined,
+  copy: undefined,
   failedAnswer: undefined,
 });
 
--- /dev/null
+++ b/packages/relay/src/decisions/runCopies.ts
@@ -0,0 +1,86 @@
+/** Keeps a usable copy of each run's memory, also after the copy's holder was lost. */
+
+import { Severity } from "@cardamomglade/observe";
+import { findAttempt } from "./attemptEvents.js";
+import { copyLifeMs } from "./constants.js";
+import { chooseCopyHolder, isCopyUsable } from "./sendAttempt.js";
+import type {
+  Attempt,
+  Exchange,
+  RelayCommand,
+  RelayEventOf,
+  RelayState,
+} from "./types.js";
+
+/** Whether a run can go on at a copy. */
+export const hasCopy = (state: RelayState, { copy }: Attempt): boolean =>
+  copy !== undefined && isCopyUsable(state, copy);
+
+// A copy that grows with the run needs no renewal; one that was asked for lapses.
+const isLapsing = (state: RelayState, { copy, copyTo }: Attempt): boolean =>
+  copy !== undefined &&
+  copy.source.id !== copyTo?.id &&
+  state.at - copy.madeAt >= copyLifeMs;
+
+/** Asks for a copy at another engine where the run has none that can be used. */
+export const ensureCopy = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+): RelayCommand[] => {
+  if (attempt.copyTo === undefined || !attempt.hasEvents) return [];
+  const isAsked =
+    attempt.copyingSince !== undefined &&
+    state.at - attempt.copyingSince < copyLifeMs;
+  if (isAsked) return [];
+  const isKept = hasCopy(state, attempt);
+  if (isKept && !isLapsing(state, attempt)) return [];
+  const holder = isKept
+    ? attempt.copy?.holder
+    : chooseCopyHolder(state, exchange, attempt.replica);
+  if (holder === undefined) return [];
+  attempt.copyingSince = state.at;
+  const { key, request } = exchange;
+  const { requestId } = request;
+  return [
+    {
+      type: "copyRun",
+      key,
+      attempt: attempt.number,
+      requestId,
+      source: attempt.replica,
+      holder,
+    },
+  ];
+};
+
+/** A copy was made, or could not be. */
+export const runCopied = (
+  state: RelayState,
+  event: RelayEventOf<"runCopied">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  const { exchange, attempt } = found;
+  const { handle, holder, at } = event;
+  const madeAt = attempt.copyingSince ?? at;
+  // After a refusal the next try waits as long as a copy lives.
+  attempt.copyingSince = handle === undefined ? madeAt : undefined;
+  if (handle !== undefined)
+    attempt.copy = { holder, source: attempt.replica, handle, madeAt };
+  return [
+    {
+      type: "log",
+      severity: Severity.Info,
+      message: handle === undefined ? "run not copied" : "run copied",
+      context: {
+        requestId: exchange.request.requestId,
+        replica: attempt.replica.id,
+        holder: holder.id,
+        holderZone: holder.zone,
+        afterEvent: exchange.lastEventId,
+        tookMs: Math.round(at - madeAt),
+      },
+    },
+  ];
+};
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -12,9 +12,11 @@
   Exchange,
   RelayCommand,
   RelayState,
+  RunCopy,
 } from "./types.js";
 
-const chooseCopyHolder = (
+/** Chooses the engine that keeps a copy of a run: in another zone, so that one loss does not take both. */
+export const chooseCopyHolder = (
   state: RelayState,
   { route, service }: Exchange,
   replica: Replica,
@@ -44,22 +46,30 @@
   start: AttemptStart,
 ): RelayCommand[] => {
   const { key, request, customer, deadline, lastEventId } = exchange;
+  const copyTo = chooseCopyHolder(state, exchange, replica);
   const attempt: Attempt = {
-    number: exchange.attempts,
+    number: exchange.nextNumber,
     replica,
     start,
     sentAt: state.at,
-    copyTo: chooseCopyHolder(state, exchange, replica),
+    copyTo,
+    copy: copyTo && {
+      holder: copyTo,
+      source: copyTo,
+      handle: request.requestId,
+      madeAt: state.at,
+    },
+    copyingSince: undefined,
     heardAt: state.at,
     hasEvents: false,
   };
   exchange.attempts += 1;
+  exchange.nextNumber += 1;
   exchange.attempt = attempt;
   exchange.tried.add(replica.id);
   exchange.mayHaveRun = true;
   countAttempt(state, attempt);
   const view = state.replicas.get(replica.id);
-  const isContinued = start.type === "copy" || lastEventId > 0;
   return [
     {
       type: "send",
@@ -68,7 +78,7 @@
       request,
       customer,
       deadline,
-      lastEventId: isContinued ? lastEventId : undefined,
+      lastEventId: lastEventId > 0 ? lastEventId : undefined,
     },
     {
       type: "log",
@@ -116,14 +126,14 @@
   }
 };
 
-const holderToUse = (
+/** Whether a copy may still be there: its holder was not lost since the copy was made. */
+export const isCopyUsable = (
   state: RelayState,
-  { copyHolder, route }: Exchange,
-): Replica | undefined => {
-  if (copyHolder === undefined || !route.canResume) return undefined;
-  const view = state.replicas.get(copyHolder.id);
-  if (view === undefined || !isOpen(view)) return undefined;
-  return isSuspect(view, state.at) ? undefined : copyHolder;
+  { holder, madeAt }: RunCopy,
+): boolean => {
+  const view = state.replicas.get(holder.id);
+  if (view === undefined || view.lostAt > madeAt) return false;
+  return isOpen(view) && !isSuspect(view, state.at);
 };
 
 const nextReplica = (
@@ -142,14 +152,16 @@
     return failExchange(state, exchange, reason);
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
-  const holder = holderToUse(state, exchange);
-  const replica = holder ?? nextReplica(state, exchange);
+  const { copy } = exchange;
+  const usable =
+    copy !== undefined && isCopyUsable(state, copy) ? copy : undefined;
+  const replica = usable?.holder ?? nextReplica(state, exchange);
   if (replica === undefined)
     return failExchange(state, exchange, `${reason}; no replica is open`);
   if (!takeRepeat(state, service, state.at))
     return failExchange(state, exchange, `${reason}; no repeat is left`);
-  exchange.copyHolder = undefined;
+  exchange.copy = undefined;
   const start: AttemptStart =
-    holder === undefined ? { type: "fresh" } : { type: "copy", holder };
+    usable === undefined ? { type: "fresh" } : { type: "copy", copy: usable };
   return sendTo(state, exchange, replica, start);
 };
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -12,6 +12,7 @@
 } from "./constants.js";
 import { failExchange } from "./endExchange.js";
 import { leaveAttempt, probeSilent } from "./probes.js";
+import { ensureCopy, hasCopy } from "./runCopies.js";
 import { dropVanished } from "./worldChanged.js";
 import type {
   Attempt,
@@ -40,11 +41,15 @@
   attempt: Attempt,
 ): RelayCommand[] => {
   const canMove =
-    attempt.copyTo !== undefined &&
+    attempt.hasEvents &&
+    hasCopy(state, attempt) &&
     exchange.attempts < exchange.route.maxAttempts;
   if (canMove && isLeaving(state, attempt, state.at))
     return leaveAttempt(state, exchange, attempt, "the replica is leaving");
-  return probeSilent(state, attempt);
+  return [
+    ...ensureCopy(state, exchange, attempt),
+    ...probeSilent(state, attempt),
+  ];
 };
 
 const tendRepeatable = (
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -31,12 +31,23 @@
   lostAt: Moment;
   /** Moment at which its leaving was first seen; undefined while it stays. */
   leavingSince: Moment | undefined;
+  /** Moment at which another process was found at its address. */
+  replacedAt: Moment | undefined;
 }
 
 /** How a request is sent to a replica. */
 export type AttemptStart =
   | { readonly type: "fresh" }
-  | { readonly type: "copy"; readonly holder: Replica };
+  | { readonly type: "copy"; readonly copy: RunCopy };
+
+/** A copy of a run's memory at another engine. */
+export interface RunCopy {
+  readonly holder: Replica;
+  /** Engine by whose address the copy is named. */
+  readonly source: Replica;
+  readonly handle: string;
+  readonly madeAt: Moment;
+}
 
 /** One sending of a request to one replica. */
 export interface Attempt {
@@ -44,8 +55,12 @@
   readonly replica: Replica;
   readonly start: AttemptStart;
   readonly sentAt: Moment;
-  /** Where the run's memory is copied to while it runs. */
+  /** Engine that is asked to keep a copy from the start. */
   readonly copyTo: Replica | undefined;
+  /** Newest copy of the run's memory. */
+  copy: RunCopy | undefined;
+  /** Moment at which a further copy was asked for; undefined when none is under way. */
+  copyingSince: Moment | undefined;
   heardAt: Moment;
   hasEvents: boolean;
 }
@@ -79,7 +94,10 @@
   /** The final answer is due by then. */
   readonly deadline: Moment;
   attempt: Attempt | undefined;
+  /** Replicas that the request was sent to. */
   attempts: number;
+  /** Number of the next attempt; also counts those that found no connection. */
+  nextNumber: number;
   readonly tried: Set<string>;
   /** Whether some replica may have begun to run the request. */
   mayHaveRun: boolean;
@@ -87,8 +105,8 @@
   head: AnswerHead | undefined;
   /** Last event delivered to the caller, of this or an earlier answer. */
   lastEventId: number;
-  /** Replica that holds the newest copy of the run's memory. */
-  copyHolder: Replica | undefined;
+  /** Copy left by the last attempt. */
+  copy: RunCopy | undefined;
   /** Last failed answer of a replica, kept in case no other attempt is possible. */
   failedAnswer: WholeAnswer | undefined;
 }
@@ -223,6 +241,15 @@
       readonly report: EngineReport | undefined;
       readonly isAnswered: boolean;
     }
+  | {
+      readonly type: "runCopied";
+      readonly at: Moment;
+      readonly key: string;
+      readonly attempt: number;
+      readonly holder: Replica;
+      /** Name of the copy; undefined where none was made. */
+      readonly handle: string | undefined;
+    }
   | {
       readonly type: "callerLeft";
       readonly at: Moment;
@@ -281,6 +308,14 @@
       readonly reason: string;
       readonly retryAfterMs: number | undefined;
     }
+  | {
+      readonly type: "copyRun";
+      readonly key: string;
+      readonly attempt: number;
+      readonly requestId: string;
+      readonly source: Replica;
+      readonly holder: Replica;
+    }
   | {
       readonly type: "probe";
       readonly replica: Replica;
--- a/packages/relay/src/decisions/worldChanged.ts
+++ b/packages/relay/src/decisions/worldChanged.ts
@@ -4,7 +4,7 @@
 import { Severity } from "@cardamomglade/observe";
 import { ReplicaState, type Replica } from "../types.js";
 import { registrationMs } from "./constants.js";
-import { createReplicaView } from "./replicaViews.js";
+import { createReplicaView, noteReplaced } from "./replicaViews.js";
 import { buildRouteTable } from "./routeTable.js";
 import type { RelayCommand, RelayEventOf, RelayState } from "./types.js";
 
@@ -47,12 +47,23 @@
   context: { replica: id, service, zone, state: replicaState },
 });
 
+/** A process that registers at an address proves that the one before is gone. */
+const noteSuccessor = (state: RelayState, replica: Replica): void => {
+  for (const { replica: other } of state.replicas.values()) {
+    const isBefore =
+      other.id !== replica.id && other.startedAt < replica.startedAt;
+    if (isBefore && other.host === replica.host && other.port === replica.port)
+      noteReplaced(state, other, state.at);
+  }
+};
+
 const noteReplica = (state: RelayState, replica: Replica): RelayCommand[] => {
   const known = state.replicas.get(replica.id);
   state.vanished.delete(replica.id);
   if (known === undefined || !isSameProcess(known.replica, replica)) {
     const view = createReplicaView(replica);
     state.replicas.set(replica.id, view);
+    noteSuccessor(state, replica);
     if (replica.state === ReplicaState.Draining) view.leavingSince = state.at;
     return [replicaLine("replica registered", replica)];
   }
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -54,7 +54,10 @@
   if (copyTo !== undefined)
     added.push(names.copyTo, `${copyTo.host}:${String(copyTo.port)}`);
   if (start.type === "copy")
-    added.push(names.continueFrom, copyName(start.holder, asked.requestId));
+    added.push(
+      names.continueFrom,
+      copyName(start.copy.source, start.copy.handle),
+    );
   if (asked.body.length > 0 || asked.hasBody)
     added.push("content-length", String(asked.body.length));
   return added;
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -4,7 +4,7 @@
 import type { RelayCommand, RelayEvent } from "../decisions/types.js";
 import { Counter, type RelayMetrics } from "../metrics.js";
 import type { Replica, ReplicaProtocol } from "../types.js";
-import { probeEngine } from "./probeEngine.js";
+import { askForCopy, probeEngine } from "./engineCalls.js";
 import { ReplicaCall } from "./replicaCall.js";
 import type { RelayDriver } from "./types.js";
 
@@ -50,6 +50,21 @@
     });
   };
 
+  const copyRun = async (
+    command: Extract<RelayCommand, { type: "copyRun" }>,
+  ) => {
+    const { key, attempt, holder } = command;
+    const handle = await askForCopy(protocol, command);
+    channel.push({
+      type: "runCopied",
+      at: now(),
+      key,
+      attempt,
+      holder,
+      handle,
+    });
+  };
+
   return {
     events: channel.stream,
     perform: (command) => {
@@ -60,6 +75,9 @@
         case "abandon":
           abandon(command.key, command.attempt);
           return;
+        case "copyRun":
+          void copyRun(command);
+          return;
         case "probe":
           void probe(command.replica, command.sentAt);
           return;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -119,8 +119,13 @@
   readonly headers: HeaderNames;
   /** Path of an engine's report. */
   readonly reportPath: string;
-  /** Value that names a copy of a run's memory. */
-  readonly copyName: (holder: Replica, requestId: string) => string;
+  /** Value that names a copy by its source's address. */
+  readonly copyName: (source: Replica, handle: string) => string;
+  /** Path at which an engine is asked to copy a run's memory to another one. */
+  readonly copyPath: string;
+  readonly encodeCopy: (requestId: string, holder: Replica) => string;
+  /** The name of the copy that was made, or undefined. */
+  readonly readCopy: (text: string) => string | undefined;
   readonly readReport: (text: string) => EngineReport | undefined;
 }
 
