Do not count a misdirected request as an attempt; share extra repeats by 8

Cause: streams were broken off with "no attempt is left" after addresses that other processes had taken answered 421 (the request had reached no replica of the service), and with "no repeat is left" where a node's share of the extra repeats was a 16th of the fleet's; the sites have 7 and 8.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -85,7 +85,7 @@
   switch (failure) {
     case AttemptFailure.NotSent:
       noteLoss(state, attempt.replica, at);
-      if (exchange.attempts === 1) exchange.mayHaveRun = false;
+      if (!attempt.mayHaveRunBefore) exchange.mayHaveRun = false;
       exchange.attempts -= 1;
       break;
     case AttemptFailure.Broken:
@@ -121,8 +121,12 @@
   const { status, isNotRun } = answer.head;
   noteHeard(state, attempt.replica.id, at);
   if (isNotRun) {
-    if (status === misdirectedStatus) noteReplaced(state, attempt.replica, at);
-    if (exchange.attempts === 1) exchange.mayHaveRun = false;
+    if (status === misdirectedStatus) {
+      // The request has not reached the replica that it was meant for.
+      noteReplaced(state, attempt.replica, at);
+      exchange.attempts -= 1;
+    }
+    if (!attempt.mayHaveRunBefore) exchange.mayHaveRun = false;
     const line = lossLine(
       exchange,
       attempt,
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -46,7 +46,7 @@
 export const failureWeight = 1 / 8;
 
 /** Routers assumed to share the extra repeats, as long as their number is not known. */
-export const routersAssumed = 16;
+export const routersAssumed = 8;
 
 /** Cost of a prompt being read at an engine, in prompts. */
 export const readingCost = 1;
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -52,6 +52,7 @@
     replica,
     start,
     sentAt: state.at,
+    mayHaveRunBefore: exchange.mayHaveRun,
     copyTo,
     copy: copyTo && {
       holder: copyTo,
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -55,6 +55,8 @@
   readonly replica: Replica;
   readonly start: AttemptStart;
   readonly sentAt: Moment;
+  /** Whether the request may have run before this attempt. */
+  readonly mayHaveRunBefore: boolean;
   /** Engine that is asked to keep a copy from the start. */
   readonly copyTo: Replica | undefined;
   /** Newest copy of the run's memory. */
