Test the relay's decisions on a virtual clock

Found by them: a relay took its own start for the end of an outage of the store and kept vanished replicas for 2.2 s.

--- /dev/null
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -0,0 +1,124 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  bookPath,
+  checkPath,
+  Scenario,
+  streamPath,
+} from "../testing/scenario.js";
+import { AttemptFailure } from "./types.js";
+
+const fail = (scenario: Scenario, key: string, failure: AttemptFailure) =>
+  scenario.tell({
+    type: "attemptFailed",
+    at: scenario.at,
+    key,
+    attempt: scenario.sent(key).attempt.number,
+    failure,
+    detail: "test",
+  });
+
+const refusalsOf = (scenario: Scenario) =>
+  scenario.of("refuse").map(({ status }) => status);
+
+test("a booking whose connection broke is not sent again and not called unrun", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", bookPath);
+  fail(scenario, "1", AttemptFailure.Broken);
+  assert.equal(scenario.of("send").length, 1);
+  assert.deepEqual(refusalsOf(scenario), [502]);
+});
+
+test("a booking that found no connection goes to another replica", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", bookPath);
+  fail(scenario, "1", AttemptFailure.NotSent);
+  assert.equal(scenario.of("send").length, 2);
+  scenario.answer("1");
+  assert.equal(scenario.of("deliverAnswer").length, 1);
+});
+
+test("a booking that its replica refused is refused with a pause", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", bookPath);
+  scenario.answer("1", { status: 503, isNotRun: true });
+  const [refusal] = scenario.of("refuse");
+  assert.equal(refusal?.status, 503);
+  assert.ok(refusal.retryAfterMs !== undefined);
+});
+
+test("a booking that may have run is never refused as unrun afterwards", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", bookPath);
+  fail(scenario, "1", AttemptFailure.NotSent);
+  fail(scenario, "1", AttemptFailure.Broken);
+  assert.deepEqual(refusalsOf(scenario), [502]);
+});
+
+test("a check that failed is tried once more; the replica's failure is passed on then", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", checkPath);
+  const first = scenario.sent("1").attempt.replica.id;
+  scenario.answer("1", { status: 500 });
+  assert.notEqual(scenario.sent("1").attempt.replica.id, first);
+  scenario.answer("1", { status: 500 });
+  const [delivered] = scenario.of("deliverAnswer");
+  assert.equal(delivered?.answer.head.status, 500);
+});
+
+test("a check that is overdue is sent to another replica and given up at the first", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", checkPath);
+  scenario.wait(450);
+  assert.equal(scenario.of("abandon").length, 1);
+  assert.equal(scenario.of("send").length, 2);
+});
+
+test("a booking at its route's time limit is answered at once: it may have run", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", bookPath);
+  scenario.wait(1225);
+  assert.deepEqual(refusalsOf(scenario), [504]);
+  assert.equal(scenario.of("abandon").length, 1);
+});
+
+test("work for a caller that left ends at once", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  const commands = scenario.tell({
+    type: "callerLeft",
+    at: scenario.at,
+    key: "1",
+  });
+  assert.equal(commands[0]?.type, "abandon");
+  assert.equal(scenario.state.exchanges.size, 0);
+  const views = [...scenario.state.replicas.values()];
+  assert.ok(views.every(({ inFlight, reading }) => inFlight + reading === 0));
+});
+
+test("a relay that knows no configuration refuses with 503 and a pause", () => {
+  const scenario = Scenario.createEmpty();
+  scenario.request("1", bookPath);
+  assert.deepEqual(refusalsOf(scenario), [503]);
+});
+
+test("unknown paths and keys are refused", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", "/none/x");
+  scenario.request("2", bookPath, { key: "key-2" });
+  scenario.request("3", bookPath, { key: undefined });
+  assert.deepEqual(refusalsOf(scenario), [404, 401, 401]);
+});
+
+test("repeats of one service stay below their share of the first sendings", () => {
+  const scenario = Scenario.create();
+  const requests = 200;
+  for (let request = 0; request < requests; request += 1) {
+    scenario.request(String(request), checkPath);
+    scenario.answer(String(request), { status: 500 });
+    scenario.answer(String(request), { status: 500 });
+  }
+  const repeats = scenario.of("send").length - requests;
+  assert.ok(repeats <= 0.8 * requests + 150);
+  assert.ok(repeats > 0);
+});
--- /dev/null
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -0,0 +1,266 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  Scenario,
+  streamPath,
+  testReplica,
+  testReplicas,
+} from "../testing/scenario.js";
+import { AttemptFailure } from "./types.js";
+
+const loseStream = (scenario: Scenario, key: string) =>
+  scenario.tell({
+    type: "attemptFailed",
+    at: scenario.at,
+    key,
+    attempt: scenario.sent(key).attempt.number,
+    failure: AttemptFailure.Broken,
+    detail: "reset",
+  });
+
+const refusalsOf = (scenario: Scenario) =>
+  scenario.of("refuse").map(({ status }) => status);
+
+test("a stream goes on at its copy, which lies in another zone, after the last event", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  const first = scenario.sent("1").attempt;
+  assert.notEqual(first.copyTo?.zone, first.replica.zone);
+  scenario.stream("1", 1, 7);
+  loseStream(scenario, "1");
+  const second = scenario.sent("1");
+  assert.equal(second.attempt.replica.id, first.copyTo?.id);
+  assert.equal(second.attempt.start.type, "copy");
+  assert.equal(second.lastEventId, 7);
+});
+
+test("a copy is not asked for before the run's first event", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  loseStream(scenario, "1");
+  assert.equal(scenario.sent("1").attempt.start.type, "fresh");
+});
+
+test("events reach the caller once and in order, whichever replica made them", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 5);
+  loseStream(scenario, "1");
+  scenario.stream("1", 4, 9);
+  const ids = scenario
+    .of("deliverEvents")
+    .flatMap(({ events }) => events.map(({ id }) => id));
+  assert.deepEqual(ids, [1, 2, 3, 4, 5, 6, 7, 8, 9]);
+});
+
+test("a missing event ends the attempt, not the stream", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  scenario.stream("1", 5, 6);
+  assert.equal(scenario.of("abandon").length, 1);
+  assert.equal(scenario.sent("1").lastEventId, 3);
+  assert.equal(scenario.of("breakOff").length, 0);
+});
+
+test("an attempt that was given up is not heard any more", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  const { number } = scenario.sent("1").attempt;
+  scenario.stream("1", 1, 3);
+  loseStream(scenario, "1");
+  const late = scenario.tell({
+    type: "streamEnded",
+    at: scenario.at,
+    key: "1",
+    attempt: number,
+  });
+  assert.deepEqual(late, []);
+});
+
+test("a silent engine is probed before it is left, and left when the probe is not answered", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  scenario.wait(300);
+  const [probe] = scenario.of("probe");
+  assert.ok(probe);
+  assert.equal(scenario.of("send").length, 1);
+  scenario.wait(150);
+  scenario.tell({
+    type: "probed",
+    at: scenario.at,
+    replica: probe.replica.id,
+    sentAt: probe.sentAt,
+    report: undefined,
+    isAnswered: false,
+  });
+  assert.equal(scenario.of("abandon").length, 1);
+  assert.equal(scenario.sent("1").attempt.start.type, "copy");
+});
+
+test("an engine that answers its probe keeps its streams", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  scenario.wait(300);
+  const [probe] = scenario.of("probe");
+  assert.ok(probe);
+  scenario.tell({
+    type: "probed",
+    at: scenario.at,
+    replica: probe.replica.id,
+    sentAt: probe.sentAt,
+    report: undefined,
+    isAnswered: true,
+  });
+  scenario.wait(200);
+  assert.equal(scenario.of("send").length, 1);
+});
+
+test("a connection on which events that were made do not arrive is given up", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  scenario.wait(500);
+  const { replica } = scenario.sent("1").attempt;
+  scenario.tell({
+    type: "probed",
+    at: scenario.at,
+    replica: replica.id,
+    sentAt: scenario.at - 10,
+    report: {
+      queued: 0,
+      active: 1,
+      memoryUsed: 0,
+      memoryTotal: 1,
+      runs: [{ requestId: "id-1", memoryTokens: 1, eventsMade: 9 }],
+    },
+    isAnswered: true,
+  });
+  assert.equal(scenario.of("send").length, 2);
+});
+
+test("a stall of the process itself is not taken for the engines' silence", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  scenario.wait(25);
+  scenario.at += 3000;
+  scenario.tell({ type: "timePassed", at: scenario.at });
+  assert.equal(scenario.of("probe").length, 0);
+});
+
+test("a run whose copy was lost gets another one", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  const { copyTo } = scenario.sent("1").attempt;
+  assert.ok(copyTo);
+  scenario.stream("1", 1, 3);
+  scenario.wait(50);
+  assert.equal(scenario.of("copyRun").length, 0);
+  const successor = { ...copyTo, id: "x-1", startedAt: 2 };
+  const replicas = [...testReplicas(), successor];
+  scenario.tell({ type: "replicasRead", at: scenario.at, replicas });
+  scenario.wait(25);
+  const [order] = scenario.of("copyRun");
+  assert.ok(order);
+  assert.notEqual(order.holder.id, copyTo.id);
+  scenario.tell({
+    type: "runCopied",
+    at: scenario.at,
+    key: "1",
+    attempt: order.attempt,
+    holder: order.holder,
+    handle: "h-7",
+  });
+  loseStream(scenario, "1");
+  const { start } = scenario.sent("1").attempt;
+  assert.equal(start.type === "copy" ? start.copy.handle : "", "h-7");
+});
+
+test("a copy that was asked for is renewed before it lapses", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  const { attempt } = scenario.sent("1");
+  attempt.copy = undefined;
+  scenario.wait(25);
+  const [order] = scenario.of("copyRun");
+  assert.ok(order);
+  scenario.tell({
+    type: "runCopied",
+    at: scenario.at,
+    key: "1",
+    attempt: order.attempt,
+    holder: order.holder,
+    handle: "h-7",
+  });
+  scenario.wait(2400);
+  assert.equal(scenario.of("copyRun").length, 1);
+  scenario.wait(200);
+  assert.equal(scenario.of("copyRun").length, 2);
+});
+
+test("a replica at whose address another process answers is not tried again", () => {
+  const scenario = Scenario.create();
+  const tried = new Set<string>();
+  for (let request = 0; request < 6; request += 1) {
+    const key = String(request);
+    scenario.request(key, streamPath);
+    const { id } = scenario.sent(key).attempt.replica;
+    assert.ok(!tried.has(id));
+    tried.add(id);
+    scenario.answer(key, { status: 421, isNotRun: true });
+    scenario.tell({ type: "callerLeft", at: scenario.at, key });
+  }
+});
+
+test("misdirected requests use up no attempt", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  for (let times = 0; times < 5; times += 1)
+    scenario.answer("1", { status: 421, isNotRun: true });
+  assert.equal(scenario.of("send").length, 6);
+  assert.deepEqual(refusalsOf(scenario), []);
+});
+
+test("streams move off a replica that leaves, by their copies", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  const { replica, copyTo } = scenario.sent("1").attempt;
+  const replicas = testReplicas().filter(({ id }) => id !== replica.id);
+  scenario.tell({ type: "replicasRead", at: scenario.at, replicas });
+  scenario.wait(700);
+  assert.equal(scenario.of("send").length, 1);
+  scenario.tell({
+    type: "probed",
+    at: scenario.at,
+    replica: replica.id,
+    sentAt: scenario.at,
+    report: undefined,
+    isAnswered: true,
+  });
+  scenario.wait(200);
+  assert.equal(scenario.sent("1").attempt.replica.id, copyTo?.id);
+});
+
+test("a zone that loses several engines at once is avoided", () => {
+  const zoneA = ["a-1", "a-2", "a-3", "a-4"].map((id) => testReplica(id));
+  const zoneB = ["b-1", "b-2"].map((id) => testReplica(id));
+  const scenario = Scenario.create([...zoneA, ...zoneB]);
+  let lost = 0;
+  for (let request = 0; lost < 2; request += 1) {
+    const key = String(request);
+    scenario.request(key, streamPath);
+    if (scenario.sent(key).attempt.replica.zone !== "a") continue;
+    loseStream(scenario, key);
+    lost += 1;
+  }
+  for (let request = 100; request < 110; request += 1) {
+    const key = String(request);
+    scenario.request(key, streamPath);
+    assert.equal(scenario.sent(key).attempt.replica.zone, "b");
+  }
+});
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -132,7 +132,11 @@
 /** Whether the store answers. */
 export type StoreState =
   | { readonly type: "unknown" }
-  | { readonly type: "answering"; readonly since: Moment }
+  | {
+      readonly type: "answering";
+      /** End of its last outage; -Infinity where there was none. */
+      readonly since: Moment;
+    }
   | { readonly type: "silent"; readonly since: Moment };
 
 /** State of the fold; its maps are owned by the fold and changed in place. */
--- a/packages/relay/src/decisions/worldChanged.ts
+++ b/packages/relay/src/decisions/worldChanged.ts
@@ -135,7 +135,8 @@
 ): RelayCommand[] => {
   const { store } = state;
   if (store.type === "answering") return [];
-  state.store = { type: "answering", since: at };
+  const since = store.type === "silent" ? at : -Infinity;
+  state.store = { type: "answering", since };
   for (const id of state.vanished.keys())
     state.vanished.set(id, at + registrationMs);
   const silentMs = store.type === "silent" ? at - store.since : 0;
--- /dev/null
+++ b/packages/relay/src/testing/scenario.ts
@@ -0,0 +1,225 @@
+/** A relay's fold on a virtual clock, for tests. */
+
+import type { Moment } from "@cardamomglade/common";
+import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
+import type {
+  AnswerHead,
+  RelayCommand,
+  RelayEvent,
+  RelayState,
+} from "../decisions/types.js";
+import {
+  ReplicaState,
+  RequestKind,
+  type CallerRequest,
+  type RelayConfig,
+  type Replica,
+  type Route,
+} from "../types.js";
+
+/** Service of engines. */
+export const engines = "engines";
+
+/** Plain service. */
+export const desk = "desk";
+
+/** Path of a stream that may go on elsewhere. */
+export const streamPath = "/stream/x";
+
+/** Path of a request that runs at most once. */
+export const bookPath = "/book/x";
+
+/** Path of a request that may run twice. */
+export const checkPath = "/check/x";
+
+const route = (
+  prefix: string,
+  kind: RequestKind,
+  service: string,
+  maxAttempts: number,
+): Route => ({
+  name: prefix,
+  hostname: "host.example",
+  prefix,
+  kind,
+  timeoutMs: kind === RequestKind.Streaming ? 25_000 : 1200,
+  targetLatencyMs: kind === RequestKind.Streaming ? 4500 : 193,
+  priority: 1,
+  targets: [{ service, weight: 1 }],
+  maxAttempts,
+  isOpen: false,
+  canResume: kind === RequestKind.Streaming,
+  longestPauseMs: kind === RequestKind.Streaming ? 700 : undefined,
+});
+
+/** A configuration with a stream, a booking and a check. */
+export const testConfig = (version = 1): RelayConfig => ({
+  version,
+  routes: [
+    route("/stream/", RequestKind.Streaming, engines, 5),
+    route("/book/", RequestKind.NonIdempotent, desk, 1),
+    route("/check/", RequestKind.Idempotent, desk, 2),
+  ],
+  services: [
+    { name: engines, engine: { copies: true, memoryTokens: 88_000 } },
+    { name: desk, engine: undefined },
+  ],
+  limits: {
+    headerBytes: 16_384,
+    bodyBytes: 4_194_304,
+    headerTimeoutMs: 3000,
+    idleTimeoutMs: 15_000,
+  },
+  customers: [{ name: "owner", keys: ["key-1"], priority: undefined }],
+});
+
+/** A replica; its zone is the part of its id before the dash. */
+export const testReplica = (
+  id: string,
+  service = engines,
+  changes: Partial<Replica> = {},
+): Replica => ({
+  id,
+  service,
+  host: `10.0.0.${String(id.charCodeAt(0))}`,
+  port: 8000 + Number(id.split("-")[1] ?? 0),
+  zone: id.split("-")[0] ?? "",
+  slots: 6,
+  state: ReplicaState.Ready,
+  startedAt: 1,
+  ...changes,
+});
+
+/** Two engines and one desk in each of three zones. */
+export const testReplicas = (): Replica[] => [
+  ...["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"].map((id) => testReplica(id)),
+  ...["a-9", "b-9", "c-9"].map((id) => testReplica(id, desk)),
+];
+
+/** The head of a good answer. */
+export const goodHead = (changes: Partial<AnswerHead> = {}): AnswerHead => ({
+  status: 200,
+  headers: [],
+  seal: "seal",
+  isStream: false,
+  isFramed: true,
+  isNotRun: false,
+  ...changes,
+});
+
+type CommandOf<Type extends RelayCommand["type"]> = Extract<
+  RelayCommand,
+  { readonly type: Type }
+>;
+
+/** A fold with a clock that the test moves; every command is kept. */
+export class Scenario {
+  readonly commands: RelayCommand[] = [];
+  at: Moment = 1000;
+
+  private constructor(readonly state: RelayState) {}
+
+  /** A relay in zone `a` that knows the test's configuration and replicas. */
+  static create(replicas = testReplicas(), seed = 1): Scenario {
+    const scenario = Scenario.createEmpty(seed);
+    const { at } = scenario;
+    scenario.tell({ type: "storeAnswered", at, detail: "" });
+    scenario.tell({ type: "configRead", at, config: testConfig() });
+    scenario.tell({ type: "replicasRead", at, replicas });
+    return scenario;
+  }
+
+  /** A relay that knows nothing. */
+  static createEmpty(seed = 1): Scenario {
+    return new Scenario(
+      createRelayState({
+        zone: "a",
+        seed,
+        drainTimeoutMs: 2000,
+        repeatLimits: { share: 0.8, extra: 150, windowMs: 10_000 },
+      }),
+    );
+  }
+
+  /** Folds an event; gives the commands that followed. */
+  tell(event: RelayEvent): RelayCommand[] {
+    const { commands } = decideRelay(this.state, event);
+    this.commands.push(...commands);
+    return [...commands];
+  }
+
+  /** Lets time pass in ticks; gives the commands of all of them. */
+  wait(ms: number): RelayCommand[] {
+    const until = this.at + ms;
+    const commands: RelayCommand[] = [];
+    while (this.at < until) {
+      this.at = Math.min(until, this.at + 25);
+      commands.push(...this.tell({ type: "timePassed", at: this.at }));
+    }
+    return commands;
+  }
+
+  /** A caller's request arrives. */
+  request(
+    key: string,
+    target: string,
+    changes: Partial<CallerRequest> = {},
+  ): RelayCommand[] {
+    return this.tell({
+      type: "requestArrived",
+      at: this.at,
+      key,
+      request: {
+        requestId: `id-${key}`,
+        hostname: "host.example",
+        method: "POST",
+        target,
+        key: "key-1",
+        headers: [],
+        body: new Uint8Array(),
+        hasBody: false,
+        arrivedAt: this.at,
+        callerDeadline: undefined,
+        lastEventId: undefined,
+        ...changes,
+      },
+    });
+  }
+
+  /** The newest sending of a request. */
+  sent(key: string): CommandOf<"send"> {
+    const found = this.of("send").filter((one) => one.key === key);
+    const last = found.at(-1);
+    if (last === undefined) throw new Error(`request ${key} was not sent`);
+    return last;
+  }
+
+  /** All commands of one type so far. */
+  of<Type extends RelayCommand["type"]>(type: Type): CommandOf<Type>[] {
+    return this.commands.filter(
+      (command): command is CommandOf<Type> => command.type === type,
+    );
+  }
+
+  /** The replica of the newest sending streams events up to an id. */
+  stream(key: string, from: number, to: number): RelayCommand[] {
+    const attempt = this.sent(key).attempt.number;
+    const { at } = this;
+    if (from === 1) {
+      const head = goodHead({ isStream: true });
+      this.tell({ type: "streamBegan", at, key, attempt, head });
+    }
+    const events = Array.from({ length: to - from + 1 }, (_, index) => ({
+      id: from + index,
+      bytes: new Uint8Array(),
+    }));
+    return this.tell({ type: "eventsArrived", at, key, attempt, events });
+  }
+
+  /** The replica of the newest sending answers whole. */
+  answer(key: string, changes: Partial<AnswerHead> = {}): RelayCommand[] {
+    const attempt = this.sent(key).attempt.number;
+    const answer = { head: goodHead(changes), body: new Uint8Array() };
+    return this.tell({ type: "answered", at: this.at, key, attempt, answer });
+  }
+}
