Look at engines before placing a prompt; find the prompt of a caller that comes back

The router now asks the engines which parts of prompts they hold (120 ms at most) and sends the caller to the one that has its own part. (2) Routers placed prompts without knowledge of each other's: now four engines drawn at random report first and the idlest takes the prompt.

A failed trial, reverted: prompts read by 45 in 100 of the engines, streams moved to the others after their first event.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -59,7 +59,7 @@
   const metrics = createRelayMetrics();
   const front = createFrontDriver({
     listen: options.front,
-    names: protocol.headers,
+    protocol,
     metrics,
   });
   const orders = createChannel<RelayEvent>();
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -8,6 +8,7 @@
   plainZoneCost,
   randomCost,
   readingCost,
+  reportLifeMs,
   runningCost,
   slotCost,
 } from "./constants.js";
@@ -33,10 +34,39 @@
 const isEngine = (state: RelayState, service: string): boolean =>
   state.routes?.services.get(service)?.engine !== undefined;
 
+interface EngineLoad {
+  readonly reading: number;
+  readonly running: number;
+}
+
+/** Own attempts at an engine that its report does not know yet. */
+const unreported = (state: RelayState, view: ReplicaView): number => {
+  const known = new Set(view.report?.runs.map(({ requestId }) => requestId));
+  let count = 0;
+  for (const { attempt, request } of state.exchanges.values())
+    if (
+      attempt?.replica.id === view.replica.id &&
+      !attempt.hasEvents &&
+      !known.has(request.requestId)
+    )
+      count += 1;
+  return count;
+};
+
+/** Load by the newest report and own sendings since; without a report, own work alone. */
+const loadOf = (state: RelayState, view: ReplicaView): EngineLoad => {
+  const { report, reportAt, reading, inFlight } = view;
+  if (report === undefined || state.at - reportAt > reportLifeMs)
+    return { reading, running: inFlight - reading };
+  const begun = report.runs.filter(({ eventsMade }) => eventsMade > 0).length;
+  const unread = Math.max(0, report.active - begun) + report.queued;
+  return { reading: unread + unreported(state, view), running: begun };
+};
+
 const engineCost = (state: RelayState, view: ReplicaView): number => {
-  const { reading, inFlight, replica } = view;
-  const distance = replica.zone === state.zone ? 0 : engineZoneCost;
-  return readingCost * reading + runningCost * (inFlight - reading) + distance;
+  const { reading, running } = loadOf(state, view);
+  const distance = view.replica.zone === state.zone ? 0 : engineZoneCost;
+  return readingCost * reading + runningCost * running + distance;
 };
 
 const plainCost = (state: RelayState, view: ReplicaView): number => {
@@ -72,21 +102,55 @@
   return wished.length === 0 ? views : wished;
 };
 
-/** The replica to use, or undefined where none is open. */
-export const chooseReplica = (
+/** Open replicas of a service. */
+const openOf = (state: RelayState, service: string): ReplicaView[] =>
+  [...state.replicas.values()].filter(
+    (view) => view.replica.service === service && isOpen(view),
+  );
+
+/** The replicas among which one is chosen. */
+const candidatesOf = (
   state: RelayState,
   { service, except, otherThanZone }: ReplicaQuery,
-): Replica | undefined => {
-  const open = [...state.replicas.values()].filter(
-    (view) =>
-      view.replica.service === service &&
-      !except.has(view.replica.id) &&
-      isOpen(view),
+): readonly ReplicaView[] => {
+  const open = openOf(state, service).filter(
+    ({ replica }) => !except.has(replica.id),
   );
   const trusted = preferring(open, (view) => !isSuspect(view, state.at));
-  const elsewhere = preferring(
-    trusted,
-    ({ replica }) => replica.zone !== otherThanZone,
-  );
-  return leastCostly(state, service, elsewhere);
+  return preferring(trusted, ({ replica }) => replica.zone !== otherThanZone);
+};
+
+/** Some candidates at random. */
+export const sampleOf = (
+  state: RelayState,
+  query: ReplicaQuery,
+  size: number,
+): ReplicaView[] => {
+  const rest = [...candidatesOf(state, query)];
+  const sample: ReplicaView[] = [];
+  while (sample.length < size && rest.length > 0) {
+    const index = Math.floor(random(state) * rest.length);
+    sample.push(...rest.splice(index, 1));
+  }
+  return sample;
+};
+
+/** The replica to use, or undefined where none is open. */
+export const chooseReplica = (
+  state: RelayState,
+  query: ReplicaQuery,
+): Replica | undefined =>
+  leastCostly(state, query.service, candidatesOf(state, query));
+
+/** The best of the engines that a look was taken at. */
+export const chooseFrom = (
+  state: RelayState,
+  service: string,
+  ids: ReadonlySet<string>,
+): Replica | undefined => {
+  const views = [...ids]
+    .map((id) => state.replicas.get(id))
+    .filter((view) => view !== undefined)
+    .filter((view) => isOpen(view) && !isSuspect(view, state.at));
+  return leastCostly(state, service, views);
 };
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -48,6 +48,33 @@
 /** Routers assumed to share the extra repeats, as long as their number is not known. */
 export const routersAssumed = 8;
 
+/** Engines whose reports are read before a prompt is placed. */
+export const enginesLookedAt = 4;
+
+/** Time that a request waits for those reports: a round trip between zones and a handshake. */
+export const lookTimeMs = 50;
+
+/** Engines that are asked for the prompt of a caller that comes back. */
+export const enginesSearched = 24;
+
+/** Time after this process's start in which any caller may be one that comes back. */
+export const returnTimeMs = 6000;
+
+/** Time that such a caller waits for their lists. */
+export const searchTimeMs = 120;
+
+/** Age at which a list of parts is still used without asking again. */
+export const partsFreshMs = 1000;
+
+/** Age at which a report is still used without asking again; reports lag some hundred milliseconds anyway. */
+export const reportFreshMs = 60;
+
+/** Age at which a report says nothing about an engine's load any more. */
+export const reportLifeMs = 400;
+
+/** Time after which a copy that was refused is asked for again. */
+export const copyRetryMs = 400;
+
 /** Cost of a prompt being read at an engine, in prompts. */
 export const readingCost = 1;
 
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -4,7 +4,7 @@
 import { Severity } from "@cardamomglade/observe";
 import { answered, attemptFailed } from "./attemptEvents.js";
 import { callerLeft } from "./callerLeft.js";
-import { probed } from "./probes.js";
+import { partsListed, probed } from "./probes.js";
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamBegan, streamEnded } from "./streamEvents.js";
 import { runCopied } from "./runCopies.js";
@@ -25,6 +25,7 @@
 /** What a relay starts with. */
 export interface RelayStateOptions {
   readonly zone: string;
+  readonly startedAt: Moment;
   readonly seed: number;
   readonly repeatLimits: RepeatLimits;
   /** Time that a leaving replica goes on serving. */
@@ -34,6 +35,7 @@
 /** A relay that knows nothing yet. */
 export const createRelayState = (options: RelayStateOptions): RelayState => ({
   zone: options.zone,
+  startedAt: options.startedAt,
   at: 0,
   tickedAt: 0,
   generator: seedGenerator(options.seed),
@@ -89,6 +91,8 @@
       return probed(state, event);
     case "runCopied":
       return runCopied(state, event);
+    case "partsListed":
+      return partsListed(state, event);
     case "callerLeft":
       return callerLeft(state, event);
     case "timePassed":
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -10,10 +10,13 @@
   eventsBehind,
   probeAfterMs,
 } from "./constants.js";
+import { isLookOver, noteParts } from "./lookAround.js";
 import { noteHeard, noteLoss } from "./replicaViews.js";
+import { sendFresh } from "./sendAttempt.js";
 import type {
   Attempt,
   Exchange,
+  Look,
   RelayCommand,
   RelayEventOf,
   RelayState,
@@ -79,6 +82,18 @@
       : [];
   });
 
+/** Sends the requests that waited for this engine alone. */
+const endLooks = (
+  state: RelayState,
+  replicaId: string,
+  type: Look["type"],
+): RelayCommand[] =>
+  [...state.exchanges.values()].flatMap((exchange) => {
+    const { look } = exchange;
+    if (look?.type !== type || !look.awaited.delete(replicaId)) return [];
+    return isLookOver(state, exchange) ? sendFresh(state, exchange) : [];
+  });
+
 /** A probe was answered or not. */
 export const probed = (
   state: RelayState,
@@ -95,7 +110,12 @@
   view.probedAt = undefined;
   if (isAnswered) {
     noteHeard(state, replicaId, at);
-    return leaveDeadConnections(state, replicaId, report);
+    view.report = report;
+    view.reportAt = at;
+    return [
+      ...leaveDeadConnections(state, replicaId, report),
+      ...endLooks(state, replicaId, "reports"),
+    ];
   }
   if (view.heardAt >= sentAt) return [];
   noteLoss(state, view.replica, at);
@@ -119,3 +139,12 @@
     ),
   ];
 };
+
+/** An engine listed the parts of prompts that it holds, or did not answer. */
+export const partsListed = (
+  state: RelayState,
+  event: RelayEventOf<"partsListed">,
+): RelayCommand[] => {
+  noteParts(state, event);
+  return endLooks(state, event.replica, "parts");
+};
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -68,6 +68,7 @@
   mayHaveRun: false,
   head: undefined,
   lastEventId: request.lastEventId ?? 0,
+  look: undefined,
   copy: undefined,
   failedAnswer: undefined,
 });
--- a/packages/relay/src/decisions/runCopies.ts
+++ b/packages/relay/src/decisions/runCopies.ts
@@ -2,8 +2,8 @@
 
 import { Severity } from "@cardamomglade/observe";
 import { findAttempt } from "./attemptEvents.js";
-import { copyLifeMs } from "./constants.js";
-import { chooseCopyHolder, isCopyUsable } from "./sendAttempt.js";
+import { copyLifeMs, copyRetryMs } from "./constants.js";
+import { canCopy, chooseCopyHolder, isCopyUsable } from "./sendAttempt.js";
 import type {
   Attempt,
   Exchange,
@@ -28,10 +28,10 @@
   exchange: Exchange,
   attempt: Attempt,
 ): RelayCommand[] => {
-  if (attempt.copyTo === undefined || !attempt.hasEvents) return [];
+  if (!attempt.hasEvents || !canCopy(state, exchange)) return [];
   const isAsked =
     attempt.copyingSince !== undefined &&
-    state.at - attempt.copyingSince < copyLifeMs;
+    state.at - attempt.copyingSince < copyRetryMs;
   if (isAsked) return [];
   const isKept = hasCopy(state, attempt);
   if (isKept && !isLapsing(state, attempt)) return [];
@@ -64,7 +64,7 @@
   const { exchange, attempt } = found;
   const { handle, holder, at } = event;
   const madeAt = attempt.copyingSince ?? at;
-  // After a refusal the next try waits as long as a copy lives.
+  // After a refusal the next try waits a while.
   attempt.copyingSince = handle === undefined ? madeAt : undefined;
   if (handle !== undefined)
     attempt.copy = { holder, source: attempt.replica, handle, madeAt };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -2,8 +2,9 @@
 
 import { Severity } from "@cardamomglade/observe";
 import { RequestKind, type Replica } from "../types.js";
-import { chooseReplica } from "./chooseReplica.js";
+import { chooseFrom, chooseReplica } from "./chooseReplica.js";
 import { failExchange } from "./endExchange.js";
+import { holderOfPrompt, isLookOver, lookAround } from "./lookAround.js";
 import { noteFirst, takeRepeat } from "./repeatBudget.js";
 import { isOpen, isSuspect } from "./replicaViews.js";
 import type {
@@ -15,14 +16,21 @@
   RunCopy,
 } from "./types.js";
 
+/** Whether a request's runs can be copied from one engine to another. */
+export const canCopy = (
+  state: RelayState,
+  { route, service }: Pick<Exchange, "route" | "service">,
+): boolean =>
+  route.canResume &&
+  state.routes?.services.get(service)?.engine?.copies === true;
+
 /** Chooses the engine that keeps a copy of a run: in another zone, so that one loss does not take both. */
 export const chooseCopyHolder = (
   state: RelayState,
   { route, service }: Exchange,
   replica: Replica,
 ): Replica | undefined => {
-  const engine = state.routes?.services.get(service)?.engine;
-  if (!route.canResume || engine?.copies !== true) return undefined;
+  if (!canCopy(state, { route, service })) return undefined;
   const except = new Set([replica.id]);
   const otherThanZone = replica.zone;
   return chooseReplica(state, { service, except, otherThanZone });
@@ -103,19 +111,51 @@
   ];
 };
 
-/** Sends a request for the first time. */
-export const sendFirst = (
+/** The engine to use by a look that is over; undefined where it found none. */
+const chooseLooked = (
+  state: RelayState,
+  exchange: Exchange,
+): Replica | undefined => {
+  const { service, look } = exchange;
+  if (look === undefined) return undefined;
+  const holder = holderOfPrompt(state, exchange);
+  if (holder !== undefined) return holder;
+  const seen = [...look.sample].filter((id) => !look.awaited.has(id));
+  return chooseFrom(state, service, new Set(seen));
+};
+
+/** Sends a request without a copy to go on at. */
+export const sendFresh = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
   const { service, tried } = exchange;
-  const replica = chooseReplica(state, { service, except: tried });
+  const replica =
+    chooseLooked(state, exchange) ??
+    chooseReplica(state, { service, except: tried });
+  exchange.look = undefined;
   if (replica === undefined)
     return failExchange(state, exchange, "no replica is open");
-  noteFirst(state, service, state.at);
   return sendTo(state, exchange, replica, { type: "fresh" });
 };
 
+/** Places a request: at once, or after a look at some engines. */
+const place = (state: RelayState, exchange: Exchange): RelayCommand[] => {
+  const probes = lookAround(state, exchange);
+  if (exchange.look === undefined || isLookOver(state, exchange))
+    return [...probes, ...sendFresh(state, exchange)];
+  return probes;
+};
+
+/** Sends a request for the first time. */
+export const sendFirst = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  noteFirst(state, exchange.service, state.at);
+  return place(state, exchange);
+};
+
 const isRepeatable = ({ route }: Exchange): boolean => {
   switch (route.kind) {
     case RequestKind.Idempotent:
@@ -137,32 +177,21 @@
   return isOpen(view) && !isSuspect(view, state.at);
 };
 
-const nextReplica = (
-  state: RelayState,
-  { service, tried }: Exchange,
-): Replica | undefined => chooseReplica(state, { service, except: tried });
-
 /** Goes on after an attempt ended without an answer; the exchange has no attempt now. */
 export const sendAgain = (
   state: RelayState,
   exchange: Exchange,
   reason: string,
 ): RelayCommand[] => {
-  const { route, service, mayHaveRun, attempts } = exchange;
+  const { route, service, mayHaveRun, attempts, copy } = exchange;
   if (mayHaveRun && !isRepeatable(exchange))
     return failExchange(state, exchange, reason);
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
-  const { copy } = exchange;
-  const usable =
-    copy !== undefined && isCopyUsable(state, copy) ? copy : undefined;
-  const replica = usable?.holder ?? nextReplica(state, exchange);
-  if (replica === undefined)
-    return failExchange(state, exchange, `${reason}; no replica is open`);
   if (!takeRepeat(state, service, state.at))
     return failExchange(state, exchange, `${reason}; no repeat is left`);
   exchange.copy = undefined;
-  const start: AttemptStart =
-    usable === undefined ? { type: "fresh" } : { type: "copy", copy: usable };
-  return sendTo(state, exchange, replica, start);
+  if (copy === undefined || !isCopyUsable(state, copy))
+    return place(state, exchange);
+  return sendTo(state, exchange, copy.holder, { type: "copy", copy });
 };
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -11,8 +11,10 @@
   tickMs,
 } from "./constants.js";
 import { failExchange } from "./endExchange.js";
+import { isLookOver } from "./lookAround.js";
 import { leaveAttempt, probeSilent } from "./probes.js";
 import { ensureCopy, hasCopy } from "./runCopies.js";
+import { sendFresh } from "./sendAttempt.js";
 import { dropVanished } from "./worldChanged.js";
 import type {
   Attempt,
@@ -66,6 +68,7 @@
   if (state.at >= exchange.deadline)
     return failExchange(state, exchange, "the deadline has passed");
   const { attempt, route } = exchange;
+  if (isLookOver(state, exchange)) return sendFresh(state, exchange);
   if (attempt === undefined) return [];
   switch (route.kind) {
     case RequestKind.Streaming:
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -27,6 +27,13 @@
   probedAt: Moment | undefined;
   /** Smoothed share of failed answers. */
   failureShare: number;
+  /** Newest report, and the moment at which it was read. */
+  report: EngineReport | undefined;
+  reportAt: Moment;
+  /** Parts of prompts that it holds, when that was read, and when it was last asked. */
+  parts: ReadonlyMap<string, number> | undefined;
+  partsAt: Moment;
+  partsAskedAt: Moment;
   /** Moment at which an attempt there was last lost. */
   lostAt: Moment;
   /** Moment at which its leaving was first seen; undefined while it stays. */
@@ -86,6 +93,15 @@
   readonly bytes: Uint8Array;
 }
 
+/** A look at some engines before a prompt is placed. */
+export interface Look {
+  readonly type: "reports" | "parts";
+  readonly sample: ReadonlySet<string>;
+  /** Engines whose reports have not come yet. */
+  readonly awaited: Set<string>;
+  readonly until: Moment;
+}
+
 /** One caller request under way. */
 export interface Exchange {
   readonly key: string;
@@ -107,6 +123,8 @@
   head: AnswerHead | undefined;
   /** Last event delivered to the caller, of this or an earlier answer. */
   lastEventId: number;
+  /** Engines looked at before the prompt is placed; undefined when none are. */
+  look: Look | undefined;
   /** Copy left by the last attempt. */
   copy: RunCopy | undefined;
   /** Last failed answer of a replica, kept in case no other attempt is possible. */
@@ -142,6 +160,8 @@
 /** State of the fold; its maps are owned by the fold and changed in place. */
 export interface RelayState {
   readonly zone: string;
+  /** Moment at which this process began. */
+  readonly startedAt: Moment;
   at: Moment;
   /** Moment of the newest tick. */
   tickedAt: Moment;
@@ -256,6 +276,13 @@
       /** Name of the copy; undefined where none was made. */
       readonly handle: string | undefined;
     }
+  | {
+      readonly type: "partsListed";
+      readonly at: Moment;
+      readonly replica: string;
+      /** Tokens by part; undefined where the engine did not tell. */
+      readonly parts: ReadonlyMap<string, number> | undefined;
+    }
   | {
       readonly type: "callerLeft";
       readonly at: Moment;
@@ -322,6 +349,7 @@
       readonly source: Replica;
       readonly holder: Replica;
     }
+  | { readonly type: "listParts"; readonly replica: Replica }
   | {
       readonly type: "probe";
       readonly replica: Replica;
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -84,6 +84,21 @@
   return { isAnswered: true, report: readReport(answer.text) };
 };
 
+/** Asks an engine which parts of prompts it holds; undefined where it did not tell. */
+export const listParts = async (
+  { partsPath, readParts }: ReplicaProtocol,
+  replica: Replica,
+): Promise<ReadonlyMap<string, number> | undefined> => {
+  const answer = await call({
+    replica,
+    method: "GET",
+    path: partsPath,
+    body: "",
+    timeoutMs: probeTimeoutMs,
+  });
+  return answer?.status === 200 ? readParts(answer.text) : undefined;
+};
+
 /** Asks an engine to copy a run's memory to another one; gives the copy's name, or undefined. */
 export const askForCopy = async (
   { copyPath, encodeCopy, readCopy }: ReplicaProtocol,
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -13,7 +13,7 @@
   WholeAnswer,
 } from "../decisions/types.js";
 import { Counter, Latency, type RelayMetrics } from "../metrics.js";
-import type { HeaderNames, RequestLimits } from "../types.js";
+import type { ReplicaProtocol, RequestLimits } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { readRequest } from "./readRequest.js";
 import type { ListenAddress, RelayDriver } from "./types.js";
@@ -21,7 +21,7 @@
 /** What the front needs. */
 export interface FrontOptions {
   readonly listen: ListenAddress;
-  readonly names: HeaderNames;
+  readonly protocol: ReplicaProtocol;
   readonly metrics: RelayMetrics;
 }
 
@@ -63,7 +63,7 @@
 
 /** The front of one process. */
 export const createFrontDriver = (options: FrontOptions): FrontDriver => {
-  const { names, metrics } = options;
+  const { protocol, metrics } = options;
   const channel = createChannel<RelayEvent>();
   const waiting = new Map<string, Waiting>();
   let limits = initialLimits;
@@ -118,7 +118,7 @@
 
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
-    const read = await readRequest(req, names, limits);
+    const read = await readRequest(req, protocol, limits);
     switch (read.type) {
       case "whole": {
         lastKey += 1;
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -2,7 +2,12 @@
 
 import type { IncomingMessage } from "node:http";
 import { now, type Moment } from "@cardamomglade/common";
-import type { CallerRequest, HeaderNames, RequestLimits } from "../types.js";
+import type {
+  CallerRequest,
+  HeaderNames,
+  ReplicaProtocol,
+  RequestLimits,
+} from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 
 /** A request that was read, or why it was not. */
@@ -40,7 +45,7 @@
 
 const describe = (
   req: IncomingMessage,
-  names: HeaderNames,
+  { headers: names, readLastPart }: ReplicaProtocol,
   arrivedAt: Moment,
   body: Buffer,
 ): CallerRequest => {
@@ -59,13 +64,14 @@
     arrivedAt,
     callerDeadline: budgetMs === undefined ? undefined : arrivedAt + budgetMs,
     lastEventId: numberOf(headerOf(req, names.lastEventId)),
+    lastPart: readLastPart(headerOf(req, names.promptParts) ?? ""),
   };
 };
 
 /** Reads the body; the request's head has arrived. */
 export const readRequest = (
   req: IncomingMessage,
-  names: HeaderNames,
+  protocol: ReplicaProtocol,
   limits: RequestLimits,
 ): Promise<RequestRead> =>
   new Promise((resolve) => {
@@ -86,7 +92,7 @@
       else chunks.push(chunk);
     });
     req.on("end", () => {
-      const request = describe(req, names, arrivedAt, Buffer.concat(chunks));
+      const request = describe(req, protocol, arrivedAt, Buffer.concat(chunks));
       finish({ type: "whole", request });
     });
     req.on("error", () => {
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -4,7 +4,7 @@
 import type { RelayCommand, RelayEvent } from "../decisions/types.js";
 import { Counter, type RelayMetrics } from "../metrics.js";
 import type { Replica, ReplicaProtocol } from "../types.js";
-import { askForCopy, probeEngine } from "./engineCalls.js";
+import { askForCopy, listParts, probeEngine } from "./engineCalls.js";
 import { ReplicaCall } from "./replicaCall.js";
 import type { RelayDriver } from "./types.js";
 
@@ -50,6 +50,17 @@
     });
   };
 
+  const list = async (replica: Replica) => {
+    metrics.count(Counter.Probes);
+    const parts = await listParts(protocol, replica);
+    channel.push({
+      type: "partsListed",
+      at: now(),
+      replica: replica.id,
+      parts,
+    });
+  };
+
   const copyRun = async (
     command: Extract<RelayCommand, { type: "copyRun" }>,
   ) => {
@@ -78,6 +89,9 @@
         case "copyRun":
           void copyRun(command);
           return;
+        case "listParts":
+          void list(command.replica);
+          return;
         case "probe":
           void probe(command.replica, command.sentAt);
           return;
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -12,6 +12,7 @@
   ReplicaState,
   RequestKind,
   type CallerRequest,
+  type EngineReport,
   type RelayConfig,
   type Replica,
   type Route,
@@ -107,6 +108,14 @@
   ...changes,
 });
 
+const idleReport: EngineReport = {
+  queued: 0,
+  active: 0,
+  memoryUsed: 0,
+  memoryTotal: 88_000,
+  runs: [],
+};
+
 type CommandOf<Type extends RelayCommand["type"]> = Extract<
   RelayCommand,
   { readonly type: Type }
@@ -116,6 +125,10 @@
 export class Scenario {
   readonly commands: RelayCommand[] = [];
   at: Moment = 1000;
+  /** Engines that answer no look. */
+  readonly dark = new Set<string>();
+  /** Parts of prompts that engines hold, by engine. */
+  readonly parts = new Map<string, ReadonlyMap<string, number>>();
 
   private constructor(readonly state: RelayState) {}
 
@@ -134,6 +147,7 @@
     return new Scenario(
       createRelayState({
         zone: "a",
+        startedAt: -Infinity,
         seed,
         drainTimeoutMs: 2000,
         repeatLimits: { share: 0.8, extra: 150, windowMs: 10_000 },
@@ -141,11 +155,47 @@
     );
   }
 
-  /** Folds an event; gives the commands that followed. */
+  /** Folds an event; gives the commands that followed. Looks at engines find them idle. */
   tell(event: RelayEvent): RelayCommand[] {
     const { commands } = decideRelay(this.state, event);
-    this.commands.push(...commands);
-    return [...commands];
+    const answers = commands.flatMap((command) => this.answerLook(command));
+    const others = commands.filter((command) => !this.isLook(command));
+    this.commands.push(...others);
+    return [...others, ...answers.flatMap((answer) => this.tell(answer))];
+  }
+
+  private isLook(command: RelayCommand): boolean {
+    if (command.type === "listParts") return true;
+    if (command.type !== "probe") return false;
+    const { id } = command.replica;
+    const looks = [...this.state.exchanges.values()].map(({ look }) => look);
+    return looks.some((look) => look?.sample.has(id) === true);
+  }
+
+  private answerLook(command: RelayCommand): RelayEvent[] {
+    const { at } = this;
+    if (!this.isLook(command)) return [];
+    if ("replica" in command && this.dark.has(command.replica.id)) return [];
+    switch (command.type) {
+      case "probe":
+        return [
+          {
+            type: "probed",
+            at,
+            replica: command.replica.id,
+            sentAt: command.sentAt,
+            report: idleReport,
+            isAnswered: true,
+          },
+        ];
+      case "listParts": {
+        const { id } = command.replica;
+        const parts = this.parts.get(id) ?? new Map<string, number>();
+        return [{ type: "partsListed", at, replica: id, parts }];
+      }
+      default:
+        return [];
+    }
   }
 
   /** Lets time pass in ticks; gives the commands of all of them. */
@@ -181,6 +231,7 @@
         arrivedAt: this.at,
         callerDeadline: undefined,
         lastEventId: undefined,
+        lastPart: undefined,
         ...changes,
       },
     });
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -110,6 +110,8 @@
   readonly copyTo: string;
   readonly continueFrom: string;
   readonly lastEventId: string;
+  /** Lists the prompt's parts. */
+  readonly promptParts: string;
   /** Headers that only the relay sets; dropped from callers' requests. */
   readonly reserved: readonly string[];
 }
@@ -126,6 +128,12 @@
   readonly encodeCopy: (requestId: string, holder: Replica) => string;
   /** The name of the copy that was made, or undefined. */
   readonly readCopy: (text: string) => string | undefined;
+  /** Path at which an engine lists the parts of prompts that it holds. */
+  readonly partsPath: string;
+  /** Tokens held by part, or undefined where the text is no such list. */
+  readonly readParts: (text: string) => ReadonlyMap<string, number> | undefined;
+  /** The last part that a prompt's header names. */
+  readonly readLastPart: (header: string) => string | undefined;
   readonly readReport: (text: string) => EngineReport | undefined;
 }
 
@@ -164,4 +172,6 @@
   readonly callerDeadline: Moment | undefined;
   /** Last event that the caller has of an earlier answer. */
   readonly lastEventId: number | undefined;
+  /** Id of the part of its prompt that no other request shares. */
+  readonly lastPart: string | undefined;
 }
