--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -1,6 +1,11 @@
 /** The relay's fold: events into state and commands. */
 
-import { assertNever, seedGenerator, type Step } from "@cardamomglade/common";
+import {
+  assertNever,
+  seedGenerator,
+  type Moment,
+  type Step,
+} from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { answered, attemptFailed } from "./attemptEvents.js";
 import { callerLeft } from "./callerLeft.js";
