Explain a request from log files; name a replica's zone apart from the router's

`cardamomglade explain REQUEST FILE...` prints a request's way over all processes. Found while writing it: the lines of decisions carried the replica's zone under the name of the router's own.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,7 @@
 import { cac } from "cac";
 import type { AdministrationFlags } from "./administration.js";
 import { check } from "./commands/check.js";
+import { explainLogs } from "./commands/explainLogs.js";
 import {
   confirm,
   drain,
@@ -90,10 +91,12 @@
   (flags: AdministrationFlags) => exitWith(history(flags)),
 );
 administrationCommand(
-  "explain <subject>",
-  "What is known of a request, a host or a customer",
-).action((subject: string, flags: AdministrationFlags) =>
-  exitWith(explain(subject, flags)),
+  "explain <subject> [...logs]",
+  "What is known of a request, a host or a customer; with log files, a request's way",
+).action((subject: string, logs: string[], flags: AdministrationFlags) =>
+  exitWith(
+    logs.length > 0 ? explainLogs(subject, logs) : explain(subject, flags),
+  ),
 );
 cli.addEventListener("command:*", () => {
   console.error(`unknown command "${cli.args.join(" ")}"; see --help`);
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -51,7 +51,7 @@
     requestId: request.requestId,
     attempt: number,
     replica: replica.id,
-    zone: replica.zone,
+    replicaZone: replica.zone,
     afterEvent: lastEventId,
     runningMs: Math.round(at - sentAt),
     silentMs: Math.round(at - heardAt),
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -129,7 +129,7 @@
       message: "replica does not answer",
       context: {
         replica: replicaId,
-        zone: view.replica.zone,
+        replicaZone: view.replica.zone,
         silentMs: Math.round(at - view.heardAt),
         streams: silent.length,
       },
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -101,7 +101,7 @@
         attempt: attempt.number,
         start: start.type,
         replica: replica.id,
-        zone: replica.zone,
+        replicaZone: replica.zone,
         copyTo: attempt.copyTo?.id,
         inFlight: view?.inFlight,
         heardMsAgo: view && ageOf(state, view.heardAt),
--- a/packages/relay/src/decisions/worldChanged.ts
+++ b/packages/relay/src/decisions/worldChanged.ts
@@ -44,7 +44,7 @@
   type: "log",
   severity: Severity.Info,
   message,
-  context: { replica: id, service, zone, state: replicaState },
+  context: { replica: id, service, replicaZone: zone, state: replicaState },
 });
 
 /** A process that registers at an address proves that the one before is gone. */
