--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -16,6 +16,7 @@
   type RelayStateOptions,
 } from "./decisions/decideRelay.js";
 import type {
+  Bounds,
   DecisionContext,
   RelayCommand,
   RelayEvent,
@@ -45,6 +46,8 @@
 
 /** A running relay. */
 export interface Relay {
+  /** Puts changed bounds in force. */
+  applyBounds(bounds: Bounds): void;
   /** Stops without cutting off anybody who ends by the deadline. */
   drain(deadline: Moment): Promise<void>;
 }
@@ -101,6 +104,9 @@
   });
 
   return {
+    applyBounds: (bounds) => {
+      orders.push({ type: "boundsChanged", at: now(), bounds });
+    },
     drain: async (deadline) => {
       const noticeEnds = now() + noticeMs;
       orders.push({ type: "drainStarted", at: now() });
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -152,6 +152,6 @@
     return loseAttempt(state, exchange, attempt, "an answer without events");
   return [
     { type: "deliverAnswer", key, answer },
-    completeExchange(state, exchange, status),
+    ...completeExchange(state, exchange, status),
   ];
 };
--- a/packages/relay/src/decisions/callerLeft.ts
+++ b/packages/relay/src/decisions/callerLeft.ts
@@ -1,7 +1,7 @@
 /** The caller went away: all work for it ends at once. */
 
 import { Severity } from "@cardamomglade/observe";
-import { abandonAttempt, summaryOf } from "./endExchange.js";
+import { giveUp, summaryOf } from "./endExchange.js";
 import type { RelayCommand, RelayEventOf, RelayState } from "./types.js";
 
 /** Forgets the exchange and closes its connection to the replica. */
@@ -11,10 +11,9 @@
 ): RelayCommand[] => {
   const exchange = state.exchanges.get(key);
   if (exchange === undefined) return [];
-  state.exchanges.delete(key);
   const context = summaryOf(exchange, at);
   return [
-    ...abandonAttempt(state, exchange),
+    ...giveUp(state, exchange),
     {
       type: "log",
       severity: Severity.Info,
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -14,12 +14,7 @@
 import { eventsArrived, streamBegan, streamEnded } from "./streamEvents.js";
 import { runCopied } from "./runCopies.js";
 import { timePassed } from "./timePassed.js";
-import type {
-  RelayCommand,
-  RelayEvent,
-  RelayState,
-  RepeatLimits,
-} from "./types.js";
+import type { Bounds, RelayCommand, RelayEvent, RelayState } from "./types.js";
 import {
   configRead,
   replicasRead,
@@ -32,9 +27,7 @@
   readonly zone: string;
   readonly startedAt: Moment;
   readonly seed: number;
-  readonly repeatLimits: RepeatLimits;
-  /** Time that a leaving replica goes on serving. */
-  readonly drainTimeoutMs: number;
+  readonly bounds: Bounds;
 }
 
 /** A relay that knows nothing yet. */
@@ -52,8 +45,7 @@
   vanished: new Map(),
   exchanges: new Map(),
   repeats: new Map(),
-  repeatLimits: options.repeatLimits,
-  drainTimeoutMs: options.drainTimeoutMs,
+  bounds: options.bounds,
   store: { type: "unknown" },
   isDraining: false,
 });
@@ -102,6 +94,9 @@
       return callerLeft(state, event);
     case "timePassed":
       return timePassed(state, event);
+    case "boundsChanged":
+      state.bounds = event.bounds;
+      return [];
     case "drainStarted":
       return drainStarted(state);
     default:
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -4,6 +4,7 @@
 import { Severity } from "@cardamomglade/observe";
 import { refuse, refuseNotRun } from "./refusals.js";
 import type {
+  Attempt,
   DecisionContext,
   Exchange,
   RelayCommand,
@@ -22,7 +23,7 @@
 };
 
 /** Gives up the attempt under way: its connection is closed at once. */
-export const abandonAttempt = (
+const abandonAttempt = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
@@ -46,16 +47,40 @@
   state: RelayState,
   exchange: Exchange,
   status: number,
-): RelayCommand => {
-  const replica = exchange.attempt?.replica.id;
+): RelayCommand[] => {
+  const { attempt } = exchange;
   closeAttempt(state, exchange);
   state.exchanges.delete(exchange.key);
-  return {
-    type: "log",
-    severity: Severity.Info,
-    message: "request answered",
-    context: { ...summaryOf(exchange, state.at), status, replica },
-  };
+  return [
+    ...dropCopy(attempt),
+    {
+      type: "log",
+      severity: Severity.Info,
+      message: "request answered",
+      context: {
+        ...summaryOf(exchange, state.at),
+        status,
+        replica: attempt?.replica.id,
+      },
+    },
+  ];
+};
+
+/** Frees a copy that was asked for; one that grows with its run ends with it. */
+const dropCopy = (attempt: Attempt | undefined): RelayCommand[] => {
+  const copy = attempt?.copy;
+  if (copy === undefined || copy.source.id === attempt?.copyTo?.id) return [];
+  return [{ type: "dropCopy", copy }];
+};
+
+/** Gives up all work of an exchange that will not go on. */
+export const giveUp = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { attempt } = exchange;
+  state.exchanges.delete(exchange.key);
+  return [...abandonAttempt(state, exchange), ...dropCopy(attempt)];
 };
 
 /** Ends an exchange that cannot be answered by a replica any more. */
@@ -65,8 +90,7 @@
   reason: string,
 ): RelayCommand[] => {
   const { key, request, head, mayHaveRun, failedAnswer } = exchange;
-  const commands = abandonAttempt(state, exchange);
-  state.exchanges.delete(key);
+  const commands = giveUp(state, exchange);
   const context = summaryOf(exchange, state.at);
   if (head !== undefined) {
     return [
--- a/packages/relay/src/decisions/repeatBudget.ts
+++ b/packages/relay/src/decisions/repeatBudget.ts
@@ -32,7 +32,7 @@
   service: string,
   at: Moment,
 ): boolean => {
-  const { share, extra, windowMs } = state.repeatLimits;
+  const { share, extra, windowMs } = state.bounds.repeatLimits;
   const budget = budgetOf(state, service);
   budget.firsts = dropOlder(budget.firsts, at - windowMs);
   budget.repeats = dropOlder(budget.repeats, at - windowMs);
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -86,6 +86,6 @@
   noteAnswer(state, attempt.replica.id, false);
   return [
     { type: "finishStream", key: event.key },
-    completeExchange(state, exchange, exchange.head?.status ?? 200),
+    ...completeExchange(state, exchange, exchange.head?.status ?? 200),
   ];
 };
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -294,3 +294,30 @@
   assert.equal(attempt.replica.id, "c-2");
   assert.equal(lastEventId, 40);
 });
+
+test("a copy that was asked for is freed when its run ends", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  const { attempt } = scenario.sent("1");
+  attempt.copy = undefined;
+  scenario.wait(25);
+  const [order] = scenario.of("copyRun");
+  assert.ok(order);
+  const { holder } = order;
+  const { at } = scenario;
+  const number = attempt.number;
+  scenario.tell({
+    type: "runCopied",
+    at,
+    key: "1",
+    attempt: number,
+    holder,
+    handle: "h-7",
+  });
+  scenario.tell({ type: "streamEnded", at, key: "1", attempt: number });
+  assert.deepEqual(
+    scenario.of("dropCopy").map(({ copy }) => copy.handle),
+    ["h-7"],
+  );
+});
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -34,7 +34,7 @@
 ): boolean => {
   const since = state.replicas.get(replica.id)?.leavingSince;
   if (since === undefined) return false;
-  return at - since >= moveAfterDrainShare * state.drainTimeoutMs;
+  return at - since >= moveAfterDrainShare * state.bounds.drainTimeoutMs;
 };
 
 const tendStream = (
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -175,12 +175,18 @@
   readonly vanished: Map<string, Moment>;
   readonly exchanges: Map<string, Exchange>;
   readonly repeats: Map<string, RepeatBudget>;
-  readonly repeatLimits: RepeatLimits;
-  readonly drainTimeoutMs: number;
+  bounds: Bounds;
   store: StoreState;
   isDraining: boolean;
 }
 
+/** Bounds that may change while the process runs. */
+export interface Bounds {
+  /** Time that a leaving replica goes on serving. */
+  readonly drainTimeoutMs: number;
+  readonly repeatLimits: RepeatLimits;
+}
+
 /** Bounds of repeats, for the whole fleet. */
 export interface RepeatLimits {
   /** Repeats for each first sending. */
@@ -289,6 +295,11 @@
       readonly key: string;
     }
   | { readonly type: "timePassed"; readonly at: Moment }
+  | {
+      readonly type: "boundsChanged";
+      readonly at: Moment;
+      readonly bounds: Bounds;
+    }
   | { readonly type: "drainStarted"; readonly at: Moment };
 
 /** A fold event of one type. */
@@ -349,6 +360,7 @@
       readonly source: Replica;
       readonly holder: Replica;
     }
+  | { readonly type: "dropCopy"; readonly copy: RunCopy }
   | { readonly type: "listParts"; readonly replica: Replica }
   | {
       readonly type: "probe";
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -2,7 +2,7 @@
 
 import { request } from "node:http";
 import { probeTimeoutMs } from "../decisions/constants.js";
-import type { RelayCommand } from "../decisions/types.js";
+import type { RelayCommand, RunCopy } from "../decisions/types.js";
 import type { EngineReport, Replica, ReplicaProtocol } from "../types.js";
 
 /** What became of a probe. */
@@ -17,7 +17,7 @@
 
 interface EngineCall {
   readonly replica: Replica;
-  readonly method: "GET" | "POST";
+  readonly method: "GET" | "POST" | "DELETE";
   readonly path: string;
   readonly body: string;
   readonly timeoutMs: number;
@@ -113,3 +113,17 @@
   });
   return answer?.status === 200 ? readCopy(answer.text) : undefined;
 };
+
+/** Asks an engine to free a copy; one that is not freed lapses by itself. */
+export const askToDropCopy = async (
+  { dropCopyPath }: ReplicaProtocol,
+  { source, handle }: RunCopy,
+): Promise<void> => {
+  await call({
+    replica: source,
+    method: "DELETE",
+    path: dropCopyPath(handle),
+    body: "",
+    timeoutMs: probeTimeoutMs,
+  });
+};
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -4,7 +4,12 @@
 import type { RelayCommand, RelayEvent } from "../decisions/types.js";
 import { Counter, type RelayMetrics } from "../metrics.js";
 import type { Replica, ReplicaProtocol } from "../types.js";
-import { askForCopy, listParts, probeEngine } from "./engineCalls.js";
+import {
+  askForCopy,
+  askToDropCopy,
+  listParts,
+  probeEngine,
+} from "./engineCalls.js";
 import { ReplicaCall } from "./replicaCall.js";
 import type { RelayDriver } from "./types.js";
 
@@ -89,6 +94,9 @@
         case "copyRun":
           void copyRun(command);
           return;
+        case "dropCopy":
+          void askToDropCopy(protocol, command.copy);
+          return;
         case "listParts":
           void list(command.replica);
           return;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -2,6 +2,7 @@
 
 export { createRelay, type Relay, type RelayOptions } from "./createRelay.js";
 export type {
+  Bounds,
   DecisionContext,
   RelayCommand,
   RelayEvent,
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -43,8 +43,10 @@
       zone: "a",
       startedAt: now(),
       seed: 1,
-      drainTimeoutMs: 2000,
-      repeatLimits: { share: 1, extra: 100, windowMs: 10_000 },
+      bounds: {
+        drainTimeoutMs: 2000,
+        repeatLimits: { share: 1, extra: 100, windowMs: 10_000 },
+      },
     },
     log: (_, message) => lines.push(message),
     platform: [
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -149,8 +149,10 @@
         zone: "a",
         startedAt: -Infinity,
         seed,
-        drainTimeoutMs: 2000,
-        repeatLimits: { share: 0.8, extra: 150, windowMs: 10_000 },
+        bounds: {
+          drainTimeoutMs: 2000,
+          repeatLimits: { share: 0.8, extra: 150, windowMs: 10_000 },
+        },
       }),
     );
   }
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -20,6 +20,7 @@
   reportPath: "/report",
   copyName: ({ host, port }, handle) => `${host}:${String(port)}/${handle}`,
   copyPath: "/copy",
+  dropCopyPath: (handle) => `/copy/${handle}`,
   encodeCopy: (requestId) => requestId,
   readCopy: (text) => text,
   partsPath: "/parts",
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -125,6 +125,8 @@
   readonly copyName: (source: Replica, handle: string) => string;
   /** Path at which an engine is asked to copy a run's memory to another one. */
   readonly copyPath: string;
+  /** Path at which a copy is freed. */
+  readonly dropCopyPath: (handle: string) => string;
   readonly encodeCopy: (requestId: string, holder: Replica) => string;
   /** The name of the copy that was made, or undefined. */
   readonly readCopy: (text: string) => string | undefined;
