--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -8,7 +8,7 @@
   platform: "node",
   target: "node20",
   format: "esm",
-  minify: false,
+  minify: true,
   sourcemap: false,
   banner: {
     js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
--- a/packages/relay/src/decisions/runCopies.ts
+++ b/packages/relay/src/decisions/runCopies.ts
@@ -37,7 +37,7 @@
   if (isKept && !isLapsing(state, attempt)) return [];
   const holder = isKept
     ? attempt.copy?.holder
-    : chooseCopyHolder(state, exchange, attempt.replica);
+    : chooseCopyHolder(state, exchange, attempt.replica, attempt.refusedCopies);
   if (holder === undefined) return [];
   attempt.copyingSince = state.at;
   const { key, request } = exchange;
@@ -66,8 +66,8 @@
   const madeAt = attempt.copyingSince ?? at;
   // After a refusal the next try waits a while.
   attempt.copyingSince = handle === undefined ? madeAt : undefined;
-  if (handle !== undefined)
-    attempt.copy = { holder, source: attempt.replica, handle, madeAt };
+  if (handle === undefined) attempt.refusedCopies.add(holder.id);
+  else attempt.copy = { holder, source: attempt.replica, handle, madeAt };
   return [
     {
       type: "log",
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -29,9 +29,10 @@
   state: RelayState,
   { route, service }: Exchange,
   replica: Replica,
+  refused: ReadonlySet<string> = new Set(),
 ): Replica | undefined => {
   if (!canCopy(state, { route, service })) return undefined;
-  const except = new Set([replica.id]);
+  const except = new Set([...refused, replica.id]);
   const otherThanZone = replica.zone;
   return chooseReplica(state, { service, except, otherThanZone });
 };
@@ -69,6 +70,7 @@
       madeAt: state.at,
     },
     copyingSince: undefined,
+    refusedCopies: new Set(),
     heardAt: state.at,
     hasEvents: false,
   };
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -321,3 +321,26 @@
     ["h-7"],
   );
 });
+
+test("an engine that could not take a copy is not asked again for it", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  const { attempt } = scenario.sent("1");
+  attempt.copy = undefined;
+  for (let asked = 1; asked <= 4; asked += 1) {
+    while (scenario.of("copyRun").length < asked) scenario.wait(25);
+    const holder = scenario.of("copyRun").at(-1)?.holder;
+    assert.ok(holder);
+    scenario.tell({
+      type: "runCopied",
+      at: scenario.at,
+      key: "1",
+      attempt: attempt.number,
+      holder,
+      handle: undefined,
+    });
+  }
+  const holders = scenario.of("copyRun").map(({ holder }) => holder.id);
+  assert.equal(new Set(holders).size, holders.length);
+});
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -70,6 +70,8 @@
   copy: RunCopy | undefined;
   /** Moment at which a further copy was asked for; undefined when none is under way. */
   copyingSince: Moment | undefined;
+  /** Engines that could not take a copy of this run. */
+  readonly refusedCopies: Set<string>;
   heardAt: Moment;
   hasEvents: boolean;
 }
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -1,9 +1,10 @@
 /** Calls to engines beside the requests: reports and copies of runs. */
 
-import { request } from "node:http";
+import { now } from "@cardamomglade/common";
 import { probeTimeoutMs } from "../decisions/constants.js";
 import type { RelayCommand, RunCopy } from "../decisions/types.js";
 import type { EngineReport, Replica, ReplicaProtocol } from "../types.js";
+import { httpCall, type HttpCall, type HttpOutcome } from "./httpCall.js";
 
 /** What became of a probe. */
 export interface ProbeAnswer {
@@ -12,73 +13,26 @@
   readonly report: EngineReport | undefined;
 }
 
-const maxAnswerBytes = 4 * 1024 * 1024; // a report lists some dozen runs
 const copyTimeoutMs = 1500; // a copy of a whole prompt takes some ten milliseconds, behind others some hundred
 
-interface EngineCall {
-  readonly replica: Replica;
-  readonly method: "GET" | "POST" | "DELETE";
-  readonly path: string;
-  readonly body: string;
-  readonly timeoutMs: number;
-}
-
-interface EngineAnswer {
-  readonly status: number;
-  readonly text: string;
-}
-
 /** The answer, or undefined where none came in time. */
-const call = (options: EngineCall): Promise<EngineAnswer | undefined> =>
-  new Promise((resolve) => {
-    const { replica, method, path, body, timeoutMs } = options;
-    const headers = { "content-type": "application/json" };
-    const req = request({
-      host: replica.host,
-      port: replica.port,
-      method,
-      path,
-      agent: false,
-      ...(body !== "" && { headers }),
-    });
-    const finish = (answer: EngineAnswer | undefined) => {
-      clearTimeout(timer);
-      resolve(answer);
-      req.destroy();
-    };
-    const fail = () => {
-      finish(undefined);
-    };
-    const timer = setTimeout(fail, timeoutMs);
-    req.on("error", fail);
-    req.on("response", (res) => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      res.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > maxAnswerBytes) fail();
-        else chunks.push(chunk);
-      });
-      res.on("error", fail);
-      res.on("end", () => {
-        const text = Buffer.concat(chunks).toString("utf8");
-        finish({ status: res.statusCode ?? 0, text });
-      });
-    });
-    req.end(body);
-  });
+const call = async (
+  { host, port }: Replica,
+  options: Omit<HttpCall, "host" | "port">,
+): Promise<Extract<HttpOutcome, { type: "answered" }> | undefined> => {
+  const outcome = await httpCall({ host, port, ...options });
+  return outcome.type === "answered" ? outcome : undefined;
+};
 
 /** Asks an engine for its report on a new connection. */
 export const probeEngine = async (
   { reportPath, readReport }: ReplicaProtocol,
   replica: Replica,
 ): Promise<ProbeAnswer> => {
-  const answer = await call({
-    replica,
+  const answer = await call(replica, {
     method: "GET",
     path: reportPath,
-    body: "",
-    timeoutMs: probeTimeoutMs,
+    deadline: now() + probeTimeoutMs,
   });
   if (answer === undefined) return { isAnswered: false, report: undefined };
   return { isAnswered: true, report: readReport(answer.text) };
@@ -89,12 +43,10 @@
   { partsPath, readParts }: ReplicaProtocol,
   replica: Replica,
 ): Promise<ReadonlyMap<string, number> | undefined> => {
-  const answer = await call({
-    replica,
+  const answer = await call(replica, {
     method: "GET",
     path: partsPath,
-    body: "",
-    timeoutMs: probeTimeoutMs,
+    deadline: now() + probeTimeoutMs,
   });
   return answer?.status === 200 ? readParts(answer.text) : undefined;
 };
@@ -104,12 +56,11 @@
   { copyPath, encodeCopy, readCopy }: ReplicaProtocol,
   command: Extract<RelayCommand, { type: "copyRun" }>,
 ): Promise<string | undefined> => {
-  const answer = await call({
-    replica: command.source,
+  const answer = await call(command.source, {
     method: "POST",
     path: copyPath,
     body: encodeCopy(command.requestId, command.holder),
-    timeoutMs: copyTimeoutMs,
+    deadline: now() + copyTimeoutMs,
   });
   return answer?.status === 200 ? readCopy(answer.text) : undefined;
 };
@@ -119,11 +70,9 @@
   { dropCopyPath }: ReplicaProtocol,
   { source, handle }: RunCopy,
 ): Promise<void> => {
-  await call({
-    replica: source,
+  await call(source, {
     method: "DELETE",
     path: dropCopyPath(handle),
-    body: "",
-    timeoutMs: probeTimeoutMs,
+    deadline: now() + probeTimeoutMs,
   });
 };
--- /dev/null
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -0,0 +1,89 @@
+/** A small HTTP call whose answer is read whole, with a deadline. */
+
+import { request, type Agent } from "node:http";
+import { now, type Moment } from "@cardamomglade/common";
+
+/** What to call. */
+export interface HttpCall {
+  readonly host: string;
+  readonly port: number;
+  readonly method: "GET" | "POST" | "DELETE";
+  readonly path: string;
+  readonly body?: string;
+  readonly deadline: Moment;
+  /** Moment by which a new connection has to stand; the deadline where it is left out. */
+  readonly connectedBy?: Moment;
+  /** Keeps connections; without it each call has its own. */
+  readonly agent?: Agent;
+}
+
+/** What became of a call. */
+export type HttpOutcome =
+  | {
+      readonly type: "answered";
+      readonly status: number;
+      readonly text: string;
+    }
+  | { readonly type: "failed"; readonly detail: string };
+
+const maxAnswerBytes = 32 * 1024 * 1024; // a page of the store holds about 1 MB, a report some kilobytes
+const jsonBody = { "content-type": "application/json" };
+
+/** Ends by the deadline in any case. */
+export const httpCall = (call: HttpCall): Promise<HttpOutcome> =>
+  new Promise((resolve) => {
+    const { host, port, method, path, body, deadline, agent } = call;
+    const req = request({
+      host,
+      port,
+      method,
+      path,
+      agent: agent ?? false,
+      ...(body !== undefined && { headers: jsonBody }),
+    });
+    const timers: NodeJS.Timeout[] = [];
+    const finish = (outcome: HttpOutcome) => {
+      for (const timer of timers) clearTimeout(timer);
+      resolve(outcome);
+      if (outcome.type === "failed" || agent === undefined) req.destroy();
+    };
+    const fail = (detail: string) => {
+      finish({ type: "failed", detail });
+    };
+    const failAt = (moment: Moment, detail: string): NodeJS.Timeout => {
+      const timer = setTimeout(() => {
+        fail(detail);
+      }, moment - now());
+      timers.push(timer);
+      return timer;
+    };
+    failAt(deadline, "no answer in time");
+    req.on("socket", (socket) => {
+      if (!socket.connecting) return;
+      const connectedBy = call.connectedBy ?? deadline;
+      const timer = failAt(connectedBy, "no connection in time");
+      socket.once("connect", () => {
+        clearTimeout(timer);
+      });
+    });
+    req.on("error", (error) => {
+      fail(error.message);
+    });
+    req.on("response", (res) => {
+      const chunks: Buffer[] = [];
+      let bytes = 0;
+      res.on("data", (chunk: Buffer) => {
+        bytes += chunk.length;
+        if (bytes > maxAnswerBytes) fail("the answer is too long");
+        else chunks.push(chunk);
+      });
+      res.on("error", (error) => {
+        fail(error.message);
+      });
+      res.on("end", () => {
+        const text = Buffer.concat(chunks).toString("utf8");
+        finish({ type: "answered", status: res.statusCode ?? 0, text });
+      });
+    });
+    req.end(body);
+  });
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -7,5 +7,6 @@
   RelayCommand,
   RelayEvent,
 } from "./decisions/types.js";
+export { httpCall, type HttpOutcome } from "./drivers/httpCall.js";
 export type { ListenAddress } from "./drivers/types.js";
 export * from "./types.js";
