Know a later process by its report; spread copies at random

(2) Routers chose the same engine for most copies (it had no work of theirs); its memory was full, and copies that were counted on did not exist.

--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -2,7 +2,7 @@
 
 import type { Moment } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
-import type { EngineReport, ReportedRun } from "../types.js";
+import type { EngineReport, Replica, ReportedRun } from "../types.js";
 import { loseAttempt } from "./attemptEvents.js";
 import {
   behindAfterMs,
@@ -11,7 +11,7 @@
   probeAfterMs,
 } from "./constants.js";
 import { isLookOver, noteParts } from "./lookAround.js";
-import { noteHeard, noteLoss } from "./replicaViews.js";
+import { ageOf, noteHeard, noteLoss, noteReplaced } from "./replicaViews.js";
 import { sendFresh } from "./sendAttempt.js";
 import type {
   Attempt,
@@ -82,6 +82,15 @@
       : [];
   });
 
+/** Whether a report comes from another process at the replica's address. */
+const isOfLaterProcess = (
+  { startedAt }: Replica,
+  report: EngineReport | undefined,
+): boolean =>
+  startedAt > 0 &&
+  report?.startedAt !== undefined &&
+  report.startedAt !== startedAt;
+
 /** Sends the requests that waited for this engine alone. */
 const endLooks = (
   state: RelayState,
@@ -108,7 +117,9 @@
   const view = state.replicas.get(replicaId);
   if (view === undefined) return [];
   view.probedAt = undefined;
-  if (isAnswered) {
+  const isSuccessor = isOfLaterProcess(view.replica, report);
+  if (isSuccessor) noteReplaced(state, view.replica, at);
+  if (isAnswered && !isSuccessor) {
     noteHeard(state, replicaId, at);
     view.report = report;
     view.reportAt = at;
@@ -117,10 +128,10 @@
       ...endLooks(state, replicaId, "reports"),
     ];
   }
-  if (view.heardAt >= sentAt) return [];
+  if (view.heardAt >= sentAt && !isSuccessor) return [];
   noteLoss(state, view.replica, at);
   const silent = attemptsAt(state, replicaId).filter(
-    ({ attempt }) => attempt.heardAt < sentAt,
+    ({ attempt }) => isSuccessor || attempt.heardAt < sentAt,
   );
   return [
     {
@@ -130,10 +141,12 @@
       context: {
         replica: replicaId,
         replicaZone: view.replica.zone,
-        silentMs: Math.round(at - view.heardAt),
+        silentMs: ageOf(state, view.heardAt),
+        isReplaced: isSuccessor,
         streams: silent.length,
       },
     },
+    ...endLooks(state, replicaId, "reports"),
     ...silent.flatMap(({ exchange, attempt }) =>
       leaveAttempt(state, exchange, attempt, "the replica does not answer"),
     ),
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -39,6 +39,13 @@
 export const isSuspect = (view: ReplicaView, at: Moment): boolean =>
   view.suspectUntil > at;
 
+/** Milliseconds since a moment, for log lines; undefined where it never was. */
+export const ageOf = (
+  state: RelayState,
+  heardAt: number,
+): number | undefined =>
+  heardAt === 0 ? undefined : Math.round(state.at - heardAt);
+
 /** Notes a sign of life; it ends suspicion. */
 export const noteHeard = (
   state: RelayState,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -2,11 +2,11 @@
 
 import { Severity } from "@cardamomglade/observe";
 import { RequestKind, type Replica } from "../types.js";
-import { chooseFrom, chooseReplica } from "./chooseReplica.js";
+import { chooseFrom, chooseReplica, sampleOf } from "./chooseReplica.js";
 import { failExchange } from "./endExchange.js";
 import { holderOfPrompt, isLookOver, lookAround } from "./lookAround.js";
 import { noteFirst, takeRepeat } from "./repeatBudget.js";
-import { isOpen, isSuspect } from "./replicaViews.js";
+import { ageOf, isOpen, isSuspect } from "./replicaViews.js";
 import type {
   Attempt,
   AttemptStart,
@@ -34,7 +34,9 @@
   if (!canCopy(state, { route, service })) return undefined;
   const except = new Set([...refused, replica.id]);
   const otherThanZone = replica.zone;
-  return chooseReplica(state, { service, except, otherThanZone });
+  // At random: routers that all choose by the same figures would fill one engine's memory.
+  const query = { service, except, otherThanZone };
+  return sampleOf(state, query, 1)[0]?.replica;
 };
 
 const countAttempt = (state: RelayState, { replica }: Attempt): void => {
@@ -44,9 +46,6 @@
   view.reading += 1;
 };
 
-const ageOf = (state: RelayState, heardAt: number): number | undefined =>
-  heardAt === 0 ? undefined : Math.round(state.at - heardAt);
-
 /** Sends the request to a replica as the exchange's next attempt. */
 const sendTo = (
   state: RelayState,
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -130,6 +130,7 @@
     replica: replica.id,
     sentAt: scenario.at - 10,
     report: {
+      startedAt: undefined,
       queued: 0,
       active: 1,
       memoryUsed: 0,
@@ -344,3 +345,52 @@
   const holders = scenario.of("copyRun").map(({ holder }) => holder.id);
   assert.equal(new Set(holders).size, holders.length);
 });
+
+test("an engine whose report comes from a later process gets no prompt and keeps no stream", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  scenario.wait(300);
+  const { replica, copyTo } = scenario.sent("1").attempt;
+  scenario.tell({
+    type: "probed",
+    at: scenario.at,
+    replica: replica.id,
+    sentAt: scenario.at - 10,
+    report: {
+      startedAt: replica.startedAt + 5000,
+      queued: 0,
+      active: 0,
+      memoryUsed: 0,
+      memoryTotal: 1,
+      runs: [],
+    },
+    isAnswered: true,
+  });
+  assert.equal(scenario.sent("1").attempt.replica.id, copyTo?.id);
+  for (let request = 2; request < 12; request += 1) {
+    const key = String(request);
+    scenario.request(key, streamPath);
+    assert.notEqual(scenario.sent(key).attempt.replica.id, replica.id);
+  }
+});
+
+test("copies are spread over the engines of other zones", () => {
+  const zoneB = Array.from({ length: 8 }, (_, index) =>
+    testReplica(`b-${String(index)}`),
+  );
+  const scenario = Scenario.create([testReplica("a-1"), ...zoneB]);
+  for (const { id } of zoneB) scenario.dark.add(id);
+  const holders = new Map<string, number>();
+  for (let request = 0; request < 40; request += 1) {
+    const key = String(request);
+    scenario.request(key, streamPath);
+    scenario.wait(75);
+    const { copyTo, replica } = scenario.sent(key).attempt;
+    assert.equal(replica.id, "a-1");
+    const id = copyTo?.id ?? "";
+    holders.set(id, (holders.get(id) ?? 0) + 1);
+    scenario.tell({ type: "callerLeft", at: scenario.at, key });
+  }
+  assert.ok(Math.max(...holders.values()) <= 15);
+});
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -109,6 +109,7 @@
 });
 
 const idleReport: EngineReport = {
+  startedAt: undefined,
   queued: 0,
   active: 0,
   memoryUsed: 0,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -148,6 +148,8 @@
 
 /** An engine's report of itself; some hundred milliseconds old. */
 export interface EngineReport {
+  /** Start of the process that reports; undefined where it does not say. */
+  readonly startedAt: Moment | undefined;
   readonly queued: number;
   readonly active: number;
   readonly memoryUsed: number;
