--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -137,12 +137,13 @@
     {
       type: "log",
       severity: Severity.Info,
-      message: "replica does not answer",
+      message: isSuccessor
+        ? "another process has the replica's address"
+        : "replica does not answer",
       context: {
         replica: replicaId,
         replicaZone: view.replica.zone,
         silentMs: ageOf(state, view.heardAt),
-        isReplaced: isSuccessor,
         streams: silent.length,
       },
     },
