Log what is refused unread; apply the configuration's limit of heads; fuzz the front

Found by reading: 408, 413, 431 and 400 for unread requests left no line, and the limit of a head stayed at its first value when the configuration changed it.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -64,6 +64,7 @@
     listen: options.front,
     protocol,
     metrics,
+    log,
   });
   const orders = createChannel<RelayEvent>();
   const running = runProcess({
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -6,8 +6,10 @@
   type ServerResponse,
 } from "node:http";
 import { createChannel, now } from "@cardamomglade/common";
+import { Severity, type Log } from "@cardamomglade/observe";
 import type {
   AnswerHead,
+  DecisionContext,
   RelayCommand,
   RelayEvent,
   WholeAnswer,
@@ -16,6 +18,7 @@
 import type { ReplicaProtocol, RequestLimits } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { readRequest } from "./readRequest.js";
+import { refuseMalformed } from "./refuseMalformed.js";
 import type { ListenAddress, RelayDriver } from "./types.js";
 
 /** What the front needs. */
@@ -23,6 +26,7 @@
   readonly listen: ListenAddress;
   readonly protocol: ReplicaProtocol;
   readonly metrics: RelayMetrics;
+  readonly log: Log<DecisionContext>;
 }
 
 /** The front also stops by steps: first it asks callers to leave, then it closes. */
@@ -63,7 +67,7 @@
 
 /** The front of one process. */
 export const createFrontDriver = (options: FrontOptions): FrontDriver => {
-  const { protocol, metrics } = options;
+  const { protocol, metrics, log } = options;
   const channel = createChannel<RelayEvent>();
   const waiting = new Map<string, Waiting>();
   let limits = initialLimits;
@@ -81,6 +85,8 @@
     limits = newLimits;
     server.headersTimeout = limits.headerTimeoutMs;
     server.keepAliveTimeout = limits.idleTimeoutMs;
+    // Read for each new connection; the types leave it out.
+    Object.assign(server, { maxHeaderSize: limits.headerBytes });
   };
   applyLimits(initialLimits);
 
@@ -101,8 +107,15 @@
     res.end(body);
   };
 
-  const rejectUnread = (res: ServerResponse, status: number, why: string) => {
+  const noteRefused = (status: number, reason: string, requestId?: string) => {
     metrics.count(Counter.Refusals);
+    log(Severity.Info, "request refused unread", { requestId, status, reason });
+  };
+  refuseMalformed(server, noteRefused);
+
+  const rejectUnread = (res: ServerResponse, status: number, why: string) => {
+    const id = res.req.headers[protocol.headers.requestId];
+    noteRefused(status, why, typeof id === "string" ? id : undefined);
     res.setHeader("connection", "close");
     writeOwn(res, status, why);
   };
--- /dev/null
+++ b/packages/relay/src/drivers/refuseMalformed.ts
@@ -0,0 +1,35 @@
+/** Answers to bytes that never became a request. */
+
+import type { Server } from "node:http";
+import type { Duplex } from "node:stream";
+
+type ClientError = Error & { readonly code?: string };
+
+const statusOf = ({ code }: ClientError): string => {
+  switch (code) {
+    case "HPE_HEADER_OVERFLOW":
+      return "431 Request Header Fields Too Large";
+    case "ERR_HTTP_REQUEST_TIMEOUT":
+      return "408 Request Timeout";
+    default:
+      return "400 Bad Request";
+  }
+};
+
+/** Refuses them and ends their connection; tells what was refused, and why. */
+export const refuseMalformed = (
+  server: Server,
+  onRefused: (status: number, detail: string) => void,
+): void => {
+  server.on("clientError", (error: ClientError, socket: Duplex) => {
+    if (!socket.writable || error.code === "ECONNRESET") {
+      socket.destroy();
+      return;
+    }
+    const status = statusOf(error);
+    onRefused(Number(status.slice(0, 3)), error.message);
+    socket.end(
+      `HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`,
+    );
+  });
+};
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
 import { createChannel, now } from "@cardamomglade/common";
+import fc from "fast-check";
 import { createRelay, type Relay } from "./createRelay.js";
 import type { RelayEvent } from "./decisions/types.js";
 import {
@@ -239,6 +240,48 @@
   await stop();
 });
 
+test("a head or body over its limit is refused, and a line says so", async () => {
+  const { replica, port, lines, stop } = await startBench(wholeAnswer);
+  const longHead = requestText("/book/x", [`x-long: ${"x".repeat(20_000)}`]);
+  assert.match(await exchange(port, longHead), /^HTTP\/1.1 431/);
+  const { bodyBytes } = testConfig().limits;
+  const longBody = requestText(
+    "/book/x",
+    [`content-length: ${String(bodyBytes + 1)}`],
+    "POST",
+    "x".repeat(bodyBytes + 1),
+  );
+  assert.match(await exchange(port, longBody, 2000), /^HTTP\/1.1 413/);
+  assert.deepEqual(replica.received, []);
+  const refused = lines.filter((line) => line === "request refused unread");
+  assert.equal(refused.length, 2);
+  await stop();
+});
+
+test("no bytes of a caller end the relay", async () => {
+  const { port, stop } = await startBench(wholeAnswer);
+  const starts = [
+    "",
+    "GET / HTTP/1.1\r\n",
+    "POST /book/x HTTP/1.1\r\nhost: h\r\n",
+  ];
+  await fc.assert(
+    fc.asyncProperty(
+      fc.constantFrom(...starts),
+      fc.string({ maxLength: 300 }),
+      async (start, rest) => {
+        await exchange(port, start + rest, 20);
+      },
+    ),
+    { numRuns: 40 },
+  );
+  assert.match(
+    await exchange(port, requestText("/book/x")),
+    /^HTTP\/1.1 200 OK/,
+  );
+  await stop();
+});
+
 test("work for a caller that leaves is given up at the replica", async () => {
   let closed = false;
   const { port, stop } = await startBench((socket) => {
