Bench: one notion of a quantile; say what an added latency is

Three notions rounded differently (nearest rank, floor, histogram); now nearest rank everywhere, and NaN, which meets no bound, where nothing was measured (two of the three gave 0, which met every upper bound). The ledger's added P99 below its added P95 is no wrong computation: each is a difference of two quantiles, and the plain calls have the longer tail at 99 in 100. The two quantiles are printed beside it now.

--- a/bench/src/experiments/config.ts
+++ b/bench/src/experiments/config.ts
@@ -10,8 +10,8 @@
   readEvents,
 } from "../harness/administration.js";
 import { Fleet, orderFault, readLedger } from "../harness/fleet.js";
-import { percentile } from "../harness/streamLoad.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const routers = 8;
 const meshRouters = 18;
@@ -80,8 +80,8 @@
     bound: { type: "atMost", value: bound },
   });
   return [
-    row("p50", percentile(sorted, 0.5), targetMs),
-    row("p99", percentile(sorted, 0.99), targetMs),
+    row("p50", quantile(sorted, 0.5), targetMs),
+    row("p99", quantile(sorted, 0.99), targetMs),
     row("max", sorted.at(-1) ?? Infinity, worstMs),
   ];
 };
--- a/bench/src/experiments/faults.ts
+++ b/bench/src/experiments/faults.ts
@@ -14,8 +14,9 @@
 import { askUntil, bookUntil, changeUntil } from "../faults/runWorkload.js";
 import { Fleet } from "../harness/fleet.js";
 import { RunRecorder } from "../harness/runRecorder.js";
-import { percentileOf, percentileSeries } from "../report/percentileSeries.js";
+import { percentileSeries } from "../report/percentileSeries.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const engines = 6;
 const sparedEngines = 2;
@@ -86,7 +87,7 @@
       bound: { type: "atMost", value: 0 },
     },
     {
-      ...row("longestGapP95", percentileOf(gaps, gapPercentile), "ms"),
+      ...row("longestGapP95", quantile(gaps, gapPercentile / 100), "ms"),
       bound: { type: "atMost", value: resumeWithinMs },
       series: percentileSeries(
         { plot: "Longest gap of each answer", name: "all faults", unit: "ms" },
--- a/bench/src/experiments/forwarding.ts
+++ b/bench/src/experiments/forwarding.ts
@@ -5,8 +5,8 @@
 import { startProcess, waitForLine } from "../harness/processes.js";
 import { readUsage } from "../harness/processUsage.js";
 import { readAnswer, type ReadAnswer } from "../harness/readAnswer.js";
-import { percentile } from "../harness/streamLoad.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const engines = 8;
 const slots = 280;
@@ -69,7 +69,7 @@
     whole: read.filter(({ isWhole }) => isWhole).length,
     tokenUs: (processorMs / Math.max(1, tokens)) * msPerSecond,
     residentAStream: (after.residentBytes - idle.residentBytes) / streams,
-    lateP95: percentile(late, 0.95),
+    lateP95: quantile(late, 0.95),
   };
 };
 
--- a/bench/src/experiments/ledger.ts
+++ b/bench/src/experiments/ledger.ts
@@ -13,8 +13,9 @@
   type Booking,
 } from "../harness/bookings.js";
 import { Fleet } from "../harness/fleet.js";
-import { percentileOf, percentileSeries } from "../report/percentileSeries.js";
+import { percentileSeries } from "../report/percentileSeries.js";
 import type { Bound, Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const offeredPerSecond = 510;
 const loadMs = 4000;
@@ -69,9 +70,10 @@
     const after = await readKeyValueCalls(fleet);
     const writes = (after[writesPath] ?? 0) - (before[writesPath] ?? 0);
     const done = booked.filter(({ status }) => status === 200);
-    const added = (percentile: number) =>
-      percentileOf(latencies(booked), percentile) -
-      percentileOf(latencies(plain), percentile);
+    // A difference of two quantiles is no quantile of a difference: the one at
+    // 99 in 100 may be the lesser where the plain calls have a long tail.
+    const added = (share: number) =>
+      quantile(latencies(booked), share) - quantile(latencies(plain), share);
     await sleep(settleMs);
     const runs = await countRuns(fleet.services);
     const faults = findFaults(booked, runs);
@@ -90,15 +92,17 @@
     return [
       row("bookings", done.length / tookS, "1/s", "bookings"),
       row("writes", writes / tookS, "1/s", "writes"),
-      row("addedP50", added(50), "ms"),
+      row("addedP50", added(0.5), "ms"),
       {
-        ...row("addedP95", added(95), "ms", "addedP95"),
+        ...row("addedP95", added(0.95), "ms", "addedP95"),
         series: percentileSeries(
           { plot: "ledger latency", name, unit: "ms" },
           latencies(booked),
         ),
       },
-      row("addedP99", added(99), "ms"),
+      row("addedP99", added(0.99), "ms"),
+      row("plainP99", quantile(latencies(plain), 0.99), "ms"),
+      row("bookedP99", quantile(latencies(booked), 0.99), "ms"),
       row("doubleRuns", faults.doubleRuns, "keys", "none"),
       row("falseNo", faults.falseNo, "answers", "none"),
     ];
@@ -153,17 +157,17 @@
       { name: `${name}.writes`, value: writes / tookS, unit: "1/s" },
       {
         name: `${name}.addedP50`,
-        value: percentileOf(claimMs, 50),
+        value: quantile(claimMs, 0.5),
         unit: "ms",
       },
       {
         name: `${name}.addedP95`,
-        value: percentileOf(claimMs, 95),
+        value: quantile(claimMs, 0.95),
         unit: "ms",
       },
       {
         name: `${name}.addedP99`,
-        value: percentileOf(claimMs, 99),
+        value: quantile(claimMs, 0.99),
         unit: "ms",
       },
     ];
--- a/bench/src/experiments/massLoss.ts
+++ b/bench/src/experiments/massLoss.ts
@@ -5,10 +5,10 @@
 import {
   askMany,
   longestGapAfter,
-  percentile,
   readGeneratedWork,
 } from "../harness/streamLoad.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const engines = 9;
 const lost = 3;
@@ -46,16 +46,16 @@
     },
     { name: "massLoss.begun", value: begun.length, unit: "streams" },
     { name: "massLoss.resumed", value: resumed, unit: "streams" },
-    { name: "massLoss.p50", value: percentile(ofLost, 0.5), unit: "ms" },
+    { name: "massLoss.p50", value: quantile(ofLost, 0.5), unit: "ms" },
     {
       name: "massLoss.p99",
-      value: percentile(ofLost, 0.99),
+      value: quantile(ofLost, 0.99),
       unit: "ms",
       bound: within,
     },
     {
       name: "massLoss.others.p99",
-      value: percentile(ofOthers, 0.99),
+      value: quantile(ofOthers, 0.99),
       unit: "ms",
       bound: within,
     },
--- a/bench/src/experiments/membership.ts
+++ b/bench/src/experiments/membership.ts
@@ -5,8 +5,8 @@
 import { request } from "undici";
 import { Fleet, operatorToken, type FleetRouter } from "../harness/fleet.js";
 import { memberName, MemberNetwork } from "../harness/memberNetwork.js";
-import { quantile } from "../harness/offerLoad.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const sizes = [3, 8, 16, 32, 64];
 const settleMs = 20_000;
--- a/bench/src/experiments/overload.ts
+++ b/bench/src/experiments/overload.ts
@@ -7,11 +7,11 @@
   firstTokenMs,
   isGood,
   offerLoad,
-  quantile,
   type OfferedAnswer,
   type OfferedRequest,
 } from "../harness/offerLoad.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const engines = 4;
 const slots = 8;
--- a/bench/src/experiments/recovery.ts
+++ b/bench/src/experiments/recovery.ts
@@ -7,10 +7,10 @@
 import {
   askMany,
   longestGapAfter,
-  percentile,
   readGeneratedWork,
 } from "../harness/streamLoad.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 interface Case {
   readonly name: string;
@@ -78,16 +78,16 @@
       bound: { type: "atLeast", value: answers },
     },
     { name: `${name}.resumed`, value: resumed, unit: "streams" },
-    { name: `${name}.p50`, value: percentile(gaps, 0.5), unit: "ms" },
+    { name: `${name}.p50`, value: quantile(gaps, 0.5), unit: "ms" },
     {
       name: `${name}.p95`,
-      value: percentile(gaps, 0.95),
+      value: quantile(gaps, 0.95),
       unit: "ms",
       bound: within(p95Within),
     },
     {
       name: `${name}.p99`,
-      value: percentile(gaps, 0.99),
+      value: quantile(gaps, 0.99),
       unit: "ms",
       bound: within(resumeWithinMs),
     },
--- a/bench/src/experiments/routing.ts
+++ b/bench/src/experiments/routing.ts
@@ -13,10 +13,10 @@
   firstTokenMs,
   isGood,
   offerLoad,
-  quantile,
   type OfferedAnswer,
 } from "../harness/offerLoad.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const engines = 8;
 const slots = 8;
--- a/bench/src/experiments/storeDown.ts
+++ b/bench/src/experiments/storeDown.ts
@@ -11,8 +11,8 @@
   waitForHolders,
 } from "../harness/bookings.js";
 import { Fleet, orderFault } from "../harness/fleet.js";
-import { percentileOf } from "../report/percentileSeries.js";
 import type { Experiment, Row } from "../types.js";
+import { quantile } from "../report/quantile.js";
 
 const shards = 8;
 const perSecond = 50;
@@ -45,7 +45,7 @@
     { name: `${name}.booked`, value: share(Ran.Yes), unit: "share" },
     { name: `${name}.toldNotRun`, value: share(Ran.No), unit: "share" },
     { name: `${name}.toldUnknown`, value: share(Ran.Unknown), unit: "share" },
-    { name: `${name}.waitP95`, value: percentileOf(waited, 95), unit: "ms" },
+    { name: `${name}.waitP95`, value: quantile(waited, 0.95), unit: "ms" },
     {
       name: `${name}.faults`,
       value: faults.doubleRuns + faults.falseNo,
--- a/bench/src/harness/offerLoad.ts
+++ b/bench/src/harness/offerLoad.ts
@@ -88,13 +88,3 @@
   offered.answer.isWhole &&
   offered.answer.error === undefined &&
   firstTokenMs(offered) <= firstTokenTargetMs;
-
-/** The value below which a share of the values lies. */
-export const quantile = (values: readonly number[], share: number): number => {
-  const sorted = [...values].sort((a, b) => a - b);
-  const index = Math.min(
-    sorted.length - 1,
-    Math.max(0, Math.ceil(share * sorted.length) - 1),
-  );
-  return sorted[index] ?? NaN;
-};
--- a/bench/src/harness/streamLoad.ts
+++ b/bench/src/harness/streamLoad.ts
@@ -71,10 +71,6 @@
   return Math.max(0, ...gaps);
 };
 
-/** Value at a share of a sorted list. */
-export const percentile = (sorted: readonly number[], share: number): number =>
-  sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
-
 /** What engines that still answer generated. */
 export interface GeneratedWork {
   /** Requests that took more than one attempt. */
