Leave an overdue request only where it can go on elsewhere

Found by reading: an idempotent request whose answer was overdue was given up at its replica also where no repeat was left or no other replica was open, and then failed with 502 while its answer was on its way.

--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -1,10 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+  Scenario,
   bookPath,
   checkPath,
-  Scenario,
+  desk,
   streamPath,
+  testReplica,
 } from "../testing/scenario.js";
 import { AttemptFailure } from "./types.js";
 
@@ -122,3 +124,22 @@
   assert.ok(repeats <= 0.8 * requests + 150);
   assert.ok(repeats > 0);
 });
+
+test("an overdue request keeps its replica where no repeat is left or no other replica is open", () => {
+  const alone = Scenario.create([testReplica("a-9", desk)]);
+  alone.request("1", checkPath);
+  alone.wait(600);
+  assert.equal(alone.of("abandon").length, 0);
+  alone.answer("1");
+  assert.equal(alone.of("deliverAnswer").length, 1);
+
+  const poor = Scenario.create();
+  poor.state.bounds = {
+    drainTimeoutMs: 2000,
+    repeatLimits: { share: 0, extra: 0, windowMs: 10_000 },
+  };
+  poor.request("1", checkPath);
+  poor.wait(600);
+  assert.equal(poor.of("abandon").length, 0);
+  assert.deepEqual(refusalsOf(poor), []);
+});
--- a/packages/relay/src/decisions/repeatBudget.ts
+++ b/packages/relay/src/decisions/repeatBudget.ts
@@ -26,8 +26,8 @@
   budgetOf(state, service).firsts.push(at);
 };
 
-/** Whether one more repeat may be sent to a service now; counts it if so. */
-export const takeRepeat = (
+/** Whether one more repeat may be sent to a service now. */
+export const hasRepeat = (
   state: RelayState,
   service: string,
   at: Moment,
@@ -37,7 +37,16 @@
   budget.firsts = dropOlder(budget.firsts, at - windowMs);
   budget.repeats = dropOlder(budget.repeats, at - windowMs);
   const allowed = share * budget.firsts.length + extra / routersAssumed;
-  if (budget.repeats.length + 1 > allowed) return false;
-  budget.repeats.push(at);
+  return budget.repeats.length + 1 <= allowed;
+};
+
+/** Counts one more repeat, if it may be sent. */
+export const takeRepeat = (
+  state: RelayState,
+  service: string,
+  at: Moment,
+): boolean => {
+  if (!hasRepeat(state, service, at)) return false;
+  budgetOf(state, service).repeats.push(at);
   return true;
 };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -5,7 +5,7 @@
 import { chooseFrom, chooseReplica, sampleOf } from "./chooseReplica.js";
 import { failExchange } from "./endExchange.js";
 import { holderOfPrompt, isLookOver, lookAround } from "./lookAround.js";
-import { noteFirst, takeRepeat } from "./repeatBudget.js";
+import { hasRepeat, noteFirst, takeRepeat } from "./repeatBudget.js";
 import { ageOf, isOpen, isSuspect } from "./replicaViews.js";
 import type {
   Attempt,
@@ -178,6 +178,14 @@
   return isOpen(view) && !isSuspect(view, state.at);
 };
 
+/** Whether a request could go on elsewhere if its attempt were left now. */
+export const canLeave = (state: RelayState, exchange: Exchange): boolean => {
+  const { route, service, attempts, tried } = exchange;
+  if (!isRepeatable(exchange) || attempts >= route.maxAttempts) return false;
+  if (!hasRepeat(state, service, state.at)) return false;
+  return sampleOf(state, { service, except: tried }, 1).length > 0;
+};
+
 /** Goes on after an attempt ended without an answer; the exchange has no attempt now. */
 export const sendAgain = (
   state: RelayState,
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -14,7 +14,7 @@
 import { isLookOver } from "./lookAround.js";
 import { leaveAttempt, probeSilent } from "./probes.js";
 import { ensureCopy, hasCopy } from "./runCopies.js";
-import { sendFresh } from "./sendAttempt.js";
+import { canLeave, sendFresh } from "./sendAttempt.js";
 import { dropVanished } from "./worldChanged.js";
 import type {
   Attempt,
@@ -45,8 +45,9 @@
   const canMove =
     attempt.hasEvents &&
     hasCopy(state, attempt) &&
-    exchange.attempts < exchange.route.maxAttempts;
-  if (canMove && isLeaving(state, attempt, state.at))
+    isLeaving(state, attempt, state.at) &&
+    canLeave(state, exchange);
+  if (canMove)
     return leaveAttempt(state, exchange, attempt, "the replica is leaving");
   return [
     ...ensureCopy(state, exchange, attempt),
@@ -60,7 +61,8 @@
   attempt: Attempt,
 ): RelayCommand[] => {
   if (state.at - attempt.sentAt < patienceMs(exchange)) return [];
-  if (exchange.attempts >= exchange.route.maxAttempts) return [];
+  // An answer that is late is better than none.
+  if (!canLeave(state, exchange)) return [];
   return leaveAttempt(state, exchange, attempt, "the answer is overdue");
 };
 
