--- /dev/null
+++ b/packages/router/src/commands.ts
@@ -0,0 +1,141 @@
+/** What the router process does. */
+
+import type { Moment } from "@cardamomglade/common";
+import type {
+  Commit,
+  ExecutionCommand,
+  LeaseCall,
+} from "@cardamomglade/decisions";
+import type {
+  EngineToken,
+  FinishReason,
+  PeerMessage,
+  RecordedAnswer,
+  TimelineEvent,
+} from "@cardamomglade/schema";
+import type {
+  AttachOrder,
+  GenerationOrder,
+  ServiceCall,
+} from "@cardamomglade/upstream";
+import type { ApiError } from "./errors.js";
+import type { AnswerSource } from "./types.js";
+
+/** What the router process does. */
+export type RouterCommand =
+  | {
+      readonly type: "openAttempt";
+      readonly url: string;
+      readonly order: GenerationOrder;
+    }
+  | {
+      readonly type: "attachAttempt";
+      readonly url: string;
+      readonly order: AttachOrder;
+    }
+  | {
+      readonly type: "cancelAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "detachAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "pauseAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "resumeAttempt";
+      readonly requestId: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "probeBackEnd";
+      readonly requestId: string;
+      readonly attempt: number;
+      readonly url: string;
+      readonly deadline: Moment;
+    }
+  | {
+      readonly type: "deliver";
+      readonly requestId: string;
+      readonly source: AnswerSource;
+      readonly offset: number;
+      readonly tokens: readonly EngineToken[];
+    }
+  | {
+      readonly type: "finishAnswer";
+      readonly requestId: string;
+      readonly reason: FinishReason;
+      readonly completionTokens: number;
+    }
+  | {
+      readonly type: "failAnswer";
+      readonly requestId: string;
+      readonly error: ApiError;
+    }
+  | {
+      readonly type: "callService";
+      readonly url: string;
+      readonly call: ServiceCall;
+    }
+  | {
+      readonly type: "answerCall";
+      readonly requestId: string;
+      readonly answer: RecordedAnswer;
+    }
+  | {
+      readonly type: "readShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly deadline: Moment;
+    }
+  | {
+      readonly type: "commitShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly commit: Commit;
+      readonly deadline: Moment;
+    }
+  | {
+      readonly type: "wakeShard";
+      readonly shard: number;
+      readonly fencing: number;
+      readonly wakeAt: Moment;
+    }
+  | {
+      /** A message to this router itself, as if a peer had sent it. */
+      readonly type: "loopBack";
+      readonly message: PeerMessage;
+    }
+  | {
+      readonly type: "leaseCall";
+      readonly role: string;
+      readonly call: LeaseCall;
+    }
+  | {
+      readonly type: "sendToPeer";
+      readonly peer: string;
+      readonly message: PeerMessage;
+    }
+  | { readonly type: "execute"; readonly command: ExecutionCommand }
+  | { readonly type: "connectPeer"; readonly url: string }
+  | { readonly type: "forgetPeer"; readonly url: string }
+  | {
+      readonly type: "watchConfiguration";
+      readonly isWatching: boolean;
+    }
+  | {
+      readonly type: "record";
+      readonly event: Omit<TimelineEvent, "at" | "process">;
+    };
+
+/** One command by its type. */
+export type RouterCommandOf<T extends RouterCommand["type"]> = Extract<
+  RouterCommand,
+  { type: T }
+>;
--- a/packages/router/src/types.ts
+++ b/packages/router/src/types.ts
@@ -1,51 +1,32 @@
-/** State, events and commands of the router process. */
+/** State of the router process; its events and commands stand beside. */
 
 import type { Moment } from "@cardamomglade/common";
 import type {
-  AcceptedConfig,
   AdmissionState,
-  AttemptFailure,
   CallEnd,
-  Commit,
   ConfigInForce,
-  EngineObservation,
-  EngineOrder,
   EnginePace,
-  ExecutionCommand,
   ExecutionState,
   HostMarks,
-  LeaseCall,
-  LeaseEvent,
   LeaseState,
   LimitsState,
-  LoadNews,
   MembershipState,
   RetryBudgets,
   RoutingState,
-  ShardEvent,
   ShardLimits,
   ShardState,
   StreamState,
 } from "@cardamomglade/decisions";
 import type {
-  CacheEvents,
   Deployment,
   EngineToken,
-  FinishReason,
-  ListedHost,
-  PeerMessage,
   Priority,
-  RecordedAnswer,
   RouterIdentity,
-  TimelineEvent,
 } from "@cardamomglade/schema";
-import type {
-  AttachOrder,
-  GenerationOrder,
-  ServiceCall,
-  ServiceOutcome,
-} from "@cardamomglade/upstream";
-import type { ApiError } from "./errors.js";
+import type { ServiceCall } from "@cardamomglade/upstream";
+
+export type { RouterCommand, RouterCommandOf } from "./commands.js";
+export type { RouterEvent, RouterEventOf } from "./events.js";
 
 /** Where a returning caller stands in an answer that an earlier connection began. */
 export interface ReturnPoint {
@@ -212,274 +193,3 @@
   readonly limits: LimitsState;
   readonly retryBudgets: RetryBudgets;
 }
-
-/** What happens to the router process. */
-export type RouterEvent =
-  | {
-      readonly type: "configurationRead";
-      readonly at: Moment;
-      readonly accepted: AcceptedConfig;
-      /** Where it was read; the store where nothing is said. */
-      readonly source?: string;
-    }
-  | {
-      readonly type: "generationArrived";
-      readonly at: Moment;
-      readonly request: GenerationRequest;
-    }
-  | {
-      readonly type: "callerLeft";
-      readonly at: Moment;
-      readonly requestId: string;
-    }
-  | {
-      readonly type: "tokensReceived";
-      readonly at: Moment;
-      readonly requestId: string;
-      readonly attempt: number;
-      readonly offset: number;
-      readonly tokens: readonly EngineToken[];
-    }
-  | {
-      readonly type: "attemptEnded";
-      readonly at: Moment;
-      readonly requestId: string;
-      readonly attempt: number;
-      readonly offset: number;
-      readonly reason: FinishReason;
-    }
-  | {
-      readonly type: "attemptBroken";
-      readonly at: Moment;
-      readonly requestId: string;
-      readonly attempt: number;
-      readonly failure: AttemptFailure;
-    }
-  | {
-      readonly type: "backEndProbed";
-      readonly at: Moment;
-      readonly requestId: string;
-      readonly attempt: number;
-      readonly isAlive: boolean;
-    }
-  | {
-      readonly type: "callerSlow";
-      readonly at: Moment;
-      readonly requestId: string;
-    }
-  | {
-      readonly type: "callerReady";
-      readonly at: Moment;
-      readonly requestId: string;
-    }
-  | {
-      readonly type: "serviceCallArrived";
-      readonly at: Moment;
-      readonly request: ServiceRequest;
-    }
-  | {
-      readonly type: "serviceCallEnded";
-      readonly at: Moment;
-      readonly requestId: string;
-      readonly outcome: ServiceOutcome;
-    }
-  | {
-      readonly type: "holdersRead";
-      readonly at: Moment;
-      readonly holders: readonly RoleHolder[];
-    }
-  | {
-      readonly type: "shardReported";
-      readonly at: Moment;
-      readonly shard: number;
-      readonly fencing: number;
-      readonly report: ShardEvent;
-    }
-  | {
-      readonly type: "leaseAnswered";
-      readonly at: Moment;
-      readonly role: string;
-      readonly answer: LeaseEvent;
-    }
-  | {
-      readonly type: "peerLinked";
-      readonly at: Moment;
-      readonly peer: string;
-    }
-  | {
-      readonly type: "peerLost";
-      readonly at: Moment;
-      readonly peer: string;
-    }
-  | {
-      readonly type: "peerMessageReceived";
-      readonly at: Moment;
-      readonly peer: string;
-      readonly message: PeerMessage;
-    }
-  | {
-      readonly type: "loadRead";
-      readonly at: Moment;
-      readonly backEnd: string;
-      readonly news: LoadNews;
-    }
-  | {
-      readonly type: "cacheEventsRead";
-      readonly at: Moment;
-      readonly backEnd: string;
-      readonly read: CacheEvents;
-    }
-  | {
-      readonly type: "addressesBound";
-      readonly at: Moment;
-      readonly peersUrl: string;
-      readonly callersUrl: string;
-      readonly administrationUrl: string;
-    }
-  | { readonly type: "timePassed"; readonly at: Moment }
-  | {
-      readonly type: "hostListRead";
-      readonly at: Moment;
-      readonly hosts: readonly ListedHost[];
-    }
-  | {
-      readonly type: "enginesObserved";
-      readonly at: Moment;
-      readonly observed: ReadonlyMap<string, EngineObservation>;
-      readonly bytesPerSecond: number;
-    }
-  | {
-      readonly type: "orderAnswered";
-      readonly at: Moment;
-      readonly order: EngineOrder;
-      /** Undefined where the engine took the order. */
-      readonly reason: string | undefined;
-    }
-  | { readonly type: "drainAnnounced"; readonly at: Moment }
-  | { readonly type: "graceEnded"; readonly at: Moment }
-  | { readonly type: "drainStarted"; readonly at: Moment };
-
-/** One event by its type. */
-export type RouterEventOf<T extends RouterEvent["type"]> = Extract<
-  RouterEvent,
-  { type: T }
->;
-
-/** What the router process does. */
-export type RouterCommand =
-  | {
-      readonly type: "openAttempt";
-      readonly url: string;
-      readonly order: GenerationOrder;
-    }
-  | {
-      readonly type: "attachAttempt";
-      readonly url: string;
-      readonly order: AttachOrder;
-    }
-  | {
-      readonly type: "cancelAttempt";
-      readonly requestId: string;
-      readonly attempt: number;
-    }
-  | {
-      readonly type: "detachAttempt";
-      readonly requestId: string;
-      readonly attempt: number;
-    }
-  | {
-      readonly type: "pauseAttempt";
-      readonly requestId: string;
-      readonly attempt: number;
-    }
-  | {
-      readonly type: "resumeAttempt";
-      readonly requestId: string;
-      readonly attempt: number;
-    }
-  | {
-      readonly type: "probeBackEnd";
-      readonly requestId: string;
-      readonly attempt: number;
-      readonly url: string;
-      readonly deadline: Moment;
-    }
-  | {
-      readonly type: "deliver";
-      readonly requestId: string;
-      readonly source: AnswerSource;
-      readonly offset: number;
-      readonly tokens: readonly EngineToken[];
-    }
-  | {
-      readonly type: "finishAnswer";
-      readonly requestId: string;
-      readonly reason: FinishReason;
-      readonly completionTokens: number;
-    }
-  | {
-      readonly type: "failAnswer";
-      readonly requestId: string;
-      readonly error: ApiError;
-    }
-  | {
-      readonly type: "callService";
-      readonly url: string;
-      readonly call: ServiceCall;
-    }
-  | {
-      readonly type: "answerCall";
-      readonly requestId: string;
-      readonly answer: RecordedAnswer;
-    }
-  | {
-      readonly type: "readShard";
-      readonly shard: number;
-      readonly fencing: number;
-      readonly deadline: Moment;
-    }
-  | {
-      readonly type: "commitShard";
-      readonly shard: number;
-      readonly fencing: number;
-      readonly commit: Commit;
-      readonly deadline: Moment;
-    }
-  | {
-      readonly type: "wakeShard";
-      readonly shard: number;
-      readonly fencing: number;
-      readonly wakeAt: Moment;
-    }
-  | {
-      /** A message to this router itself, as if a peer had sent it. */
-      readonly type: "loopBack";
-      readonly message: PeerMessage;
-    }
-  | {
-      readonly type: "leaseCall";
-      readonly role: string;
-      readonly call: LeaseCall;
-    }
-  | {
-      readonly type: "sendToPeer";
-      readonly peer: string;
-      readonly message: PeerMessage;
-    }
-  | { readonly type: "execute"; readonly command: ExecutionCommand }
-  | { readonly type: "connectPeer"; readonly url: string }
-  | { readonly type: "forgetPeer"; readonly url: string }
-  | {
-      readonly type: "watchConfiguration";
-      readonly isWatching: boolean;
-    }
-  | {
-      readonly type: "record";
-      readonly event: Omit<TimelineEvent, "at" | "process">;
-    };
-
-/** One command by its type. */
-export type RouterCommandOf<T extends RouterCommand["type"]> = Extract<
-  RouterCommand,
-  { type: T }
->;
