--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -87,14 +87,7 @@
   assert.ok(probe);
   assert.equal(scenario.of("send").length, 1);
   scenario.wait(150);
-  scenario.tell({
-    type: "probed",
-    at: scenario.at,
-    replica: probe.replica.id,
-    sentAt: probe.sentAt,
-    report: undefined,
-    isAnswered: false,
-  });
+  scenario.probed(probe.replica, probe.sentAt, { isAnswered: false });
   assert.equal(scenario.of("abandon").length, 1);
   assert.equal(scenario.sent("1").attempt.start.type, "copy");
 });
@@ -106,14 +99,7 @@
   scenario.wait(300);
   const [probe] = scenario.of("probe");
   assert.ok(probe);
-  scenario.tell({
-    type: "probed",
-    at: scenario.at,
-    replica: probe.replica.id,
-    sentAt: probe.sentAt,
-    report: undefined,
-    isAnswered: true,
-  });
+  scenario.probed(probe.replica, probe.sentAt, { isAnswered: true });
   scenario.wait(200);
   assert.equal(scenario.of("send").length, 1);
 });
@@ -124,11 +110,8 @@
   scenario.stream("1", 1, 3);
   scenario.wait(500);
   const { replica } = scenario.sent("1").attempt;
-  scenario.tell({
-    type: "probed",
-    at: scenario.at,
-    replica: replica.id,
-    sentAt: scenario.at - 10,
+  scenario.probed(replica, scenario.at - 10, {
+    isAnswered: true,
     report: {
       startedAt: undefined,
       queued: 0,
@@ -137,7 +120,6 @@
       memoryTotal: 1,
       runs: [{ requestId: "id-1", memoryTokens: 1, eventsMade: 9 }],
     },
-    isAnswered: true,
   });
   assert.equal(scenario.of("send").length, 2);
 });
@@ -167,14 +149,7 @@
   const [order] = scenario.of("copyRun");
   assert.ok(order);
   assert.notEqual(order.holder.id, copyTo.id);
-  scenario.tell({
-    type: "runCopied",
-    at: scenario.at,
-    key: "1",
-    attempt: order.attempt,
-    holder: order.holder,
-    handle: "h-7",
-  });
+  scenario.copied("1", order.holder, "h-7");
   loseStream(scenario, "1");
   const { start } = scenario.sent("1").attempt;
   assert.equal(start.type === "copy" ? start.copy.handle : "", "h-7");
@@ -189,14 +164,7 @@
   scenario.wait(25);
   const [order] = scenario.of("copyRun");
   assert.ok(order);
-  scenario.tell({
-    type: "runCopied",
-    at: scenario.at,
-    key: "1",
-    attempt: order.attempt,
-    holder: order.holder,
-    handle: "h-7",
-  });
+  scenario.copied("1", order.holder, "h-7");
   scenario.wait(2400);
   assert.equal(scenario.of("copyRun").length, 1);
   scenario.wait(200);
@@ -235,14 +203,7 @@
   scenario.tell({ type: "replicasRead", at: scenario.at, replicas });
   scenario.wait(700);
   assert.equal(scenario.of("send").length, 1);
-  scenario.tell({
-    type: "probed",
-    at: scenario.at,
-    replica: replica.id,
-    sentAt: scenario.at,
-    report: undefined,
-    isAnswered: true,
-  });
+  scenario.probed(replica, scenario.at, { isAnswered: true });
   scenario.wait(200);
   assert.equal(scenario.sent("1").attempt.replica.id, copyTo?.id);
 });
@@ -305,18 +266,13 @@
   scenario.wait(25);
   const [order] = scenario.of("copyRun");
   assert.ok(order);
-  const { holder } = order;
-  const { at } = scenario;
-  const number = attempt.number;
+  scenario.copied("1", order.holder, "h-7");
   scenario.tell({
-    type: "runCopied",
-    at,
+    type: "streamEnded",
+    at: scenario.at,
     key: "1",
-    attempt: number,
-    holder,
-    handle: "h-7",
+    attempt: attempt.number,
   });
-  scenario.tell({ type: "streamEnded", at, key: "1", attempt: number });
   assert.deepEqual(
     scenario.of("dropCopy").map(({ copy }) => copy.handle),
     ["h-7"],
@@ -333,14 +289,7 @@
     while (scenario.of("copyRun").length < asked) scenario.wait(25);
     const holder = scenario.of("copyRun").at(-1)?.holder;
     assert.ok(holder);
-    scenario.tell({
-      type: "runCopied",
-      at: scenario.at,
-      key: "1",
-      attempt: attempt.number,
-      holder,
-      handle: undefined,
-    });
+    scenario.copied("1", holder, undefined);
   }
   const holders = scenario.of("copyRun").map(({ holder }) => holder.id);
   assert.equal(new Set(holders).size, holders.length);
@@ -352,11 +301,8 @@
   scenario.stream("1", 1, 3);
   scenario.wait(300);
   const { replica, copyTo } = scenario.sent("1").attempt;
-  scenario.tell({
-    type: "probed",
-    at: scenario.at,
-    replica: replica.id,
-    sentAt: scenario.at - 10,
+  scenario.probed(replica, scenario.at - 10, {
+    isAnswered: true,
     report: {
       startedAt: replica.startedAt + 5000,
       queued: 0,
@@ -365,7 +311,6 @@
       memoryTotal: 1,
       runs: [],
     },
-    isAnswered: true,
   });
   assert.equal(scenario.sent("1").attempt.replica.id, copyTo?.id);
   for (let request = 2; request < 12; request += 1) {
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -276,4 +276,31 @@
     const answer = { head: goodHead(changes), body: new Uint8Array() };
     return this.tell({ type: "answered", at: this.at, key, attempt, answer });
   }
+
+  /** An engine answered the order to copy the newest attempt's run. */
+  copied(
+    key: string,
+    holder: Replica,
+    handle: string | undefined,
+  ): RelayCommand[] {
+    const attempt = this.sent(key).attempt.number;
+    const { at } = this;
+    return this.tell({ type: "runCopied", at, key, attempt, holder, handle });
+  }
+
+  /** A probe of a replica ended. */
+  probed(
+    { id }: Replica,
+    sentAt: Moment,
+    answer: { readonly isAnswered: boolean; readonly report?: EngineReport },
+  ): RelayCommand[] {
+    return this.tell({
+      type: "probed",
+      at: this.at,
+      replica: id,
+      sentAt,
+      report: answer.report,
+      isAnswered: answer.isAnswered,
+    });
+  }
 }
