Count the routers that share the budget of repeats

The extra repeats of a window are the fleet's, and each router took an eighth of them. On a fleet of 58 routers that lose streams to one wave at once that is up to seven times what the fleet may send. Each router now keeps an entry in the store, under a lease of ten minutes, and divides by the entries that its watch shows; without an entry of its own it assumes eight or more.

Ruled out: a member list by gossip (needs peers, and costs bytes), shorter leases (a router that is gone only makes the other shares smaller).

--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -1,6 +1,5 @@
 /** Chooses the replica for an attempt, and the engine that keeps a copy of a run. */
 
-import { draw } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
 import {
   engineZoneCost,
@@ -12,6 +11,7 @@
   runningCost,
   slotCost,
 } from "./constants.js";
+import { random } from "./random.js";
 import { isOpen, isSuspect } from "./replicaViews.js";
 import type { RelayState, ReplicaView } from "./types.js";
 
@@ -24,13 +24,6 @@
   readonly otherThanZone?: string;
 }
 
-/** Draws a number in [0, 1) from the state. */
-export const random = (state: RelayState): number => {
-  const drawn = draw(state.generator);
-  state.generator = drawn.state;
-  return drawn.value;
-};
-
 const isEngine = (state: RelayState, service: string): boolean =>
   state.routes?.services.get(service)?.engine !== undefined;
 
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -45,7 +45,7 @@
 /** Weight of the newest answer in a replica's share of failures. */
 export const failureWeight = 1 / 8;
 
-/** Routers assumed to share the extra repeats, as long as their number is not known. */
+/** Routers assumed at least to share the fleet's bounds, as long as the own entry is not in the store. */
 export const routersAssumed = 8;
 
 /** Engines whose reports are read before a prompt is placed. */
@@ -102,5 +102,17 @@
 /** Pause told to callers while this process does not know its configuration. */
 export const unknownRetryAfterMs = { least: 300, most: 900 };
 
+/** Life of a router's entry: a router that is gone counts until then, which only makes the others' shares smaller. */
+export const registrationLifeMs = 600_000;
+
+/** Time between renewals of an entry: two may fail before it lapses. */
+export const registrationRenewMs = 200_000;
+
+/** Time after which an entry that has not appeared is written again. */
+export const registrationRetryMs = 5000;
+
+/** Width of the random delay of a first entry, so that a fleet that starts at once does not exceed the store's rate. */
+export const registrationSpreadMs = 2000;
+
 /** Time after the store's return in which living replicas register again. */
 export const registrationMs = 2200;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -10,6 +10,7 @@
 import { answered, attemptFailed } from "./attemptEvents.js";
 import { callerLeft } from "./callerLeft.js";
 import { partsListed, probed } from "./probes.js";
+import { createRegistration, routersRead } from "./registration.js";
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamBegan, streamEnded } from "./streamEvents.js";
 import { runCopied } from "./runCopies.js";
@@ -24,6 +25,7 @@
 
 /** What a relay starts with. */
 export interface RelayStateOptions {
+  readonly router: string;
   readonly zone: string;
   readonly startedAt: Moment;
   readonly seed: number;
@@ -32,6 +34,7 @@
 
 /** A relay that knows nothing yet. */
 export const createRelayState = (options: RelayStateOptions): RelayState => ({
+  router: options.router,
   zone: options.zone,
   startedAt: options.startedAt,
   at: 0,
@@ -45,6 +48,7 @@
   vanished: new Map(),
   exchanges: new Map(),
   repeats: new Map(),
+  registration: createRegistration(),
   bounds: options.bounds,
   store: { type: "unknown" },
   isDraining: false,
@@ -68,6 +72,8 @@
       return configRead(state, event);
     case "replicasRead":
       return replicasRead(state, event);
+    case "routersRead":
+      return routersRead(state, event);
     case "storeAnswered":
       return storeAnswered(state, event);
     case "storeFailed":
--- a/packages/relay/src/decisions/refusals.ts
+++ b/packages/relay/src/decisions/refusals.ts
@@ -1,7 +1,7 @@
 /** Refusals and failures of the relay's own, and the pause that callers are told. */
 
 import { Severity } from "@cardamomglade/observe";
-import { random } from "./chooseReplica.js";
+import { random } from "./random.js";
 import { retryAfterMs } from "./constants.js";
 import type { DecisionContext, RelayCommand, RelayState } from "./types.js";
 
--- /dev/null
+++ b/packages/relay/src/decisions/registration.ts
@@ -0,0 +1,68 @@
+/**
+ * Counts the routers that share the fleet's bounds. Load pattern: every router
+ * loses streams to the same wave at once, and none knows what the others repeat;
+ * each keeps to its part of what the fleet may send in excess of its share.
+ */
+
+import {
+  registrationLifeMs,
+  registrationRenewMs,
+  registrationRetryMs,
+  registrationSpreadMs,
+  routersAssumed,
+} from "./constants.js";
+import { random } from "./random.js";
+import type {
+  Registration,
+  RelayCommand,
+  RelayEventOf,
+  RelayState,
+} from "./types.js";
+
+/** Nothing is known, and nothing is due before the entries were read. */
+export const createRegistration = (): Registration => ({
+  routers: new Set(),
+  lease: undefined,
+  dueAt: Infinity,
+});
+
+/** Routers among which the fleet's bounds are divided; never fewer than there may be. */
+export const routersSharing = ({
+  router,
+  registration: { routers },
+}: RelayState): number =>
+  routers.has(router)
+    ? routers.size
+    : Math.max(routersAssumed, routers.size + 1);
+
+/** The routers' entries were read. */
+export const routersRead = (
+  state: RelayState,
+  { entries, at }: RelayEventOf<"routersRead">,
+): RelayCommand[] => {
+  const { registration, router } = state;
+  const own = entries.find((entry) => entry.router === router);
+  const isFirstRead = registration.dueAt === Infinity;
+  const hadEntry = registration.lease !== undefined;
+  const hasEntry = own !== undefined;
+  registration.routers = new Set(entries.map((entry) => entry.router));
+  registration.lease = own?.lease;
+  // An entry of this router's former process may lapse soon: it is renewed first.
+  if (isFirstRead || (hadEntry && !hasEntry))
+    registration.dueAt = at + registrationSpreadMs * random(state);
+  else if (!hadEntry && hasEntry) registration.dueAt = at + registrationRenewMs;
+  return [];
+};
+
+/** Writes the own entry, or renews it, when that is due. */
+export const tendRegistration = (state: RelayState): RelayCommand[] => {
+  const { registration, router, at } = state;
+  const { lease, dueAt } = registration;
+  if (at < dueAt) return [];
+  if (lease !== undefined) {
+    registration.dueAt = at + registrationRenewMs;
+    return [{ type: "renewRegistration", lease }];
+  }
+  registration.dueAt = at + registrationRetryMs;
+  return [{ type: "register", router, until: at + registrationLifeMs }];
+};
--- a/packages/relay/src/decisions/repeatBudget.ts
+++ b/packages/relay/src/decisions/repeatBudget.ts
@@ -1,7 +1,7 @@
 /** Bounds repeats to a share of first sendings, service by service, over a sliding window. */
 
 import type { Moment } from "@cardamomglade/common";
-import { routersAssumed } from "./constants.js";
+import { routersSharing } from "./registration.js";
 import type { RelayState, RepeatBudget } from "./types.js";
 
 const budgetOf = (state: RelayState, service: string): RepeatBudget => {
@@ -36,7 +36,7 @@
   const budget = budgetOf(state, service);
   budget.firsts = dropOlder(budget.firsts, at - windowMs);
   budget.repeats = dropOlder(budget.repeats, at - windowMs);
-  const allowed = share * budget.firsts.length + extra / routersAssumed;
+  const allowed = share * budget.firsts.length + extra / routersSharing(state);
   return budget.repeats.length + 1 <= allowed;
 };
 
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -1,7 +1,7 @@
 /** Takes in a caller's request: route, customer, deadline, first attempt. */
 
 import type { CallerRequest, Route } from "../types.js";
-import { random } from "./chooseReplica.js";
+import { random } from "./random.js";
 import { unknownRetryAfterMs } from "./constants.js";
 import { drawPause, refuse, type RefusedRequest } from "./refusals.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -14,6 +14,7 @@
 import { isLookOver } from "./lookAround.js";
 import { leaveAttempt, probeSilent } from "./probes.js";
 import { ensureCopy, hasCopy } from "./runCopies.js";
+import { tendRegistration } from "./registration.js";
 import { canLeave, sendFresh } from "./sendAttempt.js";
 import { dropVanished } from "./worldChanged.js";
 import type {
@@ -106,7 +107,7 @@
   const commands =
     state.tickedAt > 0 && lateMs >= stallMs ? forgiveStall(state, lateMs) : [];
   state.tickedAt = at;
-  commands.push(...dropVanished(state));
+  commands.push(...dropVanished(state), ...tendRegistration(state));
   for (const exchange of [...state.exchanges.values()])
     commands.push(...tend(state, exchange));
   return commands;
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -159,8 +159,26 @@
     }
   | { readonly type: "silent"; readonly since: Moment };
 
+/** A router's entry in the store. */
+export interface RouterEntry {
+  readonly router: string;
+  readonly lease: string;
+}
+
+/** What is known of the routers that share the fleet's bounds, and of the own entry. */
+export interface Registration {
+  /** Routers that have an entry. */
+  routers: ReadonlySet<string>;
+  /** Lease of the own entry; undefined while there is none. */
+  lease: string | undefined;
+  /** Moment at which the own entry is written or renewed next. */
+  dueAt: Moment;
+}
+
 /** State of the fold; its maps are owned by the fold and changed in place. */
 export interface RelayState {
+  /** Name of this router. */
+  readonly router: string;
   readonly zone: string;
   /** Moment at which this process began. */
   readonly startedAt: Moment;
@@ -177,6 +195,7 @@
   readonly vanished: Map<string, Moment>;
   readonly exchanges: Map<string, Exchange>;
   readonly repeats: Map<string, RepeatBudget>;
+  readonly registration: Registration;
   bounds: Bounds;
   store: StoreState;
   isDraining: boolean;
@@ -216,6 +235,11 @@
       readonly at: Moment;
       readonly replicas: readonly Replica[];
     }
+  | {
+      readonly type: "routersRead";
+      readonly at: Moment;
+      readonly entries: readonly RouterEntry[];
+    }
   | {
       readonly type: "storeAnswered";
       readonly at: Moment;
@@ -369,6 +393,15 @@
       readonly replica: Replica;
       readonly sentAt: Moment;
     }
+  | {
+      readonly type: "register";
+      readonly router: string;
+      readonly until: Moment;
+    }
+  | {
+      readonly type: "renewRegistration";
+      readonly lease: string;
+    }
   | { readonly type: "applyLimits"; readonly limits: RequestLimits }
   | {
       readonly type: "log";
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -41,6 +41,7 @@
     metrics: { host, port: metrics },
     protocol: testProtocol,
     state: {
+      router: "r1",
       zone: "a",
       startedAt: now(),
       seed: 1,
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -147,6 +147,7 @@
   static createEmpty(seed = 1): Scenario {
     return new Scenario(
       createRelayState({
+        router: "r1",
         zone: "a",
         startedAt: -Infinity,
         seed,
@@ -201,6 +202,12 @@
     }
   }
 
+  /** The routers' entries were read. */
+  routersRead(routers: readonly string[]): RelayCommand[] {
+    const entries = routers.map((router) => ({ router, lease: `l-${router}` }));
+    return this.tell({ type: "routersRead", at: this.at, entries });
+  }
+
   /** Lets time pass in ticks; gives the commands of all of them. */
   wait(ms: number): RelayCommand[] {
     const until = this.at + ms;
