Add a fault soak of the relay's processes

Real router processes against a store and replicas of the platform's wire shape; faults from outside: signals (kill, stop, pause, reload), loopback proxies that delay, reset, silence or cut one way, a store that refuses, falls silent or forgets, replicas that crash, leave, lose or garble answers, and configurations in a row, three faults a round, rounds overlapping. Twelve promises are checked from what callers and replicas saw. Each tenth seed plays 24 routers. Not covered: clocks, which cannot be stepped without privileges.

--- a/bench/src/experiments/index.ts
+++ b/bench/src/experiments/index.ts
@@ -13,6 +13,7 @@
 import { membership } from "./membership.js";
 import { overload } from "./overload.js";
 import { routing } from "./routing.js";
+import { soak } from "./soak.js";
 import { smoke } from "./smoke.js";
 import { versions } from "./versions.js";
 import { forwarding } from "./forwarding.js";
@@ -40,4 +41,5 @@
   leaving,
   rolling,
   versions,
+  soak,
 ];
--- a/bench/src/faults/planFaults.ts
+++ b/bench/src/faults/planFaults.ts
@@ -1,10 +1,6 @@
 /** Schedule of faults from a seed: two at a time. */
 
-import {
-  draw,
-  seedGenerator,
-  type GeneratorState,
-} from "@cardamomglade/common";
+import { Dice } from "./dice.js";
 import type { FaultAction, PlannedFault } from "./types.js";
 
 /** What faults may hit. Engines from `engines` on are spared. */
@@ -34,26 +30,6 @@
 const staggerMs = 1500;
 const shortestMs = 1500;
 const longestMs = 4500;
-const discardedDraws = 16;
-
-/** Draws whole numbers and keeps the generator's state. */
-class Dice {
-  private constructor(private state: GeneratorState) {}
-
-  // The first draws of neighbouring seeds are alike.
-  static create(seed: number): Dice {
-    const dice = new Dice(seedGenerator(seed));
-    for (let drawn = 0; drawn < discardedDraws; drawn += 1) dice.below(1);
-    return dice;
-  }
-
-  /** A number from 0 to below a bound. */
-  below(bound: number): number {
-    const drawn = draw(this.state);
-    this.state = drawn.state;
-    return Math.floor(drawn.value * bound);
-  }
-}
 
 const aim = (
   type: FaultAction["type"],
--- a/bench/src/harness/processes.ts
+++ b/bench/src/harness/processes.ts
@@ -23,6 +23,9 @@
   ),
   "byte-pipe": fileURLToPath(new URL("../bytePipe.js", import.meta.url)),
   cardamomglade: fileURLToPath(import.meta.resolve("cardamomglade/main")),
+  relay: fileURLToPath(
+    import.meta.resolve("@cardamomglade/users-platform/main"),
+  ),
 };
 
 /** What to start. */
@@ -30,6 +33,8 @@
   readonly name: string;
   readonly script: keyof typeof scripts;
   readonly args: readonly string[];
+  /** Variables beside those of this process. */
+  readonly env?: Readonly<Record<string, string>>;
 }
 
 const startTimeoutMs = 10_000;
@@ -78,9 +83,11 @@
   name,
   script,
   args,
+  env,
 }: ProcessOptions): StartedProcess => {
   const child = spawn(process.execPath, [scripts[script], ...args], {
     stdio: ["ignore", "pipe", "inherit"],
+    env: { ...process.env, ...env },
   });
   const lines = collectLines(child);
   const exited = new Promise<number | null>((resolve) =>
--- a/bench/src/report/saveResult.ts
+++ b/bench/src/report/saveResult.ts
@@ -6,7 +6,8 @@
 import { err, ok, type Result } from "@cardamomglade/common";
 import type { Row, SavedResult } from "../types.js";
 
-const resultsFolder = fileURLToPath(
+/** Folder of saved results. */
+export const resultsFolder = fileURLToPath(
   new URL("../../../results/", import.meta.url),
 );
 
--- /dev/null
+++ b/bench/src/soak/saveSoakLogs.ts
@@ -0,0 +1,28 @@
+/** Keeps the routers' logs and the record of a soak that broke a promise. */
+
+import { mkdir, writeFile } from "node:fs/promises";
+import path from "node:path";
+import { resultsFolder } from "../report/saveResult.js";
+import type { SoakRun } from "./runSoak.js";
+
+/** Writes them below `results/` and gives their folder. */
+export const saveSoakLogs = async (
+  seed: number,
+  { record, logs }: SoakRun,
+): Promise<string> => {
+  const folder = path.join(
+    resultsFolder,
+    `soak-${String(seed)}-${String(Date.now())}`,
+  );
+  await mkdir(folder, { recursive: true });
+  const writing = logs.map((lines, index) =>
+    writeFile(
+      path.join(folder, `router-${String(index)}.jsonl`),
+      lines.map((line) => `${JSON.stringify(line)}\n`).join(""),
+    ),
+  );
+  await Promise.all(writing);
+  const file = path.join(folder, "record.json");
+  await writeFile(file, JSON.stringify(record, null, 1));
+  return folder;
+};
--- /dev/null
+++ b/bench/src/soak/soak.test.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { checkSoak } from "./checkSoak.js";
+import { planSoak } from "./planSoak.js";
+import { runSoak } from "./runSoak.js";
+
+const rounds = 2;
+
+test("a seed gives one schedule; each tenth plays the large fleet", () => {
+  for (let seed = 1; seed <= 40; seed += 1) {
+    const plan = planSoak(seed, rounds);
+    assert.deepEqual(plan, planSoak(seed, rounds));
+    assert.equal(plan.routers, seed % 10 === 0 ? 24 : 4);
+    assert.equal(plan.faults.length, 3 * rounds);
+  }
+});
+
+test("a short soak breaks no promise", { timeout: 60_000 }, async () => {
+  const seed = 7;
+  const { record } = await runSoak(planSoak(seed, rounds), seed);
+  assert.deepEqual(checkSoak(record), []);
+  const whole = record.answers.filter(
+    ({ outcome }) => outcome.type === "whole",
+  );
+  assert.ok(whole.length > record.answers.length / 2);
+});
--- /dev/null
+++ b/bench/src/soak/soakCaller.ts
@@ -0,0 +1,151 @@
+/** Sends one request as a caller does, and judges the bytes that come back. */
+
+import { Agent, request, type IncomingMessage } from "node:http";
+import { bodyText, eventsPerStream, eventText } from "./soakReplica.js";
+import type { SoakRouter } from "./soakRouter.js";
+import { RequestType, type CallerAnswer, type Outcome } from "./types.js";
+
+/** Host that all requests name. */
+export const soakHostname = "soak.example";
+
+/** What to send. */
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly requestType: RequestType;
+  readonly router: SoakRouter;
+  readonly routerIndex: number;
+  readonly key: string;
+  readonly keyVersion: number;
+  /** The caller leaves after this many milliseconds. */
+  readonly leavesAfterMs: number | undefined;
+}
+
+const paths = {
+  [RequestType.Stream]: "/stream/x",
+  [RequestType.Booking]: "/book/x",
+  [RequestType.Check]: "/check/x",
+} as const;
+
+const patienceMs = {
+  [RequestType.Stream]: 12_000,
+  [RequestType.Booking]: 2500,
+  [RequestType.Check]: 2500,
+} as const;
+
+const graceMs = 1000; // beyond the time that the request states
+
+// Connections stay open from request to request, until the router ends them.
+const agents = new Map<string, Agent>();
+const agentOf = ({ host, life }: SoakRouter): Agent => {
+  const name = `${host}/${String(life)}`;
+  const known = agents.get(name);
+  if (known !== undefined) return known;
+  const agent = new Agent({ keepAlive: true, maxFreeSockets: 8 });
+  agents.set(name, agent);
+  return agent;
+};
+
+/** Closes the connections that callers keep. */
+export const closeCallers = (): void => {
+  for (const agent of agents.values()) agent.destroy();
+  agents.clear();
+};
+
+/** What is wrong with the bytes of an answer. */
+const faultsOf = (
+  { requestId, requestType }: CallerRequest,
+  res: IncomingMessage,
+  text: string,
+  isWhole: boolean,
+): string[] => {
+  if (res.statusCode !== 200) return [];
+  const faults: string[] = [];
+  const seal = res.headers["response-seal"];
+  if (typeof seal !== "string" || !seal.endsWith(requestId))
+    faults.push(`seal "${String(seal)}"`);
+  if (requestType !== RequestType.Stream) {
+    const expected = bodyText(requestId);
+    if (!expected.startsWith(text)) faults.push("bytes of another answer");
+    if (isWhole && text !== expected) faults.push("not its whole answer");
+    return faults;
+  }
+  const expected = Array.from({ length: eventsPerStream }, (_, index) =>
+    eventText(requestId, index + 1),
+  ).join("");
+  if (!expected.startsWith(text)) faults.push("events out of order");
+  if (isWhole && text !== expected) faults.push("complete before its end");
+  return faults;
+};
+
+/** Sends a request; resolves with what came of it. */
+export const sendRequest = (sending: CallerRequest): Promise<CallerAnswer> =>
+  new Promise((resolve) => {
+    const { requestId, requestType, router, key, leavesAfterMs } = sending;
+    const { life } = router;
+    const sentAt = Date.now();
+    const timers: NodeJS.Timeout[] = [];
+    let hasConnected = false;
+    let isOver = false;
+    const finish = (outcome: Outcome, faults: readonly string[] = []) => {
+      if (isOver) return;
+      isOver = true;
+      for (const timer of timers) clearTimeout(timer);
+      resolve({
+        requestId,
+        requestType,
+        router: sending.routerIndex,
+        life,
+        keyVersion: sending.keyVersion,
+        sentAt,
+        endedAt: Date.now(),
+        outcome,
+        faults,
+      });
+    };
+    const req = request({
+      host: router.host,
+      port: router.port,
+      method: "POST",
+      path: paths[requestType],
+      agent: agentOf(router),
+      headers: {
+        host: soakHostname,
+        authorization: `Bearer ${key}`,
+        "attempt-id": requestId,
+        "time-budget-ms": String(patienceMs[requestType]),
+        "content-length": "2",
+      },
+    });
+    const giveUp = (afterMs: number, outcome: Outcome) => {
+      const timer = setTimeout(() => {
+        finish(outcome);
+        req.destroy();
+      }, afterMs);
+      timers.push(timer);
+    };
+    giveUp(patienceMs[requestType] + graceMs, { type: "silent" });
+    if (leavesAfterMs !== undefined) giveUp(leavesAfterMs, { type: "left" });
+    const cut = () => {
+      finish({ type: "cut", hasConnected });
+    };
+    req.on("socket", (socket) => {
+      hasConnected = !socket.connecting;
+      if (socket.connecting)
+        socket.once("connect", () => (hasConnected = true));
+    });
+    req.on("error", cut);
+    req.on("response", (res) => {
+      let text = "";
+      res.on("data", (chunk: Buffer) => (text += chunk.toString("latin1")));
+      res.on("error", () => undefined); // its close follows
+      res.on("close", () => {
+        const isWhole = res.complete;
+        const faults = faultsOf(sending, res, text, isWhole);
+        const status = res.statusCode ?? 0;
+        if (!isWhole) finish({ type: "cut", hasConnected: true }, faults);
+        else if (status === 200) finish({ type: "whole" }, faults);
+        else finish({ type: "answered", status });
+      });
+    });
+    req.end("{}");
+  });
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,7 +24,7 @@
     "upstream",
     "peers",
   ],
-  "packages/cli": ["common", "schema", "router", "platform"],
+  "packages/cli": ["common", "schema", "router", "platform", "users-platform"],
   "stand-ins": ["common", "schema"],
 };
 
@@ -40,6 +40,7 @@
   "client",
   "router",
   "stand-ins",
+  "users-platform",
   "bench",
 ];
 
