--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,4 +1,4 @@
-/** Checks settings and intent files. */
+/** Checks settings, intents, and files of the users' platform. */
 
 import { readFile } from "node:fs/promises";
 import { err, type Result } from "@cardamomglade/common";
@@ -13,6 +13,8 @@
   type Intent,
   type Settings,
 } from "@cardamomglade/schema";
+import { isConfigText } from "@cardamomglade/users-platform/check";
+import { checkConfigFile, checkTomlFile } from "./checkPlatformFile.js";
 
 const unreadable = (file: string, message: string): Finding => ({
   file,
@@ -59,17 +61,26 @@
   }
 };
 
-const checkFile = async (
-  file: string,
-): Promise<Result<Settings | Intent, readonly Finding[]>> => {
+const findingsOf = (
+  checked: Result<Settings | Intent, readonly Finding[]>,
+): readonly Finding[] => (checked.type === "err" ? checked.error : []);
+
+const checkText = (file: string, text: string): readonly Finding[] => {
+  if (file.endsWith(".toml")) return checkTomlFile(file, text);
+  if (isConfigText(text)) return checkConfigFile(file, text);
+  return isIntentText(text)
+    ? findingsOf(checkIntentText(file, text))
+    : findingsOf(checkDocument(file, text, validateSettings));
+};
+
+const checkFile = async (file: string): Promise<readonly Finding[]> => {
+  let text: string;
   try {
-    const text = await readFile(file, "utf8");
-    return isIntentText(text)
-      ? checkIntentText(file, text)
-      : checkDocument(file, text, validateSettings);
+    text = await readFile(file, "utf8");
   } catch {
-    return err([unreadable(file, `file "${file}" cannot be read`)]);
+    return [unreadable(file, `file "${file}" cannot be read`)];
   }
+  return checkText(file, text);
 };
 
 /** Prints findings, one a line. */
@@ -79,10 +90,7 @@
 
 /** Reports every finding of every file; exit code 1 where there is one. */
 export const check = async (files: readonly string[]): Promise<number> => {
-  const results = await Promise.all(files.map(checkFile));
-  const findings = results.flatMap((result) =>
-    result.type === "err" ? result.error : [],
-  );
+  const findings = (await Promise.all(files.map(checkFile))).flat();
   printFindings(findings);
   if (findings.length === 0)
     console.log(`${String(files.length)} file(s) without findings`);
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -28,7 +28,7 @@
 cli
   .command(
     "check [...files]",
-    "Check settings and intent files; report every finding",
+    "Check settings, intents, and the platform's settings, deploy and configuration files; report every finding",
   )
   .action((files: string[]) => exitWith(check(files)));
 cli
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -55,7 +55,7 @@
 export type { TimelineEvent } from "./generated/timeline.js";
 export { TimelineTopic } from "./generated/timeline.js";
 export * from "../generated/validators.js";
-export { checkDocument } from "./checkDocument.js";
+export { checkDocument, placeOf } from "./checkDocument.js";
 export { formatFinding, type Finding } from "./findings.js";
 export { locateFindings } from "./locateFindings.js";
 export { nearestName } from "./nearestName.js";
