Place prompts by rendezvous hash, so that returning callers find their engines

The engines among which a prompt is placed, and the one that keeps its copy, now follow from a rendezvous hash of the prompt's own part; a router that knows nothing asks the first four of each zone.

--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -1,5 +1,6 @@
 /** Chooses the replica for an attempt, and the engine that keeps a copy of a run. */
 
+import { rendezvousOrder } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
 import {
   engineZoneCost,
@@ -128,6 +129,35 @@
   return sample;
 };
 
+/**
+ * Candidates in the order in which they suit a prompt: the same at every router,
+ * so that a caller who comes back to another router finds its engine without a
+ * table or a call (Thaler and Ravishankar, "Using Name-Based Mappings to Increase
+ * Hit Rates", 1998).
+ */
+export const rankFor = (
+  state: RelayState,
+  query: ReplicaQuery,
+  part: string,
+): ReplicaView[] => {
+  const views = candidatesOf(state, query);
+  const byId = new Map(views.map((view) => [view.replica.id, view]));
+  return rendezvousOrder(part, [...byId.keys()])
+    .map((id) => byId.get(id))
+    .filter((view) => view !== undefined);
+};
+
+/** Some candidates: the first ones for a prompt, or any where it has no part of its own. */
+export const sampleFor = (
+  state: RelayState,
+  query: ReplicaQuery,
+  part: string | undefined,
+  size: number,
+): ReplicaView[] =>
+  part === undefined
+    ? sampleOf(state, query, size)
+    : rankFor(state, query, part).slice(0, size);
+
 /** The replica to use, or undefined where none is open. */
 export const chooseReplica = (
   state: RelayState,
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -54,8 +54,8 @@
 /** Time that a request waits for those reports: a round trip between zones and a handshake. */
 export const lookTimeMs = 50;
 
-/** Engines that are asked for the prompt of a caller that comes back. */
-export const enginesSearched = 24;
+/** Engines of each zone that are asked for the prompt of a caller that comes back: all that a router may have placed it at, and its copies. */
+export const enginesSearchedOfZone = 4;
 
 /** Time after this process's start in which any caller may be one that comes back. */
 export const returnTimeMs = 6000;
--- a/packages/relay/src/decisions/lookAround.ts
+++ b/packages/relay/src/decisions/lookAround.ts
@@ -1,16 +1,16 @@
 /**
  * Looks at some engines before a prompt is placed. Load pattern: prompts that
  * take an engine a second each, sent by many routers that do not know of each
- * other's; two at one engine make both late. A few engines drawn at random and
- * the best of them chosen spreads work almost as well as full knowledge
+ * other's; two at one engine make both late. A few engines drawn by the prompt's
+ * hash and the best of them chosen spread work almost as well as full knowledge
  * (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
  */
 
 import type { Replica } from "../types.js";
-import { sampleOf } from "./chooseReplica.js";
+import { rankFor, sampleFor } from "./chooseReplica.js";
 import {
   enginesLookedAt,
-  enginesSearched,
+  enginesSearchedOfZone,
   lookTimeMs,
   partsFreshMs,
   reportFreshMs,
@@ -30,6 +30,16 @@
 const isFresh = (state: RelayState, { reportAt }: ReplicaView): boolean =>
   state.at - reportAt < reportFreshMs;
 
+/** The first engines of each zone. */
+const firstOfZones = (ranked: readonly ReplicaView[]): ReplicaView[] => {
+  const taken = new Map<string, number>();
+  return ranked.filter(({ replica: { zone } }) => {
+    const count = (taken.get(zone) ?? 0) + 1;
+    taken.set(zone, count);
+    return count <= enginesSearchedOfZone;
+  });
+};
+
 /**
  * Asks engines which parts of prompts they hold. Load pattern: callers that all
  * come back at once, after their routers were lost, to routers that know nothing
@@ -39,9 +49,9 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { service, tried } = exchange;
+  const { service, tried, request } = exchange;
   const query = { service, except: tried };
-  const sample = sampleOf(state, query, enginesSearched);
+  const sample = firstOfZones(rankFor(state, query, request.lastPart ?? ""));
   const awaited = sample.filter(
     ({ partsAt }) => state.at - partsAt >= partsFreshMs,
   );
@@ -102,7 +112,8 @@
   const mayReturn = request.lastEventId !== undefined || isYoung(state);
   if (mayReturn && attempts === 0 && request.lastPart !== undefined)
     return lookForPrompt(state, exchange);
-  const sample = sampleOf(state, { service, except: tried }, enginesLookedAt);
+  const query = { service, except: tried };
+  const sample = sampleFor(state, query, request.lastPart, enginesLookedAt);
   if (sample.length < 2) return [];
   const awaited = sample.filter((view) => !isFresh(state, view));
   exchange.look = {
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -2,7 +2,12 @@
 
 import { Severity } from "@cardamomglade/observe";
 import { RequestKind, type Replica } from "../types.js";
-import { chooseFrom, chooseReplica, sampleOf } from "./chooseReplica.js";
+import {
+  chooseFrom,
+  chooseReplica,
+  sampleFor,
+  sampleOf,
+} from "./chooseReplica.js";
 import { failExchange } from "./endExchange.js";
 import { holderOfPrompt, isLookOver, lookAround } from "./lookAround.js";
 import { hasRepeat, noteFirst, takeRepeat } from "./repeatBudget.js";
@@ -27,16 +32,16 @@
 /** Chooses the engine that keeps a copy of a run: in another zone, so that one loss does not take both. */
 export const chooseCopyHolder = (
   state: RelayState,
-  { route, service }: Exchange,
+  { route, service, request }: Exchange,
   replica: Replica,
   refused: ReadonlySet<string> = new Set(),
 ): Replica | undefined => {
   if (!canCopy(state, { route, service })) return undefined;
   const except = new Set([...refused, replica.id]);
   const otherThanZone = replica.zone;
-  // At random: routers that all choose by the same figures would fill one engine's memory.
+  // By the prompt, not by load: routers that all choose by the same figures would fill one engine's memory.
   const query = { service, except, otherThanZone };
-  return sampleOf(state, query, 1)[0]?.replica;
+  return sampleFor(state, query, request.lastPart, 1)[0]?.replica;
 };
 
 const countAttempt = (state: RelayState, { replica }: Attempt): void => {
