--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -11,3 +11,4 @@
 export { httpCall, type HttpOutcome } from "./drivers/httpCall.js";
 export type { ListenAddress } from "./drivers/types.js";
 export * from "./types.js";
+export { watchPace, type NewsBounds } from "./watchPace.js";
--- /dev/null
+++ b/packages/relay/src/watchPace.test.ts
@@ -0,0 +1,15 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { watchPace } from "./watchPace.js";
+
+const bounds = { configApplyMs: 3000, drainTimeoutMs: 2000, contactMs: 4000 };
+
+test("news are read twice within the shortest of their bounds", () => {
+  assert.equal(watchPace(bounds, 0).nextAt, 1000);
+});
+
+test("a watch that was cut without a sign is given up before contact is due", () => {
+  const { waitUntil, lostAt } = watchPace(bounds, 500);
+  assert.ok(lostAt < 500 + bounds.contactMs);
+  assert.ok(waitUntil < lostAt);
+});
