Lend repeats between routers

A router that has used up its part asks two others at a time; what is lent counts at the lender before it is sent.

Tests: a fleet of 30 that loses everything stays within its budget, a router that loses more than its part goes on, strangers get nothing.

--- a/bench/src/soak/soakRouter.ts
+++ b/bench/src/soak/soakRouter.ts
@@ -33,6 +33,7 @@
 
 const frontPort = 8740;
 const readinessPort = 8749;
+const peerPort = 7200;
 const askEveryMs = 200; // readiness; two misses take a router out
 const readyTimeoutMs = 15_000;
 
@@ -41,6 +42,7 @@
   return `node_name = "router-${String(index)}"
 ip = "${ip}"
 zone = "${zone}"
+internal_port_range = [${String(peerPort)}, ${String(peerPort)}]
 [listen]
 front = "${ip}:${String(frontPort)}"
 readiness = "${ip}:${String(readinessPort)}"
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -22,6 +22,7 @@
   RelayEvent,
 } from "./decisions/types.js";
 import { createFrontDriver } from "./drivers/frontDriver.js";
+import { createLendingDriver } from "./drivers/lendingDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
 import { createReplicaDriver } from "./drivers/replicaDriver.js";
 import { createTextServer } from "./drivers/textServer.js";
@@ -66,6 +67,9 @@
     metrics,
     log,
   });
+  const { address } = options.state;
+  const lending =
+    address === undefined ? [] : [createLendingDriver(address, log)];
   const orders = createChannel<RelayEvent>();
   const running = runProcess({
     decide: decideRelay,
@@ -74,6 +78,7 @@
       front,
       createReplicaDriver(protocol, metrics),
       createTickDriver(),
+      ...lending,
       createLogDriver(log),
       ...options.platform,
       {
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -102,6 +102,21 @@
 /** Pause told to callers while this process does not know its configuration. */
 export const unknownRetryAfterMs = { least: 300, most: 900 };
 
+/** Routers that are asked for a repeat at once. */
+export const routersAsked = 2;
+
+/** Time that a request waits for them: some round trips between zones. */
+export const borrowWaitMs = 40;
+
+/** Rounds of questions before a request is given up. */
+export const borrowRounds = 4;
+
+/** Time in which a lent repeat may be sent; the lender counts it that much longer. */
+export const loanLifeMs = 1000;
+
+/** Repeats that a router keeps for its own requests. */
+export const lendReserve = 1;
+
 /** Life of a router's entry: a router that is gone counts until then, which only makes the others' shares smaller. */
 export const registrationLifeMs = 600_000;
 
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -9,13 +9,20 @@
 import { Severity } from "@cardamomglade/observe";
 import { answered, attemptFailed } from "./attemptEvents.js";
 import { callerLeft } from "./callerLeft.js";
+import { repeatAsked, repeatLent } from "./lendRepeat.js";
 import { partsListed, probed } from "./probes.js";
 import { createRegistration, routersRead } from "./registration.js";
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamBegan, streamEnded } from "./streamEvents.js";
 import { runCopied } from "./runCopies.js";
 import { timePassed } from "./timePassed.js";
-import type { Bounds, RelayCommand, RelayEvent, RelayState } from "./types.js";
+import type {
+  Bounds,
+  RelayCommand,
+  RelayEvent,
+  RelayState,
+  RouterAddress,
+} from "./types.js";
 import {
   configRead,
   replicasRead,
@@ -26,6 +33,7 @@
 /** What a relay starts with. */
 export interface RelayStateOptions {
   readonly router: string;
+  readonly address: RouterAddress | undefined;
   readonly zone: string;
   readonly startedAt: Moment;
   readonly seed: number;
@@ -35,6 +43,7 @@
 /** A relay that knows nothing yet. */
 export const createRelayState = (options: RelayStateOptions): RelayState => ({
   router: options.router,
+  address: options.address,
   zone: options.zone,
   startedAt: options.startedAt,
   at: 0,
@@ -74,6 +83,10 @@
       return replicasRead(state, event);
     case "routersRead":
       return routersRead(state, event);
+    case "repeatAsked":
+      return repeatAsked(state, event);
+    case "repeatLent":
+      return repeatLent(state, event);
     case "storeAnswered":
       return storeAnswered(state, event);
     case "storeFailed":
--- /dev/null
+++ b/packages/relay/src/decisions/lendRepeat.test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  engines,
+  routerAddress,
+  Scenario,
+  streamPath,
+} from "../testing/scenario.js";
+import type { RelayCommand } from "./types.js";
+
+const fleetNames = (size: number): string[] =>
+  Array.from({ length: size }, (_, index) => `r${String(index + 1)}`);
+
+/** Routers that hear each other at once. */
+const createFleet = (size: number): Scenario[] =>
+  fleetNames(size).map((name, index) => {
+    const scenario = Scenario.create(undefined, index, name);
+    scenario.routersRead(fleetNames(size));
+    return scenario;
+  });
+
+/** Carries what routers say to each other, until nothing is said. */
+const carry = (
+  fleet: readonly Scenario[],
+  from: Scenario,
+  commands: readonly RelayCommand[],
+): void => {
+  for (const command of commands) {
+    if (command.type !== "askRepeat" && command.type !== "lendRepeat") continue;
+    const to = fleet[command.to.port - 1];
+    const { address } = from.state;
+    assert.ok(to && address);
+    const type = command.type === "askRepeat" ? "repeatAsked" : "repeatLent";
+    const { service } = command;
+    carry(fleet, to, to.tell({ type, at: to.at, from: address, service }));
+  }
+};
+
+const lose = (fleet: readonly Scenario[], router: Scenario, key: string) => {
+  const { attempt } = router.sent(key);
+  carry(fleet, router, router.lost(key, attempt.number));
+};
+
+const sendings = (fleet: readonly Scenario[]): number =>
+  fleet.reduce((sum, router) => sum + router.of("send").length, 0);
+
+test("a router that loses more streams than its part goes on with what others spare", () => {
+  const fleet = createFleet(50);
+  const [hit] = fleet;
+  assert.ok(hit);
+  for (let index = 0; index < 12; index += 1)
+    hit.request(String(index), streamPath);
+  // Its own part: 0.8 of 12 first sendings and 3 of the extra 150.
+  for (let round = 0; round < 2; round += 1)
+    for (let index = 0; index < 12; index += 1) lose(fleet, hit, String(index));
+  assert.equal(hit.of("breakOff").length + hit.of("refuse").length, 0);
+  assert.equal(hit.of("send").length, 36);
+});
+
+test("a fleet that loses everything again and again stays within its budget", () => {
+  const fleet = createFleet(30);
+  for (const router of fleet)
+    for (const key of ["1", "2"]) router.request(key, streamPath);
+  const firsts = sendings(fleet);
+  for (let round = 0; round < 4; round += 1)
+    for (const router of fleet)
+      for (const key of ["1", "2"]) lose(fleet, router, key);
+  const repeats = sendings(fleet) - firsts;
+  assert.ok(repeats <= 0.8 * firsts + 150);
+  assert.ok(repeats > 0.8 * (0.8 * firsts + 150));
+});
+
+test("a request for which nobody lends a repeat is given up in time", () => {
+  const scenario = Scenario.create();
+  scenario.routersRead(fleetNames(150));
+  scenario.request("1", streamPath);
+  for (const attempt of [0, 1]) scenario.lost("1", attempt);
+  assert.equal(scenario.of("askRepeat").length, 2);
+  scenario.wait(400);
+  assert.equal(scenario.of("askRepeat").length, 8);
+  assert.equal(scenario.of("refuse").length, 1);
+});
+
+test("strangers get nothing and give nothing", () => {
+  const scenario = Scenario.create();
+  scenario.routersRead(["r1", "r2"]);
+  const from = { ...routerAddress("r2"), host: "10.9.9.9" };
+  const { at } = scenario;
+  scenario.tell({ type: "repeatAsked", at, from, service: engines });
+  scenario.tell({ type: "repeatLent", at, from, service: engines });
+  assert.equal(scenario.of("lendRepeat").length, 0);
+  assert.equal(scenario.state.repeats.get(engines)?.borrowed.length ?? 0, 0);
+});
+
+test("a router without an address of its own asks nobody", () => {
+  const scenario = Scenario.create();
+  Object.assign(scenario.state, { address: undefined });
+  scenario.routersRead(fleetNames(150));
+  scenario.request("1", streamPath);
+  for (const attempt of [0, 1]) scenario.lost("1", attempt);
+  assert.equal(scenario.of("askRepeat").length, 0);
+  assert.equal(scenario.of("refuse").length, 1);
+});
--- /dev/null
+++ b/packages/relay/src/decisions/lendRepeat.ts
@@ -0,0 +1,53 @@
+/** Lends repeats to other routers, and uses what they lend. */
+
+import { Severity } from "@cardamomglade/observe";
+import { addBorrowed, lendOne } from "./repeatBudget.js";
+import { sendAgain } from "./sendAttempt.js";
+import type {
+  RelayCommand,
+  RelayEventOf,
+  RelayState,
+  RouterAddress,
+} from "./types.js";
+
+/** Whether an address is that of a router with an entry in the store. */
+const isKnownRouter = (
+  { registration }: RelayState,
+  { host, port }: RouterAddress,
+): boolean =>
+  [...registration.routers.values()].some(
+    (known) => known?.host === host && known.port === port,
+  );
+
+/** Another router has no repeat left for a service. */
+export const repeatAsked = (
+  state: RelayState,
+  { from, service, at }: RelayEventOf<"repeatAsked">,
+): RelayCommand[] => {
+  if (!isKnownRouter(state, from)) return [];
+  if (!lendOne(state, service, at)) return [];
+  return [
+    { type: "lendRepeat", to: from, service },
+    {
+      type: "log",
+      severity: Severity.Info,
+      message: "repeat lent",
+      context: { service, to: from.host },
+    },
+  ];
+};
+
+/** Another router lent a repeat: the first request that waits for one goes on. */
+export const repeatLent = (
+  state: RelayState,
+  { from, service, at }: RelayEventOf<"repeatLent">,
+): RelayCommand[] => {
+  if (!isKnownRouter(state, from)) return [];
+  addBorrowed(state, service, at);
+  for (const exchange of state.exchanges.values()) {
+    const { borrowing } = exchange;
+    if (borrowing !== undefined && exchange.service === service)
+      return sendAgain(state, exchange, borrowing.reason);
+  }
+  return [];
+};
--- a/packages/relay/src/decisions/registration.ts
+++ b/packages/relay/src/decisions/registration.ts
@@ -21,7 +21,7 @@
 
 /** Nothing is known, and nothing is due before the entries were read. */
 export const createRegistration = (): Registration => ({
-  routers: new Set(),
+  routers: new Map(),
   lease: undefined,
   dueAt: Infinity,
 });
@@ -45,7 +45,9 @@
   const isFirstRead = registration.dueAt === Infinity;
   const hadEntry = registration.lease !== undefined;
   const hasEntry = own !== undefined;
-  registration.routers = new Set(entries.map((entry) => entry.router));
+  registration.routers = new Map(
+    entries.map((entry) => [entry.router, entry.address]),
+  );
   registration.lease = own?.lease;
   // An entry of this router's former process may lapse soon: it is renewed first.
   if (isFirstRead || (hadEntry && !hasEntry))
@@ -56,7 +58,7 @@
 
 /** Writes the own entry, or renews it, when that is due. */
 export const tendRegistration = (state: RelayState): RelayCommand[] => {
-  const { registration, router, at } = state;
+  const { registration, router, address, at } = state;
   const { lease, dueAt } = registration;
   if (at < dueAt) return [];
   if (lease !== undefined) {
@@ -64,5 +66,7 @@
     return [{ type: "renewRegistration", lease }];
   }
   registration.dueAt = at + registrationRetryMs;
-  return [{ type: "register", router, until: at + registrationLifeMs }];
+  return [
+    { type: "register", router, address, until: at + registrationLifeMs },
+  ];
 };
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -69,6 +69,7 @@
   head: undefined,
   lastEventId: request.lastEventId ?? 0,
   look: undefined,
+  borrowing: undefined,
   copy: undefined,
   failedAnswer: undefined,
 });
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -8,6 +8,7 @@
   sampleFor,
   sampleOf,
 } from "./chooseReplica.js";
+import { borrowRepeat } from "./borrowRepeat.js";
 import { failExchange } from "./endExchange.js";
 import { holderOfPrompt, isLookOver, lookAround } from "./lookAround.js";
 import { hasRepeat, noteFirst, takeRepeat } from "./repeatBudget.js";
@@ -203,7 +204,8 @@
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
   if (!takeRepeat(state, service, state.at))
-    return failExchange(state, exchange, `${reason}; no repeat is left`);
+    return borrowRepeat(state, exchange, reason);
+  exchange.borrowing = undefined;
   exchange.copy = undefined;
   if (copy === undefined || !isCopyUsable(state, copy))
     return place(state, exchange);
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -15,7 +15,7 @@
 import { leaveAttempt, probeSilent } from "./probes.js";
 import { ensureCopy, hasCopy } from "./runCopies.js";
 import { tendRegistration } from "./registration.js";
-import { canLeave, sendFresh } from "./sendAttempt.js";
+import { canLeave, sendAgain, sendFresh } from "./sendAttempt.js";
 import { dropVanished } from "./worldChanged.js";
 import type {
   Attempt,
@@ -70,7 +70,9 @@
 const tend = (state: RelayState, exchange: Exchange): RelayCommand[] => {
   if (state.at >= exchange.deadline)
     return failExchange(state, exchange, "the deadline has passed");
-  const { attempt, route } = exchange;
+  const { attempt, route, borrowing } = exchange;
+  if (borrowing !== undefined && state.at >= borrowing.until)
+    return sendAgain(state, exchange, borrowing.reason);
   if (isLookOver(state, exchange)) return sendFresh(state, exchange);
   if (attempt === undefined) return [];
   switch (route.kind) {
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -127,12 +127,23 @@
   lastEventId: number;
   /** Engines looked at before the prompt is placed; undefined when none are. */
   look: Look | undefined;
+  /** Set while the request waits for a repeat that another router may lend. */
+  borrowing: Borrowing | undefined;
   /** Copy left by the last attempt. */
   copy: RunCopy | undefined;
   /** Last failed answer of a replica, kept in case no other attempt is possible. */
   failedAnswer: WholeAnswer | undefined;
 }
 
+/** Questions to other routers for a repeat. */
+export interface Borrowing {
+  /** Why the request has to be sent again. */
+  readonly reason: string;
+  /** Rounds of questions so far. */
+  readonly rounds: number;
+  readonly until: Moment;
+}
+
 /** A whole answer of a replica. */
 export interface WholeAnswer {
   readonly head: AnswerHead;
@@ -159,16 +170,24 @@
     }
   | { readonly type: "silent"; readonly since: Moment };
 
+/** Where a router hears others. */
+export interface RouterAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** A router's entry in the store. */
 export interface RouterEntry {
   readonly router: string;
   readonly lease: string;
+  /** Undefined where the entry does not tell. */
+  readonly address: RouterAddress | undefined;
 }
 
 /** What is known of the routers that share the fleet's bounds, and of the own entry. */
 export interface Registration {
-  /** Routers that have an entry. */
-  routers: ReadonlySet<string>;
+  /** Routers that have an entry, and where they hear others. */
+  routers: ReadonlyMap<string, RouterAddress | undefined>;
   /** Lease of the own entry; undefined while there is none. */
   lease: string | undefined;
   /** Moment at which the own entry is written or renewed next. */
@@ -179,6 +198,8 @@
 export interface RelayState {
   /** Name of this router. */
   readonly router: string;
+  /** Where this router hears others; undefined where it does not. */
+  readonly address: RouterAddress | undefined;
   readonly zone: string;
   /** Moment at which this process began. */
   readonly startedAt: Moment;
@@ -221,6 +242,10 @@
 export interface RepeatBudget {
   firsts: Moment[];
   repeats: Moment[];
+  /** Repeats lent to other routers, by the moment at which they were. */
+  lent: Moment[];
+  /** Repeats that other routers lent, by the moment until which they may be sent. */
+  borrowed: Moment[];
 }
 
 /** What happened. */
@@ -240,6 +265,18 @@
       readonly at: Moment;
       readonly entries: readonly RouterEntry[];
     }
+  | {
+      readonly type: "repeatAsked";
+      readonly at: Moment;
+      readonly from: RouterAddress;
+      readonly service: string;
+    }
+  | {
+      readonly type: "repeatLent";
+      readonly at: Moment;
+      readonly from: RouterAddress;
+      readonly service: string;
+    }
   | {
       readonly type: "storeAnswered";
       readonly at: Moment;
@@ -396,8 +433,14 @@
   | {
       readonly type: "register";
       readonly router: string;
+      readonly address: RouterAddress | undefined;
       readonly until: Moment;
     }
+  | {
+      readonly type: "askRepeat" | "lendRepeat";
+      readonly to: RouterAddress;
+      readonly service: string;
+    }
   | {
       readonly type: "renewRegistration";
       readonly lease: string;
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -42,6 +42,7 @@
     protocol: testProtocol,
     state: {
       router: "r1",
+      address: undefined,
       zone: "a",
       startedAt: now(),
       seed: 1,
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -2,11 +2,13 @@
 
 import type { Moment } from "@cardamomglade/common";
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
+import { AttemptFailure } from "../decisions/types.js";
 import type {
   AnswerHead,
   RelayCommand,
   RelayEvent,
   RelayState,
+  RouterAddress,
 } from "../decisions/types.js";
 import {
   ReplicaState,
@@ -97,6 +99,12 @@
   ...["a-9", "b-9", "c-9"].map((id) => testReplica(id, desk)),
 ];
 
+/** Where a router hears others; its name ends with a number. */
+export const routerAddress = (router: string): RouterAddress => ({
+  host: "10.1.0.1",
+  port: Number(router.slice(1)),
+});
+
 /** The head of a good answer. */
 export const goodHead = (changes: Partial<AnswerHead> = {}): AnswerHead => ({
   status: 200,
@@ -134,8 +142,8 @@
   private constructor(readonly state: RelayState) {}
 
   /** A relay in zone `a` that knows the test's configuration and replicas. */
-  static create(replicas = testReplicas(), seed = 1): Scenario {
-    const scenario = Scenario.createEmpty(seed);
+  static create(replicas = testReplicas(), seed = 1, router = "r1"): Scenario {
+    const scenario = Scenario.createEmpty(seed, router);
     const { at } = scenario;
     scenario.tell({ type: "storeAnswered", at, detail: "" });
     scenario.tell({ type: "configRead", at, config: testConfig() });
@@ -144,10 +152,11 @@
   }
 
   /** A relay that knows nothing. */
-  static createEmpty(seed = 1): Scenario {
+  static createEmpty(seed = 1, router = "r1"): Scenario {
     return new Scenario(
       createRelayState({
-        router: "r1",
+        router,
+        address: routerAddress(router),
         zone: "a",
         startedAt: -Infinity,
         seed,
@@ -204,7 +213,11 @@
 
   /** The routers' entries were read. */
   routersRead(routers: readonly string[]): RelayCommand[] {
-    const entries = routers.map((router) => ({ router, lease: `l-${router}` }));
+    const entries = routers.map((router) => ({
+      router,
+      lease: `l-${router}`,
+      address: routerAddress(router),
+    }));
     return this.tell({ type: "routersRead", at: this.at, entries });
   }
 
@@ -277,6 +290,18 @@
     return this.tell({ type: "eventsArrived", at, key, attempt, events });
   }
 
+  /** The connection of an attempt breaks. */
+  lost(key: string, attempt: number): RelayCommand[] {
+    return this.tell({
+      type: "attemptFailed",
+      at: this.at,
+      key,
+      attempt,
+      failure: AttemptFailure.Broken,
+      detail: "reset",
+    });
+  }
+
   /** The replica of the newest sending answers whole. */
   answer(key: string, changes: Partial<AnswerHead> = {}): RelayCommand[] {
     const attempt = this.sent(key).attempt.number;
