Make the soak's faults denser

Lost and garbled answers now come from a third of all replicas, and a round has five faults in place of three.

--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -58,6 +58,17 @@
   fleet.routers[index]?.signal("SIGCONT");
 };
 
+/** Harms the answers of a third of all replicas. */
+const harmAnswers = async (
+  fleet: SoakFleet,
+  first: number,
+  mood: ReplicaMood,
+  lastsMs: number,
+): Promise<void> => {
+  const places = fleet.placesLike(first);
+  await Promise.all(places.map((place) => moodFor(place, mood, lastsMs)));
+};
+
 const perform = async (
   fleet: SoakFleet,
   { action, lastsMs }: PlannedSoakFault,
@@ -95,17 +106,8 @@
         soakBounds.drainTimeoutMs + lastsMs,
       );
     case "answersLost":
-      return moodFor(
-        fleet.placeAt(action.replica),
-        ReplicaMood.LosesAnswers,
-        lastsMs,
-      );
     case "answersGarbled":
-      return moodFor(
-        fleet.placeAt(action.replica),
-        ReplicaMood.Garbles,
-        lastsMs,
-      );
+      return harmAnswers(fleet, action.replica, moods[action.type], lastsMs);
     case "linkSlow":
     case "linkReset":
     case "linkSilent":
@@ -120,6 +122,11 @@
   }
 };
 
+const moods = {
+  answersLost: ReplicaMood.LosesAnswers,
+  answersGarbled: ReplicaMood.Garbles,
+} as const;
+
 const linkStates = {
   linkSlow: LinkState.Slow,
   linkReset: LinkState.Reset,
--- a/bench/src/soak/planSoak.ts
+++ b/bench/src/soak/planSoak.ts
@@ -33,7 +33,7 @@
 const staggerMs = 2000; // longer than the rest of a round, so that rounds overlap
 const shortestMs = 300;
 const longestMs = 2500;
-const faultsPerRound = 3;
+const faultsPerRound = 5;
 
 /** Desks, behind the engines in the order of replicas. */
 export const desks = 6;
--- a/bench/src/soak/soak.test.ts
+++ b/bench/src/soak/soak.test.ts
@@ -11,7 +11,7 @@
     const plan = planSoak(seed, rounds);
     assert.deepEqual(plan, planSoak(seed, rounds));
     assert.equal(plan.routers, seed % 10 === 0 ? 24 : 4);
-    assert.equal(plan.faults.length, 3 * rounds);
+    assert.equal(plan.faults.length, 5 * rounds);
   }
 });
 
--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -86,6 +86,12 @@
     return place;
   }
 
+  /** A third of all places, that of a planned fault among them. */
+  placesLike(index: number): Place[] {
+    const third = 3;
+    return this.places.filter((_, other) => other % third === index % third);
+  }
+
   /** The way of one router to the store. */
   storeLink(router: number): FaultProxy {
     const link = this.storeLinks[router];
