--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -114,9 +114,6 @@
 /** Time in which a lent repeat may be sent; the lender counts it that much longer. */
 export const loanLifeMs = 1000;
 
-/** Repeats that a router keeps for its own requests. */
-export const lendReserve = 1;
-
 /** Life of a router's entry: a router that is gone counts until then, which only makes the others' shares smaller. */
 export const registrationLifeMs = 600_000;
 
--- a/packages/relay/src/decisions/repeatBudget.ts
+++ b/packages/relay/src/decisions/repeatBudget.ts
@@ -1,7 +1,7 @@
 /** Bounds repeats to a share of first sendings, service by service, over a sliding window. */
 
 import type { Moment } from "@cardamomglade/common";
-import { lendReserve, loanLifeMs } from "./constants.js";
+import { loanLifeMs } from "./constants.js";
 import { routersSharing } from "./registration.js";
 import type { RelayState, RepeatBudget } from "./types.js";
 
@@ -76,7 +76,7 @@
   service: string,
   at: Moment,
 ): boolean => {
-  if (spareRepeats(state, service, at) < 1 + lendReserve) return false;
+  if (!hasRepeat(state, service, at)) return false;
   budgetOf(state, service).lent.push(at);
   return true;
 };
