One notion each of repeatable requests, misdirected answers and default limits

Fields of routes and engines that nothing reads are gone; a stream that leaves because another process has its engine's address is logged as that.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -2,8 +2,9 @@
 
 import { assertNever } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
-import { RequestKind } from "../types.js";
+import { misdirectedStatus } from "../types.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
+import { isRepeatable } from "./isRepeatable.js";
 import {
   noteAnswer,
   noteHeard,
@@ -102,12 +103,8 @@
 
 const isFailedRun = ({ head }: WholeAnswer): boolean => head.status >= 500;
 
-const mayTryElsewhere = ({ route, attempts }: Exchange): boolean => {
-  if (attempts >= route.maxAttempts) return false;
-  return route.kind === RequestKind.Idempotent || route.canResume;
-};
-
-const misdirectedStatus = 421; // another process answers at the replica's address
+const mayTryElsewhere = ({ route, attempts }: Exchange): boolean =>
+  attempts < route.maxAttempts && isRepeatable(route);
 
 /** A replica gave a whole answer. */
 export const answered = (
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -128,18 +128,20 @@
       ...endLooks(state, replicaId, "reports"),
     ];
   }
+  // Heard otherwise: it lives, but its load is not known, so looks at it wait on.
   if (view.heardAt >= sentAt && !isSuccessor) return [];
   noteLoss(state, view.replica, at);
   const silent = attemptsAt(state, replicaId).filter(
     ({ attempt }) => isSuccessor || attempt.heardAt < sentAt,
   );
+  const reason = isSuccessor
+    ? "another process has the replica's address"
+    : "the replica does not answer";
   return [
     {
       type: "log",
       severity: Severity.Info,
-      message: isSuccessor
-        ? "another process has the replica's address"
-        : "replica does not answer",
+      message: isSuccessor ? reason : "replica does not answer",
       context: {
         replica: replicaId,
         replicaZone: view.replica.zone,
@@ -149,7 +151,7 @@
     },
     ...endLooks(state, replicaId, "reports"),
     ...silent.flatMap(({ exchange, attempt }) =>
-      leaveAttempt(state, exchange, attempt, "the replica does not answer"),
+      leaveAttempt(state, exchange, attempt, reason),
     ),
   ];
 };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -1,7 +1,7 @@
 /** Sends a request to a replica, and decides what follows when that is lost. */
 
 import { Severity } from "@cardamomglade/observe";
-import { RequestKind, type Replica } from "../types.js";
+import type { Replica } from "../types.js";
 import {
   chooseFrom,
   chooseReplica,
@@ -10,6 +10,7 @@
 } from "./chooseReplica.js";
 import { borrowRepeat } from "./borrowRepeat.js";
 import { failExchange } from "./endExchange.js";
+import { isRepeatable } from "./isRepeatable.js";
 import { holderOfPrompt, isLookOver, lookAround } from "./lookAround.js";
 import { hasRepeat, noteFirst, takeRepeat } from "./repeatBudget.js";
 import { ageOf, isOpen, isSuspect } from "./replicaViews.js";
@@ -163,17 +164,6 @@
   return place(state, exchange);
 };
 
-const isRepeatable = ({ route }: Exchange): boolean => {
-  switch (route.kind) {
-    case RequestKind.Idempotent:
-      return true;
-    case RequestKind.NonIdempotent:
-      return false;
-    case RequestKind.Streaming:
-      return route.canResume;
-  }
-};
-
 /** Whether a copy may still be there: its holder was not lost since the copy was made. */
 export const isCopyUsable = (
   state: RelayState,
@@ -187,7 +177,7 @@
 /** Whether a request could go on elsewhere if its attempt were left now. */
 export const canLeave = (state: RelayState, exchange: Exchange): boolean => {
   const { route, service, attempts, tried } = exchange;
-  if (!isRepeatable(exchange) || attempts >= route.maxAttempts) return false;
+  if (!isRepeatable(route) || attempts >= route.maxAttempts) return false;
   if (!hasRepeat(state, service, state.at)) return false;
   return sampleOf(state, { service, except: tried }, 1).length > 0;
 };
@@ -199,7 +189,7 @@
   reason: string,
 ): RelayCommand[] => {
   const { route, service, mayHaveRun, attempts, copy } = exchange;
-  if (mayHaveRun && !isRepeatable(exchange))
+  if (mayHaveRun && !isRepeatable(route))
     return failExchange(state, exchange, reason);
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -118,7 +118,7 @@
       active: 1,
       memoryUsed: 0,
       memoryTotal: 1,
-      runs: [{ requestId: "id-1", memoryTokens: 1, eventsMade: 9 }],
+      runs: [{ requestId: "id-1", eventsMade: 9 }],
     },
   });
   assert.equal(scenario.of("send").length, 2);
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -15,7 +15,11 @@
   WholeAnswer,
 } from "../decisions/types.js";
 import { Counter, Latency, type RelayMetrics } from "../metrics.js";
-import type { ReplicaProtocol, RequestLimits } from "../types.js";
+import {
+  defaultLimits,
+  type ReplicaProtocol,
+  type RequestLimits,
+} from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { readRequest } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
@@ -43,14 +47,6 @@
   hasEvents: boolean;
 }
 
-// Before the configuration is known; its own limits follow.
-const initialLimits: RequestLimits = {
-  headerBytes: 16 * 1024,
-  bodyBytes: 4 * 1024 * 1024,
-  headerTimeoutMs: 3000,
-  idleTimeoutMs: 15_000,
-};
-
 const checkEveryMs = 500; // how often Node looks for connections with late heads
 const mostWaitingBytes = 4 * 1024 * 1024; // of one answer that its caller does not read
 const framing: ReadonlySet<string> = new Set(["content-length"]);
@@ -70,7 +66,7 @@
   const { protocol, metrics, log } = options;
   const channel = createChannel<RelayEvent>();
   const waiting = new Map<string, Waiting>();
-  let limits = initialLimits;
+  let limits = defaultLimits; // until the configuration is known
   let isDraining = false;
   let lastKey = 0;
 
@@ -78,7 +74,7 @@
     connectionsCheckingInterval: checkEveryMs,
     requestTimeout: 0,
     noDelay: true,
-    maxHeaderSize: initialLimits.headerBytes,
+    maxHeaderSize: defaultLimits.headerBytes,
   });
 
   const applyLimits = (newLimits: RequestLimits) => {
@@ -88,7 +84,7 @@
     // Read for each new connection; the types leave it out.
     Object.assign(server, { maxHeaderSize: limits.headerBytes });
   };
-  applyLimits(initialLimits);
+  applyLimits(defaultLimits);
 
   const writeOwn = (
     res: ServerResponse,
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -9,7 +9,7 @@
   type StreamEvent,
   type WholeAnswer,
 } from "../decisions/types.js";
-import type { ReplicaProtocol } from "../types.js";
+import { misdirectedStatus, type ReplicaProtocol } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
 
@@ -153,7 +153,8 @@
         status === 200 &&
         (res.headers["content-type"] ?? "").startsWith("text/event-stream"),
       isFramed: isFramed(res),
-      isNotRun: res.headers[names.notRun] !== undefined || status === 421,
+      isNotRun:
+        res.headers[names.notRun] !== undefined || status === misdirectedStatus,
     };
   }
 
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -52,7 +52,6 @@
   maxAttempts,
   isOpen: false,
   canResume: kind === RequestKind.Streaming,
-  longestPauseMs: kind === RequestKind.Streaming ? 700 : undefined,
 });
 
 /** A configuration with a stream, a booking and a check. */
@@ -64,7 +63,7 @@
     route("/check/", RequestKind.Idempotent, desk, 2),
   ],
   services: [
-    { name: engines, engine: { copies: true, memoryTokens: 88_000 } },
+    { name: engines, engine: { copies: true } },
     { name: desk, engine: undefined },
   ],
   limits: {
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -37,15 +37,12 @@
   readonly isOpen: boolean;
   /** Whether a stream may go on at another replica after its last event. */
   readonly canResume: boolean;
-  /** Longest pause between two events of an answer that is in time. */
-  readonly longestPauseMs: number | undefined;
 }
 
 /** What a service's engines can do beyond running requests. */
 export interface EngineAbilities {
   /** Keep a copy of a run's memory at another engine while it runs. */
   readonly copies: boolean;
-  readonly memoryTokens: number;
 }
 
 /** A set of replicas that take the same requests. */
@@ -99,6 +96,17 @@
   readonly startedAt: Moment;
 }
 
+/** Status by which another process at a replica's address says that it did not run the request. */
+export const misdirectedStatus = 421;
+
+/** Limits that hold where the operator states none. */
+export const defaultLimits: RequestLimits = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+
 /** Names of headers on the wire; all in lower case. */
 export interface HeaderNames {
   readonly requestId: string;
@@ -142,7 +150,6 @@
 /** A run as its engine reports it. */
 export interface ReportedRun {
   readonly requestId: string;
-  readonly memoryTokens: number;
   readonly eventsMade: number;
 }
 
