--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -25,7 +25,8 @@
   readonly otherThanZone?: string;
 }
 
-const isEngine = (state: RelayState, service: string): boolean =>
+/** Whether a service's replicas are engines. */
+export const isEngine = (state: RelayState, service: string): boolean =>
   state.routes?.services.get(service)?.engine !== undefined;
 
 interface EngineLoad {
--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -11,14 +11,7 @@
 import { AttemptFailure } from "./types.js";
 
 const fail = (scenario: Scenario, key: string, failure: AttemptFailure) =>
-  scenario.tell({
-    type: "attemptFailed",
-    at: scenario.at,
-    key,
-    attempt: scenario.sent(key).attempt.number,
-    failure,
-    detail: "test",
-  });
+  scenario.lost(key, scenario.sent(key).attempt.number, failure);
 
 const refusalsOf = (scenario: Scenario) =>
   scenario.of("refuse").map(({ status }) => status);
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -1,6 +1,6 @@
 /** Takes in a caller's request: route, customer, deadline, first attempt. */
 
-import type { CallerRequest, Route } from "../types.js";
+import type { CallerRequest, Customer, Route } from "../types.js";
 import { random } from "./random.js";
 import { unknownRetryAfterMs } from "./constants.js";
 import { drawPause, refuse, type RefusedRequest } from "./refusals.js";
@@ -29,7 +29,7 @@
 };
 
 type Identity =
-  | { readonly type: "known"; readonly customer: string | undefined }
+  | { readonly type: "known"; readonly customer: Customer | undefined }
   | { readonly type: "unknown" };
 
 const identify = (
@@ -40,7 +40,7 @@
   if (customerByKey === undefined)
     return { type: "known", customer: undefined };
   const customer = key === undefined ? undefined : customerByKey.get(key);
-  if (customer !== undefined) return { type: "known", customer: customer.name };
+  if (customer !== undefined) return { type: "known", customer };
   return route.isOpen
     ? { type: "known", customer: undefined }
     : { type: "unknown" };
@@ -50,13 +50,14 @@
   state: RelayState,
   { key, request }: RelayEventOf<"requestArrived">,
   route: Route,
-  customer: string | undefined,
+  customer: Customer | undefined,
 ): Exchange => ({
   key,
   request,
   route,
   service: chooseService(state, route),
-  customer,
+  customer: customer?.name,
+  priority: customer?.priority ?? route.priority,
   deadline: Math.min(
     request.arrivedAt + route.timeoutMs,
     request.callerDeadline ?? Infinity,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -5,6 +5,7 @@
 import {
   chooseFrom,
   chooseReplica,
+  isEngine,
   sampleFor,
   sampleOf,
 } from "./chooseReplica.js";
@@ -60,7 +61,7 @@
   replica: Replica,
   start: AttemptStart,
 ): RelayCommand[] => {
-  const { key, request, customer, deadline, lastEventId } = exchange;
+  const { key, request, customer, deadline, lastEventId, service } = exchange;
   const copyTo = chooseCopyHolder(state, exchange, replica);
   const attempt: Attempt = {
     number: exchange.nextNumber,
@@ -94,6 +95,7 @@
       attempt,
       request,
       customer,
+      priority: isEngine(state, service) ? exchange.priority : undefined,
       deadline,
       lastEventId: lastEventId > 0 ? lastEventId : undefined,
     },
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -1,22 +1,16 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+  bookPath,
   Scenario,
   streamPath,
+  testConfig,
   testReplica,
   testReplicas,
 } from "../testing/scenario.js";
-import { AttemptFailure } from "./types.js";
 
 const loseStream = (scenario: Scenario, key: string) =>
-  scenario.tell({
-    type: "attemptFailed",
-    at: scenario.at,
-    key,
-    attempt: scenario.sent(key).attempt.number,
-    failure: AttemptFailure.Broken,
-    detail: "reset",
-  });
+  scenario.lost(key, scenario.sent(key).attempt.number);
 
 const refusalsOf = (scenario: Scenario) =>
   scenario.of("refuse").map(({ status }) => status);
@@ -248,6 +242,20 @@
   assert.equal(scenario.sent("1").attempt.replica.id, "b-1");
 });
 
+test("an engine is told the customer's priority, or else the route's; a plain replica none", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  assert.equal(scenario.sent("1").priority, 1);
+  const config = testConfig(2);
+  const customers = [{ name: "owner", keys: ["key-1"], priority: 0 }];
+  const { at } = scenario;
+  scenario.tell({ type: "configRead", at, config: { ...config, customers } });
+  scenario.request("2", streamPath);
+  scenario.request("3", bookPath);
+  assert.equal(scenario.sent("2").priority, 0);
+  assert.equal(scenario.sent("3").priority, undefined);
+});
+
 test("a caller that comes back is sent to the engine that still holds its prompt", () => {
   const scenario = Scenario.create();
   scenario.parts.set("c-2", new Map([["5c1e", 8000]]));
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -111,6 +111,8 @@
   readonly route: Route;
   readonly service: string;
   readonly customer: string | undefined;
+  /** The customer's, or else the route's; 0 is the most urgent. */
+  readonly priority: number;
   /** The final answer is due by then. */
   readonly deadline: Moment;
   attempt: Attempt | undefined;
@@ -382,6 +384,8 @@
       readonly attempt: Attempt;
       readonly request: CallerRequest;
       readonly customer: string | undefined;
+      /** Order in which an engine admits requests; undefined for plain replicas. */
+      readonly priority: number | undefined;
       readonly deadline: Moment;
       /** Events that the caller has; the replica goes on after it. */
       readonly lastEventId: number | undefined;
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -34,12 +34,18 @@
 const nothingDropped: ReadonlySet<string> = new Set();
 const framing: ReadonlySet<string> = new Set(["content-length"]);
 
+const leastUrgent = 9;
+
+const urgencyOf = (priority: number): string =>
+  String(Math.min(leastUrgent, Math.max(0, Math.round(priority))));
+
 /** Headers that the relay adds to the caller's. */
 const addedHeaders = (
   { headers: names, copyName }: ReplicaProtocol,
   command: SendCommand,
 ): string[] => {
-  const { attempt, customer, deadline, request: asked, lastEventId } = command;
+  const { attempt, customer, priority, deadline, lastEventId } = command;
+  const asked = command.request;
   const leftMs = Math.max(1, Math.floor(deadline - now()));
   const added = [
     names.expectedReplica,
@@ -48,6 +54,7 @@
     String(leftMs),
   ];
   if (customer !== undefined) added.push(names.customer, customer);
+  if (priority !== undefined) added.push(names.urgency, urgencyOf(priority));
   if (lastEventId !== undefined)
     added.push(names.lastEventId, String(lastEventId));
   const { copyTo, start } = attempt;
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -129,6 +129,7 @@
       "/book/x?y=1",
       [
         "x-customer: forged",
+        "x-urgency: 0",
         "x-copy-to: 1.2.3.4:5",
         "connection: x-hop",
         "x-hop: 1",
@@ -148,7 +149,10 @@
   assert.match(seen, /x-replica: a-9\r\n/);
   assert.match(seen, /x-kept: 2\r\n/);
   assert.match(seen, /\r\n\r\nabc$/);
-  assert.doesNotMatch(seen, /forged|1\.2\.3\.4|x-hop|authorization|key-1/i);
+  assert.doesNotMatch(
+    seen,
+    /x-urgency|forged|1\.2\.3\.4|x-hop|authorization|key-1/i,
+  );
   const budget = Number(/x-budget: (\d+)/.exec(seen)?.[1]);
   assert.ok(budget > 0 && budget <= 1000);
   await stop();
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -289,15 +289,19 @@
     return this.tell({ type: "eventsArrived", at, key, attempt, events });
   }
 
-  /** The connection of an attempt breaks. */
-  lost(key: string, attempt: number): RelayCommand[] {
+  /** An attempt ends without an answer. */
+  lost(
+    key: string,
+    attempt: number,
+    failure = AttemptFailure.Broken,
+  ): RelayCommand[] {
     return this.tell({
       type: "attemptFailed",
       at: this.at,
       key,
       attempt,
-      failure: AttemptFailure.Broken,
-      detail: "reset",
+      failure,
+      detail: "",
     });
   }
 
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -113,6 +113,8 @@
   readonly budgetMs: string;
   readonly expectedReplica: string;
   readonly customer: string;
+  /** From 0, the most urgent, to 9. */
+  readonly urgency: string;
   readonly seal: string;
   readonly notRun: string;
   readonly copyTo: string;
