--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -15,12 +15,9 @@
   isReady,
   type RelayStateOptions,
 } from "./decisions/decideRelay.js";
-import type {
-  Bounds,
-  DecisionContext,
-  RelayCommand,
-  RelayEvent,
-} from "./decisions/types.js";
+import type { DecisionContext, RelayCommand } from "./decisions/commands.js";
+import type { RelayEvent } from "./decisions/events.js";
+import type { Bounds } from "./decisions/types.js";
 import { createFrontDriver } from "./drivers/frontDriver.js";
 import { createLendingDriver } from "./drivers/lendingDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -12,12 +12,12 @@
   noteReplaced,
 } from "./replicaViews.js";
 import { sendAgain } from "./sendAttempt.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
 import {
   AttemptFailure,
   type Attempt,
   type Exchange,
-  type RelayCommand,
-  type RelayEventOf,
   type RelayState,
   type WholeAnswer,
 } from "./types.js";
--- a/packages/relay/src/decisions/borrowRepeat.ts
+++ b/packages/relay/src/decisions/borrowRepeat.ts
@@ -8,12 +8,8 @@
 import { borrowRounds, borrowWaitMs, routersAsked } from "./constants.js";
 import { failExchange } from "./endExchange.js";
 import { random } from "./random.js";
-import type {
-  Exchange,
-  RelayCommand,
-  RelayState,
-  RouterAddress,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { Exchange, RelayState, RouterAddress } from "./types.js";
 
 /** Some other routers, at random. */
 const otherRouters = (state: RelayState): RouterAddress[] => {
--- a/packages/relay/src/decisions/callerLeft.ts
+++ b/packages/relay/src/decisions/callerLeft.ts
@@ -2,7 +2,9 @@
 
 import { Severity } from "@cardamomglade/observe";
 import { giveUp, summaryOf } from "./endExchange.js";
-import type { RelayCommand, RelayEventOf, RelayState } from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { RelayState } from "./types.js";
 
 /** Forgets the exchange and closes its connection to the replica. */
 export const callerLeft = (
--- /dev/null
+++ b/packages/relay/src/decisions/commands.ts
@@ -0,0 +1,97 @@
+/** What a relay does. */
+
+import type { Moment } from "@cardamomglade/common";
+import type { Severity, LogValue } from "@cardamomglade/observe";
+import type { CallerRequest, Replica, RequestLimits } from "../types.js";
+import type {
+  RunCopy,
+  Attempt,
+  AnswerHead,
+  StreamEvent,
+  WholeAnswer,
+  RouterAddress,
+} from "./types.js";
+
+/** What a log line of a decision may carry. */
+export type DecisionContext = Readonly<Record<string, LogValue>>;
+
+/** What to do. */
+export type RelayCommand =
+  | {
+      readonly type: "send";
+      readonly key: string;
+      readonly attempt: Attempt;
+      readonly request: CallerRequest;
+      readonly customer: string | undefined;
+      /** Order in which an engine admits requests; undefined for plain replicas. */
+      readonly priority: number | undefined;
+      readonly deadline: Moment;
+      /** Events that the caller has; the replica goes on after it. */
+      readonly lastEventId: number | undefined;
+    }
+  | {
+      readonly type: "abandon";
+      readonly key: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: "deliverAnswer";
+      readonly key: string;
+      readonly answer: WholeAnswer;
+    }
+  | {
+      readonly type: "beginStream";
+      readonly key: string;
+      readonly head: AnswerHead;
+    }
+  | {
+      readonly type: "deliverEvents";
+      readonly key: string;
+      readonly events: readonly StreamEvent[];
+    }
+  | { readonly type: "finishStream"; readonly key: string }
+  | { readonly type: "breakOff"; readonly key: string }
+  | {
+      readonly type: "refuse";
+      readonly key: string;
+      readonly status: number;
+      readonly reason: string;
+      readonly retryAfterMs: number | undefined;
+    }
+  | {
+      readonly type: "copyRun";
+      readonly key: string;
+      readonly attempt: number;
+      readonly requestId: string;
+      readonly source: Replica;
+      readonly holder: Replica;
+    }
+  | { readonly type: "dropCopy"; readonly copy: RunCopy }
+  | { readonly type: "listParts"; readonly replica: Replica }
+  | {
+      readonly type: "probe";
+      readonly replica: Replica;
+      readonly sentAt: Moment;
+    }
+  | {
+      readonly type: "register";
+      readonly router: string;
+      readonly address: RouterAddress | undefined;
+      readonly until: Moment;
+    }
+  | {
+      readonly type: "askRepeat" | "lendRepeat";
+      readonly to: RouterAddress;
+      readonly service: string;
+    }
+  | {
+      readonly type: "renewRegistration";
+      readonly lease: string;
+    }
+  | { readonly type: "applyLimits"; readonly limits: RequestLimits }
+  | {
+      readonly type: "log";
+      readonly severity: Severity;
+      readonly message: string;
+      readonly context: DecisionContext;
+    };
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -16,13 +16,9 @@
 import { eventsArrived, streamBegan, streamEnded } from "./streamEvents.js";
 import { runCopied } from "./runCopies.js";
 import { timePassed } from "./timePassed.js";
-import type {
-  Bounds,
-  RelayCommand,
-  RelayEvent,
-  RelayState,
-  RouterAddress,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEvent } from "./events.js";
+import type { Bounds, RelayState, RouterAddress } from "./types.js";
 import {
   configRead,
   replicasRead,
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -3,13 +3,8 @@
 import type { Moment } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { refuse, refuseNotRun } from "./refusals.js";
-import type {
-  Attempt,
-  DecisionContext,
-  Exchange,
-  RelayCommand,
-  RelayState,
-} from "./types.js";
+import type { DecisionContext, RelayCommand } from "./commands.js";
+import type { Attempt, Exchange, RelayState } from "./types.js";
 
 /** Takes the attempt under way out of the counts; the exchange then has none. */
 export const closeAttempt = (state: RelayState, exchange: Exchange): void => {
--- a/packages/relay/src/decisions/lendRepeat.test.ts
+++ b/packages/relay/src/decisions/lendRepeat.test.ts
@@ -6,7 +6,7 @@
   Scenario,
   streamPath,
 } from "../testing/scenario.js";
-import type { RelayCommand } from "./types.js";
+import type { RelayCommand } from "./commands.js";
 
 const fleetNames = (size: number): string[] =>
   Array.from({ length: size }, (_, index) => `r${String(index + 1)}`);
--- a/packages/relay/src/decisions/lendRepeat.ts
+++ b/packages/relay/src/decisions/lendRepeat.ts
@@ -3,12 +3,9 @@
 import { Severity } from "@cardamomglade/observe";
 import { addBorrowed, lendOne } from "./repeatBudget.js";
 import { sendAgain } from "./sendAttempt.js";
-import type {
-  RelayCommand,
-  RelayEventOf,
-  RelayState,
-  RouterAddress,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { RelayState, RouterAddress } from "./types.js";
 
 /** Whether an address is that of a router with an entry in the store. */
 const isKnownRouter = (
--- a/packages/relay/src/decisions/lookAround.ts
+++ b/packages/relay/src/decisions/lookAround.ts
@@ -19,13 +19,9 @@
 } from "./constants.js";
 import { isOpen } from "./replicaViews.js";
 import { canCopy } from "./sendAttempt.js";
-import type {
-  Exchange,
-  RelayCommand,
-  RelayEventOf,
-  RelayState,
-  ReplicaView,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { Exchange, RelayState, ReplicaView } from "./types.js";
 
 const isFresh = (state: RelayState, { reportAt }: ReplicaView): boolean =>
   state.at - reportAt < reportFreshMs;
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -13,14 +13,9 @@
 import { isLookOver, noteParts } from "./lookAround.js";
 import { ageOf, noteHeard, noteLoss, noteReplaced } from "./replicaViews.js";
 import { sendFresh } from "./sendAttempt.js";
-import type {
-  Attempt,
-  Exchange,
-  Look,
-  RelayCommand,
-  RelayEventOf,
-  RelayState,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { Attempt, Exchange, Look, RelayState } from "./types.js";
 
 /** Leaves an attempt that will not answer: its connection is closed, the request goes on elsewhere. */
 export const leaveAttempt = (
--- a/packages/relay/src/decisions/refusals.ts
+++ b/packages/relay/src/decisions/refusals.ts
@@ -3,7 +3,8 @@
 import { Severity } from "@cardamomglade/observe";
 import { random } from "./random.js";
 import { retryAfterMs } from "./constants.js";
-import type { DecisionContext, RelayCommand, RelayState } from "./types.js";
+import type { DecisionContext, RelayCommand } from "./commands.js";
+import type { RelayState } from "./types.js";
 
 /** A pause drawn between bounds, so that refused callers do not return together. */
 export const drawPause = (
--- a/packages/relay/src/decisions/registration.ts
+++ b/packages/relay/src/decisions/registration.ts
@@ -12,12 +12,9 @@
   routersAssumed,
 } from "./constants.js";
 import { random } from "./random.js";
-import type {
-  Registration,
-  RelayCommand,
-  RelayEventOf,
-  RelayState,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { Registration, RelayState } from "./types.js";
 
 /** Nothing is known, and nothing is due before the entries were read. */
 export const createRegistration = (): Registration => ({
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -6,12 +6,9 @@
 import { drawPause, refuse, type RefusedRequest } from "./refusals.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { sendFirst } from "./sendAttempt.js";
-import type {
-  Exchange,
-  RelayCommand,
-  RelayEventOf,
-  RelayState,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { Exchange, RelayState } from "./types.js";
 
 const pathOf = ({ target }: CallerRequest): string => {
   const end = target.indexOf("?");
--- a/packages/relay/src/decisions/runCopies.ts
+++ b/packages/relay/src/decisions/runCopies.ts
@@ -4,13 +4,9 @@
 import { findAttempt } from "./attemptEvents.js";
 import { copyLifeMs, copyRetryMs } from "./constants.js";
 import { canCopy, chooseCopyHolder, isCopyUsable } from "./sendAttempt.js";
-import type {
-  Attempt,
-  Exchange,
-  RelayCommand,
-  RelayEventOf,
-  RelayState,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { Attempt, Exchange, RelayState } from "./types.js";
 
 /** Whether a run can go on at a copy. */
 export const hasCopy = (state: RelayState, { copy }: Attempt): boolean =>
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -15,11 +15,11 @@
 import { holderOfPrompt, isLookOver, lookAround } from "./lookAround.js";
 import { hasRepeat, noteFirst, takeRepeat } from "./repeatBudget.js";
 import { ageOf, isOpen, isSuspect } from "./replicaViews.js";
+import type { RelayCommand } from "./commands.js";
 import type {
   Attempt,
   AttemptStart,
   Exchange,
-  RelayCommand,
   RelayState,
   RunCopy,
 } from "./types.js";
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -3,13 +3,9 @@
 import { noteAnswer, noteHeard } from "./replicaViews.js";
 import { findAttempt, loseAttempt } from "./attemptEvents.js";
 import { completeExchange } from "./endExchange.js";
-import type {
-  Exchange,
-  RelayCommand,
-  RelayEventOf,
-  RelayState,
-  StreamEvent,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { Exchange, RelayState, StreamEvent } from "./types.js";
 
 /** A replica began a stream; the caller sees the head of the first one. */
 export const streamBegan = (
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -17,13 +17,9 @@
 import { tendRegistration } from "./registration.js";
 import { canLeave, sendAgain, sendFresh } from "./sendAttempt.js";
 import { dropVanished } from "./worldChanged.js";
-import type {
-  Attempt,
-  Exchange,
-  RelayCommand,
-  RelayEventOf,
-  RelayState,
-} from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { Attempt, Exchange, RelayState } from "./types.js";
 
 const patienceMs = ({ route }: Exchange): number =>
   Math.max(leastPatienceMs, patienceInTargets * route.targetLatencyMs);
--- a/packages/relay/src/decisions/worldChanged.ts
+++ b/packages/relay/src/decisions/worldChanged.ts
@@ -6,7 +6,9 @@
 import { registrationMs } from "./constants.js";
 import { createReplicaView, noteReplaced } from "./replicaViews.js";
 import { buildRouteTable } from "./routeTable.js";
-import type { RelayCommand, RelayEventOf, RelayState } from "./types.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
+import type { RelayState } from "./types.js";
 
 /** A configuration was read; an older one than that in force is passed over. */
 export const configRead = (
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -2,7 +2,8 @@
 
 import { now } from "@cardamomglade/common";
 import { probeTimeoutMs } from "../decisions/constants.js";
-import type { RelayCommand, RunCopy } from "../decisions/types.js";
+import type { RelayCommand } from "../decisions/commands.js";
+import type { RunCopy } from "../decisions/types.js";
 import type { EngineReport, Replica, ReplicaProtocol } from "../types.js";
 import { httpCall, type HttpCall, type HttpOutcome } from "./httpCall.js";
 
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -7,13 +7,9 @@
 } from "node:http";
 import { createChannel, now } from "@cardamomglade/common";
 import { Severity, type Log } from "@cardamomglade/observe";
-import type {
-  AnswerHead,
-  DecisionContext,
-  RelayCommand,
-  RelayEvent,
-  WholeAnswer,
-} from "../decisions/types.js";
+import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
+import type { RelayEvent } from "../decisions/events.js";
+import type { AnswerHead, WholeAnswer } from "../decisions/types.js";
 import { Counter, Latency, type RelayMetrics } from "../metrics.js";
 import {
   defaultLimits,
--- a/packages/relay/src/drivers/lendingDriver.test.ts
+++ b/packages/relay/src/drivers/lendingDriver.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import type { RelayEvent } from "../decisions/types.js";
+import type { RelayEvent } from "../decisions/events.js";
 import {
   createLendingDriver,
   decodeLending,
--- a/packages/relay/src/drivers/lendingDriver.ts
+++ b/packages/relay/src/drivers/lendingDriver.ts
@@ -4,11 +4,9 @@
 import { createChannel, now } from "@cardamomglade/common";
 import { Severity, type Log } from "@cardamomglade/observe";
 import { pack, unpack } from "msgpackr";
-import type {
-  DecisionContext,
-  RelayEvent,
-  RouterAddress,
-} from "../decisions/types.js";
+import type { DecisionContext } from "../decisions/commands.js";
+import type { RelayEvent } from "../decisions/events.js";
+import type { RouterAddress } from "../decisions/types.js";
 import type { RelayDriver } from "./types.js";
 
 /** What a datagram says. */
--- a/packages/relay/src/drivers/logDriver.ts
+++ b/packages/relay/src/drivers/logDriver.ts
@@ -2,7 +2,8 @@
 
 import { createChannel } from "@cardamomglade/common";
 import type { Log } from "@cardamomglade/observe";
-import type { DecisionContext, RelayEvent } from "../decisions/types.js";
+import type { DecisionContext } from "../decisions/commands.js";
+import type { RelayEvent } from "../decisions/events.js";
 import type { RelayDriver } from "./types.js";
 
 /** Logs what decisions tell. */
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -2,10 +2,10 @@
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import { now } from "@cardamomglade/common";
+import type { RelayCommand } from "../decisions/commands.js";
 import {
   AttemptFailure,
   type AnswerHead,
-  type RelayCommand,
   type StreamEvent,
   type WholeAnswer,
 } from "../decisions/types.js";
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -1,7 +1,8 @@
 /** Sends attempts to replicas and probes engines. */
 
 import { createChannel, now } from "@cardamomglade/common";
-import type { RelayCommand, RelayEvent } from "../decisions/types.js";
+import type { RelayCommand } from "../decisions/commands.js";
+import type { RelayEvent } from "../decisions/events.js";
 import { Counter, type RelayMetrics } from "../metrics.js";
 import type { Replica, ReplicaProtocol } from "../types.js";
 import {
--- a/packages/relay/src/drivers/tickDriver.ts
+++ b/packages/relay/src/drivers/tickDriver.ts
@@ -2,7 +2,7 @@
 
 import { createChannel, now } from "@cardamomglade/common";
 import { tickMs } from "../decisions/constants.js";
-import type { RelayEvent } from "../decisions/types.js";
+import type { RelayEvent } from "../decisions/events.js";
 import type { RelayDriver } from "./types.js";
 
 /** A steady tick. */
--- a/packages/relay/src/drivers/types.ts
+++ b/packages/relay/src/drivers/types.ts
@@ -1,7 +1,8 @@
 /** Types of the relay's drivers. */
 
 import type { Driver } from "@cardamomglade/common";
-import type { RelayCommand, RelayEvent } from "../decisions/types.js";
+import type { RelayCommand } from "../decisions/commands.js";
+import type { RelayEvent } from "../decisions/events.js";
 
 /** Turns I/O into events of the relay and performs its commands. */
 export type RelayDriver = Driver<RelayEvent, RelayCommand>;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -2,12 +2,9 @@
 
 export { checkRoutes, type RouteFault } from "./checkRoutes.js";
 export { createRelay, type Relay, type RelayOptions } from "./createRelay.js";
-export type {
-  Bounds,
-  DecisionContext,
-  RelayCommand,
-  RelayEvent,
-} from "./decisions/types.js";
+export type { DecisionContext, RelayCommand } from "./decisions/commands.js";
+export type { RelayEvent } from "./decisions/events.js";
+export type { Bounds } from "./decisions/types.js";
 export { httpCall, type HttpOutcome } from "./drivers/httpCall.js";
 export type { ListenAddress } from "./drivers/types.js";
 export * from "./types.js";
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -5,7 +5,7 @@
 import { createChannel, now } from "@cardamomglade/common";
 import fc from "fast-check";
 import { createRelay, type Relay } from "./createRelay.js";
-import type { RelayEvent } from "./decisions/types.js";
+import type { RelayEvent } from "./decisions/events.js";
 import {
   startRawReplica,
   type RawAnswer,
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -3,10 +3,10 @@
 import type { Moment } from "@cardamomglade/common";
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
 import { AttemptFailure } from "../decisions/types.js";
+import type { RelayCommand } from "../decisions/commands.js";
+import type { RelayEvent } from "../decisions/events.js";
 import type {
   AnswerHead,
-  RelayCommand,
-  RelayEvent,
   RelayState,
   RouterAddress,
 } from "../decisions/types.js";
