--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -125,7 +125,8 @@
   }
   // Heard otherwise: it lives, but its load is not known, so looks at it wait on.
   if (view.heardAt >= sentAt && !isSuccessor) return [];
-  noteLoss(state, view.replica, at);
+  // A later process tells of a loss that is over; its zone is in no doubt now.
+  if (!isSuccessor) noteLoss(state, view.replica, at);
   const silent = attemptsAt(state, replicaId).filter(
     ({ attempt }) => isSuccessor || attempt.heardAt < sentAt,
   );
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -2,12 +2,14 @@
 import { test } from "node:test";
 import {
   bookPath,
+  idleReport,
   Scenario,
   streamPath,
   testConfig,
   testReplica,
   testReplicas,
 } from "../testing/scenario.js";
+import { isSuspect } from "./replicaViews.js";
 
 const loseStream = (scenario: Scenario, key: string) =>
   scenario.lost(key, scenario.sent(key).attempt.number);
@@ -256,6 +258,18 @@
   assert.equal(scenario.sent("3").priority, undefined);
 });
 
+test("engines that started anew put their zone in no doubt", () => {
+  const replicas = ["a-1", "b-1", "b-2", "b-3"].map((id) => testReplica(id));
+  const scenario = Scenario.create(replicas);
+  const { at } = scenario;
+  for (const replica of replicas.slice(1, 3)) {
+    const report = { ...idleReport, startedAt: replica.startedAt + 5000 };
+    scenario.probed(replica, at - 10, { isAnswered: true, report });
+  }
+  const third = scenario.state.replicas.get("b-3");
+  assert.ok(third !== undefined && !isSuspect(third, at));
+});
+
 test("a caller that comes back is sent to the engine that still holds its prompt", () => {
   const scenario = Scenario.create();
   scenario.parts.set("c-2", new Map([["5c1e", 8000]]));
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -115,7 +115,8 @@
   ...changes,
 });
 
-const idleReport: EngineReport = {
+/** The report of an engine without work. */
+export const idleReport: EngineReport = {
   startedAt: undefined,
   queued: 0,
   active: 0,
