Take a new replica to fail as often as the others of its service

It now begins at the mean share.

Test: 60 routers that know two replicas and meet a third; red without the change.

--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -136,3 +136,29 @@
   assert.equal(poor.of("abandon").length, 0);
   assert.deepEqual(refusalsOf(poor), []);
 });
+
+test("a new replica does not draw the requests of a whole fleet", () => {
+  const known = ["b-9", "c-9"].map((id) => testReplica(id, desk));
+  const replicas = [...known, testReplica("d-9", desk)];
+  let all = 0;
+  let atNewcomer = 0;
+  for (let router = 0; router < 60; router += 1) {
+    const scenario = Scenario.create(known, router);
+    // Every seventh run fails by itself, at any replica.
+    const serve = (index: number) => {
+      const key = String(index);
+      scenario.request(key, bookPath);
+      const { id } = scenario.sent(key).attempt.replica;
+      const status = (router + index) % 7 === 0 ? 500 : 200;
+      scenario.answer(key, { status });
+      return id;
+    };
+    for (let index = 0; index < 14; index += 1) serve(index);
+    scenario.tell({ type: "replicasRead", at: scenario.at, replicas });
+    for (let index = 14; index < 20; index += 1) {
+      all += 1;
+      if (serve(index) === "d-9") atNewcomer += 1;
+    }
+  }
+  assert.ok(atNewcomer < all / 2);
+});
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -81,6 +81,22 @@
   view.failureShare += failureWeight * (value - view.failureShare);
 };
 
+/**
+ * The share of failures that a new replica of a service is taken to have. Load
+ * pattern: requests that fail by themselves at every replica; a newcomer without
+ * failures would draw most requests of all routers until it is full.
+ */
+export const usualFailureShare = (
+  state: RelayState,
+  service: string,
+): number => {
+  const shares = [...state.replicas.values()]
+    .filter(({ replica }) => replica.service === service)
+    .map(({ failureShare }) => failureShare);
+  const sum = shares.reduce((total, share) => total + share, 0);
+  return shares.length === 0 ? 0 : sum / shares.length;
+};
+
 const neighboursOf = (state: RelayState, { id, service, zone }: Replica) =>
   [...state.replicas.values()].filter(
     ({ replica }) =>
--- a/packages/relay/src/decisions/worldChanged.ts
+++ b/packages/relay/src/decisions/worldChanged.ts
@@ -4,7 +4,11 @@
 import { Severity } from "@cardamomglade/observe";
 import { ReplicaState, type Replica } from "../types.js";
 import { registrationMs } from "./constants.js";
-import { createReplicaView, noteReplaced } from "./replicaViews.js";
+import {
+  createReplicaView,
+  noteReplaced,
+  usualFailureShare,
+} from "./replicaViews.js";
 import { buildRouteTable } from "./routeTable.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -64,6 +68,7 @@
   state.vanished.delete(replica.id);
   if (known === undefined || !isSameProcess(known.replica, replica)) {
     const view = createReplicaView(replica);
+    view.failureShare = usualFailureShare(state, replica.service);
     state.replicas.set(replica.id, view);
     noteSuccessor(state, replica);
     if (replica.state === ReplicaState.Draining) view.leavingSince = state.at;
