Count no repeat where a stream goes on at its copy

A copy that is rejected counts as before. The soak's check leaves out what goes on at a copy for the same reason.

--- a/bench/src/soak/checkSoak.test.ts
+++ b/bench/src/soak/checkSoak.test.ts
@@ -28,6 +28,7 @@
   service: "desk-1",
   at: 20_010,
   hasRun: true,
+  isContinued: false,
   ...changes,
 });
 
@@ -148,6 +149,8 @@
   const broken = new Set(brokenBy({ arrivals }));
   assert.deepEqual([...broken], ["repeats"]);
   assert.deepEqual(brokenBy({ arrivals: arrivals.slice(0, 50) }), []);
+  const continued = arrivals.map((one) => ({ ...one, isContinued: true }));
+  assert.deepEqual(brokenBy({ arrivals: continued }), []);
 });
 
 test("a failed request in the calm and a process that ended by itself are found", () => {
--- a/bench/src/soak/soakReplica.ts
+++ b/bench/src/soak/soakReplica.ts
@@ -165,6 +165,7 @@
       service: this.options.service,
       at: Date.now(),
       hasRun,
+      isContinued: hasRun && source !== "",
     });
     req.resume();
     if (!hasRun) {
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -54,6 +54,8 @@
   readonly at: number;
   /** Whether the replica began to run it. */
   readonly hasRun: boolean;
+  /** Whether it goes on at a copy of its run, which makes it the same run. */
+  readonly isContinued: boolean;
 }
 
 /** What a caller got. */
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -4,14 +4,14 @@
 import { Severity } from "@cardamomglade/observe";
 import { misdirectedStatus } from "../types.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
-import { isRepeatable } from "./isRepeatable.js";
 import {
   noteAnswer,
   noteHeard,
   noteLoss,
   noteReplaced,
 } from "./replicaViews.js";
-import { sendAgain } from "./sendAttempt.js";
+import { noteRepeat } from "./repeatBudget.js";
+import { hasAttempt, sendAgain } from "./sendAttempt.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import {
@@ -103,9 +103,6 @@
 
 const isFailedRun = ({ head }: WholeAnswer): boolean => head.status >= 500;
 
-const mayTryElsewhere = ({ route, attempts }: Exchange): boolean =>
-  attempts < route.maxAttempts && isRepeatable(route);
-
 /** A replica gave a whole answer. */
 export const answered = (
   state: RelayState,
@@ -124,6 +121,8 @@
       exchange.attempts -= 1;
     }
     if (!attempt.mayHaveRunBefore) exchange.mayHaveRun = false;
+    // What a replica rejects reached it all the same.
+    if (attempt.start.type === "copy") noteRepeat(state, exchange.service, at);
     const line = lossLine(
       exchange,
       attempt,
@@ -136,7 +135,7 @@
   const isFailure = isFailedRun(answer);
   noteAnswer(state, attempt.replica.id, isFailure);
   const hasBegun = exchange.head !== undefined;
-  if (isFailure && (hasBegun || mayTryElsewhere(exchange))) {
+  if (isFailure && (hasBegun || hasAttempt(exchange))) {
     exchange.failedAnswer = hasBegun ? undefined : answer;
     return loseAttempt(
       state,
--- a/packages/relay/src/decisions/repeatBudget.ts
+++ b/packages/relay/src/decisions/repeatBudget.ts
@@ -55,6 +55,15 @@
   at: Moment,
 ): boolean => spareRepeats(state, service, at) >= 1;
 
+/** Counts a repeat that was sent without asking whether it may be. */
+export const noteRepeat = (
+  state: RelayState,
+  service: string,
+  at: Moment,
+): void => {
+  budgetOf(state, service).repeats.push(at);
+};
+
 /** Counts one more repeat, own or borrowed, if it may be sent. */
 export const takeRepeat = (
   state: RelayState,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -176,10 +176,14 @@
   return isOpen(view) && !isSuspect(view, state.at);
 };
 
-/** Whether a request could go on elsewhere if its attempt were left now. */
+/** Whether a request may be sent to one more replica. */
+export const hasAttempt = ({ route, attempts }: Exchange): boolean =>
+  isRepeatable(route) && attempts < route.maxAttempts;
+
+/** Whether a request could be run anew elsewhere if its attempt were left now. */
 export const canLeave = (state: RelayState, exchange: Exchange): boolean => {
-  const { route, service, attempts, tried } = exchange;
-  if (!isRepeatable(route) || attempts >= route.maxAttempts) return false;
+  const { service, tried } = exchange;
+  if (!hasAttempt(exchange)) return false;
   if (!hasRepeat(state, service, state.at)) return false;
   return sampleOf(state, { service, except: tried }, 1).length > 0;
 };
@@ -195,11 +199,14 @@
     return failExchange(state, exchange, reason);
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
+  // Going on at a copy is the same run; only what is run anew is a repeat.
+  if (copy !== undefined && isCopyUsable(state, copy)) {
+    exchange.copy = undefined;
+    return sendTo(state, exchange, copy.holder, { type: "copy", copy });
+  }
   if (!takeRepeat(state, service, state.at))
     return borrowRepeat(state, exchange, reason);
   exchange.borrowing = undefined;
   exchange.copy = undefined;
-  if (copy === undefined || !isCopyUsable(state, copy))
-    return place(state, exchange);
-  return sendTo(state, exchange, copy.holder, { type: "copy", copy });
+  return place(state, exchange);
 };
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import {
   bookPath,
+  engines,
   idleReport,
   Scenario,
   streamPath,
@@ -270,6 +271,25 @@
   assert.ok(third !== undefined && !isSuspect(third, at));
 });
 
+test("a stream goes on at its copy also where no repeat is left; a rejected copy counts as one", () => {
+  const scenario = Scenario.create();
+  scenario.tell({
+    type: "boundsChanged",
+    at: scenario.at,
+    bounds: {
+      drainTimeoutMs: 2000,
+      repeatLimits: { share: 0, extra: 0, windowMs: 10_000 },
+    },
+  });
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  loseStream(scenario, "1");
+  assert.equal(scenario.sent("1").attempt.start.type, "copy");
+  scenario.answer("1", { status: 503, isNotRun: true });
+  assert.equal(scenario.state.repeats.get(engines)?.repeats.length, 1);
+  assert.equal(scenario.of("breakOff").length, 1);
+});
+
 test("a caller that comes back is sent to the engine that still holds its prompt", () => {
   const scenario = Scenario.create();
   scenario.parts.set("c-2", new Map([["5c1e", 8000]]));
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -15,7 +15,7 @@
 import { leaveAttempt, probeSilent } from "./probes.js";
 import { ensureCopy, hasCopy } from "./runCopies.js";
 import { tendRegistration } from "./registration.js";
-import { canLeave, sendAgain, sendFresh } from "./sendAttempt.js";
+import { canLeave, hasAttempt, sendAgain, sendFresh } from "./sendAttempt.js";
 import { dropVanished } from "./worldChanged.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -43,7 +43,7 @@
     attempt.hasEvents &&
     hasCopy(state, attempt) &&
     isLeaving(state, attempt, state.at) &&
-    canLeave(state, exchange);
+    hasAttempt(exchange);
   if (canMove)
     return leaveAttempt(state, exchange, attempt, "the replica is leaving");
   return [
