--- a/bench/src/harness/processes.ts
+++ b/bench/src/harness/processes.ts
@@ -37,7 +37,7 @@
   readonly env?: Readonly<Record<string, string>>;
 }
 
-const startTimeoutMs = 10_000;
+const startTimeoutMs = 30_000; // on a machine so busy that a bare process takes seconds
 const pollMs = 10;
 
 // Below the range from which the system gives out ports by itself.
