End the wait for a repeat when a stream goes on at its copy

Found by reading the diff: a stream that waits for a repeat of another router, whose copy's holder is trusted again meanwhile, went on there and kept waiting; when the wait ran out it was broken off. Test: red without the change.

--- a/packages/relay/src/decisions/lendRepeat.test.ts
+++ b/packages/relay/src/decisions/lendRepeat.test.ts
@@ -6,6 +6,7 @@
   Scenario,
   streamPath,
 } from "../testing/scenario.js";
+import { takeRepeat } from "./repeatBudget.js";
 import type { RelayCommand } from "./commands.js";
 
 const fleetNames = (size: number): string[] =>
@@ -81,6 +82,24 @@
   assert.equal(scenario.of("refuse").length, 1);
 });
 
+test("a stream whose copy becomes usable while it waits for a repeat is sent once", () => {
+  const scenario = Scenario.create();
+  scenario.routersRead(fleetNames(150));
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  const { copyTo, replica } = scenario.sent("1").attempt;
+  const holder = scenario.state.replicas.get(copyTo?.id ?? "");
+  assert.ok(copyTo && holder);
+  holder.suspectUntil = scenario.at + 30;
+  while (takeRepeat(scenario.state, engines, scenario.at));
+  scenario.lost("1", 0);
+  assert.equal(scenario.sent("1").attempt.replica.id, replica.id);
+  scenario.wait(400);
+  assert.equal(scenario.of("breakOff").length, 0);
+  assert.equal(scenario.of("send").length, 2);
+  assert.equal(scenario.sent("1").attempt.replica.id, copyTo.id);
+});
+
 test("strangers get nothing and give nothing", () => {
   const scenario = Scenario.create();
   scenario.routersRead(["r1", "r2"]);
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -201,6 +201,7 @@
     return failExchange(state, exchange, `${reason}; no attempt is left`);
   // Going on at a copy is the same run; only what is run anew is a repeat.
   if (copy !== undefined && isCopyUsable(state, copy)) {
+    exchange.borrowing = undefined;
     exchange.copy = undefined;
     return sendTo(state, exchange, copy.holder, { type: "copy", copy });
   }
