Forget first sendings that have left the window

Found by reading the whole change: first sendings were dropped only when a repeat was asked for, so a service whose requests never fail kept a moment for each request since the start of the process. They are dropped as they are counted, in place; the lists are no longer replaced.

--- a/packages/relay/src/decisions/repeatBudget.ts
+++ b/packages/relay/src/decisions/repeatBudget.ts
@@ -18,9 +18,9 @@
   return created;
 };
 
-const dropOlder = (moments: Moment[], than: Moment): Moment[] => {
-  const first = moments.findIndex((moment) => moment > than);
-  return first === -1 ? [] : moments.slice(first);
+/** Drops the moments up to one; the oldest come first. */
+const dropUpTo = (moments: Moment[], end: Moment): void => {
+  while ((moments[0] ?? Infinity) <= end) moments.shift();
 };
 
 /** Counts the first sending of a request. */
@@ -29,7 +29,9 @@
   service: string,
   at: Moment,
 ): void => {
-  budgetOf(state, service).firsts.push(at);
+  const { firsts } = budgetOf(state, service);
+  dropUpTo(firsts, at - state.bounds.repeatLimits.windowMs);
+  firsts.push(at);
 };
 
 /** Own repeats that are left in the window that ends now. */
@@ -39,13 +41,13 @@
   at: Moment,
 ): number => {
   const { share, extra, windowMs } = state.bounds.repeatLimits;
-  const budget = budgetOf(state, service);
-  budget.firsts = dropOlder(budget.firsts, at - windowMs);
-  budget.repeats = dropOlder(budget.repeats, at - windowMs);
+  const { firsts, repeats, lent } = budgetOf(state, service);
+  dropUpTo(firsts, at - windowMs);
+  dropUpTo(repeats, at - windowMs);
   // The borrower may send it a while later, and that counts in its window.
-  budget.lent = dropOlder(budget.lent, at - windowMs - loanLifeMs);
-  const allowed = share * budget.firsts.length + extra / routersSharing(state);
-  return allowed - budget.repeats.length - budget.lent.length;
+  dropUpTo(lent, at - windowMs - loanLifeMs);
+  const allowed = share * firsts.length + extra / routersSharing(state);
+  return allowed - repeats.length - lent.length;
 };
 
 /** Whether one more repeat of its own may be sent to a service now. */
@@ -70,13 +72,13 @@
   service: string,
   at: Moment,
 ): boolean => {
-  const budget = budgetOf(state, service);
+  const { repeats, borrowed } = budgetOf(state, service);
   if (hasRepeat(state, service, at)) {
-    budget.repeats.push(at);
+    repeats.push(at);
     return true;
   }
-  budget.borrowed = dropOlder(budget.borrowed, at);
-  return budget.borrowed.shift() !== undefined;
+  dropUpTo(borrowed, at);
+  return borrowed.shift() !== undefined;
 };
 
 /** Gives one repeat away, if it can be spared. */
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -240,10 +240,10 @@
 
 /** First sendings and repeats to one service in the current windows. */
 export interface RepeatBudget {
-  firsts: Moment[];
-  repeats: Moment[];
+  readonly firsts: Moment[];
+  readonly repeats: Moment[];
   /** Repeats lent to other routers, by the moment at which they were. */
-  lent: Moment[];
+  readonly lent: Moment[];
   /** Repeats that other routers lent, by the moment until which they may be sent. */
-  borrowed: Moment[];
+  readonly borrowed: Moment[];
 }
