One piece each for log lines, draws, a service's replicas and looks

Written twice by the change: a draw of some items (replicas, other routers), the replicas of a service (three filters), what a service's engines can do, a look at engines (two kinds), and seventeen log lines spelled out. Whether there is a candidate at all no longer draws one at random. The time after which replicas are back is no longer named like the routers' entries.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -1,7 +1,6 @@
 /** What replicas answer to attempts, and how attempts are lost. */
 
 import { assertNever } from "@cardamomglade/common";
-import { Severity } from "@cardamomglade/observe";
 import { misdirectedStatus } from "../types.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
 import {
@@ -12,6 +11,7 @@
 } from "./replicaViews.js";
 import { noteRepeat } from "./repeatBudget.js";
 import { hasAttempt, sendAgain } from "./sendAttempt.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import {
@@ -44,11 +44,8 @@
   { number, replica, sentAt, heardAt }: Attempt,
   at: number,
   reason: string,
-): RelayCommand => ({
-  type: "log",
-  severity: Severity.Info,
-  message: "attempt lost",
-  context: {
+): RelayCommand =>
+  logLine("attempt lost", {
     requestId: request.requestId,
     attempt: number,
     replica: replica.id,
@@ -57,8 +54,7 @@
     runningMs: Math.round(at - sentAt),
     silentMs: Math.round(at - heardAt),
     reason,
-  },
-});
+  });
 
 /** Goes on elsewhere after the attempt under way was lost. */
 export const loseAttempt = (
--- a/packages/relay/src/decisions/borrowRepeat.ts
+++ b/packages/relay/src/decisions/borrowRepeat.ts
@@ -4,10 +4,10 @@
  * a wave takes all streams of some routers and none of others.
  */
 
-import { Severity } from "@cardamomglade/observe";
 import { borrowRounds, borrowWaitMs, routersAsked } from "./constants.js";
 import { failExchange } from "./endExchange.js";
-import { random } from "./random.js";
+import { drawSome } from "./random.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { Exchange, RelayState, RouterAddress } from "./types.js";
 
@@ -15,14 +15,11 @@
 const otherRouters = (state: RelayState): RouterAddress[] => {
   const { registration, router, address } = state;
   if (address === undefined) return [];
-  const rest = [...registration.routers]
+  const others = [...registration.routers]
     .filter(([name]) => name !== router)
     .map(([, other]) => other)
     .filter((other) => other !== undefined);
-  const chosen: RouterAddress[] = [];
-  while (chosen.length < routersAsked && rest.length > 0)
-    chosen.push(...rest.splice(Math.floor(random(state) * rest.length), 1));
-  return chosen;
+  return drawSome(state, others, routersAsked);
 };
 
 /** Waits for a repeat of another router, or gives up when enough were asked. */
@@ -39,17 +36,12 @@
   exchange.borrowing = { reason, rounds, until: state.at + borrowWaitMs };
   return [
     ...others.map((to): RelayCommand => ({ type: "askRepeat", to, service })),
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: "repeat asked of other routers",
-      context: {
-        requestId: request.requestId,
-        service,
-        rounds,
-        asked: others.length,
-        routers: state.registration.routers.size,
-      },
-    },
+    logLine("repeat asked of other routers", {
+      requestId: request.requestId,
+      service,
+      rounds,
+      asked: others.length,
+      routers: state.registration.routers.size,
+    }),
   ];
 };
--- a/packages/relay/src/decisions/callerLeft.ts
+++ b/packages/relay/src/decisions/callerLeft.ts
@@ -1,7 +1,7 @@
 /** The caller went away: all work for it ends at once. */
 
-import { Severity } from "@cardamomglade/observe";
 import { giveUp, summaryOf } from "./endExchange.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { RelayState } from "./types.js";
@@ -14,13 +14,5 @@
   const exchange = state.exchanges.get(key);
   if (exchange === undefined) return [];
   const context = summaryOf(exchange, at);
-  return [
-    ...giveUp(state, exchange),
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: "caller left",
-      context,
-    },
-  ];
+  return [...giveUp(state, exchange), logLine("caller left", context)];
 };
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -1,7 +1,7 @@
 /** Chooses the replica for an attempt, and the engine that keeps a copy of a run. */
 
 import { rendezvousOrder } from "@cardamomglade/common";
-import type { Replica } from "../types.js";
+import type { EngineAbilities, Replica } from "../types.js";
 import {
   engineZoneCost,
   failureCost,
@@ -12,8 +12,8 @@
   runningCost,
   slotCost,
 } from "./constants.js";
-import { random } from "./random.js";
-import { isOpen, isSuspect } from "./replicaViews.js";
+import { drawSome, random } from "./random.js";
+import { isOpen, isSuspect, replicasOf } from "./replicaViews.js";
 import type { RelayState, ReplicaView } from "./types.js";
 
 /** What a replica is chosen for. */
@@ -25,9 +25,11 @@
   readonly otherThanZone?: string;
 }
 
-/** Whether a service's replicas are engines. */
-export const isEngine = (state: RelayState, service: string): boolean =>
-  state.routes?.services.get(service)?.engine !== undefined;
+/** What a service's engines can do; undefined where its replicas are none. */
+export const engineOf = (
+  state: RelayState,
+  service: string,
+): EngineAbilities | undefined => state.routes?.services.get(service)?.engine;
 
 interface EngineLoad {
   readonly reading: number;
@@ -76,7 +78,7 @@
   service: string,
   views: readonly ReplicaView[],
 ): Replica | undefined => {
-  const costOf = isEngine(state, service) ? engineCost : plainCost;
+  const costOf = engineOf(state, service) ? engineCost : plainCost;
   let best: Replica | undefined;
   let bestCost = Infinity;
   for (const view of views) {
@@ -97,38 +99,28 @@
   return wished.length === 0 ? views : wished;
 };
 
-/** Open replicas of a service. */
-const openOf = (state: RelayState, service: string): ReplicaView[] =>
-  [...state.replicas.values()].filter(
-    (view) => view.replica.service === service && isOpen(view),
-  );
-
 /** The replicas among which one is chosen. */
 const candidatesOf = (
   state: RelayState,
   { service, except, otherThanZone }: ReplicaQuery,
 ): readonly ReplicaView[] => {
-  const open = openOf(state, service).filter(
-    ({ replica }) => !except.has(replica.id),
+  const open = replicasOf(state, service).filter(
+    (view) => isOpen(view) && !except.has(view.replica.id),
   );
   const trusted = preferring(open, (view) => !isSuspect(view, state.at));
   return preferring(trusted, ({ replica }) => replica.zone !== otherThanZone);
 };
 
+/** Whether there is any candidate. */
+export const hasCandidate = (state: RelayState, query: ReplicaQuery): boolean =>
+  candidatesOf(state, query).length > 0;
+
 /** Some candidates at random. */
-export const sampleOf = (
+const sampleOf = (
   state: RelayState,
   query: ReplicaQuery,
   size: number,
-): ReplicaView[] => {
-  const rest = [...candidatesOf(state, query)];
-  const sample: ReplicaView[] = [];
-  while (sample.length < size && rest.length > 0) {
-    const index = Math.floor(random(state) * rest.length);
-    sample.push(...rest.splice(index, 1));
-  }
-  return sample;
-};
+): ReplicaView[] => drawSome(state, candidatesOf(state, query), size);
 
 /**
  * Candidates in the order in which they suit a prompt: the same at every router,
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -127,4 +127,4 @@
 export const registrationSpreadMs = 2000;
 
 /** Time after the store's return in which living replicas register again. */
-export const registrationMs = 2200;
+export const replicasBackMs = 2200;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -6,7 +6,6 @@
   type Moment,
   type Step,
 } from "@cardamomglade/common";
-import { Severity } from "@cardamomglade/observe";
 import { answered, attemptFailed } from "./attemptEvents.js";
 import { callerLeft } from "./callerLeft.js";
 import { repeatAsked, repeatLent } from "./lendRepeat.js";
@@ -16,6 +15,7 @@
 import { eventsArrived, streamBegan, streamEnded } from "./streamEvents.js";
 import { runCopied } from "./runCopies.js";
 import { timePassed } from "./timePassed.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEvent } from "./events.js";
 import type { Bounds, RelayState, RouterAddress } from "./types.js";
@@ -62,12 +62,7 @@
 const drainStarted = (state: RelayState): RelayCommand[] => {
   state.isDraining = true;
   return [
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: "stopping: no longer ready",
-      context: { underWay: state.exchanges.size },
-    },
+    logLine("stopping: no longer ready", { underWay: state.exchanges.size }),
   ];
 };
 
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -3,6 +3,7 @@
 import type { Moment } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { refuse, refuseNotRun } from "./refusals.js";
+import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
 
@@ -48,16 +49,11 @@
   state.exchanges.delete(exchange.key);
   return [
     ...dropCopy(attempt),
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: "request answered",
-      context: {
-        ...summaryOf(exchange, state.at),
-        status,
-        replica: attempt?.replica.id,
-      },
-    },
+    logLine("request answered", {
+      ...summaryOf(exchange, state.at),
+      status,
+      replica: attempt?.replica.id,
+    }),
   ];
 };
 
@@ -91,12 +87,7 @@
     return [
       ...commands,
       { type: "breakOff", key },
-      {
-        type: "log",
-        severity: Severity.Warn,
-        message: "stream broken off",
-        context: { ...context, reason },
-      },
+      logLine("stream broken off", { ...context, reason }, Severity.Warn),
     ];
   }
   if (failedAnswer !== undefined) {
@@ -104,12 +95,11 @@
     return [
       ...commands,
       { type: "deliverAnswer", key, answer: failedAnswer },
-      {
-        type: "log",
-        severity: Severity.Info,
-        message: "request answered with the replica's failure",
-        context: { ...context, status, reason },
-      },
+      logLine("request answered with the replica's failure", {
+        ...context,
+        status,
+        reason,
+      }),
     ];
   }
   const refused = { key, requestId: request.requestId, reason, context };
--- a/packages/relay/src/decisions/lendRepeat.ts
+++ b/packages/relay/src/decisions/lendRepeat.ts
@@ -1,8 +1,8 @@
 /** Lends repeats to other routers, and uses what they lend. */
 
-import { Severity } from "@cardamomglade/observe";
 import { addBorrowed, lendOne } from "./repeatBudget.js";
 import { sendAgain } from "./sendAttempt.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { RelayState, RouterAddress } from "./types.js";
@@ -25,12 +25,7 @@
   if (!lendOne(state, service, at)) return [];
   return [
     { type: "lendRepeat", to: from, service },
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: "repeat lent",
-      context: { service, to: from.host },
-    },
+    logLine("repeat lent", { service, to: from.host }),
   ];
 };
 
--- a/packages/relay/src/decisions/lookAround.ts
+++ b/packages/relay/src/decisions/lookAround.ts
@@ -6,6 +6,7 @@
  * (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
  */
 
+import type { Moment } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
 import { rankFor, sampleFor } from "./chooseReplica.js";
 import {
@@ -21,11 +22,22 @@
 import { canCopy } from "./sendAttempt.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
-import type { Exchange, RelayState, ReplicaView } from "./types.js";
+import type { Exchange, Look, RelayState, ReplicaView } from "./types.js";
 
 const isFresh = (state: RelayState, { reportAt }: ReplicaView): boolean =>
   state.at - reportAt < reportFreshMs;
 
+const idsOf = (views: readonly ReplicaView[]): Set<string> =>
+  new Set(views.map(({ replica }) => replica.id));
+
+/** A look at some engines, of which some have not answered yet. */
+const createLook = (
+  type: Look["type"],
+  sample: readonly ReplicaView[],
+  awaited: readonly ReplicaView[],
+  until: Moment,
+): Look => ({ type, sample: idsOf(sample), awaited: idsOf(awaited), until });
+
 /** The first engines of each zone. */
 const firstOfZones = (ranked: readonly ReplicaView[]): ReplicaView[] => {
   const taken = new Map<string, number>();
@@ -51,12 +63,8 @@
   const awaited = sample.filter(
     ({ partsAt }) => state.at - partsAt >= partsFreshMs,
   );
-  exchange.look = {
-    type: "parts",
-    sample: new Set(sample.map(({ replica }) => replica.id)),
-    awaited: new Set(awaited.map(({ replica }) => replica.id)),
-    until: state.at + searchTimeMs,
-  };
+  const until = state.at + searchTimeMs;
+  exchange.look = createLook("parts", sample, awaited, until);
   return awaited.flatMap((view): RelayCommand[] => {
     if (state.at - view.partsAskedAt < searchTimeMs) return [];
     view.partsAskedAt = state.at;
@@ -112,12 +120,8 @@
   const sample = sampleFor(state, query, request.lastPart, enginesLookedAt);
   if (sample.length < 2) return [];
   const awaited = sample.filter((view) => !isFresh(state, view));
-  exchange.look = {
-    type: "reports",
-    sample: new Set(sample.map(({ replica }) => replica.id)),
-    awaited: new Set(awaited.map(({ replica }) => replica.id)),
-    until: state.at + lookTimeMs,
-  };
+  const until = state.at + lookTimeMs;
+  exchange.look = createLook("reports", sample, awaited, until);
   return awaited.flatMap((view): RelayCommand[] => {
     if (view.probedAt !== undefined) return [];
     view.probedAt = state.at;
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -1,7 +1,6 @@
 /** Probes of silent engines: look before leaving one. */
 
 import type { Moment } from "@cardamomglade/common";
-import { Severity } from "@cardamomglade/observe";
 import type { EngineReport, Replica, ReportedRun } from "../types.js";
 import { loseAttempt } from "./attemptEvents.js";
 import {
@@ -13,6 +12,7 @@
 import { isLookOver, noteParts } from "./lookAround.js";
 import { ageOf, noteHeard, noteLoss, noteReplaced } from "./replicaViews.js";
 import { sendFresh } from "./sendAttempt.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, Look, RelayState } from "./types.js";
@@ -134,17 +134,12 @@
     ? "another process has the replica's address"
     : "the replica does not answer";
   return [
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: isSuccessor ? reason : "replica does not answer",
-      context: {
-        replica: replicaId,
-        replicaZone: view.replica.zone,
-        silentMs: ageOf(state, view.heardAt),
-        streams: silent.length,
-      },
-    },
+    logLine(isSuccessor ? reason : "replica does not answer", {
+      replica: replicaId,
+      replicaZone: view.replica.zone,
+      silentMs: ageOf(state, view.heardAt),
+      streams: silent.length,
+    }),
     ...endLooks(state, replicaId, "reports"),
     ...silent.flatMap(({ exchange, attempt }) =>
       leaveAttempt(state, exchange, attempt, reason),
--- a/packages/relay/src/decisions/random.ts
+++ b/packages/relay/src/decisions/random.ts
@@ -9,3 +9,18 @@
   state.generator = drawn.state;
   return drawn.value;
 };
+
+/** Draws some items of a list, each at most once. */
+export const drawSome = <T>(
+  state: RelayState,
+  items: readonly T[],
+  size: number,
+): T[] => {
+  const rest = [...items];
+  const drawn: T[] = [];
+  while (drawn.length < size && rest.length > 0) {
+    const index = Math.floor(random(state) * rest.length);
+    drawn.push(...rest.splice(index, 1));
+  }
+  return drawn;
+};
--- a/packages/relay/src/decisions/refusals.ts
+++ b/packages/relay/src/decisions/refusals.ts
@@ -1,8 +1,8 @@
 /** Refusals and failures of the relay's own, and the pause that callers are told. */
 
-import { Severity } from "@cardamomglade/observe";
 import { random } from "./random.js";
 import { retryAfterMs } from "./constants.js";
+import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
 import type { RelayState } from "./types.js";
 
@@ -27,12 +27,13 @@
   pauseMs: number | undefined,
 ): RelayCommand[] => [
   { type: "refuse", key, status, reason, retryAfterMs: pauseMs },
-  {
-    type: "log",
-    severity: Severity.Info,
-    message: "request refused",
-    context: { requestId, status, reason, retryAfterMs: pauseMs, ...context },
-  },
+  logLine("request refused", {
+    requestId,
+    status,
+    reason,
+    retryAfterMs: pauseMs,
+    ...context,
+  }),
 ];
 
 /** Refuses a request that has not run, with a pause after which it may be sent again. */
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -29,6 +29,12 @@
   replacedAt: undefined,
 });
 
+/** The replicas of a service. */
+export const replicasOf = (state: RelayState, service: string): ReplicaView[] =>
+  [...state.replicas.values()].filter(
+    ({ replica }) => replica.service === service,
+  );
+
 /** Whether a replica may get new work at all. */
 export const isOpen = (view: ReplicaView): boolean =>
   view.replica.state === ReplicaState.Ready &&
@@ -90,17 +96,16 @@
   state: RelayState,
   service: string,
 ): number => {
-  const shares = [...state.replicas.values()]
-    .filter(({ replica }) => replica.service === service)
-    .map(({ failureShare }) => failureShare);
+  const shares = replicasOf(state, service).map(
+    ({ failureShare }) => failureShare,
+  );
   const sum = shares.reduce((total, share) => total + share, 0);
   return shares.length === 0 ? 0 : sum / shares.length;
 };
 
 const neighboursOf = (state: RelayState, { id, service, zone }: Replica) =>
-  [...state.replicas.values()].filter(
-    ({ replica }) =>
-      replica.id !== id && replica.service === service && replica.zone === zone,
+  replicasOf(state, service).filter(
+    ({ replica }) => replica.id !== id && replica.zone === zone,
   );
 
 /**
--- a/packages/relay/src/decisions/runCopies.ts
+++ b/packages/relay/src/decisions/runCopies.ts
@@ -1,9 +1,9 @@
 /** Keeps a usable copy of each run's memory, also after the copy's holder was lost. */
 
-import { Severity } from "@cardamomglade/observe";
 import { findAttempt } from "./attemptEvents.js";
 import { copyLifeMs, copyRetryMs } from "./constants.js";
 import { canCopy, chooseCopyHolder, isCopyUsable } from "./sendAttempt.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
@@ -65,18 +65,13 @@
   if (handle === undefined) attempt.refusedCopies.add(holder.id);
   else attempt.copy = { holder, source: attempt.replica, handle, madeAt };
   return [
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: handle === undefined ? "run not copied" : "run copied",
-      context: {
-        requestId: exchange.request.requestId,
-        replica: attempt.replica.id,
-        holder: holder.id,
-        holderZone: holder.zone,
-        afterEvent: exchange.lastEventId,
-        tookMs: Math.round(at - madeAt),
-      },
-    },
+    logLine(handle === undefined ? "run not copied" : "run copied", {
+      requestId: exchange.request.requestId,
+      replica: attempt.replica.id,
+      holder: holder.id,
+      holderZone: holder.zone,
+      afterEvent: exchange.lastEventId,
+      tookMs: Math.round(at - madeAt),
+    }),
   ];
 };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -1,13 +1,12 @@
 /** Sends a request to a replica, and decides what follows when that is lost. */
 
-import { Severity } from "@cardamomglade/observe";
 import type { Replica } from "../types.js";
 import {
   chooseFrom,
   chooseReplica,
-  isEngine,
+  engineOf,
+  hasCandidate,
   sampleFor,
-  sampleOf,
 } from "./chooseReplica.js";
 import { borrowRepeat } from "./borrowRepeat.js";
 import { failExchange } from "./endExchange.js";
@@ -15,6 +14,7 @@
 import { holderOfPrompt, isLookOver, lookAround } from "./lookAround.js";
 import { hasRepeat, noteFirst, takeRepeat } from "./repeatBudget.js";
 import { ageOf, isOpen, isSuspect } from "./replicaViews.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type {
   Attempt,
@@ -28,9 +28,7 @@
 export const canCopy = (
   state: RelayState,
   { route, service }: Pick<Exchange, "route" | "service">,
-): boolean =>
-  route.canResume &&
-  state.routes?.services.get(service)?.engine?.copies === true;
+): boolean => route.canResume && engineOf(state, service)?.copies === true;
 
 /** Chooses the engine that keeps a copy of a run: in another zone, so that one loss does not take both. */
 export const chooseCopyHolder = (
@@ -95,29 +93,24 @@
       attempt,
       request,
       customer,
-      priority: isEngine(state, service) ? exchange.priority : undefined,
+      priority: engineOf(state, service) && exchange.priority,
       deadline,
       lastEventId: lastEventId > 0 ? lastEventId : undefined,
     },
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: "request sent",
-      context: {
-        requestId: request.requestId,
-        route: exchange.route.name,
-        path: request.target,
-        configVersion: state.config?.version,
-        attempt: attempt.number,
-        start: start.type,
-        replica: replica.id,
-        replicaZone: replica.zone,
-        copyTo: attempt.copyTo?.id,
-        inFlight: view?.inFlight,
-        heardMsAgo: view && ageOf(state, view.heardAt),
-        afterEvent: lastEventId,
-      },
-    },
+    logLine("request sent", {
+      requestId: request.requestId,
+      route: exchange.route.name,
+      path: request.target,
+      configVersion: state.config?.version,
+      attempt: attempt.number,
+      start: start.type,
+      replica: replica.id,
+      replicaZone: replica.zone,
+      copyTo: attempt.copyTo?.id,
+      inFlight: view?.inFlight,
+      heardMsAgo: view && ageOf(state, view.heardAt),
+      afterEvent: lastEventId,
+    }),
   ];
 };
 
@@ -185,7 +178,7 @@
   const { service, tried } = exchange;
   if (!hasAttempt(exchange)) return false;
   if (!hasRepeat(state, service, state.at)) return false;
-  return sampleOf(state, { service, except: tried }, 1).length > 0;
+  return hasCandidate(state, { service, except: tried });
 };
 
 /** Goes on after an attempt ended without an answer; the exchange has no attempt now. */
--- a/packages/relay/src/decisions/timePassed.ts
+++ b/packages/relay/src/decisions/timePassed.ts
@@ -17,6 +17,7 @@
 import { tendRegistration } from "./registration.js";
 import { canLeave, hasAttempt, sendAgain, sendFresh } from "./sendAttempt.js";
 import { dropVanished } from "./worldChanged.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
@@ -87,12 +88,11 @@
   for (const { attempt } of state.exchanges.values())
     if (attempt !== undefined) attempt.heardAt += lateMs;
   return [
-    {
-      type: "log",
-      severity: Severity.Warn,
-      message: "this process stood still",
-      context: { lateMs: Math.round(lateMs) },
-    },
+    logLine(
+      "this process stood still",
+      { lateMs: Math.round(lateMs) },
+      Severity.Warn,
+    ),
   ];
 };
 
--- a/packages/relay/src/decisions/worldChanged.ts
+++ b/packages/relay/src/decisions/worldChanged.ts
@@ -3,13 +3,14 @@
 import type { Moment } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { ReplicaState, type Replica } from "../types.js";
-import { registrationMs } from "./constants.js";
+import { replicasBackMs } from "./constants.js";
 import {
   createReplicaView,
   noteReplaced,
   usualFailureShare,
 } from "./replicaViews.js";
 import { buildRouteTable } from "./routeTable.js";
+import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { RelayState } from "./types.js";
@@ -26,17 +27,12 @@
   state.configAt = at;
   return [
     { type: "applyLimits", limits: config.limits },
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: "configuration in force",
-      context: {
-        configVersion: config.version,
-        routes: config.routes.length,
-        services: config.services.length,
-        customers: config.customers?.length,
-      },
-    },
+    logLine("configuration in force", {
+      configVersion: config.version,
+      routes: config.routes.length,
+      services: config.services.length,
+      customers: config.customers?.length,
+    }),
   ];
 };
 
@@ -46,12 +42,13 @@
 const replicaLine = (
   message: string,
   { id, service, zone, state: replicaState }: Replica,
-): RelayCommand => ({
-  type: "log",
-  severity: Severity.Info,
-  message,
-  context: { replica: id, service, replicaZone: zone, state: replicaState },
-});
+): RelayCommand =>
+  logLine(message, {
+    replica: id,
+    service,
+    replicaZone: zone,
+    state: replicaState,
+  });
 
 /** A process that registers at an address proves that the one before is gone. */
 const noteSuccessor = (state: RelayState, replica: Replica): void => {
@@ -96,7 +93,7 @@
 const keptUntil = ({ store, at }: RelayState): Moment => {
   switch (store.type) {
     case "answering":
-      return store.since + registrationMs;
+      return store.since + replicasBackMs;
     case "silent":
       return Infinity;
     case "unknown":
@@ -145,16 +142,9 @@
   const since = store.type === "silent" ? at : -Infinity;
   state.store = { type: "answering", since };
   for (const id of state.vanished.keys())
-    state.vanished.set(id, at + registrationMs);
+    state.vanished.set(id, at + replicasBackMs);
   const silentMs = store.type === "silent" ? at - store.since : 0;
-  return [
-    {
-      type: "log",
-      severity: Severity.Info,
-      message: "store answers",
-      context: { detail, silentMs: Math.round(silentMs) },
-    },
-  ];
+  return [logLine("store answers", { detail, silentMs: Math.round(silentMs) })];
 };
 
 /** A call to the store failed. */
@@ -164,12 +154,5 @@
 ): RelayCommand[] => {
   if (state.store.type === "silent") return [];
   state.store = { type: "silent", since: at };
-  return [
-    {
-      type: "log",
-      severity: Severity.Warn,
-      message: "store does not answer",
-      context: { detail },
-    },
-  ];
+  return [logLine("store does not answer", { detail }, Severity.Warn)];
 };
