--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,9 @@
 export { nextTryAt, type BackoffBounds } from "./backoff.js";
 export { canonicalText } from "./canonicalText.js";
 export { createChannel, type Channel } from "./channel.js";
+export { createSink } from "./createSink.js";
+export { createSource } from "./createSource.js";
+export { createTicks } from "./createTicks.js";
 export { foldEvents } from "./foldEvents.js";
 export {
   draw,
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -3,12 +3,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   createChannel,
+  createSource,
+  createTicks,
   now,
   runProcess,
   type Driver,
   type Moment,
 } from "@cardamomglade/common";
 import { Severity, type Log } from "@cardamomglade/observe";
+import { tickMs } from "./decisions/constants.js";
 import {
   createRelayState,
   decideRelay,
@@ -23,7 +26,6 @@
 import { createLogDriver } from "./drivers/logDriver.js";
 import { createReplicaDriver } from "./drivers/replicaDriver.js";
 import { createTextServer } from "./drivers/textServer.js";
-import { createTickDriver } from "./drivers/tickDriver.js";
 import type { ListenAddress } from "./drivers/types.js";
 import { createRelayMetrics } from "./metrics.js";
 import type { ReplicaProtocol } from "./types.js";
@@ -74,15 +76,11 @@
     drivers: [
       front,
       createReplicaDriver(protocol, metrics),
-      createTickDriver(),
+      createTicks<RelayEvent>(tickMs, (at) => ({ type: "timePassed", at })),
       ...lending,
       createLogDriver(log),
       ...options.platform,
-      {
-        events: orders.stream,
-        perform: () => undefined,
-        stop: () => Promise.resolve(),
-      },
+      createSource(orders.stream),
     ],
     onFailure: ({ type, error }) => {
       const detail = error instanceof Error ? error.stack : String(error);
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -2,7 +2,7 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
-import { createChannel, now } from "@cardamomglade/common";
+import { createChannel, createSource, now } from "@cardamomglade/common";
 import fc from "fast-check";
 import { createRelay, type Relay } from "./createRelay.js";
 import type { RelayEvent } from "./decisions/events.js";
@@ -52,13 +52,7 @@
       },
     },
     log: (_, message) => lines.push(message),
-    platform: [
-      {
-        events: news.stream,
-        perform: () => undefined,
-        stop: () => Promise.resolve(),
-      },
-    ],
+    platform: [createSource(news.stream)],
     gauges: () => ({}),
   });
   await sleep(20);
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -4,6 +4,8 @@
 import type { AddressInfo } from "node:net";
 import {
   createChannel,
+  createSource,
+  createTicks,
   now,
   runProcess,
   type ProcessFailure,
@@ -47,7 +49,6 @@
 import { createLogDriver } from "./drivers/logDriver.js";
 import { createProcessClock } from "./drivers/processClock.js";
 import { createServiceDriver } from "./drivers/serviceDriver.js";
-import { createTickDriver } from "./drivers/tickDriver.js";
 import { createTimelineDriver } from "./drivers/timelineDriver.js";
 import { createLog, type Log } from "./log.js";
 import { createConnector } from "./tls/createConnector.js";
@@ -68,6 +69,7 @@
 }
 
 const connectTimeoutMs = 400;
+const tickEveryMs = 50;
 
 const strategies: Readonly<Record<RoutingStrategyName, RoutingStrategy>> = {
   [RoutingStrategyName.Balanced]: { type: "balanced" },
@@ -189,12 +191,8 @@
     createLeaseHoldersDriver(keyValue, prefix),
     createLedgerDriver({ keyValue, prefix, router: settings.router.name, log }),
     createLoadDriver(engines, CacheEventClient.create(connectUpstream), view),
-    createTickDriver(),
-    {
-      events: control.stream,
-      perform: () => undefined,
-      stop: () => keyValue.close(),
-    },
+    createTicks<RouterEvent>(tickEveryMs, (at) => ({ type: "timePassed", at })),
+    createSource(control.stream, () => keyValue.close()),
   ];
   const { failed, onFailure } = watchFailures(log);
   const running = runProcess({ decide, state: initial, drivers, onFailure });
--- a/packages/router/src/drivers/hostListDriver.ts
+++ b/packages/router/src/drivers/hostListDriver.ts
@@ -1,6 +1,6 @@
 /** Polls the platform's host list. */
 
-import { createChannel, now } from "@cardamomglade/common";
+import { createChannel, createSource, now } from "@cardamomglade/common";
 import { readHostList } from "@cardamomglade/platform";
 import { LogLevel } from "@cardamomglade/schema";
 import type { Log } from "../log.js";
@@ -41,12 +41,8 @@
     url === undefined
       ? undefined
       : setInterval(() => void poll(url), pollEveryMs);
-  return {
-    events: channel.stream,
-    perform: () => undefined,
-    stop: () => {
-      clearInterval(timer);
-      return Promise.resolve();
-    },
-  };
+  return createSource(channel.stream, () => {
+    clearInterval(timer);
+    return undefined;
+  });
 };
--- a/packages/router/src/drivers/leaseHoldersDriver.ts
+++ b/packages/router/src/drivers/leaseHoldersDriver.ts
@@ -1,6 +1,6 @@
 /** Reads who holds which role. */
 
-import { createChannel, now } from "@cardamomglade/common";
+import { createChannel, createSource, now } from "@cardamomglade/common";
 import { mirrorPrefix, type KeyValue } from "@cardamomglade/platform";
 import type { RouterEvent } from "../types.js";
 import { rolesFolder } from "./leaseDriver.js";
@@ -24,12 +24,8 @@
     }));
     channel.push({ type: "holdersRead", at: now(), holders });
   });
-  return {
-    events: channel.stream,
-    perform: () => undefined,
-    stop: () => {
-      mirror.close();
-      return Promise.resolve();
-    },
-  };
+  return createSource(channel.stream, () => {
+    mirror.close();
+    return undefined;
+  });
 };
--- a/packages/router/src/drivers/loadDriver.ts
+++ b/packages/router/src/drivers/loadDriver.ts
@@ -1,6 +1,6 @@
 /** Reads load reports and cache events of engines, at a bounded rate. */
 
-import { createChannel, now } from "@cardamomglade/common";
+import { createChannel, createSource, now } from "@cardamomglade/common";
 import { viewOf } from "@cardamomglade/decisions";
 import { BackEndType, type BackEnd } from "@cardamomglade/schema";
 import type { CacheEventClient, Engines } from "@cardamomglade/upstream";
@@ -56,12 +56,8 @@
     }
   }, tickMs);
 
-  return {
-    events: channel.stream,
-    perform: () => undefined,
-    stop: () => {
-      clearInterval(timer);
-      return cacheEvents.close();
-    },
-  };
+  return createSource(channel.stream, () => {
+    clearInterval(timer);
+    return cacheEvents.close();
+  });
 };
--- a/packages/router/src/drivers/logDriver.ts
+++ b/packages/router/src/drivers/logDriver.ts
@@ -1,9 +1,9 @@
 /** Writes the process's time-line events to its log. */
 
-import { createChannel } from "@cardamomglade/common";
+import { createSink } from "@cardamomglade/common";
 import { LogLevel, TimelineTopic } from "@cardamomglade/schema";
 import type { Log, LogContext } from "../log.js";
-import type { RouterCommandOf, RouterEvent } from "../types.js";
+import type { RouterCommandOf } from "../types.js";
 import type { RouterDriver } from "./types.js";
 
 type Recorded = RouterCommandOf<"record">["event"];
@@ -35,9 +35,8 @@
 };
 
 /** Logs every recorded event at its topic's level. */
-export const createLogDriver = (log: Log): RouterDriver => ({
-  events: createChannel<RouterEvent>().stream,
-  perform: (command) => {
+export const createLogDriver = (log: Log): RouterDriver =>
+  createSink((command) => {
     if (command.type === "failAnswer") {
       const { requestId, error } = command;
       log(LogLevel.Info, `request failed: ${error.type}`, {
@@ -48,6 +47,4 @@
     if (command.type !== "record") return;
     const { event } = command;
     log(levels[event.topic], `${event.topic} ${event.name}`, contextOf(event));
-  },
-  stop: () => Promise.resolve(),
-});
+  });
--- a/packages/router/src/drivers/peerDriver.ts
+++ b/packages/router/src/drivers/peerDriver.ts
@@ -1,7 +1,12 @@
 /** Links to other routers. */
 
 import { readFile } from "node:fs/promises";
-import { createChannel, now, rendezvousOrder } from "@cardamomglade/common";
+import {
+  createChannel,
+  createSource,
+  now,
+  rendezvousOrder,
+} from "@cardamomglade/common";
 import { PeerMesh, type LinkTls, type MeshEvent } from "@cardamomglade/peers";
 import type {
   PeerMessage,
@@ -80,14 +85,8 @@
   clock: ProcessClock,
 ): Promise<PeerDriver> => {
   const channel = createChannel<RouterEvent>();
-  const idle = () => Promise.resolve();
   if (settings.peers === undefined)
-    return {
-      events: channel.stream,
-      url: "",
-      perform: () => undefined,
-      stop: idle,
-    };
+    return { ...createSource(channel.stream), url: "" };
   const waiting = new Map<string, WaitingMessage[]>();
 
   const flush = (peer: string) => {
--- a/packages/router/src/drivers/timelineDriver.ts
+++ b/packages/router/src/drivers/timelineDriver.ts
@@ -1,6 +1,6 @@
 /** Records what the process does on its time line. */
 
-import { createChannel } from "@cardamomglade/common";
+import { createSink } from "@cardamomglade/common";
 import { EventRing } from "../timeline/eventRing.js";
 import { eventOfCommand } from "../timeline/eventOfCommand.js";
 import { FirstDeliveries } from "../timeline/firstDeliveries.js";
@@ -33,10 +33,5 @@
       deliveries.forget(command.requestId);
   };
 
-  return {
-    events: createChannel<RouterEvent>().stream,
-    perform,
-    ring,
-    stop: () => Promise.resolve(),
-  };
+  return { ...createSink<RouterEvent, RouterCommand>(perform), ring };
 };
