--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -26,15 +26,14 @@
 import { createLogDriver } from "./drivers/logDriver.js";
 import { createReplicaDriver } from "./drivers/replicaDriver.js";
 import { createTextServer } from "./drivers/textServer.js";
-import type { ListenAddress } from "./drivers/types.js";
 import { createRelayMetrics } from "./metrics.js";
-import type { ReplicaProtocol } from "./types.js";
+import type { ReplicaProtocol, Address } from "./types.js";
 
 /** What a relay needs. */
 export interface RelayOptions {
-  readonly front: ListenAddress;
-  readonly readiness: ListenAddress;
-  readonly metrics: ListenAddress;
+  readonly front: Address;
+  readonly readiness: Address;
+  readonly metrics: Address;
   readonly protocol: ReplicaProtocol;
   readonly state: RelayStateOptions;
   readonly log: Log<DecisionContext>;
--- a/packages/relay/src/decisions/borrowRepeat.ts
+++ b/packages/relay/src/decisions/borrowRepeat.ts
@@ -9,10 +9,11 @@
 import { drawSome } from "./random.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
-import type { Exchange, RelayState, RouterAddress } from "./types.js";
+import type { Exchange, RelayState } from "./types.js";
+import type { Address } from "../types.js";
 
 /** Some other routers, at random. */
-const otherRouters = (state: RelayState): RouterAddress[] => {
+const otherRouters = (state: RelayState): Address[] => {
   const { registration, router, address } = state;
   if (address === undefined) return [];
   const others = [...registration.routers]
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -2,14 +2,18 @@
 
 import type { Moment } from "@cardamomglade/common";
 import type { Severity, LogValue } from "@cardamomglade/observe";
-import type { CallerRequest, Replica, RequestLimits } from "../types.js";
+import type {
+  CallerRequest,
+  Replica,
+  RequestLimits,
+  Address,
+} from "../types.js";
 import type {
   RunCopy,
   Attempt,
   AnswerHead,
   StreamEvent,
   WholeAnswer,
-  RouterAddress,
 } from "./types.js";
 
 /** What a log line of a decision may carry. */
@@ -76,12 +80,12 @@
   | {
       readonly type: "register";
       readonly router: string;
-      readonly address: RouterAddress | undefined;
+      readonly address: Address | undefined;
       readonly until: Moment;
     }
   | {
       readonly type: "askRepeat" | "lendRepeat";
-      readonly to: RouterAddress;
+      readonly to: Address;
       readonly service: string;
     }
   | {
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -18,18 +18,19 @@
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEvent } from "./events.js";
-import type { Bounds, RelayState, RouterAddress } from "./types.js";
+import type { Bounds, RelayState } from "./types.js";
 import {
   configRead,
   replicasRead,
   storeAnswered,
   storeFailed,
 } from "./worldChanged.js";
+import type { Address } from "../types.js";
 
 /** What a relay starts with. */
 export interface RelayStateOptions {
   readonly router: string;
-  readonly address: RouterAddress | undefined;
+  readonly address: Address | undefined;
   readonly zone: string;
   readonly startedAt: Moment;
   readonly seed: number;
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -6,13 +6,13 @@
   EngineReport,
   RelayConfig,
   Replica,
+  Address,
 } from "../types.js";
 import type {
   AnswerHead,
   StreamEvent,
   WholeAnswer,
   AttemptFailure,
-  RouterAddress,
   RouterEntry,
   Bounds,
 } from "./types.js";
@@ -37,13 +37,13 @@
   | {
       readonly type: "repeatAsked";
       readonly at: Moment;
-      readonly from: RouterAddress;
+      readonly from: Address;
       readonly service: string;
     }
   | {
       readonly type: "repeatLent";
       readonly at: Moment;
-      readonly from: RouterAddress;
+      readonly from: Address;
       readonly service: string;
     }
   | {
--- a/packages/relay/src/decisions/lendRepeat.ts
+++ b/packages/relay/src/decisions/lendRepeat.ts
@@ -5,12 +5,13 @@
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
-import type { RelayState, RouterAddress } from "./types.js";
+import type { RelayState } from "./types.js";
+import type { Address } from "../types.js";
 
 /** Whether an address is that of a router with an entry in the store. */
 const isKnownRouter = (
   { registration }: RelayState,
-  { host, port }: RouterAddress,
+  { host, port }: Address,
 ): boolean =>
   [...registration.routers.values()].some(
     (known) => known?.host === host && known.port === port,
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -7,6 +7,7 @@
   RelayConfig,
   Replica,
   Route,
+  Address,
 } from "../types.js";
 import type { RouteTable } from "./routeTable.js";
 
@@ -170,24 +171,18 @@
     }
   | { readonly type: "silent"; readonly since: Moment };
 
-/** Where a router hears others. */
-export interface RouterAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** A router's entry in the store. */
 export interface RouterEntry {
   readonly router: string;
   readonly lease: string;
   /** Undefined where the entry does not tell. */
-  readonly address: RouterAddress | undefined;
+  readonly address: Address | undefined;
 }
 
 /** What is known of the routers that share the fleet's bounds, and of the own entry. */
 export interface Registration {
   /** Routers that have an entry, and where they hear others. */
-  routers: ReadonlyMap<string, RouterAddress | undefined>;
+  routers: ReadonlyMap<string, Address | undefined>;
   /** Lease of the own entry; undefined while there is none. */
   lease: string | undefined;
   /** Moment at which the own entry is written or renewed next. */
@@ -199,7 +194,7 @@
   /** Name of this router. */
   readonly router: string;
   /** Where this router hears others; undefined where it does not. */
-  readonly address: RouterAddress | undefined;
+  readonly address: Address | undefined;
   readonly zone: string;
   /** Moment at which this process began. */
   readonly startedAt: Moment;
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -15,15 +15,16 @@
   defaultLimits,
   type ReplicaProtocol,
   type RequestLimits,
+  type Address,
 } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { readRequest } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
-import type { ListenAddress, RelayDriver } from "./types.js";
+import type { RelayDriver } from "./types.js";
 
 /** What the front needs. */
 export interface FrontOptions {
-  readonly listen: ListenAddress;
+  readonly listen: Address;
   readonly protocol: ReplicaProtocol;
   readonly metrics: RelayMetrics;
   readonly log: Log<DecisionContext>;
--- a/packages/relay/src/drivers/lendingDriver.ts
+++ b/packages/relay/src/drivers/lendingDriver.ts
@@ -6,8 +6,8 @@
 import { pack, unpack } from "msgpackr";
 import type { DecisionContext } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
-import type { RouterAddress } from "../decisions/types.js";
 import type { RelayDriver } from "./types.js";
+import type { Address } from "../types.js";
 
 /** What a datagram says. */
 export interface LendingMessage {
@@ -41,7 +41,7 @@
 
 /** Hears other routers at an address. */
 export const createLendingDriver = (
-  address: RouterAddress,
+  address: Address,
   log: Log<DecisionContext>,
 ): RelayDriver => {
   const channel = createChannel<RelayEvent>();
@@ -59,7 +59,7 @@
     channel.push({ type, at: now(), from, service: message.service });
   });
   socket.bind(address.port, address.host);
-  const send = ({ host, port }: RouterAddress, message: LendingMessage) => {
+  const send = ({ host, port }: Address, message: LendingMessage) => {
     // A router that cannot be reached lends nothing; another one is asked.
     socket.send(encodeLending(message), port, host, () => undefined);
   };
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -9,7 +9,11 @@
   type StreamEvent,
   type WholeAnswer,
 } from "../decisions/types.js";
-import { misdirectedStatus, type ReplicaProtocol } from "../types.js";
+import {
+  misdirectedStatus,
+  type ReplicaProtocol,
+  addressText,
+} from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
 
@@ -58,8 +62,7 @@
   if (lastEventId !== undefined)
     added.push(names.lastEventId, String(lastEventId));
   const { copyTo, start } = attempt;
-  if (copyTo !== undefined)
-    added.push(names.copyTo, `${copyTo.host}:${String(copyTo.port)}`);
+  if (copyTo !== undefined) added.push(names.copyTo, addressText(copyTo));
   if (start.type === "copy")
     added.push(
       names.continueFrom,
--- a/packages/relay/src/drivers/textServer.ts
+++ b/packages/relay/src/drivers/textServer.ts
@@ -1,7 +1,7 @@
 /** A small server that answers every request with a status and a text. */
 
 import { createServer, type Server } from "node:http";
-import type { ListenAddress } from "./types.js";
+import type { Address } from "../types.js";
 
 /** What is answered now. */
 export interface TextAnswer {
@@ -11,7 +11,7 @@
 
 /** Listens at once. */
 export const createTextServer = (
-  { host, port }: ListenAddress,
+  { host, port }: Address,
   answer: () => TextAnswer,
 ): Server => {
   const server = createServer((req, res) => {
--- a/packages/relay/src/drivers/types.ts
+++ b/packages/relay/src/drivers/types.ts
@@ -6,9 +6,3 @@
 
 /** Turns I/O into events of the relay and performs its commands. */
 export type RelayDriver = Driver<RelayEvent, RelayCommand>;
-
-/** Where a server listens. */
-export interface ListenAddress {
-  readonly host: string;
-  readonly port: number;
-}
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -6,6 +6,5 @@
 export type { RelayEvent } from "./decisions/events.js";
 export type { Bounds } from "./decisions/types.js";
 export { httpCall, type HttpOutcome } from "./drivers/httpCall.js";
-export type { ListenAddress } from "./drivers/types.js";
 export * from "./types.js";
 export { watchPace, type NewsBounds } from "./watchPace.js";
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -5,11 +5,7 @@
 import { AttemptFailure } from "../decisions/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
-import type {
-  AnswerHead,
-  RelayState,
-  RouterAddress,
-} from "../decisions/types.js";
+import type { AnswerHead, RelayState } from "../decisions/types.js";
 import {
   ReplicaState,
   RequestKind,
@@ -18,6 +14,7 @@
   type RelayConfig,
   type Replica,
   type Route,
+  type Address,
 } from "../types.js";
 
 /** Service of engines. */
@@ -99,7 +96,7 @@
 ];
 
 /** Where a router hears others; its name ends with a number. */
-export const routerAddress = (router: string): RouterAddress => ({
+export const routerAddress = (router: string): Address => ({
   host: "10.1.0.1",
   port: Number(router.slice(1)),
 });
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -83,12 +83,20 @@
   Draining = "draining",
 }
 
+/** Where a process is heard. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** `HOST:PORT`. */
+export const addressText = ({ host, port }: Address): string =>
+  `${host}:${String(port)}`;
+
 /** A replica as it is registered. */
-export interface Replica {
+export interface Replica extends Address {
   readonly id: string;
   readonly service: string;
-  readonly host: string;
-  readonly port: number;
   readonly zone: string;
   readonly slots: number;
   readonly state: ReplicaState;
