--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -18,7 +18,7 @@
   type Address,
 } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
-import { readRequest } from "./readRequest.js";
+import { readRequest, rewrittenHeaders } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
 import type { RelayDriver } from "./types.js";
 
@@ -63,6 +63,7 @@
   const { protocol, metrics, log } = options;
   const channel = createChannel<RelayEvent>();
   const waiting = new Map<string, Waiting>();
+  const dropped = rewrittenHeaders(protocol.headers);
   let limits = defaultLimits; // until the configuration is known
   let isDraining = false;
   let lastKey = 0;
@@ -124,7 +125,7 @@
 
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
-    const read = await readRequest(req, protocol, limits);
+    const read = await readRequest(req, { protocol, limits, dropped });
     switch (read.type) {
       case "whole": {
         lastKey += 1;
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -34,7 +34,7 @@
   bearer.exec(req.headers.authorization ?? "")?.[1];
 
 /** Headers of a request that the relay writes itself. */
-const rewritten = (names: HeaderNames): ReadonlySet<string> =>
+export const rewrittenHeaders = (names: HeaderNames): ReadonlySet<string> =>
   new Set([
     ...names.reserved,
     names.budgetMs,
@@ -43,12 +43,21 @@
     "content-length",
   ]);
 
+/** What the reader needs beside a request. */
+export interface ReadOptions {
+  readonly protocol: ReplicaProtocol;
+  readonly limits: RequestLimits;
+  /** Headers that are dropped, in lower case. */
+  readonly dropped: ReadonlySet<string>;
+}
+
 const describe = (
   req: IncomingMessage,
-  { headers: names, readLastPart }: ReplicaProtocol,
+  { protocol, dropped }: ReadOptions,
   arrivedAt: Moment,
   body: Buffer,
 ): CallerRequest => {
+  const { headers: names, readLastPart } = protocol;
   const budgetMs = numberOf(headerOf(req, names.budgetMs));
   return {
     requestId: headerOf(req, names.requestId) ?? "",
@@ -56,7 +65,7 @@
     method: req.method ?? "GET",
     target: req.url ?? "/",
     key: keyOf(req),
-    headers: forwardableHeaders(req.rawHeaders, rewritten(names)),
+    headers: forwardableHeaders(req.rawHeaders, dropped),
     body,
     hasBody:
       req.headers["content-length"] !== undefined ||
@@ -71,10 +80,10 @@
 /** Reads the body; the request's head has arrived. */
 export const readRequest = (
   req: IncomingMessage,
-  protocol: ReplicaProtocol,
-  limits: RequestLimits,
+  options: ReadOptions,
 ): Promise<RequestRead> =>
   new Promise((resolve) => {
+    const { limits } = options;
     const arrivedAt = now();
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -92,7 +101,7 @@
       else chunks.push(chunk);
     });
     req.on("end", () => {
-      const request = describe(req, protocol, arrivedAt, Buffer.concat(chunks));
+      const request = describe(req, options, arrivedAt, Buffer.concat(chunks));
       finish({ type: "whole", request });
     });
     req.on("error", () => {
