--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -110,7 +110,6 @@
     drain: async (deadline) => {
       const noticeEnds = now() + noticeMs;
       orders.push({ type: "drainStarted", at: now() });
-      front.beginDrain();
       while (now() < deadline) {
         const isIdle = running.state().exchanges.size === 0;
         if (now() >= noticeEnds) {
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -92,6 +92,8 @@
       readonly type: "renewRegistration";
       readonly lease: string;
     }
+  /** Every answer from now on closes its connection. */
+  | { readonly type: "beginDrain" }
   | { readonly type: "applyLimits"; readonly limits: RequestLimits }
   | {
       readonly type: "log";
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -63,6 +63,7 @@
 const drainStarted = (state: RelayState): RelayCommand[] => {
   state.isDraining = true;
   return [
+    { type: "beginDrain" },
     logLine("stopping: no longer ready", { underWay: state.exchanges.size }),
   ];
 };
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -15,6 +15,25 @@
 const loseStream = (scenario: Scenario, key: string) =>
   scenario.lost(key, scenario.sent(key).attempt.number);
 
+/** Request "1" streams and has its first three events. */
+const createStreaming = (): Scenario => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.stream("1", 1, 3);
+  return scenario;
+};
+
+/** The same, without a copy; gives the order for one that follows. */
+const createCopying = () => {
+  const scenario = createStreaming();
+  const { attempt } = scenario.sent("1");
+  attempt.copy = undefined;
+  scenario.wait(25);
+  const [order] = scenario.of("copyRun");
+  assert.ok(order);
+  return { scenario, attempt, order };
+};
+
 const refusalsOf = (scenario: Scenario) =>
   scenario.of("refuse").map(({ status }) => status);
 
@@ -51,9 +70,7 @@
 });
 
 test("a missing event ends the attempt, not the stream", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
+  const scenario = createStreaming();
   scenario.stream("1", 5, 6);
   assert.equal(scenario.of("abandon").length, 1);
   assert.equal(scenario.sent("1").lastEventId, 3);
@@ -76,9 +93,7 @@
 });
 
 test("a silent engine is probed before it is left, and left when the probe is not answered", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
+  const scenario = createStreaming();
   scenario.wait(300);
   const [probe] = scenario.of("probe");
   assert.ok(probe);
@@ -90,9 +105,7 @@
 });
 
 test("an engine that answers its probe keeps its streams", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
+  const scenario = createStreaming();
   scenario.wait(300);
   const [probe] = scenario.of("probe");
   assert.ok(probe);
@@ -102,19 +115,14 @@
 });
 
 test("a connection on which events that were made do not arrive is given up", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
+  const scenario = createStreaming();
   scenario.wait(500);
   const { replica } = scenario.sent("1").attempt;
   scenario.probed(replica, scenario.at - 10, {
     isAnswered: true,
     report: {
-      startedAt: undefined,
-      queued: 0,
+      ...idleReport,
       active: 1,
-      memoryUsed: 0,
-      memoryTotal: 1,
       runs: [{ requestId: "id-1", eventsMade: 9 }],
     },
   });
@@ -122,9 +130,7 @@
 });
 
 test("a stall of the process itself is not taken for the engines' silence", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
+  const scenario = createStreaming();
   scenario.wait(25);
   scenario.at += 3000;
   scenario.tell({ type: "timePassed", at: scenario.at });
@@ -153,14 +159,7 @@
 });
 
 test("a copy that was asked for is renewed before it lapses", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
-  const { attempt } = scenario.sent("1");
-  attempt.copy = undefined;
-  scenario.wait(25);
-  const [order] = scenario.of("copyRun");
-  assert.ok(order);
+  const { scenario, order } = createCopying();
   scenario.copied("1", order.holder, "h-7");
   scenario.wait(2400);
   assert.equal(scenario.of("copyRun").length, 1);
@@ -192,9 +191,7 @@
 });
 
 test("streams move off a replica that leaves, by their copies", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
+  const scenario = createStreaming();
   const { replica, copyTo } = scenario.sent("1").attempt;
   const replicas = testReplicas().filter(({ id }) => id !== replica.id);
   scenario.tell({ type: "replicasRead", at: scenario.at, replicas });
@@ -300,14 +297,7 @@
 });
 
 test("a copy that was asked for is freed when its run ends", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
-  const { attempt } = scenario.sent("1");
-  attempt.copy = undefined;
-  scenario.wait(25);
-  const [order] = scenario.of("copyRun");
-  assert.ok(order);
+  const { scenario, attempt, order } = createCopying();
   scenario.copied("1", order.holder, "h-7");
   scenario.tell({
     type: "streamEnded",
@@ -322,9 +312,7 @@
 });
 
 test("an engine that could not take a copy is not asked again for it", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
+  const scenario = createStreaming();
   const { attempt } = scenario.sent("1");
   attempt.copy = undefined;
   for (let asked = 1; asked <= 4; asked += 1) {
@@ -338,21 +326,12 @@
 });
 
 test("an engine whose report comes from a later process gets no prompt and keeps no stream", () => {
-  const scenario = Scenario.create();
-  scenario.request("1", streamPath);
-  scenario.stream("1", 1, 3);
+  const scenario = createStreaming();
   scenario.wait(300);
   const { replica, copyTo } = scenario.sent("1").attempt;
   scenario.probed(replica, scenario.at - 10, {
     isAnswered: true,
-    report: {
-      startedAt: replica.startedAt + 5000,
-      queued: 0,
-      active: 0,
-      memoryUsed: 0,
-      memoryTotal: 1,
-      runs: [],
-    },
+    report: { ...idleReport, startedAt: replica.startedAt + 5000 },
   });
   assert.equal(scenario.sent("1").attempt.replica.id, copyTo?.id);
   for (let request = 2; request < 12; request += 1) {
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -30,10 +30,8 @@
   readonly log: Log<DecisionContext>;
 }
 
-/** The front also stops by steps: first it asks callers to leave, then it closes. */
+/** The front also stops by steps: it asks callers to leave, and closes when it is told to. */
 export interface FrontDriver extends RelayDriver {
-  /** Every answer from now on closes its connection. */
-  beginDrain(): void;
   /** Takes no new connections, and closes those without a request under way. */
   closeIdle(): void;
 }
@@ -228,6 +226,9 @@
         writeOwn(found.res, status, reason, retryAfterMs);
         return;
       }
+      case "beginDrain":
+        isDraining = true;
+        return;
       case "applyLimits":
         applyLimits(command.limits);
         return;
@@ -238,9 +239,6 @@
   return {
     events: channel.stream,
     perform,
-    beginDrain: () => {
-      isDraining = true;
-    },
     closeIdle: () => {
       if (server.listening) server.close();
       server.closeIdleConnections();
