--- a/bench/src/report/saveResult.ts
+++ b/bench/src/report/saveResult.ts
@@ -3,7 +3,7 @@
 import { mkdir, readFile, writeFile } from "node:fs/promises";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
-import { err, ok, type Result } from "@cardamomglade/common";
+import { err, isRecord, ok, type Result } from "@cardamomglade/common";
 import type { Row, SavedResult } from "../types.js";
 
 /** Folder of saved results. */
@@ -20,9 +20,6 @@
   return file;
 };
 
-const isRecord = (value: unknown): value is Record<string, unknown> =>
-  typeof value === "object" && value !== null;
-
 const isRow = (value: unknown): value is Row =>
   isRecord(value) &&
   typeof value.name === "string" &&
--- a/packages/cli/src/logs/readLogLine.ts
+++ b/packages/cli/src/logs/readLogLine.ts
@@ -1,12 +1,10 @@
 /** Reads one JSON log line; what a collector wrote before it is passed over. */
 
+import { isRecord } from "@cardamomglade/common";
 import type { LogLine } from "./types.js";
 
 const hidden = new Set(["router", "zone", "logLevel", "requestId"]);
 
-const isTable = (value: unknown): value is Record<string, unknown> =>
-  typeof value === "object" && value !== null && !Array.isArray(value);
-
 const parse = (text: string): unknown => {
   const begin = text.indexOf("{");
   if (begin === -1) return undefined;
@@ -27,7 +25,7 @@
 ): LogLine | undefined => {
   if (!text.includes(requestId)) return undefined;
   const line = parse(text);
-  if (!isTable(line) || !isTable(line.context)) return undefined;
+  if (!isRecord(line) || !isRecord(line.context)) return undefined;
   const { context, time, message } = line;
   if (context.requestId !== requestId || typeof time !== "number")
     return undefined;
--- a/packages/cli/src/timeline/readTimeline.ts
+++ b/packages/cli/src/timeline/readTimeline.ts
@@ -1,6 +1,6 @@
 /** Reads the time line of one router. */
 
-import { abortAt, now } from "@cardamomglade/common";
+import { abortAt, isRecord, now } from "@cardamomglade/common";
 import { validateTimelineEvent } from "@cardamomglade/schema";
 import { request } from "undici";
 import type { TimelineReading } from "./types.js";
@@ -15,9 +15,6 @@
 const answerTimeoutMs = 2000;
 const maxAnswerBytes = 32 * 1024 * 1024;
 
-const isRecord = (value: unknown): value is Record<string, unknown> =>
-  typeof value === "object" && value !== null;
-
 const isText = (value: unknown): value is string => typeof value === "string";
 
 /** The reading in a router's answer; events that the schema refuses are an error. */
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -23,6 +23,7 @@
   tickHybridClock,
   type HybridClock,
 } from "./hybridClock.js";
+export { isRecord } from "./isRecord.js";
 export { now } from "./now.js";
 export { prefixBlocks } from "./prefixBlocks.js";
 export { err, ok } from "./result.js";
