--- a/bench/src/demo.ts
+++ b/bench/src/demo.ts
@@ -3,7 +3,8 @@
 import { expectedTokens, textOfTokens } from "@cardamomglade/stand-ins";
 import { checkRecord } from "./checker/checkRecord.js";
 import type { Violation } from "./checker/types.js";
-import { Fleet, fleetModel, type FleetRouter } from "./harness/fleet.js";
+import { Fleet, fleetModel } from "./harness/fleet.js";
+import type { FleetRouter } from "./harness/fleetMembers.js";
 import type { ReadAnswer } from "./harness/readAnswer.js";
 import { RunRecorder } from "./harness/runRecorder.js";
 
--- a/bench/src/experiments/capacity.ts
+++ b/bench/src/experiments/capacity.ts
@@ -4,13 +4,8 @@
 import { encodeMessage } from "@cardamomglade/peers";
 import { MemberStatus, type Gossip } from "@cardamomglade/schema";
 import { planIntent, targetSize } from "../capacity/planIntent.js";
-import {
-  callerKey,
-  Fleet,
-  fleetModel,
-  readLedger,
-  type FleetRouter,
-} from "../harness/fleet.js";
+import { callerKey, Fleet, fleetModel } from "../harness/fleet.js";
+import { readLedger, type FleetRouter } from "../harness/fleetMembers.js";
 import { readUsage, type ProcessUsage } from "../harness/processUsage.js";
 import { readAnswer } from "../harness/readAnswer.js";
 import type { Experiment, Row } from "../types.js";
--- a/bench/src/experiments/config.ts
+++ b/bench/src/experiments/config.ts
@@ -9,7 +9,8 @@
   planIntent,
   readEvents,
 } from "../harness/administration.js";
-import { Fleet, orderFault, readLedger } from "../harness/fleet.js";
+import { Fleet } from "../harness/fleet.js";
+import { orderFault, readLedger } from "../harness/fleetMembers.js";
 import type { Experiment, Row } from "../types.js";
 import { quantile } from "../report/quantile.js";
 
--- a/bench/src/experiments/leaving.ts
+++ b/bench/src/experiments/leaving.ts
@@ -9,13 +9,8 @@
   postPath,
   readEvents,
 } from "../harness/administration.js";
-import {
-  callerKey,
-  Fleet,
-  fleetModel,
-  startStandIn,
-  type FleetMember,
-} from "../harness/fleet.js";
+import { callerKey, Fleet, fleetModel } from "../harness/fleet.js";
+import { startStandIn, type FleetMember } from "../harness/fleetMembers.js";
 import { readAnswer } from "../harness/readAnswer.js";
 import { request } from "undici";
 import type { Experiment, Row } from "../types.js";
--- a/bench/src/experiments/membership.ts
+++ b/bench/src/experiments/membership.ts
@@ -3,7 +3,8 @@
 import { readFile } from "node:fs/promises";
 import { MemberStatus } from "@cardamomglade/schema";
 import { request } from "undici";
-import { Fleet, operatorToken, type FleetRouter } from "../harness/fleet.js";
+import { Fleet, operatorToken } from "../harness/fleet.js";
+import type { FleetRouter } from "../harness/fleetMembers.js";
 import { memberName, MemberNetwork } from "../harness/memberNetwork.js";
 import type { Experiment, Row } from "../types.js";
 import { quantile } from "../report/quantile.js";
--- a/bench/src/experiments/overload.ts
+++ b/bench/src/experiments/overload.ts
@@ -2,7 +2,8 @@
 
 import { request } from "undici";
 import { Priority, type Customer, type Intent } from "@cardamomglade/schema";
-import { callerKey, Fleet, type FleetRouter } from "../harness/fleet.js";
+import { callerKey, Fleet } from "../harness/fleet.js";
+import type { FleetRouter } from "../harness/fleetMembers.js";
 import {
   firstTokenMs,
   isGood,
--- a/bench/src/experiments/recovery.ts
+++ b/bench/src/experiments/recovery.ts
@@ -3,7 +3,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { RecoveryPolicy } from "@cardamomglade/schema";
 import type { Fault } from "@cardamomglade/stand-ins";
-import { Fleet, orderFault, type FleetMember } from "../harness/fleet.js";
+import { Fleet } from "../harness/fleet.js";
+import { orderFault, type FleetMember } from "../harness/fleetMembers.js";
 import {
   askMany,
   longestGapAfter,
--- a/bench/src/experiments/rolling.ts
+++ b/bench/src/experiments/rolling.ts
@@ -3,13 +3,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { expectedTokens, textOfTokens } from "@cardamomglade/stand-ins";
-import {
-  callerKey,
-  Fleet,
-  fleetModel,
-  waitUntilReady,
-  type FleetRouter,
-} from "../harness/fleet.js";
+import { callerKey, Fleet, fleetModel } from "../harness/fleet.js";
+import { waitUntilReady, type FleetRouter } from "../harness/fleetMembers.js";
 import { readAnswer } from "../harness/readAnswer.js";
 import type { Experiment, Row } from "../types.js";
 
--- a/bench/src/experiments/routing.ts
+++ b/bench/src/experiments/routing.ts
@@ -1,13 +1,12 @@
 /** Choice of back ends against round robin and least in flight, under late reports and a slow engine. */
 
 import { RoutingStrategyName } from "@cardamomglade/schema";
+import { callerKey, Fleet } from "../harness/fleet.js";
 import {
-  callerKey,
-  Fleet,
   orderFault,
   readLedger,
   type FleetMember,
-} from "../harness/fleet.js";
+} from "../harness/fleetMembers.js";
 import {
   betweenTokensMs,
   firstTokenMs,
--- a/bench/src/experiments/smoke.ts
+++ b/bench/src/experiments/smoke.ts
@@ -1,7 +1,8 @@
 /** Streams through the death and the freeze of an engine. */
 
 import { expectedTokens, textOfTokens } from "@cardamomglade/stand-ins";
-import { callerKey, Fleet, fleetModel, orderFault } from "../harness/fleet.js";
+import { callerKey, Fleet, fleetModel } from "../harness/fleet.js";
+import { orderFault } from "../harness/fleetMembers.js";
 import { readAnswer } from "../harness/readAnswer.js";
 import type { Experiment, Row } from "../types.js";
 
--- a/bench/src/experiments/storeDown.ts
+++ b/bench/src/experiments/storeDown.ts
@@ -10,7 +10,8 @@
   sendBookings,
   waitForHolders,
 } from "../harness/bookings.js";
-import { Fleet, orderFault } from "../harness/fleet.js";
+import { Fleet } from "../harness/fleet.js";
+import { orderFault } from "../harness/fleetMembers.js";
 import type { Experiment, Row } from "../types.js";
 import { quantile } from "../report/quantile.js";
 
--- a/bench/src/faults/injectFault.ts
+++ b/bench/src/faults/injectFault.ts
@@ -3,7 +3,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { assertNever } from "@cardamomglade/common";
 import type { Fault } from "@cardamomglade/stand-ins";
-import { orderFault, type Fleet, type FleetMember } from "../harness/fleet.js";
+import type { Fleet } from "../harness/fleet.js";
+import { orderFault, type FleetMember } from "../harness/fleetMembers.js";
 import type { RunRecorder } from "../harness/runRecorder.js";
 import type { FaultAction, PlannedFault } from "./types.js";
 
--- a/bench/src/faults/runWorkload.ts
+++ b/bench/src/faults/runWorkload.ts
@@ -1,7 +1,8 @@
 /** Callers and operators of a fault run. */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Fleet, FleetRouter } from "../harness/fleet.js";
+import type { Fleet } from "../harness/fleet.js";
+import type { FleetRouter } from "../harness/fleetMembers.js";
 import type { RunRecorder } from "../harness/runRecorder.js";
 
 const askEveryMs = 250;
--- a/bench/src/harness/administration.ts
+++ b/bench/src/harness/administration.ts
@@ -3,7 +3,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import type { Intent, Plan, TimelineEvent } from "@cardamomglade/schema";
-import { operatorToken, type FleetRouter } from "./fleet.js";
+import { operatorToken } from "./fleet.js";
+import type { FleetRouter } from "./fleetMembers.js";
 
 const headers = {
   authorization: `Bearer ${operatorToken}`,
--- a/bench/src/harness/bookings.ts
+++ b/bench/src/harness/bookings.ts
@@ -3,12 +3,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, request } from "undici";
 import { Ran } from "@cardamomglade/common";
-import {
-  callerKey,
-  readLedger,
-  type Fleet,
-  type FleetMember,
-} from "./fleet.js";
+import { callerKey, type Fleet } from "./fleet.js";
+import { readLedger, type FleetMember } from "./fleetMembers.js";
 
 /** One booking as its client saw it. */
 export interface Booking {
--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -4,7 +4,6 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import path from "node:path";
-import { request } from "undici";
 import { now } from "@cardamomglade/common";
 import { KeyValueClient, type KeyValueEntry } from "@cardamomglade/platform";
 import { ConfigStore } from "@cardamomglade/router";
@@ -21,13 +20,14 @@
   type RecoveryPolicy,
   type Settings,
 } from "@cardamomglade/schema";
-import type { Fault } from "@cardamomglade/stand-ins";
 import {
-  findFreePort,
-  startProcess,
-  waitForLine,
-  type StartedProcess,
-} from "./processes.js";
+  type FleetMember,
+  type FleetRouter,
+  launchRouter,
+  startStandIn,
+  waitUntilReady,
+} from "./fleetMembers.js";
+import { findFreePort } from "./processes.js";
 
 /** What a fleet is made of. */
 export interface FleetOptions {
@@ -46,27 +46,9 @@
   readonly ledger?: Partial<Settings["ledger"]>;
 }
 
-/** A stand-in and its address. */
-export interface FleetMember {
-  readonly name: string;
-  readonly url: string;
-  readonly process: StartedProcess;
-}
-
-/** A router and its addresses. */
-export interface FleetRouter {
-  readonly name: string;
-  readonly callersUrl: string;
-  readonly administrationUrl: string;
-  readonly settingsFile: string;
-  readonly process: StartedProcess;
-}
-
 const prefix = "/cardamomglade/";
 const zones = ["zone-a", "zone-b", "zone-c"];
 const region = "region-1";
-const pollMs = 20;
-const readyTimeoutMs = 10_000;
 const callTimeoutMs = 2000;
 
 /** Model and version that every fleet serves. */
@@ -355,77 +337,3 @@
 
 const range = (count: number): number[] =>
   Array.from({ length: count }, (_, index) => index);
-
-const launchRouter = async (
-  name: string,
-  settingsFile: string,
-): Promise<FleetRouter> => {
-  const started = startProcess({
-    name,
-    script: "cardamomglade",
-    args: ["route", "--settings", settingsFile],
-  });
-  const line = await waitForLine(
-    started,
-    ({ message }) => message === "listening",
-  );
-  const { detail } = line.context as { detail: string };
-  const [callersUrl = "", administrationUrl = ""] = detail.split(" ");
-  return {
-    name,
-    callersUrl,
-    administrationUrl,
-    settingsFile,
-    process: started,
-  };
-};
-
-/** Starts a stand-in of a kind. */
-export const startStandIn = async (
-  kind: string,
-  name: string,
-  flags: readonly string[],
-): Promise<FleetMember> => {
-  const started = startProcess({
-    name,
-    script: "stand-in",
-    args: [kind, "--name", name, ...flags],
-  });
-  const line = await waitForLine(started, ({ url }) => typeof url === "string");
-  return { name, url: String(line.url), process: started };
-};
-
-/** Waits until a router has a configuration in force. */
-export const waitUntilReady = async ({
-  name,
-  administrationUrl,
-}: FleetRouter): Promise<void> => {
-  const deadline = Date.now() + readyTimeoutMs;
-  while (Date.now() < deadline) {
-    const res = await request(`${administrationUrl}/health/ready`);
-    await res.body.dump();
-    if (res.statusCode === 200) return;
-    await new Promise((resolve) => setTimeout(resolve, pollMs));
-  }
-  throw new Error(
-    `router "${name}" was not ready within ${String(readyTimeoutMs)} ms`,
-  );
-};
-
-/** Orders a fault of a stand-in. */
-export const orderFault = async (
-  member: FleetMember,
-  fault: Fault,
-): Promise<void> => {
-  const res = await request(`${member.url}/faults`, {
-    method: "POST",
-    body: JSON.stringify(fault),
-  });
-  await res.body.dump();
-};
-
-/** A stand-in's record of what was really run. */
-export const readLedger = async <T>(member: FleetMember): Promise<T> => {
-  const res = await request(`${member.url}/ledger`);
-  return (await res.body.json()) as T;
-};
--- a/bench/src/harness/offerLoad.ts
+++ b/bench/src/harness/offerLoad.ts
@@ -5,7 +5,8 @@
   seedGenerator,
   type GeneratorState,
 } from "@cardamomglade/common";
-import { fleetModel, type FleetRouter } from "./fleet.js";
+import { fleetModel } from "./fleet.js";
+import type { FleetRouter } from "./fleetMembers.js";
 import { readAnswer, type ReadAnswer } from "./readAnswer.js";
 
 /** Time to the first token that callers are promised. */
--- a/bench/src/harness/runRecorder.ts
+++ b/bench/src/harness/runRecorder.ts
@@ -20,16 +20,13 @@
   RunRecord,
   ServiceRun,
 } from "../checker/types.js";
+import { callerKey, fleetModel, operatorToken, type Fleet } from "./fleet.js";
 import {
-  callerKey,
-  fleetModel,
-  operatorToken,
   orderFault,
   readLedger,
-  type Fleet,
   type FleetMember,
   type FleetRouter,
-} from "./fleet.js";
+} from "./fleetMembers.js";
 import { readAnswer, type ReadAnswer } from "./readAnswer.js";
 
 /** A generation to ask for; its prompt has to be unique in the run. */
--- a/bench/src/harness/streamLoad.ts
+++ b/bench/src/harness/streamLoad.ts
@@ -6,13 +6,8 @@
   textOfTokens,
   type EngineLedgerEntry,
 } from "@cardamomglade/stand-ins";
-import {
-  callerKey,
-  fleetModel,
-  readLedger,
-  type Fleet,
-  type FleetMember,
-} from "./fleet.js";
+import { callerKey, fleetModel, type Fleet } from "./fleet.js";
+import { readLedger, type FleetMember } from "./fleetMembers.js";
 import { readAnswer, type ReadAnswer } from "./readAnswer.js";
 
 /** How many streams, and how long. */
