--- a/bench/src/harness/fleetMembers.ts
+++ b/bench/src/harness/fleetMembers.ts
@@ -2,6 +2,7 @@
 
 import { request } from "undici";
 import type { Fault } from "@cardamomglade/stand-ins";
+import { pollUntil } from "./pollUntil.js";
 import { startProcess, waitForLine, type StartedProcess } from "./processes.js";
 
 /** A stand-in and its address. */
@@ -68,13 +69,12 @@
   name,
   administrationUrl,
 }: FleetRouter): Promise<void> => {
-  const deadline = Date.now() + readyTimeoutMs;
-  while (Date.now() < deadline) {
+  const askReady = async (): Promise<true | undefined> => {
     const res = await request(`${administrationUrl}/health/ready`);
     await res.body.dump();
-    if (res.statusCode === 200) return;
-    await new Promise((resolve) => setTimeout(resolve, pollMs));
-  }
+    return res.statusCode === 200 ? true : undefined;
+  };
+  if (await pollUntil(askReady, pollMs, readyTimeoutMs)) return;
   throw new Error(
     `router "${name}" was not ready within ${String(readyTimeoutMs)} ms`,
   );
--- a/bench/src/harness/processes.ts
+++ b/bench/src/harness/processes.ts
@@ -4,6 +4,7 @@
 import { createServer } from "node:net";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
+import { pollUntil } from "./pollUntil.js";
 
 /** A started process. */
 export interface StartedProcess {
@@ -115,12 +116,9 @@
   started: StartedProcess,
   fits: (line: Readonly<Record<string, unknown>>) => boolean,
 ): Promise<Readonly<Record<string, unknown>>> => {
-  const deadline = Date.now() + startTimeoutMs;
-  while (Date.now() < deadline) {
-    const found = started.lines.find(fits);
-    if (found !== undefined) return found;
-    await new Promise((resolve) => setTimeout(resolve, pollMs));
-  }
+  const findLine = () => started.lines.find(fits);
+  const found = await pollUntil(findLine, pollMs, startTimeoutMs);
+  if (found !== undefined) return found;
   throw new Error(
     `process "${started.name}" did not start within ${String(startTimeoutMs)} ms`,
   );
--- a/bench/src/soak/soakRouter.ts
+++ b/bench/src/soak/soakRouter.ts
@@ -4,6 +4,7 @@
 import { writeFile } from "node:fs/promises";
 import path from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { pollUntil } from "../harness/pollUntil.js";
 import { startProcess, type StartedProcess } from "../harness/processes.js";
 
 /** Where a router listens and what it is told. */
@@ -137,11 +138,8 @@
       if (this.isWanted && this.process === started)
         this.options.onOwnEnd(code);
     });
-    const deadline = Date.now() + readyTimeoutMs;
-    while (Date.now() < deadline) {
-      if (await askReadiness(this.host)) break;
-      await sleep(askEveryMs / 4);
-    }
+    const askReady = async () => (await askReadiness(this.host)) || undefined;
+    await pollUntil(askReady, askEveryMs / 4, readyTimeoutMs);
   }
 
   /** Changes a bound in the settings file and says so. */
