--- a/packages/decisions/src/config/applyConfig.ts
+++ b/packages/decisions/src/config/applyConfig.ts
@@ -36,6 +36,7 @@
   listedLeavingHosts: ReadonlySet<string>,
 ): ActiveConfig => {
   const { revision, intent } = accepted;
+  const served = servedDeployments(accepted);
   return {
     revision,
     intent,
@@ -54,7 +55,10 @@
     services: new Map(
       intent.services.map((service) => [service.name, service]),
     ),
-    deploymentsByModel: groupByModel(servedDeployments(accepted)),
+    deploymentsByName: new Map(
+      served.map((deployment) => [deployment.name, deployment]),
+    ),
+    deploymentsByModel: groupByModel(served),
     leavingHosts: leavingHostsOf(intent, listedLeavingHosts),
     listedLeavingHosts,
   };
--- a/packages/decisions/src/config/types.ts
+++ b/packages/decisions/src/config/types.ts
@@ -36,6 +36,8 @@
   readonly customersByKeyHash: ReadonlyMap<string, Customer>;
   readonly backEnds: ReadonlyMap<string, BackEnd>;
   readonly services: ReadonlyMap<string, Service>;
+  /** Deployments as currently served, by name and by model. */
+  readonly deploymentsByName: ReadonlyMap<string, Deployment>;
   readonly deploymentsByModel: ReadonlyMap<string, readonly Deployment[]>;
   /** Hosts that get no new requests because the intent or the host list marks them as leaving. */
   readonly leavingHosts: ReadonlySet<string>;
--- a/packages/router/src/actions/admissionCapacity.ts
+++ b/packages/router/src/actions/admissionCapacity.ts
@@ -13,18 +13,12 @@
   backEndViewOf,
   type Capacity,
 } from "@cardamomglade/decisions";
-import type { BackEnd, Deployment } from "@cardamomglade/schema";
+import type { BackEnd } from "@cardamomglade/schema";
 import type { RouterState } from "../types.js";
 import { candidatesOf } from "./candidatesOf.js";
 
-const findDeployment = (
-  state: RouterState,
-  name: string,
-): Deployment | undefined =>
-  state.config.intent.deployments.find((one) => one.name === name);
-
 const findEligibleBackEnds = (state: RouterState, name: string): BackEnd[] => {
-  const deployment = findDeployment(state, name);
+  const deployment = state.config.deploymentsByName.get(name);
   if (deployment === undefined) return [];
   const { model, version, adapter, backEnds } = deployment;
   const { zone, region } = state.router;
--- a/packages/router/src/callers/checkResume.test.ts
+++ b/packages/router/src/callers/checkResume.test.ts
@@ -142,3 +142,14 @@
     );
   }
 });
+
+test("a cursor of the version served stays valid while the next one is loaded", () => {
+  const { intent } = config;
+  const upgraded = intent.deployments.map((one) => ({ ...one, version: "v2" }));
+  const next = applyConfig(config, {
+    revision: 2,
+    intent: { ...intent, deployments: upgraded },
+    serving: intent.deployments,
+  });
+  assert.equal(checkResume({ ...options, config: next }).type, "ok");
+});
--- a/packages/router/src/callers/checkResume.ts
+++ b/packages/router/src/callers/checkResume.ts
@@ -56,10 +56,7 @@
   { config, at }: ResumeOptions,
 ): string | undefined => {
   if (at > deadline) return "the deadline of the cursor's answer has passed";
-  const serving = config.intent.deployments.find(
-    ({ name }) => name === deployment,
-  );
-  return serving?.version === version
+  return config.deploymentsByName.get(deployment)?.version === version
     ? undefined
     : `deployment "${deployment}" no longer serves version "${version}" of the cursor`;
 };
