Share the watch of the store between the routers of an availability zone

Cause: each router watched the store itself, so calls grew with routers times changes; they were the largest price on the grown and large sites. Two routers of a zone (from six routers up, and where the bounds leave time for a detour) watch the store, chosen by all alike from the registered routers; the others follow one of them over ws + msgpackr and leave it when its last confirmation by the store is 0.45 of the shortest bound old: dead, paused, cut off, behind or silent are one case. A follower that finds none watches the store itself. Values over 32 KB are read from the store, as hosts' links are slow.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -7,6 +7,8 @@
   bundle: true,
   platform: "node",
   target: "node20",
+  // Without the native addon, whose search for binaries slows the start.
+  alias: { msgpackr: "msgpackr/pack" },
   format: "esm",
   minify: true,
   sourcemap: false,
--- /dev/null
+++ b/packages/platform/src/sharedWatch/constants.ts
@@ -0,0 +1,31 @@
+/** Limits of shared watches. */
+
+/** Minimum number of routers in an availability zone at which their watches are shared. */
+export const minZoneRouterCount = 6;
+
+/** Routers of an availability zone that watch the store for the others: two, so that one may fail. */
+export const watchersPerZoneCount = 2;
+
+/** How long a router that failed to share its watch is avoided. */
+export const routerAvoidanceMs = 5000;
+
+/** Time within which a router of the same zone accepts a connection. */
+export const followTimeoutMs = 400;
+
+/** Length of a value beyond which a follower reads it from the store: routers' links are slow. */
+export const maxSharedValueLength = 32 * 1024;
+
+/** Number of changes that a router keeps for followers. */
+export const maxHistoryChangeCount = 4000;
+
+/** Bytes of a message above which the connection is closed. */
+export const maxMessageBytes = 8 * 1024 * 1024;
+
+/** Bytes that a follower may leave unread before its connection is closed. */
+export const maxUnreadBytes = 4 * 1024 * 1024;
+
+/** Deadline of reading one long value from the store, from the time of its change. */
+export const valueReadTimeoutMs = 1500;
+
+/** Interval between two messages to a follower while the time limits rule out sharing. */
+export const defaultHeartbeatMs = 1000;
--- /dev/null
+++ b/packages/platform/src/sharedWatch/followRouter.ts
@@ -0,0 +1,97 @@
+/** A follower's connection to the router whose watch it shares. */
+
+import type { WebSocket, RawData } from "ws";
+import { now, type Timestamp } from "@cardamomglade/common";
+import { decodeSharedMessage, encodeFollowRequest } from "./codec.js";
+import { followTimeoutMs, maxMessageBytes } from "./constants.js";
+import type {
+  RouterAddress,
+  SharedMessage,
+  SharedWatchLimits,
+} from "./types.js";
+
+/** Callbacks and limits of a connection. */
+export interface FollowOptions {
+  readonly address: RouterAddress;
+  /** Latest revision that the follower knows. */
+  readonly after: number;
+  readonly limits: SharedWatchLimits;
+  readonly onMessage: (message: SharedMessage) => void;
+  /** Called once, when the router can no longer be followed. */
+  readonly onLost: (reason: string) => void;
+}
+
+/** Handle of a connection. */
+export interface Follow {
+  /** Ends it without a call of `onLost`. */
+  close(): void;
+}
+
+/** Joins the fragments of a message. */
+export const bytesOf = (data: RawData): Uint8Array => {
+  if (Array.isArray(data)) return Buffer.concat(data);
+  return data instanceof ArrayBuffer ? new Uint8Array(data) : data;
+};
+
+/**
+ * Follows a router. It is lost when its last confirmation by the store is too
+ * old, whatever the cause: a dead or paused process, a silent connection, or a
+ * router that is cut off from the store.
+ */
+export const followRouter = (options: FollowOptions): Follow => {
+  const { address, after, limits, onMessage, onLost } = options;
+  let socket: WebSocket | undefined;
+  let isOver = false;
+  let confirmedAt: Timestamp = now();
+  const close = () => {
+    isOver = true;
+    clearInterval(timer);
+    clearTimeout(connectTimer);
+    socket?.terminate();
+  };
+  const lose = (reason: string) => {
+    if (isOver) return;
+    close();
+    onLost(reason);
+  };
+  const connectTimer = setTimeout(() => {
+    lose("no answer in time");
+  }, followTimeoutMs);
+  const timer = setInterval(() => {
+    if (now() - confirmedAt > limits.maxAgeMs)
+      lose("no recent confirmation by the store");
+  }, limits.heartbeatMs);
+  const receive = (data: RawData) => {
+    clearTimeout(connectTimer);
+    const message = decodeSharedMessage(bytesOf(data));
+    if (message === undefined) {
+      lose("a malformed message");
+      return;
+    }
+    if (message.type === "changes")
+      confirmedAt = Math.max(confirmedAt, now() - message.ageMs);
+    if (!isOver) onMessage(message);
+  };
+  const connect = async () => {
+    const ws = await import("ws");
+    if (isOver) return;
+    socket = new ws.WebSocket(`ws://${address.host}:${String(address.port)}/`, {
+      perMessageDeflate: false,
+      maxPayload: maxMessageBytes,
+    });
+    socket.on("open", () => {
+      socket?.send(encodeFollowRequest(after));
+    });
+    socket.on("message", receive);
+    socket.on("error", (error) => {
+      lose(error.message);
+    });
+    socket.on("close", () => {
+      lose("connection closed");
+    });
+  };
+  connect().catch((error: unknown) => {
+    lose(error instanceof Error ? error.message : String(error));
+  });
+  return { close };
+};
--- /dev/null
+++ b/packages/platform/src/sharedWatch/index.ts
@@ -0,0 +1,4 @@
+/** Watches of the store that routers share. */
+
+export { SharedWatch, type SharedWatchOptions } from "./sharedWatch.js";
+export type { SharedWatchLimits, SharingRouter, WatchSource } from "./types.js";
--- /dev/null
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -0,0 +1,281 @@
+/** Watches the store, or follows the watch of another router of the availability zone. */
+
+import { now, type Timestamp } from "@cardamomglade/common";
+import type {
+  KeyValue,
+  WatchChange,
+  WatchEvent,
+  WatchHandle,
+} from "../types.js";
+import {
+  createHistory,
+  recordChanges,
+  type ChangeHistory,
+} from "./changeHistory.js";
+import { chooseWatchSource } from "./chooseWatchSource.js";
+import {
+  defaultHeartbeatMs,
+  routerAvoidanceMs,
+  valueReadTimeoutMs,
+} from "./constants.js";
+import { FollowerServer } from "./followerServer.js";
+import { followRouter } from "./followRouter.js";
+import type {
+  RouterAddress,
+  SharedChange,
+  SharedMessage,
+  SharedWatchLimits,
+  SharingRouter,
+  WatchSource,
+} from "./types.js";
+
+type WatchedStore = Pick<KeyValue, "range" | "watch">;
+type Changes = Extract<WatchEvent, { readonly type: "changes" }>;
+
+/** Options of a shared watch. */
+export interface SharedWatchOptions {
+  readonly store: WatchedStore;
+  readonly router: string;
+  readonly zone: string;
+  /** Where this router accepts followers. */
+  readonly address: RouterAddress;
+  /** Undefined while the time limits are too short for a detour. */
+  readonly limits: () => SharedWatchLimits | undefined;
+  /** Called when the source of the watch changes, with the reason. */
+  readonly onSource: (source: WatchSource, reason: string) => void;
+  readonly onError: (reason: string) => void;
+}
+
+/** The watch under way. */
+interface ActiveWatch {
+  readonly key: string;
+  readonly onEvent: (event: WatchEvent) => void;
+  source: WatchSource;
+  revision: number;
+  handle: WatchHandle | undefined;
+}
+
+/** A watch of the store's entries whose source may change while it runs. */
+export class SharedWatch implements WatchedStore {
+  private routers: readonly SharingRouter[] = [];
+  private history: ChangeHistory | undefined;
+  private active: ActiveWatch | undefined;
+  private readonly avoidedUntil = new Map<string, Timestamp>();
+  private readonly server: FollowerServer;
+
+  private constructor(private readonly options: SharedWatchOptions) {
+    const { address, limits, onError } = options;
+    this.server = FollowerServer.create({
+      address,
+      onError,
+      heartbeatMs: () => limits()?.heartbeatMs ?? defaultHeartbeatMs,
+      history: () => this.history,
+      isRouter: (host) =>
+        this.routers.some((one) => one.address?.host === host),
+      onFirstFollower: () => {
+        this.restart("other routers follow this one");
+      },
+    });
+  }
+
+  static create(options: SharedWatchOptions): SharedWatch {
+    return new SharedWatch(options);
+  }
+
+  /** Returns the number of routers that follow this one. */
+  followerCount(): number {
+    return this.server.count();
+  }
+
+  /** Sets the registered routers. */
+  setRouters(routers: readonly SharingRouter[]): void {
+    this.routers = routers;
+  }
+
+  async range(
+    ...args: Parameters<WatchedStore["range"]>
+  ): ReturnType<WatchedStore["range"]> {
+    const sentAt = now();
+    const outcome = await this.options.store.range(...args);
+    if (outcome.type === "done")
+      this.history = createHistory(outcome.value.revision, sentAt);
+    return outcome;
+  }
+
+  watch(
+    key: string,
+    { fromRevision }: { readonly fromRevision: number },
+    onEvent: (event: WatchEvent) => void,
+  ): WatchHandle {
+    const watch: ActiveWatch = {
+      key,
+      onEvent,
+      source: this.active?.source ?? { type: "store" },
+      revision: fromRevision - 1,
+      handle: undefined,
+    };
+    this.active?.handle?.close();
+    this.active = watch;
+    this.begin(watch, this.choose(), "");
+    return {
+      close: () => {
+        watch.handle?.close();
+        if (this.active === watch) this.active = undefined;
+      },
+    };
+  }
+
+  /** Ends the watch and the connections to followers. */
+  stop(): void {
+    this.active?.handle?.close();
+    this.active = undefined;
+    this.server.close();
+  }
+
+  private choose(): WatchSource {
+    if (this.options.limits() === undefined) return { type: "store" };
+    const { router, zone } = this.options;
+    const { routers, avoidedUntil } = this;
+    return chooseWatchSource({
+      router,
+      zone,
+      routers,
+      avoidedUntil,
+      hasFollowers: this.server.count() > 0,
+      at: now(),
+    });
+  }
+
+  private restart(reason: string): void {
+    const { active } = this;
+    if (active === undefined) return;
+    active.handle?.close();
+    this.begin(active, this.choose(), reason);
+  }
+
+  private begin(watch: ActiveWatch, source: WatchSource, reason: string): void {
+    const isSame =
+      source.type === watch.source.type &&
+      (source.type === "store" || watch.source.type === "store"
+        ? true
+        : source.router === watch.source.router);
+    watch.source = source;
+    if (!isSame) this.options.onSource(source, reason);
+    const limits = this.options.limits();
+    watch.handle =
+      source.type === "store" || limits === undefined
+        ? this.watchStore(watch)
+        : this.follow(watch, source, limits);
+  }
+
+  private watchStore(watch: ActiveWatch): WatchHandle {
+    const fromRevision = watch.revision + 1;
+    const handle = this.options.store.watch(
+      watch.key,
+      { prefix: true, fromRevision },
+      (event) => {
+        if (this.active !== watch || watch.handle !== handle) return;
+        if (event.type === "changes") this.apply(watch, event, now());
+        else watch.onEvent(event);
+        this.followIfPossible(watch, handle);
+      },
+    );
+    return handle;
+  }
+
+  /** Moves a watch of the store to another router's as soon as there is one to follow. */
+  private followIfPossible(watch: ActiveWatch, handle: WatchHandle): void {
+    if (this.active !== watch || watch.handle !== handle) return;
+    const source = this.choose();
+    if (source.type === "store") return;
+    handle.close();
+    this.begin(watch, source, "it watches for this zone");
+  }
+
+  private apply(watch: ActiveWatch, event: Changes, confirmedAt: Timestamp) {
+    if (this.history !== undefined)
+      recordChanges(this.history, event, confirmedAt);
+    watch.revision = Math.max(watch.revision, event.revision);
+    this.server.publish();
+    watch.onEvent(event);
+  }
+
+  private follow(
+    watch: ActiveWatch,
+    source: Extract<WatchSource, { readonly type: "router" }>,
+    limits: SharedWatchLimits,
+  ): WatchHandle {
+    let received = Promise.resolve();
+    const leave = (reason: string) => {
+      if (this.active !== watch || watch.handle !== handle) return;
+      this.avoidedUntil.set(source.router, now() + routerAvoidanceMs);
+      this.begin(watch, this.choose(), `${source.router}: ${reason}`);
+    };
+    const follow = followRouter({
+      address: source.address,
+      after: watch.revision,
+      limits,
+      // Long values are read in between, so each message waits for the one before.
+      onMessage: (message) => {
+        const receivedAt = now();
+        received = received.then(async () => {
+          if (this.active !== watch || watch.handle !== handle) return;
+          await this.receive(watch, message, receivedAt, (reason) => {
+            follow.close();
+            leave(reason);
+          });
+        });
+      },
+      onLost: leave,
+    });
+    const handle: WatchHandle = {
+      close: () => {
+        follow.close();
+      },
+    };
+    return handle;
+  }
+
+  private async receive(
+    watch: ActiveWatch,
+    message: SharedMessage,
+    receivedAt: Timestamp,
+    leave: (reason: string) => void,
+  ): Promise<void> {
+    if (message.type === "compacted") {
+      watch.onEvent({ type: "compacted", compactRevision: watch.revision });
+      return;
+    }
+    const { handle } = watch;
+    const changes = await this.readLongValues(message.changes, receivedAt);
+    if (this.active !== watch || watch.handle !== handle) return;
+    if (changes === undefined) {
+      leave("a long value could not be read from the store");
+      return;
+    }
+    const { revision, ageMs } = message;
+    const event = { type: "changes" as const, revision, changes };
+    this.apply(watch, event, receivedAt - ageMs);
+  }
+
+  private async readLongValues(
+    changes: readonly SharedChange[],
+    receivedAt: Timestamp,
+  ): Promise<WatchChange[] | undefined> {
+    const read: WatchChange[] = [];
+    for (const change of changes) {
+      if (change.type !== "putWithoutValue") {
+        read.push(change);
+        continue;
+      }
+      const deadline = receivedAt + valueReadTimeoutMs;
+      const options = { prefix: false, deadline };
+      const outcome = await this.options.store.range(change.key, options);
+      if (outcome.type !== "done") return undefined;
+      const entry = outcome.value.entries.find(({ key }) => key === change.key);
+      // A missing entry was deleted since; the deletion follows as a change.
+      if (entry !== undefined) read.push({ type: "put", entry });
+    }
+    return read;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/sharedWatch/types.ts
@@ -0,0 +1,55 @@
+/** Types of watches that routers share. */
+import type { WatchChange } from "../types.js";
+
+/** A router as registered in the store. */
+export interface SharingRouter {
+  readonly router: string;
+  /** Undefined if the entry names no availability zone. */
+  readonly zone: string | undefined;
+  /** Undefined if other routers cannot connect to it. */
+  readonly address: RouterAddress | undefined;
+}
+
+/** Host and port on which a router accepts connections of other routers. */
+export interface RouterAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Where a router watches the store's entries. */
+export type WatchSource =
+  | { readonly type: "store" }
+  | {
+      readonly type: "router";
+      readonly router: string;
+      readonly address: RouterAddress;
+    };
+
+/** A change sent to a follower; a long value is left out and read from the store instead. */
+export type SharedChange =
+  | WatchChange
+  | {
+      readonly type: "putWithoutValue";
+      readonly key: string;
+      readonly modRevision: number;
+    };
+
+/** Message from a watching router to a follower. */
+export type SharedMessage =
+  | {
+      readonly type: "changes";
+      readonly revision: number;
+      /** Time since the store last confirmed that nothing else changed. */
+      readonly ageMs: number;
+      readonly changes: readonly SharedChange[];
+    }
+  /** The follower's revision is older than the history; it has to list the entries. */
+  | { readonly type: "compacted" };
+
+/** Time limits of a shared watch. */
+export interface SharedWatchLimits {
+  /** Interval between two messages to a follower. */
+  readonly heartbeatMs: number;
+  /** Age of the last confirmation at which a follower leaves its router. */
+  readonly maxAgeMs: number;
+}
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -81,6 +81,7 @@
       readonly type: "register";
       readonly router: string;
       readonly address: Address | undefined;
+      readonly zone: string;
       readonly until: Timestamp;
     }
   | {
--- a/packages/relay/src/decisions/registration.ts
+++ b/packages/relay/src/decisions/registration.ts
@@ -60,7 +60,7 @@
 
 /** Writes or renews this router's entry when due. */
 export const maintainRegistration = (state: RelayState): RelayCommand[] => {
-  const { registration, router, address, at } = state;
+  const { registration, router, address, zone, at } = state;
   const { lease, nextWriteAt } = registration;
   if (at < nextWriteAt) return [];
   if (lease !== undefined) {
@@ -68,5 +68,6 @@
     return [{ type: "renewRegistration", lease }];
   }
   registration.nextWriteAt = at + registrationRetryMs;
-  return [{ type: "register", router, address, until: at + registrationTtlMs }];
+  const until = at + registrationTtlMs;
+  return [{ type: "register", router, address, zone, until }];
 };
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -10,4 +10,10 @@
 export type { RuntimeLimits } from "./decisions/types.js";
 export { httpCall, type HttpResult } from "./drivers/httpCall.js";
 export * from "./types.js";
-export { watchSchedule, type StoreUpdateLimits } from "./watchSchedule.js";
+export {
+  sharedWatchSchedule,
+  sharedWatchTimes,
+  watchSchedule,
+  type StoreUpdateLimits,
+  type WatchSchedule,
+} from "./watchSchedule.js";
