Judge replicas by recent outcomes that fade, resets and overdue answers included

Cause: a replica's failure rate moved by an eighth with each answer and never otherwise, so one that was avoided stayed avoided after it had recovered, and resets and overdue answers were no failures.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -3,12 +3,8 @@
 import { assertNever } from "@cardamomglade/common";
 import { misdirectedRequestStatus } from "../types.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
-import {
-  recordResponse,
-  recordContact,
-  recordLoss,
-  markReplaced,
-} from "./replicaViews.js";
+import { recordContact, recordLoss, markReplaced } from "./replicaViews.js";
+import { recordOutcome } from "./outcomes.js";
 import { recordRetry } from "./retryBudget.js";
 import { hasAttempt, sendRetry } from "./sendAttempt.js";
 import { logLine } from "./logLine.js";
@@ -87,9 +83,10 @@
       break;
     case AttemptFailure.Broken:
       recordLoss(state, attempt.replica, at);
+      recordOutcome(state, attempt.replica.id, true);
       break;
     case AttemptFailure.Malformed:
-      recordResponse(state, attempt.replica.id, true);
+      recordOutcome(state, attempt.replica.id, true);
       break;
     default:
       return assertNever(failure);
@@ -130,7 +127,7 @@
     return [line, ...sendRetry(state, exchange, "the replica refused")];
   }
   const isFailure = isServerError(answer);
-  recordResponse(state, attempt.replica.id, isFailure);
+  recordOutcome(state, attempt.replica.id, isFailure);
   const hasStarted = exchange.head !== undefined;
   if (isFailure && (hasStarted || hasAttempt(exchange))) {
     exchange.failedResponse = hasStarted ? undefined : answer;
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -12,6 +12,7 @@
   decodeCost,
   slotCost,
 } from "./constants.js";
+import { failureRateOf } from "./outcomes.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import { isAvailable, isSuspected, replicasOf } from "./replicaViews.js";
 import type { RelayState, ReplicaView } from "./types.js";
@@ -83,10 +84,11 @@
 };
 
 const plainCost = (state: RelayState, view: ReplicaView): number => {
-  const { inFlight, failureRate, replica } = view;
+  const { inFlight, replica } = view;
   const zoneCost = replica.zone === state.zone ? 0 : plainCrossZoneCost;
   const load = inFlight / Math.max(1, replica.slots);
-  return slotCost * load + zoneCost + failureRateCost * failureRate;
+  const failureCost = failureRateCost * failureRateOf(state, view);
+  return slotCost * load + zoneCost + failureCost;
 };
 
 const leastCostReplica = (
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -63,8 +63,11 @@
  */
 export const copyRefreshAfterMs = 2500;
 
-/** Weight of the latest response in a replica's exponentially smoothed failure rate. */
-export const failureRateSmoothing = 1 / 8;
+/** Time in which an outcome loses half of its weight. */
+export const outcomeHalfLifeMs = 3000;
+
+/** Number of outcomes that the average of the service counts for in a replica's failure rate. */
+export const priorOutcomeCount = 3;
 
 /**
  * Minimum number of routers assumed to share the fleet-wide retry budget while
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -3,12 +3,17 @@
 import type { Timestamp } from "@cardamomglade/common";
 import { ReplicaState, type Replica } from "../types.js";
 import {
-  failureRateSmoothing,
   correlatedLossCount,
   correlatedLossWindowMs,
   suspicionMs,
 } from "./constants.js";
-import type { RelayState, ReplicaView } from "./types.js";
+import type { OutcomeCounts, RelayState, ReplicaView } from "./types.js";
+
+/** Creates counts without an outcome. */
+export const createOutcomeCounts = (): OutcomeCounts => ({
+  succeeded: 0,
+  failed: 0,
+});
 
 /** Creates the view of a replica that has not been contacted yet. */
 export const createReplicaView = (replica: Replica): ReplicaView => ({
@@ -18,7 +23,9 @@
   heardAt: 0,
   suspectUntil: 0,
   probeSentAt: undefined,
-  failureRate: 0,
+  outcomes: createOutcomeCounts(),
+  outcomesCountedAt: 0,
+  unsharedOutcomes: createOutcomeCounts(),
   report: undefined,
   reportReceivedAt: 0,
   promptBlocks: undefined,
@@ -72,34 +79,6 @@
   view.replacedAt ??= at;
 };
 
-/** Updates the failure rate after a response of a replica that executed the request. */
-export const recordResponse = (
-  state: RelayState,
-  replicaId: string,
-  isFailure: boolean,
-): void => {
-  const view = state.replicas.get(replicaId);
-  if (view === undefined) return;
-  const value = isFailure ? 1 : 0;
-  view.failureRate += failureRateSmoothing * (value - view.failureRate);
-};
-
-/**
- * Initial failure rate of a new replica: the average of its service. Load
- * pattern: some requests fail at every replica; a new replica with a failure
- * rate of 0 would attract most requests of all routers until it is full.
- */
-export const averageFailureRate = (
-  state: RelayState,
-  service: string,
-): number => {
-  const rates = replicasOf(state, service).map(
-    ({ failureRate }) => failureRate,
-  );
-  const sum = rates.reduce((total, rate) => total + rate, 0);
-  return rates.length === 0 ? 0 : sum / rates.length;
-};
-
 const neighboursOf = (state: RelayState, { id, service, zone }: Replica) =>
   replicasOf(state, service).filter(
     ({ replica }) => replica.id !== id && replica.zone === zone,
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -4,11 +4,7 @@
 import { Severity } from "@cardamomglade/observe";
 import { ReplicaState, type Replica } from "../types.js";
 import { replicaReregistrationMs } from "./constants.js";
-import {
-  createReplicaView,
-  markReplaced,
-  averageFailureRate,
-} from "./replicaViews.js";
+import { createReplicaView, markReplaced } from "./replicaViews.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -71,7 +67,6 @@
   state.missingReplicas.delete(replica.id);
   if (known === undefined || !isSameProcess(known.replica, replica)) {
     const view = createReplicaView(replica);
-    view.failureRate = averageFailureRate(state, replica.service);
     state.replicas.set(replica.id, view);
     markPredecessorsReplaced(state, replica);
     if (replica.state === ReplicaState.Draining) view.drainingSince = state.at;
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -3,7 +3,8 @@
  * in order, whichever replica sent it.
  */
 
-import { recordResponse, recordContact } from "./replicaViews.js";
+import { recordOutcome } from "./outcomes.js";
+import { recordContact } from "./replicaViews.js";
 import { findAttempt, handleLostAttempt } from "./attemptEvents.js";
 import { completeExchange } from "./endExchange.js";
 import type { RelayCommand } from "./commands.js";
@@ -82,7 +83,7 @@
   const found = findAttempt(state, event);
   if (found === undefined) return [];
   const { exchange, attempt } = found;
-  recordResponse(state, attempt.replica.id, false);
+  recordOutcome(state, attempt.replica.id, false);
   return [
     { type: "finishStream", key: event.key },
     ...completeExchange(state, exchange, exchange.head?.status ?? 200),
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -17,6 +17,7 @@
 import { isEngineQueryDone } from "./queryEngines.js";
 import { abandonAndRetry, probeSilent } from "./probes.js";
 import { ensureCopy, hasUsableCopy } from "./kvCacheCopies.js";
+import { recordOutcome } from "./outcomes.js";
 import { maintainRegistration } from "./registration.js";
 import {
   canRetryElsewhere,
@@ -36,6 +37,12 @@
     attemptTimeoutTargetFactor * route.targetLatencyMs,
   );
 
+const isOverdue = (
+  exchange: Exchange,
+  { sentAt }: Attempt,
+  at: Timestamp,
+): boolean => at - sentAt >= attemptTimeoutMsOf(exchange);
+
 const isMigrationDue = (
   state: RelayState,
   { replica }: Attempt,
@@ -71,9 +78,10 @@
   exchange: Exchange,
   attempt: Attempt,
 ): RelayCommand[] => {
-  if (state.at - attempt.sentAt < attemptTimeoutMsOf(exchange)) return [];
+  if (!isOverdue(exchange, attempt, state.at)) return [];
   // A late response is better than none.
   if (!canRetryElsewhere(state, exchange)) return [];
+  recordOutcome(state, attempt.replica.id, true);
   return abandonAndRetry(state, exchange, attempt, "the answer is overdue");
 };
 
@@ -81,9 +89,12 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  if (state.at >= exchange.deadline)
-    return failExchange(state, exchange, "the deadline has passed");
   const { attempt, route, borrowing } = exchange;
+  if (state.at >= exchange.deadline) {
+    if (attempt !== undefined && isOverdue(exchange, attempt, state.at))
+      recordOutcome(state, attempt.replica.id, true);
+    return failExchange(state, exchange, "the deadline has passed");
+  }
   if (borrowing !== undefined && state.at >= borrowing.until)
     return sendRetry(state, exchange, borrowing.reason);
   if (isEngineQueryDone(state, exchange))
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -11,6 +11,12 @@
 } from "../types.js";
 import type { RouteTable } from "./routeTable.js";
 
+/** Numbers of attempts that succeeded and failed. */
+export interface OutcomeCounts {
+  succeeded: number;
+  failed: number;
+}
+
 /** This process's local view of one replica. */
 export interface ReplicaView {
   replica: Replica;
@@ -24,8 +30,11 @@
   suspectUntil: Timestamp;
   /** Send time of the probe in flight; undefined if there is none. */
   probeSentAt: Timestamp | undefined;
-  /** Exponentially smoothed share of failed responses. */
-  failureRate: number;
+  /** Recent outcomes of all routers' attempts; they lose weight with time from the given one on. */
+  readonly outcomes: OutcomeCounts;
+  outcomesCountedAt: Timestamp;
+  /** Outcomes of this router's attempts that other routers do not know yet. */
+  unsharedOutcomes: OutcomeCounts;
   /** Latest load report, and the time at which it was received. */
   report: EngineReport | undefined;
   reportReceivedAt: Timestamp;
