--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,18 +1,36 @@
-// Bundles the relay into a single minified file in target/ to keep its start-up short.
+// Bundles the relay into target/ as one minified script, with V8's code cache of a start beside it.
+import { execFileSync } from "node:child_process";
+import { rmSync } from "node:fs";
+import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 
-await build({
-  entryPoints: ["platform/src/main.ts"],
-  outfile: "target/cardamomglade.mjs",
+const root = fileURLToPath(new URL("..", import.meta.url));
+
+rmSync(`${root}target`, { recursive: true, force: true });
+const options = {
   bundle: true,
   platform: "node",
   target: "node20",
-  // Without the native addon, whose search for binaries slows the start.
-  alias: { msgpackr: "msgpackr/pack" },
-  format: "esm",
   minify: true,
   sourcemap: false,
-  banner: {
-    js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
-  },
+};
+await build({
+  ...options,
+  entryPoints: ["platform/src/main.ts"],
+  outfile: "target/relay.cjs",
+  format: "cjs",
+  // Without the native addon, whose search for binaries slows the start.
+  alias: { msgpackr: "msgpackr/pack" },
+});
+await build({
+  ...options,
+  entryPoints: ["deploy/start.mjs"],
+  outfile: "target/cardamomglade.cjs",
+  format: "cjs",
 });
+// V8 accepts a cache only from a process with the same flags as in deploy/system.toml.
+execFileSync(
+  process.execPath,
+  ["--max-old-space-size=200", "deploy/writeCodeCache.mjs"],
+  { cwd: root, stdio: "inherit" },
+);
--- /dev/null
+++ b/deploy/writeCodeCache.mjs
@@ -0,0 +1,38 @@
+// Starts the relay once with settings of its own and writes the code that V8 compiled for it.
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { createRequire } from "node:module";
+import os from "node:os";
+import path from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Script } from "node:vm";
+
+const filename = path.resolve("target/relay.cjs");
+const settleMs = 300; // until everything that a start runs has run
+
+const folder = mkdtempSync(path.join(os.tmpdir(), "code-cache-"));
+const settingsFile = path.join(folder, "settings.toml");
+// Port 0 is any free port; nothing answers at the store's address.
+writeFileSync(
+  settingsFile,
+  `node_name = "cache"
+ip = "127.0.0.1"
+zone = "cache"
+internal_port_range = [0, 0]
+[listen]
+front = "127.0.0.1:0"
+readiness = "127.0.0.1:0"
+[platform]
+address = "127.0.0.1:9"
+`,
+);
+process.env.CARDAMOMGLADE_BOOT = settingsFile;
+process.env.ROARR_LOG = "false";
+
+const source = `(function (require, module, exports) {${readFileSync(filename, "utf8")}\n})`;
+const script = new Script(source, { filename });
+const module = { exports: {} };
+script.runInThisContext()(createRequire(filename), module, module.exports);
+await sleep(settleMs);
+writeFileSync("target/relay.cache", script.createCachedData());
+rmSync(folder, { recursive: true });
+process.exit(0);
--- a/packages/common/src/hash.ts
+++ b/packages/common/src/hash.ts
@@ -1,15 +1,9 @@
 /** Non-cryptographic hashing (xxHash) and rendezvous hashing. */
 
-import xxhash from "xxhash-wasm";
-
-const xxhashApi = await xxhash();
+import { xxHash32 } from "js-xxhash";
 
 /** 32-bit hash of a text. */
-export const hash32 = (text: string, seed = 0): number =>
-  xxhashApi.h32(text, seed);
-
-/** 64-bit hash of a text, in hex. */
-export const hash64 = (text: string): string => xxhashApi.h64ToString(text);
+export const hash32 = (text: string, seed = 0): number => xxHash32(text, seed);
 
 /** Sorts candidates by their rendezvous hash for a key, highest first; ties are broken by name. */
 export const rendezvousOrder = (
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -15,7 +15,7 @@
   type RandomDraw,
   type RandomState,
 } from "./random.js";
-export { hash32, hash64, rendezvousOrder } from "./hash.js";
+export { hash32, rendezvousOrder } from "./hash.js";
 export {
   createHybridClock,
   formatHybridClock,
@@ -25,7 +25,6 @@
 } from "./hybridClock.js";
 export { isRecord } from "./isRecord.js";
 export { now } from "./now.js";
-export { prefixBlockHashes } from "./prefixBlockHashes.js";
 export { err, ok } from "./result.js";
 export {
   runEventLoop,
--- a/packages/common/src/prefixBlockHashes.ts
+++ b/packages/common/src/prefixBlockHashes.ts
@@ -1,6 +1,6 @@
 /** Chained hashes of a prompt's prefix blocks, as engines publish them in KV cache events. */
 
-import { hash64 } from "./hash.js";
+import { hash64 } from "./hash64.js";
 
 const charsPerBlock = 256;
 
--- a/packages/decisions/src/routing/chooseBackEnd.test.ts
+++ b/packages/decisions/src/routing/chooseBackEnd.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { prefixBlockHashes } from "@cardamomglade/common";
+import { prefixBlockHashes } from "@cardamomglade/common/prefixBlockHashes";
 import {
   BackEndType,
   CacheEventType,
--- a/packages/decisions/src/routing/chooseBackEnd.ts
+++ b/packages/decisions/src/routing/chooseBackEnd.ts
@@ -1,11 +1,7 @@
 /** Selects the back end of one request. */
 
-import {
-  assertNever,
-  nextRandom,
-  hash32,
-  prefixBlockHashes,
-} from "@cardamomglade/common";
+import { assertNever, nextRandom, hash32 } from "@cardamomglade/common";
+import { prefixBlockHashes } from "@cardamomglade/common/prefixBlockHashes";
 import type { BackEnd } from "@cardamomglade/schema";
 import {
   maxLookupBlockCount,
--- a/packages/decisions/src/routing/recordAttempt.ts
+++ b/packages/decisions/src/routing/recordAttempt.ts
@@ -1,7 +1,7 @@
 /** Records the progress of attempts to estimate cache contents, speed and health of back ends. */
 
 import type { Timestamp } from "@cardamomglade/common";
-import { prefixBlockHashes } from "@cardamomglade/common";
+import { prefixBlockHashes } from "@cardamomglade/common/prefixBlockHashes";
 import { maxLookupBlockCount } from "./constants.js";
 import { recordFailure, recordSuccess } from "./ejection.js";
 import { recordBlocks, countCachedBlocks } from "./recordCacheEvents.js";
--- a/packages/router/src/callers/checkResume.ts
+++ b/packages/router/src/callers/checkResume.ts
@@ -2,12 +2,12 @@
 
 import {
   err,
-  hash64,
   ok,
   RequestExecuted,
   type Timestamp,
   type Result,
 } from "@cardamomglade/common";
+import { hash64 } from "@cardamomglade/common/hash64";
 import type { ActiveConfig } from "@cardamomglade/decisions";
 import { ErrorType, notRunError, type ApiError } from "../errors.js";
 import type { ResumePoint } from "../types.js";
--- a/stand-ins/src/engine/batcher.ts
+++ b/stand-ins/src/engine/batcher.ts
@@ -1,6 +1,6 @@
 /** Continuous batching: each step decodes one token for every running generation. */
 
-import { prefixBlockHashes } from "@cardamomglade/common";
+import { prefixBlockHashes } from "@cardamomglade/common/prefixBlockHashes";
 import type { EngineToken } from "@cardamomglade/schema";
 import type { Faults } from "../faults.js";
 import { extendDigest, makeToken, seedDigest } from "./makeToken.js";
