Share outcomes between the routers of a zone; one watching router a zone

Cause: in a fleet of 195 each router sees less than one plain request a second and learns alone of a replica that fails. Followers tell their watching router how attempts ended at replicas without engines, which tells the others, each once. Only what lies over a tenth above the service's average moves requests, a full replica's refusal counts as a failure, and one message counts for 20 outcomes at most. Engine-ness has a module of its own, so that no circle arises. An error in a decision now ends its request and no other; before, the process lived on and handled nothing (test first).

--- a/packages/platform/src/sharedWatch/chooseWatchSource.ts
+++ b/packages/platform/src/sharedWatch/chooseWatchSource.ts
@@ -2,11 +2,11 @@
  * Decides whether a router watches the store itself or follows another router's
  * watch. Load pattern: in a large fleet each change of an entry wakes the watch
  * of every router, and calls to the store grow with routers times changes; with
- * two watching routers in each availability zone they do not grow with the fleet.
+ * one watching router in each availability zone they do not grow with the fleet.
  */
 
 import { rendezvousOrder, type Timestamp } from "@cardamomglade/common";
-import { minZoneRouterCount, watchersPerZoneCount } from "./constants.js";
+import { minZoneRouterCount, watcherCandidateCount } from "./constants.js";
 import type { SharingRouter, WatchSource } from "./types.js";
 
 /** What the decision depends on. */
@@ -41,14 +41,10 @@
   );
   if (addresses.size < minZoneRouterCount || !addresses.has(router))
     return store;
-  const watchers = rendezvousOrder(zone, [...addresses.keys()]).slice(
-    0,
-    watchersPerZoneCount,
-  );
-  if (watchers.includes(router)) return store;
-  // Followers are spread over the watching routers by their own names.
-  for (const name of rendezvousOrder(router, watchers)) {
+  const ranked = rendezvousOrder(zone, [...addresses.keys()]);
+  for (const name of ranked.slice(0, watcherCandidateCount)) {
     const address = addresses.get(name);
+    if (name === router) return store;
     if (address === undefined || (avoidedUntil.get(name) ?? 0) > at) continue;
     return { type: "router", router: name, address };
   }
--- a/packages/platform/src/sharedWatch/codec.ts
+++ b/packages/platform/src/sharedWatch/codec.ts
@@ -1,7 +1,13 @@
 /** Encodes the messages of shared watches as MessagePack. */
 
 import { pack, unpack } from "msgpackr";
-import type { SharedChange, SharedMessage } from "./types.js";
+import type {
+  FollowerMessage,
+  OutcomesMessage,
+  SharedChange,
+  SharedMessage,
+  SharedOutcomes,
+} from "./types.js";
 
 const isNumber = (value: unknown): value is number =>
   typeof value === "number" && Number.isFinite(value);
@@ -40,39 +46,84 @@
   return { type: "put", entry };
 };
 
+const maxSharedCount = 1_000_000; // more requests than a replica answers between two messages
+
+const isCount = (value: unknown): value is number =>
+  isNumber(value) && value >= 0 && value <= maxSharedCount;
+
+const decodeOutcome = (value: unknown): SharedOutcomes | undefined => {
+  if (!Array.isArray(value)) return undefined;
+  const [replica, succeeded, failed] = value as readonly unknown[];
+  if (typeof replica !== "string") return undefined;
+  if (!isCount(succeeded) || !isCount(failed)) return undefined;
+  return { replica, succeeded, failed };
+};
+
+const encodeOutcomes = ({ type, outcomes }: OutcomesMessage): Uint8Array =>
+  pack([
+    type,
+    outcomes.map(({ replica, succeeded, failed }) => [
+      replica,
+      succeeded,
+      failed,
+    ]),
+  ]);
+
+/** Decodes each item; undefined if any is malformed. */
+const decodeAll = <T>(
+  items: unknown,
+  decode: (item: unknown) => T | undefined,
+): T[] | undefined => {
+  if (!Array.isArray(items)) return undefined;
+  const decoded = items.map(decode).filter((item) => item !== undefined);
+  return decoded.length === items.length ? decoded : undefined;
+};
+
+const decodeOutcomes = (items: unknown): OutcomesMessage | undefined => {
+  const outcomes = decodeAll(items, decodeOutcome);
+  return outcomes && { type: "outcomes", outcomes };
+};
+
 /** Encodes a message to a follower. */
-export const encodeSharedMessage = (message: SharedMessage): Uint8Array =>
-  message.type === "compacted"
-    ? pack(["compacted"])
-    : pack([
-        "changes",
-        message.revision,
-        message.ageMs,
-        message.changes.map(encodeChange),
-      ]);
+export const encodeSharedMessage = (message: SharedMessage): Uint8Array => {
+  switch (message.type) {
+    case "outcomes":
+      return encodeOutcomes(message);
+    case "compacted":
+      return pack([message.type]);
+    case "changes": {
+      const { type, revision, ageMs, changes } = message;
+      return pack([type, revision, ageMs, changes.map(encodeChange)]);
+    }
+  }
+};
 
 /** Decodes a message to a follower; undefined if any part is malformed. */
 export const decodeSharedMessage = (
   bytes: Uint8Array,
 ): SharedMessage | undefined => {
-  const [type, revision, ageMs, changes] = unpackList(bytes) ?? [];
+  const [type, first, ageMs, items] = unpackList(bytes) ?? [];
   if (type === "compacted") return { type };
-  if (type !== "changes" || !isNumber(revision)) return undefined;
-  if (!isNumber(ageMs) || ageMs < 0 || !Array.isArray(changes))
-    return undefined;
-  const decoded = changes
-    .map(decodeChange)
-    .filter((change) => change !== undefined);
-  if (decoded.length !== changes.length) return undefined;
-  return { type, revision, ageMs, changes: decoded };
+  if (type === "outcomes") return decodeOutcomes(first);
+  if (type !== "changes" || !isNumber(first)) return undefined;
+  if (!isNumber(ageMs) || ageMs < 0) return undefined;
+  const changes = decodeAll(items, decodeChange);
+  return changes && { type, revision: first, ageMs, changes };
 };
 
-/** Encodes a follower's request for all changes after a revision. */
-export const encodeFollowRequest = (after: number): Uint8Array =>
-  pack(["follow", after]);
+/** Encodes a message of a follower. */
+export const encodeFollowerMessage = (message: FollowerMessage): Uint8Array =>
+  message.type === "follow"
+    ? pack([message.type, message.after])
+    : encodeOutcomes(message);
 
-/** Decodes a follower's request; undefined if it is malformed. */
-export const decodeFollowRequest = (bytes: Uint8Array): number | undefined => {
-  const [type, after] = unpackList(bytes) ?? [];
-  return type === "follow" && isNumber(after) ? after : undefined;
+/** Decodes a message of a follower; undefined if it is malformed. */
+export const decodeFollowerMessage = (
+  bytes: Uint8Array,
+): FollowerMessage | undefined => {
+  const [type, first] = unpackList(bytes) ?? [];
+  if (type === "outcomes") return decodeOutcomes(first);
+  return type === "follow" && isNumber(first)
+    ? { type, after: first }
+    : undefined;
 };
--- a/packages/platform/src/sharedWatch/constants.ts
+++ b/packages/platform/src/sharedWatch/constants.ts
@@ -1,10 +1,10 @@
 /** Limits of shared watches. */
 
 /** Minimum number of routers in an availability zone at which their watches are shared. */
-export const minZoneRouterCount = 6;
+export const minZoneRouterCount = 4;
 
-/** Routers of an availability zone that watch the store for the others: two, so that one may fail. */
-export const watchersPerZoneCount = 2;
+/** Routers of an availability zone that may be followed: one, and another if it fails. */
+export const watcherCandidateCount = 2;
 
 /** How long a router that failed to share its watch is avoided. */
 export const routerAvoidanceMs = 5000;
--- a/packages/platform/src/sharedWatch/followRouter.ts
+++ b/packages/platform/src/sharedWatch/followRouter.ts
@@ -2,11 +2,12 @@
 
 import type { WebSocket, RawData } from "ws";
 import { now, type Timestamp } from "@cardamomglade/common";
-import { decodeSharedMessage, encodeFollowRequest } from "./codec.js";
+import { decodeSharedMessage, encodeFollowerMessage } from "./codec.js";
 import { followTimeoutMs, maxMessageBytes } from "./constants.js";
 import type {
   RouterAddress,
   SharedMessage,
+  SharedOutcomes,
   SharedWatchLimits,
 } from "./types.js";
 
@@ -23,6 +24,8 @@
 
 /** Handle of a connection. */
 export interface Follow {
+  /** Tells the router outcomes; they are lost if the connection is not open. */
+  share(outcomes: readonly SharedOutcomes[]): void;
   /** Ends it without a call of `onLost`. */
   close(): void;
 }
@@ -80,7 +83,7 @@
       maxPayload: maxMessageBytes,
     });
     socket.on("open", () => {
-      socket?.send(encodeFollowRequest(after));
+      socket?.send(encodeFollowerMessage({ type: "follow", after }));
     });
     socket.on("message", receive);
     socket.on("error", (error) => {
@@ -93,5 +96,12 @@
   connect().catch((error: unknown) => {
     lose(error instanceof Error ? error.message : String(error));
   });
-  return { close };
+  return {
+    close,
+    share: (outcomes) => {
+      // 1 is the state of an open connection.
+      if (socket?.readyState !== 1) return;
+      socket.send(encodeFollowerMessage({ type: "outcomes", outcomes }));
+    },
+  };
 };
--- a/packages/platform/src/sharedWatch/followerServer.ts
+++ b/packages/platform/src/sharedWatch/followerServer.ts
@@ -4,10 +4,23 @@
 import type { WebSocket, WebSocketServer } from "ws";
 import { now } from "@cardamomglade/common";
 import { messageSince, type ChangeHistory } from "./changeHistory.js";
-import { decodeFollowRequest, encodeSharedMessage } from "./codec.js";
+import { decodeFollowerMessage, encodeSharedMessage } from "./codec.js";
 import { maxMessageBytes, maxUnreadBytes } from "./constants.js";
 import { bytesOf } from "./followRouter.js";
-import type { RouterAddress } from "./types.js";
+import { addToTally, takeTally, type OutcomeTally } from "./outcomeTally.js";
+import type {
+  FollowerMessage,
+  RouterAddress,
+  SharedMessage,
+  SharedOutcomes,
+} from "./types.js";
+
+/** What a follower was sent, and what it is to be sent next. */
+interface Follower {
+  /** Latest revision sent to it. */
+  revision: number;
+  readonly outcomes: OutcomeTally;
+}
 
 /** Options of the server. */
 export interface FollowerServerOptions {
@@ -18,13 +31,14 @@
   /** Whether a host is that of a registered router. */
   readonly isRouter: (host: string) => boolean;
   readonly onFirstFollower: () => void;
+  /** Called with the outcomes that a follower tells. */
+  readonly onOutcomes: (outcomes: readonly SharedOutcomes[]) => void;
   readonly onError: (reason: string) => void;
 }
 
 /** Server for followers. */
 export class FollowerServer {
-  /** Latest revision sent to each follower. */
-  private readonly followers = new Map<WebSocket, number>();
+  private readonly followers = new Map<WebSocket, Follower>();
   private server: WebSocketServer | undefined;
   private timer: NodeJS.Timeout | undefined;
   private isClosed = false;
@@ -46,7 +60,14 @@
 
   /** Sends new changes to all followers, or a heartbeat if there are none. */
   publish(): void {
-    for (const socket of this.followers.keys()) this.send(socket);
+    for (const [socket, follower] of this.followers)
+      this.sendChanges(socket, follower);
+  }
+
+  /** Tells all followers outcomes with the next heartbeat, but the one that told them. */
+  share(outcomes: readonly SharedOutcomes[], from?: Follower): void {
+    for (const follower of this.followers.values())
+      if (follower !== from) addToTally(follower.outcomes, outcomes);
   }
 
   close(): void {
@@ -76,6 +97,7 @@
     });
     this.timer = setInterval(() => {
       this.publish();
+      this.sendOutcomes();
     }, heartbeatMs());
   }
 
@@ -87,29 +109,45 @@
       this.followers.delete(socket);
     });
     socket.on("message", (data) => {
-      const after = decodeFollowRequest(bytesOf(data));
-      if (after === undefined) {
-        socket.terminate();
-        return;
-      }
-      const isFirst = this.followers.size === 0;
-      this.followers.set(socket, after);
-      if (isFirst) this.options.onFirstFollower();
-      this.send(socket);
+      const message = decodeFollowerMessage(bytesOf(data));
+      if (message === undefined) socket.terminate();
+      else this.receive(socket, message);
     });
   }
 
-  private send(socket: WebSocket): void {
-    const history = this.options.history();
-    const after = this.followers.get(socket);
-    if (history === undefined || after === undefined) return;
-    if (socket.bufferedAmount > maxUnreadBytes) {
-      socket.terminate();
+  private receive(socket: WebSocket, message: FollowerMessage): void {
+    if (message.type === "outcomes") {
+      const from = this.followers.get(socket);
+      if (from === undefined) return;
+      this.share(message.outcomes, from);
+      this.options.onOutcomes(message.outcomes);
       return;
     }
-    const message = messageSince(history, after, now());
-    if (message.type === "changes")
-      this.followers.set(socket, message.revision);
-    socket.send(encodeSharedMessage(message));
+    const isFirst = this.followers.size === 0;
+    const follower = { revision: message.after, outcomes: new Map() };
+    this.followers.set(socket, follower);
+    if (isFirst) this.options.onFirstFollower();
+    this.sendChanges(socket, follower);
+  }
+
+  private sendOutcomes(): void {
+    for (const [socket, follower] of this.followers) {
+      if (follower.outcomes.size === 0) continue;
+      const outcomes = takeTally(follower.outcomes);
+      this.send(socket, { type: "outcomes", outcomes });
+    }
+  }
+
+  private sendChanges(socket: WebSocket, follower: Follower): void {
+    const history = this.options.history();
+    if (history === undefined) return;
+    const message = messageSince(history, follower.revision, now());
+    if (message.type === "changes") follower.revision = message.revision;
+    this.send(socket, message);
+  }
+
+  private send(socket: WebSocket, message: SharedMessage): void {
+    if (socket.bufferedAmount > maxUnreadBytes) socket.terminate();
+    else socket.send(encodeSharedMessage(message));
   }
 }
--- a/packages/platform/src/sharedWatch/index.ts
+++ b/packages/platform/src/sharedWatch/index.ts
@@ -1,4 +1,9 @@
 /** Watches of the store that routers share. */
 
 export { SharedWatch, type SharedWatchOptions } from "./sharedWatch.js";
-export type { SharedWatchLimits, SharingRouter, WatchSource } from "./types.js";
+export type {
+  SharedOutcomes,
+  SharedWatchLimits,
+  SharingRouter,
+  WatchSource,
+} from "./types.js";
--- a/packages/platform/src/sharedWatch/sharedWatch.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -19,11 +19,12 @@
   valueReadTimeoutMs,
 } from "./constants.js";
 import { FollowerServer } from "./followerServer.js";
-import { followRouter } from "./followRouter.js";
+import { followRouter, type Follow } from "./followRouter.js";
 import type {
   RouterAddress,
   SharedChange,
   SharedMessage,
+  SharedOutcomes,
   SharedWatchLimits,
   SharingRouter,
   WatchSource,
@@ -43,6 +44,8 @@
   readonly limits: () => SharedWatchLimits | undefined;
   /** Called when the source of the watch changes, with the reason. */
   readonly onSource: (source: WatchSource, reason: string) => void;
+  /** Called with outcomes of other routers' requests. */
+  readonly onOutcomes: (outcomes: readonly SharedOutcomes[]) => void;
   readonly onError: (reason: string) => void;
 }
 
@@ -53,6 +56,8 @@
   source: WatchSource;
   revision: number;
   handle: WatchHandle | undefined;
+  /** The connection to the followed router. */
+  follow: Follow | undefined;
 }
 
 /** A watch of the store's entries whose source may change while it runs. */
@@ -64,10 +69,11 @@
   private readonly server: FollowerServer;
 
   private constructor(private readonly options: SharedWatchOptions) {
-    const { address, limits, onError } = options;
+    const { address, limits, onError, onOutcomes } = options;
     this.server = FollowerServer.create({
       address,
       onError,
+      onOutcomes,
       heartbeatMs: () => limits()?.heartbeatMs ?? defaultHeartbeatMs,
       history: () => this.history,
       isRouter: (host) =>
@@ -113,6 +119,7 @@
       source: this.active?.source ?? { type: "store" },
       revision: fromRevision - 1,
       handle: undefined,
+      follow: undefined,
     };
     this.active?.handle?.close();
     this.active = watch;
@@ -125,6 +132,12 @@
     };
   }
 
+  /** Tells the routers of the zone how requests of this one ended. */
+  share(outcomes: readonly SharedOutcomes[]): void {
+    this.active?.follow?.share(outcomes);
+    this.server.share(outcomes);
+  }
+
   /** Ends the watch and the connections to followers. */
   stop(): void {
     this.active?.handle?.close();
@@ -160,6 +173,7 @@
         ? true
         : source.router === watch.source.router);
     watch.source = source;
+    watch.follow = undefined;
     if (!isSame) this.options.onSource(source, reason);
     const limits = this.options.limits();
     watch.handle =
@@ -233,6 +247,7 @@
         follow.close();
       },
     };
+    watch.follow = follow;
     return handle;
   }
 
@@ -242,6 +257,10 @@
     receivedAt: Timestamp,
     leave: (reason: string) => void,
   ): Promise<void> {
+    if (message.type === "outcomes") {
+      this.options.onOutcomes(message.outcomes);
+      return;
+    }
     if (message.type === "compacted") {
       watch.onEvent({ type: "compacted", compactRevision: watch.revision });
       return;
--- a/packages/platform/src/sharedWatch/types.ts
+++ b/packages/platform/src/sharedWatch/types.ts
@@ -34,8 +34,26 @@
       readonly modRevision: number;
     };
 
+/** Outcomes of requests at a replica, as one router tells others. */
+export interface SharedOutcomes {
+  readonly replica: string;
+  readonly succeeded: number;
+  readonly failed: number;
+}
+
+/** Message from a follower to its watching router. */
+export type FollowerMessage =
+  { readonly type: "follow"; readonly after: number } | OutcomesMessage;
+
+/** Outcomes since the last message of this type on the connection. */
+export interface OutcomesMessage {
+  readonly type: "outcomes";
+  readonly outcomes: readonly SharedOutcomes[];
+}
+
 /** Message from a watching router to a follower. */
 export type SharedMessage =
+  | OutcomesMessage
   | {
       readonly type: "changes";
       readonly revision: number;
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -1,7 +1,10 @@
 /** Handles responses to attempts and lost attempts. */
 
 import { assertNever } from "@cardamomglade/common";
-import { misdirectedRequestStatus } from "../types.js";
+import {
+  misdirectedRequestStatus,
+  serviceUnavailableStatus,
+} from "../types.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
 import { recordContact, recordLoss, markReplaced } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
@@ -109,6 +112,9 @@
   const { status, isNotExecuted } = answer.head;
   recordContact(state, attempt.replica.id, at);
   if (isNotExecuted) {
+    // A replica that is full refuses; the next requests of all routers go elsewhere.
+    if (status === serviceUnavailableStatus)
+      recordOutcome(state, attempt.replica.id, true);
     if (status === misdirectedRequestStatus) {
       // The request did not reach the intended replica, so the attempt does not count.
       markReplaced(state, attempt.replica, at);
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -1,7 +1,7 @@
 /** Chooses the replica for an attempt, and the engine that holds a KV cache copy. */
 
 import { rendezvousOrder } from "@cardamomglade/common";
-import type { EngineCapabilities, Replica } from "../types.js";
+import type { Replica } from "../types.js";
 import {
   engineCrossZoneCost,
   failureRateCost,
@@ -12,7 +12,8 @@
   decodeCost,
   slotCost,
 } from "./constants.js";
-import { failureRateOf } from "./outcomes.js";
+import { engineOf } from "./engineOf.js";
+import { excessFailureRateOf } from "./outcomes.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import { isAvailable, isSuspected, replicasOf } from "./replicaViews.js";
 import type { RelayState, ReplicaView } from "./types.js";
@@ -26,13 +27,6 @@
   readonly avoidedZone?: string;
 }
 
-/** Capabilities of a service's engines; undefined if its replicas are no engines. */
-export const engineOf = (
-  state: RelayState,
-  service: string,
-): EngineCapabilities | undefined =>
-  state.routes?.services.get(service)?.engine;
-
 interface EngineLoad {
   readonly prefilling: number;
   readonly decoding: number;
@@ -87,7 +81,7 @@
   const { inFlight, replica } = view;
   const zoneCost = replica.zone === state.zone ? 0 : plainCrossZoneCost;
   const load = inFlight / Math.max(1, replica.slots);
-  const failureCost = failureRateCost * failureRateOf(state, view);
+  const failureCost = failureRateCost * excessFailureRateOf(state, view);
   return slotCost * load + zoneCost + failureCost;
 };
 
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -14,6 +14,7 @@
   ResponseHead,
   StreamEvent,
   BufferedResponse,
+  ReplicaOutcomes,
 } from "./types.js";
 
 /** Context fields of a log line written by a decision. */
@@ -89,6 +90,11 @@
       readonly to: Address;
       readonly service: string;
     }
+  /** Tells other routers how attempts ended at replicas. */
+  | {
+      readonly type: "shareOutcomes";
+      readonly outcomes: readonly ReplicaOutcomes[];
+    }
   | {
       readonly type: "renewRegistration";
       readonly lease: string;
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -66,6 +66,18 @@
 /** Time in which an outcome loses half of its weight. */
 export const outcomeHalfLifeMs = 3000;
 
+/** Interval at which a router tells others how its attempts ended. */
+export const outcomeShareIntervalMs = 400;
+
+/** Outcomes of one message that count: a router that tells more cannot outweigh the others. */
+export const maxSharedOutcomeCount = 20;
+
+/**
+ * Part of a failure rate above its service's average that moves no request:
+ * routers that share outcomes would all send theirs to the luckiest replica.
+ */
+export const toleratedExcessFailureRate = 0.1;
+
 /** Number of outcomes that the average of the service counts for in a replica's failure rate. */
 export const priorOutcomeCount = 3;
 
@@ -130,7 +142,7 @@
 /** Cost of another zone for a replica without an engine, as a fraction of its slots. */
 export const plainCrossZoneCost = 0.12;
 
-/** Cost of a failure rate of 1, as a multiple of a replica's slots. */
+/** Cost of an excess failure rate of 1, as a multiple of a replica's slots. */
 export const failureRateCost = 3;
 
 /**
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -6,9 +6,12 @@
   type Timestamp,
   type Transition,
 } from "@cardamomglade/common";
+import { Severity } from "@cardamomglade/observe";
 import { responseReceived, attemptFailed } from "./attemptEvents.js";
 import { callerDisconnected } from "./callerDisconnected.js";
+import { failExchange } from "./endExchange.js";
 import { retryRequested, retryLent } from "./lendRetry.js";
+import { outcomesShared } from "./outcomes.js";
 import { promptBlocksListed, probeFinished } from "./probes.js";
 import { createRegistration, routersRead } from "./registration.js";
 import { requestArrived } from "./requestArrived.js";
@@ -45,6 +48,7 @@
   startedAt: options.startedAt,
   at: 0,
   lastTickAt: 0,
+  nextShareAt: 0,
   generator: seedRandom(options.seed),
   config: undefined,
   routes: undefined,
@@ -106,6 +110,8 @@
       return callerDisconnected(state, event);
     case "timerTicked":
       return timerTicked(state, event);
+    case "outcomesShared":
+      return outcomesShared(state, event);
     case "limitsChanged":
       state.runtimeLimits = event.runtimeLimits;
       return [];
@@ -116,13 +122,37 @@
   }
 };
 
-/** Applies one event to the state and returns the resulting commands. */
+/** Ends the request of an event that could not be handled, and logs the error. */
+const recoverFrom = (
+  state: RelayState,
+  event: RelayEvent,
+  error: unknown,
+): RelayCommand[] => {
+  const detail = error instanceof Error ? error.stack : String(error);
+  const line = logLine(
+    "a decision failed",
+    { event: event.type, detail },
+    Severity.Error,
+  );
+  const exchange = "key" in event && state.exchanges.get(event.key);
+  if (!exchange) return [line];
+  return [line, ...failExchange(state, exchange, "internal error")];
+};
+
+/**
+ * Applies one event to the state and returns the resulting commands. An error
+ * ends the request it belongs to, not the process.
+ */
 export const decideRelay = (
   state: RelayState,
   event: RelayEvent,
 ): Transition<RelayState, RelayCommand> => {
   state.at = Math.max(state.at, event.at);
-  return { state, commands: commandsOf(state, event) };
+  try {
+    return { state, commands: commandsOf(state, event) };
+  } catch (error) {
+    return { state, commands: recoverFrom(state, event, error) };
+  }
 };
 
 /**
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -13,6 +13,7 @@
   StreamEvent,
   BufferedResponse,
   AttemptFailure,
+  ReplicaOutcomes,
   RouterEntry,
   RuntimeLimits,
 } from "./types.js";
@@ -121,6 +122,11 @@
       /** Cached tokens by prompt block; undefined if the engine did not answer. */
       readonly promptBlocks: ReadonlyMap<string, number> | undefined;
     }
+  | {
+      readonly type: "outcomesShared";
+      readonly at: Timestamp;
+      readonly outcomes: readonly ReplicaOutcomes[];
+    }
   | {
       readonly type: "callerDisconnected";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/outcomes.test.ts
+++ b/packages/relay/src/decisions/outcomes.test.ts
@@ -6,6 +6,7 @@
   Scenario,
   testReplica,
 } from "../testing/scenario.js";
+import { maxSharedOutcomeCount } from "./constants.js";
 import { AttemptFailure } from "./types.js";
 
 const replicas = ["a-9", "b-9", "c-9"].map((id) =>
@@ -64,3 +65,65 @@
   });
   assert.ok(share > 0.3);
 });
+
+// Load: 60 routers share their outcomes while 3 of 5 replicas reset 2 in 5 requests.
+test("routers that share outcomes do not all move to the replicas that fail least", () => {
+  const five = ["a-9", "b-9", "c-9", "d-9", "e-9"].map((id) =>
+    testReplica(id, plainService),
+  );
+  const outcomes = five.map(({ id }, index) => ({
+    replica: id,
+    succeeded: index < 3 ? 6 : 10,
+    failed: index < 3 ? 4 : 0,
+  }));
+  const received = new Map<string, number>();
+  for (let seed = 1; seed <= 60; seed += 1) {
+    const scenario = Scenario.create(five, seed);
+    const { at } = scenario;
+    scenario.dispatch({ type: "outcomesShared", at, outcomes });
+    for (let request = 0; request < 5; request += 1) {
+      scenario.request(String(request), nonIdempotentPath);
+      const { id } = scenario.lastSend(String(request)).attempt.replica;
+      received.set(id, (received.get(id) ?? 0) + 1);
+    }
+  }
+  const most = Math.max(...received.values());
+  assert.ok(most <= 0.5 * 60 * 5, `${String(most)} at one replica`);
+});
+
+// Load: one replica of five fails every request; each router saw one or none of them.
+test("a replica that fails every request at other routers is left", () => {
+  const five = ["a-9", "b-9", "c-9", "d-9", "e-9"].map((id) =>
+    testReplica(id, plainService),
+  );
+  const scenario = Scenario.create(five);
+  const { at } = scenario;
+  const outcomes = five.map(({ id }) => ({
+    replica: id,
+    succeeded: id === "a-9" ? 0 : 9,
+    failed: id === "a-9" ? 9 : 1,
+  }));
+  scenario.dispatch({ type: "outcomesShared", at, outcomes });
+  const share = shareOf(scenario, "a-9", 20, (key) => {
+    scenario.answer(key);
+  });
+  assert.equal(share, 0);
+});
+
+test("outcomes are told once, and one message cannot outweigh the others", () => {
+  const scenario = Scenario.create(replicas);
+  shareOf(scenario, "a-9", 8, (key) => {
+    scenario.answer(key);
+  });
+  scenario.advance(1000);
+  const told = scenario
+    .commandsOfType("shareOutcomes")
+    .flatMap(({ outcomes }) => outcomes);
+  const total = told.reduce((sum, { succeeded }) => sum + succeeded, 0);
+  assert.equal(total, 8);
+  const { at } = scenario;
+  const lie = [{ replica: "a-9", succeeded: 0, failed: 100_000 }];
+  scenario.dispatch({ type: "outcomesShared", at, outcomes: lie });
+  const view = scenario.state.replicas.get("a-9");
+  assert.ok((view?.outcomes.failed ?? Infinity) <= maxSharedOutcomeCount);
+});
--- a/packages/relay/src/decisions/outcomes.ts
+++ b/packages/relay/src/decisions/outcomes.ts
@@ -6,8 +6,17 @@
  */
 
 import type { Timestamp } from "@cardamomglade/common";
-import { outcomeHalfLifeMs, priorOutcomeCount } from "./constants.js";
-import { replicasOf } from "./replicaViews.js";
+import {
+  maxSharedOutcomeCount,
+  outcomeHalfLifeMs,
+  outcomeShareIntervalMs,
+  priorOutcomeCount,
+  toleratedExcessFailureRate,
+} from "./constants.js";
+import { engineOf } from "./engineOf.js";
+import { createOutcomeCounts, replicasOf } from "./replicaViews.js";
+import type { RelayCommand } from "./commands.js";
+import type { RelayEventOf } from "./events.js";
 import type { OutcomeCounts, RelayState, ReplicaView } from "./types.js";
 
 const decayBetween = (from: Timestamp, to: Timestamp): number =>
@@ -54,17 +63,58 @@
 };
 
 /**
- * Estimates the share of requests that fail at a replica. With little recent
- * evidence it is that of the whole service: some requests fail at every replica,
- * so one that is new must not look better, and one that was avoided is tried
- * again.
+ * Estimates how much more often requests fail at a replica than at its service
+ * as a whole. Little recent evidence counts for little, so that a replica that
+ * was avoided is tried again. Load pattern: most replicas of a service fail some
+ * requests at once; to leave them all would overload the rest.
  */
-export const failureRateOf = (state: RelayState, view: ReplicaView): number => {
+export const excessFailureRateOf = (
+  state: RelayState,
+  view: ReplicaView,
+): number => {
   const { outcomes, outcomesCountedAt, replica } = view;
   const decay = decayBetween(outcomesCountedAt, state.at);
   const failed = decay * outcomes.failed;
   const total = failed + decay * outcomes.succeeded;
-  const expected =
-    priorOutcomeCount * serviceFailureRate(state, replica.service);
-  return (failed + expected) / (total + priorOutcomeCount);
+  const average = serviceFailureRate(state, replica.service);
+  const rate =
+    (failed + priorOutcomeCount * average) / (total + priorOutcomeCount);
+  return Math.max(0, rate - average - toleratedExcessFailureRate);
+};
+
+/** Tells other routers the outcomes since the last time; engines are judged by their reports. */
+export const shareOutcomes = (state: RelayState): RelayCommand[] => {
+  if (state.at < state.nextShareAt) return [];
+  state.nextShareAt = state.at + outcomeShareIntervalMs;
+  const outcomes = [...state.replicas.values()].flatMap((view) => {
+    const { replica, unsharedOutcomes } = view;
+    const { succeeded, failed } = unsharedOutcomes;
+    if (succeeded + failed === 0) return [];
+    view.unsharedOutcomes = createOutcomeCounts();
+    return engineOf(state, replica.service) === undefined
+      ? [{ replica: replica.id, succeeded, failed }]
+      : [];
+  });
+  return outcomes.length === 0 ? [] : [{ type: "shareOutcomes", outcomes }];
+};
+
+/** Counts the outcomes of other routers, up to a number for each message. */
+export const outcomesShared = (
+  state: RelayState,
+  { outcomes, at }: RelayEventOf<"outcomesShared">,
+): RelayCommand[] => {
+  for (const { replica, succeeded, failed } of outcomes) {
+    const view = state.replicas.get(replica);
+    if (view === undefined) continue;
+    const scale = Math.min(
+      1,
+      maxSharedOutcomeCount / Math.max(1, succeeded + failed),
+    );
+    addOutcomes(
+      view,
+      { succeeded: scale * succeeded, failed: scale * failed },
+      at,
+    );
+  }
+  return [];
 };
--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -164,3 +164,20 @@
   }
   assert.ok(newReplicaCount < totalCount / 2);
 });
+
+test("an error in a decision ends its request and no other", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath);
+  scenario.request("2", nonIdempotentPath);
+  const { at } = scenario;
+  const events = undefined as unknown as [];
+  const broken = { type: "eventsArrived" as const, at, key: "1", attempt: 0 };
+  scenario.dispatch({ ...broken, events });
+  assert.deepEqual(refusalsOf(scenario), [502]);
+  scenario.answer("2");
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
+  const lines = scenario
+    .commandsOfType("log")
+    .filter(({ message }) => message === "a decision failed");
+  assert.equal(lines.length, 1);
+});
--- a/packages/relay/src/decisions/refusals.ts
+++ b/packages/relay/src/decisions/refusals.ts
@@ -1,5 +1,6 @@
 /** Error responses written by the relay itself, and their retry-after delay. */
 
+import { serviceUnavailableStatus } from "../types.js";
 import { random } from "./random.js";
 import { retryAfterRangeMs } from "./constants.js";
 import { logLine } from "./logLine.js";
@@ -44,4 +45,8 @@
   state: RelayState,
   refused: RefusedRequest,
 ): RelayCommand[] =>
-  refuse(refused, 503, drawRetryDelayMs(state, retryAfterRangeMs));
+  refuse(
+    refused,
+    serviceUnavailableStatus,
+    drawRetryDelayMs(state, retryAfterRangeMs),
+  );
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -4,11 +4,11 @@
 import {
   chooseAmong,
   chooseReplica,
-  engineOf,
   hasCandidate,
   candidateSampleOf,
 } from "./chooseReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
+import { engineOf } from "./engineOf.js";
 import { failExchange } from "./endExchange.js";
 import { isRetryable } from "./isRetryable.js";
 import {
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -17,7 +17,7 @@
 import { isEngineQueryDone } from "./queryEngines.js";
 import { abandonAndRetry, probeSilent } from "./probes.js";
 import { ensureCopy, hasUsableCopy } from "./kvCacheCopies.js";
-import { recordOutcome } from "./outcomes.js";
+import { recordOutcome, shareOutcomes } from "./outcomes.js";
 import { maintainRegistration } from "./registration.js";
 import {
   canRetryElsewhere,
@@ -138,6 +138,7 @@
   commands.push(
     ...removeMissingReplicas(state),
     ...maintainRegistration(state),
+    ...shareOutcomes(state),
   );
   for (const exchange of [...state.exchanges.values()])
     commands.push(...checkExchange(state, exchange));
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -17,6 +17,11 @@
   failed: number;
 }
 
+/** Outcomes at one replica, as routers tell them each other. */
+export interface ReplicaOutcomes extends Readonly<OutcomeCounts> {
+  readonly replica: string;
+}
+
 /** This process's local view of one replica. */
 export interface ReplicaView {
   replica: Replica;
@@ -216,6 +221,8 @@
   at: Timestamp;
   /** Time of the last timer tick. */
   lastTickAt: Timestamp;
+  /** Time at which outcomes are next told to other routers. */
+  nextShareAt: Timestamp;
   generator: RandomState;
   config: RelayConfig | undefined;
   routes: RouteTable | undefined;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -110,6 +110,9 @@
  */
 export const misdirectedRequestStatus = 421;
 
+/** HTTP status 503: the server is full or stopping. */
+export const serviceUnavailableStatus = 503;
+
 /** Request limits used if the configuration sets none. */
 export const defaultLimits: RequestLimits = {
   headerBytes: 16 * 1024,
