Cut nobody off in a planned stop, and bound what replicas in trouble send

Found by tests with real sockets, each red before: - a request whose body was half sent was cut when the relay had nothing else to do; - an answer that its caller had not read yet was cut: Node's closeIdleConnections, which close() calls as well, takes a response as done when its last byte is queued (3.9 of 8.4 MB arrived). The relay now knows itself which connections are idle; - informational responses without end kept an attempt until its deadline; - a status such as 000 or 999 threw while the answer was written, and its caller got none at all.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -115,7 +115,9 @@
       const noticeEndsAt = now() + drainNoticeMs;
       controlEvents.push({ type: "drainStarted", at: now() });
       while (now() < deadline) {
-        const isIdle = running.state().exchanges.size === 0;
+        const isIdle =
+          running.state().exchanges.size === 0 &&
+          front.openRequestCount() === 0;
         if (now() >= noticeEndsAt) {
           front.closeIdle();
           if (isIdle) break;
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -18,6 +18,7 @@
   type Address,
 } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
+import { OpenConnections } from "./openConnections.js";
 import { readRequest, rewrittenHeaders } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
 import type { RelayDriver } from "./types.js";
@@ -37,6 +38,8 @@
 export interface FrontDriver extends RelayDriver {
   /** Stops accepting connections, and closes those without a request in progress. */
   closeIdle(): void;
+  /** Number of requests that are being read or whose response has not been sent whole. */
+  openRequestCount(): number;
 }
 
 interface PendingResponse {
@@ -77,6 +80,8 @@
     maxHeaderSize: defaultLimits.headerBytes,
   });
 
+  const connections = OpenConnections.create(server);
+
   const applyLimits = (newLimits: RequestLimits) => {
     limits = newLimits;
     server.headersTimeout = limits.headerTimeoutMs;
@@ -131,6 +136,7 @@
 
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
+    connections.add(res);
     const read = await readRequest(req, { protocol, limits, dropped });
     switch (read.type) {
       case "complete": {
@@ -248,9 +254,9 @@
     events: channel.stream,
     perform,
     closeIdle: () => {
-      if (server.listening) server.close();
-      server.closeIdleConnections();
+      connections.closeIdle();
     },
+    openRequestCount: () => connections.requestCount(),
     stop: () => {
       if (server.listening) server.close();
       server.closeAllConnections();
--- /dev/null
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -0,0 +1,53 @@
+/**
+ * Knows which connections of callers are idle. Load pattern: a planned stop while
+ * callers send their requests and read their answers slowly. Node's own
+ * `closeIdleConnections`, which `close` calls as well, counts a response as done
+ * when its last byte is queued, and cuts it off.
+ */
+
+import type { Server, ServerResponse } from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
+
+/** Connections of one server. */
+export class OpenConnections {
+  /** Bytes that each connection had received when it was last idle. */
+  private readonly idleBytes = new Map<Socket, number>();
+  private readonly responses = new Map<ServerResponse, Socket>();
+
+  private constructor(private readonly server: Server) {
+    server.on("connection", (socket: Socket) => {
+      this.idleBytes.set(socket, 0);
+      socket.on("close", () => {
+        this.idleBytes.delete(socket);
+      });
+    });
+  }
+
+  static create(server: Server): OpenConnections {
+    return new OpenConnections(server);
+  }
+
+  /** Adds a request whose head has been read; it ends with its response. */
+  add(res: ServerResponse): void {
+    const { socket } = res.req;
+    this.responses.set(res, socket);
+    res.on("close", () => {
+      this.responses.delete(res);
+      if (this.idleBytes.has(socket))
+        this.idleBytes.set(socket, socket.bytesRead);
+    });
+  }
+
+  /** Returns the number of requests that are being read or answered. */
+  requestCount(): number {
+    return this.responses.size;
+  }
+
+  /** Stops accepting connections, and closes those on which nothing is under way. */
+  closeIdle(): void {
+    if (this.server.listening) NetServer.prototype.close.call(this.server);
+    const busy = new Set(this.responses.values());
+    for (const [socket, bytes] of this.idleBytes)
+      if (!busy.has(socket) && socket.bytesRead === bytes) socket.destroy();
+  }
+}
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -36,6 +36,10 @@
 const connectTimeoutMs = 250;
 const maxResponseBytes = 16 * 1024 * 1024; // limit for a response that is buffered
 
+const maxInformationalCount = 16; // a server sends one or none before its response
+const minFinalStatus = 200;
+const maxStatus = 599;
+
 const noDroppedHeaders: ReadonlySet<string> = new Set();
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
@@ -117,6 +121,15 @@
       clearTimeout(connectTimer);
       this.onError(error);
     });
+    let informationalCount = 0;
+    this.req.on("information", () => {
+      informationalCount += 1;
+      if (informationalCount > maxInformationalCount)
+        this.fail(
+          AttemptFailure.Malformed,
+          "no end of informational responses",
+        );
+    });
     this.req.on("response", (res) => {
       this.res = res;
       this.read(res);
@@ -179,6 +192,8 @@
     res: IncomingMessage,
     head: ResponseHead,
   ): string | undefined {
+    if (head.status < minFinalStatus || head.status > maxStatus)
+      return "the answer has no valid status";
     if (head.isNotExecuted) return undefined;
     const { requestId } = this.command.request;
     const echoedRequestId = res.headers[this.protocol.headers.requestId];
--- /dev/null
+++ b/packages/relay/src/testing/testRelay.ts
@@ -0,0 +1,129 @@
+/** Test harness: a relay between raw connections of callers and a raw replica. */
+
+import { connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createChannel, createSourceDriver, now } from "@cardamomglade/common";
+import { createRelay, type Relay } from "../createRelay.js";
+import type { RelayEvent } from "../decisions/events.js";
+import {
+  startRawReplica,
+  type RawResponder,
+  type RawReplica,
+} from "./rawReplica.js";
+import { plainService, testConfig, testReplica } from "./scenario.js";
+import { testProtocol } from "./testProtocol.js";
+
+/** A relay with one replica that answers raw bytes. */
+export interface TestRelay {
+  readonly replica: RawReplica;
+  readonly relay: Relay;
+  readonly port: number;
+  readonly lines: string[];
+  readonly stop: () => Promise<void>;
+}
+
+const freePort = async (): Promise<number> => {
+  const { port, stop } = await startRawReplica(() => undefined);
+  stop();
+  return port;
+};
+
+/** Starts a relay and its replica on free ports of the loopback address. */
+export const startTestRelay = async (
+  answer: RawResponder,
+): Promise<TestRelay> => {
+  const replica = await startRawReplica(answer);
+  const ports = [await freePort(), await freePort(), await freePort()];
+  const [front = 0, readiness = 0, metrics = 0] = ports;
+  const host = "127.0.0.1";
+  const events = createChannel<RelayEvent>();
+  const lines: string[] = [];
+  const relay = createRelay({
+    front: { host, port: front },
+    readiness: { host, port: readiness },
+    metrics: { host, port: metrics },
+    protocol: testProtocol,
+    state: {
+      router: "r1",
+      address: undefined,
+      zone: "a",
+      startedAt: now(),
+      seed: 1,
+      runtimeLimits: {
+        drainTimeoutMs: 2000,
+        retryLimits: { ratio: 1, extraRetryCount: 100, windowMs: 10_000 },
+      },
+    },
+    log: (_, message) => lines.push(message),
+    platform: [createSourceDriver(events.stream)],
+    gauges: () => ({}),
+  });
+  await sleep(20);
+  const here = testReplica("a-9", plainService, { host, port: replica.port });
+  events.push({ type: "configRead", at: now(), config: testConfig() });
+  events.push({ type: "replicasRead", at: now(), replicas: [here] });
+  return {
+    replica,
+    relay,
+    port: front,
+    lines,
+    stop: async () => {
+      await relay.drain(now());
+      replica.stop();
+    },
+  };
+};
+
+/**
+ * Sends bytes and returns everything received until the connection closes or
+ * the time has passed.
+ */
+export const exchange = (
+  port: number,
+  bytes: string,
+  waitMs = 400,
+): Promise<string> =>
+  new Promise((resolve) => {
+    let text = "";
+    const socket: Socket = connect(port, "127.0.0.1");
+    const finish = () => {
+      socket.destroy();
+      resolve(text);
+    };
+    const timer = setTimeout(finish, waitMs);
+    socket.on("data", (chunk) => (text += chunk.toString("latin1")));
+    socket.on("error", finish);
+    socket.on("close", () => {
+      clearTimeout(timer);
+      finish();
+    });
+    socket.write(bytes);
+  });
+
+/** Text of a caller's request. */
+export const requestText = (
+  path: string,
+  headers: readonly string[] = [],
+  method = "GET",
+  body = "",
+): string =>
+  [
+    `${method} ${path} HTTP/1.1`,
+    "host: host.example",
+    "x-request: r1",
+    "x-budget: 1000",
+    "authorization: Bearer key-1",
+    ...headers,
+    "",
+    body,
+  ].join("\r\n");
+
+/** Headers of a response that belongs to the request and is sealed. */
+export const sealed = "x-request: r1\r\nx-seal: s\r\n";
+
+/** Answers with a whole response. */
+export const respondOk: RawResponder = (socket) => {
+  socket.end(
+    `HTTP/1.1 200 OK\r\n${sealed}content-length: 5\r\nx-extra: 1\r\n\r\nhello`,
+  );
+};
