Go on at another source when a follower fails to handle a change

Found by reading: a rejected promise would have ended the process, and a chain of messages that stopped would have left the follower behind while heartbeats told it that all is confirmed. A follower whose revision is too old now ends the connection before it lists.

--- a/packages/platform/src/sharedWatch/sharedWatch.test.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.test.ts
@@ -116,6 +116,8 @@
   entries: ReadonlyMap<string, string>;
   /** Outcomes heard from others, by replica. */
   readonly heard: Map<string, [number, number]>;
+  /** Whether handling the next change throws. */
+  failNext: boolean;
   stop(): void;
 }
 
@@ -151,6 +153,10 @@
     maxBackoffMs: 100,
   };
   const handle = mirrorPrefix(shared, options, (entries) => {
+    if (started.failNext) {
+      started.failNext = false;
+      throw new Error("planted");
+    }
     started.entries = new Map(entries.map(({ key, value }) => [key, value]));
   });
   const started: TestRouter = {
@@ -159,6 +165,7 @@
     shared,
     entries: new Map(),
     heard: new Map(),
+    failNext: false,
     stop: () => {
       handle.close();
       shared.stop();
@@ -279,3 +286,18 @@
   await waitUntil(() => agree(store, all));
   for (const router of all) router.stop();
 });
+
+// Load: a router that handles a change badly must not stay behind unnoticed.
+test("a follower whose handling of a change fails goes on at another source", async () => {
+  const { store, routers } = await startFleet(5);
+  await waitUntil(() => followerCountOf(routers) === 4);
+  const follower = routers.find(({ shared }) => shared.followerCount() === 0);
+  assert.ok(follower);
+  follower.failNext = true;
+  store.put("servers/two", "ready");
+  store.put("servers/three", "ready");
+  await waitUntil(() => !follower.failNext);
+  store.put("servers/four", "ready");
+  await waitUntil(() => agree(store, routers));
+  for (const router of routers) router.stop();
+});
--- a/packages/platform/src/sharedWatch/sharedWatch.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -225,6 +225,10 @@
       this.avoidedUntil.set(source.router, now() + routerAvoidanceMs);
       this.begin(watch, this.choose(), `${source.router}: ${reason}`);
     };
+    const quit = (reason: string) => {
+      follow.close();
+      leave(reason);
+    };
     const follow = followRouter({
       address: source.address,
       after: watch.revision,
@@ -232,13 +236,14 @@
       // Long values are read in between, so each message waits for the one before.
       onMessage: (message) => {
         const receivedAt = now();
-        received = received.then(async () => {
-          if (this.active !== watch || watch.handle !== handle) return;
-          await this.receive(watch, message, receivedAt, (reason) => {
-            follow.close();
-            leave(reason);
+        received = received
+          .then(async () => {
+            if (this.active !== watch || watch.handle !== handle) return;
+            await this.receive(watch, message, receivedAt, quit);
+          })
+          .catch((error: unknown) => {
+            quit(error instanceof Error ? error.message : String(error));
           });
-        });
       },
       onLost: leave,
     });
@@ -262,6 +267,7 @@
       return;
     }
     if (message.type === "compacted") {
+      watch.handle?.close();
       watch.onEvent({ type: "compacted", compactRevision: watch.revision });
       return;
     }
