--- a/packages/platform/src/sharedWatch/followRouter.ts
+++ b/packages/platform/src/sharedWatch/followRouter.ts
@@ -30,6 +30,8 @@
   close(): void;
 }
 
+const openState = 1; // `WebSocket.OPEN`; the library is loaded only when it is needed
+
 /** Joins the fragments of a message. */
 export const bytesOf = (data: RawData): Uint8Array => {
   if (Array.isArray(data)) return Buffer.concat(data);
@@ -99,8 +101,7 @@
   return {
     close,
     share: (outcomes) => {
-      // 1 is the state of an open connection.
-      if (socket?.readyState !== 1) return;
+      if (socket?.readyState !== openState) return;
       socket.send(encodeFollowerMessage({ type: "outcomes", outcomes }));
     },
   };
--- a/packages/platform/src/sharedWatch/sharedWatch.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -60,6 +60,11 @@
   follow: Follow | undefined;
 }
 
+const isSameSource = (a: WatchSource, b: WatchSource): boolean => {
+  if (a.type === "store" || b.type === "store") return a.type === b.type;
+  return a.router === b.router;
+};
+
 /** A watch of the store's entries whose source may change while it runs. */
 export class SharedWatch implements WatchedStore {
   private routers: readonly SharingRouter[] = [];
@@ -167,14 +172,10 @@
   }
 
   private begin(watch: ActiveWatch, source: WatchSource, reason: string): void {
-    const isSame =
-      source.type === watch.source.type &&
-      (source.type === "store" || watch.source.type === "store"
-        ? true
-        : source.router === watch.source.router);
+    if (!isSameSource(source, watch.source))
+      this.options.onSource(source, reason);
     watch.source = source;
     watch.follow = undefined;
-    if (!isSame) this.options.onSource(source, reason);
     const limits = this.options.limits();
     watch.handle =
       source.type === "store" || limits === undefined
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -11,7 +11,6 @@
 export { httpCall, type HttpResult } from "./drivers/httpCall.js";
 export * from "./types.js";
 export {
-  sharedWatchSchedule,
   sharedWatchTimes,
   watchSchedule,
   type StoreUpdateLimits,
--- a/packages/relay/src/watchSchedule.ts
+++ b/packages/relay/src/watchSchedule.ts
@@ -57,11 +57,8 @@
       };
 };
 
-/**
- * Returns the times of a request that is sent now by a router with followers:
- * they rely on its latest confirmation, so it asks more often.
- */
-export const sharedWatchSchedule = (
+/** Schedule of a router with followers: they rely on its latest confirmation, so it asks more often. */
+const sharedSchedule = (
   limits: StoreUpdateLimits,
   at: Timestamp,
 ): WatchSchedule => {
@@ -82,7 +79,9 @@
 export const watchSchedule = (
   limits: StoreUpdateLimits,
   at: Timestamp,
+  hasFollowers: boolean,
 ): WatchSchedule => {
+  if (hasFollowers) return sharedSchedule(limits, at);
   const timeoutAt = at + limits.contactMs - reconnectMs;
   return {
     answerBy: timeoutAt - responseTransitMs,
