--- a/packages/platform/src/sharedWatch/changeHistory.ts
+++ b/packages/platform/src/sharedWatch/changeHistory.ts
@@ -5,7 +5,7 @@
 import { maxHistoryChangeCount, maxSharedValueLength } from "./constants.js";
 import type { SharedChange, SharedMessage } from "./types.js";
 
-const revisionOf = (change: WatchChange): number =>
+const revisionOf = (change: SharedChange): number =>
   change.type === "put" ? change.entry.modRevision : change.modRevision;
 
 const withoutLongValue = (change: WatchChange): SharedChange =>
@@ -37,9 +37,6 @@
   changes: [],
 });
 
-const sharedRevisionOf = (change: SharedChange): number =>
-  change.type === "putWithoutValue" ? change.modRevision : revisionOf(change);
-
 /** Adds the changes of a watch; ignores those already known, so that the revision never falls. */
 export const recordChanges = (
   history: ChangeHistory,
@@ -55,7 +52,7 @@
   const excess = history.changes.length - maxHistoryChangeCount;
   if (excess <= 0) return;
   const last = history.changes.splice(0, excess).at(-1);
-  if (last !== undefined) history.oldestRevision = sharedRevisionOf(last);
+  if (last !== undefined) history.oldestRevision = revisionOf(last);
 };
 
 /** The message for a follower that knows all changes up to a revision. */
@@ -69,8 +66,6 @@
     type: "changes",
     revision: Math.max(after, history.revision),
     ageMs: Math.max(0, Math.round(at - history.confirmedAt)),
-    changes: history.changes.filter(
-      (change) => sharedRevisionOf(change) > after,
-    ),
+    changes: history.changes.filter((change) => revisionOf(change) > after),
   };
 };
