Log the shared prompt blocks of a request, and whether a lost attempt had begun to answer

The logs could not tell whether engines end under one prompt, for one router only, or under any prompt after a zone's loss. They can now: the blocks of a prompt in 'request sent', hasBegun in 'attempt lost'.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -40,7 +40,7 @@
 /** Log command for a lost attempt. */
 const lossLogLine = (
   { request, lastEventId }: Exchange,
-  { number, replica, sentAt, heardAt }: Attempt,
+  { number, replica, sentAt, heardAt, hasEvents }: Attempt,
   at: number,
   reason: string,
 ): RelayCommand =>
@@ -50,6 +50,7 @@
     replica: replica.id,
     replicaZone: replica.zone,
     afterEvent: lastEventId,
+    hasBegun: hasEvents,
     runningMs: Math.round(at - sentAt),
     silentMs: Math.round(at - heardAt),
     reason,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -1,6 +1,6 @@
 /** Sends a request to a replica, and decides on a retry when an attempt is lost. */
 
-import type { Replica } from "../types.js";
+import type { CallerRequest, Replica } from "../types.js";
 import {
   chooseAmong,
   chooseReplica,
@@ -62,6 +62,16 @@
   view.prefilling += 1;
 };
 
+const maxLoggedPromptBlockCount = 8; // bounds the length of a log line
+
+/** The prompt blocks that other requests may share; undefined if there are none. */
+const loggedPromptBlocks = ({
+  sharedPromptBlockIds,
+}: CallerRequest): readonly string[] | undefined =>
+  sharedPromptBlockIds.length === 0
+    ? undefined
+    : sharedPromptBlockIds.slice(0, maxLoggedPromptBlockCount);
+
 /** Sends the request to a replica as the exchange's next attempt. */
 const sendTo = (
   state: RelayState,
@@ -111,6 +121,7 @@
       requestId: request.requestId,
       route: exchange.route.name,
       path: request.target,
+      promptBlocks: loggedPromptBlocks(request),
       configVersion: state.config?.version,
       attempt: attempt.number,
       start: start.type,
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -57,7 +57,10 @@
   arrivedAt: Timestamp,
   body: Buffer,
 ): CallerRequest => {
-  const { headers: names, decodeLastPromptBlockId } = protocol;
+  const { headers: names, decodePromptBlockIds } = protocol;
+  const promptBlockIds = decodePromptBlockIds(
+    headerOf(req, names.promptBlocks) ?? "",
+  );
   const budgetMs = numberOf(headerOf(req, names.timeBudgetMs));
   return {
     requestId: headerOf(req, names.requestId) ?? "",
@@ -73,9 +76,8 @@
     arrivedAt,
     callerDeadline: budgetMs === undefined ? undefined : arrivedAt + budgetMs,
     lastEventId: numberOf(headerOf(req, names.lastEventId)),
-    lastPromptBlockId: decodeLastPromptBlockId(
-      headerOf(req, names.promptBlocks) ?? "",
-    ),
+    sharedPromptBlockIds: promptBlockIds.slice(0, -1),
+    lastPromptBlockId: promptBlockIds.at(-1),
   };
 };
 
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -263,6 +263,7 @@
         arrivedAt: this.at,
         callerDeadline: undefined,
         lastEventId: undefined,
+        sharedPromptBlockIds: [],
         lastPromptBlockId: undefined,
         ...changes,
       },
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -33,6 +33,6 @@
   decodeCopyHandle: (text) => text,
   promptBlocksPath: "/parts",
   decodePromptBlocks: () => new Map(),
-  decodeLastPromptBlockId: () => undefined,
+  decodePromptBlockIds: (header) => header.split(",").filter((id) => id !== ""),
   decodeReport: () => undefined,
 };
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -160,8 +160,8 @@
   readonly decodePromptBlocks: (
     text: string,
   ) => ReadonlyMap<string, number> | undefined;
-  /** Decodes the id of the last prompt block that the prompt header lists. */
-  readonly decodeLastPromptBlockId: (header: string) => string | undefined;
+  /** Decodes the ids of the prompt blocks that the prompt header lists, in order. */
+  readonly decodePromptBlockIds: (header: string) => readonly string[];
   readonly decodeReport: (text: string) => EngineReport | undefined;
 }
 
@@ -201,6 +201,8 @@
   readonly callerDeadline: Timestamp | undefined;
   /** Id of the last event that the caller received from an earlier response. */
   readonly lastEventId: number | undefined;
+  /** Ids of the prompt blocks that other requests may share: all but the last. */
+  readonly sharedPromptBlockIds: readonly string[];
   /** Id of the last prompt block, which no other request shares. */
   readonly lastPromptBlockId: string | undefined;
 }
