--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -14,6 +14,11 @@
   type DrainFlags,
   type PlanFlags,
 } from "./commands/plan.js";
+import {
+  quarantines,
+  release,
+  type StoreFlags,
+} from "./commands/quarantines.js";
 import { route } from "./commands/route.js";
 import { explain, history, status } from "./commands/status.js";
 import { timeline, type TimelineFlags } from "./commands/timeline.js";
@@ -98,6 +103,19 @@
     logs.length > 0 ? explainLogs(subject, logs) : explain(subject, flags),
   ),
 );
+const storeFlag = [
+  "--store <address>",
+  "Address of the platform's store, IP:PORT",
+] as const;
+
+cli
+  .command("quarantines", "List the prompt blocks that routers hold back")
+  .option(...storeFlag)
+  .action((flags: StoreFlags) => exitWith(quarantines(flags)));
+cli
+  .command("release <key>", "Release a quarantine at all routers")
+  .option(...storeFlag)
+  .action((key: string, flags: StoreFlags) => exitWith(release(key, flags)));
 cli.addEventListener("command:*", () => {
   console.error(`unknown command "${cli.args.join(" ")}"; see --help`);
   process.exitCode = usageExitCode;
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -22,7 +22,7 @@
 import type { RelayEvent } from "./decisions/events.js";
 import type { RuntimeLimits } from "./decisions/types.js";
 import { createFrontDriver } from "./drivers/frontDriver.js";
-import { createRetryLendingDriver } from "./drivers/retryLendingDriver.js";
+import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
 import { createReplicaDriver } from "./drivers/replicaDriver.js";
 import { createTextServer } from "./drivers/textServer.js";
@@ -67,8 +67,8 @@
     log,
   });
   const { address } = options.state;
-  const lendingDrivers =
-    address === undefined ? [] : [createRetryLendingDriver(address, log)];
+  const peerDrivers =
+    address === undefined ? [] : [createPeerDriver(address, log)];
   const controlEvents = createChannel<RelayEvent>();
   const running = runEventLoop({
     reduce: decideRelay,
@@ -80,7 +80,7 @@
         type: "timerTicked",
         at,
       })),
-      ...lendingDrivers,
+      ...peerDrivers,
       createLogDriver(log),
       ...options.platform,
       createSourceDriver(controlEvents.stream),
@@ -97,11 +97,14 @@
       : { status: 503, text: "not ready\n" },
   );
   const metricsServer = createTextServer(options.metrics, () => {
-    const { exchanges, replicas, config } = running.state();
+    const { exchanges, replicas, config, quarantine } = running.state();
     const text = metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
       configuration_version: config?.version ?? 0,
+      quarantines_in_force: quarantine.inForce.size,
+      quarantine_refusals_total: quarantine.refusedCount,
+      engine_crashes_remembered: quarantine.crashes.size,
       ...options.gauges(),
     });
     return { status: 200, text };
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -8,6 +8,7 @@
 import { closeAttempt, completeExchange } from "./endExchange.js";
 import { recordContact, recordLoss, markReplaced } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
+import { suspectBrokenAttempt } from "./quarantine/engineCrashes.js";
 import { recordRetry } from "./retryBudget.js";
 import { hasAttempt, sendRetry } from "./sendAttempt.js";
 import { logLine } from "./logLine.js";
@@ -79,6 +80,7 @@
   if (found === undefined) return [];
   const { exchange, attempt } = found;
   const { failure, detail, at } = event;
+  const commands: RelayCommand[] = [];
   switch (failure) {
     case AttemptFailure.NotSent:
       recordLoss(state, attempt.replica, at);
@@ -86,6 +88,7 @@
       exchange.attempts -= 1;
       break;
     case AttemptFailure.Broken:
+      commands.push(...suspectBrokenAttempt(state, exchange, attempt));
       recordLoss(state, attempt.replica, at);
       recordOutcome(state, attempt.replica.id, true);
       break;
@@ -95,7 +98,10 @@
     default:
       return assertNever(failure);
   }
-  return handleLostAttempt(state, exchange, attempt, `${failure}: ${detail}`);
+  commands.push(
+    ...handleLostAttempt(state, exchange, attempt, `${failure}: ${detail}`),
+  );
+  return commands;
 };
 
 const isServerError = ({ head }: BufferedResponse): boolean =>
--- a/packages/relay/src/decisions/borrowRetry.ts
+++ b/packages/relay/src/decisions/borrowRetry.ts
@@ -11,6 +11,7 @@
   lenderCount,
 } from "./constants.js";
 import { failExchange } from "./endExchange.js";
+import { otherRouterAddresses } from "./registration.js";
 import { sampleWithoutReplacement } from "./random.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -18,15 +19,8 @@
 import type { Address } from "../types.js";
 
 /** Random sample of the addresses of other routers. */
-const otherRouters = (state: RelayState): Address[] => {
-  const { registration, router, address } = state;
-  if (address === undefined) return [];
-  const others = [...registration.routers]
-    .filter(([name]) => name !== router)
-    .map(([, other]) => other)
-    .filter((other) => other !== undefined);
-  return sampleWithoutReplacement(state, others, lenderCount);
-};
+const otherRouters = (state: RelayState): Address[] =>
+  sampleWithoutReplacement(state, otherRouterAddresses(state), lenderCount);
 
 /** Asks other routers to lend a retry, or fails the exchange after the last round. */
 export const borrowRetry = (
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -8,6 +8,8 @@
   RequestLimits,
   Address,
 } from "../types.js";
+import type { GossipItem } from "./gossip/types.js";
+import type { StoredQuarantine } from "./quarantine/types.js";
 import type {
   KvCacheCopy,
   Attempt,
@@ -95,6 +97,19 @@
       readonly type: "shareOutcomes";
       readonly outcomes: readonly ReplicaOutcomes[];
     }
+  /** Tells another router what this one learned. */
+  | {
+      readonly type: "gossip";
+      readonly to: Address;
+      readonly items: readonly GossipItem[];
+    }
+  | {
+      readonly type: "storeQuarantine";
+      readonly key: string;
+      readonly stored: StoredQuarantine;
+      readonly until: Timestamp;
+    }
+  | { readonly type: "removeQuarantine"; readonly key: string }
   | {
       readonly type: "renewRegistration";
       readonly lease: string;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -10,6 +10,10 @@
 import { responseReceived, attemptFailed } from "./attemptEvents.js";
 import { callerDisconnected } from "./callerDisconnected.js";
 import { failExchange } from "./endExchange.js";
+import { gossipReceived } from "./gossip/gossipReceived.js";
+import { createGossipState } from "./gossip/spreadGossip.js";
+import { quarantinesRead } from "./quarantine/maintainQuarantines.js";
+import { createQuarantineState } from "./quarantine/quarantineState.js";
 import { retryRequested, retryLent } from "./lendRetry.js";
 import { outcomesShared } from "./outcomes.js";
 import { promptBlocksListed, probeFinished } from "./probes.js";
@@ -59,6 +63,8 @@
   exchanges: new Map(),
   retryBudgets: new Map(),
   registration: createRegistration(),
+  quarantine: createQuarantineState(),
+  gossip: createGossipState(),
   runtimeLimits: options.runtimeLimits,
   store: { type: "unknown" },
   isDraining: false,
@@ -110,6 +116,10 @@
       return callerDisconnected(state, event);
     case "timerTicked":
       return timerTicked(state, event);
+    case "gossipReceived":
+      return gossipReceived(state, event);
+    case "quarantinesRead":
+      return quarantinesRead(state, event);
     case "outcomesShared":
       return outcomesShared(state, event);
     case "limitsChanged":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -8,6 +8,8 @@
   Replica,
   Address,
 } from "../types.js";
+import type { GossipItem } from "./gossip/types.js";
+import type { StoredQuarantine } from "./quarantine/types.js";
 import type {
   ResponseHead,
   StreamEvent,
@@ -105,6 +107,8 @@
       readonly sentAt: Timestamp;
       readonly report: EngineReport | undefined;
       readonly isAnswered: boolean;
+      /** Whether the replica's host refused the connection: no process listens. */
+      readonly isRefused: boolean;
     }
   | {
       readonly type: "kvCacheCopied";
@@ -127,6 +131,17 @@
       readonly at: Timestamp;
       readonly outcomes: readonly ReplicaOutcomes[];
     }
+  | {
+      readonly type: "gossipReceived";
+      readonly at: Timestamp;
+      readonly from: Address;
+      readonly items: readonly GossipItem[];
+    }
+  | {
+      readonly type: "quarantinesRead";
+      readonly at: Timestamp;
+      readonly entries: readonly StoredQuarantine[];
+    }
   | {
       readonly type: "callerDisconnected";
       readonly at: Timestamp;
--- /dev/null
+++ b/packages/relay/src/decisions/gossip/types.ts
@@ -0,0 +1,54 @@
+/** Types of what routers tell each other about replicas and prompts. */
+
+import type { Timestamp } from "@cardamomglade/common";
+
+/** One suspect of an engine's end: a request that was about to answer. */
+export interface EngineCrashItem {
+  readonly type: "engineCrash";
+  /** The engine's process: the id and the start time of the replica. */
+  readonly process: string;
+  readonly at: Timestamp;
+  readonly request: string;
+  readonly blockIds: readonly string[];
+}
+
+/** Prompt blocks with which an engine began to answer and went on. */
+export interface SoundBlocksItem {
+  readonly type: "soundBlocks";
+  readonly at: Timestamp;
+  readonly blockIds: readonly string[];
+}
+
+/** Prompt blocks in quarantine. */
+export interface QuarantineItem {
+  readonly type: "quarantine";
+  readonly blockIds: readonly string[];
+  /** Time of the latest engine crash that supports the quarantine. */
+  readonly crashedAt: Timestamp;
+  readonly heldUntil: Timestamp;
+  readonly strikes: number;
+  readonly crashCount: number;
+  /** Router that found the cause. */
+  readonly source: string;
+}
+
+/** One item of gossip; the same item may arrive any number of times. */
+export type GossipItem = EngineCrashItem | SoundBlocksItem | QuarantineItem;
+
+/** All items that a router could tell others. */
+export interface CurrentItems {
+  /** Told in each exchange. */
+  readonly conclusions: readonly GossipItem[];
+  /** Told by turns. */
+  readonly evidence: readonly GossipItem[];
+}
+
+/** What this router still has to tell others. */
+export interface GossipState {
+  /** Items that are new here, each sent on to some routers once. */
+  fresh: GossipItem[];
+  /** Time at which all current items are next sent to one router. */
+  nextExchangeAt: Timestamp;
+  /** Position in the evidence at which the next exchange starts. */
+  exchangeOffset: number;
+}
--- a/packages/relay/src/decisions/lendRetry.ts
+++ b/packages/relay/src/decisions/lendRetry.ts
@@ -2,20 +2,11 @@
 
 import { addBorrowedRetry, tryLendRetry } from "./retryBudget.js";
 import { sendRetry } from "./sendAttempt.js";
+import { isKnownRouter } from "./registration.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { RelayState } from "./types.js";
-import type { Address } from "../types.js";
-
-/** Whether an address belongs to a registered router. */
-const isKnownRouter = (
-  { registration }: RelayState,
-  { host, port }: Address,
-): boolean =>
-  [...registration.routers.values()].some(
-    (known) => known?.host === host && known.port === port,
-  );
 
 /** Handles another router's request for a retry: lends one if the own budget allows it. */
 export const retryRequested = (
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -9,6 +9,7 @@
   missingEventCount,
   probeAfterSilenceMs,
 } from "./constants.js";
+import { confirmCrash, recordEndedEngine } from "./quarantine/engineCrashes.js";
 import { isEngineQueryDone, recordPromptBlocks } from "./queryEngines.js";
 import {
   ageOf,
@@ -107,14 +108,15 @@
       : [];
   });
 
-/** Handles the result of a probe. */
-export const probeFinished = (
+/** Updates the view of a probed replica, and leaves it if it does not answer. */
+const updateProbedReplica = (
   state: RelayState,
   {
     replica: replicaId,
     sentAt,
     report,
     isAnswered,
+    isRefused,
     at,
   }: RelayEventOf<"probeFinished">,
 ): RelayCommand[] => {
@@ -150,6 +152,7 @@
       silentMs: ageOf(state, view.heardAt),
       streams: silent.length,
     }),
+    ...(isRefused ? recordEndedEngine(state, view.replica, silent) : []),
     ...resolveEngineQueries(state, replicaId, "loadReports"),
     ...silent.flatMap(({ exchange, attempt }) =>
       abandonAndRetry(state, exchange, attempt, reason),
@@ -157,6 +160,15 @@
   ];
 };
 
+/** Handles the result of a probe. */
+export const probeFinished = (
+  state: RelayState,
+  event: RelayEventOf<"probeFinished">,
+): RelayCommand[] => [
+  ...confirmCrash(state, event),
+  ...updateProbedReplica(state, event),
+];
+
 /** Handles an engine's list of prompt blocks, or its missing answer. */
 export const promptBlocksListed = (
   state: RelayState,
--- /dev/null
+++ b/packages/relay/src/decisions/quarantine/constants.ts
@@ -0,0 +1,64 @@
+/** Thresholds, times and bounds of the quarantine of prompt blocks. */
+
+/** Crashes at different moments that make prompt blocks the cause. */
+export const minCrashCount = 3;
+
+/** Additional crashes that it takes for a block with which engines answered well lately. */
+export const soundBlockHandicap = 2;
+
+/** Crashes under one request that count: one unlucky request proves nothing about its blocks. */
+export const maxCrashCountPerRequest = 2;
+
+/** Crashes under one request after which it is not sent again. */
+export const maxEndedEngineCount = 3;
+
+/** Crashes under one of several suspected blocks alone after which the others are cleared. */
+export const minNarrowingCrashCount = 2;
+
+/** Events after which an attempt counts as sound, together with the time below. */
+export const establishedEventCount = 3;
+
+/** Time since the first event after which an attempt counts as sound. */
+export const establishedAfterMs = 500;
+
+/** How long prompt blocks are held at first. */
+export const initialHoldMs = 20_000;
+
+/** Longest hold; it doubles whenever engines are found to end still. */
+export const maxHoldMs = 600_000;
+
+/** How long others wait for the outcome of a request that tests quarantined blocks. */
+export const trialHoldMs = 10_000;
+
+/** Time between the routers' turns to test: they cannot agree while links are cut. */
+export const trialSpacingMs = 1000;
+
+/** Time after a hold at which a quarantine that nobody tests ends. */
+export const forgetAfterHoldMs = 600_000;
+
+/** How long crashes and sound blocks are remembered. */
+export const evidenceRetentionMs = 120_000;
+
+/** Time without a probe's result after which broken connections are no crash. */
+export const unconfirmedRetentionMs = 1000;
+
+/** Interval at which old knowledge is dropped. */
+export const maintenanceIntervalMs = 1000;
+
+/** Delay between the routers' turns to write an entry: longer than a watch takes to show it. */
+export const storeWriteSpacingMs = 3000;
+
+/** Delay before an entry that did not appear in the store is written again. */
+export const storeWriteRetryMs = 5000;
+
+/** Bounds on what is remembered. */
+export const maxRemembered = {
+  crashes: 128,
+  suspectsPerCrash: 8,
+  blocksPerSuspect: 64,
+  quarantines: 64,
+  soundBlocks: 4096,
+} as const;
+
+/** Distance between crashes that are assumed for a quarantine without known evidence. */
+export const assumedCrashSpacingMs = 3000;
--- /dev/null
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -0,0 +1,277 @@
+/**
+ * Finds out which engines ended while requests were about to answer. Broken
+ * connections alone prove nothing: an engine that answers a probe afterwards has
+ * only reset them.
+ */
+
+import type { Timestamp } from "@cardamomglade/common";
+import { Severity } from "@cardamomglade/observe";
+import type { EngineReport, Replica } from "../../types.js";
+import { engineOf } from "../engineOf.js";
+import { failExchange } from "../endExchange.js";
+import { publishItem } from "../gossip/spreadGossip.js";
+import type { EngineCrashItem } from "../gossip/types.js";
+import { logLine } from "../logLine.js";
+import { isAvailable } from "../replicaViews.js";
+import type { RelayCommand } from "../commands.js";
+import type { RelayEventOf } from "../events.js";
+import type { Attempt, Exchange, RelayState } from "../types.js";
+import {
+  establishedAfterMs,
+  establishedEventCount,
+  maxEndedEngineCount,
+  maxRemembered,
+} from "./constants.js";
+import {
+  clearSoundBlocks,
+  isNewerMark,
+  recordSoundAt,
+  renewQuarantines,
+} from "./quarantines.js";
+import {
+  forgetExcessCrashes,
+  requestIdentityOf,
+  trackedBlocks,
+} from "./quarantineState.js";
+import type { CrashSuspects, EngineCrash } from "./types.js";
+
+const processOf = ({ id, startedAt }: Replica): string =>
+  `${id}@${String(startedAt)}`;
+
+const addSuspect = (
+  suspects: CrashSuspects,
+  request: string,
+  blockIds: readonly string[],
+): boolean => {
+  if (suspects.has(request) || suspects.size >= maxRemembered.suspectsPerCrash)
+    return false;
+  suspects.set(request, blockIds.slice(0, maxRemembered.blocksPerSuspect));
+  return true;
+};
+
+/** Whether the engine may have ended because of this request. */
+const isSuspect = (
+  { request }: Exchange,
+  { isEstablished }: Attempt,
+): boolean => !isEstablished && request.sharedPromptBlockIds.length > 0;
+
+// An engine that leaves or was replaced ends without a cause in its requests.
+const mayEndByRequest = (state: RelayState, { id, service }: Replica) => {
+  const view = state.replicas.get(id);
+  return (
+    view !== undefined &&
+    isAvailable(view) &&
+    engineOf(state, service) !== undefined
+  );
+};
+
+const probe = (state: RelayState, replica: Replica): RelayCommand => {
+  const view = state.replicas.get(replica.id);
+  if (view !== undefined) view.probeSentAt = state.at;
+  return { type: "probe", replica, sentAt: state.at };
+};
+
+/** Notes a broken connection to an engine and asks the engine whether it still runs. */
+export const suspectBrokenAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+): RelayCommand[] => {
+  const { replica } = attempt;
+  if (!isSuspect(exchange, attempt) || !mayEndByRequest(state, replica))
+    return [];
+  const { unconfirmed } = state.quarantine;
+  const { request } = exchange;
+  const identity = requestIdentityOf(request);
+  const process = processOf(replica);
+  const known = unconfirmed.get(process);
+  if (known !== undefined) {
+    addSuspect(known.suspects, identity, request.sharedPromptBlockIds);
+    return [];
+  }
+  const suspects: CrashSuspects = new Map();
+  addSuspect(suspects, identity, request.sharedPromptBlockIds);
+  unconfirmed.set(process, { replica, lostAt: state.at, suspects });
+  return [probe(state, replica)];
+};
+
+/** Tells others of a suspect, and of its blocks that were sound here before. */
+const publishSuspect = (
+  state: RelayState,
+  { process, at }: EngineCrash,
+  request: string,
+  blockIds: readonly string[],
+): void => {
+  publishItem(state, { type: "engineCrash", process, at, request, blockIds });
+  for (const id of blockIds) {
+    const soundAt = state.quarantine.soundAt.get(id);
+    if (soundAt !== undefined)
+      publishItem(state, { type: "soundBlocks", at: soundAt, blockIds: [id] });
+  }
+};
+
+/** Ends requests under which so many engines ended that they are not sent again. */
+const endDeadlyExchanges = (
+  state: RelayState,
+  suspects: CrashSuspects,
+): RelayCommand[] =>
+  [...state.exchanges.values()].flatMap((exchange) => {
+    if (!suspects.has(requestIdentityOf(exchange.request))) return [];
+    exchange.endedEngineCount += 1;
+    const { attempt, endedEngineCount } = exchange;
+    return endedEngineCount >= maxEndedEngineCount &&
+      attempt?.isEstablished !== true
+      ? failExchange(state, exchange, "several engines ended under it")
+      : [];
+  });
+
+/** Remembers the end of an engine with its suspects and looks for the cause. */
+const recordCrash = (
+  state: RelayState,
+  replica: Replica,
+  at: Timestamp,
+  suspects: CrashSuspects,
+): RelayCommand[] => {
+  const process = processOf(replica);
+  const { crashes } = state.quarantine;
+  const crash = crashes.get(process) ?? { process, at, suspects: new Map() };
+  crashes.set(process, crash);
+  for (const [request, blockIds] of suspects)
+    if (addSuspect(crash.suspects, request, blockIds))
+      publishSuspect(state, crash, request, blockIds);
+  renewQuarantines(state, crash);
+  state.quarantine.hasNewEvidence = true;
+  forgetExcessCrashes(state);
+  return [
+    logLine(
+      "engine ended under prompts",
+      {
+        replica: replica.id,
+        replicaZone: replica.zone,
+        requests: suspects.size,
+        promptBlocks: [...new Set([...suspects.values()].flat())].slice(0, 8),
+      },
+      Severity.Warn,
+    ),
+    ...endDeadlyExchanges(state, suspects),
+  ];
+};
+
+/** Notes the end of an engine whose connections are still open here. */
+export const recordEndedEngine = (
+  state: RelayState,
+  replica: Replica,
+  lost: readonly { readonly exchange: Exchange; readonly attempt: Attempt }[],
+): RelayCommand[] => {
+  if (!mayEndByRequest(state, replica)) return [];
+  const suspects: CrashSuspects = new Map();
+  for (const { exchange, attempt } of lost)
+    if (isSuspect(exchange, attempt))
+      addSuspect(
+        suspects,
+        requestIdentityOf(exchange.request),
+        exchange.request.sharedPromptBlockIds,
+      );
+  return suspects.size === 0
+    ? []
+    : recordCrash(state, replica, state.at, suspects);
+};
+
+const isSameProcess = (
+  { startedAt }: Replica,
+  report: EngineReport | undefined,
+): boolean => report?.startedAt === undefined || report.startedAt === startedAt;
+
+/** Decides by a probe's result whether an engine with broken connections has ended. */
+export const confirmCrash = (
+  state: RelayState,
+  event: RelayEventOf<"probeFinished">,
+): RelayCommand[] => {
+  const { unconfirmed } = state.quarantine;
+  const found = [...unconfirmed].find(
+    ([, { replica, lostAt }]) =>
+      replica.id === event.replica && event.sentAt >= lostAt,
+  );
+  if (found === undefined) return [];
+  const [process, { replica, lostAt, suspects }] = found;
+  unconfirmed.delete(process);
+  const hasEnded = event.isAnswered
+    ? !isSameProcess(replica, event.report)
+    : event.isRefused;
+  return hasEnded ? recordCrash(state, replica, lostAt, suspects) : [];
+};
+
+/** Adds a suspect that another router told. */
+export const learnCrash = (
+  state: RelayState,
+  { process, at, request, blockIds }: EngineCrashItem,
+): void => {
+  const { crashes } = state.quarantine;
+  const crash = crashes.get(process) ?? { process, at, suspects: new Map() };
+  crashes.set(process, crash);
+  if (!addSuspect(crash.suspects, request, blockIds)) return;
+  publishSuspect(state, crash, request, blockIds);
+  renewQuarantines(state, crash);
+  state.quarantine.hasNewEvidence = true;
+  forgetExcessCrashes(state);
+};
+
+/** All known crashes, as other routers are told of them. */
+export const crashItems = ({
+  quarantine: { crashes },
+}: RelayState): EngineCrashItem[] =>
+  [...crashes.values()].flatMap(({ process, at, suspects }) =>
+    [...suspects].map(([request, blockIds]) => ({
+      type: "engineCrash" as const,
+      process,
+      at,
+      request,
+      blockIds,
+    })),
+  );
+
+/** Marks blocks as sound: an engine answered with them and went on. Others are told if they are suspected. */
+const recordSoundAttempt = (
+  state: RelayState,
+  { request }: Exchange,
+  begunAt: Timestamp,
+): RelayCommand[] => {
+  const blockIds = request.sharedPromptBlockIds
+    .slice(0, maxRemembered.blocksPerSuspect)
+    .filter((id) => isNewerMark(state, id, begunAt));
+  recordSoundAt(state, blockIds, begunAt);
+  const suspected = trackedBlocks(state);
+  const tracked = blockIds.filter((id) => suspected.has(id));
+  if (tracked.length === 0) return [];
+  publishItem(state, { type: "soundBlocks", at: begunAt, blockIds: tracked });
+  return clearSoundBlocks(state, `answer of ${request.requestId}`, true);
+};
+
+/** Counts events of an attempt; after the first ones its engine has survived the prompt. */
+export const establishAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  eventCount: number,
+): RelayCommand[] => {
+  attempt.eventCount += eventCount;
+  attempt.firstEventAt ??= state.at;
+  const { firstEventAt, isEstablished } = attempt;
+  const isEarly =
+    attempt.eventCount < establishedEventCount ||
+    state.at - firstEventAt < establishedAfterMs;
+  if (isEstablished || isEarly) return [];
+  attempt.isEstablished = true;
+  return recordSoundAttempt(state, exchange, firstEventAt);
+};
+
+/** Handles the end of a whole answer: it is sound, however short. */
+export const establishEndedAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+): RelayCommand[] => {
+  if (attempt.isEstablished || attempt.firstEventAt === undefined) return [];
+  attempt.isEstablished = true;
+  return recordSoundAttempt(state, exchange, attempt.firstEventAt);
+};
--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -1,22 +1,28 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Fleet } from "../../testing/fleet.js";
+import { maxRemembered } from "./constants.js";
 
 const contactMs = 3000;
 const maxLateArrivalCount = 3;
 
-/** Sends sound and deadly requests to changing routers for some seconds. */
+interface SentKeys {
+  readonly sound: string[];
+  readonly deadly: string[];
+}
+
+/** Sends sound and other requests to changing routers for some seconds. */
 const playTraffic = (
   fleet: Fleet,
   durationMs: number,
-  deadly: (index: number) => readonly string[] | undefined,
-): { readonly sound: string[]; readonly deadly: string[] } => {
+  otherBlocks: (index: number) => readonly string[] | undefined,
+): SentKeys => {
   const routers = [...fleet.states.keys()];
-  const keys = { sound: [] as string[], deadly: [] as string[] };
+  const keys: SentKeys = { sound: [], deadly: [] };
   for (let index = 0; index * 200 < durationMs; index += 1) {
     const router = routers[index % routers.length] ?? "";
     keys.sound.push(fleet.request(router, [`customer-${String(index % 4)}`]));
-    const blockIds = deadly(index);
+    const blockIds = otherBlocks(index);
     const other = routers[(index * 5 + 3) % routers.length] ?? "";
     if (blockIds !== undefined)
       keys.deadly.push(fleet.request(other, blockIds));
@@ -26,19 +32,206 @@
   return keys;
 };
 
-test("requests with a prompt block that ends engines keep reaching engines after its fifth crash", () => {
+const deadlyEvery =
+  (count: number, bad = "bad") =>
+  (index: number): readonly string[] | undefined =>
+    index % count === 2 ? [`customer-${String(index % 4)}`, bad] : undefined;
+
+const assertFewAfterFifthCrash = (fleet: Fleet, blockId = "bad"): void => {
+  const fifth = fleet.crashTimes[4] ?? fleet.at;
+  assert.ok(
+    fleet.arrivalsAfter(fifth + contactMs, blockId) <= maxLateArrivalCount,
+    `${String(fleet.crashTimes.length)} engines ended`,
+  );
+};
+
+const assertAllWhole = (fleet: Fleet, keys: readonly string[]): void => {
+  const others = keys.filter((key) => fleet.endings.get(key) !== "whole");
+  assert.deepEqual(others, [], "sound requests were not answered");
+};
+
+const heldBlocks = (fleet: Fleet): string[] =>
+  [...fleet.states.values()].flatMap(({ quarantine }) => [
+    ...quarantine.inForce.keys(),
+  ]);
+
+const createFleet = (): Fleet => {
   const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
   fleet.deadlyBlocks.add("bad");
-  const keys = playTraffic(fleet, 30_000, (index) =>
-    index % 5 === 2 ? [`customer-${String(index % 4)}`, "bad"] : undefined,
+  return fleet;
+};
+
+test("requests with a prompt block that ends engines keep reaching engines after its fifth crash", () => {
+  const fleet = createFleet();
+  const keys = playTraffic(fleet, 30_000, deadlyEvery(5));
+  assertFewAfterFifthCrash(fleet);
+  assertAllWhole(fleet, keys.sound);
+});
+
+test("routers that cannot reach the store end engines under a block that others know", () => {
+  const fleet = createFleet();
+  fleet.isStoreDown = true;
+  const keys = playTraffic(fleet, 20_000, deadlyEvery(5));
+  assertFewAfterFifthCrash(fleet);
+  assert.equal(new Set(heldBlocks(fleet)).size, 1);
+  assert.equal(heldBlocks(fleet).length, 8);
+  assertAllWhole(fleet, keys.sound);
+});
+
+test("a router that starts again ends engines under a block that the fleet knows", () => {
+  const fleet = createFleet();
+  playTraffic(fleet, 6000, deadlyEvery(5));
+  const crashCount = fleet.crashTimes.length;
+  for (const router of [...fleet.states.keys()]) fleet.startRouter(router);
+  const keys = playTraffic(fleet, 6000, deadlyEvery(5));
+  assert.equal(fleet.crashTimes.length, crashCount);
+  assertAllWhole(fleet, keys.sound);
+});
+
+test("a router that was cut off learns of a quarantine once its links are back", () => {
+  const fleet = createFleet();
+  fleet.isStoreDown = true;
+  fleet.cutRouters.add("r5");
+  const routers = ["r1", "r2", "r3"];
+  for (let index = 0; index < 6; index += 1) {
+    fleet.request(routers[index % 3] ?? "", [`c${String(index)}`, "bad"]);
+    fleet.advance(700);
+  }
+  assert.equal(fleet.states.get("r5")?.quarantine.inForce.size, 0);
+  fleet.cutRouters.clear();
+  fleet.advance(3000);
+  assert.equal(fleet.states.get("r5")?.quarantine.inForce.size, 1);
+});
+
+test("zones and single engines that are lost under sound requests blame a prompt block", () => {
+  const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
+  const sound: string[] = [];
+  for (let round = 0; round < 8; round += 1) {
+    sound.push(...playTraffic(fleet, 2000, () => undefined).sound);
+    const zone = ["a", "b", "c"][round % 3];
+    for (const [index, customer] of ["x", "y", "x"].entries())
+      sound.push(fleet.request(`r${String(index + 1)}`, [customer, "shared"]));
+    fleet.advance(200);
+    fleet.crash(
+      fleet.engines.filter(
+        ({ replica, isUp }, index) =>
+          isUp && (round % 2 === 0 ? replica.zone === zone : index === round),
+      ),
+    );
+  }
+  fleet.advance(6000);
+  assert.deepEqual(heldBlocks(fleet), []);
+  assertAllWhole(fleet, sound);
+});
+
+test("connections reset by engines that go on running blame a prompt block", () => {
+  const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
+  for (let round = 0; round < 12; round += 1) {
+    for (let index = 1; index <= 8; index += 1)
+      fleet.request(`r${String(index)}`, ["x", `y-${String(index)}`]);
+    fleet.advance(100);
+    for (const engine of fleet.engines) fleet.resetConnections(engine);
+    fleet.advance(600);
+  }
+  assert.deepEqual(heldBlocks(fleet), []);
+  assert.equal(
+    [...fleet.states.values()].every(
+      ({ quarantine }) => quarantine.crashes.size === 0,
+    ),
+    true,
   );
-  const fifth = fleet.crashTimes[4] ?? Infinity;
-  assert.ok(
-    fleet.arrivalsAfter(fifth + contactMs, "bad") <= maxLateArrivalCount,
-    `${String(fleet.crashTimes.length)} engines ended`,
+});
+
+test("sound requests are refused for a block that they share with deadly ones", () => {
+  const fleet = createFleet();
+  const keys = playTraffic(fleet, 12_000, (index) =>
+    index % 5 === 2 ? ["common", "bad"] : undefined,
   );
-  assert.ok(
-    keys.sound.every((key) => fleet.endings.get(key) === "whole"),
-    "a sound request was not answered",
+  const shared = ["r1", "r4", "r7"].map((router) =>
+    fleet.request(router, ["common"]),
   );
+  fleet.advance(4000);
+  assertAllWhole(fleet, [...keys.sound, ...shared]);
+  assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad"]));
+});
+
+test("two bad blocks at once are not told apart", () => {
+  const fleet = createFleet();
+  fleet.deadlyBlocks.add("worse");
+  const keys = playTraffic(fleet, 30_000, (index) => {
+    const bad = index % 2 === 0 ? "bad" : "worse";
+    return index % 3 === 1 ? [`customer-${String(index % 4)}`, bad] : undefined;
+  });
+  for (const blockId of ["bad", "worse"]) {
+    assertFewAfterFifthCrash(fleet, blockId);
+    assert.ok(heldBlocks(fleet).includes(blockId));
+  }
+  assertAllWhole(fleet, keys.sound);
+});
+
+test("a block that is sound again stays in quarantine", () => {
+  const fleet = createFleet();
+  playTraffic(fleet, 8000, deadlyEvery(5));
+  assert.equal(fleet.stored.size, 1);
+  fleet.deadlyBlocks.clear();
+  playTraffic(fleet, 40_000, deadlyEvery(5));
+  assert.deepEqual(heldBlocks(fleet), []);
+  assert.equal(fleet.stored.size, 0);
+  const key = fleet.request("r2", ["customer-1", "bad"]);
+  fleet.advance(3000);
+  assertAllWhole(fleet, [key]);
+});
+
+test("a block that still ends engines costs more and more of them as its holds end", () => {
+  const fleet = createFleet();
+  playTraffic(fleet, 8000, deadlyEvery(5));
+  const crashCount = fleet.crashTimes.length;
+  playTraffic(fleet, 130_000, deadlyEvery(5));
+  assert.ok(fleet.crashTimes.length - crashCount <= 3);
+});
+
+test("an operator who removes a quarantine from the store does not release it", () => {
+  const fleet = createFleet();
+  playTraffic(fleet, 8000, deadlyEvery(5));
+  fleet.deadlyBlocks.clear();
+  fleet.stored.clear();
+  fleet.readQuarantines();
+  const key = fleet.request("r6", ["customer-1", "bad"]);
+  fleet.advance(3000);
+  assertAllWhole(fleet, [key]);
+  assert.deepEqual(heldBlocks(fleet), []);
+});
+
+test("a refused request waits for its answer, or is not told when to come back", () => {
+  const fleet = createFleet();
+  playTraffic(fleet, 8000, deadlyEvery(5));
+  const key = fleet.request("r6", ["customer-1", "bad"]);
+  assert.equal(fleet.endings.get(key), 503);
+  const line = fleet.logged.findLast(
+    ({ context }) => context.requestId === key,
+  );
+  assert.equal(line?.message, "request refused");
+  const { promptBlocks, lastCrashMsAgo, learnedFrom, retryAfterMs } =
+    line.context;
+  assert.deepEqual(promptBlocks, ["bad"]);
+  assert.ok(Number(lastCrashMsAgo) > 0 && Number(retryAfterMs) > 0);
+  assert.ok(typeof learnedFrom === "string");
+  assert.match(learnedFrom, /^r\d$/);
+});
+
+test("gossip about ever new crashes fills the memory", () => {
+  const fleet = createFleet();
+  const { states, at } = fleet;
+  const state = states.get("r1");
+  assert.ok(state);
+  const items = Array.from({ length: 2000 }, (_, index) => ({
+    type: "engineCrash" as const,
+    process: `p${String(index)}`,
+    at: at + index,
+    request: `q${String(index)}`,
+    blockIds: [`b${String(index)}`],
+  }));
+  fleet.receiveGossip("r1", "r2", items);
+  fleet.advance(1100);
+  assert.ok(state.quarantine.crashes.size <= maxRemembered.crashes);
 });
--- /dev/null
+++ b/packages/relay/src/decisions/quarantine/quarantineState.ts
@@ -0,0 +1,106 @@
+/** State of the quarantine: what is remembered, and for how long. */
+
+import { rendezvousOrder, type Timestamp } from "@cardamomglade/common";
+import type { CallerRequest } from "../../types.js";
+import type { RelayState } from "../types.js";
+import {
+  evidenceRetentionMs,
+  forgetAfterHoldMs,
+  initialHoldMs,
+  maxHoldMs,
+  maxRemembered,
+  unconfirmedRetentionMs,
+} from "./constants.js";
+import { hasAllBlocks } from "./findCulprits.js";
+import type { Quarantine, QuarantineState } from "./types.js";
+
+/** Creates the state of a router that knows of no crash. */
+export const createQuarantineState = (): QuarantineState => ({
+  unconfirmed: new Map(),
+  crashes: new Map(),
+  soundAt: new Map(),
+  inForce: new Map(),
+  hasNewEvidence: false,
+  refusedCount: 0,
+  nextMaintenanceAt: 0,
+});
+
+/** Identifies a request over its callers' and routers' attempts. */
+export const requestIdentityOf = ({
+  lastPromptBlockId,
+  requestId,
+}: CallerRequest): string => lastPromptBlockId ?? requestId;
+
+/** Identifies a set of blocks. */
+export const quarantineKeyOf = (blockIds: readonly string[]): string =>
+  [...blockIds].sort().join(",");
+
+/** Length of the hold after a number of strikes. */
+export const holdMsOf = (strikes: number): number =>
+  Math.min(maxHoldMs, initialHoldMs * 2 ** (strikes - 1));
+
+/** Quarantines of which a request has all blocks. */
+export const quarantinesOf = (
+  { quarantine: { inForce } }: RelayState,
+  { sharedPromptBlockIds }: CallerRequest,
+): Quarantine[] =>
+  [...inForce.values()].filter(({ blockIds }) =>
+    hasAllBlocks(sharedPromptBlockIds, blockIds),
+  );
+
+/** This router's place in the order in which routers act on a quarantine. */
+export const rankOf = (
+  { router, registration }: RelayState,
+  key: string,
+): number => {
+  const names = new Set([...registration.routers.keys(), router]);
+  return rendezvousOrder(key, [...names]).indexOf(router);
+};
+
+/** Blocks that a known crash or quarantine mentions. */
+export const trackedBlocks = ({
+  quarantine: { crashes, inForce },
+}: RelayState): ReadonlySet<string> => {
+  const tracked = new Set<string>();
+  for (const { blockIds } of inForce.values())
+    for (const id of blockIds) tracked.add(id);
+  for (const { suspects } of crashes.values())
+    for (const blockIds of suspects.values())
+      for (const id of blockIds) tracked.add(id);
+  return tracked;
+};
+
+const removeOldest = <Key, Value>(
+  map: Map<Key, Value>,
+  maxSize: number,
+  isOld: (value: Value) => boolean,
+): void => {
+  for (const [key, value] of map)
+    if (isOld(value) || map.size > maxSize) map.delete(key);
+};
+
+/** Drops the oldest crashes if there are too many. */
+export const forgetExcessCrashes = ({
+  quarantine: { crashes },
+}: RelayState): void => {
+  removeOldest(crashes, maxRemembered.crashes, () => false);
+};
+
+/** Drops knowledge that is too old or too much. */
+export const forgetOld = ({ quarantine, at }: RelayState): void => {
+  const { crashes, soundAt, unconfirmed, inForce } = quarantine;
+  const { crashes: maxCrashes, soundBlocks, quarantines } = maxRemembered;
+  const isOlder = (time: Timestamp, ms: number) => at - time > ms;
+  removeOldest(crashes, maxCrashes, (crash) =>
+    isOlder(crash.at, evidenceRetentionMs),
+  );
+  removeOldest(soundAt, soundBlocks, (time) =>
+    isOlder(time, evidenceRetentionMs),
+  );
+  removeOldest(unconfirmed, maxCrashes, ({ lostAt }) =>
+    isOlder(lostAt, unconfirmedRetentionMs),
+  );
+  removeOldest(inForce, quarantines, ({ heldUntil }) =>
+    isOlder(heldUntil, forgetAfterHoldMs),
+  );
+};
--- /dev/null
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -0,0 +1,349 @@
+/** Puts prompt blocks into quarantine, renews, narrows and ends it. */
+
+import { Severity } from "@cardamomglade/observe";
+import type { Timestamp } from "@cardamomglade/common";
+import { publishItem } from "../gossip/spreadGossip.js";
+import type { QuarantineItem } from "../gossip/types.js";
+import { cancelExchange, failExchange, summaryOf } from "../endExchange.js";
+import { logLine } from "../logLine.js";
+import { refuse } from "../refusals.js";
+import { serviceUnavailableStatus } from "../../types.js";
+import type { RelayCommand } from "../commands.js";
+import type { Exchange, RelayState } from "../types.js";
+import {
+  assumedCrashSpacingMs,
+  minCrashCount,
+  storeWriteSpacingMs,
+} from "./constants.js";
+import { findCulprits, hasAllBlocks } from "./findCulprits.js";
+import {
+  holdMsOf,
+  quarantineKeyOf,
+  quarantinesOf,
+  rankOf,
+  requestIdentityOf,
+} from "./quarantineState.js";
+import type { EngineCrash, Quarantine } from "./types.js";
+
+const heldReason = "engines ended under prompts with these blocks";
+
+/** A quarantine as other routers are told of it. */
+export const itemOf = ({
+  blockIds,
+  crashedAt,
+  heldUntil,
+  strikes,
+  crashCount,
+  source,
+}: Quarantine): QuarantineItem => ({
+  type: "quarantine",
+  blockIds,
+  crashedAt,
+  heldUntil,
+  strikes,
+  crashCount,
+  source,
+});
+
+/** All quarantines, as other routers are told of them. */
+export const quarantineItems = ({
+  quarantine: { inForce },
+}: RelayState): QuarantineItem[] => [...inForce.values()].map(itemOf);
+
+const contextOf = (
+  state: RelayState,
+  { blockIds, crashedAt, learnedAt, source, strikes, crashCount }: Quarantine,
+) => ({
+  promptBlocks: blockIds,
+  crashes: crashCount,
+  lastCrashMsAgo: Math.round(state.at - crashedAt),
+  strikes,
+  learnedFrom: source,
+  learnedMsAgo: Math.round(state.at - learnedAt),
+});
+
+/** Ends a request whose blocks are in quarantine: at once, and as not executed where that is so. */
+export const endHeldExchange = (
+  state: RelayState,
+  exchange: Exchange,
+  held: Quarantine,
+): RelayCommand[] => {
+  state.quarantine.refusedCount += 1;
+  const { key, request, head, mayHaveExecuted } = exchange;
+  const context = {
+    ...summaryOf(exchange, state.at),
+    ...contextOf(state, held),
+  };
+  if (mayHaveExecuted || head !== undefined)
+    return [
+      logLine("request held back", context),
+      ...failExchange(state, exchange, heldReason),
+    ];
+  const { requestId } = request;
+  return [
+    ...cancelExchange(state, exchange),
+    ...refuse(
+      { key, requestId, reason: heldReason, context },
+      serviceUnavailableStatus,
+      Math.max(0, held.heldUntil - state.at),
+    ),
+  ];
+};
+
+/** The first quarantine that holds a request back, or undefined. */
+export const heldBy = (
+  state: RelayState,
+  { request }: Pick<Exchange, "request">,
+): Quarantine | undefined => quarantinesOf(state, request)[0];
+
+/** Ends requests that wait for an engine or for its first events, before it ends too. */
+const endHeldExchanges = (
+  state: RelayState,
+  quarantine: Quarantine,
+): RelayCommand[] =>
+  [...state.exchanges.values()].flatMap((exchange) => {
+    const { attempt, request } = exchange;
+    const isHeld =
+      attempt?.isEstablished !== true &&
+      quarantine.trialKey !== exchange.key &&
+      hasAllBlocks(request.sharedPromptBlockIds, quarantine.blockIds);
+    return isHeld ? endHeldExchange(state, exchange, quarantine) : [];
+  });
+
+/** Removes a quarantine; the store's entry, too, unless another router does so. */
+const removeQuarantine = (
+  state: RelayState,
+  { key, isStored }: Quarantine,
+  isOwnDecision: boolean,
+): RelayCommand[] => {
+  state.quarantine.inForce.delete(key);
+  return isOwnDecision && isStored ? [{ type: "removeQuarantine", key }] : [];
+};
+
+/** Puts blocks into quarantine; sets that it contains are redundant. */
+const addQuarantine = (
+  state: RelayState,
+  item: QuarantineItem,
+  isOwnDecision: boolean,
+): RelayCommand[] => {
+  const { at, quarantine } = state;
+  const { blockIds, crashedAt, heldUntil, strikes, crashCount, source } = item;
+  const key = quarantineKeyOf(blockIds);
+  const added: Quarantine = {
+    key,
+    blockIds,
+    crashedAt,
+    heldUntil,
+    strikes,
+    crashCount,
+    learnedAt: at,
+    source,
+    trialKey: undefined,
+    isStored: false,
+    nextWriteAt: at + storeWriteSpacingMs * rankOf(state, key),
+  };
+  const redundant = [...quarantine.inForce.values()].filter((one) =>
+    hasAllBlocks(one.blockIds, blockIds),
+  );
+  quarantine.inForce.set(key, added);
+  publishItem(state, itemOf(added));
+  return [
+    logLine(
+      "prompt blocks quarantined",
+      {
+        ...contextOf(state, added),
+        heldForMs: Math.round(heldUntil - at),
+      },
+      Severity.Warn,
+    ),
+    ...redundant.flatMap((one) => removeQuarantine(state, one, isOwnDecision)),
+    ...endHeldExchanges(state, added),
+  ];
+};
+
+const hasSubsetInForce = (
+  { quarantine: { inForce } }: RelayState,
+  blockIds: readonly string[],
+): boolean =>
+  [...inForce.values()].some((one) => hasAllBlocks(blockIds, one.blockIds));
+
+const crashesUnder = (
+  { quarantine: { crashes } }: RelayState,
+  blockIds: readonly string[],
+): EngineCrash[] =>
+  [...crashes.values()].filter(({ suspects }) =>
+    [...suspects.values()].some((one) => hasAllBlocks(one, blockIds)),
+  );
+
+/** Crashes that stand for a quarantine whose evidence is forgotten, or only known elsewhere. */
+const assumedCrashesOf = (
+  state: RelayState,
+  { key, blockIds, crashedAt }: Quarantine,
+): EngineCrash[] =>
+  crashesUnder(state, blockIds).length >= minCrashCount
+    ? []
+    : Array.from({ length: minCrashCount }, (_, index) => ({
+        process: `${key}/${String(index)}`,
+        at: crashedAt - index * assumedCrashSpacingMs,
+        suspects: new Map([[`${key}/${String(index)}`, blockIds]]),
+      }));
+
+const quarantineCulprit = (
+  state: RelayState,
+  blockIds: readonly string[],
+): RelayCommand[] => {
+  const { at, router } = state;
+  const explained = crashesUnder(state, blockIds);
+  if (explained.length === 0 || hasSubsetInForce(state, blockIds)) return [];
+  const item: QuarantineItem = {
+    type: "quarantine",
+    blockIds,
+    crashedAt: Math.max(...explained.map((crash) => crash.at)),
+    heldUntil: at + holdMsOf(1),
+    strikes: 1,
+    crashCount: explained.length,
+    source: router,
+  };
+  return addQuarantine(state, item, true);
+};
+
+/** Ends quarantines whose crashes other blocks explain better, now that more is known. */
+const clearUnsupported = (
+  state: RelayState,
+  culprits: readonly (readonly string[])[],
+): RelayCommand[] => {
+  const unsupported = [...state.quarantine.inForce.values()].filter(
+    ({ blockIds }) =>
+      !culprits.some(
+        (culprit) =>
+          hasAllBlocks(culprit, blockIds) || hasAllBlocks(blockIds, culprit),
+      ),
+  );
+  for (const { blockIds, crashedAt } of unsupported) {
+    recordSoundAt(state, blockIds, crashedAt);
+    publishItem(state, { type: "soundBlocks", at: crashedAt, blockIds });
+  }
+  return clearSoundBlocks(state, "other blocks explain the crashes", true);
+};
+
+/** Looks for blocks that explain the known crashes, if there are new ones, and puts them into quarantine. */
+export const quarantineCulprits = (state: RelayState): RelayCommand[] => {
+  if (!state.quarantine.hasNewEvidence) return [];
+  state.quarantine.hasNewEvidence = false;
+  const { crashes, soundAt, inForce } = state.quarantine;
+  const assumed = [...inForce.values()].flatMap((one) =>
+    assumedCrashesOf(state, one),
+  );
+  const culprits = findCulprits([...crashes.values(), ...assumed], soundAt);
+  const commands = culprits.flatMap((one) => quarantineCulprit(state, one));
+  return culprits.length === 0
+    ? commands
+    : [...commands, ...clearUnsupported(state, culprits)];
+};
+
+/** Extends quarantines that a new crash confirms; after a failed trial the hold doubles. */
+export const renewQuarantines = (
+  state: RelayState,
+  { at, suspects }: EngineCrash,
+): void => {
+  for (const quarantine of state.quarantine.inForce.values()) {
+    const confirming = [...suspects].filter(([, blockIds]) =>
+      hasAllBlocks(blockIds, quarantine.blockIds),
+    );
+    if (confirming.length === 0 || at <= quarantine.crashedAt) continue;
+    quarantine.crashedAt = at;
+    quarantine.crashCount += 1;
+    const trial = state.exchanges.get(quarantine.trialKey ?? "");
+    const isTrialOver =
+      trial === undefined || suspects.has(requestIdentityOf(trial.request));
+    if (quarantine.trialKey !== undefined && isTrialOver) {
+      quarantine.trialKey = undefined;
+      quarantine.strikes += 1;
+      quarantine.isStored = false;
+      quarantine.nextWriteAt = state.at;
+    }
+    quarantine.heldUntil = Math.max(
+      quarantine.heldUntil,
+      at + holdMsOf(quarantine.strikes),
+    );
+    publishItem(state, itemOf(quarantine));
+  }
+};
+
+/** Clears blocks with which engines answer well; what is left of a quarantine stays in force. */
+export const clearSoundBlocks = (
+  state: RelayState,
+  reason: string,
+  isOwnDecision: boolean,
+): RelayCommand[] => {
+  const { inForce, soundAt } = state.quarantine;
+  return [...inForce.values()].flatMap((quarantine) => {
+    const { blockIds, crashedAt } = quarantine;
+    const rest = blockIds.filter(
+      (id) => (soundAt.get(id) ?? -Infinity) < crashedAt,
+    );
+    if (rest.length === blockIds.length) return [];
+    const lines = [
+      logLine("prompt blocks released", {
+        ...contextOf(state, quarantine),
+        reason,
+        stillHeld: rest,
+      }),
+      ...removeQuarantine(state, quarantine, isOwnDecision),
+    ];
+    if (rest.length === 0 || hasSubsetInForce(state, rest)) return lines;
+    const narrowed = { ...itemOf(quarantine), blockIds: rest };
+    return [...lines, ...addQuarantine(state, narrowed, isOwnDecision)];
+  });
+};
+
+const minHoldChangeMs = 250; // ages on the wire lag by the way of the message
+
+/** Adopts or updates a quarantine that another router or the store told; returns whether it is news. */
+export const learnQuarantine = (
+  state: RelayState,
+  item: QuarantineItem,
+): RelayCommand[] => {
+  const { inForce, soundAt } = state.quarantine;
+  const isCleared = item.blockIds.some(
+    (id) => (soundAt.get(id) ?? -Infinity) >= item.crashedAt,
+  );
+  if (isCleared) return [];
+  const known = inForce.get(quarantineKeyOf(item.blockIds));
+  if (known === undefined)
+    return hasSubsetInForce(state, item.blockIds)
+      ? []
+      : addQuarantine(state, item, false);
+  const isNews =
+    item.strikes > known.strikes ||
+    item.heldUntil > known.heldUntil + minHoldChangeMs;
+  if (!isNews) return [];
+  known.strikes = Math.max(known.strikes, item.strikes);
+  known.heldUntil = Math.max(known.heldUntil, item.heldUntil);
+  known.crashedAt = Math.max(known.crashedAt, item.crashedAt);
+  known.crashCount = Math.max(known.crashCount, item.crashCount);
+  publishItem(state, itemOf(known));
+  return [];
+};
+
+const minNewerMs = 500; // later marks of a busy block are no news
+
+/** Whether a mark of a sound block says more than the known one. */
+export const isNewerMark = (
+  { quarantine: { soundAt } }: RelayState,
+  blockId: string,
+  at: Timestamp,
+): boolean => at - (soundAt.get(blockId) ?? -Infinity) > minNewerMs;
+
+/** Records when engines answered blocks well; only blocks under suspicion are remembered. */
+export const recordSoundAt = (
+  { quarantine: { soundAt } }: RelayState,
+  blockIds: readonly string[],
+  at: Timestamp,
+): void => {
+  for (const id of blockIds) {
+    const known = soundAt.get(id) ?? -Infinity;
+    soundAt.delete(id);
+    soundAt.set(id, Math.max(known, at));
+  }
+};
--- /dev/null
+++ b/packages/relay/src/decisions/quarantine/types.ts
@@ -0,0 +1,64 @@
+/** Types of the quarantine of prompt blocks under which engines end. */
+
+import type { Timestamp } from "@cardamomglade/common";
+import type { Replica } from "../../types.js";
+
+/** Shared prompt blocks by request: the requests that were about to answer on an engine. */
+export type CrashSuspects = Map<string, readonly string[]>;
+
+/** Connections to an engine broke; it is not known yet whether its process ended. */
+export interface UnconfirmedCrash {
+  readonly replica: Replica;
+  readonly lostAt: Timestamp;
+  readonly suspects: CrashSuspects;
+}
+
+/** The end of one engine process while requests were about to answer on it. */
+export interface EngineCrash {
+  readonly process: string;
+  readonly at: Timestamp;
+  readonly suspects: CrashSuspects;
+}
+
+/** Prompt blocks whose requests, if they have all of them, are not sent to engines. */
+export interface Quarantine {
+  readonly key: string;
+  readonly blockIds: readonly string[];
+  /** Time of the latest engine crash that supports it. */
+  crashedAt: Timestamp;
+  /** From then on, one request at a time may show whether engines still end. */
+  heldUntil: Timestamp;
+  /** Number of times that the cause was found or confirmed; the hold grows with it. */
+  strikes: number;
+  crashCount: number;
+  readonly learnedAt: Timestamp;
+  /** Router that found the cause, or the store. */
+  readonly source: string;
+  /** Key of this router's request that shows whether engines still end. */
+  trialKey: string | undefined;
+  /** Whether the store has an entry of it. */
+  isStored: boolean;
+  nextWriteAt: Timestamp;
+}
+
+/** A quarantine as the store keeps it. */
+export interface StoredQuarantine {
+  readonly blockIds: readonly string[];
+  readonly strikes: number;
+  readonly crashCount: number;
+}
+
+/** What is known about prompts under which engines end. */
+export interface QuarantineState {
+  /** By engine process. */
+  readonly unconfirmed: Map<string, UnconfirmedCrash>;
+  /** By engine process. */
+  readonly crashes: Map<string, EngineCrash>;
+  /** Latest time at which an engine began to answer with a block and went on. */
+  readonly soundAt: Map<string, Timestamp>;
+  readonly inForce: Map<string, Quarantine>;
+  /** Whether crashes were learned that were not weighed yet. */
+  hasNewEvidence: boolean;
+  refusedCount: number;
+  nextMaintenanceAt: Timestamp;
+}
--- a/packages/relay/src/decisions/registration.ts
+++ b/packages/relay/src/decisions/registration.ts
@@ -12,6 +12,7 @@
   registrationJitterMs,
   minAssumedRouterCount,
 } from "./constants.js";
+import type { Address } from "../types.js";
 import { random } from "./random.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -36,6 +37,28 @@
     ? routers.size
     : Math.max(minAssumedRouterCount, routers.size + 1);
 
+/** Addresses of the other routers; none while this router has none itself. */
+export const otherRouterAddresses = ({
+  registration,
+  router,
+  address,
+}: RelayState): Address[] =>
+  address === undefined
+    ? []
+    : [...registration.routers]
+        .filter(([name]) => name !== router)
+        .map(([, other]) => other)
+        .filter((other) => other !== undefined);
+
+/** Whether an address belongs to a registered router. */
+export const isKnownRouter = (
+  { registration }: RelayState,
+  { host, port }: Address,
+): boolean =>
+  [...registration.routers.values()].some(
+    (known) => known?.host === host && known.port === port,
+  );
+
 /** Applies the list of registered routers. */
 export const routersRead = (
   state: RelayState,
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -5,6 +5,7 @@
 import { unconfiguredRetryAfterRangeMs } from "./constants.js";
 import { drawRetryDelayMs, refuse, type RefusedRequest } from "./refusals.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
+import { holdBack, startTrials } from "./quarantine/trials.js";
 import { sendFirst } from "./sendAttempt.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -63,6 +64,7 @@
   attempts: 0,
   nextNumber: 0,
   triedIds: new Set(),
+  endedEngineCount: 0,
   mayHaveExecuted: false,
   head: undefined,
   lastEventId: request.lastEventId ?? 0,
@@ -105,6 +107,8 @@
   if (identity.type === "unknown")
     return refuse(refused("the key is not known"), 401, undefined);
   const exchange = createExchange(state, event, route, identity.customer);
+  const refusal = holdBack(state, exchange);
+  if (refusal !== undefined) return refusal;
   state.exchanges.set(key, exchange);
-  return sendFirst(state, exchange);
+  return [...startTrials(state, exchange), ...sendFirst(state, exchange)];
 };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -16,6 +16,8 @@
   isEngineQueryDone,
   queryEngines,
 } from "./queryEngines.js";
+import { maxEndedEngineCount } from "./quarantine/constants.js";
+import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
 import { ageOf, isAvailable, isSuspected } from "./replicaViews.js";
 import { logLine } from "./logLine.js";
@@ -98,6 +100,9 @@
     rejectedHolders: new Set(),
     heardAt: state.at,
     hasEvents: false,
+    eventCount: 0,
+    firstEventAt: undefined,
+    isEstablished: false,
   };
   exchange.attempts += 1;
   exchange.nextNumber += 1;
@@ -225,6 +230,14 @@
   const { route, service, mayHaveExecuted, attempts, copy } = exchange;
   if (mayHaveExecuted && !isRetryable(route))
     return failExchange(state, exchange, reason);
+  const held = heldBy(state, exchange);
+  if (held !== undefined) return endHeldExchange(state, exchange, held);
+  if (exchange.endedEngineCount >= maxEndedEngineCount)
+    return failExchange(
+      state,
+      exchange,
+      `${reason}; several engines ended under it`,
+    );
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
   // Resuming at a KV cache copy continues the same execution; only a new
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -6,6 +6,10 @@
 import { recordOutcome } from "./outcomes.js";
 import { recordContact } from "./replicaViews.js";
 import { findAttempt, handleLostAttempt } from "./attemptEvents.js";
+import {
+  establishAttempt,
+  establishEndedAttempt,
+} from "./quarantine/engineCrashes.js";
 import { completeExchange } from "./endExchange.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -67,6 +71,7 @@
   exchange.lastEventId = events.at(-1)?.id ?? exchange.lastEventId;
   const commands: RelayCommand[] =
     events.length === 0 ? [] : [{ type: "deliverEvents", key, events }];
+  commands.push(...establishAttempt(state, exchange, attempt, events.length));
   if (!isGap) return commands;
   commands.push({ type: "abandon", key, attempt: attempt.number });
   commands.push(
@@ -85,6 +90,7 @@
   const { exchange, attempt } = found;
   recordOutcome(state, attempt.replica.id, false);
   return [
+    ...establishEndedAttempt(state, exchange, attempt),
     { type: "finishStream", key: event.key },
     ...completeExchange(state, exchange, exchange.head?.status ?? 200),
   ];
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -14,6 +14,10 @@
   tickIntervalMs,
 } from "./constants.js";
 import { failExchange } from "./endExchange.js";
+import { currentItems } from "./gossip/gossipReceived.js";
+import { spreadGossip } from "./gossip/spreadGossip.js";
+import { quarantineCulprits } from "./quarantine/quarantines.js";
+import { maintainQuarantines } from "./quarantine/maintainQuarantines.js";
 import { isEngineQueryDone } from "./queryEngines.js";
 import { abandonAndRetry, probeSilent } from "./probes.js";
 import { ensureCopy, hasUsableCopy } from "./kvCacheCopies.js";
@@ -139,6 +143,9 @@
     ...removeMissingReplicas(state),
     ...maintainRegistration(state),
     ...shareOutcomes(state),
+    ...quarantineCulprits(state),
+    ...maintainQuarantines(state),
+    ...spreadGossip(state, () => currentItems(state)),
   );
   for (const exchange of [...state.exchanges.values()])
     commands.push(...checkExchange(state, exchange));
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -9,6 +9,8 @@
   Route,
   Address,
 } from "../types.js";
+import type { GossipState } from "./gossip/types.js";
+import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
 
 /** Numbers of attempts that succeeded and failed. */
@@ -90,6 +92,11 @@
   readonly rejectedHolders: Set<string>;
   heardAt: Timestamp;
   hasEvents: boolean;
+  /** Number of events received, and the time of the first. */
+  eventCount: number;
+  firstEventAt: Timestamp | undefined;
+  /** Whether the answer went on after its first events: the engine survived the prompt. */
+  isEstablished: boolean;
 }
 
 /** Status and headers of a replica's response. */
@@ -140,6 +147,8 @@
   /** Number of the next attempt; also counts attempts that did not connect. */
   nextNumber: number;
   readonly triedIds: Set<string>;
+  /** Number of engines that ended while this request was about to be answered. */
+  endedEngineCount: number;
   /** Whether any replica may have started to execute the request. */
   mayHaveExecuted: boolean;
   /** Response head sent to the caller; set once a stream has started. */
@@ -237,6 +246,8 @@
   readonly exchanges: Map<string, Exchange>;
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly registration: Registration;
+  readonly quarantine: QuarantineState;
+  readonly gossip: GossipState;
   runtimeLimits: RuntimeLimits;
   store: StoreState;
   isDraining: boolean;
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -10,6 +10,8 @@
 /** Result of a probe. */
 export interface ProbeResult {
   readonly isAnswered: boolean;
+  /** Whether the engine's host refused the connection. */
+  readonly isRefused: boolean;
   /** Undefined if there was no answer or it could not be decoded. */
   readonly report: EngineReport | undefined;
 }
@@ -30,13 +32,20 @@
   { reportPath, decodeReport }: ReplicaProtocol,
   replica: Replica,
 ): Promise<ProbeResult> => {
-  const answer = await call(replica, {
+  const { host, port } = replica;
+  const result = await httpCall({
+    host,
+    port,
     method: "GET",
     path: reportPath,
     deadline: now() + probeTimeoutMs,
   });
-  if (answer === undefined) return { isAnswered: false, report: undefined };
-  return { isAnswered: true, report: decodeReport(answer.text) };
+  if (result.type === "failed") {
+    const { isRefused } = result;
+    return { isAnswered: false, isRefused, report: undefined };
+  }
+  const report = decodeReport(result.text);
+  return { isAnswered: true, isRefused: false, report };
 };
 
 /** Requests the prompt blocks that an engine holds; undefined if it did not answer. */
--- a/packages/relay/src/drivers/httpCall.ts
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -24,7 +24,12 @@
       readonly status: number;
       readonly text: string;
     }
-  | { readonly type: "failed"; readonly detail: string };
+  | {
+      readonly type: "failed";
+      readonly detail: string;
+      /** Whether the host refused the connection: no process listens there. */
+      readonly isRefused: boolean;
+    };
 
 const maxResponseBytes = 32 * 1024 * 1024; // a page of the store holds about 1 MB, a report some kilobytes
 const jsonBody = { "content-type": "application/json" };
@@ -47,8 +52,8 @@
       resolve(outcome);
       if (outcome.type === "failed" || agent === undefined) req.destroy();
     };
-    const fail = (detail: string) => {
-      finish({ type: "failed", detail });
+    const fail = (detail: string, isRefused = false) => {
+      finish({ type: "failed", detail, isRefused });
     };
     const failAt = (at: Timestamp, detail: string): NodeJS.Timeout => {
       const timer = setTimeout(() => {
@@ -66,8 +71,8 @@
         clearTimeout(timer);
       });
     });
-    req.on("error", (error) => {
-      fail(error.message);
+    req.on("error", (error: NodeJS.ErrnoException) => {
+      fail(error.message, error.code === "ECONNREFUSED");
     });
     req.on("response", (res) => {
       const chunks: Buffer[] = [];
--- /dev/null
+++ b/packages/relay/src/drivers/peerDriver.test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { RelayEvent } from "../decisions/events.js";
+import type { GossipItem } from "../decisions/gossip/types.js";
+import { createPeerDriver } from "./peerDriver.js";
+import {
+  decodePeerMessage,
+  encodeGossip,
+  encodeLendingMessage,
+} from "./peerMessages.js";
+
+const host = "127.0.0.1";
+const ports = [27_311 + (process.pid % 1000), 28_311 + (process.pid % 1000)];
+
+test("any datagram decodes to a message or to undefined", () => {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 300 }), (bytes) => {
+      decodePeerMessage(bytes, 0);
+    }),
+  );
+  const long = { type: "ask" as const, service: "x".repeat(300) };
+  assert.equal(decodePeerMessage(encodeLendingMessage(long), 0), undefined);
+});
+
+test("a request to lend a retry reaches the other router", async () => {
+  const [first = 0, second = 0] = ports;
+  const lines: string[] = [];
+  const log = (_: unknown, message: string) => lines.push(message);
+  const one = createPeerDriver({ host, port: first }, log);
+  const other = createPeerDriver({ host, port: second }, log);
+  const heard = new Promise<RelayEvent>((resolve) => {
+    void other.events.observe(resolve);
+  });
+  const ask = setInterval(() => {
+    const to = { host, port: second };
+    one.perform({ type: "borrowRetry", to, service: "engines" });
+  }, 10);
+  const event = await heard;
+  clearInterval(ask);
+  assert.equal(event.type, "retryRequested");
+  assert.deepEqual("from" in event && event.from, { host, port: first });
+  await one.stop();
+  await other.stop();
+  assert.deepEqual(lines, []);
+});
+
+const blockIds = Array.from(
+  { length: 40 },
+  (_, index) => `block-${String(index)}`,
+);
+
+test("gossip is split into small datagrams and decodes to the same items by their age", () => {
+  const items: GossipItem[] = [
+    ...Array.from({ length: 5 }, (_, index) => ({
+      type: "engineCrash" as const,
+      process: `i-${String(index)}@7`,
+      at: 4000,
+      request: "r",
+      blockIds,
+    })),
+    { type: "soundBlocks", at: 3000, blockIds: ["a"] },
+    {
+      type: "quarantine",
+      blockIds: ["a", "b"],
+      crashedAt: 2000,
+      heldUntil: 9000,
+      strikes: 2,
+      crashCount: 5,
+      source: "r1",
+    },
+  ];
+  const datagrams = encodeGossip(items, 5000);
+  assert.ok(datagrams.every(({ length }) => length <= 1250));
+  const decoded = datagrams.flatMap((bytes) => {
+    const message = decodePeerMessage(bytes, 105_000);
+    assert.equal(message?.type, "gossip");
+    return message.items;
+  });
+  assert.equal(decoded.length, items.length);
+  const [first] = decoded;
+  assert.equal(first?.type === "engineCrash" && first.at, 104_000);
+  const last = decoded.at(-1);
+  assert.equal(last?.type === "quarantine" && last.heldUntil, 109_000);
+});
--- /dev/null
+++ b/packages/relay/src/drivers/peerDriver.ts
@@ -0,0 +1,75 @@
+/**
+ * Exchanges messages with other routers over UDP: a lost datagram costs one
+ * retry, or is made up for by later gossip.
+ */
+
+import { createSocket } from "node:dgram";
+import { createChannel, now } from "@cardamomglade/common";
+import { Severity, type Log } from "@cardamomglade/observe";
+import type { DecisionContext } from "../decisions/commands.js";
+import type { RelayEvent } from "../decisions/events.js";
+import {
+  decodePeerMessage,
+  encodeGossip,
+  encodeLendingMessage,
+  type PeerMessage,
+} from "./peerMessages.js";
+import type { RelayDriver } from "./types.js";
+import type { Address } from "../types.js";
+
+const eventOf = (message: PeerMessage, from: Address): RelayEvent => {
+  const at = now();
+  if (message.type === "gossip")
+    return { type: "gossipReceived", at, from, items: message.items };
+  const type = message.type === "ask" ? "retryRequested" : "retryLent";
+  return { type, at, from, service: message.service };
+};
+
+/** Creates the driver, which listens for other routers at an address. */
+export const createPeerDriver = (
+  address: Address,
+  log: Log<DecisionContext>,
+): RelayDriver => {
+  const channel = createChannel<RelayEvent>();
+  const socket = createSocket("udp4");
+  socket.on("error", (error) => {
+    log(Severity.Warn, "other routers cannot be heard", {
+      reason: error.message,
+    });
+  });
+  socket.on("message", (bytes, { address: host, port }) => {
+    const message = decodePeerMessage(bytes, now());
+    if (message !== undefined) channel.push(eventOf(message, { host, port }));
+  });
+  socket.bind(address.port, address.host);
+  const send = ({ host, port }: Address, datagram: Uint8Array) => {
+    // Send errors are ignored: an unreachable router lends nothing, and gossip reaches it by others.
+    socket.send(datagram, port, host, () => undefined);
+  };
+  return {
+    events: channel.stream,
+    perform: (command) => {
+      switch (command.type) {
+        case "borrowRetry":
+        case "lendRetry": {
+          const type = command.type === "borrowRetry" ? "ask" : "lend";
+          const { to, service } = command;
+          send(to, encodeLendingMessage({ type, service }));
+          return;
+        }
+        case "gossip":
+          for (const datagram of encodeGossip(command.items, now()))
+            send(command.to, datagram);
+          return;
+        default:
+          return;
+      }
+    },
+    stop: () =>
+      new Promise((resolve) => {
+        socket.close(() => {
+          resolve();
+        });
+      }),
+  };
+};
--- /dev/null
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -0,0 +1,125 @@
+/** Encodes and decodes the datagrams of routers as MessagePack. */
+
+import { assertNever, type Timestamp } from "@cardamomglade/common";
+import { pack, unpack } from "msgpackr";
+import { maxRemembered } from "../decisions/quarantine/constants.js";
+import type { GossipItem } from "../decisions/gossip/types.js";
+
+/** Content of a datagram. */
+export type PeerMessage =
+  | { readonly type: "ask" | "lend"; readonly service: string }
+  | { readonly type: "gossip"; readonly items: readonly GossipItem[] };
+
+const maxNameLength = 200; // maximum length of a key in the store
+const maxItemCount = 100; // of the shortest items, a datagram holds fewer
+const maxDatagramBytes = 1200; // fits one packet on every usual link
+
+const isName = (value: unknown): value is string =>
+  typeof value === "string" && value.length <= maxNameLength;
+
+const isBlockList = (value: unknown): value is string[] =>
+  Array.isArray(value) &&
+  value.length > 0 &&
+  value.length <= maxRemembered.blocksPerSuspect &&
+  value.every(isName);
+
+const isAmount = (value: unknown): value is number =>
+  typeof value === "number" && Number.isFinite(value) && value >= 0;
+
+// Clocks of hosts differ, so times are sent as ages.
+const encodeItem = (item: GossipItem, at: Timestamp): readonly unknown[] => {
+  switch (item.type) {
+    case "engineCrash": {
+      const { type, process, request, blockIds } = item;
+      return [type, at - item.at, process, request, blockIds];
+    }
+    case "soundBlocks":
+      return [item.type, at - item.at, item.blockIds];
+    case "quarantine": {
+      const { type, blockIds, strikes, crashCount, source } = item;
+      const heldForMs = Math.max(0, item.heldUntil - at);
+      const ages = [at - item.crashedAt, heldForMs];
+      return [type, ...ages, blockIds, strikes, crashCount, source];
+    }
+    default:
+      return assertNever(item);
+  }
+};
+
+const decodeItem = (
+  value: unknown,
+  receivedAt: Timestamp,
+): GossipItem | undefined => {
+  if (!Array.isArray(value)) return undefined;
+  const [type, ageMs, ...rest] = value as readonly unknown[];
+  if (!isAmount(ageMs)) return undefined;
+  const at = receivedAt - ageMs;
+  if (type === "engineCrash") {
+    const [process, request, blockIds] = rest;
+    return isName(process) && isName(request) && isBlockList(blockIds)
+      ? { type, process, at, request, blockIds }
+      : undefined;
+  }
+  if (type === "soundBlocks") {
+    const [blockIds] = rest;
+    return isBlockList(blockIds) ? { type, at, blockIds } : undefined;
+  }
+  if (type !== "quarantine") return undefined;
+  const [heldForMs, blockIds, strikes, crashCount, source] = rest;
+  if (!isAmount(heldForMs) || !isBlockList(blockIds)) return undefined;
+  if (!isAmount(strikes) || !isAmount(crashCount) || !isName(source))
+    return undefined;
+  const heldUntil = receivedAt + heldForMs;
+  const counts = { strikes, crashCount };
+  return { type, blockIds, crashedAt: at, heldUntil, ...counts, source };
+};
+
+/** Decodes a datagram; undefined if any part is malformed. */
+export const decodePeerMessage = (
+  bytes: Uint8Array,
+  receivedAt: Timestamp,
+): PeerMessage | undefined => {
+  let value: unknown;
+  try {
+    value = unpack(bytes);
+  } catch {
+    return undefined;
+  }
+  if (!Array.isArray(value)) return undefined;
+  const [type, content] = value as readonly unknown[];
+  if (type === "ask" || type === "lend")
+    return isName(content) ? { type, service: content } : undefined;
+  if (type !== "gossip" || !Array.isArray(content)) return undefined;
+  if (content.length > maxItemCount) return undefined;
+  const items = content
+    .map((item) => decodeItem(item, receivedAt))
+    .filter((item) => item !== undefined);
+  return items.length === content.length ? { type, items } : undefined;
+};
+
+/** Encodes a request to lend a retry, or a lent one. */
+export const encodeLendingMessage = ({
+  type,
+  service,
+}: Extract<PeerMessage, { readonly service: string }>): Uint8Array =>
+  pack([type, service]);
+
+/** Encodes items of gossip into as few datagrams as they fit. */
+export const encodeGossip = (
+  items: readonly GossipItem[],
+  at: Timestamp,
+): Uint8Array[] => {
+  const datagrams: (readonly unknown[])[][] = [];
+  let bytes = Infinity;
+  for (const item of items) {
+    const encoded = encodeItem(item, at);
+    const { length } = pack(encoded);
+    bytes += length;
+    if (bytes > maxDatagramBytes) {
+      datagrams.push([]);
+      bytes = length;
+    }
+    datagrams.at(-1)?.push(encoded);
+  }
+  return datagrams.map((content) => pack(["gossip", content]));
+};
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -5,7 +5,9 @@
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
 import type { RelayEvent } from "../decisions/events.js";
 import { AttemptFailure, type RelayState } from "../decisions/types.js";
-import type { Replica } from "../types.js";
+import type { GossipItem } from "../decisions/gossip/types.js";
+import type { StoredQuarantine } from "../decisions/quarantine/types.js";
+import type { Address, Replica } from "../types.js";
 import {
   idleReport,
   okHead,
@@ -74,6 +76,10 @@
   readonly attempts = new Map<string, number>();
   /** While the store is down, no router learns of restarted engines. */
   isStoreDown = false;
+  /** Routers whose links to the others are cut; they reach each other. */
+  readonly cutRouters = new Set<string>();
+  /** Quarantines in the store. */
+  readonly stored = new Map<string, StoredQuarantine>();
   private actions: Action[] = [];
   private nextKey = 0;
 
@@ -111,6 +117,7 @@
     this.dispatch(router, { type: "storeAnswered", at, detail: "" });
     this.dispatch(router, { type: "configRead", at, config: testConfig() });
     for (const each of this.states.keys()) this.readStore(each);
+    this.readQuarantines();
   }
 
   /** Sends a request whose prompt has the given shared blocks to a router. */
@@ -246,6 +253,19 @@
       case "abortStream":
         this.endings.set(command.key, "cut");
         return;
+      case "gossip":
+        this.tell(router, command.to, command.items);
+        return;
+      case "storeQuarantine":
+        if (this.isStoreDown) return;
+        this.stored.set(command.key, command.stored);
+        this.later(storeDelayMs, () => {
+          this.readQuarantines();
+        });
+        return;
+      case "removeQuarantine":
+        if (!this.isStoreDown) this.stored.delete(command.key);
+        return;
       case "log":
         this.logged.push(command);
         return;
@@ -254,6 +274,39 @@
     }
   }
 
+  private tell(from: string, to: Address, items: readonly GossipItem[]): void {
+    const router = [...this.states.keys()].find(
+      (name) => routerAddress(name).port === to.port,
+    );
+    if (router === undefined || this.isCut(from, router)) return;
+    this.later(1, () => {
+      this.receiveGossip(router, from, items);
+    });
+  }
+
+  /** A router receives items of gossip from another one. */
+  receiveGossip(
+    router: string,
+    from: string,
+    items: readonly GossipItem[],
+  ): void {
+    const { at } = this;
+    const address = routerAddress(from);
+    this.dispatch(router, { type: "gossipReceived", at, from: address, items });
+  }
+
+  private isCut(a: string, b: string): boolean {
+    return this.cutRouters.has(a) !== this.cutRouters.has(b);
+  }
+
+  /** Tells all routers the store's quarantines. */
+  readQuarantines(): void {
+    if (this.isStoreDown) return;
+    const entries = [...this.stored.values()];
+    for (const router of this.states.keys())
+      this.dispatch(router, { type: "quarantinesRead", at: this.at, entries });
+  }
+
   private engineOf({ id }: Replica): Engine | undefined {
     return this.engines.find(({ replica, isUp }) => isUp && replica.id === id);
   }
@@ -380,6 +433,7 @@
         startedAt: engine.replica.startedAt,
       },
       isAnswered: engine !== undefined,
+      isRefused: engine === undefined,
     });
   }
 }
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -207,6 +207,7 @@
             sentAt: command.sentAt,
             report: idleReport,
             isAnswered: true,
+            isRefused: false,
           },
         ];
       case "listPromptBlocks": {
@@ -353,7 +354,11 @@
   probeFinished(
     { id }: Replica,
     sentAt: Timestamp,
-    answer: { readonly isAnswered: boolean; readonly report?: EngineReport },
+    answer: {
+      readonly isAnswered: boolean;
+      readonly isRefused?: boolean;
+      readonly report?: EngineReport;
+    },
   ): RelayCommand[] {
     return this.dispatch({
       type: "probeFinished",
@@ -362,6 +367,7 @@
       sentAt,
       report: answer.report,
       isAnswered: answer.isAnswered,
+      isRefused: answer.isRefused ?? false,
     });
   }
 }
