--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -31,6 +31,7 @@
 /** Starts a relay and its replica on free ports of the loopback address. */
 export const startTestRelay = async (
   answer: RawResponder,
+  service = plainService,
 ): Promise<TestRelay> => {
   const replica = await startRawReplica(answer);
   const ports = [await freePort(), await freePort(), await freePort()];
@@ -59,7 +60,7 @@
     gauges: () => ({}),
   });
   await sleep(20);
-  const here = testReplica("a-9", plainService, { host, port: replica.port });
+  const here = testReplica("a-9", service, { host, port: replica.port });
   events.push({ type: "configRead", at: now(), config: testConfig() });
   events.push({ type: "replicasRead", at: now(), replicas: [here] });
   return {
