--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -9,6 +9,7 @@
 import { recordContact, recordLoss, markReplaced } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
 import { suspectBrokenAttempt } from "./quarantine/engineCrashes.js";
+import { noteRequestLimit } from "./requestLimits.js";
 import { recordRetry } from "./retryBudget.js";
 import { hasAttempt, sendRetry } from "./sendAttempt.js";
 import { logLine } from "./logLine.js";
@@ -107,15 +108,12 @@
 const isServerError = ({ head }: BufferedResponse): boolean =>
   head.status >= 500;
 
-/** Handles a replica's complete response. */
-export const responseReceived = (
+/** Delivers a response, or retries a request that was rejected or failed. */
+const handleResponse = (
   state: RelayState,
-  event: RelayEventOf<"responseReceived">,
+  { answer, at, key }: RelayEventOf<"responseReceived">,
+  { exchange, attempt }: ActiveAttempt,
 ): RelayCommand[] => {
-  const found = findAttempt(state, event);
-  if (found === undefined) return [];
-  const { exchange, attempt } = found;
-  const { answer, at, key } = event;
   const { status, isNotExecuted } = answer.head;
   recordContact(state, attempt.replica.id, at);
   if (isNotExecuted) {
@@ -163,3 +161,17 @@
     ...completeExchange(state, exchange, status),
   ];
 };
+
+/** Handles a replica's complete response. */
+export const responseReceived = (
+  state: RelayState,
+  event: RelayEventOf<"responseReceived">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  const { replica } = found.attempt;
+  return [
+    ...noteRequestLimit(state, replica.id, event.answer.head),
+    ...handleResponse(state, event, found),
+  ];
+};
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -34,6 +34,7 @@
   lastLossAt: 0,
   drainingSince: undefined,
   replacedAt: undefined,
+  requestLimit: undefined,
 });
 
 /** Views of a service's replicas. */
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -10,6 +10,7 @@
   establishAttempt,
   establishEndedAttempt,
 } from "./quarantine/engineCrashes.js";
+import { noteRequestLimit } from "./requestLimits.js";
 import { completeExchange } from "./endExchange.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -25,9 +26,13 @@
   const { exchange, attempt } = found;
   attempt.heardAt = event.at;
   recordContact(state, attempt.replica.id, event.at);
-  if (exchange.head !== undefined) return [];
+  const commands = noteRequestLimit(state, attempt.replica.id, event.head);
+  if (exchange.head !== undefined) return commands;
   exchange.head = event.head;
-  return [{ type: "startStream", key: event.key, head: event.head }];
+  return [
+    ...commands,
+    { type: "startStream", key: event.key, head: event.head },
+  ];
 };
 
 interface AcceptedEvents {
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -58,6 +58,15 @@
   drainingSince: Timestamp | undefined;
   /** Time at which another process was found at the replica's address. */
   replacedAt: Timestamp | undefined;
+  /** Limit of requests that it names in its answers; undefined if it names none. */
+  requestLimit: RequestLimit | undefined;
+}
+
+/** A replica's limit on the requests of all routers together. */
+export interface RequestLimit {
+  perS: number;
+  /** Time at which it was last named. */
+  namedAt: Timestamp;
 }
 
 /** How an attempt starts: from the prompt, or from a KV cache copy. */
@@ -113,6 +122,8 @@
   readonly isFramed: boolean;
   /** Whether the replica states that it did not execute the request. */
   readonly isNotExecuted: boolean;
+  /** Requests a second that the replica takes from all routers; undefined if it names no limit. */
+  readonly requestLimitPerS: number | undefined;
 }
 
 /** One server-sent event, byte for byte as the replica sent it. */
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -87,6 +87,14 @@
   headers["content-length"] !== undefined ||
   headers["transfer-encoding"] !== undefined;
 
+/** Decodes a limit of requests a second; undefined if it is none. */
+const decodeLimit = (
+  header: string | readonly string[] | undefined,
+): number | undefined =>
+  typeof header === "string" && /^\d+(\.\d+)?$/.test(header.trim())
+    ? Number(header)
+    : undefined;
+
 /** A call in progress. */
 export class ReplicaCall {
   private readonly req: ClientRequest;
@@ -184,6 +192,7 @@
       isNotExecuted:
         res.headers[names.notExecuted] !== undefined ||
         status === misdirectedRequestStatus,
+      requestLimitPerS: decodeLimit(res.headers[names.requestLimit]),
     };
   }
 
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -109,6 +109,7 @@
   isStream: false,
   isFramed: true,
   isNotExecuted: false,
+  requestLimitPerS: undefined,
   ...changes,
 });
 
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -12,6 +12,7 @@
     priority: "x-urgency",
     seal: "x-seal",
     notExecuted: "x-not-run",
+    requestLimit: "x-limit",
     copyTo: "x-copy-to",
     continueFrom: "x-continue",
     lastEventId: "last-event-id",
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -131,6 +131,8 @@
   readonly priority: string;
   readonly seal: string;
   readonly notExecuted: string;
+  /** Response header with the requests a second that a replica takes from all routers together. */
+  readonly requestLimit: string;
   readonly copyTo: string;
   readonly continueFrom: string;
   readonly lastEventId: string;
