--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -9,8 +9,10 @@
 import type { StoredQuarantine } from "../decisions/quarantine/types.js";
 import type { Address, Replica } from "../types.js";
 import {
+  idempotentPath,
   idleReport,
   okHead,
+  plainService,
   routerAddress,
   streamPath,
   testConfig,
@@ -39,10 +41,11 @@
 /** How a request ended for its caller. */
 export type Ending = "whole" | "cut" | number;
 
-/** A request that reached an engine. */
+/** A request that reached a replica. */
 export interface Arrival {
   readonly at: Timestamp;
   readonly key: string;
+  readonly replica: string;
   readonly blockIds: readonly string[];
 }
 
@@ -50,9 +53,11 @@
 export interface FleetOptions {
   readonly routerCount: number;
   readonly engineCount: number;
+  readonly plainCount?: number;
   readonly seed?: number;
 }
 
+const plainAnswerMs = 43;
 const prefillMs = 300;
 const eventIntervalMs = 40;
 const eventCount = 30;
@@ -83,7 +88,18 @@
   private actions: Action[] = [];
   private nextKey = 0;
 
+  /** Limits of requests a second that replicas name, by id. */
+  readonly requestLimits = new Map<string, number>();
+  readonly plainReplicas: Replica[] = [];
+
   private constructor(private readonly options: FleetOptions) {
+    for (let index = 0; index < (options.plainCount ?? 0); index += 1)
+      this.plainReplicas.push(
+        testReplica(
+          `${zones[index % 3] ?? ""}-${String(900 + index)}`,
+          plainService,
+        ),
+      );
     for (let index = 0; index < options.engineCount; index += 1)
       this.engines.push({
         replica: testReplica(`${zones[index % 3] ?? ""}-${String(index)}`),
@@ -121,7 +137,11 @@
   }
 
   /** Sends a request whose prompt has the given shared blocks to a router. */
-  request(router: string, sharedPromptBlockIds: readonly string[]): string {
+  request(
+    router: string,
+    sharedPromptBlockIds: readonly string[],
+    target = streamPath,
+  ): string {
     this.nextKey += 1;
     const key = `k${String(this.nextKey)}`;
     this.dispatch(router, {
@@ -132,7 +152,7 @@
         requestId: key,
         hostname: "host.example",
         method: "POST",
-        target: streamPath,
+        target,
         key: "key-1",
         headers: [],
         body: new Uint8Array(),
@@ -141,7 +161,7 @@
         callerDeadline: undefined,
         lastEventId: undefined,
         sharedPromptBlockIds,
-        lastPromptBlockId: `own-${key}`,
+        lastPromptBlockId: target === streamPath ? `own-${key}` : undefined,
       },
     });
     return key;
@@ -205,7 +225,8 @@
     const { at } = this;
     const replicas = this.engines
       .filter(({ isUp }) => isUp)
-      .map(({ replica }) => replica);
+      .map(({ replica }) => replica)
+      .concat(this.plainReplicas);
     const entries = [...this.states.keys()].map((name) => ({
       router: name,
       lease: name,
@@ -244,6 +265,9 @@
           });
         });
         return;
+      case "deliverResponse":
+        this.endings.set(command.key, "whole");
+        return;
       case "refuse":
         this.endings.set(command.key, command.status);
         return;
@@ -311,8 +335,37 @@
     return this.engines.find(({ replica, isUp }) => isUp && replica.id === id);
   }
 
+  private headOf({ id }: Replica, isStream: boolean) {
+    const requestLimitPerS = this.requestLimits.get(id);
+    return okHead({ isStream, requestLimitPerS });
+  }
+
+  private receivePlain(router: string, { key, attempt }: SendCommand): void {
+    const replica = attempt.replica.id;
+    this.arrivals.push({ at: this.at, key, replica, blockIds: [] });
+    this.later(plainAnswerMs, () => {
+      const head = this.headOf(attempt.replica, false);
+      this.dispatch(router, {
+        type: "responseReceived",
+        at: this.at,
+        key,
+        attempt: attempt.number,
+        answer: { head, body: new Uint8Array() },
+      });
+    });
+  }
+
+  /** Sends a request for which any plain replica will do. */
+  requestPlain(router: string): string {
+    return this.request(router, [], idempotentPath);
+  }
+
   private receive(router: string, command: SendCommand): void {
     const { key, attempt, request } = command;
+    if (attempt.replica.service === plainService) {
+      this.receivePlain(router, command);
+      return;
+    }
     const engine = this.engineOf(attempt.replica);
     if (engine === undefined) {
       this.fail(router, command, AttemptFailure.NotSent);
@@ -323,7 +376,12 @@
     engine.runs.set(name, run);
     this.attempts.set(key, (this.attempts.get(key) ?? 0) + 1);
     const { sharedPromptBlockIds: blockIds } = request;
-    this.arrivals.push({ at: this.at, key, blockIds });
+    this.arrivals.push({
+      at: this.at,
+      key,
+      replica: attempt.replica.id,
+      blockIds,
+    });
     this.later(prefillMs, () => {
       if (engine.runs.get(name) === run) this.begin(engine, name, run);
     });
@@ -339,7 +397,7 @@
     const { router, command } = run;
     const { key } = command;
     const attempt = command.attempt.number;
-    const head = okHead({ isStream: true });
+    const head = this.headOf(command.attempt.replica, true);
     this.dispatch(router, {
       type: "streamStarted",
       at: this.at,
