Keep to the limits of requests that replicas name, all routers together

Cause: the limit was passed on to the caller and read by nobody. The class of fault: a server's word about its load, unread, and load of many clients that do not know of each other.

Now each router has the same part of a replica's limit, as turns: attempts of all kinds take one, load questions to a limited engine are left out, a resume at a copy may be one turn ahead. Turns that nobody uses close, so that a herd after a quiet time stays within a second's worth of the limit. Routers tell each other limits, and their end, by gossip; a replica that starts again has none. A request without a turn goes to another replica, waits for a quarter of its target latency, or is refused at once with the time of the next turn.

--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -14,15 +14,18 @@
 } from "./constants.js";
 import { engineOf } from "./engineOf.js";
 import { excessFailureRateOf } from "./outcomes.js";
+import { isWithinLimit, nextTurnAt } from "./requestLimits.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import { isAvailable, isSuspected, replicasOf } from "./replicaViews.js";
-import type { RelayState, ReplicaView } from "./types.js";
+import type { LimitedTurn, RelayState, ReplicaView } from "./types.js";
 
 /** Constraints on the choice of a replica. */
 export interface CandidateQuery {
   readonly service: string;
   /** Ids of replicas that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
+  /** Whether replicas are left out that this router may send no request now, because of their limits. */
+  readonly isWithinLimit?: boolean;
   /** Zone that is avoided if another zone has a candidate; used for copies. */
   readonly avoidedZone?: string;
 }
@@ -117,10 +120,13 @@
  */
 const candidatesOf = (
   state: RelayState,
-  { service, excluded, avoidedZone }: CandidateQuery,
+  { service, excluded, avoidedZone, ...query }: CandidateQuery,
 ): readonly ReplicaView[] => {
   const available = replicasOf(state, service).filter(
-    (view) => isAvailable(view) && !excluded.has(view.replica.id),
+    (view) =>
+      isAvailable(view) &&
+      !excluded.has(view.replica.id) &&
+      (query.isWithinLimit !== true || isWithinLimit(state, view)),
   );
   const trusted = preferMatching(
     available,
@@ -191,6 +197,21 @@
   const views = [...ids]
     .map((id) => state.replicas.get(id))
     .filter((view) => view !== undefined)
-    .filter((view) => isAvailable(view) && !isSuspected(view, state.at));
+    .filter((view) => isAvailable(view) && !isSuspected(view, state.at))
+    .filter((view) => isWithinLimit(state, view));
   return leastCostReplica(state, service, views);
 };
+
+/** The replica whose limit lets this router send soonest, and when; undefined if none is available. */
+export const soonestTurn = (
+  state: RelayState,
+  query: CandidateQuery,
+): LimitedTurn | undefined => {
+  let soonest: LimitedTurn | undefined;
+  for (const view of candidatesOf(state, query)) {
+    const at = Math.max(state.at, nextTurnAt(state, view) ?? state.at);
+    if (soonest !== undefined && at >= soonest.at) continue;
+    soonest = { replica: view.replica.id, at };
+  }
+  return soonest;
+};
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -189,3 +189,15 @@
 
 /** Time after a store outage within which live replicas register again. */
 export const replicaReregistrationMs = 2200;
+
+/** Unused requests of a replica's limit that all routers together may keep for later, as a time. */
+export const limitBurstMs = 1000;
+
+/** Smallest limit of a replica, in requests a second; one of 0 could never be seen to rise. */
+export const minRequestLimitPerS = 0.1;
+
+/** Turns that a stream may be ahead of a replica's limit to resume at its KV cache copy. */
+export const maxLimitDebtTurnCount = 1;
+
+/** Part of the target latency that a request waits for its turn at a replica. */
+export const limitedWaitRatio = 0.25;
--- a/packages/relay/src/decisions/gossip/gossipReceived.ts
+++ b/packages/relay/src/decisions/gossip/gossipReceived.ts
@@ -12,6 +12,7 @@
   recordSoundAt,
 } from "../quarantine/quarantines.js";
 import { trackedBlocks } from "../quarantine/quarantineState.js";
+import { learnRequestLimit, limitItems } from "../requestLimits.js";
 import { isKnownRouter } from "../registration.js";
 import type { RelayState } from "../types.js";
 import { publishItem } from "./spreadGossip.js";
@@ -40,6 +41,8 @@
       return learnSoundBlocks(state, item);
     case "quarantine":
       return learnQuarantine(state, item);
+    case "requestLimit":
+      return learnRequestLimit(state, item);
     default:
       return assertNever(item);
   }
@@ -64,5 +67,5 @@
 /** All that this router could tell others. */
 export const currentItems = (state: RelayState): CurrentItems => ({
   conclusions: quarantineItems(state),
-  evidence: [...soundItems(state), ...crashItems(state)],
+  evidence: [...limitItems(state), ...soundItems(state), ...crashItems(state)],
 });
--- a/packages/relay/src/decisions/gossip/types.ts
+++ b/packages/relay/src/decisions/gossip/types.ts
@@ -32,8 +32,22 @@
   readonly source: string;
 }
 
+/** What a replica's answer says about its limit of requests. */
+export interface RequestLimitItem {
+  readonly type: "requestLimit";
+  readonly replica: string;
+  /** Start time of the replica's process, by its own clock. */
+  readonly startedAt: Timestamp;
+  /** Requests a second; undefined if the answer names no limit. */
+  readonly perS: number | undefined;
+  readonly at: Timestamp;
+  /** Router that got the answer. */
+  readonly source: string;
+}
+
 /** One item of gossip; the same item may arrive any number of times. */
-export type GossipItem = EngineCrashItem | SoundBlocksItem | QuarantineItem;
+export type GossipItem =
+  EngineCrashItem | SoundBlocksItem | QuarantineItem | RequestLimitItem;
 
 /** All items that a router could tell others. */
 export interface CurrentItems {
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -72,7 +72,7 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   const { service, triedIds, request } = exchange;
-  const query = { service, excluded: triedIds };
+  const query = { service, excluded: triedIds, isWithinLimit: true };
   const sample = takePerZone(
     rankCandidates(state, query, request.lastPromptBlockId ?? ""),
   );
@@ -149,7 +149,7 @@
     request.lastPromptBlockId !== undefined
   )
     return queryPromptBlocks(state, exchange);
-  const query = { service, excluded: triedIds };
+  const query = { service, excluded: triedIds, isWithinLimit: true };
   const sample = candidateSampleOf(
     state,
     query,
@@ -157,7 +157,10 @@
     loadQueryEngineCount,
   );
   if (sample.length < 2) return [];
-  const pending = sample.filter((view) => !isFresh(state, view));
+  // A question counts against an engine's limit of requests as well.
+  const pending = sample.filter(
+    (view) => !isFresh(state, view) && view.requestLimit?.perS === undefined,
+  );
   const until = state.at + loadQueryTimeoutMs;
   exchange.engineQuery = createEngineQuery(
     "loadReports",
--- a/packages/relay/src/decisions/requestLimits.test.ts
+++ b/packages/relay/src/decisions/requestLimits.test.ts
@@ -67,3 +67,111 @@
   const lost = keys.filter((key) => fleet.endings.get(key) !== "whole");
   assert.deepEqual(lost, [], "the third replica could take the others");
 });
+
+const limitsKnown = (fleet: Fleet, replica: string): (number | undefined)[] =>
+  [...fleet.states.values()].map(
+    ({ replicas }) => replicas.get(replica)?.requestLimit?.perS,
+  );
+
+const countWhole = (fleet: Fleet, keys: readonly string[]): number =>
+  keys.filter((key) => fleet.endings.get(key) === "whole").length;
+
+test("a limit that one router was told stays unknown to the others", () => {
+  const fleet = createPlainFleet();
+  const [first = ""] = idsOf(fleet);
+  fleet.isStoreDown = true;
+  fleet.requestLimits.set(first, 10);
+  for (let index = 0; index < 12; index += 1) fleet.requestPlain("r1");
+  fleet.advance(1000);
+  assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(10));
+});
+
+test("a router that starts again exceeds a limit that the fleet knows", () => {
+  const fleet = createPlainFleet();
+  const [first = ""] = idsOf(fleet);
+  fleet.requestLimits.set(first, 10);
+  playPlain(fleet, 3000, 20);
+  fleet.startRouter("r4");
+  fleet.advance(2500);
+  assert.equal(
+    fleet.states.get("r4")?.replicas.get(first)?.requestLimit?.perS,
+    10,
+  );
+});
+
+test("a limit that rises, falls or ends is not followed", () => {
+  const fleet = createPlainFleet();
+  const [first = ""] = idsOf(fleet);
+  for (const limit of [10, 30, 4]) {
+    fleet.requestLimits.set(first, limit);
+    const namedAt = fleet.at;
+    playPlain(fleet, 9000, 20);
+    assertWithinLimit(fleet, first, limit, namedAt);
+    assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(limit));
+  }
+  fleet.requestLimits.clear();
+  playPlain(fleet, 6000, 20);
+  assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(undefined));
+  const before = fleet.arrivals.length;
+  playPlain(fleet, 3000, 20);
+  const late = fleet.arrivals.slice(before);
+  assert.ok(late.filter(({ replica }) => replica === first).length > 25);
+});
+
+test("a replica that starts again at the same address inherits the limit of the one before", () => {
+  const fleet = createPlainFleet();
+  const [first = ""] = idsOf(fleet);
+  fleet.requestLimits.set(first, 1);
+  playPlain(fleet, 3000, 20);
+  fleet.requestLimits.clear();
+  const [replica] = fleet.plainReplicas;
+  assert.ok(replica);
+  fleet.plainReplicas[0] = { ...replica, startedAt: fleet.at };
+  for (const router of fleet.states.keys()) fleet.readStore(router);
+  fleet.advance(2000);
+  assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(undefined));
+});
+
+test("requests beyond all limits wait for their deadline", () => {
+  const fleet = createPlainFleet();
+  for (const id of idsOf(fleet)) fleet.requestLimits.set(id, 8);
+  const namedAt = fleet.at;
+  const keys = playPlain(fleet, 12_000, 20);
+  for (const id of idsOf(fleet)) assertWithinLimit(fleet, id, 8, namedAt);
+  assert.ok(countWhole(fleet, keys) > 0.8 * 3 * 8 * 12);
+  const refused = fleet.logged.filter(
+    ({ message, context }) =>
+      message === "request refused" && context.status === 503,
+  );
+  assert.ok(refused.length > 100);
+  assert.ok(refused.every(({ context }) => Number(context.tookMs) < 60));
+  assert.ok(refused.every(({ context }) => Number(context.retryAfterMs) > 0));
+});
+
+test("many routers that come back at once exceed a small limit", () => {
+  const fleet = createPlainFleet(60);
+  const ids = idsOf(fleet);
+  for (const id of ids) fleet.requestLimits.set(id, 10);
+  playPlain(fleet, 6000, 20);
+  fleet.advance(20_000);
+  const { at } = fleet;
+  for (const router of fleet.states.keys()) fleet.requestPlain(router);
+  fleet.advance(4000);
+  for (const id of ids) assertWithinLimit(fleet, id, 10, at - contactMs);
+});
+
+test("streams beyond an engine's limit go to it", () => {
+  const fleet = Fleet.create({ routerCount: 8, engineCount: 6 });
+  const limited = fleet.engines.slice(0, 3).map(({ replica }) => replica.id);
+  for (const id of limited) fleet.requestLimits.set(id, 1);
+  const keys: string[] = [];
+  const routers = [...fleet.states.keys()];
+  const { at } = fleet;
+  for (let index = 0; index < 120; index += 1) {
+    keys.push(fleet.request(routers[index % 8] ?? "", [`c${String(index)}`]));
+    fleet.advance(100);
+  }
+  fleet.advance(4000);
+  for (const id of limited) assertWithinLimit(fleet, id, 1, at);
+  assert.equal(countWhole(fleet, keys), keys.length);
+});
--- a/packages/relay/src/decisions/requestLimits.ts
+++ b/packages/relay/src/decisions/requestLimits.ts
@@ -1,28 +1,168 @@
-/** Limits of requests that replicas name in their answers. */
+/**
+ * Keeps to the limits of requests that replicas name in their answers. Load
+ * pattern: a replica in need takes a few requests a second from a fleet of many
+ * routers, each of which sees little of what the others send.
+ */
 
+import { sharingRouterCount } from "./registration.js";
+import { random } from "./random.js";
+import {
+  limitBurstMs,
+  maxLimitDebtTurnCount,
+  minRequestLimitPerS,
+} from "./constants.js";
+import { publishItem } from "./gossip/spreadGossip.js";
+import type { RequestLimitItem } from "./gossip/types.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
-import type { RelayState, ResponseHead } from "./types.js";
+import type { Timestamp } from "@cardamomglade/common";
+import type { Replica } from "../types.js";
+import type {
+  RelayState,
+  ReplicaView,
+  RequestLimit,
+  ResponseHead,
+} from "./types.js";
 
-/** Takes over the limit that an answer names; an answer without one ends it. */
-export const noteRequestLimit = (
+/** Time between two turns of this router: all routers have the same part of the limit. */
+const turnIntervalMs = (state: RelayState, perS: number): number =>
+  (sharingRouterCount(state) * 1000) / Math.max(perS, minRequestLimitPerS);
+
+/**
+ * How long an unused turn stays open. Unused turns of all routers together make
+ * up one second of the limit, so that a herd after a quiet time stays small.
+ */
+const openTurnMs = (state: RelayState, perS: number): number => {
+  const interval = turnIntervalMs(state, perS);
+  const share = (Math.max(1, perS) * limitBurstMs) / 1000;
+  return interval * Math.min(1, share / sharingRouterCount(state));
+};
+
+/** Time of this router's next turn at a replica; undefined if the replica has no limit. */
+export const nextTurnAt = (
   state: RelayState,
-  replicaId: string,
-  { requestLimitPerS: perS }: ResponseHead,
-): RelayCommand[] => {
+  { requestLimit }: ReplicaView,
+): Timestamp | undefined => {
+  if (requestLimit?.perS === undefined) return undefined;
+  const { perS } = requestLimit;
+  const interval = turnIntervalMs(state, perS);
+  const closesAt = requestLimit.nextAt + openTurnMs(state, perS);
+  if (state.at > closesAt)
+    requestLimit.nextAt +=
+      interval * Math.ceil((state.at - closesAt) / interval);
+  return requestLimit.nextAt;
+};
+
+/** Whether this router may send a request to a replica now. */
+export const isWithinLimit = (state: RelayState, view: ReplicaView): boolean =>
+  (nextTurnAt(state, view) ?? -Infinity) <= state.at;
+
+/** Whether a request that must go to this replica may be sent ahead of its turn. */
+export const isWithinLimitDebt = (
+  state: RelayState,
+  view: ReplicaView,
+): boolean => {
+  const turnAt = nextTurnAt(state, view);
+  const perS = view.requestLimit?.perS;
+  if (turnAt === undefined || perS === undefined) return true;
+  return (
+    turnAt - state.at <= maxLimitDebtTurnCount * turnIntervalMs(state, perS)
+  );
+};
+
+/** Counts a request to a replica: the next turn comes an interval later. */
+export const takeTurn = (state: RelayState, replicaId: string): void => {
   const view = state.replicas.get(replicaId);
-  if (view === undefined) return [];
-  const before = view.requestLimit?.perS;
-  view.requestLimit =
-    perS === undefined ? undefined : { perS, namedAt: state.at };
-  if (perS === before) return [];
-  const context = { replica: replicaId, limitPerS: perS, beforePerS: before };
+  const limit = view?.requestLimit;
+  if (limit?.perS === undefined) return;
+  const interval = turnIntervalMs(state, limit.perS);
+  limit.nextAt = Math.max(limit.nextAt, state.at) + interval;
+};
+
+/** Gives back a turn that was reserved and is taken anew. */
+export const returnTurn = (state: RelayState, limit: RequestLimit): void => {
+  if (limit.perS !== undefined)
+    limit.nextAt -= turnIntervalMs(state, limit.perS);
+};
+
+const limitItemOf = (
+  { id, startedAt }: Replica,
+  { perS, namedAt, source }: RequestLimit,
+): RequestLimitItem => ({
+  type: "requestLimit",
+  replica: id,
+  startedAt,
+  perS,
+  at: namedAt,
+  source,
+});
+
+/** Sets a replica's limit, and tells others where it differs from the known one. */
+const setRequestLimit = (
+  state: RelayState,
+  view: ReplicaView,
+  perS: number | undefined,
+  namedAt: Timestamp,
+  source: string,
+): RelayCommand[] => {
+  const before = view.requestLimit;
+  const isNew = perS !== undefined && before?.perS === undefined;
+  const firstTurnAt =
+    state.at +
+    (perS === undefined ? 0 : random(state) * turnIntervalMs(state, perS));
+  const latestTurnAt =
+    perS === undefined ? Infinity : state.at + turnIntervalMs(state, perS);
+  const nextAt = isNew
+    ? firstTurnAt
+    : Math.min(before?.nextAt ?? firstTurnAt, latestTurnAt);
+  view.requestLimit = { perS, namedAt, source, nextAt };
+  if (perS === before?.perS) return [];
+  publishItem(state, limitItemOf(view.replica, view.requestLimit));
   return [
     logLine(
       perS === undefined
         ? "replica names no limit any more"
         : "replica names a limit",
-      context,
+      {
+        replica: view.replica.id,
+        limitPerS: perS,
+        beforePerS: before?.perS,
+        ageMs: Math.round(state.at - namedAt),
+        learnedFrom: source,
+        routers: sharingRouterCount(state),
+      },
     ),
   ];
 };
+
+/** Takes over the limit that an answer names; an answer without one ends it. */
+export const noteRequestLimit = (
+  state: RelayState,
+  replicaId: string,
+  { requestLimitPerS: perS }: ResponseHead,
+): RelayCommand[] => {
+  const view = state.replicas.get(replicaId);
+  if (view === undefined) return [];
+  const isUnlimited = perS === undefined && view.requestLimit === undefined;
+  return isUnlimited
+    ? []
+    : setRequestLimit(state, view, perS, state.at, state.router);
+};
+
+/** Takes over the limit that a replica named to another router, unless a later answer is known. */
+export const learnRequestLimit = (
+  state: RelayState,
+  { replica, startedAt, perS, at, source }: RequestLimitItem,
+): RelayCommand[] => {
+  const view = state.replicas.get(replica);
+  if (view?.replica.startedAt !== startedAt) return [];
+  if (at <= (view.requestLimit?.namedAt ?? -Infinity)) return [];
+  if (perS === undefined && view.requestLimit === undefined) return [];
+  return setRequestLimit(state, view, perS, at, source);
+};
+
+/** All known limits, as other routers are told of them. */
+export const limitItems = ({ replicas }: RelayState): RequestLimitItem[] =>
+  [...replicas.values()].flatMap(({ replica, requestLimit }) =>
+    requestLimit === undefined ? [] : [limitItemOf(replica, requestLimit)],
+  );
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -1,15 +1,24 @@
 /** Sends a request to a replica, and decides on a retry when an attempt is lost. */
 
-import type { CallerRequest, Replica } from "../types.js";
+import type { Timestamp } from "@cardamomglade/common";
+import {
+  serviceUnavailableStatus,
+  type CallerRequest,
+  type Replica,
+} from "../types.js";
 import {
   chooseAmong,
   chooseReplica,
   hasCandidate,
   candidateSampleOf,
+  soonestTurn,
 } from "./chooseReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
 import { engineOf } from "./engineOf.js";
-import { failExchange } from "./endExchange.js";
+import { limitedWaitRatio } from "./constants.js";
+import { cancelExchange, failExchange, summaryOf } from "./endExchange.js";
+import { refuse } from "./refusals.js";
+import { isWithinLimitDebt, returnTurn, takeTurn } from "./requestLimits.js";
 import { isRetryable } from "./isRetryable.js";
 import {
   promptHolderOf,
@@ -26,6 +35,7 @@
   Attempt,
   AttemptStart,
   Exchange,
+  LimitedTurn,
   RelayState,
   KvCacheCopy,
 } from "./types.js";
@@ -110,6 +120,7 @@
   exchange.triedIds.add(replica.id);
   exchange.mayHaveExecuted = true;
   countAttempt(state, attempt);
+  takeTurn(state, replica.id);
   const view = state.replicas.get(replica.id);
   return [
     {
@@ -161,15 +172,64 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   const { service, triedIds } = exchange;
+  const query = { service, excluded: triedIds, isWithinLimit: true };
   const replica =
-    chooseQueriedEngine(state, exchange) ??
-    chooseReplica(state, { service, excluded: triedIds });
+    chooseQueriedEngine(state, exchange) ?? chooseReplica(state, query);
   exchange.engineQuery = undefined;
-  if (replica === undefined)
-    return failExchange(state, exchange, "no replica is open");
+  if (replica === undefined) return awaitTurn(state, exchange);
   return sendTo(state, exchange, replica, { type: "fresh" });
 };
 
+/** Time until which waiting for a turn serves the caller better than a refusal. */
+const lastTurnAt = ({ route, deadline }: Exchange, at: Timestamp): Timestamp =>
+  Math.min(deadline, at + limitedWaitRatio * route.targetLatencyMs);
+
+/**
+ * Reserves the next turn at a replica that limits requests, or ends the request
+ * at once if it comes too late. Load pattern: all replicas are limited, and more
+ * requests come than they take; those that wait would make the others late.
+ */
+const awaitTurn = (state: RelayState, exchange: Exchange): RelayCommand[] => {
+  const { service, triedIds, key, request } = exchange;
+  const turn = soonestTurn(state, { service, excluded: triedIds });
+  if (turn === undefined)
+    return failExchange(state, exchange, "no replica is open");
+  const context = {
+    ...summaryOf(exchange, state.at),
+    replica: turn.replica,
+    limitPerS: state.replicas.get(turn.replica)?.requestLimit?.perS,
+    turnInMs: Math.round(turn.at - state.at),
+  };
+  if (turn.at <= lastTurnAt(exchange, state.at)) {
+    exchange.limitedTurn = turn;
+    takeTurn(state, turn.replica);
+    return [logLine("request waits for its turn", context)];
+  }
+  const reason = "the replicas' limits of requests are used up";
+  if (exchange.mayHaveExecuted || exchange.head !== undefined)
+    return failExchange(state, exchange, reason);
+  const refused = { key, requestId: request.requestId, reason, context };
+  return [
+    ...cancelExchange(state, exchange),
+    ...refuse(refused, serviceUnavailableStatus, turn.at - state.at),
+  ];
+};
+
+/** Sends a request whose turn at a limited replica has come. */
+export const sendAtTurn = (
+  state: RelayState,
+  exchange: Exchange,
+  { replica }: LimitedTurn,
+): RelayCommand[] => {
+  exchange.limitedTurn = undefined;
+  const view = state.replicas.get(replica);
+  if (view === undefined || !isAvailable(view))
+    return sendWithoutCopy(state, exchange);
+  // The turn was taken when it was reserved.
+  if (view.requestLimit !== undefined) returnTurn(state, view.requestLimit);
+  return sendTo(state, exchange, view.replica, { type: "fresh" });
+};
+
 /** Sends a request at once, or after a query of some engines. */
 const placeRequest = (
   state: RelayState,
@@ -200,7 +260,11 @@
 ): boolean => {
   const view = state.replicas.get(holder.id);
   if (view === undefined || view.lastLossAt > createdAt) return false;
-  return isAvailable(view) && !isSuspected(view, state.at);
+  return (
+    isAvailable(view) &&
+    !isSuspected(view, state.at) &&
+    isWithinLimitDebt(state, view)
+  );
 };
 
 /** Whether the route allows one more attempt. */
@@ -215,7 +279,11 @@
   const { service, triedIds } = exchange;
   if (!hasAttempt(exchange)) return false;
   if (!hasRetry(state, service, state.at)) return false;
-  return hasCandidate(state, { service, excluded: triedIds });
+  return hasCandidate(state, {
+    service,
+    excluded: triedIds,
+    isWithinLimit: true,
+  });
 };
 
 /**
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -26,6 +26,7 @@
 import {
   canRetryElsewhere,
   hasAttempt,
+  sendAtTurn,
   sendRetry,
   sendWithoutCopy,
 } from "./sendAttempt.js";
@@ -101,6 +102,11 @@
   }
   if (borrowing !== undefined && state.at >= borrowing.until)
     return sendRetry(state, exchange, borrowing.reason);
+  const { limitedTurn } = exchange;
+  if (limitedTurn !== undefined)
+    return state.at >= limitedTurn.at
+      ? sendAtTurn(state, exchange, limitedTurn)
+      : [];
   if (isEngineQueryDone(state, exchange))
     return sendWithoutCopy(state, exchange);
   if (attempt === undefined) return [];
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -58,15 +58,20 @@
   drainingSince: Timestamp | undefined;
   /** Time at which another process was found at the replica's address. */
   replacedAt: Timestamp | undefined;
-  /** Limit of requests that it names in its answers; undefined if it names none. */
+  /** What its answers say about its limit of requests; undefined before the first limit. */
   requestLimit: RequestLimit | undefined;
 }
 
-/** A replica's limit on the requests of all routers together. */
+/** What a replica's answers say about the requests that it takes from all routers together. */
 export interface RequestLimit {
-  perS: number;
-  /** Time at which it was last named. */
-  namedAt: Timestamp;
+  /** Requests a second; undefined if the latest answer names no limit. */
+  readonly perS: number | undefined;
+  /** Time of the latest answer, at whichever router. */
+  readonly namedAt: Timestamp;
+  /** Router that got the answer. */
+  readonly source: string;
+  /** From then on, this router may send the next request. */
+  nextAt: Timestamp;
 }
 
 /** How an attempt starts: from the prompt, or from a KV cache copy. */
@@ -170,12 +175,20 @@
   engineQuery: EngineQuery | undefined;
   /** Set while the request waits for another router to lend a retry. */
   borrowing: Borrowing | undefined;
+  /** Set while the request waits for its turn at a replica that limits requests. */
+  limitedTurn: LimitedTurn | undefined;
   /** KV cache copy left by the last attempt. */
   copy: KvCacheCopy | undefined;
   /** Last failed response of a replica, delivered if no other attempt is possible. */
   failedResponse: BufferedResponse | undefined;
 }
 
+/** A turn at a replica that limits requests. */
+export interface LimitedTurn {
+  readonly replica: string;
+  readonly at: Timestamp;
+}
+
 /** Requests to other routers to lend a retry from their budgets. */
 export interface Borrowing {
   /** Why the request needs a retry. */
--- a/packages/relay/src/drivers/peerDriver.test.ts
+++ b/packages/relay/src/drivers/peerDriver.test.ts
@@ -60,6 +60,14 @@
       blockIds,
     })),
     { type: "soundBlocks", at: 3000, blockIds: ["a"] },
+    {
+      type: "requestLimit",
+      replica: "i-1",
+      startedAt: 7,
+      perS: 12.3,
+      at: 4500,
+      source: "r1",
+    },
     {
       type: "quarantine",
       blockIds: ["a", "b"],
@@ -80,6 +88,8 @@
   assert.equal(decoded.length, items.length);
   const [first] = decoded;
   assert.equal(first?.type === "engineCrash" && first.at, 104_000);
+  const limit = decoded.at(-2);
+  assert.equal(limit?.type === "requestLimit" && limit.at, 104_500);
   const last = decoded.at(-1);
   assert.equal(last?.type === "quarantine" && last.heldUntil, 109_000);
 });
--- a/packages/relay/src/drivers/peerMessages.ts
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -41,6 +41,10 @@
       const ages = [at - item.crashedAt, heldForMs];
       return [type, ...ages, blockIds, strikes, crashCount, source];
     }
+    case "requestLimit": {
+      const { type, replica, startedAt, perS, source } = item;
+      return [type, at - item.at, replica, startedAt, perS ?? null, source];
+    }
     default:
       return assertNever(item);
   }
@@ -64,6 +68,13 @@
     const [blockIds] = rest;
     return isBlockList(blockIds) ? { type, at, blockIds } : undefined;
   }
+  if (type === "requestLimit") {
+    const [replica, startedAt, limit, source] = rest;
+    if (!isName(replica) || !isAmount(startedAt) || !isName(source))
+      return undefined;
+    if (limit !== null && !isAmount(limit)) return undefined;
+    return { type, replica, startedAt, perS: limit ?? undefined, at, source };
+  }
   if (type !== "quarantine") return undefined;
   const [heldForMs, blockIds, strikes, crashCount, source] = rest;
   if (!isAmount(heldForMs) || !isBlockList(blockIds)) return undefined;
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -87,13 +87,17 @@
   headers["content-length"] !== undefined ||
   headers["transfer-encoding"] !== undefined;
 
+const maxRequestLimitPerS = 1_000_000; // a replica that takes more has no limit
+
 /** Decodes a limit of requests a second; undefined if it is none. */
 const decodeLimit = (
   header: string | readonly string[] | undefined,
-): number | undefined =>
-  typeof header === "string" && /^\d+(\.\d+)?$/.test(header.trim())
-    ? Number(header)
-    : undefined;
+): number | undefined => {
+  if (typeof header !== "string" || !/^\d+(\.\d+)?$/.test(header.trim()))
+    return undefined;
+  const limit = Number(header);
+  return limit <= maxRequestLimitPerS ? limit : undefined;
+};
 
 /** A call in progress. */
 export class ReplicaCall {
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -221,7 +221,8 @@
     for (const command of commands) this.perform(router, command);
   }
 
-  private readStore(router: string): void {
+  /** Tells a router the store's replicas and routers. */
+  readStore(router: string): void {
     const { at } = this;
     const replicas = this.engines
       .filter(({ isUp }) => isUp)
