Bound gossip a second, count limits in the metrics, and stop a request that ends engine after engine

A prompt without shared blocks went to five engines, each of which it may have ended; it stops after the third now.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -20,6 +20,7 @@
 } from "./decisions/decideRelay.js";
 import type { DecisionContext, RelayCommand } from "./decisions/commands.js";
 import type { RelayEvent } from "./decisions/events.js";
+import { limitedReplicaCount } from "./decisions/requestLimits.js";
 import type { RuntimeLimits } from "./decisions/types.js";
 import { createFrontDriver } from "./drivers/frontDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
@@ -97,11 +98,15 @@
       : { status: 503, text: "not ready\n" },
   );
   const metricsServer = createTextServer(options.metrics, () => {
-    const { exchanges, replicas, config, quarantine } = running.state();
+    const state = running.state();
+    const { exchanges, replicas, config, quarantine, limitCounts } = state;
     const text = metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
       configuration_version: config?.version ?? 0,
+      replicas_with_request_limit: limitedReplicaCount(state),
+      request_limit_waits_total: limitCounts.waited,
+      request_limit_refusals_total: limitCounts.refused,
       quarantines_in_force: quarantine.inForce.size,
       quarantine_refusals_total: quarantine.refusedCount,
       engine_crashes_remembered: quarantine.crashes.size,
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -65,6 +65,7 @@
   registration: createRegistration(),
   quarantine: createQuarantineState(),
   gossip: createGossipState(),
+  limitCounts: { waited: 0, refused: 0 },
   runtimeLimits: options.runtimeLimits,
   store: { type: "unknown" },
   isDraining: false,
--- a/packages/relay/src/decisions/gossip/spreadGossip.ts
+++ b/packages/relay/src/decisions/gossip/spreadGossip.ts
@@ -10,6 +10,8 @@
 import type { RelayCommand } from "../commands.js";
 import type { RelayState } from "../types.js";
 import {
+  freshItemBurst,
+  freshItemRatePerS,
   gossipExchangeIntervalMs,
   gossipFanout,
   maxConclusionCount,
@@ -21,6 +23,8 @@
 /** Creates the state without anything to tell. */
 export const createGossipState = (): GossipState => ({
   fresh: [],
+  freshAllowance: freshItemBurst,
+  freshAllowanceAt: 0,
   nextExchangeAt: 0,
   exchangeOffset: 0,
 });
@@ -55,14 +59,27 @@
   return [...told, ...evidence.slice(from, gossip.exchangeOffset)];
 };
 
+/** Takes the new items that may be sent on now; the rest waits, so that a storm of news stays small. */
+const takeFreshItems = ({ gossip, at }: RelayState): GossipItem[] => {
+  const gained = ((at - gossip.freshAllowanceAt) * freshItemRatePerS) / 1000;
+  gossip.freshAllowance = Math.min(
+    freshItemBurst,
+    gossip.freshAllowance + gained,
+  );
+  gossip.freshAllowanceAt = at;
+  const count = Math.min(maxGossipItemCount, Math.floor(gossip.freshAllowance));
+  const taken = gossip.fresh.splice(0, count);
+  gossip.freshAllowance -= taken.length;
+  return taken;
+};
+
 /** Sends new items at once and the current ones when due. */
 export const spreadGossip = (
   state: RelayState,
   currentItems: () => CurrentItems,
 ): RelayCommand[] => {
   const { gossip, at } = state;
-  const fresh = gossip.fresh.splice(0, maxGossipItemCount);
-  const commands = sendTo(state, gossipFanout, fresh);
+  const commands = sendTo(state, gossipFanout, takeFreshItems(state));
   if (at < gossip.nextExchangeAt) return commands;
   gossip.nextExchangeAt = at + gossipExchangeIntervalMs;
   const due = takeExchangeItems(state, currentItems());
--- a/packages/relay/src/decisions/gossip/types.ts
+++ b/packages/relay/src/decisions/gossip/types.ts
@@ -61,6 +61,9 @@
 export interface GossipState {
   /** Items that are new here, each sent on to some routers once. */
   fresh: GossipItem[];
+  /** Number of new items that may be sent on now, and the time of that number. */
+  freshAllowance: number;
+  freshAllowanceAt: Timestamp;
   /** Time at which all current items are next sent to one router. */
   nextExchangeAt: Timestamp;
   /** Position in the evidence at which the next exchange starts. */
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -50,10 +50,7 @@
 };
 
 /** Whether the engine may have ended because of this request. */
-const isSuspect = (
-  { request }: Exchange,
-  { isEstablished }: Attempt,
-): boolean => !isEstablished && request.sharedPromptBlockIds.length > 0;
+const isSuspect = ({ isEstablished }: Attempt): boolean => !isEstablished;
 
 // An engine that leaves or was replaced ends without a cause in its requests.
 const mayEndByRequest = (state: RelayState, { id, service }: Replica) => {
@@ -78,8 +75,7 @@
   attempt: Attempt,
 ): RelayCommand[] => {
   const { replica } = attempt;
-  if (!isSuspect(exchange, attempt) || !mayEndByRequest(state, replica))
-    return [];
+  if (!isSuspect(attempt) || !mayEndByRequest(state, replica)) return [];
   const { unconfirmed } = state.quarantine;
   const { request } = exchange;
   const identity = requestIdentityOf(request);
@@ -102,6 +98,7 @@
   request: string,
   blockIds: readonly string[],
 ): void => {
+  if (blockIds.length === 0) return;
   publishItem(state, { type: "engineCrash", process, at, request, blockIds });
   for (const id of blockIds) {
     const soundAt = state.quarantine.soundAt.get(id);
@@ -166,7 +163,7 @@
   if (!mayEndByRequest(state, replica)) return [];
   const suspects: CrashSuspects = new Map();
   for (const { exchange, attempt } of lost)
-    if (isSuspect(exchange, attempt))
+    if (isSuspect(attempt))
       addSuspect(
         suspects,
         requestIdentityOf(exchange.request),
@@ -221,13 +218,15 @@
   quarantine: { crashes },
 }: RelayState): EngineCrashItem[] =>
   [...crashes.values()].flatMap(({ process, at, suspects }) =>
-    [...suspects].map(([request, blockIds]) => ({
-      type: "engineCrash" as const,
-      process,
-      at,
-      request,
-      blockIds,
-    })),
+    [...suspects]
+      .filter(([, blockIds]) => blockIds.length > 0)
+      .map(([request, blockIds]) => ({
+        type: "engineCrash" as const,
+        process,
+        at,
+        request,
+        blockIds,
+      })),
   );
 
 /** Marks blocks as sound: an engine answered with them and went on. Others are told if they are suspected. */
--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -235,3 +235,37 @@
   fleet.advance(1100);
   assert.ok(state.quarantine.crashes.size <= maxRemembered.crashes);
 });
+
+test("one request without shared blocks ends engine after engine", () => {
+  const fleet = Fleet.create({ routerCount: 2, engineCount: 12 });
+  const key = fleet.request("r1", []);
+  let endedCount = 0;
+  for (let round = 0; round < 6; round += 1) {
+    fleet.advance(200);
+    const running = fleet.engines.filter(({ runs }) =>
+      [...runs.keys()].some((name) => name.startsWith(`${key}/`)),
+    );
+    fleet.crash(running);
+    endedCount += running.length;
+  }
+  assert.equal(endedCount, 3);
+  assert.equal(fleet.endings.get(key), 502);
+});
+
+test("a storm of news sends more than a router may", () => {
+  const fleet = createFleet();
+  const state = fleet.states.get("r1");
+  assert.ok(state);
+  const items = Array.from({ length: 1000 }, (_, index) => ({
+    type: "engineCrash" as const,
+    process: `p${String(index)}`,
+    at: fleet.at,
+    request: `q${String(index)}`,
+    blockIds: [`b${String(index)}`],
+  }));
+  fleet.receiveGossip("r1", "r2", items);
+  const before = fleet.toldItemCount;
+  fleet.advance(10_000);
+  const perRouterAndS = (fleet.toldItemCount - before) / 8 / 10;
+  assert.ok(perRouterAndS <= 4 * (12 + 6) + 24, String(perRouterAndS));
+});
--- a/packages/relay/src/decisions/requestLimits.ts
+++ b/packages/relay/src/decisions/requestLimits.ts
@@ -166,3 +166,9 @@
   [...replicas.values()].flatMap(({ replica, requestLimit }) =>
     requestLimit === undefined ? [] : [limitItemOf(replica, requestLimit)],
   );
+
+/** Number of replicas that limit requests. */
+export const limitedReplicaCount = ({ replicas }: RelayState): number =>
+  [...replicas.values()].filter(
+    ({ requestLimit }) => requestLimit?.perS !== undefined,
+  ).length;
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -194,18 +194,23 @@
   const turn = soonestTurn(state, { service, excluded: triedIds });
   if (turn === undefined)
     return failExchange(state, exchange, "no replica is open");
+  const limit = state.replicas.get(turn.replica)?.requestLimit;
   const context = {
     ...summaryOf(exchange, state.at),
     replica: turn.replica,
-    limitPerS: state.replicas.get(turn.replica)?.requestLimit?.perS,
+    limitPerS: limit?.perS,
+    limitNamedMsAgo: limit && Math.round(state.at - limit.namedAt),
+    learnedFrom: limit?.source,
     turnInMs: Math.round(turn.at - state.at),
   };
   if (turn.at <= lastTurnAt(exchange, state.at)) {
     exchange.limitedTurn = turn;
+    state.limitCounts.waited += 1;
     takeTurn(state, turn.replica);
     return [logLine("request waits for its turn", context)];
   }
   const reason = "the replicas' limits of requests are used up";
+  state.limitCounts.refused += 1;
   if (exchange.mayHaveExecuted || exchange.head !== undefined)
     return failExchange(state, exchange, reason);
   const refused = { key, requestId: request.requestId, reason, context };
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -242,6 +242,12 @@
   nextWriteAt: Timestamp;
 }
 
+/** Requests that replicas' limits delayed or refused. */
+export interface LimitCounts {
+  waited: number;
+  refused: number;
+}
+
 /** State of the decision logic, which owns the maps and changes them in place. */
 export interface RelayState {
   /** Name of this router. */
@@ -272,6 +278,7 @@
   readonly registration: Registration;
   readonly quarantine: QuarantineState;
   readonly gossip: GossipState;
+  readonly limitCounts: LimitCounts;
   runtimeLimits: RuntimeLimits;
   store: StoreState;
   isDraining: boolean;
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -81,10 +81,14 @@
   readonly attempts = new Map<string, number>();
   /** While the store is down, no router learns of restarted engines. */
   isStoreDown = false;
+  /** Number of items of gossip that routers sent. */
+  toldItemCount = 0;
   /** Routers whose links to the others are cut; they reach each other. */
   readonly cutRouters = new Set<string>();
   /** Quarantines in the store. */
   readonly stored = new Map<string, StoredQuarantine>();
+  /** Attempts whose connection was closed, also while the request was on its way. */
+  private readonly abandoned = new Set<string>();
   private actions: Action[] = [];
   private nextKey = 0;
 
@@ -245,8 +249,7 @@
         });
         return;
       case "abandon":
-        for (const { runs } of this.engines)
-          runs.delete(`${command.key}/${String(command.attempt)}`);
+        this.abandon(`${command.key}/${String(command.attempt)}`);
         return;
       case "probe":
         this.later(1, () => {
@@ -279,6 +282,7 @@
         this.endings.set(command.key, "cut");
         return;
       case "gossip":
+        this.toldItemCount += command.items.length;
         this.tell(router, command.to, command.items);
         return;
       case "storeQuarantine":
@@ -361,6 +365,11 @@
     return this.request(router, [], idempotentPath);
   }
 
+  private abandon(name: string): void {
+    this.abandoned.add(name);
+    for (const { runs } of this.engines) runs.delete(name);
+  }
+
   private receive(router: string, command: SendCommand): void {
     const { key, attempt, request } = command;
     if (attempt.replica.service === plainService) {
@@ -374,6 +383,7 @@
     }
     const run = { router, command };
     const name = `${key}/${String(attempt.number)}`;
+    if (this.abandoned.has(name)) return;
     engine.runs.set(name, run);
     this.attempts.set(key, (this.attempts.get(key) ?? 0) + 1);
     const { sharedPromptBlockIds: blockIds } = request;
