Keep a quarantine whose crashes no other blocks explain

The search for causes stopped at crashes that two requests explained equally well, and quarantines that it had not come to were taken for unsupported. It leaves such crashes aside now and goes on, and a quarantine ends only where other blocks explain all of its crashes. Two tests fail without the change.

--- a/packages/relay/src/decisions/quarantine/findCulprits.test.ts
+++ b/packages/relay/src/decisions/quarantine/findCulprits.test.ts
@@ -112,3 +112,16 @@
     }),
   );
 });
+
+test("crashes that two requests explain equally well hide another cause", () => {
+  const crashes = crashesUnder(
+    { q: ["one"], r: ["two"] },
+    { s: ["one"], t: ["two"] },
+    { u: ["one"], v: ["two"] },
+    { w: ["one"], x: ["two"] },
+    { a: ["bad"] },
+    { b: ["bad"] },
+    { c: ["bad"] },
+  );
+  assert.deepEqual(findCulprits(crashes, nothingSound), [["bad"]]);
+});
--- a/packages/relay/src/decisions/quarantine/findCulprits.ts
+++ b/packages/relay/src/decisions/quarantine/findCulprits.ts
@@ -144,11 +144,18 @@
 const isSubset = <T>(part: ReadonlySet<T>, whole: ReadonlySet<T>): boolean =>
   [...part].every((one) => whole.has(one));
 
-/** The blocks that explain most episodes; undefined if few, or if others explain as many. */
+/** Blocks that explain crashes. */
+interface Explanation {
+  readonly blockIds: readonly string[];
+  /** Whether blocks of other requests explain as many. */
+  readonly isAmbiguous: boolean;
+}
+
+/** The blocks that explain most episodes; undefined if they are few. */
 const findMostLikely = (
   crashes: readonly EngineCrash[],
   soundAt: ReadonlyMap<string, Timestamp>,
-): readonly string[] | undefined => {
+): Explanation | undefined => {
   const candidates = candidatesOf(lossesIn(groupByMoment(crashes)), soundAt);
   const [first] = candidates;
   if (first === undefined || first.score < minCrashCount) return undefined;
@@ -161,10 +168,11 @@
       !blockIds.includes(id) &&
       isSubset(episodes, explained),
   );
-  return isAmbiguous ? undefined : blockIds;
+  return { blockIds, isAmbiguous };
 };
 
-const isExplained = (
+/** Whether a crash had a request with all of the blocks. */
+export const isExplained = (
   { suspects }: EngineCrash,
   culprit: readonly string[],
 ): boolean =>
@@ -182,9 +190,10 @@
   let unexplained = [...crashes].map((one) => withoutSoundBlocks(one, soundAt));
   const found: (readonly string[])[] = [];
   for (;;) {
-    const culprit = findMostLikely(unexplained, soundAt);
-    if (culprit === undefined) return found;
-    found.push(culprit);
-    unexplained = unexplained.filter((one) => !isExplained(one, culprit));
+    const explanation = findMostLikely(unexplained, soundAt);
+    if (explanation === undefined) return found;
+    const { blockIds, isAmbiguous } = explanation;
+    if (!isAmbiguous) found.push(blockIds);
+    unexplained = unexplained.filter((one) => !isExplained(one, blockIds));
   }
 };
--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -269,3 +269,33 @@
   const perRouterAndS = (fleet.toldItemCount - before) / 8 / 10;
   assert.ok(perRouterAndS <= 4 * (12 + 6) + 24, String(perRouterAndS));
 });
+
+test("a quarantine is released when the cause of other crashes is unclear", () => {
+  const fleet = createFleet();
+  playTraffic(fleet, 6000, deadlyEvery(5));
+  assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad"]));
+  const crashesOf = (index: number) =>
+    ["one", "two"].map((id) => ({
+      type: "engineCrash" as const,
+      process: `other-${String(index)}`,
+      at: fleet.at + 1000 * index,
+      request: `${id}-${String(index)}`,
+      blockIds: [id],
+    }));
+  const clearCrashOf = (index: number) => ({
+    type: "engineCrash" as const,
+    process: `clear-${String(index)}`,
+    at: fleet.at + 500 + 1000 * index,
+    request: `clear-${String(index)}`,
+    blockIds: ["clear"],
+  });
+  const indexes = Array.from({ length: 12 }, (_, index) => index);
+  const items = [
+    ...indexes.slice(0, 9).flatMap(crashesOf),
+    ...indexes.map(clearCrashOf),
+  ];
+  for (const router of fleet.states.keys())
+    fleet.receiveGossip(router, router === "r1" ? "r2" : "r1", items);
+  fleet.advance(2000);
+  assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad", "clear"]));
+});
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -15,7 +15,7 @@
   minCrashCount,
   storeWriteSpacingMs,
 } from "./constants.js";
-import { findCulprits, hasAllBlocks } from "./findCulprits.js";
+import { findCulprits, hasAllBlocks, isExplained } from "./findCulprits.js";
 import {
   holdMsOf,
   quarantineKeyOf,
@@ -171,9 +171,7 @@
   { quarantine: { crashes } }: RelayState,
   blockIds: readonly string[],
 ): EngineCrash[] =>
-  [...crashes.values()].filter(({ suspects }) =>
-    [...suspects.values()].some((one) => hasAllBlocks(one, blockIds)),
-  );
+  [...crashes.values()].filter((crash) => isExplained(crash, blockIds));
 
 /** Crashes that stand for a quarantine whose evidence is forgotten, or only known elsewhere. */
 const assumedCrashesOf = (
@@ -213,11 +211,15 @@
   culprits: readonly (readonly string[])[],
 ): RelayCommand[] => {
   const unsupported = [...state.quarantine.inForce.values()].filter(
-    ({ blockIds }) =>
-      !culprits.some(
-        (culprit) =>
-          hasAllBlocks(culprit, blockIds) || hasAllBlocks(blockIds, culprit),
-      ),
+    ({ blockIds }) => {
+      const others = culprits.filter(
+        (one) => !hasAllBlocks(one, blockIds) && !hasAllBlocks(blockIds, one),
+      );
+      const own = crashesUnder(state, blockIds);
+      const isOthers = (crash: EngineCrash) =>
+        others.some((one) => isExplained(crash, one));
+      return own.length > 0 && own.every(isOthers);
+    },
   );
   for (const { blockIds, crashedAt } of unsupported) {
     recordSoundAt(state, blockIds, crashedAt);
