Bound the search for causes, and suspect unproven blocks first

A prompt with more blocks than that is suspected for those first with which no engine answered well lately; a test fails without that order.

--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -201,3 +201,6 @@
 
 /** Part of the target latency that a request waits for its turn at a replica. */
 export const limitedWaitRatio = 0.25;
+
+/** Prompt blocks in a log line; bounds its length. */
+export const maxLoggedPromptBlockCount = 8;
--- a/packages/relay/src/decisions/quarantine/constants.ts
+++ b/packages/relay/src/decisions/quarantine/constants.ts
@@ -42,6 +42,9 @@
 /** Time without a probe's result after which broken connections are no crash. */
 export const unconfirmedRetentionMs = 1000;
 
+/** Least time between two searches for causes: a storm of crashes takes little processor time. */
+export const searchIntervalMs = 100;
+
 /** Interval at which old knowledge is dropped. */
 export const maintenanceIntervalMs = 1000;
 
@@ -53,9 +56,9 @@
 
 /** Bounds on what is remembered. */
 export const maxRemembered = {
-  crashes: 128,
+  crashes: 64,
   suspectsPerCrash: 8,
-  blocksPerSuspect: 64,
+  blocksPerSuspect: 32,
   quarantines: 64,
   soundBlocks: 4096,
 } as const;
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -6,7 +6,8 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
-import type { EngineReport, Replica } from "../../types.js";
+import type { CallerRequest, EngineReport, Replica } from "../../types.js";
+import { maxLoggedPromptBlockCount } from "../constants.js";
 import { engineOf } from "../engineOf.js";
 import { failExchange } from "../endExchange.js";
 import { publishItem } from "../gossip/spreadGossip.js";
@@ -45,10 +46,20 @@
 ): boolean => {
   if (suspects.has(request) || suspects.size >= maxRemembered.suspectsPerCrash)
     return false;
-  suspects.set(request, blockIds.slice(0, maxRemembered.blocksPerSuspect));
+  suspects.set(request, blockIds);
   return true;
 };
 
+/** Blocks of a request under suspicion, those first with which no engine answered well lately. */
+const suspectBlocksOf = (
+  { quarantine: { soundAt } }: RelayState,
+  { sharedPromptBlockIds }: CallerRequest,
+): readonly string[] =>
+  [
+    ...sharedPromptBlockIds.filter((id) => !soundAt.has(id)),
+    ...sharedPromptBlockIds.filter((id) => soundAt.has(id)),
+  ].slice(0, maxRemembered.blocksPerSuspect);
+
 /** Whether the engine may have ended because of this request. */
 const isSuspect = ({ isEstablished }: Attempt): boolean => !isEstablished;
 
@@ -79,14 +90,15 @@
   const { unconfirmed } = state.quarantine;
   const { request } = exchange;
   const identity = requestIdentityOf(request);
+  const blockIds = suspectBlocksOf(state, request);
   const process = processOf(replica);
   const known = unconfirmed.get(process);
   if (known !== undefined) {
-    addSuspect(known.suspects, identity, request.sharedPromptBlockIds);
+    addSuspect(known.suspects, identity, blockIds);
     return [];
   }
   const suspects: CrashSuspects = new Map();
-  addSuspect(suspects, identity, request.sharedPromptBlockIds);
+  addSuspect(suspects, identity, blockIds);
   unconfirmed.set(process, { replica, lostAt: state.at, suspects });
   return [probe(state, replica)];
 };
@@ -146,7 +158,10 @@
         replica: replica.id,
         replicaZone: replica.zone,
         requests: suspects.size,
-        promptBlocks: [...new Set([...suspects.values()].flat())].slice(0, 8),
+        promptBlocks: [...new Set([...suspects.values()].flat())].slice(
+          0,
+          maxLoggedPromptBlockCount,
+        ),
       },
       Severity.Warn,
     ),
@@ -167,7 +182,7 @@
       addSuspect(
         suspects,
         requestIdentityOf(exchange.request),
-        exchange.request.sharedPromptBlockIds,
+        suspectBlocksOf(state, exchange.request),
       );
   return suspects.size === 0
     ? []
@@ -235,12 +250,14 @@
   { request }: Exchange,
   begunAt: Timestamp,
 ): RelayCommand[] => {
-  const blockIds = request.sharedPromptBlockIds
-    .slice(0, maxRemembered.blocksPerSuspect)
-    .filter((id) => isNewerMark(state, id, begunAt));
+  const blockIds = request.sharedPromptBlockIds.filter((id) =>
+    isNewerMark(state, id, begunAt),
+  );
   recordSoundAt(state, blockIds, begunAt);
   const suspected = trackedBlocks(state);
-  const tracked = blockIds.filter((id) => suspected.has(id));
+  const tracked = blockIds
+    .filter((id) => suspected.has(id))
+    .slice(0, maxRemembered.blocksPerSuspect);
   if (tracked.length === 0) return [];
   publishItem(state, { type: "soundBlocks", at: begunAt, blockIds: tracked });
   return clearSoundBlocks(state, `answer of ${request.requestId}`, true);
--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -299,3 +299,19 @@
   fleet.advance(2000);
   assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad", "clear"]));
 });
+
+test("a bad block behind many sound ones is not among the suspects", () => {
+  const fleet = createFleet();
+  const many = Array.from(
+    { length: 40 },
+    (_, index) => `part-${String(index)}`,
+  );
+  const routers = [...fleet.states.keys()];
+  for (const router of routers) fleet.request(router, many);
+  fleet.advance(2500);
+  for (let index = 0; index < 8; index += 1) {
+    fleet.request(routers[index] ?? "", [...many, "bad"]);
+    fleet.advance(700);
+  }
+  assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad"]));
+});
--- a/packages/relay/src/decisions/quarantine/quarantineState.ts
+++ b/packages/relay/src/decisions/quarantine/quarantineState.ts
@@ -21,6 +21,7 @@
   soundAt: new Map(),
   inForce: new Map(),
   hasNewEvidence: false,
+  nextSearchAt: 0,
   refusedCount: 0,
   nextMaintenanceAt: 0,
 });
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -13,6 +13,7 @@
 import {
   assumedCrashSpacingMs,
   minCrashCount,
+  searchIntervalMs,
   storeWriteSpacingMs,
 } from "./constants.js";
 import { findCulprits, hasAllBlocks, isExplained } from "./findCulprits.js";
@@ -230,9 +231,11 @@
 
 /** Looks for blocks that explain the known crashes, if there are new ones, and puts them into quarantine. */
 export const quarantineCulprits = (state: RelayState): RelayCommand[] => {
-  if (!state.quarantine.hasNewEvidence) return [];
-  state.quarantine.hasNewEvidence = false;
-  const { crashes, soundAt, inForce } = state.quarantine;
+  const { at, quarantine } = state;
+  const { crashes, soundAt, inForce } = quarantine;
+  if (!quarantine.hasNewEvidence || at < quarantine.nextSearchAt) return [];
+  quarantine.hasNewEvidence = false;
+  quarantine.nextSearchAt = at + searchIntervalMs;
   const assumed = [...inForce.values()].flatMap((one) =>
     assumedCrashesOf(state, one),
   );
--- a/packages/relay/src/decisions/quarantine/types.ts
+++ b/packages/relay/src/decisions/quarantine/types.ts
@@ -59,6 +59,7 @@
   readonly inForce: Map<string, Quarantine>;
   /** Whether crashes were learned that were not weighed yet. */
   hasNewEvidence: boolean;
+  nextSearchAt: Timestamp;
   refusedCount: number;
   nextMaintenanceAt: Timestamp;
 }
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -15,7 +15,7 @@
 } from "./chooseReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
 import { engineOf } from "./engineOf.js";
-import { limitedWaitRatio } from "./constants.js";
+import { limitedWaitRatio, maxLoggedPromptBlockCount } from "./constants.js";
 import { cancelExchange, failExchange, summaryOf } from "./endExchange.js";
 import { refuse } from "./refusals.js";
 import { isWithinLimitDebt, returnTurn, takeTurn } from "./requestLimits.js";
@@ -74,8 +74,6 @@
   view.prefilling += 1;
 };
 
-const maxLoggedPromptBlockCount = 8; // bounds the length of a log line
-
 /** The prompt blocks that other requests may share; undefined if there are none. */
 const loggedPromptBlocks = ({
   sharedPromptBlockIds,
--- a/packages/relay/src/drivers/peerDriver.test.ts
+++ b/packages/relay/src/drivers/peerDriver.test.ts
@@ -46,7 +46,7 @@
 });
 
 const blockIds = Array.from(
-  { length: 40 },
+  { length: 32 },
   (_, index) => `block-${String(index)}`,
 );
 
