Take a quarantine from the store at routers that had good answers with its blocks before

A router that was cut off while blocks turned bad ignored the store's entry, because it remembered good answers from before: the test fails without the change. It leaves an entry aside only for ten seconds after a release of its own. One router removes the entry where all come to the same decision; the first hold is 30 s, so that tests of blocks that stay bad come seldom. The search for causes and the marks of good answers have files of their own, and both test harnesses build their requests in one place.

--- a/packages/relay/src/decisions/quarantine/constants.ts
+++ b/packages/relay/src/decisions/quarantine/constants.ts
@@ -22,7 +22,7 @@
 export const establishedAfterMs = 500;
 
 /** How long prompt blocks are held at first. */
-export const initialHoldMs = 20_000;
+export const initialHoldMs = 30_000;
 
 /** Longest hold; it doubles whenever engines are found to end still. */
 export const maxHoldMs = 600_000;
@@ -39,6 +39,9 @@
 /** How long crashes and sound blocks are remembered. */
 export const evidenceRetentionMs = 120_000;
 
+/** How long an entry of the store is left aside after its quarantine ended here: longer than a watch lags. */
+export const releaseRetentionMs = 10_000;
+
 /** Time without a probe's result after which broken connections are no crash. */
 export const unconfirmedRetentionMs = 1000;
 
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -17,23 +17,9 @@
 import type { RelayCommand } from "../commands.js";
 import type { RelayEventOf } from "../events.js";
 import type { Attempt, Exchange, RelayState } from "../types.js";
-import {
-  establishedAfterMs,
-  establishedEventCount,
-  maxEndedEngineCount,
-  maxRemembered,
-} from "./constants.js";
-import {
-  clearSoundBlocks,
-  isNewerMark,
-  recordSoundAt,
-  renewQuarantines,
-} from "./quarantines.js";
-import {
-  forgetExcessCrashes,
-  requestIdentityOf,
-  trackedBlocks,
-} from "./quarantineState.js";
+import { maxEndedEngineCount, maxRemembered } from "./constants.js";
+import { renewQuarantines } from "./quarantines.js";
+import { forgetExcessCrashes, requestIdentityOf } from "./quarantineState.js";
 import type { CrashSuspects, EngineCrash } from "./types.js";
 
 const processOf = ({ id, startedAt }: Replica): string =>
@@ -243,51 +229,3 @@
         blockIds,
       })),
   );
-
-/** Marks blocks as sound: an engine answered with them and went on. Others are told if they are suspected. */
-const recordSoundAttempt = (
-  state: RelayState,
-  { request }: Exchange,
-  begunAt: Timestamp,
-): RelayCommand[] => {
-  const blockIds = request.sharedPromptBlockIds.filter((id) =>
-    isNewerMark(state, id, begunAt),
-  );
-  recordSoundAt(state, blockIds, begunAt);
-  const suspected = trackedBlocks(state);
-  const tracked = blockIds
-    .filter((id) => suspected.has(id))
-    .slice(0, maxRemembered.blocksPerSuspect);
-  if (tracked.length === 0) return [];
-  publishItem(state, { type: "soundBlocks", at: begunAt, blockIds: tracked });
-  return clearSoundBlocks(state, `answer of ${request.requestId}`, true);
-};
-
-/** Counts events of an attempt; after the first ones its engine has survived the prompt. */
-export const establishAttempt = (
-  state: RelayState,
-  exchange: Exchange,
-  attempt: Attempt,
-  eventCount: number,
-): RelayCommand[] => {
-  attempt.eventCount += eventCount;
-  attempt.firstEventAt ??= state.at;
-  const { firstEventAt, isEstablished } = attempt;
-  const isEarly =
-    attempt.eventCount < establishedEventCount ||
-    state.at - firstEventAt < establishedAfterMs;
-  if (isEstablished || isEarly) return [];
-  attempt.isEstablished = true;
-  return recordSoundAttempt(state, exchange, firstEventAt);
-};
-
-/** Handles the end of a whole answer: it is sound, however short. */
-export const establishEndedAttempt = (
-  state: RelayState,
-  exchange: Exchange,
-  attempt: Attempt,
-): RelayCommand[] => {
-  if (attempt.isEstablished || attempt.firstEventAt === undefined) return [];
-  attempt.isEstablished = true;
-  return recordSoundAttempt(state, exchange, attempt.firstEventAt);
-};
--- a/packages/relay/src/decisions/quarantine/maintainQuarantines.ts
+++ b/packages/relay/src/decisions/quarantine/maintainQuarantines.ts
@@ -60,8 +60,7 @@
       known.isStored ||= strikes >= known.strikes;
       continue;
     }
-    const isCleared = blockIds.some((id) => state.quarantine.soundAt.has(id));
-    if (isCleared) continue;
+    if (state.quarantine.releasedAt.has(key)) continue;
     const heldUntil = at + holdMsOf(strikes);
     const source = "store";
     const told = { blockIds, crashedAt: at, heldUntil, strikes, crashCount };
--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -315,3 +315,19 @@
   }
   assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad"]));
 });
+
+test("a router that had good answers before takes no quarantine from the store", () => {
+  const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
+  for (const router of fleet.states.keys()) fleet.request(router, ["bad"]);
+  fleet.advance(3000);
+  fleet.deadlyBlocks.add("bad");
+  fleet.cutRouters.add("r5");
+  const routers = ["r1", "r2", "r3"];
+  for (let index = 0; index < 12; index += 1) {
+    fleet.request(routers[index % 3] ?? "", [`c${String(index)}`, "bad"]);
+    fleet.advance(700);
+  }
+  fleet.advance(3000);
+  assert.equal(fleet.stored.size, 1);
+  assert.equal(fleet.states.get("r5")?.quarantine.inForce.size, 1);
+});
--- a/packages/relay/src/decisions/quarantine/quarantineState.ts
+++ b/packages/relay/src/decisions/quarantine/quarantineState.ts
@@ -9,6 +9,7 @@
   initialHoldMs,
   maxHoldMs,
   maxRemembered,
+  releaseRetentionMs,
   unconfirmedRetentionMs,
 } from "./constants.js";
 import { hasAllBlocks } from "./findCulprits.js";
@@ -20,6 +21,7 @@
   crashes: new Map(),
   soundAt: new Map(),
   inForce: new Map(),
+  releasedAt: new Map(),
   hasNewEvidence: false,
   nextSearchAt: 0,
   refusedCount: 0,
@@ -89,7 +91,7 @@
 
 /** Drops knowledge that is too old or too much. */
 export const forgetOld = ({ quarantine, at }: RelayState): void => {
-  const { crashes, soundAt, unconfirmed, inForce } = quarantine;
+  const { crashes, soundAt, unconfirmed, inForce, releasedAt } = quarantine;
   const { crashes: maxCrashes, soundBlocks, quarantines } = maxRemembered;
   const isOlder = (time: Timestamp, ms: number) => at - time > ms;
   removeOldest(crashes, maxCrashes, (crash) =>
@@ -101,6 +103,9 @@
   removeOldest(unconfirmed, maxCrashes, ({ lostAt }) =>
     isOlder(lostAt, unconfirmedRetentionMs),
   );
+  removeOldest(releasedAt, quarantines, (time) =>
+    isOlder(time, releaseRetentionMs),
+  );
   removeOldest(inForce, quarantines, ({ heldUntil }) =>
     isOlder(heldUntil, forgetAfterHoldMs),
   );
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -10,13 +10,8 @@
 import { serviceUnavailableStatus } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
-import {
-  assumedCrashSpacingMs,
-  minCrashCount,
-  searchIntervalMs,
-  storeWriteSpacingMs,
-} from "./constants.js";
-import { findCulprits, hasAllBlocks, isExplained } from "./findCulprits.js";
+import { storeWriteSpacingMs } from "./constants.js";
+import { hasAllBlocks } from "./findCulprits.js";
 import {
   holdMsOf,
   quarantineKeyOf,
@@ -111,18 +106,25 @@
     return isHeld ? endHeldExchange(state, exchange, quarantine) : [];
   });
 
-/** Removes a quarantine; the store's entry, too, unless another router does so. */
+/** Removes a quarantine, and the store's entry if this router decided it. */
 const removeQuarantine = (
-  state: RelayState,
-  { key, isStored }: Quarantine,
+  { quarantine: { inForce, releasedAt }, at }: RelayState,
+  { key }: Quarantine,
   isOwnDecision: boolean,
 ): RelayCommand[] => {
-  state.quarantine.inForce.delete(key);
-  return isOwnDecision && isStored ? [{ type: "removeQuarantine", key }] : [];
+  inForce.delete(key);
+  releasedAt.set(key, at);
+  return isOwnDecision ? [{ type: "removeQuarantine", key }] : [];
 };
 
+/** Whether this router changes the store's entry where all routers come to the same decision. */
+export const isResponsible = (
+  state: RelayState,
+  { key, source }: Pick<Quarantine, "key" | "source">,
+): boolean => source === state.router || rankOf(state, key) === 0;
+
 /** Puts blocks into quarantine; sets that it contains are redundant. */
-const addQuarantine = (
+export const addQuarantine = (
   state: RelayState,
   item: QuarantineItem,
   isOwnDecision: boolean,
@@ -157,95 +159,20 @@
       },
       Severity.Warn,
     ),
-    ...redundant.flatMap((one) => removeQuarantine(state, one, isOwnDecision)),
+    ...redundant.flatMap((one) =>
+      removeQuarantine(state, one, isOwnDecision && isResponsible(state, one)),
+    ),
     ...endHeldExchanges(state, added),
   ];
 };
 
-const hasSubsetInForce = (
+/** Whether a quarantine in force holds all requests with the blocks. */
+export const hasSubsetInForce = (
   { quarantine: { inForce } }: RelayState,
   blockIds: readonly string[],
 ): boolean =>
   [...inForce.values()].some((one) => hasAllBlocks(blockIds, one.blockIds));
 
-const crashesUnder = (
-  { quarantine: { crashes } }: RelayState,
-  blockIds: readonly string[],
-): EngineCrash[] =>
-  [...crashes.values()].filter((crash) => isExplained(crash, blockIds));
-
-/** Crashes that stand for a quarantine whose evidence is forgotten, or only known elsewhere. */
-const assumedCrashesOf = (
-  state: RelayState,
-  { key, blockIds, crashedAt }: Quarantine,
-): EngineCrash[] =>
-  crashesUnder(state, blockIds).length >= minCrashCount
-    ? []
-    : Array.from({ length: minCrashCount }, (_, index) => ({
-        process: `${key}/${String(index)}`,
-        at: crashedAt - index * assumedCrashSpacingMs,
-        suspects: new Map([[`${key}/${String(index)}`, blockIds]]),
-      }));
-
-const quarantineCulprit = (
-  state: RelayState,
-  blockIds: readonly string[],
-): RelayCommand[] => {
-  const { at, router } = state;
-  const explained = crashesUnder(state, blockIds);
-  if (explained.length === 0 || hasSubsetInForce(state, blockIds)) return [];
-  const item: QuarantineItem = {
-    type: "quarantine",
-    blockIds,
-    crashedAt: Math.max(...explained.map((crash) => crash.at)),
-    heldUntil: at + holdMsOf(1),
-    strikes: 1,
-    crashCount: explained.length,
-    source: router,
-  };
-  return addQuarantine(state, item, true);
-};
-
-/** Ends quarantines whose crashes other blocks explain better, now that more is known. */
-const clearUnsupported = (
-  state: RelayState,
-  culprits: readonly (readonly string[])[],
-): RelayCommand[] => {
-  const unsupported = [...state.quarantine.inForce.values()].filter(
-    ({ blockIds }) => {
-      const others = culprits.filter(
-        (one) => !hasAllBlocks(one, blockIds) && !hasAllBlocks(blockIds, one),
-      );
-      const own = crashesUnder(state, blockIds);
-      const isOthers = (crash: EngineCrash) =>
-        others.some((one) => isExplained(crash, one));
-      return own.length > 0 && own.every(isOthers);
-    },
-  );
-  for (const { blockIds, crashedAt } of unsupported) {
-    recordSoundAt(state, blockIds, crashedAt);
-    publishItem(state, { type: "soundBlocks", at: crashedAt, blockIds });
-  }
-  return clearSoundBlocks(state, "other blocks explain the crashes", true);
-};
-
-/** Looks for blocks that explain the known crashes, if there are new ones, and puts them into quarantine. */
-export const quarantineCulprits = (state: RelayState): RelayCommand[] => {
-  const { at, quarantine } = state;
-  const { crashes, soundAt, inForce } = quarantine;
-  if (!quarantine.hasNewEvidence || at < quarantine.nextSearchAt) return [];
-  quarantine.hasNewEvidence = false;
-  quarantine.nextSearchAt = at + searchIntervalMs;
-  const assumed = [...inForce.values()].flatMap((one) =>
-    assumedCrashesOf(state, one),
-  );
-  const culprits = findCulprits([...crashes.values(), ...assumed], soundAt);
-  const commands = culprits.flatMap((one) => quarantineCulprit(state, one));
-  return culprits.length === 0
-    ? commands
-    : [...commands, ...clearUnsupported(state, culprits)];
-};
-
 /** Extends quarantines that a new crash confirms; after a failed trial the hold doubles. */
 export const renewQuarantines = (
   state: RelayState,
--- a/packages/relay/src/decisions/quarantine/types.ts
+++ b/packages/relay/src/decisions/quarantine/types.ts
@@ -57,6 +57,8 @@
   /** Latest time at which an engine began to answer with a block and went on. */
   readonly soundAt: Map<string, Timestamp>;
   readonly inForce: Map<string, Quarantine>;
+  /** Times at which quarantines ended here, by key; the store may show their entries a little longer. */
+  readonly releasedAt: Map<string, Timestamp>;
   /** Whether crashes were learned that were not weighed yet. */
   hasNewEvidence: boolean;
   nextSearchAt: Timestamp;
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -9,7 +9,7 @@
 import {
   establishAttempt,
   establishEndedAttempt,
-} from "./quarantine/engineCrashes.js";
+} from "./quarantine/establishAttempt.js";
 import { noteRequestLimit } from "./requestLimits.js";
 import { completeExchange } from "./endExchange.js";
 import type { RelayCommand } from "./commands.js";
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -16,7 +16,7 @@
 import { failExchange } from "./endExchange.js";
 import { currentItems } from "./gossip/gossipReceived.js";
 import { spreadGossip } from "./gossip/spreadGossip.js";
-import { quarantineCulprits } from "./quarantine/quarantines.js";
+import { searchCulprits } from "./quarantine/searchCulprits.js";
 import { maintainQuarantines } from "./quarantine/maintainQuarantines.js";
 import { isEngineQueryDone } from "./queryEngines.js";
 import { abandonAndRetry, probeSilent } from "./probes.js";
@@ -159,7 +159,7 @@
     ...removeMissingReplicas(state),
     ...maintainRegistration(state),
     ...shareOutcomes(state),
-    ...quarantineCulprits(state),
+    ...searchCulprits(state),
     ...maintainQuarantines(state),
     ...spreadGossip(state, () => currentItems(state)),
   );
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -17,6 +17,7 @@
   streamPath,
   testConfig,
   testReplica,
+  testRequest,
 } from "./scenario.js";
 
 type SendCommand = Extract<RelayCommand, { readonly type: "send" }>;
@@ -153,17 +154,7 @@
       at: this.at,
       key,
       request: {
-        requestId: key,
-        hostname: "host.example",
-        method: "POST",
-        target,
-        key: "key-1",
-        headers: [],
-        body: new Uint8Array(),
-        hasBody: false,
-        arrivedAt: this.at,
-        callerDeadline: undefined,
-        lastEventId: undefined,
+        ...testRequest(key, target, this.at),
         sharedPromptBlockIds,
         lastPromptBlockId: target === streamPath ? `own-${key}` : undefined,
       },
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -95,6 +95,27 @@
   ...["a-9", "b-9", "c-9"].map((id) => testReplica(id, plainService)),
 ];
 
+/** A caller's request without a body. */
+export const testRequest = (
+  requestId: string,
+  target: string,
+  arrivedAt: Timestamp,
+): CallerRequest => ({
+  requestId,
+  hostname: "host.example",
+  method: "POST",
+  target,
+  key: "key-1",
+  headers: [],
+  body: new Uint8Array(),
+  hasBody: false,
+  arrivedAt,
+  callerDeadline: undefined,
+  lastEventId: undefined,
+  sharedPromptBlockIds: [],
+  lastPromptBlockId: undefined,
+});
+
 /** Address of a router; the number in its name is the port. */
 export const routerAddress = (router: string): Address => ({
   host: "10.1.0.1",
@@ -254,19 +275,7 @@
       at: this.at,
       key,
       request: {
-        requestId: `id-${key}`,
-        hostname: "host.example",
-        method: "POST",
-        target,
-        key: "key-1",
-        headers: [],
-        body: new Uint8Array(),
-        hasBody: false,
-        arrivedAt: this.at,
-        callerDeadline: undefined,
-        lastEventId: undefined,
-        sharedPromptBlockIds: [],
-        lastPromptBlockId: undefined,
+        ...testRequest(`id-${key}`, target, this.at),
         ...changes,
       },
     });
