--- a/packages/cli/src/commands/quarantines.test.ts
+++ b/packages/cli/src/commands/quarantines.test.ts
@@ -8,7 +8,7 @@
 
 test("an operator can neither see nor release what is held back", async (t) => {
   const store = await StandInStore.create();
-  store.put(entryKey, { blockIds: ["5c1e"], strikes: 2, crashCount: 4 });
+  store.put(entryKey, { blockIds: ["5c1e"], holdCount: 2, crashCount: 4 });
   const { host, port } = store.address;
   const flags = { store: `${host}:${String(port)}` };
   const printed: string[] = [];
@@ -21,7 +21,7 @@
   assert.equal(await quarantines({}), 2);
   store.stop();
   assert.deepEqual(printed.slice(0, 4), [
-    `${key}  blocks=5c1e strikes=2 crashes=4`,
+    `${key}  blocks=5c1e holdCount=2 crashes=4`,
     'no quarantine "unknown"',
     `released ${key}`,
     "no prompt block is quarantined",
--- a/packages/cli/src/commands/quarantines.ts
+++ b/packages/cli/src/commands/quarantines.ts
@@ -29,9 +29,9 @@
     return failedExitCode;
   }
   if (outcome.value.length === 0) console.log("no prompt block is quarantined");
-  for (const { key, blockIds, strikes, crashCount } of outcome.value)
+  for (const { key, blockIds, holdCount, crashCount } of outcome.value)
     console.log(
-      `${key}  blocks=${blockIds.join(",")} strikes=${String(strikes)} crashes=${String(crashCount)}`,
+      `${key}  blocks=${blockIds.join(",")} holdCount=${String(holdCount)} crashes=${String(crashCount)}`,
     );
   return doneExitCode;
 };
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -14,10 +14,10 @@
 } from "./constants.js";
 import { engineOf } from "./engineOf.js";
 import { excessFailureRateOf } from "./outcomes.js";
-import { isWithinLimit, nextTurnAt } from "./requestLimits.js";
+import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import { isAvailable, isSuspected, replicasOf } from "./replicaViews.js";
-import type { LimitedTurn, RelayState, ReplicaView } from "./types.js";
+import type { ReservedPermit, RelayState, ReplicaView } from "./types.js";
 
 /** Constraints on the choice of a replica. */
 export interface CandidateQuery {
@@ -203,13 +203,13 @@
 };
 
 /** The replica whose limit lets this router send soonest, and when; undefined if none is available. */
-export const soonestTurn = (
+export const soonestPermit = (
   state: RelayState,
   query: CandidateQuery,
-): LimitedTurn | undefined => {
-  let soonest: LimitedTurn | undefined;
+): ReservedPermit | undefined => {
+  let soonest: ReservedPermit | undefined;
   for (const view of candidatesOf(state, query)) {
-    const at = Math.max(state.at, nextTurnAt(state, view) ?? state.at);
+    const at = Math.max(state.at, nextPermitAt(state, view) ?? state.at);
     if (soonest !== undefined && at >= soonest.at) continue;
     soonest = { replica: view.replica.id, at };
   }
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -197,10 +197,10 @@
 export const minRequestLimitPerS = 0.1;
 
 /** Turns that a stream may be ahead of a replica's limit to resume at its KV cache copy. */
-export const maxLimitDebtTurnCount = 1;
+export const maxPermitDebt = 1;
 
-/** Part of the target latency that a request waits for its turn at a replica. */
-export const limitedWaitRatio = 0.25;
+/** Part of the target latency that a request waits for its permit at a replica. */
+export const permitWaitRatio = 0.25;
 
 /** Prompt blocks in a log line; bounds its length. */
 export const maxLoggedPromptBlockCount = 8;
--- a/packages/relay/src/decisions/gossip/gossipReceived.ts
+++ b/packages/relay/src/decisions/gossip/gossipReceived.ts
@@ -5,31 +5,31 @@
 import type { RelayEventOf } from "../events.js";
 import { crashItems, learnCrash } from "../quarantine/engineCrashes.js";
 import {
-  clearSoundBlocks,
+  clearSucceededBlocks,
   isNewerMark,
   learnQuarantine,
   quarantineItems,
-  recordSoundAt,
+  recordSucceededAt,
 } from "../quarantine/quarantines.js";
 import { trackedBlocks } from "../quarantine/quarantineState.js";
 import { learnRequestLimit, limitItems } from "../requestLimits.js";
 import { isKnownRouter } from "../registration.js";
 import type { RelayState } from "../types.js";
 import { publishItem } from "./spreadGossip.js";
-import type { CurrentItems, GossipItem, SoundBlocksItem } from "./types.js";
+import type { CurrentItems, GossipItem, SucceededBlocksItem } from "./types.js";
 
-const learnSoundBlocks = (
+const learnSucceededBlocks = (
   state: RelayState,
-  { at, blockIds }: SoundBlocksItem,
+  { at, blockIds }: SucceededBlocksItem,
 ): RelayCommand[] => {
   const tracked = trackedBlocks(state);
   const news = blockIds.filter(
     (id) => tracked.has(id) && isNewerMark(state, id, at),
   );
   if (news.length === 0) return [];
-  recordSoundAt(state, news, at);
-  publishItem(state, { type: "soundBlocks", at, blockIds: news });
-  return clearSoundBlocks(state, "another router saw an answer", false);
+  recordSucceededAt(state, news, at);
+  publishItem(state, { type: "succeededBlocks", at, blockIds: news });
+  return clearSucceededBlocks(state, "another router saw an answer", false);
 };
 
 const learnItem = (state: RelayState, item: GossipItem): RelayCommand[] => {
@@ -37,8 +37,8 @@
     case "engineCrash":
       learnCrash(state, item);
       return [];
-    case "soundBlocks":
-      return learnSoundBlocks(state, item);
+    case "succeededBlocks":
+      return learnSucceededBlocks(state, item);
     case "quarantine":
       return learnQuarantine(state, item);
     case "requestLimit":
@@ -57,15 +57,19 @@
     ? items.flatMap((item) => learnItem(state, item))
     : [];
 
-const soundItems = (state: RelayState): SoundBlocksItem[] => {
+const succeededItems = (state: RelayState): SucceededBlocksItem[] => {
   const tracked = trackedBlocks(state);
-  return [...state.quarantine.soundAt]
+  return [...state.quarantine.succeededAt]
     .filter(([id]) => tracked.has(id))
-    .map(([id, at]) => ({ type: "soundBlocks", at, blockIds: [id] }));
+    .map(([id, at]) => ({ type: "succeededBlocks", at, blockIds: [id] }));
 };
 
 /** All that this router could tell others. */
 export const currentItems = (state: RelayState): CurrentItems => ({
   conclusions: quarantineItems(state),
-  evidence: [...limitItems(state), ...soundItems(state), ...crashItems(state)],
+  evidence: [
+    ...limitItems(state),
+    ...succeededItems(state),
+    ...crashItems(state),
+  ],
 });
--- a/packages/relay/src/decisions/gossip/spreadGossip.ts
+++ b/packages/relay/src/decisions/gossip/spreadGossip.ts
@@ -47,7 +47,7 @@
         routerCount,
       ).map((to): RelayCommand => ({ type: "gossip", to, items }));
 
-/** Takes conclusions, and the next part of the evidence, so that all of it has its turn. */
+/** Takes conclusions, and the next part of the evidence, so that all of it is sent in time. */
 const takeExchangeItems = (
   { gossip }: RelayState,
   { conclusions, evidence }: CurrentItems,
--- a/packages/relay/src/decisions/gossip/types.ts
+++ b/packages/relay/src/decisions/gossip/types.ts
@@ -13,8 +13,8 @@
 }
 
 /** Prompt blocks with which an engine began to answer and went on. */
-export interface SoundBlocksItem {
-  readonly type: "soundBlocks";
+export interface SucceededBlocksItem {
+  readonly type: "succeededBlocks";
   readonly at: Timestamp;
   readonly blockIds: readonly string[];
 }
@@ -26,7 +26,7 @@
   /** Time of the latest engine crash that supports the quarantine. */
   readonly crashedAt: Timestamp;
   readonly heldUntil: Timestamp;
-  readonly strikes: number;
+  readonly holdCount: number;
   readonly crashCount: number;
   /** Router that found the cause. */
   readonly source: string;
@@ -47,13 +47,13 @@
 
 /** One item of gossip; the same item may arrive any number of times. */
 export type GossipItem =
-  EngineCrashItem | SoundBlocksItem | QuarantineItem | RequestLimitItem;
+  EngineCrashItem | SucceededBlocksItem | QuarantineItem | RequestLimitItem;
 
 /** All items that a router could tell others. */
 export interface CurrentItems {
   /** Told in each exchange. */
   readonly conclusions: readonly GossipItem[];
-  /** Told by turns. */
+  /** Told in parts, one after the other. */
   readonly evidence: readonly GossipItem[];
 }
 
--- a/packages/relay/src/decisions/quarantine/constants.ts
+++ b/packages/relay/src/decisions/quarantine/constants.ts
@@ -4,7 +4,7 @@
 export const minCrashCount = 3;
 
 /** Additional crashes that it takes for a block with which engines answered well lately. */
-export const soundBlockHandicap = 2;
+export const succeededBlockHandicap = 2;
 
 /** Crashes under one request that count: one unlucky request proves nothing about its blocks. */
 export const maxCrashCountPerRequest = 2;
@@ -15,10 +15,10 @@
 /** Crashes under one of several suspected blocks alone after which the others are cleared. */
 export const minNarrowingCrashCount = 2;
 
-/** Events after which an attempt counts as sound, together with the time below. */
+/** Events after which an attempt counts as succeeded, together with the time below. */
 export const establishedEventCount = 3;
 
-/** Time since the first event after which an attempt counts as sound. */
+/** Time since the first event after which an attempt counts as succeeded. */
 export const establishedAfterMs = 500;
 
 /** How long prompt blocks are held at first. */
@@ -30,13 +30,13 @@
 /** How long others wait for the outcome of a request that tests quarantined blocks. */
 export const trialHoldMs = 10_000;
 
-/** Time between the routers' turns to test: they cannot agree while links are cut. */
+/** Offset between the times at which routers may test: they cannot agree while links are cut. */
 export const trialSpacingMs = 1000;
 
 /** Time after a hold at which a quarantine that nobody tests ends. */
 export const forgetAfterHoldMs = 600_000;
 
-/** How long crashes and sound blocks are remembered. */
+/** How long crashes and blocks that succeeded are remembered. */
 export const evidenceRetentionMs = 120_000;
 
 /** How long an entry of the store is left aside after its quarantine ended here: longer than a watch lags. */
@@ -51,7 +51,7 @@
 /** Interval at which old knowledge is dropped. */
 export const maintenanceIntervalMs = 1000;
 
-/** Delay between the routers' turns to write an entry: longer than a watch takes to show it. */
+/** Offset between the times at which routers write an entry: longer than a watch takes to show it. */
 export const storeWriteSpacingMs = 3000;
 
 /** Delay before an entry that did not appear in the store is written again. */
@@ -63,7 +63,7 @@
   suspectsPerCrash: 8,
   blocksPerSuspect: 32,
   quarantines: 64,
-  soundBlocks: 4096,
+  succeededBlocks: 4096,
 } as const;
 
 /** Distance between crashes that are assumed for a quarantine without known evidence. */
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -38,12 +38,12 @@
 
 /** Blocks of a request under suspicion, those first with which no engine answered well lately. */
 const suspectBlocksOf = (
-  { quarantine: { soundAt } }: RelayState,
+  { quarantine: { succeededAt } }: RelayState,
   { sharedPromptBlockIds }: CallerRequest,
 ): readonly string[] =>
   [
-    ...sharedPromptBlockIds.filter((id) => !soundAt.has(id)),
-    ...sharedPromptBlockIds.filter((id) => soundAt.has(id)),
+    ...sharedPromptBlockIds.filter((id) => !succeededAt.has(id)),
+    ...sharedPromptBlockIds.filter((id) => succeededAt.has(id)),
   ].slice(0, maxRemembered.blocksPerSuspect);
 
 /** Whether the engine may have ended because of this request. */
@@ -89,7 +89,7 @@
   return [probe(state, replica)];
 };
 
-/** Tells others of a suspect, and of its blocks that were sound here before. */
+/** Tells others of a suspect, and of its blocks that succeeded here before. */
 const publishSuspect = (
   state: RelayState,
   { process, at }: EngineCrash,
@@ -99,14 +99,18 @@
   if (blockIds.length === 0) return;
   publishItem(state, { type: "engineCrash", process, at, request, blockIds });
   for (const id of blockIds) {
-    const soundAt = state.quarantine.soundAt.get(id);
-    if (soundAt !== undefined)
-      publishItem(state, { type: "soundBlocks", at: soundAt, blockIds: [id] });
+    const succeededAt = state.quarantine.succeededAt.get(id);
+    if (succeededAt !== undefined)
+      publishItem(state, {
+        type: "succeededBlocks",
+        at: succeededAt,
+        blockIds: [id],
+      });
   }
 };
 
 /** Ends requests under which so many engines ended that they are not sent again. */
-const endDeadlyExchanges = (
+const endCrashingExchanges = (
   state: RelayState,
   suspects: CrashSuspects,
 ): RelayCommand[] =>
@@ -151,7 +155,7 @@
       },
       Severity.Warn,
     ),
-    ...endDeadlyExchanges(state, suspects),
+    ...endCrashingExchanges(state, suspects),
   ];
 };
 
--- a/packages/relay/src/decisions/quarantine/establishAttempt.ts
+++ b/packages/relay/src/decisions/quarantine/establishAttempt.ts
@@ -9,11 +9,15 @@
   establishedEventCount,
   maxRemembered,
 } from "./constants.js";
-import { clearSoundBlocks, isNewerMark, recordSoundAt } from "./quarantines.js";
+import {
+  clearSucceededBlocks,
+  isNewerMark,
+  recordSucceededAt,
+} from "./quarantines.js";
 import { trackedBlocks } from "./quarantineState.js";
 
-/** Marks blocks as sound: an engine answered with them and went on. Others are told if they are suspected. */
-const recordSoundAttempt = (
+/** Marks blocks as succeeded: an engine answered with them and went on. Others are told if they are suspected. */
+const recordSucceededAttempt = (
   state: RelayState,
   { request }: Exchange,
   begunAt: Timestamp,
@@ -21,14 +25,18 @@
   const blockIds = request.sharedPromptBlockIds.filter((id) =>
     isNewerMark(state, id, begunAt),
   );
-  recordSoundAt(state, blockIds, begunAt);
+  recordSucceededAt(state, blockIds, begunAt);
   const suspected = trackedBlocks(state);
   const tracked = blockIds
     .filter((id) => suspected.has(id))
     .slice(0, maxRemembered.blocksPerSuspect);
   if (tracked.length === 0) return [];
-  publishItem(state, { type: "soundBlocks", at: begunAt, blockIds: tracked });
-  return clearSoundBlocks(state, `answer of ${request.requestId}`, true);
+  publishItem(state, {
+    type: "succeededBlocks",
+    at: begunAt,
+    blockIds: tracked,
+  });
+  return clearSucceededBlocks(state, `answer of ${request.requestId}`, true);
 };
 
 /** Counts events of an attempt; after the first ones its engine has survived the prompt. */
@@ -46,10 +54,10 @@
     state.at - firstEventAt < establishedAfterMs;
   if (isEstablished || isEarly) return [];
   attempt.isEstablished = true;
-  return recordSoundAttempt(state, exchange, firstEventAt);
+  return recordSucceededAttempt(state, exchange, firstEventAt);
 };
 
-/** Handles the end of a whole answer: it is sound, however short. */
+/** Handles the end of a whole answer: it has succeeded, however short. */
 export const establishEndedAttempt = (
   state: RelayState,
   exchange: Exchange,
@@ -57,5 +65,5 @@
 ): RelayCommand[] => {
   if (attempt.isEstablished || attempt.firstEventAt === undefined) return [];
   attempt.isEstablished = true;
-  return recordSoundAttempt(state, exchange, attempt.firstEventAt);
+  return recordSucceededAttempt(state, exchange, attempt.firstEventAt);
 };
--- a/packages/relay/src/decisions/quarantine/findCulprits.test.ts
+++ b/packages/relay/src/decisions/quarantine/findCulprits.test.ts
@@ -14,11 +14,11 @@
     suspects: new Map(Object.entries(suspects)),
   }));
 
-const nothingSound = new Map<string, number>();
+const noneSucceeded = new Map<string, number>();
 
 test("one request that loses three engines blames no block", () => {
   const crashes = crashesUnder({ q: ["a"] }, { q: ["a"] }, { q: ["a"] });
-  assert.deepEqual(findCulprits(crashes, nothingSound), []);
+  assert.deepEqual(findCulprits(crashes, noneSucceeded), []);
 });
 
 test("engines lost at one moment are one failure and blame no block", () => {
@@ -27,7 +27,7 @@
     ...crash,
     at: 1000 + index * 50,
   }));
-  assert.deepEqual(findCulprits(atOnce, nothingSound), []);
+  assert.deepEqual(findCulprits(atOnce, noneSucceeded), []);
 });
 
 test("a block that the crashed requests share is told from their other blocks", () => {
@@ -36,7 +36,7 @@
     { r: ["y", "bad"], other: ["y"] },
     { s: ["z", "bad"] },
   );
-  assert.deepEqual(findCulprits(crashes, nothingSound), [["bad"]]);
+  assert.deepEqual(findCulprits(crashes, noneSucceeded), [["bad"]]);
 });
 
 test("blocks that always come together are held together, until one of them comes alone", () => {
@@ -45,14 +45,14 @@
     { r: ["x", "bad"], other: ["x"] },
     { s: ["x", "bad"] },
   );
-  assert.deepEqual(findCulprits(together, nothingSound), [["bad", "x"]]);
+  assert.deepEqual(findCulprits(together, noneSucceeded), [["bad", "x"]]);
   const alone = [{ t: ["y", "bad"] }, { u: ["z", "bad"] }];
   const later = crashesUnder(...alone).map((crash) => ({
     ...crash,
     process: `later-${crash.process}`,
     at: crash.at + 10_000,
   }));
-  assert.deepEqual(findCulprits([...together, ...later], nothingSound), [
+  assert.deepEqual(findCulprits([...together, ...later], noneSucceeded), [
     ["bad"],
   ]);
 });
@@ -64,11 +64,11 @@
     { s: ["x", "bad"] },
   );
   assert.deepEqual(findCulprits(crashes, new Map([["x", 3500]])), [["bad"]]);
-  const bothSound = new Map([
+  const bothSucceeded = new Map([
     ["x", 3500],
     ["bad", 3500],
   ]);
-  assert.deepEqual(findCulprits(crashes, bothSound), []);
+  assert.deepEqual(findCulprits(crashes, bothSucceeded), []);
 });
 
 test("a block answered well before is blamed only by more crashes than an unknown one", () => {
@@ -89,7 +89,7 @@
     { u: ["z", "one"] },
     { v: ["z", "two"] },
   );
-  const found = findCulprits(crashes, nothingSound).flat().sort();
+  const found = findCulprits(crashes, noneSucceeded).flat().sort();
   assert.deepEqual(found, ["one", "two"]);
 });
 
@@ -106,8 +106,8 @@
     .map((all) => crashesUnder(...all));
   fc.assert(
     fc.property(anyCrashes, (crashes) => {
-      const there = findCulprits(crashes, nothingSound);
-      const back = findCulprits([...crashes].reverse(), nothingSound);
+      const there = findCulprits(crashes, noneSucceeded);
+      const back = findCulprits([...crashes].reverse(), noneSucceeded);
       assert.deepEqual(there, back);
     }),
   );
@@ -123,5 +123,5 @@
     { b: ["bad"] },
     { c: ["bad"] },
   );
-  assert.deepEqual(findCulprits(crashes, nothingSound), [["bad"]]);
+  assert.deepEqual(findCulprits(crashes, noneSucceeded), [["bad"]]);
 });
--- a/packages/relay/src/decisions/quarantine/findCulprits.ts
+++ b/packages/relay/src/decisions/quarantine/findCulprits.ts
@@ -1,7 +1,7 @@
 /**
  * Finds the prompt blocks under which engines end. Load pattern: requests with
  * one bad block come to many routers, each ends the engines it is sent to, and
- * sound requests that share its other blocks or its engine are lost with it.
+ * good requests that share its other blocks or its engine are lost with it.
  */
 
 import type { Timestamp } from "@cardamomglade/common";
@@ -10,7 +10,7 @@
   maxCrashCountPerRequest,
   minCrashCount,
   minNarrowingCrashCount,
-  soundBlockHandicap,
+  succeededBlockHandicap,
 } from "./constants.js";
 import type { CrashSuspects, EngineCrash } from "./types.js";
 
@@ -80,14 +80,14 @@
 };
 
 /** Removes blocks that an engine answered well since, and requests without any other. */
-const withoutSoundBlocks = (
+const withoutSucceededBlocks = (
   { process, at, suspects }: EngineCrash,
-  soundAt: ReadonlyMap<string, Timestamp>,
+  succeededAt: ReadonlyMap<string, Timestamp>,
 ): EngineCrash => {
   const rest: CrashSuspects = new Map();
   for (const [request, blockIds] of suspects) {
     const unproven = blockIds.filter(
-      (id) => (soundAt.get(id) ?? -Infinity) < at,
+      (id) => (succeededAt.get(id) ?? -Infinity) < at,
     );
     if (unproven.length > 0) rest.set(request, unproven);
   }
@@ -101,19 +101,19 @@
   readonly episodes: ReadonlySet<Episode>;
   /** Number of episodes, reduced for a block that was answered well before. */
   readonly score: number;
-  readonly wasSound: boolean;
+  readonly hasSucceeded: boolean;
 }
 
 const candidatesOf = (
   losses: readonly Loss[],
-  soundAt: ReadonlyMap<string, Timestamp>,
+  succeededAt: ReadonlyMap<string, Timestamp>,
 ): Candidate[] =>
   [...groupByBlock(losses)]
     .map(([id, own]) => {
       const episodes = episodesOf(own);
-      const wasSound = soundAt.has(id);
-      const score = episodes.size - (wasSound ? soundBlockHandicap : 0);
-      return { id, losses: own, episodes, score, wasSound };
+      const hasSucceeded = succeededAt.has(id);
+      const score = episodes.size - (hasSucceeded ? succeededBlockHandicap : 0);
+      return { id, losses: own, episodes, score, hasSucceeded };
     })
     .sort((a, b) => b.score - a.score || (a.id < b.id ? -1 : 1));
 
@@ -154,12 +154,15 @@
 /** The blocks that explain most episodes; undefined if they are few. */
 const findMostLikely = (
   crashes: readonly EngineCrash[],
-  soundAt: ReadonlyMap<string, Timestamp>,
+  succeededAt: ReadonlyMap<string, Timestamp>,
 ): Explanation | undefined => {
-  const candidates = candidatesOf(lossesIn(groupByMoment(crashes)), soundAt);
+  const candidates = candidatesOf(
+    lossesIn(groupByMoment(crashes)),
+    succeededAt,
+  );
   const [first] = candidates;
   if (first === undefined || first.score < minCrashCount) return undefined;
-  const unproven = candidates.filter(({ wasSound }) => !wasSound);
+  const unproven = candidates.filter(({ hasSucceeded }) => !hasSucceeded);
   const { blockIds, losses } = addInseparable(first, unproven);
   const explained = new Set(losses.map(({ episode }) => episode));
   const isAmbiguous = unproven.some(
@@ -185,12 +188,14 @@
  */
 export const findCulprits = (
   crashes: Iterable<EngineCrash>,
-  soundAt: ReadonlyMap<string, Timestamp>,
+  succeededAt: ReadonlyMap<string, Timestamp>,
 ): (readonly string[])[] => {
-  let unexplained = [...crashes].map((one) => withoutSoundBlocks(one, soundAt));
+  let unexplained = [...crashes].map((one) =>
+    withoutSucceededBlocks(one, succeededAt),
+  );
   const found: (readonly string[])[] = [];
   for (;;) {
-    const explanation = findMostLikely(unexplained, soundAt);
+    const explanation = findMostLikely(unexplained, succeededAt);
     if (explanation === undefined) return found;
     const { blockIds, isAmbiguous } = explanation;
     if (!isAmbiguous) found.push(blockIds);
--- a/packages/relay/src/decisions/quarantine/maintainQuarantines.ts
+++ b/packages/relay/src/decisions/quarantine/maintainQuarantines.ts
@@ -10,18 +10,18 @@
   storeWriteRetryMs,
 } from "./constants.js";
 import {
-  clearSoundBlocks,
+  clearSucceededBlocks,
   learnQuarantine,
-  recordSoundAt,
+  recordSucceededAt,
 } from "./quarantines.js";
 import { forgetOld, holdMsOf, quarantineKeyOf } from "./quarantineState.js";
 import type { Quarantine } from "./types.js";
 
 const write = (state: RelayState, quarantine: Quarantine): RelayCommand => {
   quarantine.nextWriteAt = state.at + storeWriteRetryMs;
-  const { key, blockIds, strikes, crashCount } = quarantine;
+  const { key, blockIds, holdCount, crashCount } = quarantine;
   const until = state.at + forgetAfterHoldMs;
-  const stored = { blockIds, strikes, crashCount };
+  const stored = { blockIds, holdCount, crashCount };
   return { type: "storeQuarantine", key, stored, until };
 };
 
@@ -50,20 +50,24 @@
     ({ key, isStored }) => isStored && !storedByKey.has(key),
   );
   for (const { blockIds } of removed) {
-    recordSoundAt(state, blockIds, at);
-    publishItem(state, { type: "soundBlocks", at, blockIds });
+    recordSucceededAt(state, blockIds, at);
+    publishItem(state, { type: "succeededBlocks", at, blockIds });
   }
-  const commands = clearSoundBlocks(state, "its entry left the store", false);
-  for (const [key, { blockIds, strikes, crashCount }] of storedByKey) {
+  const commands = clearSucceededBlocks(
+    state,
+    "its entry left the store",
+    false,
+  );
+  for (const [key, { blockIds, holdCount, crashCount }] of storedByKey) {
     const known = inForce.get(key);
     if (known !== undefined) {
-      known.isStored ||= strikes >= known.strikes;
+      known.isStored ||= holdCount >= known.holdCount;
       continue;
     }
     if (state.quarantine.releasedAt.has(key)) continue;
-    const heldUntil = at + holdMsOf(strikes);
+    const heldUntil = at + holdMsOf(holdCount);
     const source = "store";
-    const told = { blockIds, crashedAt: at, heldUntil, strikes, crashCount };
+    const told = { blockIds, crashedAt: at, heldUntil, holdCount, crashCount };
     commands.push(
       ...learnQuarantine(state, { type: "quarantine", source, ...told }),
     );
--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -7,32 +7,31 @@
 const maxLateArrivalCount = 3;
 
 interface SentKeys {
-  readonly sound: string[];
-  readonly deadly: string[];
+  readonly good: string[];
+  readonly bad: string[];
 }
 
-/** Sends sound and other requests to changing routers for some seconds. */
+/** Sends good and other requests to changing routers for some seconds. */
 const playTraffic = (
   fleet: Fleet,
   durationMs: number,
   otherBlocks: (index: number) => readonly string[] | undefined,
 ): SentKeys => {
   const routers = [...fleet.states.keys()];
-  const keys: SentKeys = { sound: [], deadly: [] };
+  const keys: SentKeys = { good: [], bad: [] };
   for (let index = 0; index * 200 < durationMs; index += 1) {
     const router = routers[index % routers.length] ?? "";
-    keys.sound.push(fleet.request(router, [`customer-${String(index % 4)}`]));
+    keys.good.push(fleet.request(router, [`customer-${String(index % 4)}`]));
     const blockIds = otherBlocks(index);
     const other = routers[(index * 5 + 3) % routers.length] ?? "";
-    if (blockIds !== undefined)
-      keys.deadly.push(fleet.request(other, blockIds));
+    if (blockIds !== undefined) keys.bad.push(fleet.request(other, blockIds));
     fleet.advance(200);
   }
   fleet.advance(4000);
   return keys;
 };
 
-const deadlyEvery =
+const crashingEvery =
   (count: number, bad = "bad") =>
   (index: number): readonly string[] | undefined =>
     index % count === 2 ? [`customer-${String(index % 4)}`, bad] : undefined;
@@ -47,7 +46,7 @@
 
 const assertAllWhole = (fleet: Fleet, keys: readonly string[]): void => {
   const others = keys.filter((key) => fleet.endings.get(key) !== "whole");
-  assert.deepEqual(others, [], "sound requests were not answered");
+  assert.deepEqual(others, [], "good requests were not answered");
 };
 
 const heldBlocks = (fleet: Fleet): string[] =>
@@ -57,35 +56,35 @@
 
 const createFleet = (): Fleet => {
   const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
-  fleet.deadlyBlocks.add("bad");
+  fleet.crashingBlocks.add("bad");
   return fleet;
 };
 
 test("requests with a prompt block that ends engines keep reaching engines after its fifth crash", () => {
   const fleet = createFleet();
-  const keys = playTraffic(fleet, 30_000, deadlyEvery(5));
+  const keys = playTraffic(fleet, 30_000, crashingEvery(5));
   assertFewAfterFifthCrash(fleet);
-  assertAllWhole(fleet, keys.sound);
+  assertAllWhole(fleet, keys.good);
 });
 
 test("routers that cannot reach the store end engines under a block that others know", () => {
   const fleet = createFleet();
   fleet.isStoreDown = true;
-  const keys = playTraffic(fleet, 20_000, deadlyEvery(5));
+  const keys = playTraffic(fleet, 20_000, crashingEvery(5));
   assertFewAfterFifthCrash(fleet);
   assert.equal(new Set(heldBlocks(fleet)).size, 1);
   assert.equal(heldBlocks(fleet).length, 8);
-  assertAllWhole(fleet, keys.sound);
+  assertAllWhole(fleet, keys.good);
 });
 
 test("a router that starts again ends engines under a block that the fleet knows", () => {
   const fleet = createFleet();
-  playTraffic(fleet, 6000, deadlyEvery(5));
+  playTraffic(fleet, 6000, crashingEvery(5));
   const crashCount = fleet.crashTimes.length;
   for (const router of [...fleet.states.keys()]) fleet.startRouter(router);
-  const keys = playTraffic(fleet, 6000, deadlyEvery(5));
+  const keys = playTraffic(fleet, 6000, crashingEvery(5));
   assert.equal(fleet.crashTimes.length, crashCount);
-  assertAllWhole(fleet, keys.sound);
+  assertAllWhole(fleet, keys.good);
 });
 
 test("a router that was cut off learns of a quarantine once its links are back", () => {
@@ -103,14 +102,14 @@
   assert.equal(fleet.states.get("r5")?.quarantine.inForce.size, 1);
 });
 
-test("zones and single engines that are lost under sound requests blame a prompt block", () => {
+test("zones and single engines that are lost under good requests blame a prompt block", () => {
   const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
-  const sound: string[] = [];
+  const good: string[] = [];
   for (let round = 0; round < 8; round += 1) {
-    sound.push(...playTraffic(fleet, 2000, () => undefined).sound);
+    good.push(...playTraffic(fleet, 2000, () => undefined).good);
     const zone = ["a", "b", "c"][round % 3];
     for (const [index, customer] of ["x", "y", "x"].entries())
-      sound.push(fleet.request(`r${String(index + 1)}`, [customer, "shared"]));
+      good.push(fleet.request(`r${String(index + 1)}`, [customer, "shared"]));
     fleet.advance(200);
     fleet.crash(
       fleet.engines.filter(
@@ -121,7 +120,7 @@
   }
   fleet.advance(6000);
   assert.deepEqual(heldBlocks(fleet), []);
-  assertAllWhole(fleet, sound);
+  assertAllWhole(fleet, good);
 });
 
 test("connections reset by engines that go on running blame a prompt block", () => {
@@ -142,7 +141,7 @@
   );
 });
 
-test("sound requests are refused for a block that they share with deadly ones", () => {
+test("good requests are refused for a block that they share with bad ones", () => {
   const fleet = createFleet();
   const keys = playTraffic(fleet, 12_000, (index) =>
     index % 5 === 2 ? ["common", "bad"] : undefined,
@@ -151,13 +150,13 @@
     fleet.request(router, ["common"]),
   );
   fleet.advance(4000);
-  assertAllWhole(fleet, [...keys.sound, ...shared]);
+  assertAllWhole(fleet, [...keys.good, ...shared]);
   assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad"]));
 });
 
 test("two bad blocks at once are not told apart", () => {
   const fleet = createFleet();
-  fleet.deadlyBlocks.add("worse");
+  fleet.crashingBlocks.add("worse");
   const keys = playTraffic(fleet, 30_000, (index) => {
     const bad = index % 2 === 0 ? "bad" : "worse";
     return index % 3 === 1 ? [`customer-${String(index % 4)}`, bad] : undefined;
@@ -166,15 +165,15 @@
     assertFewAfterFifthCrash(fleet, blockId);
     assert.ok(heldBlocks(fleet).includes(blockId));
   }
-  assertAllWhole(fleet, keys.sound);
+  assertAllWhole(fleet, keys.good);
 });
 
-test("a block that is sound again stays in quarantine", () => {
+test("a block that ends no engine any more stays in quarantine", () => {
   const fleet = createFleet();
-  playTraffic(fleet, 8000, deadlyEvery(5));
+  playTraffic(fleet, 8000, crashingEvery(5));
   assert.equal(fleet.stored.size, 1);
-  fleet.deadlyBlocks.clear();
-  playTraffic(fleet, 40_000, deadlyEvery(5));
+  fleet.crashingBlocks.clear();
+  playTraffic(fleet, 40_000, crashingEvery(5));
   assert.deepEqual(heldBlocks(fleet), []);
   assert.equal(fleet.stored.size, 0);
   const key = fleet.request("r2", ["customer-1", "bad"]);
@@ -184,16 +183,16 @@
 
 test("a block that still ends engines costs more and more of them as its holds end", () => {
   const fleet = createFleet();
-  playTraffic(fleet, 8000, deadlyEvery(5));
+  playTraffic(fleet, 8000, crashingEvery(5));
   const crashCount = fleet.crashTimes.length;
-  playTraffic(fleet, 130_000, deadlyEvery(5));
+  playTraffic(fleet, 130_000, crashingEvery(5));
   assert.ok(fleet.crashTimes.length - crashCount <= 3);
 });
 
 test("an operator who removes a quarantine from the store does not release it", () => {
   const fleet = createFleet();
-  playTraffic(fleet, 8000, deadlyEvery(5));
-  fleet.deadlyBlocks.clear();
+  playTraffic(fleet, 8000, crashingEvery(5));
+  fleet.crashingBlocks.clear();
   fleet.stored.clear();
   fleet.readQuarantines();
   const key = fleet.request("r6", ["customer-1", "bad"]);
@@ -204,7 +203,7 @@
 
 test("a refused request waits for its answer, or is not told when to come back", () => {
   const fleet = createFleet();
-  playTraffic(fleet, 8000, deadlyEvery(5));
+  playTraffic(fleet, 8000, crashingEvery(5));
   const key = fleet.request("r6", ["customer-1", "bad"]);
   assert.equal(fleet.endings.get(key), 503);
   const line = fleet.logged.findLast(
@@ -272,7 +271,7 @@
 
 test("a quarantine is released when the cause of other crashes is unclear", () => {
   const fleet = createFleet();
-  playTraffic(fleet, 6000, deadlyEvery(5));
+  playTraffic(fleet, 6000, crashingEvery(5));
   assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad"]));
   const crashesOf = (index: number) =>
     ["one", "two"].map((id) => ({
@@ -300,7 +299,7 @@
   assert.deepEqual(new Set(heldBlocks(fleet)), new Set(["bad", "clear"]));
 });
 
-test("a bad block behind many sound ones is not among the suspects", () => {
+test("a bad block behind many good ones is not among the suspects", () => {
   const fleet = createFleet();
   const many = Array.from(
     { length: 40 },
@@ -320,7 +319,7 @@
   const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
   for (const router of fleet.states.keys()) fleet.request(router, ["bad"]);
   fleet.advance(3000);
-  fleet.deadlyBlocks.add("bad");
+  fleet.crashingBlocks.add("bad");
   fleet.cutRouters.add("r5");
   const routers = ["r1", "r2", "r3"];
   for (let index = 0; index < 12; index += 1) {
--- a/packages/relay/src/decisions/quarantine/quarantineState.ts
+++ b/packages/relay/src/decisions/quarantine/quarantineState.ts
@@ -19,7 +19,7 @@
 export const createQuarantineState = (): QuarantineState => ({
   unconfirmed: new Map(),
   crashes: new Map(),
-  soundAt: new Map(),
+  succeededAt: new Map(),
   inForce: new Map(),
   releasedAt: new Map(),
   hasNewEvidence: false,
@@ -38,9 +38,9 @@
 export const quarantineKeyOf = (blockIds: readonly string[]): string =>
   [...blockIds].sort().join(",");
 
-/** Length of the hold after a number of strikes. */
-export const holdMsOf = (strikes: number): number =>
-  Math.min(maxHoldMs, initialHoldMs * 2 ** (strikes - 1));
+/** Length of the hold after a number of holdCount. */
+export const holdMsOf = (holdCount: number): number =>
+  Math.min(maxHoldMs, initialHoldMs * 2 ** (holdCount - 1));
 
 /** Quarantines of which a request has all blocks. */
 export const quarantinesOf = (
@@ -91,13 +91,13 @@
 
 /** Drops knowledge that is too old or too much. */
 export const forgetOld = ({ quarantine, at }: RelayState): void => {
-  const { crashes, soundAt, unconfirmed, inForce, releasedAt } = quarantine;
-  const { crashes: maxCrashes, soundBlocks, quarantines } = maxRemembered;
+  const { crashes, succeededAt, unconfirmed, inForce, releasedAt } = quarantine;
+  const { crashes: maxCrashes, succeededBlocks, quarantines } = maxRemembered;
   const isOlder = (time: Timestamp, ms: number) => at - time > ms;
   removeOldest(crashes, maxCrashes, (crash) =>
     isOlder(crash.at, evidenceRetentionMs),
   );
-  removeOldest(soundAt, soundBlocks, (time) =>
+  removeOldest(succeededAt, succeededBlocks, (time) =>
     isOlder(time, evidenceRetentionMs),
   );
   removeOldest(unconfirmed, maxCrashes, ({ lostAt }) =>
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -28,7 +28,7 @@
   blockIds,
   crashedAt,
   heldUntil,
-  strikes,
+  holdCount,
   crashCount,
   source,
 }: Quarantine): QuarantineItem => ({
@@ -36,7 +36,7 @@
   blockIds,
   crashedAt,
   heldUntil,
-  strikes,
+  holdCount,
   crashCount,
   source,
 });
@@ -48,12 +48,12 @@
 
 const contextOf = (
   state: RelayState,
-  { blockIds, crashedAt, learnedAt, source, strikes, crashCount }: Quarantine,
+  { blockIds, crashedAt, learnedAt, source, holdCount, crashCount }: Quarantine,
 ) => ({
   promptBlocks: blockIds,
   crashes: crashCount,
   lastCrashMsAgo: Math.round(state.at - crashedAt),
-  strikes,
+  holdCount,
   learnedFrom: source,
   learnedMsAgo: Math.round(state.at - learnedAt),
 });
@@ -130,14 +130,15 @@
   isOwnDecision: boolean,
 ): RelayCommand[] => {
   const { at, quarantine } = state;
-  const { blockIds, crashedAt, heldUntil, strikes, crashCount, source } = item;
+  const { blockIds, crashedAt, heldUntil, holdCount, crashCount, source } =
+    item;
   const key = quarantineKeyOf(blockIds);
   const added: Quarantine = {
     key,
     blockIds,
     crashedAt,
     heldUntil,
-    strikes,
+    holdCount,
     crashCount,
     learnedAt: at,
     source,
@@ -190,29 +191,29 @@
       trial === undefined || suspects.has(requestIdentityOf(trial.request));
     if (quarantine.trialKey !== undefined && isTrialOver) {
       quarantine.trialKey = undefined;
-      quarantine.strikes += 1;
+      quarantine.holdCount += 1;
       quarantine.isStored = false;
       quarantine.nextWriteAt = state.at;
     }
     quarantine.heldUntil = Math.max(
       quarantine.heldUntil,
-      at + holdMsOf(quarantine.strikes),
+      at + holdMsOf(quarantine.holdCount),
     );
     publishItem(state, itemOf(quarantine));
   }
 };
 
 /** Clears blocks with which engines answer well; what is left of a quarantine stays in force. */
-export const clearSoundBlocks = (
+export const clearSucceededBlocks = (
   state: RelayState,
   reason: string,
   isOwnDecision: boolean,
 ): RelayCommand[] => {
-  const { inForce, soundAt } = state.quarantine;
+  const { inForce, succeededAt } = state.quarantine;
   return [...inForce.values()].flatMap((quarantine) => {
     const { blockIds, crashedAt } = quarantine;
     const rest = blockIds.filter(
-      (id) => (soundAt.get(id) ?? -Infinity) < crashedAt,
+      (id) => (succeededAt.get(id) ?? -Infinity) < crashedAt,
     );
     if (rest.length === blockIds.length) return [];
     const lines = [
@@ -236,9 +237,9 @@
   state: RelayState,
   item: QuarantineItem,
 ): RelayCommand[] => {
-  const { inForce, soundAt } = state.quarantine;
+  const { inForce, succeededAt } = state.quarantine;
   const isCleared = item.blockIds.some(
-    (id) => (soundAt.get(id) ?? -Infinity) >= item.crashedAt,
+    (id) => (succeededAt.get(id) ?? -Infinity) >= item.crashedAt,
   );
   if (isCleared) return [];
   const known = inForce.get(quarantineKeyOf(item.blockIds));
@@ -247,10 +248,10 @@
       ? []
       : addQuarantine(state, item, false);
   const isNews =
-    item.strikes > known.strikes ||
+    item.holdCount > known.holdCount ||
     item.heldUntil > known.heldUntil + minHoldChangeMs;
   if (!isNews) return [];
-  known.strikes = Math.max(known.strikes, item.strikes);
+  known.holdCount = Math.max(known.holdCount, item.holdCount);
   known.heldUntil = Math.max(known.heldUntil, item.heldUntil);
   known.crashedAt = Math.max(known.crashedAt, item.crashedAt);
   known.crashCount = Math.max(known.crashCount, item.crashCount);
@@ -260,22 +261,22 @@
 
 const minNewerMs = 500; // later marks of a busy block are no news
 
-/** Whether a mark of a sound block says more than the known one. */
+/** Whether a mark of a succeeded block says more than the known one. */
 export const isNewerMark = (
-  { quarantine: { soundAt } }: RelayState,
+  { quarantine: { succeededAt } }: RelayState,
   blockId: string,
   at: Timestamp,
-): boolean => at - (soundAt.get(blockId) ?? -Infinity) > minNewerMs;
+): boolean => at - (succeededAt.get(blockId) ?? -Infinity) > minNewerMs;
 
 /** Records when engines answered blocks well; only blocks under suspicion are remembered. */
-export const recordSoundAt = (
-  { quarantine: { soundAt } }: RelayState,
+export const recordSucceededAt = (
+  { quarantine: { succeededAt } }: RelayState,
   blockIds: readonly string[],
   at: Timestamp,
 ): void => {
   for (const id of blockIds) {
-    const known = soundAt.get(id) ?? -Infinity;
-    soundAt.delete(id);
-    soundAt.set(id, Math.max(known, at));
+    const known = succeededAt.get(id) ?? -Infinity;
+    succeededAt.delete(id);
+    succeededAt.set(id, Math.max(known, at));
   }
 };
--- a/packages/relay/src/decisions/quarantine/searchCulprits.ts
+++ b/packages/relay/src/decisions/quarantine/searchCulprits.ts
@@ -12,10 +12,10 @@
 import { findCulprits, hasAllBlocks, isExplained } from "./findCulprits.js";
 import {
   addQuarantine,
-  clearSoundBlocks,
+  clearSucceededBlocks,
   hasSubsetInForce,
   isResponsible,
-  recordSoundAt,
+  recordSucceededAt,
 } from "./quarantines.js";
 import { holdMsOf } from "./quarantineState.js";
 import type { EngineCrash, Quarantine } from "./types.js";
@@ -52,7 +52,7 @@
     blockIds,
     crashedAt: Math.max(...explained.map((crash) => crash.at)),
     heldUntil: at + holdMsOf(1),
-    strikes: 1,
+    holdCount: 1,
     crashCount: explained.length,
     source: router,
   };
@@ -78,24 +78,24 @@
   return unsupported.flatMap((quarantine) => {
     const { blockIds, crashedAt } = quarantine;
     const isOwnDecision = isResponsible(state, quarantine);
-    recordSoundAt(state, blockIds, crashedAt);
-    publishItem(state, { type: "soundBlocks", at: crashedAt, blockIds });
+    recordSucceededAt(state, blockIds, crashedAt);
+    publishItem(state, { type: "succeededBlocks", at: crashedAt, blockIds });
     const reason = "other blocks explain the crashes";
-    return clearSoundBlocks(state, reason, isOwnDecision);
+    return clearSucceededBlocks(state, reason, isOwnDecision);
   });
 };
 
 /** Looks for blocks that explain the known crashes, if there are new ones, and puts them into quarantine. */
 export const searchCulprits = (state: RelayState): RelayCommand[] => {
   const { at, quarantine } = state;
-  const { crashes, soundAt, inForce } = quarantine;
+  const { crashes, succeededAt, inForce } = quarantine;
   if (!quarantine.hasNewEvidence || at < quarantine.nextSearchAt) return [];
   quarantine.hasNewEvidence = false;
   quarantine.nextSearchAt = at + searchIntervalMs;
   const assumed = [...inForce.values()].flatMap((one) =>
     assumedCrashesOf(state, one),
   );
-  const culprits = findCulprits([...crashes.values(), ...assumed], soundAt);
+  const culprits = findCulprits([...crashes.values(), ...assumed], succeededAt);
   const commands = culprits.flatMap((one) => quarantineCulprit(state, one));
   return culprits.length === 0
     ? commands
--- a/packages/relay/src/decisions/quarantine/trials.ts
+++ b/packages/relay/src/decisions/quarantine/trials.ts
@@ -1,6 +1,6 @@
 /**
  * Lets one request at a time test quarantined blocks after their hold. Load
- * pattern: blocks that are sound again come at any router, and each test of
+ * pattern: blocks that no longer end engines come at any router, and each test of
  * blocks that are not costs an engine and the streams on it.
  */
 
@@ -13,11 +13,11 @@
 import { quarantinesOf, rankOf } from "./quarantineState.js";
 import type { Quarantine } from "./types.js";
 
-/** Whether it is this router's turn to test; the turns of routers come one after the other. */
+/** Whether this router may test now; the times of routers come one after the other. */
 const isTrialDue = (state: RelayState, quarantine: Quarantine): boolean => {
-  const { key, strikes, heldUntil } = quarantine;
+  const { key, holdCount, heldUntil } = quarantine;
   if (state.at < heldUntil) return false;
-  const rank = rankOf(state, `${key}/${String(strikes)}`);
+  const rank = rankOf(state, `${key}/${String(holdCount)}`);
   return state.at >= heldUntil + rank * trialSpacingMs;
 };
 
@@ -46,6 +46,6 @@
     return logLine("request tests quarantined prompt blocks", {
       requestId: request.requestId,
       promptBlocks: quarantine.blockIds,
-      strikes: quarantine.strikes,
+      holdCount: quarantine.holdCount,
     });
   });
--- a/packages/relay/src/decisions/quarantine/types.ts
+++ b/packages/relay/src/decisions/quarantine/types.ts
@@ -29,7 +29,7 @@
   /** From then on, one request at a time may show whether engines still end. */
   heldUntil: Timestamp;
   /** Number of times that the cause was found or confirmed; the hold grows with it. */
-  strikes: number;
+  holdCount: number;
   crashCount: number;
   readonly learnedAt: Timestamp;
   /** Router that found the cause, or the store. */
@@ -44,7 +44,7 @@
 /** A quarantine as the store keeps it. */
 export interface StoredQuarantine {
   readonly blockIds: readonly string[];
-  readonly strikes: number;
+  readonly holdCount: number;
   readonly crashCount: number;
 }
 
@@ -55,7 +55,7 @@
   /** By engine process. */
   readonly crashes: Map<string, EngineCrash>;
   /** Latest time at which an engine began to answer with a block and went on. */
-  readonly soundAt: Map<string, Timestamp>;
+  readonly succeededAt: Map<string, Timestamp>;
   readonly inForce: Map<string, Quarantine>;
   /** Times at which quarantines ended here, by key; the store may show their entries a little longer. */
   readonly releasedAt: Map<string, Timestamp>;
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -70,7 +70,7 @@
   lastEventId: request.lastEventId ?? 0,
   engineQuery: undefined,
   borrowing: undefined,
-  limitedTurn: undefined,
+  reservedPermit: undefined,
   copy: undefined,
   failedResponse: undefined,
 });
--- a/packages/relay/src/decisions/requestLimits.ts
+++ b/packages/relay/src/decisions/requestLimits.ts
@@ -8,7 +8,7 @@
 import { random } from "./random.js";
 import {
   limitBurstMs,
-  maxLimitDebtTurnCount,
+  maxPermitDebt,
   minRequestLimitPerS,
 } from "./constants.js";
 import { publishItem } from "./gossip/spreadGossip.js";
@@ -24,65 +24,63 @@
   ResponseHead,
 } from "./types.js";
 
-/** Time between two turns of this router: all routers have the same part of the limit. */
-const turnIntervalMs = (state: RelayState, perS: number): number =>
+/** Time between two permits of this router: all routers have the same part of the limit. */
+const permitIntervalMs = (state: RelayState, perS: number): number =>
   (sharingRouterCount(state) * 1000) / Math.max(perS, minRequestLimitPerS);
 
 /**
- * How long an unused turn stays open. Unused turns of all routers together make
+ * How long an unused permit stays valid. Unused permits of all routers together make
  * up one second of the limit, so that a herd after a quiet time stays small.
  */
-const openTurnMs = (state: RelayState, perS: number): number => {
-  const interval = turnIntervalMs(state, perS);
+const permitValidityMs = (state: RelayState, perS: number): number => {
+  const interval = permitIntervalMs(state, perS);
   const share = (Math.max(1, perS) * limitBurstMs) / 1000;
   return interval * Math.min(1, share / sharingRouterCount(state));
 };
 
-/** Time of this router's next turn at a replica; undefined if the replica has no limit. */
-export const nextTurnAt = (
+/** Time of this router's next permit at a replica; undefined if the replica has no limit. */
+export const nextPermitAt = (
   state: RelayState,
   { requestLimit }: ReplicaView,
 ): Timestamp | undefined => {
   if (requestLimit?.perS === undefined) return undefined;
   const { perS } = requestLimit;
-  const interval = turnIntervalMs(state, perS);
-  const closesAt = requestLimit.nextAt + openTurnMs(state, perS);
-  if (state.at > closesAt)
+  const interval = permitIntervalMs(state, perS);
+  const expiresAt = requestLimit.nextAt + permitValidityMs(state, perS);
+  if (state.at > expiresAt)
     requestLimit.nextAt +=
-      interval * Math.ceil((state.at - closesAt) / interval);
+      interval * Math.ceil((state.at - expiresAt) / interval);
   return requestLimit.nextAt;
 };
 
 /** Whether this router may send a request to a replica now. */
 export const isWithinLimit = (state: RelayState, view: ReplicaView): boolean =>
-  (nextTurnAt(state, view) ?? -Infinity) <= state.at;
+  (nextPermitAt(state, view) ?? -Infinity) <= state.at;
 
-/** Whether a request that must go to this replica may be sent ahead of its turn. */
+/** Whether a request that must go to this replica may be sent ahead of its permit. */
 export const isWithinLimitDebt = (
   state: RelayState,
   view: ReplicaView,
 ): boolean => {
-  const turnAt = nextTurnAt(state, view);
+  const permitAt = nextPermitAt(state, view);
   const perS = view.requestLimit?.perS;
-  if (turnAt === undefined || perS === undefined) return true;
-  return (
-    turnAt - state.at <= maxLimitDebtTurnCount * turnIntervalMs(state, perS)
-  );
+  if (permitAt === undefined || perS === undefined) return true;
+  return permitAt - state.at <= maxPermitDebt * permitIntervalMs(state, perS);
 };
 
-/** Counts a request to a replica: the next turn comes an interval later. */
-export const takeTurn = (state: RelayState, replicaId: string): void => {
+/** Counts a request to a replica: the next permit comes an interval later. */
+export const takePermit = (state: RelayState, replicaId: string): void => {
   const view = state.replicas.get(replicaId);
   const limit = view?.requestLimit;
   if (limit?.perS === undefined) return;
-  const interval = turnIntervalMs(state, limit.perS);
+  const interval = permitIntervalMs(state, limit.perS);
   limit.nextAt = Math.max(limit.nextAt, state.at) + interval;
 };
 
-/** Gives back a turn that was reserved and is taken anew. */
-export const returnTurn = (state: RelayState, limit: RequestLimit): void => {
+/** Gives back a permit that was reserved and is taken anew. */
+export const returnPermit = (state: RelayState, limit: RequestLimit): void => {
   if (limit.perS !== undefined)
-    limit.nextAt -= turnIntervalMs(state, limit.perS);
+    limit.nextAt -= permitIntervalMs(state, limit.perS);
 };
 
 const limitItemOf = (
@@ -107,14 +105,14 @@
 ): RelayCommand[] => {
   const before = view.requestLimit;
   const isNew = perS !== undefined && before?.perS === undefined;
-  const firstTurnAt =
+  const firstPermitAt =
     state.at +
-    (perS === undefined ? 0 : random(state) * turnIntervalMs(state, perS));
-  const latestTurnAt =
-    perS === undefined ? Infinity : state.at + turnIntervalMs(state, perS);
+    (perS === undefined ? 0 : random(state) * permitIntervalMs(state, perS));
+  const latestPermitAt =
+    perS === undefined ? Infinity : state.at + permitIntervalMs(state, perS);
   const nextAt = isNew
-    ? firstTurnAt
-    : Math.min(before?.nextAt ?? firstTurnAt, latestTurnAt);
+    ? firstPermitAt
+    : Math.min(before?.nextAt ?? firstPermitAt, latestPermitAt);
   view.requestLimit = { perS, namedAt, source, nextAt };
   if (perS === before?.perS) return [];
   publishItem(state, limitItemOf(view.replica, view.requestLimit));
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -11,14 +11,18 @@
   chooseReplica,
   hasCandidate,
   candidateSampleOf,
-  soonestTurn,
+  soonestPermit,
 } from "./chooseReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
 import { engineOf } from "./engineOf.js";
-import { limitedWaitRatio, maxLoggedPromptBlockCount } from "./constants.js";
+import { permitWaitRatio, maxLoggedPromptBlockCount } from "./constants.js";
 import { cancelExchange, failExchange, summaryOf } from "./endExchange.js";
 import { refuse } from "./refusals.js";
-import { isWithinLimitDebt, returnTurn, takeTurn } from "./requestLimits.js";
+import {
+  isWithinLimitDebt,
+  returnPermit,
+  takePermit,
+} from "./requestLimits.js";
 import { isRetryable } from "./isRetryable.js";
 import {
   promptHolderOf,
@@ -35,7 +39,7 @@
   Attempt,
   AttemptStart,
   Exchange,
-  LimitedTurn,
+  ReservedPermit,
   RelayState,
   KvCacheCopy,
 } from "./types.js";
@@ -118,7 +122,7 @@
   exchange.triedIds.add(replica.id);
   exchange.mayHaveExecuted = true;
   countAttempt(state, attempt);
-  takeTurn(state, replica.id);
+  takePermit(state, replica.id);
   const view = state.replicas.get(replica.id);
   return [
     {
@@ -174,38 +178,41 @@
   const replica =
     chooseQueriedEngine(state, exchange) ?? chooseReplica(state, query);
   exchange.engineQuery = undefined;
-  if (replica === undefined) return awaitTurn(state, exchange);
+  if (replica === undefined) return awaitPermit(state, exchange);
   return sendTo(state, exchange, replica, { type: "fresh" });
 };
 
-/** Time until which waiting for a turn serves the caller better than a refusal. */
-const lastTurnAt = ({ route, deadline }: Exchange, at: Timestamp): Timestamp =>
-  Math.min(deadline, at + limitedWaitRatio * route.targetLatencyMs);
+/** Time until which waiting for a permit serves the caller better than a refusal. */
+const lastPermitAt = (
+  { route, deadline }: Exchange,
+  at: Timestamp,
+): Timestamp =>
+  Math.min(deadline, at + permitWaitRatio * route.targetLatencyMs);
 
 /**
- * Reserves the next turn at a replica that limits requests, or ends the request
+ * Reserves the next permit at a replica that limits requests, or ends the request
  * at once if it comes too late. Load pattern: all replicas are limited, and more
  * requests come than they take; those that wait would make the others late.
  */
-const awaitTurn = (state: RelayState, exchange: Exchange): RelayCommand[] => {
+const awaitPermit = (state: RelayState, exchange: Exchange): RelayCommand[] => {
   const { service, triedIds, key, request } = exchange;
-  const turn = soonestTurn(state, { service, excluded: triedIds });
-  if (turn === undefined)
+  const permit = soonestPermit(state, { service, excluded: triedIds });
+  if (permit === undefined)
     return failExchange(state, exchange, "no replica is open");
-  const limit = state.replicas.get(turn.replica)?.requestLimit;
+  const limit = state.replicas.get(permit.replica)?.requestLimit;
   const context = {
     ...summaryOf(exchange, state.at),
-    replica: turn.replica,
+    replica: permit.replica,
     limitPerS: limit?.perS,
     limitNamedMsAgo: limit && Math.round(state.at - limit.namedAt),
     learnedFrom: limit?.source,
-    turnInMs: Math.round(turn.at - state.at),
+    permitInMs: Math.round(permit.at - state.at),
   };
-  if (turn.at <= lastTurnAt(exchange, state.at)) {
-    exchange.limitedTurn = turn;
+  if (permit.at <= lastPermitAt(exchange, state.at)) {
+    exchange.reservedPermit = permit;
     state.limitCounts.waited += 1;
-    takeTurn(state, turn.replica);
-    return [logLine("request waits for its turn", context)];
+    takePermit(state, permit.replica);
+    return [logLine("request waits for its permit", context)];
   }
   const reason = "the replicas' limits of requests are used up";
   state.limitCounts.refused += 1;
@@ -214,22 +221,22 @@
   const refused = { key, requestId: request.requestId, reason, context };
   return [
     ...cancelExchange(state, exchange),
-    ...refuse(refused, serviceUnavailableStatus, turn.at - state.at),
+    ...refuse(refused, serviceUnavailableStatus, permit.at - state.at),
   ];
 };
 
-/** Sends a request whose turn at a limited replica has come. */
-export const sendAtTurn = (
+/** Sends a request whose permit at a limited replica has come. */
+export const sendWithPermit = (
   state: RelayState,
   exchange: Exchange,
-  { replica }: LimitedTurn,
+  { replica }: ReservedPermit,
 ): RelayCommand[] => {
-  exchange.limitedTurn = undefined;
+  exchange.reservedPermit = undefined;
   const view = state.replicas.get(replica);
   if (view === undefined || !isAvailable(view))
     return sendWithoutCopy(state, exchange);
-  // The turn was taken when it was reserved.
-  if (view.requestLimit !== undefined) returnTurn(state, view.requestLimit);
+  // The permit was taken when it was reserved.
+  if (view.requestLimit !== undefined) returnPermit(state, view.requestLimit);
   return sendTo(state, exchange, view.replica, { type: "fresh" });
 };
 
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -26,7 +26,7 @@
 import {
   canRetryElsewhere,
   hasAttempt,
-  sendAtTurn,
+  sendWithPermit,
   sendRetry,
   sendWithoutCopy,
 } from "./sendAttempt.js";
@@ -103,10 +103,10 @@
   }
   if (borrowing !== undefined && state.at >= borrowing.until)
     return sendRetry(state, exchange, borrowing.reason);
-  const { limitedTurn } = exchange;
-  if (limitedTurn !== undefined)
-    return state.at >= limitedTurn.at
-      ? sendAtTurn(state, exchange, limitedTurn)
+  const { reservedPermit } = exchange;
+  if (reservedPermit !== undefined)
+    return state.at >= reservedPermit.at
+      ? sendWithPermit(state, exchange, reservedPermit)
       : [];
   if (isEngineQueryDone(state, exchange))
     return sendWithoutCopy(state, exchange);
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -175,16 +175,16 @@
   engineQuery: EngineQuery | undefined;
   /** Set while the request waits for another router to lend a retry. */
   borrowing: Borrowing | undefined;
-  /** Set while the request waits for its turn at a replica that limits requests. */
-  limitedTurn: LimitedTurn | undefined;
+  /** Set while the request waits for its permit at a replica that limits requests. */
+  reservedPermit: ReservedPermit | undefined;
   /** KV cache copy left by the last attempt. */
   copy: KvCacheCopy | undefined;
   /** Last failed response of a replica, delivered if no other attempt is possible. */
   failedResponse: BufferedResponse | undefined;
 }
 
-/** A turn at a replica that limits requests. */
-export interface LimitedTurn {
+/** A permit at a replica that limits requests. */
+export interface ReservedPermit {
   readonly replica: string;
   readonly at: Timestamp;
 }
--- a/packages/relay/src/drivers/peerDriver.test.ts
+++ b/packages/relay/src/drivers/peerDriver.test.ts
@@ -59,7 +59,7 @@
       request: "r",
       blockIds,
     })),
-    { type: "soundBlocks", at: 3000, blockIds: ["a"] },
+    { type: "succeededBlocks", at: 3000, blockIds: ["a"] },
     {
       type: "requestLimit",
       replica: "i-1",
@@ -73,7 +73,7 @@
       blockIds: ["a", "b"],
       crashedAt: 2000,
       heldUntil: 9000,
-      strikes: 2,
+      holdCount: 2,
       crashCount: 5,
       source: "r1",
     },
--- a/packages/relay/src/drivers/peerMessages.ts
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -33,13 +33,13 @@
       const { type, process, request, blockIds } = item;
       return [type, at - item.at, process, request, blockIds];
     }
-    case "soundBlocks":
+    case "succeededBlocks":
       return [item.type, at - item.at, item.blockIds];
     case "quarantine": {
-      const { type, blockIds, strikes, crashCount, source } = item;
+      const { type, blockIds, holdCount, crashCount, source } = item;
       const heldForMs = Math.max(0, item.heldUntil - at);
       const ages = [at - item.crashedAt, heldForMs];
-      return [type, ...ages, blockIds, strikes, crashCount, source];
+      return [type, ...ages, blockIds, holdCount, crashCount, source];
     }
     case "requestLimit": {
       const { type, replica, startedAt, perS, source } = item;
@@ -64,7 +64,7 @@
       ? { type, process, at, request, blockIds }
       : undefined;
   }
-  if (type === "soundBlocks") {
+  if (type === "succeededBlocks") {
     const [blockIds] = rest;
     return isBlockList(blockIds) ? { type, at, blockIds } : undefined;
   }
@@ -76,12 +76,12 @@
     return { type, replica, startedAt, perS: limit ?? undefined, at, source };
   }
   if (type !== "quarantine") return undefined;
-  const [heldForMs, blockIds, strikes, crashCount, source] = rest;
+  const [heldForMs, blockIds, holdCount, crashCount, source] = rest;
   if (!isAmount(heldForMs) || !isBlockList(blockIds)) return undefined;
-  if (!isAmount(strikes) || !isAmount(crashCount) || !isName(source))
+  if (!isAmount(holdCount) || !isAmount(crashCount) || !isName(source))
     return undefined;
   const heldUntil = receivedAt + heldForMs;
-  const counts = { strikes, crashCount };
+  const counts = { holdCount, crashCount };
   return { type, blockIds, crashedAt: at, heldUntil, ...counts, source };
 };
 
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -72,9 +72,9 @@
   readonly states = new Map<string, RelayState>();
   readonly engines: Engine[] = [];
   /** Prompt blocks under which an engine ends as soon as it begins to answer. */
-  readonly deadlyBlocks = new Set<string>();
+  readonly crashingBlocks = new Set<string>();
   readonly arrivals: Arrival[] = [];
-  /** Times at which engines ended under a deadly block. */
+  /** Times at which engines ended under such a block. */
   readonly crashTimes: Timestamp[] = [];
   readonly endings = new Map<string, Ending>();
   readonly logged: Extract<RelayCommand, { readonly type: "log" }>[] = [];
@@ -391,7 +391,7 @@
 
   private begin(engine: Engine, name: string, run: Run): void {
     const { sharedPromptBlockIds } = run.command.request;
-    if (sharedPromptBlockIds.some((id) => this.deadlyBlocks.has(id))) {
+    if (sharedPromptBlockIds.some((id) => this.crashingBlocks.has(id))) {
       this.crashTimes.push(this.at);
       this.endEngine(engine);
       return;
