--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -37,10 +37,10 @@
     index % count === 2 ? [`customer-${String(index % 4)}`, bad] : undefined;
 
 const assertFewAfterFifthCrash = (fleet: Fleet, blockId = "bad"): void => {
-  const fifth = fleet.crashTimes[4] ?? fleet.at;
+  const fifth = fleet.replicas.crashTimes[4] ?? fleet.at;
   assert.ok(
     fleet.arrivalsAfter(fifth + contactMs, blockId) <= maxLateArrivalCount,
-    `${String(fleet.crashTimes.length)} engines ended`,
+    `${String(fleet.replicas.crashTimes.length)} engines ended`,
   );
 };
 
@@ -56,7 +56,7 @@
 
 const createFleet = (): Fleet => {
   const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
-  fleet.crashingBlocks.add("bad");
+  fleet.replicas.crashingBlocks.add("bad");
   return fleet;
 };
 
@@ -80,10 +80,10 @@
 test("a router that starts again ends engines under a block that the fleet knows", () => {
   const fleet = createFleet();
   playTraffic(fleet, 6000, crashingEvery(5));
-  const crashCount = fleet.crashTimes.length;
+  const crashCount = fleet.replicas.crashTimes.length;
   for (const router of [...fleet.states.keys()]) fleet.startRouter(router);
   const keys = playTraffic(fleet, 6000, crashingEvery(5));
-  assert.equal(fleet.crashTimes.length, crashCount);
+  assert.equal(fleet.replicas.crashTimes.length, crashCount);
   assertAllWhole(fleet, keys.good);
 });
 
@@ -112,7 +112,7 @@
       good.push(fleet.request(`r${String(index + 1)}`, [customer, "shared"]));
     fleet.advance(200);
     fleet.crash(
-      fleet.engines.filter(
+      fleet.replicas.engines.filter(
         ({ replica, isUp }, index) =>
           isUp && (round % 2 === 0 ? replica.zone === zone : index === round),
       ),
@@ -129,7 +129,8 @@
     for (let index = 1; index <= 8; index += 1)
       fleet.request(`r${String(index)}`, ["x", `y-${String(index)}`]);
     fleet.advance(100);
-    for (const engine of fleet.engines) fleet.resetConnections(engine);
+    for (const engine of fleet.replicas.engines)
+      fleet.replicas.resetConnections(engine);
     fleet.advance(600);
   }
   assert.deepEqual(heldBlocks(fleet), []);
@@ -156,7 +157,7 @@
 
 test("two bad blocks at once are not told apart", () => {
   const fleet = createFleet();
-  fleet.crashingBlocks.add("worse");
+  fleet.replicas.crashingBlocks.add("worse");
   const keys = playTraffic(fleet, 30_000, (index) => {
     const bad = index % 2 === 0 ? "bad" : "worse";
     return index % 3 === 1 ? [`customer-${String(index % 4)}`, bad] : undefined;
@@ -172,7 +173,7 @@
   const fleet = createFleet();
   playTraffic(fleet, 8000, crashingEvery(5));
   assert.equal(fleet.stored.size, 1);
-  fleet.crashingBlocks.clear();
+  fleet.replicas.crashingBlocks.clear();
   playTraffic(fleet, 40_000, crashingEvery(5));
   assert.deepEqual(heldBlocks(fleet), []);
   assert.equal(fleet.stored.size, 0);
@@ -184,15 +185,15 @@
 test("a block that still ends engines costs more and more of them as its holds end", () => {
   const fleet = createFleet();
   playTraffic(fleet, 8000, crashingEvery(5));
-  const crashCount = fleet.crashTimes.length;
+  const crashCount = fleet.replicas.crashTimes.length;
   playTraffic(fleet, 130_000, crashingEvery(5));
-  assert.ok(fleet.crashTimes.length - crashCount <= 3);
+  assert.ok(fleet.replicas.crashTimes.length - crashCount <= 3);
 });
 
 test("an operator who removes a quarantine from the store does not release it", () => {
   const fleet = createFleet();
   playTraffic(fleet, 8000, crashingEvery(5));
-  fleet.crashingBlocks.clear();
+  fleet.replicas.crashingBlocks.clear();
   fleet.stored.clear();
   fleet.readQuarantines();
   const key = fleet.request("r6", ["customer-1", "bad"]);
@@ -241,7 +242,7 @@
   let endedCount = 0;
   for (let round = 0; round < 6; round += 1) {
     fleet.advance(200);
-    const running = fleet.engines.filter(({ runs }) =>
+    const running = fleet.replicas.engines.filter(({ runs }) =>
       [...runs.keys()].some((name) => name.startsWith(`${key}/`)),
     );
     fleet.crash(running);
@@ -319,7 +320,7 @@
   const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
   for (const router of fleet.states.keys()) fleet.request(router, ["bad"]);
   fleet.advance(3000);
-  fleet.crashingBlocks.add("bad");
+  fleet.replicas.crashingBlocks.add("bad");
   fleet.cutRouters.add("r5");
   const routers = ["r1", "r2", "r3"];
   for (let index = 0; index < 12; index += 1) {
--- a/packages/relay/src/decisions/requestLimits.test.ts
+++ b/packages/relay/src/decisions/requestLimits.test.ts
@@ -9,7 +9,7 @@
 
 /** Most requests that reached a replica in any 4 s later than a time. */
 const mostArrivals = (fleet: Fleet, replica: string, after: number): number => {
-  const times = fleet.arrivals
+  const times = fleet.replicas.arrivals
     .filter((one) => one.replica === replica && one.at >= after)
     .map(({ at }) => at);
   return Math.max(
@@ -52,14 +52,14 @@
   Fleet.create({ routerCount, engineCount: 0, plainCount: 3 });
 
 const idsOf = (fleet: Fleet): string[] =>
-  fleet.plainReplicas.map(({ id }) => id);
+  fleet.replicas.plainReplicas.map(({ id }) => id);
 
 test("a replica gets more requests from all routers together than the limit that it names", () => {
   const fleet = createPlainFleet();
   const [first = "", second = ""] = idsOf(fleet);
   playPlain(fleet, 2000, 20);
-  fleet.requestLimits.set(first, 10);
-  fleet.requestLimits.set(second, 12);
+  fleet.replicas.requestLimits.set(first, 10);
+  fleet.replicas.requestLimits.set(second, 12);
   const namedAt = fleet.at;
   const keys = playPlain(fleet, 12_000, 20);
   assertWithinLimit(fleet, first, 10, namedAt);
@@ -80,7 +80,7 @@
   const fleet = createPlainFleet();
   const [first = ""] = idsOf(fleet);
   fleet.isStoreDown = true;
-  fleet.requestLimits.set(first, 10);
+  fleet.replicas.requestLimits.set(first, 10);
   for (let index = 0; index < 12; index += 1) fleet.requestPlain("r1");
   fleet.advance(1000);
   assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(10));
@@ -89,7 +89,7 @@
 test("a router that starts again exceeds a limit that the fleet knows", () => {
   const fleet = createPlainFleet();
   const [first = ""] = idsOf(fleet);
-  fleet.requestLimits.set(first, 10);
+  fleet.replicas.requestLimits.set(first, 10);
   playPlain(fleet, 3000, 20);
   fleet.startRouter("r4");
   fleet.advance(2500);
@@ -103,30 +103,30 @@
   const fleet = createPlainFleet();
   const [first = ""] = idsOf(fleet);
   for (const limit of [10, 30, 4]) {
-    fleet.requestLimits.set(first, limit);
+    fleet.replicas.requestLimits.set(first, limit);
     const namedAt = fleet.at;
     playPlain(fleet, 9000, 20);
     assertWithinLimit(fleet, first, limit, namedAt);
     assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(limit));
   }
-  fleet.requestLimits.clear();
+  fleet.replicas.requestLimits.clear();
   playPlain(fleet, 6000, 20);
   assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(undefined));
-  const before = fleet.arrivals.length;
+  const before = fleet.replicas.arrivals.length;
   playPlain(fleet, 3000, 20);
-  const late = fleet.arrivals.slice(before);
+  const late = fleet.replicas.arrivals.slice(before);
   assert.ok(late.filter(({ replica }) => replica === first).length > 25);
 });
 
 test("a replica that starts again at the same address inherits the limit of the one before", () => {
   const fleet = createPlainFleet();
   const [first = ""] = idsOf(fleet);
-  fleet.requestLimits.set(first, 1);
+  fleet.replicas.requestLimits.set(first, 1);
   playPlain(fleet, 3000, 20);
-  fleet.requestLimits.clear();
-  const [replica] = fleet.plainReplicas;
+  fleet.replicas.requestLimits.clear();
+  const [replica] = fleet.replicas.plainReplicas;
   assert.ok(replica);
-  fleet.plainReplicas[0] = { ...replica, startedAt: fleet.at };
+  fleet.replicas.plainReplicas[0] = { ...replica, startedAt: fleet.at };
   for (const router of fleet.states.keys()) fleet.readStore(router);
   fleet.advance(2000);
   assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(undefined));
@@ -134,7 +134,7 @@
 
 test("requests beyond all limits wait for their deadline", () => {
   const fleet = createPlainFleet();
-  for (const id of idsOf(fleet)) fleet.requestLimits.set(id, 8);
+  for (const id of idsOf(fleet)) fleet.replicas.requestLimits.set(id, 8);
   const namedAt = fleet.at;
   const keys = playPlain(fleet, 12_000, 20);
   for (const id of idsOf(fleet)) assertWithinLimit(fleet, id, 8, namedAt);
@@ -151,7 +151,7 @@
 test("many routers that come back at once exceed a small limit", () => {
   const fleet = createPlainFleet(60);
   const ids = idsOf(fleet);
-  for (const id of ids) fleet.requestLimits.set(id, 10);
+  for (const id of ids) fleet.replicas.requestLimits.set(id, 10);
   playPlain(fleet, 6000, 20);
   fleet.advance(20_000);
   const { at } = fleet;
@@ -162,8 +162,10 @@
 
 test("streams beyond an engine's limit go to it", () => {
   const fleet = Fleet.create({ routerCount: 8, engineCount: 6 });
-  const limited = fleet.engines.slice(0, 3).map(({ replica }) => replica.id);
-  for (const id of limited) fleet.requestLimits.set(id, 1);
+  const limited = fleet.replicas.engines
+    .slice(0, 3)
+    .map(({ replica }) => replica.id);
+  for (const id of limited) fleet.replicas.requestLimits.set(id, 1);
   const keys: string[] = [];
   const routers = [...fleet.states.keys()];
   const { at } = fleet;
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -2,84 +2,45 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import type { RelayCommand } from "../decisions/commands.js";
+import { tickIntervalMs } from "../decisions/constants.js";
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
 import type { RelayEvent } from "../decisions/events.js";
-import { AttemptFailure, type RelayState } from "../decisions/types.js";
+import type { RelayState } from "../decisions/types.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 import type { StoredQuarantine } from "../decisions/quarantine/types.js";
-import type { Address, Replica } from "../types.js";
+import type { Address } from "../types.js";
 import {
   idempotentPath,
-  idleReport,
-  okHead,
-  plainService,
   routerAddress,
   streamPath,
   testConfig,
-  testReplica,
   testRequest,
 } from "./scenario.js";
-
-type SendCommand = Extract<RelayCommand, { readonly type: "send" }>;
-
-/** An attempt that runs at a simulated engine. */
-interface Run {
-  readonly router: string;
-  readonly command: SendCommand;
-}
-
-interface Engine {
-  replica: Replica;
-  isUp: boolean;
-  readonly runs: Map<string, Run>;
-}
-
-interface Action {
-  readonly at: Timestamp;
-  readonly run: () => void;
-}
+import {
+  SimulatedReplicas,
+  type ReplicaCounts,
+  type SimulatedEngine,
+} from "./simulatedReplicas.js";
+import { VirtualClock } from "./virtualClock.js";
 
 /** How a request ended for its caller. */
 export type Ending = "whole" | "cut" | number;
 
-/** A request that reached a replica. */
-export interface Arrival {
-  readonly at: Timestamp;
-  readonly key: string;
-  readonly replica: string;
-  readonly blockIds: readonly string[];
-}
-
 /** Options of a fleet. */
-export interface FleetOptions {
+export interface FleetOptions extends ReplicaCounts {
   readonly routerCount: number;
-  readonly engineCount: number;
-  readonly plainCount?: number;
   readonly seed?: number;
 }
 
-const plainAnswerMs = 43;
-const prefillMs = 300;
-const eventIntervalMs = 40;
-const eventCount = 30;
-const restartMs = 3000;
+const startAt = 1000;
 const storeDelayMs = 1000;
 const zones = ["a", "b", "c"];
 
 /** Relays, engines and a store whose faults the test sets. */
 export class Fleet {
-  at: Timestamp = 1000;
   readonly states = new Map<string, RelayState>();
-  readonly engines: Engine[] = [];
-  /** Prompt blocks under which an engine ends as soon as it begins to answer. */
-  readonly crashingBlocks = new Set<string>();
-  readonly arrivals: Arrival[] = [];
-  /** Times at which engines ended under such a block. */
-  readonly crashTimes: Timestamp[] = [];
   readonly endings = new Map<string, Ending>();
   readonly logged: Extract<RelayCommand, { readonly type: "log" }>[] = [];
-  /** Keys of requests sent to an engine, by the number of attempts. */
-  readonly attempts = new Map<string, number>();
   /** While the store is down, no router learns of restarted engines. */
   isStoreDown = false;
   /** Number of items of gossip that routers sent. */
@@ -88,29 +49,25 @@
   readonly cutRouters = new Set<string>();
   /** Quarantines in the store. */
   readonly stored = new Map<string, StoredQuarantine>();
-  /** Attempts whose connection was closed, also while the request was on its way. */
-  private readonly abandoned = new Set<string>();
-  private actions: Action[] = [];
+  private readonly clock = VirtualClock.create(startAt);
   private nextKey = 0;
 
-  /** Limits of requests a second that replicas name, by id. */
-  readonly requestLimits = new Map<string, number>();
-  readonly plainReplicas: Replica[] = [];
+  readonly replicas: SimulatedReplicas;
 
   private constructor(private readonly options: FleetOptions) {
-    for (let index = 0; index < (options.plainCount ?? 0); index += 1)
-      this.plainReplicas.push(
-        testReplica(
-          `${zones[index % 3] ?? ""}-${String(900 + index)}`,
-          plainService,
-        ),
-      );
-    for (let index = 0; index < options.engineCount; index += 1)
-      this.engines.push({
-        replica: testReplica(`${zones[index % 3] ?? ""}-${String(index)}`),
-        isUp: true,
-        runs: new Map(),
-      });
+    this.replicas = SimulatedReplicas.create(
+      this.clock,
+      (router, event) => {
+        this.dispatch(router, event);
+      },
+      () => {
+        this.later(storeDelayMs, () => {
+          if (this.isStoreDown) return;
+          for (const router of [...this.states.keys()]) this.readStore(router);
+        });
+      },
+      options,
+    );
   }
 
   static create(options: FleetOptions): Fleet {
@@ -162,51 +119,40 @@
     return key;
   }
 
+  /** Sends a request for which any plain replica will do. */
+  requestPlain(router: string): string {
+    return this.request(router, [], idempotentPath);
+  }
+
+  /** Current time of all routers and engines. */
+  get at(): Timestamp {
+    return this.clock.now();
+  }
+
   /** Advances the clock in timer ticks. */
   advance(ms: number): void {
     const until = this.at + ms;
     while (this.at < until) {
-      const nextTick = Math.min(until, this.at + 25);
-      this.runActions(nextTick);
-      this.at = nextTick;
+      this.clock.advanceTo(Math.min(until, this.at + tickIntervalMs));
       for (const router of [...this.states.keys()])
         this.dispatch(router, { type: "timerTicked", at: this.at });
     }
   }
 
   /** Ends engines at once; they are back under new ids after some seconds. */
-  crash(engines: readonly Engine[]): void {
-    for (const engine of engines) this.endEngine(engine);
-  }
-
-  /** Resets the connections of an engine that goes on running. */
-  resetConnections(engine: Engine): void {
-    const runs = [...engine.runs.values()];
-    engine.runs.clear();
-    for (const run of runs) this.breakRun(run);
+  crash(engines: readonly SimulatedEngine[]): void {
+    for (const engine of engines) this.replicas.endEngine(engine);
   }
 
   /** Requests with a block that reached engines later than a time. */
   arrivalsAfter(at: Timestamp, blockId: string): number {
-    return this.arrivals.filter(
+    return this.replicas.arrivals.filter(
       (one) => one.at > at && one.blockIds.includes(blockId),
     ).length;
   }
 
   private later(delayMs: number, run: () => void): void {
-    this.actions.push({ at: this.at + delayMs, run });
-  }
-
-  private runActions(until: Timestamp): void {
-    for (;;) {
-      const due = this.actions
-        .filter(({ at }) => at <= until)
-        .sort((a, b) => a.at - b.at)[0];
-      if (due === undefined) return;
-      this.actions = this.actions.filter((action) => action !== due);
-      this.at = Math.max(this.at, due.at);
-      due.run();
-    }
+    this.clock.later(delayMs, run);
   }
 
   private dispatch(router: string, event: RelayEvent): void {
@@ -219,10 +165,7 @@
   /** Tells a router the store's replicas and routers. */
   readStore(router: string): void {
     const { at } = this;
-    const replicas = this.engines
-      .filter(({ isUp }) => isUp)
-      .map(({ replica }) => replica)
-      .concat(this.plainReplicas);
+    const replicas = this.replicas.running();
     const entries = [...this.states.keys()].map((name) => ({
       router: name,
       lease: name,
@@ -236,15 +179,15 @@
     switch (command.type) {
       case "send":
         this.later(1, () => {
-          this.receive(router, command);
+          this.replicas.receive(router, command);
         });
         return;
       case "abandon":
-        this.abandon(`${command.key}/${String(command.attempt)}`);
+        this.replicas.abandon(`${command.key}/${String(command.attempt)}`);
         return;
       case "probe":
         this.later(1, () => {
-          this.answerProbe(router, command);
+          this.replicas.answerProbe(router, command);
         });
         return;
       case "listPromptBlocks":
@@ -326,174 +269,4 @@
     for (const router of this.states.keys())
       this.dispatch(router, { type: "quarantinesRead", at: this.at, entries });
   }
-
-  private engineOf({ id }: Replica): Engine | undefined {
-    return this.engines.find(({ replica, isUp }) => isUp && replica.id === id);
-  }
-
-  private headOf({ id }: Replica, isStream: boolean) {
-    const requestLimitPerS = this.requestLimits.get(id);
-    return okHead({ isStream, requestLimitPerS });
-  }
-
-  private receivePlain(router: string, { key, attempt }: SendCommand): void {
-    const replica = attempt.replica.id;
-    this.arrivals.push({ at: this.at, key, replica, blockIds: [] });
-    this.later(plainAnswerMs, () => {
-      const head = this.headOf(attempt.replica, false);
-      this.dispatch(router, {
-        type: "responseReceived",
-        at: this.at,
-        key,
-        attempt: attempt.number,
-        answer: { head, body: new Uint8Array() },
-      });
-    });
-  }
-
-  /** Sends a request for which any plain replica will do. */
-  requestPlain(router: string): string {
-    return this.request(router, [], idempotentPath);
-  }
-
-  private abandon(name: string): void {
-    this.abandoned.add(name);
-    for (const { runs } of this.engines) runs.delete(name);
-  }
-
-  private receive(router: string, command: SendCommand): void {
-    const { key, attempt, request } = command;
-    if (attempt.replica.service === plainService) {
-      this.receivePlain(router, command);
-      return;
-    }
-    const engine = this.engineOf(attempt.replica);
-    if (engine === undefined) {
-      this.fail(router, command, AttemptFailure.NotSent);
-      return;
-    }
-    const run = { router, command };
-    const name = `${key}/${String(attempt.number)}`;
-    if (this.abandoned.has(name)) return;
-    engine.runs.set(name, run);
-    this.attempts.set(key, (this.attempts.get(key) ?? 0) + 1);
-    const { sharedPromptBlockIds: blockIds } = request;
-    this.arrivals.push({
-      at: this.at,
-      key,
-      replica: attempt.replica.id,
-      blockIds,
-    });
-    this.later(prefillMs, () => {
-      if (engine.runs.get(name) === run) this.begin(engine, name, run);
-    });
-  }
-
-  private begin(engine: Engine, name: string, run: Run): void {
-    const { sharedPromptBlockIds } = run.command.request;
-    if (sharedPromptBlockIds.some((id) => this.crashingBlocks.has(id))) {
-      this.crashTimes.push(this.at);
-      this.endEngine(engine);
-      return;
-    }
-    const { router, command } = run;
-    const { key } = command;
-    const attempt = command.attempt.number;
-    const head = this.headOf(command.attempt.replica, true);
-    this.dispatch(router, {
-      type: "streamStarted",
-      at: this.at,
-      key,
-      attempt,
-      head,
-    });
-    this.emit(engine, name, run, (command.lastEventId ?? 0) + 1);
-  }
-
-  private emit(engine: Engine, name: string, run: Run, id: number): void {
-    if (engine.runs.get(name) !== run) return;
-    const { router, command } = run;
-    const { key } = command;
-    const attempt = command.attempt.number;
-    const events = [{ id, bytes: new Uint8Array() }];
-    this.dispatch(router, {
-      type: "eventsArrived",
-      at: this.at,
-      key,
-      attempt,
-      events,
-    });
-    if (id < eventCount) {
-      this.later(eventIntervalMs, () => {
-        this.emit(engine, name, run, id + 1);
-      });
-      return;
-    }
-    engine.runs.delete(name);
-    this.dispatch(router, { type: "streamEnded", at: this.at, key, attempt });
-  }
-
-  private endEngine(engine: Engine): void {
-    const runs = [...engine.runs.values()];
-    engine.runs.clear();
-    engine.isUp = false;
-    for (const run of runs) this.breakRun(run);
-    this.later(restartMs, () => {
-      const { replica } = engine;
-      const id = `${replica.id}0`;
-      engine.replica = { ...replica, id, startedAt: this.at };
-      engine.isUp = true;
-      this.later(storeDelayMs, () => {
-        if (this.isStoreDown) return;
-        for (const router of [...this.states.keys()]) this.readStore(router);
-      });
-    });
-  }
-
-  private breakRun({ router, command }: Run): void {
-    this.later(1, () => {
-      this.fail(router, command, AttemptFailure.Broken);
-    });
-  }
-
-  private fail(
-    router: string,
-    { key, attempt }: SendCommand,
-    failure: AttemptFailure,
-  ): void {
-    this.dispatch(router, {
-      type: "attemptFailed",
-      at: this.at,
-      key,
-      attempt: attempt.number,
-      failure,
-      detail: "",
-    });
-  }
-
-  private answerProbe(
-    router: string,
-    {
-      replica,
-      sentAt,
-    }: { readonly replica: Replica; readonly sentAt: Timestamp },
-  ): void {
-    const { host, port } = replica;
-    const engine = this.engines.find(
-      (one) =>
-        one.isUp && one.replica.host === host && one.replica.port === port,
-    );
-    this.dispatch(router, {
-      type: "probeFinished",
-      at: this.at,
-      replica: replica.id,
-      sentAt,
-      report: engine && {
-        ...idleReport,
-        startedAt: engine.replica.startedAt,
-      },
-      isAnswered: engine !== undefined,
-      isRefused: engine === undefined,
-    });
-  }
 }
