--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -232,7 +232,7 @@
 
 const minHoldChangeMs = 250; // ages on the wire lag by the way of the message
 
-/** Adopts or updates a quarantine that another router or the store told; returns whether it is news. */
+/** Adopts or updates a quarantine that another router or the store told. */
 export const learnQuarantine = (
   state: RelayState,
   item: QuarantineItem,
@@ -268,7 +268,7 @@
   at: Timestamp,
 ): boolean => at - (succeededAt.get(blockId) ?? -Infinity) > minNewerMs;
 
-/** Records when engines answered blocks well; only blocks under suspicion are remembered. */
+/** Records when engines answered well with blocks, the latest last. */
 export const recordSucceededAt = (
   { quarantine: { succeededAt } }: RelayState,
   blockIds: readonly string[],
