--- a/packages/relay/src/decisions/requestLimits.test.ts
+++ b/packages/relay/src/decisions/requestLimits.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Fleet } from "../testing/fleet.js";
+import { idempotentPath, Scenario } from "../testing/scenario.js";
 
 const contactMs = 3000;
 const windowMs = 4000;
@@ -177,3 +178,21 @@
   for (const id of limited) assertWithinLimit(fleet, id, 1, at);
   assert.equal(countWhole(fleet, keys), keys.length);
 });
+
+test("a caller is sent away for long by limits although a replica without one was only full", () => {
+  const scenario = Scenario.create();
+  const plain = ["a-9", "b-9", "c-9"];
+  for (const id of plain.slice(0, 2)) {
+    const view = scenario.state.replicas.get(id);
+    assert.ok(view);
+    const nextAt = scenario.at + 60_000;
+    const namedAt = scenario.at;
+    view.requestLimit = { perS: 0.1, namedAt, source: "r2", nextAt };
+  }
+  scenario.request("1", idempotentPath);
+  assert.equal(scenario.lastSend("1").attempt.replica.id, "c-9");
+  scenario.answer("1", { status: 503, isNotExecuted: true });
+  const [refusal] = scenario.commandsOfType("refuse");
+  assert.equal(refusal?.status, 503);
+  assert.ok(Number(refusal.retryAfterMs) <= 400);
+});
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -216,7 +216,12 @@
   }
   const reason = "the replicas' limits of requests are used up";
   state.limitCounts.refused += 1;
-  if (exchange.mayHaveExecuted || exchange.head !== undefined)
+  const mayHaveStarted =
+    exchange.mayHaveExecuted || exchange.head !== undefined;
+  // A replica without a limit that was full for this attempt is soon free again.
+  const isSoonFree =
+    soonestPermit(state, { service, excluded: new Set() })?.at === state.at;
+  if (mayHaveStarted || isSoonFree)
     return failExchange(state, exchange, reason);
   const refused = { key, requestId: request.requestId, reason, context };
   return [
