Use engines with small limits when many routers send little

Unused permits stay valid for a second's worth of the limits of all replicas of the service now: a router sends each request to another one of them. The test fails without the change (32 of 300 streams at 32 limited engines of 40).

--- a/packages/relay/src/decisions/requestLimits.test.ts
+++ b/packages/relay/src/decisions/requestLimits.test.ts
@@ -196,3 +196,26 @@
   assert.equal(refusal?.status, 503);
   assert.ok(Number(refusal.retryAfterMs) <= 400);
 });
+
+test("streams crowd the engines without a limit although the others are idle", () => {
+  const fleet = Fleet.create({ routerCount: 40, engineCount: 40 });
+  const limited = fleet.replicas.engines
+    .slice(0, 32)
+    .map(({ replica }) => replica.id);
+  for (const id of limited) fleet.replicas.requestLimits.set(id, 1);
+  const routers = [...fleet.states.keys()];
+  const send = (count: number): void => {
+    for (let index = 0; index < count; index += 1) {
+      const router = routers[(index * 7) % routers.length] ?? "";
+      fleet.request(router, [`c${String(index)}`]);
+      fleet.advance(100);
+    }
+  };
+  send(300);
+  const { at } = fleet;
+  send(300);
+  const arrivals = fleet.replicas.arrivals.filter((one) => one.at >= at);
+  const atLimited = arrivals.filter(({ replica }) => limited.includes(replica));
+  assert.ok(atLimited.length > arrivals.length / 2, String(atLimited.length));
+  for (const id of limited) assertWithinLimit(fleet, id, 1, at - contactMs);
+});
--- a/packages/relay/src/decisions/requestLimits.ts
+++ b/packages/relay/src/decisions/requestLimits.ts
@@ -6,6 +6,7 @@
 
 import { sharingRouterCount } from "./registration.js";
 import { random } from "./random.js";
+import { replicasOf } from "./replicaViews.js";
 import {
   limitBurstMs,
   maxPermitDebt,
@@ -29,24 +30,32 @@
   (sharingRouterCount(state) * 1000) / Math.max(perS, minRequestLimitPerS);
 
 /**
- * How long an unused permit stays valid. Unused permits of all routers together make
- * up one second of the limit, so that a herd after a quiet time stays small.
+ * How long an unused permit stays valid. Unused permits of all routers together
+ * make up one second of the limits of the service's replicas, so that a herd
+ * after a quiet time stays small. Load pattern: many engines with small limits,
+ * and routers that send a request in some seconds, each to another engine.
  */
-const permitValidityMs = (state: RelayState, perS: number): number => {
+const permitValidityMs = (
+  state: RelayState,
+  perS: number,
+  replicaCount: number,
+): number => {
   const interval = permitIntervalMs(state, perS);
-  const share = (Math.max(1, perS) * limitBurstMs) / 1000;
+  const share = (Math.max(1, perS) * replicaCount * limitBurstMs) / 1000;
   return interval * Math.min(1, share / sharingRouterCount(state));
 };
 
 /** Time of this router's next permit at a replica; undefined if the replica has no limit. */
 export const nextPermitAt = (
   state: RelayState,
-  { requestLimit }: ReplicaView,
+  { requestLimit, replica }: ReplicaView,
 ): Timestamp | undefined => {
   if (requestLimit?.perS === undefined) return undefined;
   const { perS } = requestLimit;
   const interval = permitIntervalMs(state, perS);
-  const expiresAt = requestLimit.nextAt + permitValidityMs(state, perS);
+  const replicaCount = replicasOf(state, replica.service).length;
+  const validityMs = permitValidityMs(state, perS, replicaCount);
+  const expiresAt = requestLimit.nextAt + validityMs;
   if (state.at > expiresAt)
     requestLimit.nextAt +=
       interval * Math.ceil((state.at - expiresAt) / interval);
