Count a service's replicas once an answer with a limit, not once a candidate

With 820 replicas of a service that all name a limit, each choice of a replica counted them 820 times.

--- a/packages/relay/src/decisions/requestLimits.test.ts
+++ b/packages/relay/src/decisions/requestLimits.test.ts
@@ -187,7 +187,9 @@
     assert.ok(view);
     const nextAt = scenario.at + 60_000;
     const namedAt = scenario.at;
-    view.requestLimit = { perS: 0.1, namedAt, source: "r2", nextAt };
+    const replicaCount = 3;
+    const limit = { perS: 0.1, namedAt, source: "r2", replicaCount };
+    view.requestLimit = { ...limit, nextAt };
   }
   scenario.request("1", idempotentPath);
   assert.equal(scenario.lastSend("1").attempt.replica.id, "c-9");
--- a/packages/relay/src/decisions/requestLimits.ts
+++ b/packages/relay/src/decisions/requestLimits.ts
@@ -48,12 +48,11 @@
 /** Time of this router's next permit at a replica; undefined if the replica has no limit. */
 export const nextPermitAt = (
   state: RelayState,
-  { requestLimit, replica }: ReplicaView,
+  { requestLimit }: ReplicaView,
 ): Timestamp | undefined => {
   if (requestLimit?.perS === undefined) return undefined;
-  const { perS } = requestLimit;
+  const { perS, replicaCount } = requestLimit;
   const interval = permitIntervalMs(state, perS);
-  const replicaCount = replicasOf(state, replica.service).length;
   const validityMs = permitValidityMs(state, perS, replicaCount);
   const expiresAt = requestLimit.nextAt + validityMs;
   if (state.at > expiresAt)
@@ -122,7 +121,8 @@
   const nextAt = isNew
     ? firstPermitAt
     : Math.min(before?.nextAt ?? firstPermitAt, latestPermitAt);
-  view.requestLimit = { perS, namedAt, source, nextAt };
+  const replicaCount = replicasOf(state, view.replica.service).length;
+  view.requestLimit = { perS, namedAt, source, replicaCount, nextAt };
   if (perS === before?.perS) return [];
   publishItem(state, limitItemOf(view.replica, view.requestLimit));
   return [
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -70,6 +70,8 @@
   readonly namedAt: Timestamp;
   /** Router that got the answer. */
   readonly source: string;
+  /** Number of the service's replicas at the time of that answer. */
+  readonly replicaCount: number;
   /** From then on, this router may send the next request. */
   nextAt: Timestamp;
 }
