Judge an engine's process by one function, and add crashes in one place

Whether a report comes from a later process was written a second time, without the case of a replica whose start time is not registered: a reset of such an engine counted as its end (a test fails without the change). Own crashes and those that other routers tell were added by twin code, which is one function now; a crash that is known already is no new evidence either way.

--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -1,7 +1,7 @@
 /** Probes silent engines, and handles the results of probes and of engine queries. */
 
 import type { Timestamp } from "@cardamomglade/common";
-import type { EngineReport, Replica, ReportedRun } from "../types.js";
+import type { EngineReport, ReportedRun } from "../types.js";
 import { handleLostAttempt } from "./attemptEvents.js";
 import {
   missingEventSilenceMs,
@@ -13,6 +13,7 @@
 import { isEngineQueryDone, recordPromptBlocks } from "./queryEngines.js";
 import {
   ageOf,
+  isFromOtherProcess,
   recordContact,
   recordLoss,
   markReplaced,
@@ -84,15 +85,6 @@
       : [];
   });
 
-/** Whether a report comes from another process that now has the replica's address. */
-const isFromOtherProcess = (
-  { startedAt }: Replica,
-  report: EngineReport | undefined,
-): boolean =>
-  startedAt > 0 &&
-  report?.startedAt !== undefined &&
-  report.startedAt !== startedAt;
-
 /** Marks the engine as answered in all queries and sends the requests whose query is complete. */
 const resolveEngineQueries = (
   state: RelayState,
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -6,14 +6,14 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
-import type { CallerRequest, EngineReport, Replica } from "../../types.js";
+import type { CallerRequest, Replica } from "../../types.js";
 import { maxLoggedPromptBlockCount } from "../constants.js";
 import { engineOf } from "../engineOf.js";
 import { failExchange } from "../endExchange.js";
 import { publishItem } from "../gossip/spreadGossip.js";
 import type { EngineCrashItem } from "../gossip/types.js";
 import { logLine } from "../logLine.js";
-import { isAvailable } from "../replicaViews.js";
+import { isAvailable, isFromOtherProcess } from "../replicaViews.js";
 import type { RelayCommand } from "../commands.js";
 import type { RelayEventOf } from "../events.js";
 import type { Attempt, Exchange, RelayState } from "../types.js";
@@ -124,23 +124,34 @@
       : [];
   });
 
-/** Remembers the end of an engine with its suspects and looks for the cause. */
+/** Adds suspects of an engine's end; what is new here is evidence, and told to others. */
+const addCrash = (
+  state: RelayState,
+  { process, at, suspects }: EngineCrash,
+): void => {
+  const { quarantine } = state;
+  const known = quarantine.crashes.get(process);
+  const crash = known ?? { process, at, suspects: new Map() };
+  quarantine.crashes.set(process, crash);
+  const added = [...suspects].filter(([request, blockIds]) =>
+    addSuspect(crash.suspects, request, blockIds),
+  );
+  if (added.length === 0) return;
+  for (const [request, blockIds] of added)
+    publishSuspect(state, crash, request, blockIds);
+  renewQuarantines(state, crash);
+  quarantine.hasNewEvidence = true;
+  forgetExcessCrashes(state);
+};
+
+/** Remembers the end of an engine, and ends requests under which too many ended. */
 const recordCrash = (
   state: RelayState,
   replica: Replica,
   at: Timestamp,
   suspects: CrashSuspects,
 ): RelayCommand[] => {
-  const process = processOf(replica);
-  const { crashes } = state.quarantine;
-  const crash = crashes.get(process) ?? { process, at, suspects: new Map() };
-  crashes.set(process, crash);
-  for (const [request, blockIds] of suspects)
-    if (addSuspect(crash.suspects, request, blockIds))
-      publishSuspect(state, crash, request, blockIds);
-  renewQuarantines(state, crash);
-  state.quarantine.hasNewEvidence = true;
-  forgetExcessCrashes(state);
+  addCrash(state, { process: processOf(replica), at, suspects });
   return [
     logLine(
       "engine ended under prompts",
@@ -179,11 +190,6 @@
     : recordCrash(state, replica, state.at, suspects);
 };
 
-const isSameProcess = (
-  { startedAt }: Replica,
-  report: EngineReport | undefined,
-): boolean => report?.startedAt === undefined || report.startedAt === startedAt;
-
 /** Decides by a probe's result whether an engine with broken connections has ended. */
 export const confirmCrash = (
   state: RelayState,
@@ -198,7 +204,7 @@
   const [process, { replica, lostAt, suspects }] = found;
   unconfirmed.delete(process);
   const hasEnded = event.isAnswered
-    ? !isSameProcess(replica, event.report)
+    ? isFromOtherProcess(replica, event.report)
     : event.isRefused;
   return hasEnded ? recordCrash(state, replica, lostAt, suspects) : [];
 };
@@ -208,14 +214,8 @@
   state: RelayState,
   { process, at, request, blockIds }: EngineCrashItem,
 ): void => {
-  const { crashes } = state.quarantine;
-  const crash = crashes.get(process) ?? { process, at, suspects: new Map() };
-  crashes.set(process, crash);
-  if (!addSuspect(crash.suspects, request, blockIds)) return;
-  publishSuspect(state, crash, request, blockIds);
-  renewQuarantines(state, crash);
-  state.quarantine.hasNewEvidence = true;
-  forgetExcessCrashes(state);
+  const suspects: CrashSuspects = new Map([[request, blockIds]]);
+  addCrash(state, { process, at, suspects });
 };
 
 /** All known crashes, as other routers are told of them. */
--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Fleet } from "../../testing/fleet.js";
+import {
+  idleReport,
+  Scenario,
+  streamPath,
+  testReplica,
+} from "../../testing/scenario.js";
 import { maxRemembered } from "./constants.js";
 
 const contactMs = 3000;
@@ -331,3 +337,17 @@
   assert.equal(fleet.stored.size, 1);
   assert.equal(fleet.states.get("r5")?.quarantine.inForce.size, 1);
 });
+
+test("an engine whose start time is not registered counts as ended when it only resets", () => {
+  const replicas = ["a-1", "b-1"].map((id) =>
+    testReplica(id, undefined, { startedAt: 0 }),
+  );
+  const scenario = Scenario.create(replicas);
+  scenario.request("1", streamPath, { sharedPromptBlockIds: ["x"] });
+  const { replica, number } = scenario.lastSend("1").attempt;
+  scenario.failAttempt("1", number);
+  const report = { ...idleReport, startedAt: 7 };
+  const answer = { isAnswered: true, report };
+  scenario.probeFinished(replica, scenario.at, answer);
+  assert.equal(scenario.state.quarantine.crashes.size, 0);
+});
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -1,7 +1,7 @@
 /** Local view of replicas: last contact, losses and suspicion. */
 
 import type { Timestamp } from "@cardamomglade/common";
-import { ReplicaState, type Replica } from "../types.js";
+import { ReplicaState, type EngineReport, type Replica } from "../types.js";
 import {
   correlatedLossCount,
   correlatedLossWindowMs,
@@ -53,6 +53,15 @@
 export const isSuspected = (view: ReplicaView, at: Timestamp): boolean =>
   view.suspectUntil > at;
 
+/** Whether a report comes from another process that now has the replica's address. */
+export const isFromOtherProcess = (
+  { startedAt }: Replica,
+  report: EngineReport | undefined,
+): boolean =>
+  startedAt > 0 &&
+  report?.startedAt !== undefined &&
+  report.startedAt !== startedAt;
+
 /** Milliseconds since a time, for log lines; undefined if it was never set. */
 export const ageOf = (state: RelayState, time: number): number | undefined =>
   time === 0 ? undefined : Math.round(state.at - time);
