Read a store that comes back from a copy by eras, not by revisions alone

Cause: a revision, a lease number or the absence of a key was taken for a fact about the world, though it is one only within one era of the store. Positions are (era, revision) now, and the era is in each answer of the store and each message between routers: - Followers ahead of a restored source were told that nothing was new until the new history had overtaken them. The history takes followers over a restore with the differences of two lists; a follower that it does not cover lists, one in a later era leaves. - A revision given out twice was taken for a known entry: values are compared instead. - Lists of several pages may not mix eras, late answers of an earlier era change nothing, a resync list that the watch has overtaken no longer brings back removed entries. - Leases: a renewal goes out only in the era of the lease; a write whose lease was granted in the era before is done again. - Replicas: those that a copy lacks have the time to register again; reports of a process that are older than a known one do not make it ready again, and one that left stays out for 10 s unless it reports anew. - Quarantines: a missing entry is written again instead of ending the quarantine; a release is an entry of its own, and is written again if a copy shows the quarantine. - Routers that a copy lacks count for 30 s, and write their entries at 50 a second together.

--- a/packages/cli/src/commands/quarantines.ts
+++ b/packages/cli/src/commands/quarantines.ts
@@ -44,14 +44,16 @@
   const store = openStore(flags);
   if (store === undefined) return usageExitCode;
   const listed = await store.list();
-  if (
-    listed.type === "done" &&
-    !listed.value.some((entry) => entry.key === key)
-  ) {
+  if (listed.type !== "done") {
+    console.error(`the store cannot be read: ${listed.failure.message}`);
+    return failedExitCode;
+  }
+  const entry = listed.value.find((one) => one.key === key);
+  if (entry === undefined) {
     console.error(`no quarantine "${key}"`);
     return failedExitCode;
   }
-  const outcome = await store.release(key);
+  const outcome = await store.release(entry);
   if (outcome.type !== "done") {
     console.error(`not released: ${outcome.failure.message}`);
     return failedExitCode;
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,10 +4,15 @@
   KeyValueClient,
   type KeyValueClientOptions,
 } from "./keyValueClient.js";
-export { mirrorPrefix, type MirrorOptions } from "./mirrorPrefix.js";
+export {
+  mirrorPrefix,
+  type MirrorOptions,
+  type Restoration,
+} from "./mirrorPrefix.js";
 export {
   readHostList,
   readStoredWeights,
   readWeightRate,
 } from "./readPlatform.js";
+export { onlyEra } from "./storePosition.js";
 export * from "./types.js";
--- a/packages/platform/src/keyValueClient.ts
+++ b/packages/platform/src/keyValueClient.ts
@@ -12,6 +12,7 @@
 } from "@cardamomglade/schema";
 import { Gateway, type GatewayOptions } from "./gateway.js";
 import { readWatch } from "./readWatch.js";
+import { onlyEra } from "./storePosition.js";
 import {
   CallKind,
   type KeyValue,
@@ -19,6 +20,7 @@
   type LeaseGrant,
   type Outcome,
   type RangeResult,
+  type WatchOptions,
   type Transaction,
   type TransactionResult,
   type WatchEvent,
@@ -60,7 +62,7 @@
     const revision = Number(outcome.value.header.revision ?? 0);
     return {
       type: "done",
-      value: { revision, entries: entriesOf(outcome.value) },
+      value: { era: onlyEra, revision, entries: entriesOf(outcome.value) },
     };
   }
 
@@ -121,7 +123,7 @@
 
   watch(
     key: string,
-    options: { readonly prefix: boolean; readonly fromRevision: number },
+    options: WatchOptions,
     onEvent: (event: WatchEvent) => void,
   ): WatchHandle {
     const abort = new AbortController();
@@ -130,7 +132,7 @@
       create_request: {
         key: toWire(key),
         ...end,
-        start_revision: String(options.fromRevision),
+        start_revision: String(options.after.revision + 1),
       },
     };
     this.gateway.count(CallKind.Watch);
--- a/packages/platform/src/readWatch.ts
+++ b/packages/platform/src/readWatch.ts
@@ -7,6 +7,7 @@
   type WireEntry,
 } from "@cardamomglade/schema";
 import { transportFailureOf, type Gateway } from "./gateway.js";
+import { onlyEra } from "./storePosition.js";
 import type { WatchChange, WatchEvent } from "./types.js";
 import { fromWire, toEntry } from "./wire.js";
 
@@ -25,7 +26,7 @@
   const changes = (result.events ?? []).map(toChange);
   if (changes.length === 0) return undefined;
   const revision = Number(result.header?.revision ?? 0);
-  return { type: "changes", revision, changes };
+  return { type: "changes", era: onlyEra, revision, changes };
 };
 
 const parseLine = (line: string): WatchMessage => {
--- a/packages/platform/src/sharedWatch/codec.ts
+++ b/packages/platform/src/sharedWatch/codec.ts
@@ -1,6 +1,7 @@
 /** Encodes the messages of shared watches as MessagePack. */
 
 import { pack, unpack } from "msgpackr";
+import { onlyEra } from "../storePosition.js";
 import type {
   FollowerMessage,
   OutcomesMessage,
@@ -90,10 +91,11 @@
     case "outcomes":
       return encodeOutcomes(message);
     case "compacted":
+    case "behind":
       return pack([message.type]);
     case "changes": {
-      const { type, revision, ageMs, changes } = message;
-      return pack([type, revision, ageMs, changes.map(encodeChange)]);
+      const { type, era, revision, ageMs, changes } = message;
+      return pack([type, revision, ageMs, changes.map(encodeChange), era]);
     }
   }
 };
@@ -102,28 +104,29 @@
 export const decodeSharedMessage = (
   bytes: Uint8Array,
 ): SharedMessage | undefined => {
-  const [type, first, ageMs, items] = unpackList(bytes) ?? [];
-  if (type === "compacted") return { type };
+  const [type, first, ageMs, items, era = onlyEra] = unpackList(bytes) ?? [];
+  if (type === "compacted" || type === "behind") return { type };
   if (type === "outcomes") return decodeOutcomes(first);
   if (type !== "changes" || !isNumber(first)) return undefined;
-  if (!isNumber(ageMs) || ageMs < 0) return undefined;
+  if (!isNumber(ageMs) || ageMs < 0 || !isNumber(era)) return undefined;
   const changes = decodeAll(items, decodeChange);
-  return changes && { type, revision: first, ageMs, changes };
+  return changes && { type, era, revision: first, ageMs, changes };
 };
 
 /** Encodes a message of a follower. */
 export const encodeFollowerMessage = (message: FollowerMessage): Uint8Array =>
   message.type === "follow"
-    ? pack([message.type, message.after])
+    ? pack([message.type, message.after.revision, message.after.era])
     : encodeOutcomes(message);
 
 /** Decodes a message of a follower; undefined if it is malformed. */
 export const decodeFollowerMessage = (
   bytes: Uint8Array,
 ): FollowerMessage | undefined => {
-  const [type, first] = unpackList(bytes) ?? [];
+  // Routers of versions that know no eras leave the era out.
+  const [type, first, era = onlyEra] = unpackList(bytes) ?? [];
   if (type === "outcomes") return decodeOutcomes(first);
-  return type === "follow" && isNumber(first)
-    ? { type, after: first }
+  return type === "follow" && isNumber(first) && isNumber(era)
+    ? { type, after: { era, revision: first } }
     : undefined;
 };
--- a/packages/platform/src/sharedWatch/constants.ts
+++ b/packages/platform/src/sharedWatch/constants.ts
@@ -18,6 +18,12 @@
 /** Number of changes that a router keeps for followers. */
 export const maxHistoryChangeCount = 4000;
 
+/** Number of gaps in the watched history over which a router takes its followers. */
+export const maxHistorySpanCount = 16;
+
+/** How long routers count whose entries a restored store lacks: the fleet writes them again within that time. */
+export const missingRouterRetentionMs = 30_000;
+
 /** Bytes of a message above which the connection is closed. */
 export const maxMessageBytes = 8 * 1024 * 1024;
 
--- a/packages/platform/src/sharedWatch/followRouter.ts
+++ b/packages/platform/src/sharedWatch/followRouter.ts
@@ -2,6 +2,7 @@
 
 import type { WebSocket, RawData } from "ws";
 import { now, type Timestamp } from "@cardamomglade/common";
+import type { StorePosition } from "../types.js";
 import { decodeSharedMessage, encodeFollowerMessage } from "./codec.js";
 import { followTimeoutMs, maxMessageBytes } from "./constants.js";
 import type {
@@ -14,8 +15,8 @@
 /** Callbacks and limits of a connection. */
 export interface FollowOptions {
   readonly address: RouterAddress;
-  /** Latest revision that the follower knows. */
-  readonly after: number;
+  /** Latest position that the follower knows. */
+  readonly after: StorePosition;
   readonly limits: SharedWatchLimits;
   readonly onMessage: (message: SharedMessage) => void;
   /** Called once, when the router can no longer be followed. */
--- a/packages/platform/src/sharedWatch/followerServer.ts
+++ b/packages/platform/src/sharedWatch/followerServer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import type { WebSocket, WebSocketServer } from "ws";
 import { now } from "@cardamomglade/common";
+import type { StorePosition } from "../types.js";
 import { messageSince, type ChangeHistory } from "./changeHistory.js";
 import { decodeFollowerMessage, encodeSharedMessage } from "./codec.js";
 import { maxMessageBytes, maxUnreadBytes } from "./constants.js";
@@ -17,8 +18,8 @@
 
 /** What a follower was sent, and what it is to be sent next. */
 interface Follower {
-  /** Latest revision sent to it. */
-  revision: number;
+  /** Latest position sent to it. */
+  position: StorePosition;
   readonly outcomes: OutcomeTally;
 }
 
@@ -31,6 +32,8 @@
   /** Whether a host is that of a registered router. */
   readonly isRouter: (host: string) => boolean;
   readonly onFirstFollower: () => void;
+  /** Called when a follower knows a later era of the store. */
+  readonly onBehind: () => void;
   /** Called with the outcomes that a follower tells. */
   readonly onOutcomes: (outcomes: readonly SharedOutcomes[]) => void;
   readonly onError: (reason: string) => void;
@@ -124,7 +127,7 @@
       return;
     }
     const isFirst = this.followers.size === 0;
-    const follower = { revision: message.after, outcomes: new Map() };
+    const follower = { position: message.after, outcomes: new Map() };
     this.followers.set(socket, follower);
     if (isFirst) this.options.onFirstFollower();
     this.sendChanges(socket, follower);
@@ -141,8 +144,9 @@
   private sendChanges(socket: WebSocket, follower: Follower): void {
     const history = this.options.history();
     if (history === undefined) return;
-    const message = messageSince(history, follower.revision, now());
-    if (message.type === "changes") follower.revision = message.revision;
+    const message = messageSince(history, follower.position, now());
+    if (message.type === "changes") follower.position = message;
+    if (message.type === "behind") this.options.onBehind();
     this.send(socket, message);
   }
 
--- a/packages/platform/src/sharedWatch/index.ts
+++ b/packages/platform/src/sharedWatch/index.ts
@@ -1,5 +1,6 @@
 /** Watches of the store that routers share. */
 
+export { KnownRouters } from "./knownRouters.js";
 export { SharedWatch, type SharedWatchOptions } from "./sharedWatch.js";
 export type {
   SharedOutcomes,
--- a/packages/platform/src/sharedWatch/sharedWatch.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -1,15 +1,21 @@
 /** Watches the store, or follows the watch of another router of the availability zone. */
 
 import { now, type Timestamp } from "@cardamomglade/common";
+import { isLater } from "../storePosition.js";
 import type {
   KeyValue,
+  RangeResult,
+  StorePosition,
   WatchChange,
+  WatchedChanges,
   WatchEvent,
   WatchHandle,
+  WatchOptions,
 } from "../types.js";
 import {
   createHistory,
   recordChanges,
+  recordList,
   type ChangeHistory,
 } from "./changeHistory.js";
 import { chooseWatchSource } from "./chooseWatchSource.js";
@@ -21,8 +27,8 @@
 import { FollowerServer } from "./followerServer.js";
 import { followRouter, type Follow } from "./followRouter.js";
 import type {
+  ChangesMessage,
   RouterAddress,
-  SharedChange,
   SharedMessage,
   SharedOutcomes,
   SharedWatchLimits,
@@ -31,7 +37,6 @@
 } from "./types.js";
 
 type WatchedStore = Pick<KeyValue, "range" | "watch">;
-type Changes = Extract<WatchEvent, { readonly type: "changes" }>;
 
 /** Options of a shared watch. */
 export interface SharedWatchOptions {
@@ -49,12 +54,18 @@
   readonly onError: (reason: string) => void;
 }
 
+/** A list of all entries that no watch started from yet. */
+interface UnusedList {
+  readonly result: RangeResult;
+  readonly sentAt: Timestamp;
+}
+
 /** The watch under way. */
 interface ActiveWatch {
   readonly key: string;
   readonly onEvent: (event: WatchEvent) => void;
   source: WatchSource;
-  revision: number;
+  position: StorePosition;
   handle: WatchHandle | undefined;
   /** The connection to the followed router. */
   follow: Follow | undefined;
@@ -69,6 +80,7 @@
 export class SharedWatch implements WatchedStore {
   private routers: readonly SharingRouter[] = [];
   private history: ChangeHistory | undefined;
+  private unusedList: UnusedList | undefined;
   private active: ActiveWatch | undefined;
   private readonly avoidedUntil = new Map<string, Timestamp>();
   private readonly server: FollowerServer;
@@ -86,6 +98,9 @@
       onFirstFollower: () => {
         this.restart("other routers follow this one");
       },
+      onBehind: () => {
+        this.listAgain();
+      },
     });
   }
 
@@ -98,6 +113,11 @@
     return this.server.count();
   }
 
+  /** Returns where the entries come from now. */
+  source(): WatchSource {
+    return this.active?.source ?? { type: "store" };
+  }
+
   /** Sets the registered routers. */
   setRouters(routers: readonly SharingRouter[]): void {
     this.routers = routers;
@@ -109,20 +129,21 @@
     const sentAt = now();
     const outcome = await this.options.store.range(...args);
     if (outcome.type === "done")
-      this.history = createHistory(outcome.value.revision, sentAt);
+      this.unusedList = { result: outcome.value, sentAt };
     return outcome;
   }
 
   watch(
     key: string,
-    { fromRevision }: { readonly fromRevision: number },
+    { after }: WatchOptions,
     onEvent: (event: WatchEvent) => void,
   ): WatchHandle {
+    this.useList(after);
     const watch: ActiveWatch = {
       key,
       onEvent,
       source: this.active?.source ?? { type: "store" },
-      revision: fromRevision - 1,
+      position: after,
       handle: undefined,
       follow: undefined,
     };
@@ -150,6 +171,28 @@
     this.server.close();
   }
 
+  /** Shares the list from which a watch starts; one that the caller passed over is not shared. */
+  private useList({ era, revision }: StorePosition): void {
+    const { unusedList: list, history } = this;
+    this.unusedList = undefined;
+    if (list?.result.era !== era || list.result.revision !== revision) return;
+    const { result, sentAt } = list;
+    this.history =
+      history === undefined
+        ? createHistory(result, sentAt)
+        : recordList(history, result, sentAt);
+    this.server.publish();
+  }
+
+  /** Ends a watch of the store that may be in an earlier era, so that the entries are listed. */
+  private listAgain(): void {
+    const { active } = this;
+    if (active?.source.type !== "store" || active.handle === undefined) return;
+    active.handle.close();
+    active.handle = undefined;
+    active.onEvent({ type: "restored", era: active.position.era });
+  }
+
   private choose(): WatchSource {
     if (this.options.limits() === undefined) return { type: "store" };
     const { router, zone } = this.options;
@@ -184,10 +227,9 @@
   }
 
   private watchStore(watch: ActiveWatch): WatchHandle {
-    const fromRevision = watch.revision + 1;
     const handle = this.options.store.watch(
       watch.key,
-      { prefix: true, fromRevision },
+      { prefix: true, after: watch.position },
       (event) => {
         if (this.active !== watch || watch.handle !== handle) return;
         if (event.type === "changes") this.apply(watch, event, now());
@@ -207,10 +249,14 @@
     this.begin(watch, source, "it watches for this zone");
   }
 
-  private apply(watch: ActiveWatch, event: Changes, confirmedAt: Timestamp) {
+  private apply(
+    watch: ActiveWatch,
+    event: WatchedChanges,
+    confirmedAt: Timestamp,
+  ): void {
     if (this.history !== undefined)
       recordChanges(this.history, event, confirmedAt);
-    watch.revision = Math.max(watch.revision, event.revision);
+    if (isLater(event, watch.position)) watch.position = event;
     this.server.publish();
     watch.onEvent(event);
   }
@@ -232,7 +278,7 @@
     };
     const follow = followRouter({
       address: source.address,
-      after: watch.revision,
+      after: watch.position,
       limits,
       // Long values are read in between, so each message waits for the one before.
       onMessage: (message) => {
@@ -267,29 +313,34 @@
       this.options.onOutcomes(message.outcomes);
       return;
     }
+    if (message.type === "behind") {
+      leave("it is in an earlier era of the store");
+      return;
+    }
     if (message.type === "compacted") {
+      const { revision } = watch.position;
       watch.handle?.close();
-      watch.onEvent({ type: "compacted", compactRevision: watch.revision });
+      watch.onEvent({ type: "compacted", compactRevision: revision });
       return;
     }
     const { handle } = watch;
-    const changes = await this.readLongValues(message.changes, receivedAt);
+    const changes = await this.readLongValues(message, receivedAt);
     if (this.active !== watch || watch.handle !== handle) return;
     if (changes === undefined) {
       leave("a long value could not be read from the store");
       return;
     }
-    const { revision, ageMs } = message;
-    const event = { type: "changes" as const, revision, changes };
+    const { era, revision, ageMs } = message;
+    const event = { type: "changes" as const, era, revision, changes };
     this.apply(watch, event, receivedAt - ageMs);
   }
 
   private async readLongValues(
-    changes: readonly SharedChange[],
+    message: ChangesMessage,
     receivedAt: Timestamp,
   ): Promise<WatchChange[] | undefined> {
     const read: WatchChange[] = [];
-    for (const change of changes) {
+    for (const change of message.changes) {
       if (change.type !== "putWithoutValue") {
         read.push(change);
         continue;
@@ -298,6 +349,7 @@
       const options = { prefix: false, deadline };
       const outcome = await this.options.store.range(change.key, options);
       if (outcome.type !== "done") return undefined;
+      if (outcome.value.era !== message.era) return undefined;
       const entry = outcome.value.entries.find(({ key }) => key === change.key);
       // A missing entry was deleted since; the deletion follows as a change.
       if (entry !== undefined) read.push({ type: "put", entry });
--- a/packages/platform/src/sharedWatch/types.ts
+++ b/packages/platform/src/sharedWatch/types.ts
@@ -1,5 +1,5 @@
 /** Types of watches that routers share. */
-import type { WatchChange } from "../types.js";
+import type { StorePosition, WatchChange } from "../types.js";
 
 /** A router as registered in the store. */
 export interface SharingRouter {
@@ -43,7 +43,7 @@
 
 /** Message from a follower to its watching router. */
 export type FollowerMessage =
-  { readonly type: "follow"; readonly after: number } | OutcomesMessage;
+  { readonly type: "follow"; readonly after: StorePosition } | OutcomesMessage;
 
 /** Outcomes since the last message of this type on the connection. */
 export interface OutcomesMessage {
@@ -54,15 +54,19 @@
 /** Message from a watching router to a follower. */
 export type SharedMessage =
   | OutcomesMessage
-  | {
-      readonly type: "changes";
-      readonly revision: number;
-      /** Time since the store last confirmed that nothing else changed. */
-      readonly ageMs: number;
-      readonly changes: readonly SharedChange[];
-    }
-  /** The follower's revision is older than the history; it has to list the entries. */
-  | { readonly type: "compacted" };
+  | ChangesMessage
+  /** The history does not lead on from the follower's position; it has to list the entries. */
+  | { readonly type: "compacted" }
+  /** The watching router is in an earlier era of the store than the follower. */
+  | { readonly type: "behind" };
+
+/** All changes up to a position of the store. */
+export interface ChangesMessage extends StorePosition {
+  readonly type: "changes";
+  /** Time since the store last confirmed that nothing else changed. */
+  readonly ageMs: number;
+  readonly changes: readonly SharedChange[];
+}
 
 /** Time limits of a shared watch. */
 export interface SharedWatchLimits {
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -28,7 +28,9 @@
     | "unavailable"
     | "malformed"
     | "budget"
-    | "circuitOpen";
+    | "circuitOpen"
+    /** The store came back from a copy during the call. */
+    | "restored";
   readonly message: string;
 }
 
@@ -80,9 +82,18 @@
   readonly reads: readonly (readonly KeyValueEntry[])[];
 }
 
-/** Entries of a range at a revision. */
-export interface RangeResult {
+/**
+ * A point in the history of a store. The era rises each time the store comes back
+ * from a copy: revisions go back then and are given out again, so they can be
+ * compared only within one era.
+ */
+export interface StorePosition {
+  readonly era: number;
   readonly revision: number;
+}
+
+/** Entries of a range at a position. */
+export interface RangeResult extends StorePosition {
   readonly entries: readonly KeyValueEntry[];
 }
 
@@ -101,16 +112,27 @@
       readonly modRevision: number;
     };
 
-/** Event of a watch. The watch has ended after `lost` or `compacted`. */
+/** All changes up to a position. */
+export interface WatchedChanges extends StorePosition {
+  readonly type: "changes";
+  readonly changes: readonly WatchChange[];
+}
+
+/** Event of a watch. After any but `changes` the watch has ended. */
 export type WatchEvent =
-  | {
-      readonly type: "changes";
-      readonly revision: number;
-      readonly changes: readonly WatchChange[];
-    }
+  | WatchedChanges
+  /** The store came back from a copy; the entries have to be listed. */
+  | { readonly type: "restored"; readonly era: number }
   | { readonly type: "compacted"; readonly compactRevision: number }
   | { readonly type: "lost"; readonly failure: CallFailure };
 
+/** What a watch reports. */
+export interface WatchOptions {
+  readonly prefix: boolean;
+  /** The position after which changes are reported. */
+  readonly after: StorePosition;
+}
+
 /** Handle that ends a watch. */
 export interface WatchHandle {
   close(): void;
@@ -134,7 +156,7 @@
   revokeLease(id: string, deadline: Timestamp): Promise<Outcome<void>>;
   watch(
     key: string,
-    options: { readonly prefix: boolean; readonly fromRevision: number },
+    options: WatchOptions,
     onEvent: (event: WatchEvent) => void,
   ): WatchHandle;
   callCounts(): CallCounts;
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -100,6 +100,7 @@
   const metricsServer = createTextServer(options.metrics, () => {
     const state = running.state();
     const { exchanges, replicas, config, quarantine, limitCounts } = state;
+    const { restorations } = state;
     const text = metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
@@ -107,6 +108,7 @@
       replicas_with_request_limit: limitedReplicaCount(state),
       request_limit_waits_total: limitCounts.waited,
       request_limit_refusals_total: limitCounts.refused,
+      store_restorations_total: restorations.count,
       quarantines_in_force: quarantine.inForce.size,
       quarantine_refusals_total: quarantine.refusedCount,
       engine_crashes_remembered: quarantine.crashes.size,
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -109,7 +109,6 @@
       readonly stored: StoredQuarantine;
       readonly until: Timestamp;
     }
-  | { readonly type: "removeQuarantine"; readonly key: string }
   | {
       readonly type: "renewRegistration";
       readonly lease: string;
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -187,9 +187,24 @@
  */
 export const registrationJitterMs = 2000;
 
+/** Routers of the fleet that write their entries again in a second: a restored store may lack all of them. */
+export const registrationsPerS = 50;
+
 /** Time after a store outage within which live replicas register again. */
 export const replicaReregistrationMs = 2200;
 
+/**
+ * Time after the store came back from a copy within which replicas that left
+ * write so again: what it shows of them until then may be outdated.
+ */
+export const outdatedReplicaMs = 10_000;
+
+/** How long the last report of a replica that left is remembered: longer than a copy is old. */
+export const departedReplicaRetentionMs = 600_000;
+
+/** Most replicas that left whose last report is remembered. */
+export const maxDepartedReplicaCount = 2048;
+
 /** Unused requests of a replica's limit that all routers together may keep for later, as a time. */
 export const limitBurstMs = 1000;
 
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -10,7 +10,7 @@
 import { callerDisconnected } from "./callerDisconnected.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
 import { createGossipState } from "./gossip/spreadGossip.js";
-import { quarantinesRead } from "./quarantine/maintainQuarantines.js";
+import { quarantinesRead } from "./quarantine/quarantinesRead.js";
 import { createQuarantineState } from "./quarantine/quarantineState.js";
 import { retryRequested, retryLent } from "./lendRetry.js";
 import { outcomesShared } from "./outcomes.js";
@@ -30,6 +30,7 @@
   replicasRead,
   storeAnswered,
   storeFailed,
+  storeRestored,
 } from "./storeUpdates.js";
 import type { Address } from "../types.js";
 
@@ -59,6 +60,8 @@
   hasReplicas: false,
   replicas: new Map(),
   missingReplicas: new Map(),
+  departedReplicas: new Map(),
+  outdatedReplicas: new Map(),
   exchanges: new Map(),
   retryBudgets: new Map(),
   registration: createRegistration(),
@@ -67,6 +70,7 @@
   limitCounts: { waited: 0, refused: 0 },
   runtimeLimits: options.runtimeLimits,
   store: { type: "unknown" },
+  restorations: { count: 0, latestAt: -Infinity, era: undefined },
   isDraining: false,
 });
 
@@ -94,6 +98,8 @@
       return storeAnswered(state, event);
     case "storeFailed":
       return storeFailed(state, event);
+    case "storeRestored":
+      return storeRestored(state, event);
     case "requestArrived":
       return requestArrived(state, event);
     case "responseReceived":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -59,6 +59,16 @@
       readonly at: Timestamp;
       readonly detail: string;
     }
+  | {
+      readonly type: "storeRestored";
+      readonly at: Timestamp;
+      readonly fromEra: number;
+      readonly toEra: number;
+      /** Where it was learned: the store or a router. */
+      readonly source: string;
+      readonly missingKeys: readonly string[];
+      readonly changedKeys: readonly string[];
+    }
   | {
       readonly type: "requestArrived";
       readonly at: Timestamp;
@@ -140,6 +150,8 @@
   | {
       readonly type: "quarantinesRead";
       readonly at: Timestamp;
+      /** Rises when the store comes back from a copy. */
+      readonly era: number;
       readonly entries: readonly StoredQuarantine[];
     }
   | {
--- a/packages/relay/src/decisions/quarantine/constants.ts
+++ b/packages/relay/src/decisions/quarantine/constants.ts
@@ -39,8 +39,14 @@
 /** How long crashes and blocks that succeeded are remembered. */
 export const evidenceRetentionMs = 120_000;
 
-/** How long an entry of the store is left aside after its quarantine ended here: longer than a watch lags. */
-export const releaseRetentionMs = 10_000;
+/** How long a new entry of the store is left aside after its quarantine ended here: longer than a watch lags. */
+export const releaseLagMs = 10_000;
+
+/** How long the store keeps the entry of a quarantine that ended: routers may be cut off from it for long. */
+export const releaseEntryTtlMs = 600_000;
+
+/** Range of a random delay before entries that a restored store lost are written again. */
+export const rewriteSpreadMs = 2000;
 
 /** Time without a probe's result after which broken connections are no crash. */
 export const unconfirmedRetentionMs = 1000;
--- a/packages/relay/src/decisions/quarantine/quarantineState.ts
+++ b/packages/relay/src/decisions/quarantine/quarantineState.ts
@@ -9,7 +9,7 @@
   initialHoldMs,
   maxHoldMs,
   maxRemembered,
-  releaseRetentionMs,
+  releaseEntryTtlMs,
   unconfirmedRetentionMs,
 } from "./constants.js";
 import { hasAllBlocks } from "./findCulprits.js";
@@ -21,7 +21,8 @@
   crashes: new Map(),
   succeededAt: new Map(),
   inForce: new Map(),
-  releasedAt: new Map(),
+  releases: new Map(),
+  stored: undefined,
   hasNewEvidence: false,
   nextSearchAt: 0,
   refusedCount: 0,
@@ -91,7 +92,7 @@
 
 /** Drops knowledge that is too old or too much. */
 export const forgetOld = ({ quarantine, at }: RelayState): void => {
-  const { crashes, succeededAt, unconfirmed, inForce, releasedAt } = quarantine;
+  const { crashes, succeededAt, unconfirmed, inForce, releases } = quarantine;
   const { crashes: maxCrashes, succeededBlocks, quarantines } = maxRemembered;
   const isOlder = (time: Timestamp, ms: number) => at - time > ms;
   removeOldest(crashes, maxCrashes, (crash) =>
@@ -103,8 +104,8 @@
   removeOldest(unconfirmed, maxCrashes, ({ lostAt }) =>
     isOlder(lostAt, unconfirmedRetentionMs),
   );
-  removeOldest(releasedAt, quarantines, (time) =>
-    isOlder(time, releaseRetentionMs),
+  removeOldest(releases, quarantines, (release) =>
+    isOlder(release.at, releaseEntryTtlMs),
   );
   removeOldest(inForce, quarantines, ({ heldUntil }) =>
     isOlder(heldUntil, forgetAfterHoldMs),
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -10,7 +10,11 @@
 import { serviceUnavailableStatus } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
-import { storeWriteSpacingMs } from "./constants.js";
+import {
+  releaseEntryTtlMs,
+  storeWriteRetryMs,
+  storeWriteSpacingMs,
+} from "./constants.js";
 import { hasAllBlocks } from "./findCulprits.js";
 import {
   holdMsOf,
@@ -19,7 +23,7 @@
   rankOf,
   requestIdentityOf,
 } from "./quarantineState.js";
-import type { EngineCrash, Quarantine } from "./types.js";
+import type { EngineCrash, Quarantine, ReleasedQuarantine } from "./types.js";
 
 const heldReason = "engines ended under prompts with these blocks";
 
@@ -106,15 +110,31 @@
     return isHeld ? endHeldExchange(state, exchange, quarantine) : [];
   });
 
-/** Removes a quarantine, and the store's entry if this router decided it. */
-const removeQuarantine = (
-  { quarantine: { inForce, releasedAt }, at }: RelayState,
-  { key }: Quarantine,
+/** Command that writes to the store that a quarantine ended. */
+export const storeRelease = (
+  { at }: RelayState,
+  key: string,
+  stored: ReleasedQuarantine,
+): RelayCommand => ({
+  type: "storeQuarantine",
+  key,
+  stored,
+  until: at + releaseEntryTtlMs,
+});
+
+/** Ends a quarantine here, and in the store if this router decided it. */
+export const removeQuarantine = (
+  state: RelayState,
+  { key, blockIds }: Quarantine,
+  succeededBlockIds: readonly string[],
   isOwnDecision: boolean,
 ): RelayCommand[] => {
-  inForce.delete(key);
-  releasedAt.set(key, at);
-  return isOwnDecision ? [{ type: "removeQuarantine", key }] : [];
+  const { quarantine, at } = state;
+  const entry = { type: "released" as const, blockIds, succeededBlockIds };
+  const nextWriteAt = isOwnDecision ? at + storeWriteRetryMs : Infinity;
+  quarantine.inForce.delete(key);
+  quarantine.releases.set(key, { at, entry, nextWriteAt });
+  return isOwnDecision ? [storeRelease(state, key, entry)] : [];
 };
 
 /** Whether this router changes the store's entry where all routers come to the same decision. */
@@ -150,6 +170,7 @@
     hasAllBlocks(one.blockIds, blockIds),
   );
   quarantine.inForce.set(key, added);
+  quarantine.releases.delete(key);
   publishItem(state, itemOf(added));
   return [
     logLine(
@@ -161,7 +182,12 @@
       Severity.Warn,
     ),
     ...redundant.flatMap((one) =>
-      removeQuarantine(state, one, isOwnDecision && isResponsible(state, one)),
+      removeQuarantine(
+        state,
+        one,
+        [],
+        isOwnDecision && isResponsible(state, one),
+      ),
     ),
     ...endHeldExchanges(state, added),
   ];
@@ -216,13 +242,14 @@
       (id) => (succeededAt.get(id) ?? -Infinity) < crashedAt,
     );
     if (rest.length === blockIds.length) return [];
+    const succeeded = blockIds.filter((id) => !rest.includes(id));
     const lines = [
       logLine("prompt blocks released", {
         ...contextOf(state, quarantine),
         reason,
         stillHeld: rest,
       }),
-      ...removeQuarantine(state, quarantine, isOwnDecision),
+      ...removeQuarantine(state, quarantine, succeeded, isOwnDecision),
     ];
     if (rest.length === 0 || hasSubsetInForce(state, rest)) return lines;
     const narrowed = { ...itemOf(quarantine), blockIds: rest };
--- a/packages/relay/src/decisions/quarantine/types.ts
+++ b/packages/relay/src/decisions/quarantine/types.ts
@@ -41,13 +41,39 @@
   nextWriteAt: Timestamp;
 }
 
-/** A quarantine as the store keeps it. */
-export interface StoredQuarantine {
+/** The store's entry of a quarantine in force. */
+export interface HeldQuarantine {
+  readonly type: "held";
   readonly blockIds: readonly string[];
   readonly holdCount: number;
   readonly crashCount: number;
 }
 
+/** The store's entry of a quarantine that ended; a missing entry may only be lost. */
+export interface ReleasedQuarantine {
+  readonly type: "released";
+  readonly blockIds: readonly string[];
+  /** Blocks that are known to be harmless; none if another quarantine replaced this one. */
+  readonly succeededBlockIds: readonly string[];
+}
+
+/** A quarantine as the store keeps it. */
+export type StoredQuarantine = HeldQuarantine | ReleasedQuarantine;
+
+/** The store's entries as last read. */
+export interface StoredQuarantines {
+  readonly era: number;
+  readonly byKey: ReadonlyMap<string, StoredQuarantine>;
+}
+
+/** A quarantine that ended here. */
+export interface Release {
+  readonly at: Timestamp;
+  readonly entry: ReleasedQuarantine;
+  /** From then on, it is written if the store shows the quarantine; Infinity if another router does so. */
+  nextWriteAt: Timestamp;
+}
+
 /** What is known about prompts under which engines end. */
 export interface QuarantineState {
   /** By engine process. */
@@ -57,8 +83,10 @@
   /** Latest time at which an engine began to answer with a block and went on. */
   readonly succeededAt: Map<string, Timestamp>;
   readonly inForce: Map<string, Quarantine>;
-  /** Times at which quarantines ended here, by key; the store may show their entries a little longer. */
-  readonly releasedAt: Map<string, Timestamp>;
+  /** By key; the store may show their entries a little longer, or again after it came back from a copy. */
+  readonly releases: Map<string, Release>;
+  /** Undefined before the first read. */
+  stored: StoredQuarantines | undefined;
   /** Whether crashes were learned that were not weighed yet. */
   hasNewEvidence: boolean;
   nextSearchAt: Timestamp;
--- a/packages/relay/src/decisions/registration.test.ts
+++ b/packages/relay/src/decisions/registration.test.ts
@@ -67,3 +67,28 @@
   assert.equal(scenario.commandsOfType("register").length, 0);
   assert.equal(scenario.commandsOfType("renewRegistration").length, 1);
 });
+
+// Load: a restored store lacks the entries of all routers of a large fleet.
+test("330 routers write their entries again within the store's rates", () => {
+  const scenarios = Array.from({ length: 330 }, (_, index) =>
+    Scenario.create(undefined, index),
+  );
+  for (const scenario of scenarios) {
+    scenario.routersRead(fleetOf(330));
+    scenario.advance(2100);
+    scenario.routersRead(fleetOf(330).slice(1));
+  }
+  const counts: number[] = [];
+  for (let second = 0; second < 8; second += 1)
+    counts.push(
+      scenarios.filter((scenario) => {
+        const before = scenario.commandsOfType("register").length;
+        scenario.advance(1000);
+        const hasWritten = scenario.commandsOfType("register").length > before;
+        if (hasWritten) scenario.routersRead(fleetOf(330));
+        return hasWritten;
+      }).length,
+    );
+  // Half of a store's 400 writes a second, at two a registration.
+  assert.ok(Math.max(...counts) <= 100, counts.join(" "));
+});
--- a/packages/relay/src/decisions/registration.ts
+++ b/packages/relay/src/decisions/registration.ts
@@ -10,6 +10,7 @@
   registrationRenewIntervalMs,
   registrationRetryMs,
   registrationJitterMs,
+  registrationsPerS,
   minAssumedRouterCount,
 } from "./constants.js";
 import type { Address } from "../types.js";
@@ -59,6 +60,14 @@
     (known) => known?.host === host && known.port === port,
   );
 
+/** Time over which the fleet writes entries that may be missing for all routers at once. */
+const registrationSpreadMs = ({ registration }: RelayState): number =>
+  Math.max(
+    registrationJitterMs,
+    registrationsPerS,
+    (1000 * registration.routers.size) / registrationsPerS,
+  );
+
 /** Applies the list of registered routers. */
 export const routersRead = (
   state: RelayState,
@@ -75,7 +84,7 @@
   registration.lease = own?.lease;
   // An entry left by an earlier process of this router may expire soon, so it is renewed early.
   if (isFirstRead || (hadEntry && !hasEntry))
-    registration.nextWriteAt = at + registrationJitterMs * random(state);
+    registration.nextWriteAt = at + registrationSpreadMs(state) * random(state);
   else if (!hadEntry && hasEntry)
     registration.nextWriteAt = at + registrationRenewIntervalMs;
   return [];
--- a/packages/relay/src/decisions/storeUpdates.test.ts
+++ b/packages/relay/src/decisions/storeUpdates.test.ts
@@ -8,7 +8,8 @@
   testReplica,
   testReplicas,
 } from "../testing/scenario.js";
-import { ReplicaState } from "../types.js";
+import { ReplicaState, type Replica } from "../types.js";
+import { outdatedReplicaMs } from "./constants.js";
 
 test("an older configuration does not replace a newer one", () => {
   const scenario = Scenario.create();
@@ -54,3 +55,96 @@
   scenario.dispatch({ type: "replicasRead", at: scenario.at, replicas: [] });
   assert.equal(scenario.state.replicas.size, 0);
 });
+
+const readReplicas = (
+  scenario: Scenario,
+  replicas: readonly Replica[],
+): void => {
+  scenario.dispatch({ type: "replicasRead", at: scenario.at, replicas });
+};
+
+const restoreStore = (scenario: Scenario): void => {
+  scenario.dispatch({
+    type: "storeRestored",
+    at: scenario.at,
+    fromEra: 1,
+    toEra: 2,
+    source: "store",
+    missingKeys: [],
+    changedKeys: [],
+  });
+};
+
+const sendsOf = (scenario: Scenario): number => {
+  scenario.request(`r-${String(scenario.at)}`, nonIdempotentPath);
+  return scenario.commandsOfType("send").length;
+};
+
+test("a replica that drains is used again when a restored store shows it ready", () => {
+  const only = testReplica("a-9", plainService, { reportNumber: 3 });
+  const scenario = Scenario.create([only]);
+  const draining = {
+    ...only,
+    state: ReplicaState.Draining,
+    reportNumber: 20,
+  };
+  readReplicas(scenario, [draining]);
+  restoreStore(scenario);
+  readReplicas(scenario, [only]);
+  scenario.advance(30_000);
+  assert.equal(sendsOf(scenario), 0);
+});
+
+test("a replica that left is used again when a restored store shows it", () => {
+  const only = testReplica("a-9", plainService, { reportNumber: 3 });
+  const scenario = Scenario.create([only]);
+  scenario.advance(5000);
+  readReplicas(scenario, []);
+  scenario.advance(3000);
+  restoreStore(scenario);
+  readReplicas(scenario, [only]);
+  scenario.advance(3000);
+  assert.equal(sendsOf(scenario), 0);
+  // It reports again, so it is there.
+  readReplicas(scenario, [{ ...only, reportNumber: 9 }]);
+  assert.equal(sendsOf(scenario), 1);
+});
+
+test("a replica whose removal was lost with the store is never used again", () => {
+  const only = testReplica("a-9", plainService, { reportNumber: 3 });
+  const scenario = Scenario.create([only]);
+  scenario.advance(5000);
+  readReplicas(scenario, []);
+  restoreStore(scenario);
+  readReplicas(scenario, [only]);
+  scenario.advance(outdatedReplicaMs);
+  assert.equal(sendsOf(scenario), 1);
+});
+
+test("an earlier process at an address in use again gets requests from a restored store", () => {
+  const old = testReplica("a-9", plainService, { startedAt: 1 });
+  const scenario = Scenario.create([old]);
+  scenario.advance(5000);
+  const next = { ...old, id: "b-9", startedAt: 50 };
+  readReplicas(scenario, [next]);
+  restoreStore(scenario);
+  readReplicas(scenario, [old]);
+  scenario.request("1", nonIdempotentPath);
+  const [sent] = scenario.commandsOfType("send");
+  assert.equal(sent?.attempt.replica.id, "b-9");
+});
+
+// The outage was too short for any call to fail.
+test("replicas that a restored store lacks are kept until they can register again", () => {
+  const scenario = Scenario.create();
+  scenario.dispatch({ type: "storeAnswered", at: scenario.at, detail: "" });
+  scenario.advance(5000);
+  const before = scenario.state.replicas.size;
+  restoreStore(scenario);
+  readReplicas(scenario, []);
+  scenario.advance(2000);
+  assert.equal(scenario.state.replicas.size, before);
+  readReplicas(scenario, testReplicas());
+  scenario.advance(2000);
+  assert.equal(scenario.state.replicas.size, before);
+});
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -4,6 +4,11 @@
 import { Severity } from "@cardamomglade/observe";
 import { ReplicaState, type Replica } from "../types.js";
 import { replicaReregistrationMs } from "./constants.js";
+import {
+  findOutdated,
+  isEarlierReport,
+  recordDeparture,
+} from "./departedReplicas.js";
 import { createReplicaView, markReplaced } from "./replicaViews.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
@@ -65,6 +70,7 @@
 const updateReplica = (state: RelayState, replica: Replica): RelayCommand[] => {
   const known = state.replicas.get(replica.id);
   state.missingReplicas.delete(replica.id);
+  if (known !== undefined && isEarlierReport(replica, known.replica)) return [];
   if (known === undefined || !isSameProcess(known.replica, replica)) {
     const view = createReplicaView(replica);
     state.replicas.set(replica.id, view);
@@ -83,6 +89,7 @@
 };
 
 const removeReplica = (state: RelayState, replica: Replica): RelayCommand => {
+  recordDeparture(state, replica);
   const view = state.replicas.get(replica.id);
   const isServing = view !== undefined && view.inFlight > 0;
   if (view !== undefined && isServing) view.drainingSince ??= state.at;
@@ -112,7 +119,10 @@
 ): RelayCommand[] => {
   state.hasReplicas = true;
   const registeredIds = new Set(replicas.map(({ id }) => id));
-  const commands = replicas.flatMap((replica) => updateReplica(state, replica));
+  const outdated = findOutdated(state, replicas);
+  const commands = replicas.flatMap((replica) =>
+    outdated.has(replica.id) ? [] : updateReplica(state, replica),
+  );
   const until = missingReplicaDeadline(state);
   for (const { replica, drainingSince } of [...state.replicas.values()]) {
     if (registeredIds.has(replica.id) || state.missingReplicas.has(replica.id))
@@ -140,6 +150,45 @@
   return commands;
 };
 
+/** Uses replicas that left, as far as a restored store still shows them: they are back. */
+export const readmitReplicas = (state: RelayState): RelayCommand[] =>
+  [...state.outdatedReplicas].flatMap(([id, { replica, until }]) => {
+    if (until > state.at) return [];
+    state.outdatedReplicas.delete(id);
+    return updateReplica(state, replica);
+  });
+
+const keysPerLogLine = 8;
+
+/** Handles a return of the store from a copy: what it lost may be written again soon. */
+export const storeRestored = (
+  state: RelayState,
+  event: RelayEventOf<"storeRestored">,
+): RelayCommand[] => {
+  const { at, fromEra, toEra, source, missingKeys, changedKeys } = event;
+  state.restorations.count += 1;
+  state.restorations.latestAt = at;
+  state.restorations.era = toEra;
+  if (state.store.type === "available")
+    state.store = { type: "available", since: at };
+  return [
+    logLine(
+      "store came back from a copy",
+      {
+        fromEra,
+        toEra,
+        learnedFrom: source,
+        missing: missingKeys.length,
+        changed: changedKeys.length,
+        missingKeys: missingKeys.slice(0, keysPerLogLine),
+        changedKeys: changedKeys.slice(0, keysPerLogLine),
+        configVersion: state.config?.version,
+      },
+      Severity.Warn,
+    ),
+  ];
+};
+
 /** Handles an answer from the store. */
 export const storeAnswered = (
   state: RelayState,
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -31,7 +31,7 @@
   sendWithoutCopy,
 } from "./sendAttempt.js";
 import { recoverExchange } from "./recoverExchange.js";
-import { removeMissingReplicas } from "./storeUpdates.js";
+import { readmitReplicas, removeMissingReplicas } from "./storeUpdates.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -157,6 +157,7 @@
   state.lastTickAt = at;
   commands.push(
     ...removeMissingReplicas(state),
+    ...readmitReplicas(state),
     ...maintainRegistration(state),
     ...shareOutcomes(state),
     ...searchCulprits(state),
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -226,6 +226,27 @@
     }
   | { readonly type: "unavailable"; readonly since: Timestamp };
 
+/** Returns of the store from a copy. */
+export interface Restorations {
+  count: number;
+  latestAt: Timestamp;
+  /** Era of the store since then; undefined before the first. */
+  era: number | undefined;
+}
+
+/** The last report of a replica's process that left. */
+export interface DepartedReplica {
+  readonly leftAt: Timestamp;
+  readonly reportNumber: number;
+}
+
+/** A replica that left, as a restored store shows it. */
+export interface OutdatedReplica {
+  readonly replica: Replica;
+  /** An entry that is there then is current: the replicas have written theirs again. */
+  readonly until: Timestamp;
+}
+
 /** A router's registration in the store. */
 export interface RouterEntry {
   readonly router: string;
@@ -275,6 +296,10 @@
    * until which each is kept.
    */
   readonly missingReplicas: Map<string, Timestamp>;
+  /** By id and start time of the process. */
+  readonly departedReplicas: Map<string, DepartedReplica>;
+  /** By id. */
+  readonly outdatedReplicas: Map<string, OutdatedReplica>;
   readonly exchanges: Map<string, Exchange>;
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly registration: Registration;
@@ -283,6 +308,7 @@
   readonly limitCounts: LimitCounts;
   runtimeLimits: RuntimeLimits;
   store: StoreState;
+  readonly restorations: Restorations;
   isDraining: boolean;
 }
 
--- a/packages/relay/src/drivers/httpCall.ts
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -1,6 +1,6 @@
 /** Sends one HTTP request with a deadline and buffers the response. */
 
-import { request, type Agent } from "node:http";
+import { request, type Agent, type IncomingHttpHeaders } from "node:http";
 import { now, type Timestamp } from "@cardamomglade/common";
 
 /** Parameters of an HTTP call. */
@@ -22,6 +22,7 @@
   | {
       readonly type: "answered";
       readonly status: number;
+      readonly headers: IncomingHttpHeaders;
       readonly text: string;
     }
   | {
@@ -87,7 +88,8 @@
       });
       res.on("end", () => {
         const text = Buffer.concat(chunks).toString("utf8");
-        finish({ type: "answered", status: res.statusCode ?? 0, text });
+        const { headers, statusCode: status = 0 } = res;
+        finish({ type: "answered", status, headers, text });
       });
     });
     req.end(body);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -7,7 +7,12 @@
 export { createRelay, type Relay, type RelayOptions } from "./createRelay.js";
 export type { DecisionContext, RelayCommand } from "./decisions/commands.js";
 export type { RelayEvent } from "./decisions/events.js";
-export type { StoredQuarantine } from "./decisions/quarantine/types.js";
+export { releaseEntryTtlMs } from "./decisions/quarantine/constants.js";
+export type {
+  HeldQuarantine,
+  ReleasedQuarantine,
+  StoredQuarantine,
+} from "./decisions/quarantine/types.js";
 export type { RuntimeLimits } from "./decisions/types.js";
 export { httpCall, type HttpResult } from "./drivers/httpCall.js";
 export * from "./types.js";
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -48,7 +48,8 @@
   /** Routers whose links to the others are cut; they reach each other. */
   readonly cutRouters = new Set<string>();
   /** Quarantines in the store. */
-  readonly stored = new Map<string, StoredQuarantine>();
+  stored = new Map<string, StoredQuarantine>();
+  private era = 1;
   private readonly clock = VirtualClock.create(startAt);
   private nextKey = 0;
 
@@ -226,9 +227,6 @@
           this.readQuarantines();
         });
         return;
-      case "removeQuarantine":
-        if (!this.isStoreDown) this.stored.delete(command.key);
-        return;
       case "log":
         this.logged.push(command);
         return;
@@ -265,8 +263,34 @@
   /** Tells all routers the store's quarantines. */
   readQuarantines(): void {
     if (this.isStoreDown) return;
+    const { at, era } = this;
     const entries = [...this.stored.values()];
     for (const router of this.states.keys())
-      this.dispatch(router, { type: "quarantinesRead", at: this.at, entries });
+      this.dispatch(router, { type: "quarantinesRead", at, era, entries });
+  }
+
+  /** Blocks that the store shows as quarantined. */
+  storedBlocks(): string[] {
+    return [...this.stored.values()].flatMap(({ type, blockIds }) =>
+      type === "held" ? blockIds : [],
+    );
+  }
+
+  /** The store comes back with the quarantines of a copy. */
+  restoreStore(copy: ReadonlyMap<string, StoredQuarantine>): void {
+    const { at, era } = this;
+    this.stored = new Map(copy);
+    this.era += 1;
+    for (const router of this.states.keys())
+      this.dispatch(router, {
+        type: "storeRestored",
+        at,
+        fromEra: era,
+        toEra: this.era,
+        source: "store",
+        missingKeys: [],
+        changedKeys: [],
+      });
+    this.readQuarantines();
   }
 }
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -86,6 +86,7 @@
   slots: 6,
   state: ReplicaState.Ready,
   startedAt: 1,
+  reportNumber: 1,
   ...changes,
 });
 
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -102,6 +102,8 @@
   readonly state: ReplicaState;
   /** Start time of the replica's process, by its own clock. */
   readonly startedAt: Timestamp;
+  /** Number of this report of the process about itself; 0 if it has none. */
+  readonly reportNumber: number;
 }
 
 /**
--- a/packages/router/src/drivers/configDriver.ts
+++ b/packages/router/src/drivers/configDriver.ts
@@ -6,6 +6,7 @@
 import type {
   KeyValue,
   KeyValueEntry,
+  StorePosition,
   WatchHandle,
 } from "@cardamomglade/platform";
 import { configKey } from "../configuration/configStore.js";
@@ -74,21 +75,17 @@
     handle = undefined;
   };
 
-  const watch = (fromRevision: number) => {
-    const opened = keyValue.watch(
-      key,
-      { prefix: false, fromRevision },
-      (event) => {
-        if (handle !== opened) return;
-        if (event.type !== "changes") {
-          handle = undefined;
-          scheduleRetry();
-          return;
-        }
-        for (const change of event.changes)
-          if (change.type === "put") reportEntry(change.entry);
-      },
-    );
+  const watch = (after: StorePosition) => {
+    const opened = keyValue.watch(key, { prefix: false, after }, (event) => {
+      if (handle !== opened) return;
+      if (event.type !== "changes") {
+        handle = undefined;
+        scheduleRetry();
+        return;
+      }
+      for (const change of event.changes)
+        if (change.type === "put") reportEntry(change.entry);
+    });
     handle = opened;
   };
 
@@ -111,11 +108,11 @@
       return;
     }
     failures = 0;
-    const { entries, revision } = outcome.value;
+    const { entries } = outcome.value;
     for (const entry of entries) reportEntry(entry);
     // A list newer than the watch's last event means that the watch missed a change, so it is reopened.
     if (!isWatching || seenRevision > before) closeWatch();
-    if (isWatching && handle === undefined) watch(revision + 1);
+    if (isWatching && handle === undefined) watch(outcome.value);
     scheduleList(
       now() +
         (isWatching ? watcherRelistIntervalMs : nonWatcherRelistIntervalMs),
