--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -13,7 +13,7 @@
 
 const arrivalSlackMs = 150; // network delay of a request that was sent in time
 const notRunStatuses = new Set([408, 421, 429, 503]);
-const storeFaultTypes = new Set(["storeBusy", "storeSilent"]);
+const storeFaultTypes = new Set(["storeBusy", "storeSilent", "storeRestore"]);
 const routerFaultTypes = new Set(["routerKill", "routerPause", "storeCut"]);
 const plannedFaultTypes = new Set([
   "routerStop",
--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -29,6 +29,19 @@
   store.behaviour = "answers";
 };
 
+/** The store comes back from a copy as old as the fault is long, and its writers write again. */
+const restoreStore = async (
+  fleet: SoakFleet,
+  durationMs: number,
+): Promise<void> => {
+  const copy = fleet.store.copy();
+  await sleep(durationMs);
+  await injectStoreFault(fleet, "resets", durationMs / 4);
+  fleet.store.restore(copy);
+  await sleep(durationMs / 4);
+  fleet.writeAgain();
+};
+
 const restart = async (
   fleet: SoakFleet,
   index: number,
@@ -99,6 +112,8 @@
     case "storeCompact":
       fleet.store.compact();
       return;
+    case "storeRestore":
+      return restoreStore(fleet, durationMs);
     case "configChange":
       fleet.changeConfig();
       return;
--- a/bench/src/soak/planSoak.ts
+++ b/bench/src/soak/planSoak.ts
@@ -34,6 +34,7 @@
 const minDurationMs = 300;
 const maxDurationMs = 2500;
 const faultsPerRound = 5;
+const roundsPerRestore = 2;
 
 /** Number of desk replicas; their indices follow those of the engines. */
 export const deskReplicaCount = 6;
@@ -54,6 +55,7 @@
     case "storeBusy":
     case "storeSilent":
     case "storeCompact":
+    case "storeRestore":
     case "configChange":
       return { type };
     default:
@@ -80,6 +82,14 @@
         action: chooseTarget(type, random, routers, engines + deskReplicaCount),
       });
     }
+  // Drawn last, so that the other faults of a seed stay as they were.
+  for (let round = 0; round < rounds; round += roundsPerRestore)
+    faults.push({
+      startMs: firstRoundMs + round * roundMs + random.nextInteger(roundMs),
+      durationMs:
+        minDurationMs + random.nextInteger(maxDurationMs - minDurationMs),
+      action: { type: "storeRestore" },
+    });
   faults.sort((a, b) => a.startMs - b.startMs);
   return {
     routers,
--- a/bench/src/soak/soak.test.ts
+++ b/bench/src/soak/soak.test.ts
@@ -11,7 +11,11 @@
     const plan = planSoak(seed, roundCount);
     assert.deepEqual(plan, planSoak(seed, roundCount));
     assert.equal(plan.routers, seed % 10 === 0 ? 24 : 4);
-    assert.equal(plan.faults.length, 5 * roundCount);
+    const restores = plan.faults.filter(
+      ({ action }) => action.type === "storeRestore",
+    );
+    assert.equal(restores.length, roundCount / 2);
+    assert.equal(plan.faults.length, 5 * roundCount + restores.length);
   }
 });
 
--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -59,9 +59,12 @@
   readonly versions: AcceptedVersion[] = [];
   readonly leaving: LeavingReplica[] = [];
   readonly ownEnds: UnexpectedExit[] = [];
+  /** What the operator and the replicas have in the store. */
+  private readonly written = new Map<string, unknown>();
   private readonly endpoints: ReplicaEndpoint[] = [];
   private readonly storeLinks: FaultProxy[] = [];
   private lastReplicaNumber = 0;
+  private reportCount = 0;
 
   private constructor(
     readonly store: StandInStore,
@@ -111,7 +114,7 @@
   changeConfig(): void {
     const version = (this.versions.at(-1)?.version ?? 0) + 1;
     const service = deskServices[version % deskServices.length] ?? "";
-    this.store.put("op/config", {
+    this.write("op/config", {
       version,
       routes: [
         route("/stream/", "streaming", engineService),
@@ -129,6 +132,24 @@
     this.versions.push({ version, service, at: Date.now() });
   }
 
+  /** Writes again what the operator and the replicas wrote, after the store lost some of it. */
+  writeAgain(): void {
+    for (const [key, document] of this.written) this.store.put(key, document);
+    for (const key of this.store.keys())
+      if (key.startsWith("servers/") && !this.written.has(key))
+        this.store.remove(key);
+  }
+
+  private write(key: string, document: unknown): void {
+    this.written.set(key, document);
+    this.store.put(key, document);
+  }
+
+  private remove(key: string): void {
+    this.written.delete(key);
+    this.store.remove(key);
+  }
+
   /** Crashes a replica; a new replica takes over its address. */
   async crash(endpoint: ReplicaEndpoint): Promise<void> {
     if (endpoint.isBeingReplaced) return;
@@ -138,7 +159,7 @@
     await sleep(replacementDelayMs);
     await this.replace(endpoint);
     await sleep(Math.max(0, entryExpiryMs - replacementDelayMs));
-    this.store.remove(`servers/${replica.id}`);
+    this.remove(`servers/${replica.id}`);
     endpoint.isBeingReplaced = false;
   }
 
@@ -150,7 +171,7 @@
     this.register(endpoint, "draining");
     this.leaving.push({ replica: replica.id, at: Date.now() });
     await sleep(drainMs);
-    this.store.remove(`servers/${replica.id}`);
+    this.remove(`servers/${replica.id}`);
     replica.crash();
     await this.replace(endpoint);
     endpoint.isBeingReplaced = false;
@@ -223,7 +244,8 @@
     { proxy, replica, service, zone }: ReplicaEndpoint,
     state: string,
   ) {
-    this.store.put(`servers/${replica.id}`, {
+    this.reportCount += 1;
+    this.write(`servers/${replica.id}`, {
       service,
       address: `127.0.0.1:${String(proxy.port)}`,
       zone,
@@ -231,6 +253,7 @@
       slot_count: 48,
       state,
       born: replica.startedAt,
+      sequence: this.reportCount,
     });
   }
 }
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -27,7 +27,10 @@
       readonly type: "linkSlow" | "linkReset" | "linkSilent" | "linkOneWay";
       readonly replica: number;
     }
-  | { readonly type: "storeBusy" | "storeSilent" | "storeCompact" }
+  | {
+      readonly type:
+        "storeBusy" | "storeSilent" | "storeCompact" | "storeRestore";
+    }
   | { readonly type: "configChange" };
 
 /** One planned fault; `startMs` counts from the start of the fault schedule. */
