Take the store for back at a router that follows another one

A router with a failed call of its own (its watch was reset as the store went away) took the store for away for good once it followed another router: it calls the store only to renew its entry. The followed router tells with each message when the store last confirmed its entries; a time after the failure is an answer. Older answers end no outage.

--- a/packages/platform/src/sharedWatch/sharedWatch.test.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.test.ts
@@ -137,6 +137,8 @@
   entries: ReadonlyMap<string, string>;
   /** Outcomes heard from others, by replica. */
   readonly heard: Map<string, [number, number]>;
+  /** When the store last confirmed the entries, as the followed router told. */
+  confirmedAt: number;
   /** Whether handling the next change throws. */
   failNext: boolean;
   stop(): void;
@@ -156,6 +158,9 @@
     address,
     limits: () => limits,
     onSource: () => undefined,
+    onConfirmed: (_source, at) => {
+      started.confirmedAt = at;
+    },
     onOutcomes: (outcomes) => {
       for (const { replica, succeeded, failed } of outcomes) {
         const [good, bad] = started.heard.get(replica) ?? [0, 0];
@@ -186,6 +191,7 @@
     shared,
     entries: new Map(),
     heard: new Map(),
+    confirmedAt: -Infinity,
     failNext: false,
     stop: () => {
       handle.close();
@@ -374,3 +380,19 @@
   cut.access.isCut = false;
   await waitUntil(() => agree(store, routers));
 });
+
+// Seen in a drill: a router that follows another one took the store for away until
+// it called the store itself, and kept replicas that had left.
+test("a follower knows when the store answers its router again", async (t) => {
+  const { routers } = await startFleet(5);
+  t.after(() => {
+    for (const router of routers) router.stop();
+  });
+  await waitUntil(() => followerCountOf(routers) === 4);
+  const cutAt = now();
+  const followers = routers.filter((one) => one !== watcherOf(routers));
+  for (const { access } of followers) access.isCut = true;
+  await waitUntil(() =>
+    followers.every(({ confirmedAt }) => confirmedAt > cutAt),
+  );
+});
--- a/packages/platform/src/sharedWatch/sharedWatch.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -49,6 +49,8 @@
   readonly limits: () => SharedWatchLimits | undefined;
   /** Called when the source of the watch changes, with the reason. */
   readonly onSource: (source: WatchSource, reason: string) => void;
+  /** Called when the followed router tells when the store last confirmed its entries. */
+  readonly onConfirmed: (router: string, confirmedAt: Timestamp) => void;
   /** Called with outcomes of other routers' requests. */
   readonly onOutcomes: (outcomes: readonly SharedOutcomes[]) => void;
   readonly onError: (reason: string) => void;
@@ -332,7 +334,10 @@
     }
     const { era, revision, ageMs } = message;
     const event = { type: "changes" as const, era, revision, changes };
-    this.apply(watch, event, receivedAt - ageMs);
+    const confirmedAt = receivedAt - ageMs;
+    if (watch.source.type === "router")
+      this.options.onConfirmed(watch.source.router, confirmedAt);
+    this.apply(watch, event, confirmedAt);
   }
 
   private async readLongValues(
--- a/packages/relay/src/decisions/storeUpdates.test.ts
+++ b/packages/relay/src/decisions/storeUpdates.test.ts
@@ -148,3 +148,18 @@
   scenario.advance(2000);
   assert.equal(scenario.state.replicas.size, before);
 });
+
+test("an answer of before an outage ends it, or a later one at another router does not", () => {
+  const scenario = Scenario.create();
+  scenario.advance(5000);
+  const before = scenario.at - 100;
+  scenario.dispatch({ type: "storeFailed", at: scenario.at, detail: "" });
+  scenario.dispatch({ type: "storeAnswered", at: before, detail: "router r2" });
+  assert.equal(scenario.state.store.type, "unavailable");
+  scenario.advance(2000);
+  const at = scenario.at - 100;
+  scenario.dispatch({ type: "storeAnswered", at, detail: "router r2" });
+  scenario.advance(3000);
+  readReplicas(scenario, []);
+  assert.equal(scenario.state.replicas.size, 0);
+});
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -189,13 +189,14 @@
   ];
 };
 
-/** Handles an answer from the store. */
+/** Handles an answer from the store, to this router or to the one that it follows. */
 export const storeAnswered = (
   state: RelayState,
-  { at, detail }: RelayEventOf<"storeAnswered">,
+  { at: answeredAt, detail }: RelayEventOf<"storeAnswered">,
 ): RelayCommand[] => {
-  const { store } = state;
+  const { store, at } = state;
   if (store.type === "available") return [];
+  if (store.type === "unavailable" && answeredAt < store.since) return [];
   const since = store.type === "unavailable" ? at : -Infinity;
   state.store = { type: "available", since };
   for (const id of state.missingReplicas.keys())
