--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -207,11 +207,13 @@
   ): string | undefined {
     if (head.status < minFinalStatus || head.status > maxStatus)
       return "the answer has no valid status";
-    if (head.isNotExecuted) return undefined;
     const { requestId } = this.command.request;
     const echoedRequestId = res.headers[this.protocol.headers.requestId];
-    if (requestId !== "" && echoedRequestId !== requestId)
+    // A refusal may name no request, but one of another request says nothing of this one.
+    const isNameRequired = echoedRequestId !== undefined || !head.isNotExecuted;
+    if (requestId !== "" && isNameRequired && echoedRequestId !== requestId)
       return "the answer names another request";
+    if (head.isNotExecuted) return undefined;
     if (res.headers["content-encoding"] !== undefined)
       return "the answer is encoded";
     const isSuccess = head.status >= 200 && head.status < 300;
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -28,10 +28,11 @@
   return port;
 };
 
-/** Starts a relay and its replica on free ports of the loopback address. */
+/** Starts a relay and its replica, which may have several ids, on free ports of the loopback address. */
 export const startTestRelay = async (
   answer: RawResponder,
   service = plainService,
+  ids: readonly string[] = ["a-9"],
 ): Promise<TestRelay> => {
   const replica = await startRawReplica(answer);
   const ports = [await freePort(), await freePort(), await freePort()];
@@ -60,9 +61,10 @@
     gauges: () => ({}),
   });
   await sleep(20);
-  const here = testReplica("a-9", service, { host, port: replica.port });
+  const here = { host, port: replica.port };
+  const replicas = ids.map((id) => testReplica(id, service, here));
   events.push({ type: "configRead", at: now(), config: testConfig() });
-  events.push({ type: "replicasRead", at: now(), replicas: [here] });
+  events.push({ type: "replicasRead", at: now(), replicas });
   return {
     replica,
     relay,
