--- a/packages/upstream/src/engineClient.ts
+++ b/packages/upstream/src/engineClient.ts
@@ -14,16 +14,20 @@
 
 /** Calls engines over HTTP; one instance per process. */
 export class EngineClient implements Engines {
+  /** Keeps connections, for reports. */
   private readonly agent: Agent;
+  /** Keeps none: a late copy of a refusal would be taken for the next stream's. */
+  private readonly streamAgent: Agent;
 
   private constructor(connect: buildConnector.connector) {
-    this.agent = new Agent({
+    const options = {
       connections: null,
-      pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       connect,
-    });
+    };
+    this.agent = new Agent({ ...options, pipelining: 1 });
+    this.streamAgent = new Agent({ ...options, pipelining: 0 });
   }
 
   /** Creates a client, which connects on first use. */
@@ -37,7 +41,7 @@
     onEvent: (event: EngineStreamEvent) => void,
   ): EngineStream {
     const start = { type: "generate" as const, params };
-    return OpenStream.create({ agent: this.agent, url, start, onEvent });
+    return OpenStream.create({ agent: this.streamAgent, url, start, onEvent });
   }
 
   attach(
@@ -46,7 +50,7 @@
     onEvent: (event: EngineStreamEvent) => void,
   ): EngineStream {
     const start = { type: "attach" as const, params };
-    return OpenStream.create({ agent: this.agent, url, start, onEvent });
+    return OpenStream.create({ agent: this.streamAgent, url, start, onEvent });
   }
 
   async readLoad(
@@ -79,6 +83,6 @@
   }
 
   async close(): Promise<void> {
-    await this.agent.destroy();
+    await Promise.all([this.agent.destroy(), this.streamAgent.destroy()]);
   }
 }
--- a/packages/upstream/src/serviceClient.ts
+++ b/packages/upstream/src/serviceClient.ts
@@ -30,7 +30,8 @@
   private constructor(connect: buildConnector.connector) {
     this.agent = new Agent({
       connections: 32,
-      pipelining: 1,
+      // No connection is kept: a late copy of an answer would be taken for the next call's.
+      pipelining: 0,
       headersTimeout: 0,
       bodyTimeout: 0,
       connect,
