--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -7,6 +7,7 @@
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
 import { sendFirst } from "./sendAttempt.js";
+import { restorationContext } from "./storeUpdates.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { Exchange, RelayState } from "./types.js";
@@ -91,6 +92,7 @@
       path: request.target,
       configVersion: config?.version,
       configAgeMs: config && Math.round(state.at - state.configAppliedAt),
+      ...restorationContext(state),
     },
   });
   if (routes === undefined || !state.hasReplicas) {
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -12,7 +12,7 @@
 import { createReplicaView, markReplaced } from "./replicaViews.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
-import type { RelayCommand } from "./commands.js";
+import type { DecisionContext, RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { RelayState } from "./types.js";
 
@@ -158,6 +158,18 @@
     return updateReplica(state, replica);
   });
 
+/** The latest return of the store from a copy, for log lines about older configurations; empty if there was none. */
+export const restorationContext = ({
+  restorations,
+  at,
+}: RelayState): DecisionContext =>
+  restorations.era === undefined
+    ? {}
+    : {
+        storeEra: restorations.era,
+        storeRestoredMsAgo: Math.round(at - restorations.latestAt),
+      };
+
 const keysPerLogLine = 8;
 
 /** Handles a return of the store from a copy: what it lost may be written again soon. */
