Send no new work to a replica that says in an answer that it leaves

The header was not read: until the store showed it, a replica that leaves got new requests, for as long as the store is away. Every answer counts now (streams' heads, plain ones, refusals, reports, copies, lists); the process gets no new request, repeat, resume or copy, what runs goes on, and other routers learn it by gossip.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -20,6 +20,7 @@
 } from "./decisions/decideRelay.js";
 import type { DecisionContext, RelayCommand } from "./decisions/commands.js";
 import type { RelayEvent } from "./decisions/events.js";
+import { leavingReplicaCount } from "./decisions/leavingReplicas.js";
 import { limitedReplicaCount } from "./decisions/requestLimits.js";
 import type { RuntimeLimits } from "./decisions/types.js";
 import { createFrontDriver } from "./drivers/frontDriver.js";
@@ -104,6 +105,7 @@
     const text = metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
+      replicas_that_leave: leavingReplicaCount(state),
       configuration_version: config?.version ?? 0,
       replicas_with_request_limit: limitedReplicaCount(state),
       request_limit_waits_total: limitCounts.waited,
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -13,6 +13,7 @@
 import { quarantinesRead } from "./quarantine/quarantinesRead.js";
 import { createQuarantineState } from "./quarantine/quarantineState.js";
 import { retryRequested, retryLent } from "./lendRetry.js";
+import { leavingAnnounced } from "./leavingReplicas.js";
 import { outcomesShared } from "./outcomes.js";
 import { promptBlocksListed, probeFinished } from "./probes.js";
 import { createRegistration, routersRead } from "./registration.js";
@@ -62,6 +63,7 @@
   missingReplicas: new Map(),
   departedReplicas: new Map(),
   outdatedReplicas: new Map(),
+  leavingProcesses: new Map(),
   exchanges: new Map(),
   retryBudgets: new Map(),
   registration: createRegistration(),
@@ -112,6 +114,8 @@
       return streamEnded(state, event);
     case "attemptFailed":
       return attemptFailed(state, event);
+    case "leavingAnnounced":
+      return leavingAnnounced(state, event);
     case "probeFinished":
       return probeFinished(state, event);
     case "kvCacheCopied":
--- a/packages/relay/src/decisions/departedReplicas.ts
+++ b/packages/relay/src/decisions/departedReplicas.ts
@@ -11,11 +11,9 @@
   maxDepartedReplicaCount,
   outdatedReplicaMs,
 } from "./constants.js";
+import { processKeyOf } from "./replicaViews.js";
 import type { RelayState } from "./types.js";
 
-const processKeyOf = ({ id, startedAt }: Replica): string =>
-  `${id}/${String(startedAt)}`;
-
 /** Whether a report is older than another one of the same replica; without start times nothing is known. */
 export const isEarlierReport = (a: Replica, b: Replica): boolean => {
   if (a.startedAt <= 0 || b.startedAt <= 0) return false;
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -110,6 +110,12 @@
       readonly failure: AttemptFailure;
       readonly detail: string;
     }
+  /** An answer of the replica said that it leaves. */
+  | {
+      readonly type: "leavingAnnounced";
+      readonly at: Timestamp;
+      readonly replica: Replica;
+    }
   | {
       readonly type: "probeFinished";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/gossip/gossipReceived.ts
+++ b/packages/relay/src/decisions/gossip/gossipReceived.ts
@@ -12,6 +12,7 @@
   recordSucceededAt,
 } from "../quarantine/quarantines.js";
 import { trackedBlocks } from "../quarantine/quarantineState.js";
+import { learnLeaving, leavingItems } from "../leavingReplicas.js";
 import { learnRequestLimit, limitItems } from "../requestLimits.js";
 import { isKnownRouter } from "../registration.js";
 import type { RelayState } from "../types.js";
@@ -43,6 +44,8 @@
       return learnQuarantine(state, item);
     case "requestLimit":
       return learnRequestLimit(state, item);
+    case "replicaLeaving":
+      return learnLeaving(state, item);
     default:
       return assertNever(item);
   }
@@ -68,6 +71,7 @@
 export const currentItems = (state: RelayState): CurrentItems => ({
   conclusions: quarantineItems(state),
   evidence: [
+    ...leavingItems(state),
     ...limitItems(state),
     ...succeededItems(state),
     ...crashItems(state),
--- a/packages/relay/src/decisions/gossip/types.ts
+++ b/packages/relay/src/decisions/gossip/types.ts
@@ -45,9 +45,24 @@
   readonly source: string;
 }
 
+/** What a replica's answer says about its end. */
+export interface ReplicaLeavingItem {
+  readonly type: "replicaLeaving";
+  readonly replica: string;
+  /** Start time of the replica's process, by its own clock. */
+  readonly startedAt: Timestamp;
+  readonly at: Timestamp;
+  /** Router that got the answer. */
+  readonly source: string;
+}
+
 /** One item of gossip; the same item may arrive any number of times. */
 export type GossipItem =
-  EngineCrashItem | SucceededBlocksItem | QuarantineItem | RequestLimitItem;
+  | EngineCrashItem
+  | SucceededBlocksItem
+  | QuarantineItem
+  | RequestLimitItem
+  | ReplicaLeavingItem;
 
 /** All items that a router could tell others. */
 export interface CurrentItems {
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -33,10 +33,17 @@
   promptBlocksRequestedAt: 0,
   lastLossAt: 0,
   drainingSince: undefined,
+  hasAnnouncedLeaving: false,
   replacedAt: undefined,
   requestLimit: undefined,
 });
 
+/** Identifies one process of a replica. */
+export const processKeyOf = ({
+  id,
+  startedAt,
+}: Pick<Replica, "id" | "startedAt">): string => `${id}/${String(startedAt)}`;
+
 /** Views of a service's replicas. */
 export const replicasOf = (state: RelayState, service: string): ReplicaView[] =>
   [...state.replicas.values()].filter(
@@ -47,6 +54,7 @@
 export const isAvailable = (view: ReplicaView): boolean =>
   view.replica.state === ReplicaState.Ready &&
   view.drainingSince === undefined &&
+  !view.hasAnnouncedLeaving &&
   view.replacedAt === undefined;
 
 /** Whether a replica is avoided because of a recent loss. */
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -9,7 +9,11 @@
   isEarlierReport,
   recordDeparture,
 } from "./departedReplicas.js";
-import { createReplicaView, markReplaced } from "./replicaViews.js";
+import {
+  createReplicaView,
+  markReplaced,
+  processKeyOf,
+} from "./replicaViews.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
@@ -73,6 +77,9 @@
   if (known !== undefined && isEarlierReport(replica, known.replica)) return [];
   if (known === undefined || !isSameProcess(known.replica, replica)) {
     const view = createReplicaView(replica);
+    view.hasAnnouncedLeaving = state.leavingProcesses.has(
+      processKeyOf(replica),
+    );
     state.replicas.set(replica.id, view);
     markPredecessorsReplaced(state, replica);
     if (replica.state === ReplicaState.Draining) view.drainingSince = state.at;
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -56,6 +56,8 @@
   lastLossAt: Timestamp;
   /** Time at which draining or removal was first seen; undefined while the replica stays. */
   drainingSince: Timestamp | undefined;
+  /** Whether an answer of the process said that it leaves; no store entry of the process takes that back. */
+  hasAnnouncedLeaving: boolean;
   /** Time at which another process was found at the replica's address. */
   replacedAt: Timestamp | undefined;
   /** What its answers say about its limit of requests; undefined before the first limit. */
@@ -234,6 +236,16 @@
   era: number | undefined;
 }
 
+/** A replica's process whose answer said that it leaves. */
+export interface LeavingProcess {
+  readonly replica: string;
+  readonly startedAt: Timestamp;
+  /** Time of the first such answer, at whichever router. */
+  readonly announcedAt: Timestamp;
+  /** Router that got the answer. */
+  readonly source: string;
+}
+
 /** The last report of a replica's process that left. */
 export interface DepartedReplica {
   readonly leftAt: Timestamp;
@@ -298,6 +310,8 @@
   readonly missingReplicas: Map<string, Timestamp>;
   /** By id and start time of the process. */
   readonly departedReplicas: Map<string, DepartedReplica>;
+  /** Replicas' processes that announced in an answer that they leave. */
+  readonly leavingProcesses: Map<string, LeavingProcess>;
   /** By id. */
   readonly outdatedReplicas: Map<string, OutdatedReplica>;
   readonly exchanges: Map<string, Exchange>;
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -7,6 +7,9 @@
 import type { EngineReport, Replica, ReplicaProtocol } from "../types.js";
 import { httpCall, type HttpCall, type HttpResult } from "./httpCall.js";
 
+/** Called with a replica whose answer says that it leaves. */
+export type OnLeaving = (replica: Replica) => void;
+
 /** Result of a probe. */
 export interface ProbeResult {
   readonly isAnswered: boolean;
@@ -18,28 +21,39 @@
 
 const copyTimeoutMs = 1500; // copying a whole prompt takes some ten milliseconds, or some hundred when queued behind other copies
 
+const callReplica = async (
+  { headers }: ReplicaProtocol,
+  replica: Replica,
+  options: Omit<HttpCall, "host" | "port">,
+  onLeaving: OnLeaving,
+): Promise<HttpResult> => {
+  const { host, port } = replica;
+  const outcome = await httpCall({ host, port, ...options });
+  const isLeaving =
+    outcome.type === "answered" &&
+    outcome.headers[headers.leaving] !== undefined;
+  if (isLeaving) onLeaving(replica);
+  return outcome;
+};
+
 /** Returns the response, or undefined if none arrived in time. */
 const call = async (
-  { host, port }: Replica,
-  options: Omit<HttpCall, "host" | "port">,
+  ...args: Parameters<typeof callReplica>
 ): Promise<Extract<HttpResult, { type: "answered" }> | undefined> => {
-  const outcome = await httpCall({ host, port, ...options });
+  const outcome = await callReplica(...args);
   return outcome.type === "answered" ? outcome : undefined;
 };
 
 /** Requests an engine's load report on a new connection. */
 export const probeEngine = async (
-  { reportPath, decodeReport }: ReplicaProtocol,
+  protocol: ReplicaProtocol,
   replica: Replica,
+  onLeaving: OnLeaving,
 ): Promise<ProbeResult> => {
-  const { host, port } = replica;
-  const result = await httpCall({
-    host,
-    port,
-    method: "GET",
-    path: reportPath,
-    deadline: now() + probeTimeoutMs,
-  });
+  const { reportPath: path, decodeReport } = protocol;
+  const deadline = now() + probeTimeoutMs;
+  const options = { method: "GET" as const, path, deadline };
+  const result = await callReplica(protocol, replica, options, onLeaving);
   if (result.type === "failed") {
     const { isRefused } = result;
     return { isAnswered: false, isRefused, report: undefined };
@@ -50,14 +64,14 @@
 
 /** Requests the prompt blocks that an engine holds; undefined if it did not answer. */
 export const listPromptBlocks = async (
-  { promptBlocksPath, decodePromptBlocks }: ReplicaProtocol,
+  protocol: ReplicaProtocol,
   replica: Replica,
+  onLeaving: OnLeaving,
 ): Promise<ReadonlyMap<string, number> | undefined> => {
-  const answer = await call(replica, {
-    method: "GET",
-    path: promptBlocksPath,
-    deadline: now() + probeTimeoutMs,
-  });
+  const { promptBlocksPath: path, decodePromptBlocks } = protocol;
+  const deadline = now() + probeTimeoutMs;
+  const options = { method: "GET" as const, path, deadline };
+  const answer = await call(protocol, replica, options, onLeaving);
   return answer?.status === 200 ? decodePromptBlocks(answer.text) : undefined;
 };
 
@@ -66,26 +80,31 @@
  * copy's handle, or undefined on failure.
  */
 export const requestKvCacheCopy = async (
-  { kvCopyPath, encodeCopyRequest, decodeCopyHandle }: ReplicaProtocol,
+  protocol: ReplicaProtocol,
   command: Extract<RelayCommand, { type: "copyKvCache" }>,
+  onLeaving: OnLeaving,
 ): Promise<string | undefined> => {
-  const answer = await call(command.source, {
-    method: "POST",
+  const { kvCopyPath, encodeCopyRequest, decodeCopyHandle } = protocol;
+  const options = {
+    method: "POST" as const,
     path: kvCopyPath,
     body: encodeCopyRequest(command.requestId, command.holder),
     deadline: now() + copyTimeoutMs,
-  });
+  };
+  const answer = await call(protocol, command.source, options, onLeaving);
   return answer?.status === 200 ? decodeCopyHandle(answer.text) : undefined;
 };
 
 /** Releases a KV cache copy; one that is not released expires by itself. */
 export const releaseKvCacheCopy = async (
-  { releaseCopyPath }: ReplicaProtocol,
+  protocol: ReplicaProtocol,
   { source, handle }: KvCacheCopy,
+  onLeaving: OnLeaving,
 ): Promise<void> => {
-  await call(source, {
-    method: "DELETE",
-    path: releaseCopyPath(handle),
+  const options = {
+    method: "DELETE" as const,
+    path: protocol.releaseCopyPath(handle),
     deadline: now() + probeTimeoutMs,
-  });
+  };
+  await call(protocol, source, options, onLeaving);
 };
--- a/packages/relay/src/drivers/peerDriver.test.ts
+++ b/packages/relay/src/drivers/peerDriver.test.ts
@@ -68,6 +68,13 @@
       at: 4500,
       source: "r1",
     },
+    {
+      type: "replicaLeaving",
+      replica: "i-2",
+      startedAt: 9,
+      at: 4700,
+      source: "r2",
+    },
     {
       type: "quarantine",
       blockIds: ["a", "b"],
@@ -88,7 +95,9 @@
   assert.equal(decoded.length, items.length);
   const [first] = decoded;
   assert.equal(first?.type === "engineCrash" && first.at, 104_000);
-  const limit = decoded.at(-2);
+  const leaving = decoded.at(-2);
+  assert.equal(leaving?.type === "replicaLeaving" && leaving.at, 104_700);
+  const limit = decoded.at(-3);
   assert.equal(limit?.type === "requestLimit" && limit.at, 104_500);
   const last = decoded.at(-1);
   assert.equal(last?.type === "quarantine" && last.heldUntil, 109_000);
--- a/packages/relay/src/drivers/peerMessages.ts
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -45,6 +45,10 @@
       const { type, replica, startedAt, perS, source } = item;
       return [type, at - item.at, replica, startedAt, perS ?? null, source];
     }
+    case "replicaLeaving": {
+      const { type, replica, startedAt, source } = item;
+      return [type, at - item.at, replica, startedAt, source];
+    }
     default:
       return assertNever(item);
   }
@@ -75,6 +79,12 @@
     if (limit !== null && !isAmount(limit)) return undefined;
     return { type, replica, startedAt, perS: limit ?? undefined, at, source };
   }
+  if (type === "replicaLeaving") {
+    const [replica, startedAt, source] = rest;
+    return isName(replica) && isAmount(startedAt) && isName(source)
+      ? { type, replica, startedAt, at, source }
+      : undefined;
+  }
   if (type !== "quarantine") return undefined;
   const [heldForMs, blockIds, holdCount, crashCount, source] = rest;
   if (!isAmount(heldForMs) || !isBlockList(blockIds)) return undefined;
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -21,6 +21,7 @@
 
 /** Events of a call; no event follows a response, the end of a stream or a failure. */
 export type CallEvent =
+  | { readonly type: "leavingAnnounced" }
   | { readonly type: "responseReceived"; readonly answer: BufferedResponse }
   | { readonly type: "streamStarted"; readonly head: ResponseHead }
   | { readonly type: "eventsArrived"; readonly events: readonly StreamEvent[] }
@@ -222,6 +223,8 @@
   }
 
   private read(res: IncomingMessage): void {
+    if (res.headers[this.protocol.headers.leaving] !== undefined)
+      this.report({ type: "leavingAnnounced" });
     const head = this.headOf(res);
     const validationError = this.validationErrorOf(res, head);
     if (validationError !== undefined) {
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -25,12 +25,20 @@
   const channel = createChannel<RelayEvent>();
   const calls = new Map<string, ReplicaCall>();
 
+  const onLeaving = (replica: Replica) => {
+    channel.push({ type: "leavingAnnounced", at: now(), replica });
+  };
+
   const send = (command: Extract<RelayCommand, { type: "send" }>) => {
     const { key, attempt } = command;
     const name = callKey(key, attempt.number);
     metrics.count(Counter.Attempts);
     if (attempt.start.type === "copy") metrics.count(Counter.Copies);
     const call = ReplicaCall.create(protocol, command, (callEvent) => {
+      if (callEvent.type === "leavingAnnounced") {
+        onLeaving(attempt.replica);
+        return;
+      }
       if (
         callEvent.type !== "eventsArrived" &&
         callEvent.type !== "streamStarted"
@@ -49,7 +57,7 @@
 
   const probe = async (replica: Replica, sentAt: number) => {
     metrics.count(Counter.Probes);
-    const answer = await probeEngine(protocol, replica);
+    const answer = await probeEngine(protocol, replica, onLeaving);
     channel.push({
       type: "probeFinished",
       at: now(),
@@ -61,7 +69,7 @@
 
   const listBlocks = async (replica: Replica) => {
     metrics.count(Counter.Probes);
-    const promptBlocks = await listPromptBlocks(protocol, replica);
+    const promptBlocks = await listPromptBlocks(protocol, replica, onLeaving);
     channel.push({
       type: "promptBlocksListed",
       at: now(),
@@ -74,7 +82,7 @@
     command: Extract<RelayCommand, { type: "copyKvCache" }>,
   ) => {
     const { key, attempt, holder } = command;
-    const handle = await requestKvCacheCopy(protocol, command);
+    const handle = await requestKvCacheCopy(protocol, command, onLeaving);
     channel.push({
       type: "kvCacheCopied",
       at: now(),
@@ -99,7 +107,7 @@
           void copyKvCache(command);
           return;
         case "releaseCopy":
-          void releaseKvCacheCopy(protocol, command.copy);
+          void releaseKvCacheCopy(protocol, command.copy, onLeaving);
           return;
         case "listPromptBlocks":
           void listBlocks(command.replica);
--- a/packages/relay/src/misbehavingReplicas.test.ts
+++ b/packages/relay/src/misbehavingReplicas.test.ts
@@ -131,3 +131,24 @@
   }
   await stop();
 });
+
+// Load: a replica that is released says so in all its answers, before the store shows it.
+test("a replica whose answer says that it leaves gets the next request", async () => {
+  const heads = [
+    `${ok}${sealed}`,
+    "HTTP/1.1 503 X\r\nx-request: r1\r\nx-not-run: 1\r\n",
+    "HTTP/1.1 500 X\r\nx-request: r1\r\n",
+  ];
+  for (const head of heads) {
+    const { port, replica, lines, stop } = await startTestRelay((socket) => {
+      socket.end(`${head}x-leaving: 1\r\ncontent-length: 5\r\n\r\nhello`);
+    });
+    const once = requestText("/book/x", ["connection: close"]);
+    await exchange(port, once);
+    const answer = await exchange(port, once);
+    assert.match(answer, /^HTTP\/1.1 503/);
+    assert.equal(replica.received.length, 1);
+    assert.ok(lines.includes("replica says that it leaves"));
+    await stop();
+  }
+});
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -13,6 +13,7 @@
     seal: "x-seal",
     notExecuted: "x-not-run",
     requestLimit: "x-limit",
+    leaving: "x-leaving",
     copyTo: "x-copy-to",
     continueFrom: "x-continue",
     lastEventId: "last-event-id",
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -135,6 +135,8 @@
   readonly notExecuted: string;
   /** Response header with the requests a second that a replica takes from all routers together. */
   readonly requestLimit: string;
+  /** Present in the answers of a replica that leaves. */
+  readonly leaving: string;
   readonly copyTo: string;
   readonly continueFrom: string;
   readonly lastEventId: string;
