--- a/packages/relay/src/decisions/departedReplicas.ts
+++ b/packages/relay/src/decisions/departedReplicas.ts
@@ -11,6 +11,7 @@
   maxDepartedReplicaCount,
   outdatedReplicaMs,
 } from "./constants.js";
+import { removeOldest } from "./removeOldest.js";
 import { processKeyOf } from "./replicaViews.js";
 import type { RelayState } from "./types.js";
 
@@ -28,11 +29,11 @@
   const key = processKeyOf(replica);
   departedReplicas.delete(key);
   departedReplicas.set(key, { leftAt: at, reportNumber: replica.reportNumber });
-  for (const [oldest, { leftAt }] of departedReplicas) {
-    const isOld = at - leftAt > departedReplicaRetentionMs;
-    if (!isOld && departedReplicas.size <= maxDepartedReplicaCount) return;
-    departedReplicas.delete(oldest);
-  }
+  removeOldest(
+    departedReplicas,
+    maxDepartedReplicaCount,
+    ({ leftAt }) => at - leftAt > departedReplicaRetentionMs,
+  );
 };
 
 /** Time until which a listed replica is taken for one that left; undefined if it is not. */
--- a/packages/relay/src/decisions/leavingReplicas.ts
+++ b/packages/relay/src/decisions/leavingReplicas.ts
@@ -14,6 +14,7 @@
 import { publishItem } from "./gossip/spreadGossip.js";
 import type { ReplicaLeavingItem } from "./gossip/types.js";
 import { logLine } from "./logLine.js";
+import { removeOldest } from "./removeOldest.js";
 import { processKeyOf } from "./replicaViews.js";
 import type { LeavingProcess, RelayState } from "./types.js";
 
@@ -30,14 +31,6 @@
   source,
 });
 
-const dropOld = ({ leavingProcesses, at }: RelayState): void => {
-  for (const [oldest, { announcedAt }] of leavingProcesses) {
-    const isOld = at - announcedAt > departedReplicaRetentionMs;
-    if (!isOld && leavingProcesses.size <= maxDepartedReplicaCount) return;
-    leavingProcesses.delete(oldest);
-  }
-};
-
 /** Sends no new requests to the process from now on, and tells the other routers. */
 const markLeaving = (
   state: RelayState,
@@ -47,7 +40,11 @@
   const key = processKeyOf({ id, startedAt });
   if (state.leavingProcesses.has(key)) return [];
   state.leavingProcesses.set(key, leaving);
-  dropOld(state);
+  removeOldest(
+    state.leavingProcesses,
+    maxDepartedReplicaCount,
+    (one) => state.at - one.announcedAt > departedReplicaRetentionMs,
+  );
   publishItem(state, itemOf(leaving));
   const view = state.replicas.get(id);
   if (view?.replica.startedAt !== startedAt) return [];
--- a/packages/relay/src/decisions/quarantine/quarantineState.ts
+++ b/packages/relay/src/decisions/quarantine/quarantineState.ts
@@ -2,6 +2,7 @@
 
 import { rendezvousOrder, type Timestamp } from "@cardamomglade/common";
 import type { CallerRequest } from "../../types.js";
+import { removeOldest } from "../removeOldest.js";
 import type { RelayState } from "../types.js";
 import {
   evidenceRetentionMs,
@@ -74,15 +75,6 @@
   return tracked;
 };
 
-const removeOldest = <Key, Value>(
-  map: Map<Key, Value>,
-  maxSize: number,
-  isOld: (value: Value) => boolean,
-): void => {
-  for (const [key, value] of map)
-    if (isOld(value) || map.size > maxSize) map.delete(key);
-};
-
 /** Drops the oldest crashes if there are too many. */
 export const forgetExcessCrashes = ({
   quarantine: { crashes },
