--- a/packages/platform/src/sharedWatch/sharedWatch.test.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { test } from "node:test";
+import { afterEach, test } from "node:test";
 import { now } from "@cardamomglade/common";
 import { mirrorPrefix } from "../mirrorPrefix.js";
 import type {
@@ -144,6 +144,13 @@
   stop(): void;
 }
 
+const startedRouters: TestRouter[] = [];
+
+// A test that fails leaves its routers running, and the process with them.
+afterEach(() => {
+  for (const router of startedRouters.splice(0)) router.stop();
+});
+
 const startRouter = (
   store: FakeStore,
   { router, address }: SharingRouter,
@@ -198,6 +205,7 @@
       shared.stop();
     },
   };
+  startedRouters.push(started);
   return started;
 };
 
