Recognize repeats of a request in the log by a fingerprint

The lines of lost attempts name the attempt, which is new with each try of a caller: whether one request ends replica after replica cannot be read from them. The digest is made while the body arrives, over method, host, target, key and body.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -48,6 +48,7 @@
 ): RelayCommand =>
   logLine("attempt lost", {
     requestId: request.requestId,
+    fingerprint: request.fingerprint,
     attempt: number,
     replica: replica.id,
     replicaZone: replica.zone,
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -9,6 +9,7 @@
   RequestLimits,
 } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
+import { RequestFingerprint, type RequestHead } from "./requestFingerprint.js";
 
 /** The request, or why it could not be read. */
 export type RequestRead =
@@ -51,11 +52,19 @@
   readonly dropped: ReadonlySet<string>;
 }
 
+const headOf = (req: IncomingMessage): RequestHead => ({
+  hostname: req.headers.host ?? "",
+  method: req.method ?? "GET",
+  target: req.url ?? "/",
+  key: keyOf(req),
+});
+
 const toCallerRequest = (
   req: IncomingMessage,
   { protocol, dropped }: ReadOptions,
   arrivedAt: Timestamp,
   body: Buffer,
+  fingerprint: string,
 ): CallerRequest => {
   const { headers: names, decodePromptBlockIds } = protocol;
   const promptBlockIds = decodePromptBlockIds(
@@ -64,10 +73,8 @@
   const budgetMs = numberOf(headerOf(req, names.timeBudgetMs));
   return {
     requestId: headerOf(req, names.requestId) ?? "",
-    hostname: req.headers.host ?? "",
-    method: req.method ?? "GET",
-    target: req.url ?? "/",
-    key: keyOf(req),
+    ...headOf(req),
+    fingerprint,
     headers: forwardableHeaders(req.rawHeaders, dropped),
     body,
     hasBody:
@@ -90,6 +97,7 @@
     const { limits } = options;
     const arrivedAt = now();
     const chunks: Buffer[] = [];
+    const fingerprint = RequestFingerprint.create(headOf(req));
     let bytes = 0;
     const timer = setTimeout(() => {
       resolve({ type: "tooSlow" });
@@ -102,7 +110,10 @@
       timer.refresh();
       bytes += chunk.length;
       if (bytes > limits.bodyBytes) finish({ type: "tooLarge" });
-      else chunks.push(chunk);
+      else {
+        chunks.push(chunk);
+        fingerprint.add(chunk);
+      }
     });
     req.on("end", () => {
       const request = toCallerRequest(
@@ -110,6 +121,7 @@
         options,
         arrivedAt,
         Buffer.concat(chunks),
+        fingerprint.digest(),
       );
       finish({ type: "complete", request });
     });
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -107,6 +107,7 @@
   method: "POST",
   target,
   key: "key-1",
+  fingerprint: `request-${requestId}`,
   headers: [],
   body: new Uint8Array(),
   hasBody: false,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -197,6 +197,8 @@
   /** Path with query string, as sent. */
   readonly target: string;
   readonly key: string | undefined;
+  /** Digest of method, host name, target, key and body: the same in all repeats of a request. */
+  readonly fingerprint: string;
   /** Names and values alternating, as sent, without hop-by-hop headers. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
