--- a/packages/relay/src/decisions/requestLimits.test.ts
+++ b/packages/relay/src/decisions/requestLimits.test.ts
@@ -53,7 +53,7 @@
   Fleet.create({ routerCount, engineCount: 0, plainCount: 3 });
 
 const idsOf = (fleet: Fleet): string[] =>
-  fleet.replicas.plainReplicas.map(({ id }) => id);
+  fleet.replicas.plainReplicas.map(({ replica }) => replica.id);
 
 test("a replica gets more requests from all routers together than the limit that it names", () => {
   const fleet = createPlainFleet();
@@ -125,9 +125,9 @@
   fleet.replicas.requestLimits.set(first, 1);
   playPlain(fleet, 3000, 20);
   fleet.replicas.requestLimits.clear();
-  const [replica] = fleet.replicas.plainReplicas;
-  assert.ok(replica);
-  fleet.replicas.plainReplicas[0] = { ...replica, startedAt: fleet.at };
+  const [simulated] = fleet.replicas.plainReplicas;
+  assert.ok(simulated);
+  simulated.replica = { ...simulated.replica, startedAt: fleet.at };
   for (const router of fleet.states.keys()) fleet.readStore(router);
   fleet.advance(2000);
   assert.deepEqual(limitsKnown(fleet, first), Array(8).fill(undefined));
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -8,7 +8,7 @@
 import type { RelayState } from "../decisions/types.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 import type { StoredQuarantine } from "../decisions/quarantine/types.js";
-import type { Address } from "../types.js";
+import type { Address, CallerRequest } from "../types.js";
 import {
   idempotentPath,
   routerAddress,
@@ -19,7 +19,7 @@
 import {
   SimulatedReplicas,
   type ReplicaCounts,
-  type SimulatedEngine,
+  type SimulatedReplica,
 } from "./simulatedReplicas.js";
 import { VirtualClock } from "./virtualClock.js";
 
@@ -104,6 +104,7 @@
     router: string,
     sharedPromptBlockIds: readonly string[],
     target = streamPath,
+    changes: Partial<CallerRequest> = {},
   ): string {
     this.nextKey += 1;
     const key = `k${String(this.nextKey)}`;
@@ -115,11 +116,22 @@
         ...testRequest(key, target, this.at),
         sharedPromptBlockIds,
         lastPromptBlockId: target === streamPath ? `own-${key}` : undefined,
+        ...changes,
       },
     });
     return key;
   }
 
+  /** Sends one more attempt of a caller at the same request. */
+  requestAgain(
+    router: string,
+    fingerprint: string,
+    target: string,
+    sharedPromptBlockIds: readonly string[] = [],
+  ): string {
+    return this.request(router, sharedPromptBlockIds, target, { fingerprint });
+  }
+
   /** Sends a request for which any plain replica will do. */
   requestPlain(router: string): string {
     return this.request(router, [], idempotentPath);
@@ -141,8 +153,15 @@
   }
 
   /** Ends engines at once; they are back under new ids after some seconds. */
-  crash(engines: readonly SimulatedEngine[]): void {
-    for (const engine of engines) this.replicas.endEngine(engine);
+  crash(engines: readonly SimulatedReplica[]): void {
+    for (const engine of engines) this.replicas.endReplica(engine);
+  }
+
+  /** Attempts at a request that reached replicas later than a time. */
+  arrivalsOf(fingerprint: string, after: Timestamp): number {
+    return this.replicas.arrivals.filter(
+      (one) => one.at > after && one.fingerprint === fingerprint,
+    ).length;
   }
 
   /** Requests with a block that reached engines later than a time. */
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -10,14 +10,14 @@
 
 type SendCommand = Extract<RelayCommand, { readonly type: "send" }>;
 
-/** An attempt that runs at a simulated engine. */
+/** An attempt that runs at a simulated replica. */
 interface Run {
   readonly router: string;
   readonly command: SendCommand;
 }
 
-/** An engine; it is down for some seconds after it ended. */
-export interface SimulatedEngine {
+/** An engine or a plain replica; it is down for some seconds after it ended. */
+export interface SimulatedReplica {
   replica: Replica;
   isUp: boolean;
   readonly runs: Map<string, Run>;
@@ -28,6 +28,7 @@
   readonly at: Timestamp;
   readonly key: string;
   readonly replica: string;
+  readonly fingerprint: string;
   readonly blockIds: readonly string[];
 }
 
@@ -52,14 +53,16 @@
 
 /** All replicas of a fleet; the test sets their faults. */
 export class SimulatedReplicas {
-  readonly engines: SimulatedEngine[] = [];
-  readonly plainReplicas: Replica[] = [];
+  readonly engines: SimulatedReplica[] = [];
+  readonly plainReplicas: SimulatedReplica[] = [];
   /** Limits of requests a second that replicas name, by id. */
   readonly requestLimits = new Map<string, number>();
   /** Prompt blocks under which an engine ends as soon as it begins to answer. */
   readonly crashingBlocks = new Set<string>();
+  /** Fingerprints of requests under which a replica ends, and the number of events before it does. */
+  readonly crashingRequests = new Map<string, number>();
   readonly arrivals: Arrival[] = [];
-  /** Times at which engines ended under such a block. */
+  /** Times at which replicas ended under such a block or request. */
   readonly crashTimes: Timestamp[] = [];
   /** Attempts whose connection was closed, also while the request was on its way. */
   private readonly abandoned = new Set<string>();
@@ -72,7 +75,8 @@
   ) {
     for (let index = 0; index < plainCount; index += 1) {
       const id = replicaIdOf(index, firstPlainNumber + index);
-      this.plainReplicas.push(testReplica(id, plainService));
+      const replica = testReplica(id, plainService);
+      this.plainReplicas.push({ replica, isUp: true, runs: new Map() });
     }
     for (let index = 0; index < engineCount; index += 1) {
       const replica = testReplica(replicaIdOf(index));
@@ -91,21 +95,40 @@
 
   /** Replicas that run. */
   running(): Replica[] {
-    return this.engines
+    return this.all()
       .filter(({ isUp }) => isUp)
-      .map(({ replica }) => replica)
-      .concat(this.plainReplicas);
+      .map(({ replica }) => replica);
+  }
+
+  private all(): SimulatedReplica[] {
+    return [...this.engines, ...this.plainReplicas];
   }
 
   /** Resets the connections of an engine that goes on running. */
-  resetConnections(engine: SimulatedEngine): void {
+  resetConnections(engine: SimulatedReplica): void {
     const runs = [...engine.runs.values()];
     engine.runs.clear();
     for (const run of runs) this.breakRun(run);
   }
 
-  private engineOf({ id }: Replica): SimulatedEngine | undefined {
-    return this.engines.find(({ replica, isUp }) => isUp && replica.id === id);
+  private find({ id }: Replica): SimulatedReplica | undefined {
+    return this.all().find(({ replica, isUp }) => isUp && replica.id === id);
+  }
+
+  /** Ends a replica under a request that it cannot bear; returns whether it did. */
+  private endUnder(
+    simulated: SimulatedReplica,
+    { command: { request } }: Run,
+    eventCountSoFar: number,
+  ): boolean {
+    const { sharedPromptBlockIds, fingerprint } = request;
+    const isDeadly =
+      sharedPromptBlockIds.some((id) => this.crashingBlocks.has(id)) ||
+      this.crashingRequests.get(fingerprint) === eventCountSoFar;
+    if (!isDeadly) return false;
+    this.crashTimes.push(this.clock.now());
+    this.endReplica(simulated);
+    return true;
   }
 
   private headOf({ id }: Replica, isStream: boolean) {
@@ -113,62 +136,64 @@
     return okHead({ isStream, requestLimitPerS });
   }
 
-  private receivePlain(router: string, { key, attempt }: SendCommand): void {
-    const replica = attempt.replica.id;
-    this.arrivals.push({ at: this.clock.now(), key, replica, blockIds: [] });
-    this.clock.later(plainAnswerMs, () => {
-      const head = this.headOf(attempt.replica, false);
-      this.dispatch(router, {
-        type: "responseReceived",
-        at: this.clock.now(),
-        key,
-        attempt: attempt.number,
-        answer: { head, body: new Uint8Array() },
-      });
+  private answerPlain(
+    simulated: SimulatedReplica,
+    name: string,
+    run: Run,
+  ): void {
+    if (simulated.runs.get(name) !== run || this.endUnder(simulated, run, 0))
+      return;
+    simulated.runs.delete(name);
+    const { key, attempt } = run.command;
+    const head = this.headOf(attempt.replica, false);
+    this.dispatch(run.router, {
+      type: "responseReceived",
+      at: this.clock.now(),
+      key,
+      attempt: attempt.number,
+      answer: { head, body: new Uint8Array() },
     });
   }
 
   /** Closes an attempt's connection, also while the request is on its way. */
   abandon(name: string): void {
     this.abandoned.add(name);
-    for (const { runs } of this.engines) runs.delete(name);
+    for (const { runs } of this.all()) runs.delete(name);
   }
 
   /** A request of a router arrives. */
   receive(router: string, command: SendCommand): void {
     const { key, attempt, request } = command;
-    if (attempt.replica.service === plainService) {
-      this.receivePlain(router, command);
-      return;
-    }
-    const engine = this.engineOf(attempt.replica);
-    if (engine === undefined) {
+    const simulated = this.find(attempt.replica);
+    if (simulated === undefined) {
       this.fail(router, command, AttemptFailure.NotSent);
       return;
     }
     const run = { router, command };
     const name = `${key}/${String(attempt.number)}`;
     if (this.abandoned.has(name)) return;
-    engine.runs.set(name, run);
-    const { sharedPromptBlockIds: blockIds } = request;
+    simulated.runs.set(name, run);
+    const { sharedPromptBlockIds: blockIds, fingerprint } = request;
     this.arrivals.push({
       at: this.clock.now(),
       key,
       replica: attempt.replica.id,
+      fingerprint,
       blockIds,
     });
+    if (attempt.replica.service === plainService) {
+      this.clock.later(plainAnswerMs, () => {
+        this.answerPlain(simulated, name, run);
+      });
+      return;
+    }
     this.clock.later(prefillMs, () => {
-      if (engine.runs.get(name) === run) this.begin(engine, name, run);
+      if (simulated.runs.get(name) === run) this.begin(simulated, name, run);
     });
   }
 
-  private begin(engine: SimulatedEngine, name: string, run: Run): void {
-    const { sharedPromptBlockIds } = run.command.request;
-    if (sharedPromptBlockIds.some((id) => this.crashingBlocks.has(id))) {
-      this.crashTimes.push(this.clock.now());
-      this.endEngine(engine);
-      return;
-    }
+  private begin(engine: SimulatedReplica, name: string, run: Run): void {
+    if (this.endUnder(engine, run, 0)) return;
     const { router, command } = run;
     const { key } = command;
     const attempt = command.attempt.number;
@@ -184,7 +209,7 @@
   }
 
   private emit(
-    engine: SimulatedEngine,
+    engine: SimulatedReplica,
     name: string,
     run: Run,
     id: number,
@@ -193,6 +218,7 @@
     const { router, command } = run;
     const { key } = command;
     const attempt = command.attempt.number;
+    if (this.endUnder(engine, run, id - 1 - (command.lastEventId ?? 0))) return;
     const events = [{ id, bytes: new Uint8Array() }];
     this.dispatch(router, {
       type: "eventsArrived",
@@ -216,17 +242,17 @@
     });
   }
 
-  /** Ends an engine; it is back under a new id after some seconds. */
-  endEngine(engine: SimulatedEngine): void {
-    const runs = [...engine.runs.values()];
-    engine.runs.clear();
-    engine.isUp = false;
+  /** Ends a replica; it is back under a new id after some seconds. */
+  endReplica(simulated: SimulatedReplica): void {
+    const runs = [...simulated.runs.values()];
+    simulated.runs.clear();
+    simulated.isUp = false;
     for (const run of runs) this.breakRun(run);
     this.clock.later(restartMs, () => {
-      const { replica } = engine;
+      const { replica } = simulated;
       const id = `${replica.id}0`;
-      engine.replica = { ...replica, id, startedAt: this.clock.now() };
-      engine.isUp = true;
+      simulated.replica = { ...replica, id, startedAt: this.clock.now() };
+      simulated.isUp = true;
       this.onRestart();
     });
   }
