--- a/packages/cli/src/commands/quarantines.test.ts
+++ b/packages/cli/src/commands/quarantines.test.ts
@@ -21,9 +21,9 @@
   assert.equal(await quarantines({}), 2);
   store.stop();
   assert.deepEqual(printed.slice(0, 4), [
-    `${key}  blocks=5c1e holdCount=2 crashes=4`,
+    `${key}  causes=5c1e holdCount=2 crashes=4`,
     'no quarantine "unknown"',
     `released ${key}`,
-    "no prompt block is quarantined",
+    "nothing is quarantined",
   ]);
 });
--- a/packages/cli/src/commands/quarantines.ts
+++ b/packages/cli/src/commands/quarantines.ts
@@ -1,4 +1,4 @@
-/** The `quarantines` and `release` commands: prompt blocks that routers hold back. */
+/** The `quarantines` and `release` commands: prompt blocks and requests that routers hold back. */
 
 import { QuarantineStore } from "@cardamomglade/users-platform/quarantineStore";
 
@@ -28,10 +28,10 @@
     console.error(`the store cannot be read: ${outcome.failure.message}`);
     return failedExitCode;
   }
-  if (outcome.value.length === 0) console.log("no prompt block is quarantined");
+  if (outcome.value.length === 0) console.log("nothing is quarantined");
   for (const { key, blockIds, holdCount, crashCount } of outcome.value)
     console.log(
-      `${key}  blocks=${blockIds.join(",")} holdCount=${String(holdCount)} crashes=${String(crashCount)}`,
+      `${key}  causes=${blockIds.join(",")} holdCount=${String(holdCount)} crashes=${String(crashCount)}`,
     );
   return doneExitCode;
 };
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -8,6 +8,7 @@
 import { closeAttempt, completeExchange } from "./endExchange.js";
 import { recordContact, recordLoss, markReplaced } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
+import { recordWholeAnswer } from "./quarantine/establishAttempt.js";
 import { suspectBrokenAttempt } from "./quarantine/engineCrashes.js";
 import { noteRequestLimit } from "./requestLimits.js";
 import { recordRetry } from "./retryBudget.js";
@@ -112,7 +113,7 @@
 /** Delivers a response, or retries a request that was rejected or failed. */
 const handleResponse = (
   state: RelayState,
-  { answer, at, key }: RelayEventOf<"responseReceived">,
+  { answer, at }: RelayEventOf<"responseReceived">,
   { exchange, attempt }: ActiveAttempt,
 ): RelayCommand[] => {
   const { status, isNotExecuted } = answer.head;
@@ -138,6 +139,19 @@
     closeAttempt(state, exchange);
     return [line, ...sendRetry(state, exchange, "the replica refused")];
   }
+  const survived = recordWholeAnswer(state, exchange, attempt);
+  return [...survived, ...handleExecuted(state, exchange, attempt, answer)];
+};
+
+/** Delivers the answer of a replica that executed the request, or retries after its failure. */
+const handleExecuted = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  answer: BufferedResponse,
+): RelayCommand[] => {
+  const { key } = exchange;
+  const { status } = answer.head;
   const isFailure = isServerError(answer);
   recordOutcome(state, attempt.replica.id, isFailure);
   const hasStarted = exchange.head !== undefined;
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -80,6 +80,12 @@
       readonly replica: Replica;
       readonly sentAt: Timestamp;
     }
+  /** Finds out whether a process listens at the replica's address. */
+  | {
+      readonly type: "probeConnection";
+      readonly replica: Replica;
+      readonly sentAt: Timestamp;
+    }
   | {
       readonly type: "register";
       readonly router: string;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -10,6 +10,7 @@
 import { callerDisconnected } from "./callerDisconnected.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
 import { createGossipState } from "./gossip/spreadGossip.js";
+import { connectionProbed } from "./quarantine/engineCrashes.js";
 import { quarantinesRead } from "./quarantine/quarantinesRead.js";
 import { createQuarantineState } from "./quarantine/quarantineState.js";
 import { retryRequested, retryLent } from "./lendRetry.js";
@@ -118,6 +119,8 @@
       return leavingAnnounced(state, event);
     case "probeFinished":
       return probeFinished(state, event);
+    case "connectionProbed":
+      return connectionProbed(state, event);
     case "kvCacheCopied":
       return kvCacheCopied(state, event);
     case "promptBlocksListed":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -126,6 +126,14 @@
       /** Whether the replica's host refused the connection: no process listens. */
       readonly isRefused: boolean;
     }
+  | {
+      readonly type: "connectionProbed";
+      readonly at: Timestamp;
+      readonly replica: string;
+      readonly sentAt: Timestamp;
+      /** Whether the replica's host refused the connection: no process listens. */
+      readonly isRefused: boolean;
+    }
   | {
       readonly type: "kvCacheCopied";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/gossip/types.ts
+++ b/packages/relay/src/decisions/gossip/types.ts
@@ -2,13 +2,15 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 
-/** One suspect of an engine's end: a request that was about to answer. */
+/** One suspect of a replica's end: a request that it was answering. */
 export interface EngineCrashItem {
   readonly type: "engineCrash";
-  /** The engine's process: the id and the start time of the replica. */
+  /** The id and the start time of the replica. */
   readonly process: string;
   readonly at: Timestamp;
+  /** Fingerprint of the request. */
   readonly request: string;
+  /** Possible causes in the request. */
   readonly blockIds: readonly string[];
 }
 
--- a/packages/relay/src/decisions/quarantine/constants.ts
+++ b/packages/relay/src/decisions/quarantine/constants.ts
@@ -6,7 +6,7 @@
 /** Additional crashes that it takes for a block with which engines answered well lately. */
 export const succeededBlockHandicap = 2;
 
-/** Crashes under one request that count: one unlucky request proves nothing about its blocks. */
+/** Crashes under one request that count for its blocks: one unlucky request proves nothing about them. */
 export const maxCrashCountPerRequest = 2;
 
 /** Crashes under one request after which it is not sent again. */
@@ -15,6 +15,12 @@
 /** Crashes under one of several suspected blocks alone after which the others are cleared. */
 export const minNarrowingCrashCount = 2;
 
+/** Crashes under one request after which it is kept from the last sound replica of its service. */
+export const minSuspicionCount = 2;
+
+/** Time after a crash in which replicas restart, and a suspected request is kept from the last one that is left. */
+export const replicaRestartMs = 5000;
+
 /** Events after which an attempt counts as succeeded, together with the time below. */
 export const establishedEventCount = 3;
 
@@ -66,7 +72,9 @@
 /** Bounds on what is remembered. */
 export const maxRemembered = {
   crashes: 64,
-  suspectsPerCrash: 8,
+  suspectsPerCrash: 16,
+  /** Among them, those under which other replicas ended before come in addition. */
+  suspectsPerCrashWithKnown: 24,
   blocksPerSuspect: 32,
   quarantines: 64,
   succeededBlocks: 4096,
--- a/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
+++ b/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
@@ -115,3 +115,117 @@
   playTraffic(fleet, { target: idempotentPath, durationMs: 4000 });
   assert.equal(fleet.replicas.crashTimes.length, crashCount);
 });
+
+const heldCount = (fleet: Fleet): number => heldIds(fleet).length;
+
+/** Sends the same sound request to changing routers for some time. */
+const repeatSound = (fleet: Fleet, target: string, count: number): string[] => {
+  const routers = [...fleet.states.keys()];
+  return Array.from({ length: count }, (_, index) => {
+    const router = routers[index % routers.length] ?? "";
+    const key = fleet.requestAgain(router, "polled", target);
+    fleet.advance(100);
+    return key;
+  });
+};
+
+test("requests beside a held one, of the same path, are refused for it", () => {
+  const fleet = createPlainFleet();
+  playTraffic(fleet, { target: idempotentPath, durationMs: 8000 });
+  assert.ok(heldIds(fleet).includes(`request:${deadly}`));
+  const traffic = { target: idempotentPath, durationMs: 8000 };
+  const sound = playTraffic(fleet, traffic);
+  assert.equal(countServed(fleet, sound), sound.length);
+});
+
+test("plain replicas that only reset connections blame a request", () => {
+  const fleet = createPlainFleet();
+  for (let round = 0; round < 12; round += 1) {
+    for (const router of fleet.states.keys())
+      fleet.requestAgain(router, "polled", idempotentPath);
+    fleet.advance(10);
+    for (const replica of fleet.replicas.plainReplicas)
+      fleet.replicas.resetConnections(replica);
+    fleet.advance(600);
+  }
+  assert.equal(heldCount(fleet), 0);
+  const crashCounts = [...fleet.states.values()].map(
+    ({ quarantine }) => quarantine.crashes.size,
+  );
+  assert.deepEqual(new Set(crashCounts), new Set([0]));
+});
+
+test("a lookup that many callers repeat is held because replicas crash beside it", () => {
+  const fleet = createPlainFleet();
+  const keys: string[] = [];
+  for (let round = 0; round < 6; round += 1) {
+    keys.push(...repeatSound(fleet, idempotentPath, 20));
+    const replica = fleet.replicas.plainReplicas[round % 3];
+    if (replica?.isUp === true) fleet.crash([replica]);
+    keys.push(...repeatSound(fleet, idempotentPath, 20));
+  }
+  fleet.advance(2000);
+  assert.equal(heldCount(fleet), 0);
+  assert.equal(countServed(fleet, keys), keys.length);
+});
+
+test("a stream that is lost with many engines again and again is held", () => {
+  const fleet = Fleet.create({ routerCount: 8, engineCount: 24 });
+  const keys = ["x", "y", "z"].map((name) =>
+    fleet.requestAgain("r1", name, streamPath, ["common"]),
+  );
+  for (const part of [0, 1, 2]) {
+    const others = [...fleet.states.keys()].flatMap((router) =>
+      [1, 2].map(() => fleet.request(router, ["common"])),
+    );
+    keys.push(...others);
+    fleet.advance(900);
+    fleet.crash(
+      fleet.replicas.engines.filter((_, index) => index % 4 === part),
+    );
+  }
+  fleet.advance(8000);
+  assert.equal(heldCount(fleet), 0);
+  assert.equal(countServed(fleet, keys), keys.length);
+});
+
+test("a request that ends no replica any more stays held", () => {
+  const fleet = createPlainFleet();
+  playTraffic(fleet, { target: idempotentPath, durationMs: 8000 });
+  fleet.replicas.crashingRequests.clear();
+  playTraffic(fleet, { target: idempotentPath, durationMs: 40_000 });
+  assert.equal(heldCount(fleet), 0);
+  const key = fleet.requestAgain("r2", deadly, idempotentPath);
+  fleet.advance(500);
+  assert.equal(fleet.endings.get(key), "whole");
+});
+
+test("two requests that end replicas at the same time are not told apart", () => {
+  const fleet = createEngineFleet(0);
+  fleet.replicas.crashingRequests.set("worse", 3);
+  const routers = [...fleet.states.keys()];
+  for (let index = 0; index < 60; index += 1) {
+    const router = routers[(index * 3) % routers.length] ?? "";
+    const name = index % 2 === 0 ? deadly : "worse";
+    fleet.requestAgain(router, name, streamPath, ["common"]);
+    fleet.request(routers[index % routers.length] ?? "", ["common"]);
+    fleet.advance(350);
+  }
+  const held = new Set(heldIds(fleet));
+  assert.deepEqual(held, new Set([`request:${deadly}`, "request:worse"]));
+});
+
+test("a refused request that ends replicas is said to have run, or not when to come back", () => {
+  const fleet = createPlainFleet();
+  playTraffic(fleet, { target: nonIdempotentPath, durationMs: 8000 });
+  const key = fleet.requestAgain("r6", deadly, nonIdempotentPath);
+  assert.equal(fleet.endings.get(key), 503);
+  const line = fleet.logged.findLast(
+    ({ context }) => context.requestId === key,
+  );
+  assert.equal(line?.message, "request refused");
+  const { fingerprints, crashes, retryAfterMs, reason } = line.context;
+  assert.deepEqual(fingerprints, [deadly]);
+  assert.equal(reason, "replicas ended under this request");
+  assert.ok(Number(crashes) >= 3 && Number(retryAfterMs) > 0);
+});
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -1,10 +1,9 @@
 /**
- * Finds out which engines ended while requests were about to answer. Broken
- * connections alone prove nothing: an engine that answers a probe afterwards has
- * only reset them.
+ * Finds out which replicas ended while they answered requests. Broken connections
+ * alone prove nothing: a replica that accepts a connection afterwards has only
+ * reset them.
  */
 
-import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import type { CallerRequest, Replica } from "../../types.js";
 import { maxLoggedPromptBlockCount } from "../constants.js";
@@ -18,75 +17,94 @@
 import type { RelayEventOf } from "../events.js";
 import type { Attempt, Exchange, RelayState } from "../types.js";
 import { maxEndedEngineCount, maxRemembered } from "./constants.js";
+import { causesOf, describeCauses, requestCauseOf } from "./causes.js";
 import { renewQuarantines } from "./quarantines.js";
-import { forgetExcessCrashes, requestIdentityOf } from "./quarantineState.js";
-import type { CrashSuspects, EngineCrash } from "./types.js";
+import { forgetExcessCrashes } from "./quarantineState.js";
+import type { CrashSuspects, EngineCrash, UnconfirmedCrash } from "./types.js";
 
-const processOf = ({ id, startedAt }: Replica): string =>
+/** Identifies a replica's process in evidence. */
+export const processOf = ({ id, startedAt }: Replica): string =>
   `${id}@${String(startedAt)}`;
 
+/** Whether another replica ended under the request before. */
+const isKnownSuspect = (
+  { quarantine: { crashes } }: RelayState,
+  fingerprint: string,
+): boolean =>
+  [...crashes.values()].some(({ suspects }) => suspects.has(fingerprint));
+
 const addSuspect = (
+  state: RelayState,
   suspects: CrashSuspects,
-  request: string,
-  blockIds: readonly string[],
+  fingerprint: string,
+  causes: readonly string[],
 ): boolean => {
-  if (suspects.has(request) || suspects.size >= maxRemembered.suspectsPerCrash)
+  const { suspectsPerCrash, suspectsPerCrashWithKnown } = maxRemembered;
+  const { size } = suspects;
+  if (suspects.has(fingerprint) || size >= suspectsPerCrashWithKnown)
+    return false;
+  if (size >= suspectsPerCrash && !isKnownSuspect(state, fingerprint))
     return false;
-  suspects.set(request, blockIds);
+  suspects.set(fingerprint, causes);
   return true;
 };
 
-/** Blocks of a request under suspicion, those first with which no engine answered well lately. */
-const suspectBlocksOf = (
+/**
+ * Possible causes in a request; of its blocks those first with which no engine
+ * answered well lately. An established answer clears the blocks, not the request.
+ */
+const suspectedCausesOf = (
   { quarantine: { succeededAt } }: RelayState,
-  { sharedPromptBlockIds }: CallerRequest,
-): readonly string[] =>
-  [
-    ...sharedPromptBlockIds.filter((id) => !succeededAt.has(id)),
-    ...sharedPromptBlockIds.filter((id) => succeededAt.has(id)),
+  request: CallerRequest,
+  { isEstablished }: Attempt,
+): readonly string[] => {
+  if (isEstablished) return [requestCauseOf(request)];
+  const causes = causesOf(request);
+  return [
+    ...causes.filter((id) => !succeededAt.has(id)),
+    ...causes.filter((id) => succeededAt.has(id)),
   ].slice(0, maxRemembered.blocksPerSuspect);
+};
 
-/** Whether the engine may have ended because of this request. */
-const isSuspect = ({ isEstablished }: Attempt): boolean => !isEstablished;
-
-// An engine that leaves or was replaced ends without a cause in its requests.
-const mayEndByRequest = (state: RelayState, { id, service }: Replica) => {
+// A replica that leaves or was replaced ends without a cause in its requests.
+const mayEndByRequest = (state: RelayState, { id }: Replica): boolean => {
   const view = state.replicas.get(id);
-  return (
-    view !== undefined &&
-    isAvailable(view) &&
-    engineOf(state, service) !== undefined
-  );
+  return view !== undefined && isAvailable(view);
 };
 
+/** Asks an engine for its report, and any other replica only for a connection: each request takes one of its slots. */
 const probe = (state: RelayState, replica: Replica): RelayCommand => {
+  const sentAt = state.at;
+  if (engineOf(state, replica.service) === undefined)
+    return { type: "probeConnection", replica, sentAt };
   const view = state.replicas.get(replica.id);
-  if (view !== undefined) view.probeSentAt = state.at;
-  return { type: "probe", replica, sentAt: state.at };
+  if (view !== undefined) view.probeSentAt = sentAt;
+  return { type: "probe", replica, sentAt };
 };
 
-/** Notes a broken connection to an engine and asks the engine whether it still runs. */
+/** Notes a broken connection to a replica and asks it whether it still runs. */
 export const suspectBrokenAttempt = (
   state: RelayState,
   exchange: Exchange,
   attempt: Attempt,
 ): RelayCommand[] => {
-  const { replica } = attempt;
-  if (!isSuspect(attempt) || !mayEndByRequest(state, replica)) return [];
+  const { replica, isEstablished } = attempt;
+  if (!mayEndByRequest(state, replica)) return [];
   const { unconfirmed } = state.quarantine;
   const { request } = exchange;
-  const identity = requestIdentityOf(request);
-  const blockIds = suspectBlocksOf(state, request);
   const process = processOf(replica);
   const known = unconfirmed.get(process);
-  if (known !== undefined) {
-    addSuspect(known.suspects, identity, blockIds);
-    return [];
-  }
-  const suspects: CrashSuspects = new Map();
-  addSuspect(suspects, identity, blockIds);
-  unconfirmed.set(process, { replica, lostAt: state.at, suspects });
-  return [probe(state, replica)];
+  const crash: UnconfirmedCrash = known ?? {
+    replica,
+    lostAt: state.at,
+    suspects: new Map(),
+    unestablished: new Set(),
+  };
+  unconfirmed.set(process, crash);
+  const causes = suspectedCausesOf(state, request, attempt);
+  addSuspect(state, crash.suspects, request.fingerprint, causes);
+  if (!isEstablished) crash.unestablished.add(request.fingerprint);
+  return known === undefined ? [probe(state, replica)] : [];
 };
 
 /** Tells others of a suspect, and of its blocks that succeeded here before. */
@@ -96,7 +114,6 @@
   request: string,
   blockIds: readonly string[],
 ): void => {
-  if (blockIds.length === 0) return;
   publishItem(state, { type: "engineCrash", process, at, request, blockIds });
   for (const id of blockIds) {
     const succeededAt = state.quarantine.succeededAt.get(id);
@@ -109,22 +126,22 @@
   }
 };
 
-/** Ends requests under which so many engines ended that they are not sent again. */
+/** Ends requests under which so many replicas ended that they are not sent again. */
 const endCrashingExchanges = (
   state: RelayState,
-  suspects: CrashSuspects,
+  unestablished: ReadonlySet<string>,
 ): RelayCommand[] =>
   [...state.exchanges.values()].flatMap((exchange) => {
-    if (!suspects.has(requestIdentityOf(exchange.request))) return [];
+    if (!unestablished.has(exchange.request.fingerprint)) return [];
     exchange.endedEngineCount += 1;
     const { attempt, endedEngineCount } = exchange;
     return endedEngineCount >= maxEndedEngineCount &&
       attempt?.isEstablished !== true
-      ? failExchange(state, exchange, "several engines ended under it")
+      ? failExchange(state, exchange, "several replicas ended under it")
       : [];
   });
 
-/** Adds suspects of an engine's end; what is new here is evidence, and told to others. */
+/** Adds suspects of a replica's end; what is new here is evidence, and told to others. */
 const addCrash = (
   state: RelayState,
   { process, at, suspects }: EngineCrash,
@@ -134,7 +151,7 @@
   const crash = known ?? { process, at, suspects: new Map() };
   quarantine.crashes.set(process, crash);
   const added = [...suspects].filter(([request, blockIds]) =>
-    addSuspect(crash.suspects, request, blockIds),
+    addSuspect(state, crash.suspects, request, blockIds),
   );
   if (added.length === 0) return;
   for (const [request, blockIds] of added)
@@ -144,29 +161,36 @@
   forgetExcessCrashes(state);
 };
 
-/** Remembers the end of an engine, and ends requests under which too many ended. */
+/** Log command for a replica's end. */
+const crashLogLine = (
+  { id, service, zone }: Replica,
+  suspects: CrashSuspects,
+): RelayCommand => {
+  const causes = [...new Set([...suspects.values()].flat())];
+  const { promptBlocks, fingerprints } = describeCauses(causes);
+  return logLine(
+    "replica ended under requests",
+    {
+      replica: id,
+      service,
+      replicaZone: zone,
+      requests: suspects.size,
+      promptBlocks: promptBlocks?.slice(0, maxLoggedPromptBlockCount),
+      fingerprints: fingerprints?.slice(0, maxLoggedPromptBlockCount),
+    },
+    Severity.Warn,
+  );
+};
+
+/** Remembers the end of a replica, and ends requests under which too many ended. */
 const recordCrash = (
   state: RelayState,
-  replica: Replica,
-  at: Timestamp,
-  suspects: CrashSuspects,
+  { replica, lostAt: at, suspects, unestablished }: UnconfirmedCrash,
 ): RelayCommand[] => {
   addCrash(state, { process: processOf(replica), at, suspects });
   return [
-    logLine(
-      "engine ended under prompts",
-      {
-        replica: replica.id,
-        replicaZone: replica.zone,
-        requests: suspects.size,
-        promptBlocks: [...new Set([...suspects.values()].flat())].slice(
-          0,
-          maxLoggedPromptBlockCount,
-        ),
-      },
-      Severity.Warn,
-    ),
-    ...endCrashingExchanges(state, suspects),
+    crashLogLine(replica, suspects),
+    ...endCrashingExchanges(state, unestablished),
   ];
 };
 
@@ -178,16 +202,33 @@
 ): RelayCommand[] => {
   if (!mayEndByRequest(state, replica)) return [];
   const suspects: CrashSuspects = new Map();
-  for (const { exchange, attempt } of lost)
-    if (isSuspect(attempt))
-      addSuspect(
-        suspects,
-        requestIdentityOf(exchange.request),
-        suspectBlocksOf(state, exchange.request),
-      );
-  return suspects.size === 0
-    ? []
-    : recordCrash(state, replica, state.at, suspects);
+  const unestablished = new Set<string>();
+  for (const { exchange, attempt } of lost) {
+    const { request } = exchange;
+    const causes = suspectedCausesOf(state, request, attempt);
+    addSuspect(state, suspects, request.fingerprint, causes);
+    if (!attempt.isEstablished) unestablished.add(request.fingerprint);
+  }
+  if (suspects.size === 0) return [];
+  const lostAt = state.at;
+  return recordCrash(state, { replica, lostAt, suspects, unestablished });
+};
+
+/** The crash that a probe was sent for; it is confirmed or forgotten now. */
+const takeUnconfirmed = (
+  { quarantine: { unconfirmed } }: RelayState,
+  {
+    replica: id,
+    sentAt,
+  }: Pick<RelayEventOf<"probeFinished">, "replica" | "sentAt">,
+): UnconfirmedCrash | undefined => {
+  const found = [...unconfirmed].find(
+    ([, { replica, lostAt }]) => replica.id === id && sentAt >= lostAt,
+  );
+  if (found === undefined) return undefined;
+  const [process, crash] = found;
+  unconfirmed.delete(process);
+  return crash;
 };
 
 /** Decides by a probe's result whether an engine with broken connections has ended. */
@@ -195,18 +236,23 @@
   state: RelayState,
   event: RelayEventOf<"probeFinished">,
 ): RelayCommand[] => {
-  const { unconfirmed } = state.quarantine;
-  const found = [...unconfirmed].find(
-    ([, { replica, lostAt }]) =>
-      replica.id === event.replica && event.sentAt >= lostAt,
-  );
-  if (found === undefined) return [];
-  const [process, { replica, lostAt, suspects }] = found;
-  unconfirmed.delete(process);
+  const crash = takeUnconfirmed(state, event);
+  if (crash === undefined) return [];
   const hasEnded = event.isAnswered
-    ? isFromOtherProcess(replica, event.report)
+    ? isFromOtherProcess(crash.replica, event.report)
     : event.isRefused;
-  return hasEnded ? recordCrash(state, replica, lostAt, suspects) : [];
+  return hasEnded ? recordCrash(state, crash) : [];
+};
+
+/** Decides by a connection's result whether a replica that is no engine has ended. */
+export const connectionProbed = (
+  state: RelayState,
+  event: RelayEventOf<"connectionProbed">,
+): RelayCommand[] => {
+  const crash = takeUnconfirmed(state, event);
+  return crash !== undefined && event.isRefused
+    ? recordCrash(state, crash)
+    : [];
 };
 
 /** Adds a suspect that another router told. */
@@ -223,13 +269,11 @@
   quarantine: { crashes },
 }: RelayState): EngineCrashItem[] =>
   [...crashes.values()].flatMap(({ process, at, suspects }) =>
-    [...suspects]
-      .filter(([, blockIds]) => blockIds.length > 0)
-      .map(([request, blockIds]) => ({
-        type: "engineCrash" as const,
-        process,
-        at,
-        request,
-        blockIds,
-      })),
+    [...suspects].map(([request, blockIds]) => ({
+      type: "engineCrash" as const,
+      process,
+      at,
+      request,
+      blockIds,
+    })),
   );
--- a/packages/relay/src/decisions/quarantine/establishAttempt.ts
+++ b/packages/relay/src/decisions/quarantine/establishAttempt.ts
@@ -1,9 +1,11 @@
-/** Notes which attempts went on after their first events: their engines survived the prompt. */
+/** Notes which attempts went on after their first events, or to their end: their replicas survived them. */
 
 import type { Timestamp } from "@cardamomglade/common";
 import type { RelayCommand } from "../commands.js";
 import { publishItem } from "../gossip/spreadGossip.js";
+import type { CallerRequest } from "../../types.js";
 import type { Attempt, Exchange, RelayState } from "../types.js";
+import { requestCauseOf } from "./causes.js";
 import {
   establishedAfterMs,
   establishedEventCount,
@@ -16,15 +18,14 @@
 } from "./quarantines.js";
 import { trackedBlocks } from "./quarantineState.js";
 
-/** Marks blocks as succeeded: an engine answered with them and went on. Others are told if they are suspected. */
-const recordSucceededAttempt = (
+/** Marks causes as succeeded: a replica went on with them. Others are told if they are suspected. */
+const recordSucceeded = (
   state: RelayState,
-  { request }: Exchange,
+  request: CallerRequest,
+  ids: readonly string[],
   begunAt: Timestamp,
 ): RelayCommand[] => {
-  const blockIds = request.sharedPromptBlockIds.filter((id) =>
-    isNewerMark(state, id, begunAt),
-  );
+  const blockIds = ids.filter((id) => isNewerMark(state, id, begunAt));
   recordSucceededAt(state, blockIds, begunAt);
   const suspected = trackedBlocks(state);
   const tracked = blockIds
@@ -54,16 +55,38 @@
     state.at - firstEventAt < establishedAfterMs;
   if (isEstablished || isEarly) return [];
   attempt.isEstablished = true;
-  return recordSucceededAttempt(state, exchange, firstEventAt);
+  const { request } = exchange;
+  const blockIds = request.sharedPromptBlockIds;
+  return recordSucceeded(state, request, blockIds, firstEventAt);
+};
+
+/** Handles a whole answer of a replica: it survived the request as a whole. */
+export const recordWholeAnswer = (
+  state: RelayState,
+  { request }: Exchange,
+  { sentAt }: Attempt,
+): RelayCommand[] => {
+  const { crashes, inForce } = state.quarantine;
+  if (crashes.size === 0 && inForce.size === 0) return [];
+  const id = requestCauseOf(request);
+  return trackedBlocks(state).has(id)
+    ? recordSucceeded(state, request, [id], sentAt)
+    : [];
 };
 
-/** Handles the end of a whole answer: it has succeeded, however short. */
+/** Handles the end of a whole stream: it has succeeded, however short. */
 export const establishEndedAttempt = (
   state: RelayState,
   exchange: Exchange,
   attempt: Attempt,
 ): RelayCommand[] => {
-  if (attempt.isEstablished || attempt.firstEventAt === undefined) return [];
+  const commands = recordWholeAnswer(state, exchange, attempt);
+  const { isEstablished, firstEventAt } = attempt;
+  if (isEstablished || firstEventAt === undefined) return commands;
   attempt.isEstablished = true;
-  return recordSucceededAttempt(state, exchange, attempt.firstEventAt);
+  const blockIds = exchange.request.sharedPromptBlockIds;
+  return [
+    ...commands,
+    ...recordSucceeded(state, exchange.request, blockIds, firstEventAt),
+  ];
 };
--- a/packages/relay/src/decisions/quarantine/findCulprits.ts
+++ b/packages/relay/src/decisions/quarantine/findCulprits.ts
@@ -1,5 +1,5 @@
 /**
- * Finds the prompt blocks under which engines end. Load pattern: requests with
+ * Finds the prompt blocks, and the requests, under which replicas end. Load pattern: requests with
  * one bad block come to many routers, each ends the engines it is sent to, and
  * good requests that share its other blocks or its engine are lost with it.
  */
@@ -12,13 +12,9 @@
   minNarrowingCrashCount,
   succeededBlockHandicap,
 } from "./constants.js";
-import type { CrashSuspects, EngineCrash } from "./types.js";
-
-/** Crashes at one moment; several engines lost together are one failure. */
-interface Episode {
-  readonly startedAt: Timestamp;
-  readonly crashes: EngineCrash[];
-}
+import { isRequestCause } from "./causes.js";
+import { findCulpritRequests } from "./findCulpritRequests.js";
+import type { CrashSuspects, EngineCrash, Episode } from "./types.js";
 
 /** Whether a request has all of the blocks. */
 export const hasAllBlocks = (
@@ -26,7 +22,8 @@
   blockIds: readonly string[],
 ): boolean => blockIds.every((id) => requestBlockIds.includes(id));
 
-const groupByMoment = (crashes: readonly EngineCrash[]): Episode[] => {
+/** Groups crashes that are one failure. */
+export const groupByMoment = (crashes: readonly EngineCrash[]): Episode[] => {
   const episodes: Episode[] = [];
   for (const crash of [...crashes].sort((a, b) => a.at - b.at)) {
     const last = episodes.at(-1);
@@ -79,21 +76,26 @@
   return explained;
 };
 
-/** Removes blocks that an engine answered well since, and requests without any other. */
-const withoutSucceededBlocks = (
+/** Keeps some of the possible causes, and the requests that have any of them. */
+const withCauses = (
   { process, at, suspects }: EngineCrash,
-  succeededAt: ReadonlyMap<string, Timestamp>,
+  isKept: (id: string) => boolean,
 ): EngineCrash => {
   const rest: CrashSuspects = new Map();
   for (const [request, blockIds] of suspects) {
-    const unproven = blockIds.filter(
-      (id) => (succeededAt.get(id) ?? -Infinity) < at,
-    );
-    if (unproven.length > 0) rest.set(request, unproven);
+    const kept = blockIds.filter(isKept);
+    if (kept.length > 0) rest.set(request, kept);
   }
   return { process, at, suspects: rest };
 };
 
+/** Removes causes with which a replica answered well since. */
+const withoutSucceeded = (
+  crash: EngineCrash,
+  succeededAt: ReadonlyMap<string, Timestamp>,
+): EngineCrash =>
+  withCauses(crash, (id) => (succeededAt.get(id) ?? -Infinity) < crash.at);
+
 /** A block with the losses that it would explain. */
 interface Candidate {
   readonly id: string;
@@ -186,12 +188,12 @@
  * first; what one set explains is no evidence against another. A set has more
  * than one block where the crashes do not tell its blocks apart.
  */
-export const findCulprits = (
-  crashes: Iterable<EngineCrash>,
+const findCulpritBlocks = (
+  crashes: readonly EngineCrash[],
   succeededAt: ReadonlyMap<string, Timestamp>,
 ): (readonly string[])[] => {
-  let unexplained = [...crashes].map((one) =>
-    withoutSucceededBlocks(one, succeededAt),
+  let unexplained = crashes.map((one) =>
+    withCauses(one, (id) => !isRequestCause(id)),
   );
   const found: (readonly string[])[] = [];
   for (;;) {
@@ -202,3 +204,22 @@
     unexplained = unexplained.filter((one) => !isExplained(one, blockIds));
   }
 };
+
+/**
+ * Returns what explains several crashes: sets of prompt blocks, and of what they
+ * leave unexplained, single requests. Blocks go first, as each request with a bad
+ * one looks like the cause by itself.
+ */
+export const findCulprits = (
+  crashes: Iterable<EngineCrash>,
+  succeededAt: ReadonlyMap<string, Timestamp>,
+): (readonly string[])[] => {
+  const unproven = [...crashes].map((one) =>
+    withoutSucceeded(one, succeededAt),
+  );
+  const blocks = findCulpritBlocks(unproven, succeededAt);
+  const unexplained = unproven
+    .filter((one) => !blocks.some((blockIds) => isExplained(one, blockIds)))
+    .map((one) => withCauses(one, isRequestCause));
+  return [...blocks, ...findCulpritRequests(groupByMoment(unexplained))];
+};
--- a/packages/relay/src/decisions/quarantine/quarantine.test.ts
+++ b/packages/relay/src/decisions/quarantine/quarantine.test.ts
@@ -178,7 +178,7 @@
 test("a block that ends no engine any more stays in quarantine", () => {
   const fleet = createFleet();
   playTraffic(fleet, 8000, crashingEvery(5));
-  assert.equal(fleet.stored.size, 1);
+  assert.deepEqual(fleet.storedBlocks(), ["bad"]);
   fleet.replicas.crashingBlocks.clear();
   playTraffic(fleet, 40_000, crashingEvery(5));
   assert.deepEqual(heldBlocks(fleet), []);
@@ -393,8 +393,11 @@
     fleet.advance(700);
   }
   fleet.advance(3000);
-  assert.equal(fleet.stored.size, 1);
-  assert.equal(fleet.states.get("r5")?.quarantine.inForce.size, 1);
+  assert.deepEqual(fleet.storedBlocks(), ["bad"]);
+  assert.deepEqual(
+    [...(fleet.states.get("r5")?.quarantine.inForce.keys() ?? [])],
+    ["bad"],
+  );
 });
 
 test("an engine whose start time is not registered counts as ended when it only resets", () => {
--- a/packages/relay/src/decisions/quarantine/quarantineState.ts
+++ b/packages/relay/src/decisions/quarantine/quarantineState.ts
@@ -13,6 +13,7 @@
   releaseEntryTtlMs,
   unconfirmedRetentionMs,
 } from "./constants.js";
+import { causesOf } from "./causes.js";
 import { hasAllBlocks } from "./findCulprits.js";
 import type { Quarantine, QuarantineState } from "./types.js";
 
@@ -30,13 +31,7 @@
   nextMaintenanceAt: 0,
 });
 
-/** Identifies a request over its callers' and routers' attempts. */
-export const requestIdentityOf = ({
-  lastPromptBlockId,
-  requestId,
-}: CallerRequest): string => lastPromptBlockId ?? requestId;
-
-/** Identifies a set of blocks. */
+/** Identifies a set of causes. */
 export const quarantineKeyOf = (blockIds: readonly string[]): string =>
   [...blockIds].sort().join(",");
 
@@ -44,14 +39,17 @@
 export const holdMsOf = (holdCount: number): number =>
   Math.min(maxHoldMs, initialHoldMs * 2 ** (holdCount - 1));
 
-/** Quarantines of which a request has all blocks. */
+/** Quarantines of which a request has all causes. */
 export const quarantinesOf = (
   { quarantine: { inForce } }: RelayState,
-  { sharedPromptBlockIds }: CallerRequest,
-): Quarantine[] =>
-  [...inForce.values()].filter(({ blockIds }) =>
-    hasAllBlocks(sharedPromptBlockIds, blockIds),
+  request: CallerRequest,
+): Quarantine[] => {
+  if (inForce.size === 0) return [];
+  const causes = causesOf(request);
+  return [...inForce.values()].filter(({ blockIds }) =>
+    hasAllBlocks(causes, blockIds),
   );
+};
 
 /** This router's place in the order in which routers act on a quarantine. */
 export const rankOf = (
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -1,4 +1,4 @@
-/** Puts prompt blocks into quarantine, renews, narrows and ends it. */
+/** Puts prompt blocks and requests into quarantine, renews, narrows and ends it. */
 
 import { Severity } from "@cardamomglade/observe";
 import type { Timestamp } from "@cardamomglade/common";
@@ -10,6 +10,7 @@
 import { serviceUnavailableStatus } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
+import { causesOf, describeCauses, isRequestCause } from "./causes.js";
 import {
   releaseEntryTtlMs,
   storeWriteRetryMs,
@@ -21,11 +22,17 @@
   quarantineKeyOf,
   quarantinesOf,
   rankOf,
-  requestIdentityOf,
 } from "./quarantineState.js";
 import type { EngineCrash, Quarantine, ReleasedQuarantine } from "./types.js";
 
-const heldReason = "engines ended under prompts with these blocks";
+const heldReasonOf = ({ blockIds }: Quarantine): string =>
+  blockIds.some(isRequestCause)
+    ? "replicas ended under this request"
+    : "engines ended under prompts with these blocks";
+
+/** What is held, as log messages name it. */
+const subjectOf = ({ blockIds }: Quarantine): string =>
+  blockIds.some(isRequestCause) ? "request" : "prompt blocks";
 
 /** A quarantine as other routers are told of it. */
 export const itemOf = ({
@@ -54,7 +61,7 @@
   state: RelayState,
   { blockIds, crashedAt, learnedAt, source, holdCount, crashCount }: Quarantine,
 ) => ({
-  promptBlocks: blockIds,
+  ...describeCauses(blockIds),
   crashes: crashCount,
   lastCrashMsAgo: Math.round(state.at - crashedAt),
   holdCount,
@@ -62,7 +69,7 @@
   learnedMsAgo: Math.round(state.at - learnedAt),
 });
 
-/** Ends a request whose blocks are in quarantine: at once, and as not executed where that is so. */
+/** Ends a request that is held by a quarantine: at once, and as not executed where that is so. */
 export const endHeldExchange = (
   state: RelayState,
   exchange: Exchange,
@@ -74,16 +81,17 @@
     ...summaryOf(exchange, state.at),
     ...contextOf(state, held),
   };
+  const reason = heldReasonOf(held);
   if (mayHaveExecuted || head !== undefined)
     return [
       logLine("request held back", context),
-      ...failExchange(state, exchange, heldReason),
+      ...failExchange(state, exchange, reason),
     ];
   const { requestId } = request;
   return [
     ...cancelExchange(state, exchange),
     ...refuse(
-      { key, requestId, reason: heldReason, context },
+      { key, requestId, reason, context },
       serviceUnavailableStatus,
       Math.max(0, held.heldUntil - state.at),
     ),
@@ -96,7 +104,7 @@
   { request }: Pick<Exchange, "request">,
 ): Quarantine | undefined => quarantinesOf(state, request)[0];
 
-/** Ends requests that wait for an engine or for its first events, before it ends too. */
+/** Ends requests that wait for a replica or for its first events, before it ends too. */
 const endHeldExchanges = (
   state: RelayState,
   quarantine: Quarantine,
@@ -106,7 +114,7 @@
     const isHeld =
       attempt?.isEstablished !== true &&
       quarantine.trialKey !== exchange.key &&
-      hasAllBlocks(request.sharedPromptBlockIds, quarantine.blockIds);
+      hasAllBlocks(causesOf(request), quarantine.blockIds);
     return isHeld ? endHeldExchange(state, exchange, quarantine) : [];
   });
 
@@ -143,7 +151,20 @@
   { key, source }: Pick<Quarantine, "key" | "source">,
 ): boolean => source === state.router || rankOf(state, key) === 0;
 
-/** Puts blocks into quarantine; sets that it contains are redundant. */
+/** Causes, and the blocks of a request among them as far as its crashes are remembered. */
+const knownCausesOf = (
+  { quarantine: { crashes } }: RelayState,
+  ids: readonly string[],
+): readonly string[] => {
+  if (!ids.some(isRequestCause)) return ids;
+  const requests = [...crashes.values()].flatMap(({ suspects }) => [
+    ...suspects.values(),
+  ]);
+  const own = requests.filter((causes) => hasAllBlocks(causes, ids));
+  return own.length === 0 ? ids : own.flat();
+};
+
+/** Puts causes into quarantine; sets that it contains are redundant. */
 export const addQuarantine = (
   state: RelayState,
   item: QuarantineItem,
@@ -167,14 +188,14 @@
     nextWriteAt: at + storeWriteSpacingMs * rankOf(state, key),
   };
   const redundant = [...quarantine.inForce.values()].filter((one) =>
-    hasAllBlocks(one.blockIds, blockIds),
+    hasAllBlocks(knownCausesOf(state, one.blockIds), blockIds),
   );
   quarantine.inForce.set(key, added);
   quarantine.releases.delete(key);
   publishItem(state, itemOf(added));
   return [
     logLine(
-      "prompt blocks quarantined",
+      `${subjectOf(added)} quarantined`,
       {
         ...contextOf(state, added),
         heldForMs: Math.round(heldUntil - at),
@@ -193,12 +214,16 @@
   ];
 };
 
-/** Whether a quarantine in force holds all requests with the blocks. */
+/** Whether a quarantine in force holds all requests with the causes. */
 export const hasSubsetInForce = (
-  { quarantine: { inForce } }: RelayState,
+  state: RelayState,
   blockIds: readonly string[],
-): boolean =>
-  [...inForce.values()].some((one) => hasAllBlocks(blockIds, one.blockIds));
+): boolean => {
+  const causes = knownCausesOf(state, blockIds);
+  return [...state.quarantine.inForce.values()].some((one) =>
+    hasAllBlocks(causes, one.blockIds),
+  );
+};
 
 /** Extends quarantines that a new crash confirms; after a failed trial the hold doubles. */
 export const renewQuarantines = (
@@ -214,7 +239,7 @@
     quarantine.crashCount += 1;
     const trial = state.exchanges.get(quarantine.trialKey ?? "");
     const isTrialOver =
-      trial === undefined || suspects.has(requestIdentityOf(trial.request));
+      trial === undefined || suspects.has(trial.request.fingerprint);
     if (quarantine.trialKey !== undefined && isTrialOver) {
       quarantine.trialKey = undefined;
       quarantine.holdCount += 1;
@@ -244,10 +269,10 @@
     if (rest.length === blockIds.length) return [];
     const succeeded = blockIds.filter((id) => !rest.includes(id));
     const lines = [
-      logLine("prompt blocks released", {
+      logLine(`${subjectOf(quarantine)} released`, {
         ...contextOf(state, quarantine),
         reason,
-        stillHeld: rest,
+        stillHeld: rest.length > 0 ? rest : undefined,
       }),
       ...removeQuarantine(state, quarantine, succeeded, isOwnDecision),
     ];
--- a/packages/relay/src/decisions/quarantine/quarantinesRead.ts
+++ b/packages/relay/src/decisions/quarantine/quarantinesRead.ts
@@ -11,6 +11,7 @@
 import { logLine } from "../logLine.js";
 import { random } from "../random.js";
 import type { RelayState } from "../types.js";
+import { describeCauses } from "./causes.js";
 import {
   releaseLagMs,
   rewriteSpreadMs,
@@ -74,7 +75,7 @@
   quarantine.nextWriteAt = rewriteTime(state, quarantine.key);
   return [
     logLine("quarantine is missing in the store and stays in force", {
-      promptBlocks: quarantine.blockIds,
+      ...describeCauses(quarantine.blockIds),
       writtenInMs: Math.round(quarantine.nextWriteAt - state.at),
     }),
   ];
--- /dev/null
+++ b/packages/relay/src/decisions/quarantine/suspectedRequests.ts
@@ -0,0 +1,93 @@
+/**
+ * Places requests under which replicas ended lately. Load pattern: a service of two
+ * or three replicas gets a request that ends each of them; until it is known for
+ * the cause, its next tries must not take the last replica from all others.
+ */
+
+import { refuse } from "../refusals.js";
+import { cancelExchange, failExchange, summaryOf } from "../endExchange.js";
+import { isAvailable, isSuspected, replicasOf } from "../replicaViews.js";
+import type { RelayCommand } from "../commands.js";
+import type { Exchange, RelayState } from "../types.js";
+import { serviceUnavailableStatus, type CallerRequest } from "../../types.js";
+import { requestCauseOf } from "./causes.js";
+import { minSuspicionCount, replicaRestartMs } from "./constants.js";
+import { processOf } from "./engineCrashes.js";
+
+/**
+ * Times of the crashes under a request that no answer to it followed. A broken
+ * connection that is not known to be a crash counts beside a known one only:
+ * connections of all replicas may be reset at once.
+ */
+const crashTimesOf = (
+  { quarantine }: RelayState,
+  request: CallerRequest,
+): number[] => {
+  const { crashes, unconfirmed, succeededAt } = quarantine;
+  const { fingerprint } = request;
+  const clearedAt = succeededAt.get(requestCauseOf(request)) ?? -Infinity;
+  const confirmed = [...crashes.values()]
+    .filter(({ suspects }) => suspects.has(fingerprint))
+    .map(({ at }) => at);
+  const others = [...unconfirmed]
+    .filter(([process]) => !crashes.has(process))
+    .filter(([, { suspects }]) => suspects.has(fingerprint))
+    .map(([, { lostAt }]) => lostAt);
+  const isAfter = (at: number) => at > clearedAt;
+  return confirmed.some(isAfter)
+    ? [...confirmed, ...others].filter(isAfter)
+    : [];
+};
+
+/** Whether a replica ended under the request, as far as is known, and no answer cleared it since. */
+export const isSuspectedRequest = (
+  state: RelayState,
+  { request }: Exchange,
+): boolean => crashTimesOf(state, request).length > 0;
+
+/** Number of the service's replicas that take requests and did not end lately. */
+const soundReplicaCount = (state: RelayState, service: string): number => {
+  const { crashes, unconfirmed } = state.quarantine;
+  return replicasOf(state, service).filter((view) => {
+    const process = processOf(view.replica);
+    const mayHaveEnded = crashes.has(process) || unconfirmed.has(process);
+    return isAvailable(view) && !isSuspected(view, state.at) && !mayHaveEnded;
+  }).length;
+};
+
+/** Time until which a request is kept from the last sound replica; undefined if it may be sent. */
+const keptUntil = (
+  state: RelayState,
+  { request, service }: Exchange,
+): number | undefined => {
+  const times = crashTimesOf(state, request);
+  if (times.length < minSuspicionCount) return undefined;
+  const until = Math.max(...times) + replicaRestartMs;
+  return state.at < until && soundReplicaCount(state, service) < 2
+    ? until
+    : undefined;
+};
+
+/** Ends a request that would risk the last sound replica; undefined if it may be sent. */
+export const keepFromLastReplica = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] | undefined => {
+  const until = keptUntil(state, exchange);
+  if (until === undefined) return undefined;
+  const { key, request, head, mayHaveExecuted } = exchange;
+  const reason = "replicas ended under this request, and one at most is left";
+  state.quarantine.refusedCount += 1;
+  if (mayHaveExecuted || head !== undefined)
+    return failExchange(state, exchange, reason);
+  const { requestId, fingerprint } = request;
+  const context = { ...summaryOf(exchange, state.at), fingerprint };
+  return [
+    ...cancelExchange(state, exchange),
+    ...refuse(
+      { key, requestId, reason, context },
+      serviceUnavailableStatus,
+      until - state.at,
+    ),
+  ];
+};
--- a/packages/relay/src/decisions/quarantine/trials.ts
+++ b/packages/relay/src/decisions/quarantine/trials.ts
@@ -1,13 +1,14 @@
 /**
- * Lets one request at a time test quarantined blocks after their hold. Load
- * pattern: blocks that no longer end engines come at any router, and each test of
- * blocks that are not costs an engine and the streams on it.
+ * Lets one request at a time test what is quarantined after its hold. Load
+ * pattern: requests that no longer end replicas come at any router, and each test
+ * of one that does costs a replica and what it was answering.
  */
 
 import { publishItem } from "../gossip/spreadGossip.js";
 import { logLine } from "../logLine.js";
 import type { RelayCommand } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
+import { describeCauses } from "./causes.js";
 import { trialHoldMs, trialSpacingMs } from "./constants.js";
 import { endHeldExchange, itemOf } from "./quarantines.js";
 import { quarantinesOf, rankOf } from "./quarantineState.js";
@@ -43,9 +44,9 @@
     quarantine.trialKey = key;
     quarantine.heldUntil = state.at + trialHoldMs;
     publishItem(state, itemOf(quarantine));
-    return logLine("request tests quarantined prompt blocks", {
+    return logLine("request tests a quarantine", {
       requestId: request.requestId,
-      promptBlocks: quarantine.blockIds,
+      ...describeCauses(quarantine.blockIds),
       holdCount: quarantine.holdCount,
     });
   });
--- a/packages/relay/src/decisions/quarantine/types.ts
+++ b/packages/relay/src/decisions/quarantine/types.ts
@@ -1,30 +1,39 @@
-/** Types of the quarantine of prompt blocks under which engines end. */
+/** Types of the quarantine of prompt blocks and requests under which replicas end. */
 
 import type { Timestamp } from "@cardamomglade/common";
 import type { Replica } from "../../types.js";
 
-/** Shared prompt blocks by request: the requests that were about to answer on an engine. */
+/** Possible causes by the fingerprint of a request that a replica was answering. */
 export type CrashSuspects = Map<string, readonly string[]>;
 
-/** Connections to an engine broke; it is not known yet whether its process ended. */
+/** Connections to a replica broke; it is not known yet whether its process ended. */
 export interface UnconfirmedCrash {
   readonly replica: Replica;
   readonly lostAt: Timestamp;
   readonly suspects: CrashSuspects;
+  /** Fingerprints of the suspects whose answer was not established. */
+  readonly unestablished: Set<string>;
 }
 
-/** The end of one engine process while requests were about to answer on it. */
+/** The end of one replica's process while it was answering requests. */
 export interface EngineCrash {
   readonly process: string;
   readonly at: Timestamp;
   readonly suspects: CrashSuspects;
 }
 
-/** Prompt blocks whose requests, if they have all of them, are not sent to engines. */
+/** Crashes at one moment; several engines lost together are one failure. */
+export interface Episode {
+  readonly startedAt: Timestamp;
+  readonly crashes: EngineCrash[];
+}
+
+/** Causes whose requests, if they have all of them, are not sent to replicas. */
 export interface Quarantine {
   readonly key: string;
+  /** Ids of prompt blocks, or the one of a request as a whole. */
   readonly blockIds: readonly string[];
-  /** Time of the latest engine crash that supports it. */
+  /** Time of the latest crash that supports it. */
   crashedAt: Timestamp;
   /** From then on, one request at a time may show whether engines still end. */
   heldUntil: Timestamp;
@@ -74,11 +83,11 @@
   nextWriteAt: Timestamp;
 }
 
-/** What is known about prompts under which engines end. */
+/** What is known about prompts and requests under which replicas end. */
 export interface QuarantineState {
-  /** By engine process. */
+  /** By process. */
   readonly unconfirmed: Map<string, UnconfirmedCrash>;
-  /** By engine process. */
+  /** By process. */
   readonly crashes: Map<string, EngineCrash>;
   /** Latest time at which an engine began to answer with a block and went on. */
   readonly succeededAt: Map<string, Timestamp>;
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -11,6 +11,7 @@
   chooseReplica,
   hasCandidate,
   candidateSampleOf,
+  rankCandidates,
   soonestPermit,
 } from "./chooseReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
@@ -30,6 +31,10 @@
   queryEngines,
 } from "./queryEngines.js";
 import { maxEndedEngineCount } from "./quarantine/constants.js";
+import {
+  isSuspectedRequest,
+  keepFromLastReplica,
+} from "./quarantine/suspectedRequests.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
 import { ageOf, isAvailable, isSuspected } from "./replicaViews.js";
@@ -168,6 +173,21 @@
   return chooseAmong(state, service, new Set(answered));
 };
 
+/**
+ * The replica that gets all suspected requests of a service without engines: the
+ * others stay for the rest. Undefined for a request without suspicion.
+ */
+const chooseForSuspect = (
+  state: RelayState,
+  exchange: Exchange,
+): Replica | undefined => {
+  const { service, triedIds: excluded } = exchange;
+  if (engineOf(state, service) !== undefined) return undefined;
+  if (!isSuspectedRequest(state, exchange)) return undefined;
+  const query = { service, excluded, isWithinLimit: true };
+  return rankCandidates(state, query, service)[0]?.replica;
+};
+
 /** Sends a request to run from its prompt, without a KV cache copy. */
 export const sendWithoutCopy = (
   state: RelayState,
@@ -176,7 +196,9 @@
   const { service, triedIds } = exchange;
   const query = { service, excluded: triedIds, isWithinLimit: true };
   const replica =
-    chooseQueriedEngine(state, exchange) ?? chooseReplica(state, query);
+    chooseQueriedEngine(state, exchange) ??
+    chooseForSuspect(state, exchange) ??
+    chooseReplica(state, query);
   exchange.engineQuery = undefined;
   if (replica === undefined) return awaitPermit(state, exchange);
   return sendTo(state, exchange, replica, { type: "fresh" });
@@ -250,6 +272,8 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
+  const kept = keepFromLastReplica(state, exchange);
+  if (kept !== undefined) return kept;
   const probes = queryEngines(state, exchange);
   if (exchange.engineQuery === undefined || isEngineQueryDone(state, exchange))
     return [...probes, ...sendWithoutCopy(state, exchange)];
@@ -319,7 +343,7 @@
     return failExchange(
       state,
       exchange,
-      `${reason}; several engines ended under it`,
+      `${reason}; several replicas ended under it`,
     );
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -1,6 +1,7 @@
 /** Sends attempts to replicas and probes engines. */
 
 import { createChannel, now } from "@cardamomglade/common";
+import { probeTimeoutMs } from "../decisions/constants.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
 import { Counter, type RelayMetrics } from "../metrics.js";
@@ -11,6 +12,7 @@
   listPromptBlocks,
   probeEngine,
 } from "./engineCalls.js";
+import { probeConnection } from "./probeConnection.js";
 import { ReplicaCall } from "./replicaCall.js";
 import type { RelayDriver } from "./types.js";
 
@@ -67,6 +69,18 @@
     });
   };
 
+  const checkConnection = async (replica: Replica, sentAt: number) => {
+    metrics.count(Counter.Probes);
+    const result = await probeConnection(replica, probeTimeoutMs);
+    channel.push({
+      type: "connectionProbed",
+      at: now(),
+      replica: replica.id,
+      sentAt,
+      ...result,
+    });
+  };
+
   const listBlocks = async (replica: Replica) => {
     metrics.count(Counter.Probes);
     const promptBlocks = await listPromptBlocks(protocol, replica, onLeaving);
@@ -112,6 +126,9 @@
         case "listPromptBlocks":
           void listBlocks(command.replica);
           return;
+        case "probeConnection":
+          void checkConnection(command.replica, command.sentAt);
+          return;
         case "probe":
           void probe(command.replica, command.sentAt);
           return;
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -210,6 +210,11 @@
           this.replicas.answerProbe(router, command);
         });
         return;
+      case "probeConnection":
+        this.later(1, () => {
+          this.replicas.answerConnection(router, command);
+        });
+        return;
       case "listPromptBlocks":
         this.later(1, () => {
           const { at } = this;
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -120,11 +120,13 @@
     simulated: SimulatedReplica,
     { command: { request } }: Run,
     eventCountSoFar: number,
+    isAtEnd = false,
   ): boolean {
     const { sharedPromptBlockIds, fingerprint } = request;
     const isDeadly =
       sharedPromptBlockIds.some((id) => this.crashingBlocks.has(id)) ||
-      this.crashingRequests.get(fingerprint) === eventCountSoFar;
+      this.crashingRequests.get(fingerprint) === eventCountSoFar ||
+      (this.crashingRequests.has(fingerprint) && isAtEnd);
     if (!isDeadly) return false;
     this.crashTimes.push(this.clock.now());
     this.endReplica(simulated);
@@ -218,7 +220,8 @@
     const { router, command } = run;
     const { key } = command;
     const attempt = command.attempt.number;
-    if (this.endUnder(engine, run, id - 1 - (command.lastEventId ?? 0))) return;
+    const sentCount = id - 1 - (command.lastEventId ?? 0);
+    if (this.endUnder(engine, run, sentCount, id === eventCount)) return;
     const events = [{ id, bytes: new Uint8Array() }];
     this.dispatch(router, {
       type: "eventsArrived",
@@ -278,6 +281,26 @@
     });
   }
 
+  /** Accepts a connection, or refuses it where no replica runs. */
+  answerConnection(
+    router: string,
+    {
+      replica: { id, host, port },
+      sentAt,
+    }: { readonly replica: Replica; readonly sentAt: Timestamp },
+  ): void {
+    const isRefused = !this.running().some(
+      (one) => one.host === host && one.port === port,
+    );
+    this.dispatch(router, {
+      type: "connectionProbed",
+      at: this.clock.now(),
+      replica: id,
+      sentAt,
+      isRefused,
+    });
+  }
+
   /** Answers a probe, or refuses it where no engine runs. */
   answerProbe(
     router: string,
