Log the software version of replicas, and what a caller resumes

A replica's entry names the version of its software, and a caller that takes a stream up the attempt that began it; nothing read either. Both stand in 'request sent' now, the version in 'replica registered' too.

--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -150,6 +150,8 @@
       start: start.type,
       replica: replica.id,
       replicaZone: replica.zone,
+      softwareVersion: replica.softwareVersion,
+      resumes: request.resumes,
       copyTo: attempt.copyTo?.id,
       inFlight: view?.inFlight,
       heardMsAgo: view && ageOf(state, view.heardAt),
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -46,12 +46,13 @@
 
 const replicaLogLine = (
   message: string,
-  { id, service, zone, state: replicaState }: Replica,
+  { id, service, zone, softwareVersion, state: replicaState }: Replica,
 ): RelayCommand =>
   logLine(message, {
     replica: id,
     service,
     replicaZone: zone,
+    softwareVersion,
     state: replicaState,
   });
 
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -83,6 +83,7 @@
     arrivedAt,
     callerDeadline: budgetMs === undefined ? undefined : arrivedAt + budgetMs,
     lastEventId: numberOf(headerOf(req, names.lastEventId)),
+    resumes: headerOf(req, names.resumes),
     sharedPromptBlockIds: promptBlockIds.slice(0, -1),
     lastPromptBlockId: promptBlockIds.at(-1),
   };
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -86,6 +86,7 @@
   slots: 6,
   state: ReplicaState.Ready,
   startedAt: 1,
+  softwareVersion: "v1",
   reportNumber: 1,
   ...changes,
 });
@@ -114,6 +115,7 @@
   arrivedAt,
   callerDeadline: undefined,
   lastEventId: undefined,
+  resumes: undefined,
   sharedPromptBlockIds: [],
   lastPromptBlockId: undefined,
 });
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -17,6 +17,7 @@
     copyTo: "x-copy-to",
     continueFrom: "x-continue",
     lastEventId: "last-event-id",
+    resumes: "x-resumes",
     promptBlocks: "x-parts",
     reserved: [
       "x-urgency",
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -102,6 +102,8 @@
   readonly state: ReplicaState;
   /** Start time of the replica's process, by its own clock. */
   readonly startedAt: Timestamp;
+  /** Version of the replica's software; empty if it names none. Streams go on only within it. */
+  readonly softwareVersion: string;
   /** Number of this report of the process about itself; 0 if it has none. */
   readonly reportNumber: number;
 }
@@ -140,6 +142,8 @@
   readonly copyTo: string;
   readonly continueFrom: string;
   readonly lastEventId: string;
+  /** Names the attempt of the caller that brought the first event of the stream. */
+  readonly resumes: string;
   /** Header that lists the ids of the prompt's blocks. */
   readonly promptBlocks: string;
   /** Headers that only the relay sets; removed from callers' requests. */
@@ -209,6 +213,8 @@
   readonly callerDeadline: Timestamp | undefined;
   /** Id of the last event that the caller received from an earlier response. */
   readonly lastEventId: number | undefined;
+  /** Id of the caller's attempt that brought the first event; undefined if it names none. */
+  readonly resumes: string | undefined;
   /** Ids of the prompt blocks that other requests may share: all but the last. */
   readonly sharedPromptBlockIds: readonly string[];
   /** Id of the last prompt block, which no other request shares. */
