--- /dev/null
+++ b/packages/relay/src/decisions/versions/streamVersions.test.ts
@@ -0,0 +1,185 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Fleet } from "../../testing/fleet.js";
+import type { SimulatedReplica } from "../../testing/simulatedReplicas.js";
+
+const createFleet = (routerCount = 8): Fleet =>
+  Fleet.create({ routerCount, engineCount: 12 });
+
+const readStore = (fleet: Fleet): void => {
+  for (const router of fleet.states.keys()) fleet.readStore(router);
+};
+
+const setVersion = (
+  engines: readonly SimulatedReplica[],
+  softwareVersion: string,
+): void => {
+  for (const engine of engines)
+    engine.replica = { ...engine.replica, softwareVersion };
+};
+
+/** A fleet of which half of the engines, in all zones, have newer software. */
+const createMixedFleet = (): Fleet => {
+  const fleet = createFleet();
+  const { engines } = fleet.replicas;
+  setVersion(
+    engines.filter((_, index) => index % 4 < 2),
+    "v2",
+  );
+  readStore(fleet);
+  return fleet;
+};
+
+const beginStreams = (fleet: Fleet, count: number): string[] => {
+  const routers = [...fleet.states.keys()];
+  return Array.from({ length: count }, (_, index) =>
+    fleet.request(routers[index % routers.length] ?? "", []),
+  );
+};
+
+const restartRouters = (fleet: Fleet, routers: readonly string[]): void => {
+  for (const router of routers) fleet.startRouter(router);
+};
+
+const countJoined = (fleet: Fleet): number =>
+  new Set(
+    [...fleet.streams.values()].filter(({ versions }) => versions.size > 1),
+  ).size;
+
+const countWhole = (fleet: Fleet, keys: readonly string[]): number =>
+  keys.filter((key) => fleet.endings.get(key) === "whole").length;
+
+test("a stream whose engine ends goes on at another software version", () => {
+  const fleet = createMixedFleet();
+  const keys = beginStreams(fleet, 24);
+  fleet.advance(700);
+  fleet.crash(fleet.replicas.engines.filter((_, index) => index % 2 === 0));
+  fleet.advance(3000);
+  assert.equal(countJoined(fleet), 0);
+  assert.equal(countWhole(fleet, keys), keys.length);
+});
+
+test("a stream goes on at another version when none of its own is left", () => {
+  const fleet = createMixedFleet();
+  const keys = beginStreams(fleet, 24);
+  fleet.advance(700);
+  const lost = fleet.replicas.engines.filter(
+    ({ replica }) => replica.softwareVersion === "v2",
+  );
+  fleet.crash(lost);
+  fleet.advance(3000);
+  assert.equal(countJoined(fleet), 0);
+  const cut = keys.filter((key) => fleet.endings.get(key) === "cut");
+  assert.equal(countWhole(fleet, keys) + cut.length, keys.length);
+  assert.ok(cut.length > 0);
+  const others = fleet.logged
+    .filter(({ message }) => message === "stream broken off")
+    .map(({ context: { reason } }) =>
+      typeof reason === "string" ? reason : "",
+    )
+    .filter(
+      (reason) =>
+        !reason.endsWith("no replica of the stream's software is left"),
+    );
+  assert.deepEqual(others, []);
+});
+
+test("a copy of a stream's memory is kept at an engine of another version", () => {
+  const fleet = createMixedFleet();
+  beginStreams(fleet, 24);
+  fleet.advance(500);
+  const targets = fleet.sent.filter(({ attempt }) => attempt.copyTo);
+  assert.ok(targets.length > 0);
+  for (const { attempt } of targets)
+    assert.equal(
+      attempt.copyTo?.softwareVersion,
+      attempt.replica.softwareVersion,
+    );
+});
+
+test("a caller's take-up at another router is joined from two versions", () => {
+  const fleet = createMixedFleet();
+  const keys = beginStreams(fleet, 24);
+  fleet.advance(800);
+  const lost = ["r1", "r2", "r3"];
+  const broken = keys.filter((_, index) => index % 8 < 3);
+  restartRouters(fleet, lost);
+  const next = broken.map((key, index) =>
+    fleet.takeUp(`r${String(4 + (index % 5))}`, key),
+  );
+  fleet.advance(3000);
+  assert.equal(countJoined(fleet), 0);
+  assert.equal(countWhole(fleet, next), next.length);
+});
+
+test("a caller's take-up is joined after its engine and its router were lost", () => {
+  const fleet = createMixedFleet();
+  const keys = beginStreams(fleet, 24);
+  fleet.advance(800);
+  const broken = keys.filter((_, index) => index % 8 < 3);
+  restartRouters(fleet, ["r1", "r2", "r3"]);
+  fleet.crash(fleet.replicas.engines.filter((_, index) => index % 4 === 0));
+  fleet.advance(50);
+  const next = broken.map((key, index) =>
+    fleet.takeUp(`r${String(4 + (index % 5))}`, key),
+  );
+  fleet.advance(3000);
+  assert.equal(countJoined(fleet), 0);
+  assert.equal(countWhole(fleet, next), next.length);
+});
+
+test("take-ups after all routers were lost at once are joined from two versions", () => {
+  const fleet = createMixedFleet();
+  const keys = beginStreams(fleet, 24);
+  fleet.advance(800);
+  restartRouters(fleet, [...fleet.states.keys()]);
+  const next = keys.map((key, index) =>
+    fleet.takeUp(`r${String(1 + (index % 8))}`, key),
+  );
+  fleet.advance(3000);
+  assert.equal(countJoined(fleet), 0);
+  assert.equal(countWhole(fleet, next), next.length);
+});
+
+test("take-ups of a version that has left are joined after all routers were lost", () => {
+  const fleet = createFleet();
+  const { engines } = fleet.replicas;
+  fleet.advance(1000);
+  setVersion(engines.slice(0, 2), "v2");
+  readStore(fleet);
+  fleet.advance(3000);
+  const keys = beginStreams(fleet, 24);
+  fleet.advance(800);
+  for (const engine of engines) fleet.replicas.endReplica(engine, "v2");
+  restartRouters(fleet, [...fleet.states.keys()]);
+  fleet.advance(5000);
+  const next = keys.map((key, index) =>
+    fleet.takeUp(`r${String(1 + (index % 8))}`, key),
+  );
+  fleet.advance(200);
+  const early = next.filter((key) => fleet.endings.get(key) === 503);
+  assert.equal(early.length, next.length);
+  const anew = beginStreams(fleet, 8);
+  fleet.advance(3000);
+  assert.equal(countJoined(fleet), 0);
+  assert.equal(countWhole(fleet, anew), anew.length);
+});
+
+test("take-ups at a router that the store does not reach are joined from two versions", () => {
+  const fleet = createFleet();
+  const { engines } = fleet.replicas;
+  setVersion(
+    engines.filter((_, index) => index % 4 < 2),
+    "v2",
+  );
+  // The last router still sees the versions of before.
+  for (const router of [...fleet.states.keys()].slice(0, -1))
+    fleet.readStore(router);
+  fleet.advance(1500);
+  const keys = beginStreams(fleet, 24).filter((_, index) => index % 8 < 7);
+  fleet.advance(800);
+  const next = keys.map((key) => fleet.takeUp("r8", key));
+  fleet.advance(3000);
+  assert.equal(countJoined(fleet), 0);
+  assert.ok(countWhole(fleet, next) >= next.length / 3);
+});
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -26,6 +26,14 @@
 /** How a request ended for its caller. */
 export type Ending = "whole" | "cut" | number;
 
+/** Events of one stream over all attempts of its caller. */
+export interface DeliveredStream {
+  readonly firstKey: string;
+  lastEventId: number;
+  /** Software versions that made the events. */
+  readonly versions: Set<string>;
+}
+
 /** Options of a fleet. */
 export interface FleetOptions extends ReplicaCounts {
   readonly routerCount: number;
@@ -40,6 +48,9 @@
 export class Fleet {
   readonly states = new Map<string, RelayState>();
   readonly endings = new Map<string, Ending>();
+  /** Events that callers received, by the key of each of their attempts. */
+  readonly streams = new Map<string, DeliveredStream>();
+  readonly sent: Extract<RelayCommand, { readonly type: "send" }>[] = [];
   readonly logged: Extract<RelayCommand, { readonly type: "log" }>[] = [];
   /** While the store is down, no router learns of restarted engines. */
   isStoreDown = false;
@@ -132,6 +143,34 @@
     return this.request(router, sharedPromptBlockIds, target, { fingerprint });
   }
 
+  /** Takes a stream up after the last event of the caller's earlier attempts; returns the key of the new one. */
+  takeUp(router: string, key: string): string {
+    const stream = this.streams.get(key);
+    const lastEventId = stream?.lastEventId ?? 0;
+    const next = this.request(router, [], streamPath, {
+      lastPromptBlockId: `own-${stream?.firstKey ?? key}`,
+      ...(lastEventId > 0 && { lastEventId, resumes: stream?.firstKey ?? key }),
+    });
+    if (stream !== undefined) this.streams.set(next, stream);
+    return next;
+  }
+
+  private recordEvents({
+    key,
+    events,
+  }: Extract<RelayCommand, { readonly type: "deliverEvents" }>): void {
+    const stream = this.streams.get(key) ?? {
+      firstKey: key,
+      lastEventId: 0,
+      versions: new Set<string>(),
+    };
+    this.streams.set(key, stream);
+    for (const { id, bytes } of events) {
+      stream.lastEventId = id;
+      stream.versions.add(new TextDecoder().decode(bytes));
+    }
+  }
+
   /** Sends a request for which any plain replica will do. */
   requestPlain(router: string): string {
     return this.request(router, [], idempotentPath);
@@ -198,6 +237,7 @@
   private perform(router: string, command: RelayCommand): void {
     switch (command.type) {
       case "send":
+        this.sent.push(command);
         this.later(1, () => {
           this.replicas.receive(router, command);
         });
@@ -219,7 +259,7 @@
         this.later(1, () => {
           const { at } = this;
           const replica = command.replica.id;
-          const promptBlocks = new Map<string, number>();
+          const promptBlocks = this.replicas.promptBlocksOf(command.replica);
           this.dispatch(router, {
             type: "promptBlocksListed",
             at,
@@ -228,6 +268,9 @@
           });
         });
         return;
+      case "deliverEvents":
+        this.recordEvents(command);
+        return;
       case "deliverResponse":
         this.endings.set(command.key, "whole");
         return;
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -21,8 +21,17 @@
   replica: Replica;
   isUp: boolean;
   readonly runs: Map<string, Run>;
+  /** Last blocks of the prompts that it read. */
+  readonly promptBlocks: Set<string>;
 }
 
+const createSimulated = (replica: Replica): SimulatedReplica => ({
+  replica,
+  isUp: true,
+  runs: new Map(),
+  promptBlocks: new Set(),
+});
+
 /** A request that reached a replica. */
 export interface Arrival {
   readonly at: Timestamp;
@@ -75,12 +84,10 @@
   ) {
     for (let index = 0; index < plainCount; index += 1) {
       const id = replicaIdOf(index, firstPlainNumber + index);
-      const replica = testReplica(id, plainService);
-      this.plainReplicas.push({ replica, isUp: true, runs: new Map() });
+      this.plainReplicas.push(createSimulated(testReplica(id, plainService)));
     }
     for (let index = 0; index < engineCount; index += 1) {
-      const replica = testReplica(replicaIdOf(index));
-      this.engines.push({ replica, isUp: true, runs: new Map() });
+      this.engines.push(createSimulated(testReplica(replicaIdOf(index))));
     }
   }
 
@@ -199,6 +206,7 @@
     const { router, command } = run;
     const { key } = command;
     const attempt = command.attempt.number;
+    engine.promptBlocks.add(command.request.lastPromptBlockId ?? "");
     const head = this.headOf(command.attempt.replica, true);
     this.dispatch(router, {
       type: "streamStarted",
@@ -222,7 +230,8 @@
     const attempt = command.attempt.number;
     const sentCount = id - 1 - (command.lastEventId ?? 0);
     if (this.endUnder(engine, run, sentCount, id === eventCount)) return;
-    const events = [{ id, bytes: new Uint8Array() }];
+    const { softwareVersion } = engine.replica;
+    const events = [{ id, bytes: new TextEncoder().encode(softwareVersion) }];
     this.dispatch(router, {
       type: "eventsArrived",
       at: this.clock.now(),
@@ -245,16 +254,21 @@
     });
   }
 
-  /** Ends a replica; it is back under a new id after some seconds. */
-  endReplica(simulated: SimulatedReplica): void {
+  /** Ends a replica; it is back under a new id after some seconds, with other software if a version is given. */
+  endReplica(
+    simulated: SimulatedReplica,
+    softwareVersion = simulated.replica.softwareVersion,
+  ): void {
     const runs = [...simulated.runs.values()];
     simulated.runs.clear();
+    simulated.promptBlocks.clear();
     simulated.isUp = false;
     for (const run of runs) this.breakRun(run);
     this.clock.later(restartMs, () => {
       const { replica } = simulated;
       const id = `${replica.id}0`;
-      simulated.replica = { ...replica, id, startedAt: this.clock.now() };
+      const startedAt = this.clock.now();
+      simulated.replica = { ...replica, id, startedAt, softwareVersion };
       simulated.isUp = true;
       this.onRestart();
     });
@@ -281,6 +295,12 @@
     });
   }
 
+  /** Prompt blocks that an engine lists, with their tokens. */
+  promptBlocksOf(replica: Replica): ReadonlyMap<string, number> {
+    const blocks = [...(this.find(replica)?.promptBlocks ?? [])];
+    return new Map(blocks.map((id) => [id, 100]));
+  }
+
   /** Accepts a connection, or refuses it where no replica runs. */
   answerConnection(
     router: string,
