--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -33,6 +33,7 @@
   promptBlocksRequestedAt: 0,
   lastLossAt: 0,
   drainingSince: undefined,
+  leftAt: undefined,
   hasAnnouncedLeaving: false,
   replacedAt: undefined,
   requestLimit: undefined,
--- a/packages/relay/src/decisions/storeUpdates.test.ts
+++ b/packages/relay/src/decisions/storeUpdates.test.ts
@@ -9,7 +9,7 @@
   testReplicas,
 } from "../testing/scenario.js";
 import { ReplicaState, type Replica } from "../types.js";
-import { outdatedReplicaMs } from "./constants.js";
+import { departedReplicaRetentionMs, outdatedReplicaMs } from "./constants.js";
 
 test("an older configuration does not replace a newer one", () => {
   const scenario = Scenario.create();
@@ -163,3 +163,21 @@
   readReplicas(scenario, []);
   assert.equal(scenario.state.replicas.size, 0);
 });
+
+test("a replica that drained and left is remembered for ever", () => {
+  const scenario = Scenario.create();
+  const [first, ...others] = testReplicas();
+  assert.ok(first);
+  const read = (replicas: readonly Replica[]) => {
+    scenario.dispatch({ type: "replicasRead", at: scenario.at, replicas });
+  };
+  read([
+    { ...first, state: ReplicaState.Draining, reportNumber: 2 },
+    ...others,
+  ]);
+  read(others);
+  assert.ok(scenario.state.replicas.has(first.id));
+  scenario.at += departedReplicaRetentionMs + 1;
+  read(others);
+  assert.ok(!scenario.state.replicas.has(first.id));
+});
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -3,7 +3,10 @@
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { ReplicaState, type Replica } from "../types.js";
-import { replicaReregistrationMs } from "./constants.js";
+import {
+  departedReplicaRetentionMs,
+  replicaReregistrationMs,
+} from "./constants.js";
 import {
   findOutdated,
   isEarlierReport,
@@ -18,7 +21,7 @@
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
-import type { RelayState } from "./types.js";
+import type { RelayState, ReplicaView } from "./types.js";
 
 /** Applies a configuration; ignores one that is not newer than the one in force. */
 export const configRead = (
@@ -86,6 +89,7 @@
     if (replica.state === ReplicaState.Draining) view.drainingSince = state.at;
     return [replicaLogLine("replica registered", replica)];
   }
+  known.leftAt = undefined;
   const wasReady = known.replica.state === ReplicaState.Ready;
   known.replica = replica;
   if (replica.state === ReplicaState.Ready) {
@@ -120,6 +124,13 @@
   }
 };
 
+/** Forgets a replica that drained and left, once no older state of it can be read any more. */
+const forgetDrained = (state: RelayState, view: ReplicaView): void => {
+  view.leftAt ??= state.at;
+  const isOld = state.at - view.leftAt > departedReplicaRetentionMs;
+  if (isOld && view.inFlight === 0) state.replicas.delete(view.replica.id);
+};
+
 /** Applies the list of all registered replicas. */
 export const replicasRead = (
   state: RelayState,
@@ -132,13 +143,13 @@
     outdated.has(replica.id) ? [] : updateReplica(state, replica),
   );
   const until = missingReplicaDeadline(state);
-  for (const { replica, drainingSince } of [...state.replicas.values()]) {
+  for (const view of [...state.replicas.values()]) {
+    const { replica, drainingSince } = view;
     if (registeredIds.has(replica.id) || state.missingReplicas.has(replica.id))
       continue;
-    if (drainingSince === undefined && until > state.at)
-      state.missingReplicas.set(replica.id, until);
-    else if (drainingSince === undefined)
-      commands.push(removeReplica(state, replica));
+    if (drainingSince !== undefined) forgetDrained(state, view);
+    else if (until > state.at) state.missingReplicas.set(replica.id, until);
+    else commands.push(removeReplica(state, replica));
   }
   return commands;
 };
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -56,6 +56,8 @@
   lastLossAt: Timestamp;
   /** Time at which draining or removal was first seen; undefined while the replica stays. */
   drainingSince: Timestamp | undefined;
+  /** Time at which the entry of a replica that drains was first missing. */
+  leftAt: Timestamp | undefined;
   /** Whether an answer of the process said that it leaves; no store entry of the process takes that back. */
   hasAnnouncedLeaving: boolean;
   /** Time at which another process was found at the replica's address. */
