Send no request to a process that is known to have ended, and bound suspects

A router that was told that a replica's process ended went on to choose it until the store removed its entry: each try is a refused connection, and a stream that can only go on at few replicas spends the fleet's repeats on them.

A replica's process has one name in evidence and elsewhere now.

--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -16,7 +16,12 @@
 import { excessFailureRateOf } from "./outcomes.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
 import { sampleWithoutReplacement, random } from "./random.js";
-import { isAvailable, isSuspected, replicasOf } from "./replicaViews.js";
+import {
+  hasEnded,
+  isAvailable,
+  isSuspected,
+  replicasOf,
+} from "./replicaViews.js";
 import type { ReservedPermit, RelayState, ReplicaView } from "./types.js";
 
 /** Constraints on the choice of a replica. */
@@ -125,6 +130,7 @@
   const available = replicasOf(state, service).filter(
     (view) =>
       isAvailable(view) &&
+      !hasEnded(state, view) &&
       !excluded.has(view.replica.id) &&
       (query.isWithinLimit !== true || isWithinLimit(state, view)),
   );
--- a/packages/relay/src/decisions/quarantine/constants.ts
+++ b/packages/relay/src/decisions/quarantine/constants.ts
@@ -72,6 +72,7 @@
 /** Bounds on what is remembered. */
 export const maxRemembered = {
   crashes: 64,
+  suspectsWithBlocksPerCrash: 8,
   suspectsPerCrash: 16,
   /** Among them, those under which other replicas ended before come in addition. */
   suspectsPerCrashWithKnown: 24,
--- a/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
+++ b/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
@@ -200,10 +200,19 @@
   assert.equal(fleet.endings.get(key), "whole");
 });
 
+/** Answers prompts with a block well for a while. */
+const warmUp = (fleet: Fleet, blockId: string): void => {
+  for (const router of fleet.states.keys()) {
+    fleet.request(router, [blockId]);
+    fleet.advance(300);
+  }
+};
+
 test("two requests that end replicas at the same time are not told apart", () => {
   const fleet = createEngineFleet(0);
   fleet.replicas.crashingRequests.set("worse", 3);
   const routers = [...fleet.states.keys()];
+  warmUp(fleet, "common");
   for (let index = 0; index < 60; index += 1) {
     const router = routers[(index * 3) % routers.length] ?? "";
     const name = index % 2 === 0 ? deadly : "worse";
@@ -229,3 +238,20 @@
   assert.equal(reason, "replicas ended under this request");
   assert.ok(Number(crashes) >= 3 && Number(retryAfterMs) > 0);
 });
+
+test("routers send requests to a process that another one knows to have ended", () => {
+  const fleet = createPlainFleet();
+  fleet.isStoreDown = true;
+  fleet.requestAgain("r1", deadly, nonIdempotentPath);
+  fleet.advance(2500);
+  const [{ attempt } = { attempt: undefined }] = fleet.sent;
+  const sentCount = fleet.sent.length;
+  for (let index = 0; index < 80; index += 1) {
+    fleet.requestPlain(`r${String(1 + (index % 8))}`);
+    fleet.advance(25);
+  }
+  const late = fleet.sent
+    .slice(sentCount)
+    .filter((one) => one.attempt.replica.id === attempt?.replica.id);
+  assert.equal(late.length, 0);
+});
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -12,20 +12,25 @@
 import { publishItem } from "../gossip/spreadGossip.js";
 import type { EngineCrashItem } from "../gossip/types.js";
 import { logLine } from "../logLine.js";
-import { isAvailable, isFromOtherProcess } from "../replicaViews.js";
+import {
+  isAvailable,
+  isFromOtherProcess,
+  processKeyOf,
+} from "../replicaViews.js";
 import type { RelayCommand } from "../commands.js";
 import type { RelayEventOf } from "../events.js";
 import type { Attempt, Exchange, RelayState } from "../types.js";
 import { maxEndedEngineCount, maxRemembered } from "./constants.js";
-import { causesOf, describeCauses, requestCauseOf } from "./causes.js";
+import {
+  causesOf,
+  describeCauses,
+  isRequestCause,
+  requestCauseOf,
+} from "./causes.js";
 import { renewQuarantines } from "./quarantines.js";
 import { forgetExcessCrashes } from "./quarantineState.js";
 import type { CrashSuspects, EngineCrash, UnconfirmedCrash } from "./types.js";
 
-/** Identifies a replica's process in evidence. */
-export const processOf = ({ id, startedAt }: Replica): string =>
-  `${id}@${String(startedAt)}`;
-
 /** Whether another replica ended under the request before. */
 const isKnownSuspect = (
   { quarantine: { crashes } }: RelayState,
@@ -39,13 +44,18 @@
   fingerprint: string,
   causes: readonly string[],
 ): boolean => {
-  const { suspectsPerCrash, suspectsPerCrashWithKnown } = maxRemembered;
+  const {
+    suspectsPerCrash,
+    suspectsPerCrashWithKnown,
+    suspectsWithBlocksPerCrash,
+  } = maxRemembered;
   const { size } = suspects;
   if (suspects.has(fingerprint) || size >= suspectsPerCrashWithKnown)
     return false;
   if (size >= suspectsPerCrash && !isKnownSuspect(state, fingerprint))
     return false;
-  suspects.set(fingerprint, causes);
+  const hasBlocks = size < suspectsWithBlocksPerCrash;
+  suspects.set(fingerprint, hasBlocks ? causes : causes.filter(isRequestCause));
   return true;
 };
 
@@ -92,7 +102,7 @@
   if (!mayEndByRequest(state, replica)) return [];
   const { unconfirmed } = state.quarantine;
   const { request } = exchange;
-  const process = processOf(replica);
+  const process = processKeyOf(replica);
   const known = unconfirmed.get(process);
   const crash: UnconfirmedCrash = known ?? {
     replica,
@@ -187,7 +197,7 @@
   state: RelayState,
   { replica, lostAt: at, suspects, unestablished }: UnconfirmedCrash,
 ): RelayCommand[] => {
-  addCrash(state, { process: processOf(replica), at, suspects });
+  addCrash(state, { process: processKeyOf(replica), at, suspects });
   return [
     crashLogLine(replica, suspects),
     ...endCrashingExchanges(state, unestablished),
--- a/packages/relay/src/decisions/quarantine/suspectedRequests.ts
+++ b/packages/relay/src/decisions/quarantine/suspectedRequests.ts
@@ -6,13 +6,18 @@
 
 import { refuse } from "../refusals.js";
 import { cancelExchange, failExchange, summaryOf } from "../endExchange.js";
-import { isAvailable, isSuspected, replicasOf } from "../replicaViews.js";
+import {
+  hasEnded,
+  isAvailable,
+  isSuspected,
+  processKeyOf,
+  replicasOf,
+} from "../replicaViews.js";
 import type { RelayCommand } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
 import { serviceUnavailableStatus, type CallerRequest } from "../../types.js";
 import { requestCauseOf } from "./causes.js";
 import { minSuspicionCount, replicaRestartMs } from "./constants.js";
-import { processOf } from "./engineCrashes.js";
 
 /**
  * Times of the crashes under a request that no answer to it followed. A broken
@@ -47,10 +52,10 @@
 
 /** Number of the service's replicas that take requests and did not end lately. */
 const soundReplicaCount = (state: RelayState, service: string): number => {
-  const { crashes, unconfirmed } = state.quarantine;
+  const { unconfirmed } = state.quarantine;
   return replicasOf(state, service).filter((view) => {
-    const process = processOf(view.replica);
-    const mayHaveEnded = crashes.has(process) || unconfirmed.has(process);
+    const mayHaveEnded =
+      hasEnded(state, view) || unconfirmed.has(processKeyOf(view.replica));
     return isAvailable(view) && !isSuspected(view, state.at) && !mayHaveEnded;
   }).length;
 };
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -43,7 +43,7 @@
 export const processKeyOf = ({
   id,
   startedAt,
-}: Pick<Replica, "id" | "startedAt">): string => `${id}/${String(startedAt)}`;
+}: Pick<Replica, "id" | "startedAt">): string => `${id}@${String(startedAt)}`;
 
 /** Views of a service's replicas. */
 export const replicasOf = (state: RelayState, service: string): ReplicaView[] =>
@@ -58,6 +58,12 @@
   !view.hasAnnouncedLeaving &&
   view.replacedAt === undefined;
 
+/** Whether the replica's process is known to have ended under requests. */
+export const hasEnded = (
+  { quarantine: { crashes } }: RelayState,
+  { replica }: ReplicaView,
+): boolean => crashes.size > 0 && crashes.has(processKeyOf(replica));
+
 /** Whether a replica is avoided because of a recent loss. */
 export const isSuspected = (view: ReplicaView, at: Timestamp): boolean =>
   view.suspectUntil > at;
