Let streams go on only within the software version that began them

Cause: which software made a part of a stream was not part of the state that goes on with it, neither in an exchange, nor to other routers, nor over a restart.

Fix: an exchange is bound to the version of its first event; candidates, copies and their targets have to have it, and a stream waits for them or is broken off. A take-up finds the version where the service had one lately, in this router's memory, at three routers that follow from the stream's key, or in the engines' lists of prompts; else it is refused as not run. That a service has several versions is told by gossip and written to the store. Messages and writes only then.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -101,7 +101,7 @@
   const metricsServer = createTextServer(options.metrics, () => {
     const state = running.state();
     const { exchanges, replicas, config, quarantine, limitCounts } = state;
-    const { restorations } = state;
+    const { restorations, versions } = state;
     const text = metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
@@ -113,6 +113,8 @@
       store_restorations_total: restorations.count,
       quarantines_in_force: quarantine.inForce.size,
       quarantine_refusals_total: quarantine.refusedCount,
+      services_with_several_versions: versions.announced.size,
+      streams_not_taken_up_total: versions.refusedCount,
       engine_crashes_remembered: quarantine.crashes.size,
       ...options.gauges(),
     });
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -22,7 +22,16 @@
   isSuspected,
   replicasOf,
 } from "./replicaViews.js";
-import type { ReservedPermit, RelayState, ReplicaView } from "./types.js";
+import {
+  maxLeavingVersionRatio,
+  minVersionReplicaCount,
+} from "./versions/constants.js";
+import type {
+  Exchange,
+  ReservedPermit,
+  RelayState,
+  ReplicaView,
+} from "./types.js";
 
 /** Constraints on the choice of a replica. */
 export interface CandidateQuery {
@@ -31,10 +40,24 @@
   readonly excluded: ReadonlySet<string>;
   /** Whether replicas are left out that this router may send no request now, because of their limits. */
   readonly isWithinLimit?: boolean;
+  /** Software version that the replica must have; any if undefined. */
+  readonly softwareVersion?: string | undefined;
   /** Zone that is avoided if another zone has a candidate; used for copies. */
   readonly avoidedZone?: string;
 }
 
+/** The replicas at which an exchange may be sent next. */
+export const candidateQueryOf = ({
+  service,
+  triedIds: excluded,
+  softwareVersion,
+}: Exchange): CandidateQuery => ({
+  service,
+  excluded,
+  softwareVersion,
+  isWithinLimit: true,
+});
+
 interface EngineLoad {
   readonly prefilling: number;
   readonly decoding: number;
@@ -119,6 +142,38 @@
   return preferred.length === 0 ? views : preferred;
 };
 
+/**
+ * The versions at which streams may begin: they have replicas enough to go on at, and
+ * are not at the end of their replacement by others. New replicas are slow at first, so
+ * a version that is being replaced is used until few of it are left.
+ */
+const lastingVersions = (
+  state: RelayState,
+  service: string,
+  available: readonly ReplicaView[],
+): ReadonlySet<string> => {
+  const countOf = (version: string) =>
+    available.filter(({ replica }) => replica.softwareVersion === version)
+      .length;
+  const all = new Set(available.map(({ replica }) => replica.softwareVersion));
+  if (all.size < 2) return all;
+  const leaving = new Set(
+    replicasOf(state, service)
+      .filter(
+        ({ drainingSince, leftAt }) =>
+          drainingSince !== undefined && leftAt === undefined,
+      )
+      .map(({ replica }) => replica.softwareVersion),
+  );
+  const isLasting = (version: string) => {
+    const count = countOf(version);
+    if (count < minVersionReplicaCount) return false;
+    const isFew = count < maxLeavingVersionRatio * available.length;
+    return !isFew || !leaving.has(version);
+  };
+  return new Set([...all].filter(isLasting));
+};
+
 /**
  * Available replicas that match the query, without suspected ones and the
  * avoided zone where possible.
@@ -132,13 +187,19 @@
       isAvailable(view) &&
       !hasEnded(state, view) &&
       !excluded.has(view.replica.id) &&
+      (query.softwareVersion === undefined ||
+        view.replica.softwareVersion === query.softwareVersion) &&
       (query.isWithinLimit !== true || isWithinLimit(state, view)),
   );
   const trusted = preferMatching(
     available,
     (view) => !isSuspected(view, state.at),
   );
-  return preferMatching(trusted, ({ replica }) => replica.zone !== avoidedZone);
+  const versions = lastingVersions(state, service, available);
+  const lasting = preferMatching(trusted, ({ replica }) =>
+    versions.has(replica.softwareVersion),
+  );
+  return preferMatching(lasting, ({ replica }) => replica.zone !== avoidedZone);
 };
 
 /** Whether any replica matches the query. */
@@ -194,18 +255,18 @@
 ): Replica | undefined =>
   leastCostReplica(state, query.service, candidatesOf(state, query));
 
-/** The engine with the lowest cost among the given ids, or undefined if none is available. */
+/** The engine with the lowest cost among the given ids, or undefined if none of them matches the query. */
 export const chooseAmong = (
   state: RelayState,
-  service: string,
+  query: CandidateQuery,
   ids: ReadonlySet<string>,
 ): Replica | undefined => {
+  const candidates = new Set(candidatesOf(state, query));
   const views = [...ids]
     .map((id) => state.replicas.get(id))
     .filter((view) => view !== undefined)
-    .filter((view) => isAvailable(view) && !isSuspected(view, state.at))
-    .filter((view) => isWithinLimit(state, view));
-  return leastCostReplica(state, service, views);
+    .filter((view) => candidates.has(view) && !isSuspected(view, state.at));
+  return leastCostReplica(state, query.service, views);
 };
 
 /** The replica whose limit lets this router send soonest, and when; undefined if none is available. */
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -10,6 +10,7 @@
 } from "../types.js";
 import type { GossipItem } from "./gossip/types.js";
 import type { StoredQuarantine } from "./quarantine/types.js";
+import type { StoredVersions, StreamOrigin } from "./versions/types.js";
 import type {
   KvCacheCopy,
   Attempt,
@@ -115,6 +116,18 @@
       readonly stored: StoredQuarantine;
       readonly until: Timestamp;
     }
+  | {
+      readonly type: "storeVersions";
+      readonly entry: StoredVersions;
+      readonly until: Timestamp;
+    }
+  /** Tells another router where streams began. */
+  | {
+      readonly type: "tellOrigins";
+      readonly to: Address;
+      readonly origins: readonly StreamOrigin[];
+    }
+  | { readonly type: "askOrigin"; readonly to: Address; readonly key: string }
   | {
       readonly type: "renewRegistration";
       readonly lease: string;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -10,6 +10,7 @@
 import { callerDisconnected } from "./callerDisconnected.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
 import { createGossipState } from "./gossip/spreadGossip.js";
+import { originsTold } from "./probes.js";
 import { connectionProbed } from "./quarantine/engineCrashes.js";
 import { quarantinesRead } from "./quarantine/quarantinesRead.js";
 import { createQuarantineState } from "./quarantine/quarantineState.js";
@@ -22,6 +23,11 @@
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamStarted, streamEnded } from "./streamEvents.js";
 import { kvCacheCopied } from "./kvCacheCopies.js";
+import {
+  createVersionState,
+  versionsRead,
+} from "./versions/serviceVersions.js";
+import { originAsked } from "./versions/streamOrigins.js";
 import { timerTicked } from "./timerTicked.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -69,6 +75,7 @@
   retryBudgets: new Map(),
   registration: createRegistration(),
   quarantine: createQuarantineState(),
+  versions: createVersionState(),
   gossip: createGossipState(),
   limitCounts: { waited: 0, refused: 0 },
   runtimeLimits: options.runtimeLimits,
@@ -133,6 +140,12 @@
       return gossipReceived(state, event);
     case "quarantinesRead":
       return quarantinesRead(state, event);
+    case "versionsRead":
+      return versionsRead(state, event);
+    case "originAsked":
+      return originAsked(state, event);
+    case "originsTold":
+      return originsTold(state, event);
     case "outcomesShared":
       return outcomesShared(state, event);
     case "limitsChanged":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -10,6 +10,7 @@
 } from "../types.js";
 import type { GossipItem } from "./gossip/types.js";
 import type { StoredQuarantine } from "./quarantine/types.js";
+import type { StoredVersions, StreamOrigin } from "./versions/types.js";
 import type {
   ResponseHead,
   StreamEvent,
@@ -168,6 +169,23 @@
       readonly era: number;
       readonly entries: readonly StoredQuarantine[];
     }
+  | {
+      readonly type: "versionsRead";
+      readonly at: Timestamp;
+      readonly entries: readonly StoredVersions[];
+    }
+  | {
+      readonly type: "originAsked";
+      readonly at: Timestamp;
+      readonly from: Address;
+      readonly key: string;
+    }
+  | {
+      readonly type: "originsTold";
+      readonly at: Timestamp;
+      readonly from: Address;
+      readonly origins: readonly StreamOrigin[];
+    }
   | {
       readonly type: "callerDisconnected";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/gossip/gossipReceived.ts
+++ b/packages/relay/src/decisions/gossip/gossipReceived.ts
@@ -14,6 +14,7 @@
 import { trackedBlocks } from "../quarantine/quarantineState.js";
 import { learnLeaving, leavingItems } from "../leavingReplicas.js";
 import { learnRequestLimit, limitItems } from "../requestLimits.js";
+import { learnVersion, versionItems } from "../versions/serviceVersions.js";
 import { isKnownRouter } from "../registration.js";
 import type { RelayState } from "../types.js";
 import { publishItem } from "./spreadGossip.js";
@@ -44,6 +45,8 @@
       return learnQuarantine(state, item);
     case "requestLimit":
       return learnRequestLimit(state, item);
+    case "softwareVersion":
+      return learnVersion(state, item);
     case "replicaLeaving":
       return learnLeaving(state, item);
     default:
@@ -69,7 +72,7 @@
 
 /** All that this router could tell others. */
 export const currentItems = (state: RelayState): CurrentItems => ({
-  conclusions: quarantineItems(state),
+  conclusions: [...versionItems(state), ...quarantineItems(state)],
   evidence: [
     ...leavingItems(state),
     ...limitItems(state),
--- a/packages/relay/src/decisions/gossip/types.ts
+++ b/packages/relay/src/decisions/gossip/types.ts
@@ -58,13 +58,23 @@
   readonly source: string;
 }
 
+/** A software version that a service had lately, while it has several. */
+export interface SoftwareVersionItem {
+  readonly type: "softwareVersion";
+  readonly service: string;
+  readonly version: string;
+  /** Latest time at which a replica had it. */
+  readonly at: Timestamp;
+}
+
 /** One item of gossip; the same item may arrive any number of times. */
 export type GossipItem =
   | EngineCrashItem
   | SucceededBlocksItem
   | QuarantineItem
   | RequestLimitItem
-  | ReplicaLeavingItem;
+  | ReplicaLeavingItem
+  | SoftwareVersionItem;
 
 /** All items that a router could tell others. */
 export interface CurrentItems {
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -19,6 +19,7 @@
   markReplaced,
 } from "./replicaViews.js";
 import { sendWithoutCopy } from "./sendAttempt.js";
+import { learnOrigins } from "./versions/streamOrigins.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -161,6 +162,15 @@
   ...updateProbedReplica(state, event),
 ];
 
+/** Handles what another router told about streams, and sends those whose version is found. */
+export const originsTold = (
+  state: RelayState,
+  event: RelayEventOf<"originsTold">,
+): RelayCommand[] =>
+  learnOrigins(state, event).flatMap((exchange) =>
+    isEngineQueryDone(state, exchange) ? sendWithoutCopy(state, exchange) : [],
+  );
+
 /** Handles an engine's list of prompt blocks, or its missing answer. */
 export const promptBlocksListed = (
   state: RelayState,
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -7,9 +7,13 @@
  * "The Power of Two Choices in Randomized Load Balancing", 2001).
  */
 
-import type { Timestamp } from "@cardamomglade/common";
+import { rendezvousOrder, type Timestamp } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
-import { rankCandidates, candidateSampleOf } from "./chooseReplica.js";
+import {
+  candidateQueryOf,
+  candidateSampleOf,
+  rankCandidates,
+} from "./chooseReplica.js";
 import {
   loadQueryEngineCount,
   promptQueryEnginesPerZoneCount,
@@ -19,7 +23,7 @@
   reconnectWindowMs,
   promptQueryTimeoutMs,
 } from "./constants.js";
-import { isAvailable } from "./replicaViews.js";
+import { isAvailable, replicasOf } from "./replicaViews.js";
 import { canCopy } from "./sendAttempt.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -61,6 +65,18 @@
   });
 };
 
+/** Ranks all engines of the service, also those that leave: they know best what began there. */
+const rankAll = (
+  state: RelayState,
+  { service, request }: Exchange,
+): ReplicaView[] => {
+  const views = replicasOf(state, service);
+  const byId = new Map(views.map((view) => [view.replica.id, view]));
+  return rendezvousOrder(request.lastPromptBlockId ?? "", [...byId.keys()])
+    .map((id) => byId.get(id))
+    .filter((view) => view !== undefined);
+};
+
 /**
  * Asks engines which prompt blocks they hold. Load pattern: after routers fail,
  * all of their callers reconnect at once to routers without any state of their
@@ -71,10 +87,15 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { service, triedIds, request } = exchange;
-  const query = { service, excluded: triedIds, isWithinLimit: true };
+  const { request } = exchange;
   const sample = takePerZone(
-    rankCandidates(state, query, request.lastPromptBlockId ?? ""),
+    exchange.isVersionSought
+      ? rankAll(state, exchange)
+      : rankCandidates(
+          state,
+          candidateQueryOf(exchange),
+          request.lastPromptBlockId ?? "",
+        ),
   );
   const pending = sample.filter(
     ({ promptBlocksReadAt }) =>
@@ -109,7 +130,7 @@
 /** The engine that caches most tokens of the prompt's last block, or undefined. */
 export const promptHolderOf = (
   state: RelayState,
-  { engineQuery, request }: Exchange,
+  { engineQuery, request, softwareVersion }: Exchange,
 ): Replica | undefined => {
   if (
     engineQuery?.type !== "promptBlocks" ||
@@ -123,6 +144,11 @@
     const tokens = view?.promptBlocks?.get(request.lastPromptBlockId) ?? 0;
     if (view === undefined || tokens <= maxTokens || !isAvailable(view))
       continue;
+    const { replica } = view;
+    if (
+      (softwareVersion ?? replica.softwareVersion) !== replica.softwareVersion
+    )
+      continue;
     holder = view.replica;
     maxTokens = tokens;
   }
@@ -134,13 +160,20 @@
 const isRecentlyStarted = ({ at, startedAt }: RelayState): boolean =>
   at - startedAt < reconnectWindowMs;
 
+/** Waits for the routers that were asked for a stream whose prompt has no blocks. */
+const awaitOrigin = (state: RelayState, exchange: Exchange): RelayCommand[] => {
+  const { at } = state;
+  exchange.engineQuery = createEngineQuery("promptBlocks", [], [], at);
+  return [];
+};
+
 /** Starts a query of some engines; the request is sent when they have answered. */
 export const queryEngines = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  if (!canCopy(state, exchange)) return [];
-  const { service, triedIds, request, attempts } = exchange;
+  const { request, attempts, isVersionSought } = exchange;
+  if (!canCopy(state, exchange) && !isVersionSought) return [];
   const mayBeReconnect =
     request.lastEventId !== undefined || isRecentlyStarted(state);
   if (
@@ -149,10 +182,10 @@
     request.lastPromptBlockId !== undefined
   )
     return queryPromptBlocks(state, exchange);
-  const query = { service, excluded: triedIds, isWithinLimit: true };
+  if (isVersionSought) return awaitOrigin(state, exchange);
   const sample = candidateSampleOf(
     state,
-    query,
+    candidateQueryOf(exchange),
     request.lastPromptBlockId,
     loadQueryEngineCount,
   );
@@ -175,10 +208,13 @@
   });
 };
 
-/** Whether the query is complete: all engines have answered, or it has timed out. */
+/** Whether all engines and routers that were asked have answered, or too late. */
 export const isEngineQueryDone = (
   state: RelayState,
-  { engineQuery }: Exchange,
+  { engineQuery, originQuery }: Exchange,
 ): boolean =>
-  engineQuery !== undefined &&
-  (engineQuery.pending.size === 0 || state.at >= engineQuery.until);
+  [engineQuery, originQuery ?? engineQuery].every(
+    (query) =>
+      query !== undefined &&
+      (query.pending.size === 0 || state.at >= query.until),
+  );
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -7,6 +7,7 @@
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
 import { sendFirst } from "./sendAttempt.js";
+import { seekVersion } from "./versions/takeUps.js";
 import { restorationContext } from "./storeUpdates.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -72,6 +73,10 @@
   engineQuery: undefined,
   borrowing: undefined,
   reservedPermit: undefined,
+  softwareVersion: undefined,
+  isVersionSought: false,
+  originQuery: undefined,
+  versionWait: undefined,
   copy: undefined,
   failedResponse: undefined,
 });
@@ -113,5 +118,9 @@
   const refusal = holdBack(state, exchange);
   if (refusal !== undefined) return refusal;
   state.exchanges.set(key, exchange);
-  return [...startTrials(state, exchange), ...sendFirst(state, exchange)];
+  return [
+    ...startTrials(state, exchange),
+    ...seekVersion(state, exchange),
+    ...sendFirst(state, exchange),
+  ];
 };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -7,6 +7,7 @@
   type Replica,
 } from "../types.js";
 import {
+  candidateQueryOf,
   chooseAmong,
   chooseReplica,
   hasCandidate,
@@ -35,6 +36,8 @@
   isSuspectedRequest,
   keepFromLastReplica,
 } from "./quarantine/suspectedRequests.js";
+import { minVersionRetryMs } from "./versions/constants.js";
+import { hasVersion, refuseTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
 import { ageOf, isAvailable, isSuspected } from "./replicaViews.js";
@@ -71,7 +74,8 @@
   const avoidedZone = replica.zone;
   // Chosen by prompt, not by load: routers that choose by the same load figures
   // would all fill one engine's memory.
-  const query = { service, excluded, avoidedZone };
+  const { softwareVersion } = replica;
+  const query = { service, excluded, avoidedZone, softwareVersion };
   return candidateSampleOf(state, query, request.lastPromptBlockId, 1)[0]
     ?.replica;
 };
@@ -126,6 +130,8 @@
   exchange.attempt = attempt;
   exchange.triedIds.add(replica.id);
   exchange.mayHaveExecuted = true;
+  if (exchange.versionWait !== undefined)
+    exchange.versionWait.retryAt = Infinity;
   countAttempt(state, attempt);
   takePermit(state, replica.id);
   const view = state.replicas.get(replica.id);
@@ -165,14 +171,14 @@
   state: RelayState,
   exchange: Exchange,
 ): Replica | undefined => {
-  const { service, engineQuery } = exchange;
+  const { engineQuery } = exchange;
   if (engineQuery === undefined) return undefined;
   const holder = promptHolderOf(state, exchange);
   if (holder !== undefined) return holder;
   const answered = [...engineQuery.sample].filter(
     (id) => !engineQuery.pending.has(id),
   );
-  return chooseAmong(state, service, new Set(answered));
+  return chooseAmong(state, candidateQueryOf(exchange), new Set(answered));
 };
 
 /**
@@ -183,10 +189,10 @@
   state: RelayState,
   exchange: Exchange,
 ): Replica | undefined => {
-  const { service, triedIds: excluded } = exchange;
+  const { service } = exchange;
   if (engineOf(state, service) !== undefined) return undefined;
   if (!isSuspectedRequest(state, exchange)) return undefined;
-  const query = { service, excluded, isWithinLimit: true };
+  const query = candidateQueryOf(exchange);
   return rankCandidates(state, query, service)[0]?.replica;
 };
 
@@ -195,15 +201,16 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { service, triedIds } = exchange;
-  const query = { service, excluded: triedIds, isWithinLimit: true };
+  const lines = settleVersion(state, exchange);
+  if (!state.exchanges.has(exchange.key)) return lines;
+  const query = candidateQueryOf(exchange);
   const replica =
     chooseQueriedEngine(state, exchange) ??
     chooseForSuspect(state, exchange) ??
     chooseReplica(state, query);
   exchange.engineQuery = undefined;
-  if (replica === undefined) return awaitPermit(state, exchange);
-  return sendTo(state, exchange, replica, { type: "fresh" });
+  if (replica === undefined) return [...lines, ...awaitPermit(state, exchange)];
+  return [...lines, ...sendTo(state, exchange, replica, { type: "fresh" })];
 };
 
 /** Time until which waiting for a permit serves the caller better than a refusal. */
@@ -213,16 +220,58 @@
 ): Timestamp =>
   Math.min(deadline, at + permitWaitRatio * route.targetLatencyMs);
 
+/**
+ * Waits for a replica of the software at which a stream began, or ends the stream if
+ * none is left. Load pattern: replicas of a version are few and full, or restart, and
+ * the callers of a lost router take their streams up at once.
+ */
+const awaitVersion = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { service, softwareVersion, route, deadline, triedIds } = exchange;
+  if (softwareVersion === undefined)
+    return failExchange(state, exchange, "no replica is open");
+  if (!hasVersion(state, service, softwareVersion))
+    return refuseTakeUp(
+      state,
+      exchange,
+      "no replica of the stream's software is left",
+    );
+  const until =
+    exchange.versionWait?.until ??
+    Math.min(deadline, state.at + route.targetLatencyMs);
+  if (state.at >= until)
+    return refuseTakeUp(
+      state,
+      exchange,
+      "no replica of the stream's software is open",
+    );
+  // One that was full may be tried again, not one that was lost.
+  const again = [...triedIds].find((id) => {
+    const view = state.replicas.get(id);
+    return view !== undefined && !isSuspected(view, state.at);
+  });
+  if (again !== undefined) triedIds.delete(again);
+  const leftCount = route.maxAttempts - exchange.attempts;
+  const waitMs = Math.max(
+    minVersionRetryMs,
+    (until - state.at) / (leftCount + 1),
+  );
+  exchange.versionWait = { until, retryAt: state.at + waitMs };
+  return [];
+};
+
 /**
  * Reserves the next permit at a replica that limits requests, or ends the request
  * at once if it comes too late. Load pattern: all replicas are limited, and more
  * requests come than they take; those that wait would make the others late.
  */
 const awaitPermit = (state: RelayState, exchange: Exchange): RelayCommand[] => {
-  const { service, triedIds, key, request } = exchange;
-  const permit = soonestPermit(state, { service, excluded: triedIds });
-  if (permit === undefined)
-    return failExchange(state, exchange, "no replica is open");
+  const { key, request } = exchange;
+  const query = { ...candidateQueryOf(exchange), isWithinLimit: false };
+  const permit = soonestPermit(state, query);
+  if (permit === undefined) return awaitVersion(state, exchange);
   const limit = state.replicas.get(permit.replica)?.requestLimit;
   const context = {
     ...summaryOf(exchange, state.at),
@@ -244,7 +293,7 @@
     exchange.mayHaveExecuted || exchange.head !== undefined;
   // A replica without a limit that was full for this attempt is soon free again.
   const isSoonFree =
-    soonestPermit(state, { service, excluded: new Set() })?.at === state.at;
+    soonestPermit(state, { ...query, excluded: new Set() })?.at === state.at;
   if (mayHaveStarted || isSoonFree)
     return failExchange(state, exchange, reason);
   const refused = { key, requestId: request.requestId, reason, context };
@@ -262,8 +311,13 @@
 ): RelayCommand[] => {
   exchange.reservedPermit = undefined;
   const view = state.replicas.get(replica);
-  if (view === undefined || !isAvailable(view))
-    return sendWithoutCopy(state, exchange);
+  const { softwareVersion } = exchange;
+  const isUsable =
+    view !== undefined &&
+    isAvailable(view) &&
+    (softwareVersion ?? view.replica.softwareVersion) ===
+      view.replica.softwareVersion;
+  if (!isUsable) return sendWithoutCopy(state, exchange);
   // The permit was taken when it was reserved.
   if (view.requestLimit !== undefined) returnPermit(state, view.requestLimit);
   return sendTo(state, exchange, view.replica, { type: "fresh" });
@@ -301,6 +355,8 @@
 ): boolean => {
   const view = state.replicas.get(holder.id);
   if (view === undefined || view.lastLossAt > createdAt) return false;
+  // A process that came back under the holder's id holds nothing, and may have other software.
+  if (view.replica.startedAt !== holder.startedAt) return false;
   return (
     isAvailable(view) &&
     !isSuspected(view, state.at) &&
@@ -317,14 +373,9 @@
   state: RelayState,
   exchange: Exchange,
 ): boolean => {
-  const { service, triedIds } = exchange;
   if (!hasAttempt(exchange)) return false;
-  if (!hasRetry(state, service, state.at)) return false;
-  return hasCandidate(state, {
-    service,
-    excluded: triedIds,
-    isWithinLimit: true,
-  });
+  if (!hasRetry(state, exchange.service, state.at)) return false;
+  return hasCandidate(state, candidateQueryOf(exchange));
 };
 
 /**
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -17,6 +17,7 @@
   markReplaced,
   processKeyOf,
 } from "./replicaViews.js";
+import { noteReplicaVersions } from "./versions/serviceVersions.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
@@ -151,7 +152,7 @@
     else if (until > state.at) state.missingReplicas.set(replica.id, until);
     else commands.push(removeReplica(state, replica));
   }
-  return commands;
+  return [...commands, ...noteReplicaVersions(state)];
 };
 
 /**
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -11,10 +11,12 @@
   establishEndedAttempt,
 } from "./quarantine/establishAttempt.js";
 import { noteRequestLimit } from "./requestLimits.js";
-import { completeExchange } from "./endExchange.js";
+import { completeExchange, failExchange } from "./endExchange.js";
+import { hasSeveralVersions } from "./versions/serviceVersions.js";
+import { recordOrigin } from "./versions/streamOrigins.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
-import type { Exchange, RelayState, StreamEvent } from "./types.js";
+import type { Attempt, Exchange, RelayState, StreamEvent } from "./types.js";
 
 /** Handles the start of a stream; only the first replica's response head is sent to the caller. */
 export const streamStarted = (
@@ -56,6 +58,22 @@
   return { events: accepted, isGap: false };
 };
 
+/** Software of the process that sends: another one may have come back under the replica's id. */
+const versionOf = (state: RelayState, { replica }: Attempt): string =>
+  (state.replicas.get(replica.id)?.replica ?? replica).softwareVersion;
+
+/** Binds a stream to the software that sent its first event. */
+const bindVersion = (
+  state: RelayState,
+  exchange: Exchange,
+  version: string,
+): RelayCommand[] => {
+  if (exchange.softwareVersion !== undefined) return [];
+  exchange.softwareVersion = version;
+  const isTold = hasSeveralVersions(state, exchange.service);
+  return recordOrigin(state, exchange, version, isTold);
+};
+
 /** Handles received stream events. */
 export const eventsArrived = (
   state: RelayState,
@@ -73,9 +91,20 @@
     if (view !== undefined) view.prefilling = Math.max(0, view.prefilling - 1);
   }
   const { events, isGap } = acceptEvents(exchange, event.events);
+  const version = versionOf(state, attempt);
+  if (events.length > 0 && (exchange.softwareVersion ?? version) !== version)
+    return failExchange(
+      state,
+      exchange,
+      "the replica came back with other software",
+    );
   exchange.lastEventId = events.at(-1)?.id ?? exchange.lastEventId;
-  const commands: RelayCommand[] =
-    events.length === 0 ? [] : [{ type: "deliverEvents", key, events }];
+  const commands: RelayCommand[] = [];
+  if (events.length > 0) {
+    // Others know where the stream began before its caller can take it up.
+    commands.push(...bindVersion(state, exchange, version));
+    commands.push({ type: "deliverEvents", key, events });
+  }
   commands.push(...establishAttempt(state, exchange, attempt, events.length));
   if (!isGap) return commands;
   commands.push({ type: "abandon", key, attempt: attempt.number });
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -31,6 +31,7 @@
   sendWithoutCopy,
 } from "./sendAttempt.js";
 import { recoverExchange } from "./recoverExchange.js";
+import { maintainVersions } from "./versions/serviceVersions.js";
 import { readmitReplicas, removeMissingReplicas } from "./storeUpdates.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -108,6 +109,9 @@
     return state.at >= reservedPermit.at
       ? sendWithPermit(state, exchange, reservedPermit)
       : [];
+  const { versionWait } = exchange;
+  if (versionWait !== undefined && state.at >= versionWait.retryAt)
+    return sendWithoutCopy(state, exchange);
   if (isEngineQueryDone(state, exchange))
     return sendWithoutCopy(state, exchange);
   if (attempt === undefined) return [];
@@ -162,6 +166,7 @@
     ...shareOutcomes(state),
     ...searchCulprits(state),
     ...maintainQuarantines(state),
+    ...maintainVersions(state),
     ...spreadGossip(state, () => currentItems(state)),
   );
   for (const exchange of [...state.exchanges.values()])
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -12,6 +12,11 @@
 import type { GossipState } from "./gossip/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
+import type {
+  OriginQuery,
+  VersionState,
+  VersionWait,
+} from "./versions/types.js";
 
 /** Numbers of attempts that succeeded and failed. */
 export interface OutcomeCounts {
@@ -183,6 +188,14 @@
   borrowing: Borrowing | undefined;
   /** Set while the request waits for its permit at a replica that limits requests. */
   reservedPermit: ReservedPermit | undefined;
+  /** Software version at which the stream began; it goes on only there. Undefined before the first event. */
+  softwareVersion: string | undefined;
+  /** Whether the version of a stream that the caller takes up is still looked for. */
+  isVersionSought: boolean;
+  /** Question to other routers for that version; undefined if none is under way. */
+  originQuery: OriginQuery | undefined;
+  /** Set once the stream waited for a replica of its software. */
+  versionWait: VersionWait | undefined;
   /** KV cache copy left by the last attempt. */
   copy: KvCacheCopy | undefined;
   /** Last failed response of a replica, delivered if no other attempt is possible. */
@@ -320,6 +333,7 @@
   readonly retryBudgets: Map<string, RetryBudget>;
   readonly registration: Registration;
   readonly quarantine: QuarantineState;
+  readonly versions: VersionState;
   readonly gossip: GossipState;
   readonly limitCounts: LimitCounts;
   runtimeLimits: RuntimeLimits;
--- a/packages/relay/src/decisions/versions/streamVersions.test.ts
+++ b/packages/relay/src/decisions/versions/streamVersions.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Fleet } from "../../testing/fleet.js";
+import { Scenario, streamPath, testReplica } from "../../testing/scenario.js";
 import type { SimulatedReplica } from "../../testing/simulatedReplicas.js";
 
 const createFleet = (routerCount = 8): Fleet =>
@@ -66,8 +67,8 @@
   const lost = fleet.replicas.engines.filter(
     ({ replica }) => replica.softwareVersion === "v2",
   );
-  fleet.crash(lost);
-  fleet.advance(3000);
+  for (const engine of lost) fleet.replicas.endReplica(engine, "v1");
+  fleet.advance(6000);
   assert.equal(countJoined(fleet), 0);
   const cut = keys.filter((key) => fleet.endings.get(key) === "cut");
   assert.equal(countWhole(fleet, keys) + cut.length, keys.length);
@@ -183,3 +184,99 @@
   assert.equal(countJoined(fleet), 0);
   assert.ok(countWhole(fleet, next) >= next.length / 3);
 });
+
+test("take-ups are refused, or cost messages, while a service has one version", () => {
+  const fleet = createFleet();
+  const keys = beginStreams(fleet, 24);
+  fleet.advance(800);
+  restartRouters(fleet, [...fleet.states.keys()]);
+  const next = keys.map((key, index) =>
+    fleet.takeUp(`r${String(1 + (index % 8))}`, key),
+  );
+  fleet.advance(3000);
+  assert.equal(countWhole(fleet, next), next.length);
+  assert.equal(fleet.originMessageCount, 0);
+  assert.equal(fleet.storedVersions.size, 0);
+});
+
+test("the versions of a service are written to the store again and again", () => {
+  const fleet = createMixedFleet();
+  fleet.advance(30_000);
+  assert.equal(fleet.versionWriteCount, 1);
+});
+
+const takeUpWith = (
+  fleet: Fleet,
+  key: string,
+  resumes: string | undefined,
+): string => {
+  const lastEventId = fleet.streams.get(key)?.lastEventId ?? 0;
+  return fleet.request("r2", [], streamPath, { lastEventId, resumes });
+};
+
+test("a take-up that names no stream of its caller is joined to any version", () => {
+  const fleet = createMixedFleet();
+  const [key = ""] = beginStreams(fleet, 1);
+  fleet.advance(800);
+  const names = [undefined, "", "unknown", "x".repeat(10_000), "\u0000[]"];
+  const next = names.map((name) => takeUpWith(fleet, key, name));
+  fleet.advance(100);
+  for (const one of next) assert.equal(fleet.endings.get(one), 503);
+});
+
+test("a take-up that names the stream of another customer learns its version", () => {
+  const fleet = createMixedFleet();
+  const [key = ""] = beginStreams(fleet, 1);
+  fleet.advance(800);
+  const lastEventId = fleet.streams.get(key)?.lastEventId ?? 0;
+  const other = fleet.request("r2", [], streamPath, {
+    lastEventId,
+    resumes: key,
+    key: "key-other",
+  });
+  fleet.advance(100);
+  assert.equal(fleet.endings.get(other), 503);
+});
+
+test("a take-up whose version is full is refused although it could wait", () => {
+  const fleet = createFleet();
+  setVersion(fleet.replicas.engines.slice(3), "v2");
+  readStore(fleet);
+  const keys = beginStreams(fleet, 16);
+  fleet.advance(800);
+  const key =
+    keys.find((one) => fleet.streams.get(one)?.versions.has("v1")) ?? "";
+  const [version = ""] = fleet.streams.get(key)?.versions ?? [];
+  const own = fleet.replicas.engines.filter(
+    ({ replica }) => replica.softwareVersion === version,
+  );
+  for (const engine of own) fleet.replicas.fullReplicas.add(engine.replica.id);
+  const next = fleet.takeUp("r2", key);
+  fleet.advance(700);
+  fleet.replicas.fullReplicas.clear();
+  fleet.advance(3000);
+  assert.equal(fleet.endings.get(next), "whole");
+  assert.equal(countJoined(fleet), 0);
+});
+
+test("a replica that came back under its id with other software goes on with a stream", () => {
+  const replicas = ["a-1", "b-1", "c-1"].map((id) => testReplica(id));
+  const scenario = Scenario.create(replicas);
+  scenario.request("1", streamPath);
+  scenario.streamEvents("1", 1, 3);
+  const { replica, copyTo, number } = scenario.lastSend("1").attempt;
+  assert.ok(copyTo);
+  const changed = replicas.map((one) =>
+    one.id === replica.id
+      ? one
+      : { ...one, startedAt: 9, softwareVersion: "v2" },
+  );
+  const { at } = scenario;
+  scenario.dispatch({ type: "replicasRead", at, replicas: changed });
+  scenario.failAttempt("1", number);
+  scenario.advance(6000);
+  const versions = scenario
+    .commandsOfType("send")
+    .map(({ attempt }) => attempt.replica.softwareVersion);
+  assert.deepEqual(new Set(versions), new Set(["v1"]));
+});
--- a/packages/relay/src/drivers/peerDriver.test.ts
+++ b/packages/relay/src/drivers/peerDriver.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import { pack } from "msgpackr";
 import type { RelayEvent } from "../decisions/events.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 import { createPeerDriver } from "./peerDriver.js";
@@ -8,6 +9,8 @@
   decodePeerMessage,
   encodeGossip,
   encodeLendingMessage,
+  encodeOriginQuestion,
+  encodeOrigins,
 } from "./peerMessages.js";
 
 const host = "127.0.0.1";
@@ -50,6 +53,33 @@
   (_, index) => `block-${String(index)}`,
 );
 
+test("what routers tell of streams is split into small datagrams, malformed ones are dropped", () => {
+  const origins = Array.from({ length: 60 }, (_, index) => ({
+    key: `["engines","owner","attempt-${String(index)}"]`,
+    version: index % 3 === 0 ? undefined : "v2",
+  }));
+  const datagrams = encodeOrigins(origins);
+  assert.ok(datagrams.every(({ length }) => length <= 1250));
+  const decoded = datagrams.flatMap((bytes) => {
+    const message = decodePeerMessage(bytes, 0);
+    assert.equal(message?.type, "origins");
+    return message.origins;
+  });
+  assert.deepEqual(decoded, origins);
+  const question = decodePeerMessage(encodeOriginQuestion("a"), 0);
+  assert.deepEqual(question, { type: "askOrigin", key: "a" });
+  const malformed: unknown[] = [
+    ["askOrigin", 7],
+    ["askOrigin", "x".repeat(300)],
+    ["origins", "a"],
+    ["origins", [["a"]]],
+    ["origins", [["a", 7]]],
+    ["origins", Array(200).fill(["a", "v1"])],
+  ];
+  for (const one of malformed)
+    assert.equal(decodePeerMessage(pack(one), 0), undefined);
+});
+
 test("gossip is split into small datagrams and decodes to the same items by their age", () => {
   const items: GossipItem[] = [
     ...Array.from({ length: 5 }, (_, index) => ({
@@ -75,6 +105,7 @@
       at: 4700,
       source: "r2",
     },
+    { type: "softwareVersion", service: "s", version: "v2", at: 4800 },
     {
       type: "quarantine",
       blockIds: ["a", "b"],
@@ -95,9 +126,11 @@
   assert.equal(decoded.length, items.length);
   const [first] = decoded;
   assert.equal(first?.type === "engineCrash" && first.at, 104_000);
-  const leaving = decoded.at(-2);
+  const version = decoded.at(-2);
+  assert.equal(version?.type === "softwareVersion" && version.at, 104_800);
+  const leaving = decoded.at(-3);
   assert.equal(leaving?.type === "replicaLeaving" && leaving.at, 104_700);
-  const limit = decoded.at(-3);
+  const limit = decoded.at(-4);
   assert.equal(limit?.type === "requestLimit" && limit.at, 104_500);
   const last = decoded.at(-1);
   assert.equal(last?.type === "quarantine" && last.heldUntil, 109_000);
--- a/packages/relay/src/drivers/peerDriver.ts
+++ b/packages/relay/src/drivers/peerDriver.ts
@@ -12,6 +12,8 @@
   decodePeerMessage,
   encodeGossip,
   encodeLendingMessage,
+  encodeOriginQuestion,
+  encodeOrigins,
   type PeerMessage,
 } from "./peerMessages.js";
 import type { RelayDriver } from "./types.js";
@@ -19,10 +21,18 @@
 
 const eventOf = (message: PeerMessage, from: Address): RelayEvent => {
   const at = now();
-  if (message.type === "gossip")
-    return { type: "gossipReceived", at, from, items: message.items };
-  const type = message.type === "ask" ? "retryRequested" : "retryLent";
-  return { type, at, from, service: message.service };
+  switch (message.type) {
+    case "gossip":
+      return { type: "gossipReceived", at, from, items: message.items };
+    case "askOrigin":
+      return { type: "originAsked", at, from, key: message.key };
+    case "origins":
+      return { type: "originsTold", at, from, origins: message.origins };
+    case "ask":
+      return { type: "retryRequested", at, from, service: message.service };
+    case "lend":
+      return { type: "retryLent", at, from, service: message.service };
+  }
 };
 
 /** Creates the driver, which listens for other routers at an address. */
@@ -57,6 +67,13 @@
           send(to, encodeLendingMessage({ type, service }));
           return;
         }
+        case "askOrigin":
+          send(command.to, encodeOriginQuestion(command.key));
+          return;
+        case "tellOrigins":
+          for (const datagram of encodeOrigins(command.origins))
+            send(command.to, datagram);
+          return;
         case "gossip":
           for (const datagram of encodeGossip(command.items, now()))
             send(command.to, datagram);
--- a/packages/relay/src/drivers/peerMessages.ts
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -3,12 +3,15 @@
 import { assertNever, type Timestamp } from "@cardamomglade/common";
 import { pack, unpack } from "msgpackr";
 import { maxRemembered } from "../decisions/quarantine/constants.js";
+import type { StreamOrigin } from "../decisions/versions/types.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 
 /** Content of a datagram. */
 export type PeerMessage =
   | { readonly type: "ask" | "lend"; readonly service: string }
-  | { readonly type: "gossip"; readonly items: readonly GossipItem[] };
+  | { readonly type: "gossip"; readonly items: readonly GossipItem[] }
+  | { readonly type: "askOrigin"; readonly key: string }
+  | { readonly type: "origins"; readonly origins: readonly StreamOrigin[] };
 
 const maxNameLength = 200; // maximum length of a key in the store
 const maxItemCount = 100; // of the shortest items, a datagram holds fewer
@@ -45,6 +48,8 @@
       const { type, replica, startedAt, perS, source } = item;
       return [type, at - item.at, replica, startedAt, perS ?? null, source];
     }
+    case "softwareVersion":
+      return [item.type, at - item.at, item.service, item.version];
     case "replicaLeaving": {
       const { type, replica, startedAt, source } = item;
       return [type, at - item.at, replica, startedAt, source];
@@ -85,6 +90,12 @@
       ? { type, replica, startedAt, at, source }
       : undefined;
   }
+  if (type === "softwareVersion") {
+    const [service, version] = rest;
+    return isName(service) && isName(version)
+      ? { type, service, version, at }
+      : undefined;
+  }
   if (type !== "quarantine") return undefined;
   const [heldForMs, blockIds, holdCount, crashCount, source] = rest;
   if (!isAmount(heldForMs) || !isBlockList(blockIds)) return undefined;
@@ -95,6 +106,24 @@
   return { type, blockIds, crashedAt: at, heldUntil, ...counts, source };
 };
 
+const isOriginPair = (value: unknown): value is [string, string | null] => {
+  if (!Array.isArray(value)) return false;
+  const [key, version] = value as readonly unknown[];
+  return isName(key) && (version === null || isName(version));
+};
+
+const decodeOrigins = (content: unknown): PeerMessage | undefined => {
+  if (!Array.isArray(content) || content.length > maxItemCount)
+    return undefined;
+  const pairs: readonly unknown[] = content;
+  if (!pairs.every(isOriginPair)) return undefined;
+  const origins = pairs.map(([key, version]) => ({
+    key,
+    version: version ?? undefined,
+  }));
+  return { type: "origins", origins };
+};
+
 /** Decodes a datagram; undefined if any part is malformed. */
 export const decodePeerMessage = (
   bytes: Uint8Array,
@@ -110,6 +139,9 @@
   const [type, content] = value as readonly unknown[];
   if (type === "ask" || type === "lend")
     return isName(content) ? { type, service: content } : undefined;
+  if (type === "askOrigin")
+    return isName(content) ? { type, key: content } : undefined;
+  if (type === "origins") return decodeOrigins(content);
   if (type !== "gossip" || !Array.isArray(content)) return undefined;
   if (content.length > maxItemCount) return undefined;
   const items = content
@@ -125,15 +157,14 @@
 }: Extract<PeerMessage, { readonly service: string }>): Uint8Array =>
   pack([type, service]);
 
-/** Encodes items of gossip into as few datagrams as they fit. */
-export const encodeGossip = (
-  items: readonly GossipItem[],
-  at: Timestamp,
+/** Splits encoded entries into as few datagrams as they fit. */
+const packAll = (
+  type: "gossip" | "origins",
+  entries: readonly (readonly unknown[])[],
 ): Uint8Array[] => {
   const datagrams: (readonly unknown[])[][] = [];
   let bytes = Infinity;
-  for (const item of items) {
-    const encoded = encodeItem(item, at);
+  for (const encoded of entries) {
     const { length } = pack(encoded);
     bytes += length;
     if (bytes > maxDatagramBytes) {
@@ -142,5 +173,26 @@
     }
     datagrams.at(-1)?.push(encoded);
   }
-  return datagrams.map((content) => pack(["gossip", content]));
+  return datagrams.map((content) => pack([type, content]));
 };
+
+/** Encodes items of gossip into as few datagrams as they fit. */
+export const encodeGossip = (
+  items: readonly GossipItem[],
+  at: Timestamp,
+): Uint8Array[] =>
+  packAll(
+    "gossip",
+    items.map((item) => encodeItem(item, at)),
+  );
+
+/** Encodes where streams began into as few datagrams as they fit. */
+export const encodeOrigins = (origins: readonly StreamOrigin[]): Uint8Array[] =>
+  packAll(
+    "origins",
+    origins.map(({ key, version }) => [key, version ?? null]),
+  );
+
+/** Encodes a question where a stream began. */
+export const encodeOriginQuestion = (key: string): Uint8Array =>
+  pack(["askOrigin", key]);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -13,6 +13,7 @@
   ReleasedQuarantine,
   StoredQuarantine,
 } from "./decisions/quarantine/types.js";
+export type { StoredVersions } from "./decisions/versions/types.js";
 export type { RuntimeLimits } from "./decisions/types.js";
 export { httpCall, type HttpResult } from "./drivers/httpCall.js";
 export * from "./types.js";
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -8,6 +8,7 @@
 import type { RelayState } from "../decisions/types.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 import type { StoredQuarantine } from "../decisions/quarantine/types.js";
+import type { StoredVersions } from "../decisions/versions/types.js";
 import type { Address, CallerRequest } from "../types.js";
 import {
   idempotentPath,
@@ -60,6 +61,11 @@
   readonly cutRouters = new Set<string>();
   /** Quarantines in the store. */
   stored = new Map<string, StoredQuarantine>();
+  /** Software versions in the store, by service. */
+  versionWriteCount = 0;
+  /** Number of questions and answers of routers about streams. */
+  originMessageCount = 0;
+  readonly storedVersions = new Map<string, StoredVersions>();
   private era = 1;
   private readonly clock = VirtualClock.create(startAt);
   private nextKey = 0;
@@ -108,6 +114,7 @@
     this.dispatch(router, { type: "configRead", at, config: testConfig() });
     for (const each of this.states.keys()) this.readStore(each);
     this.readQuarantines();
+    this.readVersions();
   }
 
   /** Sends a request whose prompt has the given shared blocks to a router. */
@@ -287,6 +294,32 @@
         this.toldItemCount += command.items.length;
         this.tell(router, command.to, command.items);
         return;
+      case "askOrigin":
+        this.originMessageCount += 1;
+        this.sendToRouter(router, command.to, (from, at) => ({
+          type: "originAsked",
+          at,
+          from,
+          key: command.key,
+        }));
+        return;
+      case "tellOrigins":
+        this.originMessageCount += 1;
+        this.sendToRouter(router, command.to, (from, at) => ({
+          type: "originsTold",
+          at,
+          from,
+          origins: command.origins,
+        }));
+        return;
+      case "storeVersions":
+        if (this.isStoreDown) return;
+        this.versionWriteCount += 1;
+        this.storedVersions.set(command.entry.service, command.entry);
+        this.later(storeDelayMs, () => {
+          this.readVersions();
+        });
+        return;
       case "storeQuarantine":
         if (this.isStoreDown) return;
         this.stored.set(command.key, command.stored);
@@ -303,15 +336,38 @@
   }
 
   private tell(from: string, to: Address, items: readonly GossipItem[]): void {
+    this.sendToRouter(from, to, (address, at) => ({
+      type: "gossipReceived",
+      at,
+      from: address,
+      items,
+    }));
+  }
+
+  /** Sends a message from one router to another. */
+  private sendToRouter(
+    from: string,
+    to: Address,
+    eventOf: (from: Address, at: Timestamp) => RelayEvent,
+  ): void {
     const router = [...this.states.keys()].find(
       (name) => routerAddress(name).port === to.port,
     );
     if (router === undefined || this.isCut(from, router)) return;
     this.later(1, () => {
-      this.receiveGossip(router, from, items);
+      this.dispatch(router, eventOf(routerAddress(from), this.at));
     });
   }
 
+  /** Tells all routers the store's software versions. */
+  readVersions(): void {
+    if (this.isStoreDown) return;
+    const { at } = this;
+    const entries = [...this.storedVersions.values()];
+    for (const router of this.states.keys())
+      this.dispatch(router, { type: "versionsRead", at, entries });
+  }
+
   /** A router receives items of gossip from another one. */
   receiveGossip(
     router: string,
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -69,7 +69,10 @@
     headerTimeoutMs: 3000,
     idleTimeoutMs: 15_000,
   },
-  customers: [{ name: "owner", keys: ["key-1"], priority: undefined }],
+  customers: [
+    { name: "owner", keys: ["key-1"], priority: undefined },
+    { name: "other", keys: ["key-other"], priority: undefined },
+  ],
 });
 
 /** Creates a replica; its zone is the part of its id before the dash. */
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -66,6 +66,8 @@
   readonly plainReplicas: SimulatedReplica[] = [];
   /** Limits of requests a second that replicas name, by id. */
   readonly requestLimits = new Map<string, number>();
+  /** Ids of replicas that refuse each request, as they are full. */
+  readonly fullReplicas = new Set<string>();
   /** Prompt blocks under which an engine ends as soon as it begins to answer. */
   readonly crashingBlocks = new Set<string>();
   /** Fingerprints of requests under which a replica ends, and the number of events before it does. */
@@ -178,6 +180,10 @@
       this.fail(router, command, AttemptFailure.NotSent);
       return;
     }
+    if (this.fullReplicas.has(attempt.replica.id)) {
+      this.refuse(router, command);
+      return;
+    }
     const run = { router, command };
     const name = `${key}/${String(attempt.number)}`;
     if (this.abandoned.has(name)) return;
@@ -295,6 +301,17 @@
     });
   }
 
+  private refuse(router: string, { key, attempt }: SendCommand): void {
+    const { number } = attempt;
+    const head = okHead({ status: 503, isNotExecuted: true });
+    const answer = { head, body: new Uint8Array() };
+    const at = this.clock.now();
+    this.clock.later(1, () => {
+      const type = "responseReceived";
+      this.dispatch(router, { type, at, key, attempt: number, answer });
+    });
+  }
+
   /** Prompt blocks that an engine lists, with their tokens. */
   promptBlocksOf(replica: Replica): ReadonlyMap<string, number> {
     const blocks = [...(this.find(replica)?.promptBlocks ?? [])];
