--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -249,7 +249,7 @@
       service,
       address: `127.0.0.1:${String(proxy.port)}`,
       zone,
-      version: 1,
+      version: "v1",
       slot_count: 48,
       state,
       born: replica.startedAt,
--- a/packages/relay/src/drivers/httpCall.ts
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -1,6 +1,11 @@
 /** Sends one HTTP request with a deadline and buffers the response. */
 
-import { request, type Agent, type IncomingHttpHeaders } from "node:http";
+import {
+  request,
+  type Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+} from "node:http";
 import { now, type Timestamp } from "@cardamomglade/common";
 
 /** Parameters of an HTTP call. */
@@ -35,18 +40,23 @@
 const maxResponseBytes = 32 * 1024 * 1024; // a page of the store holds about 1 MB, a report some kilobytes
 const jsonBody = { "content-type": "application/json" };
 
-/** Sends the request; always resolves by the deadline. */
-export const httpCall = (call: HttpCall): Promise<HttpResult> =>
+const send = ({ host, port, method, path, body, agent }: HttpCall) =>
+  request({
+    host,
+    port,
+    method,
+    path,
+    agent: agent ?? false,
+    ...(body !== undefined && { headers: jsonBody }),
+  });
+
+/** Buffers the response to a request; resolves by the deadline. */
+const awaitResponse = (
+  call: HttpCall,
+  req: ClientRequest,
+): Promise<HttpResult> =>
   new Promise((resolve) => {
-    const { host, port, method, path, body, deadline, agent } = call;
-    const req = request({
-      host,
-      port,
-      method,
-      path,
-      agent: agent ?? false,
-      ...(body !== undefined && { headers: jsonBody }),
-    });
+    const { body, deadline, agent } = call;
     const timers: NodeJS.Timeout[] = [];
     const finish = (outcome: HttpResult) => {
       for (const timer of timers) clearTimeout(timer);
@@ -94,3 +104,15 @@
     });
     req.end(body);
   });
+
+/** Sends the request; always resolves by the deadline, also if its parameters are invalid. */
+export const httpCall = async (call: HttpCall): Promise<HttpResult> => {
+  let req: ClientRequest;
+  try {
+    req = send(call);
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return { type: "failed", detail, isRefused: false };
+  }
+  return awaitResponse(call, req);
+};
--- /dev/null
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -0,0 +1,83 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { now } from "@cardamomglade/common";
+import { testReplica, testRequest } from "../testing/scenario.js";
+import { testProtocol } from "../testing/testProtocol.js";
+import type { Replica } from "../types.js";
+import { httpCall } from "./httpCall.js";
+import { probeConnection } from "./probeConnection.js";
+import { ReplicaCall, type CallEvent } from "./replicaCall.js";
+
+const host = "127.0.0.1";
+const badPort = 70_000;
+
+test("a call to a port out of range rejects instead of failing", async () => {
+  const result = await httpCall({
+    host,
+    port: badPort,
+    method: "GET",
+    path: "/",
+    deadline: now() + 500,
+  });
+  assert.equal(result.type, "failed");
+});
+
+test("a call with a path that cannot be sent rejects instead of failing", async () => {
+  const path = "/a b\n";
+  const deadline = now() + 500;
+  const result = await httpCall({
+    host,
+    port: 9,
+    method: "GET",
+    path,
+    deadline,
+  });
+  assert.equal(result.type, "failed");
+});
+
+test("a probe of a port out of range rejects", async () => {
+  const result = await probeConnection({ host, port: badPort }, 500);
+  assert.deepEqual(result, { isRefused: false });
+});
+
+const eventsOf = (replica: Replica): Promise<CallEvent> =>
+  new Promise((resolve) => {
+    ReplicaCall.create(
+      testProtocol,
+      {
+        type: "send",
+        key: "1",
+        attempt: {
+          number: 0,
+          replica,
+          start: { type: "fresh" },
+          sentAt: now(),
+          mayHaveExecutedBefore: false,
+          copyTo: undefined,
+          copy: undefined,
+          copyRequestedAt: undefined,
+          rejectedHolders: new Set(),
+          heardAt: now(),
+          hasEvents: false,
+          eventCount: 0,
+          firstEventAt: undefined,
+          isEstablished: false,
+        },
+        request: testRequest("a", "/x", now()),
+        customer: undefined,
+        priority: undefined,
+        deadline: now() + 1000,
+        lastEventId: undefined,
+      },
+      resolve,
+    );
+  });
+
+for (const [what, changes] of [
+  ["a port out of range", { host, port: badPort }],
+  ["an id that cannot be sent", { host, port: 9, id: "a\nb" }],
+] as const)
+  test(`a request to a replica with ${what} leaves its caller without an answer`, async () => {
+    const event = await eventsOf({ ...testReplica("a-1"), ...changes });
+    assert.equal(event.type === "attemptFailed" && event.failure, "notSent");
+  });
--- a/packages/relay/src/drivers/probeConnection.ts
+++ b/packages/relay/src/drivers/probeConnection.ts
@@ -1,15 +1,18 @@
 /** Finds out whether a process listens at an address, without sending it anything. */
 
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import type { Address } from "../types.js";
 
-/** Connects and closes at once; resolves to whether the host refused the connection, by the timeout at the latest. */
-export const probeConnection = (
-  { host, port }: Address,
+/** Result of a probe. */
+interface ConnectionProbe {
+  readonly isRefused: boolean;
+}
+
+const awaitConnection = (
+  socket: Socket,
   timeoutMs: number,
-): Promise<{ readonly isRefused: boolean }> =>
+): Promise<ConnectionProbe> =>
   new Promise((resolve) => {
-    const socket = connect({ host, port });
     const finish = (isRefused: boolean) => {
       clearTimeout(timer);
       socket.destroy();
@@ -25,3 +28,21 @@
       finish(code === "ECONNREFUSED");
     });
   });
+
+/**
+ * Connects and closes at once; resolves to whether the host refused the connection,
+ * by the timeout at the latest, also if the address is invalid.
+ */
+export const probeConnection = async (
+  { host, port }: Address,
+  timeoutMs: number,
+): Promise<ConnectionProbe> => {
+  let socket: Socket;
+  try {
+    socket = connect({ host, port });
+  } catch {
+    // An address that cannot be connected to says nothing about a process.
+    return { isRefused: false };
+  }
+  return awaitConnection(socket, timeoutMs);
+};
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -150,12 +150,20 @@
     this.req.end(callerRequest.body);
   }
 
+  /** Sends the request; undefined, and reported as not sent, if the replica's address or id is invalid. */
   static create(
     protocol: ReplicaProtocol,
     command: SendCommand,
     onEvent: (event: CallEvent) => void,
-  ): ReplicaCall {
-    return new ReplicaCall(protocol, command, onEvent);
+  ): ReplicaCall | undefined {
+    try {
+      return new ReplicaCall(protocol, command, onEvent);
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      const failure = AttemptFailure.NotSent;
+      setImmediate(onEvent, { type: "attemptFailed", failure, detail });
+      return undefined;
+    }
   }
 
   /** Closes the connection; no more events are reported. */
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -48,7 +48,7 @@
         calls.delete(name);
       channel.push({ ...callEvent, at: now(), key, attempt: attempt.number });
     });
-    calls.set(name, call);
+    if (call !== undefined) calls.set(name, call);
   };
 
   const abandon = (key: string, attempt: number) => {
