Refuse at once what cannot end before a planned stop does

With a grace of 3 s a request at 1.7, 1.9 or 2.2 s was passed on and cut without an answer, also one that may not be repeated.

The relay knows when it stops, and how long answers of each route usually take (a running mean and deviation; the route's timeout before the first). A request that needs longer is refused with 503, unsent: the mean for what can go on elsewhere, with a margin of four deviations for what cannot. The test failed before: of six requests three were whole and three got no byte after they had been passed on.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -55,7 +55,8 @@
 
 // Readiness is checked each second, and 2 failures take a process out of service;
 // requests that arrive until then are still served.
-const drainNoticeMs = 2500;
+const maxDrainNoticeMs = 2500;
+const maxDrainNoticeRatio = 0.5; // of a short grace, so that what arrives in it can end
 const drainPollMs = 50;
 
 /** Starts a relay. */
@@ -126,8 +127,13 @@
       controlEvents.push({ type: "limitsChanged", at: now(), runtimeLimits });
     },
     drain: async (deadline) => {
-      const noticeEndsAt = now() + drainNoticeMs;
-      controlEvents.push({ type: "drainStarted", at: now() });
+      const at = now();
+      const noticeMs = Math.min(
+        maxDrainNoticeMs,
+        maxDrainNoticeRatio * (deadline - at),
+      );
+      const noticeEndsAt = at + noticeMs;
+      controlEvents.push({ type: "drainStarted", at, stopsAt: deadline });
       while (now() < deadline) {
         const isIdle =
           running.state().exchanges.size === 0 &&
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -217,5 +217,11 @@
 /** Part of the target latency that a request waits for its permit at a replica. */
 export const permitWaitRatio = 0.25;
 
+/** Weight of the latest answer in the usual duration of a route's answers. */
+export const durationSampleWeight = 0.1;
+
+/** Mean deviations by which an answer that cannot go on elsewhere may take longer than usual. */
+export const durationDeviationCount = 4;
+
 /** Prompt blocks in a log line; bounds its length. */
 export const maxLoggedPromptBlockCount = 8;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -31,7 +31,7 @@
 import { timerTicked } from "./timerTicked.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
-import type { RelayEvent } from "./events.js";
+import type { RelayEvent, RelayEventOf } from "./events.js";
 import type { RuntimeLimits, RelayState } from "./types.js";
 import {
   configRead,
@@ -81,14 +81,21 @@
   runtimeLimits: options.runtimeLimits,
   store: { type: "unknown" },
   restorations: { count: 0, latestAt: -Infinity, era: undefined },
-  isDraining: false,
+  answerDurations: new Map(),
+  stopsAt: undefined,
 });
 
-const drainStarted = (state: RelayState): RelayCommand[] => {
-  state.isDraining = true;
+const drainStarted = (
+  state: RelayState,
+  { stopsAt }: RelayEventOf<"drainStarted">,
+): RelayCommand[] => {
+  state.stopsAt = stopsAt;
   return [
     { type: "beginDrain" },
-    logLine("stopping: no longer ready", { underWay: state.exchanges.size }),
+    logLine("stopping: no longer ready", {
+      underWay: state.exchanges.size,
+      stopsInMs: Math.round(stopsAt - state.at),
+    }),
   ];
 };
 
@@ -152,7 +159,7 @@
       state.runtimeLimits = event.runtimeLimits;
       return [];
     case "drainStarted":
-      return drainStarted(state);
+      return drainStarted(state, event);
     default:
       return assertNever(event);
   }
@@ -194,5 +201,6 @@
 export const isReady = ({
   config,
   hasReplicas,
-  isDraining,
-}: RelayState): boolean => config !== undefined && hasReplicas && !isDraining;
+  stopsAt,
+}: RelayState): boolean =>
+  config !== undefined && hasReplicas && stopsAt === undefined;
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -2,6 +2,7 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
+import { recordDuration } from "./answerDurations.js";
 import { refuse, refuseNotExecuted } from "./refusals.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
@@ -48,6 +49,7 @@
   status: number,
 ): RelayCommand[] => {
   const { attempt } = exchange;
+  recordDuration(state, exchange);
   closeAttempt(state, exchange);
   state.exchanges.delete(exchange.key);
   return [
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -197,7 +197,12 @@
       readonly at: Timestamp;
       readonly runtimeLimits: RuntimeLimits;
     }
-  | { readonly type: "drainStarted"; readonly at: Timestamp };
+  | {
+      readonly type: "drainStarted";
+      readonly at: Timestamp;
+      /** Requests that have not ended by then are cut. */
+      readonly stopsAt: Timestamp;
+    };
 
 /** The event with the given type tag. */
 export type RelayEventOf<Type extends RelayEvent["type"]> = Extract<
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -3,7 +3,13 @@
 import type { CallerRequest, Customer, Route } from "../types.js";
 import { random } from "./random.js";
 import { unconfiguredRetryAfterRangeMs } from "./constants.js";
-import { drawRetryDelayMs, refuse, type RefusedRequest } from "./refusals.js";
+import { canEndInTime } from "./answerDurations.js";
+import {
+  drawRetryDelayMs,
+  refuse,
+  refuseNotExecuted,
+  type RefusedRequest,
+} from "./refusals.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
 import { sendFirst } from "./sendAttempt.js";
@@ -114,6 +120,11 @@
   const identity = identify(routes, route, request);
   if (identity.type === "unknown")
     return refuse(refused("the key is not known"), 401, undefined);
+  if (!canEndInTime(state, route))
+    return refuseNotExecuted(
+      state,
+      refused("this process stops before the answer could end"),
+    );
   const exchange = createExchange(state, event, route, identity.customer);
   const refusal = holdBack(state, exchange);
   if (refusal !== undefined) return refusal;
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -18,6 +18,7 @@
   processKeyOf,
 } from "./replicaViews.js";
 import { noteReplicaVersions } from "./versions/serviceVersions.js";
+import { forgetDurations } from "./answerDurations.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
@@ -34,6 +35,7 @@
   state.config = config;
   state.routes = buildRouteTable(config);
   state.configAppliedAt = at;
+  forgetDurations(state, config.routes);
   return [
     { type: "applyLimits", limits: config.limits },
     logLine("configuration in force", {
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -339,7 +339,16 @@
   runtimeLimits: RuntimeLimits;
   store: StoreState;
   readonly restorations: Restorations;
-  isDraining: boolean;
+  /** Usual durations of answers, by route. */
+  readonly answerDurations: Map<string, AnswerDuration>;
+  /** Time at which this process ends in a planned stop; undefined before that. */
+  stopsAt: Timestamp | undefined;
+}
+
+/** How long the answers of a route take. */
+export interface AnswerDuration {
+  readonly meanMs: number;
+  readonly deviationMs: number;
 }
 
 /** Limits that can be changed at run time. */
--- a/packages/relay/src/plannedStop.test.ts
+++ b/packages/relay/src/plannedStop.test.ts
@@ -12,6 +12,7 @@
 } from "./testing/testRelay.js";
 
 const graceMs = 6000;
+const shortGraceMs = 2400;
 
 // Load: a caller whose body is still on its way when the stop begins.
 test("a request whose body is half sent when the relay stops is answered", async () => {
@@ -81,3 +82,40 @@
   assert.equal(passedOn.length, answered.length);
   replica.stop();
 });
+
+// Load: a short grace, kept connections and new ones, a replica that takes most of a second.
+test("requests that come late in a short grace are passed on and cut", async (t) => {
+  const { port, relay, replica, stop } = await startTestRelay(
+    (socket, text) => {
+      setTimeout(() => {
+        respondOk(socket, text);
+      }, 900);
+    },
+  );
+  t.after(stop);
+  const known = await Promise.all(
+    Array.from({ length: 30 }, () =>
+      exchange(port, requestText("/book/x"), 1500),
+    ),
+  );
+  assert.ok(known.every((text) => text.endsWith("hello")));
+  const drained = relay.drain(now() + shortGraceMs);
+  const lateMs = [200, 700, 1200, 1700, 1900, 2200];
+  const answers = await Promise.all(
+    lateMs.map(async (ms) => {
+      await sleep(ms);
+      return exchange(port, requestText("/book/x"), 3000);
+    }),
+  );
+  await drained;
+  const ends = answers.map((text) =>
+    text.endsWith("hello") ? "whole" : text.slice(9, 12),
+  );
+  const passedOn = replica.received.filter((text) => text.length > 0);
+  const wholeCount = ends.filter((end) => end === "whole").length;
+  assert.equal(passedOn.length, wholeCount + 30, ends.join(" "));
+  assert.ok(wholeCount >= 2, ends.join(" "));
+  // A connection that is not accepted any more is closed without a byte.
+  const others = ends.filter((end) => !["whole", "503", ""].includes(end));
+  assert.deepEqual(others, []);
+});
