Keep a SIGHUP from ending a router that is starting

The entry point sets a handler first and loads the relay then; the settings are read after that, so no change is missed. A signal that comes while Node itself starts still ends it.

--- a/deploy/start.mjs
+++ b/deploy/start.mjs
@@ -4,6 +4,9 @@
 import path from "node:path";
 import { Script } from "node:vm";
 
+// A SIGHUP ends a process without a handler; the settings are read after this, so nothing is lost.
+process.on("SIGHUP", () => undefined);
+
 const folder = path.dirname(process.argv[1]);
 const filename = path.join(folder, "relay.cjs");
 
