Find streams whose prompts engines have evicted, and rank engines by version

After all routers were lost, take-ups found their version at few engines only: 4 of each zone, half of them of a version that drains, and the prompts had been evicted when callers came 15 s later (trace: 112 of 161 refused at second 55 to 60 had their engine still there).

Engines are asked version by version, 8 of each, as a release changes the others that a version is ranked among; they name evicted prompts too, and all callers at once are given 400 ms.

--- /dev/null
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -0,0 +1,108 @@
+/** Makes a request wait for a replica that may take it, or ends it at once where that serves its caller better. */
+
+import type { Timestamp } from "@cardamomglade/common";
+import { serviceUnavailableStatus } from "../types.js";
+import { candidateQueryOf, soonestPermit } from "./chooseReplica.js";
+import { permitWaitRatio } from "./constants.js";
+import { cancelExchange, failExchange, summaryOf } from "./endExchange.js";
+import { refuse } from "./refusals.js";
+import { isSuspected } from "./replicaViews.js";
+import { takePermit } from "./requestLimits.js";
+import { logLine } from "./logLine.js";
+import { minVersionRetryMs } from "./versions/constants.js";
+import { hasVersion, refuseTakeUp } from "./versions/takeUps.js";
+import type { RelayCommand } from "./commands.js";
+import type { Exchange, RelayState } from "./types.js";
+
+/** Time until which waiting for a permit serves the caller better than a refusal. */
+const lastPermitAt = (
+  { route, deadline }: Exchange,
+  at: Timestamp,
+): Timestamp =>
+  Math.min(deadline, at + permitWaitRatio * route.targetLatencyMs);
+
+/**
+ * Waits for a replica of the software at which a stream began, or ends the stream if
+ * none is left. Load pattern: replicas of a version are few and full, or restart, and
+ * the callers of a lost router take their streams up at once.
+ */
+const awaitVersion = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { service, softwareVersion, route, deadline, triedIds } = exchange;
+  if (softwareVersion === undefined)
+    return failExchange(state, exchange, "no replica is open");
+  if (!hasVersion(state, service, softwareVersion))
+    return refuseTakeUp(
+      state,
+      exchange,
+      "no replica of the stream's software is left",
+    );
+  const until =
+    exchange.versionWait?.until ??
+    Math.min(deadline, state.at + route.targetLatencyMs);
+  if (state.at >= until)
+    return refuseTakeUp(
+      state,
+      exchange,
+      "no replica of the stream's software is open",
+    );
+  // One that was full may be tried again, not one that was lost.
+  const again = [...triedIds].find((id) => {
+    const view = state.replicas.get(id);
+    return view !== undefined && !isSuspected(view, state.at);
+  });
+  if (again !== undefined) triedIds.delete(again);
+  const leftCount = route.maxAttempts - exchange.attempts;
+  const waitMs = Math.max(
+    minVersionRetryMs,
+    (until - state.at) / (leftCount + 1),
+  );
+  exchange.versionWait = { until, retryAt: state.at + waitMs };
+  return [];
+};
+
+/**
+ * Reserves the next permit at a replica that limits requests, or ends the request
+ * at once if it comes too late. Load pattern: all replicas are limited, and more
+ * requests come than they take; those that wait would make the others late.
+ */
+export const awaitPermit = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { key, request } = exchange;
+  const query = { ...candidateQueryOf(exchange), isWithinLimit: false };
+  const permit = soonestPermit(state, query);
+  if (permit === undefined) return awaitVersion(state, exchange);
+  const limit = state.replicas.get(permit.replica)?.requestLimit;
+  const context = {
+    ...summaryOf(exchange, state.at),
+    replica: permit.replica,
+    limitPerS: limit?.perS,
+    limitNamedMsAgo: limit && Math.round(state.at - limit.namedAt),
+    learnedFrom: limit?.source,
+    permitInMs: Math.round(permit.at - state.at),
+  };
+  if (permit.at <= lastPermitAt(exchange, state.at)) {
+    exchange.reservedPermit = permit;
+    state.limitCounts.waited += 1;
+    takePermit(state, permit.replica);
+    return [logLine("request waits for its permit", context)];
+  }
+  const reason = "the replicas' limits of requests are used up";
+  state.limitCounts.refused += 1;
+  const mayHaveStarted =
+    exchange.mayHaveExecuted || exchange.head !== undefined;
+  // A replica without a limit that was full for this attempt is soon free again.
+  const isSoonFree =
+    soonestPermit(state, { ...query, excluded: new Set() })?.at === state.at;
+  if (mayHaveStarted || isSoonFree)
+    return failExchange(state, exchange, reason);
+  const refused = { key, requestId: request.requestId, reason, context };
+  return [
+    ...cancelExchange(state, exchange),
+    ...refuse(refused, serviceUnavailableStatus, permit.at - state.at),
+  ];
+};
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -75,7 +75,12 @@
       readonly holder: Replica;
     }
   | { readonly type: "releaseCopy"; readonly copy: KvCacheCopy }
-  | { readonly type: "listPromptBlocks"; readonly replica: Replica }
+  | {
+      readonly type: "listPromptBlocks";
+      readonly replica: Replica;
+      /** Whether blocks that the engine read lately and does not hold any more are listed too. */
+      readonly withHistory: boolean;
+    }
   | {
       readonly type: "probe";
       readonly replica: Replica;
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -24,6 +24,11 @@
   promptQueryTimeoutMs,
 } from "./constants.js";
 import { isAvailable, replicasOf } from "./replicaViews.js";
+import { hasSeveralVersions } from "./versions/serviceVersions.js";
+import {
+  originListTimeoutMs,
+  originQueryEngineCount,
+} from "./versions/constants.js";
 import { canCopy } from "./sendAttempt.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -65,16 +70,31 @@
   });
 };
 
-/** Ranks all engines of the service, also those that leave: they know best what began there. */
-const rankAll = (
+/**
+ * Engines that may have begun a stream: of each software version the highest-ranked,
+ * also those that leave. A release changes the others that a version is ranked among,
+ * so versions are ranked apart.
+ */
+const possibleOrigins = (
   state: RelayState,
   { service, request }: Exchange,
 ): ReplicaView[] => {
-  const views = replicasOf(state, service);
+  const views = replicasOf(state, service).filter(
+    ({ leftAt }) => leftAt === undefined,
+  );
   const byId = new Map(views.map((view) => [view.replica.id, view]));
-  return rendezvousOrder(request.lastPromptBlockId ?? "", [...byId.keys()])
+  const ranked = rendezvousOrder(request.lastPromptBlockId ?? "", [
+    ...byId.keys(),
+  ]);
+  const taken = new Map<string, number>();
+  return ranked
     .map((id) => byId.get(id))
-    .filter((view) => view !== undefined);
+    .filter((view) => view !== undefined)
+    .filter(({ replica: { softwareVersion } }) => {
+      const count = (taken.get(softwareVersion) ?? 0) + 1;
+      taken.set(softwareVersion, count);
+      return count <= originQueryEngineCount;
+    });
 };
 
 /**
@@ -88,20 +108,23 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   const { request } = exchange;
-  const sample = takePerZone(
-    exchange.isVersionSought
-      ? rankAll(state, exchange)
-      : rankCandidates(
+  const sample = exchange.isVersionSought
+    ? possibleOrigins(state, exchange)
+    : takePerZone(
+        rankCandidates(
           state,
           candidateQueryOf(exchange),
           request.lastPromptBlockId ?? "",
         ),
-  );
+      );
   const pending = sample.filter(
     ({ promptBlocksReadAt }) =>
       state.at - promptBlocksReadAt >= promptBlocksFreshMs,
   );
-  const until = state.at + promptQueryTimeoutMs;
+  const timeoutMs = exchange.isVersionSought
+    ? originListTimeoutMs
+    : promptQueryTimeoutMs;
+  const until = state.at + timeoutMs;
   exchange.engineQuery = createEngineQuery(
     "promptBlocks",
     sample,
@@ -112,7 +135,13 @@
     if (state.at - view.promptBlocksRequestedAt < promptQueryTimeoutMs)
       return [];
     view.promptBlocksRequestedAt = state.at;
-    return [{ type: "listPromptBlocks", replica: view.replica }];
+    return [
+      {
+        type: "listPromptBlocks",
+        replica: view.replica,
+        withHistory: hasSeveralVersions(state, exchange.service),
+      },
+    ];
   });
 };
 
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -51,8 +51,8 @@
   report: EngineReport | undefined;
   reportReceivedAt: Timestamp;
   /**
-   * Cached tokens by prompt block, the time at which the list was received, and
-   * the time of the last request for it.
+   * Cached tokens by prompt block, 0 for one that was evicted, the time at which
+   * the list was received, and the time of the last request for it.
    */
   promptBlocks: ReadonlyMap<string, number> | undefined;
   promptBlocksReadAt: Timestamp;
--- a/packages/relay/src/decisions/versions/constants.ts
+++ b/packages/relay/src/decisions/versions/constants.ts
@@ -12,6 +12,12 @@
 /** Time that a caller's request waits for the routers that may know where its stream began: a round trip between zones. */
 export const originQueryTimeoutMs = 40;
 
+/** Number of engines of each version that are asked whether they read a stream's prompt. */
+export const originQueryEngineCount = 8;
+
+/** Time that a take-up waits for these engines: all callers ask at once after their routers were lost. */
+export const originListTimeoutMs = 400;
+
 /** Interval at which present versions are noted and entries of the store checked. */
 export const versionCheckIntervalMs = 1000;
 
--- a/packages/relay/src/decisions/versions/streamVersions.test.ts
+++ b/packages/relay/src/decisions/versions/streamVersions.test.ts
@@ -42,6 +42,17 @@
   for (const router of routers) fleet.startRouter(router);
 };
 
+/** Callers take their streams up at the routers from a number on. */
+const takeUpAll = (
+  fleet: Fleet,
+  keys: readonly string[],
+  firstRouter = 1,
+): string[] =>
+  keys.map((key, index) => {
+    const router = firstRouter + (index % (9 - firstRouter));
+    return fleet.takeUp(`r${String(router)}`, key);
+  });
+
 const countJoined = (fleet: Fleet): number =>
   new Set(
     [...fleet.streams.values()].filter(({ versions }) => versions.size > 1),
@@ -105,9 +116,7 @@
   const lost = ["r1", "r2", "r3"];
   const broken = keys.filter((_, index) => index % 8 < 3);
   restartRouters(fleet, lost);
-  const next = broken.map((key, index) =>
-    fleet.takeUp(`r${String(4 + (index % 5))}`, key),
-  );
+  const next = takeUpAll(fleet, broken, 4);
   fleet.advance(3000);
   assert.equal(countJoined(fleet), 0);
   assert.equal(countWhole(fleet, next), next.length);
@@ -121,9 +130,7 @@
   restartRouters(fleet, ["r1", "r2", "r3"]);
   fleet.crash(fleet.replicas.engines.filter((_, index) => index % 4 === 0));
   fleet.advance(50);
-  const next = broken.map((key, index) =>
-    fleet.takeUp(`r${String(4 + (index % 5))}`, key),
-  );
+  const next = takeUpAll(fleet, broken, 4);
   fleet.advance(3000);
   assert.equal(countJoined(fleet), 0);
   assert.equal(countWhole(fleet, next), next.length);
@@ -134,9 +141,19 @@
   const keys = beginStreams(fleet, 24);
   fleet.advance(800);
   restartRouters(fleet, [...fleet.states.keys()]);
-  const next = keys.map((key, index) =>
-    fleet.takeUp(`r${String(1 + (index % 8))}`, key),
-  );
+  const next = takeUpAll(fleet, keys);
+  fleet.advance(3000);
+  assert.equal(countJoined(fleet), 0);
+  assert.equal(countWhole(fleet, next), next.length);
+});
+
+test("take-ups are refused when engines evicted their prompts after all routers were lost", () => {
+  const fleet = createMixedFleet();
+  const keys = beginStreams(fleet, 24);
+  fleet.advance(800);
+  restartRouters(fleet, [...fleet.states.keys()]);
+  for (const engine of fleet.replicas.engines) engine.hasEvicted = true;
+  const next = takeUpAll(fleet, keys);
   fleet.advance(3000);
   assert.equal(countJoined(fleet), 0);
   assert.equal(countWhole(fleet, next), next.length);
@@ -154,9 +171,7 @@
   for (const engine of engines) fleet.replicas.endReplica(engine, "v2");
   restartRouters(fleet, [...fleet.states.keys()]);
   fleet.advance(5000);
-  const next = keys.map((key, index) =>
-    fleet.takeUp(`r${String(1 + (index % 8))}`, key),
-  );
+  const next = takeUpAll(fleet, keys);
   fleet.advance(200);
   const early = next.filter((key) => fleet.endings.get(key) === 503);
   assert.equal(early.length, next.length);
@@ -190,9 +205,7 @@
   const keys = beginStreams(fleet, 24);
   fleet.advance(800);
   restartRouters(fleet, [...fleet.states.keys()]);
-  const next = keys.map((key, index) =>
-    fleet.takeUp(`r${String(1 + (index % 8))}`, key),
-  );
+  const next = takeUpAll(fleet, keys);
   fleet.advance(3000);
   assert.equal(countWhole(fleet, next), next.length);
   assert.equal(fleet.originMessageCount, 0);
--- a/packages/relay/src/decisions/versions/takeUps.ts
+++ b/packages/relay/src/decisions/versions/takeUps.ts
@@ -40,7 +40,7 @@
   return askOrigin(state, exchange);
 };
 
-/** Versions of the engines that listed the last block of the prompt: one of them read it. */
+/** Versions of the engines that hold or held the last block of the prompt: one of them began the stream. */
 const versionsWithPrompt = (
   state: RelayState,
   { engineQuery, request }: Exchange,
@@ -50,7 +50,7 @@
   const holders = [...engineQuery.sample]
     .map((id) => state.replicas.get(id))
     .filter((view) => view !== undefined)
-    .filter(({ promptBlocks }) => (promptBlocks?.get(blockId) ?? 0) > 0);
+    .filter(({ promptBlocks }) => promptBlocks?.has(blockId) === true);
   return [...new Set(holders.map(({ replica }) => replica.softwareVersion))];
 };
 
@@ -97,6 +97,8 @@
     softwareVersion: version,
     learnedFrom: told === undefined ? "prompt blocks" : "routers",
     withPrompt: found,
+    asked: exchange.engineQuery?.sample.size,
+    unanswered: exchange.engineQuery?.pending.size,
     softwareVersions: versionsOf(state, service),
   });
   return version === undefined
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -2,6 +2,7 @@
 
 import { now } from "@cardamomglade/common";
 import { probeTimeoutMs } from "../decisions/constants.js";
+import { originListTimeoutMs } from "../decisions/versions/constants.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { KvCacheCopy } from "../decisions/types.js";
 import type { EngineReport, Replica, ReplicaProtocol } from "../types.js";
@@ -62,19 +63,49 @@
   return { isAnswered: true, isRefused: false, report };
 };
 
+/** Requests the prompt blocks that an engine read lately; none if it did not answer. */
+const listPromptHistory = async (
+  protocol: ReplicaProtocol,
+  replica: Replica,
+  onLeaving: OnLeaving,
+): Promise<readonly string[]> => {
+  const { promptHistoryPath: path, decodePromptHistory } = protocol;
+  const deadline = now() + originListTimeoutMs;
+  const options = { method: "GET" as const, path, deadline };
+  const answer = await call(protocol, replica, options, onLeaving);
+  return answer?.status === 200 ? decodePromptHistory(answer.text) : [];
+};
+
 /** Requests the prompt blocks that an engine holds; undefined if it did not answer. */
-export const listPromptBlocks = async (
+const listHeldBlocks = async (
   protocol: ReplicaProtocol,
   replica: Replica,
   onLeaving: OnLeaving,
 ): Promise<ReadonlyMap<string, number> | undefined> => {
   const { promptBlocksPath: path, decodePromptBlocks } = protocol;
-  const deadline = now() + probeTimeoutMs;
+  const deadline = now() + originListTimeoutMs;
   const options = { method: "GET" as const, path, deadline };
   const answer = await call(protocol, replica, options, onLeaving);
   return answer?.status === 200 ? decodePromptBlocks(answer.text) : undefined;
 };
 
+/**
+ * Requests the prompt blocks that an engine holds, on request with those that it
+ * evicted, of 0 tokens; undefined if it did not answer.
+ */
+export const listPromptBlocks = async (
+  protocol: ReplicaProtocol,
+  { replica, withHistory }: Extract<RelayCommand, { type: "listPromptBlocks" }>,
+  onLeaving: OnLeaving,
+): Promise<ReadonlyMap<string, number> | undefined> => {
+  const [held, history] = await Promise.all([
+    listHeldBlocks(protocol, replica, onLeaving),
+    withHistory ? listPromptHistory(protocol, replica, onLeaving) : [],
+  ]);
+  const evicted = history.map((id): [string, number] => [id, 0]);
+  return held && new Map([...evicted, ...held]);
+};
+
 /**
  * Makes an engine copy a request's KV cache to another engine; returns the
  * copy's handle, or undefined on failure.
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -81,9 +81,12 @@
     });
   };
 
-  const listBlocks = async (replica: Replica) => {
+  const listBlocks = async (
+    command: Extract<RelayCommand, { type: "listPromptBlocks" }>,
+  ) => {
+    const { replica } = command;
     metrics.count(Counter.Probes);
-    const promptBlocks = await listPromptBlocks(protocol, replica, onLeaving);
+    const promptBlocks = await listPromptBlocks(protocol, command, onLeaving);
     channel.push({
       type: "promptBlocksListed",
       at: now(),
@@ -124,7 +127,7 @@
           void releaseKvCacheCopy(protocol, command.copy, onLeaving);
           return;
         case "listPromptBlocks":
-          void listBlocks(command.replica);
+          void listBlocks(command);
           return;
         case "probeConnection":
           void checkConnection(command.replica, command.sentAt);
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -266,7 +266,10 @@
         this.later(1, () => {
           const { at } = this;
           const replica = command.replica.id;
-          const promptBlocks = this.replicas.promptBlocksOf(command.replica);
+          const promptBlocks = this.replicas.promptBlocksOf(
+            command.replica,
+            command.withHistory,
+          );
           this.dispatch(router, {
             type: "promptBlocksListed",
             at,
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -23,6 +23,8 @@
   readonly runs: Map<string, Run>;
   /** Last blocks of the prompts that it read. */
   readonly promptBlocks: Set<string>;
+  /** Whether it holds none of them any more. */
+  hasEvicted: boolean;
 }
 
 const createSimulated = (replica: Replica): SimulatedReplica => ({
@@ -30,6 +32,7 @@
   isUp: true,
   runs: new Map(),
   promptBlocks: new Set(),
+  hasEvicted: false,
 });
 
 /** A request that reached a replica. */
@@ -313,9 +316,15 @@
   }
 
   /** Prompt blocks that an engine lists, with their tokens. */
-  promptBlocksOf(replica: Replica): ReadonlyMap<string, number> {
-    const blocks = [...(this.find(replica)?.promptBlocks ?? [])];
-    return new Map(blocks.map((id) => [id, 100]));
+  promptBlocksOf(
+    replica: Replica,
+    withHistory: boolean,
+  ): ReadonlyMap<string, number> {
+    const found = this.find(replica);
+    const hasEvicted = found?.hasEvicted === true;
+    const blocks = hasEvicted && !withHistory ? [] : found?.promptBlocks;
+    const tokens = hasEvicted ? 0 : 100;
+    return new Map([...(blocks ?? [])].map((id) => [id, tokens]));
   }
 
   /** Accepts a connection, or refuses it where no replica runs. */
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -35,6 +35,8 @@
   encodeCopyRequest: (requestId) => requestId,
   decodeCopyHandle: (text) => text,
   promptBlocksPath: "/parts",
+  promptHistoryPath: "/history",
+  decodePromptHistory: () => [],
   decodePromptBlocks: () => new Map(),
   decodePromptBlockIds: (header) => header.split(",").filter((id) => id !== ""),
   decodeReport: () => undefined,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -166,6 +166,10 @@
   readonly decodeCopyHandle: (text: string) => string | undefined;
   /** Path at which an engine lists the prompt blocks in its KV cache. */
   readonly promptBlocksPath: string;
+  /** Path at which an engine lists the blocks that it read and evicted lately. */
+  readonly promptHistoryPath: string;
+  /** Decodes the ids of the blocks that an engine read lately; none if the text is malformed. */
+  readonly decodePromptHistory: (text: string) => readonly string[];
   /** Decodes the number of cached tokens by prompt block id; undefined if the text is malformed. */
   readonly decodePromptBlocks: (
     text: string,
