Use replicas without a start time again after they ended

Where a replica registers no start, a later process under its id looked the same and was left out for two minutes. The test failed before.

--- a/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
+++ b/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
@@ -4,7 +4,10 @@
 import {
   idempotentPath,
   nonIdempotentPath,
+  plainService,
+  Scenario,
   streamPath,
+  testReplica,
 } from "../../testing/scenario.js";
 
 const contactMs = 3000;
@@ -255,3 +258,22 @@
     .filter((one) => one.attempt.replica.id === attempt?.replica.id);
   assert.equal(late.length, 0);
 });
+
+test("a replica that registers no start time is never used again after it ended", () => {
+  const changes = { startedAt: 0 };
+  const replicas = [testReplica("a-9", plainService, changes)];
+  const scenario = Scenario.create(replicas);
+  scenario.request("1", nonIdempotentPath);
+  scenario.failAttempt("1", 0);
+  scenario.dispatch({
+    type: "connectionProbed",
+    at: scenario.at,
+    replica: "a-9",
+    sentAt: scenario.at,
+    isRefused: true,
+  });
+  assert.equal(scenario.state.quarantine.crashes.size, 1);
+  scenario.advance(4000);
+  scenario.request("2", nonIdempotentPath);
+  assert.equal(scenario.commandsOfType("send").length, 2);
+});
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -58,11 +58,11 @@
   !view.hasAnnouncedLeaving &&
   view.replacedAt === undefined;
 
-/** Whether the replica's process is known to have ended under requests. */
+/** Whether the replica's process is known to have ended under requests; without its start time a later one looks the same. */
 export const hasEnded = (
   { quarantine: { crashes } }: RelayState,
   { replica }: ReplicaView,
-): boolean => crashes.size > 0 && crashes.has(processKeyOf(replica));
+): boolean => replica.startedAt > 0 && crashes.has(processKeyOf(replica));
 
 /** Whether a replica is avoided because of a recent loss. */
 export const isSuspected = (view: ReplicaView, at: Timestamp): boolean =>
