Ask engines for their load when a take-up's prompt is held nowhere

After all routers were lost, a take-up went to any of the engines that it had asked for the prompt, whatever their load, as no router knew it; new streams ask four engines for it first. A take-up whose prompt nobody holds does so too now. The test fails without it: no engine had been asked.

--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -196,22 +196,12 @@
   return [];
 };
 
-/** Starts a query of some engines; the request is sent when they have answered. */
-export const queryEngines = (
+/** Asks some engines for their load. */
+export const queryLoadReports = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { request, attempts, isVersionSought } = exchange;
-  if (!canCopy(state, exchange) && !isVersionSought) return [];
-  const mayBeReconnect =
-    request.lastEventId !== undefined || isRecentlyStarted(state);
-  if (
-    mayBeReconnect &&
-    attempts === 0 &&
-    request.lastPromptBlockId !== undefined
-  )
-    return queryPromptBlocks(state, exchange);
-  if (isVersionSought) return awaitOrigin(state, exchange);
+  const { request } = exchange;
   const sample = candidateSampleOf(
     state,
     candidateQueryOf(exchange),
@@ -237,6 +227,26 @@
   });
 };
 
+/** Starts a query of some engines; the request is sent when they have answered. */
+export const queryEngines = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { request, attempts, isVersionSought } = exchange;
+  if (!canCopy(state, exchange) && !isVersionSought) return [];
+  const mayBeReconnect =
+    request.lastEventId !== undefined || isRecentlyStarted(state);
+  if (
+    mayBeReconnect &&
+    attempts === 0 &&
+    request.lastPromptBlockId !== undefined
+  )
+    return queryPromptBlocks(state, exchange);
+  return isVersionSought
+    ? awaitOrigin(state, exchange)
+    : queryLoadReports(state, exchange);
+};
+
 /** Whether all engines and routers that were asked have answered, or too late. */
 export const isEngineQueryDone = (
   state: RelayState,
@@ -247,3 +257,10 @@
       query !== undefined &&
       (query.pending.size === 0 || state.at >= query.until),
   );
+
+/** Whether a request waits for engines or routers that were asked. */
+export const isEngineQueryPending = (
+  state: RelayState,
+  exchange: Exchange,
+): boolean =>
+  exchange.engineQuery !== undefined && !isEngineQueryDone(state, exchange);
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -22,15 +22,16 @@
 import { isRetryable } from "./isRetryable.js";
 import {
   promptHolderOf,
-  isEngineQueryDone,
+  isEngineQueryPending,
   queryEngines,
+  queryLoadReports,
 } from "./queryEngines.js";
 import { maxEndedEngineCount } from "./quarantine/constants.js";
 import {
   isSuspectedRequest,
   keepFromLastReplica,
 } from "./quarantine/suspectedRequests.js";
-import { settleVersion } from "./versions/takeUps.js";
+import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
 import { ageOf, isAvailable, isSuspected } from "./replicaViews.js";
@@ -189,6 +190,24 @@
   return rankCandidates(state, query, service)[0]?.replica;
 };
 
+/**
+ * Asks engines for their load for a take-up whose prompt none of those asked holds any
+ * more; undefined if it can be sent. Load pattern: all callers of lost routers come at
+ * once to routers that know no engine's load.
+ */
+const seekIdleEngine = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] | undefined => {
+  const isListed = exchange.engineQuery?.type === "promptBlocks";
+  if (!isListed || !isTakeUp(exchange) || !canCopy(state, exchange))
+    return undefined;
+  if (promptHolderOf(state, exchange) !== undefined) return undefined;
+  exchange.engineQuery = undefined;
+  const probes = queryLoadReports(state, exchange);
+  return isEngineQueryPending(state, exchange) ? probes : undefined;
+};
+
 /** Sends a request to run from its prompt, without a KV cache copy. */
 export const sendWithoutCopy = (
   state: RelayState,
@@ -196,6 +215,8 @@
 ): RelayCommand[] => {
   const lines = settleVersion(state, exchange);
   if (!state.exchanges.has(exchange.key)) return lines;
+  const probes = seekIdleEngine(state, exchange);
+  if (probes !== undefined) return [...lines, ...probes];
   const query = candidateQueryOf(exchange);
   const replica =
     chooseQueriedEngine(state, exchange) ??
@@ -234,9 +255,9 @@
   const kept = keepFromLastReplica(state, exchange);
   if (kept !== undefined) return kept;
   const probes = queryEngines(state, exchange);
-  if (exchange.engineQuery === undefined || isEngineQueryDone(state, exchange))
-    return [...probes, ...sendWithoutCopy(state, exchange)];
-  return probes;
+  return isEngineQueryPending(state, exchange)
+    ? probes
+    : [...probes, ...sendWithoutCopy(state, exchange)];
 };
 
 /** Sends a request for the first time and counts it in the retry budget. */
--- a/packages/relay/src/decisions/versions/streamVersions.test.ts
+++ b/packages/relay/src/decisions/versions/streamVersions.test.ts
@@ -293,3 +293,15 @@
     .map(({ attempt }) => attempt.replica.softwareVersion);
   assert.deepEqual(new Set(versions), new Set(["v1"]));
 });
+
+// Load: all callers of lost routers come at once to routers that know no engine's load.
+test("a take-up whose prompt no engine holds goes to one of unknown load", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", streamPath, { lastEventId: 3, lastPromptBlockId: "x" });
+  const asked = [...scenario.state.replicas.values()].filter(
+    ({ report }) => report !== undefined,
+  );
+  const { replica } = scenario.lastSend("1").attempt;
+  assert.ok(asked.length >= 2);
+  assert.ok(asked.some((view) => view.replica.id === replica.id));
+});
