Use all plain replicas while a service is released to newer software

Of three plain replicas the first one with newer software got no request, then the last one with the old. The test failed before: not all three replicas were used.

--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -195,9 +195,12 @@
     available,
     (view) => !isSuspected(view, state.at),
   );
-  const versions = lastingVersions(state, service, available);
-  const lasting = preferMatching(trusted, ({ replica }) =>
-    versions.has(replica.softwareVersion),
+  // Only streams go on elsewhere, so other services use all replicas of a release.
+  const versions =
+    engineOf(state, service) && lastingVersions(state, service, available);
+  const lasting = preferMatching(
+    trusted,
+    ({ replica }) => versions?.has(replica.softwareVersion) !== false,
   );
   return preferMatching(lasting, ({ replica }) => replica.zone !== avoidedZone);
 };
--- a/packages/relay/src/decisions/versions/streamVersions.test.ts
+++ b/packages/relay/src/decisions/versions/streamVersions.test.ts
@@ -1,7 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Fleet } from "../../testing/fleet.js";
-import { Scenario, streamPath, testReplica } from "../../testing/scenario.js";
+import {
+  idempotentPath,
+  plainService,
+  Scenario,
+  streamPath,
+  testReplica,
+} from "../../testing/scenario.js";
 import type { SimulatedReplica } from "../../testing/simulatedReplicas.js";
 
 const createFleet = (routerCount = 8): Fleet =>
@@ -305,3 +311,18 @@
   assert.ok(asked.length >= 2);
   assert.ok(asked.some((view) => view.replica.id === replica.id));
 });
+
+// Load: a service of three replicas is released one by one.
+test("a plain replica with newer software gets no requests while it is the only one", () => {
+  const versions = ["v1", "v1", "v2"];
+  const replicas = versions.map((softwareVersion, index) =>
+    testReplica(`a-${String(index)}`, plainService, { softwareVersion }),
+  );
+  const scenario = Scenario.create(replicas);
+  for (let index = 0; index < 30; index += 1)
+    scenario.request(String(index), idempotentPath);
+  const used = scenario
+    .commandsOfType("send")
+    .map(({ attempt }) => attempt.replica.id);
+  assert.equal(new Set(used).size, 3);
+});
