--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -17,6 +17,7 @@
   testConfig,
   testRequest,
 } from "./scenario.js";
+import { DeliveredStreams } from "./deliveredStreams.js";
 import {
   SimulatedReplicas,
   type ReplicaCounts,
@@ -27,14 +28,6 @@
 /** How a request ended for its caller. */
 export type Ending = "whole" | "cut" | number;
 
-/** Events of one stream over all attempts of its caller. */
-export interface DeliveredStream {
-  readonly firstKey: string;
-  lastEventId: number;
-  /** Software versions that made the events. */
-  readonly versions: Set<string>;
-}
-
 /** Options of a fleet. */
 export interface FleetOptions extends ReplicaCounts {
   readonly routerCount: number;
@@ -50,7 +43,7 @@
   readonly states = new Map<string, RelayState>();
   readonly endings = new Map<string, Ending>();
   /** Events that callers received, by the key of each of their attempts. */
-  readonly streams = new Map<string, DeliveredStream>();
+  readonly streams = new DeliveredStreams();
   readonly sent: Extract<RelayCommand, { readonly type: "send" }>[] = [];
   readonly logged: Extract<RelayCommand, { readonly type: "log" }>[] = [];
   /** While the store is down, no router learns of restarted engines. */
@@ -152,32 +145,12 @@
 
   /** Takes a stream up after the last event of the caller's earlier attempts; returns the key of the new one. */
   takeUp(router: string, key: string): string {
-    const stream = this.streams.get(key);
-    const lastEventId = stream?.lastEventId ?? 0;
-    const next = this.request(router, [], streamPath, {
-      lastPromptBlockId: `own-${stream?.firstKey ?? key}`,
-      ...(lastEventId > 0 && { lastEventId, resumes: stream?.firstKey ?? key }),
-    });
-    if (stream !== undefined) this.streams.set(next, stream);
+    const changes = this.streams.takeUpOf(key);
+    const next = this.request(router, [], streamPath, changes);
+    this.streams.goOn(key, next);
     return next;
   }
 
-  private recordEvents({
-    key,
-    events,
-  }: Extract<RelayCommand, { readonly type: "deliverEvents" }>): void {
-    const stream = this.streams.get(key) ?? {
-      firstKey: key,
-      lastEventId: 0,
-      versions: new Set<string>(),
-    };
-    this.streams.set(key, stream);
-    for (const { id, bytes } of events) {
-      stream.lastEventId = id;
-      stream.versions.add(new TextDecoder().decode(bytes));
-    }
-  }
-
   /** Sends a request for which any plain replica will do. */
   requestPlain(router: string): string {
     return this.request(router, [], idempotentPath);
@@ -279,7 +252,7 @@
         });
         return;
       case "deliverEvents":
-        this.recordEvents(command);
+        this.streams.record(command);
         return;
       case "deliverResponse":
         this.endings.set(command.key, "whole");
