Rank, group and compare versions by one function each

Engines that may have begun a stream are ranked by the function that ranks candidates, and taken per group like those of a zone; the check of a replica's software stood three times; an engine's two lists are requested by one function; an unused bound is gone.

--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -18,6 +18,7 @@
 import { sampleWithoutReplacement, random } from "./random.js";
 import {
   hasEnded,
+  hasSoftware,
   isAvailable,
   isSuspected,
   replicasOf,
@@ -187,8 +188,7 @@
       isAvailable(view) &&
       !hasEnded(state, view) &&
       !excluded.has(view.replica.id) &&
-      (query.softwareVersion === undefined ||
-        view.replica.softwareVersion === query.softwareVersion) &&
+      hasSoftware(view.replica, query.softwareVersion) &&
       (query.isWithinLimit !== true || isWithinLimit(state, view)),
   );
   const trusted = preferMatching(
@@ -219,6 +219,17 @@
 ): ReplicaView[] =>
   sampleWithoutReplacement(state, candidatesOf(state, query), size);
 
+/** Sorts views by the rendezvous hash of a prompt block. */
+export const rankViews = (
+  views: readonly ReplicaView[],
+  blockId: string,
+): ReplicaView[] => {
+  const byId = new Map(views.map((view) => [view.replica.id, view]));
+  return rendezvousOrder(blockId, [...byId.keys()])
+    .map((id) => byId.get(id))
+    .filter((view) => view !== undefined);
+};
+
 /**
  * Ranks candidates for a prompt block by rendezvous hashing. The order is the
  * same at every router, so that a caller who reconnects to another router finds
@@ -229,13 +240,7 @@
   state: RelayState,
   query: CandidateQuery,
   blockId: string,
-): ReplicaView[] => {
-  const views = candidatesOf(state, query);
-  const byId = new Map(views.map((view) => [view.replica.id, view]));
-  return rendezvousOrder(blockId, [...byId.keys()])
-    .map((id) => byId.get(id))
-    .filter((view) => view !== undefined);
-};
+): ReplicaView[] => rankViews(candidatesOf(state, query), blockId);
 
 /**
  * Sample of candidates: the highest-ranked for a prompt block, or random ones
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -7,12 +7,13 @@
  * "The Power of Two Choices in Randomized Load Balancing", 2001).
  */
 
-import { rendezvousOrder, type Timestamp } from "@cardamomglade/common";
+import type { Timestamp } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
 import {
   candidateQueryOf,
   candidateSampleOf,
   rankCandidates,
+  rankViews,
 } from "./chooseReplica.js";
 import {
   loadQueryEngineCount,
@@ -23,7 +24,7 @@
   reconnectWindowMs,
   promptQueryTimeoutMs,
 } from "./constants.js";
-import { isAvailable, replicasOf } from "./replicaViews.js";
+import { hasSoftware, isAvailable, replicasOf } from "./replicaViews.js";
 import { hasSeveralVersions } from "./versions/serviceVersions.js";
 import {
   originListTimeoutMs,
@@ -60,13 +61,18 @@
   until,
 });
 
-/** Takes the highest-ranked engines of each zone. */
-const takePerZone = (ranked: readonly ReplicaView[]): ReplicaView[] => {
+/** Takes the highest-ranked engines of each group. */
+const takePerGroup = (
+  ranked: readonly ReplicaView[],
+  maxCount: number,
+  groupOf: (replica: Replica) => string,
+): ReplicaView[] => {
   const taken = new Map<string, number>();
-  return ranked.filter(({ replica: { zone } }) => {
-    const count = (taken.get(zone) ?? 0) + 1;
-    taken.set(zone, count);
-    return count <= promptQueryEnginesPerZoneCount;
+  return ranked.filter(({ replica }) => {
+    const group = groupOf(replica);
+    const count = (taken.get(group) ?? 0) + 1;
+    taken.set(group, count);
+    return count <= maxCount;
   });
 };
 
@@ -82,19 +88,12 @@
   const views = replicasOf(state, service).filter(
     ({ leftAt }) => leftAt === undefined,
   );
-  const byId = new Map(views.map((view) => [view.replica.id, view]));
-  const ranked = rendezvousOrder(request.lastPromptBlockId ?? "", [
-    ...byId.keys(),
-  ]);
-  const taken = new Map<string, number>();
-  return ranked
-    .map((id) => byId.get(id))
-    .filter((view) => view !== undefined)
-    .filter(({ replica: { softwareVersion } }) => {
-      const count = (taken.get(softwareVersion) ?? 0) + 1;
-      taken.set(softwareVersion, count);
-      return count <= originQueryEngineCount;
-    });
+  const ranked = rankViews(views, request.lastPromptBlockId ?? "");
+  return takePerGroup(
+    ranked,
+    originQueryEngineCount,
+    ({ softwareVersion }) => softwareVersion,
+  );
 };
 
 /**
@@ -110,12 +109,14 @@
   const { request } = exchange;
   const sample = exchange.isVersionSought
     ? possibleOrigins(state, exchange)
-    : takePerZone(
+    : takePerGroup(
         rankCandidates(
           state,
           candidateQueryOf(exchange),
           request.lastPromptBlockId ?? "",
         ),
+        promptQueryEnginesPerZoneCount,
+        ({ zone }) => zone,
       );
   const pending = sample.filter(
     ({ promptBlocksReadAt }) =>
@@ -174,10 +175,7 @@
     if (view === undefined || tokens <= maxTokens || !isAvailable(view))
       continue;
     const { replica } = view;
-    if (
-      (softwareVersion ?? replica.softwareVersion) !== replica.softwareVersion
-    )
-      continue;
+    if (!hasSoftware(replica, softwareVersion)) continue;
     holder = view.replica;
     maxTokens = tokens;
   }
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -64,6 +64,12 @@
   { replica }: ReplicaView,
 ): boolean => replica.startedAt > 0 && crashes.has(processKeyOf(replica));
 
+/** Whether a replica has the software version at which a stream goes on; any has it before the first event. */
+export const hasSoftware = (
+  { softwareVersion }: Replica,
+  required: string | undefined,
+): boolean => required === undefined || softwareVersion === required;
+
 /** Whether a replica is avoided because of a recent loss. */
 export const isSuspected = (view: ReplicaView, at: Timestamp): boolean =>
   view.suspectUntil > at;
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -34,7 +34,12 @@
 import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
-import { ageOf, isAvailable, isSuspected } from "./replicaViews.js";
+import {
+  ageOf,
+  hasSoftware,
+  isAvailable,
+  isSuspected,
+} from "./replicaViews.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type {
@@ -235,12 +240,10 @@
 ): RelayCommand[] => {
   exchange.reservedPermit = undefined;
   const view = state.replicas.get(replica);
-  const { softwareVersion } = exchange;
   const isUsable =
     view !== undefined &&
     isAvailable(view) &&
-    (softwareVersion ?? view.replica.softwareVersion) ===
-      view.replica.softwareVersion;
+    hasSoftware(view.replica, exchange.softwareVersion);
   if (!isUsable) return sendWithoutCopy(state, exchange);
   // The permit was taken when it was reserved.
   if (view.requestLimit !== undefined) returnPermit(state, view.requestLimit);
--- a/packages/relay/src/decisions/versions/constants.ts
+++ b/packages/relay/src/decisions/versions/constants.ts
@@ -42,5 +42,4 @@
   perService: 16,
   streams: 20_000,
   keyLength: 200,
-  streamsPerMessage: 24,
 } as const;
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -63,30 +63,17 @@
   return { isAnswered: true, isRefused: false, report };
 };
 
-/** Requests the prompt blocks that an engine read lately; none if it did not answer. */
-const listPromptHistory = async (
+/** Requests a list of an engine's prompt blocks; undefined if it did not answer. */
+const getList = async (
   protocol: ReplicaProtocol,
   replica: Replica,
+  path: string,
   onLeaving: OnLeaving,
-): Promise<readonly string[]> => {
-  const { promptHistoryPath: path, decodePromptHistory } = protocol;
-  const deadline = now() + originListTimeoutMs;
-  const options = { method: "GET" as const, path, deadline };
-  const answer = await call(protocol, replica, options, onLeaving);
-  return answer?.status === 200 ? decodePromptHistory(answer.text) : [];
-};
-
-/** Requests the prompt blocks that an engine holds; undefined if it did not answer. */
-const listHeldBlocks = async (
-  protocol: ReplicaProtocol,
-  replica: Replica,
-  onLeaving: OnLeaving,
-): Promise<ReadonlyMap<string, number> | undefined> => {
-  const { promptBlocksPath: path, decodePromptBlocks } = protocol;
+): Promise<string | undefined> => {
   const deadline = now() + originListTimeoutMs;
   const options = { method: "GET" as const, path, deadline };
   const answer = await call(protocol, replica, options, onLeaving);
-  return answer?.status === 200 ? decodePromptBlocks(answer.text) : undefined;
+  return answer?.status === 200 ? answer.text : undefined;
 };
 
 /**
@@ -98,11 +85,18 @@
   { replica, withHistory }: Extract<RelayCommand, { type: "listPromptBlocks" }>,
   onLeaving: OnLeaving,
 ): Promise<ReadonlyMap<string, number> | undefined> => {
-  const [held, history] = await Promise.all([
-    listHeldBlocks(protocol, replica, onLeaving),
-    withHistory ? listPromptHistory(protocol, replica, onLeaving) : [],
+  const { promptBlocksPath, promptHistoryPath } = protocol;
+  const [heldText, historyText] = await Promise.all([
+    getList(protocol, replica, promptBlocksPath, onLeaving),
+    withHistory
+      ? getList(protocol, replica, promptHistoryPath, onLeaving)
+      : undefined,
   ]);
-  const evicted = history.map((id): [string, number] => [id, 0]);
+  if (heldText === undefined) return undefined;
+  const held = protocol.decodePromptBlocks(heldText);
+  const evicted = protocol
+    .decodePromptHistory(historyText ?? "")
+    .map((id): [string, number] => [id, 0]);
   return held && new Map([...evicted, ...held]);
 };
 
