Let tests listen on ports that no outgoing connection takes

The harness asked the system for a free port, closed it and listened later; between the two another process's outgoing connection took it. Ports are now drawn below the ephemeral range, by one function for both packages.

--- a/packages/platform/src/sharedWatch/sharedWatch.test.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
-import { createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, test } from "node:test";
 import { now } from "@cardamomglade/common";
+import { freePort } from "@cardamomglade/common/testing/freePort";
 import { mirrorPrefix } from "../mirrorPrefix.js";
 import type {
   KeyValueEntry,
@@ -118,17 +118,6 @@
   }
 }
 
-const freePort = (): Promise<number> =>
-  new Promise((resolve) => {
-    const server = createServer().listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      const port = typeof address === "object" && address ? address.port : 0;
-      server.close(() => {
-        resolve(port);
-      });
-    });
-  });
-
 /** A router with its view of the entries. */
 interface TestRouter {
   readonly name: string;
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -3,6 +3,7 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createChannel, createSourceDriver, now } from "@cardamomglade/common";
+import { freePort } from "@cardamomglade/common/testing/freePort";
 import { createRelay, type Relay } from "../createRelay.js";
 import type { RelayEvent } from "../decisions/events.js";
 import {
@@ -22,12 +23,6 @@
   readonly stop: () => Promise<void>;
 }
 
-const freePort = async (): Promise<number> => {
-  const { port, stop } = await startRawReplica(() => undefined);
-  stop();
-  return port;
-};
-
 /** Starts a relay and its replica, which may have several ids, on free ports of the loopback address. */
 export const startTestRelay = async (
   answer: RawResponder,
