Log what an answered request's answer was taken for, and how its end was found

'request answered' could not tell a whole stream from one whose connection closed behind its head, nor a stream from a plain answer: it names isStream, framing (length, chunked, connection), events or bodyBytes now. The head carries a framing in place of isFramed.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -173,7 +173,7 @@
     );
   return [
     { type: "deliverResponse", key, answer },
-    ...completeExchange(state, exchange, status),
+    ...completeExchange(state, exchange, answer.head, answer.body.length),
   ];
 };
 
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -6,7 +6,7 @@
 import { refuse, refuseNotExecuted } from "./refusals.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
-import type { Attempt, Exchange, RelayState } from "./types.js";
+import type { Attempt, Exchange, RelayState, ResponseHead } from "./types.js";
 
 /** Clears the active attempt and updates the replica's counters. */
 export const closeAttempt = (state: RelayState, exchange: Exchange): void => {
@@ -42,11 +42,12 @@
   tookMs: Math.round(at - exchange.request.arrivedAt),
 });
 
-/** Removes an exchange whose response is complete. */
+/** Removes an exchange whose response is complete; its head and size go into the log. */
 export const completeExchange = (
   state: RelayState,
   exchange: Exchange,
-  status: number,
+  head: ResponseHead | undefined,
+  bodyBytes?: number,
 ): RelayCommand[] => {
   const { attempt } = exchange;
   recordDuration(state, exchange);
@@ -56,8 +57,12 @@
     ...releaseCopy(attempt),
     logLine("request answered", {
       ...summaryOf(exchange, state.at),
-      status,
+      status: exchange.head?.status ?? head?.status,
       replica: attempt?.replica.id,
+      isStream: head?.isStream,
+      framing: head?.framing,
+      events: head?.isStream === true ? attempt?.eventCount : undefined,
+      bodyBytes,
     }),
   ];
 };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -120,6 +120,7 @@
     rejectedHolders: new Set(),
     heardAt: state.at,
     hasEvents: false,
+    head: undefined,
     eventCount: 0,
     firstEventAt: undefined,
     isEstablished: false,
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -27,6 +27,7 @@
   if (found === undefined) return [];
   const { exchange, attempt } = found;
   attempt.heardAt = event.at;
+  attempt.head = event.head;
   recordContact(state, attempt.replica.id, event.at);
   const commands = noteRequestLimit(state, attempt.replica.id, event.head);
   if (exchange.head !== undefined) return commands;
@@ -126,6 +127,6 @@
   return [
     ...establishEndedAttempt(state, exchange, attempt),
     { type: "finishStream", key: event.key },
-    ...completeExchange(state, exchange, exchange.head?.status ?? 200),
+    ...completeExchange(state, exchange, attempt.head),
   ];
 };
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+  idempotentPath,
   nonIdempotentPath,
   engines,
   idleReport,
@@ -11,6 +12,7 @@
   testReplicas,
 } from "../testing/scenario.js";
 import { isSuspected } from "./replicaViews.js";
+import { BodyFraming } from "./types.js";
 
 const failStream = (scenario: Scenario, key: string) =>
   scenario.failAttempt(key, scenario.lastSend(key).attempt.number);
@@ -375,3 +377,25 @@
   }
   assert.ok(Math.max(...holders.values()) <= 15);
 });
+
+test("the log does not tell what an answered request's answer was taken for", () => {
+  const scenario = createStreaming();
+  const attempt = scenario.lastSend("1").attempt.number;
+  const { at } = scenario;
+  scenario.dispatch({ type: "streamEnded", at, key: "1", attempt });
+  scenario.request("2", idempotentPath);
+  scenario.answer("2", { framing: BodyFraming.Connection });
+  const answered = scenario
+    .commandsOfType("log")
+    .filter(({ message }) => message === "request answered")
+    .map(({ context: { isStream, framing, events, bodyBytes } }) => ({
+      isStream,
+      framing,
+      events,
+      bodyBytes,
+    }));
+  assert.deepEqual(answered, [
+    { isStream: true, framing: "length", events: 3, bodyBytes: undefined },
+    { isStream: false, framing: "connection", events: undefined, bodyBytes: 0 },
+  ]);
+});
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -117,6 +117,8 @@
   readonly rejectedHolders: Set<string>;
   heardAt: Timestamp;
   hasEvents: boolean;
+  /** Response head of a stream that has started. */
+  head: ResponseHead | undefined;
   /** Number of events received, and the time of the first. */
   eventCount: number;
   firstEventAt: Timestamp | undefined;
@@ -124,6 +126,16 @@
   isEstablished: boolean;
 }
 
+/** How the end of a response's body is found. */
+export enum BodyFraming {
+  /** The head states the length. */
+  Length = "length",
+  /** The last chunk ends it. */
+  Chunked = "chunked",
+  /** It ends when its connection closes. */
+  Connection = "connection",
+}
+
 /** Status and headers of a replica's response. */
 export interface ResponseHead {
   readonly status: number;
@@ -131,11 +143,7 @@
   readonly headers: readonly string[];
   readonly seal: string | undefined;
   readonly isStream: boolean;
-  /**
-   * Whether the response has a content length or chunked encoding; if not, it
-   * ends when its connection closes.
-   */
-  readonly isFramed: boolean;
+  readonly framing: BodyFraming;
   /** Whether the replica states that it did not execute the request. */
   readonly isNotExecuted: boolean;
   /** Requests a second that the replica takes from all routers; undefined if it names no limit. */
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -9,7 +9,11 @@
 import { Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
-import type { ResponseHead, BufferedResponse } from "../decisions/types.js";
+import {
+  BodyFraming,
+  type ResponseHead,
+  type BufferedResponse,
+} from "../decisions/types.js";
 import { Counter, Latency, type RelayMetrics } from "../metrics.js";
 import {
   defaultLimits,
@@ -187,8 +191,9 @@
     const { res } = found;
     const isBodiless =
       res.req.method === "HEAD" || bodilessStatuses.has(head.status);
-    if (!head.isFramed && !isBodiless) endWithConnection(res);
-    const isSized = head.isFramed && !isBodiless;
+    const isFramed = head.framing !== BodyFraming.Connection;
+    if (!isFramed && !isBodiless) endWithConnection(res);
+    const isSized = isFramed && !isBodiless;
     writeHead(res, head, isSized ? body.length : undefined);
     res.end(body);
   };
--- a/packages/relay/src/drivers/oddAddresses.test.ts
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -59,6 +59,7 @@
           rejectedHolders: new Set(),
           heardAt: now(),
           hasEvents: false,
+          head: undefined,
           eventCount: 0,
           firstEventAt: undefined,
           isEstablished: false,
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -5,6 +5,7 @@
 import type { RelayCommand } from "../decisions/commands.js";
 import {
   AttemptFailure,
+  BodyFraming,
   type ResponseHead,
   type StreamEvent,
   type BufferedResponse,
@@ -80,13 +81,16 @@
   return added;
 };
 
-/**
- * Whether a response has a content length or chunked encoding; any other ends
- * when its connection closes, and a reset truncates it.
- */
-const isFramed = ({ headers }: IncomingMessage): boolean =>
-  headers["content-length"] !== undefined ||
-  headers["transfer-encoding"] !== undefined;
+const framingOf = ({ headers }: IncomingMessage): BodyFraming => {
+  if (headers["transfer-encoding"] !== undefined) return BodyFraming.Chunked;
+  return headers["content-length"] === undefined
+    ? BodyFraming.Connection
+    : BodyFraming.Length;
+};
+
+/** Whether a response was received whole; one that ends with its connection is truncated by a reset. */
+const isWhole = (res: IncomingMessage | undefined): boolean =>
+  res?.complete === true && framingOf(res) !== BodyFraming.Connection;
 
 const maxRequestLimitPerS = 1_000_000; // a replica that takes more has no limit
 
@@ -174,7 +178,7 @@
 
   private onError(error: Error): void {
     // Bytes after a complete response belong to no request; the response itself is valid.
-    if (this.res?.complete === true && isFramed(this.res)) return;
+    if (isWhole(this.res)) return;
     const failure = this.isConnected
       ? AttemptFailure.Broken
       : AttemptFailure.NotSent;
@@ -201,7 +205,7 @@
       isStream:
         status === 200 &&
         (res.headers["content-type"] ?? "").startsWith("text/event-stream"),
-      isFramed: isFramed(res),
+      framing: framingOf(res),
       isNotExecuted:
         res.headers[names.notExecuted] !== undefined ||
         status === misdirectedRequestStatus,
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -2,7 +2,7 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
-import { AttemptFailure } from "../decisions/types.js";
+import { AttemptFailure, BodyFraming } from "../decisions/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
 import type { ResponseHead, RelayState } from "../decisions/types.js";
@@ -135,7 +135,7 @@
   headers: [],
   seal: "seal",
   isStream: false,
-  isFramed: true,
+  framing: BodyFraming.Length,
   isNotExecuted: false,
   requestLimitPerS: undefined,
   ...changes,
