--- a/packages/relay/src/testing/rawReplica.ts
+++ b/packages/relay/src/testing/rawReplica.ts
@@ -10,6 +10,8 @@
   readonly port: number;
   /** Text received on each connection. */
   readonly received: string[];
+  /** Refuses new connections, as the host of a process that has ended does. */
+  readonly refuseConnections: () => void;
   readonly stop: () => void;
 }
 
@@ -45,6 +47,9 @@
   return {
     port: (server.address() as AddressInfo).port,
     received,
+    refuseConnections: () => {
+      server.close();
+    },
     stop: () => {
       for (const socket of sockets) socket.destroy();
       server.close();
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -14,22 +14,28 @@
 import { plainService, testConfig, testReplica } from "./scenario.js";
 import { testProtocol } from "./testProtocol.js";
 
-/** A relay with one replica that answers raw bytes. */
+/** A relay with replicas that answer raw bytes. */
 export interface TestRelay {
   readonly replica: RawReplica;
+  readonly second: RawReplica | undefined;
   readonly relay: Relay;
   readonly port: number;
   readonly lines: string[];
   readonly stop: () => Promise<void>;
 }
 
-/** Starts a relay and its replica, which may have several ids, on free ports of the loopback address. */
+/**
+ * Starts a relay and its replica, which may have several ids, on free ports of the
+ * loopback address; a second one answers in its own way from another zone.
+ */
 export const startTestRelay = async (
   answer: RawResponder,
   service = plainService,
   ids: readonly string[] = ["a-9"],
+  answerSecond?: RawResponder,
 ): Promise<TestRelay> => {
   const replica = await startRawReplica(answer);
+  const second = answerSecond && (await startRawReplica(answerSecond));
   const ports = [await freePort(), await freePort(), await freePort()];
   const [front = 0, readiness = 0, metrics = 0] = ports;
   const host = "127.0.0.1";
@@ -58,16 +64,20 @@
   await sleep(20);
   const here = { host, port: replica.port };
   const replicas = ids.map((id) => testReplica(id, service, here));
+  if (second !== undefined)
+    replicas.push(testReplica("b-9", service, { host, port: second.port }));
   events.push({ type: "configRead", at: now(), config: testConfig() });
   events.push({ type: "replicasRead", at: now(), replicas });
   return {
     replica,
+    second,
     relay,
     port: front,
     lines,
     stop: async () => {
       await relay.drain(now());
       replica.stop();
+      second?.stop();
     },
   };
 };
