Break off streams that end with their connection before the first event

Cause: the end of the connection is the end of such an answer in HTTP, and no partial event was left to tell. A stream that began at none has at least one event, so it is lost now and goes on elsewhere; a take-up behind the last event may still have an empty rest. Class: an end that nothing states is taken for a stated one.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -74,6 +74,20 @@
   return [line, ...sendRetry(state, exchange, reason)];
 };
 
+/** Closes an attempt whose answer broke off, and retries the request at another replica. */
+export const loseBrokenAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  detail: string,
+): RelayCommand[] => {
+  const commands = suspectBrokenAttempt(state, exchange, attempt);
+  recordLoss(state, attempt.replica, state.at);
+  recordOutcome(state, attempt.replica.id, true);
+  const reason = `${AttemptFailure.Broken}: ${detail}`;
+  return [...commands, ...handleLostAttempt(state, exchange, attempt, reason)];
+};
+
 /** Handles an attempt that ended without a response. */
 export const attemptFailed = (
   state: RelayState,
@@ -83,7 +97,6 @@
   if (found === undefined) return [];
   const { exchange, attempt } = found;
   const { failure, detail, at } = event;
-  const commands: RelayCommand[] = [];
   switch (failure) {
     case AttemptFailure.NotSent:
       recordLoss(state, attempt.replica, at);
@@ -91,20 +104,14 @@
       exchange.attempts -= 1;
       break;
     case AttemptFailure.Broken:
-      commands.push(...suspectBrokenAttempt(state, exchange, attempt));
-      recordLoss(state, attempt.replica, at);
-      recordOutcome(state, attempt.replica.id, true);
-      break;
+      return loseBrokenAttempt(state, exchange, attempt, detail);
     case AttemptFailure.Malformed:
       recordOutcome(state, attempt.replica.id, true);
       break;
     default:
       return assertNever(failure);
   }
-  commands.push(
-    ...handleLostAttempt(state, exchange, attempt, `${failure}: ${detail}`),
-  );
-  return commands;
+  return handleLostAttempt(state, exchange, attempt, `${failure}: ${detail}`);
 };
 
 const isServerError = ({ head }: BufferedResponse): boolean =>
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -5,7 +5,12 @@
 
 import { recordOutcome } from "./outcomes.js";
 import { recordContact } from "./replicaViews.js";
-import { findAttempt, handleLostAttempt } from "./attemptEvents.js";
+import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
+import {
+  findAttempt,
+  handleLostAttempt,
+  loseBrokenAttempt,
+} from "./attemptEvents.js";
 import {
   establishAttempt,
   establishEndedAttempt,
@@ -115,18 +120,35 @@
   return commands;
 };
 
-/** Handles a stream that its replica ended properly. */
-export const streamEnded = (
+/** Ends a stream whose replica has ended it. */
+const finishStream = (
   state: RelayState,
-  event: RelayEventOf<"streamEnded">,
+  exchange: Exchange,
+  attempt: Attempt,
 ): RelayCommand[] => {
-  const found = findAttempt(state, event);
-  if (found === undefined) return [];
-  const { exchange, attempt } = found;
   recordOutcome(state, attempt.replica.id, false);
   return [
     ...establishEndedAttempt(state, exchange, attempt),
-    { type: "finishStream", key: event.key },
+    { type: "finishStream", key: exchange.key },
     ...completeExchange(state, exchange, attempt.head),
   ];
 };
+
+/** Handles the end of a replica's stream behind a whole event, or behind its head. */
+export const streamEnded = (
+  state: RelayState,
+  event: RelayEventOf<"streamEnded">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  const { exchange, attempt } = found;
+  const { head } = attempt;
+  if (head === undefined || !endsWithConnection(exchange, head))
+    return finishStream(state, exchange, attempt);
+  // Only behind the last event of an earlier answer may nothing be left.
+  if (exchange.lastEventId === 0) {
+    const detail = "the stream ended before its first event";
+    return loseBrokenAttempt(state, exchange, attempt, detail);
+  }
+  return finishStream(state, exchange, attempt);
+};
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -8,6 +8,7 @@
 import { createChannel, now } from "@cardamomglade/common";
 import { Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
+import { isBodiless } from "../decisions/answerEnds/isBodiless.js";
 import type { RelayEvent } from "../decisions/events.js";
 import {
   BodyFraming,
@@ -55,7 +56,6 @@
 const connectionCheckIntervalMs = 500; // interval at which Node checks connections for overdue request heads
 const maxUnreadBytes = 4 * 1024 * 1024; // buffered bytes of one response that its caller does not read
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
-const bodilessStatuses = new Set([204, 304]);
 
 /**
  * Lets the response end when its connection closes, as the replica's response
@@ -189,11 +189,10 @@
     metrics.count(Counter.Answers);
     metrics.observe(Latency.Answer, now() - found.arrivedAt);
     const { res } = found;
-    const isBodiless =
-      res.req.method === "HEAD" || bodilessStatuses.has(head.status);
+    const hasBody = !isBodiless(res.req.method ?? "", head.status);
     const isFramed = head.framing !== BodyFraming.Connection;
-    if (!isFramed && !isBodiless) endWithConnection(res);
-    const isSized = isFramed && !isBodiless;
+    if (hasBody && !isFramed) endWithConnection(res);
+    const isSized = hasBody && isFramed;
     writeHead(res, head, isSized ? body.length : undefined);
     res.end(body);
   };
