Ask replicas about answers that end with their connection

Callers saw streams cut between two events, and plain answers cut anywhere, as whole, if the replica had sent neither a length nor chunks and its process ended: the host of a dead process sends a FIN. The end is held back now until the replica was asked: an engine for its report, a plain replica for a connection. Refused, or another process there, or an engine that has made more events of the request: broken off, so a stream resumes behind its last event, an idempotent request is sent again, a booking ends with 502. No word at all: a stream resumes (nothing is left elsewhere of a whole one), a plain answer is delivered as it came. A replica that leaves may stop listening behind its last answers: delivered.

Ways not taken: passing such streams on without chunks (a router that is killed would end them as if whole); the number of output tokens a request allows (streams may end sooner).

Changed tests, as strict as before: the engine of 'a stream that broke off goes on' answers its load report now, as engines do; the log's test answers the question.

--- a/packages/relay/src/brokenAnswers.test.ts
+++ b/packages/relay/src/brokenAnswers.test.ts
@@ -8,6 +8,7 @@
   requestText,
   sealed,
   startTestRelay,
+  withReports,
 } from "./testing/testRelay.js";
 
 const waitMs = 1500;
@@ -105,7 +106,12 @@
     }, settleMs);
   };
   const ids = ["a-1", "b-1", "c-1"];
-  const received = await relayed("/stream/x", respond, engines, ids);
+  const received = await relayed(
+    "/stream/x",
+    withReports(respond),
+    engines,
+    ids,
+  );
   assert.ok(received.includes(firstEvent), received);
   assert.ok(received.includes(secondEvent), received);
   assert.ok(received.endsWith(chunkedEnd));
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -5,6 +5,8 @@
   misdirectedRequestStatus,
   serviceUnavailableStatus,
 } from "../types.js";
+import { confirmEnd } from "./answerEnds/confirmEnd.js";
+import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
 import { recordContact, recordLoss, markReplaced } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
@@ -146,6 +148,18 @@
     closeAttempt(state, exchange);
     return [line, ...sendRetry(state, exchange, "the replica refused")];
   }
+  return endsWithConnection(exchange, answer.head)
+    ? confirmEnd(state, exchange, attempt, answer)
+    : deliverAnswer(state, exchange, attempt, answer);
+};
+
+/** Handles a whole answer of a replica that executed the request. */
+export const deliverAnswer = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  answer: BufferedResponse,
+): RelayCommand[] => {
   const survived = recordWholeAnswer(state, exchange, attempt);
   return [...survived, ...handleExecuted(state, exchange, attempt, answer)];
 };
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -15,6 +15,9 @@
 /** Time within which a healthy replica answers a probe, including a round trip between zones. */
 export const probeTimeoutMs = 150;
 
+/** Time for which the end of an answer waits for its replica: a probe and some turns of the loop. */
+export const endConfirmationTimeoutMs = 2 * probeTimeoutMs;
+
 /** How long a replica is suspected after a lost attempt: about the duration of a restart. */
 export const suspicionMs = 1300;
 
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -10,14 +10,17 @@
 import { callerDisconnected } from "./callerDisconnected.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
 import { createGossipState } from "./gossip/spreadGossip.js";
-import { originsTold } from "./probes.js";
-import { connectionProbed } from "./quarantine/engineCrashes.js";
 import { quarantinesRead } from "./quarantine/quarantinesRead.js";
 import { createQuarantineState } from "./quarantine/quarantineState.js";
 import { retryRequested, retryLent } from "./lendRetry.js";
 import { leavingAnnounced } from "./leavingReplicas.js";
 import { outcomesShared } from "./outcomes.js";
-import { promptBlocksListed, probeFinished } from "./probes.js";
+import {
+  connectionProbed,
+  originsTold,
+  probeFinished,
+  promptBlocksListed,
+} from "./probes.js";
 import { createRegistration, routersRead } from "./registration.js";
 import { recoverExchange } from "./recoverExchange.js";
 import { requestArrived } from "./requestArrived.js";
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -61,6 +61,7 @@
       replica: attempt?.replica.id,
       isStream: head?.isStream,
       framing: head?.framing,
+      endEvidence: attempt?.endEvidence,
       events: head?.isStream === true ? attempt?.eventCount : undefined,
       bodyBytes,
     }),
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -2,6 +2,10 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import type { EngineReport, ReportedRun } from "../types.js";
+import {
+  settleEndsByConnection,
+  settleEndsByReport,
+} from "./answerEnds/settleEnds.js";
 import { handleLostAttempt } from "./attemptEvents.js";
 import {
   missingEventSilenceMs,
@@ -9,7 +13,11 @@
   missingEventCount,
   probeAfterSilenceMs,
 } from "./constants.js";
-import { confirmCrash, recordEndedEngine } from "./quarantine/engineCrashes.js";
+import {
+  confirmCrash,
+  confirmPlainCrash,
+  recordEndedEngine,
+} from "./quarantine/engineCrashes.js";
 import { isEngineQueryDone, recordPromptBlocks } from "./queryEngines.js";
 import {
   ageOf,
@@ -54,6 +62,7 @@
   for (const exchange of state.exchanges.values()) {
     const { attempt, route } = exchange;
     if (attempt?.replica.id !== replicaId || !route.canResume) continue;
+    if (attempt.unconfirmedEnd !== undefined) continue;
     found.push({ exchange, attempt });
   }
   return found;
@@ -158,10 +167,20 @@
   state: RelayState,
   event: RelayEventOf<"probeFinished">,
 ): RelayCommand[] => [
+  ...settleEndsByReport(state, event),
   ...confirmCrash(state, event),
   ...updateProbedReplica(state, event),
 ];
 
+/** Handles the result of a connection to a replica that is no engine. */
+export const connectionProbed = (
+  state: RelayState,
+  event: RelayEventOf<"connectionProbed">,
+): RelayCommand[] => [
+  ...settleEndsByConnection(state, event),
+  ...confirmPlainCrash(state, event),
+];
+
 /** Handles what another router told about streams, and sends those whose version is found. */
 export const originsTold = (
   state: RelayState,
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -255,7 +255,7 @@
 };
 
 /** Decides by a connection's result whether a replica that is no engine has ended. */
-export const connectionProbed = (
+export const confirmPlainCrash = (
   state: RelayState,
   event: RelayEventOf<"connectionProbed">,
 ): RelayCommand[] => {
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -124,6 +124,8 @@
     eventCount: 0,
     firstEventAt: undefined,
     isEstablished: false,
+    unconfirmedEnd: undefined,
+    endEvidence: undefined,
   };
   exchange.attempts += 1;
   exchange.nextNumber += 1;
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -5,6 +5,7 @@
 
 import { recordOutcome } from "./outcomes.js";
 import { recordContact } from "./replicaViews.js";
+import { confirmEnd } from "./answerEnds/confirmEnd.js";
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
 import {
   findAttempt,
@@ -121,7 +122,7 @@
 };
 
 /** Ends a stream whose replica has ended it. */
-const finishStream = (
+export const finishStream = (
   state: RelayState,
   exchange: Exchange,
   attempt: Attempt,
@@ -150,5 +151,5 @@
     const detail = "the stream ended before its first event";
     return loseBrokenAttempt(state, exchange, attempt, detail);
   }
-  return finishStream(state, exchange, attempt);
+  return confirmEnd(state, exchange, attempt);
 };
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -385,6 +385,9 @@
   scenario.dispatch({ type: "streamEnded", at, key: "1", attempt });
   scenario.request("2", idempotentPath);
   scenario.answer("2", { framing: BodyFraming.Connection });
+  const replica = scenario.lastSend("2").attempt.replica.id;
+  const probe = { replica, sentAt: at, isRefused: false };
+  scenario.dispatch({ type: "connectionProbed", at, ...probe });
   const answered = scenario
     .commandsOfType("log")
     .filter(({ message }) => message === "request answered")
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -13,6 +13,8 @@
   stallThresholdMs,
   tickIntervalMs,
 } from "./constants.js";
+import { settleEnd } from "./answerEnds/settleEnds.js";
+import { EndEvidence } from "./answerEnds/types.js";
 import { failExchange } from "./endExchange.js";
 import { currentItems } from "./gossip/gossipReceived.js";
 import { spreadGossip } from "./gossip/spreadGossip.js";
@@ -97,6 +99,11 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   const { attempt, route, borrowing } = exchange;
+  const end = attempt?.unconfirmedEnd;
+  if (attempt !== undefined && end !== undefined)
+    return state.at >= end.until
+      ? settleEnd(state, exchange, attempt, EndEvidence.None)
+      : [];
   if (state.at >= exchange.deadline) {
     if (attempt !== undefined && isOverdue(exchange, attempt, state.at))
       recordOutcome(state, attempt.replica.id, true);
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -9,6 +9,7 @@
   Route,
   Address,
 } from "../types.js";
+import type { EndEvidence, UnconfirmedEnd } from "./answerEnds/types.js";
 import type { GossipState } from "./gossip/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
@@ -124,6 +125,10 @@
   firstEventAt: Timestamp | undefined;
   /** Whether the answer went on after its first events: the engine survived the prompt. */
   isEstablished: boolean;
+  /** Set while the replica is asked whether its answer, whose connection has ended, is whole. */
+  unconfirmedEnd: UnconfirmedEnd | undefined;
+  /** What the replica said to that; undefined if it was not asked. */
+  endEvidence: EndEvidence | undefined;
 }
 
 /** How the end of a response's body is found. */
--- a/packages/relay/src/drivers/oddAddresses.test.ts
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -63,6 +63,8 @@
           eventCount: 0,
           firstEventAt: undefined,
           isEstablished: false,
+          unconfirmedEnd: undefined,
+          endEvidence: undefined,
         },
         request: testRequest("a", "/x", now()),
         customer: undefined,
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -135,3 +135,12 @@
     `HTTP/1.1 200 OK\r\n${sealed}content-length: 5\r\nx-extra: 1\r\n\r\nhello`,
   );
 };
+
+/** Lets a replica answer requests for its load report, and all others as given. */
+export const withReports =
+  (answer: RawResponder): RawResponder =>
+  (socket, text) => {
+    if (text.startsWith(`GET ${testProtocol.reportPath} `))
+      socket.end("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+    else answer(socket, text);
+  };
--- a/packages/relay/src/unframedAnswers.test.ts
+++ b/packages/relay/src/unframedAnswers.test.ts
@@ -9,6 +9,7 @@
   respondOk,
   sealed,
   startTestRelay,
+  withReports,
   type TestRelay,
 } from "./testing/testRelay.js";
 
@@ -121,15 +122,6 @@
   assert.ok(isWholeStream(received));
 });
 
-/** An engine that answers load reports, and requests as given. */
-const engine =
-  (answer: RawResponder): RawResponder =>
-  (socket, text) => {
-    if (text.startsWith("GET /report "))
-      socket.end("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
-    else answer(socket, text);
-  };
-
 /**
  * What a caller receives if the replica of its zone ends behind what it sent, and the
  * one of another zone answers in its own way.
@@ -145,10 +137,10 @@
     write(socket, text, false);
   };
   const running: TestRelay = await startTestRelay(
-    engine(crash),
+    withReports(crash),
     service,
     ["a-9"],
-    engine(answerSecond),
+    withReports(answerSecond),
   );
   const received = await exchange(running.port, requestText(path), 900);
   const second = running.second?.received.join("") ?? "";
