Take a response for chunked only if chunked is its last transfer coding

An answer with 'Transfer-Encoding: identity' that a crash cut reached its caller as whole: any transfer coding was taken for chunks, while Node reads such a body until the connection ends.

--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -81,9 +81,17 @@
   return added;
 };
 
-const framingOf = ({ headers }: IncomingMessage): BodyFraming => {
-  if (headers["transfer-encoding"] !== undefined) return BodyFraming.Chunked;
-  return headers["content-length"] === undefined
+/** Transfer codings of a response, in the order in which they were applied. */
+const transferCodingsOf = ({ headers }: IncomingMessage): readonly string[] =>
+  (headers["transfer-encoding"] ?? "")
+    .split(",")
+    .map((coding) => coding.trim().toLowerCase())
+    .filter((coding) => coding !== "");
+
+const framingOf = (res: IncomingMessage): BodyFraming => {
+  const codings = transferCodingsOf(res);
+  if (codings.at(-1) === "chunked") return BodyFraming.Chunked;
+  return codings.length > 0 || res.headers["content-length"] === undefined
     ? BodyFraming.Connection
     : BodyFraming.Length;
 };
