Recognize streams whose head writes the media type in another case, or names none

On a streaming route such an answer was taken for a plain one: its caller got all bytes at the end, and whole-looking ones where the connection was closed inside an event. Media types ignore case, and an answer without one is what its route says.

--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -36,6 +36,8 @@
       readonly deadline: Timestamp;
       /** Id of the last event that the caller has; the replica resumes after it. */
       readonly lastEventId: number | undefined;
+      /** Whether the route's answers are streams of events. */
+      readonly isStreamExpected: boolean;
     }
   | {
       readonly type: "abandon";
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -1,6 +1,6 @@
 /** Sends a request to a replica, and decides on a retry when an attempt is lost. */
 
-import { type CallerRequest, type Replica } from "../types.js";
+import { RequestKind, type CallerRequest, type Replica } from "../types.js";
 import {
   candidateQueryOf,
   chooseAmong,
@@ -147,6 +147,7 @@
       priority: engineOf(state, service) && exchange.priority,
       deadline,
       lastEventId: lastEventId > 0 ? lastEventId : undefined,
+      isStreamExpected: exchange.route.kind === RequestKind.Streaming,
     },
     logLine("request sent", {
       requestId: request.requestId,
--- a/packages/relay/src/drivers/oddAddresses.test.ts
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -71,6 +71,7 @@
         priority: undefined,
         deadline: now() + 1000,
         lastEventId: undefined,
+        isStreamExpected: false,
       },
       resolve,
     );
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -112,6 +112,12 @@
   return limit <= maxRequestLimitPerS ? limit : undefined;
 };
 
+const eventStreamType = "text/event-stream";
+
+/** Media type of a response without parameters, in lower case; undefined if it names none. */
+const mediaTypeOf = ({ headers }: IncomingMessage): string | undefined =>
+  headers["content-type"]?.split(";")[0]?.trim().toLowerCase();
+
 /** A call in progress. */
 export class ReplicaCall {
   private readonly req: ClientRequest;
@@ -202,6 +208,14 @@
     this.abandon();
   }
 
+  /** Whether a response is a stream of events; one that names no type is what its route says. */
+  private hasEvents(res: IncomingMessage): boolean {
+    const type = mediaTypeOf(res);
+    return type === undefined
+      ? this.command.isStreamExpected
+      : type === eventStreamType;
+  }
+
   private headOf(res: IncomingMessage): ResponseHead {
     const { headers: names } = this.protocol;
     const status = res.statusCode ?? 0;
@@ -210,9 +224,7 @@
       status,
       headers: forwardableHeaders(res.rawHeaders, noDroppedHeaders),
       seal: typeof seal === "string" ? seal : undefined,
-      isStream:
-        status === 200 &&
-        (res.headers["content-type"] ?? "").startsWith("text/event-stream"),
+      isStream: status === 200 && this.hasEvents(res),
       framing: framingOf(res),
       isNotExecuted:
         res.headers[names.notExecuted] !== undefined ||
