Report a service's answer as unknown if a crash ended it without a length

packages/upstream had the relay's fault: a plain answer without a length or chunks was taken for whole whatever ended its connection, and the ledger would keep half of it. The service's address is asked for a connection now; refused means that the outcome is unknown. The probe moves to packages/common, as both use it.

--- a/packages/relay/src/drivers/probeConnection.ts
+++ b/packages/common/src/probeConnection.ts
@@ -1,7 +1,12 @@
 /** Finds out whether a process listens at an address, without sending it anything. */
 
 import { connect, type Socket } from "node:net";
-import type { Address } from "../types.js";
+
+/** Where a process listens. */
+interface Listener {
+  readonly host: string;
+  readonly port: number;
+}
 
 /** Result of a probe. */
 interface ConnectionProbe {
@@ -34,7 +39,7 @@
  * by the timeout at the latest, also if the address is invalid.
  */
 export const probeConnection = async (
-  { host, port }: Address,
+  { host, port }: Listener,
   timeoutMs: number,
 ): Promise<ConnectionProbe> => {
   let socket: Socket;
--- a/packages/relay/src/drivers/oddAddresses.test.ts
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -1,11 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { now } from "@cardamomglade/common";
+import { now, probeConnection } from "@cardamomglade/common";
 import { testReplica, testRequest } from "../testing/scenario.js";
 import { testProtocol } from "../testing/testProtocol.js";
 import type { Replica } from "../types.js";
 import { httpCall } from "./httpCall.js";
-import { probeConnection } from "./probeConnection.js";
 import { ReplicaCall, type CallEvent } from "./replicaCall.js";
 
 const host = "127.0.0.1";
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -1,6 +1,6 @@
 /** Sends attempts to replicas and probes engines. */
 
-import { createChannel, now } from "@cardamomglade/common";
+import { createChannel, now, probeConnection } from "@cardamomglade/common";
 import { probeTimeoutMs } from "../decisions/constants.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
@@ -12,7 +12,6 @@
   listPromptBlocks,
   probeEngine,
 } from "./engineCalls.js";
-import { probeConnection } from "./probeConnection.js";
 import { ReplicaCall } from "./replicaCall.js";
 import type { RelayDriver } from "./types.js";
 
--- a/packages/upstream/src/serviceClient.ts
+++ b/packages/upstream/src/serviceClient.ts
@@ -1,7 +1,7 @@
 /** Client of plain HTTP services; each call is attempted once. */
 
-import { abortSignalAt, now } from "@cardamomglade/common";
-import { Agent, request, type buildConnector } from "undici";
+import { abortSignalAt, now, probeConnection } from "@cardamomglade/common";
+import { Agent, request, type Dispatcher, type buildConnector } from "undici";
 import { CallMethod } from "@cardamomglade/schema";
 import type { ServiceCall, ServiceOutcome, Services } from "./types.js";
 
@@ -23,6 +23,27 @@
   };
 };
 
+const noContentStatus = 204; // has no body
+const probeTimeoutMs = 200; // a round trip between zones and a handshake
+
+/** Whether nothing but the end of the connection marks the end of an answer. */
+const endsWithConnection = ({
+  headers,
+  statusCode,
+}: Dispatcher.ResponseData): boolean =>
+  statusCode !== noContentStatus &&
+  headers["content-length"] === undefined &&
+  headers["transfer-encoding"] === undefined;
+
+/** Whether no process listens any more: its host closed the connections in its place. */
+const hasEnded = async (url: string): Promise<boolean> => {
+  const { hostname: host, port, protocol } = new URL(url);
+  const defaultPort = protocol === "https:" ? 443 : 80;
+  const listener = { host, port: Number(port || defaultPort) };
+  const { isRefused } = await probeConnection(listener, probeTimeoutMs);
+  return isRefused;
+};
+
 /** Calls plain services over HTTP; one instance per process. */
 export class ServiceClient implements Services {
   private readonly agent: Agent;
@@ -58,6 +79,8 @@
         signal: abortSignalAt(call.deadline),
       });
       const body = await res.body.text();
+      if (endsWithConnection(res) && (await hasEnded(url)))
+        return { type: "unknown", message: "the service ended in its answer" };
       const contentType = String(
         res.headers["content-type"] ?? "application/json",
       );
