Log whether a lost attempt had a connection, and how long ago its service had one

'attempt lost' could not tell a host without a path from replicas at fault: it names isConnected and serviceConnectedMsAgo now, from an event that the call to a replica reports once its connection is established.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -8,7 +8,12 @@
 import { confirmEnd } from "./answerEnds/confirmEnd.js";
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
-import { recordContact, recordLoss, markReplaced } from "./replicaViews.js";
+import {
+  ageOf,
+  markReplaced,
+  recordContact,
+  recordLoss,
+} from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
 import { recordWholeAnswer } from "./quarantine/establishAttempt.js";
 import { suspectBrokenAttempt } from "./quarantine/engineCrashes.js";
@@ -42,14 +47,27 @@
   return { exchange, attempt };
 };
 
+/** Notes that an attempt's connection was established. */
+export const connectionOpened = (
+  state: RelayState,
+  event: RelayEventOf<"connectionOpened">,
+): RelayCommand[] => {
+  const found = findAttempt(state, event);
+  if (found === undefined) return [];
+  found.attempt.isConnected = true;
+  state.connectedAt.set(found.exchange.service, event.at);
+  return [];
+};
+
 /** Log command for a lost attempt. */
 const lossLogLine = (
-  { request, lastEventId }: Exchange,
-  { number, replica, sentAt, heardAt, hasEvents }: Attempt,
-  at: number,
+  state: RelayState,
+  { request, lastEventId, service }: Exchange,
+  { number, replica, sentAt, heardAt, hasEvents, isConnected }: Attempt,
   reason: string,
-): RelayCommand =>
-  logLine("attempt lost", {
+): RelayCommand => {
+  const { at } = state;
+  return logLine("attempt lost", {
     requestId: request.requestId,
     fingerprint: request.fingerprint,
     attempt: number,
@@ -59,8 +77,11 @@
     hasBegun: hasEvents,
     runningMs: Math.round(at - sentAt),
     silentMs: Math.round(at - heardAt),
+    isConnected,
+    serviceConnectedMsAgo: ageOf(state, state.connectedAt.get(service) ?? 0),
     reason,
   });
+};
 
 /** Closes a lost attempt and retries the request at another replica. */
 export const handleLostAttempt = (
@@ -71,7 +92,7 @@
 ): RelayCommand[] => {
   // A KV cache copy is usable only after the first event; prefill work done before is lost.
   exchange.copy = attempt.hasEvents ? attempt.copy : undefined;
-  const line = lossLogLine(exchange, attempt, state.at, reason);
+  const line = lossLogLine(state, exchange, attempt, reason);
   closeAttempt(state, exchange);
   return [line, ...sendRetry(state, exchange, reason)];
 };
@@ -140,9 +161,9 @@
     // A rejected copy counts as a retry, because the request did reach the replica.
     if (attempt.start.type === "copy") recordRetry(state, exchange.service, at);
     const line = lossLogLine(
+      state,
       exchange,
       attempt,
-      at,
       `not run, status ${String(status)}`,
     );
     closeAttempt(state, exchange);
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -6,7 +6,11 @@
   type Timestamp,
   type Transition,
 } from "@cardamomglade/common";
-import { responseReceived, attemptFailed } from "./attemptEvents.js";
+import {
+  attemptFailed,
+  connectionOpened,
+  responseReceived,
+} from "./attemptEvents.js";
 import { callerDisconnected } from "./callerDisconnected.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
 import { createGossipState } from "./gossip/spreadGossip.js";
@@ -70,6 +74,7 @@
   configAppliedAt: 0,
   hasReplicas: false,
   replicas: new Map(),
+  connectedAt: new Map(),
   missingReplicas: new Map(),
   departedReplicas: new Map(),
   outdatedReplicas: new Map(),
@@ -122,6 +127,8 @@
       return storeRestored(state, event);
     case "requestArrived":
       return requestArrived(state, event);
+    case "connectionOpened":
+      return connectionOpened(state, event);
     case "responseReceived":
       return responseReceived(state, event);
     case "streamStarted":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -76,6 +76,13 @@
       readonly key: string;
       readonly request: CallerRequest;
     }
+  /** An attempt's connection was established; the request is being sent. */
+  | {
+      readonly type: "connectionOpened";
+      readonly at: Timestamp;
+      readonly key: string;
+      readonly attempt: number;
+    }
   | {
       readonly type: "responseReceived";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -197,3 +197,25 @@
   assert.deepEqual(refusalsOf(scenario).sort(), [502, 504]);
   assert.equal(scenario.state.exchanges.size, 0);
 });
+
+test("the log does not tell whether a lost attempt had a connection", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", idempotentPath);
+  const { number } = scenario.lastSend("1").attempt;
+  const opened = { at: scenario.at, key: "1", attempt: number };
+  scenario.dispatch({ type: "connectionOpened", ...opened });
+  scenario.advance(50);
+  scenario.failAttempt("1", number);
+  scenario.failAttempt("1", number + 1, AttemptFailure.NotSent);
+  const lost = scenario
+    .commandsOfType("log")
+    .filter(({ message }) => message === "attempt lost")
+    .map(({ context: { isConnected, serviceConnectedMsAgo } }) => ({
+      isConnected,
+      serviceConnectedMsAgo,
+    }));
+  assert.deepEqual(lost, [
+    { isConnected: true, serviceConnectedMsAgo: 50 },
+    { isConnected: false, serviceConnectedMsAgo: 50 },
+  ]);
+});
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -119,6 +119,7 @@
     copyRequestedAt: undefined,
     rejectedHolders: new Set(),
     heardAt: state.at,
+    isConnected: false,
     hasEvents: false,
     head: undefined,
     eventCount: 0,
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -116,6 +116,8 @@
   copyRequestedAt: Timestamp | undefined;
   /** Ids of engines that could not hold a copy for this attempt. */
   readonly rejectedHolders: Set<string>;
+  /** Whether its connection was established. */
+  isConnected: boolean;
   heardAt: Timestamp;
   hasEvents: boolean;
   /** Response head of a stream that has started. */
@@ -331,6 +333,8 @@
   configAppliedAt: Timestamp;
   hasReplicas: boolean;
   readonly replicas: Map<string, ReplicaView>;
+  /** Time at which a connection to a replica of each service was last established. */
+  readonly connectedAt: Map<string, Timestamp>;
   /**
    * Replicas whose entries disappeared around a store outage, and the time
    * until which each is kept.
--- a/packages/relay/src/drivers/oddAddresses.test.ts
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -57,6 +57,7 @@
           copyRequestedAt: undefined,
           rejectedHolders: new Set(),
           heardAt: now(),
+          isConnected: false,
           hasEvents: false,
           head: undefined,
           eventCount: 0,
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -22,6 +22,7 @@
 
 /** Events of a call; no event follows a response, the end of a stream or a failure. */
 export type CallEvent =
+  | { readonly type: "connectionOpened" }
   | { readonly type: "leavingAnnounced" }
   | { readonly type: "responseReceived"; readonly answer: BufferedResponse }
   | { readonly type: "streamStarted"; readonly head: ResponseHead }
@@ -146,6 +147,7 @@
       socket.once("connect", () => {
         clearTimeout(connectTimer);
         this.isConnected = true;
+        this.report({ type: "connectionOpened" });
       });
     });
     this.req.on("error", (error) => {
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -12,12 +12,18 @@
   listPromptBlocks,
   probeEngine,
 } from "./engineCalls.js";
-import { ReplicaCall } from "./replicaCall.js";
+import { ReplicaCall, type CallEvent } from "./replicaCall.js";
 import type { RelayDriver } from "./types.js";
 
 const callKey = (key: string, attempt: number): string =>
   `${key}/${String(attempt)}`;
 
+/** Whether no event of the call follows. */
+const isLastEvent = ({ type }: CallEvent): boolean =>
+  type === "responseReceived" ||
+  type === "streamEnded" ||
+  type === "attemptFailed";
+
 /** Creates the driver for all replicas. */
 export const createReplicaDriver = (
   protocol: ReplicaProtocol,
@@ -40,11 +46,7 @@
         onLeaving(attempt.replica);
         return;
       }
-      if (
-        callEvent.type !== "eventsArrived" &&
-        callEvent.type !== "streamStarted"
-      )
-        calls.delete(name);
+      if (isLastEvent(callEvent)) calls.delete(name);
       channel.push({ ...callEvent, at: now(), key, attempt: attempt.number });
     });
     if (call !== undefined) calls.set(name, call);
