--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -219,3 +219,19 @@
     { isConnected: false, serviceConnectedMsAgo: 50 },
   ]);
 });
+
+// Load: a router is cut off from its replicas, and each connection fails.
+test("connections that were never established use up the retries of the fleet", () => {
+  const scenario = Scenario.create();
+  scenario.routersRead(["r1", "r2", "r3"]);
+  for (let index = 0; index < 200; index += 1) {
+    const key = String(index);
+    scenario.request(key, idempotentPath);
+    fail(scenario, key, AttemptFailure.NotSent);
+    scenario.answer(key);
+  }
+  const budget = scenario.state.retryBudgets.get(plainService);
+  assert.equal(budget?.retries.length, 0);
+  assert.equal(scenario.commandsOfType("borrowRetry").length, 0);
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 200);
+});
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -17,6 +17,7 @@
   testConfig,
   testRequest,
 } from "./scenario.js";
+import { CutPaths, type PathCut } from "./cutPaths.js";
 import { DeliveredStreams } from "./deliveredStreams.js";
 import {
   SimulatedReplicas,
@@ -25,6 +26,11 @@
 } from "./simulatedReplicas.js";
 import { VirtualClock } from "./virtualClock.js";
 
+type CommandOf<Type extends RelayCommand["type"]> = Extract<
+  RelayCommand,
+  { readonly type: Type }
+>;
+
 /** How a request ended for its caller. */
 export type Ending = "whole" | "cut" | number;
 
@@ -35,6 +41,8 @@
 }
 
 const startAt = 1000;
+const connectTimeoutMs = 250;
+const probeTimeoutMs = 150;
 const storeDelayMs = 1000;
 const zones = ["a", "b", "c"];
 
@@ -44,8 +52,8 @@
   readonly endings = new Map<string, Ending>();
   /** Events that callers received, by the key of each of their attempts. */
   readonly streams = new DeliveredStreams();
-  readonly sent: Extract<RelayCommand, { readonly type: "send" }>[] = [];
-  readonly logged: Extract<RelayCommand, { readonly type: "log" }>[] = [];
+  readonly sent: CommandOf<"send">[] = [];
+  readonly logged: CommandOf<"log">[] = [];
   /** While the store is down, no router learns of restarted engines. */
   isStoreDown = false;
   /** Number of items of gossip that routers sent. */
@@ -63,13 +71,17 @@
   private readonly clock = VirtualClock.create(startAt);
   private nextKey = 0;
 
+  private readonly paths = CutPaths.create(this.clock);
+
   readonly replicas: SimulatedReplicas;
 
   private constructor(private readonly options: FleetOptions) {
     this.replicas = SimulatedReplicas.create(
       this.clock,
-      (router, event) => {
-        this.dispatch(router, event);
+      (router, service, event) => {
+        this.paths.deliver(router, service, () => {
+          this.dispatch(router, event);
+        });
       },
       () => {
         this.later(storeDelayMs, () => {
@@ -218,38 +230,19 @@
     switch (command.type) {
       case "send":
         this.sent.push(command);
-        this.later(1, () => {
-          this.replicas.receive(router, command);
-        });
+        this.send(router, command);
         return;
       case "abandon":
         this.replicas.abandon(`${command.key}/${String(command.attempt)}`);
         return;
       case "probe":
-        this.later(1, () => {
-          this.replicas.answerProbe(router, command);
-        });
+        this.probe(router, command);
         return;
       case "probeConnection":
-        this.later(1, () => {
-          this.replicas.answerConnection(router, command);
-        });
+        this.probeConnection(router, command);
         return;
       case "listPromptBlocks":
-        this.later(1, () => {
-          const { at } = this;
-          const replica = command.replica.id;
-          const promptBlocks = this.replicas.promptBlocksOf(
-            command.replica,
-            command.withHistory,
-          );
-          this.dispatch(router, {
-            type: "promptBlocksListed",
-            at,
-            replica,
-            promptBlocks,
-          });
-        });
+        this.listPromptBlocks(router, command);
         return;
       case "deliverEvents":
         this.streams.record(command);
@@ -311,6 +304,105 @@
     }
   }
 
+  /** Sends a request to its replica, if the router reaches it. */
+  private send(router: string, command: CommandOf<"send">): void {
+    const { attempt, key } = command;
+    const { service } = attempt.replica;
+    const fail = () => {
+      this.replicas.failToConnect(router, command);
+    };
+    if (this.paths.failConnection(router, service, connectTimeoutMs, fail))
+      return;
+    this.later(1, () => {
+      const opened = { at: this.at, key, attempt: attempt.number };
+      if (this.replicas.isRunning(attempt.replica))
+        this.dispatch(router, { type: "connectionOpened", ...opened });
+      this.replicas.receive(router, command);
+    });
+  }
+
+  private probe(router: string, command: CommandOf<"probe">): void {
+    const { replica, sentAt } = command;
+    const fail = (isRefused: boolean) => {
+      this.dispatch(router, {
+        type: "probeFinished",
+        at: this.at,
+        replica: replica.id,
+        sentAt,
+        report: undefined,
+        isAnswered: false,
+        isRefused,
+      });
+    };
+    const { service } = replica;
+    if (this.paths.failConnection(router, service, probeTimeoutMs, fail))
+      return;
+    this.later(1, () => {
+      this.replicas.answerProbe(router, command);
+    });
+  }
+
+  private probeConnection(
+    router: string,
+    command: CommandOf<"probeConnection">,
+  ): void {
+    const { replica, sentAt } = command;
+    const fail = (isRefused: boolean) => {
+      this.dispatch(router, {
+        type: "connectionProbed",
+        at: this.at,
+        replica: replica.id,
+        sentAt,
+        isRefused,
+      });
+    };
+    const { service } = replica;
+    if (this.paths.failConnection(router, service, probeTimeoutMs, fail))
+      return;
+    this.later(1, () => {
+      this.replicas.answerConnection(router, command);
+    });
+  }
+
+  private listPromptBlocks(
+    router: string,
+    { replica, withHistory }: CommandOf<"listPromptBlocks">,
+  ): void {
+    const list = (isReached: boolean) => {
+      const promptBlocks = isReached
+        ? this.replicas.promptBlocksOf(replica, withHistory)
+        : undefined;
+      this.dispatch(router, {
+        type: "promptBlocksListed",
+        at: this.at,
+        replica: replica.id,
+        promptBlocks,
+      });
+    };
+    const fail = () => {
+      list(false);
+    };
+    const { service } = replica;
+    if (this.paths.failConnection(router, service, probeTimeoutMs, fail))
+      return;
+    this.later(1, () => {
+      list(true);
+    });
+  }
+
+  /** Cuts routers from the replicas of a service, or of all. */
+  cutPaths(routers: readonly string[], how: PathCut, service?: string): void {
+    for (const router of routers) {
+      this.paths.cut(router, how, service);
+      if (how === "reset") this.replicas.resetRouter(router, service);
+    }
+  }
+
+  /** Ends the cuts of routers from replicas. */
+  healPaths(routers: readonly string[]): void {
+    for (const router of routers) this.paths.heal(router);
+  }
+
   private tell(from: string, to: Address, items: readonly GossipItem[]): void {
     this.sendToRouter(from, to, (address, at) => ({
       type: "gossipReceived",
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -83,7 +83,11 @@
 
   private constructor(
     private readonly clock: VirtualClock,
-    private readonly dispatch: (router: string, event: RelayEvent) => void,
+    private readonly dispatch: (
+      router: string,
+      service: string,
+      event: RelayEvent,
+    ) => void,
     private readonly onRestart: () => void,
     { engineCount, plainCount = 0 }: ReplicaCounts,
   ) {
@@ -98,7 +102,7 @@
 
   static create(
     clock: VirtualClock,
-    dispatch: (router: string, event: RelayEvent) => void,
+    dispatch: (router: string, service: string, event: RelayEvent) => void,
     onRestart: () => void,
     counts: ReplicaCounts,
   ): SimulatedReplicas {
@@ -116,6 +120,30 @@
     return [...this.engines, ...this.plainReplicas];
   }
 
+  /** Whether a replica's process runs. */
+  isRunning(replica: Replica): boolean {
+    return this.find(replica) !== undefined;
+  }
+
+  /** Reports that no connection to a replica was established. */
+  failToConnect(router: string, command: SendCommand): void {
+    const name = `${command.key}/${String(command.attempt.number)}`;
+    if (this.abandoned.has(name)) return;
+    this.report(router, command, AttemptFailure.NotSent);
+  }
+
+  /** Resets a router's connections to the replicas of a service, or to all. */
+  resetRouter(router: string, service?: string): void {
+    for (const { runs, replica } of this.all()) {
+      if (service !== undefined && replica.service !== service) continue;
+      for (const [name, run] of [...runs]) {
+        if (run.router !== router) continue;
+        runs.delete(name);
+        this.breakRun(run);
+      }
+    }
+  }
+
   /** Resets the connections of an engine that goes on running. */
   resetConnections(engine: SimulatedReplica): void {
     const runs = [...engine.runs.values()];
@@ -160,7 +188,7 @@
     simulated.runs.delete(name);
     const { key, attempt } = run.command;
     const head = this.headOf(attempt.replica, false);
-    this.dispatch(run.router, {
+    this.dispatch(run.router, attempt.replica.service, {
       type: "responseReceived",
       at: this.clock.now(),
       key,
@@ -180,7 +208,7 @@
     const { key, attempt, request } = command;
     const simulated = this.find(attempt.replica);
     if (simulated === undefined) {
-      this.fail(router, command, AttemptFailure.NotSent);
+      this.report(router, command, AttemptFailure.NotSent);
       return;
     }
     if (this.fullReplicas.has(attempt.replica.id)) {
@@ -217,7 +245,7 @@
     const attempt = command.attempt.number;
     engine.promptBlocks.add(command.request.lastPromptBlockId ?? "");
     const head = this.headOf(command.attempt.replica, true);
-    this.dispatch(router, {
+    this.dispatch(router, command.attempt.replica.service, {
       type: "streamStarted",
       at: this.clock.now(),
       key,
@@ -241,7 +269,7 @@
     if (this.endUnder(engine, run, sentCount, id === eventCount)) return;
     const { softwareVersion } = engine.replica;
     const events = [{ id, bytes: new TextEncoder().encode(softwareVersion) }];
-    this.dispatch(router, {
+    this.dispatch(router, command.attempt.replica.service, {
       type: "eventsArrived",
       at: this.clock.now(),
       key,
@@ -255,7 +283,7 @@
       return;
     }
     engine.runs.delete(name);
-    this.dispatch(router, {
+    this.dispatch(router, command.attempt.replica.service, {
       type: "streamEnded",
       at: this.clock.now(),
       key,
@@ -285,16 +313,16 @@
 
   private breakRun({ router, command }: Run): void {
     this.clock.later(1, () => {
-      this.fail(router, command, AttemptFailure.Broken);
+      this.report(router, command, AttemptFailure.Broken);
     });
   }
 
-  private fail(
+  private report(
     router: string,
     { key, attempt }: SendCommand,
     failure: AttemptFailure,
   ): void {
-    this.dispatch(router, {
+    this.dispatch(router, attempt.replica.service, {
       type: "attemptFailed",
       at: this.clock.now(),
       key,
@@ -311,7 +339,14 @@
     const at = this.clock.now();
     this.clock.later(1, () => {
       const type = "responseReceived";
-      this.dispatch(router, { type, at, key, attempt: number, answer });
+      const { service } = attempt.replica;
+      this.dispatch(router, service, {
+        type,
+        at,
+        key,
+        attempt: number,
+        answer,
+      });
     });
   }
 
@@ -331,14 +366,14 @@
   answerConnection(
     router: string,
     {
-      replica: { id, host, port },
+      replica: { id, host, port, service },
       sentAt,
     }: { readonly replica: Replica; readonly sentAt: Timestamp },
   ): void {
     const isRefused = !this.running().some(
       (one) => one.host === host && one.port === port,
     );
-    this.dispatch(router, {
+    this.dispatch(router, service, {
       type: "connectionProbed",
       at: this.clock.now(),
       replica: id,
@@ -360,7 +395,7 @@
       (one) =>
         one.isUp && one.replica.host === host && one.replica.port === port,
     );
-    this.dispatch(router, {
+    this.dispatch(router, replica.service, {
       type: "probeFinished",
       at: this.clock.now(),
       replica: replica.id,
