Part the queries of engines from the sending of attempts

queryEngines.ts and sendAttempt.ts imported each other for canCopy; what says which engines hold copies, and which copies can be used, is a module of its own now. No behaviour changes.

--- /dev/null
+++ b/packages/relay/src/decisions/copyHolders.ts
@@ -0,0 +1,55 @@
+/** Which engines can hold copies of a request's KV cache, and which copies can be used. */
+
+import type { Replica } from "../types.js";
+import { candidateSampleOf } from "./chooseReplica.js";
+import { engineOf } from "./engineOf.js";
+import { isAvailable, isSuspected } from "./replicaViews.js";
+import { isWithinLimitDebt } from "./requestLimits.js";
+import type { Exchange, KvCacheCopy, RelayState } from "./types.js";
+
+/** Whether the KV cache of a route's requests can be copied between the service's engines. */
+export const canCopy = (
+  state: RelayState,
+  { route, service }: Pick<Exchange, "route" | "service">,
+): boolean =>
+  route.canResume && engineOf(state, service)?.canCopyKvCache === true;
+
+/**
+ * Chooses the engine that holds a KV cache copy: in another zone if possible,
+ * so that one failure does not take both.
+ */
+export const chooseCopyHolder = (
+  state: RelayState,
+  { route, service, request }: Exchange,
+  replica: Replica,
+  rejected: ReadonlySet<string> = new Set(),
+): Replica | undefined => {
+  if (!canCopy(state, { route, service })) return undefined;
+  const excluded = new Set([...rejected, replica.id]);
+  const avoidedZone = replica.zone;
+  // Chosen by prompt, not by load: routers that choose by the same load figures
+  // would all fill one engine's memory.
+  const { softwareVersion } = replica;
+  const query = { service, excluded, avoidedZone, softwareVersion };
+  return candidateSampleOf(state, query, request.lastPromptBlockId, 1)[0]
+    ?.replica;
+};
+
+/**
+ * Whether a copy is expected to exist: its holder is available and lost no
+ * attempt since the copy was made.
+ */
+export const isCopyUsable = (
+  state: RelayState,
+  { holder, createdAt }: KvCacheCopy,
+): boolean => {
+  const view = state.replicas.get(holder.id);
+  if (view === undefined || view.lastLossAt > createdAt) return false;
+  // A process that came back under the holder's id holds nothing, and may have other software.
+  if (view.replica.startedAt !== holder.startedAt) return false;
+  return (
+    isAvailable(view) &&
+    !isSuspected(view, state.at) &&
+    isWithinLimitDebt(state, view)
+  );
+};
--- a/packages/relay/src/decisions/kvCacheCopies.ts
+++ b/packages/relay/src/decisions/kvCacheCopies.ts
@@ -2,7 +2,7 @@
 
 import { findAttempt } from "./attemptEvents.js";
 import { copyRefreshAfterMs, copyRetryMs } from "./constants.js";
-import { canCopy, chooseCopyHolder, isCopyUsable } from "./sendAttempt.js";
+import { canCopy, chooseCopyHolder, isCopyUsable } from "./copyHolders.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -30,7 +30,7 @@
   originListTimeoutMs,
   originQueryEngineCount,
 } from "./versions/constants.js";
-import { canCopy } from "./sendAttempt.js";
+import { canCopy } from "./copyHolders.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type {
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -6,19 +6,15 @@
   chooseAmong,
   chooseReplica,
   hasCandidate,
-  candidateSampleOf,
   rankCandidates,
 } from "./chooseReplica.js";
+import { canCopy, chooseCopyHolder, isCopyUsable } from "./copyHolders.js";
 import { awaitPermit } from "./awaitReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
 import { engineOf } from "./engineOf.js";
 import { maxLoggedPromptBlockCount } from "./constants.js";
 import { failExchange } from "./endExchange.js";
-import {
-  isWithinLimitDebt,
-  returnPermit,
-  takePermit,
-} from "./requestLimits.js";
+import { returnPermit, takePermit } from "./requestLimits.js";
 import { isRetryable } from "./isRetryable.js";
 import {
   promptHolderOf,
@@ -34,12 +30,7 @@
 import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
-import {
-  ageOf,
-  hasSoftware,
-  isAvailable,
-  isSuspected,
-} from "./replicaViews.js";
+import { ageOf, hasSoftware, isAvailable } from "./replicaViews.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type {
@@ -48,37 +39,8 @@
   Exchange,
   ReservedPermit,
   RelayState,
-  KvCacheCopy,
 } from "./types.js";
 
-/** Whether the KV cache of a route's requests can be copied between the service's engines. */
-export const canCopy = (
-  state: RelayState,
-  { route, service }: Pick<Exchange, "route" | "service">,
-): boolean =>
-  route.canResume && engineOf(state, service)?.canCopyKvCache === true;
-
-/**
- * Chooses the engine that holds a KV cache copy: in another zone if possible,
- * so that one failure does not take both.
- */
-export const chooseCopyHolder = (
-  state: RelayState,
-  { route, service, request }: Exchange,
-  replica: Replica,
-  rejected: ReadonlySet<string> = new Set(),
-): Replica | undefined => {
-  if (!canCopy(state, { route, service })) return undefined;
-  const excluded = new Set([...rejected, replica.id]);
-  const avoidedZone = replica.zone;
-  // Chosen by prompt, not by load: routers that choose by the same load figures
-  // would all fill one engine's memory.
-  const { softwareVersion } = replica;
-  const query = { service, excluded, avoidedZone, softwareVersion };
-  return candidateSampleOf(state, query, request.lastPromptBlockId, 1)[0]
-    ?.replica;
-};
-
 const countAttempt = (state: RelayState, { replica }: Attempt): void => {
   const view = state.replicas.get(replica.id);
   if (view === undefined) return;
@@ -277,25 +239,6 @@
   return placeRequest(state, exchange);
 };
 
-/**
- * Whether a copy is expected to exist: its holder is available and lost no
- * attempt since the copy was made.
- */
-export const isCopyUsable = (
-  state: RelayState,
-  { holder, createdAt }: KvCacheCopy,
-): boolean => {
-  const view = state.replicas.get(holder.id);
-  if (view === undefined || view.lastLossAt > createdAt) return false;
-  // A process that came back under the holder's id holds nothing, and may have other software.
-  if (view.replica.startedAt !== holder.startedAt) return false;
-  return (
-    isAvailable(view) &&
-    !isSuspected(view, state.at) &&
-    isWithinLimitDebt(state, view)
-  );
-};
-
 /** Whether the route allows one more attempt. */
 export const hasAttempt = ({ route, attempts }: Exchange): boolean =>
   isRetryable(route) && attempts < route.maxAttempts;
