Say in one union what a request waits for before it is sent

Six optional fields of an exchange held what excludes each other: answers of engines and routers, a lent retry, a permit, a replica of the stream's software. They are one discriminated union now, with an exhaustive switch at each tick. No behaviour changes. The test of an error in a tick breaks another property of the exchange, as the one that it broke is gone; its checks are the same.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -39,9 +39,11 @@
       exchange,
       "no replica of the stream's software is left",
     );
-  const until =
-    exchange.versionWait?.until ??
-    Math.min(deadline, state.at + route.targetLatencyMs);
+  exchange.versionDeadline ??= Math.min(
+    deadline,
+    state.at + route.targetLatencyMs,
+  );
+  const until = exchange.versionDeadline;
   if (state.at >= until)
     return refuseTakeUp(
       state,
@@ -59,7 +61,7 @@
     minVersionRetryMs,
     (until - state.at) / (leftCount + 1),
   );
-  exchange.versionWait = { until, retryAt: state.at + waitMs };
+  exchange.wait = { type: "version", retryAt: state.at + waitMs };
   return [];
 };
 
@@ -86,7 +88,7 @@
     permitInMs: Math.round(permit.at - state.at),
   };
   if (permit.at <= lastPermitAt(exchange, state.at)) {
-    exchange.reservedPermit = permit;
+    exchange.wait = { type: "permit", ...permit };
     state.limitCounts.waited += 1;
     takePermit(state, permit.replica);
     return [logLine("request waits for its permit", context)];
--- a/packages/relay/src/decisions/borrowRetry.ts
+++ b/packages/relay/src/decisions/borrowRetry.ts
@@ -28,12 +28,13 @@
   exchange: Exchange,
   reason: string,
 ): RelayCommand[] => {
-  const { service, request } = exchange;
-  const rounds = (exchange.borrowing?.rounds ?? 0) + 1;
+  const { service, request, wait } = exchange;
+  const rounds = (wait.type === "retry" ? wait.rounds : 0) + 1;
   const others = rounds > maxBorrowRoundCount ? [] : otherRouters(state);
   if (others.length === 0)
     return failExchange(state, exchange, `${reason}; no repeat is left`);
-  exchange.borrowing = { reason, rounds, until: state.at + borrowTimeoutMs };
+  const until = state.at + borrowTimeoutMs;
+  exchange.wait = { type: "retry", reason, rounds, until };
   return [
     ...others.map((to): RelayCommand => ({ type: "borrowRetry", to, service })),
     logLine("repeat asked of other routers", {
--- a/packages/relay/src/decisions/lendRetry.ts
+++ b/packages/relay/src/decisions/lendRetry.ts
@@ -29,9 +29,9 @@
   if (!isKnownRouter(state, from)) return [];
   addBorrowedRetry(state, service, at);
   for (const exchange of state.exchanges.values()) {
-    const { borrowing } = exchange;
-    if (borrowing !== undefined && exchange.service === service)
-      return sendRetry(state, exchange, borrowing.reason);
+    const { wait } = exchange;
+    if (wait.type === "retry" && exchange.service === service)
+      return sendRetry(state, exchange, wait.reason);
   }
   return [];
 };
--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -186,9 +186,9 @@
   const scenario = Scenario.create();
   scenario.request("1", nonIdempotentPath);
   scenario.request("2", nonIdempotentPath);
-  const broken = scenario.state.exchanges.get("1");
+  const broken = scenario.state.exchanges.get("1")?.attempt;
   assert.ok(broken);
-  Object.defineProperty(broken, "engineQuery", {
+  Object.defineProperty(broken, "unconfirmedEnd", {
     get: () => {
       throw new Error("broken");
     },
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -18,7 +18,11 @@
   confirmPlainCrash,
   recordEndedEngine,
 } from "./quarantine/engineCrashes.js";
-import { isEngineQueryDone, recordPromptBlocks } from "./queryEngines.js";
+import {
+  engineQueryOf,
+  isEngineQueryDone,
+  recordPromptBlocks,
+} from "./queryEngines.js";
 import {
   ageOf,
   isFromOtherProcess,
@@ -102,7 +106,7 @@
   type: EngineQuery["type"],
 ): RelayCommand[] =>
   [...state.exchanges.values()].flatMap((exchange) => {
-    const { engineQuery } = exchange;
+    const engineQuery = engineQueryOf(exchange);
     if (engineQuery?.type !== type || !engineQuery.pending.delete(replicaId))
       return [];
     return isEngineQueryDone(state, exchange)
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -40,6 +40,28 @@
   ReplicaView,
 } from "./types.js";
 
+/** The engines that a request's wait asks; undefined if it asks none. */
+export const engineQueryOf = ({ wait }: Exchange): EngineQuery | undefined =>
+  wait.type === "answers" ? wait.engineQuery : undefined;
+
+/** Whether the version of a stream that a caller takes up is looked for. */
+export const isVersionSought = ({ wait }: Exchange): boolean =>
+  wait.type === "answers" && wait.isVersionSought;
+
+/** Makes a request wait for engines, beside the routers that it waits for. */
+const awaitEngines = (exchange: Exchange, engineQuery: EngineQuery): void => {
+  const { wait } = exchange;
+  exchange.wait =
+    wait.type === "answers"
+      ? { ...wait, engineQuery }
+      : {
+          type: "answers",
+          engineQuery,
+          originQuery: undefined,
+          isVersionSought: false,
+        };
+};
+
 const isFresh = (
   state: RelayState,
   { reportReceivedAt }: ReplicaView,
@@ -107,7 +129,8 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   const { request } = exchange;
-  const sample = exchange.isVersionSought
+  const isSought = isVersionSought(exchange);
+  const sample = isSought
     ? possibleOrigins(state, exchange)
     : takePerGroup(
         rankCandidates(
@@ -122,15 +145,11 @@
     ({ promptBlocksReadAt }) =>
       state.at - promptBlocksReadAt >= promptBlocksFreshMs,
   );
-  const timeoutMs = exchange.isVersionSought
-    ? originListTimeoutMs
-    : promptQueryTimeoutMs;
+  const timeoutMs = isSought ? originListTimeoutMs : promptQueryTimeoutMs;
   const until = state.at + timeoutMs;
-  exchange.engineQuery = createEngineQuery(
-    "promptBlocks",
-    sample,
-    pending,
-    until,
+  awaitEngines(
+    exchange,
+    createEngineQuery("promptBlocks", sample, pending, until),
   );
   return pending.flatMap((view): RelayCommand[] => {
     if (state.at - view.promptBlocksRequestedAt < promptQueryTimeoutMs)
@@ -160,8 +179,10 @@
 /** The engine that caches most tokens of the prompt's last block, or undefined. */
 export const promptHolderOf = (
   state: RelayState,
-  { engineQuery, request, softwareVersion }: Exchange,
+  exchange: Exchange,
 ): Replica | undefined => {
+  const { request, softwareVersion } = exchange;
+  const engineQuery = engineQueryOf(exchange);
   if (
     engineQuery?.type !== "promptBlocks" ||
     request.lastPromptBlockId === undefined
@@ -190,7 +211,7 @@
 /** Waits for the routers that were asked for a stream whose prompt has no blocks. */
 const awaitOrigin = (state: RelayState, exchange: Exchange): RelayCommand[] => {
   const { at } = state;
-  exchange.engineQuery = createEngineQuery("promptBlocks", [], [], at);
+  awaitEngines(exchange, createEngineQuery("promptBlocks", [], [], at));
   return [];
 };
 
@@ -212,11 +233,9 @@
     (view) => !isFresh(state, view) && view.requestLimit?.perS === undefined,
   );
   const until = state.at + loadQueryTimeoutMs;
-  exchange.engineQuery = createEngineQuery(
-    "loadReports",
-    sample,
-    pending,
-    until,
+  awaitEngines(
+    exchange,
+    createEngineQuery("loadReports", sample, pending, until),
   );
   return pending.flatMap((view): RelayCommand[] => {
     if (view.probeSentAt !== undefined) return [];
@@ -230,8 +249,9 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { request, attempts, isVersionSought } = exchange;
-  if (!canCopy(state, exchange) && !isVersionSought) return [];
+  const { request, attempts } = exchange;
+  const isSought = isVersionSought(exchange);
+  if (!canCopy(state, exchange) && !isSought) return [];
   const mayBeReconnect =
     request.lastEventId !== undefined || isRecentlyStarted(state);
   if (
@@ -240,7 +260,7 @@
     request.lastPromptBlockId !== undefined
   )
     return queryPromptBlocks(state, exchange);
-  return isVersionSought
+  return isSought
     ? awaitOrigin(state, exchange)
     : queryLoadReports(state, exchange);
 };
@@ -248,17 +268,20 @@
 /** Whether all engines and routers that were asked have answered, or too late. */
 export const isEngineQueryDone = (
   state: RelayState,
-  { engineQuery, originQuery }: Exchange,
-): boolean =>
-  [engineQuery, originQuery ?? engineQuery].every(
+  { wait }: Exchange,
+): boolean => {
+  if (wait.type !== "answers") return false;
+  const { engineQuery, originQuery } = wait;
+  return [engineQuery, originQuery ?? engineQuery].every(
     (query) =>
       query !== undefined &&
       (query.pending.size === 0 || state.at >= query.until),
   );
+};
 
 /** Whether a request waits for engines or routers that were asked. */
 export const isEngineQueryPending = (
   state: RelayState,
   exchange: Exchange,
 ): boolean =>
-  exchange.engineQuery !== undefined && !isEngineQueryDone(state, exchange);
+  engineQueryOf(exchange) !== undefined && !isEngineQueryDone(state, exchange);
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -17,7 +17,7 @@
 import { restorationContext } from "./storeUpdates.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
-import type { Exchange, RelayState } from "./types.js";
+import { noWait, type Exchange, type RelayState } from "./types.js";
 
 const pathOf = ({ target }: CallerRequest): string => {
   const end = target.indexOf("?");
@@ -76,13 +76,9 @@
   mayHaveExecuted: false,
   head: undefined,
   lastEventId: request.lastEventId ?? 0,
-  engineQuery: undefined,
-  borrowing: undefined,
-  reservedPermit: undefined,
+  wait: noWait,
   softwareVersion: undefined,
-  isVersionSought: false,
-  originQuery: undefined,
-  versionWait: undefined,
+  versionDeadline: undefined,
   copy: undefined,
   failedResponse: undefined,
 });
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -17,6 +17,7 @@
 import { returnPermit, takePermit } from "./requestLimits.js";
 import { isRetryable } from "./isRetryable.js";
 import {
+  engineQueryOf,
   promptHolderOf,
   isEngineQueryPending,
   queryEngines,
@@ -33,12 +34,13 @@
 import { ageOf, hasSoftware, isAvailable } from "./replicaViews.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
-import type {
-  Attempt,
-  AttemptStart,
-  Exchange,
-  ReservedPermit,
-  RelayState,
+import {
+  noWait,
+  type Attempt,
+  type AttemptStart,
+  type Exchange,
+  type RelayState,
+  type ReservedPermit,
 } from "./types.js";
 
 const countAttempt = (state: RelayState, { replica }: Attempt): void => {
@@ -95,8 +97,7 @@
   exchange.attempt = attempt;
   exchange.triedIds.add(replica.id);
   exchange.mayHaveExecuted = true;
-  if (exchange.versionWait !== undefined)
-    exchange.versionWait.retryAt = Infinity;
+  exchange.wait = noWait;
   countAttempt(state, attempt);
   takePermit(state, replica.id);
   const view = state.replicas.get(replica.id);
@@ -137,7 +138,7 @@
   state: RelayState,
   exchange: Exchange,
 ): Replica | undefined => {
-  const { engineQuery } = exchange;
+  const engineQuery = engineQueryOf(exchange);
   if (engineQuery === undefined) return undefined;
   const holder = promptHolderOf(state, exchange);
   if (holder !== undefined) return holder;
@@ -171,11 +172,11 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] | undefined => {
-  const isListed = exchange.engineQuery?.type === "promptBlocks";
+  const isListed = engineQueryOf(exchange)?.type === "promptBlocks";
   if (!isListed || !isTakeUp(exchange) || !canCopy(state, exchange))
     return undefined;
   if (promptHolderOf(state, exchange) !== undefined) return undefined;
-  exchange.engineQuery = undefined;
+  exchange.wait = noWait;
   const probes = queryLoadReports(state, exchange);
   return isEngineQueryPending(state, exchange) ? probes : undefined;
 };
@@ -194,7 +195,7 @@
     chooseQueriedEngine(state, exchange) ??
     chooseForSuspect(state, exchange) ??
     chooseReplica(state, query);
-  exchange.engineQuery = undefined;
+  exchange.wait = noWait;
   if (replica === undefined) return [...lines, ...awaitPermit(state, exchange)];
   return [...lines, ...sendTo(state, exchange, replica, { type: "fresh" })];
 };
@@ -205,7 +206,7 @@
   exchange: Exchange,
   { replica }: ReservedPermit,
 ): RelayCommand[] => {
-  exchange.reservedPermit = undefined;
+  exchange.wait = noWait;
   const view = state.replicas.get(replica);
   const isUsable =
     view !== undefined &&
@@ -278,13 +279,12 @@
   // Resuming at a KV cache copy continues the same execution; only a new
   // execution counts as a retry.
   if (copy !== undefined && isCopyUsable(state, copy)) {
-    exchange.borrowing = undefined;
     exchange.copy = undefined;
     return sendTo(state, exchange, copy.holder, { type: "copy", copy });
   }
   if (!takeRetry(state, service, state.at))
     return borrowRetry(state, exchange, reason);
-  exchange.borrowing = undefined;
+  exchange.wait = noWait;
   exchange.copy = undefined;
   return placeRequest(state, exchange);
 };
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -3,7 +3,7 @@
  * draining replicas.
  */
 
-import type { Timestamp } from "@cardamomglade/common";
+import { assertNever, type Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { RequestKind } from "../types.js";
 import {
@@ -94,11 +94,50 @@
   return abandonAndRetry(state, exchange, attempt, "the answer is overdue");
 };
 
+/** Goes on with a request if what it waits for has come, or too late. */
+const checkWait = (state: RelayState, exchange: Exchange): RelayCommand[] => {
+  const { wait } = exchange;
+  switch (wait.type) {
+    case "none":
+      return [];
+    case "answers":
+      return isEngineQueryDone(state, exchange)
+        ? sendWithoutCopy(state, exchange)
+        : [];
+    case "retry":
+      return state.at >= wait.until
+        ? sendRetry(state, exchange, wait.reason)
+        : [];
+    case "permit":
+      return state.at >= wait.at ? sendWithPermit(state, exchange, wait) : [];
+    case "version":
+      return state.at >= wait.retryAt ? sendWithoutCopy(state, exchange) : [];
+    default:
+      return assertNever(wait);
+  }
+};
+
+const checkAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+): RelayCommand[] => {
+  const { kind, canResume } = exchange.route;
+  switch (kind) {
+    case RequestKind.Streaming:
+      return canResume ? checkStream(state, exchange, attempt) : [];
+    case RequestKind.Idempotent:
+      return checkRetryable(state, exchange, attempt);
+    case RequestKind.NonIdempotent:
+      return [];
+  }
+};
+
 const checkExchange = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { attempt, route, borrowing } = exchange;
+  const { attempt } = exchange;
   const end = attempt?.unconfirmedEnd;
   if (attempt !== undefined && end !== undefined)
     return state.at >= end.until
@@ -109,27 +148,9 @@
       recordOutcome(state, attempt.replica.id, true);
     return failExchange(state, exchange, "the deadline has passed");
   }
-  if (borrowing !== undefined && state.at >= borrowing.until)
-    return sendRetry(state, exchange, borrowing.reason);
-  const { reservedPermit } = exchange;
-  if (reservedPermit !== undefined)
-    return state.at >= reservedPermit.at
-      ? sendWithPermit(state, exchange, reservedPermit)
-      : [];
-  const { versionWait } = exchange;
-  if (versionWait !== undefined && state.at >= versionWait.retryAt)
-    return sendWithoutCopy(state, exchange);
-  if (isEngineQueryDone(state, exchange))
-    return sendWithoutCopy(state, exchange);
-  if (attempt === undefined) return [];
-  switch (route.kind) {
-    case RequestKind.Streaming:
-      return route.canResume ? checkStream(state, exchange, attempt) : [];
-    case RequestKind.Idempotent:
-      return checkRetryable(state, exchange, attempt);
-    case RequestKind.NonIdempotent:
-      return [];
-  }
+  return attempt === undefined
+    ? checkWait(state, exchange)
+    : checkAttempt(state, exchange, attempt);
 };
 
 /** Checks a request; an error ends it, so that the others keep their deadlines. */
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -13,11 +13,7 @@
 import type { GossipState } from "./gossip/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
-import type {
-  OriginQuery,
-  VersionState,
-  VersionWait,
-} from "./versions/types.js";
+import type { OriginQuery, VersionState } from "./versions/types.js";
 
 /** Numbers of attempts that succeeded and failed. */
 export interface OutcomeCounts {
@@ -197,26 +193,44 @@
   head: ResponseHead | undefined;
   /** Id of the last event delivered to the caller, by this or an earlier response. */
   lastEventId: number;
-  /** Engine query in progress before the request is sent; undefined if there is none. */
-  engineQuery: EngineQuery | undefined;
-  /** Set while the request waits for another router to lend a retry. */
-  borrowing: Borrowing | undefined;
-  /** Set while the request waits for its permit at a replica that limits requests. */
-  reservedPermit: ReservedPermit | undefined;
+  /** What the request waits for before it is sent. */
+  wait: Wait;
   /** Software version at which the stream began; it goes on only there. Undefined before the first event. */
   softwareVersion: string | undefined;
-  /** Whether the version of a stream that the caller takes up is still looked for. */
-  isVersionSought: boolean;
-  /** Question to other routers for that version; undefined if none is under way. */
-  originQuery: OriginQuery | undefined;
-  /** Set once the stream waited for a replica of its software. */
-  versionWait: VersionWait | undefined;
+  /** The stream ends if no replica of its software is open until then; undefined before it waited for one. */
+  versionDeadline: Timestamp | undefined;
   /** KV cache copy left by the last attempt. */
   copy: KvCacheCopy | undefined;
   /** Last failed response of a replica, delivered if no other attempt is possible. */
   failedResponse: BufferedResponse | undefined;
 }
 
+/** Questions whose answers decide where a request is sent. */
+export interface Questions {
+  /** Engines that are asked; undefined before they are chosen. */
+  readonly engineQuery: EngineQuery | undefined;
+  /** Routers that are asked where the stream began; undefined if none is. */
+  readonly originQuery: OriginQuery | undefined;
+  /** Whether the version of a stream that the caller takes up is looked for. */
+  readonly isVersionSought: boolean;
+}
+
+/** What a request waits for before it is sent, or sent again. */
+export type Wait =
+  /** Nothing: it is being sent, or under way. */
+  | { readonly type: "none" }
+  /** Answers of engines and routers. */
+  | (Questions & { readonly type: "answers" })
+  /** A retry that another router lends. */
+  | (Borrowing & { readonly type: "retry" })
+  /** Its permit at a replica that limits requests. */
+  | (ReservedPermit & { readonly type: "permit" })
+  /** A replica of the software at which the stream began; it looks again then. */
+  | { readonly type: "version"; readonly retryAt: Timestamp };
+
+/** The wait of a request that waits for nothing. */
+export const noWait: Wait = { type: "none" };
+
 /** A permit at a replica that limits requests. */
 export interface ReservedPermit {
   readonly replica: string;
--- a/packages/relay/src/decisions/versions/streamOrigins.ts
+++ b/packages/relay/src/decisions/versions/streamOrigins.ts
@@ -18,7 +18,7 @@
   originQueryTimeoutMs,
   streamKeeperCount,
 } from "./constants.js";
-import type { OriginsByRouter, StreamOrigin } from "./types.js";
+import type { OriginQuery, OriginsByRouter, StreamOrigin } from "./types.js";
 
 /** Key of a stream that a caller's attempt began; undefined if it is too long to be told. */
 const keyOf = (
@@ -103,20 +103,33 @@
   return [...byRouter].map(([to, origins]) => tell(to, origins));
 };
 
+/** A question to other routers, and the commands that ask it. */
+interface AskedOrigin {
+  /** Undefined if no router may know. */
+  readonly originQuery: OriginQuery | undefined;
+  readonly commands: RelayCommand[];
+}
+
 /** Asks the routers that may know where a caller's stream began. */
 export const askOrigin = (
   state: RelayState,
   exchange: Exchange,
-): RelayCommand[] => {
+): AskedOrigin => {
   const key = streamKeyOf(exchange);
   const keepers = key === undefined ? [] : keepersOf(state, key);
-  if (key === undefined || keepers.length === 0) return [];
-  exchange.originQuery = {
+  if (key === undefined || keepers.length === 0)
+    return { originQuery: undefined, commands: [] };
+  const originQuery = {
     key,
     pending: new Set(keepers.map(formatAddress)),
     until: state.at + originQueryTimeoutMs,
   };
-  return keepers.map((to) => ({ type: "askOrigin", to, key }));
+  const commands = keepers.map((to): RelayCommand => ({
+    type: "askOrigin",
+    to,
+    key,
+  }));
+  return { originQuery, commands };
 };
 
 /** Handles a question of another router. */
@@ -138,7 +151,8 @@
   const told = new Set(origins.map(({ key }) => key));
   for (const { key, version } of origins)
     if (version !== undefined) keepOrigin(state, key, version);
-  return [...state.exchanges.values()].filter(({ originQuery }) => {
+  return [...state.exchanges.values()].filter(({ wait }) => {
+    const originQuery = wait.type === "answers" ? wait.originQuery : undefined;
     if (originQuery === undefined || !told.has(originQuery.key)) return false;
     if (state.versions.origins.has(originQuery.key))
       originQuery.pending.clear();
--- a/packages/relay/src/decisions/versions/takeUps.ts
+++ b/packages/relay/src/decisions/versions/takeUps.ts
@@ -8,6 +8,7 @@
 import { logLine } from "../logLine.js";
 import { replicasOf } from "../replicaViews.js";
 import type { Exchange, RelayState } from "../types.js";
+import { engineQueryOf } from "../queryEngines.js";
 import { hasSeveralVersions, versionsOf } from "./serviceVersions.js";
 import { askOrigin, streamKeyOf } from "./streamOrigins.js";
 
@@ -36,16 +37,23 @@
     exchange.softwareVersion = versionsOf(state, service)[0];
     return [];
   }
-  exchange.isVersionSought = true;
-  return askOrigin(state, exchange);
+  const { originQuery, commands } = askOrigin(state, exchange);
+  exchange.wait = {
+    type: "answers",
+    engineQuery: undefined,
+    originQuery,
+    isVersionSought: true,
+  };
+  return commands;
 };
 
 /** Versions of the engines that hold or held the last block of the prompt: one of them began the stream. */
 const versionsWithPrompt = (
   state: RelayState,
-  { engineQuery, request }: Exchange,
+  exchange: Exchange,
 ): string[] => {
-  const blockId = request.lastPromptBlockId;
+  const engineQuery = engineQueryOf(exchange);
+  const blockId = exchange.request.lastPromptBlockId;
   if (engineQuery?.type !== "promptBlocks" || blockId === undefined) return [];
   const holders = [...engineQuery.sample]
     .map((id) => state.replicas.get(id))
@@ -83,9 +91,14 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  if (!exchange.isVersionSought) return [];
-  exchange.isVersionSought = false;
-  exchange.originQuery = undefined;
+  const { wait } = exchange;
+  if (wait.type !== "answers" || !wait.isVersionSought) return [];
+  const { engineQuery } = wait;
+  exchange.wait = {
+    ...wait,
+    originQuery: undefined,
+    isVersionSought: false,
+  };
   const told = versionKnownHere(state, exchange);
   const found = versionsWithPrompt(state, exchange);
   const version = told ?? (found.length === 1 ? found[0] : undefined);
@@ -97,8 +110,8 @@
     softwareVersion: version,
     learnedFrom: told === undefined ? "prompt blocks" : "routers",
     withPrompt: found,
-    asked: exchange.engineQuery?.sample.size,
-    unanswered: exchange.engineQuery?.pending.size,
+    asked: engineQuery?.sample.size,
+    unanswered: engineQuery?.pending.size,
     softwareVersions: versionsOf(state, service),
   });
   return version === undefined
--- a/packages/relay/src/decisions/versions/types.ts
+++ b/packages/relay/src/decisions/versions/types.ts
@@ -31,14 +31,6 @@
   readonly until: Timestamp;
 }
 
-/** Wait of a stream for a replica of its software. */
-export interface VersionWait {
-  /** From then on, replicas are looked for again; Infinity while the stream runs. */
-  retryAt: Timestamp;
-  /** The stream ends if it finds none until then. */
-  readonly until: Timestamp;
-}
-
 /** Streams to tell some router of, by its address. */
 export type OriginsByRouter = Map<Address, StreamOrigin[]>;
 
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -2,6 +2,7 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
+import { engineQueryOf } from "../decisions/queryEngines.js";
 import { AttemptFailure, BodyFraming } from "../decisions/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
@@ -210,9 +211,7 @@
     if (command.type === "listPromptBlocks") return true;
     if (command.type !== "probe") return false;
     const { id } = command.replica;
-    const engineQueries = [...this.state.exchanges.values()].map(
-      ({ engineQuery }) => engineQuery,
-    );
+    const engineQueries = [...this.state.exchanges.values()].map(engineQueryOf);
     return engineQueries.some(
       (engineQuery) => engineQuery?.sample.has(id) === true,
     );
