Take no retry for an attempt that reached no replica

Cause: the budget counts what arrives at a service more than once, but each sending after a failed connection took one. It takes the place of the one before it now. Failed connections have a bound of their own: after 6 of one request it waits for a replica of its stream's software, or ends as no replica is open. An attempt at a copy that is not established is followed by a repeat, as the one at the copy was not in the budget.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -83,18 +83,36 @@
   });
 };
 
-/** Closes a lost attempt and retries the request at another replica. */
+/** Closes a lost attempt and retries the request at another replica; the retry takes one of the budget if it is a repeat. */
 export const handleLostAttempt = (
   state: RelayState,
   exchange: Exchange,
   attempt: Attempt,
   reason: string,
+  isRepeat = true,
 ): RelayCommand[] => {
   // A KV cache copy is usable only after the first event; prefill work done before is lost.
   exchange.copy = attempt.hasEvents ? attempt.copy : undefined;
   const line = lossLogLine(state, exchange, attempt, reason);
   closeAttempt(state, exchange);
-  return [line, ...sendRetry(state, exchange, reason)];
+  return [line, ...sendRetry(state, exchange, reason, isRepeat)];
+};
+
+/** Closes an attempt that reached no replica, and sends the request to another one. */
+const loseUnsentAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  detail: string,
+): RelayCommand[] => {
+  recordLoss(state, attempt.replica, state.at);
+  if (!attempt.mayHaveExecutedBefore) exchange.mayHaveExecuted = false;
+  exchange.attempts -= 1;
+  exchange.failedConnectionCount += 1;
+  const reason = `${AttemptFailure.NotSent}: ${detail}`;
+  // The next attempt takes the place of this one; only that at a copy was not in the budget.
+  const isRepeat = attempt.start.type === "copy";
+  return handleLostAttempt(state, exchange, attempt, reason, isRepeat);
 };
 
 /** Closes an attempt whose answer broke off, and retries the request at another replica. */
@@ -119,22 +137,20 @@
   const found = findAttempt(state, event);
   if (found === undefined) return [];
   const { exchange, attempt } = found;
-  const { failure, detail, at } = event;
+  const { failure, detail } = event;
   switch (failure) {
     case AttemptFailure.NotSent:
-      recordLoss(state, attempt.replica, at);
-      if (!attempt.mayHaveExecutedBefore) exchange.mayHaveExecuted = false;
-      exchange.attempts -= 1;
-      break;
+      return loseUnsentAttempt(state, exchange, attempt, detail);
     case AttemptFailure.Broken:
       return loseBrokenAttempt(state, exchange, attempt, detail);
-    case AttemptFailure.Malformed:
+    case AttemptFailure.Malformed: {
       recordOutcome(state, attempt.replica.id, true);
-      break;
+      const reason = `${failure}: ${detail}`;
+      return handleLostAttempt(state, exchange, attempt, reason);
+    }
     default:
       return assertNever(failure);
   }
-  return handleLostAttempt(state, exchange, attempt, `${failure}: ${detail}`);
 };
 
 const isServerError = ({ head }: BufferedResponse): boolean =>
--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -26,7 +26,7 @@
  * none is left. Load pattern: replicas of a version are few and full, or restart, and
  * the callers of a lost router take their streams up at once.
  */
-const awaitVersion = (
+export const awaitVersion = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -160,6 +160,9 @@
 /** Range of the retry-after delay sent while this process has no configuration. */
 export const unconfiguredRetryAfterRangeMs = { min: 300, max: 900 };
 
+/** Replicas to which one request may fail to connect: each may take the whole time for a connection. */
+export const maxFailedConnectionCount = 6;
+
 /** Number of routers that are asked to lend a retry in one round. */
 export const lenderCount = 2;
 
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -72,6 +72,7 @@
   attempts: 0,
   nextNumber: 0,
   triedIds: new Set(),
+  failedConnectionCount: 0,
   endedEngineCount: 0,
   mayHaveExecuted: false,
   head: undefined,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -9,10 +9,13 @@
   rankCandidates,
 } from "./chooseReplica.js";
 import { canCopy, chooseCopyHolder, isCopyUsable } from "./copyHolders.js";
-import { awaitPermit } from "./awaitReplica.js";
+import { awaitPermit, awaitVersion } from "./awaitReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
 import { engineOf } from "./engineOf.js";
-import { maxLoggedPromptBlockCount } from "./constants.js";
+import {
+  maxFailedConnectionCount,
+  maxLoggedPromptBlockCount,
+} from "./constants.js";
 import { failExchange } from "./endExchange.js";
 import { returnPermit, takePermit } from "./requestLimits.js";
 import { isRetryable } from "./isRetryable.js";
@@ -256,12 +259,13 @@
 
 /**
  * Retries a request after an attempt ended without a response; the exchange
- * must have no active attempt.
+ * must have no active attempt. A repeat takes a retry of the budget.
  */
 export const sendRetry = (
   state: RelayState,
   exchange: Exchange,
   reason: string,
+  isRepeat = true,
 ): RelayCommand[] => {
   const { route, service, mayHaveExecuted, attempts, copy } = exchange;
   if (mayHaveExecuted && !isRetryable(route))
@@ -276,13 +280,15 @@
     );
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
+  if (exchange.failedConnectionCount >= maxFailedConnectionCount)
+    return awaitVersion(state, exchange);
   // Resuming at a KV cache copy continues the same execution; only a new
   // execution counts as a retry.
   if (copy !== undefined && isCopyUsable(state, copy)) {
     exchange.copy = undefined;
     return sendTo(state, exchange, copy.holder, { type: "copy", copy });
   }
-  if (!takeRetry(state, service, state.at))
+  if (isRepeat && !takeRetry(state, service, state.at))
     return borrowRetry(state, exchange, reason);
   exchange.wait = noWait;
   exchange.copy = undefined;
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -185,6 +185,8 @@
   /** Number of the next attempt; also counts attempts that did not connect. */
   nextNumber: number;
   readonly triedIds: Set<string>;
+  /** Number of attempts whose connection was not established. */
+  failedConnectionCount: number;
   /** Number of engines that ended while this request was about to be answered. */
   endedEngineCount: number;
   /** Whether any replica may have started to execute the request. */
