Find out by connections whether the path to a service is lost, and blame no replica for it

When the connections of hosts to all replicas were reset, each replica was taken for ended under its requests (28 lines within a second in the users' trace, all replicas alive), which is evidence against prompts and requests. Cause: a refused connection was taken for a fact about the replica, though it may be one about this router's path. A refused replica has ended only if another one was connected to since.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -25,7 +25,7 @@
 } from "./hybridClock.js";
 export { isRecord } from "./isRecord.js";
 export { now } from "./now.js";
-export { probeConnection } from "./probeConnection.js";
+export { ConnectionOutcome, probeConnection } from "./probeConnection.js";
 export { err, ok } from "./result.js";
 export {
   runEventLoop,
--- a/packages/common/src/probeConnection.test.ts
+++ b/packages/common/src/probeConnection.test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { createServer, type AddressInfo, type Server } from "node:net";
 import { test } from "node:test";
-import { probeConnection } from "./probeConnection.js";
+import { ConnectionOutcome, probeConnection } from "./probeConnection.js";
 
 const host = "127.0.0.1";
 
@@ -19,7 +19,7 @@
   const port = await listen(server);
   const result = await probeConnection({ host, port }, 500);
   server.close();
-  assert.deepEqual(result, { isRefused: false });
+  assert.equal(result, ConnectionOutcome.Connected);
 });
 
 test("a process that has ended is taken for one that runs", async () => {
@@ -28,5 +28,5 @@
   server.close();
   await once(server, "close");
   const result = await probeConnection({ host, port }, 500);
-  assert.deepEqual(result, { isRefused: true });
+  assert.equal(result, ConnectionOutcome.Refused);
 });
--- a/packages/common/src/probeConnection.ts
+++ b/packages/common/src/probeConnection.ts
@@ -8,46 +8,56 @@
   readonly port: number;
 }
 
-/** Result of a probe. */
-interface ConnectionProbe {
-  readonly isRefused: boolean;
+/** How an attempt to connect ended. */
+export enum ConnectionOutcome {
+  Connected = "connected",
+  /** The host answered that no process listens. */
+  Refused = "refused",
+  /** Nothing was heard in time, or the connection failed in another way. */
+  Failed = "failed",
 }
 
+const outcomesByErrorCode: ReadonlyMap<string, ConnectionOutcome> = new Map([
+  ["ECONNREFUSED", ConnectionOutcome.Refused],
+  // A process accepted the connection and reset it at once.
+  ["ECONNRESET", ConnectionOutcome.Connected],
+]);
+
 const awaitConnection = (
   socket: Socket,
   timeoutMs: number,
-): Promise<ConnectionProbe> =>
+): Promise<ConnectionOutcome> =>
   new Promise((resolve) => {
-    const finish = (isRefused: boolean) => {
+    const finish = (outcome: ConnectionOutcome) => {
       clearTimeout(timer);
       socket.destroy();
-      resolve({ isRefused });
+      resolve(outcome);
     };
     const timer = setTimeout(() => {
-      finish(false);
+      finish(ConnectionOutcome.Failed);
     }, timeoutMs);
     socket.once("connect", () => {
-      finish(false);
+      finish(ConnectionOutcome.Connected);
     });
     socket.on("error", ({ code }: NodeJS.ErrnoException) => {
-      finish(code === "ECONNREFUSED");
+      finish(outcomesByErrorCode.get(code ?? "") ?? ConnectionOutcome.Failed);
     });
   });
 
 /**
- * Connects and closes at once; resolves to whether the host refused the connection,
- * by the timeout at the latest, also if the address is invalid.
+ * Connects and closes at once; resolves by the timeout at the latest, also if the
+ * address is invalid.
  */
 export const probeConnection = async (
   { host, port }: Listener,
   timeoutMs: number,
-): Promise<ConnectionProbe> => {
+): Promise<ConnectionOutcome> => {
   let socket: Socket;
   try {
     socket = connect({ host, port });
   } catch {
     // An address that cannot be connected to says nothing about a process.
-    return { isRefused: false };
+    return ConnectionOutcome.Failed;
   }
   return awaitConnection(socket, timeoutMs);
 };
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -21,6 +21,7 @@
 import type { DecisionContext, RelayCommand } from "./decisions/commands.js";
 import type { RelayEvent } from "./decisions/events.js";
 import { leavingReplicaCount } from "./decisions/leavingReplicas.js";
+import { lostPathCount } from "./decisions/paths/paths.js";
 import { limitedReplicaCount } from "./decisions/requestLimits.js";
 import type { RuntimeLimits } from "./decisions/types.js";
 import { createFrontDriver } from "./drivers/frontDriver.js";
@@ -107,6 +108,7 @@
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
       replicas_that_leave: leavingReplicaCount(state),
+      services_without_path: lostPathCount(state),
       configuration_version: config?.version ?? 0,
       replicas_with_request_limit: limitedReplicaCount(state),
       request_limit_waits_total: limitCounts.waited,
--- a/packages/relay/src/decisions/answerEnds/answerEnds.test.ts
+++ b/packages/relay/src/decisions/answerEnds/answerEnds.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ConnectionOutcome } from "@cardamomglade/common";
 import {
   idempotentPath,
   idleReport,
@@ -103,6 +104,18 @@
     isAnswered: false,
     isRefused: true,
   });
+  // Other engines can be connected to.
+  for (const { replica: other, sentAt } of scenario.commandsOfType(
+    "probeConnection",
+  ))
+    scenario.dispatch({
+      type: "connectionProbed",
+      at: scenario.at,
+      replica: other.id,
+      sentAt,
+      outcome: ConnectionOutcome.Connected,
+    });
+  scenario.advance(25);
   assert.equal(scenario.state.quarantine.crashes.size, 1);
 });
 
@@ -117,13 +130,13 @@
   scenario.request("1", path);
   const { replica } = scenario.lastSend("1").attempt;
   scenario.answer("1", { framing });
-  const probed = (isRefused: boolean) =>
+  const probed = (outcome: ConnectionOutcome) =>
     scenario.dispatch({
       type: "connectionProbed",
       at: scenario.at,
       replica: replica.id,
       sentAt: scenario.at,
-      isRefused,
+      outcome,
     });
   return { replica, probed };
 };
@@ -136,7 +149,7 @@
     const scenario = Scenario.create();
     const { probed } = answerOf(scenario, path);
     assert.equal(deliveredCount(scenario), 0);
-    probed(false);
+    probed(ConnectionOutcome.Connected);
     assert.equal(deliveredCount(scenario), 1);
   }
 });
@@ -144,7 +157,7 @@
 test("a booking is sent again after a crash ended its answer, or looks answered", () => {
   const scenario = Scenario.create();
   const { probed } = answerOf(scenario, nonIdempotentPath);
-  probed(true);
+  probed(ConnectionOutcome.Refused);
   assert.equal(deliveredCount(scenario), 0);
   assert.equal(sendCount(scenario), 1);
   const [refusal] = scenario.commandsOfType("refuse");
@@ -158,7 +171,7 @@
     one.id === replica.id ? { ...one, state: ReplicaState.Draining } : one,
   );
   scenario.dispatch({ type: "replicasRead", at: scenario.at, replicas });
-  probed(true);
+  probed(ConnectionOutcome.Refused);
   assert.equal(deliveredCount(scenario), 1);
 });
 
--- a/packages/relay/src/decisions/answerEnds/settleEnds.ts
+++ b/packages/relay/src/decisions/answerEnds/settleEnds.ts
@@ -1,6 +1,10 @@
 /** Decides on answers that ended with their connection, once their replica was asked. */
 
-import { assertNever, type Timestamp } from "@cardamomglade/common";
+import {
+  assertNever,
+  ConnectionOutcome,
+  type Timestamp,
+} from "@cardamomglade/common";
 import { deliverAnswer, loseBrokenAttempt } from "../attemptEvents.js";
 import type { RelayCommand } from "../commands.js";
 import type { RelayEventOf } from "../events.js";
@@ -36,6 +40,24 @@
   return isGoingOn ? EndEvidence.CutOff : EndEvidence.Whole;
 };
 
+/** Evidence of a connection to a replica that is no engine. */
+const evidenceOfConnection = (
+  state: RelayState,
+  attempt: Attempt,
+  outcome: ConnectionOutcome,
+): EndEvidence => {
+  switch (outcome) {
+    case ConnectionOutcome.Connected:
+      return EndEvidence.Whole;
+    case ConnectionOutcome.Refused:
+      return evidenceOfRefusal(state, attempt);
+    case ConnectionOutcome.Failed:
+      return EndEvidence.None;
+    default:
+      return assertNever(outcome);
+  }
+};
+
 /** Whether an answer counts as whole. Where nothing tells, a stream that may resume does so elsewhere: nothing is left there of a whole one. */
 const isWhole = (
   evidence: EndEvidence,
@@ -99,8 +121,8 @@
 /** Settles ends by a connection to a replica that is no engine. */
 export const settleEndsByConnection = (
   state: RelayState,
-  { replica, sentAt, isRefused }: RelayEventOf<"connectionProbed">,
+  { replica, sentAt, outcome }: RelayEventOf<"connectionProbed">,
 ): RelayCommand[] =>
   settleEndsAt(state, replica, sentAt, (_, attempt) =>
-    isRefused ? evidenceOfRefusal(state, attempt) : EndEvidence.Whole,
+    evidenceOfConnection(state, attempt, outcome),
   );
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -9,11 +9,11 @@
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
 import {
-  ageOf,
-  markReplaced,
-  recordContact,
-  recordLoss,
-} from "./replicaViews.js";
+  connectedMsAgo,
+  connectionFailed,
+  connectionSucceeded,
+} from "./paths/paths.js";
+import { markReplaced, recordContact, recordLoss } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
 import { recordWholeAnswer } from "./quarantine/establishAttempt.js";
 import { suspectBrokenAttempt } from "./quarantine/engineCrashes.js";
@@ -55,8 +55,7 @@
   const found = findAttempt(state, event);
   if (found === undefined) return [];
   found.attempt.isConnected = true;
-  state.connectedAt.set(found.exchange.service, event.at);
-  return [];
+  return connectionSucceeded(state, found.exchange.service);
 };
 
 /** Log command for a lost attempt. */
@@ -78,7 +77,7 @@
     runningMs: Math.round(at - sentAt),
     silentMs: Math.round(at - heardAt),
     isConnected,
-    serviceConnectedMsAgo: ageOf(state, state.connectedAt.get(service) ?? 0),
+    serviceConnectedMsAgo: connectedMsAgo(state, service),
     reason,
   });
 };
@@ -112,7 +111,10 @@
   const reason = `${AttemptFailure.NotSent}: ${detail}`;
   // The next attempt takes the place of this one; only that at a copy was not in the budget.
   const isRepeat = attempt.start.type === "copy";
-  return handleLostAttempt(state, exchange, attempt, reason, isRepeat);
+  return [
+    ...connectionFailed(state, attempt.replica, attempt.sentAt),
+    ...handleLostAttempt(state, exchange, attempt, reason, isRepeat),
+  ];
 };
 
 /** Closes an attempt whose answer broke off, and retries the request at another replica. */
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -44,6 +44,12 @@
       readonly key: string;
       readonly attempt: number;
     }
+  /** Ends an attempt as not sent, unless its connection is established meanwhile. */
+  | {
+      readonly type: "abandonUnconnected";
+      readonly key: string;
+      readonly attempt: number;
+    }
   | {
       readonly type: "deliverResponse";
       readonly key: string;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -74,7 +74,7 @@
   configAppliedAt: 0,
   hasReplicas: false,
   replicas: new Map(),
-  connectedAt: new Map(),
+  paths: new Map(),
   missingReplicas: new Map(),
   departedReplicas: new Map(),
   outdatedReplicas: new Map(),
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -1,6 +1,6 @@
 /** Events that the drivers pass to the decision logic. */
 
-import type { Timestamp } from "@cardamomglade/common";
+import type { ConnectionOutcome, Timestamp } from "@cardamomglade/common";
 import type {
   CallerRequest,
   EngineReport,
@@ -139,8 +139,7 @@
       readonly at: Timestamp;
       readonly replica: string;
       readonly sentAt: Timestamp;
-      /** Whether the replica's host refused the connection: no process listens. */
-      readonly isRefused: boolean;
+      readonly outcome: ConnectionOutcome;
     }
   | {
       readonly type: "kvCacheCopied";
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -1,6 +1,6 @@
 /** Probes silent engines, and handles the results of probes and of engine queries. */
 
-import type { Timestamp } from "@cardamomglade/common";
+import { ConnectionOutcome, type Timestamp } from "@cardamomglade/common";
 import type { EngineReport, ReportedRun } from "../types.js";
 import {
   settleEndsByConnection,
@@ -23,6 +23,11 @@
   isEngineQueryDone,
   recordPromptBlocks,
 } from "./queryEngines.js";
+import {
+  connectionFailed,
+  connectionSucceeded,
+  pathProbeFailed,
+} from "./paths/paths.js";
 import {
   ageOf,
   isFromOtherProcess,
@@ -158,7 +163,9 @@
       silentMs: ageOf(state, view.heardAt),
       streams: silent.length,
     }),
-    ...(isRefused ? recordEndedEngine(state, view.replica, silent) : []),
+    ...(isRefused
+      ? recordEndedEngine(state, view.replica, sentAt, silent)
+      : []),
     ...resolveEngineQueries(state, replicaId, "loadReports"),
     ...silent.flatMap(({ exchange, attempt }) =>
       abandonAndRetry(state, exchange, attempt, reason),
@@ -166,22 +173,47 @@
   ];
 };
 
+/** Takes a report, or a missing one, for a sign of the path to its service. */
+const noteReportProbe = (
+  state: RelayState,
+  { replica: id, isAnswered, sentAt }: RelayEventOf<"probeFinished">,
+): RelayCommand[] => {
+  const replica = state.replicas.get(id)?.replica;
+  if (replica === undefined) return [];
+  return isAnswered
+    ? connectionSucceeded(state, replica.service)
+    : connectionFailed(state, replica, sentAt);
+};
+
+/** Takes a connection, or a failed one, for a sign of the path to its service. */
+const noteConnectionProbe = (
+  state: RelayState,
+  { replica: id, outcome }: RelayEventOf<"connectionProbed">,
+): RelayCommand[] => {
+  const service = state.replicas.get(id)?.replica.service;
+  return outcome === ConnectionOutcome.Connected && service !== undefined
+    ? connectionSucceeded(state, service)
+    : pathProbeFailed(state, id);
+};
+
 /** Handles the result of a probe. */
 export const probeFinished = (
   state: RelayState,
   event: RelayEventOf<"probeFinished">,
 ): RelayCommand[] => [
   ...settleEndsByReport(state, event),
+  ...noteReportProbe(state, event),
   ...confirmCrash(state, event),
   ...updateProbedReplica(state, event),
 ];
 
-/** Handles the result of a connection to a replica that is no engine. */
+/** Handles the result of a connection to a replica. */
 export const connectionProbed = (
   state: RelayState,
   event: RelayEventOf<"connectionProbed">,
 ): RelayCommand[] => [
   ...settleEndsByConnection(state, event),
+  ...noteConnectionProbe(state, event),
   ...confirmPlainCrash(state, event),
 ];
 
--- a/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
+++ b/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ConnectionOutcome } from "@cardamomglade/common";
 import { Fleet } from "../../testing/fleet.js";
 import {
   idempotentPath,
@@ -270,7 +271,7 @@
     at: scenario.at,
     replica: "a-9",
     sentAt: scenario.at,
-    isRefused: true,
+    outcome: ConnectionOutcome.Refused,
   });
   assert.equal(scenario.state.quarantine.crashes.size, 1);
   scenario.advance(4000);
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -4,6 +4,7 @@
  * reset them.
  */
 
+import { ConnectionOutcome, type Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import type { CallerRequest, Replica } from "../../types.js";
 import { maxLoggedPromptBlockCount } from "../constants.js";
@@ -12,10 +13,12 @@
 import { publishItem } from "../gossip/spreadGossip.js";
 import type { EngineCrashItem } from "../gossip/types.js";
 import { logLine } from "../logLine.js";
+import { connectionFailed, isPathLost, pathOf } from "../paths/paths.js";
 import {
   isAvailable,
   isFromOtherProcess,
   processKeyOf,
+  replicasOf,
 } from "../replicaViews.js";
 import type { RelayCommand } from "../commands.js";
 import type { RelayEventOf } from "../events.js";
@@ -109,6 +112,7 @@
     lostAt: state.at,
     suspects: new Map(),
     unestablished: new Set(),
+    isRefused: false,
   };
   unconfirmed.set(process, crash);
   const causes = suspectedCausesOf(state, request, attempt);
@@ -204,10 +208,53 @@
   ];
 };
 
+/** Whether refused connections to a replica are its own: another one was connected to since, or there is no other. */
+const isPathProven = (
+  state: RelayState,
+  { replica: { id, service }, lostAt }: UnconfirmedCrash,
+): boolean =>
+  pathOf(state, service).connectedAt >= lostAt ||
+  !replicasOf(state, service).some(({ replica }) => replica.id !== id);
+
+/** Takes a refused replica for ended if the path to the others is open; until that is known, it is unconfirmed. */
+const settleRefused = (
+  state: RelayState,
+  crash: UnconfirmedCrash,
+): RelayCommand[] => {
+  const { unconfirmed } = state.quarantine;
+  const process = processKeyOf(crash.replica);
+  if (isPathProven(state, crash)) {
+    unconfirmed.delete(process);
+    return recordCrash(state, crash);
+  }
+  if (isPathLost(state, crash.replica.service)) unconfirmed.delete(process);
+  return [];
+};
+
+/** Notes that the address of a replica refused a connection. */
+const noteRefused = (
+  state: RelayState,
+  crash: UnconfirmedCrash,
+): RelayCommand[] => {
+  crash.isRefused = true;
+  state.quarantine.unconfirmed.set(processKeyOf(crash.replica), crash);
+  return [
+    ...settleRefused(state, crash),
+    ...connectionFailed(state, crash.replica, crash.lostAt),
+  ];
+};
+
+/** Settles refused replicas once the path to their service is known. */
+export const settleRefusedReplicas = (state: RelayState): RelayCommand[] =>
+  [...state.quarantine.unconfirmed.values()].flatMap((crash) =>
+    crash.isRefused ? settleRefused(state, crash) : [],
+  );
+
 /** Notes the end of an engine whose connections are still open here. */
 export const recordEndedEngine = (
   state: RelayState,
   replica: Replica,
+  lostAt: Timestamp,
   lost: readonly { readonly exchange: Exchange; readonly attempt: Attempt }[],
 ): RelayCommand[] => {
   if (!mayEndByRequest(state, replica)) return [];
@@ -220,25 +267,27 @@
     if (!attempt.isEstablished) unestablished.add(request.fingerprint);
   }
   if (suspects.size === 0) return [];
-  const lostAt = state.at;
-  return recordCrash(state, { replica, lostAt, suspects, unestablished });
+  const crash = { replica, lostAt, suspects, unestablished, isRefused: true };
+  return noteRefused(state, crash);
 };
 
-/** The crash that a probe was sent for; it is confirmed or forgotten now. */
-const takeUnconfirmed = (
+/** The crash that a probe was sent for. */
+const unconfirmedCrashOf = (
   { quarantine: { unconfirmed } }: RelayState,
   {
     replica: id,
     sentAt,
   }: Pick<RelayEventOf<"probeFinished">, "replica" | "sentAt">,
-): UnconfirmedCrash | undefined => {
-  const found = [...unconfirmed].find(
-    ([, { replica, lostAt }]) => replica.id === id && sentAt >= lostAt,
+): UnconfirmedCrash | undefined =>
+  [...unconfirmed.values()].find(
+    ({ replica, lostAt }) => replica.id === id && sentAt >= lostAt,
   );
-  if (found === undefined) return undefined;
-  const [process, crash] = found;
-  unconfirmed.delete(process);
-  return crash;
+
+const forgetUnconfirmed = (
+  { quarantine }: RelayState,
+  { replica }: UnconfirmedCrash,
+): void => {
+  quarantine.unconfirmed.delete(processKeyOf(replica));
 };
 
 /** Decides by a probe's result whether an engine with broken connections has ended. */
@@ -246,11 +295,12 @@
   state: RelayState,
   event: RelayEventOf<"probeFinished">,
 ): RelayCommand[] => {
-  const crash = takeUnconfirmed(state, event);
+  const crash = unconfirmedCrashOf(state, event);
   if (crash === undefined) return [];
-  const hasEnded = event.isAnswered
-    ? isFromOtherProcess(crash.replica, event.report)
-    : event.isRefused;
+  if (event.isRefused) return noteRefused(state, crash);
+  forgetUnconfirmed(state, crash);
+  const hasEnded =
+    event.isAnswered && isFromOtherProcess(crash.replica, event.report);
   return hasEnded ? recordCrash(state, crash) : [];
 };
 
@@ -259,10 +309,14 @@
   state: RelayState,
   event: RelayEventOf<"connectionProbed">,
 ): RelayCommand[] => {
-  const crash = takeUnconfirmed(state, event);
-  return crash !== undefined && event.isRefused
-    ? recordCrash(state, crash)
-    : [];
+  const crash = unconfirmedCrashOf(state, event);
+  if (crash === undefined) return [];
+  // Another process may listen at an engine's address; its report tells.
+  if (engineOf(state, crash.replica.service) !== undefined) return [];
+  if (event.outcome === ConnectionOutcome.Refused)
+    return noteRefused(state, crash);
+  forgetUnconfirmed(state, crash);
+  return [];
 };
 
 /** Adds a suspect that another router told. */
--- a/packages/relay/src/decisions/quarantine/types.ts
+++ b/packages/relay/src/decisions/quarantine/types.ts
@@ -13,6 +13,8 @@
   readonly suspects: CrashSuspects;
   /** Fingerprints of the suspects whose answer was not established. */
   readonly unestablished: Set<string>;
+  /** Whether its address refused a connection: it has ended, or this router has no path to it. */
+  isRefused: boolean;
 }
 
 /** The end of one replica's process while it was answering requests. */
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -21,6 +21,7 @@
 import { forgetDurations } from "./answerDurations.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
+import { forgetPaths } from "./paths/paths.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { RelayState, ReplicaView } from "./types.js";
@@ -154,6 +155,7 @@
     else if (until > state.at) state.missingReplicas.set(replica.id, until);
     else commands.push(removeReplica(state, replica));
   }
+  forgetPaths(state);
   return [...commands, ...noteReplicaVersions(state)];
 };
 
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ConnectionOutcome } from "@cardamomglade/common";
 import {
   idempotentPath,
   nonIdempotentPath,
@@ -386,7 +387,8 @@
   scenario.request("2", idempotentPath);
   scenario.answer("2", { framing: BodyFraming.Connection });
   const replica = scenario.lastSend("2").attempt.replica.id;
-  const probe = { replica, sentAt: at, isRefused: false };
+  const outcome = ConnectionOutcome.Connected;
+  const probe = { replica, sentAt: at, outcome };
   scenario.dispatch({ type: "connectionProbed", at, ...probe });
   const answered = scenario
     .commandsOfType("log")
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -19,6 +19,8 @@
 import { currentItems } from "./gossip/gossipReceived.js";
 import { spreadGossip } from "./gossip/spreadGossip.js";
 import { searchCulprits } from "./quarantine/searchCulprits.js";
+import { maintainPaths } from "./paths/paths.js";
+import { settleRefusedReplicas } from "./quarantine/engineCrashes.js";
 import { maintainQuarantines } from "./quarantine/maintainQuarantines.js";
 import { isEngineQueryDone } from "./queryEngines.js";
 import { abandonAndRetry, probeSilent } from "./probes.js";
@@ -192,6 +194,8 @@
     ...readmitReplicas(state),
     ...maintainRegistration(state),
     ...shareOutcomes(state),
+    ...maintainPaths(state),
+    ...settleRefusedReplicas(state),
     ...searchCulprits(state),
     ...maintainQuarantines(state),
     ...maintainVersions(state),
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -11,6 +11,7 @@
 } from "../types.js";
 import type { EndEvidence, UnconfirmedEnd } from "./answerEnds/types.js";
 import type { GossipState } from "./gossip/types.js";
+import type { Path } from "./paths/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
 import type { OriginQuery, VersionState } from "./versions/types.js";
@@ -349,8 +350,8 @@
   configAppliedAt: Timestamp;
   hasReplicas: boolean;
   readonly replicas: Map<string, ReplicaView>;
-  /** Time at which a connection to a replica of each service was last established. */
-  readonly connectedAt: Map<string, Timestamp>;
+  /** Paths to the replicas, by service. */
+  readonly paths: Map<string, Path>;
   /**
    * Replicas whose entries disappeared around a store outage, and the time
    * until which each is kept.
--- a/packages/relay/src/drivers/oddAddresses.test.ts
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { now, probeConnection } from "@cardamomglade/common";
+import { ConnectionOutcome, now, probeConnection } from "@cardamomglade/common";
 import { testReplica, testRequest } from "../testing/scenario.js";
+import { testAttempt } from "../testing/testAttempt.js";
 import { testProtocol } from "../testing/testProtocol.js";
 import type { Replica } from "../types.js";
 import { httpCall } from "./httpCall.js";
@@ -36,7 +37,7 @@
 
 test("a probe of a port out of range rejects", async () => {
   const result = await probeConnection({ host, port: badPort }, 500);
-  assert.deepEqual(result, { isRefused: false });
+  assert.equal(result, ConnectionOutcome.Failed);
 });
 
 const eventsOf = (replica: Replica): Promise<CallEvent> =>
@@ -46,26 +47,7 @@
       {
         type: "send",
         key: "1",
-        attempt: {
-          number: 0,
-          replica,
-          start: { type: "fresh" },
-          sentAt: now(),
-          mayHaveExecutedBefore: false,
-          copyTo: undefined,
-          copy: undefined,
-          copyRequestedAt: undefined,
-          rejectedHolders: new Set(),
-          heardAt: now(),
-          isConnected: false,
-          hasEvents: false,
-          head: undefined,
-          eventCount: 0,
-          firstEventAt: undefined,
-          isEstablished: false,
-          unconfirmedEnd: undefined,
-          endEvidence: undefined,
-        },
+        attempt: testAttempt(replica),
         request: testRequest("a", "/x", now()),
         customer: undefined,
         priority: undefined,
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -192,6 +192,11 @@
     this.req.destroy();
   }
 
+  /** Ends the call as not sent if its connection has not been established. */
+  abandonUnconnected(): void {
+    if (!this.isConnected) this.fail(AttemptFailure.NotSent, "no path");
+  }
+
   private onError(error: Error): void {
     // Bytes after a complete response belong to no request; the response itself is valid.
     if (isWhole(this.res)) return;
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -58,6 +58,10 @@
     calls.delete(name);
   };
 
+  const abandonUnconnected = (key: string, attempt: number) => {
+    calls.get(callKey(key, attempt))?.abandonUnconnected();
+  };
+
   const probe = async (replica: Replica, sentAt: number) => {
     metrics.count(Counter.Probes);
     const answer = await probeEngine(protocol, replica, onLeaving);
@@ -72,13 +76,13 @@
 
   const checkConnection = async (replica: Replica, sentAt: number) => {
     metrics.count(Counter.Probes);
-    const result = await probeConnection(replica, probeTimeoutMs);
+    const outcome = await probeConnection(replica, probeTimeoutMs);
     channel.push({
       type: "connectionProbed",
       at: now(),
       replica: replica.id,
       sentAt,
-      ...result,
+      outcome,
     });
   };
 
@@ -121,6 +125,9 @@
         case "abandon":
           abandon(command.key, command.attempt);
           return;
+        case "abandonUnconnected":
+          abandonUnconnected(command.key, command.attempt);
+          return;
         case "copyKvCache":
           void copyKvCache(command);
           return;
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -1,6 +1,6 @@
 /** Test harness: several relays and simulated engines on one virtual clock. */
 
-import type { Timestamp } from "@cardamomglade/common";
+import { ConnectionOutcome, type Timestamp } from "@cardamomglade/common";
 import type { RelayCommand } from "../decisions/commands.js";
 import { tickIntervalMs } from "../decisions/constants.js";
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
@@ -235,6 +235,9 @@
       case "abandon":
         this.replicas.abandon(`${command.key}/${String(command.attempt)}`);
         return;
+      case "abandonUnconnected":
+        this.abandonUnconnected(router, command);
+        return;
       case "probe":
         this.probe(router, command);
         return;
@@ -321,6 +324,19 @@
     });
   }
 
+  private abandonUnconnected(
+    router: string,
+    { key, attempt }: CommandOf<"abandonUnconnected">,
+  ): void {
+    const send = this.sent.find(
+      (one) => one.key === key && one.attempt.number === attempt,
+    );
+    if (send === undefined) return;
+    this.later(0, () => {
+      this.replicas.failToConnect(router, send);
+    });
+  }
+
   private probe(router: string, command: CommandOf<"probe">): void {
     const { replica, sentAt } = command;
     const fail = (isRefused: boolean) => {
@@ -353,7 +369,9 @@
         at: this.at,
         replica: replica.id,
         sentAt,
-        isRefused,
+        outcome: isRefused
+          ? ConnectionOutcome.Refused
+          : ConnectionOutcome.Failed,
       });
     };
     const { service } = replica;
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -1,6 +1,6 @@
 /** Test harness: engines and plain replicas that answer, end and restart on a virtual clock. */
 
-import type { Timestamp } from "@cardamomglade/common";
+import { ConnectionOutcome, type Timestamp } from "@cardamomglade/common";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
 import { AttemptFailure } from "../decisions/types.js";
@@ -129,6 +129,7 @@
   failToConnect(router: string, command: SendCommand): void {
     const name = `${command.key}/${String(command.attempt.number)}`;
     if (this.abandoned.has(name)) return;
+    this.abandoned.add(name);
     this.report(router, command, AttemptFailure.NotSent);
   }
 
@@ -378,7 +379,9 @@
       at: this.clock.now(),
       replica: id,
       sentAt,
-      isRefused,
+      outcome: isRefused
+        ? ConnectionOutcome.Refused
+        : ConnectionOutcome.Connected,
     });
   }
 
--- /dev/null
+++ b/packages/relay/src/testing/testAttempt.ts
@@ -0,0 +1,27 @@
+/** Attempts for tests of drivers. */
+
+import { now } from "@cardamomglade/common";
+import type { Attempt } from "../decisions/types.js";
+import type { Replica } from "../types.js";
+
+/** A first attempt at a replica that starts from the prompt. */
+export const testAttempt = (replica: Replica): Attempt => ({
+  number: 0,
+  replica,
+  start: { type: "fresh" },
+  sentAt: now(),
+  mayHaveExecutedBefore: false,
+  copyTo: undefined,
+  copy: undefined,
+  copyRequestedAt: undefined,
+  rejectedHolders: new Set(),
+  isConnected: false,
+  heardAt: now(),
+  hasEvents: false,
+  head: undefined,
+  eventCount: 0,
+  firstEventAt: undefined,
+  isEstablished: false,
+  unconfirmedEnd: undefined,
+  endEvidence: undefined,
+});
--- a/packages/upstream/src/serviceClient.ts
+++ b/packages/upstream/src/serviceClient.ts
@@ -1,6 +1,11 @@
 /** Client of plain HTTP services; each call is attempted once. */
 
-import { abortSignalAt, now, probeConnection } from "@cardamomglade/common";
+import {
+  abortSignalAt,
+  ConnectionOutcome,
+  now,
+  probeConnection,
+} from "@cardamomglade/common";
 import { Agent, request, type Dispatcher, type buildConnector } from "undici";
 import { CallMethod } from "@cardamomglade/schema";
 import type { ServiceCall, ServiceOutcome, Services } from "./types.js";
@@ -40,8 +45,8 @@
   const { hostname: host, port, protocol } = new URL(url);
   const defaultPort = protocol === "https:" ? 443 : 80;
   const listener = { host, port: Number(port || defaultPort) };
-  const { isRefused } = await probeConnection(listener, probeTimeoutMs);
-  return isRefused;
+  const outcome = await probeConnection(listener, probeTimeoutMs);
+  return outcome === ConnectionOutcome.Refused;
 };
 
 /** Calls plain services over HTTP; one instance per process. */
