--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -24,7 +24,8 @@
 import { lostPathCount } from "./decisions/paths/paths.js";
 import { limitedReplicaCount } from "./decisions/requestLimits.js";
 import type { RuntimeLimits } from "./decisions/types.js";
-import { createFrontDriver } from "./drivers/frontDriver.js";
+import { handoverAddressOf } from "./decisions/handover/handoverAddress.js";
+import { createFrontDriver, Sender } from "./drivers/frontDriver.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
 import { createReplicaDriver } from "./drivers/replicaDriver.js";
@@ -66,6 +67,7 @@
   const metrics = createRelayMetrics();
   const front = createFrontDriver({
     listen: options.front,
+    sender: Sender.Callers,
     protocol,
     metrics,
     log,
@@ -73,12 +75,25 @@
   const { address } = options.state;
   const peerDrivers =
     address === undefined ? [] : [createPeerDriver(address, log)];
+  const routerFronts =
+    address === undefined
+      ? []
+      : [
+          createFrontDriver({
+            listen: handoverAddressOf(address),
+            sender: Sender.Routers,
+            protocol,
+            metrics,
+            log,
+          }),
+        ];
+  const fronts = [front, ...routerFronts];
   const controlEvents = createChannel<RelayEvent>();
   const running = runEventLoop({
     reduce: decideRelay,
     state: createRelayState(options.state),
     drivers: [
-      front,
+      ...fronts,
       createReplicaDriver(protocol, metrics),
       createTimerDriver<RelayEvent>(tickIntervalMs, (at) => ({
         type: "timerTicked",
@@ -103,12 +118,15 @@
   const metricsServer = createTextServer(options.metrics, () => {
     const state = running.state();
     const { exchanges, replicas, config, quarantine, limitCounts } = state;
-    const { restorations, versions } = state;
+    const { restorations, versions, handover } = state;
     const text = metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
       replicas_that_leave: leavingReplicaCount(state),
       services_without_path: lostPathCount(state),
+      requests_handed_on_total: handover.handedOnCount,
+      requests_taken_over_total: handover.takenOverCount,
+      handover_refusals_total: handover.refusedCount,
       configuration_version: config?.version ?? 0,
       replicas_with_request_limit: limitedReplicaCount(state),
       request_limit_waits_total: limitCounts.waited,
@@ -139,9 +157,9 @@
       while (now() < deadline) {
         const isIdle =
           running.state().exchanges.size === 0 &&
-          front.openRequestCount() === 0;
+          fronts.every((one) => one.openRequestCount() === 0);
         if (now() >= noticeEndsAt) {
-          front.closeIdle();
+          for (const one of fronts) one.closeIdle();
           if (isIdle) break;
         }
         await sleep(drainPollMs);
--- a/packages/relay/src/decisions/borrowRetry.ts
+++ b/packages/relay/src/decisions/borrowRetry.ts
@@ -19,7 +19,7 @@
 import type { Address } from "../types.js";
 
 /** Random sample of the addresses of other routers. */
-const otherRouters = (state: RelayState): Address[] =>
+const someRouters = (state: RelayState): Address[] =>
   sampleWithoutReplacement(state, otherRouterAddresses(state), lenderCount);
 
 /** Asks other routers to lend a retry, or fails the exchange after the last round. */
@@ -30,7 +30,7 @@
 ): RelayCommand[] => {
   const { service, request, wait } = exchange;
   const rounds = (wait.type === "retry" ? wait.rounds : 0) + 1;
-  const others = rounds > maxBorrowRoundCount ? [] : otherRouters(state);
+  const others = rounds > maxBorrowRoundCount ? [] : someRouters(state);
   if (others.length === 0)
     return failExchange(state, exchange, `${reason}; no repeat is left`);
   const until = state.at + borrowTimeoutMs;
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -9,6 +9,7 @@
   Address,
 } from "../types.js";
 import type { GossipItem } from "./gossip/types.js";
+import type { Handover, HandoverRefusal } from "./handover/types.js";
 import type { StoredQuarantine } from "./quarantine/types.js";
 import type { StoredVersions, StreamOrigin } from "./versions/types.js";
 import type {
@@ -39,6 +40,30 @@
       /** Whether the route's answers are streams of events. */
       readonly isStreamExpected: boolean;
     }
+  /** Hands a request on to another router. */
+  | {
+      readonly type: "handOn";
+      readonly key: string;
+      readonly attempt: number;
+      readonly to: Address;
+      readonly request: CallerRequest;
+      readonly deadline: Timestamp;
+      /** Id of the last event that the caller has. */
+      readonly lastEventId: number | undefined;
+      readonly isStreamExpected: boolean;
+      readonly handover: Omit<Handover, "from">;
+    }
+  | {
+      readonly type: "askHandover";
+      readonly to: Address;
+      readonly services: readonly string[];
+    }
+  | {
+      readonly type: "offerHandover";
+      readonly to: Address;
+      readonly services: readonly string[];
+      readonly freePlaces: number;
+    }
   | {
       readonly type: "abandon";
       readonly key: string;
@@ -73,6 +98,8 @@
       readonly status: number;
       readonly reason: string;
       readonly retryAfterMs: number | undefined;
+      /** Why another router's request is not taken over. */
+      readonly handoverRefusal?: HandoverRefusal | undefined;
     }
   | {
       readonly type: "copyKvCache";
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -13,6 +13,8 @@
 } from "./attemptEvents.js";
 import { callerDisconnected } from "./callerDisconnected.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
+import { handedOnEvent, handoverOffered } from "./handover/handoverEvents.js";
+import { createHandoverState, handoverAsked } from "./handover/offers.js";
 import { createGossipState } from "./gossip/spreadGossip.js";
 import { quarantinesRead } from "./quarantine/quarantinesRead.js";
 import { createQuarantineState } from "./quarantine/quarantineState.js";
@@ -75,6 +77,7 @@
   hasReplicas: false,
   replicas: new Map(),
   paths: new Map(),
+  handover: createHandoverState(),
   missingReplicas: new Map(),
   departedReplicas: new Map(),
   outdatedReplicas: new Map(),
@@ -108,6 +111,8 @@
 };
 
 const commandsOf = (state: RelayState, event: RelayEvent): RelayCommand[] => {
+  const ofOtherRouter = handedOnEvent(state, event);
+  if (ofOtherRouter !== undefined) return ofOtherRouter;
   switch (event.type) {
     case "configRead":
       return configRead(state, event);
@@ -149,6 +154,10 @@
       return kvCacheCopied(state, event);
     case "promptBlocksListed":
       return promptBlocksListed(state, event);
+    case "handoverAsked":
+      return handoverAsked(state, event);
+    case "handoverOffered":
+      return handoverOffered(state, event);
     case "callerDisconnected":
       return callerDisconnected(state, event);
     case "timerTicked":
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -3,6 +3,7 @@
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { recordDuration } from "./answerDurations.js";
+import { formatAddress } from "../types.js";
 import { refuse, refuseNotExecuted } from "./refusals.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
@@ -24,7 +25,9 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { attempt, key } = exchange;
+  const { attempt, key, wait } = exchange;
+  if (wait.type === "router")
+    return [{ type: "abandon", key, attempt: wait.attempt.number }];
   if (attempt === undefined) return [];
   closeAttempt(state, exchange);
   return [{ type: "abandon", key, attempt: attempt.number }];
@@ -49,7 +52,7 @@
   head: ResponseHead | undefined,
   bodyBytes?: number,
 ): RelayCommand[] => {
-  const { attempt } = exchange;
+  const { attempt, wait } = exchange;
   recordDuration(state, exchange);
   closeAttempt(state, exchange);
   state.exchanges.delete(exchange.key);
@@ -58,7 +61,9 @@
     logLine("request answered", {
       ...summaryOf(exchange, state.at),
       status: exchange.head?.status ?? head?.status,
-      replica: attempt?.replica.id,
+      replica: attempt?.replica.id ?? head?.answeredBy?.id,
+      router:
+        wait.type === "router" ? formatAddress(wait.attempt.to) : undefined,
       isStream: head?.isStream,
       framing: head?.framing,
       endEvidence: attempt?.endEvidence,
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -122,7 +122,7 @@
   | {
       readonly type: "leavingAnnounced";
       readonly at: Timestamp;
-      readonly replica: Replica;
+      readonly replica: Pick<Replica, "id" | "startedAt">;
     }
   | {
       readonly type: "probeFinished";
@@ -192,6 +192,21 @@
       readonly from: Address;
       readonly origins: readonly StreamOrigin[];
     }
+  /** Another router asks to which services this one has a path, and for its room. */
+  | {
+      readonly type: "handoverAsked";
+      readonly at: Timestamp;
+      readonly from: Address;
+      readonly services: readonly string[];
+    }
+  /** Another router offers to take requests over. */
+  | {
+      readonly type: "handoverOffered";
+      readonly at: Timestamp;
+      readonly from: Address;
+      readonly services: readonly string[];
+      readonly freePlaces: number;
+    }
   | {
       readonly type: "callerDisconnected";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/refusals.ts
+++ b/packages/relay/src/decisions/refusals.ts
@@ -5,6 +5,7 @@
 import { retryAfterRangeMs } from "./constants.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
+import type { HandoverRefusal } from "./handover/types.js";
 import type { RelayState } from "./types.js";
 
 /**
@@ -22,20 +23,30 @@
   readonly requestId: string;
   readonly reason: string;
   readonly context: DecisionContext;
+  /** Why another router's request is not taken over. */
+  readonly handoverRefusal?: HandoverRefusal;
 }
 
 /** Ends a request with an error response written by the relay. */
 export const refuse = (
-  { key, requestId, reason, context }: RefusedRequest,
+  { key, requestId, reason, context, handoverRefusal }: RefusedRequest,
   status: number,
   retryDelayMs: number | undefined,
 ): RelayCommand[] => [
-  { type: "refuse", key, status, reason, retryAfterMs: retryDelayMs },
+  {
+    type: "refuse",
+    key,
+    status,
+    reason,
+    retryAfterMs: retryDelayMs,
+    handoverRefusal,
+  },
   logLine("request refused", {
     requestId,
     status,
     reason,
     retryAfterMs: retryDelayMs,
+    handoverRefusal,
     ...context,
   }),
 ];
--- a/packages/relay/src/decisions/registration.ts
+++ b/packages/relay/src/decisions/registration.ts
@@ -17,7 +17,7 @@
 import { random } from "./random.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
-import type { Registration, RelayState } from "./types.js";
+import type { Registration, RelayState, RouterEntry } from "./types.js";
 
 /** Creates an empty registration; nothing is written before the entries have been read. */
 export const createRegistration = (): Registration => ({
@@ -38,26 +38,55 @@
     ? routers.size
     : Math.max(minAssumedRouterCount, routers.size + 1);
 
-/** Addresses of the other routers; none while this router has none itself. */
-export const otherRouterAddresses = ({
+/** Another router, and where it is heard. */
+interface OtherRouter {
+  readonly address: Address;
+  readonly zone: string | undefined;
+}
+
+/** The other routers with an address; none while this router has none itself. */
+export const otherRouters = ({
   registration,
   router,
-  address,
-}: RelayState): Address[] =>
-  address === undefined
+  address: own,
+}: RelayState): OtherRouter[] =>
+  own === undefined
     ? []
-    : [...registration.routers]
-        .filter(([name]) => name !== router)
-        .map(([, other]) => other)
-        .filter((other) => other !== undefined);
+    : [...registration.routers.values()].flatMap((entry) =>
+        entry.router === router || entry.address === undefined
+          ? []
+          : [{ address: entry.address, zone: entry.zone }],
+      );
 
-/** Whether an address belongs to a registered router. */
-export const isKnownRouter = (
+/** Addresses of the other routers; none while this router has none itself. */
+export const otherRouterAddresses = (state: RelayState): Address[] =>
+  otherRouters(state).map(({ address }) => address);
+
+const routerAt = (
   { registration }: RelayState,
   { host, port }: Address,
+): RouterEntry | undefined =>
+  [...registration.routers.values()].find(
+    ({ address }) => address?.host === host && address.port === port,
+  );
+
+/** Whether an address belongs to a registered router. */
+export const isKnownRouter = (state: RelayState, address: Address): boolean =>
+  routerAt(state, address) !== undefined;
+
+/** Zone of the router with an address; undefined if it is not known. */
+export const zoneOfRouter = (
+  state: RelayState,
+  address: Address,
+): string | undefined => routerAt(state, address)?.zone;
+
+/** Whether a registered router runs on a host. */
+export const isRouterHost = (
+  { registration }: RelayState,
+  host: string,
 ): boolean =>
   [...registration.routers.values()].some(
-    (known) => known?.host === host && known.port === port,
+    ({ address }) => address?.host === host,
   );
 
 /** Time over which the fleet writes entries that may be missing for all routers at once. */
@@ -78,9 +107,7 @@
   const isFirstRead = registration.nextWriteAt === Infinity;
   const hadEntry = registration.lease !== undefined;
   const hasEntry = own !== undefined;
-  registration.routers = new Map(
-    entries.map((entry) => [entry.router, entry.address]),
-  );
+  registration.routers = new Map(entries.map((entry) => [entry.router, entry]));
   registration.lease = own?.lease;
   // An entry left by an earlier process of this router may expire soon, so it is renewed early.
   if (isFirstRead || (hadEntry && !hasEntry))
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -12,7 +12,8 @@
 } from "./refusals.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
-import { sendFirst } from "./sendAttempt.js";
+import { copyOf, refusalOf, refuseHandover } from "./handover/takeOver.js";
+import { sendFirst, sendTakenOver } from "./sendAttempt.js";
 import { seekVersion } from "./versions/takeUps.js";
 import { restorationContext } from "./storeUpdates.js";
 import type { RelayCommand } from "./commands.js";
@@ -61,7 +62,7 @@
   key,
   request,
   route,
-  service: chooseService(state, route),
+  service: request.handover?.service ?? chooseService(state, route),
   customer: customer?.name,
   priority: customer?.priority ?? route.priority,
   deadline: Math.min(
@@ -69,18 +70,21 @@
     request.callerDeadline ?? Infinity,
   ),
   attempt: undefined,
-  attempts: 0,
+  attempts: request.handover?.attempts ?? 0,
   nextNumber: 0,
   triedIds: new Set(),
+  handoverCount: 0,
+  triedRouters: new Set(),
+  offerDeadline: undefined,
   failedConnectionCount: 0,
   endedEngineCount: 0,
   mayHaveExecuted: false,
   head: undefined,
   lastEventId: request.lastEventId ?? 0,
   wait: noWait,
-  softwareVersion: undefined,
+  softwareVersion: request.handover?.softwareVersion,
   versionDeadline: undefined,
-  copy: undefined,
+  copy: request.handover && copyOf(state, request.handover),
   failedResponse: undefined,
 });
 
@@ -117,6 +121,13 @@
   const identity = identify(routes, route, request);
   if (identity.type === "unknown")
     return refuse(refused("the key is not known"), 401, undefined);
+  const handoverRefusal = refusalOf(state, request, route);
+  if (handoverRefusal !== undefined)
+    return refuseHandover(
+      state,
+      refused("the request is not taken over"),
+      handoverRefusal,
+    );
   if (!canEndInTime(state, route))
     return refuseNotExecuted(
       state,
@@ -129,6 +140,8 @@
   return [
     ...startTrials(state, exchange),
     ...seekVersion(state, exchange),
-    ...sendFirst(state, exchange),
+    ...(request.handover === undefined
+      ? sendFirst(state, exchange)
+      : sendTakenOver(state, exchange, request.handover)),
   ];
 };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -18,6 +18,10 @@
 } from "./constants.js";
 import { failExchange } from "./endExchange.js";
 import { returnPermit, takePermit } from "./requestLimits.js";
+import { handOn } from "./handover/handOn.js";
+import { takeOverLogLine } from "./handover/takeOver.js";
+import type { Handover } from "./handover/types.js";
+import { chooseOffer, mustHandOn } from "./handover/offers.js";
 import { isRetryable } from "./isRetryable.js";
 import {
   engineQueryOf,
@@ -189,6 +193,7 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
+  if (mustHandOn(state, exchange)) return handOn(state, exchange, true);
   const lines = settleVersion(state, exchange);
   if (!state.exchanges.has(exchange.key)) return lines;
   const probes = seekIdleEngine(state, exchange);
@@ -213,6 +218,7 @@
   const view = state.replicas.get(replica);
   const isUsable =
     view !== undefined &&
+    !mustHandOn(state, exchange) &&
     isAvailable(view) &&
     hasSoftware(view.replica, exchange.softwareVersion);
   if (!isUsable) return sendWithoutCopy(state, exchange);
@@ -228,6 +234,7 @@
 ): RelayCommand[] => {
   const kept = keepFromLastReplica(state, exchange);
   if (kept !== undefined) return kept;
+  if (mustHandOn(state, exchange)) return handOn(state, exchange, true);
   const probes = queryEngines(state, exchange);
   return isEngineQueryPending(state, exchange)
     ? probes
@@ -254,6 +261,8 @@
 ): boolean => {
   if (!hasAttempt(exchange)) return false;
   if (!hasRetry(state, exchange.service, state.at)) return false;
+  if (mustHandOn(state, exchange))
+    return chooseOffer(state, exchange) !== undefined;
   return hasCandidate(state, candidateQueryOf(exchange));
 };
 
@@ -280,10 +289,15 @@
     );
   if (attempts >= route.maxAttempts)
     return failExchange(state, exchange, `${reason}; no attempt is left`);
-  if (exchange.failedConnectionCount >= maxFailedConnectionCount)
-    return awaitVersion(state, exchange);
+  const { failedConnectionCount } = exchange;
+  const hasNoConnectionLeft =
+    failedConnectionCount >= maxFailedConnectionCount &&
+    !mustHandOn(state, exchange);
+  if (hasNoConnectionLeft) return awaitVersion(state, exchange);
   // Resuming at a KV cache copy continues the same execution; only a new
   // execution counts as a retry.
+  if (copy !== undefined && mustHandOn(state, exchange))
+    return handOn(state, exchange, !isRepeat);
   if (copy !== undefined && isCopyUsable(state, copy)) {
     exchange.copy = undefined;
     return sendTo(state, exchange, copy.holder, { type: "copy", copy });
@@ -294,3 +308,15 @@
   exchange.copy = undefined;
   return placeRequest(state, exchange);
 };
+
+/** Sends a request that another router handed on; that one counted it in its retry budget, or not. */
+export const sendTakenOver = (
+  state: RelayState,
+  exchange: Exchange,
+  handover: Handover,
+): RelayCommand[] => {
+  state.handover.takenOverCount += 1;
+  const line = takeOverLogLine(exchange, handover);
+  const reason = "no attempt of the other router";
+  return [line, ...sendRetry(state, exchange, reason, !handover.isCounted)];
+};
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -24,6 +24,10 @@
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, RelayState, StreamEvent } from "./types.js";
 
+/** Software of the process that sends: another one may have come back under the replica's id. */
+const versionOf = (state: RelayState, { replica }: Attempt): string =>
+  (state.replicas.get(replica.id)?.replica ?? replica).softwareVersion;
+
 /** Handles the start of a stream; only the first replica's response head is sent to the caller. */
 export const streamStarted = (
   state: RelayState,
@@ -37,11 +41,12 @@
   recordContact(state, attempt.replica.id, event.at);
   const commands = noteRequestLimit(state, attempt.replica.id, event.head);
   if (exchange.head !== undefined) return commands;
-  exchange.head = event.head;
-  return [
-    ...commands,
-    { type: "startStream", key: event.key, head: event.head },
-  ];
+  const softwareVersion = versionOf(state, attempt);
+  const copyHolder = attempt.copyTo?.id;
+  const answeredBy = { ...attempt.replica, softwareVersion, copyHolder };
+  const head = { ...event.head, answeredBy };
+  exchange.head = head;
+  return [...commands, { type: "startStream", key: event.key, head }];
 };
 
 interface AcceptedEvents {
@@ -50,7 +55,7 @@
 }
 
 /** Selects the events that follow the last one delivered; drops duplicates. */
-const acceptEvents = (
+export const acceptEvents = (
   { lastEventId }: Exchange,
   events: readonly StreamEvent[],
 ): AcceptedEvents => {
@@ -65,10 +70,6 @@
   return { events: accepted, isGap: false };
 };
 
-/** Software of the process that sends: another one may have come back under the replica's id. */
-const versionOf = (state: RelayState, { replica }: Attempt): string =>
-  (state.replicas.get(replica.id)?.replica ?? replica).softwareVersion;
-
 /** Binds a stream to the software that sent its first event. */
 const bindVersion = (
   state: RelayState,
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -16,6 +16,9 @@
 import { settleEnd } from "./answerEnds/settleEnds.js";
 import { EndEvidence } from "./answerEnds/types.js";
 import { failExchange } from "./endExchange.js";
+import { checkHandedOn } from "./handover/handoverEvents.js";
+import { maintainOffers, mustHandOn } from "./handover/offers.js";
+import { noteLateness } from "./handover/takeOver.js";
 import { currentItems } from "./gossip/gossipReceived.js";
 import { spreadGossip } from "./gossip/spreadGossip.js";
 import { searchCulprits } from "./quarantine/searchCulprits.js";
@@ -96,6 +99,18 @@
   return abandonAndRetry(state, exchange, attempt, "the answer is overdue");
 };
 
+/** Sends a request that waits for another router once its own path is back, or ends it in time. */
+const checkOffer = (
+  state: RelayState,
+  exchange: Exchange,
+  isCounted: boolean,
+): RelayCommand[] => {
+  const { offerDeadline = 0 } = exchange;
+  const isOver = state.at >= offerDeadline || !mustHandOn(state, exchange);
+  const reason = "no replica could be reached";
+  return isOver ? sendRetry(state, exchange, reason, !isCounted) : [];
+};
+
 /** Goes on with a request if what it waits for has come, or too late. */
 const checkWait = (state: RelayState, exchange: Exchange): RelayCommand[] => {
   const { wait } = exchange;
@@ -114,6 +129,10 @@
       return state.at >= wait.at ? sendWithPermit(state, exchange, wait) : [];
     case "version":
       return state.at >= wait.retryAt ? sendWithoutCopy(state, exchange) : [];
+    case "offer":
+      return checkOffer(state, exchange, wait.isCounted);
+    case "router":
+      return checkHandedOn(state, exchange, wait.attempt);
     default:
       return assertNever(wait);
   }
@@ -167,8 +186,10 @@
 /** Excludes a stall of this process from the replicas' silence: it could not receive anything. */
 const compensateStall = (state: RelayState, lateMs: number): RelayCommand[] => {
   for (const view of state.replicas.values()) view.heardAt += lateMs;
-  for (const { attempt } of state.exchanges.values())
+  for (const { attempt, wait } of state.exchanges.values()) {
     if (attempt !== undefined) attempt.heardAt += lateMs;
+    if (wait.type === "router") wait.attempt.heardAt += lateMs;
+  }
   return [
     logLine(
       "this process stood still",
@@ -188,6 +209,7 @@
     state.lastTickAt > 0 && lateMs >= stallThresholdMs
       ? compensateStall(state, lateMs)
       : [];
+  if (state.lastTickAt > 0) noteLateness(state, lateMs);
   state.lastTickAt = at;
   commands.push(
     ...removeMissingReplicas(state),
@@ -195,6 +217,7 @@
     ...maintainRegistration(state),
     ...shareOutcomes(state),
     ...maintainPaths(state),
+    ...maintainOffers(state),
     ...settleRefusedReplicas(state),
     ...searchCulprits(state),
     ...maintainQuarantines(state),
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -11,6 +11,11 @@
 } from "../types.js";
 import type { EndEvidence, UnconfirmedEnd } from "./answerEnds/types.js";
 import type { GossipState } from "./gossip/types.js";
+import type {
+  HandoverAttempt,
+  HandoverRefusal,
+  HandoverState,
+} from "./handover/types.js";
 import type { Path } from "./paths/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
@@ -152,6 +157,27 @@
   readonly isNotExecuted: boolean;
   /** Requests a second that the replica takes from all routers; undefined if it names no limit. */
   readonly requestLimitPerS: number | undefined;
+  /** The process that answers; undefined if another router refused the request. */
+  readonly answeredBy: AnsweringReplica | undefined;
+  /** What another router says of a request that was handed on to it; undefined in a replica's own answer. */
+  readonly handedBack: HandedBack | undefined;
+}
+
+/** A replica's process that answers. */
+export interface AnsweringReplica extends Pick<
+  Replica,
+  "id" | "startedAt" | "softwareVersion"
+> {
+  /** Id of the engine that keeps a KV cache copy from the start of the run. */
+  readonly copyHolder?: string | undefined;
+}
+
+/** What another router says of a request that it does not serve. */
+export interface HandedBack {
+  /** Why it did not take the request over; undefined if it did. */
+  readonly refusal: HandoverRefusal | undefined;
+  /** Time after which it may be asked again. */
+  readonly retryAfterMs: number | undefined;
 }
 
 /** One server-sent event, byte for byte as the replica sent it. */
@@ -186,6 +212,12 @@
   /** Number of the next attempt; also counts attempts that did not connect. */
   nextNumber: number;
   readonly triedIds: Set<string>;
+  /** Number of times that the request was handed on. */
+  handoverCount: number;
+  /** Addresses of routers that lost the request. */
+  readonly triedRouters: Set<string>;
+  /** The request ends if no router takes it until then; undefined before it waited for one. */
+  offerDeadline: Timestamp | undefined;
   /** Number of attempts whose connection was not established. */
   failedConnectionCount: number;
   /** Number of engines that ended while this request was about to be answered. */
@@ -229,7 +261,11 @@
   /** Its permit at a replica that limits requests. */
   | (ReservedPermit & { readonly type: "permit" })
   /** A replica of the software at which the stream began; it looks again then. */
-  | { readonly type: "version"; readonly retryAt: Timestamp };
+  | { readonly type: "version"; readonly retryAt: Timestamp }
+  /** A router that takes it over. */
+  | { readonly type: "offer"; readonly isCounted: boolean }
+  /** The answer of the router that took it over. */
+  | { readonly type: "router"; readonly attempt: HandoverAttempt };
 
 /** The wait of a request that waits for nothing. */
 export const noWait: Wait = { type: "none" };
@@ -312,12 +348,14 @@
   readonly lease: string;
   /** Undefined if the entry has no address. */
   readonly address: Address | undefined;
+  /** Undefined if the entry names no availability zone. */
+  readonly zone: string | undefined;
 }
 
 /** The routers that share the fleet-wide retry budget, and this router's own entry. */
 export interface Registration {
-  /** Registered routers and the addresses at which they receive lending messages. */
-  routers: ReadonlyMap<string, Address | undefined>;
+  /** Registered routers, by name. */
+  routers: ReadonlyMap<string, RouterEntry>;
   /** Lease of this router's entry; undefined if it has no entry. */
   lease: string | undefined;
   /** Time at which this router's entry is next written or renewed. */
@@ -352,6 +390,7 @@
   readonly replicas: Map<string, ReplicaView>;
   /** Paths to the replicas, by service. */
   readonly paths: Map<string, Path>;
+  readonly handover: HandoverState;
   /**
    * Replicas whose entries disappeared around a store outage, and the time
    * until which each is kept.
--- a/packages/relay/src/decisions/versions/streamOrigins.ts
+++ b/packages/relay/src/decisions/versions/streamOrigins.ts
@@ -58,7 +58,7 @@
   return rendezvousOrder(key, routers)
     .slice(0, streamKeeperCount)
     .filter((name) => name !== router)
-    .map((name) => registration.routers.get(name))
+    .map((name) => registration.routers.get(name)?.address)
     .filter((one) => one !== undefined);
 };
 
--- a/packages/relay/src/decisions/versions/takeUps.ts
+++ b/packages/relay/src/decisions/versions/takeUps.ts
@@ -29,7 +29,7 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  if (!isTakeUp(exchange)) return [];
+  if (!isTakeUp(exchange) || exchange.softwareVersion !== undefined) return [];
   const { service } = exchange;
   exchange.softwareVersion = versionKnownHere(state, exchange);
   if (exchange.softwareVersion !== undefined) return [];
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -1,4 +1,4 @@
-/** HTTP server for callers: reads requests and writes responses. */
+/** HTTP server for callers, or for routers that hand requests on: reads requests and writes responses. */
 
 import {
   createServer,
@@ -8,6 +8,8 @@
 import { createChannel, now } from "@cardamomglade/common";
 import { Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
+import { maxTakenOverCount } from "../decisions/handover/constants.js";
+import { HandoverRefusal } from "../decisions/handover/types.js";
 import { isBodiless } from "../decisions/answerEnds/isBodiless.js";
 import type { RelayEvent } from "../decisions/events.js";
 import {
@@ -15,22 +17,40 @@
   type ResponseHead,
   type BufferedResponse,
 } from "../decisions/types.js";
-import { Counter, Latency, type RelayMetrics } from "../metrics.js";
+import {
+  Counter,
+  createRelayMetrics,
+  Latency,
+  type RelayMetrics,
+} from "../metrics.js";
 import {
   defaultLimits,
+  serviceUnavailableStatus,
   type ReplicaProtocol,
   type RequestLimits,
   type Address,
 } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
+import {
+  encodeAnswerOrigin,
+  handoverHeaders,
+} from "./handover/handoverHeaders.js";
 import { OpenConnections } from "./openConnections.js";
 import { readRequest, rewrittenHeaders } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
 import type { RelayDriver } from "./types.js";
 
-/** Options of the server for callers. */
+/** Who sends requests to a server. */
+export enum Sender {
+  Callers = "callers",
+  /** Routers, which hand on what their callers sent. */
+  Routers = "routers",
+}
+
+/** Options of the server. */
 export interface FrontOptions {
   readonly listen: Address;
+  readonly sender: Sender;
   readonly protocol: ReplicaProtocol;
   readonly metrics: RelayMetrics;
   readonly log: Log<DecisionContext>;
@@ -67,9 +87,25 @@
   res.shouldKeepAlive = false;
 };
 
-/** Creates the server for callers. */
+/** A request that a relay refuses with one of these may have been executed. */
+const unknownOutcomeStatuses: ReadonlySet<number> = new Set([502, 504]);
+
+/** Headers with which another router learns that its request was not executed here, and why. */
+const refusalHeaders = (
+  { headers: { notExecuted } }: ReplicaProtocol,
+  status: number,
+  refusal: HandoverRefusal | undefined,
+): Readonly<Record<string, string>> => ({
+  ...(!unknownOutcomeStatuses.has(status) && { [notExecuted]: "1" }),
+  ...(refusal !== undefined && { [handoverHeaders.refusal]: refusal }),
+});
+
+/** Creates the server. */
 export const createFrontDriver = (options: FrontOptions): FrontDriver => {
-  const { protocol, metrics, log } = options;
+  const { protocol, log, sender } = options;
+  const isFromRouters = sender === Sender.Routers;
+  // What a router hands on is counted there.
+  const metrics = isFromRouters ? createRelayMetrics() : options.metrics;
   const channel = createChannel<RelayEvent>();
   const pendingResponses = new Map<string, PendingResponse>();
   const dropped = rewrittenHeaders(protocol.headers);
@@ -100,12 +136,14 @@
     status: number,
     reason: string,
     retryAfterMs?: number,
+    refusal?: HandoverRefusal,
   ) => {
     const body = JSON.stringify({ error: reason });
     if (isDraining) res.setHeader("connection", "close");
     if (retryAfterMs !== undefined)
       res.setHeader("retry-after", (retryAfterMs / 1000).toFixed(3));
     res.writeHead(status, {
+      ...(isFromRouters && refusalHeaders(protocol, status, refusal)),
       "content-type": "application/json",
       "content-length": Buffer.byteLength(body),
     });
@@ -122,11 +160,16 @@
   };
   refuseMalformed(server, recordRefusal);
 
-  const rejectUnread = (res: ServerResponse, status: number, why: string) => {
+  const rejectUnread = (
+    res: ServerResponse,
+    status: number,
+    why: string,
+    refusal?: HandoverRefusal,
+  ) => {
     const id = res.req.headers[protocol.headers.requestId];
     recordRefusal(status, why, typeof id === "string" ? id : undefined);
     res.setHeader("connection", "close");
-    writeRefusal(res, status, why);
+    writeRefusal(res, status, why, undefined, refusal);
   };
 
   const accept = (res: ServerResponse, key: string, arrivedAt: number) => {
@@ -141,11 +184,21 @@
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
     connections.add(res);
-    const read = await readRequest(req, { protocol, limits, dropped });
+    if (isFromRouters && connections.requestCount() > maxTakenOverCount) {
+      const why = "too many requests of other routers";
+      rejectUnread(res, serviceUnavailableStatus, why, HandoverRefusal.NoRoom);
+      return;
+    }
+    const read = await readRequest(req, {
+      protocol,
+      limits,
+      dropped,
+      isFromRouters,
+    });
     switch (read.type) {
       case "complete": {
         lastKey += 1;
-        const key = String(lastKey);
+        const key = `${sender}-${String(lastKey)}`;
         const { request } = read;
         accept(res, key, request.arrivedAt);
         channel.push({ type: "requestArrived", at: now(), key, request });
@@ -159,11 +212,20 @@
         return;
       case "aborted":
         return;
+      case "malformed":
+        rejectUnread(res, 400, "the request is not one that a router hands on");
+        return;
     }
   };
   server.on("request", (req: IncomingMessage, res: ServerResponse) => {
     void serve(req, res);
   });
+  if (isFromRouters)
+    server.on("error", (error) => {
+      log(Severity.Warn, "other routers cannot hand requests on", {
+        reason: error.message,
+      });
+    });
   server.listen(options.listen.port, options.listen.host);
 
   const takePending = (key: string): PendingResponse | undefined => {
@@ -179,6 +241,8 @@
   ) => {
     const headers = forwardableHeaders(head.headers, framingHeaders);
     if (length !== undefined) headers.push("content-length", String(length));
+    const origin = isFromRouters ? encodeAnswerOrigin(head) : undefined;
+    if (origin !== undefined) headers.push(handoverHeaders.answer, origin);
     if (isDraining) headers.push("connection", "close");
     res.writeHead(head.status, headers);
   };
@@ -190,7 +254,8 @@
     metrics.observe(Latency.Answer, now() - found.arrivedAt);
     const { res } = found;
     const hasBody = !isBodiless(res.req.method ?? "", head.status);
-    const isFramed = head.framing !== BodyFraming.Connection;
+    // Another router gets the length, and the framing in a header of its own.
+    const isFramed = isFromRouters || head.framing !== BodyFraming.Connection;
     if (hasBody && !isFramed) endWithConnection(res);
     const isSized = hasBody && isFramed;
     writeHead(res, head, isSized ? body.length : undefined);
@@ -228,20 +293,24 @@
         return;
       case "finishStream": {
         const found = takePending(command.key);
+        if (found === undefined) return;
         metrics.count(Counter.Answers);
-        found?.res.end();
+        found.res.end();
         return;
       }
-      case "abortStream":
+      case "abortStream": {
+        const found = takePending(command.key);
+        if (found === undefined) return;
         metrics.count(Counter.StreamsAborted);
-        takePending(command.key)?.res.destroy();
+        found.res.destroy();
         return;
+      }
       case "refuse": {
         const found = takePending(command.key);
         if (found === undefined) return;
-        const { status, reason, retryAfterMs } = command;
+        const { status, reason, retryAfterMs, handoverRefusal } = command;
         metrics.count(Counter.Refusals);
-        writeRefusal(found.res, status, reason, retryAfterMs);
+        writeRefusal(found.res, status, reason, retryAfterMs, handoverRefusal);
         return;
       }
       case "beginDrain":
--- a/packages/relay/src/drivers/peerDriver.ts
+++ b/packages/relay/src/drivers/peerDriver.ts
@@ -11,6 +11,8 @@
 import {
   decodePeerMessage,
   encodeGossip,
+  encodeHandoverOffer,
+  encodeHandoverQuestion,
   encodeLendingMessage,
   encodeOriginQuestion,
   encodeOrigins,
@@ -28,6 +30,12 @@
       return { type: "originAsked", at, from, key: message.key };
     case "origins":
       return { type: "originsTold", at, from, origins: message.origins };
+    case "askHandover":
+      return { type: "handoverAsked", at, from, services: message.services };
+    case "offerHandover": {
+      const { services, freePlaces } = message;
+      return { type: "handoverOffered", at, from, services, freePlaces };
+    }
     case "ask":
       return { type: "retryRequested", at, from, service: message.service };
     case "lend":
@@ -67,6 +75,14 @@
           send(to, encodeLendingMessage({ type, service }));
           return;
         }
+        case "askHandover":
+          send(command.to, encodeHandoverQuestion(command.services));
+          return;
+        case "offerHandover": {
+          const { to, services, freePlaces } = command;
+          send(to, encodeHandoverOffer(services, freePlaces));
+          return;
+        }
         case "askOrigin":
           send(command.to, encodeOriginQuestion(command.key));
           return;
--- a/packages/relay/src/drivers/peerMessages.ts
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -11,13 +11,20 @@
   | { readonly type: "ask" | "lend"; readonly service: string }
   | { readonly type: "gossip"; readonly items: readonly GossipItem[] }
   | { readonly type: "askOrigin"; readonly key: string }
+  | { readonly type: "askHandover"; readonly services: readonly string[] }
+  | {
+      readonly type: "offerHandover";
+      readonly services: readonly string[];
+      readonly freePlaces: number;
+    }
   | { readonly type: "origins"; readonly origins: readonly StreamOrigin[] };
 
 const maxNameLength = 200; // maximum length of a key in the store
 const maxItemCount = 100; // of the shortest items, a datagram holds fewer
 const maxDatagramBytes = 1200; // fits one packet on every usual link
 
-const isName = (value: unknown): value is string =>
+/** Whether a value is a name of limited length. */
+export const isName = (value: unknown): value is string =>
   typeof value === "string" && value.length <= maxNameLength;
 
 const isBlockList = (value: unknown): value is string[] =>
@@ -26,7 +33,8 @@
   value.length <= maxRemembered.blocksPerSuspect &&
   value.every(isName);
 
-const isAmount = (value: unknown): value is number =>
+/** Whether a value is a finite number from 0 on. */
+export const isAmount = (value: unknown): value is number =>
   typeof value === "number" && Number.isFinite(value) && value >= 0;
 
 // Clocks of hosts differ, so times are sent as ages.
@@ -124,6 +132,17 @@
   return { type: "origins", origins };
 };
 
+const isNameList = (value: unknown): value is string[] =>
+  Array.isArray(value) && value.length <= maxItemCount && value.every(isName);
+
+const decodeOffer = (content: unknown): PeerMessage | undefined => {
+  if (!Array.isArray(content)) return undefined;
+  const [services, freePlaces] = content as readonly unknown[];
+  return isNameList(services) && isAmount(freePlaces)
+    ? { type: "offerHandover", services, freePlaces }
+    : undefined;
+};
+
 /** Decodes a datagram; undefined if any part is malformed. */
 export const decodePeerMessage = (
   bytes: Uint8Array,
@@ -142,6 +161,9 @@
   if (type === "askOrigin")
     return isName(content) ? { type, key: content } : undefined;
   if (type === "origins") return decodeOrigins(content);
+  if (type === "askHandover")
+    return isNameList(content) ? { type, services: content } : undefined;
+  if (type === "offerHandover") return decodeOffer(content);
   if (type !== "gossip" || !Array.isArray(content)) return undefined;
   if (content.length > maxItemCount) return undefined;
   const items = content
@@ -157,6 +179,18 @@
 }: Extract<PeerMessage, { readonly service: string }>): Uint8Array =>
   pack([type, service]);
 
+/** Encodes a question for offers to take requests over. */
+export const encodeHandoverQuestion = (
+  services: readonly string[],
+): Uint8Array => pack(["askHandover", services.slice(0, maxItemCount)]);
+
+/** Encodes an offer to take requests over. */
+export const encodeHandoverOffer = (
+  services: readonly string[],
+  freePlaces: number,
+): Uint8Array =>
+  pack(["offerHandover", [services.slice(0, maxItemCount), freePlaces]]);
+
 /** Splits encoded entries into as few datagrams as they fit. */
 const packAll = (
   type: "gossip" | "origins",
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -8,7 +8,9 @@
   ReplicaProtocol,
   RequestLimits,
 } from "../types.js";
+import type { Handover } from "../decisions/handover/types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
+import { decodeHandover, handoverHeaders } from "./handover/handoverHeaders.js";
 import { RequestFingerprint, type RequestHead } from "./requestFingerprint.js";
 
 /** The request, or why it could not be read. */
@@ -16,7 +18,9 @@
   | { readonly type: "complete"; readonly request: CallerRequest }
   | { readonly type: "tooLarge" }
   | { readonly type: "tooSlow" }
-  | { readonly type: "aborted" };
+  | { readonly type: "aborted" }
+  /** A router did not tell what it has to. */
+  | { readonly type: "malformed" };
 
 const bearer = /^Bearer +(\S+)\s*$/i;
 
@@ -40,6 +44,7 @@
     ...names.reserved,
     names.timeBudgetMs,
     names.lastEventId,
+    ...Object.values(handoverHeaders),
     "authorization",
     "content-length",
   ]);
@@ -50,6 +55,8 @@
   readonly limits: RequestLimits;
   /** Headers to remove, in lower case. */
   readonly dropped: ReadonlySet<string>;
+  /** Whether routers send the requests, with what they tell of them. */
+  readonly isFromRouters: boolean;
 }
 
 const headOf = (req: IncomingMessage): RequestHead => ({
@@ -59,12 +66,21 @@
   key: keyOf(req),
 });
 
+/** What the router that hands the request on tells; undefined if it is malformed. */
+const handoverOf = (req: IncomingMessage): Handover | undefined =>
+  decodeHandover(
+    headerOf(req, handoverHeaders.request) ?? "",
+    req.socket.remoteAddress ?? "",
+    now(),
+  );
+
 const toCallerRequest = (
   req: IncomingMessage,
   { protocol, dropped }: ReadOptions,
   arrivedAt: Timestamp,
   body: Buffer,
   fingerprint: string,
+  handover: Handover | undefined,
 ): CallerRequest => {
   const { headers: names, decodePromptBlockIds } = protocol;
   const promptBlockIds = decodePromptBlockIds(
@@ -86,6 +102,7 @@
     resumes: headerOf(req, names.resumes),
     sharedPromptBlockIds: promptBlockIds.slice(0, -1),
     lastPromptBlockId: promptBlockIds.at(-1),
+    handover,
   };
 };
 
@@ -116,6 +133,11 @@
         fingerprint.add(chunk);
       }
     });
+    const handover = options.isFromRouters ? handoverOf(req) : undefined;
+    if (options.isFromRouters && handover === undefined) {
+      finish({ type: "malformed" });
+      return;
+    }
     req.on("end", () => {
       const request = toCallerRequest(
         req,
@@ -123,6 +145,7 @@
         arrivedAt,
         Buffer.concat(chunks),
         fingerprint.digest(),
+        handover,
       );
       finish({ type: "complete", request });
     });
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -1,4 +1,4 @@
-/** One request to one replica, on its own connection. */
+/** One request to one replica, or to a router that takes it over, on its own connection. */
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import { now } from "@cardamomglade/common";
@@ -6,6 +6,8 @@
 import {
   AttemptFailure,
   BodyFraming,
+  type AnsweringReplica,
+  type HandedBack,
   type ResponseHead,
   type StreamEvent,
   type BufferedResponse,
@@ -14,16 +16,25 @@
   misdirectedRequestStatus,
   type ReplicaProtocol,
   formatAddress,
+  type Address,
 } from "../types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
+import {
+  decodeAnswerOrigin,
+  decodeRefusal,
+  encodeHandover,
+  handoverHeaders,
+  type AnswerOrigin,
+} from "./handover/handoverHeaders.js";
 
 type SendCommand = Extract<RelayCommand, { readonly type: "send" }>;
+type HandOnCommand = Extract<RelayCommand, { readonly type: "handOn" }>;
 
 /** Events of a call; no event follows a response, the end of a stream or a failure. */
 export type CallEvent =
   | { readonly type: "connectionOpened" }
-  | { readonly type: "leavingAnnounced" }
+  | { readonly type: "leavingAnnounced"; readonly replica: AnsweringReplica }
   | { readonly type: "responseReceived"; readonly answer: BufferedResponse }
   | { readonly type: "streamStarted"; readonly head: ResponseHead }
   | { readonly type: "eventsArrived"; readonly events: readonly StreamEvent[] }
@@ -43,7 +54,10 @@
 const minFinalStatus = 200;
 const maxStatus = 599;
 
-const noDroppedHeaders: ReadonlySet<string> = new Set();
+const msPerSecond = 1000;
+const droppedHeaders: ReadonlySet<string> = new Set(
+  Object.values(handoverHeaders),
+);
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
 const lowestPriority = 9;
@@ -51,25 +65,33 @@
 const priorityHeaderOf = (priority: number): string =>
   String(Math.min(lowestPriority, Math.max(0, Math.round(priority))));
 
-/** Headers that the relay adds to the caller's headers. */
-const addedHeaders = (
-  { headers: names, formatCopyName }: ReplicaProtocol,
-  command: SendCommand,
+/** Headers that the relay adds to each request that it forwards. */
+const forwardingHeaders = (
+  { headers: names }: ReplicaProtocol,
+  {
+    request: callerRequest,
+    deadline,
+    lastEventId,
+  }: SendCommand | HandOnCommand,
 ): string[] => {
-  const { attempt, customer, priority, deadline, lastEventId } = command;
-  const callerRequest = command.request;
   const remainingMs = Math.max(1, Math.floor(deadline - now()));
-  const added = [
-    names.expectedReplica,
-    attempt.replica.id,
-    names.timeBudgetMs,
-    String(remainingMs),
-  ];
+  const added = [names.timeBudgetMs, String(remainingMs)];
+  if (lastEventId !== undefined)
+    added.push(names.lastEventId, String(lastEventId));
+  if (callerRequest.body.length > 0 || callerRequest.hasBody)
+    added.push("content-length", String(callerRequest.body.length));
+  return added;
+};
+
+/** Headers that the relay adds to a request for a replica. */
+const replicaHeaders = (
+  { headers: names, formatCopyName }: ReplicaProtocol,
+  { attempt, customer, priority }: SendCommand,
+): string[] => {
+  const added = [names.expectedReplica, attempt.replica.id];
   if (customer !== undefined) added.push(names.customer, customer);
   if (priority !== undefined)
     added.push(names.priority, priorityHeaderOf(priority));
-  if (lastEventId !== undefined)
-    added.push(names.lastEventId, String(lastEventId));
   const { copyTo, start } = attempt;
   if (copyTo !== undefined) added.push(names.copyTo, formatAddress(copyTo));
   if (start.type === "copy")
@@ -77,11 +99,32 @@
       names.continueFrom,
       formatCopyName(start.copy.source, start.copy.handle),
     );
-  if (callerRequest.body.length > 0 || callerRequest.hasBody)
-    added.push("content-length", String(callerRequest.body.length));
   return added;
 };
 
+/** Headers that the relay adds to a request for another router, which finds customer and replica itself. */
+const routerHeaders = ({
+  request: { key },
+  handover,
+}: HandOnCommand): string[] => [
+  handoverHeaders.request,
+  encodeHandover(handover, now()),
+  ...(key === undefined ? [] : ["authorization", `Bearer ${key}`]),
+];
+
+const addressOf = (command: SendCommand | HandOnCommand): Address =>
+  command.type === "send" ? command.attempt.replica : command.to;
+
+const addedHeaders = (
+  protocol: ReplicaProtocol,
+  command: SendCommand | HandOnCommand,
+): string[] => [
+  ...forwardingHeaders(protocol, command),
+  ...(command.type === "send"
+    ? replicaHeaders(protocol, command)
+    : routerHeaders(command)),
+];
+
 /** Transfer codings of a response, in the order in which they were applied. */
 const transferCodingsOf = ({ headers }: IncomingMessage): readonly string[] =>
   (headers["transfer-encoding"] ?? "")
@@ -128,13 +171,14 @@
 
   private constructor(
     private readonly protocol: ReplicaProtocol,
-    private readonly command: SendCommand,
+    private readonly command: SendCommand | HandOnCommand,
     private readonly onEvent: (event: CallEvent) => void,
   ) {
-    const { attempt, request: callerRequest } = command;
+    const { request: callerRequest } = command;
+    const { host, port } = addressOf(command);
     this.req = request({
-      host: attempt.replica.host,
-      port: attempt.replica.port,
+      host,
+      port,
       method: callerRequest.method,
       path: callerRequest.target,
       headers: [...callerRequest.headers, ...addedHeaders(protocol, command)],
@@ -173,7 +217,7 @@
   /** Sends the request; undefined, and reported as not sent, if the replica's address or id is invalid. */
   static create(
     protocol: ReplicaProtocol,
-    command: SendCommand,
+    command: SendCommand | HandOnCommand,
     onEvent: (event: CallEvent) => void,
   ): ReplicaCall | undefined {
     try {
@@ -227,19 +271,49 @@
     const { headers: names } = this.protocol;
     const status = res.statusCode ?? 0;
     const seal = res.headers[names.seal];
+    const origin = this.originOf(res);
     return {
       status,
-      headers: forwardableHeaders(res.rawHeaders, noDroppedHeaders),
+      headers: forwardableHeaders(res.rawHeaders, droppedHeaders),
       seal: typeof seal === "string" ? seal : undefined,
       isStream: status === 200 && this.hasEvents(res),
-      framing: framingOf(res),
+      framing: origin.framing,
       isNotExecuted:
         res.headers[names.notExecuted] !== undefined ||
         status === misdirectedRequestStatus,
       requestLimitPerS: decodeLimit(res.headers[names.requestLimit]),
+      answeredBy: origin.answeredBy,
+      handedBack: this.handedBackOf(res),
     };
   }
 
+  /** Whose answer it is, and how its end is found: another router says so of one that it hands back. */
+  private originOf(
+    res: IncomingMessage,
+  ): Partial<AnswerOrigin> & Pick<AnswerOrigin, "framing"> {
+    const framing = framingOf(res);
+    if (this.command.type === "send")
+      return { answeredBy: this.command.attempt.replica, framing };
+    const header = res.headers[handoverHeaders.answer];
+    const origin =
+      typeof header === "string" ? decodeAnswerOrigin(header) : undefined;
+    return origin ?? { framing };
+  }
+
+  /** What another router says of a request that it does not serve. */
+  private handedBackOf(res: IncomingMessage): HandedBack | undefined {
+    if (this.command.type === "send") return undefined;
+    const header = res.headers[handoverHeaders.refusal];
+    const refusal = decodeRefusal(
+      typeof header === "string" ? header : undefined,
+    );
+    const seconds = Number(res.headers["retry-after"] ?? NaN);
+    const retryAfterMs = Number.isFinite(seconds)
+      ? Math.max(0, seconds * msPerSecond)
+      : undefined;
+    return { refusal, retryAfterMs };
+  }
+
   /** Why the response head is invalid for this request, or undefined if it is valid. */
   private validationErrorOf(
     res: IncomingMessage,
@@ -262,9 +336,13 @@
   }
 
   private read(res: IncomingMessage): void {
-    if (res.headers[this.protocol.headers.leaving] !== undefined)
-      this.report({ type: "leavingAnnounced" });
     const head = this.headOf(res);
+    const { answeredBy } = head;
+    if (
+      res.headers[this.protocol.headers.leaving] !== undefined &&
+      answeredBy !== undefined
+    )
+      this.report({ type: "leavingAnnounced", replica: answeredBy });
     const validationError = this.validationErrorOf(res, head);
     if (validationError !== undefined) {
       this.fail(AttemptFailure.Malformed, validationError);
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -32,26 +32,34 @@
   const channel = createChannel<RelayEvent>();
   const calls = new Map<string, ReplicaCall>();
 
-  const onLeaving = (replica: Replica) => {
+  const onLeaving = (replica: Pick<Replica, "id" | "startedAt">) => {
     channel.push({ type: "leavingAnnounced", at: now(), replica });
   };
 
-  const send = (command: Extract<RelayCommand, { type: "send" }>) => {
-    const { key, attempt } = command;
-    const name = callKey(key, attempt.number);
-    metrics.count(Counter.Attempts);
-    if (attempt.start.type === "copy") metrics.count(Counter.Copies);
+  const start = (
+    command: Extract<RelayCommand, { type: "send" | "handOn" }>,
+    attempt: number,
+  ) => {
+    const { key } = command;
+    const name = callKey(key, attempt);
     const call = ReplicaCall.create(protocol, command, (callEvent) => {
       if (callEvent.type === "leavingAnnounced") {
-        onLeaving(attempt.replica);
+        onLeaving(callEvent.replica);
         return;
       }
       if (isLastEvent(callEvent)) calls.delete(name);
-      channel.push({ ...callEvent, at: now(), key, attempt: attempt.number });
+      channel.push({ ...callEvent, at: now(), key, attempt });
     });
     if (call !== undefined) calls.set(name, call);
   };
 
+  const send = (command: Extract<RelayCommand, { type: "send" }>) => {
+    const { attempt } = command;
+    metrics.count(Counter.Attempts);
+    if (attempt.start.type === "copy") metrics.count(Counter.Copies);
+    start(command, attempt.number);
+  };
+
   const abandon = (key: string, attempt: number) => {
     const name = callKey(key, attempt);
     calls.get(name)?.abandon();
@@ -122,6 +130,9 @@
         case "send":
           send(command);
           return;
+        case "handOn":
+          start(command, command.attempt);
+          return;
         case "abandon":
           abandon(command.key, command.attempt);
           return;
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -5,7 +5,7 @@
 import { tickIntervalMs } from "../decisions/constants.js";
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
 import type { RelayEvent } from "../decisions/events.js";
-import type { RelayState } from "../decisions/types.js";
+import { AttemptFailure, type RelayState } from "../decisions/types.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 import type { StoredQuarantine } from "../decisions/quarantine/types.js";
 import type { StoredVersions } from "../decisions/versions/types.js";
@@ -18,6 +18,7 @@
   testRequest,
 } from "./scenario.js";
 import { CutPaths, type PathCut } from "./cutPaths.js";
+import { HandoverLinks } from "./handoverLinks.js";
 import { DeliveredStreams } from "./deliveredStreams.js";
 import {
   SimulatedReplicas,
@@ -72,6 +73,14 @@
   private nextKey = 0;
 
   private readonly paths = CutPaths.create(this.clock);
+  private readonly handovers = HandoverLinks.create(
+    this.clock,
+    (router, event) => {
+      this.dispatch(router, event);
+    },
+  );
+  /** Number of requests that routers handed on. */
+  handedOnCount = 0;
 
   readonly replicas: SimulatedReplicas;
 
@@ -221,12 +230,14 @@
       router: name,
       lease: name,
       address: routerAddress(name),
+      zone: this.states.get(name)?.zone,
     }));
     this.dispatch(router, { type: "replicasRead", at, replicas });
     this.dispatch(router, { type: "routersRead", at, entries });
   }
 
   private perform(router: string, command: RelayCommand): void {
+    if (this.handovers.handBack(command)) return;
     switch (command.type) {
       case "send":
         this.sent.push(command);
@@ -234,6 +245,32 @@
         return;
       case "abandon":
         this.replicas.abandon(`${command.key}/${String(command.attempt)}`);
+        this.handovers.abandon(router, command.key, command.attempt);
+        return;
+      case "handOn":
+        this.handedOnCount += 1;
+        this.handovers.handOn(
+          router,
+          this.routerAt(command.to.port - 1),
+          command,
+        );
+        return;
+      case "askHandover":
+        this.sendToRouter(router, command.to, (from, at) => ({
+          type: "handoverAsked",
+          at,
+          from,
+          services: command.services,
+        }));
+        return;
+      case "offerHandover":
+        this.sendToRouter(router, command.to, (from, at) => ({
+          type: "handoverOffered",
+          at,
+          from,
+          services: command.services,
+          freePlaces: command.freePlaces,
+        }));
         return;
       case "abandonUnconnected":
         this.abandonUnconnected(router, command);
@@ -312,7 +349,7 @@
     const { attempt, key } = command;
     const { service } = attempt.replica;
     const fail = () => {
-      this.replicas.failToConnect(router, command);
+      this.failToConnect(router, command);
     };
     if (this.paths.failConnection(router, service, connectTimeoutMs, fail))
       return;
@@ -324,6 +361,19 @@
     });
   }
 
+  /** Reports that no connection to an attempt's replica was established. */
+  private failToConnect(router: string, command: CommandOf<"send">): void {
+    if (!this.replicas.giveUp(command)) return;
+    this.dispatch(router, {
+      type: "attemptFailed",
+      at: this.at,
+      key: command.key,
+      attempt: command.attempt.number,
+      failure: AttemptFailure.NotSent,
+      detail: "",
+    });
+  }
+
   private abandonUnconnected(
     router: string,
     { key, attempt }: CommandOf<"abandonUnconnected">,
@@ -333,7 +383,7 @@
     );
     if (send === undefined) return;
     this.later(0, () => {
-      this.replicas.failToConnect(router, send);
+      this.failToConnect(router, send);
     });
   }
 
@@ -430,15 +480,19 @@
     }));
   }
 
+  private routerAt(port: number): string | undefined {
+    return [...this.states.keys()].find(
+      (name) => routerAddress(name).port === port,
+    );
+  }
+
   /** Sends a message from one router to another. */
   private sendToRouter(
     from: string,
     to: Address,
     eventOf: (from: Address, at: Timestamp) => RelayEvent,
   ): void {
-    const router = [...this.states.keys()].find(
-      (name) => routerAddress(name).port === to.port,
-    );
+    const router = this.routerAt(to.port);
     if (router === undefined || this.isCut(from, router)) return;
     this.later(1, () => {
       this.dispatch(router, eventOf(routerAddress(from), this.at));
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -122,6 +122,7 @@
   resumes: undefined,
   sharedPromptBlockIds: [],
   lastPromptBlockId: undefined,
+  handover: undefined,
 });
 
 /** Address of a router; the number in its name is the port. */
@@ -139,6 +140,8 @@
   framing: BodyFraming.Length,
   isNotExecuted: false,
   requestLimitPerS: undefined,
+  answeredBy: undefined,
+  handedBack: undefined,
   ...changes,
 });
 
@@ -255,6 +258,7 @@
       router,
       lease: `l-${router}`,
       address: routerAddress(router),
+      zone: undefined,
     }));
     return this.dispatch({ type: "routersRead", at: this.at, entries });
   }
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -125,12 +125,12 @@
     return this.find(replica) !== undefined;
   }
 
-  /** Reports that no connection to a replica was established. */
-  failToConnect(router: string, command: SendCommand): void {
-    const name = `${command.key}/${String(command.attempt.number)}`;
-    if (this.abandoned.has(name)) return;
+  /** Gives up an attempt that has no connection; returns whether it was under way. */
+  giveUp({ key, attempt }: SendCommand): boolean {
+    const name = `${key}/${String(attempt.number)}`;
+    if (this.abandoned.has(name)) return false;
     this.abandoned.add(name);
-    this.report(router, command, AttemptFailure.NotSent);
+    return true;
   }
 
   /** Resets a router's connections to the replicas of a service, or to all. */
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -1,6 +1,7 @@
 /** Types for the relay's inputs: configuration, replicas and caller requests. */
 
 import type { Timestamp } from "@cardamomglade/common";
+import type { Handover } from "./decisions/handover/types.js";
 
 /** Whether and how a request may be sent again after it may have been executed. */
 export enum RequestKind {
@@ -223,4 +224,6 @@
   readonly sharedPromptBlockIds: readonly string[];
   /** Id of the last prompt block, which no other request shares. */
   readonly lastPromptBlockId: string | undefined;
+  /** What the router told that handed the request on; undefined if a caller sent it here. */
+  readonly handover: Handover | undefined;
 }
