Keep a stream's copy when its holder could not be connected to, and test handing on

A stream at a router that was cut in its middle was resumed elsewhere from its prompt: the attempt at the copy could not be connected to before the path was known to be lost, and the copy was forgotten with it. What an attempt did not reach is left as it was.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -27,6 +27,7 @@
   AttemptFailure,
   type Attempt,
   type Exchange,
+  type KvCacheCopy,
   type RelayState,
   type BufferedResponse,
 } from "./types.js";
@@ -82,6 +83,20 @@
   });
 };
 
+/**
+ * The copy at which a request can resume after an attempt. One is usable only after the
+ * first event; one that an attempt did not reach is left as it was.
+ */
+const copyLeftBy = ({
+  hasEvents,
+  copy,
+  start,
+  isConnected,
+}: Attempt): KvCacheCopy | undefined => {
+  if (hasEvents) return copy;
+  return start.type === "copy" && !isConnected ? start.copy : undefined;
+};
+
 /** Closes a lost attempt and retries the request at another replica; the retry takes one of the budget if it is a repeat. */
 export const handleLostAttempt = (
   state: RelayState,
@@ -90,8 +105,7 @@
   reason: string,
   isRepeat = true,
 ): RelayCommand[] => {
-  // A KV cache copy is usable only after the first event; prefill work done before is lost.
-  exchange.copy = attempt.hasEvents ? attempt.copy : undefined;
+  exchange.copy = copyLeftBy(attempt);
   const line = lossLogLine(state, exchange, attempt, reason);
   closeAttempt(state, exchange);
   return [line, ...sendRetry(state, exchange, reason, isRepeat)];
--- a/packages/relay/src/testing/firstTries.ts
+++ b/packages/relay/src/testing/firstTries.ts
@@ -4,10 +4,12 @@
 import type { Fleet } from "./fleet.js";
 import { idempotentPath, nonIdempotentPath, streamPath } from "./scenario.js";
 
-interface FirstTry {
+/** A caller's first try at a router. */
+export interface FirstTry {
   readonly router: string;
   readonly at: Timestamp;
   readonly key: string;
+  readonly path: string;
 }
 
 /** Requests between two of a kind at one router, of which a caller sends one to each path. */
@@ -24,7 +26,7 @@
 
 /** Callers that send their first tries to all routers, evenly. */
 export class FirstTries {
-  private readonly tries: FirstTry[] = [];
+  readonly tries: FirstTry[] = [];
   private nextPath = 0;
 
   private constructor(private readonly fleet: Fleet) {}
@@ -45,7 +47,8 @@
         this.nextPath += 1;
         const path = paths[this.nextPath % paths.length] ?? streamPath;
         const { at } = fleet;
-        this.tries.push({ router, at, key: fleet.request(router, [], path) });
+        const key = fleet.request(router, [], path);
+        this.tries.push({ router, at, key, path });
       });
       fleet.advance(stepMs);
     }
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -109,7 +109,7 @@
     return fleet;
   }
 
-  /** Starts a router, or starts one again without its memory. */
+  /** Starts a router, or starts one again without its memory; requests that it took over break off. */
   startRouter(router: string): void {
     const { at } = this;
     const state = createRelayState({
@@ -123,6 +123,7 @@
         retryLimits: { ratio: 0.8, extraRetryCount: 150, windowMs: 10_000 },
       },
     });
+    this.handovers.breakAt(router);
     this.states.set(router, state);
     this.dispatch(router, { type: "storeAnswered", at, detail: "" });
     this.dispatch(router, { type: "configRead", at, config: testConfig() });
