Confirm a service's only known version before a stream is taken up with it

Cause: a belief without an age. The three routers that keep a stream's origin are asked now also while one version is known, and answer with the versions that they know; without any answer the store has to have been heard of in the last 3 s, or an engine to list the prompt; else the caller is refused as not run. A version that was told is waited for, not refused, until its replicas are read. It costs three datagrams a take-up.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -10,6 +10,7 @@
 import { takePermit } from "./requestLimits.js";
 import { logLine } from "./logLine.js";
 import { minVersionRetryMs } from "./versions/constants.js";
+import { isVersionUnread } from "./versions/serviceVersions.js";
 import { hasVersion, refuseTakeUp } from "./versions/takeUps.js";
 import type { RelayCommand } from "./commands.js";
 import type { Exchange, RelayState } from "./types.js";
@@ -33,7 +34,9 @@
   const { service, softwareVersion, route, deadline, triedIds } = exchange;
   if (softwareVersion === undefined)
     return failExchange(state, exchange, "no replica is open");
-  if (!hasVersion(state, service, softwareVersion))
+  // Another router told of a version whose replicas this one has yet to read of.
+  const isExpected = isVersionUnread(state, service, softwareVersion);
+  if (!isExpected && !hasVersion(state, service, softwareVersion))
     return refuseTakeUp(
       state,
       exchange,
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -36,7 +36,7 @@
   createVersionState,
   versionsRead,
 } from "./versions/serviceVersions.js";
-import { originAsked } from "./versions/streamOrigins.js";
+import { originAsked } from "./versions/originAsked.js";
 import { timerTicked } from "./timerTicked.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -91,6 +91,7 @@
   limitCounts: { waited: 0, refused: 0 },
   runtimeLimits: options.runtimeLimits,
   store: { type: "unknown" },
+  storeHeardAt: -Infinity,
   restorations: { count: 0, latestAt: -Infinity, era: undefined },
   answerDurations: new Map(),
   stopsAt: undefined,
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -30,6 +30,7 @@
   originListTimeoutMs,
   originQueryEngineCount,
 } from "./versions/constants.js";
+import { VersionSearch } from "./versions/types.js";
 import { canCopy } from "./copyHolders.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -44,9 +45,9 @@
 export const engineQueryOf = ({ wait }: Exchange): EngineQuery | undefined =>
   wait.type === "answers" ? wait.engineQuery : undefined;
 
-/** Whether the version of a stream that a caller takes up is looked for. */
-export const isVersionSought = ({ wait }: Exchange): boolean =>
-  wait.type === "answers" && wait.isVersionSought;
+/** How the version of a stream that a caller takes up is looked for. */
+const versionSearchOf = ({ wait }: Exchange): VersionSearch =>
+  wait.type === "answers" ? wait.versionSearch : VersionSearch.None;
 
 /** Makes a request wait for engines, beside the routers that it waits for. */
 const awaitEngines = (exchange: Exchange, engineQuery: EngineQuery): void => {
@@ -58,7 +59,7 @@
           type: "answers",
           engineQuery,
           originQuery: undefined,
-          isVersionSought: false,
+          versionSearch: VersionSearch.None,
         };
 };
 
@@ -129,7 +130,7 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   const { request } = exchange;
-  const isSought = isVersionSought(exchange);
+  const isSought = versionSearchOf(exchange) === VersionSearch.Find;
   const sample = isSought
     ? possibleOrigins(state, exchange)
     : takePerGroup(
@@ -250,7 +251,7 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   const { request, attempts } = exchange;
-  const isSought = isVersionSought(exchange);
+  const isSought = versionSearchOf(exchange) !== VersionSearch.None;
   if (!canCopy(state, exchange) && !isSought) return [];
   const mayBeReconnect =
     request.lastEventId !== undefined || isRecentlyStarted(state);
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -194,8 +194,8 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   if (mustHandOn(state, exchange)) return handOn(state, exchange, true);
-  const lines = settleVersion(state, exchange);
-  if (!state.exchanges.has(exchange.key)) return lines;
+  const { isSettled, commands: lines } = settleVersion(state, exchange);
+  if (!isSettled) return lines;
   const probes = seekIdleEngine(state, exchange);
   if (probes !== undefined) return [...lines, ...probes];
   const query = candidateQueryOf(exchange);
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -231,6 +231,7 @@
   { at: answeredAt, detail }: RelayEventOf<"storeAnswered">,
 ): RelayCommand[] => {
   const { store, at } = state;
+  state.storeHeardAt = Math.max(state.storeHeardAt, answeredAt);
   if (store.type === "available") return [];
   if (store.type === "unavailable" && answeredAt < store.since) return [];
   const since = store.type === "unavailable" ? at : -Infinity;
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -186,6 +186,8 @@
 /** Excludes a stall of this process from the replicas' silence: it could not receive anything. */
 const compensateStall = (state: RelayState, lateMs: number): RelayCommand[] => {
   for (const view of state.replicas.values()) view.heardAt += lateMs;
+  // Answers of the store that have waited since then say nothing of now.
+  state.storeHeardAt = -Infinity;
   for (const { attempt, wait } of state.exchanges.values()) {
     if (attempt !== undefined) attempt.heardAt += lateMs;
     if (wait.type === "router") wait.attempt.heardAt += lateMs;
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -19,7 +19,11 @@
 import type { Path } from "./paths/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
-import type { OriginQuery, VersionState } from "./versions/types.js";
+import type {
+  OriginQuery,
+  VersionSearch,
+  VersionState,
+} from "./versions/types.js";
 
 /** Numbers of attempts that succeeded and failed. */
 export interface OutcomeCounts {
@@ -247,7 +251,7 @@
   /** Routers that are asked where the stream began; undefined if none is. */
   readonly originQuery: OriginQuery | undefined;
   /** Whether the version of a stream that the caller takes up is looked for. */
-  readonly isVersionSought: boolean;
+  readonly versionSearch: VersionSearch;
 }
 
 /** What a request waits for before it is sent, or sent again. */
@@ -411,6 +415,8 @@
   readonly limitCounts: LimitCounts;
   runtimeLimits: RuntimeLimits;
   store: StoreState;
+  /** Time at which the store, or a router that follows it, was last heard of. */
+  storeHeardAt: Timestamp;
   readonly restorations: Restorations;
   /** Usual durations of answers, by route. */
   readonly answerDurations: Map<string, AnswerDuration>;
--- a/packages/relay/src/decisions/versions/constants.ts
+++ b/packages/relay/src/decisions/versions/constants.ts
@@ -12,6 +12,9 @@
 /** Time that a caller's request waits for the routers that may know where its stream began: a round trip between zones. */
 export const originQueryTimeoutMs = 40;
 
+/** Age of the last word of the store up to which a service's only known version is believed, if no other router answers. */
+export const currentStoreAgeMs = 3000;
+
 /** Number of engines of each version that are asked whether they read a stream's prompt. */
 export const originQueryEngineCount = 8;
 
--- a/packages/relay/src/decisions/versions/serviceVersions.ts
+++ b/packages/relay/src/decisions/versions/serviceVersions.ts
@@ -27,6 +27,7 @@
 /** Creates the state of a router that has seen no replica. */
 export const createVersionState = (): VersionState => ({
   lastSeenAt: new Map(),
+  registered: new Map(),
   announced: new Set(),
   stored: new Map(),
   writtenUntil: new Map(),
@@ -96,6 +97,26 @@
   return known === undefined;
 };
 
+/** Notes a version that a replica has which this router read of itself. */
+const noteRegistered = (
+  { versions: { registered }, at }: RelayState,
+  service: string,
+  version: string,
+): void => {
+  const known = registered.get(service) ?? new Map<string, Timestamp>();
+  known.delete(version);
+  registered.set(service, known.set(version, at));
+  removeOldest(known, maxVersions.perService, () => false);
+  removeOldest(registered, maxVersions.services, () => false);
+};
+
+/** Whether a version was told of, and this router has read of no replica that has it. */
+export const isVersionUnread = (
+  { versions: { registered } }: RelayState,
+  service: string,
+  version: string,
+): boolean => registered.get(service)?.has(version) !== true;
+
 /** Logs and tells others when a service gets several versions, or has one again. */
 const announceChange = (
   state: RelayState,
@@ -123,9 +144,12 @@
 
 /** Notes the versions of all replicas. */
 export const noteReplicaVersions = (state: RelayState): RelayCommand[] => {
-  for (const { replica, leftAt } of state.replicas.values())
-    if (leftAt === undefined)
-      noteVersion(state, replica.service, replica.softwareVersion, state.at);
+  for (const { replica, leftAt } of state.replicas.values()) {
+    if (leftAt !== undefined) continue;
+    const { service, softwareVersion } = replica;
+    noteVersion(state, service, softwareVersion, state.at);
+    noteRegistered(state, service, softwareVersion);
+  }
   return [...state.versions.lastSeenAt.keys()].flatMap((service) =>
     announceChange(state, service, state.router),
   );
--- a/packages/relay/src/decisions/versions/streamOrigins.ts
+++ b/packages/relay/src/decisions/versions/streamOrigins.ts
@@ -62,7 +62,11 @@
     .filter((one) => one !== undefined);
 };
 
-const tell = (to: Address, origins: readonly StreamOrigin[]): RelayCommand => ({
+/** Tells a router where streams began. */
+export const tellOrigins = (
+  to: Address,
+  origins: readonly StreamOrigin[],
+): RelayCommand => ({
   type: "tellOrigins",
   to,
   origins,
@@ -79,7 +83,7 @@
   if (key === undefined) return [];
   keepOrigin(state, key, version);
   return isTold
-    ? keepersOf(state, key).map((to) => tell(to, [{ key, version }]))
+    ? keepersOf(state, key).map((to) => tellOrigins(to, [{ key, version }]))
     : [];
 };
 
@@ -100,7 +104,7 @@
       byRouter.set(to, origins);
     }
   }
-  return [...byRouter].map(([to, origins]) => tell(to, origins));
+  return [...byRouter].map(([to, origins]) => tellOrigins(to, origins));
 };
 
 /** A question to other routers, and the commands that ask it. */
@@ -121,6 +125,7 @@
     return { originQuery: undefined, commands: [] };
   const originQuery = {
     key,
+    askedCount: keepers.length,
     pending: new Set(keepers.map(formatAddress)),
     until: state.at + originQueryTimeoutMs,
   };
@@ -132,16 +137,6 @@
   return { originQuery, commands };
 };
 
-/** Handles a question of another router. */
-export const originAsked = (
-  state: RelayState,
-  { from, key }: RelayEventOf<"originAsked">,
-): RelayCommand[] => {
-  if (!isKnownRouter(state, from)) return [];
-  const version = state.versions.origins.get(key)?.version;
-  return [tell(from, [{ key, version }])];
-};
-
 /** Keeps what another router told; returns the exchanges that waited for it. */
 export const learnOrigins = (
   state: RelayState,
--- a/packages/relay/src/decisions/versions/types.ts
+++ b/packages/relay/src/decisions/versions/types.ts
@@ -23,9 +23,20 @@
   readonly learnedAt: Timestamp;
 }
 
+/** How the version of a stream that a caller takes up is looked for. */
+export enum VersionSearch {
+  None = "none",
+  /** This router knows one version; others are asked whether they know of another one. */
+  Confirm = "confirm",
+  /** Routers and engines are asked where the stream began. */
+  Find = "find",
+}
+
 /** A question to other routers where a caller's stream began. */
 export interface OriginQuery {
   readonly key: string;
+  /** Number of routers that were asked. */
+  readonly askedCount: number;
   /** Addresses of the routers that have not answered yet. */
   readonly pending: Set<string>;
   readonly until: Timestamp;
@@ -38,6 +49,8 @@
 export interface VersionState {
   /** Latest time at which each version had a replica, by service. */
   readonly lastSeenAt: Map<string, Map<string, Timestamp>>;
+  /** Latest time at which this router itself read of a replica with each version, by service. */
+  readonly registered: Map<string, Map<string, Timestamp>>;
   /** Services with several versions, of which others were told. */
   readonly announced: Set<string>;
   /** Versions in the store's entries, by service. */
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -79,6 +79,8 @@
       this.dispatch(router, event);
     },
   );
+  /** Events that wait for routers whose process stands still. */
+  private readonly paused = new Map<string, RelayEvent[]>();
   /** Number of requests that routers handed on. */
   handedOnCount = 0;
 
@@ -183,6 +185,20 @@
     return this.clock.now();
   }
 
+  /** Stops a router's process: what reaches it meanwhile waits. */
+  pause(router: string): void {
+    this.paused.set(router, []);
+  }
+
+  /** Lets a paused router go on; it handles the given actions before what has waited. */
+  resume(router: string, first: () => void = () => undefined): void {
+    const waiting = this.paused.get(router) ?? [];
+    this.paused.delete(router);
+    first();
+    for (const event of waiting)
+      this.dispatch(router, { ...event, at: this.at });
+  }
+
   /** Advances the clock in timer ticks. */
   advance(ms: number): void {
     const until = this.at + ms;
@@ -219,6 +235,11 @@
   private dispatch(router: string, event: RelayEvent): void {
     const state = this.states.get(router);
     if (state === undefined) return;
+    const waiting = this.paused.get(router);
+    if (waiting !== undefined) {
+      if (event.type !== "timerTicked") waiting.push(event);
+      return;
+    }
     const { commands } = decideRelay(state, event);
     for (const command of commands) this.perform(router, command);
   }
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -109,6 +109,13 @@
     return new SimulatedReplicas(clock, dispatch, onRestart, counts);
   }
 
+  /** Adds an engine; routers know it once they read the store. */
+  addEngine(softwareVersion: string): void {
+    const id = replicaIdOf(this.engines.length);
+    const replica = testReplica(id, undefined, { softwareVersion });
+    this.engines.push(createSimulated(replica));
+  }
+
   /** Replicas that run. */
   running(): Replica[] {
     return this.all()
