Move the soak's fault proxy to the shared test harness

Tests of the platform's driver need connections that fall silent while new ones work. No behaviour of the soak changes.

--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -3,7 +3,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { assertNever } from "@cardamomglade/common";
 import type { StoreBehaviour } from "@cardamomglade/users-platform/testing/standInStore";
-import { LinkState, type FaultProxy } from "./faultProxy.js";
+import {
+  LinkState,
+  type FaultProxy,
+} from "@cardamomglade/common/testing/faultProxy";
 import { setFaultModeFor, type SoakFleet } from "./soakFleet.js";
 import { ReplicaFaultMode } from "./soakReplica.js";
 import { soakBounds } from "./soakRouter.js";
--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -5,7 +5,7 @@
 import path from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { StandInStore } from "@cardamomglade/users-platform/testing/standInStore";
-import { FaultProxy } from "./faultProxy.js";
+import { FaultProxy } from "@cardamomglade/common/testing/faultProxy";
 import { deskReplicaCount } from "./planSoak.js";
 import { soakHostname } from "./soakCaller.js";
 import { ReplicaFaultMode, SoakReplica } from "./soakReplica.js";
--- a/bench/src/soak/faultProxy.ts
+++ b/packages/common/src/testing/faultProxy.ts
@@ -1,4 +1,4 @@
-/** A loopback TCP proxy that injects network faults. */
+/** Test harness: a loopback TCP proxy that injects network faults. */
 
 import { connect, createServer, type AddressInfo, type Socket } from "node:net";
 import { resetSocket } from "./resetSocket.js";
@@ -63,6 +63,12 @@
     }
   }
 
+  /** Silences all open connections for good; new ones work. */
+  silenceOpen(): void {
+    this.set(LinkState.Silent);
+    this.set(LinkState.Good);
+  }
+
   stop(): void {
     for (const connection of this.connections) this.reset(connection);
     this.listener.close();
--- a/bench/src/soak/resetSocket.ts
+++ b/packages/common/src/testing/resetSocket.ts
@@ -1,4 +1,4 @@
-/** Resets a TCP connection, even while it is shutting down. */
+/** Test harness: resets a TCP connection, even while it is shutting down. */
 
 import type { Socket } from "node:net";
 
