--- a/packages/relay/src/drivers/httpCall.ts
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -1,8 +1,7 @@
-/** Sends one HTTP request with a deadline and buffers the response. */
+/** Sends one HTTP request with a deadline on its own connection and buffers the response. */
 
 import {
   request,
-  type Agent,
   type ClientRequest,
   type IncomingHttpHeaders,
 } from "node:http";
@@ -18,8 +17,6 @@
   readonly deadline: Timestamp;
   /** Time by which a new connection has to be established; defaults to the deadline. */
   readonly connectDeadline?: Timestamp;
-  /** Agent that keeps connections alive; without it, each call opens its own connection. */
-  readonly agent?: Agent;
 }
 
 /** Result of an HTTP call. */
@@ -40,13 +37,13 @@
 const maxResponseBytes = 32 * 1024 * 1024; // a page of the store holds about 1 MB, a report some kilobytes
 const jsonBody = { "content-type": "application/json" };
 
-const send = ({ host, port, method, path, body, agent }: HttpCall) =>
+const send = ({ host, port, method, path, body }: HttpCall) =>
   request({
     host,
     port,
     method,
     path,
-    agent: agent ?? false,
+    agent: false,
     ...(body !== undefined && { headers: jsonBody }),
   });
 
@@ -56,12 +53,12 @@
   req: ClientRequest,
 ): Promise<HttpResult> =>
   new Promise((resolve) => {
-    const { body, deadline, agent } = call;
+    const { body, deadline } = call;
     const timers: NodeJS.Timeout[] = [];
     const finish = (outcome: HttpResult) => {
       for (const timer of timers) clearTimeout(timer);
       resolve(outcome);
-      if (outcome.type === "failed" || agent === undefined) req.destroy();
+      req.destroy();
     };
     const fail = (detail: string, isRefused = false) => {
       finish({ type: "failed", detail, isRefused });
