--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -211,6 +211,13 @@
   query: CandidateQuery,
 ): boolean => candidatesOf(state, query).length > 0;
 
+/** Whether any replica without a recent loss matches the query. */
+export const hasTrustedCandidate = (
+  state: RelayState,
+  query: CandidateQuery,
+): boolean =>
+  candidatesOf(state, query).some((view) => !isSuspected(view, state.at));
+
 /** Random sample of candidates. */
 const randomSampleOf = (
   state: RelayState,
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -35,6 +35,7 @@
   recordLoss,
   markReplaced,
 } from "./replicaViews.js";
+import { canLeaveSilentReplica } from "./leaveSilentReplica.js";
 import { sendWithoutCopy } from "./sendAttempt.js";
 import { learnOrigins } from "./versions/streamOrigins.js";
 import { logLine } from "./logLine.js";
@@ -119,7 +120,7 @@
       : [];
   });
 
-/** Updates the view of a probed replica, and leaves it if it does not answer. */
+/** Updates the view of a probed replica; streams leave it if it does not answer and another one can take them. */
 const updateProbedReplica = (
   state: RelayState,
   {
@@ -153,21 +154,27 @@
   const silent = resumableAttemptsAt(state, replicaId).filter(
     ({ attempt }) => isSuccessor || attempt.heardAt < sentAt,
   );
+  const hasProcessEnded = isSuccessor || isRefused;
   const reason = isSuccessor
     ? "another process has the replica's address"
     : "the replica does not answer";
+  const leaving = silent.filter(
+    ({ exchange, attempt }) =>
+      hasProcessEnded || canLeaveSilentReplica(state, exchange, attempt),
+  );
   return [
     logLine(isSuccessor ? reason : "replica does not answer", {
       replica: replicaId,
       replicaZone: view.replica.zone,
       silentMs: ageOf(state, view.heardAt),
       streams: silent.length,
+      leaving: leaving.length,
     }),
     ...(isRefused
       ? recordEndedEngine(state, view.replica, sentAt, silent)
       : []),
     ...resolveEngineQueries(state, replicaId, "loadReports"),
-    ...silent.flatMap(({ exchange, attempt }) =>
+    ...leaving.flatMap(({ exchange, attempt }) =>
       abandonAndRetry(state, exchange, attempt, reason),
     ),
   ];
--- /dev/null
+++ b/packages/relay/src/decisions/silentReplicas.test.ts
@@ -0,0 +1,60 @@
+/** Streams whose replicas fall silent for about a second and then go on. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Fleet, type FleetOptions } from "../testing/fleet.js";
+
+const prefilledAfterMs = 400;
+const afterMs = 15_000;
+const streamEventCount = 30;
+const silencesMs = [600, 1000, 1300];
+
+/** Starts a stream at each router in turn and lets all of them begin. */
+const startStreams = (options: FleetOptions, count: number) => {
+  const fleet = Fleet.create(options);
+  const keys = Array.from({ length: count }, (_, index) =>
+    fleet.request(`r${String((index % options.routerCount) + 1)}`, []),
+  );
+  fleet.advance(prefilledAfterMs);
+  return { fleet, keys };
+};
+
+const assertWhole = (fleet: Fleet, keys: readonly string[]): void => {
+  const endings = keys.map((key) => fleet.endings.get(key));
+  assert.deepEqual(new Set(endings), new Set(["whole"]));
+  for (const key of keys)
+    assert.equal(fleet.streams.get(key)?.lastEventId, streamEventCount);
+};
+
+for (const ms of silencesMs) {
+  test(`a stream is broken off while its only engine is silent for ${String(ms)} ms`, () => {
+    const { fleet, keys } = startStreams({ routerCount: 1, engineCount: 1 }, 1);
+    fleet.replicas.silence(fleet.replicas.engines, ms);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+    assert.equal(fleet.sent.length, 1);
+  });
+
+  test(`streams are broken off while all engines are silent for ${String(ms)} ms`, () => {
+    const { fleet, keys } = startStreams(
+      { routerCount: 4, engineCount: 6 },
+      24,
+    );
+    fleet.replicas.silence(fleet.replicas.engines, ms);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
+
+  test(`streams are broken off while nothing of all engines arrives for ${String(ms)} ms`, () => {
+    const { fleet, keys } = startStreams(
+      { routerCount: 4, engineCount: 6 },
+      24,
+    );
+    const routers = ["r1", "r2", "r3", "r4"];
+    fleet.cutPaths(routers, "silent");
+    fleet.advance(ms);
+    fleet.healPaths(routers);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
+}
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -425,6 +425,12 @@
     const { service } = replica;
     if (this.paths.failConnection(router, service, probeTimeoutMs, fail))
       return;
+    if (this.replicas.isSilent(replica)) {
+      this.later(probeTimeoutMs, () => {
+        fail(false);
+      });
+      return;
+    }
     this.later(1, () => {
       this.replicas.answerProbe(router, command);
     });
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -25,6 +25,8 @@
   readonly promptBlocks: Set<string>;
   /** Whether it holds none of them any more. */
   hasEvicted: boolean;
+  /** Until then its host accepts connections, and its process does nothing. */
+  silentUntil: Timestamp;
 }
 
 const createSimulated = (replica: Replica): SimulatedReplica => ({
@@ -33,6 +35,7 @@
   runs: new Map(),
   promptBlocks: new Set(),
   hasEvicted: false,
+  silentUntil: 0,
 });
 
 /** A request that reached a replica. */
@@ -186,11 +189,30 @@
     return okHead({ isStream, requestLimitPerS });
   }
 
+  /** Puts an action off until a replica is no longer silent; returns whether it is. */
+  private waitWhileSilent(
+    { silentUntil }: SimulatedReplica,
+    run: () => void,
+  ): boolean {
+    const leftMs = silentUntil - this.clock.now();
+    if (leftMs > 0) this.clock.later(leftMs, run);
+    return leftMs > 0;
+  }
+
+  /** Replicas fall silent for some time, and then go on. */
+  silence(replicas: readonly SimulatedReplica[], ms: number): void {
+    for (const one of replicas) one.silentUntil = this.clock.now() + ms;
+  }
+
   private answerPlain(
     simulated: SimulatedReplica,
     name: string,
     run: Run,
   ): void {
+    const answer = () => {
+      this.answerPlain(simulated, name, run);
+    };
+    if (this.waitWhileSilent(simulated, answer)) return;
     if (simulated.runs.get(name) !== run || this.endUnder(simulated, run, 0))
       return;
     simulated.runs.delete(name);
@@ -219,6 +241,10 @@
       this.report(router, command, AttemptFailure.NotSent);
       return;
     }
+    const receive = () => {
+      this.receive(router, command);
+    };
+    if (this.waitWhileSilent(simulated, receive)) return;
     if (this.fullReplicas.has(attempt.replica.id)) {
       this.refuse(router, command);
       return;
@@ -247,6 +273,10 @@
   }
 
   private begin(engine: SimulatedReplica, name: string, run: Run): void {
+    const begin = () => {
+      if (engine.runs.get(name) === run) this.begin(engine, name, run);
+    };
+    if (this.waitWhileSilent(engine, begin)) return;
     if (this.endUnder(engine, run, 0)) return;
     const { router, command } = run;
     const { key } = command;
@@ -270,6 +300,10 @@
     id: number,
   ): void {
     if (engine.runs.get(name) !== run) return;
+    const emit = () => {
+      this.emit(engine, name, run, id);
+    };
+    if (this.waitWhileSilent(engine, emit)) return;
     const { router, command } = run;
     const { key } = command;
     const attempt = command.attempt.number;
@@ -392,6 +426,17 @@
     });
   }
 
+  /** Whether the process at a replica's address does nothing now. */
+  isSilent({ host, port }: Replica): boolean {
+    return this.all().some(
+      ({ isUp, silentUntil, replica }) =>
+        isUp &&
+        silentUntil > this.clock.now() &&
+        replica.host === host &&
+        replica.port === port,
+    );
+  }
+
   /** Answers a probe, or refuses it where no engine runs. */
   answerProbe(
     router: string,
