--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -190,6 +190,7 @@
       exchange.attempts -= 1;
     }
     if (!attempt.mayHaveExecutedBefore) exchange.mayHaveExecuted = false;
+    if (status === serviceUnavailableStatus) exchange.refusedAttempts += 1;
     // A rejected copy counts as a retry, because the request did reach the replica.
     if (attempt.start.type === "copy") recordRetry(state, exchange.service, at);
     const line = lossLogLine(
--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -22,16 +22,26 @@
 ): Timestamp =>
   Math.min(deadline, at + permitWaitRatio * route.targetLatencyMs);
 
+/** Time until which a stream waits: one that has begun waits as long as its caller does. */
+const lastVersionAt = (
+  { head, route, deadline }: Exchange,
+  at: Timestamp,
+): Timestamp =>
+  head === undefined
+    ? Math.min(deadline, at + route.targetLatencyMs)
+    : deadline;
+
 /**
  * Waits for a replica of the software at which a stream began, or ends the stream if
  * none is left. Load pattern: replicas of a version are few and full, or restart, and
- * the callers of a lost router take their streams up at once.
+ * the callers of a lost router take their streams up at once; or all of them are silent
+ * for a moment, or full, while streams that have begun need another one.
  */
 export const awaitVersion = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { service, softwareVersion, route, deadline, triedIds } = exchange;
+  const { service, softwareVersion, route, triedIds } = exchange;
   if (softwareVersion === undefined)
     return failExchange(state, exchange, "no replica is open");
   // Another router told of a version whose replicas this one has yet to read of.
@@ -42,10 +52,7 @@
       exchange,
       "no replica of the stream's software is left",
     );
-  exchange.versionDeadline ??= Math.min(
-    deadline,
-    state.at + route.targetLatencyMs,
-  );
+  exchange.versionDeadline ??= lastVersionAt(exchange, state.at);
   const until = exchange.versionDeadline;
   if (state.at >= until)
     return refuseTakeUp(
@@ -62,12 +69,26 @@
   const leftCount = route.maxAttempts - exchange.attempts;
   const waitMs = Math.max(
     minVersionRetryMs,
-    (until - state.at) / (leftCount + 1),
+    Math.min(until - state.at, route.targetLatencyMs) / (leftCount + 1),
   );
   exchange.wait = { type: "version", retryAt: state.at + waitMs };
   return [];
 };
 
+/** Whether a stream that has begun can still go on at a replica that was full. */
+export const canAwaitRoom = ({ head, refusedAttempts }: Exchange): boolean =>
+  head !== undefined && refusedAttempts > 0;
+
+/** Waits until replicas that were full may have room: attempts that they did not execute do not count. */
+export const awaitRoom = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  exchange.attempts -= exchange.refusedAttempts;
+  exchange.refusedAttempts = 0;
+  return awaitVersion(state, exchange);
+};
+
 /**
  * Reserves the next permit at a replica that limits requests, or ends the request
  * at once if it comes too late. Load pattern: all replicas are limited, and more
--- a/packages/relay/src/decisions/borrowRetry.ts
+++ b/packages/relay/src/decisions/borrowRetry.ts
@@ -6,6 +6,7 @@
  */
 
 import {
+  budgetCheckIntervalMs,
   maxBorrowRoundCount,
   borrowTimeoutMs,
   lenderCount,
@@ -22,7 +23,21 @@
 const someRouters = (state: RelayState): Address[] =>
   sampleWithoutReplacement(state, otherRouterAddresses(state), lenderCount);
 
-/** Asks other routers to lend a retry, or fails the exchange after the last round. */
+/** Waits for the own budget with a stream that has begun, or fails the exchange. */
+const endBorrowing = (
+  state: RelayState,
+  exchange: Exchange,
+  reason: string,
+  rounds: number,
+): RelayCommand[] => {
+  if (exchange.head === undefined)
+    return failExchange(state, exchange, `${reason}; no repeat is left`);
+  const until = state.at + budgetCheckIntervalMs;
+  exchange.wait = { type: "retry", reason, rounds, until };
+  return [];
+};
+
+/** Asks other routers to lend a retry; after the last round, there is none for now. */
 export const borrowRetry = (
   state: RelayState,
   exchange: Exchange,
@@ -31,8 +46,7 @@
   const { service, request, wait } = exchange;
   const rounds = (wait.type === "retry" ? wait.rounds : 0) + 1;
   const others = rounds > maxBorrowRoundCount ? [] : someRouters(state);
-  if (others.length === 0)
-    return failExchange(state, exchange, `${reason}; no repeat is left`);
+  if (others.length === 0) return endBorrowing(state, exchange, reason, rounds);
   const until = state.at + borrowTimeoutMs;
   exchange.wait = { type: "retry", reason, rounds, until };
   return [
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -172,6 +172,9 @@
 /** Maximum number of borrowing rounds before a request fails. */
 export const maxBorrowRoundCount = 4;
 
+/** Interval at which a stream that no router lends a retry looks at its own router's budget. */
+export const budgetCheckIntervalMs = 250;
+
 /** Lifetime of a lent retry; the lender counts it against its own budget for that much longer. */
 export const lentRetryLifetimeMs = 1000;
 
--- a/packages/relay/src/decisions/handover/handOn.ts
+++ b/packages/relay/src/decisions/handover/handOn.ts
@@ -110,21 +110,32 @@
   ];
 };
 
+/**
+ * Time until which a request waits for an offer. A stream that has begun waits as long as
+ * its caller does: if no router takes it, none has a path, and the replicas may be silent
+ * for a moment only.
+ */
+const lastOfferAt = (
+  state: RelayState,
+  { deadline, route, service, head }: Exchange,
+): Timestamp => {
+  if (head !== undefined) return deadline;
+  const settledAt = (lostAt(state, service) ?? -Infinity) + offerSettlingMs;
+  const waitUntil = state.at + offerWaitRatio * route.targetLatencyMs;
+  return Math.min(deadline, Math.max(settledAt, waitUntil));
+};
+
 /** Ends a request that nobody can serve, or waits for an offer. */
 const awaitOffer = (
   state: RelayState,
   exchange: Exchange,
   isCounted: boolean,
 ): RelayCommand[] => {
-  const { deadline, route, service } = exchange;
-  const settledAt = (lostAt(state, service) ?? -Infinity) + offerSettlingMs;
-  exchange.offerDeadline ??= Math.min(
-    deadline,
-    Math.max(settledAt, state.at + offerWaitRatio * route.targetLatencyMs),
-  );
+  exchange.offerDeadline ??= lastOfferAt(state, exchange);
+  const hasBegun = exchange.head !== undefined;
   const isOver =
     state.at >= exchange.offerDeadline ||
-    exchange.handoverCount >= maxHandoverCount;
+    (exchange.handoverCount >= maxHandoverCount && !hasBegun);
   if (isOver) {
     const reason = "no replica can be reached, and no other router takes it";
     return failExchange(state, exchange, reason);
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -77,6 +77,7 @@
   triedRouters: new Set(),
   offerDeadline: undefined,
   failedConnectionCount: 0,
+  refusedAttempts: 0,
   endedEngineCount: 0,
   mayHaveExecuted: false,
   head: undefined,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -9,7 +9,12 @@
   rankCandidates,
 } from "./chooseReplica.js";
 import { canCopy, chooseCopyHolder, isCopyUsable } from "./copyHolders.js";
-import { awaitPermit, awaitVersion } from "./awaitReplica.js";
+import {
+  awaitPermit,
+  awaitRoom,
+  awaitVersion,
+  canAwaitRoom,
+} from "./awaitReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
 import { engineOf } from "./engineOf.js";
 import {
@@ -288,7 +293,9 @@
       `${reason}; several replicas ended under it`,
     );
   if (attempts >= route.maxAttempts)
-    return failExchange(state, exchange, `${reason}; no attempt is left`);
+    return canAwaitRoom(exchange)
+      ? awaitRoom(state, exchange)
+      : failExchange(state, exchange, `${reason}; no attempt is left`);
   const { failedConnectionCount } = exchange;
   const hasNoConnectionLeft =
     failedConnectionCount >= maxFailedConnectionCount &&
--- a/packages/relay/src/decisions/silentReplicas.test.ts
+++ b/packages/relay/src/decisions/silentReplicas.test.ts
@@ -1,4 +1,4 @@
-/** Streams whose replicas fall silent for about a second and then go on. */
+/** Streams whose replicas fall silent for about a second and then go on, or have no room or retry for a while. */
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -7,7 +7,8 @@
 const prefilledAfterMs = 400;
 const afterMs = 15_000;
 const streamEventCount = 30;
-const silencesMs = [600, 1000, 1300];
+const usedUpMs = 3000;
+const silencesMs = [600, 1000, 1300, 3000];
 
 /** Starts a stream at each router in turn and lets all of them begin. */
 const startStreams = (options: FleetOptions, count: number) => {
@@ -35,6 +36,17 @@
     assert.equal(fleet.sent.length, 1);
   });
 
+  test(`a stream is broken off while its engine is silent for ${String(ms)} ms and the others are full`, () => {
+    const { fleet, keys } = startStreams({ routerCount: 1, engineCount: 6 }, 1);
+    const { engines } = fleet.replicas;
+    const silent = engines.filter(({ runs }) => runs.size > 0);
+    for (const { replica, runs } of engines)
+      if (runs.size === 0) fleet.replicas.fullReplicas.add(replica.id);
+    fleet.replicas.silence(silent, ms);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
+
   test(`streams are broken off while all engines are silent for ${String(ms)} ms`, () => {
     const { fleet, keys } = startStreams(
       { routerCount: 4, engineCount: 6 },
@@ -58,3 +70,20 @@
     assertWhole(fleet, keys);
   });
 }
+
+// Load: many streams are lost at once, and what is left of the budget goes to others.
+test("a stream is broken off while the retry budget is used up for some seconds", () => {
+  const { fleet, keys } = startStreams({ routerCount: 1, engineCount: 1 }, 1);
+  const state = fleet.states.get("r1");
+  const [engine] = fleet.replicas.engines;
+  assert.ok(state && engine);
+  const { runtimeLimits } = state;
+  const { retryLimits } = runtimeLimits;
+  const none = { ...retryLimits, ratio: 0, extraRetryCount: 0 };
+  state.runtimeLimits = { ...runtimeLimits, retryLimits: none };
+  fleet.replicas.resetConnections(engine);
+  fleet.advance(usedUpMs);
+  state.runtimeLimits = runtimeLimits;
+  fleet.advance(afterMs);
+  assertWhole(fleet, keys);
+});
--- a/packages/relay/src/decisions/streams.test.ts
+++ b/packages/relay/src/decisions/streams.test.ts
@@ -296,6 +296,12 @@
   assert.equal(scenario.lastSend("1").attempt.start.type, "copy");
   scenario.answer("1", { status: 503, isNotExecuted: true });
   assert.equal(scenario.state.retryBudgets.get(engines)?.retries.length, 1);
+  // Without a retry it is sent to no other replica, and ends with its deadline.
+  scenario.advance(24_000);
+  assert.equal(scenario.commandsOfType("send").length, 2);
+  assert.equal(scenario.commandsOfType("abortStream").length, 0);
+  scenario.advance(1000);
+  assert.equal(scenario.commandsOfType("send").length, 2);
   assert.equal(scenario.commandsOfType("abortStream").length, 1);
 });
 
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -224,6 +224,8 @@
   offerDeadline: Timestamp | undefined;
   /** Number of attempts whose connection was not established. */
   failedConnectionCount: number;
+  /** Number of counted attempts that full replicas refused without executing them. */
+  refusedAttempts: number;
   /** Number of engines that ended while this request was about to be answered. */
   endedEngineCount: number;
   /** Whether any replica may have started to execute the request. */
