--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -22,6 +22,17 @@
 ): Timestamp =>
   Math.min(deadline, at + permitWaitRatio * route.targetLatencyMs);
 
+/** Whether no replica of a stream's software is left, and none is expected. */
+const isVersionGone = (
+  state: RelayState,
+  { service, softwareVersion }: Exchange,
+): boolean => {
+  if (softwareVersion === undefined) return false;
+  // Another router told of a version whose replicas this one has yet to read of.
+  if (isVersionUnread(state, service, softwareVersion)) return false;
+  return !hasVersion(state, service, softwareVersion);
+};
+
 /** Time until which a stream waits: one that has begun waits as long as its caller does. */
 const lastVersionAt = (
   { head, route, deadline }: Exchange,
@@ -41,12 +52,10 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { service, softwareVersion, route, triedIds } = exchange;
-  if (softwareVersion === undefined)
+  const { service, softwareVersion, route, triedIds, head } = exchange;
+  if (softwareVersion === undefined && head === undefined)
     return failExchange(state, exchange, "no replica is open");
-  // Another router told of a version whose replicas this one has yet to read of.
-  const isExpected = isVersionUnread(state, service, softwareVersion);
-  if (!isExpected && !hasVersion(state, service, softwareVersion))
+  if (isVersionGone(state, exchange))
     return refuseTakeUp(
       state,
       exchange,
--- a/packages/relay/src/decisions/silentReplicas.test.ts
+++ b/packages/relay/src/decisions/silentReplicas.test.ts
@@ -7,6 +7,7 @@
 const prefilledAfterMs = 400;
 const afterMs = 15_000;
 const streamEventCount = 30;
+const beforeFirstEventMs = 100;
 const usedUpMs = 3000;
 const silencesMs = [600, 1000, 1300, 3000];
 
@@ -87,3 +88,18 @@
   fleet.advance(afterMs);
   assertWhole(fleet, keys);
 });
+
+// Load: the only replica resets a stream whose head has been sent on, and runs on.
+test("a stream is broken off between its head and its first event", () => {
+  const { fleet, keys } = startStreams({ routerCount: 1, engineCount: 1 }, 0);
+  keys.push(fleet.request("r1", []));
+  const [key = ""] = keys;
+  const [engine] = fleet.replicas.engines;
+  assert.ok(engine);
+  fleet.advance(beforeFirstEventMs);
+  assert.ok(fleet.states.get("r1")?.exchanges.get(key)?.lastEventId === 0);
+  fleet.streamHead("r1", key);
+  fleet.replicas.resetConnections(engine);
+  fleet.advance(afterMs);
+  assertWhole(fleet, keys);
+});
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -12,6 +12,7 @@
 import type { Address, CallerRequest } from "../types.js";
 import {
   idempotentPath,
+  okHead,
   routerAddress,
   streamPath,
   testConfig,
@@ -157,6 +158,19 @@
     return key;
   }
 
+  /** The head of a stream arrives before its first event. */
+  streamHead(router: string, key: string): void {
+    const attempt = this.states.get(router)?.exchanges.get(key)?.attempt;
+    if (attempt === undefined) throw new Error(`${key} has no attempt`);
+    this.dispatch(router, {
+      type: "streamStarted",
+      at: this.at,
+      key,
+      attempt: attempt.number,
+      head: okHead({ isStream: true }),
+    });
+  }
+
   /** Sends one more attempt of a caller at the same request. */
   requestAgain(
     router: string,
