--- a/packages/relay/src/drivers/eventSplitter.test.ts
+++ b/packages/relay/src/drivers/eventSplitter.test.ts
@@ -25,7 +25,7 @@
         }
         assert.equal(seen.length, count);
         assert.deepEqual(Buffer.concat(seen), bytes);
-        assert.equal(splitter.hasPartialEvent(), false);
+        assert.equal(splitter.partialBytes(), 0);
       },
     ),
   );
--- a/packages/relay/src/drivers/eventSplitter.ts
+++ b/packages/relay/src/drivers/eventSplitter.ts
@@ -43,9 +43,9 @@
     return new EventSplitter();
   }
 
-  /** Whether an incomplete event is buffered. */
-  hasPartialEvent(): boolean {
-    return this.partialEvent.length > 0;
+  /** Number of bytes of an incomplete event. */
+  partialBytes(): number {
+    return this.partialEvent.length;
   }
 
   push(chunk: Buffer): SplitResult {
--- a/packages/relay/src/drivers/httpCall.ts
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -6,6 +6,8 @@
   type IncomingHttpHeaders,
 } from "node:http";
 import { now, type Timestamp } from "@cardamomglade/common";
+import { answerBuffers, type AnswerBuffer } from "./answerBuffers.js";
+import { lengthOf } from "./lengthOf.js";
 
 /** Parameters of an HTTP call. */
 export interface HttpCall {
@@ -34,7 +36,6 @@
       readonly isRefused: boolean;
     };
 
-const maxResponseBytes = 32 * 1024 * 1024; // a page of the store holds about 1 MB, a report some kilobytes
 const jsonBody = { "content-type": "application/json" };
 
 const send = ({ host, port, method, path, body }: HttpCall) =>
@@ -55,8 +56,10 @@
   new Promise((resolve) => {
     const { body, deadline } = call;
     const timers: NodeJS.Timeout[] = [];
+    let buffer: AnswerBuffer | undefined;
     const finish = (outcome: HttpResult) => {
       for (const timer of timers) clearTimeout(timer);
+      buffer?.close();
       resolve(outcome);
       req.destroy();
     };
@@ -83,18 +86,18 @@
       fail(error.message, error.code === "ECONNREFUSED");
     });
     req.on("response", (res) => {
-      const chunks: Buffer[] = [];
-      let bytes = 0;
+      buffer = answerBuffers.buffer({
+        length: lengthOf(res),
+        onOverflow: fail,
+      });
       res.on("data", (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > maxResponseBytes) fail("response exceeds the size limit");
-        else chunks.push(chunk);
+        buffer?.push(chunk);
       });
       res.on("error", (error) => {
         fail(error.message);
       });
       res.on("end", () => {
-        const text = Buffer.concat(chunks).toString("utf8");
+        const text = buffer?.take().toString("utf8") ?? "";
         const { headers, statusCode: status = 0 } = res;
         finish({ type: "answered", status, headers, text });
       });
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -3,6 +3,7 @@
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import { now } from "@cardamomglade/common";
 import type { RelayCommand } from "../decisions/commands.js";
+import { isBodiless } from "../decisions/answerEnds/isBodiless.js";
 import {
   AttemptFailure,
   BodyFraming,
@@ -18,6 +19,8 @@
   formatAddress,
   type Address,
 } from "../types.js";
+import { answerBuffers, type AnswerBuffer } from "./answerBuffers.js";
+import { lengthOf } from "./lengthOf.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
 import {
@@ -48,7 +51,6 @@
 // A live replica accepts a connection within a round trip and its handshake; an
 // unreachable one never does.
 const connectTimeoutMs = 250;
-const maxResponseBytes = 16 * 1024 * 1024; // limit for a response that is buffered
 
 const maxInformationalCount = 16; // a server sends one or none before its response
 const minFinalStatus = 200;
@@ -168,6 +170,7 @@
   private isOver = false;
   private isConnected = false;
   private res: IncomingMessage | undefined;
+  private buffer: AnswerBuffer | undefined;
 
   private constructor(
     private readonly protocol: ReplicaProtocol,
@@ -233,6 +236,7 @@
   /** Closes the connection; no more events are reported. */
   abandon(): void {
     this.isOver = true;
+    this.buffer?.close();
     this.req.destroy();
   }
 
@@ -352,33 +356,45 @@
     else this.readBuffered(res, head);
   }
 
+  /** Opens the buffer of the answer; undefined if the call has failed because of its length. */
+  private openBuffer(length: number | undefined): AnswerBuffer | undefined {
+    this.buffer = answerBuffers.buffer({
+      length,
+      onOverflow: (reason) => {
+        this.fail(AttemptFailure.Malformed, reason);
+      },
+    });
+    return this.buffer;
+  }
+
   private readBuffered(res: IncomingMessage, head: ResponseHead): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const { method } = this.command.request;
+    const length = isBodiless(method, head.status) ? 0 : lengthOf(res);
+    const buffer = this.openBuffer(length);
+    if (buffer === undefined) return;
     res.on("data", (chunk: Buffer) => {
-      bytes += chunk.length;
-      chunks.push(chunk);
-      if (bytes > maxResponseBytes)
-        this.fail(AttemptFailure.Malformed, "the answer is too long");
+      buffer.push(chunk);
     });
     this.onBodyEnd(res, () => {
-      const answer = { head, body: Buffer.concat(chunks) };
+      const answer = { head, body: buffer.take() };
       this.report({ type: "responseReceived", answer });
     });
   }
 
   private readStream(res: IncomingMessage, head: ResponseHead): void {
     const splitter = EventSplitter.create();
+    const buffer = this.openBuffer(undefined);
     const headers = forwardableHeaders(head.headers, framingHeaders);
     this.report({ type: "streamStarted", head: { ...head, headers } });
     res.on("data", (chunk: Buffer) => {
       const { events, error } = splitter.push(chunk);
+      buffer?.hold(splitter.partialBytes());
       if (events.length > 0) this.report({ type: "eventsArrived", events });
       if (error !== undefined)
         this.fail(AttemptFailure.Malformed, error.message);
     });
     this.onBodyEnd(res, () => {
-      if (splitter.hasPartialEvent())
+      if (splitter.partialBytes() > 0)
         this.fail(AttemptFailure.Broken, "the stream ended within an event");
       else this.report({ type: "streamEnded" });
     });
