--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -52,7 +52,7 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { service, softwareVersion, route, triedIds, head } = exchange;
+  const { softwareVersion, route, triedIds, head } = exchange;
   if (softwareVersion === undefined && head === undefined)
     return failExchange(state, exchange, "no replica is open");
   if (isVersionGone(state, exchange))
