--- a/packages/relay/src/endlessAnswers.test.ts
+++ b/packages/relay/src/endlessAnswers.test.ts
@@ -80,8 +80,9 @@
 };
 
 for (const count of [8, 24, 64])
-  test(`${String(count)} endless answers at once take the memory of sound requests`, async () => {
+  test(`${String(count)} endless answers at once take the memory of sound requests`, async (t) => {
     const { port, stop } = await startTestRelay(respond);
+    t.after(stop);
     await exchange(port, requestText("/check/sound"), waitMs);
     const stopWatching = watchMemory();
     const endless = Array.from({ length: count }, (_, index) =>
@@ -97,7 +98,6 @@
     const answers = await Promise.all(sound);
     await Promise.all(endless);
     const peak = stopWatching();
-    await stop();
     const served = answers.filter((text) => text.startsWith(ok.trim()));
     assert.equal(served.length, answers.length);
     const large = answers.filter(({ length }) => length > largeBytes);
