Let a stream that has begun wait for a permit as long as its caller does (LOST)

What callers saw: streams that were lost together were broken off in their middle when all engines name a limit of requests and the next permit came later than a part of the target latency, although a refusal is no longer possible for them.

Cause: lastPermitAt weighs waiting against a refusal; a stream that has begun can only be broken off.

Evidence: the last case of silentReplicas.test.ts failed before (three engines that each take 0.4 requests a second, three streams reset together); all three are whole now. Requests that have not begun are refused as before.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -15,12 +15,14 @@
 import type { RelayCommand } from "./commands.js";
 import type { Exchange, RelayState } from "./types.js";
 
-/** Time until which waiting for a permit serves the caller better than a refusal. */
+/** Time until which waiting for a permit serves the caller better than an end of the request. */
 const lastPermitAt = (
-  { route, deadline }: Exchange,
+  { head, route, deadline }: Exchange,
   at: Timestamp,
 ): Timestamp =>
-  Math.min(deadline, at + permitWaitRatio * route.targetLatencyMs);
+  head === undefined
+    ? Math.min(deadline, at + permitWaitRatio * route.targetLatencyMs)
+    : deadline;
 
 /** Whether no replica of a stream's software is left, and none is expected. */
 const isVersionGone = (
--- a/packages/relay/src/decisions/silentReplicas.test.ts
+++ b/packages/relay/src/decisions/silentReplicas.test.ts
@@ -8,6 +8,7 @@
 const afterMs = 15_000;
 const streamEventCount = 30;
 const beforeFirstEventMs = 100;
+const limitPerS = 0.4;
 const usedUpMs = 3000;
 const silencesMs = [600, 1000, 1300, 3000];
 
@@ -103,3 +104,16 @@
   fleet.advance(afterMs);
   assertWhole(fleet, keys);
 });
+
+// Load: all engines name a limit of requests, and streams that were lost together need another one.
+test("streams are broken off while the limits of all engines are used up", () => {
+  const { fleet, keys } = startStreams({ routerCount: 1, engineCount: 3 }, 0);
+  for (const { replica } of fleet.replicas.engines)
+    fleet.replicas.requestLimits.set(replica.id, limitPerS);
+  keys.push(...Array.from({ length: 3 }, () => fleet.request("r1", [])));
+  fleet.advance(prefilledAfterMs);
+  for (const engine of fleet.replicas.engines)
+    fleet.replicas.resetConnections(engine);
+  fleet.advance(afterMs);
+  assertWhole(fleet, keys);
+});
