Give up no stream for a large answer that has a length

What callers would have seen: with more than 48 MiB of large answers under way, all of known length, streams that held only part of an event were ended first, as their length is unknown; found while reading the diff, seen by no caller.

Cause: the first answer of unknown length was given up, however little it held.

--- a/packages/relay/src/drivers/answerBuffers.ts
+++ b/packages/relay/src/drivers/answerBuffers.ts
@@ -12,6 +12,9 @@
 /** Bytes of all answers together that one process buffers; a host has some hundred MB. */
 export const maxBufferedBytes = 48 * bytesPerMiB;
 
+/** Bytes from which an answer without a known end is given up before one that has one: streams hold less. */
+const minEndlessBytes = bytesPerMiB / 4;
+
 /** Options of a buffer. */
 export interface AnswerBufferOptions {
   /** Length that the answer's head names; undefined if it names none. */
@@ -100,7 +103,7 @@
   }
 
   /** Opens a buffer; undefined, and reported, if the answer names a length that is not taken. */
-  buffer(options: AnswerBufferOptions): AnswerBuffer | undefined {
+  openBuffer(options: AnswerBufferOptions): AnswerBuffer | undefined {
     if ((options.length ?? 0) > maxAnswerBytes) {
       options.onOverflow("the answer is too long");
       return undefined;
@@ -132,10 +135,12 @@
     if (this.open.delete(buffer)) this.byteCount -= buffer.bytes;
   }
 
-  /** The largest answer without a known end, or else the largest of all. */
+  /** The largest answer that may have no end, or else the largest of all. */
   private leastPromising(): AnswerBuffer | undefined {
     const all = [...this.open].sort((a, b) => b.bytes - a.bytes);
-    return all.find(({ hasLength }) => !hasLength) ?? all[0];
+    const mayBeEndless = ({ hasLength, bytes }: AnswerBuffer) =>
+      !hasLength && bytes >= minEndlessBytes;
+    return all.find(mayBeEndless) ?? all[0];
   }
 }
 
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -80,7 +80,7 @@
 
 /** Counts an answer among those that this process buffers until its caller has read it. */
 const holdUntilRead = (res: ServerResponse, length: number): void => {
-  const buffer = answerBuffers.buffer({
+  const buffer = answerBuffers.openBuffer({
     length,
     onOverflow: () => {
       res.destroy();
--- a/packages/relay/src/drivers/httpCall.ts
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -86,7 +86,7 @@
       fail(error.message, error.code === "ECONNREFUSED");
     });
     req.on("response", (res) => {
-      buffer = answerBuffers.buffer({
+      buffer = answerBuffers.openBuffer({
         length: lengthOf(res),
         onOverflow: fail,
       });
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -358,7 +358,7 @@
 
   /** Opens the buffer of the answer; undefined if the call has failed because of its length. */
   private openBuffer(length: number | undefined): AnswerBuffer | undefined {
-    this.buffer = answerBuffers.buffer({
+    this.buffer = answerBuffers.openBuffer({
       length,
       onOverflow: (reason) => {
         this.fail(AttemptFailure.Malformed, reason);
