Log when a stream that has begun waits for room or for a repeat

Its router had no line for either wait, so an operator could not tell a stream that waits from one that is served.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -95,9 +95,14 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  exchange.attempts -= exchange.refusedAttempts;
+  const { refusedAttempts } = exchange;
+  exchange.attempts -= refusedAttempts;
   exchange.refusedAttempts = 0;
-  return awaitVersion(state, exchange);
+  const context = { ...summaryOf(exchange, state.at), refusedAttempts };
+  return [
+    logLine("stream waits for room", context),
+    ...awaitVersion(state, exchange),
+  ];
 };
 
 /**
--- a/packages/relay/src/decisions/borrowRetry.ts
+++ b/packages/relay/src/decisions/borrowRetry.ts
@@ -11,7 +11,7 @@
   borrowTimeoutMs,
   lenderCount,
 } from "./constants.js";
-import { failExchange } from "./endExchange.js";
+import { failExchange, summaryOf } from "./endExchange.js";
 import { otherRouterAddresses } from "./registration.js";
 import { sampleWithoutReplacement } from "./random.js";
 import { logLine } from "./logLine.js";
@@ -34,7 +34,9 @@
     return failExchange(state, exchange, `${reason}; no repeat is left`);
   const until = state.at + budgetCheckIntervalMs;
   exchange.wait = { type: "retry", reason, rounds, until };
-  return [];
+  return rounds === maxBorrowRoundCount + 1
+    ? [logLine("stream waits for a repeat", summaryOf(exchange, state.at))]
+    : [];
 };
 
 /** Asks other routers to lend a retry; after the last round, there is none for now. */
