--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -30,7 +30,6 @@
   type RequestLimits,
   type Address,
 } from "../types.js";
-import { answerBuffers } from "./answerBuffers.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import {
   encodeAnswerOrigin,
@@ -78,20 +77,6 @@
 const maxUnreadBytes = 4 * 1024 * 1024; // buffered bytes of one response that its caller does not read
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
-/** Counts an answer among those that this process buffers until its caller has read it. */
-const holdUntilRead = (res: ServerResponse, length: number): void => {
-  const buffer = answerBuffers.openBuffer({
-    length,
-    onOverflow: () => {
-      res.destroy();
-    },
-  });
-  buffer?.hold(length);
-  res.on("close", () => {
-    buffer?.close();
-  });
-};
-
 /**
  * Lets the response end when its connection closes, as the replica's response
  * did: a content length added by the relay would mark a response as complete
@@ -162,7 +147,6 @@
       "content-type": "application/json",
       "content-length": Buffer.byteLength(body),
     });
-    holdUntilRead(res, body.length);
     res.end(body);
   };
 
