--- /dev/null
+++ b/packages/relay/src/decisions/abandonAndRetry.ts
@@ -0,0 +1,16 @@
+/** Leaves an attempt for good. */
+
+import { handleLostAttempt } from "./attemptEvents.js";
+import type { RelayCommand } from "./commands.js";
+import type { Attempt, Exchange, RelayState } from "./types.js";
+
+/** Abandons an attempt that has ended, or that must end: closes its connection and retries elsewhere. */
+export const abandonAndRetry = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  reason: string,
+): RelayCommand[] => [
+  { type: "abandon", key: exchange.key, attempt: attempt.number },
+  ...handleLostAttempt(state, exchange, attempt, reason),
+];
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -3,6 +3,7 @@
 import { assertNever } from "@cardamomglade/common";
 import {
   misdirectedRequestStatus,
+  serverErrorStatus,
   serviceUnavailableStatus,
 } from "../types.js";
 import { confirmEnd } from "./answerEnds/confirmEnd.js";
@@ -87,7 +88,7 @@
  * The copy at which a request can resume after an attempt. One is usable only after the
  * first event; one that an attempt did not reach is left as it was.
  */
-const copyLeftBy = ({
+export const copyLeftBy = ({
   hasEvents,
   copy,
   start,
@@ -170,7 +171,7 @@
 };
 
 const isServerError = ({ head }: BufferedResponse): boolean =>
-  head.status >= 500;
+  head.status >= serverErrorStatus;
 
 /** Delivers a response, or retries a request that was rejected or failed. */
 const handleResponse = (
@@ -230,7 +231,9 @@
   const isFailure = isServerError(answer);
   recordOutcome(state, attempt.replica.id, isFailure);
   const hasStarted = exchange.head !== undefined;
-  if (isFailure && (hasStarted || hasAttempt(exchange))) {
+  const canGoOn =
+    hasStarted || hasAttempt(exchange) || exchange.fallback !== undefined;
+  if (isFailure && canGoOn) {
     exchange.failedResponse = hasStarted ? undefined : answer;
     return handleLostAttempt(
       state,
--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -4,7 +4,8 @@
 import { serviceUnavailableStatus } from "../types.js";
 import { candidateQueryOf, soonestPermit } from "./chooseReplica.js";
 import { permitWaitRatio } from "./constants.js";
-import { cancelExchange, failExchange, summaryOf } from "./endExchange.js";
+import { cancelExchange, summaryOf } from "./endExchange.js";
+import { endSearch } from "./fallback/endSearch.js";
 import { refuse } from "./refusals.js";
 import { isSuspected } from "./replicaViews.js";
 import { takePermit } from "./requestLimits.js";
@@ -56,7 +57,7 @@
 ): RelayCommand[] => {
   const { softwareVersion, route, triedIds, head } = exchange;
   if (softwareVersion === undefined && head === undefined)
-    return failExchange(state, exchange, "no replica is open");
+    return endSearch(state, exchange, "no replica is open");
   if (isVersionGone(state, exchange))
     return refuseTakeUp(
       state,
@@ -140,8 +141,7 @@
   // A replica without a limit that was full for this attempt is soon free again.
   const isSoonFree =
     soonestPermit(state, { ...query, excluded: new Set() })?.at === state.at;
-  if (mayHaveStarted || isSoonFree)
-    return failExchange(state, exchange, reason);
+  if (mayHaveStarted || isSoonFree) return endSearch(state, exchange, reason);
   const refused = { key, requestId: request.requestId, reason, context };
   return [
     ...cancelExchange(state, exchange),
--- a/packages/relay/src/decisions/borrowRetry.ts
+++ b/packages/relay/src/decisions/borrowRetry.ts
@@ -11,7 +11,8 @@
   borrowTimeoutMs,
   lenderCount,
 } from "./constants.js";
-import { failExchange, summaryOf } from "./endExchange.js";
+import { summaryOf } from "./endExchange.js";
+import { endSearch } from "./fallback/endSearch.js";
 import { otherRouterAddresses } from "./registration.js";
 import { sampleWithoutReplacement } from "./random.js";
 import { logLine } from "./logLine.js";
@@ -31,7 +32,7 @@
   rounds: number,
 ): RelayCommand[] => {
   if (exchange.head === undefined)
-    return failExchange(state, exchange, `${reason}; no repeat is left`);
+    return endSearch(state, exchange, `${reason}; no repeat is left`);
   const until = state.at + budgetCheckIntervalMs;
   exchange.wait = { type: "retry", reason, rounds, until };
   return rounds === maxBorrowRoundCount + 1
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -13,6 +13,7 @@
 } from "./attemptEvents.js";
 import { callerDisconnected } from "./callerDisconnected.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
+import { settleFallback } from "./fallback/fallbackEvents.js";
 import { handedOnEvent, handoverOffered } from "./handover/handoverEvents.js";
 import { createHandoverState, handoverAsked } from "./handover/offers.js";
 import { createGossipState } from "./gossip/spreadGossip.js";
@@ -208,7 +209,8 @@
 ): Transition<RelayState, RelayCommand> => {
   state.at = Math.max(state.at, event.at);
   try {
-    return { state, commands: commandsOf(state, event) };
+    const settled = settleFallback(state, event);
+    return { state, commands: [...settled, ...commandsOf(state, event)] };
   } catch (error) {
     return { state, commands: recoverFrom(state, event, error) };
   }
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -9,19 +9,39 @@
 import type { DecisionContext, RelayCommand } from "./commands.js";
 import type { Attempt, Exchange, RelayState, ResponseHead } from "./types.js";
 
+/** Updates the replica's counters for an attempt that is no longer open. */
+export const releaseAttempt = (
+  state: RelayState,
+  { replica, hasEvents }: Attempt,
+): void => {
+  const view = state.replicas.get(replica.id);
+  if (view === undefined) return;
+  view.inFlight = Math.max(0, view.inFlight - 1);
+  if (!hasEvents) view.prefilling = Math.max(0, view.prefilling - 1);
+};
+
 /** Clears the active attempt and updates the replica's counters. */
 export const closeAttempt = (state: RelayState, exchange: Exchange): void => {
   const { attempt } = exchange;
   if (attempt === undefined) return;
   exchange.attempt = undefined;
-  const view = state.replicas.get(attempt.replica.id);
-  if (view === undefined) return;
-  view.inFlight = Math.max(0, view.inFlight - 1);
-  if (!attempt.hasEvents) view.prefilling = Math.max(0, view.prefilling - 1);
+  releaseAttempt(state, attempt);
+};
+
+/** Closes the connection of a silent attempt that stayed open. */
+export const closeFallback = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { key, fallback } = exchange;
+  if (fallback === undefined) return [];
+  exchange.fallback = undefined;
+  releaseAttempt(state, fallback.attempt);
+  return [{ type: "abandon", key, attempt: fallback.attempt.number }];
 };
 
 /** Abandons the active attempt: its connection is closed at once. */
-const abandonAttempt = (
+export const abandonAttempt = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
@@ -57,6 +77,7 @@
   closeAttempt(state, exchange);
   state.exchanges.delete(exchange.key);
   return [
+    ...closeFallback(state, exchange),
     ...releaseCopy(attempt),
     logLine("request answered", {
       ...summaryOf(exchange, state.at),
@@ -90,7 +111,11 @@
 ): RelayCommand[] => {
   const { attempt } = exchange;
   state.exchanges.delete(exchange.key);
-  return [...abandonAttempt(state, exchange), ...releaseCopy(attempt)];
+  return [
+    ...abandonAttempt(state, exchange),
+    ...closeFallback(state, exchange),
+    ...releaseCopy(attempt),
+  ];
 };
 
 /** Ends an exchange that no replica can answer any more. */
--- /dev/null
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -0,0 +1,179 @@
+/** Handles what becomes of a silent attempt that stayed open: it goes on, ends, or another replica has begun. */
+
+import type { RelayCommand } from "../commands.js";
+import {
+  abandonAttempt,
+  closeFallback,
+  releaseAttempt,
+} from "../endExchange.js";
+import type { RelayEvent } from "../events.js";
+import { logLine } from "../logLine.js";
+import { recordOutcome } from "../outcomes.js";
+import { suspectBrokenAttempt } from "../quarantine/engineCrashes.js";
+import { recordLoss } from "../replicaViews.js";
+import { RequestKind, serverErrorStatus } from "../../types.js";
+import {
+  AttemptFailure,
+  type Attempt,
+  type BufferedResponse,
+  type Exchange,
+  type RelayState,
+} from "../types.js";
+import { maxOverlapMs } from "./constants.js";
+import { restoreAttempt } from "./restoreAttempt.js";
+import type { Fallback } from "./types.js";
+
+/** Number of the attempt, at a replica or another router, that follows the silent one. */
+const successorNumberOf = ({ attempt, wait }: Exchange): number | undefined =>
+  wait.type === "router" ? wait.attempt.number : attempt?.number;
+
+const fallbackLogLine = (
+  state: RelayState,
+  exchange: Exchange,
+  { number, replica, sentAt, heardAt }: Attempt,
+  message: string,
+  reason?: string,
+): RelayCommand =>
+  logLine(message, {
+    requestId: exchange.request.requestId,
+    attempt: number,
+    replica: replica.id,
+    successor: successorNumberOf(exchange),
+    waitsFor: exchange.wait.type,
+    afterEvent: exchange.lastEventId,
+    runningMs: Math.round(state.at - sentAt),
+    silentMs: Math.round(state.at - heardAt),
+    reason,
+  });
+
+/** Drops a silent attempt that has ended; the request goes on as it is. */
+const loseFallback = (
+  state: RelayState,
+  exchange: Exchange,
+  { attempt }: Fallback,
+  reason: string,
+): RelayCommand[] => {
+  exchange.fallback = undefined;
+  releaseAttempt(state, attempt);
+  return [
+    fallbackLogLine(state, exchange, attempt, "silent attempt ended", reason),
+  ];
+};
+
+/** Goes on with an attempt that was silent: what was sent or waits in its place is given up. */
+const resumeFallback = (
+  state: RelayState,
+  exchange: Exchange,
+  { attempt }: Fallback,
+): RelayCommand[] => {
+  const line = fallbackLogLine(
+    state,
+    exchange,
+    attempt,
+    "silent attempt goes on",
+  );
+  const commands = abandonAttempt(state, exchange);
+  restoreAttempt(exchange, attempt);
+  return [line, ...commands];
+};
+
+const isRefusalOrFailure = ({ head }: BufferedResponse): boolean =>
+  head.isNotExecuted || head.status >= serverErrorStatus;
+
+const ofFallback = (
+  state: RelayState,
+  exchange: Exchange,
+  fallback: Fallback,
+  event: RelayEvent,
+): RelayCommand[] => {
+  const { attempt } = fallback;
+  switch (event.type) {
+    case "streamStarted":
+    case "eventsArrived":
+    case "streamEnded":
+      return resumeFallback(state, exchange, fallback);
+    case "responseReceived":
+      return isRefusalOrFailure(event.answer)
+        ? loseFallback(
+            state,
+            exchange,
+            fallback,
+            `status ${String(event.answer.head.status)}`,
+          )
+        : resumeFallback(state, exchange, fallback);
+    case "attemptFailed": {
+      const isBroken = event.failure === AttemptFailure.Broken;
+      if (isBroken) {
+        recordLoss(state, attempt.replica, state.at);
+        recordOutcome(state, attempt.replica.id, true);
+      }
+      const reason = `${event.failure}: ${event.detail}`;
+      return [
+        ...(isBroken ? suspectBrokenAttempt(state, exchange, attempt) : []),
+        ...loseFallback(state, exchange, fallback, reason),
+      ];
+    }
+    default:
+      return [];
+  }
+};
+
+/** Closes the silent attempt once another replica has begun, or lets it be closed soon. */
+const ofSuccessor = (
+  state: RelayState,
+  exchange: Exchange,
+  fallback: Fallback,
+  event: RelayEvent,
+): RelayCommand[] => {
+  switch (event.type) {
+    case "connectionOpened":
+      if (exchange.route.kind === RequestKind.Idempotent)
+        fallback.closesAt = state.at + maxOverlapMs;
+      return [];
+    case "attemptFailed":
+    case "responseReceived":
+      fallback.closesAt = undefined;
+      return [];
+    case "eventsArrived": {
+      const { attempt } = fallback;
+      const message = "another replica has taken the request";
+      return [
+        fallbackLogLine(state, exchange, attempt, message),
+        ...closeFallback(state, exchange),
+      ];
+    }
+    default:
+      return [];
+  }
+};
+
+/** Handles an event for the silent attempt of its request; the event itself is handled after that. */
+export const settleFallback = (
+  state: RelayState,
+  event: RelayEvent,
+): RelayCommand[] => {
+  if (!("attempt" in event)) return [];
+  const exchange = state.exchanges.get(event.key);
+  const fallback = exchange?.fallback;
+  if (exchange === undefined || fallback === undefined) return [];
+  if (event.attempt === fallback.attempt.number)
+    return ofFallback(state, exchange, fallback, event);
+  return event.attempt === successorNumberOf(exchange)
+    ? ofSuccessor(state, exchange, fallback, event)
+    : [];
+};
+
+/** Closes silent attempts whose successor was not refused in time. */
+export const closeOverlap = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { fallback } = exchange;
+  const isDue = state.at >= (fallback?.closesAt ?? Infinity);
+  if (fallback === undefined || !isDue) return [];
+  const message = "another replica works on the request";
+  return [
+    fallbackLogLine(state, exchange, fallback.attempt, message),
+    ...closeFallback(state, exchange),
+  ];
+};
--- /dev/null
+++ b/packages/relay/src/decisions/fallback/keepFallback.ts
@@ -0,0 +1,43 @@
+/**
+ * Asks another replica for a request whose attempt is silent. Load pattern: sound replicas
+ * fall silent for about a second and go on, while the others are full. The silent attempt
+ * stays open until another replica has begun, so that a refusal costs nothing.
+ */
+
+import type { RelayCommand } from "../commands.js";
+import { logLine } from "../logLine.js";
+import { abandonAndRetry } from "../abandonAndRetry.js";
+import { copyLeftBy } from "../attemptEvents.js";
+import { sendRetry } from "../sendAttempt.js";
+import type { Attempt, Exchange, RelayState } from "../types.js";
+
+/** Whether a silent attempt may be left now: after a refusal it waits a while. */
+export const maySeek = (state: RelayState, { seekAt }: Exchange): boolean =>
+  state.at >= seekAt;
+
+/** Sends the request of a silent attempt to another replica; of two silent ones, the first stays open. */
+export const seekSuccessor = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  reason: string,
+): RelayCommand[] => {
+  if (exchange.fallback !== undefined)
+    return abandonAndRetry(state, exchange, attempt, reason);
+  exchange.copy = copyLeftBy(attempt);
+  exchange.fallback = { attempt, closesAt: undefined };
+  exchange.attempt = undefined;
+  const line = logLine("another replica is asked for a silent attempt", {
+    requestId: exchange.request.requestId,
+    attempt: attempt.number,
+    replica: attempt.replica.id,
+    replicaZone: attempt.replica.zone,
+    afterEvent: exchange.lastEventId,
+    hasBegun: attempt.hasEvents,
+    runningMs: Math.round(state.at - attempt.sentAt),
+    silentMs: Math.round(state.at - attempt.heardAt),
+    copyHolder: exchange.copy?.holder.id,
+    reason,
+  });
+  return [line, ...sendRetry(state, exchange, reason)];
+};
--- /dev/null
+++ b/packages/relay/src/decisions/fallback/overdueRequests.test.ts
@@ -0,0 +1,74 @@
+/** Idempotent requests whose silent attempt stays open while another replica is asked. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { idempotentPath, okHead, Scenario } from "../../testing/scenario.js";
+import { minSeekPauseMs } from "./constants.js";
+
+const overdueMs = 450;
+const key = "1";
+
+const createOverdueRequest = () => {
+  const scenario = Scenario.create();
+  scenario.request(key, idempotentPath);
+  const silent = scenario.lastSend(key).attempt;
+  scenario.advance(overdueMs);
+  const successor = scenario.lastSend(key).attempt;
+  assert.notEqual(successor.number, silent.number);
+  return { scenario, silent, successor };
+};
+
+const answerOf = (
+  scenario: Scenario,
+  attempt: number,
+  changes: Partial<ReturnType<typeof okHead>> = {},
+) => {
+  const answer = { head: okHead(changes), body: new Uint8Array() };
+  const { at } = scenario;
+  scenario.dispatch({ type: "responseReceived", at, key, attempt, answer });
+};
+
+const abandonedOf = (scenario: Scenario) =>
+  scenario.commandsOfType("abandon").map(({ attempt }) => attempt);
+
+/** Work that the router still counts at its replicas. */
+const countedWork = ({ state }: Scenario) =>
+  [...state.replicas.values()].reduce(
+    (sum, { inFlight, prefilling }) => sum + inFlight + prefilling,
+    0,
+  );
+
+test("an idempotent request is answered with 502 after a full replica refused it, although the first one answers late", () => {
+  const { scenario, silent, successor } = createOverdueRequest();
+  answerOf(scenario, successor.number, { status: 503, isNotExecuted: true });
+  assert.equal(scenario.commandsOfType("refuse").length, 0);
+  answerOf(scenario, silent.number);
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
+  assert.equal(countedWork(scenario), 0);
+});
+
+test("a replica's failure is passed on although the first one answers late", () => {
+  const { scenario, silent, successor } = createOverdueRequest();
+  answerOf(scenario, successor.number, { status: 500 });
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 0);
+  answerOf(scenario, silent.number);
+  const [delivered] = scenario.commandsOfType("deliverResponse");
+  assert.equal(delivered?.answer.head.status, 200);
+});
+
+test("replicas that refused are asked again without a pause", () => {
+  const { scenario, successor } = createOverdueRequest();
+  answerOf(scenario, successor.number, { status: 503, isNotExecuted: true });
+  const sentCount = scenario.commandsOfType("send").length;
+  scenario.advance(minSeekPauseMs - 25);
+  assert.equal(scenario.commandsOfType("send").length, sentCount);
+});
+
+test("the answer that comes first is not the one that is delivered", () => {
+  const { scenario, silent, successor } = createOverdueRequest();
+  answerOf(scenario, successor.number);
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
+  assert.deepEqual(abandonedOf(scenario), [silent.number]);
+  answerOf(scenario, silent.number);
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
+});
--- a/packages/relay/src/decisions/handover/handOn.ts
+++ b/packages/relay/src/decisions/handover/handOn.ts
@@ -8,7 +8,7 @@
 import type { Timestamp } from "@cardamomglade/common";
 import { formatAddress, RequestKind } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
-import { failExchange } from "../endExchange.js";
+import { endSearch } from "../fallback/endSearch.js";
 import { logLine } from "../logLine.js";
 import { ageOf } from "../replicaViews.js";
 import { pathOf } from "../paths/paths.js";
@@ -138,7 +138,7 @@
     (exchange.handoverCount >= maxHandoverCount && !hasBegun);
   if (isOver) {
     const reason = "no replica can be reached, and no other router takes it";
-    return failExchange(state, exchange, reason);
+    return endSearch(state, exchange, reason);
   }
   exchange.wait = { type: "offer", isCounted };
   return askOffers(state, urgentAskIntervalMs);
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -3,6 +3,7 @@
 import { formatAddress, serviceUnavailableStatus } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import { deadConnectionSilenceMs } from "../constants.js";
+import { endSearch } from "../fallback/endSearch.js";
 import {
   cancelExchange,
   completeExchange,
@@ -122,7 +123,7 @@
   const reason = "the router that took the request over refused it";
   exchange.mayHaveExecuted = mayHaveExecutedBefore;
   if (mayHaveExecutedBefore || head !== undefined)
-    return failExchange(state, exchange, reason);
+    return endSearch(state, exchange, reason);
   const context = summaryOf(exchange, state.at);
   const refused = { key, requestId: request.requestId, reason, context };
   return [
--- a/packages/relay/src/decisions/handover/takeOver.ts
+++ b/packages/relay/src/decisions/handover/takeOver.ts
@@ -6,7 +6,8 @@
 import { serviceUnavailableStatus, type Route } from "../../types.js";
 import type { CallerRequest } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
-import { cancelExchange, failExchange, summaryOf } from "../endExchange.js";
+import { cancelExchange, summaryOf } from "../endExchange.js";
+import { endSearch } from "../fallback/endSearch.js";
 import { logLine } from "../logLine.js";
 import { isRouterHost } from "../registration.js";
 import { refuse, type RefusedRequest } from "../refusals.js";
@@ -60,7 +61,7 @@
   const { key, request, mayHaveExecuted, head } = exchange;
   const reason = "this router has no path to the replicas either";
   if (mayHaveExecuted || head !== undefined)
-    return failExchange(state, exchange, reason);
+    return endSearch(state, exchange, reason);
   const context = summaryOf(exchange, state.at);
   const refused = { key, requestId: request.requestId, reason, context };
   return [
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -6,7 +6,7 @@
   settleEndsByConnection,
   settleEndsByReport,
 } from "./answerEnds/settleEnds.js";
-import { handleLostAttempt } from "./attemptEvents.js";
+import { abandonAndRetry } from "./abandonAndRetry.js";
 import {
   missingEventSilenceMs,
   deadConnectionSilenceMs,
@@ -43,17 +43,6 @@
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, EngineQuery, RelayState } from "./types.js";
 
-/** Abandons a slow, silent or migrating attempt: closes its connection and retries elsewhere. */
-export const abandonAndRetry = (
-  state: RelayState,
-  exchange: Exchange,
-  attempt: Attempt,
-  reason: string,
-): RelayCommand[] => [
-  { type: "abandon", key: exchange.key, attempt: attempt.number },
-  ...handleLostAttempt(state, exchange, attempt, reason),
-];
-
 /** Probes the engine of a silent stream; at most one probe per engine is in flight. */
 export const probeSilent = (
   state: RelayState,
--- a/packages/relay/src/decisions/quarantine/suspectedRequests.ts
+++ b/packages/relay/src/decisions/quarantine/suspectedRequests.ts
@@ -5,7 +5,8 @@
  */
 
 import { refuse } from "../refusals.js";
-import { cancelExchange, failExchange, summaryOf } from "../endExchange.js";
+import { cancelExchange, summaryOf } from "../endExchange.js";
+import { endSearch } from "../fallback/endSearch.js";
 import {
   hasEnded,
   isAvailable,
@@ -84,7 +85,7 @@
   const reason = "replicas ended under this request, and one at most is left";
   state.quarantine.refusedCount += 1;
   if (mayHaveExecuted || head !== undefined)
-    return failExchange(state, exchange, reason);
+    return endSearch(state, exchange, reason);
   const { requestId, fingerprint } = request;
   const context = { ...summaryOf(exchange, state.at), fingerprint };
   return [
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -22,6 +22,7 @@
   maxLoggedPromptBlockCount,
 } from "./constants.js";
 import { failExchange } from "./endExchange.js";
+import { endSearch } from "./fallback/endSearch.js";
 import { returnPermit, takePermit } from "./requestLimits.js";
 import { handOn } from "./handover/handOn.js";
 import { takeOverLogLine } from "./handover/takeOver.js";
@@ -112,6 +113,9 @@
   exchange.wait = noWait;
   countAttempt(state, attempt);
   takePermit(state, replica.id);
+  // A copy can be used once.
+  if (start.type === "copy" && exchange.fallback !== undefined)
+    exchange.fallback.attempt.copy = undefined;
   const view = state.replicas.get(replica.id);
   return [
     {
@@ -295,7 +299,7 @@
   if (attempts >= route.maxAttempts)
     return canAwaitRoom(exchange)
       ? awaitRoom(state, exchange)
-      : failExchange(state, exchange, `${reason}; no attempt is left`);
+      : endSearch(state, exchange, `${reason}; no attempt is left`);
   const { failedConnectionCount } = exchange;
   const hasNoConnectionLeft =
     failedConnectionCount >= maxFailedConnectionCount &&
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -26,7 +26,10 @@
 import { settleRefusedReplicas } from "./quarantine/engineCrashes.js";
 import { maintainQuarantines } from "./quarantine/maintainQuarantines.js";
 import { isEngineQueryDone } from "./queryEngines.js";
-import { abandonAndRetry, probeSilent } from "./probes.js";
+import { abandonAndRetry } from "./abandonAndRetry.js";
+import { closeOverlap } from "./fallback/fallbackEvents.js";
+import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
+import { probeSilent } from "./probes.js";
 import { ensureCopy, hasUsableCopy } from "./kvCacheCopies.js";
 import { recordOutcome, shareOutcomes } from "./outcomes.js";
 import { maintainRegistration } from "./registration.js";
@@ -94,9 +97,10 @@
 ): RelayCommand[] => {
   if (!isOverdue(exchange, attempt, state.at)) return [];
   // A late response is better than none.
-  if (!canRetryElsewhere(state, exchange)) return [];
+  if (!maySeek(state, exchange) || !canRetryElsewhere(state, exchange))
+    return [];
   recordOutcome(state, attempt.replica.id, true);
-  return abandonAndRetry(state, exchange, attempt, "the answer is overdue");
+  return seekSuccessor(state, exchange, attempt, "the answer is overdue");
 };
 
 /** Sends a request that waits for another router once its own path is back, or ends it in time. */
@@ -169,9 +173,12 @@
       recordOutcome(state, attempt.replica.id, true);
     return failExchange(state, exchange, "the deadline has passed");
   }
-  return attempt === undefined
-    ? checkWait(state, exchange)
-    : checkAttempt(state, exchange, attempt);
+  const closing = closeOverlap(state, exchange);
+  const commands =
+    attempt === undefined
+      ? checkWait(state, exchange)
+      : checkAttempt(state, exchange, attempt);
+  return [...closing, ...commands];
 };
 
 /** Checks a request; an error ends it, so that the others keep their deadlines. */
@@ -188,8 +195,9 @@
   for (const view of state.replicas.values()) view.heardAt += lateMs;
   // Answers of the store that have waited since then say nothing of now.
   state.storeHeardAt = -Infinity;
-  for (const { attempt, wait } of state.exchanges.values()) {
+  for (const { attempt, fallback, wait } of state.exchanges.values()) {
     if (attempt !== undefined) attempt.heardAt += lateMs;
+    if (fallback !== undefined) fallback.attempt.heardAt += lateMs;
     if (wait.type === "router") wait.attempt.heardAt += lateMs;
   }
   return [
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -10,6 +10,7 @@
   Address,
 } from "../types.js";
 import type { EndEvidence, UnconfirmedEnd } from "./answerEnds/types.js";
+import type { Fallback } from "./fallback/types.js";
 import type { GossipState } from "./gossip/types.js";
 import type {
   HandoverAttempt,
@@ -211,6 +212,12 @@
   /** Time by which the response must be complete. */
   readonly deadline: Timestamp;
   attempt: Attempt | undefined;
+  /** Silent attempt that stays open while another replica is asked; undefined if there is none. */
+  fallback: Fallback | undefined;
+  /** Time from which another replica may be asked for a silent attempt. */
+  seekAt: Timestamp;
+  /** Number of times that this found none. */
+  failedSeekCount: number;
   /** Number of attempts that count against the route's maximum. */
   attempts: number;
   /** Number of the next attempt; also counts attempts that did not connect. */
--- a/packages/relay/src/decisions/versions/takeUps.ts
+++ b/packages/relay/src/decisions/versions/takeUps.ts
@@ -4,7 +4,7 @@
  */
 
 import type { RelayCommand } from "../commands.js";
-import { failExchange } from "../endExchange.js";
+import { endSearch } from "../fallback/endSearch.js";
 import { logLine } from "../logLine.js";
 import { replicasOf } from "../replicaViews.js";
 import type { Exchange, Questions, RelayState } from "../types.js";
@@ -87,7 +87,7 @@
   reason: string,
 ): RelayCommand[] => {
   state.versions.refusedCount += 1;
-  return failExchange(state, exchange, reason);
+  return endSearch(state, exchange, reason);
 };
 
 /** Whether any registered replica of the service has the version, also one that leaves. */
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -1,6 +1,16 @@
 /** Replica protocol for tests. */
 
-import type { ReplicaProtocol } from "../types.js";
+import type { EngineReport, ReplicaProtocol } from "../types.js";
+import { idleReport } from "./scenario.js";
+
+/** Reads a report whose fields are named as in the product; undefined for any other text. */
+const decodeReport = (text: string): EngineReport | undefined => {
+  if (!text.startsWith("{")) return undefined;
+  const report = JSON.parse(text) as Partial<EngineReport>;
+  return report.runs === undefined
+    ? undefined
+    : { ...idleReport, ...report, runs: report.runs };
+};
 
 /** A protocol whose header names and paths differ from the platform's. */
 export const testProtocol: ReplicaProtocol = {
@@ -39,5 +49,5 @@
   decodePromptHistory: () => [],
   decodePromptBlocks: () => new Map(),
   decodePromptBlockIds: (header) => header.split(",").filter((id) => id !== ""),
-  decodeReport: () => undefined,
+  decodeReport,
 };
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -140,7 +140,23 @@
 export const withReports =
   (answer: RawResponder): RawResponder =>
   (socket, text) => {
-    if (text.startsWith(`GET ${testProtocol.reportPath} `))
-      socket.end("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+    if (isReportRequest(text)) socket.end(respondJson("{}"));
     else answer(socket, text);
   };
+
+/** Whether a replica is asked for its load report. */
+export const isReportRequest = (text: string): boolean =>
+  text.startsWith(`GET ${testProtocol.reportPath} `);
+
+/** A whole answer to a question of the relay. */
+export const respondJson = (body: string): string =>
+  `HTTP/1.1 200 OK\r\ncontent-length: ${String(body.length)}\r\n\r\n${body}`;
+
+/** Answers reports, and executes no request. */
+export const refuseAsFull: RawResponder = (socket, text) => {
+  socket.end(
+    isReportRequest(text)
+      ? respondJson("{}")
+      : `HTTP/1.1 503 Full\r\n${sealed}x-not-run: 1\r\ncontent-length: 0\r\n\r\n`,
+  );
+};
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -115,6 +115,9 @@
  */
 export const misdirectedRequestStatus = 421;
 
+/** Lowest HTTP status of a server's failure. */
+export const serverErrorStatus = 500;
+
 /** HTTP status 503: the server is full or stopping. */
 export const serviceUnavailableStatus = 503;
 
