--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -35,6 +35,7 @@
   recordLoss,
   markReplaced,
 } from "./replicaViews.js";
+import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
 import { canLeaveSilentReplica } from "./leaveSilentReplica.js";
 import { sendWithoutCopy } from "./sendAttempt.js";
 import { learnOrigins } from "./versions/streamOrigins.js";
@@ -81,7 +82,15 @@
   return hasEvents && silentMs >= deadConnectionSilenceMs;
 };
 
-const abandonDeadConnections = (
+/** Whether another replica is to be asked for a silent attempt now. */
+const isLeaving = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+): boolean =>
+  maySeek(state, exchange) && canLeaveSilentReplica(state, exchange, attempt);
+
+const leaveSilentConnections = (
   state: RelayState,
   replicaId: string,
   report: EngineReport | undefined,
@@ -89,8 +98,9 @@
   resumableAttemptsAt(state, replicaId).flatMap(({ exchange, attempt }) => {
     const { requestId } = exchange.request;
     const run = report?.runs.find((one) => one.requestId === requestId);
-    return isConnectionDead(exchange, attempt, run, state.at)
-      ? abandonAndRetry(state, exchange, attempt, "the connection is silent")
+    return isConnectionDead(exchange, attempt, run, state.at) &&
+      isLeaving(state, exchange, attempt)
+      ? seekSuccessor(state, exchange, attempt, "the connection is silent")
       : [];
   });
 
@@ -131,7 +141,7 @@
     view.report = report;
     view.reportReceivedAt = at;
     return [
-      ...abandonDeadConnections(state, replicaId, report),
+      ...leaveSilentConnections(state, replicaId, report),
       ...resolveEngineQueries(state, replicaId, "loadReports"),
     ];
   }
