Keep a stream at a silent engine until another one has begun (LOST)

A stream lost its run when its engine was silent for a moment and the one that was expected to take it refused: the first connection had been closed by then, so the prompt was read again somewhere, or the stream waited for room until its caller left.

The attempt stays open as the stream's fallback, as for a silent connection.

silentStreams.test.ts: an engine that goes on keeps its stream and events reach the caller once; the second engine's first event ends the first one's work; a stream outlives the loss of either attempt.

--- /dev/null
+++ b/packages/relay/src/decisions/fallback/silentStreams.test.ts
@@ -0,0 +1,111 @@
+/** Streams whose silent attempt stays open while another engine is asked. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Scenario, streamPath } from "../../testing/scenario.js";
+import { Fleet } from "../../testing/fleet.js";
+import { AttemptFailure } from "../types.js";
+
+const silentMs = 300;
+const probeMs = 150;
+const restMs = 15_000;
+const streamEventCount = 30;
+const key = "1";
+
+/** A stream of three events whose engine then falls silent, so that another one is asked. */
+const createSilentStream = () => {
+  const scenario = Scenario.create();
+  scenario.request(key, streamPath);
+  scenario.streamEvents(key, 1, 3);
+  const silent = scenario.lastSend(key).attempt;
+  scenario.advance(silentMs);
+  const [probe] = scenario.commandsOfType("probe");
+  assert.ok(probe);
+  scenario.advance(probeMs);
+  scenario.probeFinished(probe.replica, probe.sentAt, { isAnswered: false });
+  const successor = scenario.lastSend(key).attempt;
+  assert.notEqual(successor.number, silent.number);
+  return { scenario, silent, successor };
+};
+
+const eventsOf = (scenario: Scenario, attempt: number, ids: number[]) => {
+  const events = ids.map((id) => ({ id, bytes: new Uint8Array() }));
+  const { at } = scenario;
+  scenario.dispatch({ type: "eventsArrived", at, key, attempt, events });
+};
+
+const abandonedOf = (scenario: Scenario) =>
+  scenario.commandsOfType("abandon").map(({ attempt }) => attempt);
+
+const deliveredIds = (scenario: Scenario) =>
+  scenario
+    .commandsOfType("deliverEvents")
+    .flatMap(({ events }) => events.map(({ id }) => id));
+
+/** Work that the router still counts at its replicas. */
+const countedWork = ({ state }: Scenario) =>
+  [...state.replicas.values()].reduce(
+    (sum, { inFlight, prefilling }) => sum + inFlight + prefilling,
+    0,
+  );
+
+test("an engine that goes on after a silence loses its stream to one that was asked meanwhile", () => {
+  const { scenario, silent, successor } = createSilentStream();
+  eventsOf(scenario, silent.number, [4, 5]);
+  assert.deepEqual(abandonedOf(scenario), [successor.number]);
+  eventsOf(scenario, successor.number, [4, 5, 6]);
+  eventsOf(scenario, silent.number, [6]);
+  assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4, 5, 6]);
+  assert.equal(scenario.state.exchanges.get(key)?.attempt, silent);
+});
+
+test("two engines work on a stream after the second one's first event", () => {
+  const { scenario, silent, successor } = createSilentStream();
+  assert.deepEqual(abandonedOf(scenario), []);
+  eventsOf(scenario, successor.number, [4]);
+  assert.deepEqual(abandonedOf(scenario), [silent.number]);
+  eventsOf(scenario, silent.number, [4, 5]);
+  assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4]);
+});
+
+test("a replica works on for a caller that left while another one was asked", () => {
+  const { scenario, silent, successor } = createSilentStream();
+  const { at } = scenario;
+  scenario.dispatch({ type: "callerDisconnected", at, key });
+  const both = [silent.number, successor.number];
+  assert.deepEqual(abandonedOf(scenario).sort(), both);
+  assert.equal(countedWork(scenario), 0);
+});
+
+test("a stream is lost with its silent attempt although another engine was asked", () => {
+  const { scenario, silent, successor } = createSilentStream();
+  scenario.failAttempt(key, silent.number);
+  eventsOf(scenario, successor.number, [4]);
+  assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4]);
+  assert.deepEqual(abandonedOf(scenario), []);
+});
+
+test("a stream is lost after the engine that was asked for it could not be reached", () => {
+  const { scenario, silent, successor } = createSilentStream();
+  scenario.failAttempt(key, successor.number, AttemptFailure.NotSent);
+  eventsOf(scenario, silent.number, [4]);
+  assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4]);
+});
+
+// Load: an engine goes dark while the others are full for two seconds.
+test("a stream stays at a dark engine after the others have room again", () => {
+  const fleet = Fleet.create({ routerCount: 1, engineCount: 6 });
+  const stream = fleet.request("r1", []);
+  fleet.advance(400);
+  const { engines, fullReplicas } = fleet.replicas;
+  const dark = engines.filter(({ runs }) => runs.size > 0);
+  const others = engines.filter(({ runs }) => runs.size === 0);
+  for (const { replica } of others) fullReplicas.add(replica.id);
+  fleet.replicas.silence(dark, restMs);
+  fleet.advance(2000);
+  fullReplicas.clear();
+  fleet.advance(6000);
+  assert.equal(fleet.endings.get(stream), "whole");
+  const delivered = fleet.streams.get(stream);
+  assert.equal(delivered?.lastEventId, streamEventCount);
+});
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -157,9 +157,11 @@
   const reason = isSuccessor
     ? "another process has the replica's address"
     : "the replica does not answer";
+  // A process that has ended sends nothing more, so nothing is lost with its connection.
+  const leave = hasProcessEnded ? abandonAndRetry : seekSuccessor;
   const leaving = silent.filter(
     ({ exchange, attempt }) =>
-      hasProcessEnded || canLeaveSilentReplica(state, exchange, attempt),
+      hasProcessEnded || isLeaving(state, exchange, attempt),
   );
   return [
     logLine(isSuccessor ? reason : "replica does not answer", {
@@ -174,7 +176,7 @@
       : []),
     ...resolveEngineQueries(state, replicaId, "loadReports"),
     ...leaving.flatMap(({ exchange, attempt }) =>
-      abandonAndRetry(state, exchange, attempt, reason),
+      leave(state, exchange, attempt, reason),
     ),
   ];
 };
