Return to the silent attempt after each search that found no replica (LOST)

A hundred streams at a dozen engines, half of them silent for a second and the others full, were sent 350 times more on, where the fleet may repeat 230 (0.8 for each request and 150); refused requests count. They took what others needed.

Cause: a stream that had begun looked for room again and again from its waits (room, a version, a repeat), each time at all engines that its attempts allow, without asking whether it still had one.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -55,8 +55,9 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { softwareVersion, route, triedIds, head } = exchange;
-  if (softwareVersion === undefined && head === undefined)
+  const { softwareVersion, route, triedIds, head, fallback } = exchange;
+  const hasNoStream = softwareVersion === undefined && head === undefined;
+  if (hasNoStream || fallback !== undefined)
     return endSearch(state, exchange, "no replica is open");
   if (isVersionGone(state, exchange))
     return refuseTakeUp(
--- a/packages/relay/src/decisions/borrowRetry.ts
+++ b/packages/relay/src/decisions/borrowRetry.ts
@@ -31,7 +31,7 @@
   reason: string,
   rounds: number,
 ): RelayCommand[] => {
-  if (exchange.head === undefined)
+  if (exchange.head === undefined || exchange.fallback !== undefined)
     return endSearch(state, exchange, `${reason}; no repeat is left`);
   const until = state.at + budgetCheckIntervalMs;
   exchange.wait = { type: "retry", reason, rounds, until };
--- a/packages/relay/src/decisions/fallback/silentStreams.test.ts
+++ b/packages/relay/src/decisions/fallback/silentStreams.test.ts
@@ -10,6 +10,8 @@
 const probeMs = 150;
 const restMs = 15_000;
 const streamEventCount = 30;
+const retryRatio = 0.8; // retries that the whole fleet may send for each request
+const extraRetryCount = 150; // and beyond these
 const key = "1";
 
 /** A stream of three events whose engine then falls silent, so that another one is asked. */
@@ -109,3 +111,24 @@
   const delivered = fleet.streams.get(stream);
   assert.equal(delivered?.lastEventId, streamEventCount);
 });
+
+// Load: half of the engines fall silent for a second under a hundred streams, and the others are full.
+test("a hundred streams of silent engines are broken off, or use up the retries of the fleet", () => {
+  const routerCount = 4;
+  const fleet = Fleet.create({ routerCount, engineCount: 12 });
+  const keys = Array.from({ length: 100 }, (_, index) =>
+    fleet.request(`r${String((index % routerCount) + 1)}`, []),
+  );
+  fleet.advance(600);
+  const { engines, fullReplicas } = fleet.replicas;
+  const silent = engines.slice(0, 6);
+  for (const { replica } of engines.slice(6)) fullReplicas.add(replica.id);
+  const sentCount = fleet.sent.length;
+  fleet.replicas.silence(silent, 1000);
+  fleet.advance(restMs);
+  const endings = new Set(keys.map((one) => fleet.endings.get(one)));
+  assert.deepEqual(endings, new Set(["whole"]));
+  const again = fleet.sent.length - sentCount;
+  const budget = retryRatio * keys.length + extraRetryCount;
+  assert.ok(again <= budget, `sent ${String(again)} times more`);
+});
