Give up no request that can't be refused because one router refuses it

Callers of a router without a path to the replicas saw their streams broken off, or got a 502 for a check, as soon as the first router that took them over refused them: replicas that are full for 0.3 s were enough. The refusal was passed on like that of a request that can be refused, although other routers, or the own path a moment later, could go on.

Now such a request is taken back. A check is tried once at each router that offers. A stream that has begun waits 250 ms between the tries, as long as its caller does, and also once it has been handed on as often as other requests may be. Each of these tries is a repeat, as replicas may have refused the one before, and takes a retry.

--- /dev/null
+++ b/packages/relay/src/decisions/handover/committedRequests.test.ts
@@ -0,0 +1,59 @@
+/** Requests that were handed on and can't be refused any more: what other routers refuse or leave unanswered must not end them. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Fleet } from "../../testing/fleet.js";
+
+const prefilledAfterMs = 400;
+const afterMs = 26_000;
+const streamEventCount = 30;
+const engineCount = 6;
+const sentAfterMs = 25;
+const pathLossMs = 3000;
+
+/** Starts streams at the first router; the others have none. */
+const startStreams = (routerCount: number, count: number) => {
+  const fleet = Fleet.create({ routerCount, engineCount });
+  const keys = Array.from({ length: count }, () => fleet.request("r1", []));
+  fleet.advance(prefilledAfterMs);
+  return { fleet, keys };
+};
+
+const assertWhole = (fleet: Fleet, keys: readonly string[]): void => {
+  const endings = keys.map((key) => fleet.endings.get(key));
+  const reasons = fleet.logged
+    .filter(({ message }) => message === "stream broken off")
+    .map(({ context }) => JSON.stringify(context));
+  assert.deepEqual(new Set(endings), new Set(["whole"]), reasons.join("; "));
+  for (const key of keys)
+    assert.equal(fleet.streams.get(key)?.lastEventId, streamEventCount);
+};
+
+// Load: replicas are full for a moment while a router has lost its path to them.
+for (const fullMs of [300, 1000, 2000])
+  test(`a stream is broken off as the routers that take it over find all replicas full for ${String(fullMs)} ms`, () => {
+    const { fleet, keys } = startStreams(4, 6);
+    const { engines, fullReplicas } = fleet.replicas;
+    for (const { replica } of engines) fullReplicas.add(replica.id);
+    fleet.cutPaths(["r1"], "reset");
+    fleet.advance(fullMs);
+    fullReplicas.clear();
+    fleet.advance(pathLossMs);
+    fleet.healPaths(["r1"]);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
+
+// Load: two of three replicas are full when the path is lost under a check.
+test("a check that may have been run fails as the first router that takes it over refuses it", () => {
+  const fleet = Fleet.create({ routerCount: 4, engineCount, plainCount: 3 });
+  fleet.advance(prefilledAfterMs);
+  const key = fleet.requestPlain("r1");
+  fleet.advance(sentAfterMs);
+  const { plainReplicas, fullReplicas } = fleet.replicas;
+  for (const { replica } of plainReplicas.slice(0, 2))
+    fullReplicas.add(replica.id);
+  fleet.cutPaths(["r1"], "reset");
+  fleet.advance(afterMs);
+  assert.equal(fleet.endings.get(key), "whole");
+});
--- a/packages/relay/src/decisions/handover/constants.ts
+++ b/packages/relay/src/decisions/handover/constants.ts
@@ -21,6 +21,9 @@
 /** Times that one request is handed on. */
 export const maxHandoverCount = 8;
 
+/** Time after which a stream that has begun is handed on again when a router refused it: replicas that are full have room again by then. */
+export const refusedStreamRetryMs = 250;
+
 /** Requests of others that a router serves at once: a bound on connections and memory. */
 export const maxTakenOverCount = 128;
 
--- a/packages/relay/src/decisions/handover/handOn.ts
+++ b/packages/relay/src/decisions/handover/handOn.ts
@@ -17,6 +17,7 @@
   maxHandoverCount,
   offerSettlingMs,
   offerWaitRatio,
+  refusedStreamRetryMs,
   urgentAskIntervalMs,
 } from "./constants.js";
 import { handoverAddressOf } from "./handoverAddress.js";
@@ -125,11 +126,12 @@
   return Math.min(deadline, Math.max(settledAt, waitUntil));
 };
 
-/** Ends a request that nobody can serve, or waits for an offer. */
-const awaitOffer = (
+/** Ends a request that nobody can serve, or waits for an offer, which it takes from `retryAt` on. */
+export const awaitOffer = (
   state: RelayState,
   exchange: Exchange,
   isCounted: boolean,
+  retryAt: Timestamp,
 ): RelayCommand[] => {
   exchange.offerDeadline ??= lastOfferAt(state, exchange);
   const hasBegun = exchange.head !== undefined;
@@ -140,10 +142,23 @@
     const reason = "no replica can be reached, and no other router takes it";
     return failExchange(state, exchange, reason);
   }
-  exchange.wait = { type: "offer", isCounted };
+  exchange.wait = { type: "offer", isCounted, retryAt };
   return askOffers(state, urgentAskIntervalMs);
 };
 
+/**
+ * Time from which a request may be handed on. Only a stream that has begun is handed on
+ * more often than `maxHandoverCount`.
+ */
+const nextHandoverAt = (
+  { at }: RelayState,
+  { handoverCount, wait, head }: Exchange,
+): Timestamp => {
+  if (wait.type === "offer") return wait.retryAt;
+  if (handoverCount < maxHandoverCount) return at;
+  return head === undefined ? Infinity : at + refusedStreamRetryMs;
+};
+
 /**
  * Hands a request on, or waits for a router that takes it; one that came from another
  * router goes back. `isCounted`: whether its next execution is in the retry budget.
@@ -155,11 +170,9 @@
 ): RelayCommand[] => {
   if (exchange.request.handover !== undefined)
     return refuseTakenOver(state, exchange, HandoverRefusal.NoPath);
-  const offer =
-    exchange.handoverCount < maxHandoverCount
-      ? chooseOffer(state, exchange)
-      : undefined;
+  const retryAt = nextHandoverAt(state, exchange);
+  const offer = state.at >= retryAt ? chooseOffer(state, exchange) : undefined;
   return offer === undefined
-    ? awaitOffer(state, exchange, isCounted)
+    ? awaitOffer(state, exchange, isCounted, retryAt)
     : sendToRouter(state, exchange, offer, isCounted);
 };
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -28,9 +28,10 @@
   handoverAskIntervalMs,
   handoverSilenceMs,
   lostRouterSilenceMs,
+  refusedStreamRetryMs,
 } from "./constants.js";
-import { handOn } from "./handOn.js";
-import { dropOffer, keepOffer } from "./offers.js";
+import { awaitOffer, handOn } from "./handOn.js";
+import { dropOffer, keepOffer, mustHandOn } from "./offers.js";
 import type { HandoverAttempt } from "./types.js";
 
 interface HandedOn {
@@ -67,20 +68,51 @@
     reason,
   });
 
-/** Takes a request back that the other router did not execute, and hands it to the next one. */
-const takeBack = (
+/** Undoes a handover whose request the other router did not execute. */
+const undoHandover = (
   state: RelayState,
   exchange: Exchange,
   attempt: HandoverAttempt,
   reason: string,
-): RelayCommand[] => {
+): RelayCommand => {
   exchange.attempts -= 1;
   exchange.mayHaveExecuted = attempt.mayHaveExecutedBefore;
   exchange.copy = attempt.copy;
   exchange.wait = noWait;
   dropOffer(state, attempt.to);
-  const line = returnLogLine(state, exchange, attempt, reason);
-  return [line, ...sendRetry(state, exchange, reason, !attempt.isCounted)];
+  return returnLogLine(state, exchange, attempt, reason);
+};
+
+/** Takes a request back that the other router did not execute, and hands it to the next one. */
+const takeBack = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: HandoverAttempt,
+  reason: string,
+): RelayCommand[] => [
+  undoHandover(state, exchange, attempt, reason),
+  ...sendRetry(state, exchange, reason, !attempt.isCounted),
+];
+
+/**
+ * Takes a request back whose caller can't be told that it was not run. Replicas may have
+ * refused it, so its next execution is a repeat. A stream that has begun waits before the
+ * next try, as other routers find the same replicas full; any other request is tried once
+ * at each router.
+ */
+const takeRefusedBack = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: HandoverAttempt,
+  reason: string,
+): RelayCommand[] => {
+  const line = undoHandover(state, exchange, attempt, reason);
+  const hasBegun = exchange.head !== undefined;
+  if (!hasBegun) exchange.triedRouters.add(formatAddress(attempt.to));
+  if (!hasBegun || !mustHandOn(state, exchange))
+    return [line, ...sendRetry(state, exchange, reason)];
+  const retryAt = state.at + refusedStreamRetryMs;
+  return [line, ...awaitOffer(state, exchange, false, retryAt)];
 };
 
 /** The copy that the lost router kept of the run's KV cache; usable after the first event. */
@@ -111,18 +143,18 @@
   return [line, ...sendRetry(state, exchange, reason)];
 };
 
-/** Passes a refusal on that another router gave this request, with its time to come back. */
+/** Passes a refusal on that another router gave this request, with its time to come back, if its caller can be told so. */
 const passRefusalOn = (
   state: RelayState,
   exchange: Exchange,
-  { mayHaveExecutedBefore }: HandoverAttempt,
+  attempt: HandoverAttempt,
   retryAfterMs: number | undefined,
 ): RelayCommand[] => {
   const { key, request, head } = exchange;
   const reason = "the router that took the request over refused it";
-  exchange.mayHaveExecuted = mayHaveExecutedBefore;
-  if (mayHaveExecutedBefore || head !== undefined)
-    return failExchange(state, exchange, reason);
+  if (attempt.mayHaveExecutedBefore || head !== undefined)
+    return takeRefusedBack(state, exchange, attempt, reason);
+  exchange.mayHaveExecuted = false;
   const context = summaryOf(exchange, state.at);
   const refused = { key, requestId: request.requestId, reason, context };
   return [
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -269,7 +269,12 @@
   /** A replica of the software at which the stream began; it looks again then. */
   | { readonly type: "version"; readonly retryAt: Timestamp }
   /** A router that takes it over. */
-  | { readonly type: "offer"; readonly isCounted: boolean }
+  | {
+      readonly type: "offer";
+      readonly isCounted: boolean;
+      /** It is handed on then at the earliest. */
+      readonly retryAt: Timestamp;
+    }
   /** The answer of the router that took it over. */
   | { readonly type: "router"; readonly attempt: HandoverAttempt };
 
