Leave a silent router only for something that can take its request

Callers of a router without a path saw streams end at their deadline, and checks with a 502, when the only router that served them stood still for 0.6 s and then went on. Their own router took half a second without a word for the end of the other one, closed the request there, and then found that nobody else could take it: the one that it had just left was not tried again.

Now the request is left once the own path is back, or another router offers; until then it stays where it may still be answered, as long as its caller does.

--- a/packages/relay/src/decisions/handover/committedRequests.test.ts
+++ b/packages/relay/src/decisions/handover/committedRequests.test.ts
@@ -57,3 +57,44 @@
   fleet.advance(afterMs);
   assert.equal(fleet.endings.get(key), "whole");
 });
+// Load: the only router that can take a stream over stands still for about a second.
+for (const silentMs of [600, 1000, 1300])
+  test(`a stream is broken off as the only router that serves it is silent for ${String(silentMs)} ms`, () => {
+    const { fleet, keys } = startStreams(2, 6);
+    fleet.cutPaths(["r1"], "reset");
+    fleet.advance(700);
+    fleet.pause("r2");
+    fleet.advance(silentMs);
+    fleet.resume("r2");
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
+
+// Load: a router that was silent for a second holds checks of another one.
+test("a check fails as the only router that serves it is silent for 700 ms", () => {
+  const fleet = Fleet.create({ routerCount: 2, engineCount, plainCount: 3 });
+  fleet.advance(prefilledAfterMs);
+  fleet.cutPaths(["r1"], "reset");
+  fleet.advance(700);
+  const key = fleet.requestPlain("r1");
+  fleet.advance(25);
+  fleet.pause("r2");
+  fleet.advance(700);
+  fleet.resume("r2");
+  fleet.advance(afterMs);
+  assert.equal(fleet.endings.get(key), "whole");
+});
+
+// Load: one of the routers that serve a stream stops answering for good.
+test("a stream stays at a router that was lost although another one offers", () => {
+  const { fleet, keys } = startStreams(3, 6);
+  fleet.cutPaths(["r1"], "reset");
+  fleet.advance(700);
+  const server = ["r2", "r3"].find(
+    (router) => (fleet.states.get(router)?.exchanges.size ?? 0) > 0,
+  );
+  assert.ok(server);
+  fleet.pause(server);
+  fleet.advance(3000);
+  assertWhole(fleet, keys);
+});
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -1,6 +1,7 @@
 /** Handles what other routers send for requests that were handed on to them. */
 
 import { formatAddress, serviceUnavailableStatus } from "../../types.js";
+import { candidateQueryOf, hasTrustedCandidate } from "../chooseReplica.js";
 import type { RelayCommand } from "../commands.js";
 import { deadConnectionSilenceMs } from "../constants.js";
 import {
@@ -13,7 +14,7 @@
 import { isRetryable } from "../isRetryable.js";
 import { logLine } from "../logLine.js";
 import { refuse, refuseNotExecuted } from "../refusals.js";
-import { sendRetry } from "../sendAttempt.js";
+import { hasAttempt, sendRetry } from "../sendAttempt.js";
 import { acceptEvents } from "../streamEvents.js";
 import { recordOrigin } from "../versions/streamOrigins.js";
 import {
@@ -31,7 +32,7 @@
   refusedStreamRetryMs,
 } from "./constants.js";
 import { awaitOffer, handOn } from "./handOn.js";
-import { dropOffer, keepOffer, mustHandOn } from "./offers.js";
+import { dropOffer, hasOtherOffer, keepOffer, mustHandOn } from "./offers.js";
 import type { HandoverAttempt } from "./types.js";
 
 interface HandedOn {
@@ -302,7 +303,22 @@
       : [],
   );
 
-/** Asks the router of a silent request whether it runs, and leaves it if it does not answer. */
+/** Whether the path is back, or another router offers, for a request whose router is silent. */
+const canLeaveRouter = (
+  state: RelayState,
+  exchange: Exchange,
+  { to }: HandoverAttempt,
+): boolean => {
+  if (!hasAttempt(exchange)) return false;
+  return mustHandOn(state, exchange)
+    ? hasOtherOffer(state, exchange, to)
+    : hasTrustedCandidate(state, candidateQueryOf(exchange));
+};
+
+/**
+ * Asks the router of a silent request whether it runs, and leaves it if it does not answer
+ * and something else can take the request: a sound router may stand still for a second.
+ */
 export const checkHandedOn = (
   state: RelayState,
   exchange: Exchange,
@@ -317,7 +333,8 @@
     at - Math.max(attempt.heardAt, routerHeardAt) >= lostRouterSilenceMs;
   const isConnectionDead =
     attempt.hasEvents && silentMs >= deadConnectionSilenceMs;
-  if (isRouterLost || isConnectionDead)
+  const isLost = isRouterLost || isConnectionDead;
+  if (isLost && canLeaveRouter(state, exchange, attempt))
     return [
       { type: "abandon", key: exchange.key, attempt: attempt.number },
       ...loseHandedOn(state, exchange, attempt, "the router does not answer"),
