Hand a stream that has begun to a router again that had lost it

Callers of a router without a path saw their streams broken off at the deadline when the only router that served them lost its own path for 0.6 s. It gives such a stream back at once, by breaking the connection, and the first router goes on after the last event; that part held. But the first router never uses a router again that lost the request, although its new offer says that it has a path again.

Now a stream that has begun goes to such a router if no other one offers. Each time takes an attempt of its route and a retry, as before, so that the bounds hold; other requests still go to each router once.

--- a/packages/relay/src/decisions/handover/committedRequests.test.ts
+++ b/packages/relay/src/decisions/handover/committedRequests.test.ts
@@ -98,3 +98,15 @@
   fleet.advance(3000);
   assertWhole(fleet, keys);
 });
+// Load: the only router that can take a stream over loses its own path for about a second.
+for (const lostMs of [600, 1000, 1300])
+  test(`a stream is broken off as the only router that serves it loses its path for ${String(lostMs)} ms`, () => {
+    const { fleet, keys } = startStreams(2, 6);
+    fleet.cutPaths(["r1"], "reset");
+    fleet.advance(700);
+    fleet.cutPaths(["r2"], "reset");
+    fleet.advance(lostMs);
+    fleet.healPaths(["r2"]);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
--- a/packages/relay/src/decisions/handover/offers.ts
+++ b/packages/relay/src/decisions/handover/offers.ts
@@ -147,20 +147,23 @@
   handover.offers.delete(formatAddress(address));
 };
 
-/** Offers of routers that can take a request over. */
+/**
+ * Offers of routers that can take a request over. A router that lost a stream that has
+ * begun is used again if no other one offers: it has a path again.
+ */
 const usableOffers = (
   state: RelayState,
-  { service, triedRouters }: Exchange,
-): HandoverOffer[] =>
-  [...state.handover.offers]
-    .filter(
-      ([key, { services, freePlaces: places, until }]) =>
-        until > state.at &&
-        places > 0 &&
-        services.has(service) &&
-        !triedRouters.has(key),
-    )
-    .map(([, offer]) => offer);
+  { service, triedRouters, head }: Exchange,
+): HandoverOffer[] => {
+  const offers = [...state.handover.offers.values()].filter(
+    ({ services, freePlaces: places, until }) =>
+      until > state.at && places > 0 && services.has(service),
+  );
+  const untried = offers.filter(
+    ({ address }) => !triedRouters.has(formatAddress(address)),
+  );
+  return untried.length === 0 && head !== undefined ? offers : untried;
+};
 
 /** Whether a router other than the given one can take a request over. */
 export const hasOtherOffer = (
