Test requests under way while the configuration changes

The postmortem of streams lost to silent replicas left open what becomes of a stream whose service leaves while it runs. The tests change the configuration under streams (service gone, route to another service, customer gone, time-out and attempts smaller), with replicas silent for a second, connections reset, or a path lost for a second; and hand requests on to routers that don't know the route or the key for a second.

--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -9,7 +9,7 @@
 import type { GossipItem } from "../decisions/gossip/types.js";
 import type { StoredQuarantine } from "../decisions/quarantine/types.js";
 import type { StoredVersions } from "../decisions/versions/types.js";
-import type { Address, CallerRequest } from "../types.js";
+import type { Address, CallerRequest, RelayConfig } from "../types.js";
 import {
   idempotentPath,
   okHead,
@@ -258,10 +258,21 @@
     for (const command of commands) this.perform(router, command);
   }
 
-  /** Tells a router the store's replicas and routers. */
-  readStore(router: string): void {
+  /** Puts a configuration in force at routers. */
+  applyConfig(config: RelayConfig, routers = [...this.states.keys()]): void {
+    for (const router of routers)
+      this.dispatch(router, { type: "configRead", at: this.at, config });
+  }
+
+  /** The store fails at all routers, or answers again. */
+  noteStore(type: "storeFailed" | "storeAnswered"): void {
+    for (const router of this.states.keys())
+      this.dispatch(router, { type, at: this.at, detail: "" });
+  }
+
+  /** Tells a router the store's replicas, or those that are left of them, and its routers. */
+  readStore(router: string, replicas = this.replicas.running()): void {
     const { at } = this;
-    const replicas = this.replicas.running();
     const entries = [...this.states.keys()].map((name) => ({
       router: name,
       lease: name,
