Wait two seconds for the software version of a stream to be registered again

Streams that need another replica were broken off at once when the store's list showed no replica of their software: for entries that are missing for a second, 4 of 4 streams in the test were cut ("no replica of the stream's software is left"). A router that noticed the store's outage keeps such replicas, but one that did not sees only that the entries are gone. A sound silent second alone does not reach this, as an entry lasts for several reports.

A stream that has begun can only be broken off, so that it now waits until the version was not read of for 2 s, in which callers stay too. Take-ups are refused at once, as before, and streams whose version has left for good still end, up to 2 s later.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -9,8 +9,8 @@
 import { isSuspected } from "./replicaViews.js";
 import { takePermit } from "./requestLimits.js";
 import { logLine } from "./logLine.js";
-import { minVersionRetryMs } from "./versions/constants.js";
-import { isVersionUnread } from "./versions/serviceVersions.js";
+import { minVersionRetryMs, versionReturnMs } from "./versions/constants.js";
+import { isVersionUnread, versionReadAt } from "./versions/serviceVersions.js";
 import { hasVersion, refuseTakeUp } from "./versions/takeUps.js";
 import type { RelayCommand } from "./commands.js";
 import type { Exchange, RelayState } from "./types.js";
@@ -24,15 +24,20 @@
     ? Math.min(deadline, at + permitWaitRatio * route.targetLatencyMs)
     : deadline;
 
-/** Whether no replica of a stream's software is left, and none is expected. */
-const isVersionGone = (
+/**
+ * Time from which no replica of a stream's software is left, and none is expected; it lies
+ * ahead for a stream that has begun, as entries that expired may be back.
+ */
+const versionGoneAt = (
   state: RelayState,
-  { service, softwareVersion }: Exchange,
-): boolean => {
-  if (softwareVersion === undefined) return false;
+  { service, softwareVersion, head }: Exchange,
+): Timestamp => {
+  if (softwareVersion === undefined) return Infinity;
   // Another router told of a version whose replicas this one has yet to read of.
-  if (isVersionUnread(state, service, softwareVersion)) return false;
-  return !hasVersion(state, service, softwareVersion);
+  if (isVersionUnread(state, service, softwareVersion)) return Infinity;
+  if (hasVersion(state, service, softwareVersion)) return Infinity;
+  if (head === undefined) return state.at;
+  return versionReadAt(state, service, softwareVersion) + versionReturnMs;
 };
 
 /** Time until which a stream waits: one that has begun waits as long as its caller does. */
@@ -57,7 +62,8 @@
   const { softwareVersion, route, triedIds, head } = exchange;
   if (softwareVersion === undefined && head === undefined)
     return failExchange(state, exchange, "no replica is open");
-  if (isVersionGone(state, exchange))
+  const goneAt = versionGoneAt(state, exchange);
+  if (state.at >= goneAt)
     return refuseTakeUp(
       state,
       exchange,
@@ -82,7 +88,8 @@
     minVersionRetryMs,
     Math.min(until - state.at, route.targetLatencyMs) / (leftCount + 1),
   );
-  exchange.wait = { type: "version", retryAt: state.at + waitMs };
+  const retryAt = Math.min(goneAt, state.at + waitMs);
+  exchange.wait = { type: "version", retryAt };
   return [];
 };
 
--- a/packages/relay/src/decisions/configChanges.test.ts
+++ b/packages/relay/src/decisions/configChanges.test.ts
@@ -101,6 +101,21 @@
   });
 }
 
+// Load: the entries of all replicas expire, and are back a second later.
+for (const missingMs of [300, 1000])
+  test(`a stream that was lost is broken off while no replica is registered for ${String(missingMs)} ms`, () => {
+    const { fleet, keys } = startBeforeChange((cfg) => cfg);
+    for (const engine of fleet.replicas.engines)
+      fleet.replicas.resetConnections(engine);
+    for (let ms = 0; ms < missingMs; ms += readIntervalMs) {
+      for (const router of fleet.states.keys()) fleet.readStore(router, []);
+      fleet.advance(readIntervalMs);
+    }
+    for (const router of fleet.states.keys()) fleet.readStore(router);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
+
 // Load: the store is out for a second, and shows no replica for another one.
 test("a stream that was lost is broken off as the store comes back without replicas", () => {
   const { fleet, keys } = startBeforeChange((cfg) => cfg);
--- a/packages/relay/src/decisions/versions/constants.ts
+++ b/packages/relay/src/decisions/versions/constants.ts
@@ -30,6 +30,9 @@
 /** Time before an entry's end at which it is written again. */
 export const versionRenewBeforeMs = 20_000;
 
+/** Time since a version was read of within which the entries of its replicas may be back after they expired. */
+export const versionReturnMs = 2000;
+
 /** Fewest replicas of a version at which streams begin while others have more: one more must be left to go on at. */
 export const minVersionReplicaCount = 2;
 
--- a/packages/relay/src/decisions/versions/serviceVersions.ts
+++ b/packages/relay/src/decisions/versions/serviceVersions.ts
@@ -117,6 +117,13 @@
   version: string,
 ): boolean => registered.get(service)?.has(version) !== true;
 
+/** Time at which this router last read of a replica that has the version. */
+export const versionReadAt = (
+  { versions: { registered } }: RelayState,
+  service: string,
+  version: string,
+): Timestamp => registered.get(service)?.get(version) ?? -Infinity;
+
 /** Logs and tells others when a service gets several versions, or has one again. */
 const announceChange = (
   state: RelayState,
