Let a stream that has begun wait for a second sound replica

Two replicas were lost under a stream while the others were silent for a second, and other streams had left these.

A request that can be refused is still refused then, with the time to come back. `sendWithoutCopy` asks too, so that no request gets past the check by a wait.

--- /dev/null
+++ b/packages/relay/src/decisions/quarantine/silentSuspects.test.ts
@@ -0,0 +1,85 @@
+/** Streams under way while replicas are silent for a second: silence must not count as the end of a replica. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Fleet } from "../../testing/fleet.js";
+
+const prefilledAfterMs = 400;
+const beforeFirstEventMs = 100;
+const afterMs = 26_000;
+const streamEventCount = 30;
+
+const startStreams = (routerCount: number, count: number, runMs: number) => {
+  const fleet = Fleet.create({ routerCount, engineCount: 6 });
+  const keys = Array.from({ length: count }, (_, index) =>
+    fleet.request(`r${String((index % routerCount) + 1)}`, ["shared"]),
+  );
+  fleet.advance(runMs);
+  return { fleet, keys };
+};
+
+const assertWhole = (fleet: Fleet, keys: readonly string[]): void => {
+  const endings = keys.map((key) => fleet.endings.get(key));
+  const reasons = fleet.logged
+    .filter(({ message }) => message === "stream broken off")
+    .map(({ context }) => JSON.stringify(context));
+  assert.deepEqual(new Set(endings), new Set(["whole"]), reasons.join("; "));
+  for (const key of keys)
+    assert.equal(fleet.streams.get(key)?.lastEventId, streamEventCount);
+};
+
+const assertNoCrashFound = (fleet: Fleet): void => {
+  const found = fleet.logged.filter(
+    ({ message }) => message === "replica ended under requests",
+  );
+  assert.equal(found.length, 0);
+  assert.equal(fleet.stored.size, 0);
+  for (const { quarantine } of fleet.states.values())
+    assert.equal(quarantine.crashes.size, 0);
+};
+
+for (const runMs of [beforeFirstEventMs, prefilledAfterMs])
+  for (const silentMs of [600, 1000, 1300]) {
+    test(`replicas that are silent for ${String(silentMs)} ms count as ended (${String(runMs)} ms)`, () => {
+      const { fleet, keys } = startStreams(4, 24, runMs);
+      fleet.replicas.silence(fleet.replicas.engines, silentMs);
+      fleet.advance(afterMs);
+      assertNoCrashFound(fleet);
+      assertWhole(fleet, keys);
+    });
+
+    test(`replicas that reset their connections and are silent for ${String(silentMs)} ms count as ended (${String(runMs)} ms)`, () => {
+      const { fleet, keys } = startStreams(4, 24, runMs);
+      for (const engine of fleet.replicas.engines)
+        fleet.replicas.resetConnections(engine);
+      fleet.replicas.silence(fleet.replicas.engines, silentMs);
+      fleet.advance(afterMs);
+      assertNoCrashFound(fleet);
+      assertWhole(fleet, keys);
+    });
+  }
+
+// Load: two engines are lost under a stream in turn, while streams leave the others, which are silent for a second.
+for (const silentMs of [600, 1000, 1300])
+  test(`a stream is held back under which two replicas were lost while the others are silent for ${String(silentMs)} ms`, () => {
+    const { fleet, keys } = startStreams(1, 12, prefilledAfterMs);
+    const { engines } = fleet.replicas;
+    const [key = ""] = keys;
+    const engineOfFirst = () => {
+      const id = fleet.states.get("r1")?.exchanges.get(key)?.attempt
+        ?.replica.id;
+      const engine = engines.find(({ replica }) => replica.id === id);
+      assert.ok(engine);
+      return engine;
+    };
+    const lost = [engineOfFirst()];
+    fleet.crash(lost);
+    fleet.advance(prefilledAfterMs);
+    lost.push(engineOfFirst());
+    const others = engines.filter((one) => !lost.includes(one));
+    fleet.replicas.silence(others, silentMs);
+    fleet.advance(silentMs - beforeFirstEventMs);
+    fleet.crash(lost.slice(1));
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
--- a/packages/relay/src/decisions/quarantine/suspectedRequests.ts
+++ b/packages/relay/src/decisions/quarantine/suspectedRequests.ts
@@ -4,8 +4,10 @@
  * the cause, its next tries must not take the last replica from all others.
  */
 
+import type { Timestamp } from "@cardamomglade/common";
 import { refuse } from "../refusals.js";
 import { cancelExchange, failExchange, summaryOf } from "../endExchange.js";
+import { logLine } from "../logLine.js";
 import {
   hasEnded,
   isAvailable,
@@ -17,6 +19,7 @@
 import type { Exchange, RelayState } from "../types.js";
 import { serviceUnavailableStatus, type CallerRequest } from "../../types.js";
 import { requestCauseOf } from "./causes.js";
+import { minVersionRetryMs } from "../versions/constants.js";
 import { minSuspicionCount, replicaRestartMs } from "./constants.js";
 
 /**
@@ -64,7 +67,7 @@
 const keptUntil = (
   state: RelayState,
   { request, service }: Exchange,
-): number | undefined => {
+): Timestamp | undefined => {
   const times = crashTimesOf(state, request);
   if (times.length < minSuspicionCount) return undefined;
   const until = Math.max(...times) + replicaRestartMs;
@@ -73,7 +76,29 @@
     : undefined;
 };
 
-/** Ends a request that would risk the last sound replica; undefined if it may be sent. */
+/**
+ * Lets a stream that has begun wait for a second sound replica: it can only be broken off,
+ * and replicas that are silent for a moment do not count as sound.
+ */
+const awaitSoundReplica = (
+  state: RelayState,
+  exchange: Exchange,
+  until: Timestamp,
+): RelayCommand[] => {
+  const isWaiting = exchange.wait.type === "version";
+  const retryAt = Math.min(until, state.at + minVersionRetryMs);
+  exchange.wait = { type: "version", retryAt };
+  return isWaiting
+    ? []
+    : [
+        logLine(
+          "stream waits for a second sound replica",
+          summaryOf(exchange, state.at),
+        ),
+      ];
+};
+
+/** Keeps a request back that would risk the last sound replica; undefined if it may be sent. */
 export const keepFromLastReplica = (
   state: RelayState,
   exchange: Exchange,
@@ -81,10 +106,10 @@
   const until = keptUntil(state, exchange);
   if (until === undefined) return undefined;
   const { key, request, head, mayHaveExecuted } = exchange;
+  if (head !== undefined) return awaitSoundReplica(state, exchange, until);
   const reason = "replicas ended under this request, and one at most is left";
   state.quarantine.refusedCount += 1;
-  if (mayHaveExecuted || head !== undefined)
-    return failExchange(state, exchange, reason);
+  if (mayHaveExecuted) return failExchange(state, exchange, reason);
   const { requestId, fingerprint } = request;
   const context = { ...summaryOf(exchange, state.at), fingerprint };
   return [
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -198,6 +198,8 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
+  const kept = keepFromLastReplica(state, exchange);
+  if (kept !== undefined) return kept;
   if (mustHandOn(state, exchange)) return handOn(state, exchange, true);
   const { isSettled, commands: lines } = settleVersion(state, exchange);
   if (!isSettled) return lines;
