Ask on for a retry with a stream that has begun

A stream that needs a retry asked eight other routers in a fifth of a second, and after that looked at its own budget only, which is refilled after ten seconds at the earliest: its caller has left by then.

A request that can be refused, or answered with a 502, still ends after four rounds. The fleet of the tests now passes what routers ask and lend.

--- a/packages/relay/src/decisions/borrowRetry.ts
+++ b/packages/relay/src/decisions/borrowRetry.ts
@@ -23,8 +23,12 @@
 const someRouters = (state: RelayState): Address[] =>
   sampleWithoutReplacement(state, otherRouterAddresses(state), lenderCount);
 
-/** Waits for the own budget with a stream that has begun, or fails the exchange. */
-const endBorrowing = (
+/** Asks some other routers to lend a retry. */
+const askLenders = (state: RelayState, { service }: Exchange): RelayCommand[] =>
+  someRouters(state).map((to) => ({ type: "borrowRetry", to, service }));
+
+/** Goes on with the search at longer intervals for a stream that has begun, or fails the exchange. */
+const endSearch = (
   state: RelayState,
   exchange: Exchange,
   reason: string,
@@ -33,13 +37,19 @@
   if (exchange.head === undefined)
     return failExchange(state, exchange, `${reason}; no repeat is left`);
   const until = state.at + budgetCheckIntervalMs;
+  const isWaiting =
+    exchange.wait.type === "retry" && exchange.wait.rounds === rounds;
   exchange.wait = { type: "retry", reason, rounds, until };
-  return rounds === maxBorrowRoundCount + 1
-    ? [logLine("stream waits for a repeat", summaryOf(exchange, state.at))]
-    : [];
+  const lines = isWaiting
+    ? []
+    : [logLine("stream waits for a repeat", summaryOf(exchange, state.at))];
+  return [...askLenders(state, exchange), ...lines];
 };
 
-/** Asks other routers to lend a retry; after the last round, there is none for now. */
+/**
+ * Asks other routers to lend a retry. After the last round there is none for now; a stream
+ * that has begun can only be broken off, and asks on, as budgets are refilled.
+ */
 export const borrowRetry = (
   state: RelayState,
   exchange: Exchange,
@@ -47,17 +57,18 @@
 ): RelayCommand[] => {
   const { service, request, wait } = exchange;
   const rounds = (wait.type === "retry" ? wait.rounds : 0) + 1;
-  const others = rounds > maxBorrowRoundCount ? [] : someRouters(state);
-  if (others.length === 0) return endBorrowing(state, exchange, reason, rounds);
+  const asks = rounds > maxBorrowRoundCount ? [] : askLenders(state, exchange);
+  if (asks.length === 0)
+    return endSearch(state, exchange, reason, maxBorrowRoundCount + 1);
   const until = state.at + borrowTimeoutMs;
   exchange.wait = { type: "retry", reason, rounds, until };
   return [
-    ...others.map((to): RelayCommand => ({ type: "borrowRetry", to, service })),
+    ...asks,
     logLine("repeat asked of other routers", {
       requestId: request.requestId,
       service,
       rounds,
-      asked: others.length,
+      asked: asks.length,
       routers: state.registration.routers.size,
     }),
   ];
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -350,6 +350,15 @@
         this.toldItemCount += command.items.length;
         this.tell(router, command.to, command.items);
         return;
+      case "borrowRetry":
+      case "lendRetry":
+        this.sendToRouter(router, command.to, (from, at) => ({
+          type: command.type === "lendRetry" ? "retryLent" : "retryRequested",
+          at,
+          from,
+          service: command.service,
+        }));
+        return;
       case "askOrigin":
         this.originMessageCount += 1;
         this.sendToRouter(router, command.to, (from, at) => ({
