Test streams that are handed on while the other routers stop

The routers that could take a stream over, or serve it, stop in a planned stop and are back a second later, one or all of them: the streams stay whole, as they do on.

--- a/packages/relay/src/decisions/handover/committedRequests.test.ts
+++ b/packages/relay/src/decisions/handover/committedRequests.test.ts
@@ -9,6 +9,7 @@
 const streamEventCount = 30;
 const engineCount = 6;
 const sentAfterMs = 25;
+const stopMs = 1000;
 const pathLossMs = 3000;
 
 /** Starts streams at the first router; the others have none. */
@@ -110,3 +111,29 @@
     fleet.advance(afterMs);
     assertWhole(fleet, keys);
   });
+
+// Load: the routers that could take a stream over stop, and are back a second later.
+for (const others of [["r2"], ["r2", "r3", "r4"]])
+  test(`a stream is broken off as ${others.join(", ")} stop while they could serve it`, () => {
+    const { fleet, keys } = startStreams(others.length + 1, 6);
+    for (const router of others) fleet.stopRouter(router, fleet.at + stopMs);
+    fleet.cutPaths(["r1"], "reset");
+    fleet.advance(stopMs);
+    for (const router of others) fleet.startRouter(router);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
+
+// Load: the same, but the stop begins when the streams are served there.
+test("a stream is broken off as the routers that serve it stop", () => {
+  const { fleet, keys } = startStreams(4, 6);
+  fleet.cutPaths(["r1"], "reset");
+  fleet.advance(prefilledAfterMs);
+  for (const router of ["r2", "r3", "r4"]) {
+    fleet.stopRouter(router, fleet.at + stopMs);
+    fleet.advance(stopMs);
+    fleet.startRouter(router);
+  }
+  fleet.advance(afterMs);
+  assertWhole(fleet, keys);
+});
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -199,6 +199,11 @@
     return this.clock.now();
   }
 
+  /** Begins a planned stop of a router. */
+  stopRouter(router: string, stopsAt: Timestamp): void {
+    this.dispatch(router, { type: "drainStarted", at: this.at, stopsAt });
+  }
+
   /** Stops a router's process: what reaches it meanwhile waits. */
   pause(router: string): void {
     this.paused.set(router, []);
