--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -1,9 +1,9 @@
 /** Handles what other routers send for requests that were handed on to them. */
 
 import { formatAddress, serviceUnavailableStatus } from "../../types.js";
+import { candidateQueryOf, hasTrustedCandidate } from "../chooseReplica.js";
 import type { RelayCommand } from "../commands.js";
 import { deadConnectionSilenceMs } from "../constants.js";
-import { endSearch } from "../fallback/endSearch.js";
 import {
   cancelExchange,
   completeExchange,
@@ -14,7 +14,7 @@
 import { isRetryable } from "../isRetryable.js";
 import { logLine } from "../logLine.js";
 import { refuse, refuseNotExecuted } from "../refusals.js";
-import { sendRetry } from "../sendAttempt.js";
+import { hasAttempt, sendRetry } from "../sendAttempt.js";
 import { acceptEvents } from "../streamEvents.js";
 import { recordOrigin } from "../versions/streamOrigins.js";
 import {
@@ -29,9 +29,10 @@
   handoverAskIntervalMs,
   handoverSilenceMs,
   lostRouterSilenceMs,
+  refusedStreamRetryMs,
 } from "./constants.js";
-import { handOn } from "./handOn.js";
-import { dropOffer, keepOffer } from "./offers.js";
+import { awaitOffer, handOn } from "./handOn.js";
+import { dropOffer, hasOtherOffer, keepOffer, mustHandOn } from "./offers.js";
 import type { HandoverAttempt } from "./types.js";
 
 interface HandedOn {
@@ -68,20 +69,51 @@
     reason,
   });
 
-/** Takes a request back that the other router did not execute, and hands it to the next one. */
-const takeBack = (
+/** Undoes a handover whose request the other router did not execute. */
+const undoHandover = (
   state: RelayState,
   exchange: Exchange,
   attempt: HandoverAttempt,
   reason: string,
-): RelayCommand[] => {
+): RelayCommand => {
   exchange.attempts -= 1;
   exchange.mayHaveExecuted = attempt.mayHaveExecutedBefore;
   exchange.copy = attempt.copy;
   exchange.wait = noWait;
   dropOffer(state, attempt.to);
-  const line = returnLogLine(state, exchange, attempt, reason);
-  return [line, ...sendRetry(state, exchange, reason, !attempt.isCounted)];
+  return returnLogLine(state, exchange, attempt, reason);
+};
+
+/** Takes a request back that the other router did not execute, and hands it to the next one. */
+const takeBack = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: HandoverAttempt,
+  reason: string,
+): RelayCommand[] => [
+  undoHandover(state, exchange, attempt, reason),
+  ...sendRetry(state, exchange, reason, !attempt.isCounted),
+];
+
+/**
+ * Takes a request back whose caller can't be told that it was not run. Replicas may have
+ * refused it, so its next execution is a repeat. A stream that has begun waits before the
+ * next try, as other routers find the same replicas full; any other request is tried once
+ * at each router.
+ */
+const takeRefusedBack = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: HandoverAttempt,
+  reason: string,
+): RelayCommand[] => {
+  const line = undoHandover(state, exchange, attempt, reason);
+  const hasBegun = exchange.head !== undefined;
+  if (!hasBegun) exchange.triedRouters.add(formatAddress(attempt.to));
+  if (!hasBegun || !mustHandOn(state, exchange))
+    return [line, ...sendRetry(state, exchange, reason)];
+  const retryAt = state.at + refusedStreamRetryMs;
+  return [line, ...awaitOffer(state, exchange, false, retryAt)];
 };
 
 /** The copy that the lost router kept of the run's KV cache; usable after the first event. */
@@ -112,18 +144,18 @@
   return [line, ...sendRetry(state, exchange, reason)];
 };
 
-/** Passes a refusal on that another router gave this request, with its time to come back. */
+/** Passes a refusal on that another router gave this request, with its time to come back, if its caller can be told so. */
 const passRefusalOn = (
   state: RelayState,
   exchange: Exchange,
-  { mayHaveExecutedBefore }: HandoverAttempt,
+  attempt: HandoverAttempt,
   retryAfterMs: number | undefined,
 ): RelayCommand[] => {
   const { key, request, head } = exchange;
   const reason = "the router that took the request over refused it";
-  exchange.mayHaveExecuted = mayHaveExecutedBefore;
-  if (mayHaveExecutedBefore || head !== undefined)
-    return endSearch(state, exchange, reason);
+  if (attempt.mayHaveExecutedBefore || head !== undefined)
+    return takeRefusedBack(state, exchange, attempt, reason);
+  exchange.mayHaveExecuted = false;
   const context = summaryOf(exchange, state.at);
   const refused = { key, requestId: request.requestId, reason, context };
   return [
@@ -271,7 +303,22 @@
       : [],
   );
 
-/** Asks the router of a silent request whether it runs, and leaves it if it does not answer. */
+/** Whether the path is back, or another router offers, for a request whose router is silent. */
+const canLeaveRouter = (
+  state: RelayState,
+  exchange: Exchange,
+  { to }: HandoverAttempt,
+): boolean => {
+  if (!hasAttempt(exchange)) return false;
+  return mustHandOn(state, exchange)
+    ? hasOtherOffer(state, exchange, to)
+    : hasTrustedCandidate(state, candidateQueryOf(exchange));
+};
+
+/**
+ * Asks the router of a silent request whether it runs, and leaves it if it does not answer
+ * and something else can take the request: a sound router may stand still for a second.
+ */
 export const checkHandedOn = (
   state: RelayState,
   exchange: Exchange,
@@ -286,7 +333,8 @@
     at - Math.max(attempt.heardAt, routerHeardAt) >= lostRouterSilenceMs;
   const isConnectionDead =
     attempt.hasEvents && silentMs >= deadConnectionSilenceMs;
-  if (isRouterLost || isConnectionDead)
+  const isLost = isRouterLost || isConnectionDead;
+  if (isLost && canLeaveRouter(state, exchange, attempt))
     return [
       { type: "abandon", key: exchange.key, attempt: attempt.number },
       ...loseHandedOn(state, exchange, attempt, "the router does not answer"),
--- a/packages/relay/src/decisions/quarantine/suspectedRequests.ts
+++ b/packages/relay/src/decisions/quarantine/suspectedRequests.ts
@@ -4,9 +4,11 @@
  * the cause, its next tries must not take the last replica from all others.
  */
 
+import type { Timestamp } from "@cardamomglade/common";
 import { refuse } from "../refusals.js";
 import { cancelExchange, summaryOf } from "../endExchange.js";
 import { endSearch } from "../fallback/endSearch.js";
+import { logLine } from "../logLine.js";
 import {
   hasEnded,
   isAvailable,
@@ -18,6 +20,7 @@
 import type { Exchange, RelayState } from "../types.js";
 import { serviceUnavailableStatus, type CallerRequest } from "../../types.js";
 import { requestCauseOf } from "./causes.js";
+import { minVersionRetryMs } from "../versions/constants.js";
 import { minSuspicionCount, replicaRestartMs } from "./constants.js";
 
 /**
@@ -65,7 +68,7 @@
 const keptUntil = (
   state: RelayState,
   { request, service }: Exchange,
-): number | undefined => {
+): Timestamp | undefined => {
   const times = crashTimesOf(state, request);
   if (times.length < minSuspicionCount) return undefined;
   const until = Math.max(...times) + replicaRestartMs;
@@ -74,14 +77,38 @@
     : undefined;
 };
 
-/** Ends a request that would risk the last sound replica; undefined if it may be sent. */
+/**
+ * Lets a stream that has begun wait for a second sound replica: it can only be broken off,
+ * and replicas that are silent for a moment do not count as sound.
+ */
+const awaitSoundReplica = (
+  state: RelayState,
+  exchange: Exchange,
+  until: Timestamp,
+): RelayCommand[] => {
+  const isWaiting = exchange.wait.type === "version";
+  const retryAt = Math.min(until, state.at + minVersionRetryMs);
+  exchange.wait = { type: "version", retryAt };
+  return isWaiting
+    ? []
+    : [
+        logLine(
+          "stream waits for a second sound replica",
+          summaryOf(exchange, state.at),
+        ),
+      ];
+};
+
+/** Keeps a request back that would risk the last sound replica; undefined if it may be sent. */
 export const keepFromLastReplica = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] | undefined => {
   const until = keptUntil(state, exchange);
   if (until === undefined) return undefined;
-  const { key, request, head, mayHaveExecuted } = exchange;
+  const { key, request, head, mayHaveExecuted, fallback } = exchange;
+  if (head !== undefined && fallback === undefined)
+    return awaitSoundReplica(state, exchange, until);
   const reason = "replicas ended under this request, and one at most is left";
   state.quarantine.refusedCount += 1;
   if (mayHaveExecuted || head !== undefined)
