Keep a stream that a quarantine holds back at its silent replica

A stream that ran well when the block of its prompt was quarantined was broken off when its engine fell silent for 0.6 s: it left the engine, as others could take it, and was then held back from them ("engines ended under prompts with these blocks").

What can take a stream is now asked with the quarantines in mind, at a silent replica and at a silent router. A replica that has ended is left as before.

--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -13,6 +13,7 @@
 import type { RelayEvent, RelayEventOf } from "../events.js";
 import { isRetryable } from "../isRetryable.js";
 import { logLine } from "../logLine.js";
+import { heldBy } from "../quarantine/quarantines.js";
 import { refuse, refuseNotExecuted } from "../refusals.js";
 import { hasAttempt, sendRetry } from "../sendAttempt.js";
 import { acceptEvents } from "../streamEvents.js";
@@ -309,7 +310,8 @@
   exchange: Exchange,
   { to }: HandoverAttempt,
 ): boolean => {
-  if (!hasAttempt(exchange)) return false;
+  if (!hasAttempt(exchange) || heldBy(state, exchange) !== undefined)
+    return false;
   return mustHandOn(state, exchange)
     ? hasOtherOffer(state, exchange, to)
     : hasTrustedCandidate(state, candidateQueryOf(exchange));
--- a/packages/relay/src/decisions/leaveSilentReplica.ts
+++ b/packages/relay/src/decisions/leaveSilentReplica.ts
@@ -8,6 +8,7 @@
 import { candidateQueryOf, hasTrustedCandidate } from "./chooseReplica.js";
 import { chooseOffer, mustHandOn } from "./handover/offers.js";
 import { hasUsableCopy } from "./kvCacheCopies.js";
+import { heldBy } from "./quarantine/quarantines.js";
 import { hasAttempt } from "./sendAttempt.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
 
@@ -17,7 +18,8 @@
   exchange: Exchange,
   attempt: Attempt,
 ): boolean => {
-  if (!hasAttempt(exchange)) return false;
+  if (!hasAttempt(exchange) || heldBy(state, exchange) !== undefined)
+    return false;
   if (mustHandOn(state, exchange))
     return chooseOffer(state, exchange) !== undefined;
   return (
--- a/packages/relay/src/decisions/quarantine/silentSuspects.test.ts
+++ b/packages/relay/src/decisions/quarantine/silentSuspects.test.ts
@@ -3,8 +3,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Fleet } from "../../testing/fleet.js";
+import type { StoredQuarantine } from "./types.js";
 
 const prefilledAfterMs = 400;
+const establishedAfterMs = 1000;
 const beforeFirstEventMs = 100;
 const afterMs = 26_000;
 const streamEventCount = 30;
@@ -83,3 +85,32 @@
     fleet.advance(afterMs);
     assertWhole(fleet, keys);
   });
+
+/** Quarantines of a fleet whose engines end under prompts with a block. */
+const quarantinesOf = (blockId: string): Map<string, StoredQuarantine> => {
+  const fleet = Fleet.create({ routerCount: 8, engineCount: 12 });
+  const routers = [...fleet.states.keys()];
+  for (const router of routers) fleet.request(router, ["other"]);
+  fleet.advance(establishedAfterMs);
+  fleet.replicas.crashingBlocks.add(blockId);
+  for (const router of routers.slice(0, 4)) {
+    fleet.request(router, [blockId]);
+    fleet.advance(prefilledAfterMs);
+  }
+  fleet.advance(establishedAfterMs);
+  assert.ok(fleet.storedBlocks().includes(blockId));
+  return new Map(fleet.stored);
+};
+
+// Load: the prompt of a stream that runs well is quarantined, and its engine is silent for a second.
+for (const silentMs of [600, 1000, 1300])
+  test(`a stream leaves its engine, which is silent for ${String(silentMs)} ms, though a quarantine holds it back`, () => {
+    const stored = quarantinesOf("shared");
+    const { fleet, keys } = startStreams(1, 1, establishedAfterMs);
+    const silent = fleet.replicas.engines.filter(({ runs }) => runs.size > 0);
+    fleet.stored = stored;
+    fleet.readQuarantines();
+    fleet.replicas.silence(silent, silentMs);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
