Leave requests that were handed on to the quarantines of their router

The router that took it over has the same quarantines and knows what the stream waits for, so that it decides alone.

--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -104,15 +104,19 @@
   { request }: Pick<Exchange, "request">,
 ): Quarantine | undefined => quarantinesOf(state, request)[0];
 
-/** Ends requests that wait for a replica or for its first events, before it ends too. */
+/**
+ * Ends requests that wait for a replica or for its first events, before it ends too. A
+ * router that took a request over knows whether it waits, and ends it there.
+ */
 const endHeldExchanges = (
   state: RelayState,
   quarantine: Quarantine,
 ): RelayCommand[] =>
   [...state.exchanges.values()].flatMap((exchange) => {
-    const { attempt, request } = exchange;
+    const { attempt, request, wait } = exchange;
     const isHeld =
       attempt?.isEstablished !== true &&
+      wait.type !== "router" &&
       quarantine.trialKey !== exchange.key &&
       hasAllBlocks(causesOf(request), quarantine.blockIds);
     return isHeld ? endHeldExchange(state, exchange, quarantine) : [];
--- a/packages/relay/src/decisions/quarantine/silentSuspects.test.ts
+++ b/packages/relay/src/decisions/quarantine/silentSuspects.test.ts
@@ -114,3 +114,25 @@
     fleet.advance(afterMs);
     assertWhole(fleet, keys);
   });
+
+// Load: the same while another router serves the stream, which is silent for a second.
+for (const silentMs of [0, 1000])
+  test(`a stream that another router serves is ended as its prompt is quarantined (silent for ${String(silentMs)} ms)`, () => {
+    const stored = quarantinesOf("shared");
+    const fleet = Fleet.create({ routerCount: 3, engineCount: 6 });
+    const keys = [fleet.request("r1", ["shared"])];
+    fleet.advance(prefilledAfterMs);
+    fleet.cutPaths(["r1"], "reset");
+    fleet.advance(establishedAfterMs);
+    const server = ["r2", "r3"].find(
+      (router) => (fleet.states.get(router)?.exchanges.size ?? 0) > 0,
+    );
+    assert.ok(server);
+    fleet.stored = stored;
+    fleet.readQuarantines();
+    fleet.pause(server);
+    fleet.advance(silentMs);
+    fleet.resume(server);
+    fleet.advance(afterMs);
+    assertWhole(fleet, keys);
+  });
