Count the header timeout of a connection's first request from its first byte

What callers saw: a connection that was opened and carried its first request later than `header_timeout_ms` after that got a 408 and was closed before it had sent a byte, although it may be idle for `idle_timeout_ms`.

Cause: Node starts the time for the first head when the connection opens, and for the later ones with their first byte.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -35,6 +35,7 @@
   encodeAnswerOrigin,
   handoverHeaders,
 } from "./handover/handoverHeaders.js";
+import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
 import { readRequest, rewrittenHeaders } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
@@ -121,11 +122,12 @@
   });
 
   const connections = OpenConnections.create(server);
+  const idleTimeouts = IdleTimeouts.create(server);
 
   const applyLimits = (newLimits: RequestLimits) => {
     limits = newLimits;
     server.headersTimeout = limits.headerTimeoutMs;
-    server.keepAliveTimeout = limits.idleTimeoutMs;
+    idleTimeouts.apply(limits.idleTimeoutMs);
     // Node reads this for each new connection, but the type of the server does not declare it.
     Object.assign(server, { maxHeaderSize: limits.headerBytes });
   };
--- a/packages/relay/src/drivers/refuseMalformed.ts
+++ b/packages/relay/src/drivers/refuseMalformed.ts
@@ -1,15 +1,17 @@
 /** Answers malformed HTTP requests. */
 
 import type { Server } from "node:http";
-import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
 
 type ClientError = Error & { readonly code?: string };
 
+const headTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
+
 const statusOf = ({ code }: ClientError): string => {
   switch (code) {
     case "HPE_HEADER_OVERFLOW":
       return "431 Request Header Fields Too Large";
-    case "ERR_HTTP_REQUEST_TIMEOUT":
+    case headTimeoutCode:
       return "408 Request Timeout";
     default:
       return "400 Bad Request";
@@ -24,7 +26,9 @@
   server: Server,
   onRefused: (status: number, detail: string) => void,
 ): void => {
-  server.on("clientError", (error: ClientError, socket: Duplex) => {
+  server.on("clientError", (error: ClientError, socket: Socket) => {
+    // Node counts a first head from the opening of its connection, and again from its first byte.
+    if (error.code === headTimeoutCode && socket.bytesRead === 0) return;
     if (!socket.writable || error.code === "ECONNRESET") {
       socket.destroy();
       return;
--- /dev/null
+++ b/packages/relay/src/idleConnections.test.ts
@@ -0,0 +1,43 @@
+/** Connections of callers that wait for their first or next request. */
+
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "node:test";
+import { RawCaller } from "./testing/rawCaller.js";
+import { requestText, respondOk, startTestRelay } from "./testing/testRelay.js";
+
+const request = requestText("/check/x");
+
+// Load: a caller that opens its connections ahead of its requests.
+test("the first request is refused on a connection opened longer ago than the header timeout", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerTimeoutMs: 300, idleTimeoutMs: 4000 });
+  const caller = RawCaller.create(relay.port);
+  await sleep(1500);
+  caller.send(request);
+  await caller.waitFor(/hello$/, 1000);
+  assert.match(caller.text, /^HTTP\/1.1 200 OK[^]*hello$/);
+});
+
+// Load: callers that send the heads of their first requests byte by byte.
+test("a slow first head is still ended after the header timeout", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerTimeoutMs: 300, idleTimeoutMs: 8000 });
+  const caller = RawCaller.create(relay.port);
+  await sleep(1500);
+  caller.send("GET /check/x HTTP/1.1\r\n");
+  assert.ok(await caller.waitFor(/^HTTP\/1.1 408 /, 1500));
+});
+
+test("a connection that never carries a request is closed after the idle timeout", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerTimeoutMs: 300, idleTimeoutMs: 1000 });
+  const caller = RawCaller.create(relay.port);
+  await sleep(800);
+  assert.equal(caller.isClosed, false);
+  assert.ok(await caller.waitForClose(2500));
+  assert.equal(caller.text, "");
+});
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -12,6 +12,7 @@
   type RawReplica,
 } from "./rawReplica.js";
 import { plainService, testConfig, testReplica } from "./scenario.js";
+import type { RequestLimits } from "../types.js";
 import { testProtocol } from "./testProtocol.js";
 
 /** A relay with replicas that answer raw bytes. */
@@ -21,6 +22,8 @@
   readonly relay: Relay;
   readonly port: number;
   readonly lines: string[];
+  /** Puts a configuration with changed limits in force. */
+  readonly changeLimits: (changes: Partial<RequestLimits>) => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
@@ -68,12 +71,19 @@
     replicas.push(testReplica("b-9", service, { host, port: second.port }));
   events.push({ type: "configRead", at: now(), config: testConfig() });
   events.push({ type: "replicasRead", at: now(), replicas });
+  let config = testConfig();
   return {
     replica,
     second,
     relay,
     port: front,
     lines,
+    changeLimits: async (changes) => {
+      const limits = { ...config.limits, ...changes };
+      config = { ...config, version: config.version + 1, limits };
+      events.push({ type: "configRead", at: now(), config });
+      await sleep(20);
+    },
     stop: async () => {
       await relay.drain(now());
       replica.stop();
