Let refusals of bodies that still arrive reach their callers

What callers saw: a 413 or 408 that was written while the body was on its way was lost: the connection was reset before a caller that sends first and reads then had read it.

Cause: the refusal closed the connection at once, with unread bytes; such a close resets it, and the reset discards what the caller has not read.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -35,6 +35,7 @@
   encodeAnswerOrigin,
   handoverHeaders,
 } from "./handover/handoverHeaders.js";
+import { finishUnread } from "./finishUnread.js";
 import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
 import { readRequest, rewrittenHeaders } from "./readRequest.js";
@@ -149,7 +150,8 @@
       "content-type": "application/json",
       "content-length": Buffer.byteLength(body),
     });
-    res.end(body);
+    res.write(body);
+    finishUnread(res);
   };
 
   const recordRefusal = (
