Let refusals of heads that cannot be read reach their callers

What callers saw: a 431, 400 or 408 to a head that was still arriving was lost to a reset.

Cause: the refusal closed the sending half only, and the next bytes failed in the parser again, whose second error destroyed the connection with unread bytes. Without further bytes the connection stayed half open for as long as the caller liked.

--- a/packages/relay/src/drivers/refuseMalformed.ts
+++ b/packages/relay/src/drivers/refuseMalformed.ts
@@ -2,6 +2,7 @@
 
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
+import { closeUnread } from "./closeUnread.js";
 
 type ClientError = Error & { readonly code?: string };
 
@@ -35,8 +36,9 @@
     }
     const status = statusOf(error);
     onRefused(Number(status.slice(0, 3)), error.message);
-    socket.end(
+    socket.write(
       `HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`,
     );
+    closeUnread(socket);
   });
 };
