Refuse a body that is named too long before it is sent

What callers saw: a caller that announced a body over `max_body_bytes`, with `expect: 100-continue` as well, was told to go on, and got its 413 only after `max_body_bytes` of it had been sent.

Cause: only the bytes that had arrived were counted.

Evidence: "a body that is known to be too long is asked for" failed before (no 413 within a second of the head, and a 100).

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -38,7 +38,7 @@
 import { finishUnread } from "./finishUnread.js";
 import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
-import { readRequest, rewrittenHeaders } from "./readRequest.js";
+import { isTooLong, readRequest, rewrittenHeaders } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
 import type { RelayDriver } from "./types.js";
 
@@ -224,6 +224,10 @@
   server.on("request", (req: IncomingMessage, res: ServerResponse) => {
     void serve(req, res);
   });
+  server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
+    if (!isTooLong(req, limits)) res.writeContinue();
+    server.emit("request", req, res);
+  });
   if (isFromRouters)
     server.on("error", (error) => {
       log(Severity.Warn, "other routers cannot hand requests on", {
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -106,6 +106,12 @@
   };
 };
 
+/** Returns whether the head of a request names a body that is longer than allowed. */
+export const isTooLong = (
+  req: IncomingMessage,
+  { bodyBytes }: RequestLimits,
+): boolean => Number(req.headers["content-length"] ?? 0) > bodyBytes;
+
 /** Reads the body of a request whose head has arrived. */
 export const readRequest = (
   req: IncomingMessage,
@@ -133,6 +139,10 @@
         fingerprint.add(chunk);
       }
     });
+    if (isTooLong(req, limits)) {
+      finish({ type: "tooLarge" });
+      return;
+    }
     const handover = options.isFromRouters ? handoverOf(req) : undefined;
     if (options.isFromRouters && handover === undefined) {
       finish({ type: "malformed" });
--- a/packages/relay/src/refusedBodies.test.ts
+++ b/packages/relay/src/refusedBodies.test.ts
@@ -58,6 +58,16 @@
   assert.equal(caller.error, undefined);
 });
 
+test("a body that is known to be too long is asked for", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  const caller = RawCaller.create(relay.port);
+  const length = `content-length: ${String(bodyBytes)}`;
+  caller.send(headOf(length, "expect: 100-continue"));
+  assert.ok(await caller.waitFor(/HTTP\/1.1 413 /, 1000));
+  assert.doesNotMatch(caller.text, /100 Continue/);
+});
+
 test("a body that is waited for is not asked for", async (t) => {
   const relay = await startTestRelay(respondOk);
   t.after(relay.stop);
