--- a/packages/relay/src/idleConnections.test.ts
+++ b/packages/relay/src/idleConnections.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
+import { now } from "@cardamomglade/common";
 import { RawCaller } from "./testing/rawCaller.js";
 import { requestText, respondOk, startTestRelay } from "./testing/testRelay.js";
 
@@ -41,3 +42,25 @@
   assert.ok(await caller.waitForClose(2500));
   assert.equal(caller.text, "");
 });
+
+/** Blocks the event loop, as a pause of the process does. */
+const block = (ms: number): void => {
+  const until = now() + ms;
+  while (now() < until);
+};
+
+// Load: a pause of the relay over the end of an idle time, in which a request arrives.
+test("a request that arrived before its idle connection is closed is lost", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ idleTimeoutMs: 500 });
+  const caller = RawCaller.create(relay.port);
+  caller.send(request);
+  await caller.waitFor(/hello$/);
+  caller.text = "";
+  await sleep(1400);
+  caller.send(request);
+  block(400);
+  await caller.waitFor(/hello$/, 1000);
+  assert.match(caller.text, /^HTTP\/1.1 200 OK[^]*hello$/);
+});
