--- /dev/null
+++ b/packages/relay/src/changedLimits.test.ts
@@ -0,0 +1,64 @@
+/** Limits that change while connections of callers are open. */
+
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "node:test";
+import { RawCaller } from "./testing/rawCaller.js";
+import type { RawResponder } from "./testing/rawReplica.js";
+import { requestText, respondOk, startTestRelay } from "./testing/testRelay.js";
+
+const request = requestText("/check/x");
+const whole = /HTTP\/1.1 200 OK[^]*hello$/;
+
+const respondLate: RawResponder = (socket, text) => {
+  setTimeout(() => {
+    respondOk(socket, text);
+  }, 600);
+};
+
+/** Sends a request on a kept connection and waits for its answer. */
+const ask = async (caller: RawCaller, text: string): Promise<string> => {
+  caller.text = "";
+  caller.send(text);
+  await caller.waitFor(/hello$/, 2000);
+  return caller.text;
+};
+
+test("an idle connection is closed early when the idle timeout shrinks", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ idleTimeoutMs: 4000 });
+  const caller = RawCaller.create(relay.port);
+  const opened = RawCaller.create(relay.port);
+  assert.match(await ask(caller, request), /Keep-Alive: timeout=4\r\n/);
+  await relay.changeLimits({ idleTimeoutMs: 100 });
+  await sleep(3000);
+  assert.match(await ask(caller, request), whole);
+  assert.match(await ask(opened, request), whole);
+});
+
+test("a connection is closed before the time in its answer when the idle timeout shrinks meanwhile", async (t) => {
+  const relay = await startTestRelay(respondLate);
+  t.after(relay.stop);
+  await relay.changeLimits({ idleTimeoutMs: 4000 });
+  const caller = RawCaller.create(relay.port);
+  const answer = ask(caller, request);
+  await sleep(200);
+  await relay.changeLimits({ idleTimeoutMs: 100 });
+  assert.match(await answer, /Keep-Alive: timeout=4\r\n/);
+  await sleep(2500);
+  assert.match(await ask(caller, request), whole);
+});
+
+test("an idle connection is closed after the older, shorter idle timeout when it has grown", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ idleTimeoutMs: 500 });
+  const caller = RawCaller.create(relay.port);
+  const opened = RawCaller.create(relay.port);
+  assert.match(await ask(caller, request), whole);
+  await relay.changeLimits({ idleTimeoutMs: 4000 });
+  await sleep(2500);
+  assert.match(await ask(caller, request), whole);
+  assert.match(await ask(opened, request), whole);
+});
