Apply a grown limit of request heads to connections that are open

What callers saw: beside a configuration that raises `max_header_bytes`, a request with a head within the new limit got 431 on a connection that had been opened before, for as long as it was kept; 431 is not repeated. A lowered limit did not hold on such connections.

Cause: Node reads the limit of a parser when its connection opens.

Evidence: the fourth and fifth case of changedLimits.test.ts failed before (431, and 200 where 431 was due). Now parsers take heads of up to 64 KiB, or the limit if that is more, and the limit in force when a head is whole decides, counted as the parser counts. A limit that is raised beyond 64 KiB still holds for new connections alone.

--- a/packages/relay/src/changedLimits.test.ts
+++ b/packages/relay/src/changedLimits.test.ts
@@ -62,3 +62,28 @@
   assert.match(await ask(caller, request), whole);
   assert.match(await ask(opened, request), whole);
 });
+
+test("a head within a grown limit is refused on a connection opened before", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerBytes: 2000 });
+  const caller = RawCaller.create(relay.port);
+  const opened = RawCaller.create(relay.port);
+  assert.match(await ask(caller, request), whole);
+  await relay.changeLimits({ headerBytes: 8000 });
+  const large = requestText("/check/x", [`x-long: ${"y".repeat(5000)}`]);
+  assert.match(await ask(caller, large), whole);
+  assert.match(await ask(opened, large), whole);
+});
+
+test("a head over a shrunk limit is taken on a connection opened before", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerBytes: 8000 });
+  const caller = RawCaller.create(relay.port);
+  assert.match(await ask(caller, request), whole);
+  await relay.changeLimits({ headerBytes: 2000 });
+  caller.text = "";
+  caller.send(requestText("/check/x", [`x-long: ${"y".repeat(5000)}`]));
+  assert.ok(await caller.waitFor(/^HTTP\/1.1 431 /, 1000));
+});
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -36,6 +36,7 @@
   handoverHeaders,
 } from "./handover/handoverHeaders.js";
 import { finishUnread } from "./finishUnread.js";
+import { headBytesOf } from "./headBytes.js";
 import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
 import { isTooLong, readRequest, rewrittenHeaders } from "./readRequest.js";
@@ -77,6 +78,7 @@
 
 const connectionCheckIntervalMs = 500; // interval at which Node checks connections for overdue request heads
 const maxUnreadBytes = 4 * 1024 * 1024; // buffered bytes of one response that its caller does not read
+const parserHeadBytes = 64 * 1024; // of any connection, whose limit may grow while it is open
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
 /**
@@ -119,7 +121,6 @@
     connectionsCheckingInterval: connectionCheckIntervalMs,
     requestTimeout: 0,
     noDelay: true,
-    maxHeaderSize: defaultLimits.headerBytes,
   });
 
   const connections = OpenConnections.create(server);
@@ -130,7 +131,8 @@
     server.headersTimeout = limits.headerTimeoutMs;
     idleTimeouts.apply(limits.idleTimeoutMs);
     // Node reads this for each new connection, but the type of the server does not declare it.
-    Object.assign(server, { maxHeaderSize: limits.headerBytes });
+    const maxHeaderSize = Math.max(limits.headerBytes, parserHeadBytes);
+    Object.assign(server, { maxHeaderSize });
   };
   applyLimits(defaultLimits);
 
@@ -185,6 +187,10 @@
     });
   };
 
+  /** What other routers hand on was checked there, and carries more headers. */
+  const isHeadTooLong = (req: IncomingMessage): boolean =>
+    !isFromRouters && headBytesOf(req) >= limits.headerBytes;
+
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
     connections.add(res);
@@ -193,6 +199,10 @@
       rejectUnread(res, serviceUnavailableStatus, why, HandoverRefusal.NoRoom);
       return;
     }
+    if (isHeadTooLong(req)) {
+      rejectUnread(res, 431, "the head is too long");
+      return;
+    }
     const read = await readRequest(req, {
       protocol,
       limits,
@@ -225,7 +235,7 @@
     void serve(req, res);
   });
   server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
-    if (!isTooLong(req, limits)) res.writeContinue();
+    if (!isTooLong(req, limits) && !isHeadTooLong(req)) res.writeContinue();
     server.emit("request", req, res);
   });
   if (isFromRouters)
