Let a head that has begun keep the header timeout under which it began

What callers saw: beside a configuration that shortens `header_timeout_ms`, a head that was in time by the limit under which it began got a 408.

Cause: the newer limit applied to heads that were under way.

Evidence: the sixth case of changedLimits.test.ts failed before (408).

--- a/packages/relay/src/changedLimits.test.ts
+++ b/packages/relay/src/changedLimits.test.ts
@@ -87,3 +87,15 @@
   caller.send(requestText("/check/x", [`x-long: ${"y".repeat(5000)}`]));
   assert.ok(await caller.waitFor(/^HTTP\/1.1 431 /, 1000));
 });
+
+test("a head that has begun is refused early when the header timeout shrinks", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerTimeoutMs: 4000 });
+  const caller = RawCaller.create(relay.port);
+  caller.send(request.slice(0, 30));
+  await sleep(1000);
+  await relay.changeLimits({ headerTimeoutMs: 300 });
+  await sleep(1000);
+  assert.match(await ask(caller, request.slice(30)), whole);
+});
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -37,6 +37,7 @@
 } from "./handover/handoverHeaders.js";
 import { finishUnread } from "./finishUnread.js";
 import { headBytesOf } from "./headBytes.js";
+import { HeadTimeout } from "./headTimeout.js";
 import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
 import { isTooLong, readRequest, rewrittenHeaders } from "./readRequest.js";
@@ -121,14 +122,16 @@
     connectionsCheckingInterval: connectionCheckIntervalMs,
     requestTimeout: 0,
     noDelay: true,
+    headersTimeout: defaultLimits.headerTimeoutMs,
   });
 
   const connections = OpenConnections.create(server);
+  const headTimeout = HeadTimeout.create(server);
   const idleTimeouts = IdleTimeouts.create(server);
 
   const applyLimits = (newLimits: RequestLimits) => {
     limits = newLimits;
-    server.headersTimeout = limits.headerTimeoutMs;
+    headTimeout.apply(limits.headerTimeoutMs);
     idleTimeouts.apply(limits.idleTimeoutMs);
     // Node reads this for each new connection, but the type of the server does not declare it.
     const maxHeaderSize = Math.max(limits.headerBytes, parserHeadBytes);
