Let a body that is being read use limits that have grown

What callers saw: beside a configuration that raises `max_body_bytes` or `idle_timeout_ms`, a body whose head had arrived just before got 413 or 408 though the limits in force allowed it; 413 is not repeated.

Cause: the limits of the head's arrival held to the end of the body.

Evidence: the cases of changedLimits.test.ts with limits that grow failed before (413, 408); those with limits that shrink passed before and after, so that the wider one holds either way.

--- a/packages/relay/src/changedLimits.test.ts
+++ b/packages/relay/src/changedLimits.test.ts
@@ -99,3 +99,38 @@
   await sleep(1000);
   assert.match(await ask(caller, request.slice(30)), whole);
 });
+
+for (const [name, before, after] of [
+  ["shrinks", 200, 50],
+  ["grows", 50, 200],
+] as const)
+  test(`a body that has begun is refused when the limit of bodies ${name}`, async (t) => {
+    const relay = await startTestRelay(respondOk);
+    t.after(relay.stop);
+    await relay.changeLimits({ bodyBytes: before });
+    const caller = RawCaller.create(relay.port);
+    const chunk = `28\r\n${"b".repeat(40)}\r\n`;
+    caller.send(
+      requestText("/check/x", ["transfer-encoding: chunked"], "POST"),
+    );
+    caller.send(chunk);
+    await sleep(100);
+    await relay.changeLimits({ bodyBytes: after });
+    assert.match(await ask(caller, `${chunk}0\r\n\r\n`), whole);
+  });
+
+for (const [name, before, after] of [
+  ["shrinks", 2000, 100],
+  ["grows", 300, 2000],
+] as const)
+  test(`a body that pauses is refused when the idle timeout ${name}`, async (t) => {
+    const relay = await startTestRelay(respondOk);
+    t.after(relay.stop);
+    await relay.changeLimits({ idleTimeoutMs: before });
+    const caller = RawCaller.create(relay.port);
+    caller.send(requestText("/check/x", ["content-length: 6"], "POST", "abc"));
+    await sleep(100);
+    await relay.changeLimits({ idleTimeoutMs: after });
+    await sleep(800);
+    assert.match(await ask(caller, "def"), whole);
+  });
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -209,6 +209,7 @@
     const read = await readRequest(req, {
       protocol,
       limits,
+      currentLimits: () => limits,
       dropped,
       isFromRouters,
     });
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -52,7 +52,9 @@
 /** Options for reading requests. */
 export interface ReadOptions {
   readonly protocol: ReplicaProtocol;
+  /** Limits in force when the head arrived; the body may use them, or newer, wider ones. */
   readonly limits: RequestLimits;
+  readonly currentLimits: () => RequestLimits;
   /** Headers to remove, in lower case. */
   readonly dropped: ReadonlySet<string>;
   /** Whether routers send the requests, with what they tell of them. */
@@ -118,22 +120,30 @@
   options: ReadOptions,
 ): Promise<RequestRead> =>
   new Promise((resolve) => {
-    const { limits } = options;
+    const { limits, currentLimits } = options;
+    const maxBodyBytes = () =>
+      Math.max(limits.bodyBytes, currentLimits().bodyBytes);
+    const maxPauseMs = () =>
+      Math.max(limits.idleTimeoutMs, currentLimits().idleTimeoutMs);
     const arrivedAt = now();
     const chunks: Buffer[] = [];
     const fingerprint = RequestFingerprint.create(headOf(req));
     let bytes = 0;
-    const timer = setTimeout(() => {
-      resolve({ type: "tooSlow" });
-    }, limits.idleTimeoutMs);
+    let lastBytesAt = arrivedAt;
+    const checkPause = () => {
+      const restMs = lastBytesAt + maxPauseMs() - now();
+      if (restMs > 0) timer = setTimeout(checkPause, restMs);
+      else resolve({ type: "tooSlow" });
+    };
+    let timer = setTimeout(checkPause, limits.idleTimeoutMs);
     const finish = (read: RequestRead) => {
       clearTimeout(timer);
       resolve(read);
     };
     req.on("data", (chunk: Buffer) => {
-      timer.refresh();
+      lastBytesAt = now();
       bytes += chunk.length;
-      if (bytes > limits.bodyBytes) finish({ type: "tooLarge" });
+      if (bytes > maxBodyBytes()) finish({ type: "tooLarge" });
       else {
         chunks.push(chunk);
         fingerprint.add(chunk);
