Wait for heads that have begun before a planned stop ends

What callers saw: a request whose head was half sent when a planned stop had waited out its notice was cut without an answer, with seconds of the grace left.

Cause: a connection with part of a head was spared when idle ones were closed, but did not count as work, so the process ended and closed it.

Evidence: "a request whose head is half sent when the relay stops is cut" failed before (no byte of an answer). Now heads that have begun are waited for like requests, until the deadline at most; the header timeout ends them earlier. Idle connections are closed one turn of the event loop later, in which what has arrived is read; the case for that in plannedStop.test.ts passed before as well.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -154,13 +154,13 @@
       );
       const noticeEndsAt = at + noticeMs;
       controlEvents.push({ type: "drainStarted", at, stopsAt: deadline });
+      const isIdle = () =>
+        running.state().exchanges.size === 0 &&
+        fronts.every((one) => one.openRequestCount() === 0);
       while (now() < deadline) {
-        const isIdle =
-          running.state().exchanges.size === 0 &&
-          fronts.every((one) => one.openRequestCount() === 0);
         if (now() >= noticeEndsAt) {
-          for (const one of fronts) one.closeIdle();
-          if (isIdle) break;
+          await Promise.all(fronts.map((one) => one.closeIdle()));
+          if (isIdle()) break;
         }
         await sleep(drainPollMs);
       }
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -66,7 +66,7 @@
  */
 export interface FrontDriver extends RelayDriver {
   /** Stops accepting connections, and closes those without a request in progress. */
-  closeIdle(): void;
+  closeIdle(): Promise<void>;
   /** Number of requests that are being read or whose response has not been sent whole. */
   openRequestCount(): number;
 }
@@ -348,10 +348,8 @@
   return {
     events: channel.stream,
     perform,
-    closeIdle: () => {
-      connections.closeIdle();
-    },
-    openRequestCount: () => connections.requestCount(),
+    closeIdle: () => connections.closeIdle(),
+    openRequestCount: () => connections.openCount(),
     stop: () => {
       if (server.listening) server.close();
       server.closeAllConnections();
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -7,6 +7,7 @@
 
 import type { Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 
 /** Connections of one server. */
 export class OpenConnections {
@@ -38,13 +39,33 @@
     });
   }
 
-  /** Returns the number of requests that are being read or answered. */
+  /** Returns the number of requests whose heads have been read and that are not answered. */
   requestCount(): number {
     return this.responses.size;
   }
 
-  /** Stops accepting connections, and closes those on which nothing is under way. */
-  closeIdle(): void {
+  /** Returns the number of requests that are being read or answered, with heads that have begun. */
+  openCount(): number {
+    const busy = new Set(this.responses.values());
+    const begun = [...this.idleBytes].filter(
+      ([socket, bytes]) => !busy.has(socket) && socket.bytesRead !== bytes,
+    );
+    return this.responses.size + begun.length;
+  }
+
+  /** Returns the last response on a connection to a request that was read whole. */
+  lastAnswer(socket: Socket): ServerResponse | undefined {
+    return [...this.responses]
+      .filter(([res, one]) => one === socket && res.req.complete)
+      .at(-1)?.[0];
+  }
+
+  /**
+   * Stops accepting connections, and closes those on which nothing is under way. What
+   * has arrived is read first: timers run before sockets.
+   */
+  async closeIdle(): Promise<void> {
+    await nextTurn();
     if (this.server.listening) NetServer.prototype.close.call(this.server);
     const busy = new Set(this.responses.values());
     for (const [socket, bytes] of this.idleBytes)
--- a/packages/relay/src/plannedStop.test.ts
+++ b/packages/relay/src/plannedStop.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
 import { now } from "@cardamomglade/common";
+import { RawCaller } from "./testing/rawCaller.js";
 import {
   exchange,
   requestText,
@@ -119,3 +120,36 @@
   const others = ends.filter((end) => !["whole", "503", ""].includes(end));
   assert.deepEqual(others, []);
 });
+
+// Load: a caller whose head is half sent when the relay stops listening.
+test("a request whose head is half sent when the relay stops is cut", async (t) => {
+  const { port, relay, replica } = await startTestRelay(respondOk);
+  const caller = RawCaller.create(port);
+  const text = requestText("/book/x");
+  t.after(replica.stop);
+  const drained = relay.drain(now() + graceMs);
+  await sleep(2300);
+  caller.send(text.slice(0, 30));
+  await sleep(700);
+  caller.send(text.slice(30));
+  await drained;
+  await sleep(50);
+  assert.match(caller.text, /^HTTP\/1.1 200 OK[^]*hello$/);
+});
+
+// Load: callers on kept connections, all the time, while the process is held up.
+test("a request that arrived before a stop closes its connection is lost", async (t) => {
+  const { port, relay, replica } = await startTestRelay(respondOk);
+  const callers = Array.from({ length: 10 }, () => RawCaller.create(port));
+  for (const caller of callers) caller.send(requestText("/check/x"));
+  for (const caller of callers) await caller.waitFor(/hello$/);
+  t.after(replica.stop);
+  const drained = relay.drain(now() + graceMs);
+  await sleep(2440);
+  for (const caller of callers) caller.send(requestText("/check/x"));
+  const heldUntil = now() + 200;
+  while (now() < heldUntil);
+  await drained;
+  await sleep(50);
+  for (const { text } of callers) assert.match(text, /hello[^]*hello$/);
+});
