Answer a request before what follows it on its connection is refused

What callers saw: while a request was at its replica, the connection got a 408 when the next head on it was slow, or a 400 when bytes followed that are no request, and was closed. The caller took it for the answer to the first request, which had been passed on and ran: its answer was lost, and a 408 promises that it had not run.

Cause: what Node's parser could not read was refused at once, whatever was under way.

Now such a refusal waits for the answers of the requests before, and is not sent if the slow head has ended meanwhile.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -167,7 +167,7 @@
     metrics.count(Counter.Refusals);
     log(Severity.Info, "request refused unread", { requestId, status, reason });
   };
-  refuseMalformed(server, recordRefusal);
+  refuseMalformed(server, connections, recordRefusal);
 
   const rejectUnread = (
     res: ServerResponse,
