Close a connection after its last answer while the relay stops

What callers saw: of two requests that were sent at once on one connection to a relay that stops, both were passed on and the first alone was answered.

Cause: the first answer carried `connection: close`, and the connection ended with it.

Evidence: the last case of sharedConnections.test.ts failed before (one answer of two). Now the answer to the last request that has been read closes its connection. An answer without a length still closes at once and takes those behind it along.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -139,6 +139,13 @@
   };
   applyLimits(defaultLimits);
 
+  /** While draining, the last response of a connection closes it. */
+  const closesAfter = (res: ServerResponse): boolean => {
+    if (!isDraining) return false;
+    const last = connections.lastAnswer(res.req.socket);
+    return last === undefined || last === res;
+  };
+
   const writeRefusal = (
     res: ServerResponse,
     status: number,
@@ -147,7 +154,7 @@
     refusal?: HandoverRefusal,
   ) => {
     const body = JSON.stringify({ error: reason });
-    if (isDraining) res.setHeader("connection", "close");
+    if (closesAfter(res)) res.setHeader("connection", "close");
     if (retryAfterMs !== undefined)
       res.setHeader("retry-after", (retryAfterMs / 1000).toFixed(3));
     res.writeHead(status, {
@@ -265,7 +272,7 @@
     if (length !== undefined) headers.push("content-length", String(length));
     const origin = isFromRouters ? encodeAnswerOrigin(head) : undefined;
     if (origin !== undefined) headers.push(handoverHeaders.answer, origin);
-    if (isDraining) headers.push("connection", "close");
+    if (closesAfter(res)) headers.push("connection", "close");
     res.writeHead(head.status, headers);
   };
 
--- a/packages/relay/src/sharedConnections.test.ts
+++ b/packages/relay/src/sharedConnections.test.ts
@@ -3,10 +3,12 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
+import { now } from "@cardamomglade/common";
 import { RawCaller } from "./testing/rawCaller.js";
 import type { RawResponder } from "./testing/rawReplica.js";
 import { requestText, respondOk, startTestRelay } from "./testing/testRelay.js";
 
+const graceMs = 8000;
 const request = requestText("/check/x").replace("budget: 1000", "budget: 5000");
 
 const respondAfter =
@@ -53,3 +55,17 @@
   await caller.waitFor(/hello[^]*hello$/, 4000);
   assert.equal(countOf(caller.text), 2);
 });
+
+test("a request that follows another at once gets no answer from a relay that stops", async (t) => {
+  const { port, relay, replica } = await startTestRelay(respondAfter(500));
+  t.after(replica.stop);
+  const caller = RawCaller.create(port);
+  const drained = relay.drain(now() + graceMs);
+  await sleep(100);
+  caller.send(request + request);
+  await caller.waitFor(/hello[^]*hello$/);
+  assert.equal(countOf(caller.text), 2);
+  assert.equal(caller.text.match(/connection: close/gi)?.length, 1);
+  caller.socket.destroy();
+  await drained;
+});
