Log each connection that ends before the answer to a whole request was sent

An operator could not tell who ended an answer that was already handed to its connection: there was no line at all when the caller left then, and a caller that does not read its events, whom the relay cuts off, was logged as one that left. The line names the request, who closed the connection and why, whether the head was sent and how long it took.

The reasons of the relay's own closes have no test yet.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -71,6 +71,12 @@
   openRequestCount(): number;
 }
 
+/** Which side closed a connection. */
+enum Closer {
+  Caller = "caller",
+  Relay = "relay",
+}
+
 interface PendingResponse {
   readonly res: ServerResponse;
   readonly arrivedAt: number;
@@ -115,6 +121,8 @@
   const pendingResponses = new Map<string, PendingResponse>();
   const dropped = rewrittenHeaders(protocol.headers);
   let limits = defaultLimits; // until the configuration is known
+  /** Responses that the relay broke off itself. */
+  const whyBrokenOff = new WeakMap<ServerResponse, string>();
   let isDraining = false;
   let lastKey = 0;
 
@@ -188,9 +196,32 @@
     writeRefusal(res, status, why, undefined, refusal);
   };
 
+  /** Ends a response without its end, and its connection. */
+  const breakOff = (res: ServerResponse, why: string) => {
+    whyBrokenOff.set(res, why);
+    res.destroy();
+  };
+
+  const logUnfinished = (res: ServerResponse, arrivedAt: number) => {
+    const why = whyBrokenOff.get(res);
+    const id = res.req.headers[protocol.headers.requestId];
+    log(Severity.Info, "connection closed before the answer was sent", {
+      requestId: typeof id === "string" ? id : undefined,
+      closedBy: why === undefined ? Closer.Caller : Closer.Relay,
+      reason: why ?? "the caller closed it",
+      headSent: res.headersSent,
+      tookMs: Math.round(now() - arrivedAt),
+    });
+  };
+
   const accept = (res: ServerResponse, key: string, arrivedAt: number) => {
     pendingResponses.set(key, { res, arrivedAt, hasEvents: false });
+    let isSent = false;
+    res.on("finish", () => {
+      isSent = !res.req.socket.destroyed; // Node emits it for failed writes as well
+    });
     res.on("close", () => {
+      if (!isSent) logUnfinished(res, arrivedAt);
       if (!pendingResponses.delete(key)) return;
       metrics.count(Counter.CallersDisconnected);
       channel.push({ type: "callerDisconnected", at: now(), key });
@@ -302,7 +333,8 @@
       metrics.observe(Latency.FirstEvent, now() - found.arrivedAt);
     found.hasEvents = true;
     for (const { bytes } of command.events) res.write(bytes);
-    if (res.writableLength > maxUnreadBytes) res.destroy();
+    if (res.writableLength > maxUnreadBytes)
+      breakOff(res, "the caller does not read its events");
   };
 
   const perform = (command: RelayCommand) => {
@@ -331,7 +363,7 @@
         const found = takePending(command.key);
         if (found === undefined) return;
         metrics.count(Counter.StreamsAborted);
-        found.res.destroy();
+        breakOff(found.res, "the stream was ended");
         return;
       }
       case "refuse": {
@@ -358,6 +390,8 @@
     closeIdle: () => connections.closeIdle(),
     openRequestCount: () => connections.openCount(),
     stop: () => {
+      for (const { res } of pendingResponses.values())
+        whyBrokenOff.set(res, "the relay stopped");
       if (server.listening) server.close();
       server.closeAllConnections();
       return Promise.resolve();
