--- /dev/null
+++ b/packages/relay/src/changedLimits.test.ts
@@ -0,0 +1,136 @@
+/** Limits that change while connections of callers are open. */
+
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "node:test";
+import { RawCaller } from "./testing/rawCaller.js";
+import type { RawResponder } from "./testing/rawReplica.js";
+import { requestText, respondOk, startTestRelay } from "./testing/testRelay.js";
+
+const request = requestText("/check/x");
+const whole = /HTTP\/1.1 200 OK[^]*hello$/;
+
+const respondLate: RawResponder = (socket, text) => {
+  setTimeout(() => {
+    respondOk(socket, text);
+  }, 600);
+};
+
+/** Sends a request on a kept connection and waits for its answer. */
+const ask = async (caller: RawCaller, text: string): Promise<string> => {
+  caller.text = "";
+  caller.send(text);
+  await caller.waitFor(/hello$/, 2000);
+  return caller.text;
+};
+
+test("an idle connection is closed early when the idle timeout shrinks", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ idleTimeoutMs: 4000 });
+  const caller = RawCaller.create(relay.port);
+  const opened = RawCaller.create(relay.port);
+  assert.match(await ask(caller, request), /Keep-Alive: timeout=4\r\n/);
+  await relay.changeLimits({ idleTimeoutMs: 100 });
+  await sleep(3000);
+  assert.match(await ask(caller, request), whole);
+  assert.match(await ask(opened, request), whole);
+});
+
+test("a connection is closed before the time in its answer when the idle timeout shrinks meanwhile", async (t) => {
+  const relay = await startTestRelay(respondLate);
+  t.after(relay.stop);
+  await relay.changeLimits({ idleTimeoutMs: 4000 });
+  const caller = RawCaller.create(relay.port);
+  const answer = ask(caller, request);
+  await sleep(200);
+  await relay.changeLimits({ idleTimeoutMs: 100 });
+  assert.match(await answer, /Keep-Alive: timeout=4\r\n/);
+  await sleep(2500);
+  assert.match(await ask(caller, request), whole);
+});
+
+test("an idle connection is closed after the older, shorter idle timeout when it has grown", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ idleTimeoutMs: 500 });
+  const caller = RawCaller.create(relay.port);
+  const opened = RawCaller.create(relay.port);
+  assert.match(await ask(caller, request), whole);
+  await relay.changeLimits({ idleTimeoutMs: 4000 });
+  await sleep(2500);
+  assert.match(await ask(caller, request), whole);
+  assert.match(await ask(opened, request), whole);
+});
+
+test("a head within a grown limit is refused on a connection opened before", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerBytes: 2000 });
+  const caller = RawCaller.create(relay.port);
+  const opened = RawCaller.create(relay.port);
+  assert.match(await ask(caller, request), whole);
+  await relay.changeLimits({ headerBytes: 8000 });
+  const large = requestText("/check/x", [`x-long: ${"y".repeat(5000)}`]);
+  assert.match(await ask(caller, large), whole);
+  assert.match(await ask(opened, large), whole);
+});
+
+test("a head over a shrunk limit is taken on a connection opened before", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerBytes: 8000 });
+  const caller = RawCaller.create(relay.port);
+  assert.match(await ask(caller, request), whole);
+  await relay.changeLimits({ headerBytes: 2000 });
+  caller.text = "";
+  caller.send(requestText("/check/x", [`x-long: ${"y".repeat(5000)}`]));
+  assert.ok(await caller.waitFor(/^HTTP\/1.1 431 /, 1000));
+});
+
+test("a head that has begun is refused early when the header timeout shrinks", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerTimeoutMs: 4000 });
+  const caller = RawCaller.create(relay.port);
+  caller.send(request.slice(0, 30));
+  await sleep(1000);
+  await relay.changeLimits({ headerTimeoutMs: 300 });
+  await sleep(1000);
+  assert.match(await ask(caller, request.slice(30)), whole);
+});
+
+for (const [name, before, after] of [
+  ["shrinks", 200, 50],
+  ["grows", 50, 200],
+] as const)
+  test(`a body that has begun is refused when the limit of bodies ${name}`, async (t) => {
+    const relay = await startTestRelay(respondOk);
+    t.after(relay.stop);
+    await relay.changeLimits({ bodyBytes: before });
+    const caller = RawCaller.create(relay.port);
+    const chunk = `28\r\n${"b".repeat(40)}\r\n`;
+    caller.send(
+      requestText("/check/x", ["transfer-encoding: chunked"], "POST"),
+    );
+    caller.send(chunk);
+    await sleep(100);
+    await relay.changeLimits({ bodyBytes: after });
+    assert.match(await ask(caller, `${chunk}0\r\n\r\n`), whole);
+  });
+
+for (const [name, before, after] of [
+  ["shrinks", 2000, 100],
+  ["grows", 300, 2000],
+] as const)
+  test(`a body that pauses is refused when the idle timeout ${name}`, async (t) => {
+    const relay = await startTestRelay(respondOk);
+    t.after(relay.stop);
+    await relay.changeLimits({ idleTimeoutMs: before });
+    const caller = RawCaller.create(relay.port);
+    caller.send(requestText("/check/x", ["content-length: 6"], "POST", "abc"));
+    await sleep(100);
+    await relay.changeLimits({ idleTimeoutMs: after });
+    await sleep(800);
+    assert.match(await ask(caller, "def"), whole);
+  });
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -35,8 +35,12 @@
   encodeAnswerOrigin,
   handoverHeaders,
 } from "./handover/handoverHeaders.js";
+import { finishUnread } from "./finishUnread.js";
+import { headBytesOf } from "./headBytes.js";
+import { HeadTimeout } from "./headTimeout.js";
+import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
-import { readRequest, rewrittenHeaders } from "./readRequest.js";
+import { isTooLong, readRequest, rewrittenHeaders } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
 import type { RelayDriver } from "./types.js";
 
@@ -62,11 +66,17 @@
  */
 export interface FrontDriver extends RelayDriver {
   /** Stops accepting connections, and closes those without a request in progress. */
-  closeIdle(): void;
+  closeIdle(): Promise<void>;
   /** Number of requests that are being read or whose response has not been sent whole. */
   openRequestCount(): number;
 }
 
+/** Which side closed a connection. */
+enum Closer {
+  Caller = "caller",
+  Relay = "relay",
+}
+
 interface PendingResponse {
   readonly res: ServerResponse;
   readonly arrivedAt: number;
@@ -75,6 +85,7 @@
 
 const connectionCheckIntervalMs = 500; // interval at which Node checks connections for overdue request heads
 const maxUnreadBytes = 4 * 1024 * 1024; // buffered bytes of one response that its caller does not read
+const parserHeadBytes = 64 * 1024; // of any connection, whose limit may grow while it is open
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
 /**
@@ -110,6 +121,8 @@
   const pendingResponses = new Map<string, PendingResponse>();
   const dropped = rewrittenHeaders(protocol.headers);
   let limits = defaultLimits; // until the configuration is known
+  /** Responses that the relay broke off itself. */
+  const whyBrokenOff = new WeakMap<ServerResponse, string>();
   let isDraining = false;
   let lastKey = 0;
 
@@ -117,20 +130,30 @@
     connectionsCheckingInterval: connectionCheckIntervalMs,
     requestTimeout: 0,
     noDelay: true,
-    maxHeaderSize: defaultLimits.headerBytes,
+    headersTimeout: defaultLimits.headerTimeoutMs,
   });
 
   const connections = OpenConnections.create(server);
+  const headTimeout = HeadTimeout.create(server);
+  const idleTimeouts = IdleTimeouts.create(server);
 
   const applyLimits = (newLimits: RequestLimits) => {
     limits = newLimits;
-    server.headersTimeout = limits.headerTimeoutMs;
-    server.keepAliveTimeout = limits.idleTimeoutMs;
+    headTimeout.apply(limits.headerTimeoutMs);
+    idleTimeouts.apply(limits.idleTimeoutMs);
     // Node reads this for each new connection, but the type of the server does not declare it.
-    Object.assign(server, { maxHeaderSize: limits.headerBytes });
+    const maxHeaderSize = Math.max(limits.headerBytes, parserHeadBytes);
+    Object.assign(server, { maxHeaderSize });
   };
   applyLimits(defaultLimits);
 
+  /** While draining, the last response of a connection closes it. */
+  const closesAfter = (res: ServerResponse): boolean => {
+    if (!isDraining) return false;
+    const last = connections.lastAnswer(res.req.socket);
+    return last === undefined || last === res;
+  };
+
   const writeRefusal = (
     res: ServerResponse,
     status: number,
@@ -139,7 +162,7 @@
     refusal?: HandoverRefusal,
   ) => {
     const body = JSON.stringify({ error: reason });
-    if (isDraining) res.setHeader("connection", "close");
+    if (closesAfter(res)) res.setHeader("connection", "close");
     if (retryAfterMs !== undefined)
       res.setHeader("retry-after", (retryAfterMs / 1000).toFixed(3));
     res.writeHead(status, {
@@ -147,7 +170,8 @@
       "content-type": "application/json",
       "content-length": Buffer.byteLength(body),
     });
-    res.end(body);
+    res.write(body);
+    finishUnread(res);
   };
 
   const recordRefusal = (
@@ -158,7 +182,7 @@
     metrics.count(Counter.Refusals);
     log(Severity.Info, "request refused unread", { requestId, status, reason });
   };
-  refuseMalformed(server, recordRefusal);
+  refuseMalformed(server, connections, recordRefusal);
 
   const rejectUnread = (
     res: ServerResponse,
@@ -172,15 +196,42 @@
     writeRefusal(res, status, why, undefined, refusal);
   };
 
+  /** Ends a response without its end, and its connection. */
+  const breakOff = (res: ServerResponse, why: string) => {
+    whyBrokenOff.set(res, why);
+    res.destroy();
+  };
+
+  const logUnfinished = (res: ServerResponse, arrivedAt: number) => {
+    const why = whyBrokenOff.get(res);
+    const id = res.req.headers[protocol.headers.requestId];
+    log(Severity.Info, "connection closed before the answer was sent", {
+      requestId: typeof id === "string" ? id : undefined,
+      closedBy: why === undefined ? Closer.Caller : Closer.Relay,
+      reason: why ?? "the caller closed it",
+      headSent: res.headersSent,
+      tookMs: Math.round(now() - arrivedAt),
+    });
+  };
+
   const accept = (res: ServerResponse, key: string, arrivedAt: number) => {
     pendingResponses.set(key, { res, arrivedAt, hasEvents: false });
+    let isSent = false;
+    res.on("finish", () => {
+      isSent = !res.req.socket.destroyed; // Node emits it for failed writes as well
+    });
     res.on("close", () => {
+      if (!isSent) logUnfinished(res, arrivedAt);
       if (!pendingResponses.delete(key)) return;
       metrics.count(Counter.CallersDisconnected);
       channel.push({ type: "callerDisconnected", at: now(), key });
     });
   };
 
+  /** What other routers hand on was checked there, and carries more headers. */
+  const isHeadTooLong = (req: IncomingMessage): boolean =>
+    !isFromRouters && headBytesOf(req) >= limits.headerBytes;
+
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
     connections.add(res);
@@ -189,9 +240,14 @@
       rejectUnread(res, serviceUnavailableStatus, why, HandoverRefusal.NoRoom);
       return;
     }
+    if (isHeadTooLong(req)) {
+      rejectUnread(res, 431, "the head is too long");
+      return;
+    }
     const read = await readRequest(req, {
       protocol,
       limits,
+      currentLimits: () => limits,
       dropped,
       isFromRouters,
     });
@@ -220,6 +276,10 @@
   server.on("request", (req: IncomingMessage, res: ServerResponse) => {
     void serve(req, res);
   });
+  server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
+    if (!isTooLong(req, limits) && !isHeadTooLong(req)) res.writeContinue();
+    server.emit("request", req, res);
+  });
   if (isFromRouters)
     server.on("error", (error) => {
       log(Severity.Warn, "other routers cannot hand requests on", {
@@ -243,7 +303,7 @@
     if (length !== undefined) headers.push("content-length", String(length));
     const origin = isFromRouters ? encodeAnswerOrigin(head) : undefined;
     if (origin !== undefined) headers.push(handoverHeaders.answer, origin);
-    if (isDraining) headers.push("connection", "close");
+    if (closesAfter(res)) headers.push("connection", "close");
     res.writeHead(head.status, headers);
   };
 
@@ -273,7 +333,8 @@
       metrics.observe(Latency.FirstEvent, now() - found.arrivedAt);
     found.hasEvents = true;
     for (const { bytes } of command.events) res.write(bytes);
-    if (res.writableLength > maxUnreadBytes) res.destroy();
+    if (res.writableLength > maxUnreadBytes)
+      breakOff(res, "the caller does not read its events");
   };
 
   const perform = (command: RelayCommand) => {
@@ -302,7 +363,7 @@
         const found = takePending(command.key);
         if (found === undefined) return;
         metrics.count(Counter.StreamsAborted);
-        found.res.destroy();
+        breakOff(found.res, "the stream was ended");
         return;
       }
       case "refuse": {
@@ -326,11 +387,11 @@
   return {
     events: channel.stream,
     perform,
-    closeIdle: () => {
-      connections.closeIdle();
-    },
-    openRequestCount: () => connections.requestCount(),
+    closeIdle: () => connections.closeIdle(),
+    openRequestCount: () => connections.openCount(),
     stop: () => {
+      for (const { res } of pendingResponses.values())
+        whyBrokenOff.set(res, "the relay stopped");
       if (server.listening) server.close();
       server.closeAllConnections();
       return Promise.resolve();
--- /dev/null
+++ b/packages/relay/src/idleConnections.test.ts
@@ -0,0 +1,70 @@
+/** Connections of callers that wait for their first or next request. */
+
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "node:test";
+import { now } from "@cardamomglade/common";
+import { RawCaller } from "./testing/rawCaller.js";
+import { requestText, respondOk, startTestRelay } from "./testing/testRelay.js";
+
+const request = requestText("/check/x");
+const shrinkMs = 3100; // heads keep the header timeout under which they began
+
+// Load: a caller that opens its connections ahead of its requests.
+test("the first request is refused on a connection opened longer ago than the header timeout", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerTimeoutMs: 300, idleTimeoutMs: 8000 });
+  await sleep(shrinkMs);
+  const caller = RawCaller.create(relay.port);
+  await sleep(1500);
+  caller.send(request);
+  await caller.waitFor(/hello$/, 1000);
+  assert.match(caller.text, /^HTTP\/1.1 200 OK[^]*hello$/);
+});
+
+// Load: callers that send the heads of their first requests byte by byte.
+test("a slow first head is still ended after the header timeout", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerTimeoutMs: 300, idleTimeoutMs: 8000 });
+  await sleep(shrinkMs);
+  const caller = RawCaller.create(relay.port);
+  await sleep(1500);
+  caller.send("GET /check/x HTTP/1.1\r\n");
+  assert.ok(await caller.waitFor(/^HTTP\/1.1 408 /, 1500));
+});
+
+test("a connection that never carries a request is closed after the idle timeout", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ headerTimeoutMs: 300, idleTimeoutMs: 1000 });
+  await sleep(shrinkMs);
+  const caller = RawCaller.create(relay.port);
+  await sleep(800);
+  assert.equal(caller.isClosed, false);
+  assert.ok(await caller.waitForClose(2500));
+  assert.equal(caller.text, "");
+});
+
+/** Blocks the event loop, as a pause of the process does. */
+const block = (ms: number): void => {
+  const until = now() + ms;
+  while (now() < until);
+};
+
+// Load: a pause of the relay over the end of an idle time, in which a request arrives.
+test("a request that arrived before its idle connection is closed is lost", async (t) => {
+  const relay = await startTestRelay(respondOk);
+  t.after(relay.stop);
+  await relay.changeLimits({ idleTimeoutMs: 500 });
+  const caller = RawCaller.create(relay.port);
+  caller.send(request);
+  await caller.waitFor(/hello$/);
+  caller.text = "";
+  await sleep(1400);
+  caller.send(request);
+  block(400);
+  await caller.waitFor(/hello$/, 1000);
+  assert.match(caller.text, /^HTTP\/1.1 200 OK[^]*hello$/);
+});
