Say in the line of a request's end what could still have taken it

Of a stream that was broken off, or a request that the relay answered with 502, 503 or 504, the log gave the reason alone ("the deadline has passed", "no replica is open"). What decided it, the attempts, retries, replicas and routers that were left, and who had been silent for how long, had to be put together from other requests' lines, or could not be.

failExchange, and the refusals for replicas' limits and of another router, now write what describeOptions counts: the service and kind, whether it may have run, attempts and retries left, the service's replicas, candidates and those without a recent loss, the path and since when, offers of other routers, what was waited for, the replica or router that had the request and its silence, the deadline, the version of the configuration and its age. It only counts, so a line stays below 1 KB, and draws no random number, so decisions stay as they were. A fault in it goes into the line: a request must end.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -4,6 +4,7 @@
 import { serviceUnavailableStatus } from "../types.js";
 import { candidateQueryOf, soonestPermit } from "./chooseReplica.js";
 import { permitWaitRatio } from "./constants.js";
+import { describeOptions } from "./describeOptions.js";
 import { cancelExchange, failExchange, summaryOf } from "./endExchange.js";
 import { refuse } from "./refusals.js";
 import { isSuspected } from "./replicaViews.js";
@@ -142,7 +143,12 @@
     soonestPermit(state, { ...query, excluded: new Set() })?.at === state.at;
   if (mayHaveStarted || isSoonFree)
     return failExchange(state, exchange, reason);
-  const refused = { key, requestId: request.requestId, reason, context };
+  const refused = {
+    key,
+    requestId: request.requestId,
+    reason,
+    context: { ...context, ...describeOptions(state, exchange) },
+  };
   return [
     ...cancelExchange(state, exchange),
     ...refuse(refused, serviceUnavailableStatus, permit.at - state.at),
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -175,21 +175,29 @@
   return new Set([...all].filter(isLasting));
 };
 
+/** Whether a replica of the query's service may take the request. */
+const isOpenTo = (
+  state: RelayState,
+  view: ReplicaView,
+  query: CandidateQuery,
+): boolean =>
+  isAvailable(view) &&
+  !hasEnded(state, view) &&
+  !query.excluded.has(view.replica.id) &&
+  hasSoftware(view.replica, query.softwareVersion) &&
+  (query.isWithinLimit !== true || isWithinLimit(state, view));
+
 /**
  * Available replicas that match the query, without suspected ones and the
  * avoided zone where possible.
  */
 const candidatesOf = (
   state: RelayState,
-  { service, excluded, avoidedZone, ...query }: CandidateQuery,
+  query: CandidateQuery,
 ): readonly ReplicaView[] => {
-  const available = replicasOf(state, service).filter(
-    (view) =>
-      isAvailable(view) &&
-      !hasEnded(state, view) &&
-      !excluded.has(view.replica.id) &&
-      hasSoftware(view.replica, query.softwareVersion) &&
-      (query.isWithinLimit !== true || isWithinLimit(state, view)),
+  const { service, avoidedZone } = query;
+  const available = replicasOf(state, service).filter((view) =>
+    isOpenTo(state, view, query),
   );
   const trusted = preferMatching(
     available,
@@ -218,6 +226,22 @@
 ): boolean =>
   candidatesOf(state, query).some((view) => !isSuspected(view, state.at));
 
+/** Numbers of a service's replicas, and of those that match the query; for log lines. */
+export const countCandidates = (
+  state: RelayState,
+  query: CandidateQuery,
+): Readonly<Record<"replicas" | "candidates" | "trusted", number>> => {
+  const counts = { replicas: 0, candidates: 0, trusted: 0 };
+  for (const view of state.replicas.values()) {
+    if (view.replica.service !== query.service) continue;
+    counts.replicas += 1;
+    if (!isOpenTo(state, view, query)) continue;
+    counts.candidates += 1;
+    if (!isSuspected(view, state.at)) counts.trusted += 1;
+  }
+  return counts;
+};
+
 /** Random sample of candidates. */
 const randomSampleOf = (
   state: RelayState,
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -3,6 +3,7 @@
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { recordDuration } from "./answerDurations.js";
+import { describeOptions } from "./describeOptions.js";
 import { formatAddress } from "../types.js";
 import { refuse, refuseNotExecuted } from "./refusals.js";
 import { logLine } from "./logLine.js";
@@ -100,8 +101,11 @@
   reason: string,
 ): RelayCommand[] => {
   const { key, request, head, mayHaveExecuted, failedResponse } = exchange;
+  const context = {
+    ...summaryOf(exchange, state.at),
+    ...describeOptions(state, exchange),
+  };
   const commands = cancelExchange(state, exchange);
-  const context = summaryOf(exchange, state.at);
   if (head !== undefined) {
     return [
       ...commands,
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -3,6 +3,7 @@
 import { formatAddress, serviceUnavailableStatus } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import { deadConnectionSilenceMs } from "../constants.js";
+import { describeOptions } from "../describeOptions.js";
 import {
   cancelExchange,
   completeExchange,
@@ -123,7 +124,10 @@
   exchange.mayHaveExecuted = mayHaveExecutedBefore;
   if (mayHaveExecutedBefore || head !== undefined)
     return failExchange(state, exchange, reason);
-  const context = summaryOf(exchange, state.at);
+  const context = {
+    ...summaryOf(exchange, state.at),
+    ...describeOptions(state, exchange),
+  };
   const refused = { key, requestId: request.requestId, reason, context };
   return [
     ...cancelExchange(state, exchange),
--- a/packages/relay/src/decisions/handover/offers.ts
+++ b/packages/relay/src/decisions/handover/offers.ts
@@ -147,19 +147,27 @@
   handover.offers.delete(formatAddress(address));
 };
 
+/** The offers of routers that may still take a request over. */
+export const usableOffers = (
+  state: RelayState,
+  { service, triedRouters }: Exchange,
+): HandoverOffer[] =>
+  [...state.handover.offers]
+    .filter(
+      ([key, { services, freePlaces: places, until }]) =>
+        until > state.at &&
+        places > 0 &&
+        services.has(service) &&
+        !triedRouters.has(key),
+    )
+    .map(([, offer]) => offer);
+
 /** Of two routers drawn from the nearest that offer to take a request over, the one with more room. */
 export const chooseOffer = (
   state: RelayState,
-  { service, triedRouters }: Exchange,
+  exchange: Exchange,
 ): HandoverOffer | undefined => {
-  const usable = [...state.handover.offers].filter(
-    ([key, { services, freePlaces: places, until }]) =>
-      until > state.at &&
-      places > 0 &&
-      services.has(service) &&
-      !triedRouters.has(key),
-  );
-  const offers = usable.map(([, offer]) => offer);
+  const offers = usableOffers(state, exchange);
   const near = offers.filter(({ zone }) => zone === state.zone);
   const drawn = sampleWithoutReplacement(
     state,
--- a/packages/relay/src/decisions/retryBudget.ts
+++ b/packages/relay/src/decisions/retryBudget.ts
@@ -35,7 +35,7 @@
 };
 
 /** Retries left in this router's own budget for the window that ends now. */
-const remainingRetries = (
+export const remainingRetries = (
   state: RelayState,
   service: string,
   at: Timestamp,
