Soak: let sound replicas and single streams fall silent for about a second

No fault of the soak was a silence that ends: what its proxies drop stays lost.

Two faults are new. replicaSilent: for 0.3 to 1.3 s the proxy before a replica reads, writes and accepts nothing, its reports included, and then forwards everything. streamSilent: the bytes of one stream are held back while its run and the reports go on. They come beside the other faults, and after these in series, one for each round: up to six replicas and three streams at once, beside a change of the configuration; no replica is silent twice within a request's time there.

checkSoak holds that a request beside which no other fault was active (and for 3 s before) ends whole, or refused with 401, 408, 421, 429 or 503, before its deadline. Any other answer, a broken connection, or an end over 300 ms late is a violation. Silences excuse nothing in the check of planned stops. Two expectations of checkSoak.test.ts name the new promise too, as their records break it as well.

--- a/bench/src/soak/checkSoak.test.ts
+++ b/bench/src/soak/checkSoak.test.ts
@@ -84,7 +84,7 @@
 
 test("a request without a response is a violation, unless its router was paused", () => {
   const answers = [answer({ outcome: { type: "silent" }, endedAt: 23_500 })];
-  assert.deepEqual(violatedBy({ answers }), ["ownAnswer"]);
+  assert.deepEqual(violatedBy({ answers }), ["ownAnswer", "notLost"]);
   const faults = [span({ type: "routerPause", router: 0 })];
   assert.deepEqual(violatedBy({ answers, faults }), []);
 });
@@ -155,7 +155,40 @@
 
 test("a failed request after recovery and an unexpected router exit are violations", () => {
   const answers = [answer({ outcome: { type: "answered", status: 500 } })];
-  assert.deepEqual(violatedBy({ answers, calmFrom: 15_000 }), ["recovery"]);
+  const violated = violatedBy({ answers, calmFrom: 15_000 });
+  assert.deepEqual(violated, ["notLost", "recovery"]);
   const ownEnds = [{ router: 0, at: 1, code: 1 }];
   assert.deepEqual(violatedBy({ ownEnds }), ["staysUp"]);
 });
+
+test("a request that is lost beside silences and changes of the configuration is a violation, beside other faults it is not", () => {
+  const outcomes: CallerAnswer["outcome"][] = [
+    { type: "cut", hasConnected: true },
+    { type: "answered", status: 502 },
+    { type: "answered", status: 504 },
+  ];
+  const faults = [
+    span({ type: "replicaSilent" }),
+    span({ type: "streamSilent" }),
+    span({ type: "configChange" }),
+  ];
+  const crash = span({ type: "replicaCrash", to: 19_500 });
+  for (const outcome of outcomes) {
+    const answers = [answer({ outcome })];
+    assert.deepEqual(violatedBy({ answers, faults }), ["notLost"]);
+    assert.deepEqual(violatedBy({ answers, faults: [...faults, crash] }), []);
+  }
+  const late = [answer({ endedAt: 20_000 + 2500 + 400 })];
+  assert.deepEqual(violatedBy({ answers: late, faults }), ["notLost"]);
+  const refused = [answer({ outcome: { type: "answered", status: 503 } })];
+  assert.deepEqual(violatedBy({ answers: refused, arrivals: [], faults }), []);
+});
+
+test("a planned stop that interrupts a caller is a violation although a replica was silent", () => {
+  const answers = [answer({ outcome: { type: "cut", hasConnected: true } })];
+  const stop = span({ type: "routerStop", router: 0 });
+  const silent = span({ type: "replicaSilent" });
+  assert.deepEqual(violatedBy({ answers, faults: [stop, silent] }), [
+    "plannedStop",
+  ]);
+});
--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -1,5 +1,7 @@
 /** Checks the guarantees of the relay against what callers and replicas recorded. */
 
+import { assertNever } from "@cardamomglade/common";
+import { requestTimeoutMs } from "./soakCaller.js";
 import { soakBounds } from "./soakRouter.js";
 import {
   RequestType,
@@ -12,7 +14,9 @@
 } from "./types.js";
 
 const arrivalSlackMs = 150; // network delay of a request that was sent in time
+const deadlineSlackMs = 300; // network delay, and some timer ticks of a busy router
 const notRunStatuses = new Set([408, 421, 429, 503]);
+const refusalStatuses = new Set([...notRunStatuses, 401]);
 const storeFaultTypes = new Set(["storeBusy", "storeSilent", "storeRestore"]);
 const routerFaultTypes = new Set(["routerKill", "routerPause", "storeCut"]);
 const plannedFaultTypes = new Set([
@@ -22,6 +26,8 @@
   "replicaDrain",
 ]);
 
+const silenceTypes = new Set(["replicaSilent", "streamSilent"]);
+
 type Check = (indexed: IndexedRecord) => SoakViolation[];
 
 /** The record, with its arrivals indexed by request. */
@@ -182,7 +188,7 @@
 const checkPlannedStop: Check = ({ record, runsOf }) => {
   const stops = record.faults.filter(({ type }) => type === "routerStop");
   const unplanned = record.faults.filter(
-    ({ type }) => !plannedFaultTypes.has(type),
+    ({ type }) => !plannedFaultTypes.has(type) && !silenceTypes.has(type),
   );
   return record.answers.flatMap((answer) => {
     const { requestId, router, sentAt, endedAt, outcome } = answer;
@@ -200,6 +206,50 @@
   });
 };
 
+/** How a request did not end as it has to beside silences and changes of the configuration; undefined if it did. */
+const lossOf = ({
+  requestType,
+  sentAt,
+  endedAt,
+  outcome,
+}: CallerAnswer): string | undefined => {
+  const lateMs = endedAt - sentAt - requestTimeoutMs[requestType];
+  switch (outcome.type) {
+    case "left":
+      return undefined;
+    case "cut":
+      return "ended without a whole answer or a refusal";
+    case "silent":
+      return "did not end";
+    case "whole":
+      break;
+    case "answered":
+      if (!refusalStatuses.has(outcome.status))
+        return `ended with status ${String(outcome.status)}`;
+      break;
+    default:
+      return assertNever(outcome);
+  }
+  return lateMs > deadlineSlackMs
+    ? `ended ${String(lateMs)} ms after its deadline`
+    : undefined;
+};
+
+/** A replica that falls silent for about a second and goes on is no reason to lose a request. */
+const checkNotLost: Check = ({ record }) => {
+  const others = record.faults.filter(
+    ({ type }) => type !== "configChange" && !silenceTypes.has(type),
+  );
+  return record.answers.flatMap((answer) => {
+    const { requestId, sentAt, endedAt } = answer;
+    if (others.some((span) => overlaps(span, sentAt, endedAt))) return [];
+    const message = lossOf(answer);
+    return message === undefined
+      ? []
+      : [{ promise: "notLost", requestId, message }];
+  });
+};
+
 const checkRetryBudget: Check = ({ record }) => {
   const seenRequests = new Set<string>();
   const attemptsPerService = new Map<
@@ -257,6 +307,7 @@
   checkNoRollback,
   checkDraining,
   checkPlannedStop,
+  checkNotLost,
   checkRetryBudget,
   checkRecovery,
   checkStaysUp,
--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -144,6 +144,10 @@
         linkStates[action.type],
         durationMs,
       );
+    case "replicaSilent":
+      return fleet.endpointAt(action.replica).proxy.hold(durationMs);
+    case "streamSilent":
+      return fleet.endpointAt(action.replica).replica.silenceStream(durationMs);
     default:
       return assertNever(action);
   }
--- a/bench/src/soak/planSoak.ts
+++ b/bench/src/soak/planSoak.ts
@@ -1,6 +1,7 @@
 /** Builds the fault schedule of a soak test from a seed, in rounds that overlap. */
 
 import { SeededRandom } from "../faults/seededRandom.js";
+import { planSilences } from "./planSilences.js";
 import type { PlannedSoakFault, SoakAction, SoakPlan } from "./types.js";
 
 const actionTypes: readonly SoakAction["type"][] = [
@@ -35,6 +36,7 @@
 const maxDurationMs = 2500;
 const faultsPerRound = 5;
 const roundsPerRestore = 2;
+const settleMs = 7500; // the longest drain, and the time after it for which it excuses, end before the silences alone begin
 
 /** Number of desk replicas; their indices follow those of the engines. */
 export const deskReplicaCount = 6;
@@ -90,12 +92,23 @@
         minDurationMs + random.nextInteger(maxDurationMs - minDurationMs),
       action: { type: "storeRestore" },
     });
+  const roundsEndMs = firstRoundMs + rounds * roundMs + maxJitterMs;
+  const replicas = engines + deskReplicaCount;
+  const silences = planSilences({
+    seed,
+    rounds,
+    engines,
+    replicas,
+    firstMs: firstRoundMs,
+    seriesFromMs: roundsEndMs + settleMs,
+  });
+  faults.push(...silences);
   faults.sort((a, b) => a.startMs - b.startMs);
   return {
     routers,
     engines,
     faults,
-    faultsEndMs: firstRoundMs + rounds * roundMs + maxJitterMs,
+    faultsEndMs: Math.max(roundsEndMs, ...silences.map((one) => one.startMs)),
   };
 };
 
--- a/bench/src/soak/soakCaller.ts
+++ b/bench/src/soak/soakCaller.ts
@@ -26,7 +26,8 @@
   [RequestType.Check]: "/check/x",
 } as const;
 
-const requestTimeoutMs = {
+/** Time budget that a request states, by its type. */
+export const requestTimeoutMs = {
   [RequestType.Stream]: 12_000,
   [RequestType.Booking]: 2500,
   [RequestType.Check]: 2500,
--- a/bench/src/soak/soakReplica.ts
+++ b/bench/src/soak/soakReplica.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Arrival } from "./types.js";
 
 /** Faults of a replica's responses. */
@@ -61,6 +62,9 @@
   private readonly eventCounts = new Map<string, number>();
   /** Request ids of KV cache copies that other engines keep here. */
   private readonly copies = new Set<string>();
+  private readonly streams = new Set<ServerResponse>();
+  /** Streams whose bytes are held back. */
+  private readonly silentStreams = new Set<ServerResponse>();
   private readonly server = createServer((req, res) => {
     this.dispatchRequest(req, res);
   });
@@ -95,6 +99,15 @@
     this.copies.add(requestId);
   }
 
+  /** Holds the bytes of the latest stream back for a time; its run and the reports go on. */
+  async silenceStream(durationMs: number): Promise<void> {
+    const latest = [...this.streams].at(-1);
+    if (latest === undefined) return;
+    this.silentStreams.add(latest);
+    await sleep(durationMs);
+    this.silentStreams.delete(latest);
+  }
+
   /** Closes the server and all its connections at once. */
   crash(): void {
     this.server.closeAllConnections();
@@ -207,12 +220,14 @@
     isResumedFromCopy: boolean,
   ): Promise<void> {
     this.eventCounts.set(requestId, from);
+    this.streams.add(res);
     if (!isResumedFromCopy) await sleepUnlessClosed(firstEventDelayMs, res);
     if (!res.destroyed) {
       res.writeHead(200, { "content-type": "text/event-stream" });
       await this.writeEvents(res, requestId, from);
     }
     this.eventCounts.delete(requestId);
+    this.streams.delete(res);
     res.end();
   }
 
@@ -221,6 +236,7 @@
     requestId: string,
     from: number,
   ): Promise<void> {
+    let unsent = "";
     for (let id = from + 1; id <= eventCountPerStream; id += 1) {
       await sleepUnlessClosed(eventIntervalMs, res);
       if (res.destroyed) return;
@@ -228,11 +244,17 @@
       const isTruncated =
         this.faultMode !== ReplicaFaultMode.Healthy &&
         id > eventCountPerStream / 2;
-      res.write(isTruncated ? event.slice(0, event.length / 2) : event);
+      unsent += isTruncated ? event.slice(0, event.length / 2) : event;
       this.eventCounts.set(requestId, id);
+      if (this.silentStreams.has(res) && !isTruncated) continue;
+      res.write(unsent);
+      unsent = "";
       if (!isTruncated) continue;
       res.destroy();
       return;
     }
+    while (this.silentStreams.has(res) && !res.destroyed)
+      await sleepUnlessClosed(eventIntervalMs, res);
+    if (unsent !== "" && !res.destroyed) res.write(unsent);
   }
 }
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -27,6 +27,11 @@
       readonly type: "linkSlow" | "linkReset" | "linkSilent" | "linkOneWay";
       readonly replica: number;
     }
+  /** A sound replica, or one stream of it, falls silent for about a second and goes on. */
+  | {
+      readonly type: "replicaSilent" | "streamSilent";
+      readonly replica: number;
+    }
   | {
       readonly type:
         "storeBusy" | "storeSilent" | "storeCompact" | "storeRestore";
@@ -134,6 +139,7 @@
   readonly promise:
     | "once"
     | "ownAnswer"
+    | "notLost"
     | "notRun"
     | "route"
     | "configuration"
--- a/packages/common/src/testing/faultProxy.ts
+++ b/packages/common/src/testing/faultProxy.ts
@@ -1,6 +1,7 @@
 /** Test harness: a loopback TCP proxy that injects network faults. */
 
 import { connect, createServer, type AddressInfo, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { resetSocket } from "./resetSocket.js";
 
 /** Network faults of a proxied link. */
@@ -29,6 +30,8 @@
 /** Forwards connections to a port, which may change. */
 export class FaultProxy {
   private link = LinkState.Good;
+  /** Number of holds in force: what is behind the proxy reads, writes and accepts nothing. */
+  private holdCount = 0;
   private readonly connections = new Set<ProxiedConnection>();
   private readonly listener = createServer((caller) => {
     this.open(caller);
@@ -69,6 +72,22 @@
     this.set(LinkState.Good);
   }
 
+  /** Holds back all bytes and new connections for a time, and then forwards them: nothing is lost. */
+  async hold(durationMs: number): Promise<void> {
+    this.holdCount += 1;
+    for (const { caller, server } of this.connections) {
+      caller.pause();
+      server.pause();
+    }
+    await sleep(durationMs);
+    this.holdCount -= 1;
+    if (this.holdCount > 0) return;
+    for (const { caller, server } of this.connections) {
+      caller.resume();
+      server.resume();
+    }
+  }
+
   stop(): void {
     for (const connection of this.connections) this.reset(connection);
     this.listener.close();
@@ -93,6 +112,10 @@
         this.link === LinkState.Silent || this.link === LinkState.OneWay,
     };
     this.connections.add(connection);
+    if (this.holdCount > 0) {
+      caller.pause();
+      server.pause();
+    }
     this.forward(caller, server, () => connection.isRequestPathDead);
     this.forward(server, caller, () => connection.isResponsePathDead);
     const drop = () => {
