Soak: reload a router once its process can handle the signal

The router can't help it, so the soak now waits for the mask. The signal still comes while the modules load, which a wait for the first log line would have left out.

--- a/bench/src/soak/soakRouter.ts
+++ b/bench/src/soak/soakRouter.ts
@@ -1,7 +1,7 @@
 /** Starts, signals and restarts a router process of a soak test, and probes its readiness. */
 
 import { request } from "node:http";
-import { writeFile } from "node:fs/promises";
+import { readFile, writeFile } from "node:fs/promises";
 import path from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { pollUntil } from "../harness/pollUntil.js";
@@ -37,6 +37,8 @@
 const peerPort = 7200;
 const probeIntervalMs = 200; // two failed readiness probes take a router out of rotation
 const readyTimeoutMs = 15_000;
+const hangUpPollMs = 5;
+const hangUpBit = 1n; // of a mask of signals: SIGHUP has the number 1
 
 const settingsText = (
   options: SoakRouterOptions,
@@ -82,6 +84,20 @@
     probe.end();
   });
 
+/**
+ * Whether a process handles SIGHUP, or has ended. Until Node.js runs the router's first
+ * line, the signal ends it: no router can help that.
+ */
+const canHangUp = async (pid: number): Promise<boolean> => {
+  try {
+    const status = await readFile(`/proc/${String(pid)}/status`, "utf8");
+    const caught = /^SigCgt:\s*(\w+)/m.exec(status)?.[1] ?? "0";
+    return (BigInt(`0x${caught}`) & hangUpBit) !== 0n;
+  } catch {
+    return true; // it has ended
+  }
+};
+
 /** A router across restarts of its process. */
 export class SoakRouter {
   readonly host: string;
@@ -154,7 +170,11 @@
   /** Changes a limit in the settings file and signals the router to reload it. */
   async reload(): Promise<void> {
     await this.writeSettings(soakBounds.extraRetryCount - 1);
-    this.signal("SIGHUP");
+    const { process } = this;
+    if (process === undefined) return;
+    const readHandled = async () => (await canHangUp(process.pid)) || undefined;
+    await pollUntil(readHandled, hangUpPollMs, readyTimeoutMs);
+    process.signal("SIGHUP");
   }
 
   /** Probes readiness periodically, as the platform's load balancer does, until `until` returns true. */
