Keep the order of bytes when a slow link of the fault proxy becomes good

A chunk that arrived after the end of the slow time overtook those whose delay was still running, so the proxy swapped bytes inside a connection, which no network does, and a soak could take that for a fault of the relay. None was seen in a soak. What follows delayed bytes is now delayed as long.

--- a/packages/common/src/testing/faultProxy.ts
+++ b/packages/common/src/testing/faultProxy.ts
@@ -125,12 +125,21 @@
   }
 
   private forward(from: Socket, to: Socket, isDead: () => boolean): void {
+    let delayedCount = 0;
     const forwardOrDrop = (send: () => void) => {
       const run = () => {
         if (!isDead()) send();
       };
-      if (this.link === LinkState.Slow) setTimeout(run, linkDelayMs);
-      else run();
+      // What follows delayed bytes is delayed as long, so that it stays behind them.
+      if (this.link !== LinkState.Slow && delayedCount === 0) {
+        run();
+        return;
+      }
+      delayedCount += 1;
+      setTimeout(() => {
+        delayedCount -= 1;
+        run();
+      }, linkDelayMs);
     };
     from.setNoDelay(true);
     from.on("data", (chunk) => {
