Show in the line of an answer which process wrote it

`request answered` had no `router`, and `explain` printed "?" for it: the line's own field of that name, the router that a request was handed on to and undefined otherwise, went before the process's name. The field is now `servedBy`. The test failed with the old code: the line's context had `router`.

--- a/packages/relay/src/decisions/describeOptions.test.ts
+++ b/packages/relay/src/decisions/describeOptions.test.ts
@@ -145,6 +145,19 @@
   }
 });
 
+// Each process adds its name and zone to its lines, and a field of a line goes before.
+test("a line does not say which process wrote it", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", idempotentPath);
+  scenario.answer("1");
+  scenario.request("2", nonIdempotentPath);
+  scenario.advance(1200);
+  lastLine(scenario, "request answered");
+  for (const { context } of scenario.commandsOfType("log"))
+    for (const name of ["router", "zone"])
+      assert.equal(name in context, false, name);
+});
+
 test("a request does not end because its line cannot be written", () => {
   const scenario = Scenario.create();
   scenario.request("1", nonIdempotentPath);
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -63,7 +63,7 @@
       ...summaryOf(exchange, state.at),
       status: exchange.head?.status ?? head?.status,
       replica: attempt?.replica.id ?? head?.answeredBy?.id,
-      router:
+      servedBy:
         wait.type === "router" ? formatAddress(wait.attempt.to) : undefined,
       isStream: head?.isStream,
       framing: head?.framing,
