Say in the line of a caller that left what it had waited for

A caller that gives up a silent stream or an answer that is overdue got none either, and the line `caller left` named only the route, the attempts and the last event. It has the fields of the other ends now. The test failed with the old code, which had none of them.

--- a/packages/relay/src/decisions/callerDisconnected.ts
+++ b/packages/relay/src/decisions/callerDisconnected.ts
@@ -1,5 +1,6 @@
 /** Handles a caller that disconnected: all work for its request is cancelled at once. */
 
+import { describeOptions } from "./describeOptions.js";
 import { cancelExchange, summaryOf } from "./endExchange.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -13,6 +14,9 @@
 ): RelayCommand[] => {
   const exchange = state.exchanges.get(key);
   if (exchange === undefined) return [];
-  const context = summaryOf(exchange, at);
+  const context = {
+    ...summaryOf(exchange, at),
+    ...describeOptions(state, exchange),
+  };
   return [...cancelExchange(state, exchange), logLine("caller left", context)];
 };
--- a/packages/relay/src/decisions/describeOptions.test.ts
+++ b/packages/relay/src/decisions/describeOptions.test.ts
@@ -145,6 +145,22 @@
   }
 });
 
+// A caller that leaves a silent stream got no answer either.
+test("the line of a caller that left does not say what it had waited for", () => {
+  const scenario = Scenario.create([testReplica("a-1")]);
+  scenario.request("1", streamPath);
+  scenario.streamEvents("1", 1, 4);
+  scenario.advance(2000);
+  const { at } = scenario;
+  scenario.dispatch({ type: "callerDisconnected", at, key: "1" });
+  assertFields(lastLine(scenario, "caller left"), {
+    openAt: "a-1",
+    openSilentMs: 2000,
+    candidates: 0,
+    deadlineInMs: 23_000,
+  });
+});
+
 // Each process adds its name and zone to its lines, and a field of a line goes before.
 test("a line does not say which process wrote it", () => {
   const scenario = Scenario.create();
