--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -4,6 +4,7 @@
 import { serviceUnavailableStatus } from "../types.js";
 import { candidateQueryOf, soonestPermit } from "./chooseReplica.js";
 import { permitWaitRatio } from "./constants.js";
+import { describeOptions } from "./describeOptions.js";
 import { cancelExchange, summaryOf } from "./endExchange.js";
 import { endSearch } from "./fallback/endSearch.js";
 import { refuse } from "./refusals.js";
@@ -150,7 +151,12 @@
   const isSoonFree =
     soonestPermit(state, { ...query, excluded: new Set() })?.at === state.at;
   if (mayHaveStarted || isSoonFree) return endSearch(state, exchange, reason);
-  const refused = { key, requestId: request.requestId, reason, context };
+  const refused = {
+    key,
+    requestId: request.requestId,
+    reason,
+    context: { ...context, ...describeOptions(state, exchange) },
+  };
   return [
     ...cancelExchange(state, exchange),
     ...refuse(refused, serviceUnavailableStatus, permit.at - state.at),
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -3,6 +3,7 @@
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { recordDuration } from "./answerDurations.js";
+import { describeOptions } from "./describeOptions.js";
 import { formatAddress } from "../types.js";
 import { refuse, refuseNotExecuted } from "./refusals.js";
 import { logLine } from "./logLine.js";
@@ -83,7 +84,7 @@
       ...summaryOf(exchange, state.at),
       status: exchange.head?.status ?? head?.status,
       replica: attempt?.replica.id ?? head?.answeredBy?.id,
-      router:
+      servedBy:
         wait.type === "router" ? formatAddress(wait.attempt.to) : undefined,
       isStream: head?.isStream,
       framing: head?.framing,
@@ -125,8 +126,11 @@
   reason: string,
 ): RelayCommand[] => {
   const { key, request, head, mayHaveExecuted, failedResponse } = exchange;
+  const context = {
+    ...summaryOf(exchange, state.at),
+    ...describeOptions(state, exchange),
+  };
   const commands = cancelExchange(state, exchange);
-  const context = summaryOf(exchange, state.at);
   if (head !== undefined) {
     return [
       ...commands,
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -4,6 +4,7 @@
 import { candidateQueryOf, hasTrustedCandidate } from "../chooseReplica.js";
 import type { RelayCommand } from "../commands.js";
 import { deadConnectionSilenceMs } from "../constants.js";
+import { describeOptions } from "../describeOptions.js";
 import {
   cancelExchange,
   completeExchange,
@@ -157,7 +158,10 @@
   if (attempt.mayHaveExecutedBefore || head !== undefined)
     return takeRefusedBack(state, exchange, attempt, reason);
   exchange.mayHaveExecuted = false;
-  const context = summaryOf(exchange, state.at);
+  const context = {
+    ...summaryOf(exchange, state.at),
+    ...describeOptions(state, exchange),
+  };
   const refused = { key, requestId: request.requestId, reason, context };
   return [
     ...cancelExchange(state, exchange),
--- a/packages/relay/src/decisions/handover/offers.ts
+++ b/packages/relay/src/decisions/handover/offers.ts
@@ -151,7 +151,7 @@
  * Offers of routers that can take a request over. A router that lost a stream that has
  * begun is used again if no other one offers: it has a path again.
  */
-const usableOffers = (
+export const usableOffers = (
   state: RelayState,
   { service, triedRouters, head }: Exchange,
 ): HandoverOffer[] => {
