--- a/packages/relay/src/decisions/fallback/endSearch.ts
+++ b/packages/relay/src/decisions/fallback/endSearch.ts
@@ -3,24 +3,11 @@
 import type { RelayCommand } from "../commands.js";
 import { abandonAttempt, failExchange } from "../endExchange.js";
 import { logLine } from "../logLine.js";
-import { isSuspected } from "../replicaViews.js";
 import type { Exchange, RelayState } from "../types.js";
 import { maxSeekPauseMs, minSeekPauseMs } from "./constants.js";
 import { restoreAttempt } from "./restoreAttempt.js";
 import type { Fallback } from "./types.js";
 
-/** Lets the replicas that refused be asked again; those that were lost lately are left out. */
-const forgetRefusals = (state: RelayState, exchange: Exchange): void => {
-  const { triedIds } = exchange;
-  for (const id of triedIds) {
-    const view = state.replicas.get(id);
-    if (view !== undefined && !isSuspected(view, state.at)) triedIds.delete(id);
-  }
-  exchange.attempts -= exchange.refusedAttempts;
-  exchange.refusedAttempts = 0;
-  exchange.failedConnectionCount = 0;
-};
-
 /** Returns to the silent attempt, which is still open; another replica may be asked again after a pause. */
 const returnToFallback = (
   state: RelayState,
@@ -29,9 +16,7 @@
   reason: string,
 ): RelayCommand[] => {
   const commands = abandonAttempt(state, exchange);
-  forgetRefusals(state, exchange);
-  exchange.triedIds.add(attempt.replica.id);
-  restoreAttempt(exchange, attempt);
+  restoreAttempt(state, exchange, attempt);
   const pauseMs = minSeekPauseMs * 2 ** exchange.failedSeekCount;
   exchange.seekAt = state.at + Math.min(maxSeekPauseMs, pauseMs);
   exchange.failedSeekCount += 1;
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -73,7 +73,7 @@
     "silent attempt goes on",
   );
   const commands = abandonAttempt(state, exchange);
-  restoreAttempt(exchange, attempt);
+  restoreAttempt(state, exchange, attempt);
   return [line, ...commands];
 };
 
--- a/packages/relay/src/decisions/fallback/restoreAttempt.ts
+++ b/packages/relay/src/decisions/fallback/restoreAttempt.ts
@@ -1,9 +1,33 @@
 /** Makes a silent attempt that stayed open the request's active one again. */
 
-import { noWait, type Attempt, type Exchange } from "../types.js";
+import { isSuspected } from "../replicaViews.js";
+import {
+  noWait,
+  type Attempt,
+  type Exchange,
+  type RelayState,
+} from "../types.js";
+
+/** Lets the replicas that were asked meanwhile be asked again; those that were lost lately are left out. */
+const forgetSearch = (state: RelayState, exchange: Exchange): void => {
+  const { triedIds } = exchange;
+  for (const id of triedIds) {
+    const view = state.replicas.get(id);
+    if (view !== undefined && !isSuspected(view, state.at)) triedIds.delete(id);
+  }
+  exchange.attempts -= exchange.refusedAttempts;
+  exchange.refusedAttempts = 0;
+  exchange.failedConnectionCount = 0;
+};
 
 /** Restores the attempt; a copy of its KV cache that nothing was sent to stays usable. */
-export const restoreAttempt = (exchange: Exchange, attempt: Attempt): void => {
+export const restoreAttempt = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+): void => {
+  forgetSearch(state, exchange);
+  exchange.triedIds.add(attempt.replica.id);
   attempt.copy ??= exchange.copy;
   exchange.attempt = attempt;
   exchange.fallback = undefined;
--- a/packages/relay/src/decisions/fallback/silentStreams.test.ts
+++ b/packages/relay/src/decisions/fallback/silentStreams.test.ts
@@ -2,8 +2,10 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Scenario, streamPath } from "../../testing/scenario.js";
+import { Scenario, streamPath, testReplica } from "../../testing/scenario.js";
 import { Fleet } from "../../testing/fleet.js";
+import type { Replica } from "../../types.js";
+import { ConnectionOutcome } from "@cardamomglade/common";
 import { AttemptFailure } from "../types.js";
 
 const silentMs = 300;
@@ -14,17 +16,22 @@
 const extraRetryCount = 150; // and beyond these
 const key = "1";
 
-/** A stream of three events whose engine then falls silent, so that another one is asked. */
-const createSilentStream = () => {
-  const scenario = Scenario.create();
-  scenario.request(key, streamPath);
-  scenario.streamEvents(key, 1, 3);
-  const silent = scenario.lastSend(key).attempt;
+/** The engine of the stream is silent until its probe ends without an answer. */
+const fallSilent = (scenario: Scenario): void => {
   scenario.advance(silentMs);
-  const [probe] = scenario.commandsOfType("probe");
+  const probe = scenario.commandsOfType("probe").at(-1);
   assert.ok(probe);
   scenario.advance(probeMs);
   scenario.probeFinished(probe.replica, probe.sentAt, { isAnswered: false });
+};
+
+/** A stream of three events whose engine then falls silent, so that another one is asked. */
+const createSilentStream = (replicas?: Replica[]) => {
+  const scenario = Scenario.create(replicas);
+  scenario.request(key, streamPath);
+  scenario.streamEvents(key, 1, 3);
+  const silent = scenario.lastSend(key).attempt;
+  fallSilent(scenario);
   const successor = scenario.lastSend(key).attempt;
   assert.notEqual(successor.number, silent.number);
   return { scenario, silent, successor };
@@ -94,6 +101,25 @@
   assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4]);
 });
 
+// Load: a small service, one of whose engines is silent for a moment, and dark later.
+test("a stream stays at a dark engine because the only other one was asked before", () => {
+  const replicas = [testReplica("a-1"), testReplica("b-1")];
+  const { scenario, silent, successor } = createSilentStream(replicas);
+  eventsOf(scenario, silent.number, [4]);
+  scenario.advance(silentMs);
+  scenario.dispatch({
+    type: "connectionProbed",
+    at: scenario.at,
+    replica: successor.replica.id,
+    sentAt: scenario.at,
+    outcome: ConnectionOutcome.Connected,
+  });
+  fallSilent(scenario);
+  const { replica } = scenario.lastSend(key).attempt;
+  assert.equal(scenario.commandsOfType("send").length, 3);
+  assert.equal(replica.id, successor.replica.id);
+});
+
 // Load: an engine goes dark while the others are full for two seconds.
 test("a stream stays at a dark engine after the others have room again", () => {
   const fleet = Fleet.create({ routerCount: 1, engineCount: 6 });
