Keep a silent attempt until another engine's event is the stream's next one (LOST)

A stream was broken off although its silent engine would have gone on: the engine that was asked instead had come back with other software, or skipped events.

Cause: any event of the other attempt closed the silent one, before the event was looked at. Events of other software then ended the stream, and behind a gap it had to be sent to a third engine.

The silent attempt is closed where the next event is accepted, at an engine or through another router. Events of other software end the search, not the stream: it returns to its silent attempt, and fails as before if there is none.

silentStreams.test.ts: both cases failed before (the silent attempt was abandoned instead of the other one; events 4 and 5 of the silent engine were not delivered).

--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -118,35 +118,40 @@
   }
 };
 
-/** Closes the silent attempt once another replica has begun, or lets it be closed soon. */
+/** Sets when the silent attempt is closed although the other replica has not answered yet. */
 const ofSuccessor = (
   state: RelayState,
-  exchange: Exchange,
+  { route }: Exchange,
   fallback: Fallback,
-  event: RelayEvent,
-): RelayCommand[] => {
-  switch (event.type) {
+  { type }: RelayEvent,
+): void => {
+  switch (type) {
     case "connectionOpened":
-      if (exchange.route.kind === RequestKind.Idempotent)
+      if (route.kind === RequestKind.Idempotent)
         fallback.closesAt = state.at + maxOverlapMs;
-      return [];
+      return;
     case "attemptFailed":
     case "responseReceived":
       fallback.closesAt = undefined;
-      return [];
-    case "eventsArrived": {
-      const { attempt } = fallback;
-      const message = "another replica has taken the request";
-      return [
-        fallbackLogLine(state, exchange, attempt, message),
-        ...closeFallback(state, exchange),
-      ];
-    }
+      return;
     default:
-      return [];
   }
 };
 
+/** Closes the silent attempt of a stream whose next event another replica has sent. */
+export const leaveFallback = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] => {
+  const { fallback } = exchange;
+  if (fallback === undefined) return [];
+  const message = "another replica has taken the request";
+  return [
+    fallbackLogLine(state, exchange, fallback.attempt, message),
+    ...closeFallback(state, exchange),
+  ];
+};
+
 /** Handles an event for the silent attempt of its request; the event itself is handled after that. */
 export const settleFallback = (
   state: RelayState,
@@ -158,9 +163,9 @@
   if (exchange === undefined || fallback === undefined) return [];
   if (event.attempt === fallback.attempt.number)
     return ofFallback(state, exchange, fallback, event);
-  return event.attempt === successorNumberOf(exchange)
-    ? ofSuccessor(state, exchange, fallback, event)
-    : [];
+  if (event.attempt === successorNumberOf(exchange))
+    ofSuccessor(state, exchange, fallback, event);
+  return [];
 };
 
 /** Closes silent attempts whose successor was not refused in time. */
--- a/packages/relay/src/decisions/fallback/silentStreams.test.ts
+++ b/packages/relay/src/decisions/fallback/silentStreams.test.ts
@@ -101,6 +101,33 @@
   assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4]);
 });
 
+// Load: an engine restarts with other software while it is asked for a silent stream.
+test("a stream whose engine would go on is broken off because the other one has new software", () => {
+  const replicas = ["a-1", "b-1", "c-1"].map((id) => testReplica(id));
+  const { scenario, silent, successor } = createSilentStream(replicas);
+  const changed = replicas.map((one) =>
+    one.id === successor.replica.id
+      ? testReplica(one.id, one.service, {
+          softwareVersion: "v2",
+          startedAt: 2,
+        })
+      : one,
+  );
+  const { at } = scenario;
+  scenario.dispatch({ type: "replicasRead", at, replicas: changed });
+  eventsOf(scenario, successor.number, [4]);
+  assert.deepEqual(abandonedOf(scenario), [successor.number]);
+  eventsOf(scenario, silent.number, [4, 5]);
+  assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4, 5]);
+});
+
+test("a stream leaves its silent engine for one that skips events", () => {
+  const { scenario, silent, successor } = createSilentStream();
+  eventsOf(scenario, successor.number, [6]);
+  eventsOf(scenario, silent.number, [4, 5]);
+  assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4, 5]);
+});
+
 // Load: a small service, one of whose engines is silent for a moment, and dark later.
 test("a stream stays at a dark engine because the only other one was asked before", () => {
   const replicas = [testReplica("a-1"), testReplica("b-1")];
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -5,12 +5,9 @@
 import type { RelayCommand } from "../commands.js";
 import { deadConnectionSilenceMs } from "../constants.js";
 import { describeOptions } from "../describeOptions.js";
-import {
-  cancelExchange,
-  completeExchange,
-  failExchange,
-  summaryOf,
-} from "../endExchange.js";
+import { endSearch } from "../fallback/endSearch.js";
+import { leaveFallback } from "../fallback/fallbackEvents.js";
+import { cancelExchange, completeExchange, summaryOf } from "../endExchange.js";
 import type { RelayEvent, RelayEventOf } from "../events.js";
 import { isRetryable } from "../isRetryable.js";
 import { logLine } from "../logLine.js";
@@ -237,11 +234,8 @@
   const commands: RelayCommand[] = [];
   if (events.length > 0) {
     if (isOfOtherSoftware(exchange, attempt))
-      return failExchange(
-        state,
-        exchange,
-        "the stream went on at other software",
-      );
+      return endSearch(state, exchange, "the stream went on at other software");
+    commands.push(...leaveFallback(state, exchange));
     exchange.lastEventId = events.at(-1)?.id ?? exchange.lastEventId;
     // The router that serves the stream has told others where it began.
     recordOrigin(state, exchange, exchange.softwareVersion ?? "", false);
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -17,7 +17,9 @@
   establishEndedAttempt,
 } from "./quarantine/establishAttempt.js";
 import { noteRequestLimit } from "./requestLimits.js";
-import { completeExchange, failExchange } from "./endExchange.js";
+import { completeExchange } from "./endExchange.js";
+import { endSearch } from "./fallback/endSearch.js";
+import { leaveFallback } from "./fallback/fallbackEvents.js";
 import { hasSeveralVersions } from "./versions/serviceVersions.js";
 import { recordOrigin } from "./versions/streamOrigins.js";
 import type { RelayCommand } from "./commands.js";
@@ -101,7 +103,7 @@
   const { events, isGap } = acceptEvents(exchange, event.events);
   const version = versionOf(state, attempt);
   if (events.length > 0 && (exchange.softwareVersion ?? version) !== version)
-    return failExchange(
+    return endSearch(
       state,
       exchange,
       "the replica came back with other software",
@@ -109,6 +111,7 @@
   exchange.lastEventId = events.at(-1)?.id ?? exchange.lastEventId;
   const commands: RelayCommand[] = [];
   if (events.length > 0) {
+    commands.push(...leaveFallback(state, exchange));
     // Others know where the stream began before its caller can take it up.
     commands.push(...bindVersion(state, exchange, version));
     commands.push({ type: "deliverEvents", key, events });
