--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -175,8 +175,11 @@
       ? recordEndedEngine(state, view.replica, sentAt, silent)
       : []),
     ...resolveEngineQueries(state, replicaId, "loadReports"),
+    // The replica's end may have ended requests.
     ...leaving.flatMap(({ exchange, attempt }) =>
-      leave(state, exchange, attempt, reason),
+      exchange.attempt === attempt
+        ? leave(state, exchange, attempt, reason)
+        : [],
     ),
   ];
 };
--- a/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
+++ b/packages/relay/src/decisions/quarantine/deadlyRequests.test.ts
@@ -278,3 +278,19 @@
   scenario.request("2", nonIdempotentPath);
   assert.equal(scenario.commandsOfType("send").length, 2);
 });
+
+test("a stream under which several engines ended is answered twice", () => {
+  const scenario = Scenario.create();
+  scenario.request(deadly, streamPath);
+  for (let ended = 0; ended < 3; ended += 1) {
+    const { number: attempt } = scenario.lastSend(deadly).attempt;
+    scenario.advance(300);
+    const probe = scenario.commandsOfType("probe").at(-1);
+    assert.ok(probe);
+    const { at } = scenario;
+    scenario.dispatch({ type: "connectionOpened", at, key: deadly, attempt });
+    const answer = { isAnswered: false, isRefused: true };
+    scenario.probeFinished(probe.replica, probe.sentAt, answer);
+  }
+  assert.equal(scenario.commandsOfType("refuse").length, 1);
+});
