Use a silent stream's copy once when it is handed on

A stream that went on at its silent engine kept the copy of its KV cache that another router had been given: no new one was made, and the next engine's request was sent to a copy that may be used up, and refused.

Cause: only a request sent to a replica made the silent attempt forget its copy.

forgetFallbackCopy is called where a copy is sent, to a replica or to a router; a copy that comes back unused with its request is kept by restoreAttempt as before.

silentRouters.test.ts: the attempt still had its copy before (undefined expected).

--- a/packages/relay/src/decisions/fallback/restoreAttempt.ts
+++ b/packages/relay/src/decisions/fallback/restoreAttempt.ts
@@ -20,6 +20,11 @@
   exchange.failedConnectionCount = 0;
 };
 
+/** Forgets the silent attempt's copy once a request was sent to it: it can be used once. */
+export const forgetFallbackCopy = ({ fallback }: Exchange): void => {
+  if (fallback !== undefined) fallback.attempt.copy = undefined;
+};
+
 /** Restores the attempt; a copy of its KV cache that nothing was sent to stays usable. */
 export const restoreAttempt = (
   state: RelayState,
--- a/packages/relay/src/decisions/handover/handOn.ts
+++ b/packages/relay/src/decisions/handover/handOn.ts
@@ -9,6 +9,7 @@
 import { formatAddress, RequestKind } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import { endSearch } from "../fallback/endSearch.js";
+import { forgetFallbackCopy } from "../fallback/restoreAttempt.js";
 import { logLine } from "../logLine.js";
 import { ageOf } from "../replicaViews.js";
 import { pathOf } from "../paths/paths.js";
@@ -76,6 +77,7 @@
   exchange.handoverCount += 1;
   exchange.copy = undefined;
   exchange.wait = { type: "router", attempt };
+  if (copy !== undefined) forgetFallbackCopy(exchange);
   state.handover.handedOnCount += 1;
   return [
     {
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -23,6 +23,7 @@
 } from "./constants.js";
 import { failExchange } from "./endExchange.js";
 import { endSearch } from "./fallback/endSearch.js";
+import { forgetFallbackCopy } from "./fallback/restoreAttempt.js";
 import { returnPermit, takePermit } from "./requestLimits.js";
 import { handOn } from "./handover/handOn.js";
 import { takeOverLogLine } from "./handover/takeOver.js";
@@ -113,9 +114,7 @@
   exchange.wait = noWait;
   countAttempt(state, attempt);
   takePermit(state, replica.id);
-  // A copy can be used once.
-  if (start.type === "copy" && exchange.fallback !== undefined)
-    exchange.fallback.attempt.copy = undefined;
+  if (start.type === "copy") forgetFallbackCopy(exchange);
   const view = state.replicas.get(replica.id);
   return [
     {
