Pass on the failure of a silent replica that answered late

Callers of idempotent requests got 502 although a replica's own failure was known: the silent replica had answered 500 late, and the one asked meanwhile was lost after that.

Cause: the answer of a silent attempt that is no success was dropped, while that of an active one is kept for the caller.

It is kept now for a request that has not begun to be answered.

overdueRequests.test.ts: refused with 502 before (500 of the replica expected).

--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -80,6 +80,20 @@
 const isRefusalOrFailure = ({ head }: BufferedResponse): boolean =>
   head.isNotExecuted || head.status >= serverErrorStatus;
 
+/** Drops a silent attempt that was refused or failed; its failure is kept for the caller. */
+const failFallback = (
+  state: RelayState,
+  exchange: Exchange,
+  fallback: Fallback,
+  answer: BufferedResponse,
+): RelayCommand[] => {
+  const { status, isNotExecuted } = answer.head;
+  if (!isNotExecuted && exchange.head === undefined)
+    exchange.failedResponse = answer;
+  const reason = `status ${String(status)}`;
+  return loseFallback(state, exchange, fallback, reason);
+};
+
 const ofFallback = (
   state: RelayState,
   exchange: Exchange,
@@ -94,12 +108,7 @@
       return resumeFallback(state, exchange, fallback);
     case "responseReceived":
       return isRefusalOrFailure(event.answer)
-        ? loseFallback(
-            state,
-            exchange,
-            fallback,
-            `status ${String(event.answer.head.status)}`,
-          )
+        ? failFallback(state, exchange, fallback, event.answer)
         : resumeFallback(state, exchange, fallback);
     case "attemptFailed": {
       const isBroken = event.failure === AttemptFailure.Broken;
--- a/packages/relay/src/decisions/fallback/overdueRequests.test.ts
+++ b/packages/relay/src/decisions/fallback/overdueRequests.test.ts
@@ -72,3 +72,11 @@
   answerOf(scenario, silent.number);
   assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
 });
+
+test("a replica's failure is replaced by 502 after the other replica was lost", () => {
+  const { scenario, silent, successor } = createOverdueRequest();
+  answerOf(scenario, silent.number, { status: 500 });
+  scenario.failAttempt(key, successor.number);
+  const [delivered] = scenario.commandsOfType("deliverResponse");
+  assert.equal(delivered?.answer.head.status, 500);
+});
