--- a/packages/relay/src/decisions/handover/silentRouters.test.ts
+++ b/packages/relay/src/decisions/handover/silentRouters.test.ts
@@ -122,6 +122,7 @@
     answer: { head, body: new Uint8Array() },
   });
   assert.equal(scenario.commandsOfType("abortStream").length, 0);
+  scenario.advance(refusedStreamRetryMs);
   offer(scenario, "r3", engines);
   assert.deepEqual(
     handedOn().map(({ to }) => to),
