Let a stream's bounds of waits end when it begins (LOST)

Its log line says that no replica could be reached and no other router took it; its path was back 7 ms later, and two other streams of the router had been handed on just before.

Cause: the time until which a request waits for another router was set once, in a silence before the stream had begun, when the request could still be refused. In the second silence it had passed long ago, so the stream was broken off at once. The bound of waits for a software version had the same form.

Both bounds are dropped when the head goes to the caller; from then on the stream waits as long as its caller does. The test is aborted in the second silence without the change.

--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -1,6 +1,7 @@
 /** Handles what other routers send for requests that were handed on to them. */
 
 import { formatAddress, serviceUnavailableStatus } from "../../types.js";
+import { beginStream } from "../beginStream.js";
 import { candidateQueryOf, hasTrustedCandidate } from "../chooseReplica.js";
 import type { RelayCommand } from "../commands.js";
 import { deadConnectionSilenceMs } from "../constants.js";
@@ -208,7 +209,7 @@
   attempt.heardAt = at;
   attempt.head = head;
   if (exchange.head !== undefined) return [];
-  exchange.head = head;
+  beginStream(exchange, head);
   return [{ type: "startStream", key: exchange.key, head }];
 };
 
--- a/packages/relay/src/decisions/handover/silentRouters.test.ts
+++ b/packages/relay/src/decisions/handover/silentRouters.test.ts
@@ -14,11 +14,12 @@
 } from "../../testing/scenario.js";
 import { isPathLost } from "../paths/paths.js";
 import { AttemptFailure } from "../types.js";
-import { lostRouterSilenceMs } from "./constants.js";
+import { lostRouterSilenceMs, refusedStreamRetryMs } from "./constants.js";
 import { handoverAddressOf } from "./handoverAddress.js";
 
 const key = "1";
 const silentMs = lostRouterSilenceMs + 100;
+const betweenSilencesMs = 3000;
 
 const offer = (
   scenario: Scenario,
@@ -39,14 +40,15 @@
   scenario: Scenario,
   path = idempotentPath,
   service = plainService,
+  lost = "lost",
 ): void => {
   for (const { replica } of scenario.state.replicas.values())
     scenario.unresponsiveEngines.add(replica.id);
   scenario.advance(250);
-  scenario.request("lost", path);
+  scenario.request(lost, path);
   scenario.advance(250);
-  const { number } = scenario.lastSend("lost").attempt;
-  scenario.failAttempt("lost", number, AttemptFailure.NotSent);
+  const { number } = scenario.lastSend(lost).attempt;
+  scenario.failAttempt(lost, number, AttemptFailure.NotSent);
   for (const { replica, sentAt } of scenario.commandsOfType("probeConnection"))
     scenario.dispatch({
       type: "connectionProbed",
@@ -70,6 +72,12 @@
   return { scenario, attempt: sent.attempt };
 };
 
+/** Lets the engines answer again, and the router find its path. */
+const reopenPath = (scenario: Scenario): void => {
+  scenario.unresponsiveEngines.clear();
+  scenario.state.paths.delete(engines);
+};
+
 test("an answer is lost because its router was silent for a moment, although no other one takes the request", () => {
   const { scenario, attempt } = createHandedOn();
   scenario.advance(silentMs);
@@ -148,3 +156,22 @@
   assert.equal(active?.number, attempt);
   assert.equal(active.copy, undefined);
 });
+
+test("a stream is broken off in a second silence because it waited for a router before it began", () => {
+  const scenario = Scenario.create();
+  scenario.routersRead(["r1", "r2", "r3"]);
+  losePath(scenario, streamPath, engines);
+  scenario.request(key, streamPath);
+  const waiting = scenario.state.exchanges.get(key);
+  assert.equal(waiting?.wait.type, "offer");
+  reopenPath(scenario);
+  scenario.advance(100);
+  scenario.streamEvents(key, 1, 3);
+  scenario.advance(betweenSilencesMs);
+  losePath(scenario, streamPath, engines, "lost again");
+  scenario.failAttempt(key, scenario.lastSend(key).attempt.number);
+  assert.equal(scenario.commandsOfType("abortStream").length, 0);
+  reopenPath(scenario);
+  scenario.advance(100);
+  assert.equal(scenario.lastSend(key).lastEventId, 3);
+});
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -5,6 +5,7 @@
 
 import { recordOutcome } from "./outcomes.js";
 import { recordContact } from "./replicaViews.js";
+import { beginStream } from "./beginStream.js";
 import { confirmEnd } from "./answerEnds/confirmEnd.js";
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
 import {
@@ -47,7 +48,7 @@
   const copyHolder = attempt.copyTo?.id;
   const answeredBy = { ...attempt.replica, softwareVersion, copyHolder };
   const head = { ...event.head, answeredBy };
-  exchange.head = head;
+  beginStream(exchange, head);
   return [...commands, { type: "startStream", key: event.key, head }];
 };
 
