Take a retry of the budget for each new search of a stream that waits for room (BUDGET)

Cause: a stream that waited for room after refusals looked again without a retry of the budget; each refusal counts as an arrival. The wait now tells whether its next execution is in the budget already. After refusals it is not, and the search takes a retry or borrows one.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -60,6 +60,7 @@
 export const awaitVersion = (
   state: RelayState,
   exchange: Exchange,
+  isCounted: boolean,
 ): RelayCommand[] => {
   const { softwareVersion, route, triedIds, head, fallback } = exchange;
   const hasNoStream = softwareVersion === undefined && head === undefined;
@@ -92,7 +93,7 @@
     Math.min(until - state.at, route.targetLatencyMs) / (leftCount + 1),
   );
   const retryAt = Math.min(goneAt, state.at + waitMs);
-  exchange.wait = { type: "version", retryAt };
+  exchange.wait = { type: "version", retryAt, isCounted };
   return [];
 };
 
@@ -111,7 +112,8 @@
   const context = { ...summaryOf(exchange, state.at), refusedAttempts };
   return [
     logLine("stream waits for room", context),
-    ...awaitVersion(state, exchange),
+    // Each refused attempt took its retry.
+    ...awaitVersion(state, exchange, false),
   ];
 };
 
@@ -127,7 +129,7 @@
   const { key, request } = exchange;
   const query = { ...candidateQueryOf(exchange), isWithinLimit: false };
   const permit = soonestPermit(state, query);
-  if (permit === undefined) return awaitVersion(state, exchange);
+  if (permit === undefined) return awaitVersion(state, exchange, true);
   const limit = state.replicas.get(permit.replica)?.requestLimit;
   const context = {
     ...summaryOf(exchange, state.at),
--- a/packages/relay/src/decisions/quarantine/suspectedRequests.ts
+++ b/packages/relay/src/decisions/quarantine/suspectedRequests.ts
@@ -88,7 +88,7 @@
 ): RelayCommand[] => {
   const isWaiting = exchange.wait.type === "version";
   const retryAt = Math.min(until, state.at + minVersionRetryMs);
-  exchange.wait = { type: "version", retryAt };
+  exchange.wait = { type: "version", retryAt, isCounted: true };
   return isWaiting
     ? []
     : [
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -218,6 +218,19 @@
   return [...lines, ...sendTo(state, exchange, replica, { type: "fresh" })];
 };
 
+/**
+ * Sends a request that waited for a replica. Load pattern: all engines are full and refuse,
+ * for longer than the streams that look for room can be sent again within the budget.
+ */
+export const sendAfterWait = (
+  state: RelayState,
+  exchange: Exchange,
+  isCounted: boolean,
+): RelayCommand[] =>
+  isCounted || takeRetry(state, exchange.service, state.at)
+    ? sendWithoutCopy(state, exchange)
+    : borrowRetry(state, exchange, "no replica was open");
+
 /** Sends a request whose permit at a limited replica has come. */
 export const sendWithPermit = (
   state: RelayState,
@@ -305,7 +318,7 @@
   const hasNoConnectionLeft =
     failedConnectionCount >= maxFailedConnectionCount &&
     !mustHandOn(state, exchange);
-  if (hasNoConnectionLeft) return awaitVersion(state, exchange);
+  if (hasNoConnectionLeft) return awaitVersion(state, exchange, !isRepeat);
   // Resuming at a KV cache copy continues the same execution; only a new
   // execution counts as a retry.
   if (copy !== undefined && mustHandOn(state, exchange))
--- a/packages/relay/src/decisions/silentReplicas.test.ts
+++ b/packages/relay/src/decisions/silentReplicas.test.ts
@@ -10,6 +10,9 @@
 const beforeFirstEventMs = 100;
 const limitPerS = 0.4;
 const usedUpMs = 3000;
+const fullMs = 8000;
+const retryRatio = 0.8; // retries that the whole fleet may send for each request
+const extraRetryCount = 150; // and beyond these, in ten seconds
 const silencesMs = [600, 1000, 1300, 3000];
 
 /** Starts a stream at each router in turn and lets all of them begin. */
@@ -117,3 +120,19 @@
   fleet.advance(afterMs);
   assertWhole(fleet, keys);
 });
+
+// Load: streams that were lost together look for room at engines that are all full for eight seconds.
+test("streams that wait for room are sent more often than the retry budget allows", () => {
+  const { fleet, keys } = startStreams({ routerCount: 4, engineCount: 12 }, 40);
+  const { engines, fullReplicas } = fleet.replicas;
+  const sentCount = fleet.sent.length;
+  for (const { replica } of engines) fullReplicas.add(replica.id);
+  for (const engine of engines) fleet.replicas.resetConnections(engine);
+  fleet.advance(fullMs);
+  const again = fleet.sent.length - sentCount;
+  fullReplicas.clear();
+  fleet.advance(afterMs);
+  assertWhole(fleet, keys);
+  const budget = retryRatio * keys.length + extraRetryCount;
+  assert.ok(again <= budget, `sent ${String(again)} times more`);
+});
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -36,6 +36,7 @@
 import {
   canRetryElsewhere,
   hasAttempt,
+  sendAfterWait,
   sendWithPermit,
   sendRetry,
   sendWithoutCopy,
@@ -132,7 +133,9 @@
     case "permit":
       return state.at >= wait.at ? sendWithPermit(state, exchange, wait) : [];
     case "version":
-      return state.at >= wait.retryAt ? sendWithoutCopy(state, exchange) : [];
+      return state.at >= wait.retryAt
+        ? sendAfterWait(state, exchange, wait.isCounted)
+        : [];
     case "offer":
       return checkOffer(state, exchange, wait.isCounted);
     case "router":
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -274,7 +274,12 @@
   /** Its permit at a replica that limits requests. */
   | (ReservedPermit & { readonly type: "permit" })
   /** A replica of the software at which the stream began; it looks again then. */
-  | { readonly type: "version"; readonly retryAt: Timestamp }
+  | {
+      readonly type: "version";
+      readonly retryAt: Timestamp;
+      /** Whether its next execution is in the retry budget already. */
+      readonly isCounted: boolean;
+    }
   /** A router that takes it over. */
   | {
       readonly type: "offer";
