--- a/packages/relay/src/decisions/fallback/silentStreams.test.ts
+++ b/packages/relay/src/decisions/fallback/silentStreams.test.ts
@@ -6,6 +6,7 @@
 import { Fleet } from "../../testing/fleet.js";
 import type { Replica } from "../../types.js";
 import { ConnectionOutcome } from "@cardamomglade/common";
+import { maxEndedEngineCount } from "../quarantine/constants.js";
 import { AttemptFailure } from "../types.js";
 
 const silentMs = 300;
@@ -147,6 +148,23 @@
   assert.equal(replica.id, successor.replica.id);
 });
 
+test("a stream whose engine goes on is ended because engines that were asked for it ended", () => {
+  const { scenario, silent, successor } = createSilentStream();
+  const exchange = scenario.state.exchanges.get(key);
+  assert.ok(exchange);
+  silent.isEstablished = true;
+  exchange.endedEngineCount = maxEndedEngineCount - 1;
+  scenario.failAttempt(key, successor.number);
+  const { at } = scenario;
+  const isRefused = true;
+  const answer = { isAnswered: false, isRefused };
+  scenario.probeFinished(successor.replica, at, answer);
+  scenario.advance(silentMs);
+  assert.equal(exchange.endedEngineCount, maxEndedEngineCount);
+  eventsOf(scenario, silent.number, [4]);
+  assert.deepEqual(deliveredIds(scenario), [1, 2, 3, 4]);
+});
+
 // Load: an engine goes dark while the others are full for two seconds.
 test("a stream stays at a dark engine after the others have room again", () => {
   const fleet = Fleet.create({ routerCount: 1, engineCount: 6 });
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -12,6 +12,7 @@
 import { failExchange } from "../endExchange.js";
 import { publishItem } from "../gossip/spreadGossip.js";
 import type { EngineCrashItem } from "../gossip/types.js";
+import { isEstablished } from "../fallback/isEstablished.js";
 import { logLine } from "../logLine.js";
 import { connectionFailed, isPathLost, pathOf } from "../paths/paths.js";
 import {
@@ -148,9 +149,8 @@
   [...state.exchanges.values()].flatMap((exchange) => {
     if (!unestablished.has(exchange.request.fingerprint)) return [];
     exchange.endedEngineCount += 1;
-    const { attempt, endedEngineCount } = exchange;
-    return endedEngineCount >= maxEndedEngineCount &&
-      attempt?.isEstablished !== true
+    return exchange.endedEngineCount >= maxEndedEngineCount &&
+      !isEstablished(exchange)
       ? failExchange(state, exchange, "several replicas ended under it")
       : [];
   });
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -5,6 +5,7 @@
 import { publishItem } from "../gossip/spreadGossip.js";
 import type { QuarantineItem } from "../gossip/types.js";
 import { cancelExchange, failExchange, summaryOf } from "../endExchange.js";
+import { isEstablished } from "../fallback/isEstablished.js";
 import { logLine } from "../logLine.js";
 import { refuse } from "../refusals.js";
 import { serviceUnavailableStatus } from "../../types.js";
@@ -113,9 +114,9 @@
   quarantine: Quarantine,
 ): RelayCommand[] =>
   [...state.exchanges.values()].flatMap((exchange) => {
-    const { attempt, request, wait } = exchange;
+    const { request, wait } = exchange;
     const isHeld =
-      attempt?.isEstablished !== true &&
+      !isEstablished(exchange) &&
       wait.type !== "router" &&
       quarantine.trialKey !== exchange.key &&
       hasAllBlocks(causesOf(request), quarantine.blockIds);
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -23,6 +23,7 @@
 } from "./constants.js";
 import { failExchange } from "./endExchange.js";
 import { endSearch } from "./fallback/endSearch.js";
+import { isEstablished } from "./fallback/isEstablished.js";
 import { forgetFallbackCopy } from "./fallback/restoreAttempt.js";
 import { returnPermit, takePermit } from "./requestLimits.js";
 import { handOn } from "./handover/handOn.js";
@@ -303,9 +304,12 @@
   if (mayHaveExecuted && !isRetryable(route))
     return failExchange(state, exchange, reason);
   const held = heldBy(state, exchange);
-  if (held !== undefined) return endHeldExchange(state, exchange, held);
+  if (held !== undefined)
+    return isEstablished(exchange)
+      ? endSearch(state, exchange, reason)
+      : endHeldExchange(state, exchange, held);
   if (exchange.endedEngineCount >= maxEndedEngineCount)
-    return failExchange(
+    return (isEstablished(exchange) ? endSearch : failExchange)(
       state,
       exchange,
       `${reason}; several replicas ended under it`,
