--- a/packages/relay/src/decisions/fallback/endSearch.ts
+++ b/packages/relay/src/decisions/fallback/endSearch.ts
@@ -22,7 +22,7 @@
   exchange.failedSeekCount += 1;
   return [
     ...commands,
-    logLine("no replica takes the request, its silent attempt stays open", {
+    logLine("no other replica takes the request", {
       requestId: exchange.request.requestId,
       attempt: attempt.number,
       replica: attempt.replica.id,
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -20,6 +20,7 @@
   type RelayState,
 } from "../types.js";
 import { maxOverlapMs } from "./constants.js";
+import { deliverLeaving } from "./deliverLeaving.js";
 import { restoreAttempt } from "./restoreAttempt.js";
 import type { Fallback } from "./types.js";
 
@@ -56,7 +57,7 @@
   exchange.fallback = undefined;
   releaseAttempt(state, attempt);
   return [
-    fallbackLogLine(state, exchange, attempt, "silent attempt ended", reason),
+    fallbackLogLine(state, exchange, attempt, "earlier attempt ended", reason),
   ];
 };
 
@@ -70,7 +71,7 @@
     state,
     exchange,
     attempt,
-    "silent attempt goes on",
+    "earlier attempt goes on",
   );
   const commands = abandonAttempt(state, exchange);
   restoreAttempt(state, exchange, attempt);
@@ -102,8 +103,11 @@
 ): RelayCommand[] => {
   const { attempt } = fallback;
   switch (event.type) {
-    case "streamStarted":
     case "eventsArrived":
+      return fallback.isLeaving
+        ? deliverLeaving(state, exchange, attempt, event)
+        : resumeFallback(state, exchange, fallback);
+    case "streamStarted":
     case "streamEnded":
       return resumeFallback(state, exchange, fallback);
     case "responseReceived":
@@ -127,26 +131,6 @@
   }
 };
 
-/** Sets when the silent attempt is closed although the other replica has not answered yet. */
-const ofSuccessor = (
-  state: RelayState,
-  { route }: Exchange,
-  fallback: Fallback,
-  { type }: RelayEvent,
-): void => {
-  switch (type) {
-    case "connectionOpened":
-      if (route.kind === RequestKind.Idempotent)
-        fallback.closesAt = state.at + maxOverlapMs;
-      return;
-    case "attemptFailed":
-    case "responseReceived":
-      fallback.closesAt = undefined;
-      return;
-    default:
-  }
-};
-
 /** Closes the silent attempt of a stream whose next event another replica has sent. */
 export const leaveFallback = (
   state: RelayState,
@@ -161,6 +145,29 @@
   ];
 };
 
+/** Sets when the earlier attempt is closed, or closes one whose replica leaves: its successor may never be ahead of it. */
+const ofSuccessor = (
+  state: RelayState,
+  exchange: Exchange,
+  fallback: Fallback,
+  { type }: RelayEvent,
+): RelayCommand[] => {
+  switch (type) {
+    case "connectionOpened":
+      if (exchange.route.kind === RequestKind.Idempotent)
+        fallback.closesAt = state.at + maxOverlapMs;
+      return [];
+    case "attemptFailed":
+    case "responseReceived":
+      fallback.closesAt = undefined;
+      return [];
+    case "eventsArrived":
+      return fallback.isLeaving ? leaveFallback(state, exchange) : [];
+    default:
+      return [];
+  }
+};
+
 /** Handles an event for the silent attempt of its request; the event itself is handled after that. */
 export const settleFallback = (
   state: RelayState,
@@ -172,9 +179,9 @@
   if (exchange === undefined || fallback === undefined) return [];
   if (event.attempt === fallback.attempt.number)
     return ofFallback(state, exchange, fallback, event);
-  if (event.attempt === successorNumberOf(exchange))
-    ofSuccessor(state, exchange, fallback, event);
-  return [];
+  return event.attempt === successorNumberOf(exchange)
+    ? ofSuccessor(state, exchange, fallback, event)
+    : [];
 };
 
 /** Closes silent attempts whose successor was not refused in time. */
--- a/packages/relay/src/decisions/fallback/keepFallback.ts
+++ b/packages/relay/src/decisions/fallback/keepFallback.ts
@@ -15,19 +15,23 @@
 export const maySeek = (state: RelayState, { seekAt }: Exchange): boolean =>
   state.at >= seekAt;
 
-/** Sends the request of a silent attempt to another replica; of two silent ones, the first stays open. */
+/**
+ * Sends the request of an attempt that is silent, or whose replica leaves, to another
+ * replica; of two such attempts, the first stays open.
+ */
 export const seekSuccessor = (
   state: RelayState,
   exchange: Exchange,
   attempt: Attempt,
   reason: string,
+  isLeaving = false,
 ): RelayCommand[] => {
   if (exchange.fallback !== undefined)
     return abandonAndRetry(state, exchange, attempt, reason);
   exchange.copy = copyLeftBy(attempt);
-  exchange.fallback = { attempt, closesAt: undefined };
+  exchange.fallback = { attempt, isLeaving, closesAt: undefined };
   exchange.attempt = undefined;
-  const line = logLine("another replica is asked for a silent attempt", {
+  const line = logLine("another replica is asked", {
     requestId: exchange.request.requestId,
     attempt: attempt.number,
     replica: attempt.replica.id,
--- a/packages/relay/src/decisions/fallback/types.ts
+++ b/packages/relay/src/decisions/fallback/types.ts
@@ -3,9 +3,11 @@
 import type { Timestamp } from "@cardamomglade/common";
 import type { Attempt } from "../types.js";
 
-/** A silent attempt that stays open until another replica has begun with its request. */
+/** An attempt that is silent, or whose replica leaves, and stays open until another replica has begun with its request. */
 export interface Fallback {
   readonly attempt: Attempt;
+  /** Whether its replica leaves: it still sends events, which do not end the search for another one. */
+  readonly isLeaving: boolean;
   /** Time at which it is closed although the other replica has not answered yet; undefined until that one is connected. */
   closesAt: Timestamp | undefined;
 }
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -1,6 +1,7 @@
 /** Handles what other routers send for requests that were handed on to them. */
 
 import { formatAddress, serviceUnavailableStatus } from "../../types.js";
+import { acceptEvents } from "../acceptEvents.js";
 import { beginStream } from "../beginStream.js";
 import { candidateQueryOf, hasTrustedCandidate } from "../chooseReplica.js";
 import type { RelayCommand } from "../commands.js";
@@ -15,7 +16,6 @@
 import { heldBy } from "../quarantine/quarantines.js";
 import { refuse, refuseNotExecuted } from "../refusals.js";
 import { hasAttempt, sendRetry } from "../sendAttempt.js";
-import { acceptEvents } from "../streamEvents.js";
 import { recordOrigin } from "../versions/streamOrigins.js";
 import {
   AttemptFailure,
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -5,6 +5,7 @@
 
 import { recordOutcome } from "./outcomes.js";
 import { recordContact } from "./replicaViews.js";
+import { acceptEvents } from "./acceptEvents.js";
 import { beginStream } from "./beginStream.js";
 import { confirmEnd } from "./answerEnds/confirmEnd.js";
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
@@ -25,7 +26,7 @@
 import { recordOrigin } from "./versions/streamOrigins.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
-import type { Attempt, Exchange, RelayState, StreamEvent } from "./types.js";
+import type { Attempt, Exchange, RelayState } from "./types.js";
 
 /** Software of the process that sends: another one may have come back under the replica's id. */
 const versionOf = (state: RelayState, { replica }: Attempt): string =>
@@ -52,27 +53,6 @@
   return [...commands, { type: "startStream", key: event.key, head }];
 };
 
-interface AcceptedEvents {
-  readonly events: readonly StreamEvent[];
-  readonly isGap: boolean;
-}
-
-/** Selects the events that follow the last one delivered; drops duplicates. */
-export const acceptEvents = (
-  { lastEventId }: Exchange,
-  events: readonly StreamEvent[],
-): AcceptedEvents => {
-  const accepted: StreamEvent[] = [];
-  let last = lastEventId;
-  for (const event of events) {
-    if (event.id <= last) continue;
-    if (event.id !== last + 1) return { events: accepted, isGap: true };
-    accepted.push(event);
-    last = event.id;
-  }
-  return { events: accepted, isGap: false };
-};
-
 /** Binds a stream to the software that sent its first event. */
 const bindVersion = (
   state: RelayState,
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -26,7 +26,6 @@
 import { settleRefusedReplicas } from "./quarantine/engineCrashes.js";
 import { maintainQuarantines } from "./quarantine/maintainQuarantines.js";
 import { isEngineQueryDone } from "./queryEngines.js";
-import { abandonAndRetry } from "./abandonAndRetry.js";
 import { closeOverlap } from "./fallback/fallbackEvents.js";
 import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
 import { probeSilent } from "./probes.js";
@@ -80,11 +79,13 @@
 ): RelayCommand[] => {
   const canMigrate =
     attempt.hasEvents &&
+    exchange.fallback === undefined &&
+    maySeek(state, exchange) &&
     hasUsableCopy(state, attempt) &&
     isMigrationDue(state, attempt, state.at) &&
     hasAttempt(exchange);
   if (canMigrate)
-    return abandonAndRetry(state, exchange, attempt, "the replica is leaving");
+    return seekSuccessor(state, exchange, attempt, "the replica leaves", true);
   return [
     ...ensureCopy(state, exchange, attempt),
     ...probeSilent(state, attempt),
