--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -209,6 +209,7 @@
 ): Transition<RelayState, RelayCommand> => {
   state.at = Math.max(state.at, event.at);
   try {
+    // An earlier attempt that goes on is the active one again when its event is handled.
     const settled = settleFallback(state, event);
     return { state, commands: [...settled, ...commandsOf(state, event)] };
   } catch (error) {
--- a/packages/relay/src/decisions/fallback/constants.ts
+++ b/packages/relay/src/decisions/fallback/constants.ts
@@ -1,4 +1,4 @@
-/** Times of silent attempts that stay open while another replica is asked. */
+/** Times of attempts that stay open while another replica is asked. */
 
 /**
  * Time for which a silent attempt at a plain replica stays open once another one is
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -1,4 +1,4 @@
-/** Handles what becomes of a silent attempt that stayed open: it goes on, ends, or another replica has begun. */
+/** Handles what becomes of an earlier attempt that stayed open: it goes on, ends, or another replica has begun. */
 
 import type { RelayCommand } from "../commands.js";
 import {
@@ -24,7 +24,7 @@
 import { restoreAttempt } from "./restoreAttempt.js";
 import type { Fallback } from "./types.js";
 
-/** Number of the attempt, at a replica or another router, that follows the silent one. */
+/** Number of the attempt, at a replica or another router, that follows the earlier one. */
 const successorNumberOf = ({ attempt, wait }: Exchange): number | undefined =>
   wait.type === "router" ? wait.attempt.number : attempt?.number;
 
@@ -168,7 +168,7 @@
   }
 };
 
-/** Handles an event for the silent attempt of its request; the event itself is handled after that. */
+/** Handles what an event says of the earlier attempt of its request; the event itself is handled after that. */
 export const settleFallback = (
   state: RelayState,
   event: RelayEvent,
--- a/packages/relay/src/decisions/fallback/types.ts
+++ b/packages/relay/src/decisions/fallback/types.ts
@@ -1,4 +1,4 @@
-/** Types of silent attempts that stay open while another replica is asked. */
+/** Types of attempts that stay open while another replica is asked. */
 
 import type { Timestamp } from "@cardamomglade/common";
 import type { Attempt } from "../types.js";
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -212,7 +212,7 @@
   /** Time by which the response must be complete. */
   readonly deadline: Timestamp;
   attempt: Attempt | undefined;
-  /** Silent attempt that stays open while another replica is asked; undefined if there is none. */
+  /** Earlier attempt that stays open while another replica is asked; undefined if there is none. */
   fallback: Fallback | undefined;
   /** Time from which another replica may be asked for a silent attempt. */
   seekAt: Timestamp;
