--- a/packages/relay/src/decisions/configChanges.test.ts
+++ b/packages/relay/src/decisions/configChanges.test.ts
@@ -2,6 +2,7 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { assertWholeStreams } from "../testing/assertWholeStreams.js";
 import { Fleet } from "../testing/fleet.js";
 import {
   engines,
@@ -17,7 +18,6 @@
 const afterMs = 26_000;
 const silentMs = 1000;
 const readIntervalMs = 100;
-const streamEventCount = 30;
 
 /** What is changed while streams of the old configuration run. */
 const changes: Record<string, (cfg: RelayConfig) => RelayConfig> = {
@@ -55,22 +55,12 @@
   return { fleet, keys };
 };
 
-const assertWhole = (fleet: Fleet, keys: readonly string[]): void => {
-  const endings = keys.map((key) => fleet.endings.get(key));
-  const reasons = fleet.logged
-    .filter(({ message }) => message === "stream broken off")
-    .map(({ context }) => JSON.stringify(context));
-  assert.deepEqual(new Set(endings), new Set(["whole"]), reasons.join("; "));
-  for (const key of keys)
-    assert.equal(fleet.streams.get(key)?.lastEventId, streamEventCount);
-};
-
 for (const [what, change] of Object.entries(changes)) {
   test(`a stream is broken off as ${what} and its replicas are silent for a second`, () => {
     const { fleet, keys } = startBeforeChange(change);
     fleet.replicas.silence(fleet.replicas.engines, silentMs);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
   test(`a stream is broken off as ${what} and its connection is reset`, () => {
@@ -78,7 +68,7 @@
     for (const engine of fleet.replicas.engines)
       fleet.replicas.resetConnections(engine);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
   test(`a stream is broken off as ${what} and its router's path is lost for a second`, () => {
@@ -87,7 +77,7 @@
     fleet.advance(silentMs);
     fleet.healPaths(["r1", "r2"]);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
   test(`a stream is broken off as ${what}, and all is as before a second later`, () => {
@@ -97,7 +87,7 @@
     fleet.advance(silentMs);
     fleet.applyConfig(testConfig(3));
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 }
 
@@ -113,7 +103,7 @@
     }
     for (const router of fleet.states.keys()) fleet.readStore(router);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
 // Load: the store is out for a second, and shows no replica for another one.
@@ -131,7 +121,7 @@
   }
   for (const router of fleet.states.keys()) fleet.readStore(router);
   fleet.advance(afterMs);
-  assertWhole(fleet, keys);
+  assertWholeStreams(fleet, keys);
 });
 
 /** Ways in which the other routers know nothing of a request yet. */
@@ -159,7 +149,7 @@
     fleet.advance(silentMs / 2);
     fleet.applyConfig(testConfig(3));
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
     for (const key of later) {
       const ending = fleet.endings.get(key);
       assert.ok(ending === "whole" || ending === 503, String(ending));
--- a/packages/relay/src/decisions/handover/committedRequests.test.ts
+++ b/packages/relay/src/decisions/handover/committedRequests.test.ts
@@ -2,11 +2,11 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { assertWholeStreams } from "../../testing/assertWholeStreams.js";
 import { Fleet } from "../../testing/fleet.js";
 
 const prefilledAfterMs = 400;
 const afterMs = 26_000;
-const streamEventCount = 30;
 const engineCount = 6;
 const sentAfterMs = 25;
 const stopMs = 1000;
@@ -20,16 +20,6 @@
   return { fleet, keys };
 };
 
-const assertWhole = (fleet: Fleet, keys: readonly string[]): void => {
-  const endings = keys.map((key) => fleet.endings.get(key));
-  const reasons = fleet.logged
-    .filter(({ message }) => message === "stream broken off")
-    .map(({ context }) => JSON.stringify(context));
-  assert.deepEqual(new Set(endings), new Set(["whole"]), reasons.join("; "));
-  for (const key of keys)
-    assert.equal(fleet.streams.get(key)?.lastEventId, streamEventCount);
-};
-
 // Load: replicas are full for a moment while a router has lost its path to them.
 for (const fullMs of [300, 1000, 2000])
   test(`a stream is broken off as the routers that take it over find all replicas full for ${String(fullMs)} ms`, () => {
@@ -42,7 +32,7 @@
     fleet.advance(pathLossMs);
     fleet.healPaths(["r1"]);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
 // Load: two of three replicas are full when the path is lost under a check.
@@ -68,7 +58,7 @@
     fleet.advance(silentMs);
     fleet.resume("r2");
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
 // Load: a router that was silent for a second holds checks of another one.
@@ -97,7 +87,7 @@
   assert.ok(server);
   fleet.pause(server);
   fleet.advance(3000);
-  assertWhole(fleet, keys);
+  assertWholeStreams(fleet, keys);
 });
 // Load: the only router that can take a stream over loses its own path for about a second.
 for (const lostMs of [600, 1000, 1300])
@@ -109,7 +99,7 @@
     fleet.advance(lostMs);
     fleet.healPaths(["r2"]);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
 // Load: the routers that could take a stream over stop, and are back a second later.
@@ -121,7 +111,7 @@
     fleet.advance(stopMs);
     for (const router of others) fleet.startRouter(router);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
 // Load: the same, but the stop begins when the streams are served there.
@@ -135,5 +125,5 @@
     fleet.startRouter(router);
   }
   fleet.advance(afterMs);
-  assertWhole(fleet, keys);
+  assertWholeStreams(fleet, keys);
 });
--- a/packages/relay/src/decisions/quarantine/silentSuspects.test.ts
+++ b/packages/relay/src/decisions/quarantine/silentSuspects.test.ts
@@ -2,6 +2,7 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { assertWholeStreams } from "../../testing/assertWholeStreams.js";
 import { Fleet } from "../../testing/fleet.js";
 import type { StoredQuarantine } from "./types.js";
 
@@ -9,7 +10,6 @@
 const establishedAfterMs = 1000;
 const beforeFirstEventMs = 100;
 const afterMs = 26_000;
-const streamEventCount = 30;
 
 const startStreams = (routerCount: number, count: number, runMs: number) => {
   const fleet = Fleet.create({ routerCount, engineCount: 6 });
@@ -20,16 +20,6 @@
   return { fleet, keys };
 };
 
-const assertWhole = (fleet: Fleet, keys: readonly string[]): void => {
-  const endings = keys.map((key) => fleet.endings.get(key));
-  const reasons = fleet.logged
-    .filter(({ message }) => message === "stream broken off")
-    .map(({ context }) => JSON.stringify(context));
-  assert.deepEqual(new Set(endings), new Set(["whole"]), reasons.join("; "));
-  for (const key of keys)
-    assert.equal(fleet.streams.get(key)?.lastEventId, streamEventCount);
-};
-
 const assertNoCrashFound = (fleet: Fleet): void => {
   const found = fleet.logged.filter(
     ({ message }) => message === "replica ended under requests",
@@ -47,7 +37,7 @@
       fleet.replicas.silence(fleet.replicas.engines, silentMs);
       fleet.advance(afterMs);
       assertNoCrashFound(fleet);
-      assertWhole(fleet, keys);
+      assertWholeStreams(fleet, keys);
     });
 
     test(`replicas that reset their connections and are silent for ${String(silentMs)} ms count as ended (${String(runMs)} ms)`, () => {
@@ -57,7 +47,7 @@
       fleet.replicas.silence(fleet.replicas.engines, silentMs);
       fleet.advance(afterMs);
       assertNoCrashFound(fleet);
-      assertWhole(fleet, keys);
+      assertWholeStreams(fleet, keys);
     });
   }
 
@@ -83,7 +73,7 @@
     fleet.advance(silentMs - beforeFirstEventMs);
     fleet.crash(lost.slice(1));
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
 /** Quarantines of a fleet whose engines end under prompts with a block. */
@@ -112,7 +102,7 @@
     fleet.readQuarantines();
     fleet.replicas.silence(silent, silentMs);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
 // Load: the same while another router serves the stream, which is silent for a second.
@@ -134,5 +124,5 @@
     fleet.advance(silentMs);
     fleet.resume(server);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
--- a/packages/relay/src/decisions/silentReplicas.test.ts
+++ b/packages/relay/src/decisions/silentReplicas.test.ts
@@ -2,11 +2,11 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { assertWholeStreams } from "../testing/assertWholeStreams.js";
 import { Fleet, type FleetOptions } from "../testing/fleet.js";
 
 const prefilledAfterMs = 400;
 const afterMs = 15_000;
-const streamEventCount = 30;
 const beforeFirstEventMs = 100;
 const limitPerS = 0.4;
 const usedUpMs = 3000;
@@ -25,19 +25,12 @@
   return { fleet, keys };
 };
 
-const assertWhole = (fleet: Fleet, keys: readonly string[]): void => {
-  const endings = keys.map((key) => fleet.endings.get(key));
-  assert.deepEqual(new Set(endings), new Set(["whole"]));
-  for (const key of keys)
-    assert.equal(fleet.streams.get(key)?.lastEventId, streamEventCount);
-};
-
 for (const ms of silencesMs) {
   test(`a stream is broken off while its only engine is silent for ${String(ms)} ms`, () => {
     const { fleet, keys } = startStreams({ routerCount: 1, engineCount: 1 }, 1);
     fleet.replicas.silence(fleet.replicas.engines, ms);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
     assert.equal(fleet.sent.length, 1);
   });
 
@@ -49,7 +42,7 @@
       if (runs.size === 0) fleet.replicas.fullReplicas.add(replica.id);
     fleet.replicas.silence(silent, ms);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
   test(`streams are broken off while all engines are silent for ${String(ms)} ms`, () => {
@@ -59,7 +52,7 @@
     );
     fleet.replicas.silence(fleet.replicas.engines, ms);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 
   test(`streams are broken off while nothing of all engines arrives for ${String(ms)} ms`, () => {
@@ -72,7 +65,7 @@
     fleet.advance(ms);
     fleet.healPaths(routers);
     fleet.advance(afterMs);
-    assertWhole(fleet, keys);
+    assertWholeStreams(fleet, keys);
   });
 }
 
@@ -90,7 +83,7 @@
   fleet.advance(usedUpMs);
   state.runtimeLimits = runtimeLimits;
   fleet.advance(afterMs);
-  assertWhole(fleet, keys);
+  assertWholeStreams(fleet, keys);
 });
 
 // Load: the only replica resets a stream whose head has been sent on, and runs on.
@@ -105,7 +98,7 @@
   fleet.streamHead("r1", key);
   fleet.replicas.resetConnections(engine);
   fleet.advance(afterMs);
-  assertWhole(fleet, keys);
+  assertWholeStreams(fleet, keys);
 });
 
 // Load: all engines name a limit of requests, and streams that were lost together need another one.
@@ -118,7 +111,7 @@
   for (const engine of fleet.replicas.engines)
     fleet.replicas.resetConnections(engine);
   fleet.advance(afterMs);
-  assertWhole(fleet, keys);
+  assertWholeStreams(fleet, keys);
 });
 
 // Load: streams that were lost together look for room at engines that are all full for eight seconds.
@@ -132,7 +125,7 @@
   const again = fleet.sent.length - sentCount;
   fullReplicas.clear();
   fleet.advance(afterMs);
-  assertWhole(fleet, keys);
+  assertWholeStreams(fleet, keys);
   const budget = retryRatio * keys.length + extraRetryCount;
   assert.ok(again <= budget, `sent ${String(again)} times more`);
 });
