--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -170,7 +170,8 @@
   }
 };
 
-const isServerError = ({ head }: BufferedResponse): boolean =>
+/** Whether a response says that its replica failed. */
+export const isServerError = ({ head }: BufferedResponse): boolean =>
   head.status >= serverErrorStatus;
 
 /** Delivers a response, or retries a request that was rejected or failed. */
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -1,5 +1,6 @@
 /** Handles what becomes of an earlier attempt that stayed open: it goes on, ends, or another replica has begun. */
 
+import { isServerError } from "../attemptEvents.js";
 import type { RelayCommand } from "../commands.js";
 import {
   abandonAttempt,
@@ -11,7 +12,7 @@
 import { recordOutcome } from "../outcomes.js";
 import { suspectBrokenAttempt } from "../quarantine/engineCrashes.js";
 import { recordLoss } from "../replicaViews.js";
-import { RequestKind, serverErrorStatus } from "../../types.js";
+import { RequestKind } from "../../types.js";
 import {
   AttemptFailure,
   type Attempt,
@@ -78,8 +79,8 @@
   return [line, ...commands];
 };
 
-const isRefusalOrFailure = ({ head }: BufferedResponse): boolean =>
-  head.isNotExecuted || head.status >= serverErrorStatus;
+const isRefusalOrFailure = (answer: BufferedResponse): boolean =>
+  answer.head.isNotExecuted || isServerError(answer);
 
 /** Drops a silent attempt that was refused or failed; its failure is kept for the caller. */
 const failFallback = (
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -83,7 +83,7 @@
 };
 
 /** Whether another replica is to be asked for a silent attempt now. */
-const isLeaving = (
+const mayLeave = (
   state: RelayState,
   exchange: Exchange,
   attempt: Attempt,
@@ -99,7 +99,7 @@
     const { requestId } = exchange.request;
     const run = report?.runs.find((one) => one.requestId === requestId);
     return isConnectionDead(exchange, attempt, run, state.at) &&
-      isLeaving(state, exchange, attempt)
+      mayLeave(state, exchange, attempt)
       ? seekSuccessor(state, exchange, attempt, "the connection is silent")
       : [];
   });
@@ -161,7 +161,7 @@
   const leave = hasProcessEnded ? abandonAndRetry : seekSuccessor;
   const leaving = silent.filter(
     ({ exchange, attempt }) =>
-      hasProcessEnded || isLeaving(state, exchange, attempt),
+      hasProcessEnded || mayLeave(state, exchange, attempt),
   );
   return [
     logLine(isSuccessor ? reason : "replica does not answer", {
