Start the bundle of the deploy file in tests, as the platform runs it

No test started it: all tests and the soak run the compiled modules, without the code cache, the heap limit and the minified script of the deploy file.

--- a/scripts/setUp.mjs
+++ b/scripts/setUp.mjs
@@ -1,4 +1,4 @@
-// Installs the packages if they are missing or older than package-lock.json, and builds. Can be run at any time.
+// Installs the packages if they are missing or older than package-lock.json, and builds, the bundle of the deploy file too. Can be run at any time.
 import { execFileSync } from "node:child_process";
 import { statSync } from "node:fs";
 import { fileURLToPath } from "node:url";
@@ -19,3 +19,4 @@
 const installedAtMs = modifiedAtMs("node_modules/.package-lock.json");
 if (installedAtMs < modifiedAtMs("package-lock.json")) run("npm", "ci");
 run(`${root}node_modules/.bin/tsc`, "-b");
+run(process.execPath, "deploy/build.mjs");
