Don't tell callers that a booking was not run which its replica executed (REFUSED)

Cause: an answer without the mark of a request that was not executed was passed on with whatever status it had. Such a status now ends a request that may not be executed twice as 502, here and where another router hands the answer back, which may run the build before. PROTOCOL.md says that the status of a replica is returned unchanged; RULES.md (REFUSED) goes before it, as a 502 of our own without the seal breaks no rule.

Idempotent requests are passed on as before.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -8,7 +8,7 @@
 } from "../types.js";
 import { confirmEnd } from "./answerEnds/confirmEnd.js";
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
-import { closeAttempt, completeExchange } from "./endExchange.js";
+import { closeAttempt, passAnswerOn } from "./endExchange.js";
 import {
   connectedMsAgo,
   connectionFailed,
@@ -227,7 +227,6 @@
   attempt: Attempt,
   answer: BufferedResponse,
 ): RelayCommand[] => {
-  const { key } = exchange;
   const { status } = answer.head;
   const isFailure = isServerError(answer);
   recordOutcome(state, attempt.replica.id, isFailure);
@@ -250,10 +249,7 @@
       attempt,
       "an answer without events",
     );
-  return [
-    { type: "deliverResponse", key, answer },
-    ...completeExchange(state, exchange, answer.head, answer.body.length),
-  ];
+  return passAnswerOn(state, exchange, answer);
 };
 
 /** Handles a replica's complete response. */
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -4,11 +4,18 @@
 import { Severity } from "@cardamomglade/observe";
 import { recordDuration } from "./answerDurations.js";
 import { describeOptions } from "./describeOptions.js";
-import { formatAddress } from "../types.js";
+import { formatAddress, notExecutedStatuses } from "../types.js";
+import { isRetryable } from "./isRetryable.js";
 import { refuse, refuseNotExecuted } from "./refusals.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
-import type { Attempt, Exchange, RelayState, ResponseHead } from "./types.js";
+import type {
+  Attempt,
+  BufferedResponse,
+  Exchange,
+  RelayState,
+  ResponseHead,
+} from "./types.js";
 
 /** Updates the replica's counters for an attempt that is no longer open. */
 export const releaseAttempt = (
@@ -156,3 +163,26 @@
   const status = state.at >= exchange.deadline ? 504 : 502;
   return [...commands, ...refuse(refused, status, undefined)];
 };
+
+/**
+ * Passes a replica's answer on, unless it would tell the caller of a request that must not
+ * be executed twice that it was not executed. Load pattern: a replica that executes
+ * bookings and fails a part of them with status 503.
+ */
+export const passAnswerOn = (
+  state: RelayState,
+  exchange: Exchange,
+  answer: BufferedResponse,
+): RelayCommand[] => {
+  const { key, route } = exchange;
+  const { head, body } = answer;
+  if (!isRetryable(route) && notExecutedStatuses.has(head.status)) {
+    exchange.mayHaveExecuted = true;
+    const reason = `an executed request was answered with status ${String(head.status)}`;
+    return failExchange(state, exchange, reason);
+  }
+  return [
+    { type: "deliverResponse", key, answer },
+    ...completeExchange(state, exchange, head, body.length),
+  ];
+};
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -9,7 +9,12 @@
 import { describeOptions } from "../describeOptions.js";
 import { endSearch } from "../fallback/endSearch.js";
 import { leaveFallback } from "../fallback/fallbackEvents.js";
-import { cancelExchange, completeExchange, summaryOf } from "../endExchange.js";
+import {
+  cancelExchange,
+  completeExchange,
+  passAnswerOn,
+  summaryOf,
+} from "../endExchange.js";
 import type { RelayEvent, RelayEventOf } from "../events.js";
 import { isRetryable } from "../isRetryable.js";
 import { logLine } from "../logLine.js";
@@ -189,16 +194,13 @@
   handedOn: HandedOn,
 ): RelayCommand[] => {
   const { exchange, attempt } = handedOn;
-  const { head, body } = answer;
+  const { head } = answer;
   if (head.isNotExecuted) return handleRefusal(state, handedOn, head);
   if (exchange.head !== undefined) {
     const reason = "an answer without events";
     return loseHandedOn(state, exchange, attempt, reason);
   }
-  return [
-    { type: "deliverResponse", key: exchange.key, answer },
-    ...completeExchange(state, exchange, head, body.length),
-  ];
+  return passAnswerOn(state, exchange, answer);
 };
 
 const handoverStreamStarted = (
--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -51,6 +51,18 @@
   assert.deepEqual(refusalsOf(scenario), [502]);
 });
 
+// Load: a replica that executes bookings and answers a part of them 503 without saying that they were not run.
+test("a booking that a replica executed is not answered as not executed", () => {
+  for (const status of [408, 421, 429, 503]) {
+    const scenario = Scenario.create();
+    scenario.request("1", nonIdempotentPath);
+    scenario.answer("1", { status, isNotExecuted: false });
+    assert.equal(scenario.commandsOfType("send").length, 1);
+    assert.equal(scenario.commandsOfType("deliverResponse").length, 0);
+    assert.deepEqual(refusalsOf(scenario), [502]);
+  }
+});
+
 test("an idempotent request that fails is retried once; the second failure is passed on", () => {
   const scenario = Scenario.create();
   scenario.request("1", idempotentPath);
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -121,6 +121,14 @@
 /** HTTP status 503: the server is full or stopping. */
 export const serviceUnavailableStatus = 503;
 
+/** HTTP statuses that tell a caller that its request was not executed. */
+export const notExecutedStatuses: ReadonlySet<number> = new Set([
+  408,
+  misdirectedRequestStatus,
+  429,
+  serviceUnavailableStatus,
+]);
+
 /** Request limits used if the configuration sets none. */
 export const defaultLimits: RequestLimits = {
   headerBytes: 16 * 1024,
