--- /dev/null
+++ b/packages/relay/src/drivers/connectionEnd.ts
@@ -0,0 +1,28 @@
+/**
+ * Tells a connection that was reset from one that was closed. Load pattern: a replica
+ * breaks off an answer that ends with its connection; where the reset arrives before the
+ * last bytes are read, Node reports an orderly end.
+ */
+
+import type { Socket } from "node:net";
+
+/** How the other side ended a connection. */
+export enum ConnectionEnd {
+  Closed = "closed",
+  Reset = "reset",
+}
+
+/**
+ * Resolves once the other side has ended the connection, before its end is acted on. The
+ * write of no bytes fails on a connection that was reset, and sends nothing on another one.
+ */
+export const awaitConnectionEnd = (socket: Socket): Promise<ConnectionEnd> =>
+  new Promise((resolve) => {
+    // Prepended, as Node closes the sending half in its own listener.
+    socket.prependOnceListener("end", () => {
+      socket.write(Buffer.alloc(0), (error) => {
+        const isReset = error !== null && error !== undefined;
+        resolve(isReset ? ConnectionEnd.Reset : ConnectionEnd.Closed);
+      });
+    });
+  });
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -20,6 +20,7 @@
   type Address,
 } from "../types.js";
 import { answerBuffers, type AnswerBuffer } from "./answerBuffers.js";
+import { awaitConnectionEnd, ConnectionEnd } from "./connectionEnd.js";
 import { lengthOf } from "./lengthOf.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
@@ -401,6 +402,15 @@
   }
 
   private onBodyEnd(res: IncomingMessage, onEnd: () => void): void {
+    const connectionEnd =
+      framingOf(res) === BodyFraming.Connection
+        ? awaitConnectionEnd(res.socket)
+        : Promise.resolve(ConnectionEnd.Closed);
+    const finish = () => {
+      if (this.isOver) return;
+      onEnd();
+      this.abandon();
+    };
     res.on("error", (error) => {
       this.onError(error);
     });
@@ -409,8 +419,10 @@
         this.fail(AttemptFailure.Broken, "the answer ended early");
         return;
       }
-      onEnd();
-      this.abandon();
+      void connectionEnd.then((end) => {
+        if (end === ConnectionEnd.Closed) finish();
+        else this.fail(AttemptFailure.Broken, "the connection was reset");
+      });
     });
   }
 }
--- a/packages/relay/src/unframedAnswers.test.ts
+++ b/packages/relay/src/unframedAnswers.test.ts
@@ -198,6 +198,30 @@
   assert.match(received, /^HTTP\/1.1 502/);
 });
 
+// Load: a replica that resets the connection right behind a part of its body.
+for (const [name, path, text] of [
+  ["a plain answer", "/check/x", `${head}\r\nhel`],
+  ["a booking's answer", "/book/x", `${head}\r\nhel`],
+  ["a stream", "/stream/x", `${streamHead}${firstEvent}`],
+] as const) {
+  test(`${name} without a length looks complete although a reset follows its bytes at once`, async () => {
+    const running = await startTestRelay(
+      (socket) => {
+        socket.write(text, () => {
+          socket.resetAndDestroy();
+        });
+      },
+      path === "/stream/x" ? engines : undefined,
+    );
+    const method = path === "/book/x" ? "POST" : "GET";
+    const request = requestText(path, [], method);
+    const received = await exchange(running.port, request, 900);
+    await running.stop();
+    assert.equal(received.endsWith("hel"), false);
+    assert.equal(isWholeStream(received), false);
+  });
+}
+
 test("a plain answer without a length looks complete although a crash ended it", async () => {
   const { received } = await relayedWithCrash(
     "/check/x",
