--- a/packages/relay/src/decisions/answerEnds/answerEnds.test.ts
+++ b/packages/relay/src/decisions/answerEnds/answerEnds.test.ts
@@ -8,6 +8,7 @@
   okHead,
   Scenario,
   streamPath,
+  testConfig,
   testReplicas,
 } from "../../testing/scenario.js";
 import { ReplicaState, type EngineReport } from "../../types.js";
@@ -16,9 +17,8 @@
 // Load: replicas crash while they answer without a length or chunks.
 const framing = BodyFraming.Connection;
 
-/** A scenario in which the connection of request "1" has ended behind the third event. */
-const createEnded = (lastEventId?: number) => {
-  const scenario = Scenario.create();
+/** Ends the connection of request "1" behind its third event. */
+const endStream = (scenario: Scenario, lastEventId?: number) => {
   scenario.request("1", streamPath, { lastEventId });
   const { attempt } = scenario.lastSend("1");
   const at = { at: scenario.at, key: "1", attempt: attempt.number };
@@ -34,6 +34,9 @@
   return { scenario, attempt, replica: attempt.replica, endedAt };
 };
 
+const createEnded = (lastEventId?: number) =>
+  endStream(Scenario.create(), lastEventId);
+
 const reportOf = (generatedEventCount: number): EngineReport => ({
   ...idleReport,
   startedAt: 1,
@@ -175,6 +178,26 @@
   assert.equal(deliveredCount(scenario), 1);
 });
 
+// Load: streams that cannot be resumed, at a replica that leaves and exits in their middle.
+test("a stream that the exit of a leaving replica cut looks complete", () => {
+  const scenario = Scenario.create();
+  const config = testConfig(2);
+  const routes = config.routes.map((one) => ({ ...one, canResume: false }));
+  const { at } = scenario;
+  scenario.dispatch({ type: "configRead", at, config: { ...config, routes } });
+  const { replica, endedAt } = endStream(scenario);
+  const replicas = testReplicas().map((one) =>
+    one.id === replica.id ? { ...one, state: ReplicaState.Draining } : one,
+  );
+  scenario.dispatch({ type: "replicasRead", at: scenario.at, replicas });
+  scenario.probeFinished(replica, endedAt, {
+    isAnswered: false,
+    isRefused: true,
+  });
+  assert.equal(isFinished(scenario), false);
+  assert.equal(scenario.commandsOfType("abortStream").length, 1);
+});
+
 test("an answer that is ready is refused at its deadline while its replica is asked", () => {
   const scenario = Scenario.create();
   const callerDeadline = scenario.at + 100;
--- a/packages/relay/src/decisions/answerEnds/settleEnds.ts
+++ b/packages/relay/src/decisions/answerEnds/settleEnds.ts
@@ -15,14 +15,19 @@
 
 const cutOffReason = "the connection ended before the answer did";
 
-/** Evidence of a host that refuses connections: a replica that leaves may stop listening behind its last answers. */
+/**
+ * Evidence of a host that refuses connections. A replica that leaves may stop listening
+ * behind its last answers; the events of a stream are spread over seconds, so its process
+ * most likely ended between two of them.
+ */
 const evidenceOfRefusal = (
   state: RelayState,
-  { replica }: Attempt,
+  { replica, unconfirmedEnd }: Attempt,
 ): EndEvidence => {
   const view = state.replicas.get(replica.id);
   const isLeaving = view === undefined || !isAvailable(view);
-  return isLeaving ? EndEvidence.None : EndEvidence.CutOff;
+  const isStream = unconfirmedEnd?.answer === undefined;
+  return isLeaving && !isStream ? EndEvidence.None : EndEvidence.CutOff;
 };
 
 /** Evidence of an engine's load report. */
