Build without a free metrics port

What was seen: a build ended with EADDRINUSE 127.0.0.1:9464 while another copy of the repository was built, or while a router ran at that address, and left target/ without relay.cache.

Cause: deploy/writeCodeCache.mjs starts the relay on its fixed metrics port.

Fix: the process that writes the cache listens on free ports only, whatever the relay asks for. It depends neither on how the relay meets a port in use nor on its settings.

--- a/deploy/writeCodeCache.mjs
+++ b/deploy/writeCodeCache.mjs
@@ -1,6 +1,7 @@
 // Starts the relay once with settings of its own and writes the code that V8 compiled for it.
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
+import { Server } from "node:net";
 import os from "node:os";
 import path from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -9,9 +10,15 @@
 const filename = path.resolve("target/relay.cjs");
 const settleMs = 300; // until everything that a start runs has run
 
+// The metrics port is fixed; another process may hold it.
+const listen = Server.prototype.listen;
+Server.prototype.listen = function () {
+  return listen.call(this, 0, "127.0.0.1");
+};
+
 const folder = mkdtempSync(path.join(os.tmpdir(), "code-cache-"));
 const settingsFile = path.join(folder, "settings.toml");
-// Port 0 is any free port; nothing answers at the store's address.
+// Nothing answers at the store's address.
 writeFileSync(
   settingsFile,
   `node_name = "cache"
