--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -20,6 +20,7 @@
   type Exchange,
   type RelayState,
 } from "../types.js";
+import { attemptTimeoutMsOf } from "./attemptTimeout.js";
 import { maxOverlapMs } from "./constants.js";
 import { deliverLeaving } from "./deliverLeaving.js";
 import { restoreAttempt } from "./restoreAttempt.js";
@@ -155,6 +156,7 @@
 ): RelayCommand[] => {
   switch (type) {
     case "connectionOpened":
+      fallback.wasNeeded = false;
       if (exchange.route.kind === RequestKind.Idempotent)
         fallback.closesAt = state.at + maxOverlapMs;
       return [];
@@ -185,14 +187,44 @@
     : [];
 };
 
-/** Closes silent attempts whose successor was not refused in time. */
+/** Whether a replica has sent anything since it was sent an attempt; one that stands still has not. */
+const hasSpokenSince = (
+  { replicas }: RelayState,
+  { replica, sentAt }: Attempt,
+): boolean => (replicas.get(replica.id)?.heardAt ?? -Infinity) > sentAt;
+
+/**
+ * Whether a silent attempt is still needed: its own replica or the next one has been silent
+ * to everyone, so two need not be at work. Load pattern: a replica is silent for longer than
+ * an overlap, and the next one accepts connections and hangs.
+ */
+const isStillNeeded = (
+  state: RelayState,
+  { attempt }: Exchange,
+  fallback: Fallback,
+): boolean => {
+  if (!hasSpokenSince(state, fallback.attempt)) return true;
+  return attempt !== undefined && !hasSpokenSince(state, attempt);
+};
+
+/** Closes silent attempts whose successor was not refused in time, unless one of the two may stand still. */
 export const closeOverlap = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { fallback } = exchange;
+  const { fallback, route } = exchange;
   const isDue = state.at >= (fallback?.closesAt ?? Infinity);
   if (fallback === undefined || !isDue) return [];
+  if (isStillNeeded(state, exchange, fallback)) {
+    fallback.wasNeeded = true;
+    return [];
+  }
+  if (fallback.wasNeeded) {
+    // Its replica has just come back: it has the usual time for the answer.
+    fallback.wasNeeded = false;
+    fallback.closesAt = state.at + attemptTimeoutMsOf(route);
+    return [];
+  }
   const message = "another replica works on the request";
   return [
     fallbackLogLine(state, exchange, fallback.attempt, message),
--- a/packages/relay/src/decisions/fallback/keepFallback.ts
+++ b/packages/relay/src/decisions/fallback/keepFallback.ts
@@ -8,7 +8,9 @@
 import { logLine } from "../logLine.js";
 import { abandonAndRetry } from "../abandonAndRetry.js";
 import { copyLeftBy } from "../attemptEvents.js";
+import { closeFallback } from "../endExchange.js";
 import { sendRetry } from "../sendAttempt.js";
+import { RequestKind } from "../../types.js";
 import type { Attempt, Exchange, RelayState } from "../types.js";
 
 /** Whether a silent attempt may be left now: after a refusal it waits a while. */
@@ -17,7 +19,8 @@
 
 /**
  * Sends the request of an attempt that is silent, or whose replica leaves, to another
- * replica; of two such attempts, the first stays open.
+ * replica. Of two such attempts, a stream's first stays open, which has most of it; of an
+ * idempotent request the second does, as the first one's replica has been silent longer.
  */
 export const seekSuccessor = (
   state: RelayState,
@@ -26,10 +29,19 @@
   reason: string,
   isLeaving = false,
 ): RelayCommand[] => {
-  if (exchange.fallback !== undefined)
-    return abandonAndRetry(state, exchange, attempt, reason);
+  const closing: RelayCommand[] = [];
+  if (exchange.fallback !== undefined) {
+    if (exchange.route.kind !== RequestKind.Idempotent)
+      return abandonAndRetry(state, exchange, attempt, reason);
+    closing.push(...closeFallback(state, exchange));
+  }
   exchange.copy = copyLeftBy(attempt);
-  exchange.fallback = { attempt, isLeaving, closesAt: undefined };
+  exchange.fallback = {
+    attempt,
+    isLeaving,
+    closesAt: undefined,
+    wasNeeded: false,
+  };
   exchange.attempt = undefined;
   const line = logLine("another replica is asked", {
     requestId: exchange.request.requestId,
@@ -43,5 +55,5 @@
     copyHolder: exchange.copy?.holder.id,
     reason,
   });
-  return [line, ...sendRetry(state, exchange, reason)];
+  return [...closing, line, ...sendRetry(state, exchange, reason)];
 };
--- a/packages/relay/src/decisions/fallback/types.ts
+++ b/packages/relay/src/decisions/fallback/types.ts
@@ -10,4 +10,6 @@
   readonly isLeaving: boolean;
   /** Time at which it is closed although the other replica has not answered yet; undefined until that one is connected. */
   closesAt: Timestamp | undefined;
+  /** Whether it stayed open beyond that time, as one of the two replicas stood still. */
+  wasNeeded: boolean;
 }
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -7,9 +7,7 @@
 import { Severity } from "@cardamomglade/observe";
 import { RequestKind } from "../types.js";
 import {
-  minAttemptTimeoutMs,
   migrateAfterDrainRatio,
-  attemptTimeoutTargetFactor,
   stallThresholdMs,
   tickIntervalMs,
 } from "./constants.js";
@@ -26,6 +24,7 @@
 import { settleRefusedReplicas } from "./quarantine/engineCrashes.js";
 import { maintainQuarantines } from "./quarantine/maintainQuarantines.js";
 import { isEngineQueryDone } from "./queryEngines.js";
+import { attemptTimeoutMsOf } from "./fallback/attemptTimeout.js";
 import { closeOverlap } from "./fallback/fallbackEvents.js";
 import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
 import { probeSilent } from "./probes.js";
@@ -48,17 +47,11 @@
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
 
-const attemptTimeoutMsOf = ({ route }: Exchange): number =>
-  Math.max(
-    minAttemptTimeoutMs,
-    attemptTimeoutTargetFactor * route.targetLatencyMs,
-  );
-
 const isOverdue = (
-  exchange: Exchange,
+  { route }: Exchange,
   { sentAt }: Attempt,
   at: Timestamp,
-): boolean => at - sentAt >= attemptTimeoutMsOf(exchange);
+): boolean => at - sentAt >= attemptTimeoutMsOf(route);
 
 const isMigrationDue = (
   state: RelayState,
