--- a/packages/relay/src/decisions/answerDurations.ts
+++ b/packages/relay/src/decisions/answerDurations.ts
@@ -4,9 +4,9 @@
  * callers keep their connections open and send on.
  */
 
-import type { Timestamp } from "@cardamomglade/common";
 import type { Route } from "../types.js";
 import { isRetryable } from "./isRetryable.js";
+import { lastAnswerAt } from "./lastAnswerAt.js";
 import { durationSampleWeight, durationDeviationCount } from "./constants.js";
 import type { AnswerDuration, Exchange, RelayState } from "./types.js";
 
@@ -57,7 +57,5 @@
 };
 
 /** Whether a request that arrives now can be answered before the process ends. */
-export const canEndInTime = (state: RelayState, route: Route): boolean => {
-  const stopsAt: Timestamp = state.stopsAt ?? Infinity;
-  return state.at + neededMs(state, route) <= stopsAt;
-};
+export const canEndInTime = (state: RelayState, route: Route): boolean =>
+  state.at + neededMs(state, route) <= lastAnswerAt(state);
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -234,3 +234,6 @@
 
 /** Prompt blocks in a log line; bounds its length. */
 export const maxLoggedPromptBlockCount = 8;
+
+/** Time before the end of a planned stop at which callers without an answer are refused: some ticks, and the way to the connection. */
+export const lastAnswerMs = 100;
--- /dev/null
+++ b/packages/relay/src/decisions/endBeforeStop.test.ts
@@ -0,0 +1,96 @@
+/** Requests that are unanswered at the end of a planned stop. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  idempotentPath,
+  nonIdempotentPath,
+  plainService,
+  routerAddress,
+  Scenario,
+  streamPath,
+} from "../testing/scenario.js";
+import { lastAnswerMs } from "./constants.js";
+import { HandoverRefusal } from "./handover/types.js";
+
+const stopMs = 1000; // shorter than each route's timeout
+
+const createStoppingRelay = (graceMs = stopMs) => {
+  const scenario = Scenario.create();
+  const stopsAt = scenario.at + graceMs;
+  const stop = () =>
+    scenario.dispatch({ type: "drainStarted", at: scenario.at, stopsAt });
+  const advanceToStop = () => scenario.advance(stopsAt - scenario.at);
+  return { scenario, stop, advanceToStop };
+};
+
+const statusesOf = (scenario: Scenario) =>
+  scenario.commandsOfType("refuse").map(({ status }) => status);
+
+// Load: replicas that are silent until the process stops.
+for (const path of [idempotentPath, nonIdempotentPath, streamPath])
+  test(`a request to ${path} gets neither an answer nor a refusal from a process that stops`, () => {
+    const { scenario, stop, advanceToStop } = createStoppingRelay();
+    scenario.request("1", path);
+    stop();
+    scenario.advance(stopMs - lastAnswerMs - 25);
+    assert.deepEqual(statusesOf(scenario), []);
+    advanceToStop();
+    assert.deepEqual(statusesOf(scenario), [502]);
+    assert.equal(scenario.state.exchanges.size, 0);
+  });
+
+const handover = {
+  from: routerAddress("r2").host,
+  service: plainService,
+  attempts: 0,
+  isCounted: true,
+  softwareVersion: undefined,
+  copy: undefined,
+};
+
+// Load: requests of other routers at silent replicas.
+test("a request that another router can send elsewhere is refused for good by a router that stops", () => {
+  const { scenario, stop, advanceToStop } = createStoppingRelay();
+  scenario.routersRead(["r1", "r2"]);
+  scenario.request("1", idempotentPath, { handover });
+  assert.equal(scenario.commandsOfType("send").length, 1);
+  stop();
+  advanceToStop();
+  assert.deepEqual(statusesOf(scenario), []);
+});
+
+// Load: a request of another router that waits for a repeat when a short grace ends.
+test("a request of another router that was not run is not given back by a router that stops", () => {
+  const { scenario, stop, advanceToStop } = createStoppingRelay(140);
+  scenario.routersRead(["r1", "r2"]);
+  scenario.dispatch({
+    type: "limitsChanged",
+    at: scenario.at,
+    runtimeLimits: {
+      drainTimeoutMs: 2000,
+      retryLimits: { ratio: 0, extraRetryCount: 0, windowMs: 10_000 },
+    },
+  });
+  const uncounted = { ...handover, isCounted: false };
+  scenario.request("1", idempotentPath, { handover: uncounted });
+  stop();
+  advanceToStop();
+  const refusals = scenario.commandsOfType("refuse");
+  assert.deepEqual(
+    refusals.map((one) => one.handoverRefusal),
+    [HandoverRefusal.Stopping],
+  );
+});
+
+// Load: a stream that ends just in time.
+test("a stream that has begun is broken off before the process stops", () => {
+  const { scenario, stop, advanceToStop } = createStoppingRelay();
+  scenario.request("1", streamPath);
+  scenario.streamEvents("1", 1, 1);
+  stop();
+  advanceToStop();
+  assert.equal(scenario.commandsOfType("abortStream").length, 0);
+  scenario.streamEvents("1", 2, 2);
+  assert.equal(scenario.commandsOfType("deliverEvents").length, 2);
+});
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -13,6 +13,7 @@
 } from "./constants.js";
 import { settleEnd } from "./answerEnds/settleEnds.js";
 import { EndEvidence } from "./answerEnds/types.js";
+import { endBeforeStop, mustEndBeforeStop } from "./endBeforeStop.js";
 import { failExchange } from "./endExchange.js";
 import { checkHandedOn } from "./handover/handoverEvents.js";
 import { maintainOffers, mustHandOn } from "./handover/offers.js";
@@ -170,6 +171,7 @@
       recordOutcome(state, attempt.replica.id, true);
     return failExchange(state, exchange, "the deadline has passed");
   }
+  if (mustEndBeforeStop(state, exchange)) return endBeforeStop(state, exchange);
   const closing = closeOverlap(state, exchange);
   const commands =
     attempt === undefined
