Start only the program that was built, and without a damaged code cache

What was seen: with 40 bytes of target/relay.cache turned a start ended by a signal of V8, without a log line, and so did each restart. With a changed relay.cjs of the same length the relay ran the code of the cache.

Cause: V8 compares a cache with the length of the source, its own version and the flags; it checks neither the content of the cache nor that of the source.

One byte of relay.cjs changed: the relay logged 'started' of the code in the cache. Cache cut short, empty or missing: it started and said nothing.

The start uses the cache only if all of it matches, and says if it does not; a program that is not as it was built is not run, with a line and code 1.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,8 +1,9 @@
 // Bundles the relay into target/ as one minified script, with V8's code cache of a start beside it.
 import { execFileSync } from "node:child_process";
-import { rmSync } from "node:fs";
+import { readFileSync, rmSync, writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
+import { sealProgram } from "./codeCache.mjs";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
 
@@ -22,6 +23,8 @@
   // Without the native addon, whose search for binaries slows the start.
   alias: { msgpackr: "msgpackr/pack" },
 });
+const relayFile = `${root}target/relay.cjs`;
+writeFileSync(relayFile, sealProgram(readFileSync(relayFile)));
 await build({
   ...options,
   entryPoints: ["deploy/start.mjs"],
--- a/deploy/writeCodeCache.mjs
+++ b/deploy/writeCodeCache.mjs
@@ -6,6 +6,8 @@
 import path from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Script } from "node:vm";
+import { digestOfProgram, sealCache } from "./codeCache.mjs";
+import { wrapProgram } from "./wrapProgram.mjs";
 
 const filename = path.resolve("target/relay.cjs");
 const settleMs = 300; // until everything that a start runs has run
@@ -35,11 +37,14 @@
 process.env.CARDAMOMGLADE_BOOT = settingsFile;
 process.env.ROARR_LOG = "false";
 
-const source = `(function (require, module, exports) {${readFileSync(filename, "utf8")}\n})`;
-const script = new Script(source, { filename });
+const program = readFileSync(filename);
+const script = new Script(wrapProgram(program), { filename });
 const module = { exports: {} };
 script.runInThisContext()(createRequire(filename), module, module.exports);
 await sleep(settleMs);
-writeFileSync("target/relay.cache", script.createCachedData());
+writeFileSync(
+  "target/relay.cache",
+  sealCache(script.createCachedData(), digestOfProgram(program)),
+);
 rmSync(folder, { recursive: true });
 process.exit(0);
