Keep the program that was built before until the next one is whole

What was seen: during a build, and after one that failed, target/ had no program, or one without its code cache. A process that (re)started then ended with code 1.

Cause: the build removed target/ first and wrote its files in place.

Evidence: the new test failed before: 'ENOENT: no such file or directory, open .../target/cardamomglade.cjs' while a second build ran.

Fix: a build writes into a folder of its own below target/ and moves each file into place by rename once all are written; a build that fails leaves the old files. A start between two renames finds a new program beside an old cache, whose digest then does not match.

--- a/deploy/writeCodeCache.mjs
+++ b/deploy/writeCodeCache.mjs
@@ -1,4 +1,4 @@
-// Starts the relay once with settings of its own and writes the code that V8 compiled for it.
+// Starts the relay of the folder in the argument once, with settings of its own and writes the code that V8 compiled for it.
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import { Server } from "node:net";
@@ -9,7 +9,8 @@
 import { digestOfProgram, sealCache } from "./codeCache.mjs";
 import { wrapProgram } from "./wrapProgram.mjs";
 
-const filename = path.resolve("target/relay.cjs");
+const target = path.resolve(process.argv[2]);
+const filename = path.join(target, "relay.cjs");
 const settleMs = 300; // until everything that a start runs has run
 
 // The metrics port is fixed; another process may hold it.
@@ -43,7 +44,7 @@
 script.runInThisContext()(createRequire(filename), module, module.exports);
 await sleep(settleMs);
 writeFileSync(
-  "target/relay.cache",
+  path.join(target, "relay.cache"),
   sealCache(script.createCachedData(), digestOfProgram(program)),
 );
 rmSync(folder, { recursive: true });
--- a/scripts/build.test.mjs
+++ b/scripts/build.test.mjs
@@ -1,10 +1,18 @@
 import assert from "node:assert/strict";
 import { execFile } from "node:child_process";
-import { existsSync, rmSync } from "node:fs";
+import {
+  existsSync,
+  readFileSync,
+  readdirSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { createServer } from "node:net";
 import path from "node:path";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { promisify } from "node:util";
+import { digestOfProgram } from "../deploy/codeCache.mjs";
 import { copyRepository } from "./copyRepository.mjs";
 
 const metricsPort = 9464;
@@ -38,3 +46,48 @@
   for (const folder of folders)
     assert.ok(existsSync(path.join(folder, "target/relay.cache")));
 });
+
+const programFiles = ["cardamomglade.cjs", "relay.cache", "relay.cjs"];
+
+const readTarget = (folder) =>
+  programFiles.map((name) => readFileSync(path.join(folder, "target", name)));
+
+const breakSource = (folder) =>
+  writeFileSync(path.join(folder, "platform/src/runRelay.ts"), "const = ;");
+
+// Load: a build that fails, and one whose files are read all the time.
+test("the program that was built before stays whole while the next one is built", async (t) => {
+  const folder = copyUntilEnd(t);
+  await build(folder);
+  const built = readTarget(folder);
+  let isBuilding = true;
+  const building = build(folder).finally(() => {
+    isBuilding = false;
+  });
+  while (isBuilding) {
+    const [, , program] = readTarget(folder);
+    assert.ok(digestOfProgram(program));
+    await sleep(1);
+  }
+  await building;
+  breakSource(folder);
+  await assert.rejects(build(folder));
+  const [start, , program] = readTarget(folder);
+  assert.deepEqual([start, program], [built[0], built[2]]);
+  assert.deepEqual(
+    readdirSync(path.join(folder, "target")).sort(),
+    programFiles,
+  );
+});
+
+// Load: two builds of one folder at one moment.
+test("two builds of one folder leave a whole program", async (t) => {
+  const folder = copyUntilEnd(t);
+  await Promise.all([build(folder), build(folder)]);
+  const [, , program] = readTarget(folder);
+  assert.ok(digestOfProgram(program));
+  assert.deepEqual(
+    readdirSync(path.join(folder, "target")).sort(),
+    programFiles,
+  );
+});
