Build with packages of this machine and from the sources only

What was seen: in a folder that was carried over from another kind of machine the build failed (esbuild has a native package for each); with compiled files of other sources and newer times it bundled those.

Cause: the build kept node_modules if npm's lock file in it was newer than package-lock.json, and bundled dist/ as tsc -b, which compares times, left it.

Fix: a build checks each package that package-lock.json has for this machine against node_modules, starts esbuild once, and installs if any of it fails, also where the environment leaves development or optional packages out.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,4 +1,4 @@
-// Bundles the relay into target/ as one minified script, with V8's code cache of a start beside it.
+// Installs the packages if need be and bundles the relay into target/ as one minified script, with V8's code cache of a start beside it.
 import { execFileSync } from "node:child_process";
 import {
   mkdirSync,
@@ -11,13 +11,17 @@
 } from "node:fs";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
-import { build } from "esbuild";
+import { bundleSources } from "./bundleSources.mjs";
 import { sealProgram } from "./codeCache.mjs";
+import { installPackages } from "./installPackages.mjs";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
 const target = path.join(root, "target");
 const maxCacheWriteMs = 60_000;
 
+installPackages(root);
+const { build } = await import("esbuild");
+
 const options = {
   absWorkingDir: root,
   bundle: true,
@@ -33,6 +37,7 @@
     ...options,
     entryPoints: ["platform/src/main.ts"],
     outfile,
+    plugins: [bundleSources(root)],
     // Without the native addon, whose search for binaries slows the start.
     alias: { msgpackr: "msgpackr/pack" },
   });
--- a/scripts/copyRepository.mjs
+++ b/scripts/copyRepository.mjs
@@ -24,6 +24,7 @@
   ".bin",
   "@cardamomglade",
   "@esbuild",
+  "cardamomglade",
   "esbuild",
 ]);
 
@@ -45,6 +46,7 @@
   const copy = mkdtempSync(path.join(os.tmpdir(), "repository-"));
   cpSync(root, copy, {
     recursive: true,
+    preserveTimestamps: true,
     filter: (source) => !leftOut.has(path.basename(source)),
   });
   addPackages(copy);
