Wait for a port that is in use instead of ending

Callers saw a router that ended with code 1 at its start, again at each restart, as long as another process held the port of callers, readiness or metrics (an unhandled 'error' event; a stack on standard error, no log line). The ports for other routers only warned and were never opened later.

The relay is not ready before its callers' port is open. Later errors of a port, among them those of accepting a connection, are logged. The three lines replace 'other routers cannot be heard', '... follow the watch' and '... hand requests on'.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -24,6 +24,12 @@
   type HybridClock,
 } from "./hybridClock.js";
 export { isRecord } from "./isRecord.js";
+export {
+  listenUntilOpen,
+  openServerPort,
+  type OpeningPort,
+  type PortEvent,
+} from "./listenUntilOpen.js";
 export { now } from "./now.js";
 export { ConnectionOutcome, probeConnection } from "./probeConnection.js";
 export { err, ok } from "./result.js";
--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -1,4 +1,12 @@
 /** Logging and metrics. */
 
-export { createLog, Severity, type Log, type LogValue } from "./log.js";
+export { createLimitedLog } from "./limitedLog.js";
+export {
+  createLog,
+  Severity,
+  type Log,
+  type LogValue,
+  type PlainLog,
+} from "./log.js";
 export { Metrics } from "./metrics.js";
+export { createPortLog } from "./portLog.js";
--- a/packages/observe/src/log.ts
+++ b/packages/observe/src/log.ts
@@ -3,7 +3,11 @@
 import "./enableLog.js";
 import { now } from "@cardamomglade/common";
 import { Roarr, ROARR } from "roarr";
-import { createLogRateLimiter, tryTakeLine } from "./logRateLimiter.js";
+import {
+  createLogRateLimiter,
+  processLogRate,
+  tryTakeLine,
+} from "./logRateLimiter.js";
 
 /** Severity of a log line. */
 export enum Severity {
@@ -36,6 +40,9 @@
   context?: Context,
 ) => void;
 
+/** Log of lines whose context has fields of text and numbers alone. */
+export type PlainLog = Log<Readonly<Record<string, string | number>>>;
+
 // Bytes buffered for a slow reader before lines are dropped.
 const maxBufferedBytes = 256 * 1024;
 
@@ -47,7 +54,7 @@
   baseContext: Readonly<Record<string, string>>,
   minSeverity: Severity,
 ): Log<Context> => {
-  const limiter = createLogRateLimiter(now());
+  const limiter = createLogRateLimiter(processLogRate, now());
   ROARR.write = (line) => process.stdout.write(`${line}\n`);
   const logger = Roarr.child(baseContext);
   return (severity, message, context) => {
--- a/packages/observe/src/logRateLimiter.ts
+++ b/packages/observe/src/logRateLimiter.ts
@@ -2,22 +2,34 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 
+/** Rate at which lines may be written. */
+export interface LogRate {
+  readonly linesPerSecond: number;
+  /** Bucket size: lines that may be written at once. */
+  readonly burstLines: number;
+}
+
 /** Bucket state, and the number of lines dropped since the last one written. */
 export interface LogRateLimiter {
+  readonly rate: LogRate;
   availableLines: number;
   refilledAt: Timestamp;
   droppedLines: number;
 }
 
-/** Sustained rate of log lines of a process. */
-export const maxLinesPerSecond = 400;
-
-/** Bucket size: log lines that may be written in one burst. */
-export const maxBurstLines = 1200;
+/** Rate of all log lines of a process. */
+export const processLogRate: LogRate = {
+  linesPerSecond: 400,
+  burstLines: 1200,
+};
 
 /** Creates a full bucket. */
-export const createLogRateLimiter = (at: Timestamp): LogRateLimiter => ({
-  availableLines: maxBurstLines,
+export const createLogRateLimiter = (
+  rate: LogRate,
+  at: Timestamp,
+): LogRateLimiter => ({
+  rate,
+  availableLines: rate.burstLines,
   refilledAt: at,
   droppedLines: 0,
 });
@@ -27,12 +39,9 @@
   limiter: LogRateLimiter,
   at: Timestamp,
 ): boolean => {
-  const added =
-    (Math.max(0, at - limiter.refilledAt) / 1000) * maxLinesPerSecond;
-  limiter.availableLines = Math.min(
-    maxBurstLines,
-    limiter.availableLines + added,
-  );
+  const { linesPerSecond, burstLines } = limiter.rate;
+  const added = (Math.max(0, at - limiter.refilledAt) / 1000) * linesPerSecond;
+  limiter.availableLines = Math.min(burstLines, limiter.availableLines + added);
   limiter.refilledAt = at;
   if (limiter.availableLines < 1) {
     limiter.droppedLines += 1;
--- a/packages/platform/src/sharedWatch/followerServer.ts
+++ b/packages/platform/src/sharedWatch/followerServer.ts
@@ -1,8 +1,13 @@
 /** Accepts followers and sends them the changes of this router's watch. */
 
-import type { IncomingMessage } from "node:http";
+import { createServer, type IncomingMessage } from "node:http";
 import type { WebSocket, WebSocketServer } from "ws";
-import { now } from "@cardamomglade/common";
+import {
+  now,
+  openServerPort,
+  type OpeningPort,
+  type PortEvent,
+} from "@cardamomglade/common";
 import type { StorePosition } from "../types.js";
 import { messageSince, type ChangeHistory } from "./changeHistory.js";
 import { decodeFollowerMessage, encodeSharedMessage } from "./codec.js";
@@ -36,13 +41,21 @@
   readonly onBehind: () => void;
   /** Called with the outcomes that a follower tells. */
   readonly onOutcomes: (outcomes: readonly SharedOutcomes[]) => void;
-  readonly onError: (reason: string) => void;
+  readonly onPortEvent: (event: PortEvent) => void;
 }
 
+// A request that is no WebSocket handshake.
+const upgradeRequiredStatus = 426;
+
 /** Server for followers. */
 export class FollowerServer {
   private readonly followers = new Map<WebSocket, Follower>();
+  private readonly httpServer = createServer((req, res) => {
+    req.resume();
+    res.writeHead(upgradeRequiredStatus).end();
+  });
   private server: WebSocketServer | undefined;
+  private opening: OpeningPort | undefined;
   private timer: NodeJS.Timeout | undefined;
   private isClosed = false;
 
@@ -51,7 +64,8 @@
   static create(options: FollowerServerOptions): FollowerServer {
     const server = new FollowerServer(options);
     server.listen().catch((error: unknown) => {
-      options.onError(error instanceof Error ? error.message : String(error));
+      const reason = error instanceof Error ? error.message : String(error);
+      options.onPortEvent({ type: "blocked", reason });
     });
     return server;
   }
@@ -76,28 +90,31 @@
   close(): void {
     this.isClosed = true;
     clearInterval(this.timer);
+    this.opening?.stop();
     for (const socket of this.server?.clients ?? []) socket.terminate();
     this.server?.close();
+    this.httpServer.close();
+    this.httpServer.closeAllConnections();
   }
 
   private async listen(): Promise<void> {
     const ws = await import("ws");
     if (this.isClosed) return;
-    const { address, onError, isRouter, heartbeatMs } = this.options;
+    const { address, onPortEvent, isRouter, heartbeatMs } = this.options;
+    const { httpServer } = this;
     this.server = new ws.WebSocketServer({
-      host: address.host,
-      port: address.port,
+      server: httpServer,
       perMessageDeflate: false,
       maxPayload: maxMessageBytes,
       verifyClient: ({ req }: { readonly req: IncomingMessage }) =>
         isRouter(req.socket.remoteAddress ?? ""),
     });
-    this.server.on("error", (error) => {
-      onError(error.message);
-    });
+    // It passes on the errors of the HTTP server, which are reported below.
+    this.server.on("error", () => undefined);
     this.server.on("connection", (socket) => {
       this.accept(socket);
     });
+    this.opening = openServerPort(httpServer, address, onPortEvent);
     this.timer = setInterval(() => {
       this.publish();
       this.sendOutcomes();
--- a/packages/platform/src/sharedWatch/sharedWatch.test.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.test.ts
@@ -163,8 +163,8 @@
         started.heard.set(replica, [good + succeeded, bad + failed]);
       }
     },
-    onError: (reason) => {
-      assert.fail(reason);
+    onPortEvent: (event) => {
+      assert.deepEqual(event, { type: "opened", hasBeenBlocked: false });
     },
   });
   shared.setRouters(routers);
--- a/packages/platform/src/sharedWatch/sharedWatch.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -1,6 +1,6 @@
 /** Watches the store, or follows the watch of another router of the availability zone. */
 
-import { now, type Timestamp } from "@cardamomglade/common";
+import { now, type PortEvent, type Timestamp } from "@cardamomglade/common";
 import { isLater } from "../storePosition.js";
 import type {
   KeyValue,
@@ -53,7 +53,8 @@
   readonly onConfirmed: (router: string, confirmedAt: Timestamp) => void;
   /** Called with outcomes of other routers' requests. */
   readonly onOutcomes: (outcomes: readonly SharedOutcomes[]) => void;
-  readonly onError: (reason: string) => void;
+  /** Called with what happens to the port on which this router accepts followers. */
+  readonly onPortEvent: (event: PortEvent) => void;
 }
 
 /** A list of all entries that no watch started from yet. */
@@ -88,10 +89,10 @@
   private readonly server: FollowerServer;
 
   private constructor(private readonly options: SharedWatchOptions) {
-    const { address, limits, onError, onOutcomes } = options;
+    const { address, limits, onPortEvent, onOutcomes } = options;
     this.server = FollowerServer.create({
       address,
-      onError,
+      onPortEvent,
       onOutcomes,
       heartbeatMs: () => limits()?.heartbeatMs ?? defaultHeartbeatMs,
       history: () => this.history,
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -10,7 +10,7 @@
   type Driver,
   type Timestamp,
 } from "@cardamomglade/common";
-import { Severity, type Log } from "@cardamomglade/observe";
+import { createPortLog, Severity, type Log } from "@cardamomglade/observe";
 import { tickIntervalMs } from "./decisions/constants.js";
 import {
   createRelayState,
@@ -65,6 +65,8 @@
 export const createRelay = (options: RelayOptions): Relay => {
   const { log, protocol } = options;
   const metrics = createRelayMetrics();
+  const portLog = (use: string, address: Address) =>
+    createPortLog({ use, address }, log);
   const front = createFrontDriver({
     listen: options.front,
     sender: Sender.Callers,
@@ -74,7 +76,9 @@
   });
   const { address } = options.state;
   const peerDrivers =
-    address === undefined ? [] : [createPeerDriver(address, log)];
+    address === undefined
+      ? []
+      : [createPeerDriver(address, portLog("messages of routers", address))];
   const routerFronts =
     address === undefined
       ? []
@@ -110,16 +114,19 @@
     },
   });
 
-  const readiness = createTextServer(options.readiness, () =>
-    isReady(running.state())
-      ? { status: 200, text: "ready\n" }
-      : { status: 503, text: "not ready\n" },
-  );
-  const metricsServer = createTextServer(options.metrics, () => {
+  const readiness = createTextServer({
+    listen: options.readiness,
+    answer: () =>
+      isReady(running.state()) && front.isOpen()
+        ? { status: 200, text: "ready\n" }
+        : { status: 503, text: "not ready\n" },
+    onPortEvent: portLog("readiness", options.readiness),
+  });
+  const renderMetrics = (): string => {
     const state = running.state();
     const { exchanges, replicas, config, quarantine, limitCounts } = state;
     const { restorations, versions, handover } = state;
-    const text = metrics.render({
+    return metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
       replicas_that_leave: leavingReplicaCount(state),
@@ -139,7 +146,11 @@
       engine_crashes_remembered: quarantine.crashes.size,
       ...options.gauges(),
     });
-    return { status: 200, text };
+  };
+  const metricsServer = createTextServer({
+    listen: options.metrics,
+    answer: () => ({ status: 200, text: renderMetrics() }),
+    onPortEvent: portLog("metrics", options.metrics),
   });
 
   return {
@@ -165,10 +176,8 @@
         await sleep(drainPollMs);
       }
       await running.stop();
-      for (const server of [readiness, metricsServer]) {
-        server.close();
-        server.closeAllConnections();
-      }
+      readiness.close();
+      metricsServer.close();
     },
   };
 };
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -5,8 +5,8 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import { createChannel, now } from "@cardamomglade/common";
-import { Severity, type Log } from "@cardamomglade/observe";
+import { createChannel, now, openServerPort } from "@cardamomglade/common";
+import { createPortLog, Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
 import { maxTakenOverCount } from "../decisions/handover/constants.js";
 import { HandoverRefusal } from "../decisions/handover/types.js";
@@ -65,6 +65,8 @@
  * connections; idle connections are closed on request.
  */
 export interface FrontDriver extends RelayDriver {
+  /** Whether its port is open. */
+  isOpen(): boolean;
   /** Stops accepting connections, and closes those without a request in progress. */
   closeIdle(): Promise<void>;
   /** Number of requests that are being read or whose response has not been sent whole. */
@@ -113,7 +115,7 @@
 
 /** Creates the server. */
 export const createFrontDriver = (options: FrontOptions): FrontDriver => {
-  const { protocol, log, sender } = options;
+  const { listen, protocol, log, sender } = options;
   const isFromRouters = sender === Sender.Routers;
   // What a router hands on is counted there.
   const metrics = isFromRouters ? createRelayMetrics() : options.metrics;
@@ -280,13 +282,8 @@
     if (!isTooLong(req, limits) && !isHeadTooLong(req)) res.writeContinue();
     server.emit("request", req, res);
   });
-  if (isFromRouters)
-    server.on("error", (error) => {
-      log(Severity.Warn, "other routers cannot hand requests on", {
-        reason: error.message,
-      });
-    });
-  server.listen(options.listen.port, options.listen.host);
+  const portLog = createPortLog({ use: sender, address: listen }, log);
+  const opening = openServerPort(server, listen, portLog);
 
   const takePending = (key: string): PendingResponse | undefined => {
     const found = pendingResponses.get(key);
@@ -376,6 +373,7 @@
       }
       case "beginDrain":
         isDraining = true;
+        opening.stop();
         return;
       case "applyLimits":
         applyLimits(command.limits);
@@ -387,9 +385,11 @@
   return {
     events: channel.stream,
     perform,
+    isOpen: () => opening.isOpen(),
     closeIdle: () => connections.closeIdle(),
     openRequestCount: () => connections.openCount(),
     stop: () => {
+      opening.stop();
       for (const { res } of pendingResponses.values())
         whyBrokenOff.set(res, "the relay stopped");
       if (server.listening) server.close();
--- a/packages/relay/src/drivers/peerDriver.test.ts
+++ b/packages/relay/src/drivers/peerDriver.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { pack } from "msgpackr";
+import type { PortEvent } from "@cardamomglade/common";
 import type { RelayEvent } from "../decisions/events.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 import { createPeerDriver } from "./peerDriver.js";
@@ -28,10 +29,12 @@
 
 test("a request to lend a retry reaches the other router", async () => {
   const [first = 0, second = 0] = ports;
-  const lines: string[] = [];
-  const log = (_: unknown, message: string) => lines.push(message);
-  const one = createPeerDriver({ host, port: first }, log);
-  const other = createPeerDriver({ host, port: second }, log);
+  const blocked: PortEvent[] = [];
+  const onPortEvent = (event: PortEvent) => {
+    if (event.type !== "opened") blocked.push(event);
+  };
+  const one = createPeerDriver({ host, port: first }, onPortEvent);
+  const other = createPeerDriver({ host, port: second }, onPortEvent);
   const heard = new Promise<RelayEvent>((resolve) => {
     void other.events.observe(resolve);
   });
@@ -45,7 +48,7 @@
   assert.deepEqual("from" in event && event.from, { host, port: first });
   await one.stop();
   await other.stop();
-  assert.deepEqual(lines, []);
+  assert.deepEqual(blocked, []);
 });
 
 const blockIds = Array.from(
--- a/packages/relay/src/drivers/peerDriver.ts
+++ b/packages/relay/src/drivers/peerDriver.ts
@@ -4,9 +4,12 @@
  */
 
 import { createSocket } from "node:dgram";
-import { createChannel, now } from "@cardamomglade/common";
-import { Severity, type Log } from "@cardamomglade/observe";
-import type { DecisionContext } from "../decisions/commands.js";
+import {
+  createChannel,
+  listenUntilOpen,
+  now,
+  type PortEvent,
+} from "@cardamomglade/common";
 import type { RelayEvent } from "../decisions/events.js";
 import {
   decodePeerMessage,
@@ -46,21 +49,24 @@
 /** Creates the driver, which listens for other routers at an address. */
 export const createPeerDriver = (
   address: Address,
-  log: Log<DecisionContext>,
+  onPortEvent: (event: PortEvent) => void,
 ): RelayDriver => {
   const channel = createChannel<RelayEvent>();
   const socket = createSocket("udp4");
-  socket.on("error", (error) => {
-    log(Severity.Warn, "other routers cannot be heard", {
-      reason: error.message,
-    });
-  });
   socket.on("message", (bytes, { address: host, port }) => {
     const message = decodePeerMessage(bytes, now());
     if (message !== undefined) channel.push(eventOf(message, { host, port }));
   });
-  socket.bind(address.port, address.host);
+  const opening = listenUntilOpen(
+    {
+      emitter: socket,
+      listen: () => socket.bind(address.port, address.host),
+    },
+    onPortEvent,
+  );
   const send = ({ host, port }: Address, datagram: Uint8Array) => {
+    // A socket without a port would take any free one, and answers would not be received.
+    if (!opening.isOpen()) return;
     // Send errors are ignored: an unreachable router lends nothing, and gossip reaches it by others.
     socket.send(datagram, port, host, () => undefined);
   };
@@ -100,6 +106,7 @@
     },
     stop: () =>
       new Promise((resolve) => {
+        opening.stop();
         socket.close(() => {
           resolve();
         });
--- a/packages/relay/src/drivers/textServer.ts
+++ b/packages/relay/src/drivers/textServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server that answers every request with a status and a text. */
 
-import { createServer, type Server } from "node:http";
+import { createServer } from "node:http";
+import { openServerPort, type PortEvent } from "@cardamomglade/common";
 import type { Address } from "../types.js";
 
 /** Status and text of a response. */
@@ -9,11 +10,22 @@
   readonly text: string;
 }
 
-/** Starts the server; `answer` is called for each request. */
-export const createTextServer = (
-  { host, port }: Address,
-  answer: () => TextResponse,
-): Server => {
+/** Options of the server. */
+export interface TextServerOptions {
+  readonly listen: Address;
+  /** Called for each request. */
+  readonly answer: () => TextResponse;
+  readonly onPortEvent: (event: PortEvent) => void;
+}
+
+/** Handle of a server. */
+export interface TextServer {
+  close(): void;
+}
+
+/** Starts the server as soon as its port is free. */
+export const createTextServer = (options: TextServerOptions): TextServer => {
+  const { listen, answer, onPortEvent } = options;
   const server = createServer((req, res) => {
     req.resume();
     const { status, text } = answer();
@@ -23,5 +35,12 @@
     });
     res.end(text);
   });
-  return server.listen(port, host);
+  const opening = openServerPort(server, listen, onPortEvent);
+  return {
+    close: () => {
+      opening.stop();
+      server.close();
+      server.closeAllConnections();
+    },
+  };
 };
