--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -1,5 +1,6 @@
 /** Logging and metrics. */
 
+export { flushLog } from "./flushLog.js";
 export { createLimitedLog } from "./limitedLog.js";
 export {
   createLog,
