--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -43,6 +43,8 @@
   readonly log: Log<DecisionContext>;
   /** Drivers of the platform, which supply configuration and replicas. */
   readonly platform: readonly Driver<RelayEvent, RelayCommand>[];
+  /** Called when no more events are handled, because of an error in the event loop. */
+  readonly onLoopEnded: () => void;
   /** Gauges of the platform's clients, added to the metrics. */
   readonly gauges: () => Readonly<Record<string, number>>;
 }
@@ -111,6 +113,7 @@
     onFailure: ({ type, error }) => {
       const detail = error instanceof Error ? error.stack : String(error);
       log(Severity.Error, "a decision or command failed", { type, detail });
+      if (type === "decide") options.onLoopEnded();
     },
   });
 
--- a/packages/relay/src/testing/relayPair.ts
+++ b/packages/relay/src/testing/relayPair.ts
@@ -80,6 +80,7 @@
     },
     log: (_, message) => messages.push(message),
     platform: [createSourceDriver(events.stream)],
+    onLoopEnded: () => undefined,
     gauges: () => ({}),
   });
   await sleep(20);
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -62,6 +62,7 @@
     },
     log: (_, message) => lines.push(message),
     platform: [createSourceDriver(events.stream)],
+    onLoopEnded: () => undefined,
     gauges: () => ({}),
   });
   await sleep(20);
