Serve on when the log cannot be written

With standard output in a file on a full disk, a router ended with code 1 at its first line: the logging library's handler of write errors throws all of them but those of a closed pipe. Node writes such a file at once, so the stack (ENOSPC) is in standard error only.

That handler is taken off, and write errors of the log are passed over; later lines are written if they can be.

Also a test that a relay reports the end of its event loop.

--- a/packages/observe/src/log.ts
+++ b/packages/observe/src/log.ts
@@ -49,12 +49,25 @@
 const hasBufferSpace = (): boolean =>
   process.stdout.writableLength < maxBufferedBytes;
 
+const ignoreError = (): void => undefined;
+
+/**
+ * Lets the process live when a line cannot be written: a closed pipe, or a full disk
+ * under a file. No line can tell of it, and later ones are written if they can be.
+ */
+const ignoreWriteErrors = (): void => {
+  ROARR.teardown?.(); // its handler throws all errors but those of a closed pipe
+  process.stdout.removeListener("error", ignoreError);
+  process.stdout.on("error", ignoreError);
+};
+
 /** Creates a log that adds `baseContext` to every line and skips lines below `minSeverity`. */
 export const createLog = <Context extends object>(
   baseContext: Readonly<Record<string, string>>,
   minSeverity: Severity,
 ): Log<Context> => {
   const limiter = createLogRateLimiter(processLogRate, now());
+  ignoreWriteErrors();
   ROARR.write = (line) => process.stdout.write(`${line}\n`);
   const logger = Roarr.child(baseContext);
   return (severity, message, context) => {
--- /dev/null
+++ b/packages/relay/src/endedLoop.test.ts
@@ -0,0 +1,43 @@
+import assert from "node:assert/strict";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "node:test";
+import { createChannel, createSourceDriver, now } from "@cardamomglade/common";
+import { freePort } from "@cardamomglade/common/testing/freePort";
+import { createRelay } from "./createRelay.js";
+import type { RelayEvent } from "./decisions/events.js";
+import { testProtocol } from "./testing/testProtocol.js";
+
+// Load: an event that no decision can handle.
+test("a relay whose event loop has ended says so", async () => {
+  const host = "127.0.0.1";
+  const events = createChannel<RelayEvent>();
+  let endedCount = 0;
+  const relay = createRelay({
+    front: { host, port: await freePort() },
+    readiness: { host, port: await freePort() },
+    metrics: { host, port: await freePort() },
+    protocol: testProtocol,
+    state: {
+      router: "r1",
+      address: undefined,
+      zone: "a",
+      startedAt: now(),
+      seed: 1,
+      runtimeLimits: {
+        drainTimeoutMs: 2000,
+        retryLimits: { ratio: 1, extraRetryCount: 100, windowMs: 10_000 },
+      },
+    },
+    log: () => undefined,
+    platform: [createSourceDriver(events.stream)],
+    onLoopEnded: () => {
+      endedCount += 1;
+    },
+    gauges: () => ({}),
+  });
+  await sleep(20);
+  events.push(undefined as unknown as RelayEvent);
+  await sleep(20);
+  await relay.drain(now());
+  assert.equal(endedCount, 1);
+});
