End requests that wait on a connection when it closes

A caller that sends several requests at once on one connection and leaves was noticed only by the request whose turn it was. Replicas worked on for the others until their answers, their answers stayed in memory for the life of the process, and a planned stop waited for them until the end of its grace, since they never ended.

Cause: Node emits "close" on the response that holds the connection, not on those queued behind it, and all bookkeeping of callers hangs on that event.

Now the list of open connections tells queued responses too. It crosses into the drivers of the front (openConnections.ts).

Tests: "a replica works on for a caller that left while its request waited behind another one" (before: one connection to the replica open in place of none) and "a relay waits until the end of its grace for the request of a caller that left" (before: not within its bound of 3 s).

--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -20,6 +20,7 @@
       this.idleBytes.set(socket, 0);
       socket.on("close", () => {
         this.idleBytes.delete(socket);
+        this.closeQueued(socket);
       });
     });
   }
@@ -71,4 +72,12 @@
     for (const [socket, bytes] of this.idleBytes)
       if (!busy.has(socket) && socket.bytesRead === bytes) socket.destroy();
   }
+  /**
+   * Ends the responses that wait for earlier ones on a connection that has closed: Node
+   * only tells the response whose turn it is.
+   */
+  private closeQueued(socket: Socket): void {
+    for (const [res, one] of [...this.responses])
+      if (one === socket && res.socket === null) res.emit("close");
+  }
 }
