Pass no request on behind an answer that closes its connection (LOST)

A caller that sends on before it has read "Connection: close" lost a request that had been passed on: behind the last answer of a planned stop (a stream's head says so at its start), and behind a refusal of a head that is too long. The replica ran it, and the connection closed without an answer.

Cause: whether an answer closes its connection was decided when its head was written, from the requests read so far; requests read after that were served like any other, and Node closes the connection behind the first answer.

Now a connection whose last answer's head is written takes no more requests; they are dropped unread with a line, as one that crosses a close is. Answers that close a connection are made so in one place (openConnections.ts; crosses into frontDriver.ts).

Tests: "a request behind the answer that closes its connection is passed on and gets no answer" (before: 2 requests at the replica in place of 1) and "a request behind a refusal that closes its connection is passed on and gets no answer" (before: 1 in place of 0).

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -42,6 +42,7 @@
 import { OpenConnections } from "./openConnections.js";
 import { isTooLong, readRequest, rewrittenHeaders } from "./readRequest.js";
 import { refuseMalformed } from "./refuseMalformed.js";
+import { requestIdOf } from "./requestIdOf.js";
 import type { RelayDriver } from "./types.js";
 
 /** Who sends requests to a server. */
@@ -88,16 +89,6 @@
 const parserHeadBytes = 64 * 1024; // of any connection, whose limit may grow while it is open
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
-/**
- * Lets the response end when its connection closes, as the replica's response
- * did: a content length added by the relay would mark a response as complete
- * that may be truncated.
- */
-const endWithConnection = (res: ServerResponse): void => {
-  res.useChunkedEncodingByDefault = false;
-  res.shouldKeepAlive = false;
-};
-
 /** A request that a relay refuses with one of these may have been executed. */
 const unknownOutcomeStatuses: ReadonlySet<number> = new Set([502, 504]);
 
@@ -133,7 +124,10 @@
     headersTimeout: defaultLimits.headerTimeoutMs,
   });
 
-  const connections = OpenConnections.create(server);
+  const connections = OpenConnections.create(server, (req) => {
+    const requestId = requestIdOf(protocol, req);
+    log(Severity.Info, "request dropped: its connection closes", { requestId });
+  });
   const headTimeout = HeadTimeout.create(server);
   const idleTimeouts = IdleTimeouts.create(server);
 
@@ -162,7 +156,7 @@
     refusal?: HandoverRefusal,
   ) => {
     const body = JSON.stringify({ error: reason });
-    if (closesAfter(res)) res.setHeader("connection", "close");
+    if (closesAfter(res)) connections.closeAfter(res);
     if (retryAfterMs !== undefined)
       res.setHeader("retry-after", (retryAfterMs / 1000).toFixed(3));
     res.writeHead(status, {
@@ -190,9 +184,8 @@
     why: string,
     refusal?: HandoverRefusal,
   ) => {
-    const id = res.req.headers[protocol.headers.requestId];
-    recordRefusal(status, why, typeof id === "string" ? id : undefined);
-    res.setHeader("connection", "close");
+    recordRefusal(status, why, requestIdOf(protocol, res.req));
+    connections.closeAfter(res);
     writeRefusal(res, status, why, undefined, refusal);
   };
 
@@ -204,9 +197,8 @@
 
   const logUnfinished = (res: ServerResponse, arrivedAt: number) => {
     const why = whyBrokenOff.get(res);
-    const id = res.req.headers[protocol.headers.requestId];
     log(Severity.Info, "connection closed before the answer was sent", {
-      requestId: typeof id === "string" ? id : undefined,
+      requestId: requestIdOf(protocol, res.req),
       closedBy: why === undefined ? Closer.Caller : Closer.Relay,
       reason: why ?? "the caller closed it",
       headSent: res.headersSent,
@@ -233,6 +225,7 @@
     !isFromRouters && headBytesOf(req) >= limits.headerBytes;
 
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
+    if (connections.hasDropped(req)) return;
     metrics.count(Counter.Requests);
     connections.add(res);
     if (isFromRouters && connections.requestCount() > maxTakenOverCount) {
@@ -253,6 +246,7 @@
     });
     switch (read.type) {
       case "complete": {
+        if (connections.hasDropped(req)) return;
         lastKey += 1;
         const key = `${sender}-${String(lastKey)}`;
         const { request } = read;
@@ -303,7 +297,7 @@
     if (length !== undefined) headers.push("content-length", String(length));
     const origin = isFromRouters ? encodeAnswerOrigin(head) : undefined;
     if (origin !== undefined) headers.push(handoverHeaders.answer, origin);
-    if (closesAfter(res)) headers.push("connection", "close");
+    if (closesAfter(res)) connections.closeAfter(res);
     res.writeHead(head.status, headers);
   };
 
@@ -316,7 +310,7 @@
     const hasBody = !isBodiless(res.req.method ?? "", head.status);
     // Another router gets the length, and the framing in a header of its own.
     const isFramed = isFromRouters || head.framing !== BodyFraming.Connection;
-    if (hasBody && !isFramed) endWithConnection(res);
+    if (hasBody && !isFramed) connections.endWith(res);
     const isSized = hasBody && isFramed;
     writeHead(res, head, isSized ? body.length : undefined);
     res.end(body);
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -5,7 +5,7 @@
  * when its last byte is queued, and cuts it off.
  */
 
-import type { Server, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 
@@ -14,8 +14,13 @@
   /** Bytes that each connection had received when it was last idle. */
   private readonly idleBytes = new Map<Socket, number>();
   private readonly responses = new Map<ServerResponse, Socket>();
+  /** Connections that close after an answer whose head was written. */
+  private readonly closing = new WeakSet<Socket>();
 
-  private constructor(private readonly server: Server) {
+  private constructor(
+    private readonly server: Server,
+    private readonly onDropped: (req: IncomingMessage) => void,
+  ) {
     server.on("connection", (socket: Socket) => {
       this.idleBytes.set(socket, 0);
       socket.on("close", () => {
@@ -25,8 +30,11 @@
     });
   }
 
-  static create(server: Server): OpenConnections {
-    return new OpenConnections(server);
+  static create(
+    server: Server,
+    onDropped: (req: IncomingMessage) => void,
+  ): OpenConnections {
+    return new OpenConnections(server, onDropped);
   }
 
   /** Adds a request whose head has been read; it ends with its response. */
@@ -40,6 +48,29 @@
     });
   }
 
+  /** Lets a response, whose head is not written yet, close its connection: what follows on it gets no answer. */
+  closeAfter(res: ServerResponse): void {
+    res.shouldKeepAlive = false;
+    this.closing.add(res.req.socket);
+  }
+
+  /**
+   * Lets a response end when its connection closes, as the replica's did: a content
+   * length added by the relay would mark a response as complete that may be truncated.
+   */
+  endWith(res: ServerResponse): void {
+    res.useChunkedEncodingByDefault = false;
+    this.closeAfter(res);
+  }
+
+  /** Drops a request that came behind a response that closes their connection; returns whether it did. */
+  hasDropped(req: IncomingMessage): boolean {
+    if (!this.closing.has(req.socket)) return false;
+    this.onDropped(req);
+    req.resume();
+    return true;
+  }
+
   /** Returns the number of requests whose heads have been read and that are not answered. */
   requestCount(): number {
     return this.responses.size;
--- a/packages/relay/src/queuedRequests.test.ts
+++ b/packages/relay/src/queuedRequests.test.ts
@@ -6,7 +6,8 @@
 import { test } from "node:test";
 import { now } from "@cardamomglade/common";
 import { RawCaller } from "./testing/rawCaller.js";
-import { requestText, startTestRelay } from "./testing/testRelay.js";
+import type { RawResponder } from "./testing/rawReplica.js";
+import { requestText, sealed, startTestRelay } from "./testing/testRelay.js";
 
 const graceMs = 6000;
 const noticeMs = 2500;
@@ -48,3 +49,39 @@
   await relay.relay.drain(startedAt + graceMs);
   assert.ok(now() - startedAt < noticeMs + 500);
 });
+
+const answerSlowly: RawResponder = (socket) => {
+  socket.write(
+    `HTTP/1.1 200 OK\r\n${sealed}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`,
+  );
+  setTimeout(() => {
+    socket.end("0\r\n\r\n");
+  }, 400);
+};
+
+// Load: a caller that sends on while the last answer before a stop arrives.
+test("a request behind the answer that closes its connection is passed on and gets no answer", async (t) => {
+  const { port, relay, replica, stop } = await startTestRelay(answerSlowly);
+  t.after(stop);
+  const caller = RawCaller.create(port);
+  const drained = relay.drain(now() + graceMs);
+  caller.send(request);
+  assert.ok(await caller.waitFor(/connection: close/i));
+  caller.send(request);
+  assert.ok(await caller.waitForClose(2000));
+  assert.equal(replica.received.length, 1);
+  await drained;
+});
+
+// Load: requests behind one that is refused unread.
+test("a request behind a refusal that closes its connection is passed on and gets no answer", async (t) => {
+  const { relay, open } = await startWithSilentReplica();
+  t.after(relay.stop);
+  const caller = RawCaller.create(relay.port);
+  const long = requestText("/check/x", [`x-long: ${"l".repeat(20_000)}`]);
+  caller.send(long + request);
+  assert.ok(await caller.waitFor(/^HTTP\/1.1 431 /));
+  assert.ok(await caller.waitForClose(2000));
+  assert.equal(open.size, 0);
+  assert.equal(relay.replica.received.length, 0);
+});
