Keep lines of requests that end without an answer in the log under load

On the bundle with 2,000 callers and three routers 2,895 times lines were left out, beside 98 requests that ended without an answer; the lines that name what had them were among those left out, so hypotheses (a stop, a config, a silent replica, a caller) could not be told apart.

Cause: one rate of 400 lines a second for all severities.

Now warnings and errors have a rate and a reserve of the buffer of their own, connections that the relay itself closes before an answer are warnings, and the line of a request's end has `stopsInMs` beside `configAgeMs`.

--- a/packages/observe/src/log.ts
+++ b/packages/observe/src/log.ts
@@ -36,23 +36,31 @@
   context?: Context,
 ) => void;
 
-// Bytes buffered for a slow reader before lines are dropped.
+// Bytes buffered for a slow reader before lines are dropped, and those kept free for warnings.
 const maxBufferedBytes = 256 * 1024;
+const warningReserveBytes = 64 * 1024;
 
-const hasBufferSpace = (): boolean =>
-  process.stdout.writableLength < maxBufferedBytes;
+const hasBufferSpace = (isWarning: boolean): boolean =>
+  process.stdout.writableLength <
+  maxBufferedBytes + (isWarning ? warningReserveBytes : 0);
 
-/** Creates a log that adds `baseContext` to every line and skips lines below `minSeverity`. */
+/**
+ * Creates a log that adds `baseContext` to every line and skips lines below `minSeverity`.
+ * Warnings and errors have a rate of their own: lines of a heavy load leave room for them.
+ */
 export const createLog = <Context extends object>(
   baseContext: Readonly<Record<string, string>>,
   minSeverity: Severity,
 ): Log<Context> => {
-  const limiter = createLogRateLimiter(now());
+  const routineLimiter = createLogRateLimiter(now());
+  const warningLimiter = createLogRateLimiter(now());
   ROARR.write = (line) => process.stdout.write(`${line}\n`);
   const logger = Roarr.child(baseContext);
   return (severity, message, context) => {
     if (severityRanks[severity] < severityRanks[minSeverity]) return;
-    if (!hasBufferSpace()) {
+    const isWarning = severityRanks[severity] >= severityRanks[Severity.Warn];
+    const limiter = isWarning ? warningLimiter : routineLimiter;
+    if (!hasBufferSpace(isWarning)) {
       limiter.droppedLines += 1;
       return;
     }
--- a/packages/relay/src/decisions/describeOptions.ts
+++ b/packages/relay/src/decisions/describeOptions.ts
@@ -44,7 +44,7 @@
 
 const describe = (state: RelayState, exchange: Exchange): DecisionContext => {
   const { service, route, attempts, wait, deadline } = exchange;
-  const { config, configAppliedAt, at } = state;
+  const { config, configAppliedAt, stopsAt, at } = state;
   const { replicas, candidates, trusted } = countCandidates(
     state,
     candidateQueryOf(exchange),
@@ -64,6 +64,7 @@
     deadlineInMs: Math.round(deadline - at),
     configVersion: config?.version,
     configAgeMs: config && Math.round(at - configAppliedAt),
+    stopsInMs: stopsAt && Math.round(stopsAt - at),
   };
 };
 
--- a/packages/relay/src/decisions/endBeforeStop.test.ts
+++ b/packages/relay/src/decisions/endBeforeStop.test.ts
@@ -38,6 +38,9 @@
     advanceToStop();
     assert.deepEqual(statusesOf(scenario), [502]);
     assert.equal(scenario.state.exchanges.size, 0);
+    const lines = scenario.commandsOfType("log");
+    const line = lines.find(({ message }) => message === "request refused");
+    assert.equal(line?.context.stopsInMs, lastAnswerMs);
   });
 
 const handover = {
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -197,7 +197,8 @@
 
   const logUnfinished = (res: ServerResponse, arrivedAt: number) => {
     const why = whyBrokenOff.get(res);
-    log(Severity.Info, "connection closed before the answer was sent", {
+    const severity = why === undefined ? Severity.Info : Severity.Warn;
+    log(severity, "connection closed before the answer was sent", {
       requestId: requestIdOf(protocol, res.req),
       closedBy: why === undefined ? Closer.Caller : Closer.Relay,
       reason: why ?? "the caller closed it",
