--- a/bench/src/harness/fleet.ts
+++ b/bench/src/harness/fleet.ts
@@ -189,10 +189,10 @@
   /** Stops a router by SIGTERM and starts a new one with the same settings. */
   async replaceRouter(index: number, graceMs: number): Promise<void> {
     const old = this.routers[index];
-    const code = await old?.process.stop(graceMs);
-    if (code !== 0)
+    const end = await old?.process.stop(graceMs);
+    if (end?.code !== 0)
       throw new Error(
-        `router "${old?.name ?? ""}" exited with code ${String(code)} after SIGTERM`,
+        `router "${old?.name ?? ""}" exited with code ${String(end?.code)} after SIGTERM`,
       );
     await this.restartRouter(index);
   }
--- a/bench/src/harness/processes.ts
+++ b/bench/src/harness/processes.ts
@@ -4,6 +4,7 @@
 import { createServer } from "node:net";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
+import type { ProcessEnd } from "@cardamomglade/users-platform/testing/bundledRelay";
 import { pollUntil } from "./pollUntil.js";
 
 /** A started process. */
@@ -12,10 +13,12 @@
   readonly pid: number;
   /** Lines of its standard output that are JSON objects. */
   readonly lines: readonly Readonly<Record<string, unknown>>[];
+  /** The last lines of its standard output and of its standard error, where that is read. */
+  readonly lastOutput: readonly string[];
   signal(signal: NodeJS.Signals): void;
   /** Sends SIGTERM and waits for the exit; sends SIGKILL after `graceMs`. */
-  stop(graceMs?: number): Promise<number | null>;
-  readonly exited: Promise<number | null>;
+  stop(graceMs?: number): Promise<ProcessEnd>;
+  readonly exited: Promise<ProcessEnd>;
 }
 
 const scripts = {
@@ -24,12 +27,9 @@
   ),
   "byte-pipe": fileURLToPath(new URL("../bytePipe.js", import.meta.url)),
   cardamomglade: fileURLToPath(import.meta.resolve("cardamomglade/main")),
-  relay: fileURLToPath(
-    import.meta.resolve("@cardamomglade/users-platform/main"),
-  ),
 };
 
-/** A process to start. */
+/** A process of one of the scripts. */
 export interface ProcessOptions {
   readonly name: string;
   readonly script: keyof typeof scripts;
@@ -38,8 +38,20 @@
   readonly env?: Readonly<Record<string, string>>;
 }
 
+/** A Node.js process with any arguments. */
+export interface NodeProcessOptions {
+  readonly name: string;
+  readonly args: readonly string[];
+  readonly folder?: string;
+  /** Environment variables added to those of this process. */
+  readonly env?: Readonly<Record<string, string>>;
+  /** Whether standard error is read into `lastOutput`; else it is that of this process. */
+  readonly readsStandardError?: boolean;
+}
+
 const startTimeoutMs = 30_000; // on a busy machine even an empty process takes seconds to start
 const pollIntervalMs = 10;
+const lastOutputLineCount = 30;
 
 // Below the ephemeral port range of the operating system.
 const firstPort = 20_000;
@@ -69,48 +81,73 @@
   }
 };
 
-const collectLines = (child: ChildProcess): Record<string, unknown>[] => {
+/** Calls `onLine` with each line that a process prints. */
+const readLines = (
+  input: NodeJS.ReadableStream | null,
+  onLine: (line: string) => void,
+): void => {
+  if (input !== null) createInterface({ input }).on("line", onLine);
+};
+
+const collectOutput = (child: ChildProcess) => {
   const lines: Record<string, unknown>[] = [];
-  if (child.stdout === null) return lines;
-  createInterface({ input: child.stdout }).on("line", (line) => {
+  const lastOutput: string[] = [];
+  const keep = (line: string) => {
+    lastOutput.push(line);
+    if (lastOutput.length > lastOutputLineCount) lastOutput.shift();
+  };
+  readLines(child.stdout, (line) => {
+    keep(line);
     if (line.startsWith("{"))
       lines.push(JSON.parse(line) as Record<string, unknown>);
   });
-  return lines;
+  readLines(child.stderr, keep);
+  return { lines, lastOutput };
 };
 
-/** Starts a process; its standard error is that of this process. */
-export const startProcess = ({
+/** Starts a Node.js process. */
+export const startNodeProcess = ({
   name,
-  script,
   args,
+  folder,
   env,
-}: ProcessOptions): StartedProcess => {
-  const child = spawn(process.execPath, [scripts[script], ...args], {
-    stdio: ["ignore", "pipe", "inherit"],
+  readsStandardError = false,
+}: NodeProcessOptions): StartedProcess => {
+  const child = spawn(process.execPath, args, {
+    stdio: ["ignore", "pipe", readsStandardError ? "pipe" : "inherit"],
     env: { ...process.env, ...env },
+    ...(folder === undefined ? {} : { cwd: folder }),
   });
-  const lines = collectLines(child);
-  const exited = new Promise<number | null>((resolve) =>
-    child.once("exit", resolve),
+  const exited = new Promise<ProcessEnd>((resolve) =>
+    child.once("close", (code, signal) => {
+      resolve({ code, signal });
+    }),
   );
   const stop = async (graceMs = 5000) => {
     child.kill("SIGTERM");
     const timer = setTimeout(() => child.kill("SIGKILL"), graceMs);
-    const code = await exited;
+    const end = await exited;
     clearTimeout(timer);
-    return code;
+    return end;
   };
   return {
     name,
     pid: child.pid ?? 0,
-    lines,
+    ...collectOutput(child),
     exited,
     stop,
     signal: (signal) => child.kill(signal),
   };
 };
 
+/** Starts a process of a script; its standard error is that of this process. */
+export const startProcess = ({
+  script,
+  args,
+  ...others
+}: ProcessOptions): StartedProcess =>
+  startNodeProcess({ ...others, args: [scripts[script], ...args] });
+
 /** Returns the first output line that matches; throws after the start timeout. */
 export const waitForLine = async (
   started: StartedProcess,
--- a/bench/src/soak/checkSoak.test.ts
+++ b/bench/src/soak/checkSoak.test.ts
@@ -47,6 +47,8 @@
   leaving: [],
   faults: [],
   ownEnds: [],
+  usages: [],
+  memoryMb: 350,
   calmFrom: 60_000,
   ...changes,
 });
@@ -157,7 +159,9 @@
   const answers = [answer({ outcome: { type: "answered", status: 500 } })];
   const violated = violatedBy({ answers, calmFrom: 15_000 });
   assert.deepEqual(violated, ["notLost", "recovery"]);
-  const ownEnds = [{ router: 0, at: 1, code: 1 }];
+  const ownEnds = [
+    { router: 0, life: 1, at: 1, code: 1, signal: null, lastOutput: [] },
+  ];
   assert.deepEqual(violatedBy({ ownEnds }), ["staysUp"]);
 });
 
@@ -192,3 +196,15 @@
     "plannedStop",
   ]);
 });
+
+test("more memory or descriptors than the machine has are violations", () => {
+  const used = { router: 0, life: 1, at: 1 };
+  const within = { ...used, peakMemoryMb: 349, descriptorCount: 3900 };
+  assert.deepEqual(violatedBy({ usages: [within] }), []);
+  const large = { ...within, peakMemoryMb: 351 };
+  const many = { ...within, descriptorCount: 3901 };
+  assert.deepEqual(violatedBy({ usages: [large, many] }), [
+    "memory",
+    "descriptors",
+  ]);
+});
--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -2,7 +2,7 @@
 
 import { assertNever } from "@cardamomglade/common";
 import { requestTimeoutMs } from "./soakCaller.js";
-import { soakBounds } from "./soakRouter.js";
+import { soakBounds } from "./soakSettings.js";
 import {
   RequestType,
   type AcceptedVersion,
@@ -15,6 +15,7 @@
 
 const arrivalSlackMs = 150; // network delay of a request that was sent in time
 const deadlineSlackMs = 300; // network delay, and some timer ticks of a busy router
+const shownLineCount = 3; // of a process that ended
 const notRunStatuses = new Set([408, 421, 429, 503]);
 const refusalStatuses = new Set([...notRunStatuses, 401]);
 const storeFaultTypes = new Set(["storeBusy", "storeSilent", "storeRestore"]);
@@ -291,12 +292,32 @@
 };
 
 const checkStaysUp: Check = ({ record }) =>
-  record.ownEnds.map(({ router, code }) => ({
+  record.ownEnds.map(({ router, code, signal, lastOutput }) => ({
     promise: "staysUp",
     requestId: "",
-    message: `router ${String(router)} exited with code ${String(code)}`,
+    message: `router ${String(router)} ended with code ${String(code)}, signal ${String(signal)}: ${lastOutput.slice(-shownLineCount).join(" | ")}`,
   }));
 
+const checkMemory: Check = ({ record }) =>
+  record.usages
+    .filter(({ peakMemoryMb }) => peakMemoryMb > record.memoryMb)
+    .map(({ router, peakMemoryMb }) => ({
+      promise: "memory",
+      requestId: "",
+      message: `router ${String(router)} used ${peakMemoryMb.toFixed()} MB of ${String(record.memoryMb)}`,
+    }));
+
+const checkDescriptors: Check = ({ record }) => {
+  const limit = soakBounds.maxDescriptors - soakBounds.fileDescriptors;
+  return record.usages
+    .filter(({ descriptorCount }) => descriptorCount > limit)
+    .map(({ router, descriptorCount }) => ({
+      promise: "descriptors",
+      requestId: "",
+      message: `router ${String(router)} had ${String(descriptorCount)} descriptors open`,
+    }));
+};
+
 const checks: readonly Check[] = [
   checkAtMostOnce,
   checkOwnResponse,
@@ -311,6 +332,8 @@
   checkRetryBudget,
   checkRecovery,
   checkStaysUp,
+  checkMemory,
+  checkDescriptors,
 ];
 
 /** Returns all violations of a soak test. */
--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -9,7 +9,7 @@
 } from "@cardamomglade/common/testing/faultProxy";
 import { setFaultModeFor, type SoakFleet } from "./soakFleet.js";
 import { ReplicaFaultMode } from "./soakReplica.js";
-import { soakBounds } from "./soakRouter.js";
+import { soakBounds } from "./soakSettings.js";
 import type { FaultSpan, PlannedSoakFault } from "./types.js";
 
 const injectLinkFault = async (
@@ -55,10 +55,7 @@
   if (router === undefined || router.isRestarting) return;
   router.isRestarting = true;
   if (end === "kill") await router.kill();
-  else {
-    const code = await router.stop();
-    if (code !== 0) fleet.ownEnds.push({ router: index, at: Date.now(), code });
-  }
+  else await router.stop();
   await sleep(durationMs);
   await router.start();
   router.isRestarting = false;
--- a/bench/src/soak/planSoak.ts
+++ b/bench/src/soak/planSoak.ts
@@ -29,6 +29,7 @@
 const largeRouterCount = 24;
 const largeEngineCount = 24;
 const largeFleetSeedInterval = 10; // each tenth seed runs the large fleet
+const memoryLimitsMb = [350, 250, 160];
 const firstRoundMs = 1500;
 const roundMs = 2500;
 const maxJitterMs = 2000; // longer than the rest of a round, so that rounds overlap
@@ -107,6 +108,7 @@
   return {
     routers,
     engines,
+    memoryMb: memoryLimitsMb[seed % memoryLimitsMb.length] ?? 0,
     faults,
     faultsEndMs: Math.max(roundsEndMs, ...silences.map((one) => one.startMs)),
   };
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -104,9 +104,7 @@
   seed: number,
 ) => {
   let isOver = false;
-  const watching = fleet.routers.map((router) =>
-    router.watchReadiness(() => isOver),
-  );
+  const watching = fleet.routers.map((router) => router.watch(() => isOver));
   const loading = sendLoad(fleet, SeededRandom.create(seed), () => isOver);
   const faults = await injectAll(fleet, plan);
   await sleep(recoveryMs);
@@ -123,12 +121,20 @@
   plan: SoakPlan,
   seed: number,
 ): Promise<SoakRun> => {
-  const fleet = await SoakFleet.create(plan.routers, plan.engines);
+  const fleet = await SoakFleet.create(plan);
   try {
     const observed = await runLoadAndFaults(fleet, plan, seed);
-    const { arrivals, versions, leaving, ownEnds } = fleet;
+    const { arrivals, versions, leaving, routers } = fleet;
     return {
-      record: { ...observed, arrivals, versions, leaving, ownEnds },
+      record: {
+        ...observed,
+        arrivals,
+        versions,
+        leaving,
+        ownEnds: routers.flatMap((router) => router.unexpectedExits),
+        usages: routers.flatMap((router) => router.peakUsages()),
+        memoryMb: plan.memoryMb,
+      },
       logs: fleet.routers.map((router) => router.log()),
     };
   } finally {
--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -14,7 +14,7 @@
   AcceptedVersion,
   Arrival,
   LeavingReplica,
-  UnexpectedExit,
+  SoakPlan,
 } from "./types.js";
 
 /** API key that is valid in every configuration version. */
@@ -58,7 +58,6 @@
   readonly arrivals: Arrival[] = [];
   readonly versions: AcceptedVersion[] = [];
   readonly leaving: LeavingReplica[] = [];
-  readonly ownEnds: UnexpectedExit[] = [];
   /** What the operator and the replicas have in the store. */
   private readonly written = new Map<string, unknown>();
   private readonly endpoints: ReplicaEndpoint[] = [];
@@ -71,7 +70,11 @@
     private readonly folder: string,
   ) {}
 
-  static async create(routers: number, engines: number): Promise<SoakFleet> {
+  static async create({
+    routers,
+    engines,
+    memoryMb,
+  }: Pick<SoakPlan, "routers" | "engines" | "memoryMb">): Promise<SoakFleet> {
     const store = await StandInStore.create();
     const folder = await mkdtemp(path.join(os.tmpdir(), "soak-"));
     const fleet = new SoakFleet(store, folder);
@@ -83,7 +86,7 @@
         deskServices[index % deskServices.length] ?? "",
         zoneOf(index >> 1),
       );
-    await fleet.startRouters(routers);
+    await fleet.startRouters(routers, memoryMb);
     return fleet;
   }
 
@@ -188,7 +191,7 @@
     await rm(this.folder, { recursive: true, force: true });
   }
 
-  private async startRouters(count: number): Promise<void> {
+  private async startRouters(count: number, memoryMb: number): Promise<void> {
     const starting = Array.from({ length: count }, async (_, index) => {
       const link = await FaultProxy.create(this.store.address.port);
       this.storeLinks[index] = link;
@@ -199,9 +202,7 @@
         ip: `127.${String(1 + (process.pid % 250))}.${String((process.pid >> 8) % 250)}.${String(10 + index)}`,
         storePort: link.port,
         folder: this.folder,
-        onUnexpectedExit: (code) => {
-          this.ownEnds.push({ router: index, at: Date.now(), code });
-        },
+        memoryMb,
       });
     });
     await Promise.all(starting);
--- a/bench/src/soak/soakRouter.ts
+++ b/bench/src/soak/soakRouter.ts
@@ -1,67 +1,30 @@
 /** Starts, signals and restarts a router process of a soak test, and probes its readiness. */
 
+import { cp, writeFile } from "node:fs/promises";
 import { request } from "node:http";
-import { readFile, writeFile } from "node:fs/promises";
 import path from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import {
+  deployArguments,
+  repositoryRoot,
+  type ProcessEnd,
+} from "@cardamomglade/users-platform/testing/bundledRelay";
 import { pollUntil } from "../harness/pollUntil.js";
-import { startProcess, type StartedProcess } from "../harness/processes.js";
-
-/** Settings of a router and its callback. */
-export interface SoakRouterOptions {
-  readonly index: number;
-  readonly zone: string;
-  /** Loopback address that only this router uses. */
-  readonly ip: string;
-  /** Port at which this router connects to the store (a fault proxy). */
-  readonly storePort: number;
-  readonly folder: string;
-  /** Called when the process exits without having been stopped or killed. */
-  readonly onUnexpectedExit: (code: number | null) => void;
-}
+import { startNodeProcess, type StartedProcess } from "../harness/processes.js";
+import { canHangUp, readUsage } from "./processUsage.js";
+import {
+  frontPort,
+  readinessPort,
+  soakBounds,
+  soakSettings,
+  type SoakRouterOptions,
+} from "./soakSettings.js";
+import type { RouterUsage, UnexpectedExit } from "./types.js";
 
-/** Time and retry limits of the system under test; the checks use the same values. */
-export const soakBounds = {
-  drainTimeoutMs: 2000,
-  graceMs: 8000,
-  maxContactAgeMs: 3000,
-  configApplyMs: 2000,
-  rollbackSlackMs: 250,
-  retryBudgetRatio: 0.8,
-  extraRetryCount: 60,
-  retryWindowMs: 10_000,
-} as const;
-
-const frontPort = 8740;
-const readinessPort = 8749;
-const peerPort = 7200;
 const probeIntervalMs = 200; // two failed readiness probes take a router out of rotation
 const readyTimeoutMs = 15_000;
 const hangUpPollMs = 5;
-const hangUpBit = 1n; // of a mask of signals: SIGHUP has the number 1
-
-const settingsText = (
-  options: SoakRouterOptions,
-  extraRetryCount: number,
-): string => {
-  const { index, zone, ip, storePort } = options;
-  return `node_name = "router-${String(index)}"
-ip = "${ip}"
-zone = "${zone}"
-internal_port_range = [${String(peerPort)}, ${String(peerPort)}]
-[listen]
-front = "${ip}:${String(frontPort)}"
-readiness = "${ip}:${String(readinessPort)}"
-[bounds]
-drain_timeout_ms = ${String(soakBounds.drainTimeoutMs)}
-grace_period_s = ${String(soakBounds.graceMs / 1000)}
-retry_budget_ratio = ${String(soakBounds.retryBudgetRatio)}
-budget_window_s = ${String(soakBounds.retryWindowMs / 1000)}
-budget_extra_retries = ${String(extraRetryCount)}
-[platform]
-address = "127.0.0.1:${String(storePort)}"
-`;
-};
+const restartDelayMs = 300; // the platform starts a process that has ended again after a short delay
 
 const probeReadiness = (host: string): Promise<boolean> =>
   new Promise((resolve) => {
@@ -84,21 +47,7 @@
     probe.end();
   });
 
-/**
- * Whether a process handles SIGHUP, or has ended. Until Node.js runs the router's first
- * line, the signal ends it: no router can help that.
- */
-const canHangUp = async (pid: number): Promise<boolean> => {
-  try {
-    const status = await readFile(`/proc/${String(pid)}/status`, "utf8");
-    const caught = /^SigCgt:\s*(\w+)/m.exec(status)?.[1] ?? "0";
-    return (BigInt(`0x${caught}`) & hangUpBit) !== 0n;
-  } catch {
-    return true; // it has ended
-  }
-};
-
-/** A router across restarts of its process. */
+/** A router across restarts of its process, which runs the bundle as the deploy file does. */
 export class SoakRouter {
   readonly host: string;
   readonly port = frontPort;
@@ -106,8 +55,11 @@
   life = 0;
   /** Whether new connections are sent to this router. */
   isInRotation = false;
-  /** Whether a fault is restarting the process. */
+  /** Whether a fault, or the platform after an unexpected exit, is restarting the process. */
   isRestarting = false;
+  readonly unexpectedExits: UnexpectedExit[] = [];
+  /** What each of its processes used at most, by incarnation. */
+  private readonly usages = new Map<number, RouterUsage>();
   private process: StartedProcess | undefined;
   private readonly lines: Readonly<Record<string, unknown>>[] = [];
   private isExpectedRunning = false;
@@ -119,6 +71,7 @@
 
   static async create(options: SoakRouterOptions): Promise<SoakRouter> {
     const router = new SoakRouter(options);
+    await router.copyBundle();
     await router.writeSettings(soakBounds.extraRetryCount);
     await router.start();
     return router;
@@ -129,6 +82,11 @@
     return [...this.lines, ...(this.process?.lines ?? [])];
   }
 
+  /** Returns what each of its processes used at most. */
+  peakUsages(): readonly RouterUsage[] {
+    return [...this.usages.values()];
+  }
+
   signal(signal: NodeJS.Signals): void {
     this.process?.signal(signal);
   }
@@ -139,11 +97,13 @@
     await this.process?.exited;
   }
 
-  /** Stops the process gracefully and returns its exit code. */
-  async stop(): Promise<number | null> {
+  /** Stops the process gracefully; an exit with an error is recorded. */
+  async stop(): Promise<void> {
     this.isExpectedRunning = false;
-    const code = await this.process?.stop(soakBounds.graceMs);
-    return code ?? null;
+    const { process, life } = this;
+    const end = await process?.stop(soakBounds.graceMs);
+    if (process !== undefined && end !== undefined && end.code !== 0)
+      this.recordExit(process, life, end);
   }
 
   /** Starts a new process and waits until it is ready. */
@@ -151,16 +111,19 @@
     this.lines.push(...(this.process?.lines ?? []));
     this.isExpectedRunning = true;
     this.life += 1;
-    const started = startProcess({
+    const { life } = this;
+    const started = startNodeProcess({
       name: `router-${String(this.options.index)}`,
-      script: "relay",
-      args: [],
+      args: deployArguments(),
+      folder: this.folder(),
       env: { CARDAMOMGLADE_BOOT: this.settingsFile() },
+      readsStandardError: true,
     });
     this.process = started;
-    void started.exited.then((code) => {
-      if (this.isExpectedRunning && this.process === started)
-        this.options.onUnexpectedExit(code);
+    void started.exited.then(async (end) => {
+      if (!this.isExpectedRunning || this.process !== started) return;
+      this.recordExit(started, life, end);
+      await this.startAgain();
     });
     const readReady = async () =>
       (await probeReadiness(this.host)) || undefined;
@@ -170,6 +133,11 @@
   /** Changes a limit in the settings file and signals the router to reload it. */
   async reload(): Promise<void> {
     await this.writeSettings(soakBounds.extraRetryCount - 1);
+    await this.hangUp();
+  }
+
+  /** Sends SIGHUP once the process handles it. */
+  async hangUp(): Promise<void> {
     const { process } = this;
     if (process === undefined) return;
     const readHandled = async () => (await canHangUp(process.pid)) || undefined;
@@ -177,25 +145,77 @@
     process.signal("SIGHUP");
   }
 
-  /** Probes readiness periodically, as the platform's load balancer does, until `until` returns true. */
-  async watchReadiness(until: () => boolean): Promise<void> {
+  /** Probes readiness and reads what the process uses periodically, until `until` returns true. */
+  async watch(until: () => boolean): Promise<void> {
     while (!until()) {
       const isReady = await probeReadiness(this.host);
       this.failedProbeCount = isReady ? 0 : this.failedProbeCount + 1;
       this.isInRotation = this.failedProbeCount < 2;
+      await this.recordUsage();
       await sleep(probeIntervalMs);
     }
   }
 
+  private async startAgain(): Promise<void> {
+    if (this.isRestarting) return;
+    this.isRestarting = true;
+    await sleep(restartDelayMs);
+    if (this.isExpectedRunning) await this.start();
+    this.isRestarting = false;
+  }
+
+  private recordExit(
+    { lastOutput }: StartedProcess,
+    life: number,
+    end: ProcessEnd,
+  ): void {
+    const router = this.options.index;
+    const at = Date.now();
+    this.unexpectedExits.push({ router, life, at, ...end, lastOutput });
+  }
+
+  private async recordUsage(): Promise<void> {
+    const { process, life } = this;
+    if (process === undefined) return;
+    const usage = await readUsage(process.pid);
+    if (usage === undefined) return;
+    const before = this.usages.get(life);
+    this.usages.set(life, {
+      router: this.options.index,
+      life,
+      at: Date.now(),
+      peakMemoryMb: usage.peakMemoryMb,
+      descriptorCount: Math.max(
+        usage.descriptorCount,
+        before?.descriptorCount ?? 0,
+      ),
+    });
+  }
+
+  /** Its own copy of the bundle, so that a fault may damage it. */
+  private folder(): string {
+    return path.join(
+      this.options.folder,
+      `router-${String(this.options.index)}`,
+    );
+  }
+
+  private async copyBundle(): Promise<void> {
+    await cp(
+      path.join(repositoryRoot, "target"),
+      path.join(this.folder(), "target"),
+      { recursive: true },
+    );
+  }
+
   private settingsFile(): string {
-    const { folder, index } = this.options;
-    return path.join(folder, `router-${String(index)}.toml`);
+    return path.join(this.folder(), "boot.toml");
   }
 
   private async writeSettings(extraRetryCount: number): Promise<void> {
     await writeFile(
       this.settingsFile(),
-      settingsText(this.options, extraRetryCount),
+      soakSettings(this.options, extraRetryCount),
     );
   }
 }
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -1,5 +1,8 @@
 /** Types of a soak test: its schedule, and what callers and replicas recorded. */
 
+import type { ProcessEnd } from "@cardamomglade/users-platform/testing/bundledRelay";
+import type { ProcessUsage } from "./processUsage.js";
+
 /** Types of requests that callers send. */
 export enum RequestType {
   /** A stream that may be resumed on another replica. */
@@ -49,6 +52,8 @@
 export interface SoakPlan {
   readonly routers: number;
   readonly engines: number;
+  /** Memory limit of each router's machine. */
+  readonly memoryMb: number;
   readonly faults: readonly PlannedSoakFault[];
   /** No fault starts after this time. */
   readonly faultsEndMs: number;
@@ -110,10 +115,19 @@
 }
 
 /** A router process that exited unexpectedly, or with an error when it was stopped. */
-export interface UnexpectedExit {
+export interface UnexpectedExit extends ProcessEnd {
   readonly router: number;
+  readonly life: number;
+  readonly at: number;
+  /** Its last lines of standard output and standard error. */
+  readonly lastOutput: readonly string[];
+}
+
+/** What one process of a router used at most. */
+export interface RouterUsage extends ProcessUsage {
+  readonly router: number;
+  readonly life: number;
   readonly at: number;
-  readonly code: number | null;
 }
 
 /** A replica that the store lists as draining. */
@@ -130,6 +144,9 @@
   readonly leaving: readonly LeavingReplica[];
   readonly faults: readonly FaultSpan[];
   readonly ownEnds: readonly UnexpectedExit[];
+  readonly usages: readonly RouterUsage[];
+  /** Memory limit of each process. */
+  readonly memoryMb: number;
   /** Time from which all faults have ended and the fleet must have recovered. */
   readonly calmFrom: number;
 }
@@ -147,7 +164,9 @@
     | "plannedStop"
     | "repeats"
     | "recovery"
-    | "staysUp";
+    | "staysUp"
+    | "memory"
+    | "descriptors";
   readonly requestId: string;
   readonly message: string;
 }
