--- a/bench/src/experiments/soak.ts
+++ b/bench/src/experiments/soak.ts
@@ -4,11 +4,23 @@
 import { checkSoak } from "../soak/checkSoak.js";
 import { formatSoakFault, planSoak } from "../soak/planSoak.js";
 import { runSoak } from "../soak/runSoak.js";
-import type { Outcome, SoakRecord } from "../soak/types.js";
+import type { Outcome, SoakRecord, SoakViolation } from "../soak/types.js";
 import type { Experiment, Row } from "../types.js";
 
 const roundCount = 6;
-const maxPrintedViolationCount = 12;
+const maxPrintedPerPromise = 6;
+
+const printViolations = (violations: readonly SoakViolation[]): void => {
+  const countOfPromise = new Map<string, number>();
+  for (const { promise, requestId, message } of violations) {
+    const count = (countOfPromise.get(promise) ?? 0) + 1;
+    countOfPromise.set(promise, count);
+    if (count <= maxPrintedPerPromise)
+      console.log(`${promise}: ${requestId}: ${message}`);
+  }
+  for (const [promise, count] of countOfPromise)
+    console.log(`${promise}: ${String(count)} violations`);
+};
 
 const countOf = ({ answers }: SoakRecord, type: Outcome["type"]): number =>
   answers.filter(({ outcome }) => outcome.type === type).length;
@@ -43,11 +55,7 @@
     for (const fault of plan.faults) console.log(formatSoakFault(fault));
     const run = await runSoak(plan, seed);
     const violations = checkSoak(run.record);
-    for (const { promise, requestId, message } of violations.slice(
-      0,
-      maxPrintedViolationCount,
-    ))
-      console.log(`${promise}: ${requestId}: ${message}`);
+    printViolations(violations);
     if (violations.length > 0)
       console.log(`logs saved in ${await saveSoakLogs(seed, run)}`);
     return rowsOf(run.record, violations.length);
--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -1,6 +1,7 @@
 /** Checks the guarantees of the relay against what callers and replicas recorded. */
 
 import { assertNever } from "@cardamomglade/common";
+import { processFaultTypes, restartFaultTypes } from "./planProcessFaults.js";
 import { requestTimeoutMs } from "./soakCaller.js";
 import { soakBounds } from "./soakSettings.js";
 import {
@@ -15,12 +16,13 @@
 
 const arrivalSlackMs = 150; // network delay of a request that was sent in time
 const deadlineSlackMs = 300; // network delay, and some timer ticks of a busy router
-const shownLineCount = 3; // of a process that ended
+const shownLineCount = 8; // of a process that ended
 const notRunStatuses = new Set([408, 421, 429, 503]);
 const refusalStatuses = new Set([...notRunStatuses, 401]);
 const storeFaultTypes = new Set(["storeBusy", "storeSilent", "storeRestore"]);
 const routerFaultTypes = new Set(["routerKill", "routerPause", "storeCut"]);
-const plannedFaultTypes = new Set([
+const plannedFaultTypes = new Set<string>([
+  ...processFaultTypes,
   "routerStop",
   "routerReload",
   "configChange",
@@ -187,7 +189,9 @@
   );
 
 const checkPlannedStop: Check = ({ record, runsOf }) => {
-  const stops = record.faults.filter(({ type }) => type === "routerStop");
+  const stops = record.faults.filter(
+    ({ type }) => type === "routerStop" || restartFaultTypes.has(type),
+  );
   const unplanned = record.faults.filter(
     ({ type }) => !plannedFaultTypes.has(type) && !silenceTypes.has(type),
   );
@@ -236,10 +240,13 @@
     : undefined;
 };
 
-/** A replica that falls silent for about a second and goes on is no reason to lose a request. */
+/** A replica that falls silent for about a second and goes on, or a router that is restarted in the planned way, is no reason to lose a request. */
 const checkNotLost: Check = ({ record }) => {
   const others = record.faults.filter(
-    ({ type }) => type !== "configChange" && !silenceTypes.has(type),
+    ({ type }) =>
+      type !== "configChange" &&
+      !silenceTypes.has(type) &&
+      !processFaultTypes.has(type),
   );
   return record.answers.flatMap((answer) => {
     const { requestId, sentAt, endedAt } = answer;
--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -1,12 +1,12 @@
 /** Injects a planned fault into the fleet of a soak test and returns its span. */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import { assertNever } from "@cardamomglade/common";
 import type { StoreBehaviour } from "@cardamomglade/users-platform/testing/standInStore";
 import {
   LinkState,
   type FaultProxy,
 } from "@cardamomglade/common/testing/faultProxy";
+import { injectProcessFault } from "./injectProcessFault.js";
 import { setFaultModeFor, type SoakFleet } from "./soakFleet.js";
 import { ReplicaFaultMode } from "./soakReplica.js";
 import { soakBounds } from "./soakSettings.js";
@@ -146,7 +146,11 @@
     case "streamSilent":
       return fleet.endpointAt(action.replica).replica.silenceStream(durationMs);
     default:
-      return assertNever(action);
+      return injectProcessFault(
+        fleet.routerAt(action.router),
+        action,
+        durationMs,
+      );
   }
 };
 
--- a/bench/src/soak/planSoak.ts
+++ b/bench/src/soak/planSoak.ts
@@ -1,10 +1,18 @@
 /** Builds the fault schedule of a soak test from a seed, in rounds that overlap. */
 
 import { SeededRandom } from "../faults/seededRandom.js";
+import { planProcessFaults } from "./planProcessFaults.js";
 import { planSilences } from "./planSilences.js";
-import type { PlannedSoakFault, SoakAction, SoakPlan } from "./types.js";
+import type {
+  PlannedSoakFault,
+  ProcessAction,
+  SoakAction,
+  SoakPlan,
+} from "./types.js";
 
-const actionTypes: readonly SoakAction["type"][] = [
+type RoundActionType = Exclude<SoakAction["type"], ProcessAction["type"]>;
+
+const actionTypes: readonly RoundActionType[] = [
   "routerKill",
   "routerStop",
   "routerPause",
@@ -43,7 +51,7 @@
 export const deskReplicaCount = 6;
 
 const chooseTarget = (
-  type: SoakAction["type"],
+  type: RoundActionType,
   random: SeededRandom,
   routers: number,
   replicas: number,
@@ -104,13 +112,25 @@
     seriesFromMs: roundsEndMs + settleMs,
   });
   faults.push(...silences);
+  const silencesEndMs = Math.max(
+    roundsEndMs,
+    ...silences.map((one) => one.startMs + one.durationMs),
+  );
+  const processFaults = planProcessFaults({
+    seed,
+    rounds,
+    routers,
+    firstMs: firstRoundMs,
+    seriesFromMs: silencesEndMs,
+  });
+  faults.push(...processFaults);
   faults.sort((a, b) => a.startMs - b.startMs);
   return {
     routers,
     engines,
     memoryMb: memoryLimitsMb[seed % memoryLimitsMb.length] ?? 0,
     faults,
-    faultsEndMs: Math.max(roundsEndMs, ...silences.map((one) => one.startMs)),
+    faultsEndMs: Math.max(roundsEndMs, ...faults.map((one) => one.startMs)),
   };
 };
 
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -3,7 +3,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { SeededRandom } from "../faults/seededRandom.js";
 import { injectSoakFault } from "./injectSoakFault.js";
-import { closeCallerConnections, sendRequest } from "./soakCaller.js";
+import {
+  closeCallerConnections,
+  hasOpenConnection,
+  sendRequest,
+} from "./soakCaller.js";
 import { SoakFleet, permanentKey } from "./soakFleet.js";
 import type { SoakRouter } from "./soakRouter.js";
 import {
@@ -23,6 +27,7 @@
 const newestKeyPercent = 15;
 const previousKeyPercent = 30;
 const leavingPercent = 3;
+const stayingPercent = 50;
 const minStayMs = 100;
 const staySpreadMs = 500;
 
@@ -51,12 +56,16 @@
     : { key: `key-${String(keyVersion)}`, keyVersion };
 };
 
+// Some callers use a connection that they have open, until the process closes it.
 // If no router is in rotation, connections go to all routers.
 const pickRouter = (
   { routers }: SoakFleet,
   random: SeededRandom,
 ): SoakRouter => {
-  const inRotation = routers.filter(({ isInRotation }) => isInRotation);
+  const isStaying = random.nextInteger(percentRange) < stayingPercent;
+  const inRotation = routers.filter(
+    (router) => router.isInRotation || (isStaying && hasOpenConnection(router)),
+  );
   const candidates = inRotation.length > 0 ? inRotation : routers;
   const router = candidates[random.nextInteger(candidates.length)];
   if (router === undefined) throw new Error("fleet has no routers");
--- a/bench/src/soak/soak.test.ts
+++ b/bench/src/soak/soak.test.ts
@@ -1,12 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { checkSoak } from "./checkSoak.js";
+import { processFaultTypes } from "./planProcessFaults.js";
 import { formatSoakFault, planSoak } from "./planSoak.js";
 import { runSoak } from "./runSoak.js";
+import type { PlannedSoakFault } from "./types.js";
 
 const roundCount = 2;
 const roundsEndMs = 8500;
 
+const isProcessFault = ({ action }: PlannedSoakFault): boolean =>
+  processFaultTypes.has(action.type);
+
 const isSilence = (type: string): boolean =>
   type === "replicaSilent" || type === "streamSilent";
 
@@ -21,10 +26,12 @@
     assert.equal(restores.length, roundCount / 2);
     const silences = plan.faults.filter(({ action }) => isSilence(action.type));
     assert.ok(silences.length >= 8 * roundCount);
-    // Beside each series of silences, the configuration changes.
+    const processFaults = plan.faults.filter(isProcessFault);
+    assert.equal(processFaults.length, 6 * roundCount);
+    // Beside each series of silences and of process faults, the configuration changes.
     assert.equal(
-      plan.faults.length - silences.length,
-      5 * roundCount + restores.length + roundCount,
+      plan.faults.length - silences.length - processFaults.length,
+      5 * roundCount + restores.length + 2 * roundCount,
     );
   }
 });
@@ -32,7 +39,10 @@
 // The seed stands for what it once found.
 test("the faults of a seed that was kept change with the generator", () => {
   const kept = planSoak(7, roundCount).faults.filter(
-    ({ action, startMs }) => !isSilence(action.type) && startMs < roundsEndMs,
+    (fault) =>
+      !isSilence(fault.action.type) &&
+      !isProcessFault(fault) &&
+      fault.startMs < roundsEndMs,
   );
   assert.deepEqual(kept.map(formatSoakFault), [
     "at 2038 ms for 610 ms: linkOneWay replica 4",
@@ -49,7 +59,15 @@
   ]);
 });
 
-test("a short soak breaks no promise", { timeout: 60_000 }, async () => {
+test("the seeds together have each fault of a process", () => {
+  const planned = Array.from({ length: 10 }, (_, seed) =>
+    planSoak(seed, roundCount).faults.filter(isProcessFault),
+  ).flat();
+  const types = new Set<string>(planned.map(({ action }) => action.type));
+  assert.deepEqual(types, processFaultTypes);
+});
+
+test("a short soak breaks no promise", { timeout: 120_000 }, async () => {
   const seed = 7;
   const { record } = await runSoak(planSoak(seed, roundCount), seed);
   assert.deepEqual(checkSoak(record), []);
--- a/bench/src/soak/soakCaller.ts
+++ b/bench/src/soak/soakCaller.ts
@@ -46,6 +46,10 @@
   return agent;
 };
 
+/** Whether callers have an idle connection open to a router's present process. */
+export const hasOpenConnection = (router: SoakRouter): boolean =>
+  Object.keys(agentOf(router).freeSockets).length > 0;
+
 /** Closes all kept-alive connections of callers. */
 export const closeCallerConnections = (): void => {
   for (const agent of agents.values()) agent.destroy();
--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -33,6 +33,11 @@
 const zones = ["zone-a", "zone-b", "zone-c"];
 const engineService = "engines";
 const deskServices = ["desk-0", "desk-1"];
+/** Takes large bodies and gives large answers; its few slots make requests wait. */
+const largeService = "large";
+const largeReplicaCount = 2;
+const slotCount = 48;
+const largeSlotCount = 2;
 const entryExpiryMs = 1200; // the store entry of a crashed replica expires after some missed heartbeats
 const replacementDelayMs = 800;
 
@@ -86,6 +91,8 @@
         deskServices[index % deskServices.length] ?? "",
         zoneOf(index >> 1),
       );
+    for (let index = 0; index < largeReplicaCount; index += 1)
+      await fleet.addEndpoint(largeService, zoneOf(index));
     await fleet.startRouters(routers, memoryMb);
     return fleet;
   }
@@ -105,6 +112,13 @@
     );
   }
 
+  routerAt(index: number): SoakRouter {
+    const router = this.routers[index];
+    if (router === undefined)
+      throw new Error("fleet has no router with this index");
+    return router;
+  }
+
   /** Returns the proxy between a router and the store. */
   storeLink(router: number): FaultProxy {
     const link = this.storeLinks[router];
@@ -123,10 +137,11 @@
         route("/stream/", "streaming", engineService),
         route("/book/", "non_idempotent", service),
         route("/check/", "idempotent", service),
+        route("/large/", "idempotent", largeService),
       ],
       services: [
         { name: engineService, inference_engine: { backups: true } },
-        ...deskServices.map((name) => ({ name })),
+        ...[...deskServices, largeService].map((name) => ({ name })),
       ],
       tenants: [
         { name: "owner", api_keys: [permanentKey, `key-${String(version)}`] },
@@ -251,7 +266,7 @@
       address: `127.0.0.1:${String(proxy.port)}`,
       zone,
       version: "v1",
-      slot_count: 48,
+      slot_count: service === largeService ? largeSlotCount : slotCount,
       state,
       born: replica.startedAt,
       sequence: this.reportCount,
--- a/bench/src/soak/soakReplica.ts
+++ b/bench/src/soak/soakReplica.ts
@@ -30,7 +30,11 @@
   readonly onArrival: (arrival: Arrival) => void;
 }
 
+/** Header that states how large the answer has to be. */
+export const answerBytesHeader = "soak-answer-bytes";
+
 const slotCount = 48;
+const largeAnswerDelayMs = 300;
 const firstEventDelayMs = 120;
 const eventIntervalMs = 25;
 const responseDelayMs = 30;
@@ -193,9 +197,20 @@
     const isStream = req.url?.startsWith("/stream/") === true;
     const from = Number(header("last-event-id") || 0);
     const isResumedFromCopy = source !== "";
-    void (isStream
-      ? this.stream(res, requestId, from, isResumedFromCopy)
-      : this.answer(res, requestId));
+    const isLarge = req.url?.startsWith("/large/") === true;
+    if (isLarge)
+      void this.answerLarge(res, Number(header(answerBytesHeader) || 0));
+    else
+      void (isStream
+        ? this.stream(res, requestId, from, isResumedFromCopy)
+        : this.answer(res, requestId));
+  }
+
+  private async answerLarge(res: ServerResponse, bytes: number): Promise<void> {
+    await sleepUnlessClosed(largeAnswerDelayMs, res);
+    if (res.destroyed) return;
+    res.writeHead(200, { "content-length": bytes });
+    res.end(Buffer.alloc(bytes, "x"));
   }
 
   private async answer(res: ServerResponse, requestId: string): Promise<void> {
--- a/bench/src/soak/soakRouter.ts
+++ b/bench/src/soak/soakRouter.ts
@@ -1,6 +1,6 @@
 /** Starts, signals and restarts a router process of a soak test, and probes its readiness. */
 
-import { cp, writeFile } from "node:fs/promises";
+import { cp, readFile, rm, writeFile } from "node:fs/promises";
 import { request } from "node:http";
 import path from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -9,6 +9,7 @@
   repositoryRoot,
   type ProcessEnd,
 } from "@cardamomglade/users-platform/testing/bundledRelay";
+import { assertNever } from "@cardamomglade/common";
 import { pollUntil } from "../harness/pollUntil.js";
 import { startNodeProcess, type StartedProcess } from "../harness/processes.js";
 import { canHangUp, readUsage } from "./processUsage.js";
@@ -19,11 +20,16 @@
   soakSettings,
   type SoakRouterOptions,
 } from "./soakSettings.js";
-import type { RouterUsage, UnexpectedExit } from "./types.js";
+import {
+  SettingsDamage,
+  type RouterUsage,
+  type UnexpectedExit,
+} from "./types.js";
 
 const probeIntervalMs = 200; // two failed readiness probes take a router out of rotation
 const readyTimeoutMs = 15_000;
 const hangUpPollMs = 5;
+const damagedByteCount = 40;
 const restartDelayMs = 300; // the platform starts a process that has ended again after a short delay
 
 const probeReadiness = (host: string): Promise<boolean> =>
@@ -55,13 +61,14 @@
   life = 0;
   /** Whether new connections are sent to this router. */
   isInRotation = false;
-  /** Whether a fault, or the platform after an unexpected exit, is restarting the process. */
+  /** Whether a fault is restarting the process. */
   isRestarting = false;
   readonly unexpectedExits: UnexpectedExit[] = [];
   /** What each of its processes used at most, by incarnation. */
   private readonly usages = new Map<number, RouterUsage>();
   private process: StartedProcess | undefined;
-  private readonly lines: Readonly<Record<string, unknown>>[] = [];
+  private readonly ended: StartedProcess[] = [];
+  private readonly recorded = new Set<StartedProcess>();
   private isExpectedRunning = false;
   private failedProbeCount = 0;
 
@@ -79,7 +86,8 @@
 
   /** Returns the log lines of all its processes. */
   log(): readonly Readonly<Record<string, unknown>>[] {
-    return [...this.lines, ...(this.process?.lines ?? [])];
+    const last = this.process === undefined ? [] : [this.process];
+    return [...this.ended, ...last].flatMap(({ lines }) => lines);
   }
 
   /** Returns what each of its processes used at most. */
@@ -100,15 +108,18 @@
   /** Stops the process gracefully; an exit with an error is recorded. */
   async stop(): Promise<void> {
     this.isExpectedRunning = false;
-    const { process, life } = this;
-    const end = await process?.stop(soakBounds.graceMs);
-    if (process !== undefined && end !== undefined && end.code !== 0)
-      this.recordExit(process, life, end);
+    await this.stopProcess();
+  }
+
+  /** Starts the next process at once, beside the one that is told to stop. */
+  async startBeside(): Promise<void> {
+    const stopping = this.stopProcess();
+    await Promise.all([stopping, this.start()]);
   }
 
   /** Starts a new process and waits until it is ready. */
   async start(): Promise<void> {
-    this.lines.push(...(this.process?.lines ?? []));
+    if (this.process !== undefined) this.ended.push(this.process);
     this.isExpectedRunning = true;
     this.life += 1;
     const { life } = this;
@@ -123,7 +134,7 @@
     void started.exited.then(async (end) => {
       if (!this.isExpectedRunning || this.process !== started) return;
       this.recordExit(started, life, end);
-      await this.startAgain();
+      await this.startAgain(started);
     });
     const readReady = async () =>
       (await probeReadiness(this.host)) || undefined;
@@ -133,16 +144,54 @@
   /** Changes a limit in the settings file and signals the router to reload it. */
   async reload(): Promise<void> {
     await this.writeSettings(soakBounds.extraRetryCount - 1);
-    await this.hangUp();
+    await this.signalHandled("SIGHUP");
   }
 
-  /** Sends SIGHUP once the process handles it. */
-  async hangUp(): Promise<void> {
+  /** Sends a signal once the process has run its first line. */
+  async signalHandled(signal: NodeJS.Signals): Promise<void> {
     const { process } = this;
     if (process === undefined) return;
     const readHandled = async () => (await canHangUp(process.pid)) || undefined;
     await pollUntil(readHandled, hangUpPollMs, readyTimeoutMs);
-    process.signal("SIGHUP");
+    process.signal(signal);
+  }
+
+  async damageSettings(damage: SettingsDamage): Promise<void> {
+    const file = this.settingsFile();
+    const text = soakSettings(this.options, soakBounds.extraRetryCount);
+    switch (damage) {
+      case SettingsDamage.Empty:
+        return writeFile(file, "");
+      case SettingsDamage.HalfWritten:
+        return writeFile(file, text.slice(0, text.length / 2));
+      case SettingsDamage.Removed:
+        return rm(file, { force: true });
+      default:
+        return assertNever(damage);
+    }
+  }
+
+  restoreSettings(): Promise<void> {
+    return this.writeSettings(soakBounds.extraRetryCount);
+  }
+
+  /** Changes bytes all over the code cache of this router's copy of the bundle, but for its head. */
+  async damageCache(): Promise<void> {
+    const file = path.join(this.folder(), "target/relay.cache");
+    const bytes = await readFile(file);
+    const step = Math.ceil(bytes.length / damagedByteCount);
+    for (let at = step; at < bytes.length; at += step)
+      bytes[at] = ~(bytes[at] ?? 0) & 0xff;
+    await writeFile(file, bytes);
+  }
+
+  /** Copies the bundle, so that a fault may damage it. */
+  async copyBundle(): Promise<void> {
+    await cp(
+      path.join(repositoryRoot, "target"),
+      path.join(this.folder(), "target"),
+      { recursive: true },
+    );
   }
 
   /** Probes readiness and reads what the process uses periodically, until `until` returns true. */
@@ -156,20 +205,27 @@
     }
   }
 
-  private async startAgain(): Promise<void> {
-    if (this.isRestarting) return;
-    this.isRestarting = true;
+  private async startAgain(ended: StartedProcess): Promise<void> {
     await sleep(restartDelayMs);
-    if (this.isExpectedRunning) await this.start();
-    this.isRestarting = false;
+    if (this.isExpectedRunning && this.process === ended) await this.start();
+  }
+
+  private async stopProcess(): Promise<void> {
+    const { process, life } = this;
+    const end = await process?.stop(soakBounds.graceMs);
+    if (process !== undefined && end !== undefined && end.code !== 0)
+      this.recordExit(process, life, end);
   }
 
   private recordExit(
-    { lastOutput }: StartedProcess,
+    process: StartedProcess,
     life: number,
     end: ProcessEnd,
   ): void {
+    if (this.recorded.has(process)) return;
+    this.recorded.add(process);
     const router = this.options.index;
+    const { lastOutput } = process;
     const at = Date.now();
     this.unexpectedExits.push({ router, life, at, ...end, lastOutput });
   }
@@ -192,7 +248,6 @@
     });
   }
 
-  /** Its own copy of the bundle, so that a fault may damage it. */
   private folder(): string {
     return path.join(
       this.options.folder,
@@ -200,14 +255,6 @@
     );
   }
 
-  private async copyBundle(): Promise<void> {
-    await cp(
-      path.join(repositoryRoot, "target"),
-      path.join(this.folder(), "target"),
-      { recursive: true },
-    );
-  }
-
   private settingsFile(): string {
     return path.join(this.folder(), "boot.toml");
   }
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -13,8 +13,52 @@
   Check = "check",
 }
 
+/** How a settings file is damaged until it is restored. */
+export enum SettingsDamage {
+  Empty = "empty",
+  HalfWritten = "halfWritten",
+  Removed = "removed",
+}
+
+/** How callers send large bodies. */
+export enum BodyPace {
+  Whole = "whole",
+  /** All but the last bytes, and then nothing. */
+  Stalled = "stalled",
+  Slow = "slow",
+}
+
+/** A fault of a router's process, of its files, or of callers that take its memory. */
+export type ProcessAction =
+  | {
+      readonly type:
+        /** A planned stop with more SIGTERMs within the drain. */
+        | "routerStopAgain"
+        /** A planned stop; the next process starts beside the one that drains. */
+        | "routerStartBeside"
+        | "routerHangUps"
+        | "routerUserSignals"
+        /** The code cache is damaged before a planned restart. */
+        | "cacheDamaged"
+        /** Callers leave large answers unread. */
+        | "unreadAnswers";
+      readonly router: number;
+    }
+  | {
+      /** The settings are damaged while the process runs, or at a planned restart. */
+      readonly type: "settingsDamaged" | "settingsDamagedAtStart";
+      readonly router: number;
+      readonly damage: SettingsDamage;
+    }
+  | {
+      readonly type: "largeBodies";
+      readonly router: number;
+      readonly pace: BodyPace;
+    };
+
 /** A fault or operator action, and its target. */
 export type SoakAction =
+  | ProcessAction
   | {
       readonly type: "routerKill" | "routerStop" | "routerPause";
       readonly router: number;
