--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -29,6 +29,7 @@
   "replicaDrain",
 ]);
 
+const deskRequestTypes = new Set([RequestType.Booking, RequestType.Check]);
 const silenceTypes = new Set(["replicaSilent", "streamSilent"]);
 
 type Check = (indexed: IndexedRecord) => SoakViolation[];
@@ -92,6 +93,7 @@
   const deskServices = new Set(record.versions.map(({ service }) => service));
   return record.answers.flatMap(({ requestId, requestType }) =>
     runsOf(requestId).flatMap(({ service }) => {
+      if (requestType === RequestType.Large) return [];
       const isStream = requestType === RequestType.Stream;
       if (isStream !== deskServices.has(service)) return [];
       return [{ promise: "route", requestId, message: `ran at ${service}` }];
@@ -138,7 +140,7 @@
       found.push(violation("a valid key was rejected"));
     const services = new Set(allowed.map(({ service }) => service));
     for (const { service } of runs)
-      if (requestType !== RequestType.Stream && !services.has(service))
+      if (deskRequestTypes.has(requestType) && !services.has(service))
         found.push(
           violation(
             `ran at ${service}, which only older configuration versions route to`,
--- a/bench/src/soak/heavyCallers.ts
+++ b/bench/src/soak/heavyCallers.ts
@@ -2,65 +2,64 @@
 
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { soakHostname } from "./soakCaller.js";
+import { assertNever } from "@cardamomglade/common";
+import {
+  requestTimeoutMs,
+  sendRequest,
+  soakHostname,
+  type CallerRequest,
+} from "./soakCaller.js";
 import { answerBytesHeader } from "./soakReplica.js";
-import { frontPort } from "./soakSettings.js";
-import { BodyPace } from "./types.js";
+import { BodyPace, RequestType, type CallerAnswer } from "./types.js";
+
+/** A router under heavy callers, and the key that they use. */
+export type HeavyTarget = Pick<
+  CallerRequest,
+  "router" | "routerIndex" | "key" | "keyVersion"
+>;
 
 const callerCount = 60;
 const bodyBytes = 4_000_000; // below max_body_bytes of the configuration
+const body = Buffer.alloc(bodyBytes, "x");
 const unsentBytes = 100; // of a body that stalls
 const slowChunkBytes = 100_000;
 const slowIntervalMs = 50;
-const budgetMs = 2500;
 
 let lastRequest = 0;
-
-const headOf = (key: string, bytes: number, answerBytes: number): string => {
+const nextRequestId = (): string => {
   lastRequest += 1;
-  return [
+  return `large-${String(lastRequest)}`;
+};
+
+const headOf = (key: string, bytes: number, answerBytes: number): string =>
+  [
     "POST /large/x HTTP/1.1",
     `host: ${soakHostname}`,
     `authorization: Bearer ${key}`,
-    `attempt-id: large-${String(lastRequest)}`,
-    `time-budget-ms: ${String(budgetMs)}`,
+    `attempt-id: ${nextRequestId()}`,
+    `time-budget-ms: ${String(requestTimeoutMs[RequestType.Large])}`,
     `${answerBytesHeader}: ${String(answerBytes)}`,
     `content-length: ${String(bytes)}`,
     "",
     "",
   ].join("\r\n");
-};
 
-const sendSlowly = async (socket: Socket, body: Buffer): Promise<void> => {
-  for (let from = 0; from < body.length; from += slowChunkBytes) {
+const sendSlowly = async (socket: Socket): Promise<void> => {
+  for (let from = 0; from < bodyBytes; from += slowChunkBytes) {
     if (socket.destroyed) return;
     socket.write(body.subarray(from, from + slowChunkBytes));
     await sleep(slowIntervalMs);
   }
 };
 
-const sendBody = (socket: Socket, body: Buffer, pace: BodyPace): void => {
-  switch (pace) {
-    case BodyPace.Whole:
-      socket.write(body);
-      return;
-    case BodyPace.Stalled:
-      socket.write(body.subarray(0, -unsentBytes));
-      return;
-    case BodyPace.Slow:
-      void sendSlowly(socket, body);
-      return;
-  }
-};
-
 /** Opens connections, calls `use` with each, and closes those that are left after a time. */
 const openCallers = async (
-  host: string,
+  { router }: HeavyTarget,
   durationMs: number,
   use: (socket: Socket) => void,
 ): Promise<void> => {
   const sockets = Array.from({ length: callerCount }, () => {
-    const socket = connect(frontPort, host);
+    const socket = connect(router.port, router.host);
     socket.on("error", () => undefined); // a caller that is refused, or cut off by a restart
     use(socket);
     return socket;
@@ -69,28 +68,61 @@
   for (const socket of sockets) socket.destroy();
 };
 
-/** Callers send large bodies for a time. */
-export const sendLargeBodies = (
-  host: string,
-  key: string,
-  pace: BodyPace,
+/** Callers send whole large bodies and wait for the answers; each has to end whole or refused. */
+const sendWholeBodies = (target: HeavyTarget): Promise<CallerAnswer[]> =>
+  Promise.all(
+    Array.from({ length: callerCount }, () =>
+      sendRequest({
+        ...target,
+        requestId: nextRequestId(),
+        requestType: RequestType.Large,
+        body,
+        leavesAfterMs: undefined,
+      }),
+    ),
+  );
+
+const sendPartOfBodies = (
+  target: HeavyTarget,
   durationMs: number,
-): Promise<void> => {
-  const body = Buffer.alloc(bodyBytes, "x");
-  return openCallers(host, durationMs, (socket) => {
+  sendBody: (socket: Socket) => void,
+): Promise<void> =>
+  openCallers(target, durationMs, (socket) => {
     socket.resume();
-    socket.write(headOf(key, bodyBytes, 0));
-    sendBody(socket, body, pace);
+    socket.write(headOf(target.key, bodyBytes, 0));
+    sendBody(socket);
   });
+
+/** Callers send large bodies for a time; returns how those that were sent at once ended. */
+export const sendLargeBodies = async (
+  target: HeavyTarget,
+  pace: BodyPace,
+  durationMs: number,
+): Promise<CallerAnswer[]> => {
+  switch (pace) {
+    case BodyPace.Whole:
+      return sendWholeBodies(target);
+    case BodyPace.Stalled:
+      await sendPartOfBodies(target, durationMs, (socket) => {
+        socket.write(body.subarray(0, -unsentBytes));
+      });
+      return [];
+    case BodyPace.Slow:
+      await sendPartOfBodies(target, durationMs, (socket) => {
+        void sendSlowly(socket);
+      });
+      return [];
+    default:
+      return assertNever(pace);
+  }
 };
 
 /** Callers ask for large answers and read none of them for a time. */
 export const leaveAnswersUnread = (
-  host: string,
-  key: string,
+  target: HeavyTarget,
   durationMs: number,
 ): Promise<void> =>
-  openCallers(host, durationMs, (socket) => {
+  openCallers(target, durationMs, (socket) => {
     socket.pause();
-    socket.write(headOf(key, 0, bodyBytes));
+    socket.write(headOf(target.key, 0, bodyBytes));
   });
--- a/bench/src/soak/injectProcessFault.ts
+++ b/bench/src/soak/injectProcessFault.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { assertNever } from "@cardamomglade/common";
 import { leaveAnswersUnread, sendLargeBodies } from "./heavyCallers.js";
-import { permanentKey } from "./soakFleet.js";
+import { permanentKey, type SoakFleet } from "./soakFleet.js";
 import type { SoakRouter } from "./soakRouter.js";
 import type { ProcessAction, SettingsDamage } from "./types.js";
 
@@ -68,11 +68,18 @@
 };
 
 /** Injects a fault now; resolves when it is over. */
-export const injectProcessFault = (
-  router: SoakRouter,
+export const injectProcessFault = async (
+  fleet: SoakFleet,
   action: ProcessAction,
   durationMs: number,
 ): Promise<void> => {
+  const router = fleet.routerAt(action.router);
+  const target = {
+    router,
+    routerIndex: action.router,
+    key: permanentKey,
+    keyVersion: 0,
+  };
   switch (action.type) {
     case "routerStopAgain":
       return restart(router, async () => {
@@ -106,14 +113,12 @@
         ),
       );
     case "largeBodies":
-      return sendLargeBodies(
-        router.host,
-        permanentKey,
-        action.pace,
-        durationMs,
+      fleet.largeAnswers.push(
+        ...(await sendLargeBodies(target, action.pace, durationMs)),
       );
+      return;
     case "unreadAnswers":
-      return leaveAnswersUnread(router.host, permanentKey, durationMs);
+      return leaveAnswersUnread(target, durationMs);
     default:
       return assertNever(action);
   }
--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -146,11 +146,7 @@
     case "streamSilent":
       return fleet.endpointAt(action.replica).replica.silenceStream(durationMs);
     default:
-      return injectProcessFault(
-        fleet.routerAt(action.router),
-        action,
-        durationMs,
-      );
+      return injectProcessFault(fleet, action, durationMs);
   }
 };
 
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -120,7 +120,7 @@
   const calmFrom = Date.now();
   await sleep(faultFreeMs);
   isOver = true;
-  const answers = await loading;
+  const answers = [...(await loading), ...fleet.largeAnswers];
   await Promise.all(watching);
   return { faults, calmFrom, answers };
 };
--- a/bench/src/soak/soakCaller.ts
+++ b/bench/src/soak/soakCaller.ts
@@ -16,6 +16,7 @@
   readonly routerIndex: number;
   readonly key: string;
   readonly keyVersion: number;
+  readonly body?: Buffer;
   /** Time after which the caller closes the connection. */
   readonly leavesAfterMs: number | undefined;
 }
@@ -24,6 +25,7 @@
   [RequestType.Stream]: "/stream/x",
   [RequestType.Booking]: "/book/x",
   [RequestType.Check]: "/check/x",
+  [RequestType.Large]: "/large/x",
 } as const;
 
 /** Time budget that a request states, by its type. */
@@ -31,8 +33,10 @@
   [RequestType.Stream]: 12_000,
   [RequestType.Booking]: 2500,
   [RequestType.Check]: 2500,
+  [RequestType.Large]: 2500,
 } as const;
 
+const smallBody = Buffer.from("{}");
 const timeoutMarginMs = 1000; // added to the time budget that the request states
 
 // Connections are kept alive between requests until the router closes them; one agent for each router process.
@@ -86,6 +90,7 @@
 export const sendRequest = (options: CallerRequest): Promise<CallerAnswer> =>
   new Promise((resolve) => {
     const { requestId, requestType, router, key, leavesAfterMs } = options;
+    const { body = smallBody } = options;
     const { life } = router;
     const sentAt = Date.now();
     const timers: NodeJS.Timeout[] = [];
@@ -118,7 +123,7 @@
         authorization: `Bearer ${key}`,
         "attempt-id": requestId,
         "time-budget-ms": String(requestTimeoutMs[requestType]),
-        "content-length": "2",
+        "content-length": String(body.length),
       },
     });
     const endAfter = (afterMs: number, outcome: Outcome) => {
@@ -154,5 +159,5 @@
         else finish({ type: "answered", status });
       });
     });
-    req.end("{}");
+    req.end(body);
   });
--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -13,6 +13,7 @@
 import type {
   AcceptedVersion,
   Arrival,
+  CallerAnswer,
   LeavingReplica,
   SoakPlan,
 } from "./types.js";
@@ -63,6 +64,8 @@
   readonly arrivals: Arrival[] = [];
   readonly versions: AcceptedVersion[] = [];
   readonly leaving: LeavingReplica[] = [];
+  /** How requests with large bodies ended. */
+  readonly largeAnswers: CallerAnswer[] = [];
   /** What the operator and the replicas have in the store. */
   private readonly written = new Map<string, unknown>();
   private readonly endpoints: ReplicaEndpoint[] = [];
--- a/bench/src/soak/soakReplica.ts
+++ b/bench/src/soak/soakReplica.ts
@@ -199,18 +199,25 @@
     const isResumedFromCopy = source !== "";
     const isLarge = req.url?.startsWith("/large/") === true;
     if (isLarge)
-      void this.answerLarge(res, Number(header(answerBytesHeader) || 0));
+      void this.answerLarge(res, requestId, Number(header(answerBytesHeader)));
     else
       void (isStream
         ? this.stream(res, requestId, from, isResumedFromCopy)
         : this.answer(res, requestId));
   }
 
-  private async answerLarge(res: ServerResponse, bytes: number): Promise<void> {
+  /** Answers slowly, with a given number of bytes or else with the usual body. */
+  private async answerLarge(
+    res: ServerResponse,
+    requestId: string,
+    bytes: number,
+  ): Promise<void> {
     await sleepUnlessClosed(largeAnswerDelayMs, res);
     if (res.destroyed) return;
-    res.writeHead(200, { "content-length": bytes });
-    res.end(Buffer.alloc(bytes, "x"));
+    const body =
+      bytes > 0 ? Buffer.alloc(bytes, "x") : Buffer.from(bodyText(requestId));
+    res.writeHead(200, { "content-length": body.length });
+    res.end(body);
   }
 
   private async answer(res: ServerResponse, requestId: string): Promise<void> {
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -11,6 +11,8 @@
   Booking = "booking",
   /** Idempotent: may run again. */
   Check = "check",
+  /** Idempotent, with a large body, to a service of its own. */
+  Large = "large",
 }
 
 /** How a settings file is damaged until it is restored. */
