--- a/bench/src/soak/injectProcessFault.ts
+++ b/bench/src/soak/injectProcessFault.ts
@@ -113,6 +113,7 @@
         ),
       );
     case "largeBodies":
+      if (!router.isInRotation) return;
       fleet.largeAnswers.push(
         ...(await sendLargeBodies(target, action.pace, durationMs)),
       );
