--- a/bench/src/soak/checkSoak.test.ts
+++ b/bench/src/soak/checkSoak.test.ts
@@ -49,6 +49,7 @@
   ownEnds: [],
   usages: [],
   memoryMb: 350,
+  ownStalls: [],
   calmFrom: 60_000,
   ...changes,
 });
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { SeededRandom } from "../faults/seededRandom.js";
 import { injectSoakFault } from "./injectSoakFault.js";
+import { OwnStalls } from "./ownStalls.js";
 import {
   closeCallerConnections,
   hasOpenConnection,
@@ -131,6 +132,7 @@
   seed: number,
 ): Promise<SoakRun> => {
   const fleet = await SoakFleet.create(plan);
+  const own = OwnStalls.create();
   try {
     const observed = await runLoadAndFaults(fleet, plan, seed);
     const { arrivals, versions, leaving, routers } = fleet;
@@ -143,10 +145,12 @@
         ownEnds: routers.flatMap((router) => router.unexpectedExits),
         usages: routers.flatMap((router) => router.peakUsages()),
         memoryMb: plan.memoryMb,
+        ownStalls: own.stalls,
       },
       logs: fleet.routers.map((router) => router.log()),
     };
   } finally {
+    own.stop();
     await fleet.stop();
     closeCallerConnections();
   }
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -182,6 +182,13 @@
   readonly at: number;
 }
 
+/** A time at which the soak's own process, with its callers and replicas, stood still. */
+export interface OwnStall {
+  /** When it went on. */
+  readonly at: number;
+  readonly lateMs: number;
+}
+
 /** Everything that was recorded in a soak test. */
 export interface SoakRecord {
   readonly arrivals: readonly Arrival[];
@@ -193,6 +200,8 @@
   readonly usages: readonly RouterUsage[];
   /** Memory limit of each process. */
   readonly memoryMb: number;
+  /** Excuses nothing. */
+  readonly ownStalls: readonly OwnStall[];
   /** Time from which all faults have ended and the fleet must have recovered. */
   readonly calmFrom: number;
 }
