--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -61,16 +61,6 @@
   router.isRestarting = false;
 };
 
-const pause = async (
-  fleet: SoakFleet,
-  index: number,
-  durationMs: number,
-): Promise<void> => {
-  fleet.routers[index]?.signal("SIGSTOP");
-  await sleep(durationMs);
-  fleet.routers[index]?.signal("SIGCONT");
-};
-
 /** Applies a response fault to a third of all replicas. */
 const injectResponseFault = async (
   fleet: SoakFleet,
@@ -96,7 +86,7 @@
     case "routerStop":
       return restart(fleet, action.router, "stop", durationMs);
     case "routerPause":
-      return pause(fleet, action.router, durationMs);
+      return fleet.routerAt(action.router).pause(durationMs);
     case "routerReload":
       return fleet.routers[action.router]?.reload();
     case "storeCut":
--- a/bench/src/soak/soakRouter.ts
+++ b/bench/src/soak/soakRouter.ts
@@ -99,6 +99,14 @@
     this.process?.signal(signal);
   }
 
+  /** Pauses its present process; a process that starts meanwhile runs. */
+  async pause(durationMs: number): Promise<void> {
+    const { process } = this;
+    process?.signal("SIGSTOP");
+    await sleep(durationMs);
+    process?.signal("SIGCONT");
+  }
+
   async kill(): Promise<void> {
     this.isExpectedRunning = false;
     this.signal("SIGKILL");
