--- a/bench/src/soak/injectSoakFault.ts
+++ b/bench/src/soak/injectSoakFault.ts
@@ -1,15 +1,15 @@
 /** Injects a planned fault into the fleet of a soak test and returns its span. */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import { assertNever } from "@cardamomglade/common";
 import type { StoreBehaviour } from "@cardamomglade/users-platform/testing/standInStore";
 import {
   LinkState,
   type FaultProxy,
 } from "@cardamomglade/common/testing/faultProxy";
+import { injectProcessFault } from "./injectProcessFault.js";
 import { setFaultModeFor, type SoakFleet } from "./soakFleet.js";
 import { ReplicaFaultMode } from "./soakReplica.js";
-import { soakBounds } from "./soakRouter.js";
+import { soakBounds } from "./soakSettings.js";
 import type { FaultSpan, PlannedSoakFault } from "./types.js";
 
 const injectLinkFault = async (
@@ -55,25 +55,12 @@
   if (router === undefined || router.isRestarting) return;
   router.isRestarting = true;
   if (end === "kill") await router.kill();
-  else {
-    const code = await router.stop();
-    if (code !== 0) fleet.ownEnds.push({ router: index, at: Date.now(), code });
-  }
+  else await router.stop();
   await sleep(durationMs);
   await router.start();
   router.isRestarting = false;
 };
 
-const pause = async (
-  fleet: SoakFleet,
-  index: number,
-  durationMs: number,
-): Promise<void> => {
-  fleet.routers[index]?.signal("SIGSTOP");
-  await sleep(durationMs);
-  fleet.routers[index]?.signal("SIGCONT");
-};
-
 /** Applies a response fault to a third of all replicas. */
 const injectResponseFault = async (
   fleet: SoakFleet,
@@ -99,7 +86,7 @@
     case "routerStop":
       return restart(fleet, action.router, "stop", durationMs);
     case "routerPause":
-      return pause(fleet, action.router, durationMs);
+      return fleet.routerAt(action.router).pause(durationMs);
     case "routerReload":
       return fleet.routers[action.router]?.reload();
     case "storeCut":
@@ -149,7 +136,7 @@
     case "streamSilent":
       return fleet.endpointAt(action.replica).replica.silenceStream(durationMs);
     default:
-      return assertNever(action);
+      return injectProcessFault(fleet, action, durationMs);
   }
 };
 
--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -13,8 +13,9 @@
 import type {
   AcceptedVersion,
   Arrival,
+  CallerAnswer,
   LeavingReplica,
-  UnexpectedExit,
+  SoakPlan,
 } from "./types.js";
 
 /** API key that is valid in every configuration version. */
@@ -33,6 +34,11 @@
 const zones = ["zone-a", "zone-b", "zone-c"];
 const engineService = "engines";
 const deskServices = ["desk-0", "desk-1"];
+/** Takes large bodies and gives large answers; its few slots make requests wait. */
+const largeService = "large";
+const largeReplicaCount = 2;
+const slotCount = 48;
+const largeSlotCount = 2;
 const entryExpiryMs = 1200; // the store entry of a crashed replica expires after some missed heartbeats
 const replacementDelayMs = 800;
 
@@ -58,7 +64,8 @@
   readonly arrivals: Arrival[] = [];
   readonly versions: AcceptedVersion[] = [];
   readonly leaving: LeavingReplica[] = [];
-  readonly ownEnds: UnexpectedExit[] = [];
+  /** How requests with large bodies ended. */
+  readonly largeAnswers: CallerAnswer[] = [];
   /** What the operator and the replicas have in the store. */
   private readonly written = new Map<string, unknown>();
   private readonly endpoints: ReplicaEndpoint[] = [];
@@ -71,7 +78,11 @@
     private readonly folder: string,
   ) {}
 
-  static async create(routers: number, engines: number): Promise<SoakFleet> {
+  static async create({
+    routers,
+    engines,
+    memoryMb,
+  }: Pick<SoakPlan, "routers" | "engines" | "memoryMb">): Promise<SoakFleet> {
     const store = await StandInStore.create();
     const folder = await mkdtemp(path.join(os.tmpdir(), "soak-"));
     const fleet = new SoakFleet(store, folder);
@@ -83,7 +94,9 @@
         deskServices[index % deskServices.length] ?? "",
         zoneOf(index >> 1),
       );
-    await fleet.startRouters(routers);
+    for (let index = 0; index < largeReplicaCount; index += 1)
+      await fleet.addEndpoint(largeService, zoneOf(index));
+    await fleet.startRouters(routers, memoryMb);
     return fleet;
   }
 
@@ -102,6 +115,13 @@
     );
   }
 
+  routerAt(index: number): SoakRouter {
+    const router = this.routers[index];
+    if (router === undefined)
+      throw new Error("fleet has no router with this index");
+    return router;
+  }
+
   /** Returns the proxy between a router and the store. */
   storeLink(router: number): FaultProxy {
     const link = this.storeLinks[router];
@@ -120,10 +140,11 @@
         route("/stream/", "streaming", engineService),
         route("/book/", "non_idempotent", service),
         route("/check/", "idempotent", service),
+        route("/large/", "idempotent", largeService),
       ],
       services: [
         { name: engineService, inference_engine: { backups: true } },
-        ...deskServices.map((name) => ({ name })),
+        ...[...deskServices, largeService].map((name) => ({ name })),
       ],
       tenants: [
         { name: "owner", api_keys: [permanentKey, `key-${String(version)}`] },
@@ -188,7 +209,7 @@
     await rm(this.folder, { recursive: true, force: true });
   }
 
-  private async startRouters(count: number): Promise<void> {
+  private async startRouters(count: number, memoryMb: number): Promise<void> {
     const starting = Array.from({ length: count }, async (_, index) => {
       const link = await FaultProxy.create(this.store.address.port);
       this.storeLinks[index] = link;
@@ -199,9 +220,7 @@
         ip: `127.${String(1 + (process.pid % 250))}.${String((process.pid >> 8) % 250)}.${String(10 + index)}`,
         storePort: link.port,
         folder: this.folder,
-        onUnexpectedExit: (code) => {
-          this.ownEnds.push({ router: index, at: Date.now(), code });
-        },
+        memoryMb,
       });
     });
     await Promise.all(starting);
@@ -250,7 +269,7 @@
       address: `127.0.0.1:${String(proxy.port)}`,
       zone,
       version: "v1",
-      slot_count: 48,
+      slot_count: service === largeService ? largeSlotCount : slotCount,
       state,
       born: replica.startedAt,
       sequence: this.reportCount,
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -1,5 +1,8 @@
 /** Types of a soak test: its schedule, and what callers and replicas recorded. */
 
+import type { ProcessEnd } from "@cardamomglade/users-platform/testing/bundledRelay";
+import type { ProcessUsage } from "./processUsage.js";
+
 /** Types of requests that callers send. */
 export enum RequestType {
   /** A stream that may be resumed on another replica. */
@@ -8,10 +11,56 @@
   Booking = "booking",
   /** Idempotent: may run again. */
   Check = "check",
+  /** Idempotent, with a large body, to a service of its own. */
+  Large = "large",
+}
+
+/** How a settings file is damaged until it is restored. */
+export enum SettingsDamage {
+  Empty = "empty",
+  HalfWritten = "halfWritten",
+  Removed = "removed",
 }
 
+/** How callers send large bodies. */
+export enum BodyPace {
+  Whole = "whole",
+  /** All but the last bytes, and then nothing. */
+  Stalled = "stalled",
+  Slow = "slow",
+}
+
+/** A fault of a router's process, of its files, or of callers that take its memory. */
+export type ProcessAction =
+  | {
+      readonly type:
+        /** A planned stop with more SIGTERMs within the drain. */
+        | "routerStopAgain"
+        /** A planned stop; the next process starts beside the one that drains. */
+        | "routerStartBeside"
+        | "routerHangUps"
+        | "routerUserSignals"
+        /** The code cache is damaged before a planned restart. */
+        | "cacheDamaged"
+        /** Callers leave large answers unread. */
+        | "unreadAnswers";
+      readonly router: number;
+    }
+  | {
+      /** The settings are damaged while the process runs, or at a planned restart. */
+      readonly type: "settingsDamaged" | "settingsDamagedAtStart";
+      readonly router: number;
+      readonly damage: SettingsDamage;
+    }
+  | {
+      readonly type: "largeBodies";
+      readonly router: number;
+      readonly pace: BodyPace;
+    };
+
 /** A fault or operator action, and its target. */
 export type SoakAction =
+  | ProcessAction
   | {
       readonly type: "routerKill" | "routerStop" | "routerPause";
       readonly router: number;
@@ -49,6 +98,8 @@
 export interface SoakPlan {
   readonly routers: number;
   readonly engines: number;
+  /** Memory limit of each router's machine. */
+  readonly memoryMb: number;
   readonly faults: readonly PlannedSoakFault[];
   /** No fault starts after this time. */
   readonly faultsEndMs: number;
@@ -110,10 +161,19 @@
 }
 
 /** A router process that exited unexpectedly, or with an error when it was stopped. */
-export interface UnexpectedExit {
+export interface UnexpectedExit extends ProcessEnd {
+  readonly router: number;
+  readonly life: number;
+  readonly at: number;
+  /** Its last lines of standard output and standard error. */
+  readonly lastOutput: readonly string[];
+}
+
+/** What one process of a router used at most. */
+export interface RouterUsage extends ProcessUsage {
   readonly router: number;
+  readonly life: number;
   readonly at: number;
-  readonly code: number | null;
 }
 
 /** A replica that the store lists as draining. */
@@ -122,6 +182,13 @@
   readonly at: number;
 }
 
+/** A time at which the soak's own process, with its callers and replicas, stood still. */
+export interface OwnStall {
+  /** When it went on. */
+  readonly at: number;
+  readonly lateMs: number;
+}
+
 /** Everything that was recorded in a soak test. */
 export interface SoakRecord {
   readonly arrivals: readonly Arrival[];
@@ -130,6 +197,11 @@
   readonly leaving: readonly LeavingReplica[];
   readonly faults: readonly FaultSpan[];
   readonly ownEnds: readonly UnexpectedExit[];
+  readonly usages: readonly RouterUsage[];
+  /** Memory limit of each process. */
+  readonly memoryMb: number;
+  /** Excuses nothing. */
+  readonly ownStalls: readonly OwnStall[];
   /** Time from which all faults have ended and the fleet must have recovered. */
   readonly calmFrom: number;
 }
@@ -147,7 +219,9 @@
     | "plannedStop"
     | "repeats"
     | "recovery"
-    | "staysUp";
+    | "staysUp"
+    | "memory"
+    | "descriptors";
   readonly requestId: string;
   readonly message: string;
 }
