Measure two waits where they happen, not with the start of a process and its scheduling

Beside a load of 21 on 8 cores 'a reader that reads nothing holds an exit up for a bounded time' failed with 4,620 ms where 4,500 are allowed: the start of the process was counted. It now measures the wait inside it, with a bound of 3,000 ms. 'a request that may have been sent is given up as not sent' looked after 80 ms at an answer that comes after 30; it now waits for the answer up to 3 s, and then whether more than that was reported.

--- a/packages/observe/src/flushLog.test.ts
+++ b/packages/observe/src/flushLog.test.ts
@@ -2,7 +2,6 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { test } from "node:test";
-import { now } from "@cardamomglade/common";
 
 const lineCount = 1000; // more than a pipe holds, less than the log buffers
 const lineLength = 150;
@@ -14,7 +13,9 @@
   for (let line = 0; line < ${String(lineCount)}; line += 1)
     log(Severity.Info, "x".repeat(${String(lineLength)}));
   log(Severity.Info, "stopped");
-  await flushLog(performance.timeOrigin + performance.now() + ${String(flushMs)});
+  const startedAt = performance.now();
+  await flushLog(performance.timeOrigin + startedAt + ${String(flushMs)});
+  process.stderr.write(String(performance.now() - startedAt));
   process.exit(0);
 `;
 
@@ -32,10 +33,11 @@
 
 // Load: a reader that reads nothing.
 test("a reader that reads nothing holds an exit up for a bounded time", async () => {
-  const startedAt = now();
   const child = spawn(process.execPath, ["--input-type=module", "-e", program]);
+  let text = "";
+  child.stderr.on("data", (chunk: Buffer) => (text += chunk.toString()));
   await once(child, "exit");
   child.stdout.destroy();
-  const tookMs = now() - startedAt;
-  assert.ok(tookMs >= flushMs && tookMs < 3 * flushMs, `${String(tookMs)} ms`);
+  const heldMs = Number(text);
+  assert.ok(heldMs >= flushMs - 1 && heldMs < 2 * flushMs, `${text} ms`);
 });
--- a/packages/relay/src/drivers/replicaCall.test.ts
+++ b/packages/relay/src/drivers/replicaCall.test.ts
@@ -52,7 +52,9 @@
   const { call, events } = startCall(replica.port);
   await sleep(20);
   call?.abandonUnconnected();
-  await sleep(80);
+  const deadline = now() + 3000;
+  while (events.length < 2 && now() < deadline) await sleep(10);
+  await sleep(40);
   assert.deepEqual(
     events.map(({ type }) => type),
     ["connectionOpened", "responseReceived"],
