Bound the memory of requests by what the machine has (FAULT)

Callers saw: all connections of a router cut at once, when other callers sent large bodies; the platform kills a process that takes more than memory_mb.

Cause: nothing bounded the bodies that are read, wait or are kept for a retry, nor heads, and a body was there twice or more (its chunks, the copy that joined them, garbage of both).

One budget, sized by memory_mb of the settings, counts each request by its head and named length from its first byte on. A named body is written once, into memory that is mapped by itself and goes back to the system; garbage is collected before it reaches the limit.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -25,9 +25,12 @@
 import { limitedReplicaCount } from "./decisions/requestLimits.js";
 import type { RuntimeLimits } from "./decisions/types.js";
 import { handoverAddressOf } from "./decisions/handover/handoverAddress.js";
-import { createFrontDriver, Sender } from "./drivers/frontDriver.js";
+import { createFrontDriver } from "./drivers/frontDriver.js";
+import { Sender } from "./drivers/sender.js";
 import { createPeerDriver } from "./drivers/peerDriver.js";
 import { createLogDriver } from "./drivers/logDriver.js";
+import { memoryBudget } from "./drivers/memory/memoryBudget.js";
+import { logShortages } from "./drivers/memory/logShortages.js";
 import { createReplicaDriver } from "./drivers/replicaDriver.js";
 import { createTextServer } from "./drivers/textServer.js";
 import { createRelayMetrics } from "./metrics.js";
@@ -88,6 +91,7 @@
           }),
         ];
   const fronts = [front, ...routerFronts];
+  const endShortageLog = logShortages(memoryBudget, log);
   const controlEvents = createChannel<RelayEvent>();
   const running = runEventLoop({
     reduce: decideRelay,
@@ -137,6 +141,9 @@
       services_with_several_versions: versions.announced.size,
       streams_not_taken_up_total: versions.refusedCount,
       engine_crashes_remembered: quarantine.crashes.size,
+      memory_budget_bytes: memoryBudget.use().maxBytes,
+      memory_held_bytes: memoryBudget.bytes,
+      memory_given_up_total: memoryBudget.gaveWayCount,
       ...options.gauges(),
     });
     return { status: 200, text };
@@ -165,6 +172,7 @@
         await sleep(drainPollMs);
       }
       await running.stop();
+      endShortageLog();
       for (const server of [readiness, metricsServer]) {
         server.close();
         server.closeAllConnections();
--- /dev/null
+++ b/packages/relay/src/decisions/memory/constants.ts
@@ -0,0 +1,44 @@
+/** Limits on the memory that requests and answers take. */
+
+const bytesPerMiB = 1024 * 1024;
+
+/** Bytes up to which a body or an answer is small: it may use room that large ones leave free. */
+export const maxSmallBytes = 64 * 1024;
+
+/** Bytes of all answers together that are buffered while they arrive. */
+export const maxArrivingBytes = 48 * bytesPerMiB;
+
+/** Bytes from which what has no known end gives way to what has one: streams hold less. */
+export const minEndlessBytes = bytesPerMiB / 4;
+
+/** Parts of the budget that are filled at most when more is taken. */
+export const fillLimits = {
+  /** Requests that wait, among themselves. */
+  waitingRequestsAlone: 1 / 8,
+  /** Answers that wait, among themselves. */
+  waitingAnswersAlone: 1 / 4,
+  /** Large requests, among themselves. */
+  largeRequestsAlone: 3 / 8,
+  largeRequest: 4 / 8,
+  /** Large answers, and all that callers leave unread. */
+  largeAnswer: 5 / 8,
+  /** What waits for room. */
+  waiting: 6 / 8,
+  smallRequest: 7 / 8,
+  smallAnswer: 1,
+};
+
+/** Time in which a body or an unread answer has to move on, to not count as stalled. */
+export const stallMs = 1000;
+
+/** Bytes of a body that have to arrive in that time. */
+export const minProgressBytes = 16 * 1024;
+
+/** Longest time for which a body waits for room. */
+export const maxRoomWaitMs = 1000;
+
+/** Bytes that may have arrived of what waits for room: buffers of its socket. */
+export const waitingBytes = 128 * 1024;
+
+/** Range of the pause after which a request that found no room may come back. */
+export const noRoomRetryAfterMs = { min: 200, max: 1000 };
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -30,27 +30,24 @@
   type RequestLimits,
   type Address,
 } from "../types.js";
+import { BrokenResponses } from "./brokenResponses.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import {
   encodeAnswerOrigin,
   handoverHeaders,
 } from "./handover/handoverHeaders.js";
-import { finishUnread } from "./finishUnread.js";
 import { headBytesOf } from "./headBytes.js";
 import { HeadTimeout } from "./headTimeout.js";
 import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
-import { isTooLong, readRequest, rewrittenHeaders } from "./readRequest.js";
+import { memoryBudget } from "./memory/memoryBudget.js";
+import { RequestMemory } from "./memory/requestMemory.js";
+import { readRequest, rewrittenHeaders } from "./readRequest.js";
+import { RefusalWriter } from "./refusalWriter.js";
 import { refuseMalformed } from "./refuseMalformed.js";
+import { Sender } from "./sender.js";
 import type { RelayDriver } from "./types.js";
 
-/** Who sends requests to a server. */
-export enum Sender {
-  Callers = "callers",
-  /** Routers, which hand on what their callers sent. */
-  Routers = "routers",
-}
-
 /** Options of the server. */
 export interface FrontOptions {
   readonly listen: Address;
@@ -71,15 +68,10 @@
   openRequestCount(): number;
 }
 
-/** Which side closed a connection. */
-enum Closer {
-  Caller = "caller",
-  Relay = "relay",
-}
-
 interface PendingResponse {
   readonly res: ServerResponse;
   readonly arrivedAt: number;
+  readonly memory: RequestMemory;
   hasEvents: boolean;
 }
 
@@ -98,19 +90,6 @@
   res.shouldKeepAlive = false;
 };
 
-/** A request that a relay refuses with one of these may have been executed. */
-const unknownOutcomeStatuses: ReadonlySet<number> = new Set([502, 504]);
-
-/** Headers with which another router learns that its request was not executed here, and why. */
-const refusalHeaders = (
-  { headers: { notExecuted } }: ReplicaProtocol,
-  status: number,
-  refusal: HandoverRefusal | undefined,
-): Readonly<Record<string, string>> => ({
-  ...(!unknownOutcomeStatuses.has(status) && { [notExecuted]: "1" }),
-  ...(refusal !== undefined && { [handoverHeaders.refusal]: refusal }),
-});
-
 /** Creates the server. */
 export const createFrontDriver = (options: FrontOptions): FrontDriver => {
   const { protocol, log, sender } = options;
@@ -121,8 +100,7 @@
   const pendingResponses = new Map<string, PendingResponse>();
   const dropped = rewrittenHeaders(protocol.headers);
   let limits = defaultLimits; // until the configuration is known
-  /** Responses that the relay broke off itself. */
-  const whyBrokenOff = new WeakMap<ServerResponse, string>();
+  const broken = BrokenResponses.create(protocol, log);
   let isDraining = false;
   let lastKey = 0;
 
@@ -154,122 +132,108 @@
     return last === undefined || last === res;
   };
 
-  const writeRefusal = (
-    res: ServerResponse,
-    status: number,
-    reason: string,
-    retryAfterMs?: number,
-    refusal?: HandoverRefusal,
-  ) => {
-    const body = JSON.stringify({ error: reason });
-    if (closesAfter(res)) res.setHeader("connection", "close");
-    if (retryAfterMs !== undefined)
-      res.setHeader("retry-after", (retryAfterMs / 1000).toFixed(3));
-    res.writeHead(status, {
-      ...(isFromRouters && refusalHeaders(protocol, status, refusal)),
-      "content-type": "application/json",
-      "content-length": Buffer.byteLength(body),
-    });
-    res.write(body);
-    finishUnread(res);
-  };
-
-  const recordRefusal = (
-    status: number,
-    reason: string,
-    requestId?: string,
-  ) => {
-    metrics.count(Counter.Refusals);
-    log(Severity.Info, "request refused unread", { requestId, status, reason });
-  };
-  refuseMalformed(server, connections, recordRefusal);
+  const refusals = RefusalWriter.create({ ...options, metrics, closesAfter });
+  refuseMalformed(server, connections, (status, reason) => {
+    refusals.record(status, reason);
+  });
 
-  const rejectUnread = (
+  const accept = (
     res: ServerResponse,
-    status: number,
-    why: string,
-    refusal?: HandoverRefusal,
+    key: string,
+    arrivedAt: number,
+    memory: RequestMemory,
   ) => {
-    const id = res.req.headers[protocol.headers.requestId];
-    recordRefusal(status, why, typeof id === "string" ? id : undefined);
-    res.setHeader("connection", "close");
-    writeRefusal(res, status, why, undefined, refusal);
-  };
-
-  /** Ends a response without its end, and its connection. */
-  const breakOff = (res: ServerResponse, why: string) => {
-    whyBrokenOff.set(res, why);
-    res.destroy();
-  };
-
-  const logUnfinished = (res: ServerResponse, arrivedAt: number) => {
-    const why = whyBrokenOff.get(res);
-    const id = res.req.headers[protocol.headers.requestId];
-    log(Severity.Info, "connection closed before the answer was sent", {
-      requestId: typeof id === "string" ? id : undefined,
-      closedBy: why === undefined ? Closer.Caller : Closer.Relay,
-      reason: why ?? "the caller closed it",
-      headSent: res.headersSent,
-      tookMs: Math.round(now() - arrivedAt),
-    });
-  };
-
-  const accept = (res: ServerResponse, key: string, arrivedAt: number) => {
-    pendingResponses.set(key, { res, arrivedAt, hasEvents: false });
+    pendingResponses.set(key, { res, arrivedAt, memory, hasEvents: false });
     let isSent = false;
     res.on("finish", () => {
       isSent = !res.req.socket.destroyed; // Node emits it for failed writes as well
     });
     res.on("close", () => {
-      if (!isSent) logUnfinished(res, arrivedAt);
+      if (!isSent) broken.logUnfinished(res, arrivedAt);
       if (!pendingResponses.delete(key)) return;
       metrics.count(Counter.CallersDisconnected);
       channel.push({ type: "callerDisconnected", at: now(), key });
     });
   };
 
+  /** Callers that ask whether to send the body of their request. */
+  const expecting = new WeakSet<ServerResponse>();
+
   /** What other routers hand on was checked there, and carries more headers. */
-  const isHeadTooLong = (req: IncomingMessage): boolean =>
-    !isFromRouters && headBytesOf(req) >= limits.headerBytes;
+  const isHeadTooLong = (headBytes: number): boolean =>
+    !isFromRouters && headBytes >= limits.headerBytes;
 
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
     connections.add(res);
     if (isFromRouters && connections.requestCount() > maxTakenOverCount) {
-      const why = "too many requests of other routers";
-      rejectUnread(res, serviceUnavailableStatus, why, HandoverRefusal.NoRoom);
+      refusals.rejectUnread(res, {
+        status: serviceUnavailableStatus,
+        reason: "too many requests of other routers",
+        handoverRefusal: HandoverRefusal.NoRoom,
+      });
+      return;
+    }
+    const headBytes = headBytesOf(req);
+    if (isHeadTooLong(headBytes)) {
+      refusals.rejectUnread(res, {
+        status: 431,
+        reason: "the head is too long",
+      });
       return;
     }
-    if (isHeadTooLong(req)) {
-      rejectUnread(res, 431, "the head is too long");
+    const isSized = req.headers["transfer-encoding"] === undefined;
+    const memory = RequestMemory.create(memoryBudget, headBytes, isSized);
+    if (memory === undefined) {
+      refusals.rejectForMemory(res);
       return;
     }
+    res.on("close", () => {
+      memory.close();
+    });
     const read = await readRequest(req, {
       protocol,
       limits,
       currentLimits: () => limits,
       dropped,
       isFromRouters,
+      memory,
+      onRoom: () => {
+        if (expecting.has(res)) res.writeContinue();
+      },
     });
+    if (read.type !== "complete") memory.close();
     switch (read.type) {
       case "complete": {
         lastKey += 1;
         const key = `${sender}-${String(lastKey)}`;
         const { request } = read;
-        accept(res, key, request.arrivedAt);
+        accept(res, key, request.arrivedAt, memory);
         channel.push({ type: "requestArrived", at: now(), key, request });
         return;
       }
       case "tooLarge":
-        rejectUnread(res, 413, "the body is too long");
+        refusals.rejectUnread(res, {
+          status: 413,
+          reason: "the body is too long",
+        });
         return;
       case "tooSlow":
-        rejectUnread(res, 408, "the body did not arrive in time");
+        refusals.rejectUnread(res, {
+          status: 408,
+          reason: "the body did not arrive in time",
+        });
+        return;
+      case "noRoom":
+        refusals.rejectForMemory(res);
         return;
       case "aborted":
         return;
       case "malformed":
-        rejectUnread(res, 400, "the request is not one that a router hands on");
+        refusals.rejectUnread(res, {
+          status: 400,
+          reason: "the request is not one that a router hands on",
+        });
         return;
     }
   };
@@ -277,7 +241,7 @@
     void serve(req, res);
   });
   server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
-    if (!isTooLong(req, limits) && !isHeadTooLong(req)) res.writeContinue();
+    expecting.add(res);
     server.emit("request", req, res);
   });
   if (isFromRouters)
@@ -334,7 +298,7 @@
     found.hasEvents = true;
     for (const { bytes } of command.events) res.write(bytes);
     if (res.writableLength > maxUnreadBytes)
-      breakOff(res, "the caller does not read its events");
+      broken.breakOff(res, "the caller does not read its events");
   };
 
   const perform = (command: RelayCommand) => {
@@ -363,15 +327,14 @@
         const found = takePending(command.key);
         if (found === undefined) return;
         metrics.count(Counter.StreamsAborted);
-        breakOff(found.res, "the stream was ended");
+        broken.breakOff(found.res, "the stream was ended");
         return;
       }
       case "refuse": {
         const found = takePending(command.key);
         if (found === undefined) return;
-        const { status, reason, retryAfterMs, handoverRefusal } = command;
         metrics.count(Counter.Refusals);
-        writeRefusal(found.res, status, reason, retryAfterMs, handoverRefusal);
+        refusals.write(found.res, command);
         return;
       }
       case "beginDrain":
@@ -391,7 +354,7 @@
     openRequestCount: () => connections.openCount(),
     stop: () => {
       for (const { res } of pendingResponses.values())
-        whyBrokenOff.set(res, "the relay stopped");
+        broken.note(res, "the relay stopped");
       if (server.listening) server.close();
       server.closeAllConnections();
       return Promise.resolve();
--- /dev/null
+++ b/packages/relay/src/drivers/memory/requestMemory.ts
@@ -0,0 +1,90 @@
+/** The memory that one request takes, from its head to the last byte of its answer. */
+
+import { now } from "@cardamomglade/common";
+import { requestBytesOf } from "../../decisions/memory/budgetBytes.js";
+import {
+  maxRoomWaitMs,
+  waitingBytes,
+} from "../../decisions/memory/constants.js";
+import { Holder } from "../../decisions/memory/types.js";
+import type { Holding } from "./holding.js";
+import type { MemoryBudget } from "./memoryBudget.js";
+
+/** What becomes of a body that needs room. */
+export interface RoomDecision {
+  readonly onRoom: () => void;
+  readonly onNoRoom: () => void;
+}
+
+/** Memory of one request. */
+export class RequestMemory {
+  readonly holding: Holding;
+  private onNoRoom: (() => void) | undefined;
+
+  private constructor(
+    private readonly budget: MemoryBudget,
+    private readonly headBytes: number,
+    isSized: boolean,
+  ) {
+    this.holding = budget.hold({
+      holder: Holder.ReadingRequest,
+      isSized,
+      onGiveWay: () => this.onNoRoom?.(),
+    });
+  }
+
+  /** Takes the memory of a head; undefined if there is no room for it. */
+  static create(
+    budget: MemoryBudget,
+    headBytes: number,
+    isSized: boolean,
+  ): RequestMemory | undefined {
+    const bytes = requestBytesOf(headBytes);
+    const memory = new RequestMemory(budget, bytes, isSized);
+    if (budget.tryResize(memory.holding, bytes)) return memory;
+    memory.close();
+    return undefined;
+  }
+
+  /** Calls back at once, or within some time, whether a body of this length may be read. */
+  whenRoomForBody(length: number, { onRoom, onNoRoom }: RoomDecision): void {
+    const { holding, budget } = this;
+    const bytes = this.headBytes + length;
+    this.onNoRoom = onNoRoom;
+    const isDecided = budget.whenRoom({
+      holding,
+      holder: Holder.ReadingRequest,
+      bytes,
+      until: now() + maxRoomWaitMs,
+      onDecided: (hasRoom) => {
+        if (!hasRoom) {
+          onNoRoom();
+          return;
+        }
+        holding.expectProgress();
+        onRoom();
+      },
+    });
+    if (isDecided) return;
+    const heldBytes = this.headBytes + Math.min(length, waitingBytes);
+    if (budget.tryWait(holding, Holder.WaitingRequest, heldBytes)) return;
+    this.close();
+    onNoRoom();
+  }
+
+  /** Takes bytes of a body whose length is not known; false if there is no room for them. */
+  grow(bytes: number): boolean {
+    return this.budget.tryResize(this.holding, this.holding.bytes + bytes);
+  }
+
+  /** The request was read whole; it is kept for its attempts. */
+  keep(): void {
+    this.holding.expectNothing();
+    this.holding.become(Holder.KeptRequest);
+  }
+
+  /** Frees all; may be called again. */
+  close(): void {
+    this.holding.close();
+  }
+}
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -11,6 +11,8 @@
 import type { Handover } from "../decisions/handover/types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { decodeHandover, handoverHeaders } from "./handover/handoverHeaders.js";
+import { ByteCollector } from "./memory/byteCollector.js";
+import type { RequestMemory } from "./memory/requestMemory.js";
 import { RequestFingerprint, type RequestHead } from "./requestFingerprint.js";
 
 /** The request, or why it could not be read. */
@@ -19,6 +21,8 @@
   | { readonly type: "tooLarge" }
   | { readonly type: "tooSlow" }
   | { readonly type: "aborted" }
+  /** It gives way, since memory is short. */
+  | { readonly type: "noRoom" }
   /** A router did not tell what it has to. */
   | { readonly type: "malformed" };
 
@@ -59,6 +63,9 @@
   readonly dropped: ReadonlySet<string>;
   /** Whether routers send the requests, with what they tell of them. */
   readonly isFromRouters: boolean;
+  readonly memory: RequestMemory;
+  /** Called before the body is read. */
+  readonly onRoom: () => void;
 }
 
 const headOf = (req: IncomingMessage): RequestHead => ({
@@ -114,41 +121,57 @@
   { bodyBytes }: RequestLimits,
 ): boolean => Number(req.headers["content-length"] ?? 0) > bodyBytes;
 
-/** Reads the body of a request whose head has arrived. */
+/** Length that the head of a request names; undefined if it names none. */
+const namedLengthOf = ({ headers }: IncomingMessage): number | undefined => {
+  if (headers["transfer-encoding"] !== undefined) return undefined;
+  return Number(headers["content-length"] ?? 0);
+};
+
+/** Reads the body of a request whose head has arrived, as soon as there is room for it. */
 export const readRequest = (
   req: IncomingMessage,
   options: ReadOptions,
 ): Promise<RequestRead> =>
   new Promise((resolve) => {
-    const { limits, currentLimits } = options;
+    const { limits, currentLimits, memory } = options;
     const maxBodyBytes = () =>
       Math.max(limits.bodyBytes, currentLimits().bodyBytes);
     const maxPauseMs = () =>
       Math.max(limits.idleTimeoutMs, currentLimits().idleTimeoutMs);
     const arrivedAt = now();
-    const chunks: Buffer[] = [];
+    const length = namedLengthOf(req);
     const fingerprint = RequestFingerprint.create(headOf(req));
-    let bytes = 0;
+    let collector: ByteCollector | undefined;
+    let isOver = false;
     let lastBytesAt = arrivedAt;
     const checkPause = () => {
       const restMs = lastBytesAt + maxPauseMs() - now();
       if (restMs > 0) timer = setTimeout(checkPause, restMs);
-      else resolve({ type: "tooSlow" });
+      else finish({ type: "tooSlow" });
     };
     let timer = setTimeout(checkPause, limits.idleTimeoutMs);
     const finish = (read: RequestRead) => {
       clearTimeout(timer);
+      isOver = true;
+      collector = undefined;
       resolve(read);
     };
-    req.on("data", (chunk: Buffer) => {
+    const add = (chunk: Buffer) => {
+      if (isOver) return;
       lastBytesAt = now();
-      bytes += chunk.length;
-      if (bytes > maxBodyBytes()) finish({ type: "tooLarge" });
-      else {
-        chunks.push(chunk);
-        fingerprint.add(chunk);
+      collector ??= ByteCollector.create(length);
+      if (collector.bytes + chunk.length > maxBodyBytes()) {
+        finish({ type: "tooLarge" });
+        return;
       }
-    });
+      if (length === undefined && !memory.grow(chunk.length)) {
+        finish({ type: "noRoom" });
+        return;
+      }
+      memory.holding.move(chunk.length);
+      collector.push(chunk);
+      fingerprint.add(chunk);
+    };
     if (isTooLong(req, limits)) {
       finish({ type: "tooLarge" });
       return;
@@ -159,14 +182,16 @@
       return;
     }
     req.on("end", () => {
+      if (isOver) return;
       const request = toCallerRequest(
         req,
         options,
         arrivedAt,
-        Buffer.concat(chunks),
+        collector?.take() ?? Buffer.alloc(0),
         fingerprint.digest(),
         handover,
       );
+      memory.keep();
       finish({ type: "complete", request });
     });
     req.on("error", () => {
@@ -175,4 +200,14 @@
     req.on("close", () => {
       finish({ type: "aborted" });
     });
+    memory.whenRoomForBody(length ?? 0, {
+      onRoom: () => {
+        lastBytesAt = now();
+        options.onRoom();
+        req.on("data", add);
+      },
+      onNoRoom: () => {
+        finish({ type: "noRoom" });
+      },
+    });
   });
--- /dev/null
+++ b/packages/relay/src/drivers/refusalWriter.ts
@@ -0,0 +1,105 @@
+/** Writes refusals to callers, and to routers that handed a request on. */
+
+import type { ServerResponse } from "node:http";
+import { Severity, type Log } from "@cardamomglade/observe";
+import type { DecisionContext } from "../decisions/commands.js";
+import { HandoverRefusal } from "../decisions/handover/types.js";
+import { noRoomRetryAfterMs } from "../decisions/memory/constants.js";
+import { Counter, type RelayMetrics } from "../metrics.js";
+import { serviceUnavailableStatus, type ReplicaProtocol } from "../types.js";
+import { finishUnread } from "./finishUnread.js";
+import { handoverHeaders } from "./handover/handoverHeaders.js";
+import { Sender } from "./sender.js";
+
+/** A refusal. */
+export interface Refusal {
+  readonly status: number;
+  readonly reason: string;
+  readonly retryAfterMs?: number | undefined;
+  /** Why another router's request is not taken over. */
+  readonly handoverRefusal?: HandoverRefusal | undefined;
+}
+
+/** Options of a writer. */
+export interface RefusalWriterOptions {
+  readonly sender: Sender;
+  readonly protocol: ReplicaProtocol;
+  readonly metrics: RelayMetrics;
+  readonly log: Log<DecisionContext>;
+  /** Whether a response closes its connection. */
+  readonly closesAfter: (res: ServerResponse) => boolean;
+}
+
+/** A request that a relay refuses with one of these may have been executed. */
+const unknownOutcomeStatuses: ReadonlySet<number> = new Set([502, 504]);
+
+/** Headers with which another router learns that its request was not executed here, and why. */
+const refusalHeaders = (
+  { headers: { notExecuted } }: ReplicaProtocol,
+  status: number,
+  refusal: HandoverRefusal | undefined,
+): Readonly<Record<string, string>> => ({
+  ...(!unknownOutcomeStatuses.has(status) && { [notExecuted]: "1" }),
+  ...(refusal !== undefined && { [handoverHeaders.refusal]: refusal }),
+});
+
+const drawNoRoomRetryMs = (): number => {
+  const { min, max } = noRoomRetryAfterMs;
+  return min + Math.random() * (max - min);
+};
+
+/** Writes the refusals of one server. */
+export class RefusalWriter {
+  private constructor(private readonly options: RefusalWriterOptions) {}
+
+  static create(options: RefusalWriterOptions): RefusalWriter {
+    return new RefusalWriter(options);
+  }
+
+  /** Refuses a request; what still arrives of it is read and dropped. */
+  write(
+    res: ServerResponse,
+    { status, reason, retryAfterMs, handoverRefusal }: Refusal,
+  ): void {
+    const { sender, protocol, closesAfter } = this.options;
+    const body = JSON.stringify({ error: reason });
+    if (closesAfter(res)) res.setHeader("connection", "close");
+    if (retryAfterMs !== undefined)
+      res.setHeader("retry-after", (retryAfterMs / 1000).toFixed(3));
+    res.writeHead(status, {
+      ...(sender === Sender.Routers &&
+        refusalHeaders(protocol, status, handoverRefusal)),
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
+    });
+    res.write(body);
+    finishUnread(res);
+  }
+
+  /** Counts and logs the refusal of a request that was not read. */
+  record(status: number, reason: string, requestId?: string): void {
+    const { metrics, log } = this.options;
+    metrics.count(Counter.Refusals);
+    log(Severity.Info, "request refused unread", { requestId, status, reason });
+  }
+
+  /** Refuses a request that was not read, and closes its connection. */
+  rejectUnread(res: ServerResponse, refusal: Refusal): void {
+    const id = res.req.headers[this.options.protocol.headers.requestId];
+    const requestId = typeof id === "string" ? id : undefined;
+    this.record(refusal.status, refusal.reason, requestId);
+    res.setHeader("connection", "close");
+    this.write(res, refusal);
+  }
+
+  /** Refuses a request because memory is short. */
+  rejectForMemory(res: ServerResponse): void {
+    this.options.metrics.count(Counter.MemoryRefusals);
+    this.rejectUnread(res, {
+      status: serviceUnavailableStatus,
+      reason: "memory is short",
+      retryAfterMs: drawNoRoomRetryMs(),
+      handoverRefusal: HandoverRefusal.NoRoom,
+    });
+  }
+}
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -15,6 +15,7 @@
 } from "./decisions/quarantine/types.js";
 export type { StoredVersions } from "./decisions/versions/types.js";
 export type { RuntimeLimits } from "./decisions/types.js";
+export { applyMemoryLimit } from "./drivers/memory/applyMemoryLimit.js";
 export { httpCall, type HttpResult } from "./drivers/httpCall.js";
 export * from "./types.js";
 export {
--- a/packages/relay/src/metrics.ts
+++ b/packages/relay/src/metrics.ts
@@ -7,6 +7,8 @@
   Requests = "requests_total",
   Answers = "answers_total",
   Refusals = "refusals_total",
+  /** Requests refused because memory is short. */
+  MemoryRefusals = "memory_refusals_total",
   StreamsAborted = "streams_broken_off_total",
   CallersDisconnected = "callers_left_total",
   Attempts = "attempts_total",
