--- a/scripts/carriedOver.test.mjs
+++ b/scripts/carriedOver.test.mjs
@@ -15,25 +15,24 @@
 } from "node:fs";
 import path from "node:path";
 import { test } from "node:test";
-import { fileURLToPath } from "node:url";
 import { promisify } from "node:util";
 import { digestOfProgram } from "../deploy/codeCache.mjs";
-import { copyRepository } from "./copyRepository.mjs";
+import { copyRepository, linkPackages } from "./copyRepository.mjs";
 
-const root = fileURLToPath(new URL("..", import.meta.url));
 const yearFromNow = new Date(Date.now() + 365 * 86_400_000);
 
-/** Writes an `npm` that records its arguments and puts copies of the packages in place. */
+/** Writes an `npm` that records its arguments and puts whole packages in place. */
 const writeNpm = (folder) => {
   const bin = path.join(folder, "bin");
   const npm = path.join(bin, "npm");
+  linkPackages(path.join(folder, "whole-packages"));
   mkdirSync(bin);
   writeFileSync(
     npm,
     `#!/bin/sh
 echo "$@" >> npm-calls
 rm -rf node_modules
-cp -r --no-dereference ${path.join(root, "node_modules")} node_modules
+mv whole-packages node_modules
 `,
   );
   chmodSync(npm, 0o755);
--- a/scripts/copyRepository.mjs
+++ b/scripts/copyRepository.mjs
@@ -28,9 +28,9 @@
   "esbuild",
 ]);
 
-const addPackages = (copy) => {
+/** Makes a folder of packages in a copy of the repository, with links to most of those installed here. */
+export const linkPackages = (to) => {
   const from = path.join(root, "node_modules");
-  const to = path.join(copy, "node_modules");
   mkdirSync(to);
   for (const name of readdirSync(from)) {
     const source = path.join(from, name);
@@ -49,6 +49,6 @@
     preserveTimestamps: true,
     filter: (source) => !leftOut.has(path.basename(source)),
   });
-  addPackages(copy);
+  linkPackages(path.join(copy, "node_modules"));
   return copy;
 };
