--- a/packages/common/src/listenUntilOpen.ts
+++ b/packages/common/src/listenUntilOpen.ts
@@ -64,18 +64,16 @@
     if (isOpen) onEvent({ type: "failed", reason: message });
     else tryAgainLater(message);
   });
+  const stop = () => {
+    isStopped = true;
+    clearTimeout(timer);
+  };
   emitter.on("close", () => {
     isOpen = false;
-    isStopped = true;
+    stop();
   });
   tryToListen();
-  return {
-    isOpen: () => isOpen,
-    stop: () => {
-      isStopped = true;
-      clearTimeout(timer);
-    },
-  };
+  return { isOpen: () => isOpen, stop };
 };
 
 /** Opens the port of a server; see `listenUntilOpen`. */
