--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -8,6 +8,7 @@
 } from "../types.js";
 import { confirmEnd } from "./answerEnds/confirmEnd.js";
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
+import { forgetReplica } from "./countedReplicas.js";
 import { closeAttempt, completeExchange } from "./endExchange.js";
 import {
   connectedMsAgo,
@@ -121,7 +122,7 @@
 ): RelayCommand[] => {
   recordLoss(state, attempt.replica, state.at);
   if (!attempt.mayHaveExecutedBefore) exchange.mayHaveExecuted = false;
-  exchange.attempts -= 1;
+  if (forgetReplica(exchange, attempt)) exchange.attempts -= 1;
   exchange.failedConnectionCount += 1;
   const reason = `${AttemptFailure.NotSent}: ${detail}`;
   // The next attempt takes the place of this one; only that at a copy was not in the budget.
@@ -186,13 +187,15 @@
     // A replica that is full refuses; the next requests of all routers go elsewhere.
     if (status === serviceUnavailableStatus)
       recordOutcome(state, attempt.replica.id, true);
+    const wasCounted = forgetReplica(exchange, attempt);
     if (status === misdirectedRequestStatus) {
       // The request did not reach the intended replica, so the attempt does not count.
       markReplaced(state, attempt.replica, at);
-      exchange.attempts -= 1;
+      if (wasCounted) exchange.attempts -= 1;
     }
     if (!attempt.mayHaveExecutedBefore) exchange.mayHaveExecuted = false;
-    if (status === serviceUnavailableStatus) exchange.refusedAttempts += 1;
+    if (status === serviceUnavailableStatus && wasCounted)
+      exchange.refusedAttempts += 1;
     // A rejected copy counts as a retry, because the request did reach the replica.
     if (attempt.start.type === "copy") recordRetry(state, exchange.service, at);
     const line = lossLogLine(
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -74,6 +74,7 @@
   seekAt: 0,
   failedSeekCount: 0,
   attempts: request.handover?.attempts ?? 0,
+  countedIds: new Set(),
   nextNumber: 0,
   triedIds: new Set(),
   handoverCount: 0,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -30,6 +30,7 @@
 import { takeOverLogLine } from "./handover/takeOver.js";
 import type { Handover } from "./handover/types.js";
 import { chooseOffer, mustHandOn } from "./handover/offers.js";
+import { countReplica } from "./countedReplicas.js";
 import { isRetryable } from "./isRetryable.js";
 import {
   engineQueryOf,
@@ -88,6 +89,7 @@
     start,
     sentAt: state.at,
     mayHaveExecutedBefore: exchange.mayHaveExecuted,
+    isCounted: countReplica(exchange, replica),
     copyTo,
     copy: copyTo && {
       holder: copyTo,
@@ -107,7 +109,6 @@
     unconfirmedEnd: undefined,
     endEvidence: undefined,
   };
-  exchange.attempts += 1;
   exchange.nextNumber += 1;
   exchange.attempt = attempt;
   exchange.triedIds.add(replica.id);
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -115,6 +115,8 @@
   readonly sentAt: Timestamp;
   /** Whether the request may have been executed before this attempt. */
   readonly mayHaveExecutedBefore: boolean;
+  /** Whether it counts against the route's maximum: another one at its replica may do so already. */
+  readonly isCounted: boolean;
   /** Engine that keeps a KV cache copy from the start of the attempt. */
   readonly copyTo: Replica | undefined;
   /** Latest copy of the request's KV cache. */
@@ -220,6 +222,8 @@
   failedSeekCount: number;
   /** Number of attempts that count against the route's maximum. */
   attempts: number;
+  /** Ids of the replicas whose attempts do. */
+  readonly countedIds: Set<string>;
   /** Number of the next attempt; also counts attempts that did not connect. */
   nextNumber: number;
   readonly triedIds: Set<string>;
--- a/packages/relay/src/testing/testAttempt.ts
+++ b/packages/relay/src/testing/testAttempt.ts
@@ -11,6 +11,7 @@
   start: { type: "fresh" },
   sentAt: now(),
   mayHaveExecutedBefore: false,
+  isCounted: true,
   copyTo: undefined,
   copy: undefined,
   copyRequestedAt: undefined,
