--- a/bench/src/soak/heavyCallers.ts
+++ b/bench/src/soak/heavyCallers.ts
@@ -19,6 +19,7 @@
 >;
 
 const callerCount = 60;
+const wholeCallerCount = 30; // what the soak's one process can send and take within the budget of a request
 const bodyBytes = 4_000_000; // below max_body_bytes of the configuration
 const body = Buffer.alloc(bodyBytes, "x");
 const unsentBytes = 100; // of a body that stalls
@@ -71,7 +72,7 @@
 /** Callers send whole large bodies and wait for the answers; each has to end whole or refused. */
 const sendWholeBodies = (target: HeavyTarget): Promise<CallerAnswer[]> =>
   Promise.all(
-    Array.from({ length: callerCount }, () =>
+    Array.from({ length: wholeCallerCount }, () =>
       sendRequest({
         ...target,
         requestId: nextRequestId(),
