--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -7,15 +7,16 @@
 import { StandInStore } from "@cardamomglade/users-platform/testing/standInStore";
 import { FaultProxy } from "@cardamomglade/common/testing/faultProxy";
 import { deskReplicaCount } from "./planSoak.js";
-import { soakHostname } from "./soakCaller.js";
+import { requestTimeoutMs, soakHostname } from "./soakCaller.js";
 import { ReplicaFaultMode, SoakReplica } from "./soakReplica.js";
 import { SoakRouter } from "./soakRouter.js";
-import type {
-  AcceptedVersion,
-  Arrival,
-  CallerAnswer,
-  LeavingReplica,
-  SoakPlan,
+import {
+  RequestType,
+  type AcceptedVersion,
+  type Arrival,
+  type CallerAnswer,
+  type LeavingReplica,
+  type SoakPlan,
 } from "./types.js";
 
 /** API key that is valid in every configuration version. */
@@ -140,7 +141,10 @@
         route("/stream/", "streaming", engineService),
         route("/book/", "non_idempotent", service),
         route("/check/", "idempotent", service),
-        route("/large/", "idempotent", largeService),
+        {
+          ...route("/large/", "idempotent", largeService),
+          timeout_ms: requestTimeoutMs[RequestType.Large],
+        },
       ],
       services: [
         { name: engineService, inference_engine: { backups: true } },
