--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -7,14 +7,13 @@
 import { Severity } from "@cardamomglade/observe";
 import { RequestKind } from "../types.js";
 import {
-  minAttemptTimeoutMs,
   migrateAfterDrainRatio,
-  attemptTimeoutTargetFactor,
   stallThresholdMs,
   tickIntervalMs,
 } from "./constants.js";
 import { settleEnd } from "./answerEnds/settleEnds.js";
 import { EndEvidence } from "./answerEnds/types.js";
+import { endBeforeStop, mustEndBeforeStop } from "./endBeforeStop.js";
 import { failExchange } from "./endExchange.js";
 import { checkHandedOn } from "./handover/handoverEvents.js";
 import { maintainOffers, mustHandOn } from "./handover/offers.js";
@@ -26,6 +25,7 @@
 import { settleRefusedReplicas } from "./quarantine/engineCrashes.js";
 import { maintainQuarantines } from "./quarantine/maintainQuarantines.js";
 import { isEngineQueryDone } from "./queryEngines.js";
+import { attemptTimeoutMsOf } from "./fallback/attemptTimeout.js";
 import { closeOverlap } from "./fallback/fallbackEvents.js";
 import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
 import { probeSilent } from "./probes.js";
@@ -48,17 +48,11 @@
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
 
-const attemptTimeoutMsOf = ({ route }: Exchange): number =>
-  Math.max(
-    minAttemptTimeoutMs,
-    attemptTimeoutTargetFactor * route.targetLatencyMs,
-  );
-
 const isOverdue = (
-  exchange: Exchange,
+  { route }: Exchange,
   { sentAt }: Attempt,
   at: Timestamp,
-): boolean => at - sentAt >= attemptTimeoutMsOf(exchange);
+): boolean => at - sentAt >= attemptTimeoutMsOf(route);
 
 const isMigrationDue = (
   state: RelayState,
@@ -177,6 +171,7 @@
       recordOutcome(state, attempt.replica.id, true);
     return failExchange(state, exchange, "the deadline has passed");
   }
+  if (mustEndBeforeStop(state, exchange)) return endBeforeStop(state, exchange);
   const closing = closeOverlap(state, exchange);
   const commands =
     attempt === undefined
