--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -9,6 +9,8 @@
 import { Server as NetServer, type Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 
+const turnsToRead = 3;
+
 /** Connections of one server. */
 export class OpenConnections {
   /** Bytes that each connection had received when it was last idle. */
@@ -97,7 +99,7 @@
    * has arrived is read first: timers run before sockets.
    */
   async closeIdle(): Promise<void> {
-    await nextTurn();
+    for (let turn = 0; turn < turnsToRead; turn += 1) await nextTurn();
     if (this.server.listening) NetServer.prototype.close.call(this.server);
     const busy = new Set(this.responses.values());
     for (const [socket, bytes] of this.idleBytes)
