Survive signals without use from the first statement of a start on (FAULT)

Only SIGHUP had a handler before the modules are loaded; the others got theirs with the relay. One list now serves both places. The test failed before: only SIGHUP was handled when the first module was loaded. Node's own start remains.

--- a/deploy/start.mjs
+++ b/deploy/start.mjs
@@ -1,5 +1,5 @@
 // Starts the relay from its code cache: compiling takes a third of a start's processor time.
-import "./handleHangUp.mjs";
+import "./surviveSignals.mjs";
 import { readFileSync } from "node:fs";
 import { createRequire } from "node:module";
 import path from "node:path";
