--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -169,7 +169,7 @@
     !isFromRouters && headBytes >= limits.headerBytes;
 
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
-    if (connections.hasDropped(req)) return;
+    if (connections.hasDropped(res)) return;
     metrics.count(Counter.Requests);
     connections.add(res);
     if (isFromRouters && connections.requestCount() > maxTakenOverCount) {
@@ -211,7 +211,7 @@
     if (read.type !== "complete") memory.close();
     switch (read.type) {
       case "complete": {
-        if (connections.hasDropped(req)) return;
+        if (connections.hasDropped(res)) return;
         lastKey += 1;
         const key = `${sender}-${String(lastKey)}`;
         const { request } = read;
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -16,8 +16,11 @@
   /** Bytes that each connection had received when it was last idle. */
   private readonly idleBytes = new Map<Socket, number>();
   private readonly responses = new Map<ServerResponse, Socket>();
-  /** Connections that close after an answer whose head was written. */
-  private readonly closing = new WeakSet<Socket>();
+  /** Places of responses in the order in which their requests arrived. */
+  private readonly places = new WeakMap<ServerResponse, number>();
+  /** Place of the first response that closes its connection. */
+  private readonly closing = new WeakMap<Socket, number>();
+  private lastPlace = 0;
 
   private constructor(
     private readonly server: Server,
@@ -43,6 +46,8 @@
   add(res: ServerResponse): void {
     const { socket } = res.req;
     this.responses.set(res, socket);
+    this.lastPlace += 1;
+    this.places.set(res, this.lastPlace);
     res.on("close", () => {
       this.responses.delete(res);
       if (this.idleBytes.has(socket))
@@ -52,8 +57,10 @@
 
   /** Lets a response, whose head is not written yet, close its connection: what follows on it gets no answer. */
   closeAfter(res: ServerResponse): void {
+    const { socket } = res.req;
+    const place = Math.min(this.placeOf(res), this.closingPlace(socket));
     res.shouldKeepAlive = false;
-    this.closing.add(res.req.socket);
+    this.closing.set(socket, place);
   }
 
   /**
@@ -66,8 +73,9 @@
   }
 
   /** Drops a request that came behind a response that closes their connection; returns whether it did. */
-  hasDropped(req: IncomingMessage): boolean {
-    if (!this.closing.has(req.socket)) return false;
+  hasDropped(res: ServerResponse): boolean {
+    const { req } = res;
+    if (this.placeOf(res) <= this.closingPlace(req.socket)) return false;
     this.onDropped(req);
     req.resume();
     return true;
@@ -105,6 +113,16 @@
     for (const [socket, bytes] of this.idleBytes)
       if (!busy.has(socket) && socket.bytesRead === bytes) socket.destroy();
   }
+
+  /** A request that has not been added comes behind all others. */
+  private placeOf(res: ServerResponse): number {
+    return this.places.get(res) ?? this.lastPlace + 1;
+  }
+
+  private closingPlace(socket: Socket): number {
+    return this.closing.get(socket) ?? Infinity;
+  }
+
   /**
    * Ends the responses that wait for earlier ones on a connection that has closed: Node
    * only tells the response whose turn it is.
--- a/packages/relay/src/queuedRequests.test.ts
+++ b/packages/relay/src/queuedRequests.test.ts
@@ -7,7 +7,12 @@
 import { now } from "@cardamomglade/common";
 import { RawCaller } from "./testing/rawCaller.js";
 import type { RawResponder } from "./testing/rawReplica.js";
-import { requestText, sealed, startTestRelay } from "./testing/testRelay.js";
+import {
+  requestText,
+  respondOk,
+  sealed,
+  startTestRelay,
+} from "./testing/testRelay.js";
 
 const graceMs = 6000;
 const noticeMs = 2500;
@@ -85,3 +90,25 @@
   assert.equal(open.size, 0);
   assert.equal(relay.replica.received.length, 0);
 });
+
+// Load: a caller that sends a whole request and one that is refused in one packet.
+for (const [name, refused, status] of [
+  [
+    "whose head is too long",
+    requestText("/check/x", [`x-long: ${"x".repeat(20_000)}`]),
+    /431/,
+  ],
+  [
+    "whose body is announced as too long",
+    requestText("/check/x", ["content-length: 999999999"], "POST"),
+    /413/,
+  ],
+] as const)
+  test(`a request before one ${name} in one packet gets no answer`, async (t) => {
+    const relay = await startTestRelay(respondOk);
+    t.after(relay.stop);
+    const caller = RawCaller.create(relay.port);
+    caller.send(requestText("/check/x") + refused);
+    assert.ok(await caller.waitFor(/200 OK/));
+    assert.ok(await caller.waitFor(status));
+  });
