--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers, or for routers that hand requests on: reads requests and writes responses. */
 
+import { inspect } from "node:util";
 import {
   createServer,
   type IncomingMessage,
@@ -83,6 +84,7 @@
 
 const connectionCheckIntervalMs = 500; // interval at which Node checks connections for overdue request heads
 const maxUnreadBytes = 4 * 1024 * 1024; // buffered bytes of one response that its caller does not read
+const failureReason = "an error in the program";
 const parserHeadBytes = 64 * 1024; // of any connection, whose limit may grow while it is open
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
@@ -245,7 +247,10 @@
     }
   };
   server.on("request", (req: IncomingMessage, res: ServerResponse) => {
-    void serve(req, res);
+    serve(req, res).catch((error: unknown) => {
+      log(Severity.Error, "a request failed", { detail: inspect(error) });
+      broken.breakOff(res, failureReason);
+    });
   });
   server.on("checkContinue", (req: IncomingMessage, res: ServerResponse) => {
     expecting.add(res);
@@ -362,9 +367,21 @@
     }
   };
 
+  /** A response whose command fails would stay open for ever. */
+  const performOrBreakOff = (command: RelayCommand) => {
+    const res =
+      "key" in command ? pendingResponses.get(command.key)?.res : undefined;
+    try {
+      perform(command);
+    } catch (error) {
+      if (res !== undefined) broken.breakOff(res, failureReason);
+      throw error;
+    }
+  };
+
   return {
     events: channel.stream,
-    perform,
+    perform: performOrBreakOff,
     isOpen: () => opening.isOpen(),
     closeIdle: () => connections.closeIdle(),
     openRequestCount: () => connections.openCount(),
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -132,7 +132,7 @@
   req: IncomingMessage,
   options: ReadOptions,
 ): Promise<RequestRead> =>
-  new Promise((resolve) => {
+  new Promise((resolve, reject) => {
     const { limits, currentLimits, memory } = options;
     const maxBodyBytes = () =>
       Math.max(limits.bodyBytes, currentLimits().bodyBytes);
@@ -181,8 +181,7 @@
       finish({ type: "malformed" });
       return;
     }
-    req.on("end", () => {
-      if (isOver) return;
+    const complete = () => {
       const request = toCallerRequest(
         req,
         options,
@@ -193,6 +192,15 @@
       );
       memory.keep();
       finish({ type: "complete", request });
+    };
+    req.on("end", () => {
+      if (isOver) return;
+      try {
+        complete();
+      } catch (error) {
+        clearTimeout(timer);
+        reject(error instanceof Error ? error : new Error(String(error)));
+      }
     });
     req.on("error", () => {
       finish({ type: "aborted" });
