Exit at once when the event loop has ended

The drain waited for its whole grace then, ready and accepting requests that nothing could answer. The test failed before: 'the stop waits for what cannot end'.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -99,6 +99,7 @@
   const fronts = [front, ...routerFronts];
   const endShortageLog = logShortages(memoryBudget, log);
   const controlEvents = createChannel<RelayEvent>();
+  let hasLoopEnded = false;
   const running = runEventLoop({
     reduce: decideRelay,
     state: createRelayState(options.state),
@@ -117,14 +118,16 @@
     onFailure: ({ type, error }) => {
       const detail = error instanceof Error ? error.stack : String(error);
       log(Severity.Error, "a decision or command failed", { type, detail });
-      if (type === "decide") options.onLoopEnded();
+      if (type !== "decide") return;
+      hasLoopEnded = true;
+      options.onLoopEnded();
     },
   });
 
   const readiness = createTextServer({
     listen: options.readiness,
     answer: () =>
-      isReady(running.state()) && front.isOpen()
+      !hasLoopEnded && isReady(running.state()) && front.isOpen()
         ? { status: 200, text: "ready\n" }
         : { status: 503, text: "not ready\n" },
     onPortEvent: portLog("readiness", options.readiness),
@@ -178,7 +181,8 @@
       const isIdle = () =>
         running.state().exchanges.size === 0 &&
         fronts.every((one) => one.openRequestCount() === 0);
-      while (now() < deadline) {
+      // Without the loop nothing under way can end.
+      while (now() < deadline && !hasLoopEnded) {
         if (now() >= noticeEndsAt) {
           await Promise.all(fronts.map((one) => one.closeIdle()));
           if (isIdle()) break;
--- a/packages/relay/src/endedLoop.test.ts
+++ b/packages/relay/src/endedLoop.test.ts
@@ -8,7 +8,7 @@
 import { testProtocol } from "./testing/testProtocol.js";
 
 // Load: an event that no decision can handle.
-test("a relay whose event loop has ended says so", async () => {
+test("a relay whose event loop has ended says nothing, or serves nobody for its whole grace", async () => {
   const host = "127.0.0.1";
   const events = createChannel<RelayEvent>();
   let endedCount = 0;
@@ -38,6 +38,8 @@
   await sleep(20);
   events.push(undefined as unknown as RelayEvent);
   await sleep(20);
-  await relay.drain(now());
+  const startedAt = now();
+  await relay.drain(startedAt + 6000);
+  assert.ok(now() - startedAt < 2000, "the stop waits for what cannot end");
   assert.equal(endedCount, 1);
 });
