Put the starter of a program in place last

A build that is killed between its renames, over the target of a build without digests, left a starter that refuses the old program: no start until the next build (found by reading).

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -67,9 +67,12 @@
   }
 };
 
-/** Replaces the program a whole file at a time: a start meets an old or a new one, never a part. */
+/**
+ * Replaces the program a whole file at a time: a start meets an old or a new one, never a part.
+ * The starter comes last: it refuses a program without a digest, as earlier builds left it.
+ */
 const putInPlace = (folder) => {
-  for (const name of readdirSync(folder))
+  for (const name of readdirSync(folder).sort().reverse())
     renameSync(path.join(folder, name), path.join(target, name));
 };
 
