Free a request's body when it is answered, not when its connection is used again (FAULT)

Each idle connection kept the body of its last request: its listeners held the function that resolves the promise of the read request, and with it the request. The function is given up once it is used.

--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -127,12 +127,19 @@
   return Number(headers["content-length"] ?? 0);
 };
 
+interface Settle {
+  readonly resolve: (read: RequestRead) => void;
+  readonly reject: (error: unknown) => void;
+}
+
 /** Reads the body of a request whose head has arrived, as soon as there is room for it. */
 export const readRequest = (
   req: IncomingMessage,
   options: ReadOptions,
 ): Promise<RequestRead> =>
   new Promise((resolve, reject) => {
+    // Given up once it is used: a promise keeps its request, and the connection its listeners.
+    let settle: Settle | undefined = { resolve, reject };
     const { limits, currentLimits, memory } = options;
     const maxBodyBytes = () =>
       Math.max(limits.bodyBytes, currentLimits().bodyBytes);
@@ -154,7 +161,8 @@
       clearTimeout(timer);
       isOver = true;
       collector = undefined;
-      resolve(read);
+      settle?.resolve(read);
+      settle = undefined;
     };
     const add = (chunk: Buffer) => {
       if (isOver) return;
@@ -199,7 +207,8 @@
         complete();
       } catch (error) {
         clearTimeout(timer);
-        reject(error instanceof Error ? error : new Error(String(error)));
+        settle?.reject(error);
+        settle = undefined;
       }
     });
     req.on("error", () => {
