Hand the test of an overtaken list its lists in order, and bound its waits

The stale list is now answered once and then the new one, so nothing depends on when the test looks. The checks are the same, and the number of lists is checked too; a wait that lasts longer than 5 s fails.

--- a/packages/platform/src/mirrorPrefix.test.ts
+++ b/packages/platform/src/mirrorPrefix.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { now } from "@cardamomglade/common";
 import { mirrorPrefix, type Restoration } from "./mirrorPrefix.js";
 import type {
   KeyValue,
@@ -19,9 +20,11 @@
   lease: "0",
 });
 
-// Returns a preset list and exposes the callback of the latest watch.
+// Returns preset lists and exposes the callback of the latest watch.
 class FakeKeyValue {
   listed: RangeResult = { era: 1, revision: 1, entries: [] };
+  /** Returned once each, before `listed`. */
+  readonly listedFirst: RangeResult[] = [];
   listCount = 0;
   readonly watchedFrom: number[] = [];
   report: (event: WatchEvent) => void = () => undefined;
@@ -29,7 +32,8 @@
   readonly client = {
     range: () => {
       this.listCount += 1;
-      return Promise.resolve({ type: "done", value: this.listed } as const);
+      const value = this.listedFirst.shift() ?? this.listed;
+      return Promise.resolve({ type: "done", value } as const);
     },
     watch: (
       _key: string,
@@ -45,8 +49,14 @@
 
 const options = { prefix: "p/", callTimeoutMs: 1000, resyncMs: 60_000 };
 
+const maxWaitMs = 5000;
+
 const waitUntil = async (isDone: () => boolean): Promise<void> => {
-  while (!isDone()) await new Promise((resolve) => setTimeout(resolve, 5));
+  const deadline = now() + maxWaitMs;
+  while (!isDone()) {
+    assert.ok(now() < deadline, "not done in time");
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
 };
 
 const start = async () => {
@@ -121,11 +131,11 @@
   const { fake, reportedKeys, mirror } = await start();
   fake.report({ type: "changes", era: 1, revision: 8, changes: [] });
   const stale = { era: 1, revision: 7, entries: [entry("p/gone", 2)] };
-  fake.listed = stale;
-  fake.report({ type: "compacted", compactRevision: 3 });
-  await waitUntil(() => fake.listCount === 2);
+  fake.listedFirst.push(stale);
   fake.listed = { era: 1, revision: 8, entries: [] };
+  fake.report({ type: "compacted", compactRevision: 3 });
   await waitUntil(() => fake.watchedFrom.length === 2);
+  assert.equal(fake.listCount, 3);
   assert.ok(!reportedKeys.flat().includes("p/gone"));
   mirror.close();
 });
