--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,10 +1,10 @@
 // Runs the tests. With arguments, only test files whose path contains one of the arguments.
 import { existsSync, readdirSync, readFileSync } from "node:fs";
-import { run } from "node:test";
 import { spec } from "node:test/reporters";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
 import { classifyResults, parseKnownRed } from "./knownRed.mjs";
+import { runTestFiles } from "./runTestFiles.mjs";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
 const folders = ["packages", "platform", "stand-ins", "bench"];
@@ -60,7 +60,7 @@
   process.exitCode = unexpected.length > 0 || isEmpty ? 1 : 0;
 };
 
-const tests = run({ files, concurrency: true });
+const tests = runTestFiles(files);
 tests.on("test:pass", recordResult(true));
 tests.on("test:fail", recordResult(false));
 const formatted = tests.compose(new spec());
