--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -144,9 +144,10 @@
     : BodyFraming.Length;
 };
 
-/** Whether a response was received whole; one that ends with its connection is truncated by a reset. */
-const isWhole = (res: IncomingMessage | undefined): boolean =>
-  res?.complete === true && framingOf(res) !== BodyFraming.Connection;
+/** Whether nothing but the end of the connection marks the end of a response. */
+const endsWithConnection = (method: string, res: IncomingMessage): boolean =>
+  framingOf(res) === BodyFraming.Connection &&
+  !isBodiless(method, res.statusCode ?? 0);
 
 const maxRequestLimitPerS = 1_000_000; // a replica that takes more has no limit
 
@@ -249,13 +250,23 @@
 
   private onError(error: Error): void {
     // Bytes after a complete response belong to no request; the response itself is valid.
-    if (isWhole(this.res)) return;
+    if (this.isWhole()) return;
     const failure = this.isConnected
       ? AttemptFailure.Broken
       : AttemptFailure.NotSent;
     this.fail(failure, error.message);
   }
 
+  /** Whether the response was received whole; one that ends with its connection is truncated by a reset. */
+  private isWhole(): boolean {
+    const { res } = this;
+    return res?.complete === true && !this.endsWithConnection(res);
+  }
+
+  private endsWithConnection(res: IncomingMessage): boolean {
+    return endsWithConnection(this.command.request.method, res);
+  }
+
   private report(event: CallEvent): void {
     if (!this.isOver) this.onEvent(event);
   }
@@ -401,10 +412,9 @@
   }
 
   private onBodyEnd(res: IncomingMessage, onEnd: () => void): void {
-    const connectionEnd =
-      framingOf(res) === BodyFraming.Connection
-        ? awaitConnectionEnd(res.socket)
-        : Promise.resolve(ConnectionEnd.Closed);
+    const connectionEnd = this.endsWithConnection(res)
+      ? awaitConnectionEnd(res.socket)
+      : Promise.resolve(ConnectionEnd.Closed);
     const finish = () => {
       if (this.isOver) return;
       onEnd();
