Start without a code cache when the log cannot be written (FAULT)

A router whose build wrote no code cache, or a damaged one, did not start on a full disk or behind a closed pipe: the starter's own line on standard output met an 'error' event without a handler, and the process ended with code 1 at each restart. The relay's log passes such errors over; the line of the starter is written before that log is loaded, and now does as well.

--- a/deploy/start.mjs
+++ b/deploy/start.mjs
@@ -9,8 +9,12 @@
 
 const logLevels = { warn: 40, error: 50 };
 
-// The relay's log is loaded with the relay; this writes the same format.
+const ignoreWriteError = () => undefined;
+
+// The relay's log is loaded with the relay; this writes the same format, and as there a full disk or a
+// closed pipe ends nothing.
 const log = (logLevel, message, context) => {
+  process.stdout.on("error", ignoreWriteError);
   const time = Date.now();
   const line = { context: { ...context, logLevel }, message, time };
   process.stdout.write(
