Stop in the planned way on a SIGTERM or SIGINT before the relay is loaded

Seen: a SIGTERM or SIGINT from Node's own start until the relay's modules were loaded ended the process by the signal, without a line. Cause: the starter registered handlers for the other signals only. Fix: the starter registers both. They stay pending while it loads the relay, whose own handlers get them; the relay lets the event loop turn once before it reads its settings, so such a stop is not waited on: code 0, one line.

--- a/deploy/surviveSignals.mjs
+++ b/deploy/surviveSignals.mjs
@@ -1,6 +1,7 @@
-// Has to be loaded before anything else: without a handler these signals end a process. The settings
-// are read after this, so the SIGHUP that asks for them is not lost.
+// Has to be loaded before anything else: without a handler these signals end a process. A signal that
+// comes before the relay's own handlers are registered stays pending until then, so none is lost:
+// the start up to there is one turn of the event loop.
 import { unusedSignals } from "../platform/src/lifecycle/unusedSignals.ts";
 
-for (const signal of ["SIGHUP", ...unusedSignals])
+for (const signal of ["SIGTERM", "SIGINT", "SIGHUP", ...unusedSignals])
   process.on(signal, () => undefined);
