Bound the garbage of large bodies by its bytes, not only by time

Seen on x86-64, on the bundle: 150 whole bodies of 4 MB took a router to 167 and 168 MB of a machine of 160 (2 of 2 runs of memoryLimit.test.js beside other work; 144 to 159 in 9 further runs of this load). The process is killed over that limit. Cause: once memory is short, the guard collects all garbage at most each 100 ms. What arrives in that time is bounded by the machine's speed alone; bodies that were answered had already outlived the collections of young garbage. Evidence: 70 MB of buffers at the peak, of which the budget held less than 36. Fix: a full collection is also due when as many bytes arrived since the last one as the budget leaves for garbage.

--- a/packages/relay/src/drivers/memory/memoryGuard.ts
+++ b/packages/relay/src/drivers/memory/memoryGuard.ts
@@ -14,7 +14,7 @@
 const garbageRatio = 0.25; // of the budget, in buffers that nothing holds any more
 const residentRatio = 0.8; // of the machine's memory
 const bytesPerMb = 1_000_000;
-const minFullIntervalMs = 100;
+const minFullIntervalMs = 100; // unless more arrives in it than may be garbage
 
 /** Returns V8's function; the flag is taken back, since the code cache depends on flags. */
 const findCollect = (): Collect => {
@@ -28,7 +28,10 @@
 export class MemoryGuard {
   private maxBufferBytes = Infinity;
   private maxResidentBytes = Infinity;
+  private maxGarbageBytes = Infinity;
   private arrivedBytes = 0;
+  /** Bytes that arrived since the last full collection. */
+  private uncollectedBytes = 0;
   private nextFullAt = 0;
   private collect: Collect | undefined;
 
@@ -42,7 +45,8 @@
 
   /** Sets the machine's memory and how much of it requests and answers may take. */
   applyLimit(memoryMb: number | undefined, budgetBytes: number): void {
-    this.maxBufferBytes = budgetBytes * (1 + garbageRatio);
+    this.maxGarbageBytes = budgetBytes * garbageRatio;
+    this.maxBufferBytes = budgetBytes + this.maxGarbageBytes;
     this.maxResidentBytes =
       memoryMb === undefined ? Infinity : memoryMb * bytesPerMb * residentRatio;
   }
@@ -51,13 +55,21 @@
   note(bytes: number): void {
     this.arrivedBytes += bytes;
     if (this.arrivedBytes < checkEveryBytes) return;
+    this.uncollectedBytes += this.arrivedBytes;
     this.arrivedBytes = 0;
     if (!this.isOverfull()) return;
     this.collect ??= findCollect();
     this.collect({ type: "minor" });
-    if (now() < this.nextFullAt || !this.isOverfull()) return;
+    if (!this.isFullDue() || !this.isOverfull()) return;
     this.collect();
     this.nextFullAt = now() + minFullIntervalMs;
+    this.uncollectedBytes = 0;
+  }
+
+  private isFullDue(): boolean {
+    return (
+      now() >= this.nextFullAt || this.uncollectedBytes >= this.maxGarbageBytes
+    );
   }
 
   private isOverfull(): boolean {
