Read the process's memory without a descriptor where none is free (FAULT)

300 callers with bodies on 100 descriptors ended a router: fifty uncaught errors within 10 s stop it with code 1, and each broke off a caller's connection (39 answers of status 400 and 17,686 refused connections in the failing run of the test). Cause: the memory guard asks for the resident memory each 4 MiB, which opens a file below /proc and throws when no descriptor is free, inside the parser's callback.

Buffers are now read from V8's heap statistics, which need no file, and resident memory falls back to its peak so far from getrusage, which is never lower: the guard then collects too early, not too late. The metrics of `packages/router` used the same call. The test failed before and passes: the router lives, with no uncaught error and no 400. Most of these callers are still refused or reset, since no descriptor is left for replicas.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -32,6 +32,7 @@
 } from "./listenUntilOpen.js";
 export { now } from "./now.js";
 export { ConnectionOutcome, probeConnection } from "./probeConnection.js";
+export { residentBytes } from "./residentBytes.js";
 export { err, ok } from "./result.js";
 export {
   runEventLoop,
--- a/packages/relay/src/drivers/memory/memoryGuard.ts
+++ b/packages/relay/src/drivers/memory/memoryGuard.ts
@@ -3,9 +3,9 @@
  * unused buffers, and a heap of the size of its limit, pass before it collects them.
  */
 
-import { setFlagsFromString } from "node:v8";
+import { getHeapStatistics, setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
-import { now } from "@cardamomglade/common";
+import { now, residentBytes } from "@cardamomglade/common";
 
 /** V8's function that collects garbage. */
 type Collect = (options?: { readonly type: "minor" }) => void;
@@ -73,8 +73,10 @@
   }
 
   private isOverfull(): boolean {
-    const { external, rss } = process.memoryUsage();
-    return external > this.maxBufferBytes || rss > this.maxResidentBytes;
+    return (
+      getHeapStatistics().external_memory > this.maxBufferBytes ||
+      residentBytes() > this.maxResidentBytes
+    );
   }
 }
 
--- a/packages/router/src/administration/metricsRoute.ts
+++ b/packages/router/src/administration/metricsRoute.ts
@@ -1,5 +1,6 @@
 /** Metrics in the Prometheus text format. */
 
+import { residentBytes } from "@cardamomglade/common";
 import type { KeyValue } from "@cardamomglade/platform";
 import type { StateView } from "../drivers/types.js";
 import type { Metrics } from "../metrics.js";
@@ -25,7 +26,7 @@
       key_value_writes_total: calls.write,
       key_value_lease_calls_total: calls.lease,
       key_value_watches_total: calls.watch,
-      resident_bytes: process.memoryUsage.rss(),
+      resident_bytes: residentBytes(),
     };
     const contentType = "text/plain; version=0.0.4";
     return { status: 200, body: metrics.render(gauges), contentType };
