Count heads that have begun in the memory budget

Seen on x86-64, on the bundle of a machine of 160 MB: 3,800 callers that begin a head of 14, 30 or 60 kB, at the rate of the machine's link, and send no end take the router to 174, 236 and 277 MB; the process is killed over 160. Cause: Node's parser keeps the bytes of a head, up to 64 kB for each connection and for the header timeout of 3 s, and the budget counted a request only from the end of its head. The heap's limit does not hold it: at 364 MB resident the heap had 176 of its 200.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -41,6 +41,7 @@
 import { HeadTimeout } from "./headTimeout.js";
 import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
+import { BegunHeads } from "./memory/begunHeads.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
 import { RequestMemory } from "./memory/requestMemory.js";
 import { UnreadEvents } from "./memory/unreadEvents.js";
@@ -116,13 +117,13 @@
   const headTimeout = HeadTimeout.create(server);
   const idleTimeouts = IdleTimeouts.create(server);
 
+  const maxHeadBytes = () => Math.max(limits.headerBytes, parserHeadBytes);
   const applyLimits = (newLimits: RequestLimits) => {
     limits = newLimits;
     headTimeout.apply(limits.headerTimeoutMs);
     idleTimeouts.apply(limits.idleTimeoutMs);
     // Node reads this for each new connection, but the type of the server does not declare it.
-    const maxHeaderSize = Math.max(limits.headerBytes, parserHeadBytes);
-    Object.assign(server, { maxHeaderSize });
+    Object.assign(server, { maxHeaderSize: maxHeadBytes() });
   };
   applyLimits(defaultLimits);
 
@@ -142,6 +143,15 @@
   refuseMalformed(server, connections, (status, reason) => {
     refusals.record(status, reason);
   });
+  BegunHeads.create({
+    server,
+    connections,
+    budget: memoryBudget,
+    maxHeadBytes,
+    onNoRoom: (socket) => {
+      refusals.rejectHead(socket);
+    },
+  });
 
   const accept = (
     res: ServerResponse,
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -11,6 +11,12 @@
 
 const turnsToRead = 3;
 
+/** A head that has begun and not ended. */
+export interface BegunHead {
+  readonly socket: Socket;
+  readonly bytes: number;
+}
+
 /** Connections of one server. */
 export class OpenConnections {
   /** Bytes that each connection had received when it was last idle. */
@@ -88,11 +94,23 @@
 
   /** Returns the number of requests that are being read or answered, with heads that have begun. */
   openCount(): number {
+    return this.responses.size + this.begunHeads().length;
+  }
+
+  /** Returns the heads that have begun on connections without a request. */
+  begunHeads(): readonly BegunHead[] {
     const busy = new Set(this.responses.values());
-    const begun = [...this.idleBytes].filter(
-      ([socket, bytes]) => !busy.has(socket) && socket.bytesRead !== bytes,
-    );
-    return this.responses.size + begun.length;
+    const begun: BegunHead[] = [];
+    for (const [socket, idleBytes] of this.idleBytes) {
+      const bytes = socket.bytesRead - idleBytes;
+      if (bytes > 0 && !busy.has(socket)) begun.push({ socket, bytes });
+    }
+    return begun;
+  }
+
+  /** Returns the number of open connections. */
+  connectionCount(): number {
+    return this.idleBytes.size;
   }
 
   /** Returns the last response on a connection to a request that was read whole. */
--- a/packages/relay/src/drivers/refusalWriter.ts
+++ b/packages/relay/src/drivers/refusalWriter.ts
@@ -1,6 +1,7 @@
 /** Writes refusals to callers, and to routers that handed a request on. */
 
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext } from "../decisions/commands.js";
 import { HandoverRefusal } from "../decisions/handover/types.js";
@@ -46,11 +47,15 @@
   ...(refusal !== undefined && { [handoverHeaders.refusal]: refusal }),
 });
 
+const noRoomReason = "memory is short";
+
 const drawNoRoomRetryMs = (): number => {
   const { min, max } = noRoomRetryAfterMs;
   return min + Math.random() * (max - min);
 };
 
+const retryAfterOf = (retryMs: number): string => (retryMs / 1000).toFixed(3);
+
 /** Writes the refusals of one server. */
 export class RefusalWriter {
   private constructor(private readonly options: RefusalWriterOptions) {}
@@ -68,7 +73,7 @@
     const body = JSON.stringify({ error: reason });
     if (closesAfter(res)) connections.closeAfter(res);
     if (retryAfterMs !== undefined)
-      res.setHeader("retry-after", (retryAfterMs / 1000).toFixed(3));
+      res.setHeader("retry-after", retryAfterOf(retryAfterMs));
     res.writeHead(status, {
       ...(sender === Sender.Routers &&
         refusalHeaders(protocol, status, handoverRefusal)),
@@ -100,9 +105,32 @@
     this.options.metrics.count(Counter.MemoryRefusals);
     this.rejectUnread(res, {
       status: serviceUnavailableStatus,
-      reason: "memory is short",
+      reason: noRoomReason,
       retryAfterMs: drawNoRoomRetryMs(),
       handoverRefusal: HandoverRefusal.NoRoom,
     });
   }
+  /** Refuses a head that has not ended, because memory is short: its bytes are freed with the connection. */
+  rejectHead(socket: Socket): void {
+    const { sender, protocol, metrics } = this.options;
+    metrics.count(Counter.MemoryRefusals);
+    this.record(serviceUnavailableStatus, noRoomReason);
+    const headers = {
+      "retry-after": retryAfterOf(drawNoRoomRetryMs()),
+      ...(sender === Sender.Routers &&
+        refusalHeaders(
+          protocol,
+          serviceUnavailableStatus,
+          HandoverRefusal.NoRoom,
+        )),
+      "content-length": "0",
+      connection: "close",
+    };
+    const lines = [
+      `HTTP/1.1 ${String(serviceUnavailableStatus)} Service Unavailable`,
+      ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    ];
+    socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+    socket.destroySoon();
+  }
 }
