Ask no second replica while a large request or answer moves on

Cause: "the answer is overdue" counted from the time of sending alone. It took neither the body that was still being written nor the answer that was arriving, or that waited for memory of this process, for a sign of the replica.

Now the call reports each part of a large body that its socket took, each part of an answer with a length, and when the answer has to wait for memory; an attempt is overdue if none of these happens for that time. An answer that begins after another replica was asked takes the request back. Small messages are one part, so nothing changes for them; answers without a length are judged as before.

--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -51,6 +51,9 @@
  */
 export const attemptTimeoutTargetFactor = 2;
 
+/** Bytes of a large request or answer whose way is noted as progress; smaller ones are one part. */
+export const progressBytes = 64 * 1024;
+
 /** Minimum wait before an idempotent request is retried at another replica. */
 export const minAttemptTimeoutMs = 300;
 
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -28,6 +28,7 @@
   probeFinished,
   promptBlocksListed,
 } from "./probes.js";
+import { answerProgressed, requestProgressed } from "./progress.js";
 import { createRegistration, routersRead } from "./registration.js";
 import { recoverExchange } from "./recoverExchange.js";
 import { requestArrived } from "./requestArrived.js";
@@ -136,6 +137,10 @@
       return requestArrived(state, event);
     case "connectionOpened":
       return connectionOpened(state, event);
+    case "requestProgressed":
+      return requestProgressed(state, event);
+    case "answerProgressed":
+      return answerProgressed(state, event);
     case "responseReceived":
       return responseReceived(state, event);
     case "streamStarted":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -83,6 +83,22 @@
       readonly key: string;
       readonly attempt: number;
     }
+  /** The replica took a part of a large request; small ones are one part. */
+  | {
+      readonly type: "requestProgressed";
+      readonly at: Timestamp;
+      readonly key: string;
+      readonly attempt: number;
+    }
+  /** The replica sent a part of a large answer whose length it named, or the relay stopped reading. */
+  | {
+      readonly type: "answerProgressed";
+      readonly at: Timestamp;
+      readonly key: string;
+      readonly attempt: number;
+      /** Whether the rest waits for memory of this process. */
+      readonly isHeldBack: boolean;
+    }
   | {
       readonly type: "responseReceived";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -111,6 +111,7 @@
         : resumeFallback(state, exchange, fallback);
     case "streamStarted":
     case "streamEnded":
+    case "answerProgressed":
       return resumeFallback(state, exchange, fallback);
     case "responseReceived":
       return isRefusalOrFailure(event.answer)
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -279,6 +279,9 @@
   const handedOn = findHandedOn(state, event);
   if (handedOn === undefined) return undefined;
   switch (event.type) {
+    case "answerProgressed":
+      handedOn.attempt.heardAt = event.at;
+      return [];
     case "responseReceived":
       return handoverAnswered(state, event, handedOn);
     case "streamStarted":
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -100,6 +100,8 @@
     copyRequestedAt: undefined,
     rejectedHolders: new Set(),
     heardAt: state.at,
+    progressedAt: state.at,
+    isHeldBack: false,
     isConnected: false,
     hasEvents: false,
     head: undefined,
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -48,11 +48,12 @@
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
 
+/** Whether an answer takes too long; while the request or the answer moves on, it does not. */
 const isOverdue = (
   { route }: Exchange,
-  { sentAt }: Attempt,
+  { progressedAt, isHeldBack }: Attempt,
   at: Timestamp,
-): boolean => at - sentAt >= attemptTimeoutMsOf(route);
+): boolean => !isHeldBack && at - progressedAt >= attemptTimeoutMsOf(route);
 
 const isMigrationDue = (
   state: RelayState,
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -128,6 +128,10 @@
   /** Whether its connection was established. */
   isConnected: boolean;
   heardAt: Timestamp;
+  /** Time at which its replica last took a part of the request, or sent one of the answer; the time of sending before that. */
+  progressedAt: Timestamp;
+  /** Whether its answer waits for memory of this process. */
+  isHeldBack: boolean;
   hasEvents: boolean;
   /** Response head of a stream that has started. */
   head: ResponseHead | undefined;
--- a/packages/relay/src/drivers/answerBuffers.ts
+++ b/packages/relay/src/drivers/answerBuffers.ts
@@ -5,6 +5,7 @@
  */
 
 import type { IncomingMessage } from "node:http";
+import { progressBytes } from "../decisions/constants.js";
 import { maxAnswerBytes, waitingBytes } from "../decisions/memory/constants.js";
 import { Holder } from "../decisions/memory/types.js";
 import { ByteCollector } from "./memory/byteCollector.js";
@@ -17,6 +18,8 @@
 export interface AnswerBufferOptions {
   /** Length that the answer's head names; undefined if it names none. */
   readonly length: number | undefined;
+  /** Called for each part of an answer that names its length, and when it has to wait for memory. */
+  readonly onProgress?: (isHeldBack: boolean) => void;
   /** Called once if the answer cannot be buffered to its end; the buffer is empty then. */
   readonly onOverflow: (reason: string) => void;
 }
@@ -25,6 +28,8 @@
 export class AnswerBuffer {
   private readonly holding: Holding;
   private collector: ByteCollector | undefined;
+  /** Bytes that had arrived at the last part that was reported. */
+  private reportedBytes = 0;
 
   private constructor(
     private readonly budget: MemoryBudget,
@@ -62,18 +67,24 @@
   /** Calls back at once, or when there is room for the length that the answer names. */
   whenRoom(onRoom: () => void): void {
     const { holding, budget } = this;
-    const { length = 0 } = this.options;
+    const { length = 0, onProgress } = this.options;
+    let isHeldBack = false;
     const isDecided = budget.whenRoom({
       holding,
       holder: Holder.ArrivingAnswer,
       bytes: length,
       until: Infinity, // the call is abandoned by its deadline
-      onDecided: onRoom,
+      onDecided: () => {
+        if (isHeldBack) onProgress?.(false);
+        onRoom();
+      },
     });
     if (isDecided) return;
+    isHeldBack = true;
     const heldBytes = Math.min(length, waitingBytes);
-    if (!budget.tryWait(holding, Holder.WaitingAnswer, heldBytes))
-      this.overflow("too many answers wait for memory");
+    if (budget.tryWait(holding, Holder.WaitingAnswer, heldBytes))
+      onProgress?.(true);
+    else this.overflow("too many answers wait for memory");
   }
 
   /** Adds bytes that arrived; they are dropped once the buffer is closed. */
@@ -81,7 +92,8 @@
     if (!this.holding.isOpen) return;
     this.collector ??= ByteCollector.create(this.options.length);
     this.collector.push(chunk);
-    if (!this.holding.isSized) this.hold(this.collector.bytes);
+    if (this.holding.isSized) this.reportProgress(this.collector.bytes);
+    else this.hold(this.collector.bytes);
   }
 
   /** Sets how many bytes its reader holds itself. */
@@ -103,6 +115,12 @@
     this.collector = undefined;
   }
 
+  private reportProgress(bytes: number): void {
+    if (bytes - this.reportedBytes < progressBytes) return;
+    this.reportedBytes = bytes;
+    this.options.onProgress?.(false);
+  }
+
   private overflow(reason: string): void {
     this.close();
     this.options.onOverflow(reason);
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -25,6 +25,7 @@
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
+import { writeBody } from "./writeBody.js";
 import {
   decodeAnswerOrigin,
   decodeRefusal,
@@ -39,6 +40,8 @@
 /** Events of a call; no event follows a response, the end of a stream or a failure. */
 export type CallEvent =
   | { readonly type: "connectionOpened" }
+  | { readonly type: "requestProgressed" }
+  | { readonly type: "answerProgressed"; readonly isHeldBack: boolean }
   | { readonly type: "leavingAnnounced"; readonly replica: AnsweringReplica }
   | { readonly type: "responseReceived"; readonly answer: BufferedResponse }
   | { readonly type: "streamStarted"; readonly head: ResponseHead }
@@ -216,7 +219,9 @@
       this.res = res;
       this.read(res);
     });
-    this.req.end(callerRequest.body);
+    writeBody(this.req, callerRequest.body, () => {
+      this.report({ type: "requestProgressed" });
+    });
   }
 
   /** Sends the request; undefined, and reported as not sent, if the replica's address or id is invalid. */
@@ -362,6 +367,9 @@
   private openBuffer(length: number | undefined): AnswerBuffer | undefined {
     this.buffer = AnswerBuffer.create(memoryBudget, {
       length,
+      onProgress: (isHeldBack) => {
+        this.report({ type: "answerProgressed", isHeldBack });
+      },
       onOverflow: (reason) => {
         this.fail(AttemptFailure.Malformed, reason);
       },
--- a/packages/relay/src/testing/rawReplica.ts
+++ b/packages/relay/src/testing/rawReplica.ts
@@ -5,6 +5,9 @@
 /** Answers a request; `text` is everything received on the connection so far. */
 export type RawResponder = (socket: Socket, text: string) => void;
 
+/** Reads a connection in its own way, in place of the replica. */
+export type RawReader = (socket: Socket) => void;
+
 /** A running test replica. */
 export interface RawReplica {
   readonly port: number;
@@ -25,6 +28,7 @@
 /** Starts a test replica on a free port of the loopback address. */
 export const startRawReplica = async (
   answer: RawResponder,
+  read?: RawReader,
 ): Promise<RawReplica> => {
   const received: string[] = [];
   const sockets = new Set<Socket>();
@@ -33,6 +37,10 @@
     const index = received.push("") - 1;
     let isAnswered = false;
     socket.on("error", () => undefined); // tests may close connections at any time
+    if (read !== undefined) {
+      read(socket);
+      return;
+    }
     socket.on("data", (chunk) => {
       const text = (received[index] ?? "") + chunk.toString("latin1");
       received[index] = text;
--- a/packages/relay/src/testing/testAttempt.ts
+++ b/packages/relay/src/testing/testAttempt.ts
@@ -18,6 +18,8 @@
   rejectedHolders: new Set(),
   isConnected: false,
   heardAt: now(),
+  progressedAt: now(),
+  isHeldBack: false,
   hasEvents: false,
   head: undefined,
   eventCount: 0,
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -8,6 +8,7 @@
 import type { RelayEvent } from "../decisions/events.js";
 import {
   startRawReplica,
+  type RawReader,
   type RawResponder,
   type RawReplica,
 } from "./rawReplica.js";
@@ -29,15 +30,17 @@
 
 /**
  * Starts a relay and its replica, which may have several ids, on free ports of the
- * loopback address; a second one answers in its own way from another zone.
+ * loopback address; a second one answers in its own way from another zone. The first one
+ * may read in its own way.
  */
 export const startTestRelay = async (
   answer: RawResponder,
   service = plainService,
   ids: readonly string[] = ["a-9"],
   answerSecond?: RawResponder,
+  read?: RawReader,
 ): Promise<TestRelay> => {
-  const replica = await startRawReplica(answer);
+  const replica = await startRawReplica(answer, read);
   const second = answerSecond && (await startRawReplica(answerSecond));
   const ports = [await freePort(), await freePort(), await freePort()];
   const [front = 0, readiness = 0, metrics = 0] = ports;
