Take no stall of the process for a late answer

A router that was paused, or had no processor, for longer than an answer may take asked a second replica for each idempotent request under way as soon as it went on, although the answers had arrived and were about to be read: a repeat of each, out of the retry budget.

Cause: timers run before sockets, and of an attempt's times only that of its silence was corrected for the stall, not the one that "overdue" counts from. Both are now. The test on the virtual clock failed before.

--- a/packages/relay/src/decisions/fallback/overdueRequests.test.ts
+++ b/packages/relay/src/decisions/fallback/overdueRequests.test.ts
@@ -135,3 +135,13 @@
   assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
   assert.equal(countedWork(scenario), 0);
 });
+
+// Load: a router that is paused for most of a request's time; its answer has arrived meanwhile.
+test("a process that stood still asks a second replica for an answer that it has not read", () => {
+  const scenario = Scenario.create();
+  scenario.request(key, idempotentPath);
+  scenario.advance(25);
+  scenario.at += 1000;
+  scenario.dispatch({ type: "timerTicked", at: scenario.at });
+  assert.equal(scenario.commandsOfType("send").length, 1);
+});
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -190,14 +190,19 @@
   }
 };
 
+const compensateAttempt = (attempt: Attempt, lateMs: number): void => {
+  attempt.heardAt += lateMs;
+  attempt.progressedAt += lateMs;
+};
+
 /** Excludes a stall of this process from the replicas' silence: it could not receive anything. */
 const compensateStall = (state: RelayState, lateMs: number): RelayCommand[] => {
   for (const view of state.replicas.values()) view.heardAt += lateMs;
   // Answers of the store that have waited since then say nothing of now.
   state.storeHeardAt = -Infinity;
   for (const { attempt, fallback, wait } of state.exchanges.values()) {
-    if (attempt !== undefined) attempt.heardAt += lateMs;
-    if (fallback !== undefined) fallback.attempt.heardAt += lateMs;
+    if (attempt !== undefined) compensateAttempt(attempt, lateMs);
+    if (fallback !== undefined) compensateAttempt(fallback.attempt, lateMs);
     if (wait.type === "router") wait.attempt.heardAt += lateMs;
   }
   return [
