Close no connection in a planned stop whose request arrived in a long turn

Cause: three turns were left to accept, read and pass on what had arrived, but what arrives while the last of them runs was accepted and not read, or not even accepted. Now these three turns have to be short ones in a row, for a second at most.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -65,6 +65,7 @@
 const maxDrainNoticeMs = 2500;
 const maxDrainNoticeRatio = 0.5; // of a short grace, so that what arrives in it can end
 const drainPollMs = 50;
+const maxArrivalReadMs = 1000; // callers that send without a pause do not keep the process from stopping
 
 /** Starts a relay. */
 export const createRelay = (options: RelayOptions): Relay => {
@@ -184,7 +185,8 @@
       // Without the loop nothing under way can end.
       while (now() < deadline && !hasLoopEnded) {
         if (now() >= noticeEndsAt) {
-          await Promise.all(fronts.map((one) => one.closeIdle()));
+          const readBy = Math.min(now() + maxArrivalReadMs, deadline);
+          await Promise.all(fronts.map((one) => one.closeIdle(readBy)));
           if (isIdle()) break;
         }
         await sleep(drainPollMs);
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -6,7 +6,12 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import { createChannel, now, openServerPort } from "@cardamomglade/common";
+import {
+  createChannel,
+  now,
+  openServerPort,
+  type Timestamp,
+} from "@cardamomglade/common";
 import { createPortLog, Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
 import { maxTakenOverCount } from "../decisions/handover/constants.js";
@@ -68,8 +73,8 @@
 export interface FrontDriver extends RelayDriver {
   /** Whether its port is open. */
   isOpen(): boolean;
-  /** Stops accepting connections, and closes those without a request in progress. */
-  closeIdle(): Promise<void>;
+  /** Stops accepting connections, and closes those without a request in progress; what has arrived is read by the given time. */
+  closeIdle(readBy: Timestamp): Promise<void>;
   /** Number of requests that are being read or whose response has not been sent whole. */
   openRequestCount(): number;
 }
@@ -383,7 +388,7 @@
     events: channel.stream,
     perform: performOrBreakOff,
     isOpen: () => opening.isOpen(),
-    closeIdle: () => connections.closeIdle(),
+    closeIdle: (readBy) => connections.closeIdle(readBy),
     openRequestCount: () => connections.openCount(),
     stop: () => {
       opening.stop();
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -8,8 +8,10 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
+import { now, type Timestamp } from "@cardamomglade/common";
 
-const turnsToRead = 3;
+const turnsToRead = 3; // to accept a connection, to read from it, and to pass the request on
+const maxShortTurnMs = 20; // what arrives in a longer turn would wait for too long to be cut off
 
 /** Connections of one server. */
 export class OpenConnections {
@@ -104,16 +106,28 @@
 
   /**
    * Stops accepting connections, and closes those on which nothing is under way. What
-   * has arrived is read first: timers run before sockets.
+   * has arrived is read first, as far as that is possible by a time.
    */
-  async closeIdle(): Promise<void> {
-    for (let turn = 0; turn < turnsToRead; turn += 1) await nextTurn();
+  async closeIdle(readBy: Timestamp): Promise<void> {
+    await this.readArrived(readBy);
     if (this.server.listening) NetServer.prototype.close.call(this.server);
     const busy = new Set(this.responses.values());
     for (const [socket, bytes] of this.idleBytes)
       if (!busy.has(socket) && socket.bytesRead === bytes) socket.destroy();
   }
 
+  /** Lets several turns of the loop pass in a row that were short: timers run before sockets, and requests arrive in a long turn. */
+  private async readArrived(readBy: Timestamp): Promise<void> {
+    let shortTurnCount = 0;
+    for (let turn = 1; shortTurnCount < turnsToRead; turn += 1) {
+      const begunAt = now();
+      await nextTurn();
+      const isShort = now() - begunAt <= maxShortTurnMs;
+      shortTurnCount = isShort ? shortTurnCount + 1 : 0;
+      if (turn >= turnsToRead && now() >= readBy) return;
+    }
+  }
+
   /** A request that has not been added comes behind all others. */
   private placeOf(res: ServerResponse): number {
     return this.places.get(res) ?? this.lastPlace + 1;
