Keep 4096 connections until they are accepted

Callers of a busy router, above all all callers of one that ended, waited 1, 3 or 7 s for their connection: the system kept 511 until they were accepted, dropped the rest, and tried them again after a second or more. Some took themselves for connected, sent their request and were reset when the listener closed.

The test (1,500 callers while the process is busy) failed before: 512 connected within 0.9 s.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -6,12 +6,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import {
-  createChannel,
-  now,
-  openServerPort,
-  type Timestamp,
-} from "@cardamomglade/common";
+import { createChannel, now, type Timestamp } from "@cardamomglade/common";
 import { createPortLog, Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
 import { maxTakenOverCount } from "../decisions/handover/constants.js";
@@ -46,6 +41,7 @@
 import { HeadTimeout } from "./headTimeout.js";
 import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
+import { openFrontPort } from "./openFrontPort.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
 import { RequestMemory } from "./memory/requestMemory.js";
 import { UnreadEvents } from "./memory/unreadEvents.js";
@@ -262,7 +258,7 @@
     server.emit("request", req, res);
   });
   const portLog = createPortLog({ use: sender, address: listen }, log);
-  const opening = openServerPort(server, listen, portLog);
+  const opening = openFrontPort(server, listen, portLog);
 
   const takePending = (key: string): PendingResponse | undefined => {
     const found = pendingResponses.get(key);
