Accept the connections that wait before the listener closes in a planned stop

Cause: libuv accepts one connection a turn of the loop, and three turns were left before the listener closed, so all but three that waited were reset. A process under load accepts slowly, so they may have waited for seconds.

Now the listener closes after three turns in a row that were short and brought no connection; meanwhile the system is told to keep no more connections, so that a caller that comes then is refused and not reset with its request.

The test (100 callers that wait) failed before.

--- a/packages/relay/src/drivers/closingListener.test.ts
+++ b/packages/relay/src/drivers/closingListener.test.ts
@@ -6,24 +6,36 @@
 import { now } from "@cardamomglade/common";
 import { OpenConnections } from "./openConnections.js";
 
-const caller = `
+const callers = `
 const { connect } = require("node:net");
 const { parentPort, workerData } = require("node:worker_threads");
-const socket = connect(workerData.port, "127.0.0.1", () =>
-  socket.write("GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n", () => {
-    Atomics.store(workerData.sent, 0, 1);
-    Atomics.notify(workerData.sent, 0);
-  }),
-);
-let text = "";
-socket.on("data", (chunk) => (text += chunk));
-socket.on("error", () => undefined);
-socket.on("close", () => parentPort.postMessage(text.split("\\r\\n")[0]));
+const { port, count, sent } = workerData;
+const lines = [];
+let sentCount = 0;
+for (let index = 0; index < count; index += 1) {
+  const socket = connect(port, "127.0.0.1", () =>
+    socket.write("GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n", () => {
+      sentCount += 1;
+      if (sentCount < count) return;
+      Atomics.store(sent, 0, 1);
+      Atomics.notify(sent, 0);
+    }),
+  );
+  let text = "";
+  socket.on("data", (chunk) => (text += chunk));
+  socket.on("error", () => undefined);
+  socket.on("close", () => {
+    lines.push(text.split("\\r\\n")[0]);
+    if (lines.length === count) parentPort.postMessage(lines);
+  });
+}
 `;
 
 const maxSendMs = 5000;
 const maxReadMs = 3000;
 const longTurnCount = 2;
+const waitingCallerCount = 100;
+const okLine = "HTTP/1.1 200 OK";
 
 /** Starts a server that closes the connection of each answer. */
 const startServer = async (onRequest: () => void) => {
@@ -39,10 +51,11 @@
   return { port, connections };
 };
 
-/** Lets a caller in another thread send a request, and holds this thread until it has; returns its answer's first line. */
-const sendMeanwhile = (port: number): Promise<unknown> => {
+/** Lets callers in another thread send a request each, and holds this thread until they have; returns the first lines of their answers. */
+const sendMeanwhile = (port: number, count = 1): Promise<string[]> => {
   const sent = new Int32Array(new SharedArrayBuffer(4));
-  const worker = new Worker(caller, { eval: true, workerData: { port, sent } });
+  const workerData = { port, count, sent };
+  const worker = new Worker(callers, { eval: true, workerData });
   Atomics.wait(sent, 0, 0, maxSendMs);
   return new Promise((resolve) => worker.once("message", resolve));
 };
@@ -52,12 +65,21 @@
   const { port, connections } = await startServer(() => undefined);
   const answered = sendMeanwhile(port);
   await connections.closeIdle(now() + maxReadMs);
-  assert.equal(await answered, "HTTP/1.1 200 OK");
+  assert.deepEqual(await answered, [okLine]);
+});
+
+// Load: new connections come faster than a busy process accepts them, one a turn of its loop.
+test("requests on connections that wait to be accepted when the listener closes are cut off", async () => {
+  const { port, connections } = await startServer(() => undefined);
+  const answered = sendMeanwhile(port, waitingCallerCount);
+  await connections.closeIdle(now() + maxReadMs);
+  const answers = await answered;
+  assert.deepEqual([...new Set(answers)], [okLine]);
 });
 
 // Load: so many requests that a turn of the loop takes longer than one may wait without an answer.
 test("a request that arrives in a long turn before the listener closes is cut off", async () => {
-  const answers: Promise<unknown>[] = [];
+  const answers: Promise<string[]>[] = [];
   const { port, connections } = await startServer(() => {
     if (answers.length <= longTurnCount) answers.push(sendMeanwhile(port));
   });
@@ -65,5 +87,5 @@
   await connections.closeIdle(now() + maxReadMs);
   assert.equal(answers.length, longTurnCount + 1);
   for (const answer of await Promise.all(answers))
-    assert.equal(answer, "HTTP/1.1 200 OK");
+    assert.deepEqual(answer, [okLine]);
 });
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -9,6 +9,7 @@
 import { Server as NetServer, type Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { now, type Timestamp } from "@cardamomglade/common";
+import { stopQueueing } from "./stopQueueing.js";
 
 const turnsToRead = 3; // to accept a connection, to read from it, and to pass the request on
 const maxShortTurnMs = 20; // what arrives in a longer turn would wait for too long to be cut off
@@ -23,12 +24,14 @@
   /** Place of the first response that closes its connection. */
   private readonly closing = new WeakMap<Socket, number>();
   private lastPlace = 0;
+  private acceptedCount = 0;
 
   private constructor(
     private readonly server: Server,
     private readonly onDropped: (req: IncomingMessage) => void,
   ) {
     server.on("connection", (socket: Socket) => {
+      this.acceptedCount += 1;
       this.idleBytes.set(socket, 0);
       socket.on("close", () => {
         this.idleBytes.delete(socket);
@@ -116,14 +119,21 @@
       if (!busy.has(socket) && socket.bytesRead === bytes) socket.destroy();
   }
 
-  /** Lets several turns of the loop pass in a row that were short: timers run before sockets, and requests arrive in a long turn. */
+  /**
+   * Lets several turns of the loop pass in a row that were short and brought no connection:
+   * timers run before sockets, a turn accepts one connection, and requests arrive in a long
+   * turn. Meanwhile no more connections are kept waiting: each would come behind the others.
+   */
   private async readArrived(readBy: Timestamp): Promise<void> {
-    let shortTurnCount = 0;
-    for (let turn = 1; shortTurnCount < turnsToRead; turn += 1) {
+    let calmTurnCount = 0;
+    for (let turn = 1; calmTurnCount < turnsToRead; turn += 1) {
+      const { acceptedCount } = this;
       const begunAt = now();
       await nextTurn();
       const isShort = now() - begunAt <= maxShortTurnMs;
-      shortTurnCount = isShort ? shortTurnCount + 1 : 0;
+      const isCalm = isShort && this.acceptedCount === acceptedCount;
+      calmTurnCount = isCalm ? calmTurnCount + 1 : 0;
+      if (turn >= turnsToRead && !isCalm) stopQueueing(this.server);
       if (turn >= turnsToRead && now() >= readBy) return;
     }
   }
