--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -48,11 +48,12 @@
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
 
+/** Whether an answer takes too long; while the request or the answer moves on, it does not. */
 const isOverdue = (
   { route }: Exchange,
-  { sentAt }: Attempt,
+  { progressedAt, isHeldBack }: Attempt,
   at: Timestamp,
-): boolean => at - sentAt >= attemptTimeoutMsOf(route);
+): boolean => !isHeldBack && at - progressedAt >= attemptTimeoutMsOf(route);
 
 const isMigrationDue = (
   state: RelayState,
@@ -189,14 +190,19 @@
   }
 };
 
+const compensateAttempt = (attempt: Attempt, lateMs: number): void => {
+  attempt.heardAt += lateMs;
+  attempt.progressedAt += lateMs;
+};
+
 /** Excludes a stall of this process from the replicas' silence: it could not receive anything. */
 const compensateStall = (state: RelayState, lateMs: number): RelayCommand[] => {
   for (const view of state.replicas.values()) view.heardAt += lateMs;
   // Answers of the store that have waited since then say nothing of now.
   state.storeHeardAt = -Infinity;
   for (const { attempt, fallback, wait } of state.exchanges.values()) {
-    if (attempt !== undefined) attempt.heardAt += lateMs;
-    if (fallback !== undefined) fallback.attempt.heardAt += lateMs;
+    if (attempt !== undefined) compensateAttempt(attempt, lateMs);
+    if (fallback !== undefined) compensateAttempt(fallback.attempt, lateMs);
     if (wait.type === "router") wait.attempt.heardAt += lateMs;
   }
   return [
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -6,7 +6,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import { createChannel, now, openServerPort } from "@cardamomglade/common";
+import { createChannel, now, type Timestamp } from "@cardamomglade/common";
 import { createPortLog, Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
 import { maxTakenOverCount } from "../decisions/handover/constants.js";
@@ -41,6 +41,7 @@
 import { HeadTimeout } from "./headTimeout.js";
 import { IdleTimeouts } from "./idleTimeouts.js";
 import { OpenConnections } from "./openConnections.js";
+import { openFrontPort } from "./openFrontPort.js";
 import { BegunHeads } from "./memory/begunHeads.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
 import { RequestMemory } from "./memory/requestMemory.js";
@@ -69,8 +70,8 @@
 export interface FrontDriver extends RelayDriver {
   /** Whether its port is open. */
   isOpen(): boolean;
-  /** Stops accepting connections, and closes those without a request in progress. */
-  closeIdle(): Promise<void>;
+  /** Stops accepting connections, and closes those without a request in progress; what has arrived is read by the given time. */
+  closeIdle(readBy: Timestamp): Promise<void>;
   /** Number of requests that are being read or whose response has not been sent whole. */
   openRequestCount(): number;
 }
@@ -267,7 +268,7 @@
     server.emit("request", req, res);
   });
   const portLog = createPortLog({ use: sender, address: listen }, log);
-  const opening = openServerPort(server, listen, portLog);
+  const opening = openFrontPort(server, listen, portLog);
 
   const takePending = (key: string): PendingResponse | undefined => {
     const found = pendingResponses.get(key);
@@ -393,7 +394,7 @@
     events: channel.stream,
     perform: performOrBreakOff,
     isOpen: () => opening.isOpen(),
-    closeIdle: () => connections.closeIdle(),
+    closeIdle: (readBy) => connections.closeIdle(readBy),
     openRequestCount: () => connections.openCount(),
     stop: () => {
       opening.stop();
