--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -20,6 +20,7 @@
 } from "./decisions/decideRelay.js";
 import type { DecisionContext, RelayCommand } from "./decisions/commands.js";
 import type { RelayEvent } from "./decisions/events.js";
+import { backOffCount } from "./decisions/backOff/backOffs.js";
 import { leavingReplicaCount } from "./decisions/leavingReplicas.js";
 import { lostPathCount } from "./decisions/paths/paths.js";
 import { limitedReplicaCount } from "./decisions/requestLimits.js";
@@ -135,11 +136,14 @@
   const renderMetrics = (): string => {
     const state = running.state();
     const { exchanges, replicas, config, quarantine, limitCounts } = state;
-    const { restorations, versions, handover } = state;
+    const { restorations, versions, handover, backOffs } = state;
     return metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
       replicas_that_leave: leavingReplicaCount(state),
+      replicas_that_want_no_requests: backOffCount(state),
+      reopening_waits_total: backOffs.waitedCount,
+      reopening_refusals_total: backOffs.refusedCount,
       services_without_path: lostPathCount(state),
       requests_handed_on_total: handover.handedOnCount,
       requests_taken_over_total: handover.takenOverCount,
--- a/packages/relay/src/decisions/answerEnds/confirmEnd.ts
+++ b/packages/relay/src/decisions/answerEnds/confirmEnd.ts
@@ -4,6 +4,7 @@
  * a process that ended in the same way as the process itself does behind a whole answer.
  */
 
+import { isIdBackingOff } from "../backOff/backOffs.js";
 import { endConfirmationTimeoutMs } from "../constants.js";
 import { engineOf } from "../engineOf.js";
 import type { RelayCommand } from "../commands.js";
@@ -23,9 +24,13 @@
 ): RelayCommand[] => {
   const { at: sentAt } = state;
   const { replica } = attempt;
-  const until = sentAt + endConfirmationTimeoutMs;
+  const isPlain = engineOf(state, service) === undefined;
+  // A report is a request: an engine that wants none is not asked.
+  const isAsked = isPlain || !isIdBackingOff(state, replica.id);
+  const until = sentAt + (isAsked ? endConfirmationTimeoutMs : 0);
   attempt.unconfirmedEnd = { endedAt: sentAt, until, answer };
-  return engineOf(state, service) === undefined
+  if (!isAsked) return [];
+  return isPlain
     ? [{ type: "probeConnection", replica, sentAt }]
     : [{ type: "probe", replica, sentAt }];
 };
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -6,6 +6,7 @@
   serverErrorStatus,
   serviceUnavailableStatus,
 } from "../types.js";
+import { isIdBackingOff } from "./backOff/backOffs.js";
 import { confirmEnd } from "./answerEnds/confirmEnd.js";
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
 import { forgetReplica } from "./countedReplicas.js";
@@ -175,6 +176,14 @@
 export const isServerError = ({ head }: BufferedResponse): boolean =>
   head.status >= serverErrorStatus;
 
+/** Whether a replica turned an attempt away until a time: it is busy, and has not failed. */
+const isTurnedAway = (
+  state: RelayState,
+  { replica }: Attempt,
+  status: number,
+): boolean =>
+  status === serviceUnavailableStatus && isIdBackingOff(state, replica.id);
+
 /** Delivers a response, or retries a request that was rejected or failed. */
 const handleResponse = (
   state: RelayState,
@@ -185,7 +194,8 @@
   recordContact(state, attempt.replica.id, at);
   if (isNotExecuted) {
     // A replica that is full refuses; the next requests of all routers go elsewhere.
-    if (status === serviceUnavailableStatus)
+    const isFull = status === serviceUnavailableStatus;
+    if (isFull && !isTurnedAway(state, attempt, status))
       recordOutcome(state, attempt.replica.id, true);
     const wasCounted = forgetReplica(exchange, attempt);
     if (status === misdirectedRequestStatus) {
@@ -194,8 +204,7 @@
       if (wasCounted) exchange.attempts -= 1;
     }
     if (!attempt.mayHaveExecutedBefore) exchange.mayHaveExecuted = false;
-    if (status === serviceUnavailableStatus && wasCounted)
-      exchange.refusedAttempts += 1;
+    if (isFull && wasCounted) exchange.refusedAttempts += 1;
     // A rejected copy counts as a retry, because the request did reach the replica.
     if (attempt.start.type === "copy") recordRetry(state, exchange.service, at);
     const line = lossLogLine(
@@ -232,7 +241,8 @@
 ): RelayCommand[] => {
   const { status } = answer.head;
   const isFailure = isServerError(answer);
-  recordOutcome(state, attempt.replica.id, isFailure);
+  if (!isTurnedAway(state, attempt, status))
+    recordOutcome(state, attempt.replica.id, isFailure);
   const hasStarted = exchange.head !== undefined;
   const canGoOn =
     hasStarted || hasAttempt(exchange) || exchange.fallback !== undefined;
--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -2,6 +2,8 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { serviceUnavailableStatus } from "../types.js";
+import { awaitReopening, reopeningFor } from "./backOff/awaitReopening.js";
+import { isBackingOff } from "./backOff/backOffs.js";
 import { candidateQueryOf, soonestPermit } from "./chooseReplica.js";
 import { permitWaitRatio } from "./constants.js";
 import { describeOptions } from "./describeOptions.js";
@@ -84,7 +86,8 @@
   // One that was full may be tried again, not one that was lost.
   const again = [...triedIds].find((id) => {
     const view = state.replicas.get(id);
-    return view !== undefined && !isSuspected(view, state.at);
+    const isOpenAgain = view !== undefined && !isBackingOff(state, view);
+    return isOpenAgain && !isSuspected(view, state.at);
   });
   if (again !== undefined) triedIds.delete(again);
   const leftCount = route.maxAttempts - exchange.attempts;
@@ -129,6 +132,9 @@
   const { key, request } = exchange;
   const query = { ...candidateQueryOf(exchange), isWithinLimit: false };
   const permit = soonestPermit(state, query);
+  const reopening = reopeningFor(state, exchange);
+  if (reopening !== undefined && reopening.at < (permit?.at ?? Infinity))
+    return awaitReopening(state, exchange, reopening);
   if (permit === undefined) return awaitVersion(state, exchange, true);
   const limit = state.replicas.get(permit.replica)?.requestLimit;
   const context = {
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -12,6 +12,7 @@
   decodeCost,
   slotCost,
 } from "./constants.js";
+import { backOffUntil, isBackingOff } from "./backOff/backOffs.js";
 import { engineOf } from "./engineOf.js";
 import { excessFailureRateOf } from "./outcomes.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
@@ -27,6 +28,7 @@
   maxLeavingVersionRatio,
   minVersionReplicaCount,
 } from "./versions/constants.js";
+import type { Reopening } from "./backOff/types.js";
 import type {
   Exchange,
   ReservedPermit,
@@ -41,6 +43,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Whether replicas are left out that this router may send no request now, because of their limits. */
   readonly isWithinLimit?: boolean;
+  /** Whether replicas are included that may be asked again only later. */
+  readonly withBackingOff?: boolean;
   /** Software version that the replica must have; any if undefined. */
   readonly softwareVersion?: string | undefined;
   /** Zone that is avoided if another zone has a candidate; used for copies. */
@@ -183,6 +187,7 @@
 ): boolean =>
   isAvailable(view) &&
   !hasEnded(state, view) &&
+  (query.withBackingOff === true || !isBackingOff(state, view)) &&
   !query.excluded.has(view.replica.id) &&
   hasSoftware(view.replica, query.softwareVersion) &&
   (query.isWithinLimit !== true || isWithinLimit(state, view));
@@ -321,3 +326,19 @@
   }
   return soonest;
 };
+
+/** The replica that backs off and can be asked again soonest, and when; undefined if none does. */
+export const soonestReopening = (
+  state: RelayState,
+  query: CandidateQuery,
+): Reopening | undefined => {
+  let soonest: Reopening | undefined;
+  for (const view of candidatesOf(state, { ...query, withBackingOff: true })) {
+    const until = backOffUntil(state, view);
+    if (until === undefined) continue;
+    const at = Math.max(until, nextPermitAt(state, view) ?? until);
+    if (soonest !== undefined && at >= soonest.at) continue;
+    soonest = { replica: view.replica.id, at };
+  }
+  return soonest;
+};
--- a/packages/relay/src/decisions/copyHolders.ts
+++ b/packages/relay/src/decisions/copyHolders.ts
@@ -1,9 +1,10 @@
 /** Which engines can hold copies of a request's KV cache, and which copies can be used. */
 
 import type { Replica } from "../types.js";
+import { isOpen } from "./backOff/backOffs.js";
 import { candidateSampleOf } from "./chooseReplica.js";
 import { engineOf } from "./engineOf.js";
-import { isAvailable, isSuspected } from "./replicaViews.js";
+import { isSuspected } from "./replicaViews.js";
 import { isWithinLimitDebt } from "./requestLimits.js";
 import type { Exchange, KvCacheCopy, RelayState } from "./types.js";
 
@@ -48,7 +49,7 @@
   // A process that came back under the holder's id holds nothing, and may have other software.
   if (view.replica.startedAt !== holder.startedAt) return false;
   return (
-    isAvailable(view) &&
+    isOpen(state, view) &&
     !isSuspected(view, state.at) &&
     isWithinLimitDebt(state, view)
   );
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -11,6 +11,7 @@
   connectionOpened,
   responseReceived,
 } from "./attemptEvents.js";
+import { backOffRequested, createBackOffState } from "./backOff/backOffs.js";
 import { callerDisconnected } from "./callerDisconnected.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
 import { settleFallback } from "./fallback/fallbackEvents.js";
@@ -90,6 +91,7 @@
   versions: createVersionState(),
   gossip: createGossipState(),
   limitCounts: { waited: 0, refused: 0 },
+  backOffs: createBackOffState(),
   runtimeLimits: options.runtimeLimits,
   store: { type: "unknown" },
   storeHeardAt: -Infinity,
@@ -148,6 +150,8 @@
       return attemptFailed(state, event);
     case "leavingAnnounced":
       return leavingAnnounced(state, event);
+    case "backOffRequested":
+      return backOffRequested(state, event);
     case "probeFinished":
       return probeFinished(state, event);
     case "connectionProbed":
--- a/packages/relay/src/decisions/describeOptions.ts
+++ b/packages/relay/src/decisions/describeOptions.ts
@@ -5,6 +5,7 @@
  */
 
 import { formatAddress } from "../types.js";
+import { describeBackOffs } from "./backOff/describeBackOffs.js";
 import { candidateQueryOf, countCandidates } from "./chooseReplica.js";
 import { usableOffers } from "./handover/offers.js";
 import { ageOf } from "./replicaViews.js";
@@ -58,6 +59,7 @@
     replicas,
     candidates,
     candidatesWithoutLoss: trusted,
+    ...describeBackOffs(state, service),
     ...describePath(state, exchange),
     waitsFor: wait.type,
     ...describeAttempt(state, exchange),
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -2,11 +2,17 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
+import { isIdBackingOff } from "./backOff/backOffs.js";
+import { drawReturnDelayMs } from "./backOff/returnDelay.js";
 import { recordDuration } from "./answerDurations.js";
 import { describeOptions } from "./describeOptions.js";
-import { formatAddress, notExecutedStatuses } from "../types.js";
+import {
+  formatAddress,
+  notExecutedStatuses,
+  serviceUnavailableStatus,
+} from "../types.js";
 import { isRetryable } from "./isRetryable.js";
-import { refuse, refuseNotExecuted } from "./refusals.js";
+import { refuse, refuseNotExecuted, type RefusedRequest } from "./refusals.js";
 import { logLine } from "./logLine.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
 import type {
@@ -86,7 +92,7 @@
   state.exchanges.delete(exchange.key);
   return [
     ...closeFallback(state, exchange),
-    ...releaseCopy(attempt),
+    ...releaseCopy(state, attempt),
     logLine("request answered", {
       ...summaryOf(exchange, state.at),
       status: exchange.head?.status ?? head?.status,
@@ -106,9 +112,14 @@
  * Releases a KV cache copy that was requested separately; a copy kept from the
  * start ends with its request.
  */
-const releaseCopy = (attempt: Attempt | undefined): RelayCommand[] => {
+const releaseCopy = (
+  state: RelayState,
+  attempt: Attempt | undefined,
+): RelayCommand[] => {
   const copy = attempt?.copy;
   if (copy === undefined || copy.source.id === attempt?.copyTo?.id) return [];
+  // It expires by itself where its engine wants no requests.
+  if (isIdBackingOff(state, copy.source.id)) return [];
   return [{ type: "releaseCopy", copy }];
 };
 
@@ -122,10 +133,22 @@
   return [
     ...abandonAttempt(state, exchange),
     ...closeFallback(state, exchange),
-    ...releaseCopy(attempt),
+    ...releaseCopy(state, attempt),
   ];
 };
 
+/** Refuses a request that was not executed, with the time at which the first replica opens if all back off. */
+const refuseForNow = (
+  state: RelayState,
+  exchange: Exchange,
+  refused: RefusedRequest,
+): RelayCommand[] => {
+  const delayMs = drawReturnDelayMs(state, exchange);
+  if (delayMs === undefined) return refuseNotExecuted(state, refused);
+  state.backOffs.refusedCount += 1;
+  return refuse(refused, serviceUnavailableStatus, delayMs);
+};
+
 /** Ends an exchange that no replica can answer any more. */
 export const failExchange = (
   state: RelayState,
@@ -159,7 +182,7 @@
   }
   const refused = { key, requestId: request.requestId, reason, context };
   if (!mayHaveExecuted)
-    return [...commands, ...refuseNotExecuted(state, refused)];
+    return [...commands, ...refuseForNow(state, exchange, refused)];
   const status = state.at >= exchange.deadline ? 504 : 502;
   return [...commands, ...refuse(refused, status, undefined)];
 };
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -8,6 +8,7 @@
   Replica,
   Address,
 } from "../types.js";
+import type { RetryAfter } from "./backOff/types.js";
 import type { GossipItem } from "./gossip/types.js";
 import type { StoredQuarantine } from "./quarantine/types.js";
 import type { StoredVersions, StreamOrigin } from "./versions/types.js";
@@ -124,6 +125,13 @@
       readonly at: Timestamp;
       readonly replica: Pick<Replica, "id" | "startedAt">;
     }
+  /** A replica turned a request or a question away, and named a time at which it may be asked again. */
+  | {
+      readonly type: "backOffRequested";
+      readonly at: Timestamp;
+      readonly replica: Pick<Replica, "id" | "startedAt">;
+      readonly retryAfter: RetryAfter;
+    }
   | {
       readonly type: "probeFinished";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/handover/offers.ts
+++ b/packages/relay/src/decisions/handover/offers.ts
@@ -6,13 +6,14 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { formatAddress, type Address } from "../../types.js";
+import { isOpen } from "../backOff/backOffs.js";
 import type { RelayCommand } from "../commands.js";
 import type { RelayEventOf } from "../events.js";
 import { isPathLost, pathOf } from "../paths/paths.js";
 import { sampleWithoutReplacement } from "../random.js";
 import { isKnownRouter, otherRouters, zoneOfRouter } from "../registration.js";
 import { removeOldest } from "../removeOldest.js";
-import { isAvailable, replicasOf } from "../replicaViews.js";
+import { replicasOf } from "../replicaViews.js";
 import type { Exchange, RelayState } from "../types.js";
 import {
   askedRouterCount,
@@ -101,7 +102,7 @@
 
 /** Whether this router can serve a service's requests for others. */
 export const hasOwnPath = (state: RelayState, service: string): boolean =>
-  replicasOf(state, service).some(isAvailable) &&
+  replicasOf(state, service).some((view) => isOpen(state, view)) &&
   pathOf(state, service).state.type === "open";
 
 /** Answers another router's question: which services this one has a path to, and its room. */
--- a/packages/relay/src/decisions/kvCacheCopies.ts
+++ b/packages/relay/src/decisions/kvCacheCopies.ts
@@ -1,6 +1,7 @@
 /** Keeps a usable KV cache copy for each running request, also after the engine that holds the copy has failed. */
 
 import { findAttempt } from "./attemptEvents.js";
+import { isIdBackingOff } from "./backOff/backOffs.js";
 import { copyRefreshAfterMs, copyRetryMs } from "./constants.js";
 import { canCopy, chooseCopyHolder, isCopyUsable } from "./copyHolders.js";
 import { logLine } from "./logLine.js";
@@ -32,6 +33,7 @@
   attempt: Attempt,
 ): RelayCommand[] => {
   if (!attempt.hasEvents || !canCopy(state, exchange)) return [];
+  if (isIdBackingOff(state, attempt.replica.id)) return [];
   const isCopyPending =
     attempt.copyRequestedAt !== undefined &&
     state.at - attempt.copyRequestedAt < copyRetryMs;
--- a/packages/relay/src/decisions/paths/paths.ts
+++ b/packages/relay/src/decisions/paths/paths.ts
@@ -8,10 +8,11 @@
 
 import { Severity } from "@cardamomglade/observe";
 import type { Replica } from "../../types.js";
+import { isOpen } from "../backOff/backOffs.js";
 import type { RelayCommand } from "../commands.js";
 import { logLine } from "../logLine.js";
 import { sampleWithoutReplacement } from "../random.js";
-import { ageOf, hasEnded, isAvailable, replicasOf } from "../replicaViews.js";
+import { ageOf, hasEnded, replicasOf } from "../replicaViews.js";
 import type { RelayState, ReplicaView } from "../types.js";
 import {
   lostPathProbeCount,
@@ -143,7 +144,7 @@
   if (path.state.type !== "open" || path.connectedAt > begunAt) return [];
   const others = replicasOf(state, service).filter(
     (view) =>
-      view.replica.id !== id && isAvailable(view) && !hasEnded(state, view),
+      view.replica.id !== id && isOpen(state, view) && !hasEnded(state, view),
   );
   const tried = likelyReachable(state, others);
   if (tried.length === 0) return [];
@@ -172,10 +173,10 @@
 };
 
 const probeLostPath = (state: RelayState, service: string): RelayCommand[] => {
-  const available = replicasOf(state, service).filter(isAvailable);
+  const open = replicasOf(state, service).filter((view) => isOpen(state, view));
   return connectTo(
     state,
-    sampleWithoutReplacement(state, available, lostPathProbeCount),
+    sampleWithoutReplacement(state, open, lostPathProbeCount),
   );
 };
 
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -6,6 +6,7 @@
   settleEndsByConnection,
   settleEndsByReport,
 } from "./answerEnds/settleEnds.js";
+import { isBackingOff } from "./backOff/backOffs.js";
 import { abandonAndRetry } from "./abandonAndRetry.js";
 import {
   missingEventSilenceMs,
@@ -44,7 +45,7 @@
 import type { RelayEventOf } from "./events.js";
 import type { Attempt, Exchange, EngineQuery, RelayState } from "./types.js";
 
-/** Probes the engine of a silent stream; at most one probe per engine is in flight. */
+/** Probes the engine of a silent stream, by a connection alone if it wants no requests; at most one probe per engine is in flight. */
 export const probeSilent = (
   state: RelayState,
   { replica, heardAt }: Attempt,
@@ -54,7 +55,10 @@
   const { at } = state;
   if (at - Math.max(view.heardAt, heardAt) < probeAfterSilenceMs) return [];
   view.probeSentAt = at;
-  return [{ type: "probe", replica, sentAt: at }];
+  if (!isBackingOff(state, view))
+    return [{ type: "probe", replica, sentAt: at }];
+  view.bareProbeSentAt = at;
+  return [{ type: "probeConnection", replica, sentAt: at }];
 };
 
 const resumableAttemptsAt = (state: RelayState, replicaId: string) => {
@@ -184,6 +188,28 @@
   ];
 };
 
+/** Does the same for a silent replica that was only connected to, as it wants no requests. */
+const updateConnectedReplica = (
+  state: RelayState,
+  { replica, sentAt, outcome, at }: RelayEventOf<"connectionProbed">,
+): RelayCommand[] => {
+  const view = state.replicas.get(replica);
+  if (view?.bareProbeSentAt !== sentAt) return [];
+  view.bareProbeSentAt = undefined;
+  if (outcome !== ConnectionOutcome.Connected)
+    return updateProbedReplica(state, {
+      type: "probeFinished",
+      at,
+      replica,
+      sentAt,
+      report: undefined,
+      isAnswered: false,
+      isRefused: outcome === ConnectionOutcome.Refused,
+    });
+  view.probeSentAt = undefined;
+  return leaveSilentConnections(state, replica, undefined);
+};
+
 /** Takes a report, or a missing one, for a sign of the path to its service. */
 const noteReportProbe = (
   state: RelayState,
@@ -226,6 +252,7 @@
   ...settleEndsByConnection(state, event),
   ...noteConnectionProbe(state, event),
   ...confirmPlainCrash(state, event),
+  ...updateConnectedReplica(state, event),
 ];
 
 /** Handles what another router told about streams, and sends those whose version is found. */
--- a/packages/relay/src/decisions/quarantine/engineCrashes.ts
+++ b/packages/relay/src/decisions/quarantine/engineCrashes.ts
@@ -7,6 +7,7 @@
 import { ConnectionOutcome, type Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import type { CallerRequest, Replica } from "../../types.js";
+import { isIdBackingOff } from "../backOff/backOffs.js";
 import { maxLoggedPromptBlockCount } from "../constants.js";
 import { engineOf } from "../engineOf.js";
 import { failExchange } from "../endExchange.js";
@@ -86,11 +87,17 @@
   return view !== undefined && isAvailable(view);
 };
 
+/** Whether a replica is asked for its report: one that is no engine has none, and one that backs off wants no requests. */
+const hasReport = (state: RelayState, { id, service }: Replica): boolean =>
+  engineOf(state, service) !== undefined && !isIdBackingOff(state, id);
+
 /** Asks an engine for its report, and any other replica only for a connection: each request takes one of its slots. */
-const probe = (state: RelayState, replica: Replica): RelayCommand => {
+const probe = (
+  state: RelayState,
+  { replica, isReportAwaited }: UnconfirmedCrash,
+): RelayCommand => {
   const sentAt = state.at;
-  if (engineOf(state, replica.service) === undefined)
-    return { type: "probeConnection", replica, sentAt };
+  if (!isReportAwaited) return { type: "probeConnection", replica, sentAt };
   const view = state.replicas.get(replica.id);
   if (view !== undefined) view.probeSentAt = sentAt;
   return { type: "probe", replica, sentAt };
@@ -113,13 +120,14 @@
     lostAt: state.at,
     suspects: new Map(),
     unestablished: new Set(),
+    isReportAwaited: hasReport(state, replica),
     isRefused: false,
   };
   unconfirmed.set(process, crash);
   const causes = suspectedCausesOf(state, request, attempt);
   addSuspect(state, crash.suspects, request.fingerprint, causes);
   if (!isEstablished) crash.unestablished.add(request.fingerprint);
-  return known === undefined ? [probe(state, replica)] : [];
+  return known === undefined ? [probe(state, crash)] : [];
 };
 
 /** Tells others of a suspect, and of its blocks that succeeded here before. */
@@ -267,7 +275,14 @@
     if (!attempt.isEstablished) unestablished.add(request.fingerprint);
   }
   if (suspects.size === 0) return [];
-  const crash = { replica, lostAt, suspects, unestablished, isRefused: true };
+  const crash = {
+    replica,
+    lostAt,
+    suspects,
+    unestablished,
+    isReportAwaited: hasReport(state, replica),
+    isRefused: true,
+  };
   return noteRefused(state, crash);
 };
 
@@ -304,7 +319,7 @@
   return hasEnded ? recordCrash(state, crash) : [];
 };
 
-/** Decides by a connection's result whether a replica that is no engine has ended. */
+/** Decides by a connection's result whether a replica has ended that was not asked for a report. */
 export const confirmPlainCrash = (
   state: RelayState,
   event: RelayEventOf<"connectionProbed">,
@@ -312,7 +327,7 @@
   const crash = unconfirmedCrashOf(state, event);
   if (crash === undefined) return [];
   // Another process may listen at an engine's address; its report tells.
-  if (engineOf(state, crash.replica.service) !== undefined) return [];
+  if (crash.isReportAwaited) return [];
   if (event.outcome === ConnectionOutcome.Refused)
     return noteRefused(state, crash);
   forgetUnconfirmed(state, crash);
--- a/packages/relay/src/decisions/quarantine/types.ts
+++ b/packages/relay/src/decisions/quarantine/types.ts
@@ -13,6 +13,8 @@
   readonly suspects: CrashSuspects;
   /** Fingerprints of the suspects whose answer was not established. */
   readonly unestablished: Set<string>;
+  /** Whether its engine was asked for a report; any other replica is only connected to. */
+  readonly isReportAwaited: boolean;
   /** Whether its address refused a connection: it has ended, or this router has no path to it. */
   isRefused: boolean;
 }
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -9,6 +9,7 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
+import { isBackingOff, isOpen } from "./backOff/backOffs.js";
 import {
   candidateQueryOf,
   candidateSampleOf,
@@ -24,7 +25,7 @@
   reconnectWindowMs,
   promptQueryTimeoutMs,
 } from "./constants.js";
-import { hasSoftware, isAvailable, replicasOf } from "./replicaViews.js";
+import { hasSoftware, replicasOf } from "./replicaViews.js";
 import { hasSeveralVersions } from "./versions/serviceVersions.js";
 import {
   originListTimeoutMs,
@@ -143,8 +144,9 @@
         ({ zone }) => zone,
       );
   const pending = sample.filter(
-    ({ promptBlocksReadAt }) =>
-      state.at - promptBlocksReadAt >= promptBlocksFreshMs,
+    (view) =>
+      state.at - view.promptBlocksReadAt >= promptBlocksFreshMs &&
+      !isBackingOff(state, view),
   );
   const timeoutMs = isSought ? originListTimeoutMs : promptQueryTimeoutMs;
   const until = state.at + timeoutMs;
@@ -194,7 +196,7 @@
   for (const id of engineQuery.sample) {
     const view = state.replicas.get(id);
     const tokens = view?.promptBlocks?.get(request.lastPromptBlockId) ?? 0;
-    if (view === undefined || tokens <= maxTokens || !isAvailable(view))
+    if (view === undefined || tokens <= maxTokens || !isOpen(state, view))
       continue;
     const { replica } = view;
     if (!hasSoftware(replica, softwareVersion)) continue;
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -23,6 +23,7 @@
   heardAt: 0,
   suspectUntil: 0,
   probeSentAt: undefined,
+  bareProbeSentAt: undefined,
   outcomes: createOutcomeCounts(),
   outcomesCountedAt: 0,
   unsharedOutcomes: createOutcomeCounts(),
@@ -36,6 +37,7 @@
   leftAt: undefined,
   hasAnnouncedLeaving: false,
   replacedAt: undefined,
+  backOff: undefined,
   requestLimit: undefined,
 });
 
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -15,6 +15,7 @@
   awaitVersion,
   canAwaitRoom,
 } from "./awaitReplica.js";
+import { isOpen } from "./backOff/backOffs.js";
 import { borrowRetry } from "./borrowRetry.js";
 import { engineOf } from "./engineOf.js";
 import {
@@ -47,7 +48,7 @@
 import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
-import { ageOf, hasSoftware, isAvailable } from "./replicaViews.js";
+import { ageOf, hasSoftware } from "./replicaViews.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import {
@@ -244,7 +245,7 @@
   const isUsable =
     view !== undefined &&
     !mustHandOn(state, exchange) &&
-    isAvailable(view) &&
+    isOpen(state, view) &&
     hasSoftware(view.replica, exchange.softwareVersion);
   if (!isUsable) return sendWithoutCopy(state, exchange);
   // The permit was taken when it was reserved.
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -85,9 +85,9 @@
   if (known !== undefined && isEarlierReport(replica, known.replica)) return [];
   if (known === undefined || !isSameProcess(known.replica, replica)) {
     const view = createReplicaView(replica);
-    view.hasAnnouncedLeaving = state.leavingProcesses.has(
-      processKeyOf(replica),
-    );
+    const process = processKeyOf(replica);
+    view.hasAnnouncedLeaving = state.leavingProcesses.has(process);
+    view.backOff = state.backOffs.processes.get(process);
     state.replicas.set(replica.id, view);
     markPredecessorsReplaced(state, replica);
     if (replica.state === ReplicaState.Draining) view.drainingSince = state.at;
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -11,6 +11,7 @@
   stallThresholdMs,
   tickIntervalMs,
 } from "./constants.js";
+import { checkReopening } from "./backOff/checkReopening.js";
 import { settleEnd } from "./answerEnds/settleEnds.js";
 import { EndEvidence } from "./answerEnds/types.js";
 import { endBeforeStop, mustEndBeforeStop } from "./endBeforeStop.js";
@@ -127,6 +128,8 @@
         : [];
     case "permit":
       return state.at >= wait.at ? sendWithPermit(state, exchange, wait) : [];
+    case "reopening":
+      return checkReopening(state, exchange, wait);
     case "version":
       return state.at >= wait.retryAt
         ? sendAfterWait(state, exchange, wait.isCounted)
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -10,6 +10,7 @@
   Address,
 } from "../types.js";
 import type { EndEvidence, UnconfirmedEnd } from "./answerEnds/types.js";
+import type { BackOff, BackOffState, Reopening } from "./backOff/types.js";
 import type { Fallback } from "./fallback/types.js";
 import type { GossipState } from "./gossip/types.js";
 import type {
@@ -50,6 +51,8 @@
   suspectUntil: Timestamp;
   /** Send time of the probe in flight; undefined if there is none. */
   probeSentAt: Timestamp | undefined;
+  /** Send time of one that only connects, as the replica wants no requests. */
+  bareProbeSentAt: Timestamp | undefined;
   /** Recent outcomes of all routers' attempts; they lose weight with time from the given one on. */
   readonly outcomes: OutcomeCounts;
   outcomesCountedAt: Timestamp;
@@ -75,6 +78,8 @@
   hasAnnouncedLeaving: boolean;
   /** Time at which another process was found at the replica's address. */
   replacedAt: Timestamp | undefined;
+  /** Time that an answer of the process named to this router; undefined before the first. */
+  backOff: BackOff | undefined;
   /** What its answers say about its limit of requests; undefined before the first limit. */
   requestLimit: RequestLimit | undefined;
 }
@@ -277,6 +282,12 @@
   | (Borrowing & { readonly type: "retry" })
   /** Its permit at a replica that limits requests. */
   | (ReservedPermit & { readonly type: "permit" })
+  /** A replica that asked for no requests until a time; the request is sent then. */
+  | (Reopening & {
+      readonly type: "reopening";
+      /** It looks for another replica then. */
+      readonly lookAt: Timestamp;
+    })
   /** A replica of the software at which the stream began; it looks again then. */
   | {
       readonly type: "version";
@@ -436,6 +447,7 @@
   readonly versions: VersionState;
   readonly gossip: GossipState;
   readonly limitCounts: LimitCounts;
+  readonly backOffs: BackOffState;
   runtimeLimits: RuntimeLimits;
   store: StoreState;
   /** Time at which the store, or a router that follows it, was last heard of. */
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -3,13 +3,20 @@
 import { now } from "@cardamomglade/common";
 import { probeTimeoutMs } from "../decisions/constants.js";
 import { originListTimeoutMs } from "../decisions/versions/constants.js";
+import type { RetryAfter } from "../decisions/backOff/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { KvCacheCopy } from "../decisions/types.js";
 import type { EngineReport, Replica, ReplicaProtocol } from "../types.js";
 import { httpCall, type HttpCall, type HttpResult } from "./httpCall.js";
+import { retryAfterOf } from "./retryAfter.js";
 
-/** Called with a replica whose answer says that it leaves. */
-export type OnLeaving = (replica: Replica) => void;
+/** What a replica's answer says about itself. */
+export type ReplicaNotice =
+  | { readonly type: "leavingAnnounced" }
+  | { readonly type: "backOffRequested"; readonly retryAfter: RetryAfter };
+
+/** Called with what a replica's answer says. */
+export type OnNotice = (replica: Replica, notice: ReplicaNotice) => void;
 
 /** Result of a probe. */
 export interface ProbeResult {
@@ -23,17 +30,20 @@
 const copyTimeoutMs = 1500; // copying a whole prompt takes some ten milliseconds, or some hundred when queued behind other copies
 
 const callReplica = async (
-  { headers }: ReplicaProtocol,
+  protocol: ReplicaProtocol,
   replica: Replica,
   options: Omit<HttpCall, "host" | "port">,
-  onLeaving: OnLeaving,
+  onNotice: OnNotice,
 ): Promise<HttpResult> => {
   const { host, port } = replica;
   const outcome = await httpCall({ host, port, ...options });
-  const isLeaving =
-    outcome.type === "answered" &&
-    outcome.headers[headers.leaving] !== undefined;
-  if (isLeaving) onLeaving(replica);
+  if (outcome.type === "failed") return outcome;
+  const { status, headers } = outcome;
+  if (headers[protocol.headers.leaving] !== undefined)
+    onNotice(replica, { type: "leavingAnnounced" });
+  const retryAfter = retryAfterOf(protocol, status, headers, now());
+  if (retryAfter !== undefined)
+    onNotice(replica, { type: "backOffRequested", retryAfter });
   return outcome;
 };
 
@@ -49,12 +59,12 @@
 export const probeEngine = async (
   protocol: ReplicaProtocol,
   replica: Replica,
-  onLeaving: OnLeaving,
+  onNotice: OnNotice,
 ): Promise<ProbeResult> => {
   const { reportPath: path, decodeReport } = protocol;
   const deadline = now() + probeTimeoutMs;
   const options = { method: "GET" as const, path, deadline };
-  const result = await callReplica(protocol, replica, options, onLeaving);
+  const result = await callReplica(protocol, replica, options, onNotice);
   if (result.type === "failed") {
     const { isRefused } = result;
     return { isAnswered: false, isRefused, report: undefined };
@@ -68,11 +78,11 @@
   protocol: ReplicaProtocol,
   replica: Replica,
   path: string,
-  onLeaving: OnLeaving,
+  onNotice: OnNotice,
 ): Promise<string | undefined> => {
   const deadline = now() + originListTimeoutMs;
   const options = { method: "GET" as const, path, deadline };
-  const answer = await call(protocol, replica, options, onLeaving);
+  const answer = await call(protocol, replica, options, onNotice);
   return answer?.status === 200 ? answer.text : undefined;
 };
 
@@ -83,13 +93,13 @@
 export const listPromptBlocks = async (
   protocol: ReplicaProtocol,
   { replica, withHistory }: Extract<RelayCommand, { type: "listPromptBlocks" }>,
-  onLeaving: OnLeaving,
+  onNotice: OnNotice,
 ): Promise<ReadonlyMap<string, number> | undefined> => {
   const { promptBlocksPath, promptHistoryPath } = protocol;
   const [heldText, historyText] = await Promise.all([
-    getList(protocol, replica, promptBlocksPath, onLeaving),
+    getList(protocol, replica, promptBlocksPath, onNotice),
     withHistory
-      ? getList(protocol, replica, promptHistoryPath, onLeaving)
+      ? getList(protocol, replica, promptHistoryPath, onNotice)
       : undefined,
   ]);
   if (heldText === undefined) return undefined;
@@ -107,7 +117,7 @@
 export const requestKvCacheCopy = async (
   protocol: ReplicaProtocol,
   command: Extract<RelayCommand, { type: "copyKvCache" }>,
-  onLeaving: OnLeaving,
+  onNotice: OnNotice,
 ): Promise<string | undefined> => {
   const { kvCopyPath, encodeCopyRequest, decodeCopyHandle } = protocol;
   const options = {
@@ -116,7 +126,7 @@
     body: encodeCopyRequest(command.requestId, command.holder),
     deadline: now() + copyTimeoutMs,
   };
-  const answer = await call(protocol, command.source, options, onLeaving);
+  const answer = await call(protocol, command.source, options, onNotice);
   return answer?.status === 200 ? decodeCopyHandle(answer.text) : undefined;
 };
 
@@ -124,12 +134,12 @@
 export const releaseKvCacheCopy = async (
   protocol: ReplicaProtocol,
   { source, handle }: KvCacheCopy,
-  onLeaving: OnLeaving,
+  onNotice: OnNotice,
 ): Promise<void> => {
   const options = {
     method: "DELETE" as const,
     path: protocol.releaseCopyPath(handle),
     deadline: now() + probeTimeoutMs,
   };
-  await call(protocol, source, options, onLeaving);
+  await call(protocol, source, options, onNotice);
 };
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -2,6 +2,7 @@
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import { now } from "@cardamomglade/common";
+import type { RetryAfter } from "../decisions/backOff/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import { isBodiless } from "../decisions/answerEnds/isBodiless.js";
 import {
@@ -25,6 +26,7 @@
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
+import { retryAfterOf } from "./retryAfter.js";
 import {
   decodeAnswerOrigin,
   decodeRefusal,
@@ -40,6 +42,11 @@
 export type CallEvent =
   | { readonly type: "connectionOpened" }
   | { readonly type: "leavingAnnounced"; readonly replica: AnsweringReplica }
+  | {
+      readonly type: "backOffRequested";
+      readonly replica: AnsweringReplica;
+      readonly retryAfter: RetryAfter;
+    }
   | { readonly type: "responseReceived"; readonly answer: BufferedResponse }
   | { readonly type: "streamStarted"; readonly head: ResponseHead }
   | { readonly type: "eventsArrived"; readonly events: readonly StreamEvent[] }
@@ -341,6 +348,16 @@
     return undefined;
   }
 
+  /** Reports a time that the replica names; another router's is for its caller. */
+  private reportRetryAfter(res: IncomingMessage, status: number): void {
+    const { protocol, command } = this;
+    if (command.type !== "send") return;
+    const { replica } = command.attempt;
+    const retryAfter = retryAfterOf(protocol, status, res.headers, now());
+    if (retryAfter !== undefined)
+      this.report({ type: "backOffRequested", replica, retryAfter });
+  }
+
   private read(res: IncomingMessage): void {
     const head = this.headOf(res);
     const { answeredBy } = head;
@@ -349,6 +366,7 @@
       answeredBy !== undefined
     )
       this.report({ type: "leavingAnnounced", replica: answeredBy });
+    this.reportRetryAfter(res, head.status);
     const validationError = this.validationErrorOf(res, head);
     if (validationError !== undefined) {
       this.fail(AttemptFailure.Malformed, validationError);
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -4,6 +4,7 @@
 import { probeTimeoutMs } from "../decisions/constants.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { RelayEvent } from "../decisions/events.js";
+import type { AnsweringReplica } from "../decisions/types.js";
 import { Counter, type RelayMetrics } from "../metrics.js";
 import type { Replica, ReplicaProtocol } from "../types.js";
 import {
@@ -11,6 +12,7 @@
   releaseKvCacheCopy,
   listPromptBlocks,
   probeEngine,
+  type ReplicaNotice,
 } from "./engineCalls.js";
 import { ReplicaCall, type CallEvent } from "./replicaCall.js";
 import type { RelayDriver } from "./types.js";
@@ -24,6 +26,12 @@
   type === "streamEnded" ||
   type === "attemptFailed";
 
+/** Whether an event says something of the replica, not of the call. */
+const isNotice = (
+  event: CallEvent,
+): event is Extract<CallEvent, { readonly replica: AnsweringReplica }> =>
+  event.type === "leavingAnnounced" || event.type === "backOffRequested";
+
 /** Creates the driver for all replicas. */
 export const createReplicaDriver = (
   protocol: ReplicaProtocol,
@@ -32,8 +40,11 @@
   const channel = createChannel<RelayEvent>();
   const calls = new Map<string, ReplicaCall>();
 
-  const onLeaving = (replica: Pick<Replica, "id" | "startedAt">) => {
-    channel.push({ type: "leavingAnnounced", at: now(), replica });
+  const onNotice = (
+    replica: Pick<Replica, "id" | "startedAt">,
+    notice: ReplicaNotice,
+  ) => {
+    channel.push({ ...notice, at: now(), replica });
   };
 
   const start = (
@@ -43,8 +54,8 @@
     const { key } = command;
     const name = callKey(key, attempt);
     const call = ReplicaCall.create(protocol, command, (callEvent) => {
-      if (callEvent.type === "leavingAnnounced") {
-        onLeaving(callEvent.replica);
+      if (isNotice(callEvent)) {
+        onNotice(callEvent.replica, callEvent);
         return;
       }
       if (isLastEvent(callEvent)) calls.delete(name);
@@ -72,7 +83,7 @@
 
   const probe = async (replica: Replica, sentAt: number) => {
     metrics.count(Counter.Probes);
-    const answer = await probeEngine(protocol, replica, onLeaving);
+    const answer = await probeEngine(protocol, replica, onNotice);
     channel.push({
       type: "probeFinished",
       at: now(),
@@ -99,7 +110,7 @@
   ) => {
     const { replica } = command;
     metrics.count(Counter.Probes);
-    const promptBlocks = await listPromptBlocks(protocol, command, onLeaving);
+    const promptBlocks = await listPromptBlocks(protocol, command, onNotice);
     channel.push({
       type: "promptBlocksListed",
       at: now(),
@@ -112,7 +123,7 @@
     command: Extract<RelayCommand, { type: "copyKvCache" }>,
   ) => {
     const { key, attempt, holder } = command;
-    const handle = await requestKvCacheCopy(protocol, command, onLeaving);
+    const handle = await requestKvCacheCopy(protocol, command, onNotice);
     channel.push({
       type: "kvCacheCopied",
       at: now(),
@@ -143,7 +154,7 @@
           void copyKvCache(command);
           return;
         case "releaseCopy":
-          void releaseKvCacheCopy(protocol, command.copy, onLeaving);
+          void releaseKvCacheCopy(protocol, command.copy, onNotice);
           return;
         case "listPromptBlocks":
           void listBlocks(command);
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -36,6 +36,14 @@
 /** How a request ended for its caller. */
 export type Ending = "whole" | "cut" | number;
 
+/** A request or question of a router to a replica. */
+export interface Asked {
+  readonly at: Timestamp;
+  readonly router: string;
+  readonly replica: string;
+  readonly type: RelayCommand["type"];
+}
+
 /** Options of a fleet. */
 export interface FleetOptions extends ReplicaCounts {
   readonly routerCount: number;
@@ -48,6 +56,25 @@
 const storeDelayMs = 1000;
 const zones = ["a", "b", "c"];
 
+/** Ids of the replicas that a command sends something to. */
+const replicasAskedBy = (command: RelayCommand): string[] => {
+  switch (command.type) {
+    case "send": {
+      const { replica, copyTo } = command.attempt;
+      return copyTo === undefined ? [replica.id] : [replica.id, copyTo.id];
+    }
+    case "probe":
+    case "listPromptBlocks":
+      return [command.replica.id];
+    case "copyKvCache":
+      return [command.source.id, command.holder.id];
+    case "releaseCopy":
+      return [command.copy.source.id];
+    default:
+      return [];
+  }
+};
+
 /** Relays, engines and a store whose faults the test sets. */
 export class Fleet {
   readonly states = new Map<string, RelayState>();
@@ -55,6 +82,10 @@
   /** Events that callers received, by the key of each of their attempts. */
   readonly streams = new DeliveredStreams();
   readonly sent: CommandOf<"send">[] = [];
+  /** All requests and questions to replicas, also those to keep or give a copy. */
+  readonly asked: Asked[] = [];
+  /** Times after which refused callers may come back, by the key of their request. */
+  readonly retryAfterMs = new Map<string, number | undefined>();
   readonly logged: CommandOf<"log">[] = [];
   /** While the store is down, no router learns of restarted engines. */
   isStoreDown = false;
@@ -290,6 +321,9 @@
 
   private perform(router: string, command: RelayCommand): void {
     if (this.handovers.handBack(command)) return;
+    const { at } = this;
+    for (const replica of replicasAskedBy(command))
+      this.asked.push({ at, router, replica, type: command.type });
     switch (command.type) {
       case "send":
         this.sent.push(command);
@@ -344,6 +378,7 @@
         return;
       case "refuse":
         this.endings.set(command.key, command.status);
+        this.retryAfterMs.set(command.key, command.retryAfterMs);
         return;
       case "finishStream":
         this.endings.set(command.key, "whole");
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -47,6 +47,14 @@
   readonly blockIds: readonly string[];
 }
 
+/** A request that a replica turned away, with the time at which it may be asked again. */
+export interface TurnedAway {
+  readonly at: Timestamp;
+  readonly router: string;
+  readonly replica: string;
+  readonly until: Timestamp;
+}
+
 const plainAnswerMs = 43;
 const prefillMs = 300;
 const eventIntervalMs = 40;
@@ -74,6 +82,9 @@
   readonly requestLimits = new Map<string, number>();
   /** Ids of replicas that refuse each request, as they are full. */
   readonly fullReplicas = new Set<string>();
+  /** Times until which replicas turn each request away and say so, by id. */
+  readonly busyUntil = new Map<string, Timestamp>();
+  readonly turnedAway: TurnedAway[] = [];
   /** Prompt blocks under which an engine ends as soon as it begins to answer. */
   readonly crashingBlocks = new Set<string>();
   /** Fingerprints of requests under which a replica ends, and the number of events before it does. */
@@ -245,6 +256,11 @@
       this.receive(router, command);
     };
     if (this.waitWhileSilent(simulated, receive)) return;
+    const busyUntil = this.busyUntil.get(attempt.replica.id) ?? 0;
+    if (busyUntil > this.clock.now()) {
+      this.refuse(router, command, busyUntil);
+      return;
+    }
     if (this.fullReplicas.has(attempt.replica.id)) {
       this.refuse(router, command);
       return;
@@ -374,14 +390,19 @@
     });
   }
 
-  private refuse(router: string, { key, attempt }: SendCommand): void {
-    const { number } = attempt;
+  private refuse(
+    router: string,
+    { key, attempt }: SendCommand,
+    until?: Timestamp,
+  ): void {
+    const { number, replica } = attempt;
     const head = okHead({ status: 503, isNotExecuted: true });
     const answer = { head, body: new Uint8Array() };
     const at = this.clock.now();
     this.clock.later(1, () => {
       const type = "responseReceived";
-      const { service } = attempt.replica;
+      const { service } = replica;
+      if (until !== undefined) this.nameTime(router, replica, until);
       this.dispatch(router, service, {
         type,
         at,
@@ -392,6 +413,18 @@
     });
   }
 
+  /** The answer of a replica names the time at which it may be asked again. */
+  private nameTime(router: string, replica: Replica, until: Timestamp): void {
+    const at = this.clock.now();
+    this.turnedAway.push({ at, router, replica: replica.id, until });
+    this.dispatch(router, replica.service, {
+      type: "backOffRequested",
+      at,
+      replica,
+      retryAfter: { until, text: String((until - at) / 1000), isOdd: false },
+    });
+  }
+
   /** Prompt blocks that an engine lists, with their tokens. */
   promptBlocksOf(
     replica: Replica,
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -23,6 +23,7 @@
     seal: "x-seal",
     notExecuted: "x-not-run",
     requestLimit: "x-limit",
+    retryAfter: "retry-after",
     leaving: "x-leaving",
     copyTo: "x-copy-to",
     continueFrom: "x-continue",
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -149,6 +149,8 @@
   readonly notExecuted: string;
   /** Response header with the requests a second that a replica takes from all routers together. */
   readonly requestLimit: string;
+  /** Response header with the time at which a replica that turned a request away may be asked again. */
+  readonly retryAfter: string;
   /** Present in the answers of a replica that leaves. */
   readonly leaving: string;
   readonly copyTo: string;
