--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -54,6 +54,8 @@
 
 /** A running relay. */
 export interface Relay {
+  /** Whether callers can reach it. */
+  isOpen(): boolean;
   /** Applies changed limits. */
   applyRuntimeLimits(runtimeLimits: RuntimeLimits): void;
   /** Stops gracefully: requests that end by the deadline are completed. */
@@ -167,6 +169,7 @@
   });
 
   return {
+    isOpen: () => front.isOpen(),
     applyRuntimeLimits: (runtimeLimits) => {
       controlEvents.push({ type: "limitsChanged", at: now(), runtimeLimits });
     },
