--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -55,6 +55,8 @@
 
 /** A running relay. */
 export interface Relay {
+  /** Whether callers can reach it. */
+  isOpen(): boolean;
   /** Applies changed limits. */
   applyRuntimeLimits(runtimeLimits: RuntimeLimits): void;
   /** Stops gracefully: requests that end by the deadline are completed. */
@@ -172,6 +174,7 @@
   });
 
   return {
+    isOpen: () => front.isOpen(),
     applyRuntimeLimits: (runtimeLimits) => {
       controlEvents.push({ type: "limitsChanged", at: now(), runtimeLimits });
     },
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -43,6 +43,7 @@
 import { OpenConnections } from "./openConnections.js";
 import { openFrontPort } from "./openFrontPort.js";
 import { BegunHeads } from "./memory/begunHeads.js";
+import { headMemoryOf } from "./memory/headMemory.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
 import { RequestMemory } from "./memory/requestMemory.js";
 import { UnreadEvents } from "./memory/unreadEvents.js";
@@ -193,8 +194,7 @@
       });
       return;
     }
-    const headBytes = headBytesOf(req);
-    if (isHeadTooLong(headBytes)) {
+    if (isHeadTooLong(headBytesOf(req))) {
       refusals.rejectUnread(res, {
         status: 431,
         reason: "the head is too long",
@@ -202,7 +202,11 @@
       return;
     }
     const isSized = req.headers["transfer-encoding"] === undefined;
-    const memory = RequestMemory.create(memoryBudget, headBytes, isSized);
+    const memory = RequestMemory.create(
+      memoryBudget,
+      headMemoryOf(req),
+      isSized,
+    );
     if (memory === undefined) {
       refusals.rejectForMemory(res);
       return;
