Pass no request on in a stop before its turn on its connection has come

A caller that sends a request behind another one, and whose first answer is a long stream that the stop cuts off, lost the answer to a request that had run.

Cause: requests on one connection are passed on as they are read, and answered in order. In a stop the last answer closes the connection, and what is read behind that is dropped; but a request that was read before the stream's head ran beside it, and its answer waited for the end of the stream.

Now a process that stops passes a request on once the answers before it have ended; one whose connection is cut before that is not run, and has a line. The test failed before (the request ran); a request behind a short stream is answered, as before.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -214,6 +214,8 @@
     if (read.type !== "complete") memory.close();
     switch (read.type) {
       case "complete": {
+        // In a stop an earlier answer may last until the connection is cut.
+        if (isDraining && !(await connections.awaitTurn(res))) return;
         if (connections.hasDropped(res)) return;
         lastKey += 1;
         const key = `${sender}-${String(lastKey)}`;
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -86,6 +86,23 @@
     return true;
   }
 
+  /**
+   * Waits until all earlier responses on the connection have ended; false, and the request is
+   * dropped, if the connection closes before that.
+   */
+  awaitTurn(res: ServerResponse): Promise<boolean> {
+    if (res.socket !== null) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      res.once("socket", () => {
+        resolve(true);
+      });
+      res.once("close", () => {
+        if (res.socket === null) this.onDropped(res.req);
+        resolve(false);
+      });
+    });
+  }
+
   /** Returns the number of requests whose heads have been read and that are not answered. */
   requestCount(): number {
     return this.responses.size;
--- a/packages/relay/src/queuedRequests.test.ts
+++ b/packages/relay/src/queuedRequests.test.ts
@@ -8,6 +8,7 @@
 import { RawCaller } from "./testing/rawCaller.js";
 import type { RawResponder } from "./testing/rawReplica.js";
 import {
+  exchange,
   requestText,
   respondOk,
   sealed,
@@ -15,6 +16,7 @@
 } from "./testing/testRelay.js";
 
 const graceMs = 6000;
+const shortGraceMs = 1000; // the route's timeout comes later
 const noticeMs = 2500;
 const request = requestText("/check/x").replace("budget: 1000", "budget: 5000");
 
@@ -78,6 +80,57 @@
   await drained;
 });
 
+const streamHead = `HTTP/1.1 200 OK\r\n${sealed}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`;
+const streamHeadMs = 200;
+
+/** Answers the second request with a stream of a given length, after a while, and others at once. */
+const streamSecond = (streamMs: number): RawResponder => {
+  let count = 0;
+  return (socket, text) => {
+    count += 1;
+    if (count !== 2) {
+      respondOk(socket, text);
+      return;
+    }
+    setTimeout(() => socket.write(streamHead), streamHeadMs);
+    setTimeout(() => socket.end("0\r\n\r\n"), streamMs);
+  };
+};
+
+// Load: a caller that sends two requests at once in a stop, the first one for a long stream.
+test("a request behind a stream that outlasts a stop is passed on and gets no answer", async (t) => {
+  const { port, relay, replica, lines, stop } = await startTestRelay(
+    streamSecond(2 * graceMs),
+  );
+  t.after(stop);
+  await exchange(port, request); // until the relay knows that answers are short
+  const caller = RawCaller.create(port);
+  const drained = relay.drain(now() + shortGraceMs);
+  await sleep(50); // until the drain has begun
+  caller.send(request + request);
+  await drained;
+  await sleep(50);
+  assert.match(caller.text, /^HTTP\/1.1 200 OK[^]*event-stream/);
+  assert.equal(replica.received.length, 2);
+  assert.ok(lines.includes("request dropped: its connection closes"));
+});
+
+test("a request behind a short stream in a stop gets no answer", async (t) => {
+  const { port, relay, stop } = await startTestRelay(streamSecond(500));
+  t.after(stop);
+  await exchange(port, request); // until the relay knows that answers are short
+  const caller = RawCaller.create(port);
+  const drained = relay.drain(now() + shortGraceMs);
+  await sleep(50); // until the drain has begun
+  caller.send(request + request);
+  await drained;
+  await sleep(50);
+  assert.match(
+    caller.text,
+    /^HTTP\/1.1 200 [^]*0\r\n\r\nHTTP\/1.1 200 [^]*hello$/,
+  );
+});
+
 // Load: requests behind one that is refused unread.
 test("a request behind a refusal that closes its connection is passed on and gets no answer", async (t) => {
   const { relay, open } = await startWithSilentReplica();
