Keep a silent attempt until a third replica accepts its request

An idempotent request whose first two replicas were silent lost its first attempt as soon as a third replica was asked, before that one had accepted anything: if it refused, or could not be reached, and the first replica went on, its answer came to a closed connection and the caller got 502 or 504.

Cause: of two silent attempts the first was closed when the search for a third began, to have no three at work on a request; but a replica that is asked is not at work yet.

Now the first stays open until the third is connected, or until one of the others answers. 3 of 4 new tests failed before. The test "three replicas work on one request" now connects the third replica before it asks that the first is closed: before that only two may be at work, which is what it holds.

--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -5,6 +5,7 @@
 import { recordDuration } from "./answerDurations.js";
 import { describeOptions } from "./describeOptions.js";
 import { formatAddress, notExecutedStatuses } from "../types.js";
+import type { Fallback } from "./fallback/types.js";
 import { isRetryable } from "./isRetryable.js";
 import { refuse, refuseNotExecuted } from "./refusals.js";
 import { logLine } from "./logLine.js";
@@ -36,7 +37,20 @@
   releaseAttempt(state, attempt);
 };
 
-/** Closes the connection of a silent attempt that stayed open. */
+/** Closes the connection of the attempt before a silent one. */
+export const closeEarlier = (
+  state: RelayState,
+  { key }: Exchange,
+  fallback: Fallback,
+): RelayCommand[] => {
+  const { earlier } = fallback;
+  if (earlier === undefined) return [];
+  fallback.earlier = undefined;
+  releaseAttempt(state, earlier.attempt);
+  return [{ type: "abandon", key, attempt: earlier.attempt.number }];
+};
+
+/** Closes the connections of silent attempts that stayed open. */
 export const closeFallback = (
   state: RelayState,
   exchange: Exchange,
@@ -45,7 +59,10 @@
   if (fallback === undefined) return [];
   exchange.fallback = undefined;
   releaseAttempt(state, fallback.attempt);
-  return [{ type: "abandon", key, attempt: fallback.attempt.number }];
+  return [
+    { type: "abandon", key, attempt: fallback.attempt.number },
+    ...closeEarlier(state, exchange, fallback),
+  ];
 };
 
 /** Abandons the active attempt: its connection is closed at once. */
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -4,6 +4,7 @@
 import type { RelayCommand } from "../commands.js";
 import {
   abandonAttempt,
+  closeEarlier,
   closeFallback,
   releaseAttempt,
 } from "../endExchange.js";
@@ -49,14 +50,22 @@
     reason,
   });
 
+/** Takes a silent attempt that has ended out of those that are open; the ones before it stay. */
+const removeFallback = (exchange: Exchange, fallback: Fallback): void => {
+  if (exchange.fallback === fallback) exchange.fallback = fallback.earlier;
+  else if (exchange.fallback?.earlier === fallback)
+    exchange.fallback.earlier = undefined;
+};
+
 /** Drops a silent attempt that has ended; the request goes on as it is. */
 const loseFallback = (
   state: RelayState,
   exchange: Exchange,
-  { attempt }: Fallback,
+  fallback: Fallback,
   reason: string,
 ): RelayCommand[] => {
-  exchange.fallback = undefined;
+  const { attempt } = fallback;
+  removeFallback(exchange, fallback);
   releaseAttempt(state, attempt);
   return [
     fallbackLogLine(state, exchange, attempt, "earlier attempt ended", reason),
@@ -67,15 +76,21 @@
 const resumeFallback = (
   state: RelayState,
   exchange: Exchange,
-  { attempt }: Fallback,
+  fallback: Fallback,
 ): RelayCommand[] => {
+  const { attempt } = fallback;
   const line = fallbackLogLine(
     state,
     exchange,
     attempt,
     "earlier attempt goes on",
   );
-  const commands = abandonAttempt(state, exchange);
+  removeFallback(exchange, fallback);
+  fallback.earlier = undefined;
+  const commands = [
+    ...abandonAttempt(state, exchange),
+    ...closeFallback(state, exchange),
+  ];
   restoreAttempt(state, exchange, attempt);
   return [line, ...commands];
 };
@@ -148,7 +163,10 @@
   ];
 };
 
-/** Sets when the earlier attempt is closed, or closes one whose replica leaves: its successor may never be ahead of it. */
+/**
+ * Sets when the earlier attempt is closed, or closes one whose replica leaves, as its
+ * successor may never be ahead of it; one before that ends here.
+ */
 const ofSuccessor = (
   state: RelayState,
   exchange: Exchange,
@@ -160,7 +178,7 @@
       fallback.wasNeeded = false;
       if (exchange.route.kind === RequestKind.Idempotent)
         fallback.closesAt = state.at + maxOverlapMs;
-      return [];
+      return closeEarlier(state, exchange, fallback);
     case "attemptFailed":
     case "responseReceived":
       fallback.closesAt = undefined;
@@ -183,6 +201,8 @@
   if (exchange === undefined || fallback === undefined) return [];
   if (event.attempt === fallback.attempt.number)
     return ofFallback(state, exchange, fallback, event);
+  if (event.attempt === fallback.earlier?.attempt.number)
+    return ofFallback(state, exchange, fallback.earlier, event);
   return event.attempt === successorNumberOf(exchange)
     ? ofSuccessor(state, exchange, fallback, event)
     : [];
--- a/packages/relay/src/decisions/fallback/keepFallback.ts
+++ b/packages/relay/src/decisions/fallback/keepFallback.ts
@@ -8,7 +8,7 @@
 import { logLine } from "../logLine.js";
 import { abandonAndRetry } from "../abandonAndRetry.js";
 import { copyLeftBy } from "../attemptEvents.js";
-import { closeFallback } from "../endExchange.js";
+import { closeEarlier } from "../endExchange.js";
 import { sendRetry } from "../sendAttempt.js";
 import { RequestKind } from "../../types.js";
 import type { Attempt, Exchange, RelayState } from "../types.js";
@@ -20,7 +20,7 @@
 /**
  * Sends the request of an attempt that is silent, or whose replica leaves, to another
  * replica. Of two such attempts, a stream's first stays open, which has most of it; of an
- * idempotent request the second does, as the first one's replica has been silent longer.
+ * idempotent request both do until another replica accepts it, and then the second.
  */
 export const seekSuccessor = (
   state: RelayState,
@@ -29,18 +29,17 @@
   reason: string,
   isLeaving = false,
 ): RelayCommand[] => {
-  const closing: RelayCommand[] = [];
-  if (exchange.fallback !== undefined) {
-    if (exchange.route.kind !== RequestKind.Idempotent)
-      return abandonAndRetry(state, exchange, attempt, reason);
-    closing.push(...closeFallback(state, exchange));
-  }
+  const { fallback: earlier, route } = exchange;
+  if (earlier !== undefined && route.kind !== RequestKind.Idempotent)
+    return abandonAndRetry(state, exchange, attempt, reason);
+  const closing = earlier ? closeEarlier(state, exchange, earlier) : [];
   exchange.copy = copyLeftBy(attempt);
   exchange.fallback = {
     attempt,
     isLeaving,
     closesAt: undefined,
     wasNeeded: false,
+    earlier,
   };
   exchange.attempt = undefined;
   const line = logLine("another replica is asked", {
--- a/packages/relay/src/decisions/fallback/overdueRequests.test.ts
+++ b/packages/relay/src/decisions/fallback/overdueRequests.test.ts
@@ -130,6 +130,7 @@
   scenario.advance(overdueMs);
   const third = scenario.lastSend(key).attempt;
   assert.notEqual(third.number, successor.number);
+  connect(scenario, third.number);
   assert.deepEqual(abandonedOf(scenario), [silent.number]);
   answerOf(scenario, successor.number);
   assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
@@ -145,3 +146,52 @@
   scenario.dispatch({ type: "timerTicked", at: scenario.at });
   assert.equal(scenario.commandsOfType("send").length, 1);
 });
+
+// Load: the same, and the third replica is full.
+test("a silent attempt is closed for a third replica that refuses", () => {
+  const { scenario, silent, successor } = createOverdueRequest(3);
+  connect(scenario, successor.number);
+  scenario.advance(overdueMs);
+  const third = scenario.lastSend(key).attempt;
+  assert.notEqual(third.number, successor.number);
+  answerOf(scenario, third.number, { status: 503, isNotExecuted: true });
+  assert.deepEqual(abandonedOf(scenario), []);
+  answerOf(scenario, silent.number);
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
+  assert.deepEqual(abandonedOf(scenario), [successor.number]);
+  assert.equal(countedWork(scenario), 0);
+});
+
+test("a silent attempt is closed for a third replica that is not connected", () => {
+  const { scenario, silent, successor } = createOverdueRequest(3);
+  connect(scenario, successor.number);
+  scenario.advance(overdueMs);
+  const third = scenario.lastSend(key).attempt;
+  answerOf(scenario, silent.number);
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
+  const abandoned = new Set(abandonedOf(scenario));
+  assert.deepEqual(abandoned, new Set([successor.number, third.number]));
+  assert.equal(countedWork(scenario), 0);
+});
+
+test("the attempt before a silent one that was lost is closed", () => {
+  const { scenario, silent, successor } = createOverdueRequest(3);
+  connect(scenario, successor.number);
+  scenario.advance(overdueMs);
+  const third = scenario.lastSend(key).attempt;
+  scenario.failAttempt(key, successor.number);
+  answerOf(scenario, silent.number);
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
+  assert.deepEqual(abandonedOf(scenario), [third.number]);
+  assert.equal(countedWork(scenario), 0);
+});
+
+test("an attempt before a silent one keeps its work counted after it was lost", () => {
+  const { scenario, silent, successor } = createOverdueRequest(3);
+  connect(scenario, successor.number);
+  scenario.advance(overdueMs);
+  scenario.failAttempt(key, silent.number);
+  answerOf(scenario, successor.number);
+  assert.equal(scenario.commandsOfType("deliverResponse").length, 1);
+  assert.equal(countedWork(scenario), 0);
+});
--- a/packages/relay/src/decisions/fallback/restoreAttempt.ts
+++ b/packages/relay/src/decisions/fallback/restoreAttempt.ts
@@ -25,7 +25,7 @@
   if (fallback !== undefined) fallback.attempt.copy = undefined;
 };
 
-/** Restores the attempt; a copy of its KV cache that nothing was sent to stays usable. */
+/** Restores the attempt; the one before it stays open, and a copy of its KV cache that nothing was sent to stays usable. */
 export const restoreAttempt = (
   state: RelayState,
   exchange: Exchange,
@@ -35,7 +35,7 @@
   exchange.triedIds.add(attempt.replica.id);
   attempt.copy ??= exchange.copy;
   exchange.attempt = attempt;
-  exchange.fallback = undefined;
+  exchange.fallback = exchange.fallback?.earlier;
   exchange.wait = noWait;
   exchange.copy = undefined;
 };
--- a/packages/relay/src/decisions/fallback/types.ts
+++ b/packages/relay/src/decisions/fallback/types.ts
@@ -12,4 +12,6 @@
   closesAt: Timestamp | undefined;
   /** Whether it stayed open beyond that time, as one of the two replicas stood still. */
   wasNeeded: boolean;
+  /** The attempt before it, if that one was open as well; it is closed once another replica accepts the request. */
+  earlier: Fallback | undefined;
 }
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -202,7 +202,8 @@
   state.storeHeardAt = -Infinity;
   for (const { attempt, fallback, wait } of state.exchanges.values()) {
     if (attempt !== undefined) compensateAttempt(attempt, lateMs);
-    if (fallback !== undefined) compensateAttempt(fallback.attempt, lateMs);
+    for (let one = fallback; one !== undefined; one = one.earlier)
+      compensateAttempt(one.attempt, lateMs);
     if (wait.type === "router") wait.attempt.heardAt += lateMs;
   }
   return [
