Take a service's answer for broken off whose connection was reset (packages/upstream)

Callers got half of a body as a whole answer: a service that lives sent a part of an answer that has neither a length nor chunks, and reset the connection.

Cause: undici takes a reset, like any end of the connection, for the end of such an answer, and hides the connection; asking the service, which lives, says nothing against the answer. packages/relay has told resets from ends since.

Now each client of the pool knows its connection: an answer without a length waits until it is known how that ended, by an error or by a write of no bytes behind the end, and fails if it was reset. Engines' streams have an end of their own and stay as they are.

--- a/packages/upstream/src/serviceClient.ts
+++ b/packages/upstream/src/serviceClient.ts
@@ -6,8 +6,12 @@
   now,
   probeConnection,
 } from "@cardamomglade/common";
-import { Agent, request, type Dispatcher, type buildConnector } from "undici";
+import { Agent, Pool, request, type buildConnector } from "undici";
 import { CallMethod } from "@cardamomglade/schema";
+import {
+  createResetAwareClient,
+  endsWithConnection,
+} from "./resetAwareClient.js";
 import type { ServiceCall, ServiceOutcome, Services } from "./types.js";
 
 // With these errors no connection was established, so the call was not sent.
@@ -28,18 +32,8 @@
   };
 };
 
-const noContentStatus = 204; // has no body
 const probeTimeoutMs = 200; // a round trip between zones and a handshake
 
-/** Whether nothing but the end of the connection marks the end of an answer. */
-const endsWithConnection = ({
-  headers,
-  statusCode,
-}: Dispatcher.ResponseData): boolean =>
-  statusCode !== noContentStatus &&
-  headers["content-length"] === undefined &&
-  headers["transfer-encoding"] === undefined;
-
 /** Whether no process listens any more: its host closed the connections in its place. */
 const hasEnded = async (url: string): Promise<boolean> => {
   const { hostname: host, port, protocol } = new URL(url);
@@ -54,13 +48,20 @@
   private readonly agent: Agent;
 
   private constructor(connect: buildConnector.connector) {
-    this.agent = new Agent({
+    const options = {
       connections: 32,
       // No connection is kept: a late copy of an answer would be taken for the next call's.
       pipelining: 0,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect,
+    };
+    this.agent = new Agent({
+      factory: (origin) =>
+        new Pool(origin, {
+          ...options,
+          factory: (host, clientOptions) =>
+            createResetAwareClient(host, clientOptions, connect),
+        }),
     });
   }
 
@@ -84,7 +85,10 @@
         signal: abortSignalAt(call.deadline),
       });
       const body = await res.body.text();
-      if (endsWithConnection(res) && (await hasEnded(url)))
+      if (
+        endsWithConnection(res.statusCode, res.headers) &&
+        (await hasEnded(url))
+      )
         return { type: "unknown", message: "the service ended in its answer" };
       const contentType = String(
         res.headers["content-type"] ?? "application/json",
