--- /dev/null
+++ b/packages/relay/src/drivers/memory/unreadEvents.test.ts
@@ -0,0 +1,56 @@
+import assert from "node:assert/strict";
+import { createServer, get, type IncomingMessage } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "node:test";
+import { stallMs } from "../../decisions/memory/constants.js";
+import { Holder } from "../../decisions/memory/types.js";
+import { MemoryBudget } from "./memoryBudget.js";
+import { UnreadEvents } from "./unreadEvents.js";
+
+const budgetBytes = 1_000_000;
+const largeEventBytes = 40_000;
+const settleMs = 100;
+
+// Load: a caller reads every event; its replica sends a large one, small ones, and is silent for a while.
+test("a stream whose caller has read all gives way as one that does not read", async (t) => {
+  const budget = MemoryBudget.create(budgetBytes);
+  let brokenBy: string | undefined;
+  let events: UnreadEvents | undefined;
+  const server = createServer((_, res) => {
+    res.flushHeaders();
+    events = UnreadEvents.create(budget, res, (why) => {
+      brokenBy = why;
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const res = await new Promise<IncomingMessage>((resolve) => {
+    get({ port, host: "127.0.0.1" }, resolve);
+  });
+  let received = 0;
+  res.on("data", (chunk: Buffer) => (received += chunk.length));
+  res.on("error", () => undefined);
+  t.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const sizes = [largeEventBytes, 100, 100, 100];
+  for (const size of sizes) {
+    events?.write(Buffer.alloc(size));
+    events?.update();
+    await sleep(settleMs);
+  }
+  await sleep(stallMs + settleMs);
+  const total = sizes.reduce((sum, size) => sum + size, 0);
+  assert.equal(received, total);
+  const other = budget.hold({
+    holder: Holder.KeptRequest,
+    isSized: true,
+    onGiveWay: () => undefined,
+  });
+  budget.tryResize(other, budgetBytes);
+  assert.equal(brokenBy, undefined);
+});
--- a/packages/relay/src/drivers/memory/unreadEvents.ts
+++ b/packages/relay/src/drivers/memory/unreadEvents.ts
@@ -1,4 +1,8 @@
-/** The memory that events of one stream take until their caller has read them. */
+/**
+ * The memory that events of one stream take until their caller has read them. Load
+ * pattern: callers that leave their streams unread, beside callers that read theirs,
+ * whose replicas may be silent for a while.
+ */
 
 import type { ServerResponse } from "node:http";
 import { Holder } from "../../decisions/memory/types.js";
@@ -14,16 +18,16 @@
   private holding: Holding | undefined;
   private writtenBytes = 0;
   private readBytes = 0;
+  private willCount = false;
+  private isClosed = false;
 
   private constructor(
     private readonly budget: MemoryBudget,
     private readonly res: ServerResponse,
     private readonly onGiveWay: (reason: string) => void,
   ) {
-    res.on("drain", () => {
-      this.update();
-    });
     res.on("close", () => {
+      this.isClosed = true;
       this.holding?.close();
     });
   }
@@ -40,18 +44,32 @@
   write(bytes: Uint8Array): void {
     this.writtenBytes += bytes.length;
     memoryGuard.note(bytes.length);
-    this.res.write(bytes);
+    // 'drain' is only emitted above the high-water mark.
+    this.res.write(bytes, () => {
+      this.update();
+    });
   }
 
-  /** Counts what the caller has not read. */
+  /** Counts what the caller has not read, once Node has handed the events of this turn to the socket. */
   update(): void {
+    if (this.willCount) return;
+    this.willCount = true;
+    process.nextTick(() => {
+      this.willCount = false;
+      this.count();
+    });
+  }
+
+  private count(): void {
+    if (this.isClosed) return;
     const unreadBytes = this.res.writableLength;
     if (this.holding === undefined && unreadBytes < minCountedBytes) return;
     const holding = (this.holding ??= this.open());
     const readBytes = this.writtenBytes - unreadBytes;
-    if (readBytes > this.readBytes) holding.expectProgress();
-    this.readBytes = readBytes;
     if (unreadBytes === 0) holding.expectNothing();
+    else if (readBytes > this.readBytes || holding.bytes === 0)
+      holding.expectProgress();
+    this.readBytes = readBytes;
     this.budget.forceResize(holding, unreadBytes * heldRatio);
   }
 
