Count nothing for a holding that is closed (FAULT, LOST)

Callers saw: a router that had been short of memory once stayed short: refusals of bodies, and streams broken off, with nothing under way.

Cause: what gave way gets bytes until its connection has closed, and the budget counted them although it had given the holding back already; nothing gave them back again.

The budget now changes only holdings that are open, whoever calls it.

--- a/packages/relay/src/drivers/memory/memoryBudget.ts
+++ b/packages/relay/src/drivers/memory/memoryBudget.ts
@@ -149,6 +149,7 @@
 
   /** Sets how many bytes are held. */
   resize(holding: Holding, bytes: number): void {
+    if (!this.open.has(holding)) return; // it may have given way before its bytes came
     const added = bytes - holding.bytes;
     this.heldBytes[holding.holder] += added;
     holding.bytes = bytes;
@@ -163,7 +164,8 @@
 
   /** Stops counting a holding. */
   close(holding: Holding): void {
-    if (this.open.delete(holding)) this.resize(holding, 0);
+    this.resize(holding, 0);
+    this.open.delete(holding);
   }
 
   private tryClaim({ holding, holder, bytes }: Claim): boolean {
--- a/packages/relay/src/drivers/memory/unreadEvents.test.ts
+++ b/packages/relay/src/drivers/memory/unreadEvents.test.ts
@@ -54,3 +54,39 @@
   budget.tryResize(other, budgetBytes);
   assert.equal(brokenBy, undefined);
 });
+
+// Load: memory is short, and events of a stream arrive between its end and its connection's.
+test("events behind a stream that gave way are held for ever", async (t) => {
+  const budget = MemoryBudget.create(budgetBytes);
+  let events: UnreadEvents | undefined;
+  const server = createServer((_, res) => {
+    res.flushHeaders();
+    events = UnreadEvents.create(budget, res, () => res.destroy());
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const res = await new Promise<IncomingMessage>((resolve) => {
+    get({ port, host: "127.0.0.1" }, resolve);
+  });
+  res.on("error", () => undefined);
+  res.resume();
+  t.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const kept = budget.hold({
+    holder: Holder.KeptRequest,
+    isSized: true,
+    onGiveWay: () => undefined,
+  });
+  kept.set(budgetBytes);
+  for (let count = 0; count < 2; count += 1) {
+    events?.write(Buffer.alloc(largeEventBytes));
+    events?.update();
+  }
+  await sleep(settleMs);
+  kept.close();
+  assert.equal(budget.bytes, 0);
+});
