--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -5,6 +5,7 @@
 import type { RetryAfter } from "../decisions/backOff/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import { isBodiless } from "../decisions/answerEnds/isBodiless.js";
+import { progressBytes } from "../decisions/constants.js";
 import {
   AttemptFailure,
   BodyFraming,
@@ -27,7 +28,7 @@
 import { EventSplitter } from "./eventSplitter.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
 import { retryAfterOf } from "./retryAfter.js";
-import { writeBody } from "./writeBody.js";
+import { watchBody } from "./watchBody.js";
 import {
   decodeAnswerOrigin,
   decodeRefusal,
@@ -227,9 +228,12 @@
       this.res = res;
       this.read(res);
     });
-    writeBody(this.req, callerRequest.body, () => {
-      this.report({ type: "requestProgressed" });
-    });
+    const { body } = callerRequest;
+    if (body.length > progressBytes)
+      watchBody(this.req, () => {
+        this.report({ type: "requestProgressed" });
+      });
+    this.req.end(body);
   }
 
   /** Sends the request; undefined, and reported as not sent, if the replica's address or id is invalid. */
--- a/packages/relay/src/drivers/writeBody.ts
+++ b/packages/relay/src/drivers/writeBody.ts
@@ -1,12 +1,12 @@
-/** Writes the body of a request or an answer, in parts if it is large, so that the other side is seen to read. */
+/** Writes the body of an answer, in parts if it is large, so that its caller is seen to read. */
 
-import type { OutgoingMessage } from "node:http";
+import type { ServerResponse } from "node:http";
 
 const partBytes = 256 * 1024;
 
-/** Writes the body and ends the message; reports each part that the socket took. */
+/** Writes the body and ends the response; reports each part that the socket took. */
 export const writeBody = (
-  message: OutgoingMessage,
+  res: ServerResponse,
   body: Uint8Array,
   onPart: (bytes: number) => void,
 ): void => {
@@ -15,10 +15,10 @@
     const part = body.subarray(offset, offset + partBytes);
     offset += part.length;
     if (offset === body.length) {
-      message.end(part);
+      res.end(part);
       return;
     }
-    message.write(part, (error) => {
+    res.write(part, (error) => {
       if (error) return; // the connection was closed, which its own event tells
       onPart(part.length);
       writePart();
