Keep the packages when an installation fails

Seen: npm removes all packages before it installs; when it fails, the folder has none, and a build fails even where the only missing package is one that the bundle does not need. Cause: the build takes any difference from package-lock.json as a reason to install, and an installation as a success or the end. Fix: the packages of before are moved to target/ while npm installs and put back if it fails, also by the next build after one that was killed. If those that are not for development alone, and the bundler, are as in the lock file, the build goes on with a line. Two tests, with an npm that removes the packages and fails, failed before: the folder had one entry, and the build failed.

--- a/deploy/installPackages.mjs
+++ b/deploy/installPackages.mjs
@@ -1,6 +1,13 @@
 // Installs the packages of package-lock.json unless those in node_modules are whole and fit this machine.
 import { execFileSync } from "node:child_process";
-import { readFileSync, realpathSync } from "node:fs";
+import {
+  existsSync,
+  mkdirSync,
+  readFileSync,
+  realpathSync,
+  renameSync,
+  rmSync,
+} from "node:fs";
 import path from "node:path";
 
 // Whatever the environment or the user's npm settings leave out by default.
@@ -30,11 +37,16 @@
   return readJson(path.join(folder, "package.json")).version === version;
 };
 
-const checkPackages = (root) => {
+/** Whether the bundle contains the package, or is made with it. */
+const isBundled = (name, { dev }) =>
+  !dev || /^node_modules\/(@esbuild\/|esbuild$)/.test(name);
+
+const checkPackages = (root, isChecked) => {
   const wanted = readJson(path.join(root, "package-lock.json")).packages;
   const installed = readJson(path.join(root, installedLock)).packages;
   for (const [name, entry] of Object.entries(wanted)) {
     if (!name.startsWith("node_modules/") || !isNeeded(entry)) continue;
+    if (!isChecked(name, entry)) continue;
     if (installed[name]?.integrity !== entry.integrity)
       throw new Error(`${name} is not as in package-lock.json`);
     if (!isPresent(root, name, entry))
@@ -49,9 +61,9 @@
     { cwd: root, stdio: "pipe" },
   );
 
-const reasonToInstall = (root) => {
+const reasonToInstall = (root, isChecked = () => true) => {
   try {
-    checkPackages(root);
+    checkPackages(root, isChecked);
     checkBundler(root);
     return undefined;
   } catch (err) {
@@ -59,10 +71,43 @@
   }
 };
 
-/** Installs the packages if those in node_modules are not whole or not for this machine. */
+/** Moves the packages away; those that an installation left there when it was killed are older and whole. */
+const putAside = (packages, aside) => {
+  if (existsSync(aside)) rmSync(packages, { recursive: true, force: true });
+  else if (existsSync(packages)) renameSync(packages, aside);
+};
+
+/** npm removes all packages before it installs; if it fails, those of before are put back. */
+const install = (root) => {
+  const packages = path.join(root, "node_modules");
+  const aside = path.join(root, "target", "packages-before");
+  mkdirSync(path.dirname(aside), { recursive: true });
+  putAside(packages, aside);
+  try {
+    execFileSync("npm", npmArguments, { cwd: root, stdio: ["ignore", 2, 2] });
+  } catch (err) {
+    if (existsSync(aside)) {
+      rmSync(packages, { recursive: true, force: true });
+      renameSync(aside, packages);
+    }
+    throw err;
+  }
+  rmSync(aside, { recursive: true, force: true });
+};
+
+/**
+ * Installs the packages if those in node_modules are not whole or not for this machine.
+ * If that fails, those that the bundle needs are enough.
+ */
 export const installPackages = (root) => {
   const reason = reasonToInstall(root);
   if (!reason) return;
   console.error(`installing the packages: ${reason}`);
-  execFileSync("npm", npmArguments, { cwd: root, stdio: ["ignore", 2, 2] });
+  try {
+    install(root);
+  } catch (err) {
+    const missing = reasonToInstall(root, isBundled);
+    if (missing) throw new Error(`no packages: ${missing}`, { cause: err });
+    console.error(`going on with what the bundle needs: ${err.message}`);
+  }
 };
--- a/scripts/carriedOver.test.mjs
+++ b/scripts/carriedOver.test.mjs
@@ -21,8 +21,11 @@
 
 const yearFromNow = new Date(Date.now() + 365 * 86_400_000);
 
-/** Writes an `npm` that records its arguments and puts whole packages in place. */
-const writeNpm = (folder) => {
+const installWhole = "sleep 0.5; mv whole-packages node_modules";
+const failToInstall = "mkdir -p node_modules/half; exit 1";
+
+/** Writes an `npm` that records its arguments, removes the packages and puts whole ones in place. */
+const writeNpm = (folder, install = installWhole) => {
   const bin = path.join(folder, "bin");
   const npm = path.join(bin, "npm");
   linkPackages(path.join(folder, "whole-packages"));
@@ -32,16 +35,15 @@
     `#!/bin/sh
 echo "$@" >> npm-calls
 rm -rf node_modules
-mv whole-packages node_modules
+${install}
 `,
   );
   chmodSync(npm, 0o755);
   return bin;
 };
 
-/** Runs the build of the deploy file and returns the arguments of each call of npm. */
-const build = async (folder) => {
-  const bin = writeNpm(folder);
+/** Runs the build of the deploy file with an `npm` and returns the arguments of each call of it. */
+const build = async (folder, bin = writeNpm(folder)) => {
   const [, command] = /^build = "(.*)"$/m.exec(
     readFileSync(path.join(folder, "deploy/system.toml"), "utf8"),
   );
@@ -143,3 +145,27 @@
   assert.deepEqual(await build(folder), []);
   assert.ok(digestOfProgram(readProgram(folder)));
 });
+
+const remove = (folder, name) => {
+  rmSync(path.join(folder, "node_modules", name), { recursive: true });
+};
+
+// Load: a registry that cannot be reached, and packages of which one is missing.
+test("an installation that fails leaves a folder without packages", async (t) => {
+  const folder = copyUntilEnd(t);
+  remove(folder, "msgpackr");
+  const packages = path.join(folder, "node_modules");
+  const before = readdirSync(packages);
+  await assert.rejects(build(folder, writeNpm(folder, failToInstall)));
+  assert.deepEqual(readdirSync(packages), before);
+  assert.deepEqual(readdirSync(path.join(folder, "target")), []);
+});
+
+// Load: a registry that cannot be reached, and a missing package that only tests use.
+test("a build fails for want of a package that the bundle does not need", async (t) => {
+  const folder = copyUntilEnd(t);
+  remove(folder, "fast-check");
+  const bin = writeNpm(folder, failToInstall);
+  assert.equal((await build(folder, bin)).length, 1);
+  assert.ok(digestOfProgram(readProgram(folder)));
+});
