Let one build at a time install the packages of a folder

Seen: two builds at one moment in a folder without one package both ran npm; one removed what the other was installing, and a build failed. Fix: an installation holds a file in target/ that names its process; another build waits, checks the packages again and installs only if they are still not whole. The test, two builds with an npm that takes half a second, failed before: a build ended with an error. Now npm runs once and both builds are whole.

--- a/deploy/installPackages.mjs
+++ b/deploy/installPackages.mjs
@@ -9,6 +9,7 @@
   rmSync,
 } from "node:fs";
 import path from "node:path";
+import { withLock } from "./withLock.mjs";
 
 // Whatever the environment or the user's npm settings leave out by default.
 const npmArguments = ["ci", "--include=dev", "--include=optional"];
@@ -95,11 +96,8 @@
   rmSync(aside, { recursive: true, force: true });
 };
 
-/**
- * Installs the packages if those in node_modules are not whole or not for this machine.
- * If that fails, those that the bundle needs are enough.
- */
-export const installPackages = (root) => {
+const installUnlessBundled = (root) => {
+  // Another process may have installed them meanwhile.
   const reason = reasonToInstall(root);
   if (!reason) return;
   console.error(`installing the packages: ${reason}`);
@@ -111,3 +109,14 @@
     console.error(`going on with what the bundle needs: ${err.message}`);
   }
 };
+
+/**
+ * Installs the packages if those in node_modules are not whole or not for this machine.
+ * If that fails, those that the bundle needs are enough.
+ */
+export const installPackages = (root) => {
+  if (!reasonToInstall(root)) return;
+  withLock(path.join(root, "target", "installing"), () => {
+    installUnlessBundled(root);
+  });
+};
--- a/scripts/carriedOver.test.mjs
+++ b/scripts/carriedOver.test.mjs
@@ -169,3 +169,13 @@
   assert.equal((await build(folder, bin)).length, 1);
   assert.ok(digestOfProgram(readProgram(folder)));
 });
+
+// Load: two builds at one moment in a folder without one package.
+test("two builds in one folder install at once", async (t) => {
+  const folder = copyUntilEnd(t);
+  remove(folder, "msgpackr");
+  const bin = writeNpm(folder);
+  await Promise.all([build(folder, bin), build(folder, bin)]);
+  assert.equal((await build(folder, bin)).length, 1);
+  assert.ok(digestOfProgram(readProgram(folder)));
+});
