Do not wait for the turn of a request whose connection has closed

In a stop a request that was read after its connection had closed waited for ever for its turn on it. Seen by reading; it kept its head until the process ended, a few seconds later.

--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -92,6 +92,7 @@
    */
   awaitTurn(res: ServerResponse): Promise<boolean> {
     if (res.socket !== null) return Promise.resolve(true);
+    if (!this.responses.has(res)) return Promise.resolve(false); // it has closed
     return new Promise((resolve) => {
       res.once("socket", () => {
         resolve(true);
