--- a/packages/relay/src/decisions/memory/constants.ts
+++ b/packages/relay/src/decisions/memory/constants.ts
@@ -11,6 +11,9 @@
 /** Bytes of all answers together that are buffered while they arrive. */
 export const maxArrivingBytes = 48 * bytesPerMiB;
 
+/** Bytes of large answers among them; the rest is for small ones. */
+export const maxLargeArrivingBytes = 40 * bytesPerMiB;
+
 /** Bytes from which what has no known end gives way to what has one: streams hold less. */
 export const minEndlessBytes = bytesPerMiB / 4;
 
@@ -20,15 +23,21 @@
   waitingRequestsAlone: 1 / 8,
   /** Answers that wait, among themselves. */
   waitingAnswersAlone: 1 / 4,
-  /** Large requests, among themselves. */
+  /** Requests beside large ones, which wait at once when memory fills. */
   largeRequestsAlone: 3 / 8,
   largeRequest: 4 / 8,
-  /** Large answers, and all that callers leave unread. */
-  largeAnswer: 5 / 8,
+  /** Large requests and answers, and what waits, when a large answer arrives or is left unread. */
+  bulkBesideLargeAnswer: 5 / 8,
+  /** What is left unread of small answers and streams. */
+  smallUnreadAlone: 1 / 8,
   /** What waits for room. */
   waiting: 6 / 8,
-  smallRequest: 7 / 8,
+  /** Requests, when a small one arrives: a large answer finds room beside them. */
+  smallRequestsAlone: 13 / 16,
+  smallRequest: 15 / 16,
+  largeAnswer: 15 / 16,
   smallAnswer: 1,
+  unreadAnswer: 1,
 };
 
 /** Time in which a body or an unread answer has to move on, to not count as stalled. */
--- a/packages/relay/src/decisions/memory/giveWay.ts
+++ b/packages/relay/src/decisions/memory/giveWay.ts
@@ -58,17 +58,23 @@
 ): boolean =>
   rank === chosen.rank ? bytes > chosen.held.bytes : rank < chosen.rank;
 
+/** Whether it helps to give a holding up. */
+export type Helps = (held: HeldBytes) => boolean;
+
+const always: Helps = () => true;
+
 /** Returns what gives way to a holder that needs room: the first rank, and the largest in it. */
 export const chooseGivingWay = <T extends HeldBytes>(
   all: Iterable<T>,
   needing: T,
   at: Timestamp,
+  helps = always,
 ): T | undefined => {
   const lastRank = lastRankFor(needing);
   let chosen: { readonly held: T; readonly rank: Rank } | undefined;
   for (const held of all) {
     const rank = rankOf(held, at);
-    if (rank === undefined || rank > lastRank) continue;
+    if (rank === undefined || rank > lastRank || !helps(held)) continue;
     if (chosen === undefined || isEarlier(held, rank, chosen))
       chosen = { held, rank };
   }
@@ -79,10 +85,12 @@
 export const chooseLargest = <T extends HeldBytes>(
   all: Iterable<T>,
   { holder }: T,
+  helps = always,
 ): T | undefined => {
   let largest: T | undefined;
-  for (const held of all)
-    if (held.holder === holder && held.bytes > (largest?.bytes ?? -1))
-      largest = held;
+  for (const held of all) {
+    if (held.holder !== holder || !helps(held)) continue;
+    if (held.bytes > (largest?.bytes ?? -1)) largest = held;
+  }
   return largest;
 };
--- a/packages/relay/src/decisions/memory/types.ts
+++ b/packages/relay/src/decisions/memory/types.ts
@@ -28,8 +28,13 @@
   readonly progressBy: Timestamp;
 }
 
+/** Bytes by what they are held for. */
+export type BytesByHolder = Readonly<Record<Holder, number>>;
+
 /** Bytes that are held in a process, by what they are held for, and how many may be. */
 export interface MemoryUse {
   readonly maxBytes: number;
-  readonly heldBytes: Readonly<Record<Holder, number>>;
+  readonly heldBytes: BytesByHolder;
+  /** Bytes among them of large requests and answers. */
+  readonly largeBytes: BytesByHolder;
 }
--- a/packages/relay/src/drivers/memory/logShortages.ts
+++ b/packages/relay/src/drivers/memory/logShortages.ts
@@ -3,7 +3,7 @@
 import { now } from "@cardamomglade/common";
 import { Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext } from "../../decisions/commands.js";
-import { totalBytes } from "../../decisions/memory/hasRoom.js";
+import { totalBytes } from "../../decisions/memory/countBytes.js";
 import type { MemoryBudget } from "./memoryBudget.js";
 
 const lineIntervalMs = 5000; // of lines about shortages, at least
--- a/packages/relay/src/drivers/memory/memoryBudget.ts
+++ b/packages/relay/src/drivers/memory/memoryBudget.ts
@@ -10,8 +10,18 @@
   chooseLargest,
 } from "../../decisions/memory/giveWay.js";
 import { maxSmallBytes } from "../../decisions/memory/constants.js";
-import { hasRoom, totalBytes } from "../../decisions/memory/hasRoom.js";
-import { Holder, type MemoryUse } from "../../decisions/memory/types.js";
+import {
+  afterChange,
+  noBytes,
+  totalBytes,
+} from "../../decisions/memory/countBytes.js";
+import { exceededParts, hasRoom } from "../../decisions/memory/hasRoom.js";
+import { countsIn } from "../../decisions/memory/parts.js";
+import {
+  Holder,
+  type HeldBytes,
+  type MemoryUse,
+} from "../../decisions/memory/types.js";
 import { Holding, type HoldingOptions } from "./holding.js";
 
 /** Room that a holding needs by a time. */
@@ -56,37 +66,33 @@
   private readonly open = new Set<Holding>();
   private claims: Claim[] = [];
   private readonly listeners = new Set<OnShortage>();
-  private readonly heldBytes: Record<Holder, number> = {
-    [Holder.WaitingRequest]: 0,
-    [Holder.ReadingRequest]: 0,
-    [Holder.KeptRequest]: 0,
-    [Holder.WaitingAnswer]: 0,
-    [Holder.ArrivingAnswer]: 0,
-    [Holder.UnreadAnswer]: 0,
-  };
   private timer: NodeJS.Timeout | undefined;
   private isShort = false;
   private isDeciding = false;
 
-  private constructor(private maxBytes: number) {}
+  private constructor(private counted: MemoryUse) {}
 
   static create(maxBytes: number): MemoryBudget {
-    return new MemoryBudget(maxBytes);
+    return new MemoryBudget({
+      maxBytes,
+      heldBytes: noBytes,
+      largeBytes: noBytes,
+    });
   }
 
   /** Changes the size. */
   setMaxBytes(maxBytes: number): void {
-    this.maxBytes = maxBytes;
+    this.counted = { ...this.counted, maxBytes };
   }
 
   /** Bytes held, by what they are held for, and how many may be. */
   use(): MemoryUse {
-    return { maxBytes: this.maxBytes, heldBytes: this.heldBytes };
+    return this.counted;
   }
 
   /** Bytes held for everything together. */
   get bytes(): number {
-    return totalBytes(this.use());
+    return totalBytes(this.counted);
   }
 
   /** Reports shortages; returns what ends the reports. */
@@ -120,10 +126,9 @@
     this.resize(holding, bytes);
     while (this.open.has(holding) && !this.fits(holding, bytes)) {
       this.setShort(true);
-      if (this.makeRoom(holding)) continue;
-      const largest = chooseLargest(this.open, holding);
-      if (largest === undefined) return;
-      this.giveWay(largest);
+      const chosen = this.chooseHelping(holding);
+      if (chosen === undefined) return;
+      this.giveWay(chosen);
     }
   }
 
@@ -150,16 +155,16 @@
   /** Sets how many bytes are held. */
   resize(holding: Holding, bytes: number): void {
     if (!this.open.has(holding)) return; // it may have given way before its bytes came
-    const added = bytes - holding.bytes;
-    this.heldBytes[holding.holder] += added;
+    const { holder, bytes: before } = holding;
+    this.counted = afterChange(this.counted, holding, { holder, bytes });
     holding.bytes = bytes;
-    if (added < 0) this.onFreed();
+    if (bytes < before) this.onFreed();
   }
 
   /** Counts the bytes of a holding for something else. */
   rename(holding: Holding, holder: Holder): void {
-    this.heldBytes[holding.holder] -= holding.bytes;
-    this.heldBytes[holder] += holding.bytes;
+    const { bytes } = holding;
+    this.counted = afterChange(this.counted, holding, { holder, bytes });
   }
 
   /** Stops counting a holding. */
@@ -178,7 +183,7 @@
 
   private fits(holding: Holding, bytes: number): boolean {
     const added = bytes - holding.bytes;
-    return hasRoom(this.use(), holding.holder, bytes, added);
+    return hasRoom(this.counted, holding.holder, bytes, added);
   }
 
   private makeRoom(needing: Holding): boolean {
@@ -188,6 +193,17 @@
     return true;
   }
 
+  /** Chooses what frees bytes of each part that has too many; the holding itself does. */
+  private chooseHelping(holding: Holding): Holding | undefined {
+    const exceeded = exceededParts(this.counted, holding);
+    const helps = (held: HeldBytes) =>
+      exceeded.every((part) => countsIn(part, held));
+    return (
+      chooseGivingWay(this.open, holding, now(), helps) ??
+      chooseLargest(this.open, holding, helps)
+    );
+  }
+
   private giveWay(holding: Holding): void {
     this.gaveWayCount += 1;
     holding.giveWay(giveWayReason);
@@ -200,7 +216,7 @@
         this.decideClaims();
       });
     }
-    if (this.isShort && this.bytes < relaxedFill * this.maxBytes)
+    if (this.isShort && this.bytes < relaxedFill * this.counted.maxBytes)
       this.setShort(false);
   }
 
@@ -234,7 +250,7 @@
   private setShort(isShort: boolean): void {
     if (this.isShort === isShort) return;
     this.isShort = isShort;
-    for (const listener of this.listeners) listener(isShort, this.use());
+    for (const listener of this.listeners) listener(isShort, this.counted);
   }
 }
 
