Keep following a router after this process stood still

A busy machine holds a process up for longer than a follower waits for a confirmation. Its timers are then due before it has read the messages that arrived meanwhile: it left a sound router, avoided it for 5 s, left the other candidate in the same way, and watched the store itself. Traced with a fleet of eight in one process that stands still for 400 ms five times, where a confirmation may be 200 ms old: 13 moves, each 'no recent confirmation by the store', or 'did not converge', as sharedWatch.test failed beside load. The timeout of connecting (400 ms) has the same fault.

A check that comes late by a heartbeat now leaves the judgement to the next one, once for each confirmation: after a stop of this process, and only then, a router that is silent or cut off is left at most a heartbeat later. The time for connecting counts the time in which this process ran, and until the router has answered nothing else ends it.

--- a/packages/platform/src/sharedWatch/followRouter.ts
+++ b/packages/platform/src/sharedWatch/followRouter.ts
@@ -1,10 +1,12 @@
 /** A follower's connection to the router whose watch it shares. */
 
 import type { WebSocket, RawData } from "ws";
-import { now, type Timestamp } from "@cardamomglade/common";
+import { now } from "@cardamomglade/common";
 import type { StorePosition } from "../types.js";
 import { decodeSharedMessage, encodeFollowerMessage } from "./codec.js";
+import { createConfirmationAge } from "./confirmationAge.js";
 import { followTimeoutMs, maxMessageBytes } from "./constants.js";
+import { afterRunningTime } from "./runningTime.js";
 import type {
   RouterAddress,
   SharedMessage,
@@ -42,17 +44,19 @@
 /**
  * Follows a router. It is lost when its last confirmation by the store is too
  * old, whatever the cause: a dead or paused process, a silent connection, or a
- * router that is cut off from the store.
+ * router that is cut off from the store. That this process stands still does not
+ * lose it.
  */
 export const followRouter = (options: FollowOptions): Follow => {
   const { address, after, limits, onMessage, onLost } = options;
   let socket: WebSocket | undefined;
   let isOver = false;
-  let confirmedAt: Timestamp = now();
+  let isAnswered = false; // until then the time for connecting counts
+  const confirmationAge = createConfirmationAge(limits, now());
   const close = () => {
     isOver = true;
     clearInterval(timer);
-    clearTimeout(connectTimer);
+    endConnectTimeout();
     socket?.terminate();
   };
   const lose = (reason: string) => {
@@ -60,22 +64,23 @@
     close();
     onLost(reason);
   };
-  const connectTimer = setTimeout(() => {
+  const endConnectTimeout = afterRunningTime(followTimeoutMs, () => {
     lose("no answer in time");
-  }, followTimeoutMs);
+  });
   const timer = setInterval(() => {
-    if (now() - confirmedAt > limits.maxAgeMs)
-      lose("no recent confirmation by the store");
+    const isTooOld = confirmationAge.isTooOld(now());
+    if (isAnswered && isTooOld) lose("no recent confirmation by the store");
   }, limits.heartbeatMs);
   const receive = (data: RawData) => {
-    clearTimeout(connectTimer);
+    endConnectTimeout();
+    isAnswered = true;
     const message = decodeSharedMessage(bytesOf(data));
     if (message === undefined) {
       lose("a malformed message");
       return;
     }
     if (message.type === "changes")
-      confirmedAt = Math.max(confirmedAt, now() - message.ageMs);
+      confirmationAge.confirm(now() - message.ageMs);
     if (!isOver) onMessage(message);
   };
   const connect = async () => {
