Stop what a failed test leaves running, and start tests when the relay is ready

A relay was taken for ready after 20 ms. The harnesses ask its readiness port instead. An exchange without a time of its own gave up after 400 ms, answered or not: it waits for the answer now, and as long as before, and 100 ms without a byte, for what should not follow it. Requests and routes with a longer deadline are for tests that are not about its length.

--- a/packages/relay/src/testing/rawCaller.ts
+++ b/packages/relay/src/testing/rawCaller.ts
@@ -5,6 +5,7 @@
 import { now } from "@cardamomglade/common";
 
 const pollMs = 5;
+const defaultMaxWaitMs = 20_000; // more than a busy machine needs
 
 /** One connection of a caller, with what it received. */
 export class RawCaller {
@@ -30,7 +31,7 @@
   }
 
   /** Waits until the text matches, the connection is closed, or the time has passed. */
-  async waitFor(pattern: RegExp, waitMs = 3000): Promise<boolean> {
+  async waitFor(pattern: RegExp, waitMs = defaultMaxWaitMs): Promise<boolean> {
     const deadline = now() + waitMs;
     while (!pattern.test(this.text)) {
       if (this.isClosed || now() > deadline) return false;
--- a/packages/relay/src/testing/relayPair.ts
+++ b/packages/relay/src/testing/relayPair.ts
@@ -1,6 +1,6 @@
 /** Test harness: a relay without a path to the replicas, and one that has it, between raw connections. */
 
-import { setTimeout as sleep } from "node:timers/promises";
+import { afterEach } from "node:test";
 import {
   createChannel,
   createSourceDriver,
@@ -10,7 +10,7 @@
 import { freePort } from "@cardamomglade/common/testing/freePort";
 import { createRelay } from "../createRelay.js";
 import type { RelayEvent } from "../decisions/events.js";
-import type { Address, Replica } from "../types.js";
+import type { Address, RelayConfig, Replica } from "../types.js";
 import {
   startRawReplica,
   type RawReplica,
@@ -18,7 +18,8 @@
 } from "./rawReplica.js";
 import { plainService, testConfig, testReplica } from "./scenario.js";
 import { testProtocol } from "./testProtocol.js";
-import { withReports } from "./testRelay.js";
+import { patientMs, withReports } from "./testRelay.js";
+import { untilReady } from "./untilReady.js";
 
 const host = "127.0.0.1";
 const replicaCount = 3;
@@ -47,24 +48,41 @@
   readonly isHelperCut?: boolean;
   /** Host under which the relays are registered. */
   readonly registeredHost?: string;
+  /** Whether routes leave requests all their budget. */
+  readonly isPatient?: boolean;
 }
 
+const startedPairs: RelayPair[] = [];
+
+// A test that fails leaves its relays running, and the process would not end.
+afterEach(async () => {
+  for (const pair of startedPairs.splice(0)) await pair.stop();
+});
+
 const replicasAt = (service: string, port: number): Replica[] =>
   Array.from({ length: replicaCount }, (_, index) =>
     testReplica(`a-${String(index + 1)}`, service, { host, port }),
   );
 
+const patientConfig = (): RelayConfig => {
+  const config = testConfig();
+  const routes = config.routes.map((one) => ({ ...one, timeoutMs: patientMs }));
+  return { ...config, routes };
+};
+
 const startOne = async (
   router: string,
   replicas: readonly Replica[],
+  config: RelayConfig,
 ): Promise<PairedRelay & { readonly push: (event: RelayEvent) => void }> => {
-  const address = { host, port: await freePort() };
+  const address = { host, port: await freePort(2) }; // requests of routers come at the second
   const port = await freePort();
+  const readiness = { host, port: await freePort() };
   const events = createChannel<RelayEvent>();
   const messages: string[] = [];
   const relay = createRelay({
     front: { host, port },
-    readiness: { host, port: await freePort() },
+    readiness,
     metrics: { host, port: await freePort() },
     protocol: testProtocol,
     state: {
@@ -83,9 +101,9 @@
     onLoopEnded: () => undefined,
     gauges: () => ({}),
   });
-  await sleep(20);
-  events.push({ type: "configRead", at: now(), config: testConfig() });
+  events.push({ type: "configRead", at: now(), config });
   events.push({ type: "replicasRead", at: now(), replicas });
+  await untilReady(readiness);
   const push = (event: RelayEvent) => {
     events.push(event);
   };
@@ -101,13 +119,16 @@
     service = plainService,
     isHelperCut = false,
     registeredHost = host,
+    isPatient = false,
   }: PairOptions = {},
 ): Promise<RelayPair> => {
   const replica = await startRawReplica(withReports(answer));
   const unreachable = replicasAt(service, await freePort());
   const reachable = replicasAt(service, replica.port);
-  const cut = await startOne("r1", unreachable);
-  const helper = await startOne("r2", isHelperCut ? unreachable : reachable);
+  const config = isPatient ? patientConfig() : testConfig();
+  const cut = await startOne("r1", unreachable, config);
+  const others = isHelperCut ? unreachable : reachable;
+  const helper = await startOne("r2", others, config);
   const entries = [cut, helper].map(({ address }, index) => ({
     router: `r${String(index + 1)}`,
     lease: "l",
@@ -116,7 +137,7 @@
   }));
   for (const { push } of [cut, helper])
     push({ type: "routersRead", at: now(), entries });
-  return {
+  const pair: RelayPair = {
     cut,
     helper,
     replica,
@@ -125,4 +146,6 @@
       replica.stop();
     },
   };
+  startedPairs.push(pair);
+  return pair;
 };
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -1,6 +1,7 @@
 /** Test harness: a relay between raw connections of callers and a raw replica. */
 
 import { connect, type Socket } from "node:net";
+import { afterEach } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createChannel, createSourceDriver, now } from "@cardamomglade/common";
 import { freePort } from "@cardamomglade/common/testing/freePort";
@@ -12,8 +13,9 @@
   type RawReplica,
 } from "./rawReplica.js";
 import { plainService, testConfig, testReplica } from "./scenario.js";
-import type { RequestLimits } from "../types.js";
+import type { RelayConfig, RequestLimits } from "../types.js";
 import { testProtocol } from "./testProtocol.js";
+import { untilReady } from "./untilReady.js";
 
 /** A relay with replicas that answer raw bytes. */
 export interface TestRelay {
@@ -24,9 +26,21 @@
   readonly lines: string[];
   /** Puts a configuration with changed limits in force. */
   readonly changeLimits: (changes: Partial<RequestLimits>) => Promise<void>;
+  /** Puts a configuration in force whose routes leave requests all their budget. */
+  readonly extendTimeouts: () => Promise<void>;
   readonly stop: () => Promise<void>;
 }
 
+/** Budget of a request where the test is not about its length: more than a busy machine needs. */
+export const patientMs = 20_000;
+
+const startedRelays: TestRelay[] = [];
+
+// A test that fails leaves its relay running, and the process would not end.
+afterEach(async () => {
+  for (const relay of startedRelays.splice(0)) await relay.stop();
+});
+
 /**
  * Starts a relay and its replica, which may have several ids, on free ports of the
  * loopback address; a second one answers in its own way from another zone.
@@ -44,7 +58,7 @@
   const host = "127.0.0.1";
   const events = createChannel<RelayEvent>();
   const lines: string[] = [];
-  const relay = createRelay({
+  const created = createRelay({
     front: { host, port: front },
     readiness: { host, port: readiness },
     metrics: { host, port: metrics },
@@ -65,57 +79,78 @@
     onLoopEnded: () => undefined,
     gauges: () => ({}),
   });
-  await sleep(20);
   const here = { host, port: replica.port };
   const replicas = ids.map((id) => testReplica(id, service, here));
   if (second !== undefined)
     replicas.push(testReplica("b-9", service, { host, port: second.port }));
   events.push({ type: "configRead", at: now(), config: testConfig() });
   events.push({ type: "replicasRead", at: now(), replicas });
+  await untilReady({ host, port: readiness });
   let config = testConfig();
-  return {
+  const replaceConfig = async (changes: Partial<RelayConfig>) => {
+    config = { ...config, ...changes, version: config.version + 1 };
+    events.push({ type: "configRead", at: now(), config });
+    await sleep(20);
+  };
+  let stopped: Promise<void> | undefined;
+  const relay: Relay = {
+    ...created,
+    drain: (deadline) => (stopped ??= created.drain(deadline)),
+  };
+  const started: TestRelay = {
     replica,
     second,
     relay,
     port: front,
     lines,
-    changeLimits: async (changes) => {
-      const limits = { ...config.limits, ...changes };
-      config = { ...config, version: config.version + 1, limits };
-      events.push({ type: "configRead", at: now(), config });
-      await sleep(20);
-    },
+    changeLimits: (changes) =>
+      replaceConfig({ limits: { ...config.limits, ...changes } }),
+    extendTimeouts: () =>
+      replaceConfig({
+        routes: config.routes.map((one) => ({ ...one, timeoutMs: patientMs })),
+      }),
     stop: async () => {
       await relay.drain(now());
       replica.stop();
       second?.stop();
     },
   };
+  startedRelays.push(started);
+  return started;
 };
 
+const answerMs = 400; // waited at least, so that bytes after an answer are seen
+const quietMs = 100;
+
 /**
- * Sends bytes and returns everything received until the connection closes or
- * the time has passed.
+ * Sends bytes and returns everything received until the connection closes or the
+ * time has passed. Without a time it waits until an answer has come and nothing
+ * follows it.
  */
 export const exchange = (
   port: number,
   bytes: string,
-  waitMs = 400,
+  waitMs?: number,
 ): Promise<string> =>
   new Promise((resolve) => {
     let text = "";
     const socket: Socket = connect(port, "127.0.0.1");
     const finish = () => {
+      clearTimeout(timer);
       socket.destroy();
       resolve(text);
     };
-    const timer = setTimeout(finish, waitMs);
-    socket.on("data", (chunk) => (text += chunk.toString("latin1")));
-    socket.on("error", finish);
-    socket.on("close", () => {
+    const startedAt = now();
+    let timer = setTimeout(finish, waitMs ?? patientMs);
+    socket.on("data", (chunk) => {
+      text += chunk.toString("latin1");
+      if (waitMs !== undefined) return;
       clearTimeout(timer);
-      finish();
+      const leftMs = startedAt + answerMs - now();
+      timer = setTimeout(finish, Math.max(leftMs, quietMs));
     });
+    socket.on("error", finish);
+    socket.on("close", finish);
     socket.write(bytes);
   });
 
@@ -125,18 +160,25 @@
   headers: readonly string[] = [],
   method = "GET",
   body = "",
+  budgetMs = 1000,
 ): string =>
   [
     `${method} ${path} HTTP/1.1`,
     "host: host.example",
     "x-request: r1",
-    "x-budget: 1000",
+    `x-budget: ${String(budgetMs)}`,
     "authorization: Bearer key-1",
     ...headers,
     "",
     body,
   ].join("\r\n");
 
+/** Text of a request without a body that may take long. */
+export const patientRequestText = (
+  path: string,
+  headers: readonly string[] = [],
+): string => requestText(path, headers, "GET", "", patientMs);
+
 /** Headers of a response that belongs to the request and is sealed. */
 export const sealed = "x-request: r1\r\nx-seal: s\r\n";
 
