Let tests of answers not depend on the speed of the machine

Their requests had a deadline of 1 s, or fixed sleeps before a check, while the length of either is not what they test. Traced in the code before with seeded stops of its process of up to 400 ms, and 1.2 s for handover.test:

- endlessAnswers: 19 of 20 sound requests answered, the other one 504 at 1 s.
- misbehavingReplicas: 504 'the deadline has passed' in place of 502, while the endless body was still read up to its limit.
- handover, not answered as elsewhere: 504 as above; and 503, as a router that was late takes nothing over for a second, which it should.
The booking: 504 before the other router was stopped; and its first check, after 400 ms, could come before the request had reached the replica.
- plannedStop, every request: a timer of 3 ms fires seldom on a busy machine, so 300 answers were not reached, in 2 of 2 runs beside load.
It now sends what is due, whatever the timer does.
- brokenAnswers: 504 in place of 502, and queuedRequests: 2.5 s of notice and 500 ms exceeded, both in the whole suite at a load of 27 to 58.

They now wait for the event itself, with deadlines of 20 s that no sound run reaches; a wrong answer, a second run, a missing end or a leaked connection fails as before. A stream that should not come late is checked by its cause: the replica makes the second event only once the caller has the first one, where 50 ms between them were enough before. A replica that should be left is left long before the deadline. A refusal of a router that was late is repeated only if this process measurably stood still and the replica was not asked. Times that are bounds stay, less the time in which the process stood still.

In plannedStop, what has to arrive before the relay stops listening at 2.5 s is sent at 2.0 s and ends after 3.0 s, where a timer that was 60 to 200 ms late missed the moment. With the turns before idle connections are closed left out, the test of half sent bodies fails now, and none did before in 2 runs; with heads that have begun taken for idle, that of half sent heads fails.

--- a/packages/relay/src/brokenAnswers.test.ts
+++ b/packages/relay/src/brokenAnswers.test.ts
@@ -1,10 +1,14 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
+import { RawCaller } from "./testing/rawCaller.js";
 import type { RawResponder } from "./testing/rawReplica.js";
 import { engines, plainService } from "./testing/scenario.js";
 import {
   exchange,
+  patientMs,
+  patientRequestText,
   requestText,
   sealed,
   startTestRelay,
@@ -31,6 +35,21 @@
   return received;
 };
 
+/** The same for a request whose end does not depend on its deadline. */
+const relayedPatiently = async (
+  path: string,
+  respond: RawResponder,
+  service = plainService,
+  ids?: readonly string[],
+): Promise<string> => {
+  const running = await startTestRelay(respond, service, ids);
+  await running.extendTimeouts();
+  const text = patientRequestText(path, ["connection: close"]);
+  const received = await exchange(running.port, text, patientMs);
+  await running.stop();
+  return received;
+};
+
 /** Whether a request is a caller's, not one for a load report. */
 const isStreamRequest = (text: string): boolean =>
   text.startsWith("GET /stream/");
@@ -106,7 +125,7 @@
     }, settleMs);
   };
   const ids = ["a-1", "b-1", "c-1"];
-  const received = await relayed(
+  const received = await relayedPatiently(
     "/stream/x",
     withReports(respond),
     engines,
@@ -150,7 +169,7 @@
               else socket.end();
             }, settleMs);
           };
-          const received = await relayed(path, respond, service);
+          const received = await relayedPatiently(path, respond, service);
           assert.match(received, /^HTTP\/1.1 502/, `${place}, ${path}`);
         }
   });
@@ -166,7 +185,7 @@
       const respond: RawResponder = (socket) => {
         writePieces(socket, pieces, delayMs);
       };
-      const received = await relayed("/book/x", respond, undefined, [
+      const received = await relayedPatiently("/book/x", respond, undefined, [
         "a-9",
         "b-9",
       ]);
@@ -192,9 +211,12 @@
         setTimeout(() => socket.write(text.slice(20)), 5);
       }, repeatAfterMs);
     });
-    const twice = requestText("/book/x") + requestText("/book/x");
-    const received = await exchange(running.port, twice, 400);
-    const statuses = received.match(/HTTP\/1.1 \d+/g);
+    await running.extendTimeouts();
+    const caller = RawCaller.create(running.port);
+    caller.send(patientRequestText("/book/x").repeat(2));
+    await caller.waitFor(/hello/, patientMs);
+    await sleep(100);
+    const statuses = caller.text.match(/HTTP\/1.1 \d+/g);
     assert.deepEqual(statuses, ["HTTP/1.1 503", "HTTP/1.1 200"]);
     await running.stop();
   }
--- a/packages/relay/src/endlessAnswers.test.ts
+++ b/packages/relay/src/endlessAnswers.test.ts
@@ -9,6 +9,8 @@
 import type { RawResponder } from "./testing/rawReplica.js";
 import {
   exchange,
+  patientMs,
+  patientRequestText,
   requestText,
   respondOk,
   sealed,
@@ -86,8 +88,9 @@
 
 for (const count of [8, 24, 64])
   test(`${String(count)} endless answers at once take the memory of sound requests`, async (t) => {
-    const { port, stop } = await startTestRelay(respond);
+    const { port, stop, extendTimeouts } = await startTestRelay(respond);
     t.after(stop);
+    await extendTimeouts();
     await exchange(port, requestText("/check/sound"), waitMs);
     const stopWatching = watchMemory();
     const endless = Array.from({ length: count }, (_, index) =>
@@ -96,8 +99,8 @@
     const sound: Promise<string>[] = [];
     for (let sent = 0; sent < 20; sent += 1) {
       const path = sent % 10 === 5 ? "/check/large" : "/check/sound";
-      const request = requestText(path, ["connection: close"]);
-      sound.push(exchange(port, request, waitMs));
+      const request = patientRequestText(path, ["connection: close"]);
+      sound.push(exchange(port, request, patientMs));
       await sleep(soundIntervalMs);
     }
     const answers = await Promise.all(sound);
--- a/packages/relay/src/handover.test.ts
+++ b/packages/relay/src/handover.test.ts
@@ -3,11 +3,16 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
 import { now } from "@cardamomglade/common";
+import { eventually } from "@cardamomglade/common/testing/eventually";
+import { measureStalls } from "@cardamomglade/common/testing/measureStalls";
+import { busyHoldMs, busyThresholdMs } from "./decisions/handover/constants.js";
 import type { RawResponder } from "./testing/rawReplica.js";
 import { startRelayPair, type RelayPair } from "./testing/relayPair.js";
 import { engines } from "./testing/scenario.js";
 import {
   exchange,
+  patientMs,
+  patientRequestText,
   requestText,
   respondOk,
   sealed,
@@ -42,14 +47,48 @@
     waitMs,
   );
 
+/** Sends a request whose end does not depend on its deadline. */
+const sendPatiently = ({ cut }: RelayPair, path: string): Promise<string> =>
+  exchange(
+    cut.port,
+    patientRequestText(path, ["connection: close"]),
+    patientMs,
+  );
+
+const maxTrialCount = 10;
+
+/**
+ * Sends a request again if it was refused without running while this process, in which
+ * both routers are, was late: a router that was late takes nothing over for a while.
+ */
+const sendUndisturbed = async (
+  pair: RelayPair,
+  sendOnce: () => Promise<string>,
+): Promise<string> => {
+  const { stalledMs } = measureStalls();
+  let stalledBeforeMs = 0;
+  for (let trial = 1; ; trial += 1) {
+    const requestCount = requestsAt(pair).length;
+    const received = await sendOnce();
+    const wasLate = stalledMs() - stalledBeforeMs > busyThresholdMs;
+    const isRefused = received.startsWith("HTTP/1.1 503");
+    if (!wasLate || !isRefused || trial === maxTrialCount) return received;
+    assert.equal(requestsAt(pair).length, requestCount);
+    stalledBeforeMs = stalledMs();
+    await sleep(busyHoldMs);
+  }
+};
+
 /** Requests that reached the replica; load reports and bare connections are none. */
 const requestsAt = ({ replica }: RelayPair): string[] =>
   replica.received.filter((text) => text !== "" && !text.includes(" /report "));
 
 test("a request at a router without a path is not answered as elsewhere", async (t) => {
-  const pair = await start(t, respondOk);
+  const pair = await start(t, respondOk, { isPatient: true });
   for (const path of ["/check/x", "/book/x"]) {
-    const received = await send(pair, path);
+    const received = await sendUndisturbed(pair, () =>
+      sendPatiently(pair, path),
+    );
     assert.match(received, /^HTTP\/1.1 200 OK/);
     assert.match(received, /^x-seal: s\r$/im);
     assert.match(received, /^x-extra: 1\r$/im);
@@ -68,7 +107,9 @@
     "x-customer: somebody",
     "x-cardamomglade-handover: forged",
   ];
-  await send(pair, "/book/x?y=1", headers, "POST", "body");
+  await sendUndisturbed(pair, () =>
+    send(pair, "/book/x?y=1", headers, "POST", "body"),
+  );
   const [text = ""] = requestsAt(pair);
   assert.match(text, /^POST \/book\/x\?y=1 HTTP\/1.1\r/);
   assert.match(text, /^host: host.example\r$/im);
@@ -94,32 +135,30 @@
 });
 
 test("a stream at a router without a path comes late or looks broken off", async (t) => {
+  let endStream: () => void = () => undefined;
   const pair = await start(
     t,
-    (socket) => {
-      socket.write(`${streamHead}\r\n${eventTexts[0] ?? ""}`);
-      setTimeout(() => socket.end(eventTexts[1] ?? ""), 150);
+    (replicaSocket) => {
+      replicaSocket.write(`${streamHead}\r\n${eventTexts[0] ?? ""}`);
+      endStream = () => {
+        replicaSocket.end(eventTexts[1] ?? "");
+      };
     },
-    { service: engines },
+    { service: engines, isPatient: true },
   );
   let text = "";
-  let firstAt = 0;
-  let secondAt = 0;
+  let isClosed = false;
   const socket = connect(pair.cut.port, "127.0.0.1");
-  socket.write(requestText("/stream/x", ["connection: close"]));
-  await new Promise<void>((resolve) => {
-    socket.on("data", (chunk) => {
-      text += chunk.toString("latin1");
-      if (text.includes("id: 1")) firstAt ||= now();
-      if (text.includes("id: 2")) secondAt ||= now();
-    });
-    socket.on("close", () => {
-      resolve();
-    });
-  });
+  socket.on("data", (chunk) => (text += chunk.toString("latin1")));
+  socket.on("close", () => (isClosed = true));
+  socket.write(patientRequestText("/stream/x", ["connection: close"]));
+  // The replica makes the second event only when the first one has reached the caller.
+  await eventually(() => text.includes("id: 1"), "the first event");
+  endStream();
+  await eventually(() => isClosed, "the end of the stream");
   assert.ok(text.endsWith(chunkedEnd), text);
   assert.equal(text.split("id: 1").length, 2);
-  assert.ok(secondAt - firstAt > 50);
+  assert.ok(text.indexOf("id: 2") > text.indexOf("id: 1"));
 });
 
 test("a stream that breaks off behind another router looks complete", async (t) => {
@@ -145,10 +184,9 @@
 });
 
 test("a booking is sent twice, or refused as not run, after the router that took it over was lost", async (t) => {
-  const pair = await start(t, () => undefined);
-  const received = send(pair, "/book/x");
-  await sleep(400);
-  assert.equal(requestsAt(pair).length, 1);
+  const pair = await start(t, () => undefined, { isPatient: true });
+  const received = sendPatiently(pair, "/book/x");
+  await eventually(() => requestsAt(pair).length > 0, "the replica is asked");
   await pair.helper.drain(now());
   assert.match(await received, /^HTTP\/1.1 502/);
   assert.equal(requestsAt(pair).length, 1);
@@ -163,20 +201,19 @@
 });
 
 test("a replica goes on working for a caller that left behind another router", async (t) => {
-  let closedAt = 0;
-  const pair = await start(t, (socket) => {
-    socket.on("close", () => {
-      closedAt ||= now();
-    });
-  });
+  let isClosed = false;
+  const answer: RawResponder = (replicaSocket) => {
+    replicaSocket.on("close", () => (isClosed = true));
+  };
+  const pair = await start(t, answer, { isPatient: true });
   const socket = connect(pair.cut.port, "127.0.0.1");
-  socket.write(requestText("/check/x"));
-  await sleep(250);
+  socket.write(patientRequestText("/check/x"));
+  await eventually(() => requestsAt(pair).length > 0, "the replica is asked");
   assert.equal(requestsAt(pair).length, 1);
-  const leftAt = now();
+  assert.equal(isClosed, false);
   socket.destroy();
-  await sleep(400);
-  assert.ok(closedAt > 0 && closedAt - leftAt < 300);
+  // Long before the deadline of the request.
+  await eventually(() => isClosed, "the replica is left", patientMs / 4);
 });
 
 test("routers without a path hand a request to and fro, or keep it waiting", async (t) => {
@@ -184,11 +221,12 @@
   // Both find out by a first request.
   await send(pair, "/check/x");
   await sleep(1000);
+  const { stalledMs } = measureStalls();
   const sentAt = now();
   const received = await send(pair, "/book/x");
   assert.match(received, /^HTTP\/1.1 503/);
   assert.match(received, /^retry-after: /im);
-  assert.ok(now() - sentAt < 300);
+  assert.ok(now() - sentAt - stalledMs() < 300);
   assert.equal(requestsAt(pair).length, 0);
 });
 
@@ -235,7 +273,7 @@
     }, 300);
   });
   const first = send(pair, "/book/x");
-  await sleep(200);
+  await eventually(() => requestsAt(pair).length > 0, "the replica is asked");
   const stopped = pair.helper.drain(now() + 3000);
   assert.ok((await first).endsWith("hello"));
   const second = await send(pair, "/book/x");
--- a/packages/relay/src/misbehavingReplicas.test.ts
+++ b/packages/relay/src/misbehavingReplicas.test.ts
@@ -2,9 +2,12 @@
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import fc from "fast-check";
+import { eventually } from "@cardamomglade/common/testing/eventually";
 import type { RawResponder } from "./testing/rawReplica.js";
 import {
   exchange,
+  patientMs,
+  patientRequestText,
   requestText,
   respondOk,
   sealed,
@@ -65,15 +68,19 @@
 for (const [name, respond] of Object.entries(endlessCases))
   test(`endless bytes in ${name} end the attempt with bounded memory`, async () => {
     let openConnections = 0;
-    const { port, stop } = await startTestRelay((socket, text) => {
-      openConnections += 1;
-      socket.on("close", () => (openConnections -= 1));
-      respond(socket, text);
-    });
+    const { port, stop, extendTimeouts } = await startTestRelay(
+      (socket, text) => {
+        openConnections += 1;
+        socket.on("close", () => (openConnections -= 1));
+        respond(socket, text);
+      },
+    );
+    await extendTimeouts();
     const before = process.memoryUsage().rss;
-    const answer = await exchange(port, requestText("/book/x"), waitMs);
+    const request = patientRequestText("/book/x", ["connection: close"]);
+    const answer = await exchange(port, request, patientMs);
     assert.match(answer, /^HTTP\/1.1 502/);
-    assert.equal(openConnections, 0);
+    await eventually(() => openConnections === 0, "the connection is closed");
     assert.ok(process.memoryUsage().rss - before < maxGrowthBytes);
     await stop();
   });
@@ -91,10 +98,13 @@
 
 test("no bytes of a replica stop the relay or leave a caller without an end (seed 5)", async () => {
   let bytes = "";
-  const { port, stop } = await startTestRelay((socket, text) => {
-    if (bytes === "") respondOk(socket, text);
-    else socket.end(bytes);
-  });
+  const { port, stop, extendTimeouts } = await startTestRelay(
+    (socket, text) => {
+      if (bytes === "") respondOk(socket, text);
+      else socket.end(bytes);
+    },
+  );
+  await extendTimeouts();
   const starts = ["", ok, `${ok}${sealed}`, `HTTP/1.1 101 X\r\n${sealed}\r\n`];
   await fc.assert(
     fc.asyncProperty(
@@ -102,8 +112,8 @@
       fc.string({ unit: "binary-ascii", maxLength: 200 }),
       async (start, rest) => {
         bytes = start + rest;
-        const once = requestText("/book/x", ["connection: close"]);
-        const answer = await exchange(port, once, waitMs);
+        const once = patientRequestText("/book/x", ["connection: close"]);
+        const answer = await exchange(port, once, patientMs);
         assert.match(answer, /^HTTP\/1.1 (200|502)/);
       },
     ),
@@ -126,7 +136,7 @@
     }, 20);
   });
   for (let call = 1; call <= 5; call += 1) {
-    const answer = await exchange(port, requestText("/book/x"), 200);
+    const answer = await exchange(port, requestText("/book/x"));
     assert.ok(answer.endsWith(`hell${String(call)}`), answer);
   }
   await stop();
--- a/packages/relay/src/plannedStop.test.ts
+++ b/packages/relay/src/plannedStop.test.ts
@@ -6,14 +6,20 @@
 import { RawCaller } from "./testing/rawCaller.js";
 import {
   exchange,
+  patientMs,
+  patientRequestText,
   requestText,
   respondOk,
   sealed,
   startTestRelay,
 } from "./testing/testRelay.js";
 
-const graceMs = 6000;
+const graceMs = 30_000; // a stop ends as soon as nothing is under way
 const shortGraceMs = 2400;
+// The relay listens for 2.5 s; a timer may be late by half a second.
+const beforeNoticeEndsMs = 2000;
+const pastNoticeEndMs = 1000;
+const requestIntervalMs = 3;
 
 // Load: a caller whose body is still on its way when the stop begins.
 test("a request whose body is half sent when the relay stops is answered", async () => {
@@ -24,10 +30,10 @@
   socket.on("error", () => undefined);
   const head = requestText("/book/x", ["content-length: 6"], "POST", "abc");
   const drained = relay.drain(now() + graceMs);
-  // Just before the relay stops listening, so that the body ends after that.
-  await sleep(2300);
+  // Before the relay stops listening, and the body ends after that.
+  await sleep(beforeNoticeEndsMs);
   socket.write(head);
-  await sleep(500);
+  await sleep(pastNoticeEndMs);
   socket.write("def");
   await drained;
   await sleep(50);
@@ -38,16 +44,17 @@
 // Load: a caller that reads its long answer slowly over the whole stop.
 test("an answer that its caller has not read yet is not cut by a stop", async () => {
   const bytes = 8 * 1024 * 1024;
-  const { port, relay, replica } = await startTestRelay((socket) => {
+  const { port, relay, extendTimeouts } = await startTestRelay((socket) => {
     socket.write(
       `HTTP/1.1 200 OK\r\n${sealed}content-length: ${String(bytes)}\r\n\r\n`,
     );
     socket.end(Buffer.alloc(bytes, "x"));
   });
+  await extendTimeouts();
   let received = 0;
   const socket = connect(port, "127.0.0.1");
   socket.on("error", () => undefined);
-  socket.write(requestText("/book/x"));
+  socket.write(patientRequestText("/book/x"));
   socket.pause();
   await sleep(300);
   const drained = relay.drain(now() + graceMs);
@@ -57,36 +64,63 @@
   await drained;
   await sleep(50);
   assert.ok(received > bytes, `${String(received)} of ${String(bytes)} bytes`);
-  replica.stop();
 });
 
+const knownCount = 30;
+
+/** Lets the relay learn how long answers take; returns how many it got. */
+const answerAtOnce = async (port: number): Promise<number> => {
+  const request = patientRequestText("/book/x", ["connection: close"]);
+  const texts = await Promise.all(
+    Array.from({ length: knownCount }, () =>
+      exchange(port, request, patientMs),
+    ),
+  );
+  assert.ok(texts.every((text) => text.endsWith("hello")));
+  return texts.length;
+};
+
 // Load: new requests up to the last moment before the relay no longer listens.
-test("every request that is accepted while the relay stops is answered", async () => {
-  const { port, relay, replica } = await startTestRelay((socket, text) => {
-    setTimeout(() => {
-      respondOk(socket, text);
-    }, 30);
-  });
+test("every request that is accepted while the relay stops is answered", async (t) => {
+  const { port, relay, replica, extendTimeouts } = await startTestRelay(
+    (socket, text) => {
+      setTimeout(() => {
+        respondOk(socket, text);
+      }, 30);
+    },
+  );
+  await extendTimeouts();
+  const known = await answerAtOnce(port);
   const answers: Promise<string>[] = [];
+  const startedAt = now();
   const timer = setInterval(() => {
-    answers.push(exchange(port, requestText("/book/x"), 1500));
-  }, 3);
-  const drained = relay.drain(now() + graceMs);
-  await drained;
+    // Timers that come late leave out none.
+    const dueCount = (now() - startedAt) / requestIntervalMs;
+    while (answers.length < dueCount)
+      answers.push(exchange(port, patientRequestText("/book/x"), patientMs));
+  }, requestIntervalMs);
+  t.after(() => {
+    clearInterval(timer);
+  });
+  await relay.drain(startedAt + graceMs);
   clearInterval(timer);
   const texts = await Promise.all(answers);
   const answered = texts.filter((text) => text.endsWith("hello"));
-  assert.ok(answered.length > 300);
+  const counts = new Map<string, number>();
+  for (const text of texts) {
+    const end = text.endsWith("hello") ? "whole" : text.slice(0, 12);
+    counts.set(end, (counts.get(end) ?? 0) + 1);
+  }
   // A connection that was never accepted is closed without a byte.
   for (const text of texts) assert.match(text, /^$|hello$/);
+  assert.ok(answered.length > 300, JSON.stringify([...counts]));
   const passedOn = replica.received.filter((text) => text.length > 0);
-  assert.equal(passedOn.length, answered.length);
-  replica.stop();
+  assert.equal(passedOn.length, known + answered.length);
 });
 
 // Load: a short grace, kept connections and new ones, a replica that takes most of a second.
 test("requests that come late in a short grace are passed on and cut", async (t) => {
-  const { port, relay, replica, stop } = await startTestRelay(
+  const { port, relay, replica, stop, extendTimeouts } = await startTestRelay(
     (socket, text) => {
       setTimeout(() => {
         respondOk(socket, text);
@@ -94,18 +128,15 @@
     },
   );
   t.after(stop);
-  const known = await Promise.all(
-    Array.from({ length: 30 }, () =>
-      exchange(port, requestText("/book/x"), 1500),
-    ),
-  );
-  assert.ok(known.every((text) => text.endsWith("hello")));
+  await extendTimeouts();
+  const known = await answerAtOnce(port);
   const drained = relay.drain(now() + shortGraceMs);
   const lateMs = [200, 700, 1200, 1700, 1900, 2200];
   const answers = await Promise.all(
     lateMs.map(async (ms) => {
       await sleep(ms);
-      return exchange(port, requestText("/book/x"), 3000);
+      const request = patientRequestText("/book/x", ["connection: close"]);
+      return exchange(port, request, patientMs);
     }),
   );
   await drained;
@@ -114,7 +145,7 @@
   );
   const passedOn = replica.received.filter((text) => text.length > 0);
   const wholeCount = ends.filter((end) => end === "whole").length;
-  assert.equal(passedOn.length, wholeCount + 30, ends.join(" "));
+  assert.equal(passedOn.length, wholeCount + known, ends.join(" "));
   assert.ok(wholeCount >= 2, ends.join(" "));
   // A connection that is not accepted any more is closed without a byte.
   const others = ends.filter((end) => !["whole", "503", ""].includes(end));
@@ -128,9 +159,9 @@
   const text = requestText("/book/x");
   t.after(replica.stop);
   const drained = relay.drain(now() + graceMs);
-  await sleep(2300);
+  await sleep(beforeNoticeEndsMs);
   caller.send(text.slice(0, 30));
-  await sleep(700);
+  await sleep(pastNoticeEndMs);
   caller.send(text.slice(30));
   await drained;
   await sleep(50);
@@ -145,9 +176,9 @@
   for (const caller of callers) await caller.waitFor(/hello$/);
   t.after(replica.stop);
   const drained = relay.drain(now() + graceMs);
-  await sleep(2440);
+  await sleep(beforeNoticeEndsMs);
   for (const caller of callers) caller.send(requestText("/check/x"));
-  const heldUntil = now() + 200;
+  const heldUntil = now() + pastNoticeEndMs;
   while (now() < heldUntil);
   await drained;
   await sleep(50);
--- a/packages/relay/src/queuedRequests.test.ts
+++ b/packages/relay/src/queuedRequests.test.ts
@@ -5,9 +5,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
 import { now } from "@cardamomglade/common";
+import { eventually } from "@cardamomglade/common/testing/eventually";
+import { measureStalls } from "@cardamomglade/common/testing/measureStalls";
 import { RawCaller } from "./testing/rawCaller.js";
 import type { RawResponder } from "./testing/rawReplica.js";
 import {
+  patientMs,
+  patientRequestText,
   requestText,
   respondOk,
   sealed,
@@ -16,7 +20,7 @@
 
 const graceMs = 6000;
 const noticeMs = 2500;
-const request = requestText("/check/x").replace("budget: 1000", "budget: 5000");
+const request = patientRequestText("/check/x");
 
 /** A relay whose replica answers nothing, with the replica's connections that are open. */
 const startWithSilentReplica = async () => {
@@ -25,6 +29,7 @@
     open.add(socket);
     socket.on("close", () => open.delete(socket));
   });
+  await relay.extendTimeouts();
   return { relay, open };
 };
 
@@ -34,25 +39,25 @@
   t.after(relay.stop);
   const caller = RawCaller.create(relay.port);
   caller.send(request + request);
-  await sleep(100);
-  assert.equal(open.size, 2);
+  await eventually(() => open.size === 2, "the replica has both requests");
   caller.socket.destroy();
-  await sleep(200);
-  assert.equal(open.size, 0);
+  // Long before the deadline of the requests.
+  await eventually(() => open.size === 0, "the replica is left", patientMs / 4);
 });
 
 // Load: the same before a planned stop.
 test("a relay waits until the end of its grace for the request of a caller that left", async (t) => {
-  const { relay } = await startWithSilentReplica();
+  const { relay, open } = await startWithSilentReplica();
   t.after(relay.stop);
   const caller = RawCaller.create(relay.port);
   caller.send(request + request);
-  await sleep(100);
+  await eventually(() => open.size === 2, "the replica has both requests");
   caller.socket.destroy();
   await sleep(100);
+  const { stalledMs } = measureStalls();
   const startedAt = now();
   await relay.relay.drain(startedAt + graceMs);
-  assert.ok(now() - startedAt < noticeMs + 500);
+  assert.ok(now() - startedAt - stalledMs() < noticeMs + 500);
 });
 
 const answerSlowly: RawResponder = (socket) => {
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -2,10 +2,14 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
 import { now } from "@cardamomglade/common";
+import { eventually } from "@cardamomglade/common/testing/eventually";
 import fc from "fast-check";
+import { RawCaller } from "./testing/rawCaller.js";
 import { testConfig } from "./testing/scenario.js";
 import {
   exchange,
+  patientMs,
+  patientRequestText,
   requestText,
   respondOk,
   sealed,
@@ -181,15 +185,20 @@
 
 test("the connection to the replica is closed when the caller disconnects", async () => {
   let closed = false;
-  const { port, stop } = await startTestRelay((socket) => {
+  const { port, replica, extendTimeouts } = await startTestRelay((socket) => {
     socket.on("close", () => {
       closed = true;
     });
   });
-  await exchange(port, requestText("/book/x"), 100);
-  await sleep(100);
-  assert.equal(closed, true);
-  await stop();
+  await extendTimeouts();
+  const caller = RawCaller.create(port);
+  caller.send(patientRequestText("/book/x"));
+  const isAsked = () => replica.received.some((text) => text !== "");
+  await eventually(isAsked, "the replica is asked");
+  assert.equal(closed, false);
+  caller.socket.destroy();
+  // Long before the deadline of the request.
+  await eventually(() => closed, "the connection is closed", patientMs / 4);
 });
 
 test("a draining relay answers the requests it has read, then accepts no new connections", async () => {
--- a/packages/upstream/src/repeatedAnswers.test.ts
+++ b/packages/upstream/src/repeatedAnswers.test.ts
@@ -9,6 +9,7 @@
 import type { ServiceOutcome } from "./types.js";
 
 const settleMs = 20;
+const callMs = 20_000; // no call ends by its deadline
 
 type Respond = (socket: Socket, call: number) => void;
 
@@ -43,7 +44,7 @@
       path: "/book",
       contentType: "text/plain",
       body: "x",
-      deadline: now() + 400,
+      deadline: now() + callMs,
     };
     outcomes.push(await client.call(`http://127.0.0.1:${String(port)}`, call));
     await sleep(settleMs);
