Bound the waits of tests, and replace sleeps by the events that they wait for

- peerMesh waited for events without a bound, and for a link in a loop of turns.
- refusedBodies and refusedHeads sent 8 MB in 160 parts with sleeps of 5 ms: above 2 s the relay rightly ends a caller that sends on after its refusal, as seen in the whole suite at a load of 27 to 58.
One part goes out in each turn.
- idleConnections slept 1.4 s and sent 100 ms before an idle connection closes; a later timer sent on a closed one, as seen in the same run.
It sends 250 ms before, checks that it did, and repeats a trial that was late: with the check of what has arrived left out, it still fails.

What must not come is waited for as long as before.

--- a/packages/common/src/testing/faultProxy.test.ts
+++ b/packages/common/src/testing/faultProxy.test.ts
@@ -2,6 +2,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test, type TestContext } from "node:test";
+import { eventually } from "./eventually.js";
 import { FaultProxy, LinkState } from "./faultProxy.js";
 
 const arrivalMs = 150; // longer than the delay of a slow link
@@ -49,7 +50,7 @@
   await sleep(20);
   proxy.set(LinkState.Good);
   caller.write("c");
-  await sleep(arrivalMs);
+  await eventually(() => received.join("").length === 3, "all bytes");
   assert.equal(received.join(""), "abc");
 });
 
@@ -57,7 +58,7 @@
   const { proxy, received, open } = await start(t);
   const before = open();
   before.caller.write("a");
-  await sleep(arrivalMs);
+  await eventually(() => before.returned.join("") === "a", "the first byte");
   const holding = proxy.hold(holdMs);
   before.caller.write("b");
   const during = open();
@@ -66,7 +67,8 @@
   assert.equal(received.join(""), "a");
   assert.equal(during.returned.join(""), "");
   await holding;
-  await sleep(arrivalMs);
+  const returned = () => [...before.returned, ...during.returned].join("");
+  await eventually(() => returned().length === 3, "all bytes");
   assert.equal(before.returned.join(""), "ab");
   assert.equal(during.returned.join(""), "c");
 });
@@ -80,6 +82,6 @@
   await sleep(arrivalMs);
   assert.equal(returned.join(""), "");
   await longer;
-  await sleep(arrivalMs);
+  await eventually(() => returned.length > 0, "the byte");
   assert.equal(returned.join(""), "a");
 });
--- a/packages/peers/src/peerMesh.test.ts
+++ b/packages/peers/src/peerMesh.test.ts
@@ -4,6 +4,7 @@
 import fc from "fast-check";
 import { generate } from "selfsigned";
 import { WebSocket } from "ws";
+import { eventually } from "@cardamomglade/common/testing/eventually";
 import { decodeMessage, encodeMessage } from "./codec.js";
 import { PeerMesh } from "./peerMesh.js";
 import type { LinkTls, MeshEvent } from "./types.js";
@@ -16,7 +17,6 @@
   options: { sharedSecret?: string; tls?: LinkTls } = {},
 ) => {
   const events: MeshEvent[] = [];
-  const waiters: (() => void)[] = [];
   const { tls } = options;
   const mesh = await PeerMesh.create({
     router,
@@ -24,16 +24,14 @@
     port: 0,
     sharedSecret: options.sharedSecret ?? secret,
     ...(tls === undefined ? {} : { listenTls: tls, dialTls: tls }),
-    onEvent: (event) => {
-      events.push(event);
-      for (const wake of waiters.splice(0)) wake();
-    },
+    onEvent: (event) => events.push(event),
   });
   t.after(() => mesh.close());
-  const waitForEvent = async (type: MeshEvent["type"], peer: string) => {
-    while (!events.some((one) => one.type === type && one.peer === peer))
-      await new Promise<void>((resolve) => waiters.push(resolve));
-  };
+  const waitForEvent = (type: MeshEvent["type"], peer: string) =>
+    eventually(
+      () => events.some((one) => one.type === type && one.peer === peer),
+      `${type} ${peer}`,
+    );
   return { mesh, events, waitForEvent };
 };
 
@@ -67,8 +65,10 @@
       a.waitForEvent("linked", "b"),
       b.waitForEvent("linked", "a"),
     ]);
-    while (!a.mesh.send("b", request) || !b.mesh.send("a", request))
-      await new Promise((resolve) => setImmediate(resolve));
+    await eventually(
+      () => a.mesh.send("b", request) && b.mesh.send("a", request),
+      "both can send",
+    );
     await Promise.all([
       a.waitForEvent("received", "b"),
       b.waitForEvent("received", "a"),
--- a/packages/relay/src/changedLimits.test.ts
+++ b/packages/relay/src/changedLimits.test.ts
@@ -20,7 +20,7 @@
 const ask = async (caller: RawCaller, text: string): Promise<string> => {
   caller.text = "";
   caller.send(text);
-  await caller.waitFor(/hello$/, 2000);
+  await caller.waitFor(/hello$/);
   return caller.text;
 };
 
--- a/packages/relay/src/drivers/replicaCall.test.ts
+++ b/packages/relay/src/drivers/replicaCall.test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
 import { now } from "@cardamomglade/common";
+import { eventually } from "@cardamomglade/common/testing/eventually";
 import { startRawReplica } from "../testing/rawReplica.js";
 import { testReplica, testRequest } from "../testing/scenario.js";
 import { testAttempt } from "../testing/testAttempt.js";
@@ -35,6 +36,7 @@
   t.after(replica.stop);
   const { call, events } = startCall(replica.port);
   call?.abandonUnconnected();
+  await eventually(() => events.length > 0, "the end of the attempt");
   await sleep(50);
   assert.deepEqual(events, [
     { type: "attemptFailed", failure: "notSent", detail: "no path" },
@@ -50,10 +52,9 @@
   });
   t.after(replica.stop);
   const { call, events } = startCall(replica.port);
-  await sleep(20);
+  await eventually(() => events.length > 0, "the connection");
   call?.abandonUnconnected();
-  const deadline = now() + 3000;
-  while (events.length < 2 && now() < deadline) await sleep(10);
+  await eventually(() => events.length > 1, "the answer");
   await sleep(40);
   assert.deepEqual(
     events.map(({ type }) => type),
--- a/packages/relay/src/idleConnections.test.ts
+++ b/packages/relay/src/idleConnections.test.ts
@@ -53,18 +53,41 @@
   while (now() < until);
 };
 
+const idleEndMs = 1500; // timeout of 0.5 s, and the slack for a request under way
+const maxTrialCount = 10;
+
+/**
+ * Sends a second request a while after a first one, and blocks the process over the
+ * end of the idle time; checks its answer. Trials in which the process woke up after
+ * that end show nothing; returns whether there was another one.
+ */
+const isSentBeforeIdleEnd = async (
+  port: number,
+  sendAfterMs: number,
+  blockMs: number,
+): Promise<boolean> => {
+  for (let trial = 0; trial < maxTrialCount; trial += 1) {
+    const caller = RawCaller.create(port);
+    const startedAt = now();
+    caller.send(request);
+    await caller.waitFor(/hello$/);
+    caller.text = "";
+    await sleep(startedAt + sendAfterMs - now());
+    const isInTime = now() - startedAt < idleEndMs;
+    caller.send(request);
+    block(blockMs);
+    await caller.waitFor(/hello$/);
+    if (!isInTime) continue;
+    assert.match(caller.text, /^HTTP\/1.1 200 OK[^]*hello$/);
+    return true;
+  }
+  return false;
+};
+
 // Load: a pause of the relay over the end of an idle time, in which a request arrives.
 test("a request that arrived before its idle connection is closed is lost", async (t) => {
   const relay = await startTestRelay(respondOk);
   t.after(relay.stop);
   await relay.changeLimits({ idleTimeoutMs: 500 });
-  const caller = RawCaller.create(relay.port);
-  caller.send(request);
-  await caller.waitFor(/hello$/);
-  caller.text = "";
-  await sleep(1400);
-  caller.send(request);
-  block(400);
-  await caller.waitFor(/hello$/, 1000);
-  assert.match(caller.text, /^HTTP\/1.1 200 OK[^]*hello$/);
+  assert.ok(await isSentBeforeIdleEnd(relay.port, 1250, 600));
 });
--- a/packages/relay/src/refusedBodies.test.ts
+++ b/packages/relay/src/refusedBodies.test.ts
@@ -1,7 +1,10 @@
 /** Refusals of requests whose body is still on its way. */
 
 import assert from "node:assert/strict";
-import { setTimeout as sleep } from "node:timers/promises";
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { test } from "node:test";
 import { RawCaller } from "./testing/rawCaller.js";
 import { requestText, respondOk, startTestRelay } from "./testing/testRelay.js";
@@ -9,12 +12,12 @@
 const bodyBytes = 8_000_000;
 const part = "x".repeat(50_000);
 
-/** Sends a body in parts with pauses, reading nothing until it is sent. */
-const sendSlowly = async (caller: RawCaller, bytes: number): Promise<void> => {
+/** Sends a body in parts, one a turn of the event loop, reading nothing until it is sent. */
+const sendInParts = async (caller: RawCaller, bytes: number): Promise<void> => {
   for (let sent = 0; sent < bytes; sent += part.length) {
     if (caller.isClosed) return;
     caller.send(part);
-    await sleep(5);
+    await nextTurn();
   }
 };
 
@@ -34,7 +37,7 @@
     const caller = RawCaller.create(relay.port);
     caller.send(headOf(...headers));
     caller.socket.pause();
-    await sendSlowly(caller, bodyBytes);
+    await sendInParts(caller, bodyBytes);
     caller.socket.resume();
     assert.ok(await caller.waitFor(/HTTP\/1.1 413 [^]*too long/));
     assert.ok(await caller.waitForClose(3000));
@@ -50,7 +53,7 @@
   caller.socket.pause();
   for (let sent = 0; sent < 2_000_000; sent += part.length) {
     caller.send(`${part.length.toString(16)}\r\n${part}\r\n`);
-    await sleep(5);
+    await nextTurn();
   }
   caller.send("0\r\n\r\n");
   caller.socket.resume();
--- a/packages/relay/src/refusedHeads.test.ts
+++ b/packages/relay/src/refusedHeads.test.ts
@@ -1,7 +1,7 @@
 /** Refusals of heads that cannot be read. */
 
 import assert from "node:assert/strict";
-import { setTimeout as sleep } from "node:timers/promises";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { test } from "node:test";
 import { RawCaller } from "./testing/rawCaller.js";
 import { respondOk, startTestRelay } from "./testing/testRelay.js";
@@ -15,7 +15,7 @@
   caller.send("GET /check/x HTTP/1.1\r\n");
   for (let count = 0; count < 40; count += 1) {
     caller.send(lines);
-    await sleep(5);
+    await nextTurn();
   }
   caller.socket.resume();
   assert.ok(await caller.waitFor(/^HTTP\/1.1 431 /));
