--- a/packages/platform/src/sharedWatch/followRouter.ts
+++ b/packages/platform/src/sharedWatch/followRouter.ts
@@ -51,6 +51,7 @@
   const { address, after, limits, onMessage, onLost } = options;
   let socket: WebSocket | undefined;
   let isOver = false;
+  let isAnswered = false; // until then the time for connecting counts
   const confirmationAge = createConfirmationAge(limits, now());
   const close = () => {
     isOver = true;
@@ -67,11 +68,12 @@
     lose("no answer in time");
   });
   const timer = setInterval(() => {
-    if (confirmationAge.isTooOld(now()))
-      lose("no recent confirmation by the store");
+    const isTooOld = confirmationAge.isTooOld(now());
+    if (isAnswered && isTooOld) lose("no recent confirmation by the store");
   }, limits.heartbeatMs);
   const receive = (data: RawData) => {
     endConnectTimeout();
+    isAnswered = true;
     const message = decodeSharedMessage(bytesOf(data));
     if (message === undefined) {
       lose("a malformed message");
--- a/packages/platform/src/sharedWatch/sharedWatch.test.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, test } from "node:test";
 import { now } from "@cardamomglade/common";
+import { eventually } from "@cardamomglade/common/testing/eventually";
 import { freePort } from "@cardamomglade/common/testing/freePort";
 import { mirrorPrefix } from "../mirrorPrefix.js";
 import type {
@@ -133,6 +134,10 @@
   readonly moves: string[];
   /** Whether handling the next change throws. */
   failNext: boolean;
+  /** Whether others can connect to it. */
+  isOpen: boolean;
+  /** Begins to mirror the entries. */
+  begin(): void;
   stop(): void;
 }
 
@@ -147,6 +152,7 @@
   store: FakeStore,
   { router, address }: SharingRouter,
   routers: readonly SharingRouter[],
+  onMove: () => void = () => undefined,
 ): TestRouter => {
   assert.ok(address);
   const access = new StoreAccess(store);
@@ -158,6 +164,7 @@
     limits: () => limits,
     onSource: (_source, reason) => {
       started.moves.push(reason);
+      onMove();
     },
     onConfirmed: (_source, at) => {
       started.confirmedAt = at;
@@ -170,6 +177,7 @@
     },
     onPortEvent: (event) => {
       assert.deepEqual(event, { type: "opened", hasBeenBlocked: false });
+      started.isOpen = true;
     },
   });
   shared.setRouters(routers);
@@ -179,13 +187,14 @@
     resyncMs: 60_000,
     maxBackoffMs: 100,
   };
-  const handle = mirrorPrefix(shared, options, (entries) => {
+  let handle: WatchHandle | undefined;
+  const onEntries = (entries: readonly KeyValueEntry[]) => {
     if (started.failNext) {
       started.failNext = false;
       throw new Error("planted");
     }
     started.entries = new Map(entries.map(({ key, value }) => [key, value]));
-  });
+  };
   const started: TestRouter = {
     name: router,
     access,
@@ -195,8 +204,12 @@
     confirmedAt: -Infinity,
     moves: [],
     failNext: false,
+    isOpen: false,
+    begin: () => {
+      handle = mirrorPrefix(shared, options, onEntries);
+    },
     stop: () => {
-      handle.close();
+      handle?.close();
       shared.stop();
     },
   };
@@ -204,7 +217,7 @@
   return started;
 };
 
-const startFleet = async (count: number) => {
+const startFleet = async (count: number, onMove?: () => void) => {
   const store = new FakeStore();
   store.put("servers/one", "ready");
   const routers: SharingRouter[] = [];
@@ -214,7 +227,12 @@
       zone: "a",
       address: { host: "127.0.0.1", port: await freePort() },
     });
-  const started = routers.map((one) => startRouter(store, one, routers));
+  const started = routers.map((one) =>
+    startRouter(store, one, routers, onMove),
+  );
+  // A router that cannot be connected to yet would be avoided for a while.
+  await eventually(() => started.every(({ isOpen }) => isOpen), "open ports");
+  for (const router of started) router.begin();
   return { store, routers: started, registered: routers };
 };
 
@@ -224,8 +242,11 @@
  */
 const waitUntil = async (isDone: () => boolean): Promise<number> => {
   let ranMs = 0;
+  const movesText = () =>
+    startedRouters.map(({ name, moves }) => `${name}: ${moves.join()}`).join();
   while (!isDone()) {
-    assert.ok(ranMs < convergenceTimeoutMs, "did not converge");
+    const isLate = ranMs >= convergenceTimeoutMs;
+    assert.ok(!isLate, `did not converge; ${isLate ? movesText() : ""}`);
     await sleep(pollMs);
     ranMs += pollMs;
   }
@@ -292,10 +313,16 @@
 });
 
 test("routers that stood still while they connected avoid the router that watches", async () => {
-  const { routers } = await startFleet(8);
-  const isConnecting = () => routers.some(({ moves }) => moves.length > 0);
-  await waitUntil(isConnecting);
-  standStill(2 * followTimeoutMs);
+  let moveCount = 0;
+  // Once the first ones have begun to connect.
+  const { routers } = await startFleet(8, () => {
+    moveCount += 1;
+    if (moveCount === 1)
+      setImmediate(() => {
+        standStill(2 * followTimeoutMs);
+      });
+  });
+  await waitUntil(() => moveCount > 0);
   await waitUntil(() => followerCountOf(routers) === 7);
   for (const { moves } of routers) assert.ok(moves.length <= 1, moves.join());
 });
@@ -346,6 +373,7 @@
   assert.ok(own);
   await sleep(50);
   const again = startRouter(store, own, registered);
+  again.begin();
   const all = [...routers.filter((one) => one !== first), again];
   for (let round = 0; round < 20; round += 1) {
     await sleep(20);
