Let nothing give way in vain (LOST)

Callers saw: an answer that its caller read on at 100 kB a second was broken off, while 67 of 150 MB were held, and the bodies for which it gave way were refused all the same.

Cause: a body that passes the part of large requests made unread answers give way, which free nothing of that part, one after the other until none was left.

What gives way to a claim is now planned first: each counts in a part that is full, none stays out of the plan that would have to be in it or the other way round, and if all together is not enough, nothing gives way. Of callers that do not read, the one that has read nothing for longest goes first, and progress is noted for each 64 KiB in place of 256.

--- a/packages/relay/src/decisions/memory/giveWay.ts
+++ b/packages/relay/src/decisions/memory/giveWay.ts
@@ -5,6 +5,7 @@
 
 import { assertNever, type Timestamp } from "@cardamomglade/common";
 import { minEndlessBytes } from "./constants.js";
+import type { CountedBytes } from "./countBytes.js";
 import { Holder, type HeldBytes } from "./types.js";
 
 /** Order in which holders give way. */
@@ -51,34 +52,71 @@
   }
 };
 
-const isEarlier = (
-  { bytes }: HeldBytes,
-  rank: Rank,
-  chosen: { readonly held: HeldBytes; readonly rank: Rank },
-): boolean =>
-  rank === chosen.rank ? bytes > chosen.held.bytes : rank < chosen.rank;
+interface Ranked<T> {
+  readonly held: T;
+  readonly rank: Rank;
+}
+
+/** Callers that have not read for longest go first, and the largest of everything else. */
+const compareRanked = (
+  one: Ranked<HeldBytes>,
+  other: Ranked<HeldBytes>,
+): number => {
+  if (one.rank !== other.rank) return one.rank - other.rank;
+  const isCaller = one.rank === Rank.StalledCaller;
+  const waitedMs = isCaller ? one.held.progressBy - other.held.progressBy : 0;
+  return waitedMs === 0 ? other.held.bytes - one.held.bytes : waitedMs;
+};
+
+const rankedFor = <T extends HeldBytes>(
+  all: Iterable<T>,
+  needing: T,
+  at: Timestamp,
+): Ranked<T>[] => {
+  const lastRank = lastRankFor(needing);
+  const ranked: Ranked<T>[] = [];
+  for (const held of all) {
+    const rank = held.bytes > 0 ? rankOf(held, at) : undefined;
+    if (rank !== undefined && rank <= lastRank) ranked.push({ held, rank });
+  }
+  return ranked;
+};
+
+/** What a holding counts once it has given way. */
+export const afterGivingWay = ({ holder }: HeldBytes): CountedBytes => ({
+  holder,
+  bytes: 0,
+});
+
+/** Returns all that may give way to another holding, in order. */
+export const givingWayInOrder = <T extends HeldBytes>(
+  all: Iterable<T>,
+  needing: T,
+  at: Timestamp,
+): T[] =>
+  rankedFor(all, needing, at)
+    .filter(({ held }) => held !== needing)
+    .sort(compareRanked)
+    .map(({ held }) => held);
 
 /** Whether it helps to give a holding up. */
 export type Helps = (held: HeldBytes) => boolean;
 
 const always: Helps = () => true;
 
-/** Returns what gives way to a holder that needs room: the first rank, and the largest in it. */
+/** Returns what gives way first to a holding that needs room; it may be the holding itself. */
 export const chooseGivingWay = <T extends HeldBytes>(
   all: Iterable<T>,
   needing: T,
   at: Timestamp,
   helps = always,
 ): T | undefined => {
-  const lastRank = lastRankFor(needing);
-  let chosen: { readonly held: T; readonly rank: Rank } | undefined;
-  for (const held of all) {
-    const rank = rankOf(held, at);
-    if (rank === undefined || rank > lastRank || !helps(held)) continue;
-    if (chosen === undefined || isEarlier(held, rank, chosen))
-      chosen = { held, rank };
+  let first: Ranked<T> | undefined;
+  for (const ranked of rankedFor(all, needing, at)) {
+    if (!helps(ranked.held)) continue;
+    if (first === undefined || compareRanked(ranked, first) < 0) first = ranked;
   }
-  return chosen?.held;
+  return first?.held;
 };
 
 /** Returns what gives way to bytes that have arrived already: the largest of their kind. */
--- a/packages/relay/src/drivers/memory/memoryBudget.ts
+++ b/packages/relay/src/drivers/memory/memoryBudget.ts
@@ -17,6 +17,7 @@
 } from "../../decisions/memory/countBytes.js";
 import { exceededParts, hasRoom } from "../../decisions/memory/hasRoom.js";
 import { countsIn } from "../../decisions/memory/parts.js";
+import { planRoom } from "../../decisions/memory/planRoom.js";
 import {
   Holder,
   type HeldBytes,
@@ -110,13 +111,15 @@
     return holding;
   }
 
-  /** Takes bytes if there is room, or if others give way. */
+  /** Takes bytes if there is room, or if enough gives way. */
   tryResize(holding: Holding, bytes: number): boolean {
-    while (this.open.has(holding) && !this.fits(holding, bytes)) {
+    if (!this.open.has(holding)) return false;
+    if (!this.fits(holding, bytes)) {
       this.setShort(true);
-      if (!this.makeRoom(holding)) return false;
+      this.makeRoom(holding, bytes);
     }
-    if (!this.open.has(holding)) return false;
+    // What gave way may have been its own.
+    if (!this.open.has(holding) || !this.fits(holding, bytes)) return false;
     this.resize(holding, bytes);
     return true;
   }
@@ -186,11 +189,10 @@
     return hasRoom(this.counted, holding.holder, bytes, added);
   }
 
-  private makeRoom(needing: Holding): boolean {
-    const chosen = chooseGivingWay(this.open, needing, now());
-    if (chosen === undefined) return false;
-    this.giveWay(chosen);
-    return true;
+  private makeRoom(needing: Holding, bytes: number): void {
+    const { open: all, counted: use } = this;
+    const plan = planRoom({ all, use, needing, bytes, at: now() });
+    for (const held of plan ?? []) if (held.isOpen) this.giveWay(held);
   }
 
   /** Chooses what frees bytes of each part that has too many; the holding itself does. */
--- a/packages/relay/src/drivers/writeBody.ts
+++ b/packages/relay/src/drivers/writeBody.ts
@@ -2,7 +2,7 @@
 
 import type { ServerResponse } from "node:http";
 
-const partBytes = 256 * 1024;
+const partBytes = 64 * 1024;
 
 /** Writes the body and ends the response; reports each part that the socket took. */
 export const writeBody = (
