--- a/packages/relay/src/decisions/memory/constants.ts
+++ b/packages/relay/src/decisions/memory/constants.ts
@@ -43,6 +43,9 @@
 /** Time in which a body or an unread answer has to move on, to not count as stalled. */
 export const stallMs = 1000;
 
+/** Time without a byte after which room is no longer kept free for the rest of an answer. */
+export const idleReservationMs = 250;
+
 /** Bytes of a body that have to arrive in that time. */
 export const minProgressBytes = 16 * 1024;
 
--- a/packages/relay/src/decisions/memory/countBytes.ts
+++ b/packages/relay/src/decisions/memory/countBytes.ts
@@ -19,6 +19,13 @@
   [Holder.UnreadAnswer]: 0,
 };
 
+/** Use of a budget that holds nothing. */
+export const emptyUseOf = (maxBytes: number): MemoryUse => ({
+  maxBytes,
+  heldBytes: noBytes,
+  largeBytes: noBytes,
+});
+
 /** Whether so many bytes count as those of a large request or answer. */
 export const isLarge = (bytes: number): boolean => bytes > maxSmallBytes;
 
--- a/packages/relay/src/decisions/memory/giveWay.test.ts
+++ b/packages/relay/src/decisions/memory/giveWay.test.ts
@@ -18,6 +18,7 @@
   name,
   holder,
   bytes: bytesPerMiB,
+  reservedBytes: 0,
   isSized: true,
   progressBy: Infinity,
   ...changes,
--- a/packages/relay/src/decisions/memory/giveWay.ts
+++ b/packages/relay/src/decisions/memory/giveWay.ts
@@ -10,12 +10,21 @@
 
 /** Order in which holders give way. */
 enum Rank {
+  /** It gives only room that it does not use yet, and may take it again. */
+  IdleReservation,
   StalledCaller,
   StalledBody,
   BodyWithoutLength,
   AnswerWithoutLength,
 }
 
+/** Whether room is kept free for an answer whose replica sends nothing. */
+export const isIdleReservation = (
+  { holder, reservedBytes, progressBy }: HeldBytes,
+  at: Timestamp,
+): boolean =>
+  holder === Holder.ArrivingAnswer && reservedBytes > 0 && at > progressBy;
+
 const rankOf = (held: HeldBytes, at: Timestamp): Rank | undefined => {
   const { holder, bytes, isSized, progressBy } = held;
   const mayBeEndless = !isSized && bytes >= minEndlessBytes;
@@ -26,6 +35,7 @@
       if (at > progressBy) return Rank.StalledBody;
       return mayBeEndless ? Rank.BodyWithoutLength : undefined;
     case Holder.ArrivingAnswer:
+      if (isIdleReservation(held, at)) return Rank.IdleReservation;
       return mayBeEndless ? Rank.AnswerWithoutLength : undefined;
     case Holder.WaitingRequest:
     case Holder.KeptRequest:
@@ -83,10 +93,14 @@
 };
 
 /** What a holding counts once it has given way. */
-export const afterGivingWay = ({ holder }: HeldBytes): CountedBytes => ({
-  holder,
-  bytes: 0,
-});
+export const afterGivingWay = (
+  held: HeldBytes,
+  at: Timestamp,
+): CountedBytes => {
+  const { holder, bytes, reservedBytes } = held;
+  const isKept = isIdleReservation(held, at);
+  return { holder, bytes: isKept ? bytes - reservedBytes : 0 };
+};
 
 /** Returns all that may give way to another holding, in order. */
 export const givingWayInOrder = <T extends HeldBytes>(
--- a/packages/relay/src/decisions/memory/planRoom.test.ts
+++ b/packages/relay/src/decisions/memory/planRoom.test.ts
@@ -20,6 +20,7 @@
   name,
   holder,
   bytes,
+  reservedBytes: 0,
   isSized: true,
   progressBy: isStalled ? at - 1 : at + 1,
 });
--- a/packages/relay/src/decisions/memory/planRoom.ts
+++ b/packages/relay/src/decisions/memory/planRoom.ts
@@ -35,10 +35,10 @@
   if (fits(rest, counted)) return [];
   const inOrder = givingWayInOrder(all, needing, at);
   for (const held of inOrder)
-    rest = afterChange(rest, held, afterGivingWay(held));
+    rest = afterChange(rest, held, afterGivingWay(held, at));
   if (!fits(rest, counted)) return undefined;
   const mayStay = (held: T): boolean => {
-    const withIt = afterChange(rest, afterGivingWay(held), held);
+    const withIt = afterChange(rest, afterGivingWay(held, at), held);
     if (!fits(withIt, counted)) return false;
     rest = withIt;
     return true;
--- a/packages/relay/src/decisions/memory/types.ts
+++ b/packages/relay/src/decisions/memory/types.ts
@@ -22,6 +22,8 @@
 export interface HeldBytes {
   readonly holder: Holder;
   readonly bytes: number;
+  /** Bytes among them that are kept free for what has not arrived yet. */
+  readonly reservedBytes: number;
   /** Whether the sender named the length. */
   readonly isSized: boolean;
   /** Time by which its other side has to send or read more, to not count as stalled. */
--- a/packages/relay/src/drivers/answerBuffers.ts
+++ b/packages/relay/src/drivers/answerBuffers.ts
@@ -11,6 +11,7 @@
 import type { Holding } from "./memory/holding.js";
 import type { MemoryBudget } from "./memory/memoryBudget.js";
 
+const noRoom = "there is no memory for the answer";
 const tooLong = "the answer is too long";
 
 /** Options of a buffer. */
@@ -55,6 +56,7 @@
     this.whenRoom(() => {
       res.on("data", (chunk: Buffer) => {
         this.push(chunk);
+        this.awaitRoomForRest(res);
       });
     });
   }
@@ -68,7 +70,14 @@
       holder: Holder.ArrivingAnswer,
       bytes: length,
       until: Infinity, // the call is abandoned by its deadline
-      onDecided: onRoom,
+      onDecided: (hasRoom) => {
+        if (!hasRoom) {
+          this.overflow(noRoom);
+          return;
+        }
+        holding.arrive(0);
+        onRoom();
+      },
     });
     if (isDecided) return;
     const heldBytes = Math.min(length, waitingBytes);
@@ -81,7 +90,9 @@
     if (!this.holding.isOpen) return;
     this.collector ??= ByteCollector.create(this.options.length);
     this.collector.push(chunk);
-    if (!this.holding.isSized) this.hold(this.collector.bytes);
+    const { bytes } = this.collector;
+    if (bytes > this.holding.bytes) this.hold(bytes);
+    this.holding.arrive(bytes);
   }
 
   /** Sets how many bytes its reader holds itself. */
@@ -103,6 +114,30 @@
     this.collector = undefined;
   }
 
+  /** Reads on once there is room again, if the answer's room was given to others meanwhile. */
+  private awaitRoomForRest(res: IncomingMessage): void {
+    const { holding, budget } = this;
+    const { length = 0 } = this.options;
+    if (!holding.isOpen || holding.bytes >= length) return;
+    const { bytes: arrivedBytes } = holding;
+    res.pause();
+    budget.whenRoom({
+      holding,
+      holder: Holder.ArrivingAnswer,
+      bytes: length,
+      until: Infinity, // the call is abandoned by its deadline
+      isRest: true,
+      onDecided: (hasRoom) => {
+        if (!hasRoom) {
+          this.overflow(noRoom);
+          return;
+        }
+        holding.arrive(arrivedBytes);
+        res.resume();
+      },
+    });
+  }
+
   private overflow(reason: string): void {
     this.close();
     this.options.onOverflow(reason);
--- a/packages/relay/src/drivers/memory/holding.ts
+++ b/packages/relay/src/drivers/memory/holding.ts
@@ -1,7 +1,11 @@
 /** Bytes that one request or answer holds of the memory budget. */
 
 import { now, type Timestamp } from "@cardamomglade/common";
-import { minProgressBytes, stallMs } from "../../decisions/memory/constants.js";
+import {
+  idleReservationMs,
+  minProgressBytes,
+  stallMs,
+} from "../../decisions/memory/constants.js";
 import type { HeldBytes, Holder } from "../../decisions/memory/types.js";
 
 /** What a holding tells the budget that counts it. */
@@ -25,6 +29,7 @@
 export class Holding implements HeldBytes {
   /** Set by the owner only. */
   bytes = 0;
+  reservedBytes = 0;
   holder: Holder;
   isOpen = true;
   progressBy: Timestamp = Infinity;
@@ -68,6 +73,19 @@
     if (this.movedBytes >= minProgressBytes) this.expectProgress();
   }
 
+  /** Notes how many of the bytes have arrived; the others are kept free while more arrive in time. */
+  arrive(bytes: number): void {
+    this.reservedBytes = Math.max(0, this.bytes - bytes);
+    this.progressBy = now() + idleReservationMs;
+  }
+
+  /** Frees what is kept free for bytes that have not arrived. */
+  release(): void {
+    const bytes = this.bytes - this.reservedBytes;
+    this.reservedBytes = 0;
+    this.set(bytes);
+  }
+
   /** Nothing is expected of the other side. */
   expectNothing(): void {
     this.progressBy = Infinity;
--- a/packages/relay/src/drivers/memory/memoryBudget.ts
+++ b/packages/relay/src/drivers/memory/memoryBudget.ts
@@ -3,16 +3,16 @@
  * ask for far more than the machine's memory, or leave it unread, beside small requests.
  */
 
-import { now, type Timestamp } from "@cardamomglade/common";
+import { now } from "@cardamomglade/common";
 import { budgetBytesOf } from "../../decisions/memory/budgetBytes.js";
 import {
   chooseGivingWay,
   chooseLargest,
+  isIdleReservation,
 } from "../../decisions/memory/giveWay.js";
-import { maxSmallBytes } from "../../decisions/memory/constants.js";
 import {
   afterChange,
-  noBytes,
+  emptyUseOf,
   totalBytes,
 } from "../../decisions/memory/countBytes.js";
 import { exceededParts, hasRoom } from "../../decisions/memory/hasRoom.js";
@@ -23,67 +23,37 @@
   type HeldBytes,
   type MemoryUse,
 } from "../../decisions/memory/types.js";
+import { ClaimQueue, type Claim } from "./claimQueue.js";
 import { Holding, type HoldingOptions } from "./holding.js";
 
-/** Room that a holding needs by a time. */
-export interface Claim {
-  readonly holding: Holding;
-  /** What the bytes are held for once there is room. */
-  readonly holder: Holder;
-  readonly bytes: number;
-  readonly until: Timestamp;
-  readonly onDecided: (hasRoom: boolean) => void;
-}
-
-/** Claims of one kind get room in the order in which they came. */
-enum ClaimKind {
-  SmallAnswer,
-  LargeAnswer,
-  SmallRequest,
-  LargeRequest,
-}
-
 /** Called when the budget gets short, with how full it is, and when it has room again. */
 export type OnShortage = (isShort: boolean, use: MemoryUse) => void;
 
-const claimCheckMs = 50;
 const relaxedFill = 0.5; // part of the budget below which it counts as relaxed
 const giveWayReason = "memory is short";
 
-const kindOf = ({ holder, bytes }: Claim): ClaimKind => {
-  const isSmall = bytes <= maxSmallBytes;
-  if (holder === Holder.ArrivingAnswer)
-    return isSmall ? ClaimKind.SmallAnswer : ClaimKind.LargeAnswer;
-  return isSmall ? ClaimKind.SmallRequest : ClaimKind.LargeRequest;
-};
-
-/** Whether a claim that waits goes before a new one. */
-const isBefore = (waiting: Claim, claim: Claim): boolean =>
-  kindOf(waiting) === kindOf(claim);
-
 /** All holdings of one process. */
 export class MemoryBudget {
   gaveWayCount = 0;
   private readonly open = new Set<Holding>();
-  private claims: Claim[] = [];
+  private readonly claims = ClaimQueue.create({
+    tryClaim: (claim) => this.tryClaim(claim),
+    mayFit: ({ holder, bytes }) =>
+      hasRoom(emptyUseOf(this.counted.maxBytes), holder, bytes, bytes),
+  });
   private readonly listeners = new Set<OnShortage>();
-  private timer: NodeJS.Timeout | undefined;
   private isShort = false;
-  private isDeciding = false;
 
   private constructor(private counted: MemoryUse) {}
 
   static create(maxBytes: number): MemoryBudget {
-    return new MemoryBudget({
-      maxBytes,
-      heldBytes: noBytes,
-      largeBytes: noBytes,
-    });
+    return new MemoryBudget(emptyUseOf(maxBytes));
   }
 
   /** Changes the size. */
   setMaxBytes(maxBytes: number): void {
     this.counted = { ...this.counted, maxBytes };
+    this.claims.decideSoon();
   }
 
   /** Bytes held, by what they are held for, and how many may be. */
@@ -137,16 +107,7 @@
 
   /** Decides at once, or by a time, whether there is room for bytes; returns whether it was at once. */
   whenRoom(claim: Claim): boolean {
-    const isFirst = !this.claims.some((one) => isBefore(one, claim));
-    if (isFirst && this.tryClaim(claim)) {
-      claim.onDecided(true);
-      return true;
-    }
-    this.claims.push(claim);
-    this.timer ??= setInterval(() => {
-      this.decideClaims();
-    }, claimCheckMs).unref();
-    return false;
+    return this.claims.add(claim);
   }
 
   /** Holds what has arrived of something that waits for room; false if too much waits. */
@@ -161,6 +122,7 @@
     const { holder, bytes: before } = holding;
     this.counted = afterChange(this.counted, holding, { holder, bytes });
     holding.bytes = bytes;
+    holding.reservedBytes = Math.min(holding.reservedBytes, bytes);
     if (bytes < before) this.onFreed();
   }
 
@@ -207,48 +169,20 @@
   }
 
   private giveWay(holding: Holding): void {
+    if (isIdleReservation(holding, now())) {
+      holding.release();
+      return;
+    }
     this.gaveWayCount += 1;
     holding.giveWay(giveWayReason);
   }
 
   private onFreed(): void {
-    if (this.claims.length > 0 && !this.isDeciding) {
-      this.isDeciding = true;
-      setImmediate(() => {
-        this.decideClaims();
-      });
-    }
+    this.claims.decideSoon();
     if (this.isShort && this.bytes < relaxedFill * this.counted.maxBytes)
       this.setShort(false);
   }
 
-  /** Lets claims in, in the order of each kind, and refuses those whose time is over. */
-  private decideClaims(): void {
-    this.isDeciding = false;
-    const blocked = new Set<ClaimKind>();
-    for (const claim of this.takeClaims()) {
-      const { holding, until, onDecided } = claim;
-      const kind = kindOf(claim);
-      if (!holding.isOpen) continue;
-      if (!blocked.has(kind) && this.tryClaim(claim)) {
-        onDecided(true);
-        continue;
-      }
-      blocked.add(kind);
-      if (now() < until) this.claims.push(claim);
-      else onDecided(false);
-    }
-    if (this.claims.length > 0) return;
-    clearInterval(this.timer);
-    this.timer = undefined;
-  }
-
-  private takeClaims(): readonly Claim[] {
-    const claims = this.claims;
-    this.claims = [];
-    return claims;
-  }
-
   private setShort(isShort: boolean): void {
     if (this.isShort === isShort) return;
     this.isShort = isShort;
