--- a/packages/relay/src/drivers/answerBuffers.ts
+++ b/packages/relay/src/drivers/answerBuffers.ts
@@ -12,6 +12,7 @@
 import type { Holding } from "./memory/holding.js";
 import type { MemoryBudget } from "./memory/memoryBudget.js";
 
+const noRoom = "there is no memory for the answer";
 const tooLong = "the answer is too long";
 
 /** Options of a buffer. */
@@ -60,6 +61,7 @@
     this.whenRoom(() => {
       res.on("data", (chunk: Buffer) => {
         this.push(chunk);
+        this.awaitRoomForRest(res);
       });
     });
   }
@@ -74,7 +76,12 @@
       holder: Holder.ArrivingAnswer,
       bytes: length,
       until: Infinity, // the call is abandoned by its deadline
-      onDecided: () => {
+      onDecided: (hasRoom) => {
+        if (!hasRoom) {
+          this.overflow(noRoom);
+          return;
+        }
+        holding.arrive(0);
         if (isHeldBack) onProgress?.(false);
         onRoom();
       },
@@ -92,8 +99,10 @@
     if (!this.holding.isOpen) return;
     this.collector ??= ByteCollector.create(this.options.length);
     this.collector.push(chunk);
-    if (this.holding.isSized) this.reportProgress(this.collector.bytes);
-    else this.hold(this.collector.bytes);
+    const { bytes } = this.collector;
+    if (bytes > this.holding.bytes) this.hold(bytes);
+    this.holding.arrive(bytes);
+    if (this.holding.isSized) this.reportProgress(bytes);
   }
 
   /** Sets how many bytes its reader holds itself. */
@@ -121,6 +130,32 @@
     this.options.onProgress?.(false);
   }
 
+  /** Reads on once there is room again, if the answer's room was given to others meanwhile. */
+  private awaitRoomForRest(res: IncomingMessage): void {
+    const { holding, budget } = this;
+    const { length = 0, onProgress } = this.options;
+    if (!holding.isOpen || holding.bytes >= length) return;
+    const { bytes: arrivedBytes } = holding;
+    res.pause();
+    const isDecided = budget.whenRoom({
+      holding,
+      holder: Holder.ArrivingAnswer,
+      bytes: length,
+      until: Infinity, // the call is abandoned by its deadline
+      isRest: true,
+      onDecided: (hasRoom) => {
+        if (!hasRoom) {
+          this.overflow(noRoom);
+          return;
+        }
+        holding.arrive(arrivedBytes);
+        onProgress?.(false);
+        res.resume();
+      },
+    });
+    if (!isDecided) onProgress?.(true);
+  }
+
   private overflow(reason: string): void {
     this.close();
     this.options.onOverflow(reason);
--- a/packages/relay/src/drivers/memory/memoryBudget.ts
+++ b/packages/relay/src/drivers/memory/memoryBudget.ts
@@ -3,86 +3,57 @@
  * ask for far more than the machine's memory, or leave it unread, beside small requests.
  */
 
-import { now, type Timestamp } from "@cardamomglade/common";
+import { now } from "@cardamomglade/common";
 import { budgetBytesOf } from "../../decisions/memory/budgetBytes.js";
 import {
   chooseGivingWay,
   chooseLargest,
+  isIdleReservation,
 } from "../../decisions/memory/giveWay.js";
-import { maxSmallBytes } from "../../decisions/memory/constants.js";
 import {
   afterChange,
-  noBytes,
+  emptyUseOf,
   totalBytes,
 } from "../../decisions/memory/countBytes.js";
 import { exceededParts, hasRoom } from "../../decisions/memory/hasRoom.js";
 import { countsIn } from "../../decisions/memory/parts.js";
+import { planRoom } from "../../decisions/memory/planRoom.js";
 import {
   Holder,
   type HeldBytes,
   type MemoryUse,
 } from "../../decisions/memory/types.js";
+import { ClaimQueue, type Claim } from "./claimQueue.js";
 import { Holding, type HoldingOptions } from "./holding.js";
 
-/** Room that a holding needs by a time. */
-export interface Claim {
-  readonly holding: Holding;
-  /** What the bytes are held for once there is room. */
-  readonly holder: Holder;
-  readonly bytes: number;
-  readonly until: Timestamp;
-  readonly onDecided: (hasRoom: boolean) => void;
-}
-
-/** Claims of one kind get room in the order in which they came. */
-enum ClaimKind {
-  SmallAnswer,
-  LargeAnswer,
-  SmallRequest,
-  LargeRequest,
-}
-
 /** Called when the budget gets short, with how full it is, and when it has room again. */
 export type OnShortage = (isShort: boolean, use: MemoryUse) => void;
 
-const claimCheckMs = 50;
 const relaxedFill = 0.5; // part of the budget below which it counts as relaxed
 const giveWayReason = "memory is short";
 
-const kindOf = ({ holder, bytes }: Claim): ClaimKind => {
-  const isSmall = bytes <= maxSmallBytes;
-  if (holder === Holder.ArrivingAnswer)
-    return isSmall ? ClaimKind.SmallAnswer : ClaimKind.LargeAnswer;
-  return isSmall ? ClaimKind.SmallRequest : ClaimKind.LargeRequest;
-};
-
-/** Whether a claim that waits goes before a new one. */
-const isBefore = (waiting: Claim, claim: Claim): boolean =>
-  kindOf(waiting) === kindOf(claim);
-
 /** All holdings of one process. */
 export class MemoryBudget {
   gaveWayCount = 0;
   private readonly open = new Set<Holding>();
-  private claims: Claim[] = [];
+  private readonly claims = ClaimQueue.create({
+    tryClaim: (claim) => this.tryClaim(claim),
+    mayFit: ({ holder, bytes }) =>
+      hasRoom(emptyUseOf(this.counted.maxBytes), holder, bytes, bytes),
+  });
   private readonly listeners = new Set<OnShortage>();
-  private timer: NodeJS.Timeout | undefined;
   private isShort = false;
-  private isDeciding = false;
 
   private constructor(private counted: MemoryUse) {}
 
   static create(maxBytes: number): MemoryBudget {
-    return new MemoryBudget({
-      maxBytes,
-      heldBytes: noBytes,
-      largeBytes: noBytes,
-    });
+    return new MemoryBudget(emptyUseOf(maxBytes));
   }
 
   /** Changes the size. */
   setMaxBytes(maxBytes: number): void {
     this.counted = { ...this.counted, maxBytes };
+    this.claims.decideSoon();
   }
 
   /** Bytes held, by what they are held for, and how many may be. */
@@ -110,13 +81,15 @@
     return holding;
   }
 
-  /** Takes bytes if there is room, or if others give way. */
+  /** Takes bytes if there is room, or if enough gives way. */
   tryResize(holding: Holding, bytes: number): boolean {
-    while (this.open.has(holding) && !this.fits(holding, bytes)) {
+    if (!this.open.has(holding)) return false;
+    if (!this.fits(holding, bytes)) {
       this.setShort(true);
-      if (!this.makeRoom(holding)) return false;
+      this.makeRoom(holding, bytes);
     }
-    if (!this.open.has(holding)) return false;
+    // What gave way may have been its own.
+    if (!this.open.has(holding) || !this.fits(holding, bytes)) return false;
     this.resize(holding, bytes);
     return true;
   }
@@ -134,16 +107,7 @@
 
   /** Decides at once, or by a time, whether there is room for bytes; returns whether it was at once. */
   whenRoom(claim: Claim): boolean {
-    const isFirst = !this.claims.some((one) => isBefore(one, claim));
-    if (isFirst && this.tryClaim(claim)) {
-      claim.onDecided(true);
-      return true;
-    }
-    this.claims.push(claim);
-    this.timer ??= setInterval(() => {
-      this.decideClaims();
-    }, claimCheckMs).unref();
-    return false;
+    return this.claims.add(claim);
   }
 
   /** Holds what has arrived of something that waits for room; false if too much waits. */
@@ -158,6 +122,7 @@
     const { holder, bytes: before } = holding;
     this.counted = afterChange(this.counted, holding, { holder, bytes });
     holding.bytes = bytes;
+    holding.reservedBytes = Math.min(holding.reservedBytes, bytes);
     if (bytes < before) this.onFreed();
   }
 
@@ -186,11 +151,10 @@
     return hasRoom(this.counted, holding.holder, bytes, added);
   }
 
-  private makeRoom(needing: Holding): boolean {
-    const chosen = chooseGivingWay(this.open, needing, now());
-    if (chosen === undefined) return false;
-    this.giveWay(chosen);
-    return true;
+  private makeRoom(needing: Holding, bytes: number): void {
+    const { open: all, counted: use } = this;
+    const plan = planRoom({ all, use, needing, bytes, at: now() });
+    for (const held of plan ?? []) if (held.isOpen) this.giveWay(held);
   }
 
   /** Chooses what frees bytes of each part that has too many; the holding itself does. */
@@ -205,48 +169,20 @@
   }
 
   private giveWay(holding: Holding): void {
+    if (isIdleReservation(holding, now())) {
+      holding.release();
+      return;
+    }
     this.gaveWayCount += 1;
     holding.giveWay(giveWayReason);
   }
 
   private onFreed(): void {
-    if (this.claims.length > 0 && !this.isDeciding) {
-      this.isDeciding = true;
-      setImmediate(() => {
-        this.decideClaims();
-      });
-    }
+    this.claims.decideSoon();
     if (this.isShort && this.bytes < relaxedFill * this.counted.maxBytes)
       this.setShort(false);
   }
 
-  /** Lets claims in, in the order of each kind, and refuses those whose time is over. */
-  private decideClaims(): void {
-    this.isDeciding = false;
-    const blocked = new Set<ClaimKind>();
-    for (const claim of this.takeClaims()) {
-      const { holding, until, onDecided } = claim;
-      const kind = kindOf(claim);
-      if (!holding.isOpen) continue;
-      if (!blocked.has(kind) && this.tryClaim(claim)) {
-        onDecided(true);
-        continue;
-      }
-      blocked.add(kind);
-      if (now() < until) this.claims.push(claim);
-      else onDecided(false);
-    }
-    if (this.claims.length > 0) return;
-    clearInterval(this.timer);
-    this.timer = undefined;
-  }
-
-  private takeClaims(): readonly Claim[] {
-    const claims = this.claims;
-    this.claims = [];
-    return claims;
-  }
-
   private setShort(isShort: boolean): void {
     if (this.isShort === isShort) return;
     this.isShort = isShort;
