Compare resident memory with the machine's in its unit

The kernel tells resident memory in KiB; the tests of the bundle and the soak divided it by 1,024 and compared it with memory_mb, which the memory budget takes as 1,000,000 bytes: they passed up to 4.9% over the limit (found in review). All checks are stricter now.

--- a/bench/src/soak/processUsage.ts
+++ b/bench/src/soak/processUsage.ts
@@ -2,7 +2,7 @@
 
 import { readdir, readFile } from "node:fs/promises";
 
-const kbPerMb = 1024;
+const kibPerMb = 1_000_000 / 1024;
 
 /** What a process uses at one moment. */
 export interface ProcessUsage {
@@ -19,11 +19,11 @@
   pid: number,
 ): Promise<ProcessUsage | undefined> => {
   try {
-    const peakKb = /^VmHWM:\s*(\d+)/m.exec(await readStatus(pid))?.[1];
+    const peakKib = /^VmHWM:\s*(\d+)/m.exec(await readStatus(pid))?.[1];
     const descriptors = await readdir(`/proc/${String(pid)}/fd`);
-    if (peakKb === undefined) return undefined;
+    if (peakKib === undefined) return undefined;
     return {
-      peakMemoryMb: Number(peakKb) / kbPerMb,
+      peakMemoryMb: Number(peakKib) / kibPerMb,
       descriptorCount: descriptors.length,
     };
   } catch {
