Bound the requests that wait on one connection

Seen on x86-64, on the bundle of a machine of 160 MB: one connection that sends 100,000 requests of 65 bytes to a slow replica and reads no answer takes the router to 220 to 277 MB; the process is killed over 160. Cause: Node parses all requests of a connection and keeps each with its response until those before it are answered. Once one was refused for want of memory, those behind it were dropped without an answer, and kept and read on.

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -185,6 +185,13 @@
     if (connections.hasDropped(res)) return;
     metrics.count(Counter.Requests);
     connections.add(res);
+    if (connections.isOverfull(res)) {
+      refusals.rejectUnread(res, {
+        status: serviceUnavailableStatus,
+        reason: "too many requests wait on one connection",
+      });
+      return;
+    }
     if (isFromRouters && connections.requestCount() > maxTakenOverCount) {
       refusals.rejectUnread(res, {
         status: serviceUnavailableStatus,
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
+import { PipelinedRequests } from "./pipelinedRequests.js";
 
 const turnsToRead = 3;
 
@@ -26,6 +27,7 @@
   private readonly places = new WeakMap<ServerResponse, number>();
   /** Place of the first response that closes its connection. */
   private readonly closing = new WeakMap<Socket, number>();
+  private readonly pipelined = PipelinedRequests.create();
   private lastPlace = 0;
 
   private constructor(
@@ -54,6 +56,7 @@
     this.responses.set(res, socket);
     this.lastPlace += 1;
     this.places.set(res, this.lastPlace);
+    this.pipelined.add(res);
     res.on("close", () => {
       this.responses.delete(res);
       if (this.idleBytes.has(socket))
@@ -84,9 +87,15 @@
     if (this.placeOf(res) <= this.closingPlace(req.socket)) return false;
     this.onDropped(req);
     req.resume();
+    this.pipelined.drop(req.socket);
     return true;
   }
 
+  /** Whether so many requests wait on the connection of a response that no more are taken. */
+  isOverfull(res: ServerResponse): boolean {
+    return this.pipelined.areTooMany(res.req.socket);
+  }
+
   /** Returns the number of requests whose heads have been read and that are not answered. */
   requestCount(): number {
     return this.responses.size;
