--- a/packages/relay/src/decisions/progress.ts
+++ b/packages/relay/src/decisions/progress.ts
@@ -8,36 +8,29 @@
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import { recordContact } from "./replicaViews.js";
-import type { Attempt, RelayState } from "./types.js";
-
-/** Notes that the replica sent a part of an answer, or that the rest waits for memory here. */
-export const noteAnswerProgress = (
-  state: RelayState,
-  attempt: Attempt,
-  { at, isHeldBack }: RelayEventOf<"answerProgressed">,
-): void => {
-  attempt.heardAt = at;
-  attempt.progressedAt = at;
-  attempt.isHeldBack = isHeldBack;
-  recordContact(state, attempt.replica.id, at);
-};
+import type { RelayState } from "./types.js";
 
 /** Handles a part of a request that a replica took. */
 export const requestProgressed = (
   state: RelayState,
   event: RelayEventOf<"requestProgressed">,
 ): RelayCommand[] => {
-  const found = findAttempt(state, event);
-  if (found !== undefined) found.attempt.progressedAt = event.at;
+  const attempt = findAttempt(state, event)?.attempt;
+  if (attempt !== undefined) attempt.progressedAt = event.at;
   return [];
 };
 
-/** Handles a part of an answer. */
+/** Handles a part of an answer, or its wait for memory here. */
 export const answerProgressed = (
   state: RelayState,
   event: RelayEventOf<"answerProgressed">,
 ): RelayCommand[] => {
-  const found = findAttempt(state, event);
-  if (found !== undefined) noteAnswerProgress(state, found.attempt, event);
+  const attempt = findAttempt(state, event)?.attempt;
+  if (attempt === undefined) return [];
+  const { at, isHeldBack } = event;
+  attempt.heardAt = at;
+  attempt.progressedAt = at;
+  attempt.isHeldBack = isHeldBack;
+  recordContact(state, attempt.replica.id, at);
   return [];
 };
