--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -7,6 +7,7 @@
 import type { KvCacheCopy } from "../decisions/types.js";
 import type { EngineReport, Replica, ReplicaProtocol } from "../types.js";
 import { httpCall, type HttpCall, type HttpResult } from "./httpCall.js";
+import { CallPeer } from "./memory/controlBudgets.js";
 
 /** Called with a replica whose answer says that it leaves. */
 export type OnLeaving = (replica: Replica) => void;
@@ -25,11 +26,12 @@
 const callReplica = async (
   { headers }: ReplicaProtocol,
   replica: Replica,
-  options: Omit<HttpCall, "host" | "port">,
+  options: Omit<HttpCall, "peer" | "host" | "port">,
   onLeaving: OnLeaving,
 ): Promise<HttpResult> => {
   const { host, port } = replica;
-  const outcome = await httpCall({ host, port, ...options });
+  const peer = CallPeer.Engine;
+  const outcome = await httpCall({ peer, host, port, ...options });
   const isLeaving =
     outcome.type === "answered" &&
     outcome.headers[headers.leaving] !== undefined;
--- a/packages/relay/src/drivers/httpCall.ts
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -8,10 +8,11 @@
 import { now, type Timestamp } from "@cardamomglade/common";
 import { AnswerBuffer } from "./answerBuffers.js";
 import { lengthOf } from "./lengthOf.js";
-import { memoryBudget } from "./memory/memoryBudget.js";
+import { controlBudgetOf, type CallPeer } from "./memory/controlBudgets.js";
 
 /** Parameters of an HTTP call. */
 export interface HttpCall {
+  readonly peer: CallPeer;
   readonly host: string;
   readonly port: number;
   readonly method: "GET" | "POST" | "DELETE";
@@ -87,7 +88,7 @@
       fail(error.message, error.code === "ECONNREFUSED");
     });
     req.on("response", (res) => {
-      buffer = AnswerBuffer.create(memoryBudget, {
+      buffer = AnswerBuffer.create(controlBudgetOf(call.peer), {
         length: lengthOf(res),
         onOverflow: fail,
       });
--- a/packages/relay/src/drivers/oddAddresses.test.ts
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -6,6 +6,7 @@
 import { testProtocol } from "../testing/testProtocol.js";
 import type { Replica } from "../types.js";
 import { httpCall } from "./httpCall.js";
+import { CallPeer } from "./memory/controlBudgets.js";
 import { ReplicaCall, type CallEvent } from "./replicaCall.js";
 
 const host = "127.0.0.1";
@@ -13,6 +14,7 @@
 
 test("a call to a port out of range rejects instead of failing", async () => {
   const result = await httpCall({
+    peer: CallPeer.Store,
     host,
     port: badPort,
     method: "GET",
@@ -26,6 +28,7 @@
   const path = "/a b\n";
   const deadline = now() + 500;
   const result = await httpCall({
+    peer: CallPeer.Store,
     host,
     port: 9,
     method: "GET",
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,6 +16,7 @@
 export type { StoredVersions } from "./decisions/versions/types.js";
 export type { RuntimeLimits } from "./decisions/types.js";
 export { applyMemoryLimit } from "./drivers/memory/applyMemoryLimit.js";
+export { CallPeer } from "./drivers/memory/controlBudgets.js";
 export { httpCall, type HttpResult } from "./drivers/httpCall.js";
 export * from "./types.js";
 export {
