Do not take an answer that waits for an earlier one for unread (LOST)

Callers saw: both answers of a connection were broken off, when they had sent a second request behind a slow one, the second answer was large, and others asked for large answers meanwhile.

Cause: the time by which a caller has to read began when an answer was there, although it could not be written before the earlier one of its connection; after a second it counted as unread. The same for events of a stream.

The time now begins with the response's turn on its connection.

A request that is dropped, since it came behind a response that closes its connection, gives its memory back at once (found by reading).

--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -50,6 +50,7 @@
 import { requestIdOf } from "./requestIdOf.js";
 import { Sender } from "./sender.js";
 import type { RelayDriver } from "./types.js";
+import { whenItsTurn } from "./whenItsTurn.js";
 import { writeBody } from "./writeBody.js";
 
 /** Options of the server. */
@@ -213,7 +214,10 @@
     if (read.type !== "complete") memory.close();
     switch (read.type) {
       case "complete": {
-        if (connections.hasDropped(res)) return;
+        if (connections.hasDropped(res)) {
+          memory.close();
+          return;
+        }
         lastKey += 1;
         const key = `${sender}-${String(lastKey)}`;
         const { request } = read;
@@ -293,6 +297,9 @@
     found.memory.answer(body.length, (why) => {
       broken.breakOff(res, `the caller does not read its answer, and ${why}`);
     });
+    whenItsTurn(res, () => {
+      found.memory.holding.expectProgress();
+    });
     writeBody(res, body, (bytes) => {
       found.memory.holding.move(bytes);
     });
--- a/packages/relay/src/drivers/memory/requestMemory.ts
+++ b/packages/relay/src/drivers/memory/requestMemory.ts
@@ -94,7 +94,6 @@
     this.onUnread = onUnread;
     this.holding.become(Holder.UnreadAnswer);
     this.holding.set(this.headBytes + bytes);
-    this.holding.expectProgress();
   }
 
   /** Frees all; may be called again. */
--- a/packages/relay/src/drivers/memory/unreadEvents.test.ts
+++ b/packages/relay/src/drivers/memory/unreadEvents.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { createServer, get, type IncomingMessage } from "node:http";
-import type { AddressInfo } from "node:net";
+import { connect, type AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "node:test";
 import { stallMs } from "../../decisions/memory/constants.js";
@@ -10,6 +10,7 @@
 
 const budgetBytes = 1_000_000;
 const largeEventBytes = 40_000;
+const queuedBytes = 100_000;
 const settleMs = 100;
 
 // Load: a caller reads every event; its replica sends a large one, small ones, and is silent for a while.
@@ -46,6 +47,7 @@
   await sleep(stallMs + settleMs);
   const total = sizes.reduce((sum, size) => sum + size, 0);
   assert.equal(received, total);
+  assert.equal(budget.bytes, 0);
   const other = budget.hold({
     holder: Holder.KeptRequest,
     isSized: true,
@@ -90,3 +92,41 @@
   kept.close();
   assert.equal(budget.bytes, 0);
 });
+
+// Load: a caller pipelines a stream behind a request whose answer takes a while.
+test("events that wait for an earlier answer give way as events that are not read", async (t) => {
+  const budget = MemoryBudget.create(budgetBytes);
+  let brokenBy: string | undefined;
+  let requestCount = 0;
+  const server = createServer((_, res) => {
+    requestCount += 1;
+    if (requestCount === 1) return; // the answer takes a while
+    const events = UnreadEvents.create(budget, res, (why) => {
+      brokenBy = why;
+    });
+    events.write(Buffer.alloc(queuedBytes));
+    events.update();
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => undefined);
+  t.after(() => {
+    socket.destroy();
+    server.closeAllConnections();
+    server.close();
+  });
+  socket.write("GET / HTTP/1.1\r\nhost: h\r\n\r\n".repeat(2));
+  await sleep(stallMs + 2 * settleMs);
+  assert.equal(requestCount, 2);
+  assert.ok(budget.bytes >= queuedBytes);
+  const other = budget.hold({
+    holder: Holder.ArrivingAnswer,
+    isSized: true,
+    onGiveWay: () => undefined,
+  });
+  assert.ok(!budget.tryResize(other, budgetBytes / 2));
+  assert.equal(brokenBy, undefined);
+});
--- a/packages/relay/src/drivers/memory/unreadEvents.ts
+++ b/packages/relay/src/drivers/memory/unreadEvents.ts
@@ -66,7 +66,9 @@
     if (this.holding === undefined && unreadBytes < minCountedBytes) return;
     const holding = (this.holding ??= this.open());
     const readBytes = this.writtenBytes - unreadBytes;
-    if (unreadBytes === 0) holding.expectNothing();
+    // A response that waits for an earlier one on its connection cannot be read.
+    const isItsTurn = this.res.socket !== null;
+    if (unreadBytes === 0 || !isItsTurn) holding.expectNothing();
     else if (readBytes > this.readBytes || holding.bytes === 0)
       holding.expectProgress();
     this.readBytes = readBytes;
