--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -8,6 +8,7 @@
 import type { KvCacheCopy } from "../decisions/types.js";
 import type { EngineReport, Replica, ReplicaProtocol } from "../types.js";
 import { httpCall, type HttpCall, type HttpResult } from "./httpCall.js";
+import { CallPeer } from "./memory/controlBudgets.js";
 import { retryAfterOf } from "./retryAfter.js";
 
 /** What a replica's answer says about itself. */
@@ -32,11 +33,12 @@
 const callReplica = async (
   protocol: ReplicaProtocol,
   replica: Replica,
-  options: Omit<HttpCall, "host" | "port">,
+  options: Omit<HttpCall, "peer" | "host" | "port">,
   onNotice: OnNotice,
 ): Promise<HttpResult> => {
   const { host, port } = replica;
-  const outcome = await httpCall({ host, port, ...options });
+  const peer = CallPeer.Engine;
+  const outcome = await httpCall({ peer, host, port, ...options });
   if (outcome.type === "failed") return outcome;
   const { status, headers } = outcome;
   if (headers[protocol.headers.leaving] !== undefined)
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -53,6 +53,7 @@
 import { requestIdOf } from "./requestIdOf.js";
 import { Sender } from "./sender.js";
 import type { RelayDriver } from "./types.js";
+import { whenItsTurn } from "./whenItsTurn.js";
 import { writeBody } from "./writeBody.js";
 
 /** Options of the server. */
@@ -239,8 +240,11 @@
     switch (read.type) {
       case "complete": {
         // In a stop an earlier answer may last until the connection is cut.
-        if (isDraining && !(await connections.awaitTurn(res))) return;
-        if (connections.hasDropped(res)) return;
+        const hasTurn = !isDraining || (await connections.awaitTurn(res));
+        if (!hasTurn || connections.hasDropped(res)) {
+          memory.close();
+          return;
+        }
         lastKey += 1;
         const key = `${sender}-${String(lastKey)}`;
         const { request } = read;
@@ -320,6 +324,9 @@
     found.memory.answer(body.length, (why) => {
       broken.breakOff(res, `the caller does not read its answer, and ${why}`);
     });
+    whenItsTurn(res, () => {
+      found.memory.holding.expectProgress();
+    });
     writeBody(res, body, (bytes) => {
       found.memory.holding.move(bytes);
     });
