--- a/packages/relay/src/drivers/memory/memoryBudget.test.ts
+++ b/packages/relay/src/drivers/memory/memoryBudget.test.ts
@@ -27,3 +27,20 @@
   kept.close();
   assert.equal(budget.bytes, 0);
 });
+
+// Load: an answer holds less than before, and then its replica falls silent.
+test("room that is kept for an answer is freed twice", () => {
+  const budget = MemoryBudget.create(budgetBytes);
+  const answer = budget.hold({
+    holder: Holder.ArrivingAnswer,
+    isSized: true,
+    onGiveWay: () => undefined,
+  });
+  budget.forceResize(answer, 1000);
+  answer.arrive(100);
+  answer.set(500);
+  answer.release();
+  assert.equal(budget.bytes, 0);
+  answer.close();
+  assert.equal(budget.bytes, 0);
+});
