--- a/bench/src/soak/soakRouter.ts
+++ b/bench/src/soak/soakRouter.ts
@@ -1,6 +1,14 @@
 /** Starts, signals and restarts a router process of a soak test, and probes its readiness. */
 
-import { cp, readFile, rm, writeFile } from "node:fs/promises";
+import {
+  copyFile,
+  mkdir,
+  readdir,
+  readFile,
+  rename,
+  rm,
+  writeFile,
+} from "node:fs/promises";
 import { request } from "node:http";
 import path from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -193,13 +201,17 @@
     await writeFile(file, bytes);
   }
 
-  /** Copies the bundle, so that a fault may damage it. */
+  /** Copies the bundle, so that a fault may damage it; a process that starts meanwhile finds whole files. */
   async copyBundle(): Promise<void> {
-    await cp(
-      path.join(repositoryRoot, "target"),
-      path.join(this.folder(), "target"),
-      { recursive: true },
-    );
+    const source = path.join(repositoryRoot, "target");
+    const target = path.join(this.folder(), "target");
+    await mkdir(target, { recursive: true });
+    for (const entry of await readdir(source, { withFileTypes: true })) {
+      if (!entry.isFile()) continue;
+      const copy = path.join(target, `${entry.name}.new`);
+      await copyFile(path.join(source, entry.name), copy);
+      await rename(copy, path.join(target, entry.name));
+    }
   }
 
   /** Probes readiness and reads what the process uses periodically, until `until` returns true. */
