--- a/packages/relay/src/endedLoop.test.ts
+++ b/packages/relay/src/endedLoop.test.ts
@@ -8,6 +8,7 @@
 import { createRelay } from "./createRelay.js";
 import type { RelayEvent } from "./decisions/events.js";
 import { testProtocol } from "./testing/testProtocol.js";
+import { testStateOptions } from "./testing/testStateOptions.js";
 
 // Load: an event that no decision can handle.
 test("a relay whose event loop has ended says nothing, or serves nobody for its whole grace", async () => {
@@ -19,17 +20,7 @@
     readiness: { host, port: await freePort() },
     metrics: { host, port: await freePort() },
     protocol: testProtocol,
-    state: {
-      router: "r1",
-      address: undefined,
-      zone: "a",
-      startedAt: now(),
-      seed: 1,
-      runtimeLimits: {
-        drainTimeoutMs: 2000,
-        retryLimits: { ratio: 1, extraRetryCount: 100, windowMs: 10_000 },
-      },
-    },
+    state: testStateOptions("r1"),
     log: () => undefined,
     platform: [createSourceDriver(events.stream)],
     onLoopEnded: () => {
--- a/packages/relay/src/testing/relayPair.ts
+++ b/packages/relay/src/testing/relayPair.ts
@@ -18,6 +18,7 @@
 } from "./rawReplica.js";
 import { plainService, testConfig, testReplica } from "./scenario.js";
 import { testProtocol } from "./testProtocol.js";
+import { testStateOptions } from "./testStateOptions.js";
 import { patientMs, withReports } from "./testRelay.js";
 import { untilReady } from "./untilReady.js";
 
@@ -85,17 +86,7 @@
     readiness,
     metrics: { host, port: await freePort() },
     protocol: testProtocol,
-    state: {
-      router,
-      address,
-      zone: "a",
-      startedAt: now(),
-      seed: 1,
-      runtimeLimits: {
-        drainTimeoutMs: 2000,
-        retryLimits: { ratio: 1, extraRetryCount: 100, windowMs: 10_000 },
-      },
-    },
+    state: { ...testStateOptions(router), address },
     log: (_, message) => messages.push(message),
     platform: [createSourceDriver(events.stream)],
     onLoopEnded: () => undefined,
--- a/packages/relay/src/testing/testRelay.ts
+++ b/packages/relay/src/testing/testRelay.ts
@@ -16,6 +16,7 @@
 import { plainService, testConfig, testReplica } from "./scenario.js";
 import type { RelayConfig, RequestLimits } from "../types.js";
 import { testProtocol } from "./testProtocol.js";
+import { testStateOptions } from "./testStateOptions.js";
 import { untilReady } from "./untilReady.js";
 
 /** A relay with replicas that answer raw bytes. */
@@ -66,17 +67,7 @@
     readiness: { host, port: readiness },
     metrics: { host, port: metrics },
     protocol: testProtocol,
-    state: {
-      router: "r1",
-      address: undefined,
-      zone: "a",
-      startedAt: now(),
-      seed: 1,
-      runtimeLimits: {
-        drainTimeoutMs: 2000,
-        retryLimits: { ratio: 1, extraRetryCount: 100, windowMs: 10_000 },
-      },
-    },
+    state: testStateOptions("r1"),
     log: (_, message) => lines.push(message),
     platform: [createSourceDriver(events.stream)],
     onLoopEnded: () => undefined,
