--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -201,6 +201,7 @@
         }
         await sleep(drainPollMs);
       }
+      controlEvents.push({ type: "drainEnded", at: now() });
       await running.stop();
       endShortageLog();
       readiness.close();
--- a/packages/relay/src/decisions/answerDurations.ts
+++ b/packages/relay/src/decisions/answerDurations.ts
@@ -4,6 +4,7 @@
  * callers keep their connections open and send on.
  */
 
+import type { Timestamp } from "@cardamomglade/common";
 import type { Route } from "../types.js";
 import { isRetryable } from "./isRetryable.js";
 import { lastAnswerAt } from "./lastAnswerAt.js";
@@ -56,6 +57,10 @@
     : meanMs + durationDeviationCount * deviationMs;
 };
 
+/** Time by which the answer to a request that arrives now is expected to end. */
+export const expectedEndOf = (state: RelayState, route: Route): Timestamp =>
+  state.at + neededMs(state, route);
+
 /** Whether a request that arrives now can be answered before the process ends. */
 export const canEndInTime = (state: RelayState, route: Route): boolean =>
-  state.at + neededMs(state, route) <= lastAnswerAt(state);
+  expectedEndOf(state, route) <= lastAnswerAt(state);
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -42,6 +42,7 @@
 } from "./versions/serviceVersions.js";
 import { originAsked } from "./versions/originAsked.js";
 import { timerTicked } from "./timerTicked.js";
+import { logUnfinished } from "./unfinishedRequests.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEvent, RelayEventOf } from "./events.js";
@@ -194,6 +195,8 @@
       return [];
     case "drainStarted":
       return drainStarted(state, event);
+    case "drainEnded":
+      return logUnfinished(state);
     default:
       return assertNever(event);
   }
--- a/packages/relay/src/decisions/endBeforeStop.test.ts
+++ b/packages/relay/src/decisions/endBeforeStop.test.ts
@@ -87,6 +87,36 @@
   );
 });
 
+// Load: a stream that outlasts the grace.
+test("the stream that a stop cuts off is not named, nor what was expected of it", () => {
+  const { scenario, stop, advanceToStop } = createStoppingRelay();
+  scenario.request("1", streamPath);
+  scenario.streamEvents("1", 1, 3);
+  stop();
+  advanceToStop();
+  scenario.dispatch({ type: "drainEnded", at: scenario.at });
+  const [line, ...others] = scenario
+    .commandsOfType("log")
+    .filter(({ message }) => message.startsWith("request unfinished"));
+  assert.deepEqual(others, []);
+  assert.equal(line?.context.requestId, "id-1");
+  assert.equal(line.context.events, 3);
+  assert.equal(line.context.readMsAgo, stopMs);
+  assert.equal(line.context.stopsInMs, 0);
+});
+
+// Load: a request that comes when there is little time left.
+test("the refusal of a request that cannot end before the stop does not say what was expected", () => {
+  const { scenario, stop } = createStoppingRelay();
+  stop();
+  scenario.request("1", streamPath);
+  const line = scenario
+    .commandsOfType("log")
+    .find(({ message }) => message === "request refused");
+  assert.equal(line?.context.stopsInMs, stopMs);
+  assert.ok(Number(line.context.expectedEndInMs) > stopMs);
+});
+
 // Load: a stream that ends just in time.
 test("a stream that has begun is broken off before the process stops", () => {
   const { scenario, stop, advanceToStop } = createStoppingRelay();
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -255,6 +255,11 @@
       readonly at: Timestamp;
       readonly runtimeLimits: RuntimeLimits;
     }
+  | {
+      /** The time of a planned stop is up; what is under way is cut off. */
+      readonly type: "drainEnded";
+      readonly at: Timestamp;
+    }
   | {
       readonly type: "drainStarted";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -3,13 +3,14 @@
 import type { CallerRequest, Customer, Route } from "../types.js";
 import { random } from "./random.js";
 import { unconfiguredRetryAfterRangeMs } from "./constants.js";
-import { canEndInTime } from "./answerDurations.js";
+import { canEndInTime, expectedEndOf } from "./answerDurations.js";
 import {
   drawRetryDelayMs,
   refuse,
   refuseNotExecuted,
   type RefusedRequest,
 } from "./refusals.js";
+import { stopTimesOf } from "./stopTimes.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
 import { startTakenOver } from "./handover/startTakenOver.js";
@@ -66,6 +67,9 @@
   service: request.handover?.service ?? chooseService(state, route),
   customer: customer?.name,
   priority: customer?.priority ?? route.priority,
+  readAt: state.at,
+  expectedEndAt:
+    state.stopsAt === undefined ? undefined : expectedEndOf(state, route),
   deadline: Math.min(
     request.arrivedAt + route.timeoutMs,
     request.callerDeadline ?? Infinity,
@@ -135,11 +139,16 @@
       refused("the request is not taken over"),
       handoverRefusal,
     );
-  if (!canEndInTime(state, route))
-    return refuseNotExecuted(
-      state,
-      refused("this process stops before the answer could end"),
+  if (!canEndInTime(state, route)) {
+    const { context, ...rest } = refused(
+      "this process stops before the answer could end",
     );
+    const times = stopTimesOf(state, expectedEndOf(state, route));
+    return refuseNotExecuted(state, {
+      ...rest,
+      context: { ...context, ...times, route: route.name },
+    });
+  }
   const exchange = createExchange(state, event, route, identity.customer);
   const refusal = holdBack(state, exchange);
   if (refusal !== undefined) return refusal;
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -51,6 +51,7 @@
 import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
+import { stopTimesOf } from "./stopTimes.js";
 import { ageOf, hasSoftware } from "./replicaViews.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -155,6 +156,7 @@
       inFlight: view?.inFlight,
       heardMsAgo: view && ageOf(state, view.heardAt),
       afterEvent: lastEventId,
+      ...stopTimesOf(state, exchange.expectedEndAt),
     }),
   ];
 };
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -223,6 +223,10 @@
   readonly customer: string | undefined;
   /** The customer's priority, or else the route's; 0 is the highest. */
   readonly priority: number;
+  /** Time at which the request had been read whole. */
+  readonly readAt: Timestamp;
+  /** Time by which its answer was expected to end when it was accepted; undefined unless this process was stopping. */
+  readonly expectedEndAt: Timestamp | undefined;
   /** Time by which the response must be complete. */
   readonly deadline: Timestamp;
   attempt: Attempt | undefined;
