--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -42,7 +42,7 @@
 } from "./versions/serviceVersions.js";
 import { originAsked } from "./versions/originAsked.js";
 import { timerTicked } from "./timerTicked.js";
-import { logUnfinished } from "./unfinishedRequests.js";
+import { logUnfinished } from "./plannedStop/unfinishedRequests.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEvent, RelayEventOf } from "./events.js";
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -4,7 +4,7 @@
 import { Severity } from "@cardamomglade/observe";
 import { isIdBackingOff } from "./backOff/backOffs.js";
 import { drawReturnDelayMs } from "./backOff/returnDelay.js";
-import { recordDuration } from "./answerDurations.js";
+import { recordDuration } from "./plannedStop/answerTimes.js";
 import { describeOptions } from "./describeOptions.js";
 import {
   formatAddress,
--- a/packages/relay/src/decisions/answerDurations.ts
+++ b/packages/relay/src/decisions/plannedStop/answerTimes.ts
@@ -5,11 +5,11 @@
  */
 
 import type { Timestamp } from "@cardamomglade/common";
-import type { Route } from "../types.js";
-import { isRetryable } from "./isRetryable.js";
+import type { Route } from "../../types.js";
+import { isRetryable } from "../isRetryable.js";
 import { lastAnswerAt } from "./lastAnswerAt.js";
-import { durationSampleWeight, durationDeviationCount } from "./constants.js";
-import type { AnswerDuration, Exchange, RelayState } from "./types.js";
+import { durationSampleWeight, durationDeviationCount } from "../constants.js";
+import type { AnswerDuration, Exchange, RelayState } from "../types.js";
 
 const blend = (before: number, sample: number): number =>
   before + durationSampleWeight * (sample - before);
--- a/packages/relay/src/decisions/endBeforeStop.test.ts
+++ b/packages/relay/src/decisions/plannedStop/endBeforeStop.test.ts
@@ -9,9 +9,9 @@
   routerAddress,
   Scenario,
   streamPath,
-} from "../testing/scenario.js";
-import { lastAnswerMs } from "./constants.js";
-import { HandoverRefusal } from "./handover/types.js";
+} from "../../testing/scenario.js";
+import { lastAnswerMs } from "../constants.js";
+import { HandoverRefusal } from "../handover/types.js";
 
 const stopMs = 1000; // shorter than each route's timeout
 
--- a/packages/relay/src/decisions/endBeforeStop.ts
+++ b/packages/relay/src/decisions/plannedStop/endBeforeStop.ts
@@ -4,12 +4,12 @@
  * closes tells a caller less than a refusal.
  */
 
-import { cancelExchange, failExchange, summaryOf } from "./endExchange.js";
-import { refuseHandover } from "./handover/takeOver.js";
-import { HandoverRefusal } from "./handover/types.js";
+import { cancelExchange, failExchange, summaryOf } from "../endExchange.js";
+import { refuseHandover } from "../handover/takeOver.js";
+import { HandoverRefusal } from "../handover/types.js";
 import { lastAnswerAt } from "./lastAnswerAt.js";
-import type { RelayCommand } from "./commands.js";
-import type { Exchange, RelayState } from "./types.js";
+import type { RelayCommand } from "../commands.js";
+import type { Exchange, RelayState } from "../types.js";
 
 const reason = "this process stops";
 
--- a/packages/relay/src/decisions/stopTimes.ts
+++ b/packages/relay/src/decisions/plannedStop/stopTimes.ts
@@ -1,8 +1,8 @@
 /** Times of a planned stop, for log lines. */
 
 import type { Timestamp } from "@cardamomglade/common";
-import type { DecisionContext } from "./commands.js";
-import type { RelayState } from "./types.js";
+import type { DecisionContext } from "../commands.js";
+import type { RelayState } from "../types.js";
 
 /** Log context of a stop, with the time in which an answer is expected to end; empty if this process does not stop. */
 export const stopTimesOf = (
--- a/packages/relay/src/decisions/unfinishedRequests.ts
+++ b/packages/relay/src/decisions/plannedStop/unfinishedRequests.ts
@@ -4,13 +4,13 @@
  */
 
 import { Severity } from "@cardamomglade/observe";
-import type { DecisionContext, RelayCommand } from "./commands.js";
-import { describeOptions } from "./describeOptions.js";
-import { summaryOf } from "./endExchange.js";
-import { logLine } from "./logLine.js";
-import { ageOf } from "./replicaViews.js";
+import type { DecisionContext, RelayCommand } from "../commands.js";
+import { describeOptions } from "../describeOptions.js";
+import { summaryOf } from "../endExchange.js";
+import { logLine } from "../logLine.js";
+import { ageOf } from "../replicaViews.js";
 import { stopTimesOf } from "./stopTimes.js";
-import type { Exchange, RelayState } from "./types.js";
+import type { Exchange, RelayState } from "../types.js";
 
 const describeUnfinished = (
   state: RelayState,
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -3,14 +3,14 @@
 import type { CallerRequest, Customer, Route } from "../types.js";
 import { random } from "./random.js";
 import { unconfiguredRetryAfterRangeMs } from "./constants.js";
-import { canEndInTime, expectedEndOf } from "./answerDurations.js";
+import { canEndInTime, expectedEndOf } from "./plannedStop/answerTimes.js";
 import {
   drawRetryDelayMs,
   refuse,
   refuseNotExecuted,
   type RefusedRequest,
 } from "./refusals.js";
-import { stopTimesOf } from "./stopTimes.js";
+import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
 import { startTakenOver } from "./handover/startTakenOver.js";
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -51,7 +51,7 @@
 import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
-import { stopTimesOf } from "./stopTimes.js";
+import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { ageOf, hasSoftware } from "./replicaViews.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -18,7 +18,7 @@
   processKeyOf,
 } from "./replicaViews.js";
 import { noteReplicaVersions } from "./versions/serviceVersions.js";
-import { forgetDurations } from "./answerDurations.js";
+import { forgetDurations } from "./plannedStop/answerTimes.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
 import { forgetPaths } from "./paths/paths.js";
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -14,7 +14,10 @@
 import { checkReopening } from "./backOff/checkReopening.js";
 import { settleEnd } from "./answerEnds/settleEnds.js";
 import { EndEvidence } from "./answerEnds/types.js";
-import { endBeforeStop, mustEndBeforeStop } from "./endBeforeStop.js";
+import {
+  endBeforeStop,
+  mustEndBeforeStop,
+} from "./plannedStop/endBeforeStop.js";
 import { maintainEarlierRuns } from "./earlierRuns/endRuns.js";
 import { checkRunEnd } from "./earlierRuns/goOn.js";
 import { failExchange } from "./endExchange.js";
