--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -23,6 +23,7 @@
 import { backOffCount } from "./decisions/backOff/backOffs.js";
 import { leavingReplicaCount } from "./decisions/leavingReplicas.js";
 import { lostPathCount } from "./decisions/paths/paths.js";
+import { noticeEndOf } from "./decisions/plannedStop/noticeEnd.js";
 import { limitedReplicaCount } from "./decisions/requestLimits.js";
 import type { RuntimeLimits } from "./decisions/types.js";
 import { handoverAddressOf } from "./decisions/handover/handoverAddress.js";
@@ -63,10 +64,6 @@
   drain(deadline: Timestamp): Promise<void>;
 }
 
-// Readiness is checked each second, and 2 failures take a process out of service;
-// requests that arrive until then are still served.
-const maxDrainNoticeMs = 2500;
-const maxDrainNoticeRatio = 0.5; // of a short grace, so that what arrives in it can end
 const drainPollMs = 50;
 const maxArrivalReadRatio = 0.5; // of the time after the notice, so that what is read last can end
 
@@ -180,14 +177,15 @@
     },
     drain: async (deadline) => {
       const at = now();
-      const noticeMs = Math.min(
-        maxDrainNoticeMs,
-        maxDrainNoticeRatio * (deadline - at),
-      );
-      const noticeEndsAt = at + noticeMs;
+      const noticeEndsAt = noticeEndOf(at, deadline);
       const readBy =
         noticeEndsAt + maxArrivalReadRatio * (deadline - noticeEndsAt);
-      controlEvents.push({ type: "drainStarted", at, stopsAt: deadline });
+      controlEvents.push({
+        type: "drainStarted",
+        at,
+        noticeEndsAt,
+        endsAt: deadline,
+      });
       const isIdle = () =>
         running.state().exchanges.size === 0 &&
         fronts.every((one) => one.openRequestCount() === 0);
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -15,6 +15,9 @@
 import { backOffUntil, isBackingOff } from "./backOff/backOffs.js";
 import { engineOf } from "./engineOf.js";
 import { excessFailureRateOf } from "./outcomes.js";
+import { workOf } from "./plannedStop/answerTimes.js";
+import { endsInTimeAt } from "./plannedStop/expectedEnd.js";
+import type { Work } from "./plannedStop/types.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import {
@@ -47,20 +50,19 @@
   readonly withBackingOff?: boolean;
   /** Software version that the replica must have; any if undefined. */
   readonly softwareVersion?: string | undefined;
+  /** Work that should end before a planned stop of this process does. */
+  readonly work?: Work;
   /** Zone that is avoided if another zone has a candidate; used for copies. */
   readonly avoidedZone?: string;
 }
 
 /** The replicas at which an exchange may be sent next. */
-export const candidateQueryOf = ({
-  service,
-  triedIds: excluded,
-  softwareVersion,
-}: Exchange): CandidateQuery => ({
-  service,
-  excluded,
-  softwareVersion,
+export const candidateQueryOf = (exchange: Exchange): CandidateQuery => ({
+  service: exchange.service,
+  excluded: exchange.triedIds,
+  softwareVersion: exchange.softwareVersion,
   isWithinLimit: true,
+  work: workOf(exchange),
 });
 
 interface EngineLoad {
@@ -192,8 +194,18 @@
   hasSoftware(view.replica, query.softwareVersion) &&
   (query.isWithinLimit !== true || isWithinLimit(state, view));
 
+/** Whether the query's work ends at the replica before a planned stop of this process does. */
+const isFastEnough = (
+  state: RelayState,
+  view: ReplicaView,
+  { work }: CandidateQuery,
+): boolean =>
+  state.plannedStop === undefined ||
+  work === undefined ||
+  endsInTimeAt(state, view, work);
+
 /**
- * Available replicas that match the query, without suspected ones and the
+ * Available replicas that match the query, without suspected and slow ones and the
  * avoided zone where possible.
  */
 const candidatesOf = (
@@ -215,7 +227,10 @@
     trusted,
     ({ replica }) => versions?.has(replica.softwareVersion) !== false,
   );
-  return preferMatching(lasting, ({ replica }) => replica.zone !== avoidedZone);
+  const fast = preferMatching(lasting, (view) =>
+    isFastEnough(state, view, query),
+  );
+  return preferMatching(fast, ({ replica }) => replica.zone !== avoidedZone);
 };
 
 /** Whether any replica matches the query. */
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -229,14 +229,5 @@
 /** Part of the target latency that a request waits for its permit at a replica. */
 export const permitWaitRatio = 0.25;
 
-/** Weight of the latest answer in the usual duration of a route's answers. */
-export const durationSampleWeight = 0.1;
-
-/** Mean deviations by which an answer that cannot go on elsewhere may take longer than usual. */
-export const durationDeviationCount = 4;
-
 /** Prompt blocks in a log line; bounds its length. */
 export const maxLoggedPromptBlockCount = 8;
-
-/** Time before the end of a planned stop at which callers without an answer are refused: some ticks, and the way to the connection. */
-export const lastAnswerMs = 100;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -100,20 +100,20 @@
   store: { type: "unknown" },
   storeHeardAt: -Infinity,
   restorations: { count: 0, latestAt: -Infinity, era: undefined },
-  answerDurations: new Map(),
-  stopsAt: undefined,
+  answerTimes: new Map(),
+  plannedStop: undefined,
 });
 
 const drainStarted = (
   state: RelayState,
-  { stopsAt }: RelayEventOf<"drainStarted">,
+  { noticeEndsAt, endsAt }: RelayEventOf<"drainStarted">,
 ): RelayCommand[] => {
-  state.stopsAt = stopsAt;
+  state.plannedStop = { startedAt: state.at, noticeEndsAt, endsAt };
   return [
     { type: "beginDrain" },
     logLine("stopping: no longer ready", {
       underWay: state.exchanges.size,
-      stopsInMs: Math.round(stopsAt - state.at),
+      stopsInMs: Math.round(endsAt - state.at),
     }),
   ];
 };
@@ -240,6 +240,6 @@
 export const isReady = ({
   config,
   hasReplicas,
-  stopsAt,
+  plannedStop,
 }: RelayState): boolean =>
-  config !== undefined && hasReplicas && stopsAt === undefined;
+  config !== undefined && hasReplicas && plannedStop === undefined;
--- a/packages/relay/src/decisions/describeOptions.ts
+++ b/packages/relay/src/decisions/describeOptions.ts
@@ -45,7 +45,7 @@
 
 const describe = (state: RelayState, exchange: Exchange): DecisionContext => {
   const { service, route, attempts, wait, deadline } = exchange;
-  const { config, configAppliedAt, stopsAt, at } = state;
+  const { config, configAppliedAt, plannedStop, at } = state;
   const { replicas, candidates, trusted } = countCandidates(
     state,
     candidateQueryOf(exchange),
@@ -66,7 +66,7 @@
     deadlineInMs: Math.round(deadline - at),
     configVersion: config?.version,
     configAgeMs: config && Math.round(at - configAppliedAt),
-    stopsInMs: stopsAt && Math.round(stopsAt - at),
+    stopsInMs: plannedStop && Math.round(plannedStop.endsAt - at),
   };
 };
 
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -4,7 +4,7 @@
 import { Severity } from "@cardamomglade/observe";
 import { isIdBackingOff } from "./backOff/backOffs.js";
 import { drawReturnDelayMs } from "./backOff/returnDelay.js";
-import { recordDuration } from "./plannedStop/answerTimes.js";
+import { recordAnswerTimes } from "./plannedStop/answerTimes.js";
 import { describeOptions } from "./describeOptions.js";
 import {
   formatAddress,
@@ -104,7 +104,7 @@
   bodyBytes?: number,
 ): RelayCommand[] => {
   const { attempt, wait } = exchange;
-  recordDuration(state, exchange);
+  recordAnswerTimes(state, exchange);
   closeAttempt(state, exchange);
   state.exchanges.delete(exchange.key);
   return [
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -263,8 +263,10 @@
   | {
       readonly type: "drainStarted";
       readonly at: Timestamp;
-      /** Requests that have not ended by then are cut. */
-      readonly stopsAt: Timestamp;
+      /** New connections are accepted until then. */
+      readonly noticeEndsAt: Timestamp;
+      /** Requests that have not ended by then are cut off. */
+      readonly endsAt: Timestamp;
     };
 
 /** The event with the given type tag. */
--- a/packages/relay/src/decisions/handover/offers.ts
+++ b/packages/relay/src/decisions/handover/offers.ts
@@ -37,7 +37,7 @@
 
 /** Requests of other routers that this router may still take over. */
 export const freePlaces = (state: RelayState): number => {
-  if (state.stopsAt !== undefined || state.at < state.handover.busyUntil)
+  if (state.plannedStop !== undefined || state.at < state.handover.busyUntil)
     return 0;
   let count = 0;
   let bytes = 0;
--- a/packages/relay/src/decisions/handover/takeOver.ts
+++ b/packages/relay/src/decisions/handover/takeOver.ts
@@ -33,7 +33,7 @@
   const isServed = route.targets.some((one) => one.service === service);
   if (!isServed || !isRouterHost(state, from))
     return HandoverRefusal.NotAllowed;
-  if (state.stopsAt !== undefined) return HandoverRefusal.Stopping;
+  if (state.plannedStop !== undefined) return HandoverRefusal.Stopping;
   if (!hasOwnPath(state, service)) return HandoverRefusal.NoPath;
   return freePlaces(state) > 0 ? undefined : HandoverRefusal.NoRoom;
 };
--- /dev/null
+++ b/packages/relay/src/decisions/plannedStop/constants.ts
@@ -0,0 +1,28 @@
+/** Timeouts and limits of planned stops. */
+
+/** Time before the end of a planned stop at which callers without an answer are refused: some ticks, and the way to the connection. */
+export const lastAnswerMs = 100;
+
+/** Answers of one kind whose times are remembered. */
+export const maxAnswerTimeCount = 32;
+
+/** Answers of one kind whose times are remembered for each replica. */
+export const maxReplicaAnswerTimeCount = 8;
+
+/** Answers of a replica below which its times are taken for those of its service. */
+export const minReplicaAnswerTimeCount = 3;
+
+/** Part of the remembered answers that took no longer than the time that one is expected to take. */
+export const answerTimeQuantile = 0.95;
+
+/** Delay that an answer may meet and still end before the stop; after a longer one its caller goes on elsewhere, or is told that there is none. */
+export const delayMarginMs = 300;
+
+/** The same for a stream that cannot go on elsewhere: a second's silence of its replica. */
+export const silenceMarginMs = 1000;
+
+/** The same for streams that come after the notice of the stop: they are few, and their callers can reach other routers at once. */
+export const lateMarginMs = 3000;
+
+/** Shortest stop with whole margins; those of shorter ones are smaller in proportion. */
+export const wholeMarginStopMs = 7400;
--- a/packages/relay/src/decisions/plannedStop/endBeforeStop.test.ts
+++ b/packages/relay/src/decisions/plannedStop/endBeforeStop.test.ts
@@ -10,17 +10,21 @@
   Scenario,
   streamPath,
 } from "../../testing/scenario.js";
-import { lastAnswerMs } from "../constants.js";
+import { noticeEndOf } from "./noticeEnd.js";
+import { lastAnswerMs } from "./constants.js";
 import { HandoverRefusal } from "../handover/types.js";
 
 const stopMs = 1000; // shorter than each route's timeout
 
 const createStoppingRelay = (graceMs = stopMs) => {
   const scenario = Scenario.create();
-  const stopsAt = scenario.at + graceMs;
-  const stop = () =>
-    scenario.dispatch({ type: "drainStarted", at: scenario.at, stopsAt });
-  const advanceToStop = () => scenario.advance(stopsAt - scenario.at);
+  const endsAt = scenario.at + graceMs;
+  const stop = () => {
+    const { at } = scenario;
+    const noticeEndsAt = noticeEndOf(at, endsAt);
+    scenario.dispatch({ type: "drainStarted", at, noticeEndsAt, endsAt });
+  };
+  const advanceToStop = () => scenario.advance(endsAt - scenario.at);
   return { scenario, stop, advanceToStop };
 };
 
--- a/packages/relay/src/decisions/plannedStop/stopTimes.ts
+++ b/packages/relay/src/decisions/plannedStop/stopTimes.ts
@@ -6,12 +6,12 @@
 
 /** Log context of a stop, with the time in which an answer is expected to end; empty if this process does not stop. */
 export const stopTimesOf = (
-  { at, stopsAt }: RelayState,
+  { at, plannedStop }: RelayState,
   expectedEndAt: Timestamp | undefined,
 ): DecisionContext =>
-  stopsAt === undefined
+  plannedStop === undefined
     ? {}
     : {
-        stopsInMs: Math.round(stopsAt - at),
+        stopsInMs: Math.round(plannedStop.endsAt - at),
         expectedEndInMs: expectedEndAt && Math.round(expectedEndAt - at),
       };
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -24,6 +24,7 @@
   suspectUntil: 0,
   probeSentAt: undefined,
   bareProbeSentAt: undefined,
+  answerTimes: new Map(),
   outcomes: createOutcomeCounts(),
   outcomesCountedAt: 0,
   unsharedOutcomes: createOutcomeCounts(),
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -3,7 +3,7 @@
 import type { CallerRequest, Customer, Route } from "../types.js";
 import { random } from "./random.js";
 import { unconfiguredRetryAfterRangeMs } from "./constants.js";
-import { canEndInTime, expectedEndOf } from "./plannedStop/answerTimes.js";
+import { canEndInTime, expectedEndOf } from "./plannedStop/expectedEnd.js";
 import {
   drawRetryDelayMs,
   refuse,
@@ -59,17 +59,18 @@
   state: RelayState,
   { key, request }: RelayEventOf<"requestArrived">,
   route: Route,
+  service: string,
   customer: Customer | undefined,
 ): Exchange => ({
   key,
   request,
   route,
-  service: request.handover?.service ?? chooseService(state, route),
+  service,
   customer: customer?.name,
   priority: customer?.priority ?? route.priority,
   readAt: state.at,
   expectedEndAt:
-    state.stopsAt === undefined ? undefined : expectedEndOf(state, route),
+    state.plannedStop && expectedEndOf(state, { route, service, request }),
   deadline: Math.min(
     request.arrivedAt + route.timeoutMs,
     request.callerDeadline ?? Infinity,
@@ -139,17 +140,25 @@
       refused("the request is not taken over"),
       handoverRefusal,
     );
-  if (!canEndInTime(state, route)) {
+  const service = request.handover?.service ?? chooseService(state, route);
+  const timed = { route, service, request };
+  if (!canEndInTime(state, timed)) {
     const { context, ...rest } = refused(
       "this process stops before the answer could end",
     );
-    const times = stopTimesOf(state, expectedEndOf(state, route));
+    const times = stopTimesOf(state, expectedEndOf(state, timed));
     return refuseNotExecuted(state, {
       ...rest,
       context: { ...context, ...times, route: route.name },
     });
   }
-  const exchange = createExchange(state, event, route, identity.customer);
+  const exchange = createExchange(
+    state,
+    event,
+    route,
+    service,
+    identity.customer,
+  );
   const refusal = holdBack(state, exchange);
   if (refusal !== undefined) return refusal;
   state.exchanges.set(key, exchange);
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -18,7 +18,7 @@
   processKeyOf,
 } from "./replicaViews.js";
 import { noteReplicaVersions } from "./versions/serviceVersions.js";
-import { forgetDurations } from "./plannedStop/answerTimes.js";
+import { forgetAnswerTimes } from "./plannedStop/answerTimes.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
 import { forgetPaths } from "./paths/paths.js";
@@ -36,7 +36,7 @@
   state.config = config;
   state.routes = buildRouteTable(config);
   state.configAppliedAt = at;
-  forgetDurations(state, config.routes);
+  forgetAnswerTimes(state, config.routes);
   return [
     { type: "applyLimits", limits: config.limits },
     logLine("configuration in force", {
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -20,6 +20,7 @@
   HandoverState,
 } from "./handover/types.js";
 import type { Path } from "./paths/types.js";
+import type { AnswerTimes, PlannedStop } from "./plannedStop/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
 import type {
@@ -54,6 +55,8 @@
   probeSentAt: Timestamp | undefined;
   /** Send time of one that only connects, as the replica wants no requests. */
   bareProbeSentAt: Timestamp | undefined;
+  /** Times of the latest answers of this replica alone, by class of work. */
+  readonly answerTimes: Map<string, AnswerTimes>;
   /** Recent outcomes of all routers' attempts; they lose weight with time from the given one on. */
   readonly outcomes: OutcomeCounts;
   outcomesCountedAt: Timestamp;
@@ -470,16 +473,10 @@
   /** Time at which the store, or a router that follows it, was last heard of. */
   storeHeardAt: Timestamp;
   readonly restorations: Restorations;
-  /** Usual durations of answers, by route. */
-  readonly answerDurations: Map<string, AnswerDuration>;
-  /** Time at which this process ends in a planned stop; undefined before that. */
-  stopsAt: Timestamp | undefined;
-}
-
-/** How long the answers of a route take. */
-export interface AnswerDuration {
-  readonly meanMs: number;
-  readonly deviationMs: number;
+  /** Times of the latest answers, by class of work. */
+  readonly answerTimes: Map<string, AnswerTimes>;
+  /** The planned stop of this process; undefined before it. */
+  plannedStop: PlannedStop | undefined;
 }
 
 /** Limits that can be changed at run time. */
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -6,6 +6,7 @@
 import { createRelayState, decideRelay } from "../decisions/decideRelay.js";
 import type { StopOutcome } from "../decisions/earlierRuns/types.js";
 import type { RelayEvent } from "../decisions/events.js";
+import { noticeEndOf } from "../decisions/plannedStop/noticeEnd.js";
 import { AttemptFailure, type RelayState } from "../decisions/types.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 import type { StoredQuarantine } from "../decisions/quarantine/types.js";
@@ -236,8 +237,10 @@
   }
 
   /** Begins a planned stop of a router. */
-  stopRouter(router: string, stopsAt: Timestamp): void {
-    this.dispatch(router, { type: "drainStarted", at: this.at, stopsAt });
+  stopRouter(router: string, endsAt: Timestamp): void {
+    const { at } = this;
+    const noticeEndsAt = noticeEndOf(at, endsAt);
+    this.dispatch(router, { type: "drainStarted", at, noticeEndsAt, endsAt });
   }
 
   /** Stops a router's process: what reaches it meanwhile waits. */
