--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -15,9 +15,8 @@
 import { backOffUntil, isBackingOff } from "./backOff/backOffs.js";
 import { engineOf } from "./engineOf.js";
 import { excessFailureRateOf } from "./outcomes.js";
-import { workOf } from "./plannedStop/answerTimes.js";
-import { endsInTimeAt } from "./plannedStop/expectedEnd.js";
-import type { Work } from "./plannedStop/types.js";
+import type { TimedRequest } from "./plannedStop/answerTimes.js";
+import { endsInTime } from "./plannedStop/expectedEnd.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import {
@@ -50,8 +49,8 @@
   readonly withBackingOff?: boolean;
   /** Software version that the replica must have; any if undefined. */
   readonly softwareVersion?: string | undefined;
-  /** Work that should end before a planned stop of this process does. */
-  readonly work?: Work;
+  /** Request that should be answered before a planned stop of this process ends. */
+  readonly timed?: TimedRequest;
   /** Zone that is avoided if another zone has a candidate; used for copies. */
   readonly avoidedZone?: string;
 }
@@ -62,7 +61,7 @@
   excluded: exchange.triedIds,
   softwareVersion: exchange.softwareVersion,
   isWithinLimit: true,
-  work: workOf(exchange),
+  timed: exchange,
 });
 
 interface EngineLoad {
@@ -194,16 +193,6 @@
   hasSoftware(view.replica, query.softwareVersion) &&
   (query.isWithinLimit !== true || isWithinLimit(state, view));
 
-/** Whether the query's work ends at the replica before a planned stop of this process does. */
-const isFastEnough = (
-  state: RelayState,
-  view: ReplicaView,
-  { work }: CandidateQuery,
-): boolean =>
-  state.plannedStop === undefined ||
-  work === undefined ||
-  endsInTimeAt(state, view, work);
-
 /**
  * Available replicas that match the query, without suspected and slow ones and the
  * avoided zone where possible.
@@ -227,9 +216,10 @@
     trusted,
     ({ replica }) => versions?.has(replica.softwareVersion) !== false,
   );
-  const fast = preferMatching(lasting, (view) =>
-    isFastEnough(state, view, query),
-  );
+  const fast =
+    query.timed === undefined
+      ? lasting
+      : preferMatching(lasting, endsInTime(state, query.timed));
   return preferMatching(fast, ({ replica }) => replica.zone !== avoidedZone);
 };
 
--- a/packages/relay/src/decisions/plannedStop/answerTimes.ts
+++ b/packages/relay/src/decisions/plannedStop/answerTimes.ts
@@ -3,10 +3,9 @@
  * of one route at replicas of several speeds.
  */
 
-import { RequestKind, type Route } from "../../types.js";
+import { RequestKind, type RelayConfig, type Route } from "../../types.js";
 import type { Exchange, RelayState, ReplicaView } from "../types.js";
 import {
-  answerTimeQuantile,
   maxAnswerTimeCount,
   maxReplicaAnswerTimeCount,
   minReplicaAnswerTimeCount,
@@ -18,12 +17,25 @@
   return canResume ? WorkKind.ResumableStream : WorkKind.Stream;
 };
 
-/** The work of a request: one answer of its route. */
-export const workOf = ({ route }: Pick<Exchange, "route">): Work => ({
-  kind: kindOf(route),
-  timeClass: route.name,
-  units: 1,
-});
+const routeClass = (route: string): string => `answers of ${route}`;
+
+const serviceClass = (service: string): string => `tokens of ${service}`;
+
+/** What the time of an answer follows from. */
+export type TimedRequest = Pick<Exchange, "route" | "service" | "request">;
+
+/**
+ * The work of a request: the tokens that a stream generates at most, which take as long on
+ * all routes of a service, or else one answer of its route. Load pattern: streams of a
+ * rare route, of which a router has seen none.
+ */
+export const workOf = ({ route, service, request }: TimedRequest): Work => {
+  const kind = kindOf(route);
+  const { maxOutputTokens } = request;
+  return kind === WorkKind.Answer || maxOutputTokens === undefined
+    ? { kind, timeClass: routeClass(route.name), units: 1 }
+    : { kind, timeClass: serviceClass(service), units: maxOutputTokens };
+};
 
 const addTime = (times: number[], timeMs: number, maxCount: number): void => {
   times.push(timeMs);
@@ -79,12 +91,15 @@
     addAnswer(view.answerTimes, timeClass, measured, maxReplicaAnswerTimeCount);
 };
 
-/** Forgets routes that the configuration does not have any more. */
+/** Forgets routes and services that the configuration does not have any more. */
 export const forgetAnswerTimes = (
   { answerTimes, replicas }: RelayState,
-  routes: readonly Route[],
+  { routes, services }: RelayConfig,
 ): void => {
-  const classes = new Set(routes.map(({ name }) => name));
+  const classes = new Set([
+    ...routes.map(({ name }) => routeClass(name)),
+    ...services.map(({ name }) => serviceClass(name)),
+  ]);
   const all = [...replicas.values()].map((view) => view.answerTimes);
   for (const timesByClass of [answerTimes, ...all])
     for (const name of [...timesByClass.keys()])
@@ -92,32 +107,33 @@
 };
 
 /** Smallest time that is no shorter than the given part of the times; 0 without any. */
-const upperQuantile = (times: readonly number[]): number => {
+const quantileOf = (times: readonly number[], part: number): number => {
   const sorted = times.toSorted((a, b) => a - b);
-  return sorted[Math.ceil(answerTimeQuantile * sorted.length) - 1] ?? 0;
+  return sorted[Math.ceil(part * sorted.length) - 1] ?? 0;
 };
 
-const neededMs = (times: AnswerTimes, units: number): number =>
-  upperQuantile(times.firstEventMs) + units * upperQuantile(times.msPerUnit);
+const neededMs = (times: AnswerTimes, units: number, part: number): number =>
+  quantileOf(times.firstEventMs, part) +
+  units * quantileOf(times.msPerUnit, part);
 
-/** Time that nearly all answers to such work take; undefined if nothing is known of it. */
+/** Time that so great a part of the answers to such work takes at most; undefined if nothing is known of it. */
 export const usualMs = (
-  { answerTimes }: RelayState,
+  timesByClass: ReadonlyMap<string, AnswerTimes>,
   { timeClass, units }: Work,
+  part: number,
 ): number | undefined => {
-  const times = answerTimes.get(timeClass);
-  return times && neededMs(times, units);
+  const times = timesByClass.get(timeClass);
+  return times && neededMs(times, units, part);
 };
 
-/** The same at one replica, as far as it is known there. */
+/** The same at one replica; undefined if too little is known of it. */
 export const usualMsAt = (
-  state: RelayState,
   { answerTimes }: ReplicaView,
   work: Work,
+  part: number,
 ): number | undefined => {
-  const times = answerTimes.get(work.timeClass);
-  return times === undefined ||
-    times.msPerUnit.length < minReplicaAnswerTimeCount
-    ? usualMs(state, work)
-    : neededMs(times, work.units);
+  const count = answerTimes.get(work.timeClass)?.msPerUnit.length ?? 0;
+  return count < minReplicaAnswerTimeCount
+    ? undefined
+    : usualMs(answerTimes, work, part);
 };
--- a/packages/relay/src/decisions/plannedStop/constants.ts
+++ b/packages/relay/src/decisions/plannedStop/constants.ts
@@ -12,8 +12,11 @@
 /** Answers of a replica below which its times are taken for those of its service. */
 export const minReplicaAnswerTimeCount = 3;
 
-/** Part of the remembered answers that took no longer than the time that one is expected to take. */
-export const answerTimeQuantile = 0.95;
+/** Part of the remembered answers that would have ended in the time that is left, for an answer to be let in that would be lost. */
+export const nearlyAll = 0.95;
+
+/** The same for streams that their callers can take up elsewhere: a refused caller may meet another router that stops. */
+export const half = 0.5;
 
 /** Delay that an answer may meet and still end before the stop; after a longer one its caller goes on elsewhere, or is told that there is none. */
 export const delayMarginMs = 300;
--- a/packages/relay/src/decisions/plannedStop/expectedEnd.ts
+++ b/packages/relay/src/decisions/plannedStop/expectedEnd.ts
@@ -5,75 +5,101 @@
  */
 
 import type { Timestamp } from "@cardamomglade/common";
-import type { Exchange, RelayState, ReplicaView } from "../types.js";
+import type { Route } from "../../types.js";
+import type { RelayState, ReplicaView } from "../types.js";
 import { isAvailable, replicasOf } from "../replicaViews.js";
-import { usualMs, usualMsAt, workOf } from "./answerTimes.js";
+import {
+  usualMs,
+  usualMsAt,
+  workOf,
+  type TimedRequest,
+} from "./answerTimes.js";
 import {
   delayMarginMs,
   lateMarginMs,
+  half,
+  nearlyAll,
   silenceMarginMs,
   wholeMarginStopMs,
 } from "./constants.js";
 import { lastAnswerAt } from "./lastAnswerAt.js";
-import { WorkKind, type Work } from "./types.js";
+import { WorkKind, type PlannedStop } from "./types.js";
 
-/** What the time of an answer follows from. */
-export type TimedRequest = Pick<Exchange, "route" | "service" | "request">;
+/** How sure it has to be that an answer ends before the stop. */
+interface Certainty {
+  /** Part of the earlier answers that would end. */
+  readonly part: number;
+  /** Time of an answer while nothing is known of earlier ones. */
+  readonly unknownMs: number;
+  /** Delay that the answer may meet. */
+  readonly marginMs: number;
+}
 
-const wholeMarginMs = (kind: WorkKind, isLate: boolean): number => {
-  switch (kind) {
-    case WorkKind.Answer:
-      return delayMarginMs;
-    case WorkKind.ResumableStream:
-      return isLate ? lateMarginMs : delayMarginMs;
-    case WorkKind.Stream:
-      return isLate ? lateMarginMs : silenceMarginMs;
-  }
+const certaintyOf = (
+  kind: WorkKind,
+  { timeoutMs, targetLatencyMs }: Route,
+  isLate: boolean,
+): Certainty => {
+  const sure = { part: nearlyAll, unknownMs: timeoutMs };
+  if (kind === WorkKind.Answer) return { ...sure, marginMs: delayMarginMs };
+  if (isLate) return { ...sure, marginMs: lateMarginMs };
+  if (kind === WorkKind.Stream) return { ...sure, marginMs: silenceMarginMs };
+  return {
+    part: half,
+    unknownMs: targetLatencyMs,
+    marginMs: delayMarginMs,
+  };
 };
 
-const marginMs = ({ at, plannedStop }: RelayState, { kind }: Work): number => {
-  if (plannedStop === undefined) return 0;
-  const { startedAt, noticeEndsAt, endsAt } = plannedStop;
-  const part = Math.min(1, (endsAt - startedAt) / wholeMarginStopMs);
-  return part * wholeMarginMs(kind, at >= noticeEndsAt);
-};
+/** Part of a margin that a stop has. */
+const marginPartOf = ({ startedAt, endsAt }: PlannedStop): number =>
+  Math.min(1, (endsAt - startedAt) / wholeMarginStopMs);
 
-const fastestMs = (
-  state: RelayState,
-  service: string,
-  work: Work,
-): number | undefined => {
-  const times = replicasOf(state, service)
-    .filter(isAvailable)
-    .map((view) => usualMsAt(state, view, work))
-    .filter((timeMs) => timeMs !== undefined);
-  return times.length === 0 ? usualMs(state, work) : Math.min(...times);
+/** Time by which each replica is expected to end the answer to a request that it is sent now. */
+const expectedEndAt = (
+  { at, answerTimes }: RelayState,
+  timed: TimedRequest,
+  plannedStop: PlannedStop,
+): ((view: ReplicaView) => Timestamp) => {
+  const work = workOf(timed);
+  const isLate = at >= plannedStop.noticeEndsAt;
+  const certainty = certaintyOf(work.kind, timed.route, isLate);
+  const usual = usualMs(answerTimes, work, certainty.part);
+  const marginMs = marginPartOf(plannedStop) * certainty.marginMs;
+  return (view) => {
+    const known = usualMsAt(view, work, certainty.part) ?? usual;
+    return at + (known ?? certainty.unknownMs) + marginMs;
+  };
 };
 
 /**
  * Time by which the answer to a request that is sent now is expected to end, at a replica
- * that is fast enough; the end of the route's timeout while nothing is known.
+ * that is fast enough, or by its timeout; undefined while this process does not stop.
  */
 export const expectedEndOf = (
   state: RelayState,
   timed: TimedRequest,
-): Timestamp => {
-  const work = workOf(timed);
-  const neededMs = fastestMs(state, timed.service, work);
-  return state.at + (neededMs ?? timed.route.timeoutMs) + marginMs(state, work);
+): Timestamp | undefined => {
+  const { plannedStop } = state;
+  if (plannedStop === undefined) return undefined;
+  const expectedEnd = expectedEndAt(state, timed, plannedStop);
+  return replicasOf(state, timed.service)
+    .filter(isAvailable)
+    .map(expectedEnd)
+    .reduce((a, b) => Math.min(a, b), state.at + timed.route.timeoutMs);
 };
 
 /** Whether a request that is sent now is answered before this process ends. */
 export const canEndInTime = (state: RelayState, timed: TimedRequest): boolean =>
-  state.plannedStop === undefined ||
-  expectedEndOf(state, timed) <= lastAnswerAt(state);
+  (expectedEndOf(state, timed) ?? state.at) <= lastAnswerAt(state);
 
-/** Whether work that a replica begins now ends before this process does; unknown work may. */
-export const endsInTimeAt = (
+/** Which replicas end the answer to a request that is sent now before this process ends. */
+export const endsInTime = (
   state: RelayState,
-  view: ReplicaView,
-  work: Work,
-): boolean => {
-  const neededMs = usualMsAt(state, view, work) ?? 0;
-  return state.at + neededMs + marginMs(state, work) <= lastAnswerAt(state);
+  timed: TimedRequest,
+): ((view: ReplicaView) => boolean) => {
+  const { plannedStop } = state;
+  if (plannedStop === undefined) return () => true;
+  const expectedEnd = expectedEndAt(state, timed, plannedStop);
+  return (view) => expectedEnd(view) <= lastAnswerAt(state);
 };
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -69,8 +69,7 @@
   customer: customer?.name,
   priority: customer?.priority ?? route.priority,
   readAt: state.at,
-  expectedEndAt:
-    state.plannedStop && expectedEndOf(state, { route, service, request }),
+  expectedEndAt: expectedEndOf(state, { route, service, request }),
   deadline: Math.min(
     request.arrivedAt + route.timeoutMs,
     request.callerDeadline ?? Infinity,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -145,6 +145,7 @@
       route: exchange.route.name,
       path: request.target,
       promptBlocks: loggedPromptBlocks(request),
+      maxOutputTokens: request.maxOutputTokens,
       configVersion: state.config?.version,
       attempt: attempt.number,
       start: start.type,
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -36,7 +36,7 @@
   state.config = config;
   state.routes = buildRouteTable(config);
   state.configAppliedAt = at;
-  forgetAnswerTimes(state, config.routes);
+  forgetAnswerTimes(state, config);
   return [
     { type: "applyLimits", limits: config.limits },
     logLine("configuration in force", {
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -91,7 +91,11 @@
   fingerprint: string,
   handover: Handover | undefined,
 ): CallerRequest => {
-  const { headers: names, decodePromptBlockIds } = protocol;
+  const {
+    headers: names,
+    decodePromptBlockIds,
+    decodeMaxOutputTokens,
+  } = protocol;
   const promptBlockIds = decodePromptBlockIds(
     headerOf(req, names.promptBlocks) ?? "",
   );
@@ -111,6 +115,9 @@
     resumes: headerOf(req, names.resumes),
     sharedPromptBlockIds: promptBlockIds.slice(0, -1),
     lastPromptBlockId: promptBlockIds.at(-1),
+    maxOutputTokens: decodeMaxOutputTokens(
+      headerOf(req, names.tokenCounts) ?? "",
+    ),
     handover,
   };
 };
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -123,6 +123,7 @@
   resumes: undefined,
   sharedPromptBlockIds: [],
   lastPromptBlockId: undefined,
+  maxOutputTokens: undefined,
   handover: undefined,
 });
 
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -30,6 +30,7 @@
     lastEventId: "last-event-id",
     resumes: "x-resumes",
     promptBlocks: "x-parts",
+    tokenCounts: "x-tokens",
     reserved: [
       "x-urgency",
       "x-replica",
@@ -51,5 +52,7 @@
   decodePromptHistory: () => [],
   decodePromptBlocks: () => new Map(),
   decodePromptBlockIds: (header) => header.split(",").filter((id) => id !== ""),
+  decodeMaxOutputTokens: (header) =>
+    header === "" ? undefined : Number(header),
   decodeReport,
 };
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -162,6 +162,8 @@
   readonly resumes: string;
   /** Header that lists the ids of the prompt's blocks. */
   readonly promptBlocks: string;
+  /** Header with the numbers of tokens of the prompt and, at most, of the answer. */
+  readonly tokenCounts: string;
   /** Headers that only the relay sets; removed from callers' requests. */
   readonly reserved: readonly string[];
 }
@@ -194,6 +196,8 @@
   ) => ReadonlyMap<string, number> | undefined;
   /** Decodes the ids of the prompt blocks that the prompt header lists, in order. */
   readonly decodePromptBlockIds: (header: string) => readonly string[];
+  /** Decodes the number of tokens that an answer may have at most; undefined if the header is malformed. */
+  readonly decodeMaxOutputTokens: (header: string) => number | undefined;
   readonly decodeReport: (text: string) => EngineReport | undefined;
 }
 
@@ -241,6 +245,8 @@
   readonly sharedPromptBlockIds: readonly string[];
   /** Id of the last prompt block, which no other request shares. */
   readonly lastPromptBlockId: string | undefined;
+  /** Tokens that the answer may have at most; undefined if the caller names no such number. */
+  readonly maxOutputTokens: number | undefined;
   /** What the router told that handed the request on; undefined if a caller sent it here. */
   readonly handover: Handover | undefined;
 }
