--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -42,6 +42,7 @@
 } from "./versions/serviceVersions.js";
 import { originAsked } from "./versions/originAsked.js";
 import { timerTicked } from "./timerTicked.js";
+import { startByOf } from "./plannedStop/expectedEnd.js";
 import { logUnfinished } from "./plannedStop/unfinishedRequests.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -109,6 +110,8 @@
   { noticeEndsAt, endsAt }: RelayEventOf<"drainStarted">,
 ): RelayCommand[] => {
   state.plannedStop = { startedAt: state.at, noticeEndsAt, endsAt };
+  for (const exchange of state.exchanges.values())
+    exchange.startBy = startByOf(state, exchange);
   return [
     { type: "beginDrain" },
     logLine("stopping: no longer ready", {
--- a/packages/relay/src/decisions/plannedStop/endBeforeStop.ts
+++ b/packages/relay/src/decisions/plannedStop/endBeforeStop.ts
@@ -13,15 +13,27 @@
 
 const reason = "this process stops";
 
+/** Whether a request waits for a replica that would get it too late to answer it. */
+const waitsTooLong = (
+  { at }: RelayState,
+  { startBy, attempt, fallback, wait }: Exchange,
+): boolean => {
+  if (startBy === undefined || at <= startBy) return false;
+  return !attempt && !fallback && wait.type !== "router";
+};
+
 /**
  * Whether a request is to be answered now. A stream that has begun may still end; a router
  * that handed a request on sends it elsewhere when the connection closes.
  */
 export const mustEndBeforeStop = (
   state: RelayState,
-  { head, request, mayHaveExecuted }: Exchange,
+  exchange: Exchange,
 ): boolean => {
-  if (state.at < lastAnswerAt(state) || head !== undefined) return false;
+  const { head, request, mayHaveExecuted } = exchange;
+  if (head !== undefined) return false;
+  if (state.at < lastAnswerAt(state) && !waitsTooLong(state, exchange))
+    return false;
   return request.handover === undefined || !mayHaveExecuted;
 };
 
--- a/packages/relay/src/decisions/plannedStop/expectedEnd.test.ts
+++ b/packages/relay/src/decisions/plannedStop/expectedEnd.test.ts
@@ -195,3 +195,40 @@
   scenario.request("1", streamPath);
   assert.ok(!isRefused(scenario, "1"));
 });
+
+// Load: engines that want no requests for two seconds, until little time is left.
+test("a stopping router sends a request that has waited for too long, and cuts it off", () => {
+  const scenario = Scenario.create();
+  const tookMs = 3000;
+  playStreams(scenario, 12, () => tookMs);
+  beginStop(scenario);
+  const startBy = scenario.at + graceMs - lastAnswerMs - delayMarginMs - tookMs;
+  scenario.advance(2100);
+  const { at } = scenario;
+  const retryAfter = { until: at + 2100, text: "2", isOdd: false };
+  for (const { replica } of scenario.state.replicas.values())
+    scenario.dispatch({ type: "backOffRequested", at, replica, retryAfter });
+  scenario.request("1", streamPath);
+  scenario.advance(startBy - scenario.at);
+  assert.ok(!isRefused(scenario, "1"));
+  scenario.advance(50);
+  assert.ok(isRefused(scenario, "1"));
+  const sends = scenario.commandsOfType("send");
+  assert.ok(sends.every(({ key }) => key !== "1"));
+});
+
+// Load: requests that wait for a replica when the stop begins.
+test("a stopping router sends a request that waited before the stop, and cuts it off", () => {
+  const scenario = Scenario.create();
+  playStreams(scenario, 12, () => 3000);
+  const { at } = scenario;
+  const retryAfter = { until: at + 2000, text: "2", isOdd: false };
+  for (const { replica } of scenario.state.replicas.values())
+    scenario.dispatch({ type: "backOffRequested", at, replica, retryAfter });
+  scenario.request("1", streamPath);
+  scenario.advance(500);
+  assert.ok(!isRefused(scenario, "1"));
+  beginStop(scenario, 3000);
+  scenario.advance(25);
+  assert.ok(isRefused(scenario, "1"));
+});
--- a/packages/relay/src/decisions/plannedStop/expectedEnd.ts
+++ b/packages/relay/src/decisions/plannedStop/expectedEnd.ts
@@ -55,12 +55,12 @@
 const marginPartOf = ({ startedAt, endsAt }: PlannedStop): number =>
   Math.min(1, (endsAt - startedAt) / wholeMarginStopMs);
 
-/** Time by which each replica is expected to end the answer to a request that it is sent now. */
-const expectedEndAt = (
-  { at, answerTimes }: RelayState,
+/** Time by which each replica is expected to end the answer to a request that it is sent now; undefined while this process does not stop. */
+export const expectedEndAt = (
+  { at, answerTimes, plannedStop }: RelayState,
   timed: TimedRequest,
-  plannedStop: PlannedStop,
-): ((view: ReplicaView) => Timestamp) => {
+): ((view: ReplicaView) => Timestamp) | undefined => {
+  if (plannedStop === undefined) return undefined;
   const work = workOf(timed);
   const isLate = at >= plannedStop.noticeEndsAt;
   const certainty = certaintyOf(work.kind, timed.route, isLate);
@@ -72,17 +72,13 @@
   };
 };
 
-/**
- * Time by which the answer to a request that is sent now is expected to end, at a replica
- * that is fast enough, or by its timeout; undefined while this process does not stop.
- */
+/** The same at a replica that is fast enough, or by the timeout of the request. */
 export const expectedEndOf = (
   state: RelayState,
   timed: TimedRequest,
 ): Timestamp | undefined => {
-  const { plannedStop } = state;
-  if (plannedStop === undefined) return undefined;
-  const expectedEnd = expectedEndAt(state, timed, plannedStop);
+  const expectedEnd = expectedEndAt(state, timed);
+  if (expectedEnd === undefined) return undefined;
   return replicasOf(state, timed.service)
     .filter(isAvailable)
     .map(expectedEnd)
@@ -93,13 +89,22 @@
 export const canEndInTime = (state: RelayState, timed: TimedRequest): boolean =>
   (expectedEndOf(state, timed) ?? state.at) <= lastAnswerAt(state);
 
+/** Time by which a request has to be sent for that; undefined while this process does not stop. */
+export const startByOf = (
+  state: RelayState,
+  timed: TimedRequest,
+): Timestamp | undefined => {
+  const expectedEnd = expectedEndOf(state, timed);
+  return expectedEnd && lastAnswerAt(state) - (expectedEnd - state.at);
+};
+
 /** Which replicas end the answer to a request that is sent now before this process ends. */
 export const endsInTime = (
   state: RelayState,
   timed: TimedRequest,
 ): ((view: ReplicaView) => boolean) => {
-  const { plannedStop } = state;
-  if (plannedStop === undefined) return () => true;
-  const expectedEnd = expectedEndAt(state, timed, plannedStop);
-  return (view) => expectedEnd(view) <= lastAnswerAt(state);
+  const expectedEnd = expectedEndAt(state, timed);
+  return expectedEnd === undefined
+    ? () => true
+    : (view) => expectedEnd(view) <= lastAnswerAt(state);
 };
--- a/packages/relay/src/decisions/plannedStop/unfinishedRequests.ts
+++ b/packages/relay/src/decisions/plannedStop/unfinishedRequests.ts
@@ -16,11 +16,11 @@
   state: RelayState,
   exchange: Exchange,
 ): DecisionContext => {
-  const { attempt, readAt, request, head, expectedEndAt } = exchange;
+  const { attempt, readAt, request, head } = exchange;
   return {
     ...summaryOf(exchange, state.at),
     ...describeOptions(state, exchange),
-    ...stopTimesOf(state, expectedEndAt),
+    ...stopTimesOf(state, attempt?.expectedEndAt),
     headSent: head !== undefined,
     bodyMs: Math.round(readAt - request.arrivedAt),
     readMsAgo: ageOf(state, readAt),
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -3,7 +3,11 @@
 import type { CallerRequest, Customer, Route } from "../types.js";
 import { random } from "./random.js";
 import { unconfiguredRetryAfterRangeMs } from "./constants.js";
-import { canEndInTime, expectedEndOf } from "./plannedStop/expectedEnd.js";
+import {
+  canEndInTime,
+  expectedEndOf,
+  startByOf,
+} from "./plannedStop/expectedEnd.js";
 import {
   drawRetryDelayMs,
   refuse,
@@ -69,7 +73,7 @@
   customer: customer?.name,
   priority: customer?.priority ?? route.priority,
   readAt: state.at,
-  expectedEndAt: expectedEndOf(state, { route, service, request }),
+  startBy: startByOf(state, { route, service, request }),
   deadline: Math.min(
     request.arrivedAt + route.timeoutMs,
     request.callerDeadline ?? Infinity,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -51,6 +51,7 @@
 import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
+import { expectedEndAt } from "./plannedStop/expectedEnd.js";
 import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { ageOf, hasSoftware } from "./replicaViews.js";
 import { logLine } from "./logLine.js";
@@ -89,11 +90,13 @@
 ): RelayCommand[] => {
   const { key, request, customer, deadline, lastEventId, service } = exchange;
   const copyTo = chooseCopyHolder(state, exchange, replica);
+  const view = state.replicas.get(replica.id);
   const attempt: Attempt = {
     number: exchange.nextNumber,
     replica,
     start,
     sentAt: state.at,
+    expectedEndAt: view && expectedEndAt(state, exchange)?.(view),
     mayHaveExecutedBefore: exchange.mayHaveExecuted,
     isCounted: countReplica(exchange, replica),
     copyTo,
@@ -127,7 +130,6 @@
   countAttempt(state, attempt);
   takePermit(state, replica.id);
   if (start.type === "copy") forgetFallbackCopy(exchange);
-  const view = state.replicas.get(replica.id);
   return [
     {
       type: "send",
@@ -157,7 +159,7 @@
       inFlight: view?.inFlight,
       heardMsAgo: view && ageOf(state, view.heardAt),
       afterEvent: lastEventId,
-      ...stopTimesOf(state, exchange.expectedEndAt),
+      ...stopTimesOf(state, attempt.expectedEndAt),
     }),
   ];
 };
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -122,6 +122,8 @@
   readonly replica: Replica;
   readonly start: AttemptStart;
   readonly sentAt: Timestamp;
+  /** Time by which its answer was expected to end when it was sent; undefined unless this process was stopping. */
+  readonly expectedEndAt: Timestamp | undefined;
   /** Whether the request may have been executed before this attempt. */
   readonly mayHaveExecutedBefore: boolean;
   /** Whether it counts against the route's maximum: another one at its replica may do so already. */
@@ -228,8 +230,8 @@
   readonly priority: number;
   /** Time at which the request had been read whole. */
   readonly readAt: Timestamp;
-  /** Time by which its answer was expected to end when it was accepted; undefined unless this process was stopping. */
-  readonly expectedEndAt: Timestamp | undefined;
+  /** Time by which it has to be sent to a replica to end before a planned stop does; undefined while this process does not stop. */
+  startBy: Timestamp | undefined;
   /** Time by which the response must be complete. */
   readonly deadline: Timestamp;
   attempt: Attempt | undefined;
--- a/packages/relay/src/testing/testAttempt.ts
+++ b/packages/relay/src/testing/testAttempt.ts
@@ -10,6 +10,7 @@
   replica,
   start: { type: "fresh" },
   sentAt: now(),
+  expectedEndAt: undefined,
   mayHaveExecutedBefore: false,
   isCounted: true,
   copyTo: undefined,
