--- a/bench/src/soak/heavyCallers.ts
+++ b/bench/src/soak/heavyCallers.ts
@@ -1,4 +1,4 @@
-/** Callers of a soak test that take a router's memory: large bodies, and large answers that they leave unread. */
+/** Callers of a soak test that send large or late bodies, or leave large answers unread. */
 
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -25,6 +25,11 @@
 const unsentBytes = 100; // of a body that stalls
 const slowChunkBytes = 100_000;
 const slowIntervalMs = 50;
+const lateCallerCount = 40;
+const lateIntervalMs = 60; // so that heads come before and after the stop begins
+const lateEventCount = 120; // 3 to 4 s, by the speed of the engine
+const latePaceCount = 6;
+const latePaceMs = 300; // of the pauses before the chunks of a body
 
 let lastRequest = 0;
 const nextRequestId = (): string => {
@@ -118,6 +123,22 @@
   }
 };
 
+/** Callers send streams whose bodies come in chunks, the last ones seconds after the heads. */
+export const sendLateBodies = (target: HeavyTarget): Promise<CallerAnswer[]> =>
+  Promise.all(
+    Array.from({ length: lateCallerCount }, async (_, index) => {
+      await sleep(index * lateIntervalMs);
+      return sendRequest({
+        ...target,
+        requestId: nextRequestId(),
+        requestType: RequestType.Stream,
+        eventCount: lateEventCount,
+        chunkPauseMs: (index % latePaceCount) * latePaceMs,
+        leavesAfterMs: undefined,
+      });
+    }),
+  );
+
 /** Callers ask for large answers and read none of them for a time. */
 export const leaveAnswersUnread = (
   target: HeavyTarget,
--- a/bench/src/soak/injectProcessFault.ts
+++ b/bench/src/soak/injectProcessFault.ts
@@ -2,12 +2,17 @@
 
 import { setTimeout as sleep } from "node:timers/promises";
 import { assertNever } from "@cardamomglade/common";
-import { leaveAnswersUnread, sendLargeBodies } from "./heavyCallers.js";
+import {
+  leaveAnswersUnread,
+  sendLargeBodies,
+  sendLateBodies,
+} from "./heavyCallers.js";
 import { permanentKey, type SoakFleet } from "./soakFleet.js";
 import type { SoakRouter } from "./soakRouter.js";
 import type { ProcessAction, SettingsDamage } from "./types.js";
 
 const signalsPerSeries = 8;
+const bodiesBeforeStopMs = 500;
 const extraTermCount = 2;
 const extraTermDelayMs = 150; // within each drain
 
@@ -86,6 +91,14 @@
         await stopAgain(router);
         await router.start();
       });
+    case "routerStopBesideBodies":
+      return restart(router, async () => {
+        const sending = sendLateBodies(target);
+        await sleep(bodiesBeforeStopMs);
+        await router.stop();
+        await router.start();
+        fleet.extraAnswers.push(...(await sending));
+      });
     case "routerStartBeside":
       return restart(router, () => router.startBeside());
     case "routerHangUps":
@@ -114,7 +127,7 @@
       );
     case "largeBodies":
       if (!router.isInRotation) return;
-      fleet.largeAnswers.push(
+      fleet.extraAnswers.push(
         ...(await sendLargeBodies(target, action.pace, durationMs)),
       );
       return;
--- a/bench/src/soak/planProcessFaults.ts
+++ b/bench/src/soak/planProcessFaults.ts
@@ -46,14 +46,16 @@
 const allTypes = [...restartTypes, ...runningTypes, ...memoryTypes];
 
 /** Types of the process faults that restart a process in the planned way. */
-export const restartFaultTypes: ReadonlySet<SoakAction["type"]> = new Set(
-  restartTypes,
-);
+export const restartFaultTypes: ReadonlySet<SoakAction["type"]> = new Set([
+  ...restartTypes,
+  "routerStopBesideBodies",
+]);
 
 /** Types of the process faults. */
-export const processFaultTypes: ReadonlySet<SoakAction["type"]> = new Set(
-  allTypes,
-);
+export const processFaultTypes: ReadonlySet<SoakAction["type"]> = new Set([
+  ...allTypes,
+  ...restartFaultTypes,
+]);
 
 const drawFrom = <T>(random: SeededRandom, values: readonly T[]): T => {
   const value = values[random.nextInteger(values.length)];
@@ -82,6 +84,16 @@
   }
 };
 
+/** Drawn from nothing, so that the other faults of a seed stay as they were. */
+const stopBesideBodies = (
+  startMs: number,
+  router: number,
+): PlannedSoakFault => ({
+  startMs,
+  durationMs: maxDurationMs,
+  action: { type: "routerStopBesideBodies", router },
+});
+
 /** Returns the process faults of a seed. */
 export const planProcessFaults = ({
   seed,
@@ -122,6 +134,7 @@
     const startMs = seriesFromMs + series * seriesIntervalMs;
     faults.push(
       ...actions.map((action) => planned(startMs, seriesIntervalMs, action)),
+      stopBesideBodies(startMs, other),
     );
   }
   return faults;
--- a/bench/src/soak/runSoak.ts
+++ b/bench/src/soak/runSoak.ts
@@ -137,7 +137,7 @@
   const calmFrom = Date.now();
   await sleep(faultFreeMs);
   isOver = true;
-  const answers = [...(await loading), ...fleet.largeAnswers];
+  const answers = [...(await loading), ...fleet.extraAnswers];
   await Promise.all(watching);
   return { faults, calmFrom, answers };
 };
--- a/bench/src/soak/soak.test.ts
+++ b/bench/src/soak/soak.test.ts
@@ -32,7 +32,7 @@
     const silences = plan.faults.filter(({ action }) => isSilence(action.type));
     assert.ok(silences.length >= 8 * roundCount);
     const processFaults = plan.faults.filter(isProcessFault);
-    assert.equal(processFaults.length, 6 * roundCount);
+    assert.equal(processFaults.length, 7 * roundCount);
     // Beside each series of silences and of process faults, the configuration changes.
     assert.equal(
       plan.faults.length -
--- a/bench/src/soak/soakCaller.ts
+++ b/bench/src/soak/soakCaller.ts
@@ -1,10 +1,17 @@
 /** Sends one caller request and checks the bytes of the response. */
 
-import { Agent, request, type IncomingMessage } from "node:http";
+import {
+  Agent,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+} from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   bodyText,
   eventCountHeader,
   eventCountPerStream,
+  promptTokenCount,
 } from "./soakReplica.js";
 import type { SoakRouter } from "./soakRouter.js";
 import { eventText } from "./streamRun.js";
@@ -22,6 +29,8 @@
   readonly key: string;
   readonly keyVersion: number;
   readonly body?: Buffer;
+  /** Pause before each chunk of a body that is sent in chunks; undefined for one with its length. */
+  readonly chunkPauseMs?: number;
   /** Number of events that a stream has to have, if not the usual one. */
   readonly eventCount?: number;
   /** Time after which the caller closes the connection. */
@@ -44,6 +53,7 @@
 } as const;
 
 const smallBody = Buffer.from("{}");
+const chunkCount = 2;
 const timeoutMarginMs = 1000; // added to the time budget that the request states
 
 // Connections are kept alive between requests until the router closes them; one agent for each router process.
@@ -93,11 +103,27 @@
   return faults;
 };
 
+/** Sends each part of the body after a pause; a connection that has closed takes none. */
+const sendInChunks = async (
+  req: ClientRequest,
+  body: Buffer,
+  pauseMs: number,
+): Promise<void> => {
+  const partBytes = Math.ceil(body.length / chunkCount);
+  req.flushHeaders();
+  for (let from = 0; from < body.length; from += partBytes) {
+    await sleep(pauseMs);
+    if (!req.destroyed) req.write(body.subarray(from, from + partBytes));
+  }
+  req.end();
+};
+
 /** Sends a request; resolves with its result. */
 export const sendRequest = (options: CallerRequest): Promise<CallerAnswer> =>
   new Promise((resolve) => {
     const { requestId, requestType, router, key, leavesAfterMs } = options;
     const { body = smallBody, eventCount = eventCountPerStream } = options;
+    const { chunkPauseMs } = options;
     const { life } = router;
     const sentAt = Date.now();
     const timers: NodeJS.Timeout[] = [];
@@ -130,8 +156,11 @@
         authorization: `Bearer ${key}`,
         "attempt-id": requestId,
         "time-budget-ms": String(requestTimeoutMs[requestType]),
-        "content-length": String(body.length),
+        ...(chunkPauseMs === undefined
+          ? { "content-length": String(body.length) }
+          : { "transfer-encoding": "chunked" }),
         [eventCountHeader]: String(eventCount),
+        "token-count": `${String(promptTokenCount)},${String(eventCount)}`,
       },
     });
     const endAfter = (afterMs: number, outcome: Outcome) => {
@@ -167,5 +196,6 @@
         else finish({ type: "answered", status });
       });
     });
-    req.end(body);
+    if (chunkPauseMs === undefined) req.end(body);
+    else void sendInChunks(req, body, chunkPauseMs);
   });
--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -40,6 +40,7 @@
 const largeService = "large";
 const largeReplicaCount = 2;
 const slotCount = 48;
+const eventIntervalsMs = [25, 28, 31]; // of the replicas in turn
 const largeSlotCount = 2;
 const entryExpiryMs = 1200; // the store entry of a crashed replica expires after some missed heartbeats
 const replacementDelayMs = 800;
@@ -71,7 +72,7 @@
   readonly versions: AcceptedVersion[] = [];
   readonly leaving: LeavingReplica[] = [];
   /** How requests with large bodies ended. */
-  readonly largeAnswers: CallerAnswer[] = [];
+  readonly extraAnswers: CallerAnswer[] = [];
   /** What the operator and the replicas have in the store. */
   private readonly written = new Map<string, unknown>();
   private readonly endpoints: ReplicaEndpoint[] = [];
@@ -269,6 +270,8 @@
         service,
         zone,
         endpoint,
+        eventIntervalMs:
+          eventIntervalsMs[endpoint % eventIntervalsMs.length] ?? 0,
         keepsRuns: this.runKeepers.includes(endpoint),
         onArrival: (arrival) => {
           this.arrivals.push(arrival);
--- a/bench/src/soak/soakReplica.test.ts
+++ b/bench/src/soak/soakReplica.test.ts
@@ -74,6 +74,7 @@
           service: "engines",
           zone: "zone-a",
           endpoint: replicas.length,
+          eventIntervalMs: 25,
           keepsRuns,
           onArrival: () => undefined,
           onRun: (run) => runs.push(run),
--- a/bench/src/soak/soakReplica.ts
+++ b/bench/src/soak/soakReplica.ts
@@ -43,6 +43,8 @@
   readonly zone: string;
   /** Index of its endpoint. */
   readonly endpoint: number;
+  /** Interval between the events of its streams. */
+  readonly eventIntervalMs: number;
   /** Whether its runs work on when their connections close. */
   readonly keepsRuns: boolean;
   /** Called for each request that arrives. */
@@ -67,7 +69,8 @@
 const responseDelayMs = 30;
 const copyDelayMs = 60;
 const copyPathPrefix = "/-/kv-handle/";
-const promptTokenCount = 1000;
+/** Number of tokens of each stream's prompt. */
+export const promptTokenCount = 1000;
 const reportIntervalMs = 200; // reports are one to two of these old
 
 /** Returns the body of a response that is not streamed. */
@@ -274,6 +277,7 @@
         res,
         lastEventId: Number(header("last-event-id")),
         eventCount: Number(header(eventCountHeader)) || eventCountPerStream,
+        eventIntervalMs: this.options.eventIntervalMs,
         hasCopy: source !== "",
         outlivesConnection: this.options.keepsRuns,
         isTruncating: () => this.faultMode !== ReplicaFaultMode.Healthy,
--- a/bench/src/soak/streamRun.ts
+++ b/bench/src/soak/streamRun.ts
@@ -5,7 +5,6 @@
 import { RunEnd, type RecordedRun } from "./types.js";
 
 const firstEventDelayMs = 120;
-const eventIntervalMs = 25;
 
 /** What a run does, and where its events go. */
 export interface StreamRunOptions {
@@ -14,6 +13,7 @@
   /** Id of the last event that the caller has. */
   readonly lastEventId: number;
   readonly eventCount: number;
+  readonly eventIntervalMs: number;
   /** Whether it need not read the prompt again. */
   readonly hasCopy: boolean;
   /** Whether it works on when its connection closes. */
@@ -68,7 +68,7 @@
 
   /** Resolves when it has ended. */
   async run(): Promise<void> {
-    const { res, hasCopy, eventCount } = this.options;
+    const { res, hasCopy, eventCount, eventIntervalMs } = this.options;
     if (!hasCopy) await this.waitAtWork(firstEventDelayMs);
     if (this.isAtWork && !res.destroyed)
       res.writeHead(200, { "content-type": "text/event-stream" });
--- a/bench/src/soak/types.ts
+++ b/bench/src/soak/types.ts
@@ -36,6 +36,8 @@
       readonly type:
         /** A planned stop with more SIGTERMs within the drain. */
         | "routerStopAgain"
+        /** A planned stop while callers send streams whose bodies come late, in chunks. */
+        | "routerStopBesideBodies"
         /** A planned stop; the next process starts beside the one that drains. */
         | "routerStartBeside"
         | "routerHangUps"
