--- a/packages/relay/src/decisions/plannedStop/answerTimes.ts
+++ b/packages/relay/src/decisions/plannedStop/answerTimes.ts
@@ -78,7 +78,7 @@
 ): void => {
   if (!isTypical(exchange)) return;
   const { attempt, readAt, nextNumber } = exchange;
-  const { timeClass, units } = workOf(exchange);
+  const { kind, timeClass, units } = workOf(exchange);
   const isOnlyAttempt = attempt !== undefined && nextNumber === 1;
   const firstEventAt = isOnlyAttempt ? attempt.firstEventAt : undefined;
   const measured = {
@@ -86,8 +86,10 @@
     msPerUnit: (at - (firstEventAt ?? readAt)) / units,
   };
   addAnswer(answerTimes, timeClass, measured, maxAnswerTimeCount);
-  const view = isOnlyAttempt && replicas.get(attempt.replica.id);
-  if (view)
+  // Other answers take so little time that a slow replica ends them too.
+  if (!isOnlyAttempt || kind === WorkKind.Answer) return;
+  const view = replicas.get(attempt.replica.id);
+  if (view !== undefined)
     addAnswer(view.answerTimes, timeClass, measured, maxReplicaAnswerTimeCount);
 };
 
--- a/packages/relay/src/decisions/plannedStop/constants.ts
+++ b/packages/relay/src/decisions/plannedStop/constants.ts
@@ -3,14 +3,14 @@
 /** Time before the end of a planned stop at which callers without an answer are refused: some ticks, and the way to the connection. */
 export const lastAnswerMs = 100;
 
-/** Answers of one kind whose times are remembered. */
+/** Answers in one class whose times are remembered. */
 export const maxAnswerTimeCount = 32;
 
-/** Answers of one kind whose times are remembered for each replica. */
+/** Streams in one class whose times are remembered for each replica. */
 export const maxReplicaAnswerTimeCount = 8;
 
-/** Answers of a replica below which its times are taken for those of its service. */
-export const minReplicaAnswerTimeCount = 3;
+/** Streams of a replica below which its times are taken for those of its service: of many replicas, one seems fast by chance. */
+export const minReplicaAnswerTimeCount = 5;
 
 /** Part of the remembered answers that would have ended in the time that is left, for an answer to be let in that would be lost. */
 export const nearlyAll = 0.95;
--- a/packages/relay/src/decisions/plannedStop/expectedEnd.test.ts
+++ b/packages/relay/src/decisions/plannedStop/expectedEnd.test.ts
@@ -4,7 +4,13 @@
 import { test } from "node:test";
 import { Scenario, streamPath, testConfig } from "../../testing/scenario.js";
 import type { CallerRequest } from "../../types.js";
-import { delayMarginMs, lastAnswerMs, lateMarginMs } from "./constants.js";
+import {
+  delayMarginMs,
+  lastAnswerMs,
+  lateMarginMs,
+  maxReplicaAnswerTimeCount,
+  minReplicaAnswerTimeCount,
+} from "./constants.js";
 import { noticeEndOf } from "./noticeEnd.js";
 
 const graceMs = 7400;
@@ -88,7 +94,8 @@
   playStreams(scenario, 30, (engine) => (engine === "a-2" ? 1000 : 6000));
   const timed = scenario.commandsOfType("send");
   assert.ok(
-    timed.filter(({ attempt }) => attempt.replica.id === "a-2").length >= 3,
+    timed.filter(({ attempt }) => attempt.replica.id === "a-2").length >=
+      minReplicaAnswerTimeCount,
   );
   beginStop(scenario, 4500);
   for (const key of ["1", "2", "3"]) {
@@ -232,3 +239,22 @@
   scenario.advance(25);
   assert.ok(isRefused(scenario, "1"));
 });
+
+// Load: a large fleet with many routes, each answer of which is timed.
+test("the times of answers grow with the routes of each replica", () => {
+  const scenario = Scenario.create();
+  for (let index = 0; index < 50; index += 1) {
+    const key = String(index);
+    scenario.request(key, "/check/x");
+    scenario.answer(key);
+  }
+  playStreams(scenario, 50, () => 1000);
+  const views = [...scenario.state.replicas.values()];
+  const timesOf = views.flatMap(({ answerTimes }) => [...answerTimes]);
+  assert.ok(timesOf.every(([timeClass]) => timeClass.includes("/stream/")));
+  assert.ok(
+    timesOf.every(
+      ([, { msPerUnit }]) => msPerUnit.length <= maxReplicaAnswerTimeCount,
+    ),
+  );
+});
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -55,7 +55,7 @@
   probeSentAt: Timestamp | undefined;
   /** Send time of one that only connects, as the replica wants no requests. */
   bareProbeSentAt: Timestamp | undefined;
-  /** Times of the latest answers of this replica alone, by class of work. */
+  /** Times of the latest streams of this replica alone, by class of work. */
   readonly answerTimes: Map<string, AnswerTimes>;
   /** Recent outcomes of all routers' attempts; they lose weight with time from the given one on. */
   readonly outcomes: OutcomeCounts;
