--- a/bench/src/soak/checkSoak.test.ts
+++ b/bench/src/soak/checkSoak.test.ts
@@ -202,6 +202,25 @@
   ]);
 });
 
+// Load: callers that keep using open connections until a stopping router closes them (seed 703).
+test("a request that crosses the close of its connection counts as lost, and one that was sent on does not", () => {
+  const stop = span({ type: "routerStopAgain", router: 0 });
+  const cut = answer({
+    endedAt: 20_200,
+    outcome: { type: "cut", hasConnected: true },
+  });
+  const lost = (changes: Partial<SoakRecord>) =>
+    violatedBy({ answers: [cut], arrivals: [], ...changes }).includes(
+      "notLost",
+    );
+  assert.ok(!lost({ faults: [stop] }));
+  assert.ok(lost({ faults: [] }));
+  assert.ok(lost({ faults: [{ ...stop, router: 1 }] }));
+  assert.ok(lost({ faults: [{ ...stop, to: 19_999 }] }));
+  assert.ok(lost({ faults: [stop], arrivals: [arrival({ hasRun: false })] }));
+  assert.ok(lost({ faults: [stop], answers: [{ ...cut, endedAt: 20_201 }] }));
+});
+
 const run = (changes: Partial<RecordedRun>): RecordedRun => ({
   requestId: "r",
   replica: "replica-1",
--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -202,10 +202,13 @@
     }),
   );
 
-const checkPlannedStop: Check = ({ record, runsOf }) => {
-  const stops = record.faults.filter(
+const plannedStopsOf = ({ faults }: SoakRecord): readonly FaultSpan[] =>
+  faults.filter(
     ({ type }) => type === "routerStop" || restartFaultTypes.has(type),
   );
+
+const checkPlannedStop: Check = ({ record, runsOf }) => {
+  const stops = plannedStopsOf(record);
   const unplanned = record.faults.filter(
     ({ type }) => !plannedFaultTypes.has(type) && !silenceTypes.has(type),
   );
@@ -254,8 +257,23 @@
     : undefined;
 };
 
+/** Whether a request was sent on a kept connection just as its router closed that in a planned stop: it may be sent again. */
+const crossesClose = (
+  { router, sentAt, endedAt, outcome }: CallerAnswer,
+  arrivals: readonly Arrival[],
+  stops: readonly FaultSpan[],
+): boolean =>
+  outcome.type === "cut" &&
+  arrivals.length === 0 &&
+  endedAt - sentAt <= soakBounds.lossSlackMs &&
+  stops.some(
+    (stop) =>
+      stop.router === router && stop.from <= sentAt && sentAt <= stop.to,
+  );
+
 /** A replica that falls silent for about a second and goes on, or a router that is restarted in the planned way, is no reason to lose a request. */
-const checkNotLost: Check = ({ record }) => {
+const checkNotLost: Check = ({ record, arrivalsOf }) => {
+  const stops = plannedStopsOf(record);
   const others = record.faults.filter(
     ({ type }) =>
       type !== "configChange" &&
@@ -265,6 +283,7 @@
   return record.answers.flatMap((answer) => {
     const { requestId, sentAt, endedAt } = answer;
     if (others.some((span) => overlaps(span, sentAt, endedAt))) return [];
+    if (crossesClose(answer, arrivalsOf(requestId), stops)) return [];
     const message = lossOf(answer);
     return message === undefined
       ? []
--- a/bench/src/soak/soakSettings.ts
+++ b/bench/src/soak/soakSettings.ts
@@ -17,6 +17,8 @@
 export const soakBounds = {
   drainTimeoutMs: 2000,
   graceMs: 8000,
+  /** How soon a connection has to close if a request on it gets no answer in a planned stop. */
+  lossSlackMs: 200,
   maxContactAgeMs: 3000,
   /** How long two runs of a request may be at work. */
   sharedWorkMs: 400,
