Followers are sent the last version of an entry, not each one

A message to a follower held every version, each in full over a slow link, or, over 32 KiB, each to be read from the store after the one before.

Now a message holds the last change of each key. Followers of older builds read it as before. Two tests, both failed before; the property test of histories still holds.

--- a/packages/platform/src/sharedWatch/changeHistory.test.ts
+++ b/packages/platform/src/sharedWatch/changeHistory.test.ts
@@ -275,3 +275,44 @@
   assert.ok(message?.type === "changes");
   assert.deepEqual([message.era, message.revision], [0, 7]);
 });
+
+// Load: thirty versions of a large configuration within a second, at routers with slow links.
+test("a follower is sent each version of an entry that changed many times, and has the last one late", () => {
+  const history = historyAt(10);
+  const config = "c".repeat(20_000);
+  const changes = Array.from({ length: 30 }, (_, index) =>
+    put("config", 11 + index, `${config}${String(index)}`),
+  );
+  const left: WatchChange = { type: "delete", key: "a", modRevision: 42 };
+  const others = [put("a", 41), left, put("b", 43), put("a", 44, "again")];
+  const all = [...changes, ...others];
+  const event = {
+    type: "changes" as const,
+    era: 1,
+    revision: 44,
+    changes: all,
+  };
+  recordChanges(history, event, 0);
+  const message = messageSince(history, { era: 1, revision: 10 }, 0);
+  assert.equal(message.type, "changes");
+  assert.deepEqual(message.changes, [
+    put("config", 40, `${config}29`),
+    put("b", 43),
+    put("a", 44, "again"),
+  ]);
+  assert.ok(encodeSharedMessage(message).length < 2 * config.length);
+});
+
+// Load: values that are too long to be shared, each read from the store after the one before.
+test("a follower reads a long value from the store for each of its versions", () => {
+  const history = historyAt(10);
+  const long = "c".repeat(maxSharedValueLength + 1);
+  const changes = [11, 12, 13].map((revision) => put("config", revision, long));
+  const event = { type: "changes" as const, era: 1, revision: 13, changes };
+  recordChanges(history, event, 0);
+  const message = messageSince(history, { era: 1, revision: 10 }, 0);
+  assert.equal(message.type, "changes");
+  assert.deepEqual(message.changes, [
+    { type: "putWithoutValue", key: "config", modRevision: 13 },
+  ]);
+});
--- a/packages/platform/src/sharedWatch/changeHistory.ts
+++ b/packages/platform/src/sharedWatch/changeHistory.ts
@@ -163,6 +163,20 @@
     (span) => span.era === era && span.from <= revision && revision <= span.to,
   );
 
+const keyOf = (change: SharedChange): string =>
+  change.type === "put" ? change.entry.key : change.key;
+
+/**
+ * The last change of each key, in order. Load pattern: many versions of the configuration
+ * within one heartbeat; each of them would take its time on the link of the router.
+ */
+const withoutSuperseded = (
+  changes: readonly SharedChange[],
+): readonly SharedChange[] => {
+  const lastByKey = new Map(changes.map((one) => [keyOf(one), one]));
+  return changes.filter((one) => lastByKey.get(keyOf(one)) === one);
+};
+
 /** The message for a follower that knows all changes up to a position. */
 export const messageSince = (
   history: ChangeHistory,
@@ -176,8 +190,10 @@
     type: "changes",
     ...(isLater(after, position) ? positionOf(after) : position),
     ageMs: Math.max(0, Math.round(at - confirmedAt)),
-    changes: changes
-      .filter((one) => isLater(one.position, after))
-      .map(({ change }) => change),
+    changes: withoutSuperseded(
+      changes
+        .filter((one) => isLater(one.position, after))
+        .map(({ change }) => change),
+    ),
   };
 };
