--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -16,7 +16,7 @@
 import { engineOf } from "./engineOf.js";
 import { excessFailureRateOf } from "./outcomes.js";
 import type { TimedRequest } from "./plannedStop/answerTimes.js";
-import { endsInTime } from "./plannedStop/expectedEnd.js";
+import { preferInTime } from "./plannedStop/expectedEnd.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import {
@@ -219,7 +219,7 @@
   const fast =
     query.timed === undefined
       ? lasting
-      : preferMatching(lasting, endsInTime(state, query.timed));
+      : preferInTime(state, query.timed, lasting);
   return preferMatching(fast, ({ replica }) => replica.zone !== avoidedZone);
 };
 
--- a/packages/relay/src/decisions/plannedStop/expectedEnd.test.ts
+++ b/packages/relay/src/decisions/plannedStop/expectedEnd.test.ts
@@ -2,7 +2,13 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { Scenario, streamPath, testConfig } from "../../testing/scenario.js";
+import {
+  engines,
+  Scenario,
+  streamPath,
+  testConfig,
+  testRequest,
+} from "../../testing/scenario.js";
 import type { CallerRequest } from "../../types.js";
 import {
   delayMarginMs,
@@ -11,6 +17,8 @@
   maxReplicaAnswerTimeCount,
   minReplicaAnswerTimeCount,
 } from "./constants.js";
+import { replicasOf } from "../replicaViews.js";
+import { preferInTime } from "./expectedEnd.js";
 import { noticeEndOf } from "./noticeEnd.js";
 
 const graceMs = 7400;
@@ -104,6 +112,27 @@
   }
 });
 
+// Load: streams that are placed late in a stop, when no engine ends them in time any more.
+test("a stopping router sends a stream to any engine, once none is fast enough for it", () => {
+  const scenario = Scenario.create();
+  const { state } = scenario;
+  playStreams(scenario, 30, (engine) => (engine === "a-2" ? 3000 : 6000));
+  const [route] = testConfig().routes;
+  assert.ok(route);
+  const request = testRequest("id-1", streamPath, scenario.at);
+  const timed = { route, service: engines, request };
+  const all = replicasOf(state, engines);
+  const preferred = () =>
+    preferInTime(state, timed, all).map(({ replica }) => replica.id);
+  assert.equal(preferred().length, all.length);
+  beginStop(scenario, 20_000);
+  assert.equal(preferred().length, all.length);
+  scenario.advance(14_000);
+  assert.deepEqual(preferred(), ["a-2"]);
+  scenario.advance(5000);
+  assert.deepEqual(preferred(), ["a-2"]);
+});
+
 // Load: bodies in chunks that take seconds, and streams that are short.
 test("the time of a request's body counts as time of its answer", () => {
   const scenario = Scenario.create();
--- a/packages/relay/src/decisions/plannedStop/expectedEnd.ts
+++ b/packages/relay/src/decisions/plannedStop/expectedEnd.ts
@@ -98,13 +98,18 @@
   return expectedEnd && lastAnswerAt(state) - (expectedEnd - state.at);
 };
 
-/** Which replicas end the answer to a request that is sent now before this process ends. */
-export const endsInTime = (
+/**
+ * Replicas that end the answer to a request that is sent now before this process ends, or the
+ * fastest if none does; all while it does not stop.
+ */
+export const preferInTime = (
   state: RelayState,
   timed: TimedRequest,
-): ((view: ReplicaView) => boolean) => {
+  views: readonly ReplicaView[],
+): readonly ReplicaView[] => {
   const expectedEnd = expectedEndAt(state, timed);
-  return expectedEnd === undefined
-    ? () => true
-    : (view) => expectedEnd(view) <= lastAnswerAt(state);
+  if (expectedEnd === undefined) return views;
+  const earliest = Math.min(...views.map(expectedEnd));
+  const enough = Math.max(earliest, lastAnswerAt(state));
+  return views.filter((view) => expectedEnd(view) <= enough);
 };
