--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -111,7 +111,8 @@
 ): RelayCommand[] => {
   state.plannedStop = { startedAt: state.at, noticeEndsAt, endsAt };
   for (const exchange of state.exchanges.values())
-    exchange.startBy = startByOf(state, exchange);
+    if (exchange.head === undefined)
+      exchange.startBy = startByOf(state, exchange);
   return [
     { type: "beginDrain" },
     logLine("stopping: no longer ready", {
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -14,6 +14,7 @@
   refuseNotExecuted,
   type RefusedRequest,
 } from "./refusals.js";
+import type { TimedRequest } from "./plannedStop/answerTimes.js";
 import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
@@ -103,6 +104,17 @@
   failedResponse: undefined,
 });
 
+/** Refuses a request that could not end before this process does, and logs what was expected. */
+const refuseBeforeStop = (
+  state: RelayState,
+  refused: RefusedRequest,
+  timed: TimedRequest,
+): RelayCommand[] => {
+  const times = stopTimesOf(state, expectedEndOf(state, timed));
+  const context = { ...refused.context, ...times, route: timed.route.name };
+  return refuseNotExecuted(state, { ...refused, context });
+};
+
 /** Routes a request and sends it, or refuses it at once. */
 export const requestArrived = (
   state: RelayState,
@@ -146,14 +158,8 @@
   const service = request.handover?.service ?? chooseService(state, route);
   const timed = { route, service, request };
   if (!canEndInTime(state, timed)) {
-    const { context, ...rest } = refused(
-      "this process stops before the answer could end",
-    );
-    const times = stopTimesOf(state, expectedEndOf(state, timed));
-    return refuseNotExecuted(state, {
-      ...rest,
-      context: { ...context, ...times, route: route.name },
-    });
+    const reason = "this process stops before the answer could end";
+    return refuseBeforeStop(state, refused(reason), timed);
   }
   const exchange = createExchange(
     state,
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -230,7 +230,7 @@
   readonly priority: number;
   /** Time at which the request had been read whole. */
   readonly readAt: Timestamp;
-  /** Time by which it has to be sent to a replica to end before a planned stop does; undefined while this process does not stop. */
+  /** Time by which it has to be sent to a replica to end before a planned stop does; undefined while this process does not stop, and for a stream that had begun by then. */
   startBy: Timestamp | undefined;
   /** Time by which the response must be complete. */
   readonly deadline: Timestamp;
