--- a/bench/src/soak/checkSoak.test.ts
+++ b/bench/src/soak/checkSoak.test.ts
@@ -265,7 +265,7 @@
   });
   const cutAnswer = answer({
     requestType: RequestType.Stream,
-    bodySentAt: 23_000,
+    bodySentAt: 23_500,
     endedAt: 27_500,
     outcome: { type: "cut", hasConnected: true },
   });
@@ -282,7 +282,7 @@
     });
   const both = ["plannedStop", "notLost"];
   assert.deepEqual(violated({}), []);
-  assert.deepEqual(violated({ bodySentAt: 23_001 }), both);
+  assert.deepEqual(violated({ bodySentAt: 23_501 }), both);
   assert.deepEqual(violated({}, [run({ workedUntil: 27_100 })]), both);
   assert.deepEqual(violated({ router: 1 }), ["notLost"]);
 });
--- a/bench/src/soak/checkSoak.ts
+++ b/bench/src/soak/checkSoak.ts
@@ -207,6 +207,12 @@
     ({ type }) => type === "routerStop" || restartFaultTypes.has(type),
   );
 
+/** When a router got the signal of a planned stop, at the earliest. */
+const signalledAt = ({ type, from }: FaultSpan): number =>
+  type === "routerStopBesideBodies"
+    ? from + soakBounds.bodiesBeforeStopMs
+    : from;
+
 /** Whether a stream that came early in a planned stop was cut at its end, while its replica was at work: it may be taken up elsewhere. */
 const outlastsStop = (
   { requestId, router, bodySentAt, outcome }: CallerAnswer,
@@ -217,11 +223,11 @@
   stops.some(
     (stop) =>
       stop.router === router &&
-      bodySentAt <= stop.from + soakBounds.earlyInStopMs &&
+      bodySentAt <= signalledAt(stop) + soakBounds.earlyInStopMs &&
       runs.some(
         (run) =>
           run.requestId === requestId &&
-          run.workedUntil >= stop.from + soakBounds.lastSixthMs,
+          run.workedUntil >= signalledAt(stop) + soakBounds.lastSixthMs,
       ),
   );
 
--- a/bench/src/soak/injectProcessFault.ts
+++ b/bench/src/soak/injectProcessFault.ts
@@ -9,10 +9,10 @@
 } from "./heavyCallers.js";
 import { permanentKey, type SoakFleet } from "./soakFleet.js";
 import type { SoakRouter } from "./soakRouter.js";
+import { soakBounds } from "./soakSettings.js";
 import type { ProcessAction, SettingsDamage } from "./types.js";
 
 const signalsPerSeries = 8;
-const bodiesBeforeStopMs = 500;
 const extraTermCount = 2;
 const extraTermDelayMs = 150; // within each drain
 
@@ -94,7 +94,7 @@
     case "routerStopBesideBodies":
       return restart(router, async () => {
         const sending = sendLateBodies(target);
-        await sleep(bodiesBeforeStopMs);
+        await sleep(soakBounds.bodiesBeforeStopMs);
         await router.stop();
         await router.start();
         fleet.extraAnswers.push(...(await sending));
--- a/bench/src/soak/soakSettings.ts
+++ b/bench/src/soak/soakSettings.ts
@@ -19,8 +19,10 @@
   graceMs: 8000,
   /** A stream that was sent whole within that time of SIGTERM may be cut at the end of the stop. */
   earlyInStopMs: 3000,
-  /** From then on in a stop, such a stream has to be at work: the last sixth, counted from a SIGTERM 500 ms after the start of the fault. */
-  lastSixthMs: 500 + (5 / 6) * 8000,
+  /** From then on in a stop, such a stream has to be at work: the last sixth. */
+  lastSixthMs: (5 / 6) * 8000,
+  /** How long callers send late bodies before SIGTERM. */
+  bodiesBeforeStopMs: 500,
   /** How soon a connection has to close if a request on it gets no answer in a planned stop. */
   lossSlackMs: 200,
   maxContactAgeMs: 3000,
