--- a/bench/src/soak/checkSoak.test.ts
+++ b/bench/src/soak/checkSoak.test.ts
@@ -220,6 +220,10 @@
   assert.ok(lost({ faults: [{ ...stop, to: 19_999 }] }));
   assert.ok(lost({ faults: [stop], arrivals: [arrival({ hasRun: false })] }));
   assert.ok(lost({ faults: [stop], answers: [{ ...cut, endedAt: 20_201 }] }));
+  // Its body was never sent whole (seed 742).
+  const unsent = { ...cut, bodySentAt: Infinity, endedAt: 20_300 };
+  assert.ok(!lost({ faults: [stop], answers: [unsent] }));
+  assert.ok(lost({ faults: [], answers: [unsent] }));
 });
 
 const run = (changes: Partial<RecordedRun>): RecordedRun => ({
