--- a/bench/src/soak/soakFleet.ts
+++ b/bench/src/soak/soakFleet.ts
@@ -71,7 +71,7 @@
   readonly runs: RecordedRun[] = [];
   readonly versions: AcceptedVersion[] = [];
   readonly leaving: LeavingReplica[] = [];
-  /** How requests with large bodies ended. */
+  /** How requests of the process faults ended: those with large bodies, and with late ones. */
   readonly extraAnswers: CallerAnswer[] = [];
   /** What the operator and the replicas have in the store. */
   private readonly written = new Map<string, unknown>();
