The ends of earlier runs have a file for each of answers, reports and the tick

Change: endRun, runStopped, settleEarlierRuns and maintainEarlierRuns; the code is moved as it was. The 22 tests of the folder pass.

--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -13,7 +13,7 @@
 } from "./attemptEvents.js";
 import { backOffRequested, createBackOffState } from "./backOff/backOffs.js";
 import { callerDisconnected } from "./callerDisconnected.js";
-import { runStopped } from "./earlierRuns/endRuns.js";
+import { runStopped } from "./earlierRuns/runStopped.js";
 import { gossipReceived } from "./gossip/gossipReceived.js";
 import { settleFallback } from "./fallback/fallbackEvents.js";
 import { handedOnEvent, handoverOffered } from "./handover/handoverEvents.js";
--- a/packages/relay/src/decisions/earlierRuns/manyRuns.test.ts
+++ b/packages/relay/src/decisions/earlierRuns/manyRuns.test.ts
@@ -5,7 +5,7 @@
 import { Scenario, testReplica } from "../../testing/scenario.js";
 import { tickIntervalMs } from "../constants.js";
 import { earlierRunRetentionMs, maxEarlierRunCount } from "./constants.js";
-import { maintainEarlierRuns } from "./endRuns.js";
+import { maintainEarlierRuns } from "./maintainEarlierRuns.js";
 
 const hostCount = 40;
 const tickCount = 20;
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -38,7 +38,7 @@
   markReplaced,
 } from "./replicaViews.js";
 import { unknownRunSilenceMs } from "./earlierRuns/constants.js";
-import { settleEarlierRuns } from "./earlierRuns/endRuns.js";
+import { settleEarlierRuns } from "./earlierRuns/settleEarlierRuns.js";
 import { departure } from "./earlierRuns/goOn.js";
 import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
 import { canLeaveSilentReplica } from "./leaveSilentReplica.js";
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -18,7 +18,7 @@
   endBeforeStop,
   mustEndBeforeStop,
 } from "./plannedStop/endBeforeStop.js";
-import { maintainEarlierRuns } from "./earlierRuns/endRuns.js";
+import { maintainEarlierRuns } from "./earlierRuns/maintainEarlierRuns.js";
 import { checkRunEnd } from "./earlierRuns/goOn.js";
 import { failExchange } from "./endExchange.js";
 import { checkHandedOn } from "./handover/handoverEvents.js";
