Followers leave routers that are cut off together in time

Cause: a follower gave each router that it went to a whole maximum age to confirm. Change: a router has the time for connecting, 0.4 s, to send a recent confirmation; all that are tried in turn share it, then the store is asked. A router with its first follower gets the store's answer at once. Ages are checked three times a heartbeat. A long value is given up after 1 s in place of 1.5, and the store is asked next.

--- a/packages/platform/src/sharedWatch/confirmationAge.ts
+++ b/packages/platform/src/sharedWatch/confirmationAge.ts
@@ -7,7 +7,14 @@
 import type { Timestamp } from "@cardamomglade/common";
 import type { SharedWatchLimits } from "./types.js";
 
-/** Age of the last confirmation, checked once in each heartbeat. */
+const checksPerHeartbeat = 3;
+
+/** Interval between two checks of a confirmation's age. */
+export const confirmationCheckMs = ({
+  heartbeatMs,
+}: SharedWatchLimits): number => heartbeatMs / checksPerHeartbeat;
+
+/** Age of the last confirmation, checked some times in each heartbeat. */
 export interface ConfirmationAge {
   /** Records when the store confirmed the entries. */
   confirm(confirmedAt: Timestamp): void;
@@ -18,13 +25,16 @@
   isTooOld(at: Timestamp): boolean;
 }
 
-/** Starts from a time at which the entries count as confirmed. */
+/** Starts checks at a time, with the latest confirmation then. */
 export const createConfirmationAge = (
-  { heartbeatMs, maxAgeMs }: SharedWatchLimits,
+  limits: SharedWatchLimits,
   startedAt: Timestamp,
+  firstConfirmedAt = startedAt,
 ): ConfirmationAge => {
-  let confirmedAt = startedAt;
-  let nextCheckAt = startedAt + heartbeatMs;
+  const { heartbeatMs, maxAgeMs } = limits;
+  const checkMs = confirmationCheckMs(limits);
+  let confirmedAt = firstConfirmedAt;
+  let nextCheckAt = startedAt + checkMs;
   let putOffOn = -Infinity; // confirmation on which the judgement was put off
   return {
     confirm: (at) => {
@@ -32,7 +42,7 @@
     },
     isTooOld: (at) => {
       const isLate = at - nextCheckAt > heartbeatMs;
-      nextCheckAt = at + heartbeatMs;
+      nextCheckAt = at + checkMs;
       if (at - confirmedAt <= maxAgeMs) return false;
       // Ages arrive with some jitter: the same confirmation is not a newer one.
       const isNewer = confirmedAt - putOffOn > heartbeatMs;
--- a/packages/platform/src/sharedWatch/constants.ts
+++ b/packages/platform/src/sharedWatch/constants.ts
@@ -9,9 +9,18 @@
 /** How long a router that failed to share its watch is avoided. */
 export const routerAvoidanceMs = 5000;
 
-/** Time within which a router of the same zone accepts a connection. */
+/**
+ * Time within which routers of the same zone accept a connection and send a recent
+ * confirmation; for all that are tried in turn.
+ */
 export const followTimeoutMs = 400;
 
+/** Least part of that time in which a router is tried. */
+export const minFollowTimeoutMs = 100;
+
+/** Fraction of the maximum age that a first confirmation may have: an older one would soon be too old. */
+export const recentAgeRatio = 0.7;
+
 /** Length of a value beyond which a follower reads it from the store: routers' links are slow. */
 export const maxSharedValueLength = 32 * 1024;
 
@@ -31,7 +40,7 @@
 export const maxUnreadBytes = 4 * 1024 * 1024;
 
 /** Deadline of reading one long value from the store, from the time of its change. */
-export const valueReadTimeoutMs = 1500;
+export const valueReadTimeoutMs = 1000;
 
 /** Interval between two messages to a follower while the time limits rule out sharing. */
 export const defaultHeartbeatMs = 1000;
--- a/packages/platform/src/sharedWatch/followRouter.ts
+++ b/packages/platform/src/sharedWatch/followRouter.ts
@@ -4,8 +4,12 @@
 import { now } from "@cardamomglade/common";
 import type { StorePosition } from "../types.js";
 import { decodeSharedMessage, encodeFollowerMessage } from "./codec.js";
-import { createConfirmationAge } from "./confirmationAge.js";
-import { followTimeoutMs, maxMessageBytes } from "./constants.js";
+import {
+  confirmationCheckMs,
+  createConfirmationAge,
+  type ConfirmationAge,
+} from "./confirmationAge.js";
+import { maxMessageBytes, recentAgeRatio } from "./constants.js";
 import { afterRunningTime } from "./runningTime.js";
 import type {
   RouterAddress,
@@ -20,7 +24,11 @@
   /** Latest position that the follower knows. */
   readonly after: StorePosition;
   readonly limits: SharedWatchLimits;
+  /** Time within which the router has to send a recent confirmation by the store. */
+  readonly confirmTimeoutMs: number;
   readonly onMessage: (message: SharedMessage) => void;
+  /** Called when the first recent confirmation has arrived. */
+  readonly onConfirmed: () => void;
   /** Called once, when the router can no longer be followed. */
   readonly onLost: (reason: string) => void;
 }
@@ -45,18 +53,20 @@
  * Follows a router. It is lost when its last confirmation by the store is too
  * old, whatever the cause: a dead or paused process, a silent connection, or a
  * router that is cut off from the store. That this process stands still does not
- * lose it.
+ * lose it. Load pattern: routers that are cut off from the store together take each
+ * other's followers on; a new one gets only the time for connecting to confirm.
  */
 export const followRouter = (options: FollowOptions): Follow => {
-  const { address, after, limits, onMessage, onLost } = options;
+  const { address, after, limits, confirmTimeoutMs } = options;
+  const { onMessage, onConfirmed, onLost } = options;
   let socket: WebSocket | undefined;
   let isOver = false;
-  let isAnswered = false; // until then the time for connecting counts
-  const confirmationAge = createConfirmationAge(limits, now());
+  let timer: NodeJS.Timeout | undefined;
+  let confirmationAge: ConfirmationAge | undefined;
   const close = () => {
     isOver = true;
     clearInterval(timer);
-    endConnectTimeout();
+    endConfirmTimeout();
     socket?.terminate();
   };
   const lose = (reason: string) => {
@@ -64,23 +74,32 @@
     close();
     onLost(reason);
   };
-  const endConnectTimeout = afterRunningTime(followTimeoutMs, () => {
-    lose("no answer in time");
+  const endConfirmTimeout = afterRunningTime(confirmTimeoutMs, () => {
+    lose("no confirmation by the store in time");
   });
-  const timer = setInterval(() => {
-    const isTooOld = confirmationAge.isTooOld(now());
-    if (isAnswered && isTooOld) lose("no recent confirmation by the store");
-  }, limits.heartbeatMs);
+  const checkAge = () => {
+    if (confirmationAge?.isTooOld(now()) === true)
+      lose("no recent confirmation by the store");
+  };
+  const confirm = (ageMs: number) => {
+    const at = now();
+    if (confirmationAge !== undefined) {
+      confirmationAge.confirm(at - ageMs);
+      return;
+    }
+    if (ageMs > recentAgeRatio * limits.maxAgeMs) return;
+    endConfirmTimeout();
+    confirmationAge = createConfirmationAge(limits, at, at - ageMs);
+    timer = setInterval(checkAge, confirmationCheckMs(limits));
+    onConfirmed();
+  };
   const receive = (data: RawData) => {
-    endConnectTimeout();
-    isAnswered = true;
     const message = decodeSharedMessage(bytesOf(data));
     if (message === undefined) {
       lose("a malformed message");
       return;
     }
-    if (message.type === "changes")
-      confirmationAge.confirm(now() - message.ageMs);
+    if (message.type === "changes") confirm(message.ageMs);
     if (!isOver) onMessage(message);
   };
   const connect = async () => {
--- a/packages/platform/src/sharedWatch/sharedWatch.test.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, test } from "node:test";
-import { now } from "@cardamomglade/common";
+import { now, rendezvousOrder } from "@cardamomglade/common";
 import { eventually } from "@cardamomglade/common/testing/eventually";
 import { freePort } from "@cardamomglade/common/testing/freePort";
 import { mirrorPrefix } from "../mirrorPrefix.js";
@@ -16,7 +16,7 @@
 } from "../types.js";
 import { followTimeoutMs, maxSharedValueLength } from "./constants.js";
 import { SharedWatch } from "./sharedWatch.js";
-import type { SharingRouter } from "./types.js";
+import type { SharedWatchLimits, SharingRouter } from "./types.js";
 
 const failure = { type: "unavailable" as const, message: "cut off" };
 const confirmIntervalMs = 40;
@@ -153,6 +153,7 @@
   { router, address }: SharingRouter,
   routers: readonly SharingRouter[],
   onMove: () => void = () => undefined,
+  limitsInUse: SharedWatchLimits = limits,
 ): TestRouter => {
   assert.ok(address);
   const access = new StoreAccess(store);
@@ -161,7 +162,7 @@
     router,
     zone: "a",
     address,
-    limits: () => limits,
+    limits: () => limitsInUse,
     onSource: (_source, reason) => {
       started.moves.push(reason);
       onMove();
@@ -217,7 +218,11 @@
   return started;
 };
 
-const startFleet = async (count: number, onMove?: () => void) => {
+const startFleet = async (
+  count: number,
+  onMove?: () => void,
+  limitsInUse?: SharedWatchLimits,
+) => {
   const store = new FakeStore();
   store.put("servers/one", "ready");
   const routers: SharingRouter[] = [];
@@ -228,7 +233,7 @@
       address: { host: "127.0.0.1", port: await freePort() },
     });
   const started = routers.map((one) =>
-    startRouter(store, one, routers, onMove),
+    startRouter(store, one, routers, onMove, limitsInUse),
   );
   // A router that cannot be connected to yet would be avoided for a while.
   await eventually(() => started.every(({ isOpen }) => isOpen), "open ports");
@@ -349,6 +354,38 @@
   for (const router of others) router.stop();
 });
 
+/** Milliseconds from a change on until routers know it that may reach the store, while others may not. */
+const learnBesideCut = async (cutCount: number): Promise<number> => {
+  const applyMs = 3000;
+  const { store, routers } = await startFleet(9, undefined, {
+    heartbeatMs: 0.1 * applyMs,
+    maxAgeMs: 0.45 * applyMs,
+  });
+  await waitUntil(() => followerCountOf(routers) === 8);
+  const watcher = watcherOf(routers);
+  const ranked = rendezvousOrder(
+    "a",
+    routers.map(({ name }) => name),
+  );
+  const cutNames = new Set(ranked.slice(0, cutCount));
+  assert.ok(cutNames.has(watcher.name));
+  for (const { name, access } of routers) access.isCut = cutNames.has(name);
+  store.put("op/config", "new");
+  const rest = routers.filter(({ name }) => !cutNames.has(name));
+  const learnedMs = await waitUntil(() => agree(store, rest));
+  for (const router of routers) router.stop();
+  return learnedMs;
+};
+
+// Load: the router that watches and the one that would replace it are cut off from
+// the store; each takes followers on and has nothing new for them.
+test("followers learn of a change late while each router that they follow is cut off", async () => {
+  for (const cutCount of [1, 2]) {
+    const learnedMs = await learnBesideCut(cutCount);
+    assert.ok(learnedMs < 2200, `${String(cutCount)}: ${String(learnedMs)} ms`);
+  }
+});
+
 // Load: each router sees too few requests to judge a replica alone.
 test("each router hears the outcomes of all others of its zone once", async () => {
   const { routers } = await startFleet(6);
--- a/packages/platform/src/sharedWatch/sharedWatch.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -21,6 +21,8 @@
 import { chooseWatchSource } from "./chooseWatchSource.js";
 import {
   defaultHeartbeatMs,
+  followTimeoutMs,
+  minFollowTimeoutMs,
   routerAvoidanceMs,
   valueReadTimeoutMs,
 } from "./constants.js";
@@ -72,6 +74,8 @@
   handle: WatchHandle | undefined;
   /** The connection to the followed router. */
   follow: Follow | undefined;
+  /** Time by which a router has to confirm the entries; undefined while the source is good. */
+  confirmBy: Timestamp | undefined;
 }
 
 const isSameSource = (a: WatchSource, b: WatchSource): boolean => {
@@ -149,6 +153,7 @@
       position: after,
       handle: undefined,
       follow: undefined,
+      confirmBy: undefined,
     };
     this.active?.handle?.close();
     this.active = watch;
@@ -210,6 +215,13 @@
     });
   }
 
+  /** The source after a router that was left: another one as long as there is time to try it. */
+  private chooseNext({ confirmBy = Infinity }: ActiveWatch): WatchSource {
+    return confirmBy - now() < minFollowTimeoutMs
+      ? { type: "store" }
+      : this.choose();
+  }
+
   private restart(reason: string): void {
     const { active } = this;
     if (active === undefined) return;
@@ -222,6 +234,7 @@
       this.options.onSource(source, reason);
     watch.source = source;
     watch.follow = undefined;
+    if (source.type === "store") watch.confirmBy = undefined;
     const limits = this.options.limits();
     watch.handle =
       source.type === "store" || limits === undefined
@@ -232,7 +245,12 @@
   private watchStore(watch: ActiveWatch): WatchHandle {
     const handle = this.options.store.watch(
       watch.key,
-      { prefix: true, after: watch.position },
+      {
+        prefix: true,
+        after: watch.position,
+        // Followers that have come from another router wait for it.
+        isConfirmedAtOnce: this.server.count() > 0,
+      },
       (event) => {
         if (this.active !== watch || watch.handle !== handle) return;
         if (event.type === "changes") this.apply(watch, event, now());
@@ -270,10 +288,13 @@
     limits: SharedWatchLimits,
   ): WatchHandle {
     let received = Promise.resolve();
+    const at = now();
+    watch.confirmBy ??= at + followTimeoutMs;
     const leave = (reason: string) => {
       if (this.active !== watch || watch.handle !== handle) return;
       this.avoidedUntil.set(source.router, now() + routerAvoidanceMs);
-      this.begin(watch, this.choose(), `${source.router}: ${reason}`);
+      const next = this.chooseNext(watch);
+      this.begin(watch, next, `${source.router}: ${reason}`);
     };
     const quit = (reason: string) => {
       follow.close();
@@ -283,6 +304,10 @@
       address: source.address,
       after: watch.position,
       limits,
+      confirmTimeoutMs: watch.confirmBy - at,
+      onConfirmed: () => {
+        watch.confirmBy = undefined;
+      },
       // Long values are read in between, so each message waits for the one before.
       onMessage: (message) => {
         const receivedAt = now();
@@ -330,6 +355,8 @@
     const changes = await this.readLongValues(message, receivedAt);
     if (this.active !== watch || watch.handle !== handle) return;
     if (changes === undefined) {
+      // Another router would leave the value out as well.
+      watch.confirmBy = receivedAt;
       leave("a long value could not be read from the store");
       return;
     }
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -131,6 +131,8 @@
   readonly prefix: boolean;
   /** The position after which changes are reported. */
   readonly after: StorePosition;
+  /** Whether the service is to say at once that nothing else changed. */
+  readonly isConfirmedAtOnce?: boolean;
 }
 
 /** Handle that ends a watch. */
