Service times: how long a replica takes now, as a distribution that routers share

Placing, waiting, refusing and second tries each guessed how long a request takes at a replica. Attempts that are overdue count as long as they took, and failures not at all.

Existing tests name the new field and are as strict as before.

--- a/packages/platform/src/sharedWatch/codec.ts
+++ b/packages/platform/src/sharedWatch/codec.ts
@@ -5,9 +5,11 @@
 import type {
   FollowerMessage,
   OutcomesMessage,
+  SharedBucket,
   SharedChange,
   SharedMessage,
   SharedOutcomes,
+  SharedTimes,
 } from "./types.js";
 
 const isNumber = (value: unknown): value is number =>
@@ -52,34 +54,65 @@
 const isCount = (value: unknown): value is number =>
   isNumber(value) && value >= 0 && value <= maxSharedCount;
 
+/** Decodes each item; undefined if any is malformed. */
+const decodeAll = <T>(
+  items: unknown,
+  decode: (item: unknown) => T | undefined,
+): T[] | undefined => {
+  if (!Array.isArray(items)) return undefined;
+  const decoded = items.map(decode).filter((item) => item !== undefined);
+  return decoded.length === items.length ? decoded : undefined;
+};
+
+const maxSharedBucket = 255; // ranges of times that a later version may use
+
+const isBucket = (value: unknown): value is number =>
+  Number.isInteger(value) && isCount(value) && value <= maxSharedBucket;
+
+const encodeTimes = ({
+  timeClass,
+  buckets,
+}: SharedTimes): readonly unknown[] => [
+  timeClass,
+  ...buckets.flatMap(({ bucket, count }) => [bucket, count]),
+];
+
+const decodeTimes = (value: unknown): SharedTimes | undefined => {
+  if (!Array.isArray(value)) return undefined;
+  const [timeClass, ...numbers] = value as readonly unknown[];
+  if (typeof timeClass !== "string") return undefined;
+  const buckets: SharedBucket[] = [];
+  for (let index = 0; index < numbers.length; index += 2) {
+    const bucket = numbers[index];
+    const count = numbers[index + 1];
+    if (!isBucket(bucket) || !isCount(count)) return undefined;
+    buckets.push({ bucket, count });
+  }
+  return { timeClass, buckets };
+};
+
 const decodeOutcome = (value: unknown): SharedOutcomes | undefined => {
   if (!Array.isArray(value)) return undefined;
-  const [replica, succeeded, failed] = value as readonly unknown[];
+  // Routers of versions that tell no times leave them out.
+  const [replica, succeeded, failed, items = []] = value as readonly unknown[];
   if (typeof replica !== "string") return undefined;
   if (!isCount(succeeded) || !isCount(failed)) return undefined;
-  return { replica, succeeded, failed };
+  // Times of a form that this version does not know are left out.
+  const times = decodeAll(items, decodeTimes) ?? [];
+  return { replica, succeeded, failed, times };
 };
 
 const encodeOutcomes = ({ type, outcomes }: OutcomesMessage): Uint8Array =>
   pack([
     type,
-    outcomes.map(({ replica, succeeded, failed }) => [
+    outcomes.map(({ replica, succeeded, failed, times }) => [
       replica,
       succeeded,
       failed,
+      ...(times.length === 0 ? [] : [times.map(encodeTimes)]),
     ]),
   ]);
 
-/** Decodes each item; undefined if any is malformed. */
-const decodeAll = <T>(
-  items: unknown,
-  decode: (item: unknown) => T | undefined,
-): T[] | undefined => {
-  if (!Array.isArray(items)) return undefined;
-  const decoded = items.map(decode).filter((item) => item !== undefined);
-  return decoded.length === items.length ? decoded : undefined;
-};
-
 const decodeOutcomes = (items: unknown): OutcomesMessage | undefined => {
   const outcomes = decodeAll(items, decodeOutcome);
   return outcomes && { type: "outcomes", outcomes };
--- a/packages/platform/src/sharedWatch/constants.ts
+++ b/packages/platform/src/sharedWatch/constants.ts
@@ -44,3 +44,6 @@
 
 /** Interval between two messages to a follower while the time limits rule out sharing. */
 export const defaultHeartbeatMs = 1000;
+
+/** Classes of work of one replica whose times are told in one message. */
+export const maxTalliedClassCount = 8;
--- a/packages/platform/src/sharedWatch/sharedWatch.test.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.test.ts
@@ -391,7 +391,7 @@
   const { routers } = await startFleet(6);
   await waitUntil(() => followerCountOf(routers) === 5);
   for (const { shared } of routers)
-    shared.share([{ replica: "ill", succeeded: 1, failed: 2 }]);
+    shared.share([{ replica: "ill", succeeded: 1, failed: 2, times: [] }]);
   await waitUntil(() =>
     routers.every(({ heard }) => heard.get("ill")?.[1] === 10),
   );
--- a/packages/platform/src/sharedWatch/types.ts
+++ b/packages/platform/src/sharedWatch/types.ts
@@ -34,11 +34,25 @@
       readonly modRevision: number;
     };
 
+/** Number of answers in one range of times. */
+export interface SharedBucket {
+  readonly bucket: number;
+  readonly count: number;
+}
+
+/** Answers to one class of work by the range of their times. */
+export interface SharedTimes {
+  readonly timeClass: string;
+  readonly buckets: readonly SharedBucket[];
+}
+
 /** Outcomes of requests at a replica, as one router tells others. */
 export interface SharedOutcomes {
   readonly replica: string;
   readonly succeeded: number;
   readonly failed: number;
+  /** None from routers of versions that tell no times. */
+  readonly times: readonly SharedTimes[];
 }
 
 /** Message from a follower to its watching router. */
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -25,6 +25,7 @@
 import { noteRequestLimit } from "./requestLimits.js";
 import { recordRetry } from "./retryBudget.js";
 import { hasAttempt, sendRetry } from "./sendAttempt.js";
+import { recordTime } from "./serviceTimes/recordTime.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -248,6 +249,8 @@
   const isFailure = isServerError(answer);
   if (!isTurnedAway(state, attempt, status))
     recordOutcome(state, attempt.replica.id, isFailure);
+  // A failure may come sooner than any answer.
+  if (!isFailure) recordTime(state, exchange, attempt);
   const hasStarted = exchange.head !== undefined;
   const canGoOn =
     hasStarted || hasAttempt(exchange) || exchange.fallback !== undefined;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -102,6 +102,7 @@
   storeHeardAt: -Infinity,
   restorations: { count: 0, latestAt: -Infinity, era: undefined },
   answerTimes: new Map(),
+  serviceTimes: new Map(),
   plannedStop: undefined,
 });
 
--- a/packages/relay/src/decisions/outcomes.test.ts
+++ b/packages/relay/src/decisions/outcomes.test.ts
@@ -75,6 +75,7 @@
     replica: id,
     succeeded: index < 3 ? 6 : 10,
     failed: index < 3 ? 4 : 0,
+    times: [],
   }));
   const received = new Map<string, number>();
   for (let seed = 1; seed <= 60; seed += 1) {
@@ -102,6 +103,7 @@
     replica: id,
     succeeded: id === "a-9" ? 0 : 9,
     failed: id === "a-9" ? 9 : 1,
+    times: [],
   }));
   scenario.dispatch({ type: "outcomesShared", at, outcomes });
   const share = shareOf(scenario, "a-9", 20, (key) => {
@@ -122,7 +124,7 @@
   const total = told.reduce((sum, { succeeded }) => sum + succeeded, 0);
   assert.equal(total, 8);
   const { at } = scenario;
-  const lie = [{ replica: "a-9", succeeded: 0, failed: 100_000 }];
+  const lie = [{ replica: "a-9", succeeded: 0, failed: 100_000, times: [] }];
   scenario.dispatch({ type: "outcomesShared", at, outcomes: lie });
   const view = scenario.state.replicas.get("a-9");
   assert.ok((view?.outcomes.failed ?? Infinity) <= maxSharedOutcomeCount);
--- a/packages/relay/src/decisions/outcomes.ts
+++ b/packages/relay/src/decisions/outcomes.ts
@@ -15,6 +15,10 @@
 } from "./constants.js";
 import { engineOf } from "./engineOf.js";
 import { createOutcomeCounts, replicasOf } from "./replicaViews.js";
+import {
+  countSharedTimes,
+  takeUnsharedTimes,
+} from "./serviceTimes/shareTimes.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
 import type { OutcomeCounts, RelayState, ReplicaView } from "./types.js";
@@ -82,28 +86,29 @@
   return Math.max(0, rate - average - toleratedExcessFailureRate);
 };
 
-/** Tells other routers the outcomes since the last time; engines are judged by their reports. */
+/** Tells other routers the outcomes and times since the last time; engines are judged by their reports. */
 export const shareOutcomes = (state: RelayState): RelayCommand[] => {
   if (state.at < state.nextShareAt) return [];
   state.nextShareAt = state.at + outcomeShareIntervalMs;
   const outcomes = [...state.replicas.values()].flatMap((view) => {
     const { replica, unsharedOutcomes } = view;
     const { succeeded, failed } = unsharedOutcomes;
-    if (succeeded + failed === 0) return [];
+    const times = takeUnsharedTimes(view);
+    if (succeeded + failed === 0 && times.length === 0) return [];
     view.unsharedOutcomes = createOutcomeCounts();
     return engineOf(state, replica.service) === undefined
-      ? [{ replica: replica.id, succeeded, failed }]
+      ? [{ replica: replica.id, succeeded, failed, times }]
       : [];
   });
   return outcomes.length === 0 ? [] : [{ type: "shareOutcomes", outcomes }];
 };
 
-/** Counts the outcomes of other routers, up to a number for each message. */
+/** Counts the outcomes and times of other routers, up to a number for each message. */
 export const outcomesShared = (
   state: RelayState,
   { outcomes, at }: RelayEventOf<"outcomesShared">,
 ): RelayCommand[] => {
-  for (const { replica, succeeded, failed } of outcomes) {
+  for (const { replica, succeeded, failed, times } of outcomes) {
     const view = state.replicas.get(replica);
     if (view === undefined) continue;
     const scale = Math.min(
@@ -115,6 +120,7 @@
       { succeeded: scale * succeeded, failed: scale * failed },
       at,
     );
+    countSharedTimes(state, view, times);
   }
   return [];
 };
--- a/packages/relay/src/decisions/plannedStop/answerTimes.ts
+++ b/packages/relay/src/decisions/plannedStop/answerTimes.ts
@@ -93,15 +93,21 @@
     addAnswer(view.answerTimes, timeClass, measured, maxReplicaAnswerTimeCount);
 };
 
-/** Forgets routes and services that the configuration does not have any more. */
-export const forgetAnswerTimes = (
-  { answerTimes, replicas }: RelayState,
-  { routes, services }: RelayConfig,
-): void => {
-  const classes = new Set([
+/** The classes of work that a configuration has. */
+export const timeClassesOf = ({
+  routes,
+  services,
+}: RelayConfig): ReadonlySet<string> =>
+  new Set([
     ...routes.map(({ name }) => routeClass(name)),
     ...services.map(({ name }) => serviceClass(name)),
   ]);
+
+/** Forgets classes of work that the configuration does not have any more. */
+export const forgetAnswerTimes = (
+  { answerTimes, replicas }: RelayState,
+  classes: ReadonlySet<string>,
+): void => {
   const all = [...replicas.values()].map((view) => view.answerTimes);
   for (const timesByClass of [answerTimes, ...all])
     for (const name of [...timesByClass.keys()])
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -28,6 +28,8 @@
   outcomes: createOutcomeCounts(),
   outcomesCountedAt: 0,
   unsharedOutcomes: createOutcomeCounts(),
+  serviceTimes: new Map(),
+  unsharedTimes: new Map(),
   report: undefined,
   reportReceivedAt: 0,
   promptBlocks: undefined,
--- /dev/null
+++ b/packages/relay/src/decisions/serviceTimes/recordTime.ts
@@ -0,0 +1,76 @@
+/** Counts answers of plain services by the time that they took. */
+
+import type { Timestamp } from "@cardamomglade/common";
+import { workOf } from "../plannedStop/answerTimes.js";
+import { WorkKind } from "../plannedStop/types.js";
+import type { Attempt, Exchange, RelayState, ReplicaView } from "../types.js";
+import { maxTimeClassCount } from "./constants.js";
+import { addToHistogram, bucketOf, createHistogram } from "./histogram.js";
+import type { BucketCount, TimesByClass } from "./types.js";
+
+const addTo = (
+  times: TimesByClass,
+  timeClass: string,
+  { bucket, count }: BucketCount,
+  at: Timestamp,
+): void => {
+  let histogram = times.get(timeClass);
+  if (histogram === undefined) {
+    if (times.size >= maxTimeClassCount) return;
+    histogram = createHistogram(at);
+    times.set(timeClass, histogram);
+  }
+  addToHistogram(histogram, bucket, count, at);
+};
+
+/** Counts answers of a replica for itself and for its service. */
+export const countTimes = (
+  state: RelayState,
+  view: ReplicaView,
+  timeClass: string,
+  counted: BucketCount,
+): void => {
+  addTo(view.serviceTimes, timeClass, counted, state.at);
+  addTo(state.serviceTimes, timeClass, counted, state.at);
+};
+
+const noteUnshared = (
+  { unsharedTimes }: ReplicaView,
+  timeClass: string,
+  bucket: number,
+): void => {
+  const counts = unsharedTimes.get(timeClass) ?? new Map<number, number>();
+  unsharedTimes.set(timeClass, counts);
+  counts.set(bucket, (counts.get(bucket) ?? 0) + 1);
+};
+
+/**
+ * Records that an attempt took the time until now, or longer. Load pattern: a replica that
+ * stands still answers nothing, so attempts that are overdue count too.
+ */
+export const recordTime = (
+  state: RelayState,
+  exchange: Exchange,
+  { replica, sentAt }: Attempt,
+): void => {
+  const { kind, timeClass } = workOf(exchange);
+  const view = state.replicas.get(replica.id);
+  if (kind !== WorkKind.Answer || view === undefined) return;
+  const bucket = bucketOf(state.at - sentAt);
+  countTimes(state, view, timeClass, { bucket, count: 1 });
+  noteUnshared(view, timeClass, bucket);
+};
+
+/** Forgets classes of work that the configuration does not have any more. */
+export const forgetServiceTimes = (
+  { serviceTimes, replicas }: RelayState,
+  classes: ReadonlySet<string>,
+): void => {
+  const all = [...replicas.values()].flatMap((view) => [
+    view.serviceTimes,
+    view.unsharedTimes,
+  ]);
+  for (const timesByClass of [serviceTimes, ...all])
+    for (const name of [...timesByClass.keys()])
+      if (!classes.has(name)) timesByClass.delete(name);
+};
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -18,7 +18,8 @@
   processKeyOf,
 } from "./replicaViews.js";
 import { noteReplicaVersions } from "./versions/serviceVersions.js";
-import { forgetAnswerTimes } from "./plannedStop/answerTimes.js";
+import { forgetAnswerTimes, timeClassesOf } from "./plannedStop/answerTimes.js";
+import { forgetServiceTimes } from "./serviceTimes/recordTime.js";
 import { buildRouteTable } from "./routeTable.js";
 import { logLine } from "./logLine.js";
 import { forgetPaths } from "./paths/paths.js";
@@ -36,7 +37,9 @@
   state.config = config;
   state.routes = buildRouteTable(config);
   state.configAppliedAt = at;
-  forgetAnswerTimes(state, config);
+  const classes = timeClassesOf(config);
+  forgetAnswerTimes(state, classes);
+  forgetServiceTimes(state, classes);
   return [
     { type: "applyLimits", limits: config.limits },
     logLine("configuration in force", {
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -47,6 +47,7 @@
   sendWithoutCopy,
 } from "./sendAttempt.js";
 import { recoverExchange } from "./recoverExchange.js";
+import { recordTime } from "./serviceTimes/recordTime.js";
 import { maintainVersions } from "./versions/serviceVersions.js";
 import { readmitReplicas, removeMissingReplicas } from "./storeUpdates.js";
 import { logLine } from "./logLine.js";
@@ -95,6 +96,15 @@
   ];
 };
 
+const recordOverdue = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+): void => {
+  recordOutcome(state, attempt.replica.id, true);
+  recordTime(state, exchange, attempt);
+};
+
 const checkRetryable = (
   state: RelayState,
   exchange: Exchange,
@@ -104,7 +114,7 @@
   // A late response is better than none.
   if (!maySeek(state, exchange) || !canRetryElsewhere(state, exchange))
     return [];
-  recordOutcome(state, attempt.replica.id, true);
+  recordOverdue(state, exchange, attempt);
   return seekSuccessor(state, exchange, attempt, "the answer is overdue");
 };
 
@@ -181,7 +191,7 @@
       : [];
   if (state.at >= exchange.deadline) {
     if (attempt !== undefined && isOverdue(exchange, attempt, state.at))
-      recordOutcome(state, attempt.replica.id, true);
+      recordOverdue(state, exchange, attempt);
     return failExchange(state, exchange, "the deadline has passed");
   }
   if (mustEndBeforeStop(state, exchange)) return endBeforeStop(state, exchange);
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -23,6 +23,11 @@
 import type { AnswerTimes, PlannedStop } from "./plannedStop/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
+import type {
+  ClassTimes,
+  TimesByClass,
+  UnsharedTimes,
+} from "./serviceTimes/types.js";
 import type {
   OriginQuery,
   VersionSearch,
@@ -38,6 +43,8 @@
 /** Outcomes at one replica, as routers tell them each other. */
 export interface ReplicaOutcomes extends Readonly<OutcomeCounts> {
   readonly replica: string;
+  /** Times of answers; none from routers that tell only outcomes. */
+  readonly times: readonly ClassTimes[];
 }
 
 /** This process's local view of one replica. */
@@ -62,6 +69,10 @@
   outcomesCountedAt: Timestamp;
   /** Outcomes of this router's attempts that other routers do not know yet. */
   unsharedOutcomes: OutcomeCounts;
+  /** Times of recent answers that are no streams, to all routers. */
+  readonly serviceTimes: TimesByClass;
+  /** Times of answers to this router that other routers do not know yet. */
+  readonly unsharedTimes: UnsharedTimes;
   /** Latest load report, and the time at which it was received. */
   report: EngineReport | undefined;
   reportReceivedAt: Timestamp;
@@ -477,6 +488,8 @@
   readonly restorations: Restorations;
   /** Times of the latest answers, by class of work. */
   readonly answerTimes: Map<string, AnswerTimes>;
+  /** Times of recent answers of all replicas, to all routers. */
+  readonly serviceTimes: TimesByClass;
   /** The planned stop of this process; undefined before it. */
   plannedStop: PlannedStop | undefined;
 }
