--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -3,13 +3,9 @@
 import { rendezvousOrder } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
 import {
-  engineCrossZoneCost,
   failureRateCost,
   plainCrossZoneCost,
   costJitter,
-  prefillCost,
-  reportMaxAgeMs,
-  decodeCost,
   slotCost,
 } from "./constants.js";
 import { backOffUntil, isBackingOff } from "./backOff/backOffs.js";
@@ -18,6 +14,11 @@
 import type { TimedRequest } from "./plannedStop/answerTimes.js";
 import { preferInTime } from "./plannedStop/expectedEnd.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
+import {
+  expectedFirstEventMs,
+  readingMsOf,
+} from "./room/expectedFirstEvent.js";
+import { sizeOf } from "./room/requestSize.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import {
   hasEnded,
@@ -64,56 +65,11 @@
   timed: exchange,
 });
 
-interface EngineLoad {
-  readonly prefilling: number;
-  readonly decoding: number;
+interface CostEstimate {
+  readonly costOf: (view: ReplicaView) => number;
+  readonly jitter: number;
 }
 
-/**
- * Number of this router's attempts in prefill at an engine that its load report
- * does not include yet.
- */
-const unreportedPrefillCount = (
-  state: RelayState,
-  view: ReplicaView,
-): number => {
-  const known = new Set(view.report?.runs.map(({ requestId }) => requestId));
-  let count = 0;
-  for (const { attempt, request } of state.exchanges.values())
-    if (
-      attempt?.replica.id === view.replica.id &&
-      !attempt.hasEvents &&
-      !known.has(request.requestId)
-    )
-      count += 1;
-  return count;
-};
-
-/**
- * Load from the latest report and this router's attempts since; without a
- * recent report, from this router's attempts alone.
- */
-const loadOf = (state: RelayState, view: ReplicaView): EngineLoad => {
-  const { report, reportReceivedAt, prefilling, inFlight } = view;
-  if (report === undefined || state.at - reportReceivedAt > reportMaxAgeMs)
-    return { prefilling, decoding: inFlight - prefilling };
-  const decodingCount = report.runs.filter(
-    ({ generatedEventCount }) => generatedEventCount > 0,
-  ).length;
-  const prefillCount =
-    Math.max(0, report.active - decodingCount) + report.queued;
-  return {
-    prefilling: prefillCount + unreportedPrefillCount(state, view),
-    decoding: decodingCount,
-  };
-};
-
-const engineCost = (state: RelayState, view: ReplicaView): number => {
-  const { prefilling, decoding } = loadOf(state, view);
-  const zoneCost = view.replica.zone === state.zone ? 0 : engineCrossZoneCost;
-  return prefillCost * prefilling + decodeCost * decoding + zoneCost;
-};
-
 const plainCost = (state: RelayState, view: ReplicaView): number => {
   const { inFlight, replica } = view;
   const zoneCost = replica.zone === state.zone ? 0 : plainCrossZoneCost;
@@ -122,16 +78,30 @@
   return slotCost * load + zoneCost + failureCost;
 };
 
+/** The cost of each replica for a request, in milliseconds for engines, and the range of its random part. */
+const costsOf = (
+  state: RelayState,
+  { service, timed }: CandidateQuery,
+): CostEstimate => {
+  if (engineOf(state, service) === undefined)
+    return { costOf: (view) => plainCost(state, view), jitter: costJitter };
+  const size = sizeOf(timed?.request);
+  return {
+    costOf: (view) => expectedFirstEventMs(state, view, size),
+    jitter: costJitter * readingMsOf(state, service, size),
+  };
+};
+
 const leastCostReplica = (
   state: RelayState,
-  service: string,
+  query: CandidateQuery,
   views: readonly ReplicaView[],
 ): Replica | undefined => {
-  const costOf = engineOf(state, service) ? engineCost : plainCost;
+  const { costOf, jitter } = costsOf(state, query);
   let best: Replica | undefined;
   let bestCost = Infinity;
   for (const view of views) {
-    const cost = costOf(state, view) + costJitter * random(state);
+    const cost = costOf(view) + jitter * random(state);
     if (cost >= bestCost) continue;
     best = view.replica;
     bestCost = cost;
@@ -302,7 +272,7 @@
   state: RelayState,
   query: CandidateQuery,
 ): Replica | undefined =>
-  leastCostReplica(state, query.service, candidatesOf(state, query));
+  leastCostReplica(state, query, candidatesOf(state, query));
 
 /** The engine with the lowest cost among the given ids, or undefined if none of them matches the query. */
 export const chooseAmong = (
@@ -315,7 +285,7 @@
     .map((id) => state.replicas.get(id))
     .filter((view) => view !== undefined)
     .filter((view) => candidates.has(view) && !isSuspected(view, state.at));
-  return leastCostReplica(state, query.service, views);
+  return leastCostReplica(state, query, views);
 };
 
 /** The replica whose limit lets this router send soonest, and when; undefined if none is available. */
--- a/packages/relay/src/decisions/constants.ts
+++ b/packages/relay/src/decisions/constants.ts
@@ -130,15 +130,6 @@
 /** Delay before a KV cache copy is requested again after a refusal. */
 export const copyRetryMs = 400;
 
-/** Cost of a request in prefill at an engine; the unit of engine costs. */
-export const prefillCost = 1;
-
-/** Cost of a request in decode at an engine, relative to one in prefill. */
-export const decodeCost = 0.3;
-
-/** Cost of an engine in another zone, relative to one request in prefill. */
-export const engineCrossZoneCost = 0.15;
-
 /**
  * Cost of a fully occupied replica without an engine; scales with the occupied
  * share of its slots.
--- a/packages/relay/src/decisions/copyHolders.ts
+++ b/packages/relay/src/decisions/copyHolders.ts
@@ -5,6 +5,9 @@
 import { candidateSampleOf } from "./chooseReplica.js";
 import { engineOf } from "./engineOf.js";
 import { isSuspected } from "./replicaViews.js";
+import { copyHolderCandidateCount } from "./room/constants.js";
+import { hasCopyRoom } from "./room/copyRoom.js";
+import { sizeOf } from "./room/requestSize.js";
 import { isWithinLimitDebt } from "./requestLimits.js";
 import type { Exchange, KvCacheCopy, RelayState } from "./types.js";
 
@@ -29,11 +32,15 @@
   const excluded = new Set([...rejected, replica.id]);
   const avoidedZone = replica.zone;
   // Chosen by prompt, not by load: routers that choose by the same load figures
-  // would all fill one engine's memory.
+  // would all fill one engine's memory. One that is known to be short of it is left out.
   const { softwareVersion } = replica;
   const query = { service, excluded, avoidedZone, softwareVersion };
-  return candidateSampleOf(state, query, request.lastPromptBlockId, 1)[0]
-    ?.replica;
+  const { lastPromptBlockId } = request;
+  const size = sizeOf(request);
+  const count = lastPromptBlockId === undefined ? 1 : copyHolderCandidateCount;
+  return candidateSampleOf(state, query, lastPromptBlockId, count).find(
+    (view) => hasCopyRoom(state, view, size),
+  )?.replica;
 };
 
 /**
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -101,6 +101,7 @@
   store: { type: "unknown" },
   storeHeardAt: -Infinity,
   restorations: { count: 0, latestAt: -Infinity, era: undefined },
+  readingRates: new Map(),
   answerTimes: new Map(),
   serviceTimes: new Map(),
   plannedStop: undefined,
--- a/packages/relay/src/decisions/kvCacheCopies.ts
+++ b/packages/relay/src/decisions/kvCacheCopies.ts
@@ -63,8 +63,9 @@
   const holder =
     holderOfCopy(state, attempt) ??
     chooseCopyHolder(state, exchange, attempt.replica, attempt.rejectedHolders);
-  if (holder === undefined) return [];
+  // If there is no holder, one is looked for again after the retry delay.
   attempt.copyRequestedAt = state.at;
+  if (holder === undefined) return [];
   const { key, request } = exchange;
   const { requestId } = request;
   return [
--- /dev/null
+++ b/packages/relay/src/decisions/room/expectedFirstEvent.ts
@@ -0,0 +1,52 @@
+/**
+ * The time to a request's first event at an engine. Load pattern: prompts that take an
+ * engine about a second each, at engines that are full, or read another prompt, or are in
+ * another zone; two prompts at one engine make both late.
+ */
+
+import type { RelayState, ReplicaView } from "../types.js";
+import {
+  crossZoneReadingRatio,
+  decodeSlowdownRatio,
+  displacedPromptCount,
+} from "./constants.js";
+import { readingRateOf } from "./readingRate.js";
+import { missingPlaces, roomOf } from "./roomOf.js";
+import type { RequestSize } from "./types.js";
+
+/** Time to read the prompt of a request at an engine that does nothing else. */
+export const readingMsOf = (
+  state: RelayState,
+  service: string,
+  { promptTokens }: RequestSize,
+): number => promptTokens / readingRateOf(state, service);
+
+/** Prompts of the request's size that are read before its first event; without a recent report, as this router's attempts tell. */
+const promptsToRead = (
+  state: RelayState,
+  view: ReplicaView,
+  size: RequestSize,
+): number => {
+  const room = roomOf(state, view, size);
+  const { prefilling, inFlight } = view;
+  if (room === undefined)
+    return 1 + prefilling + decodeSlowdownRatio * (inFlight - prefilling);
+  return (
+    1 +
+    room.prefilling +
+    decodeSlowdownRatio * room.decoding +
+    displacedPromptCount * missingPlaces(room, size)
+  );
+};
+
+/** Expected time to the first event in milliseconds, with what another zone costs. */
+export const expectedFirstEventMs = (
+  state: RelayState,
+  view: ReplicaView,
+  size: RequestSize,
+): number => {
+  const { service, zone } = view.replica;
+  const zoneRatio = zone === state.zone ? 0 : crossZoneReadingRatio;
+  const promptCount = promptsToRead(state, view, size) + zoneRatio;
+  return promptCount * readingMsOf(state, service, size);
+};
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -35,6 +35,8 @@
 import { handOn } from "./handover/handOn.js";
 import { chooseOffer, mustHandOn } from "./handover/offers.js";
 import { countReplica } from "./countedReplicas.js";
+import { describeRoom } from "./room/describeRoom.js";
+import { isIdleInPrefill } from "./room/roomOf.js";
 import { isRetryable } from "./isRetryable.js";
 import {
   engineQueryOf,
@@ -91,12 +93,14 @@
   const { key, request, customer, deadline, lastEventId, service } = exchange;
   const copyTo = chooseCopyHolder(state, exchange, replica);
   const view = state.replicas.get(replica.id);
+  const room = view && describeRoom(state, view, request);
   const attempt: Attempt = {
     number: exchange.nextNumber,
     replica,
     start,
     sentAt: state.at,
     expectedEndAt: view && expectedEndAt(state, exchange)?.(view),
+    isAloneInPrefill: view !== undefined && isIdleInPrefill(state, view),
     mayHaveExecutedBefore: exchange.mayHaveExecuted,
     isCounted: countReplica(exchange, replica),
     copyTo,
@@ -157,6 +161,7 @@
       resumes: request.resumes,
       copyTo: attempt.copyTo?.id,
       inFlight: view?.inFlight,
+      ...room,
       heardMsAgo: view && ageOf(state, view.heardAt),
       afterEvent: lastEventId,
       ...stopTimesOf(state, attempt.expectedEndAt),
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -24,6 +24,7 @@
 import { isStopAsked } from "./earlierRuns/followRuns.js";
 import { departure } from "./earlierRuns/goOn.js";
 import { leaveFallback } from "./fallback/fallbackEvents.js";
+import { learnReadingRate } from "./room/readingRate.js";
 import { hasSeveralVersions } from "./versions/serviceVersions.js";
 import { recordOrigin } from "./versions/streamOrigins.js";
 import type { RelayCommand } from "./commands.js";
@@ -79,6 +80,7 @@
   attempt.heardAt = at;
   recordContact(state, attempt.replica.id, at);
   if (!attempt.hasEvents) {
+    learnReadingRate(state, exchange, attempt);
     attempt.hasEvents = true;
     // This run has used the KV cache of the stopped one, or is ahead of it.
     exchange.keptCopy = undefined;
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -135,6 +135,8 @@
   readonly sentAt: Timestamp;
   /** Time by which its answer was expected to end when it was sent; undefined unless this process was stopping. */
   readonly expectedEndAt: Timestamp | undefined;
+  /** Whether its engine read no other prompt when it was sent. */
+  readonly isAloneInPrefill: boolean;
   /** Whether the request may have been executed before this attempt. */
   readonly mayHaveExecutedBefore: boolean;
   /** Whether it counts against the route's maximum: another one at its replica may do so already. */
@@ -486,6 +488,8 @@
   /** Time at which the store, or a router that follows it, was last heard of. */
   storeHeardAt: Timestamp;
   readonly restorations: Restorations;
+  /** Prompt tokens that an engine reads in a millisecond, by service. */
+  readonly readingRates: Map<string, number>;
   /** Times of the latest answers, by class of work. */
   readonly answerTimes: Map<string, AnswerTimes>;
   /** Times of recent answers of all replicas, to all routers. */
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -94,11 +94,13 @@
   const {
     headers: names,
     decodePromptBlockIds,
+    decodePromptTokens,
     decodeMaxOutputTokens,
   } = protocol;
   const promptBlockIds = decodePromptBlockIds(
     headerOf(req, names.promptBlocks) ?? "",
   );
+  const tokenCounts = headerOf(req, names.tokenCounts) ?? "";
   const budgetMs = numberOf(headerOf(req, names.timeBudgetMs));
   return {
     requestId: headerOf(req, names.requestId) ?? "",
@@ -115,9 +117,8 @@
     resumes: headerOf(req, names.resumes),
     sharedPromptBlockIds: promptBlockIds.slice(0, -1),
     lastPromptBlockId: promptBlockIds.at(-1),
-    maxOutputTokens: decodeMaxOutputTokens(
-      headerOf(req, names.tokenCounts) ?? "",
-    ),
+    promptTokens: decodePromptTokens(tokenCounts),
+    maxOutputTokens: decodeMaxOutputTokens(tokenCounts),
     handover,
   };
 };
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -123,6 +123,7 @@
   resumes: undefined,
   sharedPromptBlockIds: [],
   lastPromptBlockId: undefined,
+  promptTokens: undefined,
   maxOutputTokens: undefined,
   handover: undefined,
 });
@@ -168,6 +169,8 @@
   at: Timestamp = 1000;
   /** Engines that do not answer queries. */
   readonly unresponsiveEngines = new Set<string>();
+  /** Load reports by engine; the others are idle. */
+  readonly reports = new Map<string, EngineReport>();
   /** Cached tokens by prompt block, by engine. */
   readonly promptBlocks = new Map<string, ReadonlyMap<string, number>>();
 
@@ -238,7 +241,7 @@
             at,
             replica: command.replica.id,
             sentAt: command.sentAt,
-            report: idleReport,
+            report: this.reports.get(command.replica.id) ?? idleReport,
             isAnswered: true,
             isRefused: false,
             isConnected: true,
--- a/packages/relay/src/testing/testAttempt.ts
+++ b/packages/relay/src/testing/testAttempt.ts
@@ -11,6 +11,7 @@
   start: { type: "fresh" },
   sentAt: now(),
   expectedEndAt: undefined,
+  isAloneInPrefill: false,
   mayHaveExecutedBefore: false,
   isCounted: true,
   copyTo: undefined,
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -52,6 +52,7 @@
   decodePromptHistory: () => [],
   decodePromptBlocks: () => new Map(),
   decodePromptBlockIds: (header) => header.split(",").filter((id) => id !== ""),
+  decodePromptTokens: () => undefined,
   decodeMaxOutputTokens: (header) =>
     header === "" ? undefined : Number(header),
   decodeReport,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -196,6 +196,8 @@
   ) => ReadonlyMap<string, number> | undefined;
   /** Decodes the ids of the prompt blocks that the prompt header lists, in order. */
   readonly decodePromptBlockIds: (header: string) => readonly string[];
+  /** Decodes the number of tokens of the prompt; undefined if the header is malformed. */
+  readonly decodePromptTokens: (header: string) => number | undefined;
   /** Decodes the number of tokens that an answer may have at most; undefined if the header is malformed. */
   readonly decodeMaxOutputTokens: (header: string) => number | undefined;
   readonly decodeReport: (text: string) => EngineReport | undefined;
@@ -205,6 +207,8 @@
 export interface ReportedRun {
   readonly requestId: string;
   readonly generatedEventCount: number;
+  /** Tokens in the KV cache; undefined if the report does not tell. */
+  readonly kvTokens?: number | undefined;
 }
 
 /** An engine's load report; it is some hundred milliseconds old when it arrives. */
@@ -215,6 +219,8 @@
   readonly active: number;
   readonly kvUsedTokens: number;
   readonly kvTotalTokens: number;
+  /** Tokens of the first request that waits; undefined if none does. */
+  readonly nextTokens?: number | undefined;
   readonly runs: readonly ReportedRun[];
 }
 
@@ -245,6 +251,8 @@
   readonly sharedPromptBlockIds: readonly string[];
   /** Id of the last prompt block, which no other request shares. */
   readonly lastPromptBlockId: string | undefined;
+  /** Tokens of the prompt; undefined if the caller names no such number. */
+  readonly promptTokens: number | undefined;
   /** Tokens that the answer may have at most; undefined if the caller names no such number. */
   readonly maxOutputTokens: number | undefined;
   /** What the router told that handed the request on; undefined if a caller sent it here. */
