--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -135,7 +135,14 @@
   });
   const renderMetrics = (): string => {
     const state = running.state();
-    const { exchanges, replicas, config, quarantine, limitCounts } = state;
+    const {
+      exchanges,
+      replicas,
+      config,
+      quarantine,
+      limitCounts,
+      waitingLine,
+    } = state;
     const { restorations, versions, handover, backOffs } = state;
     return metrics.render({
       requests_under_way: exchanges.size,
@@ -152,6 +159,9 @@
       replicas_with_request_limit: limitedReplicaCount(state),
       request_limit_waits_total: limitCounts.waited,
       request_limit_refusals_total: limitCounts.refused,
+      room_waits_total: waitingLine.waitedCount,
+      room_waits_overdue_total: waitingLine.overdueCount,
+      room_refusals_total: waitingLine.refusedCount,
       store_restorations_total: restorations.count,
       quarantines_in_force: quarantine.inForce.size,
       quarantine_refusals_total: quarantine.refusedCount,
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -56,6 +56,7 @@
   storeRestored,
 } from "./storeUpdates.js";
 import type { Address } from "../types.js";
+import { createWaitingLineState } from "./waitingLine/types.js";
 
 /** Initial settings of a relay's state. */
 export interface RelayStateOptions {
@@ -97,6 +98,7 @@
   gossip: createGossipState(),
   limitCounts: { waited: 0, refused: 0 },
   backOffs: createBackOffState(),
+  waitingLine: createWaitingLineState(),
   runtimeLimits: options.runtimeLimits,
   store: { type: "unknown" },
   storeHeardAt: -Infinity,
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -31,6 +31,7 @@
   originListTimeoutMs,
   originQueryEngineCount,
 } from "./versions/constants.js";
+import { sampleWithoutReplacement } from "./random.js";
 import { VersionSearch } from "./versions/types.js";
 import { canCopy } from "./copyHolders.js";
 import type { RelayCommand } from "./commands.js";
@@ -120,6 +121,18 @@
   );
 };
 
+/** The engines at which a prompt and its copies are placed, the first of each zone. */
+const promptEngines = (state: RelayState, exchange: Exchange): ReplicaView[] =>
+  takePerGroup(
+    rankCandidates(
+      state,
+      candidateQueryOf(exchange),
+      exchange.request.lastPromptBlockId ?? "",
+    ),
+    promptQueryEnginesPerZoneCount,
+    ({ zone }) => zone,
+  );
+
 /**
  * Asks engines which prompt blocks they hold. Load pattern: after routers fail,
  * all of their callers reconnect at once to routers without any state of their
@@ -130,19 +143,8 @@
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
-  const { request } = exchange;
   const isSought = versionSearchOf(exchange) === VersionSearch.Find;
-  const sample = isSought
-    ? possibleOrigins(state, exchange)
-    : takePerGroup(
-        rankCandidates(
-          state,
-          candidateQueryOf(exchange),
-          request.lastPromptBlockId ?? "",
-        ),
-        promptQueryEnginesPerZoneCount,
-        ({ zone }) => zone,
-      );
+  const sample = (isSought ? possibleOrigins : promptEngines)(state, exchange);
   const pending = sample.filter(
     (view) =>
       state.at - view.promptBlocksReadAt >= promptBlocksFreshMs &&
@@ -218,18 +220,33 @@
   return [];
 };
 
-/** Asks some engines for their load. */
-export const queryLoadReports = (
+/** Engines whose load is asked: the first for the prompt. */
+const loadSampleOf = (state: RelayState, exchange: Exchange): ReplicaView[] =>
+  candidateSampleOf(
+    state,
+    candidateQueryOf(exchange),
+    exchange.request.lastPromptBlockId,
+    loadQueryEngineCount,
+  );
+
+/** Some of the engines that are asked for the prompt's blocks if its caller reconnects. */
+const furtherSampleOf = (
   state: RelayState,
   exchange: Exchange,
-): RelayCommand[] => {
-  const { request } = exchange;
-  const sample = candidateSampleOf(
+): ReplicaView[] =>
+  sampleWithoutReplacement(
     state,
-    candidateQueryOf(exchange),
-    request.lastPromptBlockId,
+    promptEngines(state, exchange),
     loadQueryEngineCount,
   );
+
+/** Asks some engines for their load: the first ones for the prompt, or further ones. */
+export const queryLoadReports = (
+  state: RelayState,
+  exchange: Exchange,
+  isFurther = false,
+): RelayCommand[] => {
+  const sample = (isFurther ? furtherSampleOf : loadSampleOf)(state, exchange);
   if (sample.length < 2) return [];
   // A question counts against an engine's limit of requests as well.
   const pending = sample.filter(
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -100,6 +100,7 @@
   keptCopy: undefined,
   softwareVersion: request.handover?.softwareVersion,
   versionDeadline: undefined,
+  roomSearch: undefined,
   copy: request.handover && copyOf(state, request.handover),
   failedResponse: undefined,
 });
--- a/packages/relay/src/decisions/room/room.test.ts
+++ b/packages/relay/src/decisions/room/room.test.ts
@@ -148,7 +148,7 @@
     scenario.request(key, streamPath, long);
     scenario.at += promptTokens / 16;
     scenario.streamEvents(key, 1, 1);
-    scenario.answer(key);
+    scenario.endStream(key);
     scenario.at += 1000;
   }
   const learnedMs = readingMsOf(scenario.state, "engines", size);
--- a/packages/relay/src/decisions/room/roomOf.ts
+++ b/packages/relay/src/decisions/room/roomOf.ts
@@ -10,6 +10,7 @@
 import type { EngineReport, ReportedRun } from "../../types.js";
 import type { Exchange, RelayState, ReplicaView } from "../types.js";
 import { reportLagMs } from "./constants.js";
+import { readingRateOf } from "./readingRate.js";
 import { sizeOf } from "./requestSize.js";
 import type { EngineRoom, RequestSize } from "./types.js";
 
@@ -29,15 +30,23 @@
   );
 };
 
-/**
- * Requests that other routers probably sent to an engine since it made its report, if all
- * get as many as this one.
- */
-const othersRequestCount = (
+/** This router's requests of which an engine is to hold copies that its report does not include yet: a copy begins with the answer. */
+const unreportedCopies = (
   state: RelayState,
   { replica, reportReceivedAt }: ReplicaView,
+): Exchange[] =>
+  [...state.exchanges.values()].filter(
+    ({ attempt }) =>
+      attempt?.copyTo?.id === replica.id &&
+      (attempt.firstEventAt ?? Infinity) >= reportReceivedAt - reportLagMs,
+  );
+
+/** Requests that other routers probably send to an engine in a time, if all get as many as this one. */
+const othersRequestCount = (
+  state: RelayState,
+  service: string,
+  ms: number,
 ): number => {
-  const { service } = replica;
   const budget = state.retryBudgets.get(service);
   const { windowMs } = state.runtimeLimits.retryLimits;
   const windowStart = state.at - windowMs;
@@ -45,8 +54,7 @@
     budget?.firstAttempts.filter((at) => at >= windowStart).length ?? 0;
   const otherRouterCount = Math.max(0, state.registration.routers.size - 1);
   const engineCount = Math.max(1, replicasOf(state, service).length);
-  const ageMs = state.at - reportReceivedAt + reportLagMs;
-  return ((ownCount * otherRouterCount) / engineCount) * (ageMs / windowMs);
+  return ((ownCount * otherRouterCount) / engineCount) * (ms / windowMs);
 };
 
 /** Tokens by which a run may still grow, if it is like the given request. */
@@ -70,6 +78,28 @@
 const sumOf = (numbers: readonly number[]): number =>
   numbers.reduce((sum, number) => sum + number, 0);
 
+const totalTokensOf = (exchanges: readonly Exchange[]): number =>
+  sumOf(exchanges.map(({ request }) => sizeOf(request).totalTokens));
+
+/** Tokens that copies of runs take which the engine's report does not include; copies begin once a prompt is read. */
+const copyTokensOf = (
+  state: RelayState,
+  view: ReplicaView,
+  { promptTokens, totalTokens }: RequestSize,
+  unreportedMs: number,
+): number => {
+  const { service } = view.replica;
+  if (engineOf(state, service)?.canCopyKvCache !== true) return 0;
+  const readingMs = promptTokens / readingRateOf(state, service);
+  const othersCount = othersRequestCount(
+    state,
+    service,
+    unreportedMs + readingMs,
+  );
+  const ownTokens = totalTokensOf(unreportedCopies(state, view));
+  return ownTokens + othersCount * totalTokens;
+};
+
 /** The room for requests of a size; undefined without a recent report. */
 export const roomOf = (
   state: RelayState,
@@ -83,15 +113,16 @@
   const { active, queued, runs, kvUsedTokens, kvTotalTokens } = report;
   const decoding = runs.filter((run) => run.generatedEventCount > 0).length;
   const unreported = unreportedRequests(state, view);
-  const othersCount = othersRequestCount(state, view);
-  // The copy of each request takes memory at another engine.
-  const isCopied = engineOf(state, replica.service)?.canCopyKvCache === true;
+  const unreportedMs = state.at - reportReceivedAt + reportLagMs;
+  const { service } = replica;
+  const othersCount = othersRequestCount(state, service, unreportedMs);
   const tokensTaken =
     kvUsedTokens +
     sumOf(runs.map((run) => growthOf(run, size))) +
     queuedTokens(report, size) +
-    sumOf(unreported.map(({ request }) => sizeOf(request).totalTokens)) +
-    othersCount * size.totalTokens * (isCopied ? 2 : 1);
+    totalTokensOf(unreported) +
+    othersCount * size.totalTokens +
+    copyTokensOf(state, view, size, unreportedMs);
   return {
     freeSlots:
       replica.slots - active - queued - unreported.length - othersCount,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -37,6 +37,9 @@
 import { countReplica } from "./countedReplicas.js";
 import { describeRoom } from "./room/describeRoom.js";
 import { isIdleInPrefill } from "./room/roomOf.js";
+import { awaitEngineRoom } from "./waitingLine/awaitEngineRoom.js";
+import { preferEnginesWithRoom } from "./waitingLine/hasRoomFor.js";
+import { passRoomOn } from "./waitingLine/order.js";
 import { isRetryable } from "./isRetryable.js";
 import {
   engineQueryOf,
@@ -164,6 +167,8 @@
       ...room,
       heardMsAgo: view && ageOf(state, view.heardAt),
       afterEvent: lastEventId,
+      waitedForRoomMs:
+        exchange.roomSearch && ageOf(state, exchange.roomSearch.since),
       ...stopTimesOf(state, attempt.expectedEndAt),
     }),
   ];
@@ -181,7 +186,8 @@
   const answered = [...engineQuery.sample].filter(
     (id) => !engineQuery.pending.has(id),
   );
-  return chooseAmong(state, candidateQueryOf(exchange), new Set(answered));
+  const ids = preferEnginesWithRoom(state, exchange, answered);
+  return chooseAmong(state, candidateQueryOf(exchange), new Set(ids));
 };
 
 /**
@@ -229,6 +235,10 @@
   if (!isSettled) return lines;
   const probes = seekIdleEngine(state, exchange);
   if (probes !== undefined) return [...lines, ...probes];
+  const first = passRoomOn(state, exchange);
+  if (first !== undefined) lines.push(...sendWithoutCopy(state, first));
+  const waiting = awaitEngineRoom(state, exchange);
+  if (waiting !== undefined) return [...lines, ...waiting];
   const query = candidateQueryOf(exchange);
   const replica =
     chooseQueriedEngine(state, exchange) ??
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -49,6 +49,7 @@
 import { recoverExchange } from "./recoverExchange.js";
 import { recordTime } from "./serviceTimes/recordTime.js";
 import { maintainVersions } from "./versions/serviceVersions.js";
+import { checkRoom } from "./waitingLine/checkRoom.js";
 import { readmitReplicas, removeMissingReplicas } from "./storeUpdates.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -152,6 +153,8 @@
       return state.at >= wait.retryAt
         ? sendAfterWait(state, exchange, wait.isCounted)
         : [];
+    case "room":
+      return checkRoom(state, exchange, wait);
     case "offer":
       return checkOffer(state, exchange, wait.isCounted);
     case "runEnd":
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -33,6 +33,11 @@
   VersionSearch,
   VersionState,
 } from "./versions/types.js";
+import type {
+  RoomSearch,
+  RoomWait,
+  WaitingLineState,
+} from "./waitingLine/types.js";
 
 /** Numbers of attempts that succeeded and failed. */
 export interface OutcomeCounts {
@@ -285,6 +290,8 @@
   softwareVersion: string | undefined;
   /** The stream ends if no replica of its software is open until then; undefined before it waited for one. */
   versionDeadline: Timestamp | undefined;
+  /** Its search for an engine with room; undefined before one was needed. */
+  roomSearch: RoomSearch | undefined;
   /** KV cache copy left by the last attempt. */
   copy: KvCacheCopy | undefined;
   /** KV cache that the engine of a stopped run keeps, for when the copy's holder refuses. */
@@ -333,6 +340,8 @@
       /** It is handed on then at the earliest. */
       readonly retryAt: Timestamp;
     }
+  /** Room at an engine. */
+  | (RoomWait & { readonly type: "room" })
   /** The end of the run that it left. */
   | (RunEndWait & { readonly type: "runEnd" })
   /** The answer of the router that took it over. */
@@ -483,6 +492,7 @@
   readonly gossip: GossipState;
   readonly limitCounts: LimitCounts;
   readonly backOffs: BackOffState;
+  readonly waitingLine: WaitingLineState;
   runtimeLimits: RuntimeLimits;
   store: StoreState;
   /** Time at which the store, or a router that follows it, was last heard of. */
--- /dev/null
+++ b/packages/relay/src/decisions/waitingLine/checkRoom.ts
@@ -0,0 +1,20 @@
+/** Looks for room again for a request that waits for it. */
+
+import type { RelayCommand } from "../commands.js";
+import { isEngineQueryPending, queryLoadReports } from "../queryEngines.js";
+import { sendWithoutCopy } from "../sendAttempt.js";
+import type { Exchange, RelayState } from "../types.js";
+import type { RoomWait } from "./types.js";
+
+/** Asks other engines once the time has come; the request is sent if one has room. */
+export const checkRoom = (
+  state: RelayState,
+  exchange: Exchange,
+  { lookAt }: RoomWait,
+): RelayCommand[] => {
+  if (state.at < lookAt) return [];
+  const probes = queryLoadReports(state, exchange, true);
+  return isEngineQueryPending(state, exchange)
+    ? probes
+    : [...probes, ...sendWithoutCopy(state, exchange)];
+};
--- /dev/null
+++ b/packages/relay/src/decisions/waitingLine/constants.ts
@@ -0,0 +1,22 @@
+/** Limits and intervals of the line of requests that wait for room. */
+
+/** Requests that wait at one router at most; more are sent without a wait. */
+export const maxWaitingCount = 64;
+
+/** Mean interval between the looks of a waiting request: reports are that old. */
+export const roomLookIntervalMs = 200;
+
+/** Reading times of its prompt that a request keeps of its target latency: its own, and that of one before it. */
+export const keptReadingTimeCount = 2;
+
+/** Places that a less urgent request leaves free at an engine for more urgent ones. */
+export const reservedPlaceCount = 1;
+
+/** Longest part of a caller's remaining time after which it is asked to return. */
+export const maxReturnRatio = 1 / 3;
+
+/** Shortest such part: callers that are refused together return apart. */
+export const minReturnRatio = 1 / 8;
+
+/** Engines that a log line names; bounds its length. */
+export const maxLoggedRoomCount = 8;
--- /dev/null
+++ b/packages/relay/src/decisions/waitingLine/order.ts
@@ -0,0 +1,63 @@
+/**
+ * The order of the requests that wait for room at this router: by rank, then fair between
+ * customers, then by the end of their slack. Load pattern: large customers send most of a
+ * burst, and less urgent requests find the room that more urgent ones wait for.
+ */
+
+import { engineQueryOf } from "../queryEngines.js";
+import type { Exchange, RelayState } from "../types.js";
+import { hasRoomFor } from "./hasRoomFor.js";
+
+/** The requests of a service that wait for room here. */
+export const waitingRequests = (
+  state: RelayState,
+  service: string,
+): Exchange[] =>
+  [...state.exchanges.values()].filter(
+    (exchange) =>
+      exchange.service === service &&
+      exchange.roomSearch !== undefined &&
+      exchange.attempt === undefined,
+  );
+
+/** Requests of a customer that replicas of the service work on for this router. */
+const underWayCount = (
+  { exchanges }: RelayState,
+  { service, customer }: Exchange,
+): number =>
+  [...exchanges.values()].filter(
+    (one) =>
+      one.service === service &&
+      one.customer === customer &&
+      one.attempt !== undefined,
+  ).length;
+
+const compare = (state: RelayState, a: Exchange, b: Exchange): number =>
+  a.priority - b.priority ||
+  underWayCount(state, a) - underWayCount(state, b) ||
+  (a.roomSearch?.until ?? Infinity) - (b.roomSearch?.until ?? Infinity);
+
+/**
+ * Gives the room that a request found to a waiting one that goes before it, and returns that
+ * one; undefined if there is none.
+ */
+export const passRoomOn = (
+  state: RelayState,
+  exchange: Exchange,
+): Exchange | undefined => {
+  const query = engineQueryOf(exchange);
+  if (query?.type !== "loadReports") return undefined;
+  const views = [...query.sample]
+    .map((id) => state.replicas.get(id))
+    .filter((view) => view !== undefined);
+  const [first] = waitingRequests(state, exchange.service)
+    .filter(
+      (one) =>
+        one.wait.type === "room" &&
+        compare(state, one, exchange) < 0 &&
+        views.some((view) => hasRoomFor(state, view, one)),
+    )
+    .sort((a, b) => compare(state, a, b));
+  if (first !== undefined) first.wait = exchange.wait;
+  return first;
+};
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -329,6 +329,13 @@
     return this.dispatch({ type: "eventsArrived", at, key, attempt, events });
   }
 
+  /** The replica of the latest attempt ends its stream. */
+  endStream(key: string): RelayCommand[] {
+    const attempt = this.lastSend(key).attempt.number;
+    const { at } = this;
+    return this.dispatch({ type: "streamEnded", at, key, attempt });
+  }
+
   /** An attempt ends without a response. */
   failAttempt(
     key: string,
