Engines that are back while the store is away are used without an entry

Cause: engines that were lost and came back under new ids stood idle until the store answered; routers used the new process only to write the old one off. Change: while the store does not answer, a router asks at addresses at which engines ended. A process is used under its own id if its report has a later start and only models of that service; other routers are told the id and look at the report themselves. Its software version is unknown until its entry is read, so streams begin there and go on nowhere else. It ends with the store's word, a sign of leaving, another process, or silence.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -135,19 +135,16 @@
   });
   const renderMetrics = (): string => {
     const state = running.state();
-    const {
-      exchanges,
-      replicas,
-      config,
-      quarantine,
-      limitCounts,
-      waitingLine,
-    } = state;
+    const { exchanges, replicas, config, quarantine, limitCounts } = state;
     const { restorations, versions, handover, backOffs } = state;
+    const { waitingLine, adoption } = state;
     return metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
       replicas_that_leave: leavingReplicaCount(state),
+      replicas_adopted: adoption.adopted.size,
+      replica_adoptions_total: adoption.adoptedCount,
+      replica_adoptions_undone_total: adoption.undoneCount,
       replicas_that_want_no_requests: backOffCount(state),
       reopening_waits_total: backOffs.waitedCount,
       reopening_refusals_total: backOffs.refusedCount,
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -8,6 +8,7 @@
   RequestLimits,
   Address,
 } from "../types.js";
+import type { ReturnedReplica } from "./adoptedReplicas/types.js";
 import type { GossipItem } from "./gossip/types.js";
 import type { Handover, HandoverRefusal } from "./handover/types.js";
 import type { StoredQuarantine } from "./quarantine/types.js";
@@ -136,6 +137,19 @@
       readonly replica: Replica;
       readonly sentAt: Timestamp;
     }
+  /** Asks the process at a replica's address what it is, and for its id if a path is given. */
+  | {
+      readonly type: "probeAddress";
+      readonly replica: Replica;
+      readonly healthCheckPath: string | undefined;
+      readonly sentAt: Timestamp;
+    }
+  /** Tells another router of replicas that are back. */
+  | {
+      readonly type: "tellReturns";
+      readonly to: Address;
+      readonly returned: readonly ReturnedReplica[];
+    }
   | {
       readonly type: "register";
       readonly router: string;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -6,6 +6,9 @@
   type Timestamp,
   type Transition,
 } from "@cardamomglade/common";
+import { addressProbed } from "./adoptedReplicas/addressProbed.js";
+import { createAdoptionState } from "./adoptedReplicas/adoptionState.js";
+import { returnsTold } from "./adoptedReplicas/returnsTold.js";
 import {
   attemptFailed,
   connectionOpened,
@@ -87,6 +90,7 @@
   handover: createHandoverState(),
   missingReplicas: new Map(),
   departedReplicas: new Map(),
+  adoption: createAdoptionState(),
   outdatedReplicas: new Map(),
   leavingProcesses: new Map(),
   exchanges: new Map(),
@@ -170,6 +174,10 @@
       return backOffRequested(state, event);
     case "probeFinished":
       return probeFinished(state, event);
+    case "addressProbed":
+      return addressProbed(state, event);
+    case "returnsTold":
+      return returnsTold(state, event);
     case "connectionProbed":
       return connectionProbed(state, event);
     case "kvCacheCopied":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -8,6 +8,10 @@
   Replica,
   Address,
 } from "../types.js";
+import type {
+  ProcessAnswer,
+  ReturnedReplica,
+} from "./adoptedReplicas/types.js";
 import type { RetryAfter } from "./backOff/types.js";
 import type { StopOutcome } from "./earlierRuns/types.js";
 import type { GossipItem } from "./gossip/types.js";
@@ -168,6 +172,22 @@
       readonly sentAt: Timestamp;
       readonly outcome: ConnectionOutcome;
     }
+  /** The process at the address of a replica was asked what it is. */
+  | {
+      readonly type: "addressProbed";
+      readonly at: Timestamp;
+      /** The replica that is known there, and the start of its process. */
+      readonly replica: string;
+      readonly startedAt: Timestamp;
+      readonly answer: ProcessAnswer;
+    }
+  /** Another router tells of replicas that are back. */
+  | {
+      readonly type: "returnsTold";
+      readonly at: Timestamp;
+      readonly from: Address;
+      readonly returned: readonly ReturnedReplica[];
+    }
   | {
       readonly type: "kvCacheCopied";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/replicaViews.ts
+++ b/packages/relay/src/decisions/replicaViews.ts
@@ -7,6 +7,7 @@
   correlatedLossWindowMs,
   suspicionMs,
 } from "./constants.js";
+import { unknownSoftwareVersion } from "./versions/constants.js";
 import type { OutcomeCounts, RelayState, ReplicaView } from "./types.js";
 
 /** Creates counts without an outcome. */
@@ -73,7 +74,9 @@
 export const hasSoftware = (
   { softwareVersion }: Replica,
   required: string | undefined,
-): boolean => required === undefined || softwareVersion === required;
+): boolean =>
+  required === undefined ||
+  (softwareVersion === required && required !== unknownSoftwareVersion);
 
 /** Whether a replica is avoided because of a recent loss. */
 export const isSuspected = (view: ReplicaView, at: Timestamp): boolean =>
--- a/packages/relay/src/decisions/storeUpdates.ts
+++ b/packages/relay/src/decisions/storeUpdates.ts
@@ -7,6 +7,8 @@
   departedReplicaRetentionMs,
   replicaReregistrationMs,
 } from "./constants.js";
+import { noteModels } from "./adoptedReplicas/modelServices.js";
+import { awaitEntries } from "./adoptedReplicas/undoAdoptions.js";
 import {
   findOutdated,
   isEarlierReport,
@@ -40,6 +42,7 @@
   const classes = timeClassesOf(config);
   forgetAnswerTimes(state, classes);
   forgetServiceTimes(state, classes);
+  noteModels(state, config);
   return [
     { type: "applyLimits", limits: config.limits },
     logLine("configuration in force", {
@@ -241,6 +244,7 @@
   state.store = { type: "available", since };
   for (const id of state.missingReplicas.keys())
     state.missingReplicas.set(id, at + replicaReregistrationMs);
+  awaitEntries(state);
   const silentMs = store.type === "unavailable" ? at - store.since : 0;
   return [logLine("store answers", { detail, silentMs: Math.round(silentMs) })];
 };
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -11,6 +11,7 @@
   stallThresholdMs,
   tickIntervalMs,
 } from "./constants.js";
+import { maintainAdoptions } from "./adoptedReplicas/maintainAdoptions.js";
 import { checkReopening } from "./backOff/checkReopening.js";
 import { settleEnd } from "./answerEnds/settleEnds.js";
 import { EndEvidence } from "./answerEnds/types.js";
@@ -255,6 +256,7 @@
   commands.push(
     ...removeMissingReplicas(state),
     ...readmitReplicas(state),
+    ...maintainAdoptions(state),
     ...maintainRegistration(state),
     ...shareOutcomes(state),
     ...maintainPaths(state),
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -9,6 +9,7 @@
   Route,
   Address,
 } from "../types.js";
+import type { AdoptionState } from "./adoptedReplicas/types.js";
 import type { EndEvidence, UnconfirmedEnd } from "./answerEnds/types.js";
 import type { BackOff, BackOffState, Reopening } from "./backOff/types.js";
 import type { EarlierRun, RunEndWait } from "./earlierRuns/types.js";
@@ -480,6 +481,7 @@
   readonly departedReplicas: Map<string, DepartedReplica>;
   /** Replicas' processes that announced in an answer that they leave. */
   readonly leavingProcesses: Map<string, LeavingProcess>;
+  readonly adoption: AdoptionState;
   /** By id. */
   readonly outdatedReplicas: Map<string, OutdatedReplica>;
   readonly exchanges: Map<string, Exchange>;
--- a/packages/relay/src/decisions/versions/constants.ts
+++ b/packages/relay/src/decisions/versions/constants.ts
@@ -42,6 +42,9 @@
 /** Least time until a stream looks again for a replica of its software. */
 export const minVersionRetryMs = 250;
 
+/** Version of a replica that does not tell it: streams that begin there go on nowhere else. */
+export const unknownSoftwareVersion = "?";
+
 /** Bounds on what is remembered, and on names from other programs. */
 export const maxVersions = {
   services: 256,
--- a/packages/relay/src/decisions/versions/takeUps.ts
+++ b/packages/relay/src/decisions/versions/takeUps.ts
@@ -6,7 +6,7 @@
 import type { RelayCommand } from "../commands.js";
 import { endSearch } from "../fallback/endSearch.js";
 import { logLine } from "../logLine.js";
-import { replicasOf } from "../replicaViews.js";
+import { hasSoftware, replicasOf } from "../replicaViews.js";
 import type { Exchange, Questions, RelayState } from "../types.js";
 import { currentStoreAgeMs } from "./constants.js";
 import { engineQueryOf, queryEngines } from "../queryEngines.js";
@@ -98,7 +98,7 @@
 ): boolean =>
   replicasOf(state, service).some(
     ({ replica, leftAt }) =>
-      replica.softwareVersion === version && leftAt === undefined,
+      hasSoftware(replica, version) && leftAt === undefined,
   );
 
 /** Whether the store was heard of lately: a version that it shows is in its list. */
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -5,6 +5,7 @@
 import { originListTimeoutMs } from "../decisions/versions/constants.js";
 import type { RetryAfter } from "../decisions/backOff/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
+import type { ProcessAnswer } from "../decisions/adoptedReplicas/types.js";
 import type { KvCacheCopy } from "../decisions/types.js";
 import type { StopOutcome } from "../decisions/earlierRuns/types.js";
 import {
@@ -15,6 +16,7 @@
 } from "../types.js";
 import { httpCall, type HttpCall, type HttpResult } from "./httpCall.js";
 import { CallPeer } from "./memory/controlBudgets.js";
+import { isName } from "./peerMessages.js";
 import { retryAfterOf } from "./retryAfter.js";
 
 /** What a replica's answer says about itself. */
@@ -36,6 +38,8 @@
   readonly report: EngineReport | undefined;
 }
 
+const okStatus = 200;
+
 const copyTimeoutMs = 1500; // copying a whole prompt takes some ten milliseconds, or some hundred when queued behind other copies
 
 const callReplica = async (
@@ -83,6 +87,38 @@
   return { isAnswered: true, isRefused: false, isConnected: true, report };
 };
 
+/** Asks the process at a replica's address what it is; another one than the known replica may answer. */
+export const probeAddress = async (
+  protocol: ReplicaProtocol,
+  {
+    replica: { host, port },
+    healthCheckPath,
+  }: Extract<RelayCommand, { type: "probeAddress" }>,
+): Promise<ProcessAnswer> => {
+  const { headers: names, reportPath, decodeReport } = protocol;
+  const deadline = now() + probeTimeoutMs;
+  const get = async (path: string) => {
+    const peer = CallPeer.Engine;
+    const method = "GET" as const;
+    const result = await httpCall({ peer, host, port, method, path, deadline });
+    const isOk = result.type === "answered" && result.status === okStatus;
+    return isOk ? result : undefined;
+  };
+  const [report, health] = await Promise.all([
+    get(reportPath),
+    healthCheckPath === undefined ? undefined : get(healthCheckPath),
+  ]);
+  const id = health?.headers[names.replicaId];
+  const decoded = report && decodeReport(report.text);
+  return {
+    report: decoded,
+    id: typeof id === "string" && isName(id) ? id : undefined,
+    isLeaving:
+      decoded?.isLeaving === true ||
+      [report, health].some((one) => one?.headers[names.leaving] !== undefined),
+  };
+};
+
 /** Requests a list of an engine's prompt blocks; undefined if it did not answer. */
 const getList = async (
   protocol: ReplicaProtocol,
@@ -140,7 +176,6 @@
   return answer?.status === 200 ? decodeCopyHandle(answer.text) : undefined;
 };
 
-const okStatus = 200;
 const notFoundStatus = 404;
 
 const stopOutcomeOf = (
--- a/packages/relay/src/drivers/peerDriver.ts
+++ b/packages/relay/src/drivers/peerDriver.ts
@@ -19,6 +19,7 @@
   encodeLendingMessage,
   encodeOriginQuestion,
   encodeOrigins,
+  encodeReturns,
   type PeerMessage,
 } from "./peerMessages.js";
 import type { RelayDriver } from "./types.js";
@@ -39,6 +40,8 @@
       const { services, freePlaces } = message;
       return { type: "handoverOffered", at, from, services, freePlaces };
     }
+    case "returns":
+      return { type: "returnsTold", at, from, returned: message.returned };
     case "ask":
       return { type: "retryRequested", at, from, service: message.service };
     case "lend":
@@ -96,6 +99,10 @@
           for (const datagram of encodeOrigins(command.origins))
             send(command.to, datagram);
           return;
+        case "tellReturns":
+          for (const datagram of encodeReturns(command.returned, now()))
+            send(command.to, datagram);
+          return;
         case "gossip":
           for (const datagram of encodeGossip(command.items, now()))
             send(command.to, datagram);
--- a/packages/relay/src/drivers/peerMessages.ts
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -3,6 +3,7 @@
 import { assertNever, type Timestamp } from "@cardamomglade/common";
 import { pack, unpack } from "msgpackr";
 import { maxRemembered } from "../decisions/quarantine/constants.js";
+import type { ReturnedReplica } from "../decisions/adoptedReplicas/types.js";
 import type { StreamOrigin } from "../decisions/versions/types.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 
@@ -17,7 +18,11 @@
       readonly services: readonly string[];
       readonly freePlaces: number;
     }
-  | { readonly type: "origins"; readonly origins: readonly StreamOrigin[] };
+  | { readonly type: "origins"; readonly origins: readonly StreamOrigin[] }
+  | {
+      readonly type: "returns";
+      readonly returned: readonly ReturnedReplica[];
+    };
 
 const maxNameLength = 200; // maximum length of a key in the store
 const maxItemCount = 100; // of the shortest items, a datagram holds fewer
@@ -132,6 +137,34 @@
   return { type: "origins", origins };
 };
 
+const maxPort = 65_535;
+
+const decodeReturn = (
+  value: unknown,
+  receivedAt: Timestamp,
+): ReturnedReplica | undefined => {
+  if (!Array.isArray(value)) return undefined;
+  const [ageMs, id, startedAt, host, port] = value as readonly unknown[];
+  if (!isAmount(ageMs) || !isName(id) || id === "") return undefined;
+  if (!isAmount(startedAt) || !isName(host)) return undefined;
+  if (!isAmount(port) || port > maxPort) return undefined;
+  return { id, startedAt, host, port, seenAt: receivedAt - ageMs };
+};
+
+const decodeReturns = (
+  content: unknown,
+  receivedAt: Timestamp,
+): PeerMessage | undefined => {
+  if (!Array.isArray(content) || content.length > maxItemCount)
+    return undefined;
+  const returned = content
+    .map((item) => decodeReturn(item, receivedAt))
+    .filter((item) => item !== undefined);
+  return returned.length === content.length
+    ? { type: "returns", returned }
+    : undefined;
+};
+
 const isNameList = (value: unknown): value is string[] =>
   Array.isArray(value) && value.length <= maxItemCount && value.every(isName);
 
@@ -161,6 +194,7 @@
   if (type === "askOrigin")
     return isName(content) ? { type, key: content } : undefined;
   if (type === "origins") return decodeOrigins(content);
+  if (type === "returns") return decodeReturns(content, receivedAt);
   if (type === "askHandover")
     return isNameList(content) ? { type, services: content } : undefined;
   if (type === "offerHandover") return decodeOffer(content);
@@ -193,7 +227,7 @@
 
 /** Splits encoded entries into as few datagrams as they fit. */
 const packAll = (
-  type: "gossip" | "origins",
+  type: "gossip" | "origins" | "returns",
   entries: readonly (readonly unknown[])[],
 ): Uint8Array[] => {
   const datagrams: (readonly unknown[])[][] = [];
@@ -227,6 +261,25 @@
     origins.map(({ key, version }) => [key, version ?? null]),
   );
 
+/**
+ * Encodes replicas that are back into as few datagrams as they fit. No items of gossip:
+ * routers that do not know this type would drop the others with it.
+ */
+export const encodeReturns = (
+  returned: readonly ReturnedReplica[],
+  at: Timestamp,
+): Uint8Array[] =>
+  packAll(
+    "returns",
+    returned.map(({ id, startedAt, host, port, seenAt }) => [
+      Math.max(0, at - seenAt),
+      id,
+      startedAt,
+      host,
+      port,
+    ]),
+  );
+
 /** Encodes a question where a stream began. */
 export const encodeOriginQuestion = (key: string): Uint8Array =>
   pack(["askOrigin", key]);
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -12,6 +12,7 @@
   requestRunStop,
   releaseKvCacheCopy,
   listPromptBlocks,
+  probeAddress,
   probeEngine,
   type ReplicaNotice,
 } from "./engineCalls.js";
@@ -94,6 +95,16 @@
     });
   };
 
+  const askAddress = async (
+    command: Extract<RelayCommand, { type: "probeAddress" }>,
+  ) => {
+    const { id, startedAt } = command.replica;
+    metrics.count(Counter.Probes);
+    const answer = await probeAddress(protocol, command);
+    const at = now();
+    channel.push({ type: "addressProbed", at, replica: id, startedAt, answer });
+  };
+
   const checkConnection = async (replica: Replica, sentAt: number) => {
     metrics.count(Counter.Probes);
     const outcome = await probeConnection(replica, probeTimeoutMs);
@@ -183,6 +194,9 @@
         case "probeConnection":
           void checkConnection(command.replica, command.sentAt);
           return;
+        case "probeAddress":
+          void askAddress(command);
+          return;
         case "probe":
           void probe(command.replica, command.sentAt);
           return;
--- a/packages/relay/src/testing/fleet.ts
+++ b/packages/relay/src/testing/fleet.ts
@@ -68,6 +68,7 @@
       return copyTo === undefined ? [replica.id] : [replica.id, copyTo.id];
     }
     case "probe":
+    case "probeAddress":
     case "listPromptBlocks":
       return [command.replica.id];
     case "copyKvCache":
@@ -372,6 +373,17 @@
       case "probe":
         this.probe(router, command);
         return;
+      case "probeAddress":
+        this.probeAddress(router, command);
+        return;
+      case "tellReturns":
+        this.sendToRouter(router, command.to, (from, at) => ({
+          type: "returnsTold",
+          at,
+          from,
+          returned: command.returned,
+        }));
+        return;
       case "probeConnection":
         this.probeConnection(router, command);
         return;
@@ -497,6 +509,20 @@
     });
   }
 
+  private probeAddress(
+    router: string,
+    { replica, healthCheckPath }: CommandOf<"probeAddress">,
+  ): void {
+    const { id, startedAt } = replica;
+    const withId = healthCheckPath !== undefined;
+    this.later(1, () => {
+      const answer = this.replicas.answerAddress(replica, withId);
+      const at = this.at;
+      const type = "addressProbed";
+      this.dispatch(router, { type, at, replica: id, startedAt, answer });
+    });
+  }
+
   private probe(router: string, command: CommandOf<"probe">): void {
     const { replica, sentAt } = command;
     const fail = (isRefused: boolean, isConnected = false) => {
--- a/packages/relay/src/testing/simulatedReplicas.ts
+++ b/packages/relay/src/testing/simulatedReplicas.ts
@@ -1,12 +1,19 @@
 /** Test harness: engines and plain replicas that answer, end and restart on a virtual clock. */
 
 import { ConnectionOutcome, type Timestamp } from "@cardamomglade/common";
+import type { ProcessAnswer } from "../decisions/adoptedReplicas/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import type { StopOutcome } from "../decisions/earlierRuns/types.js";
 import type { RelayEvent } from "../decisions/events.js";
 import { AttemptFailure } from "../decisions/types.js";
 import type { Replica } from "../types.js";
-import { idleReport, okHead, plainService, testReplica } from "./scenario.js";
+import {
+  engines,
+  idleReport,
+  okHead,
+  plainService,
+  testReplica,
+} from "./scenario.js";
 import type { VirtualClock } from "./virtualClock.js";
 
 type SendCommand = Extract<RelayCommand, { readonly type: "send" }>;
@@ -585,6 +592,23 @@
     );
   }
 
+  /** What the process at a replica's address says of itself; engines serve the model `m`. */
+  answerAddress({ host, port }: Replica, withId: boolean): ProcessAnswer {
+    const found = this.running().find(
+      (one) => one.host === host && one.port === port,
+    );
+    const report = found?.service === engines && {
+      ...idleReport,
+      startedAt: found.startedAt,
+      modelNames: ["m"],
+    };
+    return {
+      report: report === false ? undefined : report,
+      id: withId ? found?.id : undefined,
+      isLeaving: false,
+    };
+  }
+
   /** Answers a probe, or refuses it where no engine runs. */
   answerProbe(
     router: string,
--- a/packages/relay/src/testing/testProtocol.ts
+++ b/packages/relay/src/testing/testProtocol.ts
@@ -24,6 +24,7 @@
     notExecuted: "x-not-run",
     requestLimit: "x-limit",
     retryAfter: "retry-after",
+    replicaId: "x-replica-id",
     leaving: "x-leaving",
     copyTo: "x-copy-to",
     continueFrom: "x-continue",
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -46,6 +46,8 @@
   readonly canCopyKvCache: boolean;
   /** Whether a run can be stopped over another connection, and its KV cache moved. */
   readonly canStopRuns: boolean;
+  /** Names of the models that they serve; none are known if undefined. */
+  readonly modelNames?: readonly string[];
 }
 
 /** A set of replicas that serve the same requests. */
@@ -53,6 +55,8 @@
   readonly name: string;
   /** Set if the replicas are inference engines. */
   readonly engine: EngineCapabilities | undefined;
+  /** Path at which a healthy replica names its id. */
+  readonly healthCheckPath?: string | undefined;
 }
 
 /** Limits on the size and duration of caller requests. */
@@ -153,6 +157,8 @@
   readonly requestLimit: string;
   /** Response header with the time at which a replica that turned a request away may be asked again. */
   readonly retryAfter: string;
+  /** Response header with the id of the replica that answers a health check. */
+  readonly replicaId: string;
   /** Present in the answers of a replica that leaves. */
   readonly leaving: string;
   readonly copyTo: string;
@@ -222,6 +228,10 @@
   /** Tokens of the first request that waits; undefined if none does. */
   readonly nextTokens?: number | undefined;
   readonly runs: readonly ReportedRun[];
+  /** Names of the models that it serves; only engines name any. */
+  readonly modelNames?: readonly string[];
+  /** Whether it says that it leaves. */
+  readonly isLeaving?: boolean;
 }
 
 /** A caller's complete request. */
