--- a/packages/platform/src/sharedWatch/sharedWatch.ts
+++ b/packages/platform/src/sharedWatch/sharedWatch.ts
@@ -76,6 +76,8 @@
   follow: Follow | undefined;
   /** Time by which a router has to confirm the entries; undefined while the source is good. */
   confirmBy: Timestamp | undefined;
+  /** Whether routers were left since the last confirmation, maybe as the store does not answer. */
+  isDoubted: boolean;
 }
 
 const isSameSource = (a: WatchSource, b: WatchSource): boolean => {
@@ -154,6 +156,7 @@
       handle: undefined,
       follow: undefined,
       confirmBy: undefined,
+      isDoubted: false,
     };
     this.active?.handle?.close();
     this.active = watch;
@@ -248,13 +251,15 @@
       {
         prefix: true,
         after: watch.position,
-        // Followers that have come from another router wait for it.
-        isConfirmedAtOnce: this.server.count() > 0,
+        // Followers that have come from another router wait for it, or this router itself.
+        isConfirmedAtOnce: this.server.count() > 0 || watch.isDoubted,
       },
       (event) => {
         if (this.active !== watch || watch.handle !== handle) return;
-        if (event.type === "changes") this.apply(watch, event, now());
-        else watch.onEvent(event);
+        if (event.type === "changes") {
+          watch.isDoubted = false;
+          this.apply(watch, event, now());
+        } else watch.onEvent(event);
         this.followIfPossible(watch, handle);
       },
     );
@@ -293,6 +298,7 @@
     const leave = (reason: string) => {
       if (this.active !== watch || watch.handle !== handle) return;
       this.avoidedUntil.set(source.router, now() + routerAvoidanceMs);
+      watch.isDoubted = true;
       const next = this.chooseNext(watch);
       this.begin(watch, next, `${source.router}: ${reason}`);
     };
@@ -307,6 +313,7 @@
       confirmTimeoutMs: watch.confirmBy - at,
       onConfirmed: () => {
         watch.confirmBy = undefined;
+        watch.isDoubted = false;
       },
       // Long values are read in between, so each message waits for the one before.
       onMessage: (message) => {
