The unknown version of adopted replicas is neither told nor stored

Cause: routers that start again would have read it from the store and refused streams whose version they could not find, long after the entries were back. Change: it leaves no trace outside the process, and none in it once no replica is used without an entry.

--- a/packages/relay/src/decisions/adoptedReplicas/adoptedReplicas.test.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/adoptedReplicas.test.ts
@@ -17,6 +17,7 @@
 import type { RelayConfig, Replica, Service } from "../../types.js";
 import { replicaReregistrationMs } from "../constants.js";
 import { unknownSoftwareVersion } from "../versions/constants.js";
+import { hasSeveralVersions } from "../versions/serviceVersions.js";
 import { adoptedMaxSilenceMs, toldMaxAgeMs } from "./constants.js";
 import type { ProcessAnswer } from "./types.js";
 
@@ -333,6 +334,24 @@
   assert.equal(scenario.state.adoption.undoneCount, 0);
 });
 
+// Load: all routers are lost soon after the store is back, and callers take their streams up.
+test("the unknown version outlasts the adoptions, or is told or stored", () => {
+  const { scenario, exchange } = beginAtAdopted();
+  scenario.advance(2000);
+  const isSeveral = () => hasSeveralVersions(scenario.state, engines);
+  assert.ok(isSeveral());
+  const entry = testReplica("a-1", engines, { id: "new-1", startedAt: bornAt });
+  readReplicas(scenario, [...testReplicas(), entry]);
+  scenario.advance(5000);
+  assert.equal(exchange.softwareVersion, "v1");
+  assert.ok(!isSeveral());
+  assert.deepEqual(scenario.commandsOfType("storeVersions"), []);
+  const told = scenario.commandsOfType("gossip").flatMap(({ items }) => items);
+  for (const item of told)
+    if (item.type === "softwareVersion")
+      assert.notEqual(item.version, unknownSoftwareVersion);
+});
+
 test("a resumed stream begins at a replica of unknown software", () => {
   const scenario = createWithoutStore();
   answer(scenario, answerOf());
--- a/packages/relay/src/decisions/versions/serviceVersions.ts
+++ b/packages/relay/src/decisions/versions/serviceVersions.ts
@@ -16,6 +16,7 @@
   maxStreamLifetimeMs,
   maxVersions,
   streamLifetimeFactor,
+  unknownSoftwareVersion,
   versionCheckIntervalMs,
   versionRenewBeforeMs,
   versionWriteSpacingMs,
@@ -65,9 +66,13 @@
   return count > 1 && versionsOf(state, service).length > 1;
 };
 
+/** The same versions without the unknown one, which means something only in this process. */
+const toldVersionsOf = (state: RelayState, service: string): string[] =>
+  versionsOf(state, service).filter((one) => one !== unknownSoftwareVersion);
+
 const itemsOf = (state: RelayState, service: string): SoftwareVersionItem[] => {
   const seen = state.versions.lastSeenAt.get(service);
-  return versionsOf(state, service).map((version) => ({
+  return toldVersionsOf(state, service).map((version) => ({
     type: "softwareVersion",
     service,
     version,
@@ -149,6 +154,15 @@
   return [line, ...tellRunningOrigins(state, service)];
 };
 
+/** Forgets the unknown version once no replica is used without its entry. */
+const forgetUnknown = ({
+  adoption: { adopted },
+  versions: { lastSeenAt },
+}: RelayState): void => {
+  if (adopted.size > 0) return;
+  for (const seen of lastSeenAt.values()) seen.delete(unknownSoftwareVersion);
+};
+
 /** Notes the versions of all replicas. */
 export const noteReplicaVersions = (state: RelayState): RelayCommand[] => {
   for (const { replica, leftAt } of state.replicas.values()) {
@@ -157,6 +171,7 @@
     noteVersion(state, service, softwareVersion, state.at);
     noteRegistered(state, service, softwareVersion);
   }
+  forgetUnknown(state);
   return [...state.versions.lastSeenAt.keys()].flatMap((service) =>
     announceChange(state, service, state.router),
   );
@@ -192,9 +207,9 @@
 const isWriteNeeded = (state: RelayState, service: string): boolean => {
   const { stored, writtenUntil } = state.versions;
   const known = stored.get(service) ?? [];
-  const isMissing = versionsOf(state, service).some(
-    (one) => !known.includes(one),
-  );
+  const told = toldVersionsOf(state, service);
+  if (told.length < 2 && !stored.has(service)) return false;
+  const isMissing = told.some((one) => !known.includes(one));
   const until = writtenUntil.get(service);
   return (
     isMissing ||
@@ -218,7 +233,7 @@
   const until =
     state.at + streamLifetimeMs(state, service) + versionRenewBeforeMs;
   writtenUntil.set(service, until);
-  const entry = { service, versions: versionsOf(state, service) };
+  const entry = { service, versions: toldVersionsOf(state, service) };
   return [{ type: "storeVersions", entry, until }];
 };
 
