--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -220,33 +220,12 @@
   return [];
 };
 
-/** Engines whose load is asked: the first for the prompt. */
-const loadSampleOf = (state: RelayState, exchange: Exchange): ReplicaView[] =>
-  candidateSampleOf(
-    state,
-    candidateQueryOf(exchange),
-    exchange.request.lastPromptBlockId,
-    loadQueryEngineCount,
-  );
-
-/** Some of the engines that are asked for the prompt's blocks if its caller reconnects. */
-const furtherSampleOf = (
-  state: RelayState,
-  exchange: Exchange,
-): ReplicaView[] =>
-  sampleWithoutReplacement(
-    state,
-    promptEngines(state, exchange),
-    loadQueryEngineCount,
-  );
-
-/** Asks some engines for their load: the first ones for the prompt, or further ones. */
-export const queryLoadReports = (
+/** Asks the given engines for their load. */
+const queryLoadOf = (
   state: RelayState,
   exchange: Exchange,
-  isFurther = false,
+  sample: readonly ReplicaView[],
 ): RelayCommand[] => {
-  const sample = (isFurther ? furtherSampleOf : loadSampleOf)(state, exchange);
   if (sample.length < 2) return [];
   // A question counts against an engine's limit of requests as well.
   const pending = sample.filter(
@@ -264,6 +243,38 @@
   });
 };
 
+/** Asks the first engines for the prompt for their load. */
+export const queryLoadReports = (
+  state: RelayState,
+  exchange: Exchange,
+): RelayCommand[] =>
+  queryLoadOf(
+    state,
+    exchange,
+    candidateSampleOf(
+      state,
+      candidateQueryOf(exchange),
+      exchange.request.lastPromptBlockId,
+      loadQueryEngineCount,
+    ),
+  );
+
+/** Asks some of those that are asked for the prompt's blocks if its caller reconnects. */
+export const queryFurtherReports = (
+  state: RelayState,
+  exchange: Exchange,
+  engineCount: number,
+): RelayCommand[] =>
+  queryLoadOf(
+    state,
+    exchange,
+    sampleWithoutReplacement(
+      state,
+      promptEngines(state, exchange),
+      engineCount,
+    ),
+  );
+
 /** Starts a query of some engines; the request is sent when they have answered. */
 export const queryEngines = (
   state: RelayState,
--- a/packages/relay/src/decisions/waitingLine/awaitEngineRoom.ts
+++ b/packages/relay/src/decisions/waitingLine/awaitEngineRoom.ts
@@ -6,12 +6,13 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import type { RelayCommand } from "../commands.js";
+import { loadQueryEngineCount } from "../constants.js";
 import { canCopy } from "../copyHolders.js";
 import { logLine } from "../logLine.js";
 import {
   engineQueryOf,
   isEngineQueryPending,
-  queryLoadReports,
+  queryFurtherReports,
 } from "../queryEngines.js";
 import { random } from "../random.js";
 import { ageOf } from "../replicaViews.js";
@@ -32,11 +33,12 @@
   keptReadingTimeCount,
   maxLoggedRoomCount,
   maxWaitingCount,
-  roomLookIntervalMs,
+  lookIntervalMs,
+  urgentLookIntervalMs,
 } from "./constants.js";
 import { hasRoomFor } from "./hasRoomFor.js";
 import { waitingRequests } from "./order.js";
-import { hasSeveralRanks } from "./ranks.js";
+import { hasSeveralRanks, isMostUrgent } from "./ranks.js";
 import { isTooLate, refuseLate } from "./refuseLate.js";
 import type { RoomSearch } from "./types.js";
 
@@ -80,15 +82,30 @@
 
 const beginSearch = (state: RelayState, exchange: Exchange): RoomSearch => {
   const until = slackEndOf(state, exchange);
-  const search = { since: state.at, until, lookCount: 0 };
+  const search = {
+    since: state.at,
+    until,
+    lookCount: 0,
+    isLastLook: false,
+  };
   exchange.roomSearch = search;
   return search;
 };
 
 /** Lets some time pass before a request looks again; it differs, so that requests do not look together. */
-const awaitLook = (state: RelayState, exchange: Exchange): void => {
-  const delayMs = roomLookIntervalMs * (0.5 + random(state));
-  exchange.wait = { type: "room", lookAt: state.at + delayMs };
+const awaitLook = (
+  state: RelayState,
+  exchange: Exchange,
+  { until }: RoomSearch,
+): void => {
+  const { service, priority } = exchange;
+  const isUrgent = isMostUrgent(state, service, priority);
+  const intervalMs = isUrgent ? urgentLookIntervalMs : lookIntervalMs;
+  const delayMs = intervalMs * (0.5 + random(state));
+  exchange.wait = {
+    type: "room",
+    lookAt: Math.min(until, state.at + delayMs),
+  };
 };
 
 /** The rooms that a request saw, as `ENGINE: free slots, free tokens, prompts in prefill`. */
@@ -134,21 +151,31 @@
   search.lookCount += 1;
   if (search.lookCount === 1) {
     exchange.wait = noWait;
-    const probes = queryLoadReports(state, exchange, true);
+    const probes = queryFurtherReports(state, exchange, loadQueryEngineCount);
     if (isEngineQueryPending(state, exchange)) return probes;
   }
-  awaitLook(state, exchange);
+  awaitLook(state, exchange, search);
   if (search.lookCount !== 2) return [];
   state.waitingLine.waitedCount += 1;
   return [logWait(state, exchange, search, views)];
 };
 
-/** Sends a request at the end of its slack, or refuses it if no engine can begin to answer it in time. */
+/**
+ * Sends a request at the end of its slack, after a look at all of the prompt's engines, or
+ * refuses it if none can begin to answer it in time.
+ */
 const endWait = (
   state: RelayState,
   exchange: Exchange,
+  search: RoomSearch,
   views: readonly ReplicaView[],
 ): RelayCommand[] | undefined => {
+  if (!search.isLastLook) {
+    search.isLastLook = true;
+    exchange.wait = noWait;
+    const probes = queryFurtherReports(state, exchange, Infinity);
+    if (isEngineQueryPending(state, exchange)) return probes;
+  }
   const size = sizeOf(exchange.request);
   const expectedMs = Math.min(
     ...views.map((view) => expectedFirstEventMs(state, view, size)),
@@ -176,6 +203,6 @@
   if (roomSearch === undefined && isLineFull) return undefined;
   const search = roomSearch ?? beginSearch(state, exchange);
   return state.at >= search.until
-    ? endWait(state, exchange, views)
+    ? endWait(state, exchange, search, views)
     : goOnWaiting(state, exchange, search, views);
 };
--- a/packages/relay/src/decisions/waitingLine/constants.ts
+++ b/packages/relay/src/decisions/waitingLine/constants.ts
@@ -3,8 +3,14 @@
 /** Requests that wait at one router at most; more are sent without a wait. */
 export const maxWaitingCount = 64;
 
-/** Mean interval between the looks of a waiting request: reports are that old. */
-export const roomLookIntervalMs = 200;
+/** Mean interval between the looks of a waiting request that is most urgent: reports are that old. */
+export const urgentLookIntervalMs = 200;
+
+/** Mean interval of less urgent ones: many that look often all find the same room within the age of a report. */
+export const lookIntervalMs = 500;
+
+/** Engines that less urgent ones look at, for the same reason. */
+export const lookEngineCount = 2;
 
 /** Reading times of its prompt that a request keeps of its target latency: its own, and that of one before it. */
 export const keptReadingTimeCount = 2;
--- a/packages/relay/src/decisions/waitingLine/types.ts
+++ b/packages/relay/src/decisions/waitingLine/types.ts
@@ -9,6 +9,8 @@
   readonly until: Timestamp;
   /** Number of samples of engines that had no room. */
   lookCount: number;
+  /** Whether its last look has begun. */
+  isLastLook: boolean;
 }
 
 /** A request waits until it looks for room again. */
