--- a/packages/relay/src/drivers/answerBuffers.ts
+++ b/packages/relay/src/drivers/answerBuffers.ts
@@ -8,7 +8,10 @@
 import { progressBytes } from "../decisions/constants.js";
 import { maxAnswerBytes, waitingBytes } from "../decisions/memory/constants.js";
 import { Holder } from "../decisions/memory/types.js";
-import { ByteCollector } from "./memory/byteCollector.js";
+import {
+  createByteCollector,
+  type ByteCollector,
+} from "./memory/byteCollector.js";
 import type { Holding } from "./memory/holding.js";
 import type { MemoryBudget } from "./memory/memoryBudget.js";
 
@@ -97,7 +100,7 @@
   /** Adds bytes that arrived; they are dropped once the buffer is closed. */
   push(chunk: Buffer): void {
     if (!this.holding.isOpen) return;
-    this.collector ??= ByteCollector.create(this.options.length);
+    this.collector ??= createByteCollector(this.options.length);
     this.collector.push(chunk);
     const { bytes } = this.collector;
     if (bytes > this.holding.bytes) this.hold(bytes);
--- a/packages/relay/src/drivers/memory/memoryGuard.test.ts
+++ b/packages/relay/src/drivers/memory/memoryGuard.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ByteCollector } from "./byteCollector.js";
+import { createByteCollector } from "./byteCollector.js";
 import { memoryGuard } from "./memoryGuard.js";
 
 const bodyBytes = 4 * 1024 * 1024;
@@ -17,7 +17,7 @@
   const startBytes = process.memoryUsage().external;
   let peakBytes = 0;
   for (let index = 0; index < bodyCount; index += 1) {
-    const collector = ByteCollector.create(bodyBytes);
+    const collector = createByteCollector(bodyBytes);
     collector.push(chunk);
     open.push(collector.take());
     if (open.length > openCount) open.shift();
--- a/packages/relay/src/drivers/memory/requestMemory.ts
+++ b/packages/relay/src/drivers/memory/requestMemory.ts
@@ -80,8 +80,19 @@
     onNoRoom();
   }
 
+  /**
+   * Reads a body whose length is not known at once: what waits is in the buffers of its
+   * stream, one for each chunk, however short.
+   */
+  takeAsItArrives(onNoRoom: () => void, read: () => void): void {
+    this.onNoRoom = onNoRoom;
+    this.holding.expectProgress();
+    read();
+  }
+
   /** Takes bytes of a body whose length is not known; false if there is no room for them. */
   grow(bytes: number): boolean {
+    if (bytes === 0) return true;
     return this.budget.tryResize(this.holding, this.holding.bytes + bytes);
   }
 
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -11,7 +11,10 @@
 import type { Handover } from "../decisions/handover/types.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { decodeHandover, handoverHeaders } from "./handover/handoverHeaders.js";
-import { ByteCollector } from "./memory/byteCollector.js";
+import {
+  createByteCollector,
+  type ByteCollector,
+} from "./memory/byteCollector.js";
 import type { RequestMemory } from "./memory/requestMemory.js";
 import { RequestFingerprint, type RequestHead } from "./requestFingerprint.js";
 
@@ -175,12 +178,12 @@
     const add = (chunk: Buffer) => {
       if (isOver) return;
       lastBytesAt = now();
-      collector ??= ByteCollector.create(length);
+      collector ??= createByteCollector(length);
       if (collector.bytes + chunk.length > maxBodyBytes()) {
         finish({ type: "tooLarge" });
         return;
       }
-      if (length === undefined && !memory.grow(chunk.length)) {
+      if (!memory.grow(collector.memoryFor(chunk))) {
         finish({ type: "noRoom" });
         return;
       }
@@ -225,14 +228,14 @@
     req.on("close", () => {
       finish({ type: "aborted" });
     });
-    memory.whenRoomForBody(length ?? 0, {
-      onRoom: () => {
-        lastBytesAt = now();
-        options.onRoom();
-        req.on("data", add);
-      },
-      onNoRoom: () => {
-        finish({ type: "noRoom" });
-      },
-    });
+    const read = () => {
+      lastBytesAt = now();
+      options.onRoom();
+      req.on("data", add);
+    };
+    const onNoRoom = () => {
+      finish({ type: "noRoom" });
+    };
+    if (length === undefined) memory.takeAsItArrives(onNoRoom, read);
+    else memory.whenRoomForBody(length, { onRoom: read, onNoRoom });
   });
