Second tries for slow answers: decisions, limits and when there are none

A few answers take many times as long as the others, and an idempotent request was sent to a second replica only once its answer was overdue, after 300 ms or twice its target.

Within a share that operators set, none by default, such a request now goes to a second replica after a quantile of the last minute's answers. The first answer is delivered and the other connection closed. It counts in the shared budget of repeats and in the attempts of the route, and is shut off in bursts, outages, refusals and stops. Slow answers count against their replica.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -138,6 +138,7 @@
     const { exchanges, replicas, config, quarantine, limitCounts } = state;
     const { restorations, versions, handover, backOffs } = state;
     const { waitingLine, adoption } = state;
+    const { secondTries } = state;
     return metrics.render({
       requests_under_way: exchanges.size,
       replicas_known: replicas.size,
@@ -159,6 +160,9 @@
       room_waits_total: waitingLine.waitedCount,
       room_waits_overdue_total: waitingLine.overdueCount,
       room_refusals_total: waitingLine.refusedCount,
+      second_tries_total: secondTries.sentCount,
+      second_tries_won_total: secondTries.wonCount,
+      second_tries_wasted_ms_total: Math.round(secondTries.wastedMs),
       store_restorations_total: restorations.count,
       quarantines_in_force: quarantine.inForce.size,
       quarantine_refusals_total: quarantine.refusedCount,
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -24,6 +24,7 @@
 import { suspectBrokenAttempt } from "./quarantine/engineCrashes.js";
 import { noteRequestLimit } from "./requestLimits.js";
 import { recordRetry } from "./retryBudget.js";
+import { recordRefusal } from "./secondTry/tryBudget.js";
 import { hasAttempt, sendRetry } from "./sendAttempt.js";
 import { recordTime } from "./serviceTimes/recordTime.js";
 import { logLine } from "./logLine.js";
@@ -203,6 +204,7 @@
     const isFull = status === serviceUnavailableStatus;
     if (isFull && !isTurnedAway(state, attempt, status))
       recordOutcome(state, attempt.replica.id, true);
+    if (isFull) recordRefusal(state, exchange.service);
     const wasCounted = forgetReplica(exchange, attempt);
     if (status === misdirectedRequestStatus) {
       // The request did not reach the intended replica, so the attempt does not count.
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -39,6 +39,7 @@
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamStarted, streamEnded } from "./streamEvents.js";
 import { kvCacheCopied } from "./kvCacheCopies.js";
+import { createSecondTryState } from "./secondTry/secondTryState.js";
 import {
   createVersionState,
   versionsRead,
@@ -96,6 +97,7 @@
   exchanges: new Map(),
   earlierRuns: new Map(),
   retryBudgets: new Map(),
+  secondTries: createSecondTryState(),
   registration: createRegistration(),
   quarantine: createQuarantineState(),
   versions: createVersionState(),
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -15,6 +15,10 @@
 import { isRetryable } from "./isRetryable.js";
 import { refuse, refuseNotExecuted, type RefusedRequest } from "./refusals.js";
 import { logLine } from "./logLine.js";
+import {
+  settleAnswered,
+  settleUnanswered,
+} from "./secondTry/settleSecondTry.js";
 import type { DecisionContext, RelayCommand } from "./commands.js";
 import type {
   Attempt,
@@ -105,6 +109,7 @@
 ): RelayCommand[] => {
   const { attempt, wait } = exchange;
   recordAnswerTimes(state, exchange);
+  const settled = settleAnswered(state, exchange, head?.status);
   closeAttempt(state, exchange);
   state.exchanges.delete(exchange.key);
   return [
@@ -121,6 +126,7 @@
       endEvidence: attempt?.endEvidence,
       events: head?.isStream === true ? attempt?.eventCount : undefined,
       bodyBytes,
+      ...settled,
     }),
   ];
 };
@@ -146,6 +152,7 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   const { attempt } = exchange;
+  settleUnanswered(state, exchange);
   state.exchanges.delete(exchange.key);
   return [
     ...abandonAttempt(state, exchange),
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -13,7 +13,8 @@
 import { recordOutcome } from "../outcomes.js";
 import { suspectBrokenAttempt } from "../quarantine/engineCrashes.js";
 import { recordLoss } from "../replicaViews.js";
-import { RequestKind } from "../../types.js";
+import { RequestKind, serviceUnavailableStatus } from "../../types.js";
+import { recordRefusal } from "../secondTry/tryBudget.js";
 import {
   AttemptFailure,
   BodyFraming,
@@ -110,6 +111,8 @@
   answer: BufferedResponse,
 ): RelayCommand[] => {
   const { status, isNotExecuted } = answer.head;
+  if (isNotExecuted && status === serviceUnavailableStatus)
+    recordRefusal(state, exchange.service);
   if (!isNotExecuted && exchange.head === undefined)
     exchange.failedResponse = answer;
   const reason = `status ${String(status)}`;
@@ -196,7 +199,10 @@
   switch (type) {
     case "connectionOpened":
       fallback.wasNeeded = false;
-      if (exchange.route.kind === RequestKind.Idempotent)
+      if (
+        exchange.route.kind === RequestKind.Idempotent &&
+        !fallback.isBesideSecondTry
+      )
         fallback.closesAt = state.at + maxOverlapMs;
       return closeEarlier(state, exchange, fallback);
     case "attemptFailed":
--- a/packages/relay/src/decisions/fallback/keepFallback.ts
+++ b/packages/relay/src/decisions/fallback/keepFallback.ts
@@ -39,6 +39,7 @@
   exchange.fallback = {
     attempt,
     isLeaving,
+    isBesideSecondTry: false,
     closesAt: undefined,
     wasNeeded: false,
     earlier,
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -81,6 +81,7 @@
   ),
   attempt: undefined,
   fallback: undefined,
+  slowAnswer: undefined,
   seekAt: 0,
   failedSeekCount: 0,
   attempts: request.handover?.attempts ?? 0,
--- a/packages/relay/src/decisions/retryBudget.ts
+++ b/packages/relay/src/decisions/retryBudget.ts
@@ -19,7 +19,7 @@
 };
 
 /** Removes the timestamps up to and including `end` from a list sorted from oldest to newest. */
-const removeUpTo = (timestamps: Timestamp[], end: Timestamp): void => {
+export const removeUpTo = (timestamps: Timestamp[], end: Timestamp): void => {
   while ((timestamps[0] ?? Infinity) <= end) timestamps.shift();
 };
 
--- /dev/null
+++ b/packages/relay/src/decisions/secondTry/recentTimes.ts
@@ -0,0 +1,184 @@
+/**
+ * Remembers how long answers take lately and works out after which silence one is slow.
+ * Load pattern: one replica of a service is slow, or a few answers of all of them are.
+ */
+
+import { RequestKind } from "../../types.js";
+import type { Exchange, RelayState } from "../types.js";
+import {
+  chanceRatio,
+  currentMs,
+  delayQuantiles,
+  maxMedianCount,
+  maxSampleCount,
+  medianIntervalMs,
+  minCurrentCount,
+  minMedianCount,
+  minReplicaSampleCount,
+  minRiseMs,
+  minSampleCount,
+  risingFactor,
+  sampleLifetimeMs,
+  slowReplicaFactor,
+  usualIntervalMs,
+} from "./constants.js";
+import { secondTryShareOf } from "./secondTryState.js";
+import type { AnswerSample, RecentTimes, UsualTimes } from "./types.js";
+
+const keyOf = ({ service, route }: Exchange): string =>
+  `${service} ${route.name}`;
+
+const createTimes = (): RecentTimes => ({
+  byReplica: new Map(),
+  medians: [],
+  nextMedianAt: 0,
+  usual: undefined,
+  nextUsualAt: 0,
+  lastAt: 0,
+});
+
+/** Forgets routes that have had no answers for long, such as those that the configuration does not have any more. */
+const forgetOld = ({ secondTries: { times }, at }: RelayState): void => {
+  for (const [key, { lastAt }] of [...times])
+    if (at - lastAt > sampleLifetimeMs) times.delete(key);
+};
+
+const timesOf = (state: RelayState, exchange: Exchange): RecentTimes => {
+  const { times } = state.secondTries;
+  const key = keyOf(exchange);
+  const known = times.get(key);
+  if (known !== undefined) return known;
+  forgetOld(state);
+  const created = createTimes();
+  times.set(key, created);
+  return created;
+};
+
+/** Smallest time that is no shorter than the given part of the times; 0 without any. */
+const quantileOf = (times: readonly number[], part: number): number => {
+  const sorted = times.toSorted((a, b) => a - b);
+  return sorted[Math.max(0, Math.ceil(part * sorted.length) - 1)] ?? 0;
+};
+
+const medianOf = (times: readonly number[]): number => quantileOf(times, 0.5);
+
+const msOf = ({ ms }: AnswerSample): number => ms;
+
+/** Median of the samples; undefined if they are too few. */
+const replicaMedianOf = (
+  samples: readonly AnswerSample[],
+): number | undefined =>
+  samples.length < minReplicaSampleCount
+    ? undefined
+    : medianOf(samples.map(msOf));
+
+const removeOldSamples = (
+  { at }: RelayState,
+  { byReplica }: RecentTimes,
+): void => {
+  for (const [replica, samples] of [...byReplica]) {
+    const fresh = samples.filter((one) => at - one.at <= sampleLifetimeMs);
+    if (fresh.length === 0) byReplica.delete(replica);
+    else if (fresh.length < samples.length) byReplica.set(replica, fresh);
+  }
+};
+
+/** The samples of all replicas but those that are slow. */
+const usualSamplesOf = ({ byReplica }: RecentTimes): AnswerSample[] => {
+  const all = [...byReplica.values()].map((samples) => ({
+    samples,
+    medianMs: replicaMedianOf(samples),
+  }));
+  const medians = all
+    .map(({ medianMs }) => medianMs)
+    .filter((one) => one !== undefined);
+  const maxMs =
+    medians.length === 0 ? Infinity : slowReplicaFactor * medianOf(medians);
+  return all
+    .filter(({ medianMs = 0 }) => medianMs <= maxMs)
+    .flatMap(({ samples }) => samples);
+};
+
+/** Part of the answers that come within the delay: half of the share is for those that are slow by chance. */
+const delayQuantileOf = (share: number): number =>
+  Math.min(
+    delayQuantiles.max,
+    Math.max(delayQuantiles.min, 1 - chanceRatio * share),
+  );
+
+/** Whether answers take much longer now than they did over the last minute, or that is not known. */
+const isRisingFrom = (
+  { at }: RelayState,
+  { medians }: RecentTimes,
+  samples: readonly AnswerSample[],
+): boolean => {
+  if (medians.length < minMedianCount) return true;
+  const current = samples.filter((one) => at - one.at <= currentMs).map(msOf);
+  if (current.length < minCurrentCount) return false;
+  const usualMs = medianOf(medians);
+  const limitMs = Math.max(risingFactor * usualMs, usualMs + minRiseMs);
+  return medianOf(current) > limitMs;
+};
+
+const workOutUsual = (
+  state: RelayState,
+  times: RecentTimes,
+): UsualTimes | undefined => {
+  removeOldSamples(state, times);
+  const samples = usualSamplesOf(times);
+  if (samples.length < minSampleCount) return undefined;
+  const all = samples.map(msOf);
+  const medianMs = medianOf(all);
+  if (state.at >= times.nextMedianAt) {
+    times.nextMedianAt = state.at + medianIntervalMs;
+    times.medians.push(medianMs);
+    if (times.medians.length > maxMedianCount) times.medians.shift();
+  }
+  return {
+    delayMs: quantileOf(all, delayQuantileOf(secondTryShareOf(state))),
+    medianMs,
+    isRising: isRisingFrom(state, times, samples),
+  };
+};
+
+/** What is usual for answers to such requests; undefined while too little is known. */
+export const usualTimesOf = (
+  state: RelayState,
+  exchange: Exchange,
+): UsualTimes | undefined => {
+  const times = state.secondTries.times.get(keyOf(exchange));
+  if (times === undefined) return undefined;
+  if (state.at >= times.nextUsualAt) {
+    times.nextUsualAt = state.at + usualIntervalMs;
+    times.usual = workOutUsual(state, times);
+  }
+  return times.usual;
+};
+
+/** Remembers how long an attempt took, or at least took until it was left. */
+export const recordTime = (
+  state: RelayState,
+  exchange: Exchange,
+  replica: string,
+  ms: number,
+): void => {
+  if (secondTryShareOf(state) === 0) return;
+  if (exchange.route.kind !== RequestKind.Idempotent) return;
+  const times = timesOf(state, exchange);
+  const samples = times.byReplica.get(replica) ?? [];
+  times.byReplica.set(replica, samples);
+  samples.push({ at: state.at, ms });
+  if (samples.length > maxSampleCount) samples.shift();
+  times.lastAt = state.at;
+  usualTimesOf(state, exchange); // keeps the medians even while no answer is slow
+};
+
+/** Median of the answers to such requests at one replica; undefined while too little is known. */
+export const medianAt = (
+  state: RelayState,
+  exchange: Exchange,
+  replica: string,
+): number | undefined => {
+  const times = state.secondTries.times.get(keyOf(exchange));
+  return replicaMedianOf(times?.byReplica.get(replica) ?? []);
+};
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -56,6 +56,8 @@
 import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
+import { returnToSlow } from "./secondTry/returnToSlow.js";
+import { recordFirst } from "./secondTry/tryBudget.js";
 import { expectedEndAt } from "./plannedStop/expectedEnd.js";
 import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { ageOf, hasSoftware } from "./replicaViews.js";
@@ -87,7 +89,7 @@
     : sharedPromptBlockIds.slice(0, maxLoggedPromptBlockCount);
 
 /** Sends the request to a replica as the exchange's next attempt. */
-const sendTo = (
+export const sendTo = (
   state: RelayState,
   exchange: Exchange,
   replica: Replica,
@@ -301,6 +303,7 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   recordFirstAttempt(state, exchange.service, state.at);
+  recordFirst(state, exchange);
   return placeRequest(state, exchange);
 };
 
@@ -362,6 +365,8 @@
   const { route, service, mayHaveExecuted, attempts, copy } = exchange;
   if (mayHaveExecuted && !isRetryable(route))
     return failExchange(state, exchange, reason);
+  if (exchange.fallback?.isBesideSecondTry === true)
+    return returnToSlow(state, exchange, exchange.fallback, reason);
   if (returnToSpeaking(state, exchange)) return [];
   const kept = takeKeptCopy(state, exchange);
   if (kept !== undefined)
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -51,6 +51,7 @@
 import { recordTime } from "./serviceTimes/recordTime.js";
 import { maintainVersions } from "./versions/serviceVersions.js";
 import { checkRoom } from "./waitingLine/checkRoom.js";
+import { sendSecondTry } from "./secondTry/sendSecondTry.js";
 import { readmitReplicas, removeMissingReplicas } from "./storeUpdates.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
@@ -112,7 +113,8 @@
   exchange: Exchange,
   attempt: Attempt,
 ): RelayCommand[] => {
-  if (!isOverdue(exchange, attempt, state.at)) return [];
+  if (!isOverdue(exchange, attempt, state.at))
+    return sendSecondTry(state, exchange, attempt);
   // A late response is better than none.
   if (!maySeek(state, exchange) || !canRetryElsewhere(state, exchange))
     return [];
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -24,6 +24,7 @@
 import type { AnswerTimes, PlannedStop } from "./plannedStop/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
 import type { RouteTable } from "./routeTable.js";
+import type { SecondTryState, SlowAnswer } from "./secondTry/types.js";
 import type {
   ClassTimes,
   TimesByClass,
@@ -256,6 +257,8 @@
   attempt: Attempt | undefined;
   /** Earlier attempt that stays open while another replica is asked; undefined if there is none. */
   fallback: Fallback | undefined;
+  /** The slow answer that a second try is for; undefined while no answer is slow. */
+  slowAnswer: SlowAnswer | undefined;
   /** Time from which another replica may be asked for a silent attempt. */
   seekAt: Timestamp;
   /** Number of times that this found none. */
@@ -488,6 +491,7 @@
   /** Runs that their requests left, by exchange and attempt. */
   readonly earlierRuns: Map<string, EarlierRun>;
   readonly retryBudgets: Map<string, RetryBudget>;
+  readonly secondTries: SecondTryState;
   readonly registration: Registration;
   readonly quarantine: QuarantineState;
   readonly versions: VersionState;
@@ -515,6 +519,8 @@
   /** Time for which a draining replica continues to serve. */
   readonly drainTimeoutMs: number;
   readonly retryLimits: RetryLimits;
+  /** Second tries allowed for each idempotent request, over all routers; none if undefined. */
+  readonly secondTryShare?: number | undefined;
 }
 
 /** Fleet-wide retry budget of each service. */
--- a/packages/relay/src/testing/scenario.ts
+++ b/packages/relay/src/testing/scenario.ts
@@ -354,7 +354,15 @@
 
   /** The replica of the latest attempt sends a complete response. */
   answer(key: string, changes: Partial<ResponseHead> = {}): RelayCommand[] {
-    const attempt = this.lastSend(key).attempt.number;
+    return this.answerAttempt(key, this.lastSend(key).attempt.number, changes);
+  }
+
+  /** The replica of an attempt sends a complete response. */
+  answerAttempt(
+    key: string,
+    attempt: number,
+    changes: Partial<ResponseHead> = {},
+  ): RelayCommand[] {
     const answer = { head: okHead(changes), body: new Uint8Array() };
     return this.dispatch({
       type: "responseReceived",
