--- a/packages/relay/src/decisions/secondTry/secondTry.test.ts
+++ b/packages/relay/src/decisions/secondTry/secondTry.test.ts
@@ -298,3 +298,19 @@
   warm.advance(withinMs);
   assert.equal(scenario.state.secondTries.sentCount, 0);
 });
+
+test("the lines of a request say when its second try was sent and what became of it", () => {
+  const warm = createWarm();
+  const key = warm.requestSlow();
+  answerOf(warm, key, 1);
+  const contextOf = (message: string) =>
+    warm.scenario
+      .commandsOfType("log")
+      .filter((one) => one.message === message)
+      .map(({ context }) => context)
+      .find(({ requestId }) => requestId === `id-${key}`);
+  assert.equal(contextOf("second try sent")?.successor, 1);
+  const answered = contextOf("request answered");
+  assert.equal(answered?.secondTry, "won");
+  assert.ok(Number(answered?.wastedMs) >= usualMs);
+});
