Second tries go by the times that routers tell each other

Where a second try goes was judged by this router's own answers of the last minute. The shared service times say more in a large fleet and follow a replica within seconds; a slow attempt that is left counts in them as long as it took.

--- a/packages/relay/src/decisions/secondTry/chooseSecond.ts
+++ b/packages/relay/src/decisions/secondTry/chooseSecond.ts
@@ -4,21 +4,37 @@
  */
 
 import { candidateQueryOf, rankCandidates } from "../chooseReplica.js";
+import { workOf } from "../plannedStop/answerTimes.js";
 import { random } from "../random.js";
+import { estimateTime } from "../serviceTimes/estimateTime.js";
+import { EstimateSource } from "../serviceTimes/types.js";
 import { costJitter } from "../constants.js";
 import type { Attempt, Exchange, RelayState, ReplicaView } from "../types.js";
 import { crossZoneFactor } from "./constants.js";
 import { medianAt } from "./recentTimes.js";
 import type { UsualTimes } from "./types.js";
 
+/** Median of what the replica takes now, as all routers saw it, or else as this one did over the last minute. */
+const medianMsAt = (
+  state: RelayState,
+  exchange: Exchange,
+  view: ReplicaView,
+): number | undefined => {
+  const estimate = estimateTime(state, view, workOf(exchange));
+  return estimate?.source === EstimateSource.Replica
+    ? estimate.p50Ms
+    : medianAt(state, exchange, view.replica.id);
+};
+
 /** Time after which the replica's answer is expected: longer where this router has requests there, or in another zone. */
 const expectedMs = (
   state: RelayState,
   exchange: Exchange,
-  { replica, inFlight }: ReplicaView,
+  view: ReplicaView,
   usual: UsualTimes,
 ): number => {
-  const usualMs = medianAt(state, exchange, replica.id) ?? usual.medianMs;
+  const { replica, inFlight } = view;
+  const usualMs = medianMsAt(state, exchange, view) ?? usual.medianMs;
   const load = inFlight / Math.max(1, replica.slots);
   const wayFactor = replica.zone === state.zone ? 1 : crossZoneFactor;
   return usualMs * (1 + load) * wayFactor;
--- a/packages/relay/src/decisions/secondTry/settleSecondTry.ts
+++ b/packages/relay/src/decisions/secondTry/settleSecondTry.ts
@@ -3,6 +3,7 @@
 import { serverErrorStatus } from "../../types.js";
 import type { DecisionContext } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
+import { recordTime as recordServiceTime } from "../serviceTimes/recordTime.js";
 import { recordTime } from "./recentTimes.js";
 
 /** How a second try ended, for the log. */
@@ -27,6 +28,9 @@
   if (isWon) {
     state.secondTries.wonCount += 1;
     recordTime(state, exchange, slowAnswer.replica, wastedMs);
+    const slow = exchange.fallback?.attempt;
+    if (slow?.number === slowAnswer.attempt)
+      recordServiceTime(state, exchange, slow);
   }
   return {
     secondTry: isWon ? TryResult.Won : TryResult.Lost,
