The check of a configuration: what can never match, contradicts itself, or takes from callers

cardamomglade check found malformed fields, and neither entries that no request can match nor limits that contradict each other; what a configuration changes for callers showed only once it was in force.

It now finds hosts, prefixes, keys, services and targets that cannot be used, attempts and ranks that contradict time-outs and targets, and compares with the configuration in force by route and customer (--against). Lines are looked up by search, as 2,000 findings split the text 2,000 times. Text that is nested too deeply, and options without a value, end with a message.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -13,8 +13,20 @@
   type Intent,
   type Settings,
 } from "@cardamomglade/schema";
-import { isConfigText } from "@cardamomglade/users-platform/check";
+import {
+  compareConfigTexts,
+  FindingLevel,
+  isConfigText,
+} from "@cardamomglade/users-platform/check";
 import { checkConfigFile, checkTomlFile } from "./checkPlatformFile.js";
+import {
+  CheckExitCode,
+  exitCodeOf,
+  formatJson,
+  printText,
+  type CheckedFinding,
+  type CheckReport,
+} from "./checkReport.js";
 
 const unreadableFinding = (file: string, message: string): Finding => ({
   file,
@@ -65,22 +77,51 @@
   checked: Result<Settings | Intent, readonly Finding[]>,
 ): readonly Finding[] => (checked.type === "err" ? checked.error : []);
 
-const checkText = (file: string, text: string): readonly Finding[] => {
-  if (file.endsWith(".toml")) return checkTomlFile(file, text);
+const withLevel = (finding: Finding): CheckedFinding => ({
+  ...finding,
+  level: FindingLevel.Error,
+});
+
+const checkText = (file: string, text: string): readonly CheckedFinding[] => {
+  if (file.endsWith(".toml")) return checkTomlFile(file, text).map(withLevel);
   if (isConfigText(text)) return checkConfigFile(file, text);
-  return isIntentText(text)
+  const findings = isIntentText(text)
     ? findingsOf(checkIntentText(file, text))
     : findingsOf(checkDocument(file, text, validateSettings));
+  return findings.map(withLevel);
 };
 
-const checkFile = async (file: string): Promise<readonly Finding[]> => {
-  let text: string;
+/** A file, and what was read of it; the text is undefined if it could not be. */
+export interface ReadFile {
+  readonly file: string;
+  readonly text: string | undefined;
+}
+
+const readText = async (file: string): Promise<ReadFile> => {
   try {
-    text = await readFile(file, "utf8");
+    return { file, text: await readFile(file, "utf8") };
   } catch {
-    return [unreadableFinding(file, `file "${file}" cannot be read`)];
+    return { file, text: undefined };
+  }
+};
+
+/** Findings of one file; what cannot be checked, such as a text nested too deeply, is one. */
+export const checkRead = ({
+  file,
+  text,
+}: ReadFile): readonly CheckedFinding[] => {
+  if (text === undefined)
+    return [
+      withLevel(unreadableFinding(file, `file "${file}" cannot be read`)),
+    ];
+  try {
+    return checkText(file, text);
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return [
+      withLevel(unreadableFinding(file, `it cannot be checked: ${detail}`)),
+    ];
   }
-  return checkText(file, text);
 };
 
 /** Prints one finding per line to stderr. */
@@ -88,11 +129,70 @@
   for (const finding of findings) console.error(formatFinding(finding));
 };
 
-/** Prints all findings of all files; exit code 1 if there are any. */
-export const check = async (files: readonly string[]): Promise<number> => {
-  const findings = (await Promise.all(files.map(checkFile))).flat();
-  printFindings(findings);
-  if (findings.length === 0)
-    console.log(`${String(files.length)} file(s) without findings`);
-  return findings.length === 0 ? 0 : 1;
+/** Flags of the command. */
+export interface CheckFlags {
+  readonly format?: unknown;
+  /** Configuration in force. */
+  readonly against?: unknown;
+}
+
+/** Compares the configuration among the files with the one in force. */
+const compareWith = async (
+  against: string,
+  files: readonly ReadFile[],
+): Promise<Pick<CheckReport, "findings" | "changes">> => {
+  const before = await readText(against);
+  if (before.text === undefined)
+    return { findings: checkRead(before), changes: undefined };
+  const configs = files.filter(({ text }) => text && isConfigText(text));
+  const [config] = configs;
+  const changes =
+    configs.length === 1 && config?.text !== undefined
+      ? compareConfigTexts(before.text, config.text)
+      : undefined;
+  if (changes !== undefined) return { findings: [], changes };
+  const message =
+    configs.length === 1
+      ? "it cannot be compared: one of the two has no version or no list of routes"
+      : `one configuration can be compared with it, not ${String(configs.length)}`;
+  const finding = withLevel(unreadableFinding(against, message));
+  return { findings: [finding], changes: undefined };
+};
+
+const isFormat = (format: unknown): format is "text" | "json" =>
+  format === "text" || format === "json";
+
+/**
+ * Prints what is wrong with the files and, beside the configuration in force, what changes
+ * for callers. Returns the exit code.
+ */
+export const check = async (
+  files: readonly string[],
+  { format = "text", against }: CheckFlags = {},
+): Promise<CheckExitCode> => {
+  if (!isFormat(format)) {
+    console.error(`format "${String(format)}" is not one of text, json`);
+    return CheckExitCode.Usage;
+  }
+  if (files.length === 0) {
+    console.error("name the files to check");
+    return CheckExitCode.Usage;
+  }
+  if (against !== undefined && typeof against !== "string") {
+    console.error("--against needs the name of one file");
+    return CheckExitCode.Usage;
+  }
+  const read = await Promise.all(files.map(readText));
+  const compared =
+    against === undefined
+      ? { findings: [], changes: undefined }
+      : await compareWith(against, read);
+  const report: CheckReport = {
+    fileCount: files.length,
+    findings: [...read.flatMap(checkRead), ...compared.findings],
+    changes: compared.changes,
+  };
+  if (format === "json") console.log(formatJson(report));
+  else printText(report);
+  return exitCodeOf(report);
 };
--- a/packages/cli/src/commands/checkPlatformFile.ts
+++ b/packages/cli/src/commands/checkPlatformFile.ts
@@ -8,8 +8,10 @@
 import {
   checkConfigText,
   checkTomlText,
+  FindingLevel,
   type CheckFinding,
 } from "@cardamomglade/users-platform/check";
+import type { CheckedFinding } from "./checkReport.js";
 
 const escapeRegExp = (text: string): string =>
   text.replaceAll(/[.*+?^${}()|[\]\\]/g, String.raw`\$&`);
@@ -55,5 +57,13 @@
 };
 
 /** All findings of a JSON configuration file. */
-export const checkConfigFile = (file: string, text: string): Finding[] =>
-  locateFindings(file, text, checkConfigText(text));
+export const checkConfigFile = (
+  file: string,
+  text: string,
+): CheckedFinding[] => {
+  const findings = checkConfigText(text);
+  return locateFindings(file, text, findings).map((located, index) => ({
+    ...located,
+    level: findings[index]?.level ?? FindingLevel.Error,
+  }));
+};
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,7 +3,7 @@
 
 import { cac } from "cac";
 import type { AdministrationFlags } from "./administration.js";
-import { check } from "./commands/check.js";
+import { check, type CheckFlags } from "./commands/check.js";
 import { explainLogs } from "./commands/explainLogs.js";
 import {
   confirm,
@@ -35,7 +35,14 @@
     "check [...files]",
     "Check settings, intents, and the platform's settings, deploy and configuration files; report every finding",
   )
-  .action((files: string[]) => exitWith(check(files)));
+  .option("--format <format>", "text or json", { default: "text" })
+  .option(
+    "--against <file>",
+    "Configuration in force: say what the new one changes for callers",
+  )
+  .action((files: string[], flags: CheckFlags) =>
+    exitWith(check(files, flags)),
+  );
 cli
   .command("route", "Run a router")
   .option("--settings <file>", "Settings file in JSON")
@@ -122,4 +129,11 @@
 });
 cli.help();
 cli.version("0.1.0");
-cli.parse();
+
+try {
+  cli.parse();
+} catch (error) {
+  // An option that is not known, or without its value.
+  console.error(error instanceof Error ? error.message : String(error));
+  process.exitCode = usageExitCode;
+}
--- a/packages/relay/src/checkRoutes.ts
+++ b/packages/relay/src/checkRoutes.ts
@@ -39,7 +39,7 @@
   return routes.flatMap((route, index) => {
     if (route === undefined) return [];
     const messages = errorsOf(route, names);
-    const pattern = `${route.hostname}${route.prefix}`;
+    const pattern = `${route.hostname.toLowerCase()} ${route.prefix}`;
     const firstIndex = firstIndexByPattern.get(pattern);
     if (firstIndex === undefined) firstIndexByPattern.set(pattern, index);
     else
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -4,6 +4,8 @@
  */
 
 export { checkRoutes, type RouteError } from "./checkRoutes.js";
+export { findRoute, buildRouteTable } from "./decisions/routeTable.js";
+export { attemptTimeoutMsOf } from "./decisions/fallback/attemptTimeout.js";
 export { createRelay, type Relay, type RelayOptions } from "./createRelay.js";
 export type { DecisionContext, RelayCommand } from "./decisions/commands.js";
 export type { RelayEvent } from "./decisions/events.js";
--- a/packages/schema/src/checkDocument.ts
+++ b/packages/schema/src/checkDocument.ts
@@ -24,6 +24,22 @@
   return { line: before.length, column: (before.at(-1) ?? "").length + 1 };
 };
 
+/** Returns a function that finds positions in a text, for many of them. */
+export const positionsIn = (text: string): ((offset: number) => Position) => {
+  const lineStarts = [0];
+  for (const { index } of text.matchAll(/\n/g)) lineStarts.push(index + 1);
+  return (offset) => {
+    let low = 0;
+    let high = lineStarts.length - 1;
+    while (low < high) {
+      const middle = Math.ceil((low + high) / 2);
+      if ((lineStarts[middle] ?? 0) <= offset) low = middle;
+      else high = middle - 1;
+    }
+    return { line: low + 1, column: offset - (lineStarts[low] ?? 0) + 1 };
+  };
+};
+
 const pathOf = (pointer: string): (string | number)[] =>
   pointer
     .split("/")
--- a/packages/schema/src/locateFindings.ts
+++ b/packages/schema/src/locateFindings.ts
@@ -1,7 +1,7 @@
 /** Adds line and column to faults that are given by JSON pointer. */
 
 import { parseTree } from "jsonc-parser";
-import { nodeAt, positionOf } from "./checkDocument.js";
+import { nodeAt, positionsIn } from "./checkDocument.js";
 import type { Finding } from "./findings.js";
 
 /** Findings with the line and column of each pointer. */
@@ -11,8 +11,9 @@
   faults: readonly { readonly pointer: string; readonly message: string }[],
 ): Finding[] => {
   const tree = parseTree(text);
+  const positionAt = positionsIn(text);
   return faults.map(({ pointer, message }) => {
     const offset = nodeAt(tree, pointer)?.offset ?? 0;
-    return { file, ...positionOf(text, offset), pointer, message };
+    return { file, ...positionAt(offset), pointer, message };
   });
 };
