Plain requests: placed, repeated and let in by service times

Of three replicas one turned slow or left, and its zone's routers went on sending there; overdue and refused requests were repeated into queues that were long at every replica, where the repeat was late and delayed the others.

- A replica whose median time is above twice the shortest one costs more, up to the weight of another zone.
The own requests in flight weigh more, as the times are news of half a second ago.
- While all open replicas have a standing delay, known from the shortest median of the class, overdue attempts are not repeated, and what a full replica refused is refused at once.
- A part of the new requests is refused then, not run, with a time after which the queue can be gone; it falls with the delay.

'request sent' says what was expected of the replica, from which source and how old. With even times and without a queue the choices are as before.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -8,6 +8,7 @@
 } from "../types.js";
 import { isIdBackingOff } from "./backOff/backOffs.js";
 import { confirmEnd } from "./answerEnds/confirmEnd.js";
+import { endSearch } from "./fallback/endSearch.js";
 import { endsWithConnection } from "./answerEnds/endsWithConnection.js";
 import { forgetReplica } from "./countedReplicas.js";
 import { isStopAsked } from "./earlierRuns/followRuns.js";
@@ -18,6 +19,7 @@
   connectionFailed,
   connectionSucceeded,
 } from "./paths/paths.js";
+import { hasStandingQueue } from "./placing/admission.js";
 import { markReplaced, recordContact, recordLoss } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
 import { recordWholeAnswer } from "./quarantine/establishAttempt.js";
@@ -222,7 +224,9 @@
       `not run, status ${String(status)}`,
     );
     closeAttempt(state, exchange);
-    return [line, ...sendRetry(state, exchange, "the replica refused")];
+    return isFull && hasStandingQueue(state, exchange)
+      ? [line, ...endSearch(state, exchange, "all replicas are full")]
+      : [line, ...sendRetry(state, exchange, "the replica refused")];
   }
   return endsWithConnection(exchange, answer.head)
     ? confirmEnd(state, exchange, attempt, answer)
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -2,15 +2,10 @@
 
 import { rendezvousOrder } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
-import {
-  failureRateCost,
-  plainCrossZoneCost,
-  costJitter,
-  slotCost,
-} from "./constants.js";
+import { costJitter } from "./constants.js";
 import { backOffUntil, isBackingOff } from "./backOff/backOffs.js";
 import { engineOf } from "./engineOf.js";
-import { excessFailureRateOf } from "./outcomes.js";
+import { choosePlain } from "./placing/choosePlain.js";
 import type { TimedRequest } from "./plannedStop/answerTimes.js";
 import { preferInTime } from "./plannedStop/expectedEnd.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
@@ -65,43 +60,20 @@
   timed: exchange,
 });
 
-interface CostEstimate {
-  readonly costOf: (view: ReplicaView) => number;
-  readonly jitter: number;
-}
-
-const plainCost = (state: RelayState, view: ReplicaView): number => {
-  const { inFlight, replica } = view;
-  const zoneCost = replica.zone === state.zone ? 0 : plainCrossZoneCost;
-  const load = inFlight / Math.max(1, replica.slots);
-  const failureCost = failureRateCost * excessFailureRateOf(state, view);
-  return slotCost * load + zoneCost + failureCost;
-};
-
-/** The cost of each replica for a request, in milliseconds for engines, and the range of its random part. */
-const costsOf = (
-  state: RelayState,
-  { service, timed }: CandidateQuery,
-): CostEstimate => {
-  if (engineOf(state, service) === undefined)
-    return { costOf: (view) => plainCost(state, view), jitter: costJitter };
-  const size = sizeOf(timed?.request);
-  return {
-    costOf: (view) => expectedFirstEventMs(state, view, size),
-    jitter: costJitter * readingMsOf(state, service, size),
-  };
-};
-
 const leastCostReplica = (
   state: RelayState,
-  query: CandidateQuery,
+  { service, timed }: CandidateQuery,
   views: readonly ReplicaView[],
 ): Replica | undefined => {
-  const { costOf, jitter } = costsOf(state, query);
+  if (engineOf(state, service) === undefined)
+    return choosePlain(state, timed, views);
+  const size = sizeOf(timed?.request);
+  const jitterMs = costJitter * readingMsOf(state, service, size);
   let best: Replica | undefined;
   let bestCost = Infinity;
   for (const view of views) {
-    const cost = costOf(view) + jitter * random(state);
+    const costMs = expectedFirstEventMs(state, view, size);
+    const cost = costMs + jitterMs * random(state);
     if (cost >= bestCost) continue;
     best = view.replica;
     bestCost = cost;
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -112,6 +112,8 @@
   readingRates: new Map(),
   answerTimes: new Map(),
   serviceTimes: new Map(),
+  unloadedTimes: new Map(),
+  overloadRefusalCount: 0,
   plannedStop: undefined,
 });
 
--- /dev/null
+++ b/packages/relay/src/decisions/placing/constants.ts
@@ -0,0 +1,28 @@
+/** Weights of placing and of admission by service times. */
+
+/** Ratio to the shortest time of a replica up to which others count as equally fast. */
+export const equalTimeRatio = 2;
+
+/** Cost of each further multiple of the shortest time, as a fraction of a replica's slots. */
+export const slownessCost = 0.1;
+
+/** Largest such cost; it weighs as much as another zone, so that routers do not all leave a replica on delayed news. */
+export const maxSlownessCost = 0.12;
+
+/** Part of the time that a queue may take for an answer in time, from which requests are not repeated. */
+export const repeatDelayRatio = 0.5;
+
+/** The same from which some new requests are refused. */
+export const admittedDelayRatio = 0.75;
+
+/** The same from which as many as possible are: a steep rise would refuse too many on delayed news. */
+export const refusedDelayRatio = 3;
+
+/** Largest part of the requests that is refused: the others show when the queue is gone. */
+export const maxRefusedPart = 0.9;
+
+/** Smallest part of the target latency that counts as time for a queue. */
+export const minSlackRatio = 0.25;
+
+/** Time over which refused callers come back, after the queue's delay. */
+export const returnSpreadMs = 800;
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -15,6 +15,7 @@
   type RefusedRequest,
 } from "./refusals.js";
 import type { TimedRequest } from "./plannedStop/answerTimes.js";
+import { refuseOverload } from "./placing/admission.js";
 import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
@@ -170,7 +171,15 @@
     service,
     identity.customer,
   );
-  const refusal = holdBack(state, exchange);
+  const refusal =
+    holdBack(state, exchange) ??
+    (request.handover === undefined
+      ? refuseOverload(
+          state,
+          timed,
+          refused("the queues of all replicas are long"),
+        )
+      : undefined);
   if (refusal !== undefined) return refusal;
   state.exchanges.set(key, exchange);
   return [
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -61,6 +61,7 @@
 import { expectedEndAt } from "./plannedStop/expectedEnd.js";
 import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { ageOf, hasSoftware } from "./replicaViews.js";
+import { describeEstimate } from "./serviceTimes/describeEstimate.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import {
@@ -171,6 +172,7 @@
       afterEvent: lastEventId,
       waitedForRoomMs:
         exchange.roomSearch && ageOf(state, exchange.roomSearch.since),
+      ...describeEstimate(state, exchange, view),
       ...stopTimesOf(state, attempt.expectedEndAt),
     }),
   ];
--- a/packages/relay/src/decisions/serviceTimes/constants.ts
+++ b/packages/relay/src/decisions/serviceTimes/constants.ts
@@ -26,3 +26,9 @@
 
 /** Answers of one class in one message that count: a router that tells more cannot outweigh the others. */
 export const maxSharedTimeCount = 20;
+
+/** Weight of all answers from which their median shows what one takes without a queue. */
+export const minUnloadedTimeWeight = 10;
+
+/** Time in which the shortest median that is remembered doubles: replicas may have become slower for good. */
+export const unloadedDoublingMs = 30_000;
--- a/packages/relay/src/decisions/serviceTimes/recordTime.ts
+++ b/packages/relay/src/decisions/serviceTimes/recordTime.ts
@@ -6,6 +6,7 @@
 import type { Attempt, Exchange, RelayState, ReplicaView } from "../types.js";
 import { maxTimeClassCount } from "./constants.js";
 import { addToHistogram, bucketOf, createHistogram } from "./histogram.js";
+import { noteUnloadedTime } from "./standingDelay.js";
 import type { BucketCount, TimesByClass } from "./types.js";
 
 const addTo = (
@@ -32,6 +33,7 @@
 ): void => {
   addTo(view.serviceTimes, timeClass, counted, state.at);
   addTo(state.serviceTimes, timeClass, counted, state.at);
+  noteUnloadedTime(state, timeClass);
 };
 
 const noteUnshared = (
@@ -63,14 +65,14 @@
 
 /** Forgets classes of work that the configuration does not have any more. */
 export const forgetServiceTimes = (
-  { serviceTimes, replicas }: RelayState,
+  { serviceTimes, unloadedTimes, replicas }: RelayState,
   classes: ReadonlySet<string>,
 ): void => {
   const all = [...replicas.values()].flatMap((view) => [
     view.serviceTimes,
     view.unsharedTimes,
   ]);
-  for (const timesByClass of [serviceTimes, ...all])
+  for (const timesByClass of [serviceTimes, unloadedTimes, ...all])
     for (const name of [...timesByClass.keys()])
       if (!classes.has(name)) timesByClass.delete(name);
 };
--- a/packages/relay/src/decisions/serviceTimes/types.ts
+++ b/packages/relay/src/decisions/serviceTimes/types.ts
@@ -27,6 +27,12 @@
   countedAt: Timestamp;
 }
 
+/** The shortest median of a class of work, and when it was seen. */
+export interface UnloadedTime {
+  readonly ms: number;
+  readonly notedAt: Timestamp;
+}
+
 /** Histograms by class of work. */
 export type TimesByClass = Map<string, TimeHistogram>;
 
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -35,6 +35,7 @@
 import { attemptTimeoutMsOf } from "./fallback/attemptTimeout.js";
 import { closeOverlap } from "./fallback/fallbackEvents.js";
 import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
+import { hasStandingQueue } from "./placing/admission.js";
 import { probeSilent } from "./probes.js";
 import { ensureCopy, hasReservedCopy } from "./kvCacheCopies.js";
 import { recordOutcome, shareOutcomes } from "./outcomes.js";
@@ -118,6 +119,8 @@
   // A late response is better than none.
   if (!maySeek(state, exchange) || !canRetryElsewhere(state, exchange))
     return [];
+  // The repeat would wait in a queue as long, and be later.
+  if (hasStandingQueue(state, exchange)) return [];
   recordOverdue(state, exchange, attempt);
   return seekSuccessor(state, exchange, attempt, "the answer is overdue");
 };
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -28,6 +28,7 @@
 import type {
   ClassTimes,
   TimesByClass,
+  UnloadedTime,
   UnsharedTimes,
 } from "./serviceTimes/types.js";
 import type {
@@ -510,6 +511,10 @@
   readonly answerTimes: Map<string, AnswerTimes>;
   /** Times of recent answers of all replicas, to all routers. */
   readonly serviceTimes: TimesByClass;
+  /** What answers take without a queue, by class of work. */
+  readonly unloadedTimes: Map<string, UnloadedTime>;
+  /** Number of requests that were refused because of long queues. */
+  overloadRefusalCount: number;
   /** The planned stop of this process; undefined before it. */
   plannedStop: PlannedStop | undefined;
 }
