The check finds attempts that the settings leave no repeats for

A route with several attempts under settings without a budget of repeats looks as if it were tried again.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -17,6 +17,8 @@
   compareConfigTexts,
   FindingLevel,
   isConfigText,
+  repeatSettingsOf,
+  type RepeatSettings,
 } from "@cardamomglade/users-platform/check";
 import { checkConfigFile, checkTomlFile } from "./checkPlatformFile.js";
 import {
@@ -82,9 +84,13 @@
   level: FindingLevel.Error,
 });
 
-const checkText = (file: string, text: string): readonly CheckedFinding[] => {
+const checkText = (
+  file: string,
+  text: string,
+  settings: RepeatSettings | undefined,
+): readonly CheckedFinding[] => {
   if (file.endsWith(".toml")) return checkTomlFile(file, text).map(withLevel);
-  if (isConfigText(text)) return checkConfigFile(file, text);
+  if (isConfigText(text)) return checkConfigFile(file, text, settings);
   const findings = isIntentText(text)
     ? findingsOf(checkIntentText(file, text))
     : findingsOf(checkDocument(file, text, validateSettings));
@@ -106,16 +112,16 @@
 };
 
 /** Findings of one file; what cannot be checked, such as a text nested too deeply, is one. */
-export const checkRead = ({
-  file,
-  text,
-}: ReadFile): readonly CheckedFinding[] => {
+export const checkRead = (
+  { file, text }: ReadFile,
+  settings?: RepeatSettings,
+): readonly CheckedFinding[] => {
   if (text === undefined)
     return [
       withLevel(unreadableFinding(file, `file "${file}" cannot be read`)),
     ];
   try {
-    return checkText(file, text);
+    return checkText(file, text, settings);
   } catch (error) {
     const detail = error instanceof Error ? error.message : String(error);
     return [
@@ -159,6 +165,17 @@
   return { findings: [finding], changes: undefined };
 };
 
+/** The budget of repeats in the first settings file among the files. */
+const settingsAmong = (
+  files: readonly ReadFile[],
+): RepeatSettings | undefined =>
+  files
+    .filter(({ file }) => file.endsWith(".toml"))
+    .map(({ text }) =>
+      text === undefined ? undefined : repeatSettingsOf(text),
+    )
+    .find((one) => one !== undefined);
+
 const isFormat = (format: unknown): format is "text" | "json" =>
   format === "text" || format === "json";
 
@@ -187,9 +204,13 @@
     against === undefined
       ? { findings: [], changes: undefined }
       : await compareWith(against, read);
+  const settings = settingsAmong(read);
   const report: CheckReport = {
     fileCount: files.length,
-    findings: [...read.flatMap(checkRead), ...compared.findings],
+    findings: [
+      ...read.flatMap((one) => checkRead(one, settings)),
+      ...compared.findings,
+    ],
     changes: compared.changes,
   };
   if (format === "json") console.log(formatJson(report));
--- a/packages/cli/src/commands/checkConfig.test.ts
+++ b/packages/cli/src/commands/checkConfig.test.ts
@@ -3,7 +3,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { compareConfigTexts } from "@cardamomglade/users-platform/check";
+import {
+  compareConfigTexts,
+  repeatSettingsOf,
+} from "@cardamomglade/users-platform/check";
 import { checkRead } from "./check.js";
 import { checkConfigFile } from "./checkPlatformFile.js";
 import {
@@ -422,4 +425,19 @@
     assert.ok(checkRead({ file, text }).length > 0);
     const closed = `{"routes": ${"[".repeat(20_000)}${"]".repeat(20_000)}}`;
     assert.ok(checkRead({ file, text: closed }).length > 0);
+    const toml = `a = ${"[".repeat(20_000)}${"]".repeat(20_000)}`;
+    assert.equal(repeatSettingsOf(toml), undefined);
   });
+
+test("attempts that the settings' budget of repeats never pays are found", () => {
+  const file = { file: "c.json", text: JSON.stringify(configWith()) };
+  const messagesOf = (repeatShare: number, extraRepeats: number) =>
+    checkRead(file, { repeatShare, extraRepeats }).map(
+      ({ message }) => message,
+    );
+  assert.deepEqual(messagesOf(0, 0), [
+    "the settings leave no repeats: further attempts are never made",
+  ]);
+  assert.deepEqual(messagesOf(0.1, 0), []);
+  assert.deepEqual(messagesOf(0, 1), []);
+});
--- a/packages/cli/src/commands/checkPlatformFile.ts
+++ b/packages/cli/src/commands/checkPlatformFile.ts
@@ -10,6 +10,7 @@
   checkTomlText,
   FindingLevel,
   type CheckFinding,
+  type RepeatSettings,
 } from "@cardamomglade/users-platform/check";
 import type { CheckedFinding } from "./checkReport.js";
 
@@ -60,8 +61,9 @@
 export const checkConfigFile = (
   file: string,
   text: string,
+  settings?: RepeatSettings,
 ): CheckedFinding[] => {
-  const findings = checkConfigText(text);
+  const findings = checkConfigText(text, settings);
   return locateFindings(file, text, findings).map((located, index) => ({
     ...located,
     level: findings[index]?.level ?? FindingLevel.Error,
