--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -48,6 +48,8 @@
   readonly log: Log<DecisionContext>;
   /** Drivers of the platform, which supply configuration and replicas. */
   readonly platform: readonly Driver<RelayEvent, RelayCommand>[];
+  /** Descriptors of the process; undefined if their number is not known. */
+  readonly maxDescriptors?: () => number | undefined;
   /** Called when no more events are handled, because of an error in the event loop. */
   readonly onLoopEnded: () => void;
   /** Gauges of the platform's clients, added to the metrics. */
@@ -79,6 +81,9 @@
     protocol,
     metrics,
     log,
+    ...(options.maxDescriptors !== undefined && {
+      maxDescriptors: options.maxDescriptors,
+    }),
   });
   const { address } = options.state;
   const peerDrivers =
--- /dev/null
+++ b/packages/relay/src/drivers/connectionLimit.ts
@@ -0,0 +1,99 @@
+/**
+ * Keeps descriptors free beside the connections of callers. Load pattern: callers that open
+ * connections without end and send nothing, or stop in the middle of a head or a body.
+ */
+
+import type { Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { now } from "@cardamomglade/common";
+import {
+  chooseClosing,
+  closingCountOf,
+  maxConnectionsOf,
+  type WaitingConnection,
+} from "../decisions/connections/chooseClosing.js";
+import type { OpenConnections } from "./openConnections.js";
+
+const logIntervalMs = 1000;
+
+/** Options of the limit of one server. */
+export interface ConnectionLimitOptions {
+  readonly server: Server;
+  readonly connections: OpenConnections;
+  /** Descriptors of the process; undefined if their number is not known. */
+  readonly maxDescriptors: () => number | undefined;
+  /** Refuses a request if its body has stopped; returns whether it did. */
+  readonly refuseStalled: (res: ServerResponse) => boolean;
+  /** Called with the number of connections that were closed since the last call. */
+  readonly onClosed: (count: number) => void;
+}
+
+const addressOf = ({ remoteAddress = "" }: Socket): string => remoteAddress;
+
+/** Limit of the connections of one server. */
+export class ConnectionLimit {
+  private closedCount = 0;
+  private nextLogAt = 0;
+
+  private constructor(private readonly options: ConnectionLimitOptions) {
+    options.server.on("connection", (socket: Socket) => {
+      this.check(socket);
+    });
+  }
+
+  static create(options: ConnectionLimitOptions): ConnectionLimit {
+    return new ConnectionLimit(options);
+  }
+
+  /** Makes room for a new connection; without any it is closed unread. */
+  private check(added: Socket): void {
+    const { connections, maxDescriptors } = this.options;
+    const maxCount = maxConnectionsOf(maxDescriptors());
+    if (connections.connectionCount() <= maxCount) return;
+    const closed = this.closeWaiting(added, closingCountOf(maxCount));
+    if (closed === 0) {
+      added.destroy();
+      this.record(1);
+    } else this.record(closed);
+  }
+
+  /** Closes connections without a request, else refuses bodies that have stopped; returns how many. */
+  private closeWaiting(added: Socket, count: number): number {
+    const counts = new Map<string, number>();
+    const waiting: WaitingConnection<Socket>[] = [];
+    for (const { socket, isWaiting } of this.options.connections.all()) {
+      const address = addressOf(socket);
+      counts.set(address, (counts.get(address) ?? 0) + 1);
+      if (isWaiting && socket !== added)
+        waiting.push({ connection: socket, address });
+    }
+    const idle = chooseClosing(waiting, counts, count);
+    for (const socket of idle) socket.destroy();
+    return idle.length > 0 ? idle.length : this.refuseBodies(counts, count);
+  }
+
+  private refuseBodies(
+    counts: ReadonlyMap<string, number>,
+    count: number,
+  ): number {
+    const { connections, refuseStalled } = this.options;
+    const reading = connections.unreadRequests().map((res) => ({
+      connection: res,
+      address: addressOf(res.req.socket),
+    }));
+    let refused = 0;
+    for (const res of chooseClosing(reading, counts, reading.length)) {
+      if (refused === count) break;
+      if (refuseStalled(res)) refused += 1;
+    }
+    return refused;
+  }
+
+  private record(count: number): void {
+    this.closedCount += count;
+    if (now() < this.nextLogAt) return;
+    this.nextLogAt = now() + logIntervalMs;
+    this.options.onClosed(this.closedCount);
+    this.closedCount = 0;
+  }
+}
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -32,6 +32,7 @@
   type RequestLimits,
   type Address,
 } from "../types.js";
+import { ConnectionLimit } from "./connectionLimit.js";
 import { BrokenResponses } from "./brokenResponses.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import {
@@ -45,7 +46,11 @@
 import { openFrontPort } from "./openFrontPort.js";
 import { BegunHeads } from "./memory/begunHeads.js";
 import { HeadFields } from "./memory/headFields.js";
-import { headMemoryOf } from "./memory/headMemory.js";
+import {
+  begunHeadMemoryOf,
+  headMemoryOf,
+  minBegunBytes,
+} from "./memory/headMemory.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
 import { memoryGuard } from "./memory/memoryGuard.js";
 import { RequestMemory } from "./memory/requestMemory.js";
@@ -66,6 +71,8 @@
   readonly protocol: ReplicaProtocol;
   readonly metrics: RelayMetrics;
   readonly log: Log<DecisionContext>;
+  /** Descriptors of the process, of which some are kept free; undefined if their number is not known. */
+  readonly maxDescriptors?: () => number | undefined;
 }
 
 /**
@@ -96,6 +103,7 @@
 const maxUnreadBytes = 4 * 1024 * 1024; // buffered bytes of one response that its caller does not read
 const failureReason = "an error in the program";
 const parserHeadBytes = 64 * 1024; // of any connection, whose limit may grow while it is open
+const behindStepBytes = 4 * 1024;
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
 /** Creates the server. */
@@ -152,18 +160,57 @@
   refuseMalformed(server, connections, (status, reason) => {
     refusals.record(status, reason);
   });
+  /** Memory of requests that are being read. */
+  const readMemory = new WeakMap<ServerResponse, RequestMemory>();
+
   const fields = HeadFields.create({
     server,
     connections,
     budget: memoryBudget,
   });
+
+  /** Counts what the parser keeps behind the part of a body that was read; false if there is no room for it. */
+  const holdBehind = (res: ServerResponse): boolean => {
+    const { socket } = res.req;
+    const bytes = connections.bytesBehind(socket);
+    const maxFields = fields.limitOf(socket);
+    // In steps: it changes with each chunk, however short.
+    const countedBytes = Math.ceil(bytes / behindStepBytes) * behindStepBytes;
+    const heldBytes =
+      bytes < minBegunBytes ? 0 : begunHeadMemoryOf(countedBytes, maxFields);
+    return readMemory.get(res)?.holdBehind(heldBytes) ?? true;
+  };
   BegunHeads.create({
     server,
     connections,
     budget: memoryBudget,
     maxHeadBytes,
+    maxFieldsOf: (socket) => fields.limitOf(socket),
+    countBehind: (res) => {
+      if (!holdBehind(res)) readMemory.get(res)?.giveUp();
+    },
     onNoRoom: (socket) => {
-      refusals.rejectHead(socket);
+      if (connections.lastAnswer(socket) === undefined)
+        refusals.rejectHead(socket);
+      else socket.destroy(); // it reads ahead of an answer
+    },
+  });
+
+  /** Requests whose connections are closed with their refusals. */
+  const shed = new WeakSet<ServerResponse>();
+  ConnectionLimit.create({
+    server,
+    connections,
+    maxDescriptors: () => options.maxDescriptors?.(),
+    refuseStalled: (res) => {
+      const isRefused = readMemory.get(res)?.giveUpStalled() === true;
+      if (isRefused) shed.add(res);
+      return isRefused;
+    },
+    onClosed: (count) => {
+      log(Severity.Warn, "connections closed: descriptors are short", {
+        detail: `${String(count)} closed`,
+      });
     },
   });
 
@@ -235,6 +282,7 @@
       refusals.rejectForMemory(res);
       return;
     }
+    readMemory.set(res, memory);
     res.on("close", () => {
       memory.close();
     });
@@ -248,6 +296,10 @@
       onRoom: () => {
         if (expecting.has(res)) res.writeContinue();
       },
+      onBytes: (bytes) => {
+        connections.take(req.socket, bytes);
+        return isSized || holdBehind(res);
+      },
     });
     if (read.type !== "complete") memory.close();
     switch (read.type) {
@@ -277,9 +329,15 @@
           reason: "the body did not arrive in time",
         });
         return;
-      case "noRoom":
+      case "noRoom": {
+        const { socket } = req;
         refusals.rejectForMemory(res);
+        // What the parser keeps is freed with the connection.
+        const isKept =
+          !isSized && connections.bytesBehind(socket) >= minBegunBytes;
+        if (isKept || shed.has(res)) socket.destroySoon();
         return;
+      }
       case "aborted":
         return;
       case "malformed":
--- a/packages/relay/src/drivers/memory/begunHeads.ts
+++ b/packages/relay/src/drivers/memory/begunHeads.ts
@@ -1,19 +1,19 @@
 /**
- * The memory of heads that have begun and not ended, whose bytes Node's parser keeps.
- * Load pattern: very many callers that send a large head and stop before its end.
+ * The memory of heads that have begun and not ended, whose bytes Node's parser keeps, and
+ * of trailers behind bodies. Load pattern: very many callers that send a large head, or
+ * trailers of a chunked body, and stop before their end.
  */
 
-import type { IncomingMessage, Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { Holder } from "../../decisions/memory/types.js";
 import type { OpenConnections } from "../openConnections.js";
-import { begunHeadMemoryOf } from "./headMemory.js";
+import { begunHeadMemoryOf, minBegunBytes } from "./headMemory.js";
 import type { Holding } from "./holding.js";
 import type { MemoryBudget } from "./memoryBudget.js";
 import { memoryGuard } from "./memoryGuard.js";
 
 const checkIntervalMs = 50;
-const minCountedBytes = 2 * 1024; // about what an idle connection takes in any case
 const uncountedRatio = 1 / 8; // of the budget, for the heads of few connections
 
 /** Options of the heads of one server. */
@@ -23,11 +23,15 @@
   readonly budget: MemoryBudget;
   /** Bytes of one head that Node's parser accepts. */
   readonly maxHeadBytes: () => number;
+  /** Fields that the parser keeps of a head of a connection. */
+  readonly maxFieldsOf: (socket: Socket) => number;
+  /** Counts what follows a body that is still read. */
+  readonly countBehind: (res: ServerResponse) => void;
   /** Called for a connection whose head has no room. */
   readonly onNoRoom: (socket: Socket) => void;
 }
 
-/** Heads of one server. They are counted while its connections are so many that they could fill the memory. */
+/** Heads of one server; those that stand still give way first. They are counted while its connections are so many that they could fill the memory. */
 export class BegunHeads {
   private readonly holdings = new Map<Socket, Holding>();
   private timer: NodeJS.Timeout | undefined;
@@ -63,18 +67,33 @@
   }
 
   private check(): void {
-    for (const { socket, bytes } of this.options.connections.begunHeads())
-      if (bytes >= minCountedBytes) this.count(socket, bytes);
+    const { connections, countBehind } = this.options;
+    const ended = new Set(this.holdings.keys());
+    const begun = [...connections.begunHeads()];
+    for (const res of connections.lastRequests()) {
+      const { socket, complete } = res.req;
+      if (complete)
+        begun.push({ socket, bytes: connections.bytesBehind(socket) });
+      else countBehind(res);
+    }
+    for (const { socket, bytes } of begun) {
+      if (bytes < minBegunBytes) continue;
+      ended.delete(socket);
+      this.count(socket, bytes);
+    }
+    for (const socket of ended) this.forget(socket);
     if (this.canFillMemory()) return;
     clearInterval(this.timer);
     this.timer = undefined;
   }
 
   private count(socket: Socket, bytes: number): void {
-    const { budget } = this.options;
+    const { budget, maxFieldsOf } = this.options;
     const holding = this.holdings.get(socket) ?? this.open(socket);
-    const heldBytes = begunHeadMemoryOf(bytes);
-    memoryGuard.note(heldBytes - holding.bytes);
+    const heldBytes = begunHeadMemoryOf(bytes, maxFieldsOf(socket));
+    const addedBytes = Math.max(0, heldBytes - holding.bytes);
+    memoryGuard.note(addedBytes);
+    holding.move(addedBytes);
     if (budget.tryResize(holding, heldBytes)) return;
     this.refuse(socket);
   }
@@ -87,6 +106,7 @@
         this.refuse(socket);
       },
     });
+    holding.expectProgress();
     this.holdings.set(socket, holding);
     return holding;
   }
--- a/packages/relay/src/drivers/memory/headFields.ts
+++ b/packages/relay/src/drivers/memory/headFields.ts
@@ -39,8 +39,12 @@
 
   /** Whether the parser may have dropped fields of a head. */
   mayLack({ socket, rawHeaders }: IncomingMessage): boolean {
-    const limit = this.limits.get(socket) ?? this.nextLimit;
-    return rawHeaders.length / 2 >= limit;
+    return rawHeaders.length / 2 >= this.limitOf(socket);
+  }
+
+  /** Fields that the parser keeps of a head of a connection. */
+  limitOf(socket: Socket): number {
+    return this.limits.get(socket) ?? this.nextLimit;
   }
 
   /** Node reads it for each new connection. */
--- a/packages/relay/src/drivers/memory/headMemory.test.ts
+++ b/packages/relay/src/drivers/memory/headMemory.test.ts
@@ -40,6 +40,8 @@
 });
 
 test("a begun head whose fields may be short counts as its few bytes", () => {
-  const bytes = begunHeadMemoryOf(shortFields.length);
-  assert.ok(bytes > fieldCount * objectBytes, String(bytes));
+  for (const maxFields of [fieldCount, 10 * fieldCount]) {
+    const bytes = begunHeadMemoryOf(shortFields.length, maxFields);
+    assert.ok(bytes > fieldCount * objectBytes, String(bytes));
+  }
 });
--- a/packages/relay/src/drivers/memory/requestMemory.ts
+++ b/packages/relay/src/drivers/memory/requestMemory.ts
@@ -21,6 +21,7 @@
 export class RequestMemory {
   readonly holding: Holding;
   private onNoRoom: (() => void) | undefined;
+  private behindBytes = 0;
   /** Closes the connection of a caller that does not read. */
   private onUnread: ((reason: string) => void) | undefined;
 
@@ -96,8 +97,18 @@
     return this.budget.tryResize(this.holding, this.holding.bytes + bytes);
   }
 
+  /** Holds what the parser keeps behind the part of a body that was read; false if there is no room for it. */
+  holdBehind(bytes: number): boolean {
+    const addedBytes = bytes - this.behindBytes;
+    if (addedBytes === 0) return true;
+    this.behindBytes = bytes;
+    memoryGuard.note(Math.max(0, addedBytes));
+    return this.budget.tryResize(this.holding, this.holding.bytes + addedBytes);
+  }
+
   /** The request was read whole; it is kept for its attempts. */
   keep(): void {
+    this.holdBehind(0);
     this.holding.expectNothing();
     this.holding.become(Holder.KeptRequest);
   }
@@ -109,6 +120,20 @@
     this.holding.set(this.headBytes + bytes);
   }
 
+  /** Gives up a request that is being read, since there is no room for what arrives. */
+  giveUp(): void {
+    if (this.holding.isOpen) this.holding.giveWay("memory is short");
+  }
+
+  /** Gives up a request whose body has stopped; returns whether it did. */
+  giveUpStalled(): boolean {
+    const { isOpen, holder, progressBy } = this.holding;
+    const isReading = holder === Holder.ReadingRequest;
+    if (!isOpen || !isReading || now() <= progressBy) return false;
+    this.giveUp();
+    return true;
+  }
+
   /** Frees all; may be called again. */
   close(): void {
     this.holding.close();
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -9,13 +9,25 @@
 import { Server as NetServer, type Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { now, type Timestamp } from "@cardamomglade/common";
+import { headBytesOf } from "./headBytes.js";
 import { PipelinedRequests } from "./pipelinedRequests.js";
 import { stopQueueing } from "./stopQueueing.js";
 
 const turnsToRead = 3; // to accept a connection, to read from it, and to pass the request on
 const maxShortTurnMs = 20; // what arrives in a longer turn would wait for too long to be cut off
 
-/** A head that has begun and not ended. */
+const maxReadBytes = 64 * 1024; // that Node reads at once from a connection
+const fieldFramingBytes = 4; // a colon, a space and the end of the line
+const requestFramingBytes = 16; // of the first line and the last one
+
+/** Bytes that a head has on its connection, with usual spaces. */
+const sentHeadBytes = (req: IncomingMessage): number =>
+  headBytesOf(req) +
+  (req.method ?? "").length +
+  (req.rawHeaders.length / 2) * fieldFramingBytes +
+  requestFramingBytes;
+
+/** A head, or trailers of a body, that have begun and not ended. */
 export interface BegunHead {
   readonly socket: Socket;
   readonly bytes: number;
@@ -23,7 +35,7 @@
 
 /** Connections of one server. */
 export class OpenConnections {
-  /** Bytes that each connection had received when it was last idle. */
+  /** Bytes that each connection had received when it was last idle, and that were taken from it since. */
   private readonly idleBytes = new Map<Socket, number>();
   private readonly responses = new Map<ServerResponse, Socket>();
   /** Places of responses in the order in which their requests arrived. */
@@ -62,13 +74,23 @@
     this.lastPlace += 1;
     this.places.set(res, this.lastPlace);
     this.pipelined.add(res);
+    this.take(socket, sentHeadBytes(res.req));
     res.on("close", () => {
       this.responses.delete(res);
-      if (this.idleBytes.has(socket))
+      // The order of the entries is that of the last answers.
+      if (this.idleBytes.delete(socket))
         this.idleBytes.set(socket, socket.bytesRead);
     });
   }
 
+  /** Notes bytes of a head or a body that were read; the parser keeps none of them. */
+  take(socket: Socket, bytes: number): void {
+    const before = this.idleBytes.get(socket);
+    if (before === undefined) return;
+    const leastBytes = socket.bytesRead - maxReadBytes;
+    this.idleBytes.set(socket, Math.max(before + bytes, leastBytes));
+  }
+
   /** Lets a response, whose head is not written yet, close its connection: what follows on it gets no answer. */
   closeAfter(res: ServerResponse): void {
     const { socket } = res.req;
@@ -140,6 +162,40 @@
     return begun;
   }
 
+  /** Bytes of a connection that the parser may keep, behind what was taken. */
+  bytesBehind(socket: Socket): number {
+    const takenBytes = this.idleBytes.get(socket) ?? Infinity;
+    return Math.max(0, socket.bytesRead - takenBytes);
+  }
+
+  /**
+   * Returns the last request of each connection behind which the parser may keep trailers, or
+   * the beginning of a head. Nothing follows a body of a length that is still read.
+   */
+  lastRequests(): readonly ServerResponse[] {
+    const last = new Map<Socket, ServerResponse>();
+    for (const [res, socket] of this.responses) last.set(socket, res);
+    return [...last].flatMap(([socket, res]) => {
+      const { complete, headers } = res.req;
+      const mayFollow = complete || headers["transfer-encoding"] !== undefined;
+      return mayFollow && !this.closing.has(socket) ? [res] : [];
+    });
+  }
+
+  /** Returns all connections, those first whose last answer, or else opening, was longest ago. */
+  all(): readonly { readonly socket: Socket; readonly isWaiting: boolean }[] {
+    const busy = new Set(this.responses.values());
+    return [...this.idleBytes.keys()].map((socket) => ({
+      socket,
+      isWaiting: !busy.has(socket),
+    }));
+  }
+
+  /** Returns the responses to requests whose bodies are still read, in order. */
+  unreadRequests(): readonly ServerResponse[] {
+    return [...this.responses.keys()].filter(({ req }) => !req.complete);
+  }
+
   /** Returns the number of open connections. */
   connectionCount(): number {
     return this.idleBytes.size;
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -69,6 +69,8 @@
   readonly memory: RequestMemory;
   /** Called before the body is read. */
   readonly onRoom: () => void;
+  /** Called with bytes that were taken from the connection; false if there is no room for what follows them. */
+  readonly onBytes: (bytes: number) => boolean;
 }
 
 const headOf = (req: IncomingMessage): RequestHead => ({
@@ -138,6 +140,12 @@
   return Number(headers["content-length"] ?? 0);
 };
 
+const chunkEndBytes = 4; // the ends of its two lines
+
+/** Bytes that a chunk has on its connection beside its own. */
+const framingOf = ({ length }: Uint8Array): number =>
+  length.toString(16).length + chunkEndBytes;
+
 interface Settle {
   readonly resolve: (read: RequestRead) => void;
   readonly reject: (error: unknown) => void;
@@ -190,6 +198,9 @@
       memory.holding.move(chunk.length);
       collector.push(chunk);
       fingerprint.add(chunk);
+      const framingBytes = length === undefined ? framingOf(chunk) : 0;
+      if (!options.onBytes(chunk.length + framingBytes))
+        finish({ type: "noRoom" });
     };
     if (isTooLong(req, limits)) {
       finish({ type: "tooLarge" });
