Second tries in large fleets: the delay from the times that routers tell each other

A router that gets an answer a second or less knew too little for a delay and sent no second try. With less than 30 answers of its own a minute it now goes by the shared service times, once these weigh 20 answers.

--- a/packages/relay/src/decisions/secondTry/constants.ts
+++ b/packages/relay/src/decisions/secondTry/constants.ts
@@ -15,6 +15,9 @@
 /** Answers of a route below which nothing is known of the next one. */
 export const minSampleCount = 30;
 
+/** Weight of the answers that routers tell each other of, below which those say nothing either. */
+export const minSharedWeight = 20;
+
 /** Answers of a replica below which its own median says nothing. */
 export const minReplicaSampleCount = 3;
 
--- a/packages/relay/src/decisions/secondTry/recentTimes.ts
+++ b/packages/relay/src/decisions/secondTry/recentTimes.ts
@@ -4,6 +4,8 @@
  */
 
 import { RequestKind } from "../../types.js";
+import { workOf } from "../plannedStop/answerTimes.js";
+import { estimateTime, quantileMs } from "../serviceTimes/estimateTime.js";
 import type { Exchange, RelayState } from "../types.js";
 import {
   chanceRatio,
@@ -15,6 +17,7 @@
   minCurrentCount,
   minMedianCount,
   minReplicaSampleCount,
+  minSharedWeight,
   minRiseMs,
   minSampleCount,
   risingFactor,
@@ -106,34 +109,70 @@
     Math.max(delayQuantiles.min, 1 - chanceRatio * share),
   );
 
+/** Whether a median is far above those of the last minute, or too few of these are known. */
+const isRisingTo = ({ medians }: RecentTimes, medianMs: number): boolean => {
+  if (medians.length < minMedianCount) return true;
+  const usualMs = medianOf(medians);
+  return medianMs > Math.max(risingFactor * usualMs, usualMs + minRiseMs);
+};
+
 /** Whether answers take much longer now than they did over the last minute, or that is not known. */
 const isRisingFrom = (
   { at }: RelayState,
-  { medians }: RecentTimes,
+  times: RecentTimes,
   samples: readonly AnswerSample[],
 ): boolean => {
-  if (medians.length < minMedianCount) return true;
   const current = samples.filter((one) => at - one.at <= currentMs).map(msOf);
-  if (current.length < minCurrentCount) return false;
-  const usualMs = medianOf(medians);
-  const limitMs = Math.max(risingFactor * usualMs, usualMs + minRiseMs);
-  return medianOf(current) > limitMs;
+  const isKnown = current.length >= minCurrentCount;
+  return isRisingTo(times, isKnown ? medianOf(current) : 0);
+};
+
+const noteMedian = (
+  { at }: RelayState,
+  times: RecentTimes,
+  medianMs: number,
+): void => {
+  if (at < times.nextMedianAt) return;
+  times.nextMedianAt = at + medianIntervalMs;
+  times.medians.push(medianMs);
+  if (times.medians.length > maxMedianCount) times.medians.shift();
+};
+
+/**
+ * What is usual by the answers that routers tell each other of. Load pattern: a fleet so
+ * large that each router gets an answer a second.
+ */
+const workOutShared = (
+  state: RelayState,
+  exchange: Exchange,
+  times: RecentTimes,
+): UsualTimes | undefined => {
+  const work = workOf(exchange);
+  const estimate = estimateTime(state, undefined, work);
+  if (estimate === undefined || estimate.weight < minSharedWeight)
+    return undefined;
+  const part = delayQuantileOf(secondTryShareOf(state));
+  const { p50Ms: medianMs } = estimate;
+  noteMedian(state, times, medianMs);
+  return {
+    delayMs: quantileMs(state, undefined, work, part) ?? Infinity,
+    medianMs,
+    isRising: isRisingTo(times, medianMs),
+  };
 };
 
 const workOutUsual = (
   state: RelayState,
+  exchange: Exchange,
   times: RecentTimes,
 ): UsualTimes | undefined => {
   removeOldSamples(state, times);
   const samples = usualSamplesOf(times);
-  if (samples.length < minSampleCount) return undefined;
+  if (samples.length < minSampleCount)
+    return workOutShared(state, exchange, times);
   const all = samples.map(msOf);
   const medianMs = medianOf(all);
-  if (state.at >= times.nextMedianAt) {
-    times.nextMedianAt = state.at + medianIntervalMs;
-    times.medians.push(medianMs);
-    if (times.medians.length > maxMedianCount) times.medians.shift();
-  }
+  noteMedian(state, times, medianMs);
   return {
     delayMs: quantileOf(all, delayQuantileOf(secondTryShareOf(state))),
     medianMs,
@@ -150,7 +189,7 @@
   if (times === undefined) return undefined;
   if (state.at >= times.nextUsualAt) {
     times.nextUsualAt = state.at + usualIntervalMs;
-    times.usual = workOutUsual(state, times);
+    times.usual = workOutUsual(state, exchange, times);
   }
   return times.usual;
 };
--- a/packages/relay/src/decisions/secondTry/secondTry.test.ts
+++ b/packages/relay/src/decisions/secondTry/secondTry.test.ts
@@ -11,6 +11,7 @@
 } from "../../testing/scenario.js";
 import { TimedReplicas, type TimedRun } from "../../testing/timedReplicas.js";
 import { RequestKind, type Route } from "../../types.js";
+import { bucketOf } from "../serviceTimes/histogram.js";
 import { AttemptFailure, type RelayState } from "../types.js";
 import { maxKnowledgeAgeMs, shareWindowMs } from "./constants.js";
 
@@ -49,6 +50,18 @@
   return { replicas, scenario, times, sendsOf, advance, requestSlow };
 };
 
+/** The same without the requests that come before. */
+const createQuiet = () => {
+  const times: { answerMs: AnswerMs } = { answerMs: () => usualMs };
+  const replicas = TimedReplicas.create({
+    replicaCount: 3,
+    share,
+    answerMs: (run) => times.answerMs(run),
+  });
+  const { scenario, clock } = replicas;
+  return { scenario, clock, times, request: () => replicas.request() };
+};
+
 type Warm = ReturnType<typeof createWarm>;
 
 const answerOf = (warm: Warm, key: string, index: number, status = 200) => {
@@ -314,3 +327,39 @@
   assert.equal(answered?.secondTry, "won");
   assert.ok(Number(answered.wastedMs) >= usualMs);
 });
+
+// Load: a fleet so large that each router gets an answer in two seconds.
+test("a router with few answers of its own goes by those that others tell of", () => {
+  const { scenario, clock, ...replicas } = createQuiet();
+  const tell = () => {
+    const times = [
+      {
+        timeClass: "answers of /check/",
+        buckets: [{ bucket: bucketOf(usualMs), count: 20 }],
+      },
+    ];
+    const outcomes = ["a-0", "b-1", "c-2"].map((replica) => ({
+      replica,
+      succeeded: 20,
+      failed: 0,
+      times,
+    }));
+    scenario.dispatch({ type: "outcomesShared", at: clock.now(), outcomes });
+  };
+  for (let second = 0; second < 50; second += 1) {
+    tell();
+    if (second % 2 === 0) replicas.request();
+    clock.advanceTo(clock.now() + 500);
+    tell();
+    clock.advanceTo(clock.now() + 500);
+  }
+  assert.equal(scenario.state.secondTries.sentCount, 0);
+  replicas.times.answerMs = () => never;
+  const key = replicas.request();
+  tell();
+  clock.advanceTo(clock.now() + withinMs);
+  const sends = scenario
+    .commandsOfType("send")
+    .filter((one) => one.key === key);
+  assert.equal(sends.length, 2);
+});
