Ranks of a service are indexed once for each configuration

Cause: each look for room at an engine went through all routes and customers of the configuration, which may be thousands. Change: the route table holds the priorities by service. The 15 tests of room and the waiting line pass.

--- a/packages/relay/src/decisions/routeTable.ts
+++ b/packages/relay/src/decisions/routeTable.ts
@@ -9,6 +9,8 @@
   readonly services: ReadonlyMap<string, Service>;
   /** Undefined if callers need no API key. */
   readonly customerByKey: ReadonlyMap<string, Customer> | undefined;
+  /** Priorities that requests of each service can have, by its routes and all customers. */
+  readonly prioritiesByService: ReadonlyMap<string, ReadonlySet<number>>;
 }
 
 const indexKeys = (
@@ -20,6 +22,22 @@
   return byKey;
 };
 
+const indexPriorities = ({
+  routes,
+  customers = [],
+}: RelayConfig): ReadonlyMap<string, ReadonlySet<number>> => {
+  const ofCustomers = customers
+    .map(({ priority }) => priority)
+    .filter((priority) => priority !== undefined);
+  const byService = new Map<string, Set<number>>();
+  for (const { priority, targets } of routes)
+    for (const { service } of targets) {
+      const known = byService.get(service) ?? new Set(ofCustomers);
+      byService.set(service, known.add(priority));
+    }
+  return byService;
+};
+
 /** Builds the lookup tables of a configuration. */
 export const buildRouteTable = (config: RelayConfig): RouteTable => {
   const byHost = new Map<string, Route[]>();
@@ -35,7 +53,8 @@
   const { customers } = config;
   const customerByKey =
     customers === undefined ? undefined : indexKeys(customers);
-  return { byHost, services, customerByKey };
+  const prioritiesByService = indexPriorities(config);
+  return { byHost, services, customerByKey, prioritiesByService };
 };
 
 const withoutPort = (host: string): string => host.replace(/:\d+$/, "");
--- a/packages/relay/src/decisions/waitingLine/ranks.ts
+++ b/packages/relay/src/decisions/waitingLine/ranks.ts
@@ -2,19 +2,14 @@
 
 import type { RelayState } from "../types.js";
 
+const noPriorities: ReadonlySet<number> = new Set();
+
 /** The priorities that requests of a service can have; 0 is the most urgent. */
-export const prioritiesOf = (
-  { config }: RelayState,
+const prioritiesOf = (
+  { routes }: RelayState,
   service: string,
-): ReadonlySet<number> => {
-  const routes = (config?.routes ?? []).filter(({ targets }) =>
-    targets.some((target) => target.service === service),
-  );
-  const ofCustomers = (config?.customers ?? []).flatMap(({ priority }) =>
-    priority === undefined ? [] : [priority],
-  );
-  return new Set([...routes.map(({ priority }) => priority), ...ofCustomers]);
-};
+): ReadonlySet<number> =>
+  routes?.prioritiesByService.get(service) ?? noPriorities;
 
 /** Whether some requests of a service are more urgent than others. */
 export const hasSeveralRanks = (state: RelayState, service: string): boolean =>
