--- a/packages/relay/src/decisions/copyHolders.ts
+++ b/packages/relay/src/decisions/copyHolders.ts
@@ -24,11 +24,12 @@
  */
 export const chooseCopyHolder = (
   state: RelayState,
-  { route, service, request }: Exchange,
+  exchange: Exchange,
   replica: Replica,
   rejected: ReadonlySet<string> = new Set(),
 ): Replica | undefined => {
-  if (!canCopy(state, { route, service })) return undefined;
+  const { service, request } = exchange;
+  if (!canCopy(state, exchange)) return undefined;
   const excluded = new Set([...rejected, replica.id]);
   const avoidedZone = replica.zone;
   // Chosen by prompt, not by load: routers that choose by the same load figures
--- a/packages/relay/src/decisions/room/constants.ts
+++ b/packages/relay/src/decisions/room/constants.ts
@@ -3,6 +3,9 @@
 /** Prompt tokens that an engine is assumed to read in a millisecond before the first was timed. */
 export const assumedTokensPerMs = 8;
 
+/** Lowest rate that is learned: first events that come late for other reasons say little of reading. */
+export const minTokensPerMs = assumedTokensPerMs / 2;
+
 /** Prompt tokens of a request that does not state them. */
 export const assumedPromptTokens = 8000;
 
@@ -21,6 +24,9 @@
 /** Requests for which an engine must have memory to be given a copy: a run goes before it. */
 export const copyRoomRequestCount = 2;
 
+/** Part of the engines known to lack memory for a copy at which those without a recent report are taken to lack it too. */
+export const memoryShortageRatio = 0.5;
+
 /** Engines that are considered as the holder of a copy; callers that reconnect ask as many in a zone. */
 export const copyHolderCandidateCount = 4;
 
--- a/packages/relay/src/decisions/room/copyRoom.ts
+++ b/packages/relay/src/decisions/room/copyRoom.ts
@@ -1,23 +1,48 @@
 /**
  * Tells whether an engine has memory for a copy of a run's KV cache. Load pattern: engines
  * are short of memory; a copy takes as much of it as the run, and displaces runs whose
- * prompts are read again.
+ * prompts are read again. After a loss of engines, all streams that go on elsewhere want a
+ * new copy at once.
  */
 
+import { replicasOf } from "../replicaViews.js";
 import type { RelayState, ReplicaView } from "../types.js";
-import { copyReportMaxAgeMs, copyRoomRequestCount } from "./constants.js";
+import {
+  copyReportMaxAgeMs,
+  copyRoomRequestCount,
+  memoryShortageRatio,
+} from "./constants.js";
 import { roomOf } from "./roomOf.js";
 import type { RequestSize } from "./types.js";
 
-/** Whether an engine may hold a copy; one without a recent report may. */
-export const hasCopyRoom = (
+/** Whether an engine that reported lately has memory for a copy; undefined if it did not. */
+const knownCopyRoom = (
   state: RelayState,
   view: ReplicaView,
   size: RequestSize,
-): boolean => {
+): boolean | undefined => {
   const room = roomOf(state, view, size, copyReportMaxAgeMs);
-  return (
-    room === undefined ||
-    room.freeTokens >= copyRoomRequestCount * size.totalTokens
-  );
+  return room && room.freeTokens >= copyRoomRequestCount * size.totalTokens;
+};
+
+/** Whether most engines of a service that reported lately lack memory for a copy. */
+const isMemoryShort = (
+  state: RelayState,
+  service: string,
+  size: RequestSize,
+): boolean => {
+  const known = replicasOf(state, service)
+    .map((view) => knownCopyRoom(state, view, size))
+    .filter((hasRoom) => hasRoom !== undefined);
+  const shortCount = known.filter((hasRoom) => !hasRoom).length;
+  return shortCount > memoryShortageRatio * known.length;
 };
+
+/** Whether an engine may hold a copy; one without a recent report may unless most others lack memory. */
+export const hasCopyRoom = (
+  state: RelayState,
+  view: ReplicaView,
+  size: RequestSize,
+): boolean =>
+  knownCopyRoom(state, view, size) ??
+  !isMemoryShort(state, view.replica.service, size);
--- a/packages/relay/src/decisions/room/expectedFirstEvent.ts
+++ b/packages/relay/src/decisions/room/expectedFirstEvent.ts
@@ -50,3 +50,18 @@
   const promptCount = promptsToRead(state, view, size) + zoneRatio;
   return promptCount * readingMsOf(state, service, size);
 };
+
+/**
+ * Reading time of a prompt as a multiple of that at an idle engine; undefined if the engine
+ * has others to read, no place, or no recent report.
+ */
+export const readingFactorOf = (
+  state: RelayState,
+  view: ReplicaView,
+  size: RequestSize,
+): number | undefined => {
+  const room = roomOf(state, view, size);
+  if (room === undefined || room.prefilling > 0) return undefined;
+  if (missingPlaces(room, size) > 0) return undefined;
+  return 1 + decodeSlowdownRatio * room.decoding;
+};
--- a/packages/relay/src/decisions/room/readingRate.ts
+++ b/packages/relay/src/decisions/room/readingRate.ts
@@ -6,6 +6,7 @@
 import type { Attempt, Exchange, RelayState } from "../types.js";
 import {
   assumedTokensPerMs,
+  minTokensPerMs,
   minTimedPromptTokens,
   readingRateWeight,
 } from "./constants.js";
@@ -18,18 +19,19 @@
 
 /**
  * Learns from a first event. Only a prompt that was the only one there when it was sent,
- * and was read whole, tells the rate.
+ * and was read whole, tells the rate; runs that generate beside it are taken into account.
  */
 export const learnReadingRate = (
   state: RelayState,
   { service, request }: Exchange,
-  { start, sentAt, isAloneInPrefill, hasEvents }: Attempt,
+  { start, sentAt, readingFactor, hasEvents }: Attempt,
 ): void => {
   const { promptTokens } = request;
-  if (hasEvents || start.type !== "fresh" || !isAloneInPrefill) return;
+  if (hasEvents || start.type !== "fresh") return;
+  if (readingFactor === undefined) return;
   if (promptTokens === undefined || promptTokens < minTimedPromptTokens) return;
-  const elapsedMs = Math.max(1, state.at - sentAt);
+  const idleMs = Math.max(1, state.at - sentAt) / readingFactor;
   const known = readingRateOf(state, service);
-  const rate = known + readingRateWeight * (promptTokens / elapsedMs - known);
-  state.readingRates.set(service, rate);
+  const rate = known + readingRateWeight * (promptTokens / idleMs - known);
+  state.readingRates.set(service, Math.max(rate, minTokensPerMs));
 };
--- a/packages/relay/src/decisions/room/room.test.ts
+++ b/packages/relay/src/decisions/room/room.test.ts
@@ -154,3 +154,29 @@
   const learnedMs = readingMsOf(scenario.state, "engines", size);
   assert.ok(Math.abs(learnedMs - assumedMs / 2) < assumedMs / 20);
 });
+
+// Load: engines are lost while memory is short; their streams go on elsewhere, all at once.
+test("an engine of unknown memory gets no copy while most engines are known to lack it", () => {
+  const scenario = Scenario.create(
+    ["a-1", "b-1", "c-1", "d-1"].map((id) => testReplica(id)),
+  );
+  const short = busyReport(2, { kvUsedTokens: 80_000 });
+  const report = (id: string, at: EngineReport) =>
+    scenario.probeFinished(testReplica(id), scenario.at, {
+      isAnswered: true,
+      report: at,
+    });
+  scenario.unresponsiveEngines.add("b-1").add("c-1").add("d-1");
+  report("c-1", short);
+  report("d-1", short);
+  scenario.at += 500;
+  scenario.request("1", streamPath, long);
+  scenario.advance(100);
+  const { replica, copyTo } = scenario.lastSend("1").attempt;
+  assert.equal(replica.id, "a-1");
+  assert.equal(copyTo, undefined);
+  for (const id of ["c-1", "d-1"]) report(id, idleReport);
+  scenario.streamEvents("1", 1, 1);
+  scenario.advance(300);
+  assert.equal(scenario.commandsOfType("copyKvCache").length, 1);
+});
--- a/packages/relay/src/decisions/room/roomOf.ts
+++ b/packages/relay/src/decisions/room/roomOf.ts
@@ -141,9 +141,3 @@
   const tokenPlaces = freeTokens / Math.max(1, totalTokens);
   return Math.max(0, requestCount - Math.min(freeSlots, tokenPlaces));
 };
-
-/** Whether an engine reads no prompt, as far as this router knows. */
-export const isIdleInPrefill = (
-  state: RelayState,
-  view: ReplicaView,
-): boolean => roomOf(state, view, sizeOf(undefined))?.prefilling === 0;
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -36,7 +36,8 @@
 import { chooseOffer, mustHandOn } from "./handover/offers.js";
 import { countReplica } from "./countedReplicas.js";
 import { describeRoom } from "./room/describeRoom.js";
-import { isIdleInPrefill } from "./room/roomOf.js";
+import { readingFactorOf } from "./room/expectedFirstEvent.js";
+import { sizeOf } from "./room/requestSize.js";
 import { awaitEngineRoom } from "./waitingLine/awaitEngineRoom.js";
 import { preferEnginesWithRoom } from "./waitingLine/hasRoomFor.js";
 import { passRoomOn } from "./waitingLine/order.js";
@@ -106,7 +107,7 @@
     start,
     sentAt: state.at,
     expectedEndAt: view && expectedEndAt(state, exchange)?.(view),
-    isAloneInPrefill: view !== undefined && isIdleInPrefill(state, view),
+    readingFactor: view && readingFactorOf(state, view, sizeOf(request)),
     mayHaveExecutedBefore: exchange.mayHaveExecuted,
     isCounted: countReplica(exchange, replica),
     copyTo,
@@ -140,6 +141,9 @@
   countAttempt(state, attempt);
   takePermit(state, replica.id);
   if (start.type === "copy") forgetFallbackCopy(exchange);
+  const waitedForRoomMs =
+    exchange.roomSearch && ageOf(state, exchange.roomSearch.since);
+  exchange.roomSearch = undefined;
   return [
     {
       type: "send",
@@ -170,8 +174,7 @@
       ...room,
       heardMsAgo: view && ageOf(state, view.heardAt),
       afterEvent: lastEventId,
-      waitedForRoomMs:
-        exchange.roomSearch && ageOf(state, exchange.roomSearch.since),
+      waitedForRoomMs,
       ...describeEstimate(state, exchange, view),
       ...stopTimesOf(state, attempt.expectedEndAt),
     }),
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -143,8 +143,8 @@
   readonly sentAt: Timestamp;
   /** Time by which its answer was expected to end when it was sent; undefined unless this process was stopping. */
   readonly expectedEndAt: Timestamp | undefined;
-  /** Whether its engine read no other prompt when it was sent. */
-  readonly isAloneInPrefill: boolean;
+  /** Its prompt's reading time as a multiple of that at an idle engine; undefined if its engine read other prompts as well, or its load was not known. */
+  readonly readingFactor: number | undefined;
   /** Whether the request may have been executed before this attempt. */
   readonly mayHaveExecutedBefore: boolean;
   /** Whether it counts against the route's maximum: another one at its replica may do so already. */
--- a/packages/relay/src/testing/testAttempt.ts
+++ b/packages/relay/src/testing/testAttempt.ts
@@ -11,7 +11,7 @@
   start: { type: "fresh" },
   sentAt: now(),
   expectedEndAt: undefined,
-  isAloneInPrefill: false,
+  readingFactor: undefined,
   mayHaveExecutedBefore: false,
   isCounted: true,
   copyTo: undefined,
