Roll-outs of a service's software: exposure, judgement and phases

An operator's order to move a service to another version was not read: a good version got half of the traffic at once, a bad one as much.

Each router sends the new version a part of the requests that it sends itself, routers share counts by version and route, a sequential test compares the new version with the old one, and the phase lies in the store under a condition.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -22,6 +22,7 @@
 import { hasStandingQueue } from "./placing/admission.js";
 import { markReplaced, recordContact, recordLoss } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
+import { AnswerQuality, recordRolloutAnswer } from "./rollout/recordAnswer.js";
 import { recordWholeAnswer } from "./quarantine/establishAttempt.js";
 import { suspectBrokenAttempt } from "./quarantine/engineCrashes.js";
 import { noteRequestLimit } from "./requestLimits.js";
@@ -154,6 +155,7 @@
   const commands = suspectBrokenAttempt(state, exchange, attempt);
   recordLoss(state, attempt.replica, state.at);
   recordOutcome(state, attempt.replica.id, true);
+  recordRolloutAnswer(state, exchange, attempt, AnswerQuality.Broken);
   return [...commands, ...handleLostAttempt(state, exchange, attempt, left)];
 };
 
@@ -173,6 +175,7 @@
       return loseBrokenAttempt(state, exchange, attempt, detail);
     case AttemptFailure.Malformed: {
       recordOutcome(state, attempt.replica.id, true);
+      recordRolloutAnswer(state, exchange, attempt, AnswerQuality.Failed);
       const left = departure(`${failure}: ${detail}`);
       return handleLostAttempt(state, exchange, attempt, left);
     }
@@ -253,8 +256,11 @@
 ): RelayCommand[] => {
   const { status } = answer.head;
   const isFailure = isServerError(answer);
-  if (!isTurnedAway(state, attempt, status))
+  if (!isTurnedAway(state, attempt, status)) {
     recordOutcome(state, attempt.replica.id, isFailure);
+    const quality = isFailure ? AnswerQuality.Failed : AnswerQuality.Good;
+    recordRolloutAnswer(state, exchange, attempt, quality);
+  }
   // A failure may come sooner than any answer.
   if (!isFailure) recordTime(state, exchange, attempt);
   const hasStarted = exchange.head !== undefined;
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -8,6 +8,7 @@
 import { choosePlain } from "./placing/choosePlain.js";
 import type { TimedRequest } from "./plannedStop/answerTimes.js";
 import { preferInTime } from "./plannedStop/expectedEnd.js";
+import { isVersionOpen, type VersionQuery } from "./rollout/openVersions.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
 import {
   expectedFirstEventMs,
@@ -35,7 +36,7 @@
 } from "./types.js";
 
 /** Constraints on the choice of a replica. */
-export interface CandidateQuery {
+export interface CandidateQuery extends VersionQuery {
   readonly service: string;
   /** Ids of replicas that must not be chosen. */
   readonly excluded: ReadonlySet<string>;
@@ -43,8 +44,6 @@
   readonly isWithinLimit?: boolean;
   /** Whether replicas are included that may be asked again only later. */
   readonly withBackingOff?: boolean;
-  /** Software version that the replica must have; any if undefined. */
-  readonly softwareVersion?: string | undefined;
   /** Request that should be answered before a planned stop of this process ends. */
   readonly timed?: TimedRequest;
   /** Zone that is avoided if another zone has a candidate; used for copies. */
@@ -56,6 +55,7 @@
   service: exchange.service,
   excluded: exchange.triedIds,
   softwareVersion: exchange.softwareVersion,
+  rolloutAim: exchange.rolloutAim,
   isWithinLimit: true,
   timed: exchange,
 });
@@ -133,6 +133,7 @@
   (query.withBackingOff === true || !isBackingOff(state, view)) &&
   !query.excluded.has(view.replica.id) &&
   hasSoftware(view.replica, query.softwareVersion) &&
+  isVersionOpen(state, view.replica, query) &&
   (query.isWithinLimit !== true || isWithinLimit(state, view));
 
 /**
--- a/packages/relay/src/decisions/commands.ts
+++ b/packages/relay/src/decisions/commands.ts
@@ -11,6 +11,7 @@
 import type { ReturnedReplica } from "./adoptedReplicas/types.js";
 import type { GossipItem } from "./gossip/types.js";
 import type { Handover, HandoverRefusal } from "./handover/types.js";
+import type { RolloutReport, RolloutWrite } from "./rollout/types.js";
 import type { StoredQuarantine } from "./quarantine/types.js";
 import type { StoredVersions, StreamOrigin } from "./versions/types.js";
 import type {
@@ -184,6 +185,13 @@
       readonly entry: StoredVersions;
       readonly until: Timestamp;
     }
+  /** Writes the phase of a roll-out if neither its entry nor the order has changed. */
+  | { readonly type: "writeRollout"; readonly write: RolloutWrite }
+  | {
+      readonly type: "tellRollout";
+      readonly to: Address;
+      readonly report: RolloutReport;
+    }
   /** Tells another router where streams began. */
   | {
       readonly type: "tellOrigins";
--- a/packages/relay/src/decisions/copyHolders.ts
+++ b/packages/relay/src/decisions/copyHolders.ts
@@ -8,6 +8,7 @@
 import { copyHolderCandidateCount } from "./room/constants.js";
 import { hasCopyRoom } from "./room/copyRoom.js";
 import { sizeOf } from "./room/requestSize.js";
+import { isVersionOpen } from "./rollout/openVersions.js";
 import { isWithinLimitDebt } from "./requestLimits.js";
 import type { Exchange, KvCacheCopy, RelayState } from "./types.js";
 
@@ -58,6 +59,7 @@
   if (view.replica.startedAt !== holder.startedAt) return false;
   return (
     isOpen(state, view) &&
+    isVersionOpen(state, holder, holder) &&
     !isSuspected(view, state.at) &&
     isWithinLimitDebt(state, view)
   );
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -35,6 +35,9 @@
 } from "./probes.js";
 import { answerProgressed, requestProgressed } from "./progress.js";
 import { createRegistration, routersRead } from "./registration.js";
+import { rolloutTold } from "./rollout/reports.js";
+import { createRolloutState } from "./rollout/rolloutState.js";
+import { rolloutsRead } from "./rollout/rolloutsRead.js";
 import { recoverExchange } from "./recoverExchange.js";
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamStarted, streamEnded } from "./streamEvents.js";
@@ -101,6 +104,7 @@
   registration: createRegistration(),
   quarantine: createQuarantineState(),
   versions: createVersionState(),
+  rollouts: createRolloutState(),
   gossip: createGossipState(),
   limitCounts: { waited: 0, refused: 0 },
   backOffs: createBackOffState(),
@@ -204,6 +208,10 @@
       return quarantinesRead(state, event);
     case "versionsRead":
       return versionsRead(state, event);
+    case "rolloutsRead":
+      return rolloutsRead(state, event);
+    case "rolloutTold":
+      return rolloutTold(state, event);
     case "originAsked":
       return originAsked(state, event);
     case "originsTold":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -16,6 +16,11 @@
 import type { StopOutcome } from "./earlierRuns/types.js";
 import type { GossipItem } from "./gossip/types.js";
 import type { StoredQuarantine } from "./quarantine/types.js";
+import type {
+  RolloutOrder,
+  RolloutReport,
+  StoredRollout,
+} from "./rollout/types.js";
 import type { StoredVersions, StreamOrigin } from "./versions/types.js";
 import type {
   ResponseHead,
@@ -237,6 +242,18 @@
       readonly at: Timestamp;
       readonly entries: readonly StoredVersions[];
     }
+  | {
+      readonly type: "rolloutsRead";
+      readonly at: Timestamp;
+      readonly orders: readonly RolloutOrder[];
+      readonly stored: readonly StoredRollout[];
+    }
+  | {
+      readonly type: "rolloutTold";
+      readonly at: Timestamp;
+      readonly from: Address;
+      readonly report: RolloutReport;
+    }
   | {
       readonly type: "originAsked";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/queryEngines.ts
+++ b/packages/relay/src/decisions/queryEngines.ts
@@ -25,6 +25,7 @@
   reconnectWindowMs,
   promptQueryTimeoutMs,
 } from "./constants.js";
+import { isOpenToExchange } from "./rollout/openVersions.js";
 import { hasSoftware, replicasOf } from "./replicaViews.js";
 import { hasSeveralVersions } from "./versions/serviceVersions.js";
 import {
@@ -202,6 +203,7 @@
       continue;
     const { replica } = view;
     if (!hasSoftware(replica, softwareVersion)) continue;
+    if (!isOpenToExchange(state, replica, exchange)) continue;
     holder = view.replica;
     maxTokens = tokens;
   }
--- /dev/null
+++ b/packages/relay/src/decisions/rollout/constants.ts
@@ -0,0 +1,123 @@
+/** Times and bounds of roll-outs. */
+
+import type { RolloutLimits } from "./types.js";
+
+/** Limits of a deployment whose settings name none. */
+export const defaultRolloutLimits: RolloutLimits = {
+  exposureShare: 0.1,
+  exposureSlack: 50,
+  rollbackTimeoutMs: 5000,
+};
+
+/** Part of the allowed share that a version gets while it is judged; the rest is for the move. */
+export const exposingPart = 0.35;
+
+/** Part of the allowed share up to which it gets requests before it is completed; the rest is for the time from then to the deadline. */
+export const movingPart = 0.55;
+
+/** Part of the slack that is spent while the version is judged, for evidence in small services. */
+export const exposingSlackPart = 0.3;
+
+/** Part of the slack up to which it is spent by the move. */
+export const movingSlackPart = 0.6;
+
+/** Part of the allowed share whose time the move takes at full load. */
+export const windowPart = 0.55;
+
+/** Part of the slack that the move takes. */
+export const windowSlackPart = 0.5;
+
+/** Longest part of a roll-out that is left for the move: the rest shows how the version does. */
+export const maxWindowRatio = 0.3;
+
+/** Part of a roll-out, and its bounds, by which it is completed before its deadline: other routers may have to write it. */
+export const completionMargin = { ratio: 0.04, minMs: 400, maxMs: 1500 };
+
+/** Part of that margin for which the completion waits for work at old replicas. */
+export const oldWorkWaitRatio = 0.25;
+
+/** Least time from the move to the completion, for routers to follow and short requests to end. */
+export const minMoveMs = 300;
+
+/** Offset between the times at which routers write the same phase: longer than a watch takes to show it. */
+export const phaseWriteSpacingMs = 200;
+
+/** Time after which a write that did not show is tried again. */
+export const phaseWriteRetryMs = 700;
+
+/** Least interval between the reports of a router. */
+export const minReportIntervalMs = 250;
+
+/** Reports a second that a router which judges gets from all others together. */
+export const maxReportsPerS = 200;
+
+/** Number of routers that get all reports. */
+export const judgeCount = 3;
+
+/** Number of routers that are told of a bad version at once, and then with each report. */
+export const faultFanout = 6;
+
+/** Time for which a fault is told. */
+export const faultToldMs = 10_000;
+
+/** Age up to which another router's requests at old replicas count as still there. */
+export const reportFreshMs = 1500;
+
+/** Interval between tests. */
+export const testIntervalMs = 100;
+
+/** Time in which an answer of the old version loses half of its weight. */
+export const oldHalfLifeMs = 3000;
+
+/** Rate of bad answers that is assumed before the old version has answered, and the answers that it counts for. */
+export const assumedBad = { rate: 0.02, answers: 25 };
+
+/** Bounds of the old version's rate, so that the test stays defined. */
+export const badRateBounds = { min: 0.01, max: 0.7 };
+
+/** A version is bad if its rate of bad answers is that much higher than the old one's. */
+export const badRateIncrease = 0.12;
+
+/** A version is bad if its rate is that many times as high. */
+export const badRateFactor = 2.5;
+
+/** Evidence at which a version is bad, the logarithm of a likelihood ratio of some 13,000: four bad answers in a row of an old version without any. */
+export const badEvidence = 9.5;
+
+/** Evidence that leaves a version in doubt: it is completed only some time after its deadline. */
+export const doubtfulEvidence = 5;
+
+/** Time from the deadline to the completion of a version in doubt. */
+export const doubtMs = 1500;
+
+/** Bad answers beyond the old version's rate at which a version is bad whatever the test says. */
+export const maxExcessBad = 30;
+
+/** An answer is slow if it takes this multiple of the median of the old version's. */
+export const slowFactor = 3;
+
+/** Added to that, as the clocks of small answers jump. */
+export const slowMarginMs = 10;
+
+/** Times of the old version's answers that are kept. */
+export const keptTimeCount = 40;
+
+/** Least number of them from which a median is taken. */
+export const minTimeCount = 12;
+
+/** Broken answers of one process within this time are one fault: it ended. */
+export const brokenTogetherMs = 1000;
+
+/** Time for which old replicas get no new work after a completion that this router saw. */
+export const settledMs = 10_000;
+
+/** Time for which the version of a withdrawn order gets no new work. */
+export const withdrawnMs = 60_000;
+
+/** Bounds on what other programs name. */
+export const maxRollouts = {
+  services: 64,
+  routes: 64,
+  sources: 1024,
+  faultLength: 200,
+} as const;
--- /dev/null
+++ b/packages/relay/src/decisions/rollout/maintainRollouts.ts
@@ -0,0 +1,165 @@
+/**
+ * Takes the next step of each roll-out: judges the version, and writes the phase that is
+ * due. The first router in the service's order writes, else the next. Load pattern: a
+ * roll-out whose routers and store fail one after the other, with a deadline.
+ */
+
+import type { Timestamp } from "@cardamomglade/common";
+import type { RelayCommand } from "../commands.js";
+import { rankOf } from "../quarantine/quarantineState.js";
+import { isAvailable, replicasOf } from "../replicaViews.js";
+import type { RelayState } from "../types.js";
+import {
+  completionMargin,
+  doubtfulEvidence,
+  doubtMs,
+  maxWindowRatio,
+  minMoveMs,
+  oldWorkWaitRatio,
+  phaseWriteRetryMs,
+  phaseWriteSpacingMs,
+  testIntervalMs,
+  windowPart,
+  windowSlackPart,
+} from "./constants.js";
+import { judgeVersion } from "./judge.js";
+import { noteFault } from "./noteFault.js";
+import { recordLateAnswers } from "./recordAnswer.js";
+import {
+  hasOldWork,
+  knownFirstSent,
+  knowsMostRouters,
+  sendReport,
+} from "./reports.js";
+import {
+  deadlineOf,
+  hasOldReplica,
+  isFinal,
+  isNewVersion,
+  rolloutLimitsOf,
+} from "./rolloutState.js";
+import { RolloutPhase, type Rollout } from "./types.js";
+
+/** Time by which the roll-out is to be completed if other routers may have to write it. */
+const completeAtOf = (rollout: Rollout): Timestamp => {
+  const { ratio, minMs, maxMs } = completionMargin;
+  const marginMs = ratio * rollout.order.durationMs;
+  return deadlineOf(rollout) - Math.min(maxMs, Math.max(minMs, marginMs));
+};
+
+/**
+ * Time at which the move begins: so late that all requests until the deadline are within
+ * the allowance, should the version turn bad then.
+ */
+const moveAtOf = (state: RelayState, rollout: Rollout): Timestamp => {
+  const { durationMs } = rollout.order;
+  const { exposureShare, exposureSlack } = rolloutLimitsOf(state);
+  const elapsedMs = Math.max(1, state.at - rollout.startedAt);
+  const perMs = Math.max(1, knownFirstSent(rollout)) / elapsedMs;
+  // Without the counts of others the slack may be a moment of all requests.
+  const slackMs = knowsMostRouters(state, rollout)
+    ? (windowSlackPart * exposureSlack) / perMs
+    : 0;
+  const windowMs = Math.min(
+    maxWindowRatio * durationMs,
+    windowPart * exposureShare * durationMs + slackMs,
+  );
+  return Math.min(
+    deadlineOf(rollout) - windowMs,
+    completeAtOf(rollout) - minMoveMs,
+  );
+};
+
+const hasNewReplica = (state: RelayState, rollout: Rollout): boolean =>
+  replicasOf(state, rollout.order.service).some(
+    (view) =>
+      isNewVersion(rollout, view.replica.softwareVersion) && isAvailable(view),
+  );
+
+/** A version of which no replica came by the deadline is given up. */
+const withoutNewReplica = (
+  state: RelayState,
+  rollout: Rollout,
+): RolloutPhase | undefined => {
+  if (state.at > deadlineOf(rollout)) return RolloutPhase.RolledBack;
+  return rollout.phase === undefined ? RolloutPhase.Exposing : undefined;
+};
+
+const afterMove = (
+  state: RelayState,
+  rollout: Rollout,
+): RolloutPhase | undefined => {
+  const { at } = state;
+  if (at < completeAtOf(rollout) || at - rollout.phaseAt < minMoveMs)
+    return undefined;
+  const isInDoubt = [...rollout.tests.values()].some(
+    ({ evidence }) => evidence >= doubtfulEvidence,
+  );
+  if (isInDoubt && at < deadlineOf(rollout) + doubtMs) return undefined;
+  const completeAt = completeAtOf(rollout);
+  const lastAt =
+    completeAt + oldWorkWaitRatio * (deadlineOf(rollout) - completeAt);
+  const isWaiting = at < lastAt && hasOldWork(state, rollout);
+  return isWaiting ? undefined : RolloutPhase.Completed;
+};
+
+/** The phase that is due; undefined if the present one stays. */
+const duePhase = (
+  state: RelayState,
+  rollout: Rollout,
+): RolloutPhase | undefined => {
+  const { phase, fault, withdrawnAt } = rollout;
+  if (isFinal(phase)) return undefined;
+  if (fault !== undefined || withdrawnAt !== undefined)
+    return RolloutPhase.RolledBack;
+  if (!hasNewReplica(state, rollout)) return withoutNewReplica(state, rollout);
+  // Nothing is left to move.
+  if (!rollout.hasOldVersion) return RolloutPhase.Completed;
+  if (phase === undefined) return RolloutPhase.Exposing;
+  if (phase === RolloutPhase.Moving) return afterMove(state, rollout);
+  return state.at >= moveAtOf(state, rollout) ? RolloutPhase.Moving : undefined;
+};
+
+const writePhase = (state: RelayState, rollout: Rollout): RelayCommand[] => {
+  const phase = duePhase(state, rollout);
+  if (phase === undefined) {
+    rollout.writeAt = undefined;
+    return [];
+  }
+  const { order, withdrawnAt } = rollout;
+  rollout.writeAt ??=
+    state.at + rankOf(state, order.service) * phaseWriteSpacingMs;
+  if (state.at < rollout.writeAt || state.store.type !== "available") return [];
+  rollout.writeAt = state.at + phaseWriteRetryMs;
+  const write = {
+    service: order.service,
+    version: order.version,
+    orderId: order.id,
+    phase,
+    hasOldVersion: rollout.hasOldVersion,
+    replaces: rollout.entryRevision,
+    orderRevision: withdrawnAt === undefined ? order.revision : 0,
+  };
+  return [{ type: "writeRollout", write }];
+};
+
+const judge = (state: RelayState, rollout: Rollout): RelayCommand[] => {
+  if (state.at < rollout.nextTestAt || isFinal(rollout.phase)) return [];
+  rollout.nextTestAt = state.at + testIntervalMs;
+  const fault = judgeVersion(rollout, state.at);
+  return fault === undefined
+    ? []
+    : noteFault(state, rollout, fault, state.router);
+};
+
+/** Judges new versions, tells other routers of them and writes the phases that are due. */
+export const maintainRollouts = (state: RelayState): RelayCommand[] => {
+  recordLateAnswers(state);
+  for (const rollout of state.rollouts.services.values())
+    rollout.hasOldVersion ||= hasOldReplica(state, rollout.order);
+  return [...state.rollouts.services.values()].flatMap((rollout) => [
+    ...judge(state, rollout),
+    ...writePhase(state, rollout),
+    ...sendReport(state, rollout),
+  ]);
+};
--- /dev/null
+++ b/packages/relay/src/decisions/rollout/noteFault.ts
@@ -0,0 +1,33 @@
+/** Stops new work to a version that was found bad. */
+
+import { Severity } from "@cardamomglade/observe";
+import type { RelayCommand } from "../commands.js";
+import { logLine } from "../logLine.js";
+import type { RelayState } from "../types.js";
+import { knownExposed } from "./knownExposed.js";
+import { isFinal } from "./rolloutState.js";
+import type { Rollout } from "./types.js";
+
+/** Notes why a version is bad; it gets no new work from this router from now on. */
+export const noteFault = (
+  state: RelayState,
+  rollout: Rollout,
+  fault: string,
+  learnedFrom: string,
+): RelayCommand[] => {
+  if (rollout.fault !== undefined || isFinal(rollout.phase)) return [];
+  rollout.fault = fault;
+  rollout.faultAt = state.at;
+  rollout.nextReportAt = state.at;
+  const { service, version, id } = rollout.order;
+  const context = {
+    service,
+    softwareVersion: version,
+    order: id,
+    fault,
+    learnedFrom,
+    exposed: rollout.exposed,
+    ...knownExposed(rollout),
+  };
+  return [logLine("new version is bad", context, Severity.Warn)];
+};
--- /dev/null
+++ b/packages/relay/src/decisions/rollout/recordAnswer.ts
@@ -0,0 +1,135 @@
+/** Counts answers of a service that has a roll-out, by version and route. */
+
+import type { Timestamp } from "@cardamomglade/common";
+import { processKeyOf } from "../replicaViews.js";
+import type { Attempt, Exchange, RelayState } from "../types.js";
+import {
+  brokenTogetherMs,
+  keptTimeCount,
+  maxRollouts,
+  minTimeCount,
+  slowFactor,
+  slowMarginMs,
+} from "./constants.js";
+import { createVersionCounts } from "./judge.js";
+import { isFinal, isNewVersion } from "./rolloutState.js";
+import type { Rollout } from "./types.js";
+
+/** How an attempt ended, or how its answer began. */
+export enum AnswerQuality {
+  /** Whole, or its first event came. */
+  Good = "good",
+  /** The replica said that it failed, or what it said is no answer. */
+  Failed = "failed",
+  /** It ended in the middle: the replica may have ended. */
+  Broken = "broken",
+}
+
+const medianOf = (times: readonly number[]): number =>
+  [...times].sort((a, b) => a - b)[Math.floor(times.length / 2)] ?? 0;
+
+/** Time from which an answer on a route is slow. */
+const slowAfterMs = (
+  { oldTimes }: Rollout,
+  { route }: Pick<Exchange, "route">,
+): number => {
+  const times = oldTimes.get(route.name) ?? [];
+  return times.length < minTimeCount
+    ? route.targetLatencyMs
+    : slowFactor * medianOf(times) + slowMarginMs;
+};
+
+const noteOldTime = (
+  { oldTimes }: Rollout,
+  { route }: Exchange,
+  tookMs: number,
+): void => {
+  const times = oldTimes.get(route.name) ?? [];
+  if (oldTimes.size < maxRollouts.routes) oldTimes.set(route.name, times);
+  times.push(tookMs);
+  if (times.length > keptTimeCount) times.shift();
+};
+
+const countAnswer = (
+  { at }: RelayState,
+  rollout: Rollout,
+  { route }: Exchange,
+  isNew: boolean,
+  isBad: boolean,
+): void => {
+  const counts = rollout.own.get(route.name) ?? createVersionCounts();
+  if (rollout.own.size < maxRollouts.routes)
+    rollout.own.set(route.name, counts);
+  if (isNew) counts.newAnswers += 1;
+  else counts.oldAnswers += 1;
+  if (!isBad) return;
+  if (!isNew) {
+    counts.oldBad += 1;
+    return;
+  }
+  counts.newBad += 1;
+  // Few routers see one, and those that judge are told at once.
+  rollout.nextReportAt = Math.min(rollout.nextReportAt, at);
+};
+
+/** Whether a broken answer is one of those that an ended process leaves, of which the first counts. */
+const isSameEnd = (
+  { brokenAt }: Rollout,
+  { replica }: Attempt,
+  at: Timestamp,
+): boolean => {
+  const key = processKeyOf(replica);
+  const before = brokenAt.get(key) ?? -Infinity;
+  if (brokenAt.size < maxRollouts.sources) brokenAt.set(key, at);
+  return at - before < brokenTogetherMs;
+};
+
+const rolloutToJudge = (
+  state: RelayState,
+  { service }: Exchange,
+): Rollout | undefined => {
+  const rollout = state.rollouts.services.get(service);
+  return rollout === undefined || isFinal(rollout.phase) ? undefined : rollout;
+};
+
+/** Whether the replica was at full speed when the attempt was sent. */
+const wasWarm = ({ replica, sentAt }: Attempt): boolean =>
+  sentAt >= (replica.warmAt ?? 0);
+
+/** Counts an attempt's answer once, and once more if it breaks off after its start. */
+export const recordRolloutAnswer = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+  quality: AnswerQuality,
+): void => {
+  const rollout = rolloutToJudge(state, exchange);
+  if (rollout === undefined) return;
+  const isGood = quality === AnswerQuality.Good;
+  if (attempt.isJudged === true && isGood) return;
+  if (quality === AnswerQuality.Broken && isSameEnd(rollout, attempt, state.at))
+    return;
+  const tookMs = state.at - attempt.sentAt;
+  const isSlow = wasWarm(attempt) && tookMs >= slowAfterMs(rollout, exchange);
+  attempt.isJudged = true;
+  const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
+  if (!isNew && isGood) noteOldTime(rollout, exchange, tookMs);
+  countAnswer(state, rollout, exchange, isNew, !isGood || isSlow);
+};
+
+/** Counts answers that are late already, before they come. */
+export const recordLateAnswers = (state: RelayState): void => {
+  if (state.rollouts.services.size === 0) return;
+  for (const exchange of state.exchanges.values()) {
+    const { attempt } = exchange;
+    const rollout = rolloutToJudge(state, exchange);
+    if (rollout === undefined || attempt === undefined) continue;
+    if (attempt.isJudged === true || !wasWarm(attempt)) continue;
+    const tookMs = state.at - attempt.sentAt;
+    if (tookMs < slowAfterMs(rollout, exchange)) continue;
+    attempt.isJudged = true;
+    const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
+    if (!isNew) noteOldTime(rollout, exchange, tookMs);
+    countAnswer(state, rollout, exchange, isNew, true);
+  }
+};
--- /dev/null
+++ b/packages/relay/src/decisions/rollout/reports.ts
@@ -0,0 +1,133 @@
+/**
+ * Tells some routers this one's counts, and all of them that a version is bad. Load
+ * pattern: each of many routers sends the new version a request now and then, too few to
+ * judge it alone, while the store or links are down.
+ */
+
+import { rendezvousOrder } from "@cardamomglade/common";
+import type { Address } from "../../types.js";
+import type { RelayCommand } from "../commands.js";
+import type { RelayEventOf } from "../events.js";
+import { sampleWithoutReplacement } from "../random.js";
+import { isKnownRouter, otherRouterAddresses } from "../registration.js";
+import type { RelayState } from "../types.js";
+import {
+  faultFanout,
+  faultToldMs,
+  judgeCount,
+  maxReportsPerS,
+  maxRollouts,
+  minReportIntervalMs,
+  reportFreshMs,
+} from "./constants.js";
+import { noteFault } from "./noteFault.js";
+import { isFinal, isNewVersion } from "./rolloutState.js";
+import type { Rollout, RolloutReport } from "./types.js";
+
+/** This router's requests at work at old replicas. */
+const oldInFlightOf = (state: RelayState, rollout: Rollout): number => {
+  let count = 0;
+  for (const { service, attempt } of state.exchanges.values())
+    if (
+      attempt !== undefined &&
+      service === rollout.order.service &&
+      !isNewVersion(rollout, attempt.replica.softwareVersion)
+    )
+      count += 1;
+  return count;
+};
+
+const reportOf = (state: RelayState, rollout: Rollout): RolloutReport => ({
+  service: rollout.order.service,
+  orderId: rollout.order.id,
+  source: `${state.router}@${String(Math.round(state.startedAt))}`,
+  ageMs: state.at - rollout.startedAt,
+  firstSent: rollout.firstSent,
+  exposed: rollout.exposed,
+  oldInFlight: oldInFlightOf(state, rollout),
+  fault: rollout.fault,
+  counts: rollout.own,
+});
+
+/** Requests that known routers have sent to the service since the order. */
+export const knownFirstSent = (rollout: Rollout): number => {
+  let count = rollout.firstSent;
+  for (const { report } of rollout.others.values()) count += report.firstSent;
+  return count;
+};
+
+/** Whether this router gets the counts of most of the registered ones. */
+export const knowsMostRouters = (
+  { registration, at }: RelayState,
+  { others }: Rollout,
+): boolean => {
+  const freshCount = [...others.values()].filter(
+    ({ heardAt }) => at - heardAt < reportFreshMs,
+  ).length;
+  return 2 * (freshCount + 1) > registration.routers.size;
+};
+
+/** Whether any router is known to have work at old replicas. */
+export const hasOldWork = (state: RelayState, rollout: Rollout): boolean =>
+  oldInFlightOf(state, rollout) > 0 ||
+  [...rollout.others.values()].some(
+    ({ report, heardAt }) =>
+      report.oldInFlight > 0 && state.at - heardAt < reportFreshMs,
+  );
+
+/** The first routers in the service's order that this one reaches. */
+const judgesOf = (
+  { registration, router }: RelayState,
+  service: string,
+): Address[] =>
+  rendezvousOrder(service, [...registration.routers.keys()])
+    .filter((name) => name !== router)
+    .slice(0, judgeCount)
+    .map((name) => registration.routers.get(name)?.address)
+    .filter((address) => address !== undefined);
+
+/** Sends this router's report when due. */
+export const sendReport = (
+  state: RelayState,
+  rollout: Rollout,
+): RelayCommand[] => {
+  const { at, registration } = state;
+  const { fault, faultAt, phase, order } = rollout;
+  const isToldOf = fault !== undefined && at - faultAt < faultToldMs;
+  if (at < rollout.nextReportAt) return [];
+  if (isFinal(phase) && !isToldOf) return [];
+  const intervalMs = Math.max(
+    minReportIntervalMs,
+    (1000 * registration.routers.size) / maxReportsPerS,
+  );
+  rollout.nextReportAt = at + intervalMs;
+  const report = reportOf(state, rollout);
+  const told = isToldOf
+    ? sampleWithoutReplacement(state, otherRouterAddresses(state), faultFanout)
+    : [];
+  return [...judgesOf(state, order.service), ...told].map((to) => ({
+    type: "tellRollout",
+    to,
+    report,
+  }));
+};
+
+/** Takes over another router's report. */
+export const rolloutTold = (
+  state: RelayState,
+  { from, report, at }: RelayEventOf<"rolloutTold">,
+): RelayCommand[] => {
+  const rollout = state.rollouts.services.get(report.service);
+  if (rollout === undefined || !isKnownRouter(state, from)) return [];
+  if (rollout.order.id !== report.orderId) return [];
+  const { others } = rollout;
+  const known = others.get(report.source);
+  const isOlder = known !== undefined && known.report.ageMs > report.ageMs;
+  if (!isOlder && (known !== undefined || others.size < maxRollouts.sources))
+    others.set(report.source, { report, heardAt: at });
+  const age = Math.min(report.ageMs, rollout.order.durationMs);
+  rollout.startedAt = Math.min(rollout.startedAt, at - age);
+  return report.fault === undefined
+    ? []
+    : noteFault(state, rollout, report.fault, "another router");
+};
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -56,6 +56,8 @@
 } from "./quarantine/suspectedRequests.js";
 import { isTakeUp, settleVersion } from "./versions/takeUps.js";
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
+import { aimAtVersion, aimBack, noteRolloutSend } from "./rollout/exposure.js";
+import { isOpenToExchange } from "./rollout/openVersions.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
 import { returnToSlow } from "./secondTry/returnToSlow.js";
 import { recordFirst } from "./secondTry/tryBudget.js";
@@ -133,6 +135,7 @@
     stopCount: 0,
   };
   forgetRunsAt(state, exchange, replica.id);
+  noteRolloutSend(state, exchange, replica);
   exchange.nextNumber += 1;
   exchange.attempt = attempt;
   exchange.triedIds.add(replica.id);
@@ -168,6 +171,7 @@
       replica: replica.id,
       replicaZone: replica.zone,
       softwareVersion: replica.softwareVersion,
+      rolloutAim: exchange.rolloutAim,
       resumes: request.resumes,
       copyTo: attempt.copyTo?.id,
       inFlight: view?.inFlight,
@@ -240,6 +244,7 @@
   if (mustHandOn(state, exchange)) return handOn(state, exchange, true);
   const { isSettled, commands: lines } = settleVersion(state, exchange);
   if (!isSettled) return lines;
+  aimBack(state, exchange);
   const probes = seekIdleEngine(state, exchange);
   if (probes !== undefined) return [...lines, ...probes];
   const first = passRoomOn(state, exchange);
@@ -281,7 +286,8 @@
     view !== undefined &&
     !mustHandOn(state, exchange) &&
     isOpen(state, view) &&
-    hasSoftware(view.replica, exchange.softwareVersion);
+    hasSoftware(view.replica, exchange.softwareVersion) &&
+    isOpenToExchange(state, view.replica, exchange);
   if (!isUsable) return sendWithoutCopy(state, exchange);
   // The permit was taken when it was reserved.
   if (view.requestLimit !== undefined) returnPermit(state, view.requestLimit);
@@ -296,6 +302,7 @@
   const kept = keepFromLastReplica(state, exchange);
   if (kept !== undefined) return kept;
   if (mustHandOn(state, exchange)) return handOn(state, exchange, true);
+  aimAtVersion(state, exchange);
   const probes = queryEngines(state, exchange);
   return isEngineQueryPending(state, exchange)
     ? probes
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -4,6 +4,7 @@
  */
 
 import { recordOutcome } from "./outcomes.js";
+import { AnswerQuality, recordRolloutAnswer } from "./rollout/recordAnswer.js";
 import { recordContact } from "./replicaViews.js";
 import { acceptEvents } from "./acceptEvents.js";
 import { beginStream } from "./beginStream.js";
@@ -82,6 +83,7 @@
   if (!attempt.hasEvents) {
     learnReadingRate(state, exchange, attempt);
     attempt.hasEvents = true;
+    recordRolloutAnswer(state, exchange, attempt, AnswerQuality.Good);
     // This run has used the KV cache of the stopped one, or is ahead of it.
     exchange.keptCopy = undefined;
     const view = state.replicas.get(attempt.replica.id);
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -50,6 +50,7 @@
 } from "./sendAttempt.js";
 import { recoverExchange } from "./recoverExchange.js";
 import { recordTime } from "./serviceTimes/recordTime.js";
+import { maintainRollouts } from "./rollout/maintainRollouts.js";
 import { maintainVersions } from "./versions/serviceVersions.js";
 import { checkRoom } from "./waitingLine/checkRoom.js";
 import { sendSecondTry } from "./secondTry/sendSecondTry.js";
@@ -271,6 +272,7 @@
     ...searchCulprits(state),
     ...maintainQuarantines(state),
     ...maintainVersions(state),
+    ...maintainRollouts(state),
     ...spreadGossip(state, () => currentItems(state)),
   );
   for (const exchange of [...state.exchanges.values()])
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -23,6 +23,11 @@
 import type { Path } from "./paths/types.js";
 import type { AnswerTimes, PlannedStop } from "./plannedStop/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
+import type {
+  RolloutAim,
+  RolloutLimits,
+  RolloutState,
+} from "./rollout/types.js";
 import type { RouteTable } from "./routeTable.js";
 import type { SecondTryState, SlowAnswer } from "./secondTry/types.js";
 import type {
@@ -178,6 +183,8 @@
   endEvidence: EndEvidence | undefined;
   /** Number of questions to stop its run that may have reached the replica. */
   stopCount: number;
+  /** Whether its answer was counted for a roll-out. */
+  isJudged?: boolean;
 }
 
 /** How the end of a response's body is found. */
@@ -293,6 +300,8 @@
   wait: Wait;
   /** Software version at which the stream began; it goes on only there. Undefined before the first event. */
   softwareVersion: string | undefined;
+  /** Version to which a roll-out sends the request; undefined without one. */
+  rolloutAim?: RolloutAim;
   /** The stream ends if no replica of its software is open until then; undefined before it waited for one. */
   versionDeadline: Timestamp | undefined;
   /** Its search for an engine with room; undefined before one was needed. */
@@ -496,6 +505,7 @@
   readonly registration: Registration;
   readonly quarantine: QuarantineState;
   readonly versions: VersionState;
+  readonly rollouts: RolloutState;
   readonly gossip: GossipState;
   readonly limitCounts: LimitCounts;
   readonly backOffs: BackOffState;
@@ -526,6 +536,8 @@
   readonly retryLimits: RetryLimits;
   /** Second tries allowed for each idempotent request, over all routers; none if undefined. */
   readonly secondTryShare?: number | undefined;
+  /** The defaults hold if undefined. */
+  readonly rolloutLimits?: RolloutLimits;
 }
 
 /** Fleet-wide retry budget of each service. */
--- a/packages/relay/src/drivers/handover/handoverHeaders.ts
+++ b/packages/relay/src/drivers/handover/handoverHeaders.ts
@@ -17,7 +17,7 @@
   type ResponseHead,
 } from "../../decisions/types.js";
 import { maxHandedRunCount } from "../../decisions/handover/constants.js";
-import { isAmount, isName } from "../peerMessages.js";
+import { isAmount, isName } from "../peerValues.js";
 
 /** Names of the headers, in lower case. */
 export const handoverHeaders = {
--- a/packages/relay/src/drivers/peerDriver.ts
+++ b/packages/relay/src/drivers/peerDriver.ts
@@ -22,6 +22,7 @@
   encodeReturns,
   type PeerMessage,
 } from "./peerMessages.js";
+import { encodeRolloutReport } from "./rolloutReports.js";
 import type { RelayDriver } from "./types.js";
 import type { Address } from "../types.js";
 
@@ -34,6 +35,8 @@
       return { type: "originAsked", at, from, key: message.key };
     case "origins":
       return { type: "originsTold", at, from, origins: message.origins };
+    case "rollout":
+      return { type: "rolloutTold", at, from, report: message.report };
     case "askHandover":
       return { type: "handoverAsked", at, from, services: message.services };
     case "offerHandover": {
@@ -92,6 +95,9 @@
           send(to, encodeHandoverOffer(services, freePlaces));
           return;
         }
+        case "tellRollout":
+          send(command.to, encodeRolloutReport(command.report));
+          return;
         case "askOrigin":
           send(command.to, encodeOriginQuestion(command.key));
           return;
--- a/packages/relay/src/drivers/peerMessages.ts
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -2,9 +2,12 @@
 
 import { assertNever, type Timestamp } from "@cardamomglade/common";
 import { pack, unpack } from "msgpackr";
+import { isAmount, isName } from "./peerValues.js";
+import { decodeRolloutReport } from "./rolloutReports.js";
 import { maxRemembered } from "../decisions/quarantine/constants.js";
 import type { ReturnedReplica } from "../decisions/adoptedReplicas/types.js";
 import type { StreamOrigin } from "../decisions/versions/types.js";
+import type { RolloutReport } from "../decisions/rollout/types.js";
 import type { GossipItem } from "../decisions/gossip/types.js";
 
 /** Content of a datagram. */
@@ -22,26 +25,18 @@
   | {
       readonly type: "returns";
       readonly returned: readonly ReturnedReplica[];
-    };
+    }
+  | { readonly type: "rollout"; readonly report: RolloutReport };
 
-const maxNameLength = 200; // maximum length of a key in the store
 const maxItemCount = 100; // of the shortest items, a datagram holds fewer
 const maxDatagramBytes = 1200; // fits one packet on every usual link
 
-/** Whether a value is a name of limited length. */
-export const isName = (value: unknown): value is string =>
-  typeof value === "string" && value.length <= maxNameLength;
-
 const isBlockList = (value: unknown): value is string[] =>
   Array.isArray(value) &&
   value.length > 0 &&
   value.length <= maxRemembered.blocksPerSuspect &&
   value.every(isName);
 
-/** Whether a value is a finite number from 0 on. */
-export const isAmount = (value: unknown): value is number =>
-  typeof value === "number" && Number.isFinite(value) && value >= 0;
-
 // Clocks of hosts differ, so times are sent as ages.
 const encodeItem = (item: GossipItem, at: Timestamp): readonly unknown[] => {
   switch (item.type) {
@@ -198,6 +193,10 @@
   if (type === "askHandover")
     return isNameList(content) ? { type, services: content } : undefined;
   if (type === "offerHandover") return decodeOffer(content);
+  if (type === "rollout") {
+    const report = decodeRolloutReport(content);
+    return report && { type, report };
+  }
   if (type !== "gossip" || !Array.isArray(content)) return undefined;
   if (content.length > maxItemCount) return undefined;
   const items = content
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -113,6 +113,8 @@
   readonly softwareVersion: string;
   /** Number of this report of the process about itself; 0 if it has none. */
   readonly reportNumber: number;
+  /** Time until which the process is slow after its start; undefined if it names none. */
+  readonly warmAt?: Timestamp;
 }
 
 /**
