Roll-outs: orders and phases in the store, reports told at once, separate tests

The watch reads changes together, up to a second late: a writer learned of its own phase too late to complete in time, and so did the others. It now takes over what the store confirmed, and phases go by datagram as well.

Failures and slow answers were one count: where a busy host answers a third of all requests late, failures of the new version did not stand out. Each has its own test now, against its own rate of the old version.

Metrics show roll-outs.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -24,6 +24,7 @@
 import { leavingReplicaCount } from "./decisions/leavingReplicas.js";
 import { lostPathCount } from "./decisions/paths/paths.js";
 import { noticeEndOf } from "./decisions/plannedStop/noticeEnd.js";
+import { rolloutGauges } from "./decisions/rollout/rolloutGauges.js";
 import { limitedReplicaCount } from "./decisions/requestLimits.js";
 import type { RuntimeLimits } from "./decisions/types.js";
 import { handoverAddressOf } from "./decisions/handover/handoverAddress.js";
@@ -179,6 +180,7 @@
       memory_budget_bytes: memoryBudget.use().maxBytes,
       memory_held_bytes: memoryBudget.bytes,
       memory_given_up_total: memoryBudget.gaveWayCount,
+      ...rolloutGauges(state),
       ...options.gauges(),
     });
   };
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -37,7 +37,7 @@
 import { createRegistration, routersRead } from "./registration.js";
 import { rolloutTold } from "./rollout/reports.js";
 import { createRolloutState } from "./rollout/rolloutState.js";
-import { rolloutsRead } from "./rollout/rolloutsRead.js";
+import { rolloutsRead, rolloutWritten } from "./rollout/rolloutsRead.js";
 import { recoverExchange } from "./recoverExchange.js";
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamStarted, streamEnded } from "./streamEvents.js";
@@ -210,6 +210,8 @@
       return versionsRead(state, event);
     case "rolloutsRead":
       return rolloutsRead(state, event);
+    case "rolloutWritten":
+      return rolloutWritten(state, event);
     case "rolloutTold":
       return rolloutTold(state, event);
     case "originAsked":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -19,6 +19,7 @@
 import type {
   RolloutOrder,
   RolloutReport,
+  RolloutWrite,
   StoredRollout,
 } from "./rollout/types.js";
 import type { StoredVersions, StreamOrigin } from "./versions/types.js";
@@ -248,6 +249,13 @@
       readonly orders: readonly RolloutOrder[];
       readonly stored: readonly StoredRollout[];
     }
+  | {
+      readonly type: "rolloutWritten";
+      readonly at: Timestamp;
+      readonly write: RolloutWrite;
+      /** Revision of the entry now. */
+      readonly revision: number;
+    }
   | {
       readonly type: "rolloutTold";
       readonly at: Timestamp;
--- a/packages/relay/src/decisions/rollout/constants.ts
+++ b/packages/relay/src/decisions/rollout/constants.ts
@@ -10,31 +10,31 @@
 };
 
 /** Part of the allowed share that a version gets while it is judged; the rest is for the move. */
-export const exposingPart = 0.35;
+export const exposingPart = 0.3;
 
 /** Part of the allowed share up to which it gets requests before it is completed; the rest is for the time from then to the deadline. */
-export const movingPart = 0.55;
+export const movingPart = 0.5;
 
 /** Part of the slack that is spent while the version is judged, for evidence in small services. */
-export const exposingSlackPart = 0.3;
+export const exposingSlackPart = 0.25;
 
 /** Part of the slack up to which it is spent by the move. */
-export const movingSlackPart = 0.6;
+export const movingSlackPart = 0.7;
 
 /** Part of the allowed share whose time the move takes at full load. */
-export const windowPart = 0.55;
+export const windowPart = 0.7;
 
 /** Part of the slack that the move takes. */
-export const windowSlackPart = 0.5;
+export const windowSlackPart = 0.65;
 
 /** Longest part of a roll-out that is left for the move: the rest shows how the version does. */
 export const maxWindowRatio = 0.3;
 
 /** Part of a roll-out, and its bounds, by which it is completed before its deadline: other routers may have to write it. */
-export const completionMargin = { ratio: 0.04, minMs: 400, maxMs: 1500 };
+export const completionMargin = { ratio: 0.05, minMs: 500, maxMs: 1500 };
 
-/** Part of that margin for which the completion waits for work at old replicas. */
-export const oldWorkWaitRatio = 0.25;
+/** Part of that margin for which the completion waits for routers to follow, and for work at old replicas. */
+export const completionWaitRatio = 0.25;
 
 /** Least time from the move to the completion, for routers to follow and short requests to end. */
 export const minMoveMs = 300;
@@ -45,6 +45,12 @@
 /** Time after which a write that did not show is tried again. */
 export const phaseWriteRetryMs = 700;
 
+/** Time within which the watch shows what this router wrote. */
+export const ownWriteShownMs = 3000;
+
+/** Time for which all routers, not only those that judge, are told of a new phase. */
+export const phaseToldMs = 1500;
+
 /** Least interval between the reports of a router. */
 export const minReportIntervalMs = 250;
 
@@ -54,8 +60,8 @@
 /** Number of routers that get all reports. */
 export const judgeCount = 3;
 
-/** Number of routers that are told of a bad version at once, and then with each report. */
-export const faultFanout = 6;
+/** Number of routers that are told of a fault or a new phase with each report. */
+export const newsFanout = 6;
 
 /** Time for which a fault is told. */
 export const faultToldMs = 10_000;
@@ -75,12 +81,12 @@
 /** Bounds of the old version's rate, so that the test stays defined. */
 export const badRateBounds = { min: 0.01, max: 0.7 };
 
-/** A version is bad if its rate of bad answers is that much higher than the old one's. */
-export const badRateIncrease = 0.12;
-
-/** A version is bad if its rate is that many times as high. */
+/** A version is bad if its rate of bad answers is that many times as high as the old one's. */
 export const badRateFactor = 2.5;
 
+/** Bounds of the difference between the two rates: answers of an overloaded host are often late anyway. */
+export const badRateIncrease = { min: 0.12, max: 0.2 };
+
 /** Evidence at which a version is bad, the logarithm of a likelihood ratio of some 13,000: four bad answers in a row of an old version without any. */
 export const badEvidence = 9.5;
 
--- a/packages/relay/src/decisions/rollout/judge.ts
+++ b/packages/relay/src/decisions/rollout/judge.ts
@@ -18,23 +18,33 @@
   maxRollouts,
   oldHalfLifeMs,
 } from "./constants.js";
-import type { Rollout, VersionCounts, VersionTest } from "./types.js";
+import {
+  BadAnswer,
+  type Rollout,
+  type TestCounts,
+  type VersionCounts,
+  type VersionTest,
+} from "./types.js";
 
 const allRoutes = "";
 
 /** Creates counts without an answer. */
 export const createVersionCounts = (): VersionCounts => ({
   oldAnswers: 0,
-  oldBad: 0,
+  oldFailed: 0,
+  oldSlow: 0,
   newAnswers: 0,
-  newBad: 0,
+  newFailed: 0,
+  newSlow: 0,
 });
 
 const addCounts = (to: VersionCounts, from: Readonly<VersionCounts>): void => {
   to.oldAnswers += from.oldAnswers;
-  to.oldBad += from.oldBad;
+  to.oldFailed += from.oldFailed;
+  to.oldSlow += from.oldSlow;
   to.newAnswers += from.newAnswers;
-  to.newBad += from.newBad;
+  to.newFailed += from.newFailed;
+  to.newSlow += from.newSlow;
 };
 
 /** Counts of all routers heard of, by route and over all routes. */
@@ -57,7 +67,7 @@
   oldAnswers: 0,
   oldBad: 0,
   countedAt: at,
-  seen: createVersionCounts(),
+  seen: { oldAnswers: 0, oldBad: 0, newAnswers: 0, newBad: 0 },
   excessBad: 0,
 });
 
@@ -71,7 +81,7 @@
 /** Takes the answers since the last time into a test. */
 const advanceTest = (
   test: VersionTest,
-  total: VersionCounts,
+  total: TestCounts,
   at: Timestamp,
 ): void => {
   const { seen } = test;
@@ -84,12 +94,13 @@
   test.oldBad = test.oldBad * decay + since(total.oldBad, seen.oldBad);
   const answers = since(total.newAnswers, seen.newAnswers);
   const bad = Math.min(answers, since(total.newBad, seen.newBad));
-  test.seen = { ...total };
+  test.seen = total;
   const goodRate = oldBadRate(test);
-  const badRate = Math.min(
-    0.95,
-    Math.max(goodRate * badRateFactor, goodRate + badRateIncrease),
+  const increase = Math.min(
+    badRateIncrease.max,
+    Math.max(badRateIncrease.min, badRateFactor * goodRate - goodRate),
   );
+  const badRate = goodRate + increase;
   const gained =
     bad * Math.log(badRate / goodRate) +
     (answers - bad) * Math.log((1 - badRate) / (1 - goodRate));
@@ -97,11 +108,36 @@
   test.excessBad = Math.max(0, test.excessBad + bad - goodRate * answers);
 };
 
-const describeFault = (route: string, test: VersionTest): string => {
+/** The totals of one way in which answers are bad. */
+const testCountsOf = (
+  {
+    oldAnswers,
+    oldFailed,
+    oldSlow,
+    newAnswers,
+    newFailed,
+    newSlow,
+  }: VersionCounts,
+  way: BadAnswer,
+): TestCounts => {
+  const isFailed = way === BadAnswer.Failed;
+  return {
+    oldAnswers,
+    oldBad: isFailed ? oldFailed : oldSlow,
+    newAnswers,
+    newBad: isFailed ? newFailed : newSlow,
+  };
+};
+
+const describeFault = (
+  route: string,
+  way: BadAnswer,
+  test: VersionTest,
+): string => {
   const { newBad, newAnswers } = test.seen;
   const where = route === allRoutes ? "all routes" : `route ${route}`;
   const oldRate = oldBadRate(test).toFixed(2);
-  const found = `${String(newBad)} of ${String(newAnswers)} answers bad`;
+  const found = `${String(newBad)} of ${String(newAnswers)} answers ${way}`;
   const text = `${found}, ${oldRate} of the old version's, on ${where}`;
   return text.slice(0, maxRollouts.faultLength);
 };
@@ -112,12 +148,14 @@
   at: Timestamp,
 ): string | undefined => {
   let fault: string | undefined;
-  for (const [route, total] of totalCounts(rollout)) {
-    const test = rollout.tests.get(route) ?? createTest(at);
-    rollout.tests.set(route, test);
-    advanceTest(test, total, at);
-    if (test.evidence >= badEvidence || test.excessBad >= maxExcessBad)
-      fault ??= describeFault(route, test);
-  }
+  for (const [route, total] of totalCounts(rollout))
+    for (const way of Object.values(BadAnswer)) {
+      const key = `${way} ${route}`;
+      const test = rollout.tests.get(key) ?? createTest(at);
+      rollout.tests.set(key, test);
+      advanceTest(test, testCountsOf(total, way), at);
+      if (test.evidence >= badEvidence || test.excessBad >= maxExcessBad)
+        fault ??= describeFault(route, way, test);
+    }
   return fault;
 };
--- a/packages/relay/src/decisions/rollout/knownExposed.ts
+++ b/packages/relay/src/decisions/rollout/knownExposed.ts
@@ -16,7 +16,7 @@
   for (const counts of [rollout.own, ...reports.map((one) => one.counts)])
     for (const one of counts.values()) {
       newAnswers += one.newAnswers;
-      newBad += one.newBad;
+      newBad += one.newFailed + one.newSlow;
     }
   return {
     knownRouters: reports.length + 1,
--- a/packages/relay/src/decisions/rollout/maintainRollouts.ts
+++ b/packages/relay/src/decisions/rollout/maintainRollouts.ts
@@ -6,7 +6,6 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import type { RelayCommand } from "../commands.js";
-import { rankOf } from "../quarantine/quarantineState.js";
 import { isAvailable, replicasOf } from "../replicaViews.js";
 import type { RelayState } from "../types.js";
 import {
@@ -15,7 +14,7 @@
   doubtMs,
   maxWindowRatio,
   minMoveMs,
-  oldWorkWaitRatio,
+  completionWaitRatio,
   phaseWriteRetryMs,
   phaseWriteSpacingMs,
   testIntervalMs,
@@ -30,6 +29,7 @@
   knownFirstSent,
   knowsMostRouters,
   sendReport,
+  writerRankOf,
 } from "./reports.js";
 import {
   deadlineOf,
@@ -90,16 +90,17 @@
   rollout: Rollout,
 ): RolloutPhase | undefined => {
   const { at } = state;
-  if (at < completeAtOf(rollout) || at - rollout.phaseAt < minMoveMs)
-    return undefined;
+  const completeAt = completeAtOf(rollout);
+  if (at < completeAt) return undefined;
   const isInDoubt = [...rollout.tests.values()].some(
     ({ evidence }) => evidence >= doubtfulEvidence,
   );
   if (isInDoubt && at < deadlineOf(rollout) + doubtMs) return undefined;
-  const completeAt = completeAtOf(rollout);
   const lastAt =
-    completeAt + oldWorkWaitRatio * (deadlineOf(rollout) - completeAt);
-  const isWaiting = at < lastAt && hasOldWork(state, rollout);
+    completeAt + completionWaitRatio * (deadlineOf(rollout) - completeAt);
+  const isWaiting =
+    at < lastAt &&
+    (at - rollout.phaseAt < minMoveMs || hasOldWork(state, rollout));
   return isWaiting ? undefined : RolloutPhase.Completed;
 };
 
@@ -128,7 +129,7 @@
   }
   const { order, withdrawnAt } = rollout;
   rollout.writeAt ??=
-    state.at + rankOf(state, order.service) * phaseWriteSpacingMs;
+    state.at + writerRankOf(state, rollout) * phaseWriteSpacingMs;
   if (state.at < rollout.writeAt || state.store.type !== "available") return [];
   rollout.writeAt = state.at + phaseWriteRetryMs;
   const write = {
--- a/packages/relay/src/decisions/rollout/recordAnswer.ts
+++ b/packages/relay/src/decisions/rollout/recordAnswer.ts
@@ -13,7 +13,7 @@
 } from "./constants.js";
 import { createVersionCounts } from "./judge.js";
 import { isFinal, isNewVersion } from "./rolloutState.js";
-import type { Rollout } from "./types.js";
+import { BadAnswer, type Rollout } from "./types.js";
 
 /** How an attempt ended, or how its answer began. */
 export enum AnswerQuality {
@@ -55,21 +55,21 @@
   rollout: Rollout,
   { route }: Exchange,
   isNew: boolean,
-  isBad: boolean,
+  bad: BadAnswer | undefined,
 ): void => {
   const counts = rollout.own.get(route.name) ?? createVersionCounts();
   if (rollout.own.size < maxRollouts.routes)
     rollout.own.set(route.name, counts);
   if (isNew) counts.newAnswers += 1;
   else counts.oldAnswers += 1;
-  if (!isBad) return;
-  if (!isNew) {
-    counts.oldBad += 1;
-    return;
-  }
-  counts.newBad += 1;
-  // Few routers see one, and those that judge are told at once.
-  rollout.nextReportAt = Math.min(rollout.nextReportAt, at);
+  if (bad === undefined) return;
+  const isFailed = bad === BadAnswer.Failed;
+  if (isNew && isFailed) counts.newFailed += 1;
+  else if (isNew) counts.newSlow += 1;
+  else if (isFailed) counts.oldFailed += 1;
+  else counts.oldSlow += 1;
+  // Few routers see one of the new version, and those that judge are told at once.
+  if (isNew) rollout.nextReportAt = Math.min(rollout.nextReportAt, at);
 };
 
 /** Whether a broken answer is one of those that an ended process leaves, of which the first counts. */
@@ -114,7 +114,9 @@
   attempt.isJudged = true;
   const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
   if (!isNew && isGood) noteOldTime(rollout, exchange, tookMs);
-  countAnswer(state, rollout, exchange, isNew, !isGood || isSlow);
+  const slow = isSlow ? BadAnswer.Slow : undefined;
+  const bad = isGood ? slow : BadAnswer.Failed;
+  countAnswer(state, rollout, exchange, isNew, bad);
 };
 
 /** Counts answers that are late already, before they come. */
@@ -130,6 +132,6 @@
     attempt.isJudged = true;
     const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
     if (!isNew) noteOldTime(rollout, exchange, tookMs);
-    countAnswer(state, rollout, exchange, isNew, true);
+    countAnswer(state, rollout, exchange, isNew, BadAnswer.Slow);
   }
 };
--- a/packages/relay/src/decisions/rollout/reports.ts
+++ b/packages/relay/src/decisions/rollout/reports.ts
@@ -8,18 +8,21 @@
 import type { Address } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import type { RelayEventOf } from "../events.js";
+import { rankOf } from "../quarantine/quarantineState.js";
 import { sampleWithoutReplacement } from "../random.js";
 import { isKnownRouter, otherRouterAddresses } from "../registration.js";
 import type { RelayState } from "../types.js";
 import {
-  faultFanout,
   faultToldMs,
   judgeCount,
   maxReportsPerS,
   maxRollouts,
   minReportIntervalMs,
+  newsFanout,
+  phaseToldMs,
   reportFreshMs,
 } from "./constants.js";
+import { applyPhase } from "./applyPhase.js";
 import { noteFault } from "./noteFault.js";
 import { isFinal, isNewVersion } from "./rolloutState.js";
 import type { Rollout, RolloutReport } from "./types.js";
@@ -45,6 +48,7 @@
   firstSent: rollout.firstSent,
   exposed: rollout.exposed,
   oldInFlight: oldInFlightOf(state, rollout),
+  phase: rollout.phase,
   fault: rollout.fault,
   counts: rollout.own,
 });
@@ -67,6 +71,24 @@
   return 2 * (freshCount + 1) > registration.routers.size;
 };
 
+const routerOf = ({ source }: RolloutReport): string =>
+  source.slice(0, source.lastIndexOf("@"));
+
+/**
+ * This router's place among those that write phases: lost routers, which are not heard of
+ * any more, have none where this one gets the reports of most.
+ */
+export const writerRankOf = (state: RelayState, rollout: Rollout): number => {
+  const { router, at } = state;
+  const { service } = rollout.order;
+  if (!knowsMostRouters(state, rollout)) return rankOf(state, service);
+  const heard = [...rollout.others.values()]
+    .filter(({ heardAt }) => at - heardAt < reportFreshMs)
+    .map(({ report }) => routerOf(report));
+  const alive = new Set([...heard, router]);
+  return rendezvousOrder(service, [...alive]).indexOf(router);
+};
+
 /** Whether any router is known to have work at old replicas. */
 export const hasOldWork = (state: RelayState, rollout: Rollout): boolean =>
   oldInFlightOf(state, rollout) > 0 ||
@@ -92,18 +114,20 @@
   rollout: Rollout,
 ): RelayCommand[] => {
   const { at, registration } = state;
-  const { fault, faultAt, phase, order } = rollout;
-  const isToldOf = fault !== undefined && at - faultAt < faultToldMs;
+  const { fault, faultAt, phase, phaseAt, order } = rollout;
+  const hasNews =
+    (fault !== undefined && at - faultAt < faultToldMs) ||
+    (phase !== undefined && at - phaseAt < phaseToldMs);
   if (at < rollout.nextReportAt) return [];
-  if (isFinal(phase) && !isToldOf) return [];
+  if (isFinal(phase) && !hasNews) return [];
   const intervalMs = Math.max(
     minReportIntervalMs,
     (1000 * registration.routers.size) / maxReportsPerS,
   );
   rollout.nextReportAt = at + intervalMs;
   const report = reportOf(state, rollout);
-  const told = isToldOf
-    ? sampleWithoutReplacement(state, otherRouterAddresses(state), faultFanout)
+  const told = hasNews
+    ? sampleWithoutReplacement(state, otherRouterAddresses(state), newsFanout)
     : [];
   return [...judgesOf(state, order.service), ...told].map((to) => ({
     type: "tellRollout",
@@ -127,7 +151,10 @@
     others.set(report.source, { report, heardAt: at });
   const age = Math.min(report.ageMs, rollout.order.durationMs);
   rollout.startedAt = Math.min(rollout.startedAt, at - age);
-  return report.fault === undefined
-    ? []
-    : noteFault(state, rollout, report.fault, "another router");
+  const { fault, phase } = report;
+  const source = "another router";
+  return [
+    ...(phase === undefined ? [] : applyPhase(state, rollout, phase, source)),
+    ...(fault === undefined ? [] : noteFault(state, rollout, fault, source)),
+  ];
 };
--- a/packages/relay/src/decisions/rollout/rolloutState.ts
+++ b/packages/relay/src/decisions/rollout/rolloutState.ts
@@ -59,6 +59,7 @@
     phase: undefined,
     phaseAt: state.at,
     entryRevision: 0,
+    ownUntil: 0,
     withdrawnAt: undefined,
     fault: undefined,
     faultAt: 0,
--- a/packages/relay/src/decisions/rollout/rolloutsRead.ts
+++ b/packages/relay/src/decisions/rollout/rolloutsRead.ts
@@ -5,67 +5,10 @@
 import type { RelayEventOf } from "../events.js";
 import { logLine } from "../logLine.js";
 import type { RelayState } from "../types.js";
-import { maxRollouts } from "./constants.js";
-import { knownExposed } from "./knownExposed.js";
-import { createRollout, deadlineOf, isFinal } from "./rolloutState.js";
-import {
-  RolloutPhase,
-  type Rollout,
-  type RolloutOrder,
-  type StoredRollout,
-} from "./types.js";
-
-const phaseOrder = [
-  RolloutPhase.Exposing,
-  RolloutPhase.Moving,
-  RolloutPhase.Completed,
-  RolloutPhase.RolledBack,
-];
-
-const phaseLogLine = (
-  state: RelayState,
-  rollout: Rollout,
-  phase: RolloutPhase,
-): RelayCommand => {
-  const { service, version, id } = rollout.order;
-  const context = {
-    service,
-    softwareVersion: version,
-    order: id,
-    phase,
-    deadlineInMs: Math.round(deadlineOf(rollout) - state.at),
-    exposed: rollout.exposed,
-    ...knownExposed(rollout),
-  };
-  return logLine("roll-out has a new phase", context);
-};
-
-/** Takes a phase over; a final one stays, and a restored store brings no earlier one back. */
-const applyPhase = (
-  state: RelayState,
-  rollout: Rollout,
-  stored: StoredRollout,
-): RelayCommand[] => {
-  const known = rollout.phase;
-  if (isFinal(known)) return [];
-  const isLater =
-    known === undefined ||
-    phaseOrder.indexOf(stored.phase) > phaseOrder.indexOf(known);
-  if (!isLater) return [];
-  const isFirstWord = known === undefined;
-  rollout.phase = stored.phase;
-  rollout.phaseAt = state.at;
-  rollout.writeAt = undefined;
-  rollout.hasOldVersion ||= stored.hasOldVersion;
-  if (stored.phase === RolloutPhase.Completed)
-    state.rollouts.completedCount += 1;
-  if (stored.phase === RolloutPhase.RolledBack)
-    state.rollouts.rolledBackCount += 1;
-  // What was over before this process began binds it no more.
-  if (stored.phase === RolloutPhase.Completed && isFirstWord)
-    rollout.phaseAt = -Infinity;
-  return [phaseLogLine(state, rollout, stored.phase)];
-};
+import { maxRollouts, ownWriteShownMs } from "./constants.js";
+import { applyPhase } from "./applyPhase.js";
+import { createRollout } from "./rolloutState.js";
+import type { Rollout, RolloutOrder } from "./types.js";
 
 const readOrder = (state: RelayState, order: RolloutOrder): RelayCommand[] => {
   const { services } = state.rollouts;
@@ -95,6 +38,28 @@
   return [logLine("roll-out withdrawn", context, Severity.Warn)];
 };
 
+/** Notes the revision of the entry; the watch shows one that was just written some time later. */
+const noteRevision = (
+  { at }: RelayState,
+  rollout: Rollout,
+  revision: number,
+): void => {
+  const isBehind = revision < rollout.entryRevision && at < rollout.ownUntil;
+  if (!isBehind) rollout.entryRevision = revision;
+};
+
+/** Applies a phase that this router has written. */
+export const rolloutWritten = (
+  state: RelayState,
+  { write, revision }: RelayEventOf<"rolloutWritten">,
+): RelayCommand[] => {
+  const rollout = state.rollouts.services.get(write.service);
+  if (rollout?.order.id !== write.orderId) return [];
+  rollout.entryRevision = revision;
+  rollout.ownUntil = state.at + ownWriteShownMs;
+  return applyPhase(state, rollout, write.phase, state.router);
+};
+
 /** Applies all orders and phases in the store. */
 export const rolloutsRead = (
   state: RelayState,
@@ -106,9 +71,11 @@
   const entries = new Map(stored.map((entry) => [entry.service, entry]));
   for (const [service, rollout] of services) {
     const entry = entries.get(service);
-    rollout.entryRevision = entry?.revision ?? 0;
-    if (entry?.orderId === rollout.order.id)
-      commands.push(...applyPhase(state, rollout, entry));
+    noteRevision(state, rollout, entry?.revision ?? 0);
+    if (entry?.orderId === rollout.order.id) {
+      rollout.hasOldVersion ||= entry.hasOldVersion;
+      commands.push(...applyPhase(state, rollout, entry.phase, "store"));
+    }
     if (!ordered.has(service)) commands.push(...noteWithdrawn(state, rollout));
   }
   return commands;
--- a/packages/relay/src/decisions/rollout/types.ts
+++ b/packages/relay/src/decisions/rollout/types.ts
@@ -66,9 +66,18 @@
 /** Answers of the old and of the new version on one route. */
 export interface VersionCounts {
   oldAnswers: number;
-  oldBad: number;
+  oldFailed: number;
+  /** Those of its answers that did not fail and were slow. */
+  oldSlow: number;
   newAnswers: number;
-  newBad: number;
+  newFailed: number;
+  newSlow: number;
+}
+
+/** How an answer is bad. */
+export enum BadAnswer {
+  Failed = "failed",
+  Slow = "slow",
 }
 
 /** Counts of one router since the order, as routers tell them each other. */
@@ -85,6 +94,8 @@
   readonly exposed: number;
   /** Its requests at work at old replicas. */
   readonly oldInFlight: number;
+  /** Phase that the store has shown or confirmed; undefined before the first. */
+  readonly phase: RolloutPhase | undefined;
   /** Why the version is bad; undefined if the router does not know of a fault. */
   readonly fault: string | undefined;
   /** By route. */
@@ -97,7 +108,15 @@
   readonly heardAt: Timestamp;
 }
 
-/** Sequential test of the new version on one route. */
+/** Totals that a test compares. */
+export interface TestCounts {
+  readonly oldAnswers: number;
+  readonly oldBad: number;
+  readonly newAnswers: number;
+  readonly newBad: number;
+}
+
+/** Sequential test of the new version on one route, for one way in which answers are bad. */
 export interface VersionTest {
   /** Evidence that the new version is bad, as a log likelihood ratio; at least 0. */
   evidence: number;
@@ -106,7 +125,7 @@
   oldBad: number;
   countedAt: Timestamp;
   /** Totals that are in the test already. */
-  seen: VersionCounts;
+  seen: TestCounts;
   /** Bad answers of the new version beyond those that the old one would have given. */
   excessBad: number;
 }
@@ -125,6 +144,8 @@
   phaseAt: Timestamp;
   /** Revision of the store's entry of the service; 0 if there is none. */
   entryRevision: number;
+  /** Time until which the store's watch may show an earlier entry than this router wrote. */
+  ownUntil: Timestamp;
   /** Time at which the order was found missing in the store. */
   withdrawnAt: Timestamp | undefined;
   /** Why the version is bad; undefined while nothing says so. */
@@ -139,7 +160,7 @@
   readonly own: Map<string, VersionCounts>;
   /** By source. */
   readonly others: Map<string, HeardReport>;
-  /** By route; the empty name stands for all of them. */
+  /** By way and route; the empty name stands for all of them. */
   readonly tests: Map<string, VersionTest>;
   /** By route. */
   readonly oldTimes: Map<string, LatestTimes>;
--- a/packages/relay/src/testing/rolloutFleet.ts
+++ b/packages/relay/src/testing/rolloutFleet.ts
@@ -74,6 +74,7 @@
 
 const orderAt = 2000;
 const tickMs = 50;
+const watchDelayMs = 1000; // changes that come close together are read together
 const badPortion = 0.35;
 const replicaCount = 4;
 const order = {
@@ -239,7 +240,7 @@
       const isLate =
         this.plan.trouble === RolloutTrouble.RoutersLate &&
         this.troubled.has(name);
-      const delayMs = 5 + 100 * this.random() + (isLate ? 500 : 0);
+      const delayMs = watchDelayMs * this.random() ** 2 + (isLate ? 500 : 0);
       this.later(delayMs, () => {
         if (!this.isCut(name) && !this.isStoreAway) this.tellStore(name);
       });
@@ -392,6 +393,8 @@
       )
         this.finalAt ??= this.at;
       this.tellAll();
+      const { at, revision } = this;
+      this.dispatch(name, { type: "rolloutWritten", at, write, revision });
       if (this.plan.trouble !== RolloutTrouble.DecidersKilled) return;
       this.states.delete(name);
       this.later(1000, () => {
