Engines of unknown software get no requests of a service whose version is on trial

Cause: an engine that is used without its entry has the unknown version, which a roll-out took for the old one; it may be the one on trial, whose requests are bounded. Change: streams that began there stay; new ones go elsewhere until the entry is read.

--- a/packages/relay/src/decisions/adoptedReplicas/adoptedReplicas.test.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/adoptedReplicas.test.ts
@@ -372,3 +372,19 @@
   scenario.request("p", nonIdempotentPath);
   assert.equal(scenario.commandsOfType("send").length, 1);
 });
+
+// Load: the engines of a version on trial restart while the store is away.
+test("a version on trial gets requests under the unknown version", () => {
+  const scenario = createWithoutStore();
+  const { at } = scenario;
+  const order = { service: engines, version: "v2", id: "o", revision: 1 };
+  const orders = [{ ...order, durationMs: 60_000 }];
+  scenario.dispatch({ type: "rolloutsRead", at, orders, stored: [] });
+  answer(scenario, answerOf());
+  assert.deepEqual(usedIds(scenario), ["new-1"]);
+  for (const [id, view] of scenario.state.replicas)
+    if (id !== "new-1") view.hasAnnouncedLeaving = true;
+  scenario.request("s", streamPath);
+  scenario.advance(500);
+  assert.equal(scenario.commandsOfType("send").length, 0);
+});
--- a/packages/relay/src/decisions/rollout/openVersions.ts
+++ b/packages/relay/src/decisions/rollout/openVersions.ts
@@ -2,6 +2,7 @@
 
 import type { Replica } from "../../types.js";
 import type { Exchange, RelayState } from "../types.js";
+import { unknownSoftwareVersion } from "../versions/constants.js";
 import { isNewVersion, isStopped, rolloutInForce } from "./rolloutState.js";
 import { RolloutAim, RolloutPhase, type Rollout } from "./types.js";
 
@@ -30,6 +31,8 @@
   if (isNew && isStopped(rollout)) return false;
   // Streams go on at the version at which they began.
   if (query.softwareVersion !== undefined) return true;
+  // It may have the version that is on trial.
+  if (softwareVersion === unknownSoftwareVersion) return false;
   if (rollout.phase === RolloutPhase.Completed) return isNew;
   return isNew === isForNew(rollout, query);
 };
--- a/packages/relay/src/drivers/engineCalls.ts
+++ b/packages/relay/src/drivers/engineCalls.ts
@@ -16,7 +16,7 @@
 } from "../types.js";
 import { httpCall, type HttpCall, type HttpResult } from "./httpCall.js";
 import { CallPeer } from "./memory/controlBudgets.js";
-import { isName } from "./peerMessages.js";
+import { isName } from "./peerValues.js";
 import { retryAfterOf } from "./retryAfter.js";
 
 /** What a replica's answer says about itself. */
