Admission by queue delay is taken out; a full replica counts as slow

A part of the new requests was refused while the median times of all replicas were long. In the test of accepted requests while the relay stops, one replica gives answers of several lengths, and requests were refused that had no queue before them, with a time of 5 s: a median that rises is no proof of a queue.

What stays: slow replicas cost more, and overdue or refused attempts are not repeated while all queues are long.

--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -169,7 +169,6 @@
       second_tries_total: secondTries.sentCount,
       second_tries_won_total: secondTries.wonCount,
       second_tries_wasted_ms_total: Math.round(secondTries.wastedMs),
-      overload_refusals_total: state.overloadRefusalCount,
       classes_of_work_timed: state.serviceTimes.size,
       store_restorations_total: restorations.count,
       quarantines_in_force: quarantine.inForce.size,
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -19,7 +19,7 @@
   connectionFailed,
   connectionSucceeded,
 } from "./paths/paths.js";
-import { hasStandingQueue } from "./placing/admission.js";
+import { hasStandingQueue } from "./placing/standingQueue.js";
 import { markReplaced, recordContact, recordLoss } from "./replicaViews.js";
 import { recordOutcome } from "./outcomes.js";
 import { AnswerQuality, recordRolloutAnswer } from "./rollout/recordAnswer.js";
@@ -29,7 +29,7 @@
 import { recordRetry } from "./retryBudget.js";
 import { recordRefusal } from "./secondTry/tryBudget.js";
 import { hasAttempt, sendRetry } from "./sendAttempt.js";
-import { recordTime } from "./serviceTimes/recordTime.js";
+import { recordFullReplica, recordTime } from "./serviceTimes/recordTime.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
 import type { RelayEventOf } from "./events.js";
@@ -210,6 +210,7 @@
     if (isFull && !isTurnedAway(state, attempt, status))
       recordOutcome(state, attempt.replica.id, true);
     if (isFull) recordRefusal(state, exchange.service);
+    if (isFull) recordFullReplica(state, exchange, attempt);
     const wasCounted = forgetReplica(exchange, attempt);
     if (status === misdirectedRequestStatus) {
       // The request did not reach the intended replica, so the attempt does not count.
--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -117,7 +117,6 @@
   answerTimes: new Map(),
   serviceTimes: new Map(),
   unloadedTimes: new Map(),
-  overloadRefusalCount: 0,
   plannedStop: undefined,
 });
 
--- a/packages/relay/src/decisions/placing/constants.ts
+++ b/packages/relay/src/decisions/placing/constants.ts
@@ -1,4 +1,4 @@
-/** Weights of placing and of admission by service times. */
+/** Weights of placing and repeating by service times. */
 
 /** Ratio to the shortest time of a replica up to which others count as equally fast. */
 export const equalTimeRatio = 2;
@@ -12,17 +12,5 @@
 /** Part of the time that a queue may take for an answer in time, from which requests are not repeated. */
 export const repeatDelayRatio = 0.5;
 
-/** The same from which some new requests are refused. */
-export const admittedDelayRatio = 0.75;
-
-/** The same from which as many as possible are: a steep rise would refuse too many on delayed news. */
-export const refusedDelayRatio = 3;
-
-/** Largest part of the requests that is refused: the others show when the queue is gone. */
-export const maxRefusedPart = 0.9;
-
 /** Smallest part of the target latency that counts as time for a queue. */
 export const minSlackRatio = 0.25;
-
-/** Time over which refused callers come back, after the queue's delay. */
-export const returnSpreadMs = 800;
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -15,7 +15,6 @@
   type RefusedRequest,
 } from "./refusals.js";
 import type { TimedRequest } from "./plannedStop/answerTimes.js";
-import { refuseOverload } from "./placing/admission.js";
 import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { findRoute, type RouteTable } from "./routeTable.js";
 import { holdBack, startTrials } from "./quarantine/trials.js";
@@ -171,15 +170,7 @@
     service,
     identity.customer,
   );
-  const refusal =
-    holdBack(state, exchange) ??
-    (request.handover === undefined
-      ? refuseOverload(
-          state,
-          timed,
-          refused("the queues of all replicas are long"),
-        )
-      : undefined);
+  const refusal = holdBack(state, exchange);
   if (refusal !== undefined) return refusal;
   state.exchanges.set(key, exchange);
   return [
--- a/packages/relay/src/decisions/serviceTimes/recordTime.ts
+++ b/packages/relay/src/decisions/serviceTimes/recordTime.ts
@@ -2,9 +2,11 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { workOf } from "../plannedStop/answerTimes.js";
+import { nearlyAll } from "../plannedStop/constants.js";
 import { WorkKind } from "../plannedStop/types.js";
 import type { Attempt, Exchange, RelayState, ReplicaView } from "../types.js";
 import { maxTimeClassCount } from "./constants.js";
+import { quantileMs } from "./estimateTime.js";
 import { addToHistogram, bucketOf, createHistogram } from "./histogram.js";
 import { noteUnloadedTime } from "./standingDelay.js";
 import type { BucketCount, TimesByClass } from "./types.js";
@@ -54,15 +56,31 @@
   state: RelayState,
   exchange: Exchange,
   { replica, sentAt }: Attempt,
+  minMs = 0,
 ): void => {
   const { kind, timeClass } = workOf(exchange);
   const view = state.replicas.get(replica.id);
   if (kind !== WorkKind.Answer || view === undefined) return;
-  const bucket = bucketOf(state.at - sentAt);
+  const bucket = bucketOf(Math.max(minMs, state.at - sentAt));
   countTimes(state, view, timeClass, { bucket, count: 1 });
   noteUnshared(view, timeClass, bucket);
 };
 
+/**
+ * Records that a full replica refused an attempt: it would have taken as long as nearly all
+ * answers did. Load pattern: replicas that refuse most requests answer the others late.
+ */
+export const recordFullReplica = (
+  state: RelayState,
+  exchange: Exchange,
+  attempt: Attempt,
+): void => {
+  const view = state.replicas.get(attempt.replica.id);
+  const nearlyAllMs = quantileMs(state, view, workOf(exchange), nearlyAll);
+  if (nearlyAllMs !== undefined)
+    recordTime(state, exchange, attempt, nearlyAllMs);
+};
+
 /** Forgets classes of work that the configuration does not have any more. */
 export const forgetServiceTimes = (
   { serviceTimes, unloadedTimes, replicas }: RelayState,
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -35,7 +35,7 @@
 import { attemptTimeoutMsOf } from "./fallback/attemptTimeout.js";
 import { closeOverlap } from "./fallback/fallbackEvents.js";
 import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
-import { hasStandingQueue } from "./placing/admission.js";
+import { hasStandingQueue } from "./placing/standingQueue.js";
 import { probeSilent } from "./probes.js";
 import { ensureCopy, hasReservedCopy } from "./kvCacheCopies.js";
 import { recordOutcome, shareOutcomes } from "./outcomes.js";
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -523,8 +523,6 @@
   readonly serviceTimes: TimesByClass;
   /** What answers take without a queue, by class of work. */
   readonly unloadedTimes: Map<string, UnloadedTime>;
-  /** Number of requests that were refused because of long queues. */
-  overloadRefusalCount: number;
   /** The planned stop of this process; undefined before it. */
   plannedStop: PlannedStop | undefined;
 }
