--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -190,9 +190,9 @@
       if (!holdBehind(res)) readMemory.get(res)?.giveUp();
     },
     onNoRoom: (socket) => {
-      if (connections.lastAnswer(socket) === undefined)
-        refusals.rejectHead(socket);
-      else socket.destroy(); // it reads ahead of an answer
+      if (connections.hasRequest(socket))
+        socket.destroy(); // it reads ahead of an answer
+      else refusals.rejectHead(socket);
     },
   });
 
--- a/packages/relay/src/drivers/memory/begunHeads.ts
+++ b/packages/relay/src/drivers/memory/begunHeads.ts
@@ -31,7 +31,7 @@
   readonly onNoRoom: (socket: Socket) => void;
 }
 
-/** Heads of one server; those that stand still give way first. They are counted while its connections are so many that they could fill the memory. */
+/** Heads of one server. They are counted while its connections are so many that they could fill the memory. */
 export class BegunHeads {
   private readonly holdings = new Map<Socket, Holding>();
   private timer: NodeJS.Timeout | undefined;
@@ -91,9 +91,7 @@
     const { budget, maxFieldsOf } = this.options;
     const holding = this.holdings.get(socket) ?? this.open(socket);
     const heldBytes = begunHeadMemoryOf(bytes, maxFieldsOf(socket));
-    const addedBytes = Math.max(0, heldBytes - holding.bytes);
-    memoryGuard.note(addedBytes);
-    holding.move(addedBytes);
+    memoryGuard.note(Math.max(0, heldBytes - holding.bytes));
     if (budget.tryResize(holding, heldBytes)) return;
     this.refuse(socket);
   }
@@ -106,7 +104,6 @@
         this.refuse(socket);
       },
     });
-    holding.expectProgress();
     this.holdings.set(socket, holding);
     return holding;
   }
--- a/packages/relay/src/drivers/openConnections.ts
+++ b/packages/relay/src/drivers/openConnections.ts
@@ -201,6 +201,11 @@
     return this.idleBytes.size;
   }
 
+  /** Whether a request on a connection is read or answered. */
+  hasRequest(socket: Socket): boolean {
+    return this.pipelined.hasAny(socket);
+  }
+
   /** Returns the last response on a connection to a request that was read whole. */
   lastAnswer(socket: Socket): ServerResponse | undefined {
     return [...this.responses]
--- a/packages/relay/src/drivers/pipelinedRequests.ts
+++ b/packages/relay/src/drivers/pipelinedRequests.ts
@@ -34,6 +34,11 @@
     });
   }
 
+  /** Whether a connection has a request. */
+  hasAny(socket: Socket): boolean {
+    return (this.waitingCounts.get(socket) ?? 0) > 0;
+  }
+
   /** Whether a connection has more requests than may wait. */
   areTooMany(socket: Socket): boolean {
     return (this.waitingCounts.get(socket) ?? 0) > maxWaitingCount;
