Roll-outs: the slack is spent over the time, and three failures in a row tell

Real processes beside load completed a version that failed 40 in 100 requests from the fourth second on: most of the slack was spent in the first second, ten requests were left until the move, and four failures of them were needed.

--- a/packages/relay/src/decisions/rollout/constants.ts
+++ b/packages/relay/src/decisions/rollout/constants.ts
@@ -16,10 +16,10 @@
 export const movingPart = 0.5;
 
 /** Part of the slack that is spent while the version is judged, for evidence in small services. */
-export const exposingSlackPart = 0.25;
+export const exposingSlackPart = 0.4;
 
 /** Part of the slack up to which it is spent by the move. */
-export const movingSlackPart = 0.7;
+export const movingSlackPart = 0.8;
 
 /** Part of the allowed share whose time the move takes at full load. */
 export const windowPart = 0.7;
@@ -79,7 +79,7 @@
 export const assumedBad = { rate: 0.02, answers: 25 };
 
 /** Bounds of the old version's rate, so that the test stays defined. */
-export const badRateBounds = { min: 0.01, max: 0.7 };
+export const badRateBounds = { min: 0.004, max: 0.7 };
 
 /** A version is bad if its rate of bad answers is that many times as high as the old one's. */
 export const badRateFactor = 2.5;
@@ -87,7 +87,7 @@
 /** Bounds of the difference between the two rates: answers of an overloaded host are often late anyway. */
 export const badRateIncrease = { min: 0.12, max: 0.2 };
 
-/** Evidence at which a version is bad, the logarithm of a likelihood ratio of some 13,000: four bad answers in a row of an old version without any. */
+/** Evidence at which a version is bad, the logarithm of a likelihood ratio of some 13,000: three bad answers in a row where the old version has none. */
 export const badEvidence = 9.5;
 
 /** Evidence that leaves a version in doubt: it is completed only some time after its deadline. */
--- a/packages/relay/src/decisions/rollout/exposure.ts
+++ b/packages/relay/src/decisions/rollout/exposure.ts
@@ -26,13 +26,17 @@
 /** Requests that this router may have sent to the new version by now. */
 const allowanceOf = (state: RelayState, rollout: Rollout): number => {
   const { exposureShare, exposureSlack } = rolloutLimitsOf(state);
-  const { phase, firstSent, initialCredit } = rollout;
-  if (phase !== RolloutPhase.Moving)
-    return initialCredit + exposingPart * exposureShare * firstSent;
-  const moreSlack =
-    ((movingSlackPart - exposingSlackPart) * exposureSlack) /
-    sharingRouterCount(state);
-  return initialCredit + moreSlack + movingPart * exposureShare * firstSent;
+  const { phase, firstSent, initialCredit, startedAt, order } = rollout;
+  const isMoving = phase === RolloutPhase.Moving;
+  // Spread over the time, so that a version that is bad later meets requests then.
+  const elapsed = Math.min(1, (state.at - startedAt) / order.durationMs);
+  const sharePart = isMoving ? movingPart : exposingPart;
+  const slackPart = isMoving ? movingSlackPart : exposingSlackPart * elapsed;
+  return (
+    initialCredit +
+    sharePart * exposureShare * firstSent +
+    (slackPart * exposureSlack) / sharingRouterCount(state)
+  );
 };
 
 const mayExpose = (state: RelayState, rollout: Rollout): boolean => {
--- a/packages/relay/src/decisions/rollout/rolloutState.ts
+++ b/packages/relay/src/decisions/rollout/rolloutState.ts
@@ -2,15 +2,9 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { random } from "../random.js";
-import { sharingRouterCount } from "../registration.js";
 import { replicasOf } from "../replicaViews.js";
 import type { RelayState } from "../types.js";
-import {
-  defaultRolloutLimits,
-  exposingSlackPart,
-  settledMs,
-  withdrawnMs,
-} from "./constants.js";
+import { defaultRolloutLimits, settledMs, withdrawnMs } from "./constants.js";
 import {
   RolloutPhase,
   type Rollout,
@@ -50,9 +44,6 @@
   state: RelayState,
   order: RolloutOrder,
 ): Rollout => {
-  const { exposureSlack } = rolloutLimitsOf(state);
-  const spareCredit =
-    (exposingSlackPart * exposureSlack) / sharingRouterCount(state);
   return {
     order,
     startedAt: state.at,
@@ -65,7 +56,7 @@
     faultAt: 0,
     hasOldVersion: hasOldReplica(state, order),
     // With a random start, the shares of many routers add up to the share of all.
-    initialCredit: random(state) + spareCredit,
+    initialCredit: random(state),
     firstSent: 0,
     exposed: 0,
     own: new Map(),
