Streams at adopted replicas are bound once the entry is read, also if they leave

Cause: an adopted replica that leaves before its entry is read lost its streams: their software stayed unknown, so they could go on nowhere and had no copies. Change: any stream of unknown software is bound when the entry of the process that serves it is read, and copies of it are looked for at that software.

--- a/packages/relay/src/decisions/adoptedReplicas/adoptedReplicas.test.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/adoptedReplicas.test.ts
@@ -13,6 +13,7 @@
   testReplica,
   testReplicas,
 } from "../../testing/scenario.js";
+import { ReplicaState } from "../../types.js";
 import { AttemptFailure } from "../types.js";
 import type { RelayConfig, Replica, Service } from "../../types.js";
 import { replicaReregistrationMs } from "../constants.js";
@@ -334,6 +335,25 @@
   assert.equal(scenario.state.adoption.undoneCount, 0);
 });
 
+// Load: engines leave as soon as they are back, and their streams have to go on elsewhere.
+test("a stream at an adopted replica that leaves stays bound to unknown software", () => {
+  const { scenario, exchange } = beginAtAdopted();
+  answer(scenario, answerOf({ isLeaving: true }), "new-1");
+  scenario.advance(50);
+  assert.deepEqual(usedIds(scenario), []);
+  const entry = testReplica("a-1", engines, {
+    id: "new-1",
+    startedAt: bornAt,
+    state: ReplicaState.Draining,
+  });
+  for (const view of scenario.state.replicas.values())
+    view.hasAnnouncedLeaving = view.replica.id === "new-1";
+  readReplicas(scenario, [...testReplicas(), entry]);
+  scenario.advance(1000);
+  assert.equal(exchange.softwareVersion, "v1");
+  assert.ok(scenario.commandsOfType("copyKvCache").length > 0);
+});
+
 // Load: all routers are lost soon after the store is back, and callers take their streams up.
 test("the unknown version outlasts the adoptions, or is told or stored", () => {
   const { scenario, exchange } = beginAtAdopted();
--- a/packages/relay/src/decisions/adoptedReplicas/maintainAdoptions.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/maintainAdoptions.ts
@@ -5,12 +5,12 @@
 import { isStoreAway } from "./adoptionState.js";
 import { confirmAdopted, searchReturned } from "./findReturned.js";
 import { tellReturns } from "./returnsTold.js";
-import { settleAdoptions } from "./undoAdoptions.js";
+import { bindStreams, settleAdoptions } from "./undoAdoptions.js";
 
 /** Maintains adopted replicas; only while the store cannot be read are others looked for. */
 export const maintainAdoptions = (state: RelayState): RelayCommand[] => {
   const { adoption } = state;
-  const settled = settleAdoptions(state);
+  const settled = [...settleAdoptions(state), ...bindStreams(state)];
   if (!isStoreAway(state)) {
     adoption.searches.clear();
     adoption.told.clear();
--- a/packages/relay/src/decisions/adoptedReplicas/undoAdoptions.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/undoAdoptions.ts
@@ -3,20 +3,30 @@
 import type { RelayCommand } from "../commands.js";
 import { replicaReregistrationMs } from "../constants.js";
 import { logLine } from "../logLine.js";
-import type { RelayState, ReplicaView } from "../types.js";
+import type { Exchange, RelayState, ReplicaView } from "../types.js";
 import { unknownSoftwareVersion } from "../versions/constants.js";
 import { recordOrigin } from "../versions/streamOrigins.js";
 import { isStoreAway } from "./adoptionState.js";
 import { adoptedMaxSilenceMs } from "./constants.js";
 
-/** Binds streams that began at the replica to the software that its entry names. */
-const bindStreams = (
-  state: RelayState,
-  { replica: { id, softwareVersion } }: ReplicaView,
-): RelayCommand[] =>
+/** Software of the process that serves a stream, if its entry has been read. */
+const knownSoftware = (
+  { replicas }: RelayState,
+  { attempt }: Exchange,
+): string | undefined => {
+  const replica = attempt && replicas.get(attempt.replica.id)?.replica;
+  if (replica?.startedAt !== attempt?.replica.startedAt) return undefined;
+  return replica?.softwareVersion === unknownSoftwareVersion
+    ? undefined
+    : replica?.softwareVersion;
+};
+
+/** Binds streams of unknown software to that of the entry, once it is read; the replica may leave by then. */
+export const bindStreams = (state: RelayState): RelayCommand[] =>
   [...state.exchanges.values()].flatMap((exchange) => {
     if (exchange.softwareVersion !== unknownSoftwareVersion) return [];
-    if (exchange.attempt?.replica.id !== id) return [];
+    const softwareVersion = knownSoftware(state, exchange);
+    if (softwareVersion === undefined) return [];
     exchange.softwareVersion = softwareVersion;
     return recordOrigin(state, exchange, softwareVersion, true);
   });
@@ -64,7 +74,7 @@
       return reason === undefined ? [] : [undo(state, id, view, reason)];
     }
     state.adoption.adopted.delete(id);
-    return isSame ? bindStreams(state, view) : [];
+    return [];
   });
 
 /** Gives adopted replicas the time to register again once the store is back. */
--- a/packages/relay/src/decisions/copyHolders.ts
+++ b/packages/relay/src/decisions/copyHolders.ts
@@ -35,7 +35,10 @@
   const avoidedZone = replica.zone;
   // Chosen by prompt, not by load: routers that choose by the same load figures
   // would all fill one engine's memory. One that is known to be short of it is left out.
-  const { softwareVersion } = replica;
+  // The entry of a replica may have been read since the attempt began.
+  const current = state.replicas.get(replica.id)?.replica;
+  const { softwareVersion } =
+    current?.startedAt === replica.startedAt ? current : replica;
   const query = { service, excluded, avoidedZone, softwareVersion };
   const { lastPromptBlockId } = request;
   const size = sizeOf(request);
--- a/packages/relay/src/drivers/peerDriver.test.ts
+++ b/packages/relay/src/drivers/peerDriver.test.ts
@@ -12,6 +12,7 @@
   encodeLendingMessage,
   encodeOriginQuestion,
   encodeOrigins,
+  encodeReturns,
 } from "./peerMessages.js";
 
 const host = "127.0.0.1";
@@ -56,6 +57,33 @@
   (_, index) => `block-${String(index)}`,
 );
 
+test("replicas that are back are told in small datagrams, malformed ones are dropped", () => {
+  const returned = Array.from({ length: 60 }, (_, index) => ({
+    id: `i-${String(index)}`,
+    startedAt: 1000 + index,
+    host: "10.0.0.1",
+    port: 8000 + index,
+    seenAt: 400,
+  }));
+  const datagrams = encodeReturns(returned, 500);
+  assert.ok(datagrams.length > 1);
+  const decoded = datagrams.flatMap((bytes) => {
+    assert.ok(bytes.length <= 1300);
+    const message = decodePeerMessage(bytes, 10_000);
+    return message?.type === "returns" ? message.returned : [];
+  });
+  const seenAt = 9900; // clocks differ, so ages are sent
+  assert.deepEqual(
+    decoded,
+    returned.map((one) => ({ ...one, seenAt })),
+  );
+  const good = [0, "i", 1, "10.0.0.1", 80];
+  for (const [index, odd] of [-1, "", "1", 7, 70_000].entries()) {
+    const item = good.map((one, at) => (at === index ? odd : one));
+    assert.equal(decodePeerMessage(pack(["returns", [item]]), 0), undefined);
+  }
+});
+
 test("what routers tell of streams is split into small datagrams, malformed ones are dropped", () => {
   const origins = Array.from({ length: 60 }, (_, index) => ({
     key: `["engines","owner","attempt-${String(index)}"]`,
