--- a/packages/relay/src/decisions/adoptedReplicas/addressProbed.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/addressProbed.ts
@@ -13,9 +13,9 @@
 } from "../replicaViews.js";
 import type { RelayState, ReplicaView } from "../types.js";
 import { unknownSoftwareVersion } from "../versions/constants.js";
-import { isStoreAway } from "./adoptionState.js";
+import { isStoreUnavailable } from "./adoptionState.js";
 import { idSpreadMs, maxAdoption } from "./constants.js";
-import { searchAt, toldAt } from "./findReturned.js";
+import { searchOf, returnToldOf } from "./findReturned.js";
 import { serviceOfModels } from "./modelServices.js";
 import type { ProcessAnswer } from "./types.js";
 
@@ -90,17 +90,19 @@
   { replica: predecessorId, startedAt, answer }: RelayEventOf<"addressProbed">,
 ): RelayCommand[] => {
   const view = state.replicas.get(predecessorId);
-  if (view?.replica.startedAt !== startedAt || !isStoreAway(state)) return [];
+  if (view?.replica.startedAt !== startedAt || !isStoreUnavailable(state))
+    return [];
   confirm(state, view, answer);
   const report = successorReport(state, view, answer);
   if (report === undefined) return [];
   const { replica: predecessor } = view;
   markReplaced(state, predecessor, state.at);
-  const word = toldAt(state, view);
-  const told = word?.startedAt === report.startedAt ? word.id : undefined;
-  const id = answer.id ?? told;
+  const returned = returnToldOf(state, view);
+  const toldId =
+    returned?.startedAt === report.startedAt ? returned.id : undefined;
+  const id = answer.id ?? toldId;
   if (id === undefined) {
-    const search = searchAt(state, view);
+    const search = searchOf(state, view);
     search.askIdAt ??= state.at + idSpreadMs * random(state);
     search.nextProbeAt = search.askIdAt;
     return [];
--- a/packages/relay/src/decisions/adoptedReplicas/adoptionState.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/adoptionState.ts
@@ -19,8 +19,8 @@
   undoneCount: 0,
 });
 
-/** Whether the store's word is not to be had, so that other evidence counts. */
-export const isStoreAway = ({ store }: RelayState): boolean =>
+/** Whether the store cannot be read, so that other evidence counts. */
+export const isStoreUnavailable = ({ store }: RelayState): boolean =>
   store.type === "unavailable";
 
 /** Key of an address. */
--- a/packages/relay/src/decisions/adoptedReplicas/constants.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/constants.ts
@@ -15,7 +15,7 @@
  */
 export const idSpreadMs = 600;
 
-/** Age up to which another router's word counts. */
+/** Age up to which what another router told counts. */
 export const toldMaxAgeMs = 3000;
 
 /** Silence after which an adopted replica is asked for another report. */
--- a/packages/relay/src/decisions/adoptedReplicas/findReturned.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/findReturned.ts
@@ -20,7 +20,7 @@
 import type { AddressSearch, ReturnedReplica } from "./types.js";
 
 /** What another router lately told of an address, if it is news of a later process. */
-export const toldAt = (
+export const returnToldOf = (
   { adoption: { told }, at }: RelayState,
   { replica }: ReplicaView,
 ): ReturnedReplica | undefined => {
@@ -42,7 +42,7 @@
     (view) =>
       view.replica.startedAt > 0 &&
       (engineOf(state, view.replica.service)?.modelNames ?? []).length > 0 &&
-      (seemsEnded(state, view) || toldAt(state, view) !== undefined) &&
+      (seemsEnded(state, view) || returnToldOf(state, view) !== undefined) &&
       !hasSuccessor(state, view),
   );
 
@@ -72,7 +72,7 @@
 };
 
 /** The search at an address; routers begin at different times, so that the first ones tell the others. */
-export const searchAt = (
+export const searchOf = (
   state: RelayState,
   { replica }: ReplicaView,
 ): AddressSearch => {
@@ -91,10 +91,11 @@
 /** Asks at the addresses at which replicas ended. */
 export const searchReturned = (state: RelayState): RelayCommand[] =>
   endedEngines(state).flatMap((view) => {
-    const search = searchAt(state, view);
+    const search = searchOf(state, view);
     if (state.at < search.nextProbeAt) return [];
     const { askIdAt = Infinity } = search;
-    const withId = state.at >= askIdAt && toldAt(state, view) === undefined;
+    const withId =
+      state.at >= askIdAt && returnToldOf(state, view) === undefined;
     const commands = askProcess(state, view, withId);
     if (commands.length > 0) search.nextProbeAt = state.at + searchIntervalMs;
     return commands;
--- a/packages/relay/src/decisions/adoptedReplicas/maintainAdoptions.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/maintainAdoptions.ts
@@ -2,7 +2,7 @@
 
 import type { RelayCommand } from "../commands.js";
 import type { RelayState } from "../types.js";
-import { isStoreAway } from "./adoptionState.js";
+import { isStoreUnavailable } from "./adoptionState.js";
 import { confirmAdopted, searchReturned } from "./findReturned.js";
 import { tellReturns } from "./returnsTold.js";
 import { bindStreams, settleAdoptions } from "./undoAdoptions.js";
@@ -11,7 +11,7 @@
 export const maintainAdoptions = (state: RelayState): RelayCommand[] => {
   const { adoption } = state;
   const settled = [...settleAdoptions(state), ...bindStreams(state)];
-  if (!isStoreAway(state)) {
+  if (!isStoreUnavailable(state)) {
     adoption.searches.clear();
     adoption.told.clear();
     adoption.news = [];
--- a/packages/relay/src/decisions/adoptedReplicas/returnsTold.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/returnsTold.ts
@@ -10,7 +10,7 @@
 import { isKnownRouter, otherRouterAddresses } from "../registration.js";
 import { removeOldest } from "../removeOldest.js";
 import type { RelayState } from "../types.js";
-import { addressKeyOf, isStoreAway } from "./adoptionState.js";
+import { addressKeyOf, isStoreUnavailable } from "./adoptionState.js";
 import { maxAdoption, returnFanout, toldMaxAgeMs } from "./constants.js";
 
 /** Handles what another router told: the process is asked for its report at once. */
@@ -19,7 +19,7 @@
   { from, returned }: RelayEventOf<"returnsTold">,
 ): RelayCommand[] => {
   const { adoption, at } = state;
-  if (!isKnownRouter(state, from) || !isStoreAway(state)) return [];
+  if (!isKnownRouter(state, from) || !isStoreUnavailable(state)) return [];
   for (const one of returned) {
     if (at - one.seenAt > toldMaxAgeMs) continue;
     const key = addressKeyOf(one);
--- a/packages/relay/src/decisions/adoptedReplicas/undoAdoptions.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/undoAdoptions.ts
@@ -6,7 +6,7 @@
 import type { Exchange, RelayState, ReplicaView } from "../types.js";
 import { unknownSoftwareVersion } from "../versions/constants.js";
 import { recordOrigin } from "../versions/streamOrigins.js";
-import { isStoreAway } from "./adoptionState.js";
+import { isStoreUnavailable } from "./adoptionState.js";
 import { adoptedMaxSilenceMs } from "./constants.js";
 
 /** Software of the process that serves a stream, if its entry has been read. */
@@ -41,7 +41,7 @@
   if (view.hasAnnouncedLeaving) return "it leaves";
   if (view.replacedAt !== undefined) return "another process has its address";
   const silentMs = state.at - Math.max(seenAt, view.reportReceivedAt);
-  return isStoreAway(state) && silentMs > adoptedMaxSilenceMs
+  return isStoreUnavailable(state) && silentMs > adoptedMaxSilenceMs
     ? "it is silent"
     : undefined;
 };
--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -207,10 +207,11 @@
   if (isNotExecuted) {
     // A replica that is full refuses; the next requests of all routers go elsewhere.
     const isFull = status === serviceUnavailableStatus;
-    if (isFull && !isTurnedAway(state, attempt, status))
+    if (isFull) recordRefusal(state, exchange);
+    if (isFull && !isTurnedAway(state, attempt, status)) {
       recordOutcome(state, attempt.replica.id, true);
-    if (isFull) recordRefusal(state, exchange.service);
-    if (isFull) recordFullReplica(state, exchange, attempt);
+      recordFullReplica(state, exchange, attempt);
+    }
     const wasCounted = forgetReplica(exchange, attempt);
     if (status === misdirectedRequestStatus) {
       // The request did not reach the intended replica, so the attempt does not count.
@@ -229,7 +230,14 @@
     );
     closeAttempt(state, exchange);
     return isFull && hasStandingQueue(state, exchange)
-      ? [line, ...endSearch(state, exchange, "all replicas are full")]
+      ? [
+          line,
+          ...endSearch(
+            state,
+            exchange,
+            "a replica was full, and all have long queues",
+          ),
+        ]
       : [line, ...sendRetry(state, exchange, "the replica refused")];
   }
   return endsWithConnection(exchange, answer.head)
--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -1,4 +1,4 @@
-/** Chooses the replica for an attempt, and the engine that holds a KV cache copy. */
+/** Finds the replicas that may be used for an attempt, and chooses one. */
 
 import { rendezvousOrder } from "@cardamomglade/common";
 import type { Replica } from "../types.js";
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -112,7 +112,7 @@
 ): RelayCommand[] => {
   const { status, isNotExecuted } = answer.head;
   if (isNotExecuted && status === serviceUnavailableStatus)
-    recordRefusal(state, exchange.service);
+    recordRefusal(state, exchange);
   if (!isNotExecuted && exchange.head === undefined)
     exchange.failedResponse = answer;
   const reason = `status ${String(status)}`;
@@ -201,7 +201,7 @@
       fallback.wasNeeded = false;
       if (
         exchange.route.kind === RequestKind.Idempotent &&
-        !fallback.isBesideSecondTry
+        !fallback.hasSecondTry
       )
         fallback.closesAt = state.at + maxOverlapMs;
       return closeEarlier(state, exchange, fallback);
--- a/packages/relay/src/decisions/fallback/keepFallback.ts
+++ b/packages/relay/src/decisions/fallback/keepFallback.ts
@@ -39,7 +39,7 @@
   exchange.fallback = {
     attempt,
     isLeaving,
-    isBesideSecondTry: false,
+    hasSecondTry: false,
     closesAt: undefined,
     wasNeeded: false,
     earlier,
--- a/packages/relay/src/decisions/fallback/types.ts
+++ b/packages/relay/src/decisions/fallback/types.ts
@@ -8,8 +8,8 @@
   readonly attempt: Attempt;
   /** Whether its replica leaves: it still sends events, which do not end the search for another one. */
   readonly isLeaving: boolean;
-  /** Whether the other replica was asked before the answer was overdue: both attempts stay open until one answers. */
-  readonly isBesideSecondTry: boolean;
+  /** Whether the other attempt is a second try: both stay open until one answers. */
+  readonly hasSecondTry: boolean;
   /** Time at which it is closed although the other replica has not answered yet; undefined until that one is connected. */
   closesAt: Timestamp | undefined;
   /** Whether it stayed open beyond that time, as one of the two replicas stood still. */
--- a/packages/relay/src/decisions/rollout/applyPhase.ts
+++ b/packages/relay/src/decisions/rollout/applyPhase.ts
@@ -53,7 +53,7 @@
   rollout.writeAt = undefined;
   if (phase === RolloutPhase.Completed) state.rollouts.completedCount += 1;
   if (phase === RolloutPhase.RolledBack) state.rollouts.rolledBackCount += 1;
-  // What was over before this process began binds it no more.
+  // A completion from before this process started no longer restricts requests.
   if (phase === RolloutPhase.Completed && known === undefined)
     rollout.phaseAt = -Infinity;
   return [phaseLogLine(state, rollout, phase, learnedFrom)];
--- a/packages/relay/src/decisions/rollout/constants.ts
+++ b/packages/relay/src/decisions/rollout/constants.ts
@@ -21,14 +21,14 @@
 /** Part of the slack up to which it is spent by the move. */
 export const movingSlackPart = 0.8;
 
-/** Part of the allowed share whose time the move takes at full load. */
-export const windowPart = 0.7;
+/** Length of the move as a part of the roll-out, for each unit of the allowed share. */
+export const moveSharePart = 0.7;
 
-/** Part of the slack that the move takes. */
-export const windowSlackPart = 0.65;
+/** Part of the slack by whose requests the move is longer. */
+export const moveSlackPart = 0.65;
 
 /** Longest part of a roll-out that is left for the move: the rest shows how the version does. */
-export const maxWindowRatio = 0.3;
+export const maxMoveRatio = 0.3;
 
 /** Part of a roll-out, and its bounds, by which it is completed before its deadline: other routers may have to write it. */
 export const completionMargin = { ratio: 0.05, minMs: 500, maxMs: 1500 };
@@ -67,7 +67,7 @@
 export const faultToldMs = 10_000;
 
 /** Age up to which another router's requests at old replicas count as still there. */
-export const reportFreshMs = 1500;
+export const otherReportFreshMs = 1500;
 
 /** Interval between tests. */
 export const testIntervalMs = 100;
@@ -87,14 +87,14 @@
 /** Bounds of the difference between the two rates: answers of an overloaded host are often late anyway. */
 export const badRateIncrease = { min: 0.12, max: 0.2 };
 
-/** Evidence at which a version is bad, the logarithm of a likelihood ratio of some 13,000: three bad answers in a row where the old version has none. */
+/** Evidence, a log likelihood ratio, at which a version is bad: three bad answers in a row reach it if the old version has none. */
 export const badEvidence = 9.5;
 
 /** Evidence that leaves a version in doubt: it is completed only some time after its deadline. */
 export const doubtfulEvidence = 5;
 
 /** Time from the deadline to the completion of a version in doubt. */
-export const doubtMs = 1500;
+export const doubtfulCompletionDelayMs = 1500;
 
 /** Bad answers beyond the old version's rate at which a version is bad whatever the test says. */
 export const maxExcessBad = 30;
@@ -102,7 +102,7 @@
 /** An answer is slow if it takes this multiple of the median of the old version's. */
 export const slowFactor = 3;
 
-/** Added to that, as the clocks of small answers jump. */
+/** Milliseconds added to that: times of short answers vary by some. */
 export const slowMarginMs = 10;
 
 /** Times of the old version's answers that are kept. */
@@ -115,10 +115,10 @@
 export const brokenTogetherMs = 1000;
 
 /** Time for which old replicas get no new work after a completion that this router saw. */
-export const settledMs = 10_000;
+export const completedHoldMs = 10_000;
 
 /** Time for which the version of a withdrawn order gets no new work. */
-export const withdrawnMs = 60_000;
+export const withdrawnHoldMs = 60_000;
 
 /** Bounds on what other programs name. */
 export const maxRollouts = {
--- a/packages/relay/src/decisions/rollout/exposure.ts
+++ b/packages/relay/src/decisions/rollout/exposure.ts
@@ -57,15 +57,14 @@
 
 /** Decides which version a request is sent to next. */
 export const aimAtVersion = (state: RelayState, exchange: Exchange): void => {
-  const { service, softwareVersion, rolloutAim } = exchange;
+  const { service, softwareVersion, rolloutAim, nextNumber } = exchange;
   const rollout = rolloutInForce(state, service);
   if (rollout === undefined || softwareVersion !== undefined) return;
-  // A repeat goes back to the version that is known, but for the move.
-  const isRepeat = rolloutAim === RolloutAim.NewSent;
-  const isBack = isRepeat && rollout.phase === RolloutPhase.Exposing;
   if (rolloutAim === RolloutAim.New) return;
   exchange.rolloutAim = RolloutAim.Old;
-  if (isBack || !mayExpose(state, rollout)) return;
+  // Before the move a repeat goes to the old version.
+  if (nextNumber > 0 && rollout.phase === RolloutPhase.Exposing) return;
+  if (!mayExpose(state, rollout)) return;
   if (!hasReplica(state, exchange, RolloutAim.New)) return;
   exchange.rolloutAim = RolloutAim.New;
   rollout.exposed += 1;
--- a/packages/relay/src/decisions/rollout/maintainRollouts.ts
+++ b/packages/relay/src/decisions/rollout/maintainRollouts.ts
@@ -11,15 +11,15 @@
 import {
   completionMargin,
   doubtfulEvidence,
-  doubtMs,
-  maxWindowRatio,
+  doubtfulCompletionDelayMs,
+  maxMoveRatio,
   minMoveMs,
   completionWaitRatio,
   phaseWriteRetryMs,
   phaseWriteSpacingMs,
   testIntervalMs,
-  windowPart,
-  windowSlackPart,
+  moveSharePart,
+  moveSlackPart,
 } from "./constants.js";
 import { judgeVersion } from "./judge.js";
 import { noteFault } from "./noteFault.js";
@@ -58,14 +58,14 @@
   const perMs = Math.max(1, knownFirstSent(rollout)) / elapsedMs;
   // Without the counts of others the slack may be a moment of all requests.
   const slackMs = knowsMostRouters(state, rollout)
-    ? (windowSlackPart * exposureSlack) / perMs
+    ? (moveSlackPart * exposureSlack) / perMs
     : 0;
-  const windowMs = Math.min(
-    maxWindowRatio * durationMs,
-    windowPart * exposureShare * durationMs + slackMs,
+  const moveMs = Math.min(
+    maxMoveRatio * durationMs,
+    moveSharePart * exposureShare * durationMs + slackMs,
   );
   return Math.min(
-    deadlineOf(rollout) - windowMs,
+    deadlineOf(rollout) - moveMs,
     completeAtOf(rollout) - minMoveMs,
   );
 };
@@ -95,7 +95,8 @@
   const isInDoubt = [...rollout.tests.values()].some(
     ({ evidence }) => evidence >= doubtfulEvidence,
   );
-  if (isInDoubt && at < deadlineOf(rollout) + doubtMs) return undefined;
+  if (isInDoubt && at < deadlineOf(rollout) + doubtfulCompletionDelayMs)
+    return undefined;
   const lastAt =
     completeAt + completionWaitRatio * (deadlineOf(rollout) - completeAt);
   const isWaiting =
--- a/packages/relay/src/decisions/rollout/noteFault.ts
+++ b/packages/relay/src/decisions/rollout/noteFault.ts
@@ -1,5 +1,6 @@
 /** Stops new work to a version that was found bad. */
 
+import { faultToldMs } from "./constants.js";
 import { Severity } from "@cardamomglade/observe";
 import type { RelayCommand } from "../commands.js";
 import { logLine } from "../logLine.js";
@@ -17,7 +18,7 @@
 ): RelayCommand[] => {
   if (rollout.fault !== undefined || isFinal(rollout.phase)) return [];
   rollout.fault = fault;
-  rollout.faultAt = state.at;
+  rollout.faultToldUntil = state.at + faultToldMs;
   rollout.nextReportAt = state.at;
   const { service, version, id } = rollout.order;
   const context = {
--- a/packages/relay/src/decisions/rollout/openVersions.ts
+++ b/packages/relay/src/decisions/rollout/openVersions.ts
@@ -31,7 +31,7 @@
   if (isNew && isStopped(rollout)) return false;
   // Streams go on at the version at which they began.
   if (query.softwareVersion !== undefined) return true;
-  // It may have the version that is on trial.
+  // A replica of unknown version may have the new one.
   if (softwareVersion === unknownSoftwareVersion) return false;
   if (rollout.phase === RolloutPhase.Completed) return isNew;
   return isNew === isForNew(rollout, query);
--- a/packages/relay/src/decisions/rollout/recordAnswer.ts
+++ b/packages/relay/src/decisions/rollout/recordAnswer.ts
@@ -80,8 +80,10 @@
 ): boolean => {
   const key = processKeyOf(replica);
   const before = brokenAt.get(key) ?? -Infinity;
-  if (brokenAt.size < maxRollouts.sources) brokenAt.set(key, at);
-  return at - before < brokenTogetherMs;
+  if (at - before < brokenTogetherMs) return true;
+  if (brokenAt.has(key) || brokenAt.size < maxRollouts.sources)
+    brokenAt.set(key, at);
+  return false;
 };
 
 const rolloutToJudge = (
--- a/packages/relay/src/decisions/rollout/reports.ts
+++ b/packages/relay/src/decisions/rollout/reports.ts
@@ -13,14 +13,13 @@
 import { isKnownRouter, otherRouterAddresses } from "../registration.js";
 import type { RelayState } from "../types.js";
 import {
-  faultToldMs,
   judgeCount,
   maxReportsPerS,
   maxRollouts,
   minReportIntervalMs,
   newsFanout,
   phaseToldMs,
-  reportFreshMs,
+  otherReportFreshMs,
 } from "./constants.js";
 import { applyPhase } from "./applyPhase.js";
 import { noteFault } from "./noteFault.js";
@@ -66,7 +65,7 @@
   { others }: Rollout,
 ): boolean => {
   const freshCount = [...others.values()].filter(
-    ({ heardAt }) => at - heardAt < reportFreshMs,
+    ({ heardAt }) => at - heardAt < otherReportFreshMs,
   ).length;
   return 2 * (freshCount + 1) > registration.routers.size;
 };
@@ -83,7 +82,7 @@
   const { service } = rollout.order;
   if (!knowsMostRouters(state, rollout)) return rankOf(state, service);
   const heard = [...rollout.others.values()]
-    .filter(({ heardAt }) => at - heardAt < reportFreshMs)
+    .filter(({ heardAt }) => at - heardAt < otherReportFreshMs)
     .map(({ report }) => routerOf(report));
   const alive = new Set([...heard, router]);
   return rendezvousOrder(service, [...alive]).indexOf(router);
@@ -94,7 +93,7 @@
   oldInFlightOf(state, rollout) > 0 ||
   [...rollout.others.values()].some(
     ({ report, heardAt }) =>
-      report.oldInFlight > 0 && state.at - heardAt < reportFreshMs,
+      report.oldInFlight > 0 && state.at - heardAt < otherReportFreshMs,
   );
 
 /** The first routers in the service's order that this one reaches. */
@@ -114,9 +113,9 @@
   rollout: Rollout,
 ): RelayCommand[] => {
   const { at, registration } = state;
-  const { fault, faultAt, phase, phaseAt, order } = rollout;
+  const { fault, faultToldUntil, phase, phaseAt, order } = rollout;
   const hasNews =
-    (fault !== undefined && at - faultAt < faultToldMs) ||
+    (fault !== undefined && at < faultToldUntil) ||
     (phase !== undefined && at - phaseAt < phaseToldMs);
   if (at < rollout.nextReportAt) return [];
   if (isFinal(phase) && !hasNews) return [];
@@ -149,12 +148,16 @@
   const isOlder = known !== undefined && known.report.ageMs > report.ageMs;
   if (!isOlder && (known !== undefined || others.size < maxRollouts.sources))
     others.set(report.source, { report, heardAt: at });
-  const age = Math.min(report.ageMs, rollout.order.durationMs);
-  rollout.startedAt = Math.min(rollout.startedAt, at - age);
+  const ageMs = Math.min(report.ageMs, rollout.order.durationMs);
+  rollout.startedAt = Math.min(rollout.startedAt, at - ageMs);
   const { fault, phase } = report;
-  const source = "another router";
+  const learnedFrom = "another router";
   return [
-    ...(phase === undefined ? [] : applyPhase(state, rollout, phase, source)),
-    ...(fault === undefined ? [] : noteFault(state, rollout, fault, source)),
+    ...(phase === undefined
+      ? []
+      : applyPhase(state, rollout, phase, learnedFrom)),
+    ...(fault === undefined
+      ? []
+      : noteFault(state, rollout, fault, learnedFrom)),
   ];
 };
--- a/packages/relay/src/decisions/rollout/rolloutGauges.ts
+++ b/packages/relay/src/decisions/rollout/rolloutGauges.ts
@@ -3,7 +3,7 @@
 import type { RelayState } from "../types.js";
 import { isFinal, isStopped } from "./rolloutState.js";
 
-/** Sums over all services, as this router knows them. */
+/** Numbers of all services' roll-outs, as this router knows them. */
 export const rolloutGauges = ({
   rollouts,
 }: RelayState): Readonly<Record<string, number>> => {
@@ -18,7 +18,7 @@
     rollouts_stopped: all.filter(isStopped).length,
     rollouts_completed_total: rollouts.completedCount,
     rollouts_rolled_back_total: rollouts.rolledBackCount,
-    rollout_requests_to_new_version: all.reduce(
+    rollout_requests_to_new_version: active.reduce(
       (sum, { exposed }) => sum + exposed,
       0,
     ),
--- a/packages/relay/src/decisions/rollout/rolloutState.ts
+++ b/packages/relay/src/decisions/rollout/rolloutState.ts
@@ -4,7 +4,11 @@
 import { random } from "../random.js";
 import { replicasOf } from "../replicaViews.js";
 import type { RelayState } from "../types.js";
-import { defaultRolloutLimits, settledMs, withdrawnMs } from "./constants.js";
+import {
+  defaultRolloutLimits,
+  completedHoldMs,
+  withdrawnHoldMs,
+} from "./constants.js";
 import {
   RolloutPhase,
   type Rollout,
@@ -53,7 +57,7 @@
     ownUntil: 0,
     withdrawnAt: undefined,
     fault: undefined,
-    faultAt: 0,
+    faultToldUntil: 0,
     hasOldVersion: hasOldReplica(state, order),
     // With a random start, the shares of many routers add up to the share of all.
     initialCredit: random(state),
@@ -93,9 +97,9 @@
   if (rollout === undefined) return undefined;
   const { phase, phaseAt, withdrawnAt } = rollout;
   if (phase === RolloutPhase.Completed)
-    return state.at - phaseAt < settledMs ? rollout : undefined;
+    return state.at - phaseAt < completedHoldMs ? rollout : undefined;
   if (withdrawnAt !== undefined)
-    return state.at - withdrawnAt < withdrawnMs ? rollout : undefined;
+    return state.at - withdrawnAt < withdrawnHoldMs ? rollout : undefined;
   // There is nothing to compare with, and nowhere else to send requests.
   return rollout.hasOldVersion ? rollout : undefined;
 };
--- a/packages/relay/src/decisions/rollout/types.ts
+++ b/packages/relay/src/decisions/rollout/types.ts
@@ -150,13 +150,17 @@
   withdrawnAt: Timestamp | undefined;
   /** Why the version is bad; undefined while nothing says so. */
   fault: string | undefined;
-  faultAt: Timestamp;
+  /** Time until which the fault is told to other routers. */
+  faultToldUntil: Timestamp;
   /** Whether replicas of other versions have served since the order. */
   hasOldVersion: boolean;
   /** Requests to the new version that this router may send ahead of its share. */
   readonly initialCredit: number;
+  /** Requests that this router has sent to the service since the order. */
   firstSent: number;
+  /** Requests of them, and repeats, that went to the new version. */
   exposed: number;
+  /** Answers to this router, by route. */
   readonly own: Map<string, VersionCounts>;
   /** By source. */
   readonly others: Map<string, HeardReport>;
--- a/packages/relay/src/decisions/room/constants.ts
+++ b/packages/relay/src/decisions/room/constants.ts
@@ -1,5 +1,7 @@
 /** Rates, ages and ratios that the room at an engine is estimated with. */
 
+import { promptQueryEnginesPerZoneCount } from "../constants.js";
+
 /** Prompt tokens that an engine is assumed to read in a millisecond before the first was timed. */
 export const assumedTokensPerMs = 8;
 
@@ -15,8 +17,8 @@
 /** Prompts of fewer tokens are not timed: their time is mostly that of the way. */
 export const minTimedPromptTokens = 500;
 
-/** Time that a report is old when it arrives. */
-export const reportLagMs = 300;
+/** Age of a report's content when it arrives. */
+export const reportContentAgeMs = 300;
 
 /** Age up to which a report tells whether an engine has memory for a copy; memory changes slowly. */
 export const copyReportMaxAgeMs = 2000;
@@ -28,7 +30,7 @@
 export const memoryShortageRatio = 0.5;
 
 /** Engines that are considered as the holder of a copy; callers that reconnect ask as many in a zone. */
-export const copyHolderCandidateCount = 4;
+export const copyHolderCandidateCount = promptQueryEnginesPerZoneCount;
 
 /** Part of a prompt's reading time by which a run that generates delays it. */
 export const decodeSlowdownRatio = 0.3;
--- a/packages/relay/src/decisions/room/roomOf.ts
+++ b/packages/relay/src/decisions/room/roomOf.ts
@@ -9,7 +9,7 @@
 import { replicasOf } from "../replicaViews.js";
 import type { EngineReport, ReportedRun } from "../../types.js";
 import type { Exchange, RelayState, ReplicaView } from "../types.js";
-import { reportLagMs } from "./constants.js";
+import { reportContentAgeMs } from "./constants.js";
 import { readingRateOf } from "./readingRate.js";
 import { sizeOf } from "./requestSize.js";
 import type { EngineRoom, RequestSize } from "./types.js";
@@ -20,7 +20,7 @@
   { replica, report, reportReceivedAt }: ReplicaView,
 ): Exchange[] => {
   const known = new Set(report?.runs.map(({ requestId }) => requestId));
-  const includedBefore = reportReceivedAt - reportLagMs;
+  const includedBefore = reportReceivedAt - reportContentAgeMs;
   return [...state.exchanges.values()].filter(
     ({ attempt, request }) =>
       attempt?.replica.id === replica.id &&
@@ -38,7 +38,8 @@
   [...state.exchanges.values()].filter(
     ({ attempt }) =>
       attempt?.copyTo?.id === replica.id &&
-      (attempt.firstEventAt ?? Infinity) >= reportReceivedAt - reportLagMs,
+      (attempt.firstEventAt ?? Infinity) >=
+        reportReceivedAt - reportContentAgeMs,
   );
 
 /** Requests that other routers probably send to an engine in a time, if all get as many as this one. */
@@ -113,7 +114,7 @@
   const { active, queued, runs, kvUsedTokens, kvTotalTokens } = report;
   const decoding = runs.filter((run) => run.generatedEventCount > 0).length;
   const unreported = unreportedRequests(state, view);
-  const unreportedMs = state.at - reportReceivedAt + reportLagMs;
+  const unreportedMs = state.at - reportReceivedAt + reportContentAgeMs;
   const { service } = replica;
   const othersCount = othersRequestCount(state, service, unreportedMs);
   const tokensTaken =
--- a/packages/relay/src/decisions/secondTry/constants.ts
+++ b/packages/relay/src/decisions/secondTry/constants.ts
@@ -43,10 +43,10 @@
 export const minMedianCount = 5;
 
 /** Age of the answers whose median is compared with the usual one. */
-export const currentMs = 1000;
+export const currentAnswersAgeMs = 1000;
 
 /** Smallest number of these. */
-export const minCurrentCount = 8;
+export const minCurrentAnswerCount = 8;
 
 /** A median above the usual one by this factor shows that requests queue. */
 export const risingFactor = 1.5;
@@ -67,7 +67,7 @@
 export const minOpenRatio = 2 / 3;
 
 /** Age beyond which what the store said of the replicas is too old. */
-export const maxKnowledgeAgeMs = 10_000;
+export const maxStoreSilenceMs = 10_000;
 
 /** Part of the shared budget of repeats that second tries leave for lost attempts. */
 export const reservedBudgetRatio = 0.5;
--- a/packages/relay/src/decisions/secondTry/isCalm.ts
+++ b/packages/relay/src/decisions/secondTry/isCalm.ts
@@ -6,20 +6,21 @@
 import { isOpen } from "../backOff/backOffs.js";
 import { mustHandOn } from "../handover/offers.js";
 import { isSuspected, replicasOf } from "../replicaViews.js";
+import { rolloutInForce } from "../rollout/rolloutState.js";
 import type { Exchange, RelayState } from "../types.js";
 import {
-  maxKnowledgeAgeMs,
+  maxStoreSilenceMs,
   maxRefusedRatio,
   minOpenRatio,
   refusalWindowMs,
 } from "./constants.js";
 import { countAfter } from "./windowCount.js";
 import { isSlowEverywhere } from "./slowEverywhere.js";
-import { triesOf } from "./secondTryState.js";
+import { serviceTriesOf } from "./secondTryState.js";
 
 /** Whether full replicas refuse more than a stray request. */
 const isRefusing = (state: RelayState, service: string): boolean => {
-  const { refusals, firsts } = triesOf(state, service);
+  const { refusals, firsts } = serviceTriesOf(state, service);
   const start = state.at - refusalWindowMs;
   const refused = countAfter(refusals, start);
   const sent = countAfter(firsts, start);
@@ -39,7 +40,7 @@
 
 /** Whether what is known of the replicas is recent. */
 const isKnowledgeFresh = ({ store, storeHeardAt, at }: RelayState): boolean =>
-  store.type === "available" && at - storeHeardAt < maxKnowledgeAgeMs;
+  store.type === "available" && at - storeHeardAt < maxStoreSilenceMs;
 
 /** Whether neither this router nor the service of a request is in need. */
 export const isCalm = (
@@ -48,6 +49,8 @@
 ): boolean =>
   state.plannedStop === undefined &&
   state.at >= state.handover.busyUntil &&
+  // A version on trial gets a bounded number of requests.
+  rolloutInForce(state, service) === undefined &&
   !mustHandOn(state, { service }) &&
   isKnowledgeFresh(state) &&
   areMostOpen(state, service) &&
--- a/packages/relay/src/decisions/secondTry/recentTimes.ts
+++ b/packages/relay/src/decisions/secondTry/recentTimes.ts
@@ -9,12 +9,12 @@
 import type { Exchange, RelayState } from "../types.js";
 import {
   chanceRatio,
-  currentMs,
+  currentAnswersAgeMs,
   delayQuantiles,
   maxMedianCount,
   maxSampleCount,
   medianIntervalMs,
-  minCurrentCount,
+  minCurrentAnswerCount,
   minMedianCount,
   minReplicaSampleCount,
   minSharedWeight,
@@ -122,8 +122,10 @@
   times: RecentTimes,
   samples: readonly AnswerSample[],
 ): boolean => {
-  const current = samples.filter((one) => at - one.at <= currentMs).map(msOf);
-  const isKnown = current.length >= minCurrentCount;
+  const current = samples
+    .filter((one) => at - one.at <= currentAnswersAgeMs)
+    .map(msOf);
+  const isKnown = current.length >= minCurrentAnswerCount;
   return isRisingTo(times, isKnown ? medianOf(current) : 0);
 };
 
@@ -195,7 +197,7 @@
 };
 
 /** Remembers how long an attempt took, or at least took until it was left. */
-export const recordTime = (
+export const recordRouteTime = (
   state: RelayState,
   exchange: Exchange,
   replica: string,
--- a/packages/relay/src/decisions/secondTry/secondTry.test.ts
+++ b/packages/relay/src/decisions/secondTry/secondTry.test.ts
@@ -13,7 +13,7 @@
 import { RequestKind, type Route } from "../../types.js";
 import { bucketOf } from "../serviceTimes/histogram.js";
 import { AttemptFailure, type RelayState } from "../types.js";
-import { maxKnowledgeAgeMs, shareWindowMs } from "./constants.js";
+import { maxStoreSilenceMs, shareWindowMs } from "./constants.js";
 
 const usualMs = 20;
 const share = 0.05;
@@ -251,7 +251,7 @@
   },
   "the store says nothing": ({ replicas, advance }, state) => {
     replicas.isStoreSilent = true;
-    advance(maxKnowledgeAgeMs);
+    advance(maxStoreSilenceMs);
     assert.equal(state.store.type, "available");
   },
   "this process is late itself": (_, state) => {
--- a/packages/relay/src/decisions/secondTry/secondTryState.ts
+++ b/packages/relay/src/decisions/secondTry/secondTryState.ts
@@ -17,7 +17,7 @@
   runtimeLimits.secondTryShare ?? 0;
 
 /** Requests of a service in the current window. */
-export const triesOf = (
+export const serviceTriesOf = (
   { secondTries: { services } }: RelayState,
   service: string,
 ): ServiceTries => {
--- a/packages/relay/src/decisions/secondTry/sendSecondTry.ts
+++ b/packages/relay/src/decisions/secondTry/sendSecondTry.ts
@@ -87,7 +87,7 @@
   exchange.fallback = {
     attempt,
     isLeaving: false,
-    isBesideSecondTry: true,
+    hasSecondTry: true,
     closesAt: undefined,
     wasNeeded: false,
     earlier: undefined,
--- a/packages/relay/src/decisions/secondTry/settleSecondTry.ts
+++ b/packages/relay/src/decisions/secondTry/settleSecondTry.ts
@@ -3,8 +3,8 @@
 import { serverErrorStatus } from "../../types.js";
 import type { DecisionContext } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
-import { recordTime as recordServiceTime } from "../serviceTimes/recordTime.js";
-import { recordTime } from "./recentTimes.js";
+import { recordTime } from "../serviceTimes/recordTime.js";
+import { recordRouteTime } from "./recentTimes.js";
 
 /** How a second try ended, for the log. */
 enum TryResult {
@@ -12,8 +12,8 @@
   Lost = "lost",
 }
 
-/** Counts the work of an attempt whose answer was not delivered; the time that it took at least is remembered. */
-const countWaste = (
+/** Counts a second try that ended, and the work that was not delivered; remembers the time of a slow attempt that lost. */
+const settleTry = (
   state: RelayState,
   exchange: Exchange,
   { isWon }: { readonly isWon: boolean },
@@ -27,10 +27,9 @@
   state.secondTries.wastedMs += wastedMs;
   if (isWon) {
     state.secondTries.wonCount += 1;
-    recordTime(state, exchange, slowAnswer.replica, wastedMs);
+    recordRouteTime(state, exchange, slowAnswer.replica, wastedMs);
     const slow = exchange.fallback?.attempt;
-    if (slow?.number === slowAnswer.attempt)
-      recordServiceTime(state, exchange, slow);
+    if (slow?.number === slowAnswer.attempt) recordTime(state, exchange, slow);
   }
   return {
     secondTry: isWon ? TryResult.Won : TryResult.Lost,
@@ -48,14 +47,19 @@
   const { attempt, slowAnswer } = exchange;
   const isFailure = status === undefined || status >= serverErrorStatus;
   if (attempt !== undefined && !isFailure)
-    recordTime(state, exchange, attempt.replica.id, state.at - attempt.sentAt);
+    recordRouteTime(
+      state,
+      exchange,
+      attempt.replica.id,
+      state.at - attempt.sentAt,
+    );
   const isWon =
     attempt !== undefined && attempt.number === slowAnswer?.second?.attempt;
-  return countWaste(state, exchange, { isWon });
+  return settleTry(state, exchange, { isWon });
 };
 
 /** Handles a request that ended without an answer of a replica. */
 export const settleUnanswered = (
   state: RelayState,
   exchange: Exchange,
-): DecisionContext => countWaste(state, exchange, { isWon: false });
+): DecisionContext => settleTry(state, exchange, { isWon: false });
--- a/packages/relay/src/decisions/secondTry/slowEverywhere.ts
+++ b/packages/relay/src/decisions/secondTry/slowEverywhere.ts
@@ -7,7 +7,7 @@
 import type { Attempt, Exchange, RelayState } from "../types.js";
 import { maxSlowReplicaRatio } from "./constants.js";
 import { usualTimesOf } from "./recentTimes.js";
-import { triesOf } from "./secondTryState.js";
+import { serviceTriesOf } from "./secondTryState.js";
 
 /** The attempts of a request that are open. */
 const openAttempts = ({ attempt, fallback }: Exchange): Attempt[] =>
@@ -29,7 +29,7 @@
   state: RelayState,
   service: string,
 ): boolean => {
-  const tries = triesOf(state, service);
+  const tries = serviceTriesOf(state, service);
   if (tries.slowCountedAt !== state.at) {
     tries.slowCountedAt = state.at;
     tries.slowReplicaCount = slowReplicaIds(state, service).size;
--- a/packages/relay/src/decisions/secondTry/tryBudget.ts
+++ b/packages/relay/src/decisions/secondTry/tryBudget.ts
@@ -11,27 +11,31 @@
   reservedBudgetRatio,
   shareWindowMs,
 } from "./constants.js";
-import { secondTryShareOf, triesOf } from "./secondTryState.js";
+import { secondTryShareOf, serviceTriesOf } from "./secondTryState.js";
 import { addToCounts, countAfter } from "./windowCount.js";
 
 /** Counts the first sending of an idempotent request. */
-export const recordFirst = (state: RelayState, exchange: Exchange): void => {
+export const recordFirstSending = (
+  state: RelayState,
+  exchange: Exchange,
+): void => {
   if (secondTryShareOf(state) === 0) return;
   if (exchange.route.kind !== RequestKind.Idempotent) return;
-  const { firsts } = triesOf(state, exchange.service);
+  const { firsts } = serviceTriesOf(state, exchange.service);
   addToCounts(firsts, state.at, state.at - shareWindowMs);
 };
 
-/** Notes that a full replica refused a request. */
-export const recordRefusal = (state: RelayState, service: string): void => {
+/** Counts the refusal of an idempotent request by a full replica. */
+export const recordRefusal = (state: RelayState, exchange: Exchange): void => {
   if (secondTryShareOf(state) === 0) return;
-  const { refusals } = triesOf(state, service);
+  if (exchange.route.kind !== RequestKind.Idempotent) return;
+  const { refusals } = serviceTriesOf(state, exchange.service);
   addToCounts(refusals, state.at, state.at - refusalWindowMs);
 };
 
 /** Whether the operators' limit allows one more second try at a service now. */
 const isWithinShare = (state: RelayState, service: string): boolean => {
-  const { firsts, sent } = triesOf(state, service);
+  const { firsts, sent } = serviceTriesOf(state, service);
   const start = state.at - shareWindowMs;
   removeUpTo(sent, start);
   const allowed = secondTryShareOf(state) * countAfter(firsts, start);
@@ -41,7 +45,7 @@
 /** Whether the shared budget has more left than lost attempts may need. */
 const isBudgetSpare = (state: RelayState, service: string): boolean => {
   const { ratio, windowMs } = state.runtimeLimits.retryLimits;
-  const { firsts } = triesOf(state, service);
+  const { firsts } = serviceTriesOf(state, service);
   const firstCount = countAfter(firsts, state.at - windowMs);
   const reserved = reservedBudgetRatio * ratio * firstCount;
   return remainingRetries(state, service, state.at) >= reserved + 1;
@@ -52,6 +56,6 @@
   if (!isWithinShare(state, service) || !isBudgetSpare(state, service))
     return false;
   if (!takeRetry(state, service, state.at)) return false;
-  triesOf(state, service).sent.push(state.at);
+  serviceTriesOf(state, service).sent.push(state.at);
   return true;
 };
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -60,7 +60,7 @@
 import { isOpenToExchange } from "./rollout/openVersions.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
 import { returnToSlow } from "./secondTry/returnToSlow.js";
-import { recordFirst } from "./secondTry/tryBudget.js";
+import { recordFirstSending } from "./secondTry/tryBudget.js";
 import { expectedEndAt } from "./plannedStop/expectedEnd.js";
 import { stopTimesOf } from "./plannedStop/stopTimes.js";
 import { ageOf, hasSoftware } from "./replicaViews.js";
@@ -315,7 +315,7 @@
   exchange: Exchange,
 ): RelayCommand[] => {
   recordFirstAttempt(state, exchange.service, state.at);
-  recordFirst(state, exchange);
+  recordFirstSending(state, exchange);
   return placeRequest(state, exchange);
 };
 
@@ -377,7 +377,7 @@
   const { route, service, mayHaveExecuted, attempts, copy } = exchange;
   if (mayHaveExecuted && !isRetryable(route))
     return failExchange(state, exchange, reason);
-  if (exchange.fallback?.isBesideSecondTry === true)
+  if (exchange.fallback?.hasSecondTry === true)
     return returnToSlow(state, exchange, exchange.fallback, reason);
   if (returnToSpeaking(state, exchange)) return [];
   const kept = takeKeptCopy(state, exchange);
--- a/packages/relay/src/decisions/serviceTimes/constants.ts
+++ b/packages/relay/src/decisions/serviceTimes/constants.ts
@@ -21,6 +21,9 @@
 /** Classes of work that are remembered of a replica; other routers may name any. */
 export const maxTimeClassCount = 16;
 
+/** Classes of work that are remembered of all replicas together. */
+export const maxServiceTimeClassCount = 256;
+
 /** Classes of work in one message about a replica. */
 export const maxSharedClassCount = 8;
 
--- a/packages/relay/src/decisions/serviceTimes/estimateTime.test.ts
+++ b/packages/relay/src/decisions/serviceTimes/estimateTime.test.ts
@@ -12,7 +12,7 @@
 } from "../../testing/scenario.js";
 import { workOf } from "../plannedStop/answerTimes.js";
 import { WorkKind, type Work } from "../plannedStop/types.js";
-import { maxTimeClassCount } from "./constants.js";
+import { maxServiceTimeClassCount, maxTimeClassCount } from "./constants.js";
 import { estimateTime, quantileMs } from "./estimateTime.js";
 import { bucketOf } from "./histogram.js";
 import { EstimateSource, type TimeEstimate } from "./types.js";
@@ -137,11 +137,13 @@
   scenario.answer("1", { status: 500 });
   const { serviceTimes } = scenario.state;
   assert.equal([...serviceTimes].length, 0);
-  for (let index = 0; index < 4 * maxTimeClassCount; index += 1) {
+  for (let index = 0; index < 2 * maxServiceTimeClassCount; index += 1) {
     const buckets = [{ bucket: index, count: 1 }];
     const times = [{ timeClass: `class ${String(index)}`, buckets }];
     const outcomes = [{ replica: "a-9", succeeded: 0, failed: 0, times }];
     scenario.dispatch({ type: "outcomesShared", at: scenario.at, outcomes });
   }
-  assert.ok(serviceTimes.size <= maxTimeClassCount);
+  assert.ok(serviceTimes.size <= maxServiceTimeClassCount);
+  const ofReplica = scenario.state.replicas.get("a-9")?.serviceTimes;
+  assert.equal(ofReplica?.size, maxTimeClassCount);
 });
--- a/packages/relay/src/decisions/serviceTimes/recordTime.ts
+++ b/packages/relay/src/decisions/serviceTimes/recordTime.ts
@@ -5,7 +5,7 @@
 import { nearlyAll } from "../plannedStop/constants.js";
 import { WorkKind } from "../plannedStop/types.js";
 import type { Attempt, Exchange, RelayState, ReplicaView } from "../types.js";
-import { maxTimeClassCount } from "./constants.js";
+import { maxServiceTimeClassCount, maxTimeClassCount } from "./constants.js";
 import { quantileMs } from "./estimateTime.js";
 import { addToHistogram, bucketOf, createHistogram } from "./histogram.js";
 import { noteUnloadedTime } from "./standingDelay.js";
@@ -16,10 +16,11 @@
   timeClass: string,
   { bucket, count }: BucketCount,
   at: Timestamp,
+  maxClassCount: number,
 ): void => {
   let histogram = times.get(timeClass);
   if (histogram === undefined) {
-    if (times.size >= maxTimeClassCount) return;
+    if (times.size >= maxClassCount) return;
     histogram = createHistogram(at);
     times.set(timeClass, histogram);
   }
@@ -33,8 +34,9 @@
   timeClass: string,
   counted: BucketCount,
 ): void => {
-  addTo(view.serviceTimes, timeClass, counted, state.at);
-  addTo(state.serviceTimes, timeClass, counted, state.at);
+  const { serviceTimes, at } = state;
+  addTo(view.serviceTimes, timeClass, counted, at, maxTimeClassCount);
+  addTo(serviceTimes, timeClass, counted, at, maxServiceTimeClassCount);
   noteUnloadedTime(state, timeClass);
 };
 
--- a/packages/relay/src/decisions/waitingLine/constants.ts
+++ b/packages/relay/src/decisions/waitingLine/constants.ts
@@ -1,6 +1,6 @@
 /** Limits and intervals of the line of requests that wait for room. */
 
-/** Requests that wait at one router at most; more are sent without a wait. */
+/** Requests of one service that wait at one router at most; more are sent without a wait. */
 export const maxWaitingCount = 64;
 
 /** Mean interval between the looks of a waiting request that is most urgent: reports are that old. */
--- a/packages/relay/src/decisions/waitingLine/order.ts
+++ b/packages/relay/src/decisions/waitingLine/order.ts
@@ -38,8 +38,8 @@
   (a.roomSearch?.until ?? Infinity) - (b.roomSearch?.until ?? Infinity);
 
 /**
- * Gives the room that a request found to a waiting one that goes before it, and returns that
- * one; undefined if there is none.
+ * Gives the engines' answers to a request to a waiting one that goes before it and has room
+ * at one of them, and returns that one, which is to be sent; undefined if there is none.
  */
 export const passRoomOn = (
   state: RelayState,
--- a/packages/relay/src/drivers/readRequest.ts
+++ b/packages/relay/src/drivers/readRequest.ts
@@ -129,7 +129,7 @@
 };
 
 /** Returns whether the head of a request names a body that is longer than allowed. */
-export const isTooLong = (
+const isTooLong = (
   req: IncomingMessage,
   { bodyBytes }: RequestLimits,
 ): boolean => Number(req.headers["content-length"] ?? 0) > bodyBytes;
