--- a/packages/upstream/src/serviceClient.ts
+++ b/packages/upstream/src/serviceClient.ts
@@ -32,6 +32,13 @@
   };
 };
 
+const minFinalStatus = 200;
+const maxStatus = 599;
+
+/** Whether a final answer may have the status; undici takes 600 and 999 too. */
+const isFinalStatus = (status: number): boolean =>
+  status >= minFinalStatus && status <= maxStatus;
+
 const probeTimeoutMs = 200; // a round trip between zones and a handshake
 
 /** Whether no process listens any more: its host closed the connections in its place. */
@@ -85,6 +92,8 @@
         signal: abortSignalAt(call.deadline),
       });
       const body = await res.body.text();
+      if (!isFinalStatus(res.statusCode))
+        return { type: "unknown", message: "the answer has no valid status" };
       if (
         endsWithConnection(res.statusCode, res.headers) &&
         (await hasEnded(url))
