--- a/scripts/runTestFiles.mjs
+++ b/scripts/runTestFiles.mjs
@@ -5,5 +5,8 @@
 const fileTimeLimitMs = 300_000;
 
 /** Starts the files; returns the stream of their results. A file that runs longer than the limit is ended and fails. */
-export const runTestFiles = (files, timeLimitMs = fileTimeLimitMs) =>
-  run({ files, concurrency: true, timeout: timeLimitMs });
+export const runTestFiles = (
+  files,
+  timeLimitMs = fileTimeLimitMs,
+  concurrency = true,
+) => run({ files, concurrency, timeout: timeLimitMs });
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -60,9 +60,28 @@
   process.exitCode = unexpected.length > 0 || isEmpty ? 1 : 0;
 };
 
-const tests = runTestFiles(files);
-tests.on("test:pass", recordResult(true));
-tests.on("test:fail", recordResult(false));
-const formatted = tests.compose(new spec());
-formatted.on("end", report);
-formatted.pipe(process.stdout);
+// Tests of whole processes measure memory and times, so they run apart from the others, few at once.
+const processTestConcurrency = 3;
+const isProcessTest = (file) =>
+  ["platform", "bench"].includes(path.relative(root, file).split(path.sep)[0]);
+
+const runFiles = (group, concurrency) =>
+  new Promise((resolve) => {
+    if (group.length === 0) {
+      resolve();
+      return;
+    }
+    const tests = runTestFiles(group, undefined, concurrency);
+    tests.on("test:pass", recordResult(true));
+    tests.on("test:fail", recordResult(false));
+    const formatted = tests.compose(new spec());
+    formatted.on("end", resolve);
+    formatted.pipe(process.stdout, { end: false });
+  });
+
+await runFiles(
+  files.filter((file) => !isProcessTest(file)),
+  true,
+);
+await runFiles(files.filter(isProcessTest), processTestConcurrency);
+report();
