Quantiles of times and the reading time of a prompt stand once

Cause: the same quantile stood in the times of planned stops and of second tries, and the reading time was worked out anew in the room of engines. Change: quantileOf has a file, readingMsOf stands beside the rate that it comes from.

--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -10,10 +10,8 @@
 import { preferInTime } from "./plannedStop/expectedEnd.js";
 import { isVersionOpen, type VersionQuery } from "./rollout/openVersions.js";
 import { isWithinLimit, nextPermitAt } from "./requestLimits.js";
-import {
-  expectedFirstEventMs,
-  readingMsOf,
-} from "./room/expectedFirstEvent.js";
+import { expectedFirstEventMs } from "./room/expectedFirstEvent.js";
+import { readingMsOf } from "./room/readingRate.js";
 import { sizeOf } from "./room/requestSize.js";
 import { sampleWithoutReplacement, random } from "./random.js";
 import {
--- a/packages/relay/src/decisions/plannedStop/answerTimes.ts
+++ b/packages/relay/src/decisions/plannedStop/answerTimes.ts
@@ -4,6 +4,7 @@
  */
 
 import { RequestKind, type RelayConfig, type Route } from "../../types.js";
+import { quantileOf } from "../quantileOf.js";
 import type { Exchange, RelayState, ReplicaView } from "../types.js";
 import {
   maxAnswerTimeCount,
@@ -114,12 +115,6 @@
       if (!classes.has(name)) timesByClass.delete(name);
 };
 
-/** Smallest time that is no shorter than the given part of the times; 0 without any. */
-const quantileOf = (times: readonly number[], part: number): number => {
-  const sorted = times.toSorted((a, b) => a - b);
-  return sorted[Math.ceil(part * sorted.length) - 1] ?? 0;
-};
-
 const neededMs = (times: AnswerTimes, units: number, part: number): number =>
   quantileOf(times.firstEventMs, part) +
   units * quantileOf(times.msPerUnit, part);
--- a/packages/relay/src/decisions/room/expectedFirstEvent.ts
+++ b/packages/relay/src/decisions/room/expectedFirstEvent.ts
@@ -10,17 +10,10 @@
   decodeSlowdownRatio,
   displacedPromptCount,
 } from "./constants.js";
-import { readingRateOf } from "./readingRate.js";
+import { readingMsOf } from "./readingRate.js";
 import { missingPlaces, roomOf } from "./roomOf.js";
 import type { RequestSize } from "./types.js";
 
-/** Time to read the prompt of a request at an engine that does nothing else. */
-export const readingMsOf = (
-  state: RelayState,
-  service: string,
-  { promptTokens }: RequestSize,
-): number => promptTokens / readingRateOf(state, service);
-
 /** Prompts of the request's size that are read before its first event; without a recent report, as this router's attempts tell. */
 const promptsToRead = (
   state: RelayState,
--- a/packages/relay/src/decisions/room/readingRate.ts
+++ b/packages/relay/src/decisions/room/readingRate.ts
@@ -10,6 +10,7 @@
   minTimedPromptTokens,
   readingRateWeight,
 } from "./constants.js";
+import type { RequestSize } from "./types.js";
 
 /** Prompt tokens that an engine of the service reads in a millisecond. */
 export const readingRateOf = (
@@ -17,6 +18,13 @@
   service: string,
 ): number => readingRates.get(service) ?? assumedTokensPerMs;
 
+/** Time to read the prompt of a request at an engine that does nothing else. */
+export const readingMsOf = (
+  state: RelayState,
+  service: string,
+  { promptTokens }: RequestSize,
+): number => promptTokens / readingRateOf(state, service);
+
 /**
  * Learns from a first event. Only a prompt that was the only one there when it was sent,
  * and was read whole, tells the rate; runs that generate beside it are taken into account.
--- a/packages/relay/src/decisions/room/room.test.ts
+++ b/packages/relay/src/decisions/room/room.test.ts
@@ -7,7 +7,7 @@
   testReplica,
 } from "../../testing/scenario.js";
 import type { EngineReport, ReportedRun } from "../../types.js";
-import { readingMsOf } from "./expectedFirstEvent.js";
+import { readingMsOf } from "./readingRate.js";
 import { sizeOf } from "./requestSize.js";
 import { missingPlaces, roomOf } from "./roomOf.js";
 
--- a/packages/relay/src/decisions/room/roomOf.ts
+++ b/packages/relay/src/decisions/room/roomOf.ts
@@ -10,7 +10,7 @@
 import type { EngineReport, ReportedRun } from "../../types.js";
 import type { Exchange, RelayState, ReplicaView } from "../types.js";
 import { reportContentAgeMs } from "./constants.js";
-import { readingRateOf } from "./readingRate.js";
+import { readingMsOf } from "./readingRate.js";
 import { sizeOf } from "./requestSize.js";
 import type { EngineRoom, RequestSize } from "./types.js";
 
@@ -86,19 +86,19 @@
 const copyTokensOf = (
   state: RelayState,
   view: ReplicaView,
-  { promptTokens, totalTokens }: RequestSize,
+  size: RequestSize,
   unreportedMs: number,
 ): number => {
   const { service } = view.replica;
   if (engineOf(state, service)?.canCopyKvCache !== true) return 0;
-  const readingMs = promptTokens / readingRateOf(state, service);
+  const readingMs = readingMsOf(state, service, size);
   const othersCount = othersRequestCount(
     state,
     service,
     unreportedMs + readingMs,
   );
   const ownTokens = totalTokensOf(unreportedCopies(state, view));
-  return ownTokens + othersCount * totalTokens;
+  return ownTokens + othersCount * size.totalTokens;
 };
 
 /** The room for requests of a size; undefined without a recent report. */
--- a/packages/relay/src/decisions/secondTry/recentTimes.ts
+++ b/packages/relay/src/decisions/secondTry/recentTimes.ts
@@ -5,6 +5,7 @@
 
 import { RequestKind } from "../../types.js";
 import { workOf } from "../plannedStop/answerTimes.js";
+import { quantileOf } from "../quantileOf.js";
 import { estimateTime, quantileMs } from "../serviceTimes/estimateTime.js";
 import type { Exchange, RelayState } from "../types.js";
 import {
@@ -57,12 +58,6 @@
   return created;
 };
 
-/** Smallest time that is no shorter than the given part of the times; 0 without any. */
-const quantileOf = (times: readonly number[], part: number): number => {
-  const sorted = times.toSorted((a, b) => a - b);
-  return sorted[Math.max(0, Math.ceil(part * sorted.length) - 1)] ?? 0;
-};
-
 const medianOf = (times: readonly number[]): number => quantileOf(times, 0.5);
 
 const msOf = ({ ms }: AnswerSample): number => ms;
--- a/packages/relay/src/decisions/waitingLine/awaitEngineRoom.ts
+++ b/packages/relay/src/decisions/waitingLine/awaitEngineRoom.ts
@@ -16,10 +16,8 @@
 } from "../queryEngines.js";
 import { random } from "../random.js";
 import { ageOf } from "../replicaViews.js";
-import {
-  expectedFirstEventMs,
-  readingMsOf,
-} from "../room/expectedFirstEvent.js";
+import { expectedFirstEventMs } from "../room/expectedFirstEvent.js";
+import { readingMsOf } from "../room/readingRate.js";
 import { sizeOf } from "../room/requestSize.js";
 import { roomOf } from "../room/roomOf.js";
 import {
