A refused phase is decided anew at once, with what the store holds

A router whose write of a phase lost its condition learned nothing from the refusal: it wrote the same again 700 ms later, and was refused again as long as its watch showed the older entry. Operators saw a phase late, up to past the deadline, and no log line that said so with service and phase.

The store answers a refusal with the entries as they are. They now come back as an event: the router takes over revision and phase of the entry and decides in the next tick. Another order, or a withdrawn one, is left to the watch, as before.

--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -37,6 +37,7 @@
 import { createRegistration, routersRead } from "./registration.js";
 import { rolloutTold } from "./rollout/reports.js";
 import { createRolloutState } from "./rollout/rolloutState.js";
+import { rolloutRefused } from "./rollout/rolloutRefused.js";
 import { rolloutsRead, rolloutWritten } from "./rollout/rolloutsRead.js";
 import { recoverExchange } from "./recoverExchange.js";
 import { requestArrived } from "./requestArrived.js";
@@ -211,6 +212,8 @@
       return rolloutsRead(state, event);
     case "rolloutWritten":
       return rolloutWritten(state, event);
+    case "rolloutRefused":
+      return rolloutRefused(state, event);
     case "rolloutTold":
       return rolloutTold(state, event);
     case "originAsked":
--- a/packages/relay/src/decisions/events.ts
+++ b/packages/relay/src/decisions/events.ts
@@ -256,6 +256,15 @@
       /** Revision of the entry now. */
       readonly revision: number;
     }
+  /** The store refused to write a phase, as the entry or the order was another one by then. */
+  | {
+      readonly type: "rolloutRefused";
+      readonly at: Timestamp;
+      readonly write: RolloutWrite;
+      /** The entry as it is; undefined if there is none. */
+      readonly stored: StoredRollout | undefined;
+      readonly isOrderSame: boolean;
+    }
   | {
       readonly type: "rolloutTold";
       readonly at: Timestamp;
--- a/packages/relay/src/testing/rolloutFleet.ts
+++ b/packages/relay/src/testing/rolloutFleet.ts
@@ -382,8 +382,12 @@
   private write(name: string, write: RolloutWrite): void {
     if (this.isCut(name) || this.isStoreAway) return;
     this.later(2 + 4 * this.random(), () => {
+      if (this.isStoreAway) return;
       const current = this.stored?.revision ?? 0;
-      if (current !== write.replaces || this.isStoreAway) return;
+      if (current !== write.replaces) {
+        this.refuse(name, write);
+        return;
+      }
       this.revision += 1;
       if (this.finalAt !== undefined) this.hasChangedItsEnd = true;
       this.stored = { ...write, revision: this.revision };
@@ -403,6 +407,12 @@
     });
   }
 
+  private refuse(name: string, write: RolloutWrite): void {
+    const { at, stored } = this;
+    const refusal = { write, stored, isOrderSame: true };
+    this.dispatch(name, { type: "rolloutRefused", at, ...refusal });
+  }
+
   private result(): RolloutResult {
     const fiftieth = this.badTimes[49];
     const endAt = this.finalAt ?? orderAt + this.plan.durationMs;
