A roll-out's report fits one datagram

Twelve routes with long names made a report of 3,272 bytes. Such a datagram is split by links, and lost as a whole where they don't carry parts; the routers that judge then know nothing of a version from those that have most to say.

Reports have the bound of the other datagrams (1,200 bytes): routes with bad answers of the new version come first, then those with most of its answers, as many as fit; a fault's text gives way if it doesn't fit beside the names.

--- a/packages/relay/src/drivers/peerDriver.ts
+++ b/packages/relay/src/drivers/peerDriver.ts
@@ -95,9 +95,11 @@
           send(to, encodeHandoverOffer(services, freePlaces));
           return;
         }
-        case "tellRollout":
-          send(command.to, encodeRolloutReport(command.report));
+        case "tellRollout": {
+          const datagram = encodeRolloutReport(command.report);
+          if (datagram !== undefined) send(command.to, datagram);
           return;
+        }
         case "askOrigin":
           send(command.to, encodeOriginQuestion(command.key));
           return;
--- a/packages/relay/src/drivers/peerMessages.ts
+++ b/packages/relay/src/drivers/peerMessages.ts
@@ -2,7 +2,7 @@
 
 import { assertNever, type Timestamp } from "@cardamomglade/common";
 import { pack, unpack } from "msgpackr";
-import { isAmount, isName } from "./peerValues.js";
+import { isAmount, isName, maxDatagramBytes } from "./peerValues.js";
 import { decodeRolloutReport } from "./rolloutReports.js";
 import { maxRemembered } from "../decisions/quarantine/constants.js";
 import type { ReturnedReplica } from "../decisions/adoptedReplicas/types.js";
@@ -29,7 +29,6 @@
   | { readonly type: "rollout"; readonly report: RolloutReport };
 
 const maxItemCount = 100; // of the shortest items, a datagram holds fewer
-const maxDatagramBytes = 1200; // fits one packet on every usual link
 
 const isBlockList = (value: unknown): value is string[] =>
   Array.isArray(value) &&
--- a/packages/relay/src/drivers/peerValues.ts
+++ b/packages/relay/src/drivers/peerValues.ts
@@ -1,5 +1,8 @@
 /** Checks of values that other programs sent. */
 
+/** Most bytes of a datagram: it fits one packet on every usual link. */
+export const maxDatagramBytes = 1200;
+
 const maxNameLength = 200; // maximum length of a key in the store
 
 /** Whether a value is a name of limited length. */
--- a/packages/relay/src/drivers/rolloutReports.ts
+++ b/packages/relay/src/drivers/rolloutReports.ts
@@ -9,40 +9,70 @@
   type RolloutReport,
   type VersionCounts,
 } from "../decisions/rollout/types.js";
-import { isAmount, isName } from "./peerValues.js";
+import { isAmount, isName, maxDatagramBytes } from "./peerValues.js";
 
-const maxRouteCount = 12; // keeps the datagram in one packet on every usual link
+const maxRouteCount = 12; // of those that others send
 
 const newBadOf = ({ newFailed, newSlow }: Readonly<VersionCounts>): number =>
   newFailed + newSlow;
 
-/** Encodes a report; routes beyond a number are left out, those with bad answers last. */
-export const encodeRolloutReport = (report: RolloutReport): Uint8Array => {
+type RouteCounts = readonly [route: string, counts: Readonly<VersionCounts>];
+
+/** Routes with bad answers of the new version first, then those with most of its answers. */
+const byWeight = ([, a]: RouteCounts, [, b]: RouteCounts): number =>
+  newBadOf(b) - newBadOf(a) ||
+  b.newAnswers - a.newAnswers ||
+  b.oldAnswers - a.oldAnswers;
+
+const encodeRoute = ([route, one]: RouteCounts): readonly unknown[] => [
+  route,
+  one.oldAnswers,
+  one.oldFailed,
+  one.oldSlow,
+  one.newAnswers,
+  one.newFailed,
+  one.newSlow,
+];
+
+/** Encodes the routes that fit beside the rest of a report. */
+const packRoutes = (
+  content: readonly unknown[],
+  counts: RolloutReport["counts"],
+): Uint8Array => {
+  const routes: (readonly unknown[])[] = [];
+  const packAll = () => pack(["rollout", [...content, routes]]);
+  let datagram = packAll();
+  for (const one of [...counts].sort(byWeight).slice(0, maxRouteCount)) {
+    routes.push(encodeRoute(one));
+    const larger = packAll();
+    if (larger.length > maxDatagramBytes) routes.pop();
+    else datagram = larger;
+  }
+  return datagram;
+};
+
+/**
+ * Encodes a report; routes that do not fit one datagram are left out, those with bad
+ * answers last, and the text of a fault is if there is no room for it. Undefined if
+ * the names alone are too long.
+ */
+export const encodeRolloutReport = (
+  report: RolloutReport,
+): Uint8Array | undefined => {
   const { service, orderId, source, ageMs, phase, fault } = report;
-  const routes = [...report.counts]
-    .sort(([, a], [, b]) => newBadOf(b) - newBadOf(a))
-    .slice(0, maxRouteCount)
-    .map(([route, one]) => [
-      route,
-      one.oldAnswers,
-      one.oldFailed,
-      one.oldSlow,
-      one.newAnswers,
-      one.newFailed,
-      one.newSlow,
-    ]);
   const sums = [report.firstSent, report.exposed, report.oldInFlight];
-  const content = [
-    service,
-    orderId,
-    source,
-    ageMs,
-    phase ?? null,
-    fault ?? null,
+  const contentWith = (text: string | undefined) => [
+    ...[service, orderId, source, ageMs, phase ?? null, text ?? null],
+    sums,
   ];
-  return pack(["rollout", [...content, sums, routes]]);
+  const faults = fault === undefined ? [undefined] : [fault, unnamedFault];
+  return faults
+    .map((text) => packRoutes(contentWith(text), report.counts))
+    .find(({ length }) => length <= maxDatagramBytes);
 };
 
+const unnamedFault = "bad answers"; // names no route
+
 const phases = new Set<unknown>(Object.values(RolloutPhase));
 
 const isPhase = (value: unknown): value is RolloutPhase => phases.has(value);
