Answers of attempts that another one replaced are judged

An idempotent request whose answer is overdue goes to a second replica as well. If the first one then failed, broke off or sent nonsense, the roll-out did not count it, so that a version that fails late was judged by its quick answers alone. Nor were such attempts counted as late.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -189,7 +189,7 @@
   head.status >= serverErrorStatus;
 
 /** Whether a replica turned an attempt away until a time: it is busy, and has not failed. */
-const isTurnedAway = (
+export const isTurnedAway = (
   state: RelayState,
   { replica }: Attempt,
   status: number,
--- a/packages/relay/src/decisions/fallback/fallbackEvents.ts
+++ b/packages/relay/src/decisions/fallback/fallbackEvents.ts
@@ -1,6 +1,6 @@
 /** Handles what becomes of an earlier attempt that stayed open: it goes on, ends, or another replica has begun. */
 
-import { isServerError } from "../attemptEvents.js";
+import { isServerError, isTurnedAway } from "../attemptEvents.js";
 import type { RelayCommand } from "../commands.js";
 import {
   abandonAttempt,
@@ -13,6 +13,7 @@
 import { recordOutcome } from "../outcomes.js";
 import { suspectBrokenAttempt } from "../quarantine/engineCrashes.js";
 import { recordLoss } from "../replicaViews.js";
+import { AnswerQuality, recordRolloutAnswer } from "../rollout/recordAnswer.js";
 import { RequestKind, serviceUnavailableStatus } from "../../types.js";
 import { recordRefusal } from "../secondTry/tryBudget.js";
 import {
@@ -115,6 +116,9 @@
     recordRefusal(state, exchange);
   if (!isNotExecuted && exchange.head === undefined)
     exchange.failedResponse = answer;
+  const { attempt } = fallback;
+  if (!isNotExecuted && !isTurnedAway(state, attempt, status))
+    recordRolloutAnswer(state, exchange, attempt, AnswerQuality.Failed);
   const reason = `status ${String(status)}`;
   return loseFallback(state, exchange, fallback, reason);
 };
@@ -160,7 +164,10 @@
       if (isBroken) {
         recordLoss(state, attempt.replica, state.at);
         recordOutcome(state, attempt.replica.id, true);
+        recordRolloutAnswer(state, exchange, attempt, AnswerQuality.Broken);
       }
+      if (event.failure === AttemptFailure.Malformed)
+        recordRolloutAnswer(state, exchange, attempt, AnswerQuality.Failed);
       const reason = `${event.failure}: ${event.detail}`;
       return [
         ...(isBroken ? suspectBrokenAttempt(state, exchange, attempt) : []),
--- a/packages/relay/src/decisions/rollout/brokenAnswers.test.ts
+++ b/packages/relay/src/decisions/rollout/brokenAnswers.test.ts
@@ -1,18 +1,26 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { engines, Scenario, streamPath } from "../../testing/scenario.js";
+import {
+  engines,
+  idempotentPath,
+  okHead,
+  plainService,
+  Scenario,
+  streamPath,
+} from "../../testing/scenario.js";
+import { AttemptFailure } from "../types.js";
 import { AnswerQuality, recordRolloutAnswer } from "./recordAnswer.js";
 
-const createUnderway = () => {
+const createUnderway = (service = engines, path = streamPath) => {
   const scenario = Scenario.create();
   const { at, state } = scenario;
-  scenario.request("s", streamPath);
+  scenario.request("s", path);
   scenario.advance(100);
-  const order = { service: engines, version: "v2", id: "o", revision: 1 };
+  const order = { service, version: "v2", id: "o", revision: 1 };
   const orders = [{ ...order, durationMs: 60_000 }];
   scenario.dispatch({ type: "rolloutsRead", at, orders, stored: [] });
   const exchange = state.exchanges.get("s");
-  const rollout = state.rollouts.services.get(engines);
+  const rollout = state.rollouts.services.get(service);
   assert.ok(exchange?.attempt && rollout);
   return { scenario, exchange, attempt: exchange.attempt, rollout };
 };
@@ -28,3 +36,21 @@
   const [counts] = rollout.own.values();
   assert.equal(counts?.oldFailed, 3);
 });
+
+// Load: a version that answers late, and then not at all.
+test("an attempt that another one replaced counts when it fails", () => {
+  const ends: ((scenario: Scenario, number: number) => void)[] = [
+    (scenario, number) => scenario.answerAttempt("s", number, { status: 500 }),
+    (scenario, number) => scenario.failAttempt("s", number),
+    (scenario, number) =>
+      scenario.failAttempt("s", number, AttemptFailure.Malformed),
+  ];
+  for (const end of ends) {
+    const underway = createUnderway(plainService, idempotentPath);
+    const { scenario, exchange, attempt, rollout } = underway;
+    while (exchange.fallback === undefined) scenario.advance(25);
+    end(scenario, attempt.number);
+    const [counts] = rollout.own.values();
+    assert.equal(counts?.oldFailed, 1);
+  }
+});
--- a/packages/relay/src/decisions/rollout/recordAnswer.ts
+++ b/packages/relay/src/decisions/rollout/recordAnswer.ts
@@ -94,6 +94,12 @@
   return rollout === undefined || isFinal(rollout.phase) ? undefined : rollout;
 };
 
+/** The attempts of a request that may still be answered. */
+const openAttemptsOf = ({ attempt, fallback }: Exchange): Attempt[] =>
+  [attempt, fallback?.attempt, fallback?.earlier?.attempt].filter(
+    (one) => one !== undefined,
+  );
+
 /** Whether the replica was at full speed when the attempt was sent. */
 const wasWarm = ({ replica, sentAt }: Attempt): boolean =>
   sentAt >= (replica.warmAt ?? 0);
@@ -121,19 +127,29 @@
   countAnswer(state, rollout, exchange, isNew, bad);
 };
 
-/** Counts answers that are late already, before they come. */
+/** Counts an answer that is late already. */
+const recordIfLate = (
+  state: RelayState,
+  rollout: Rollout,
+  exchange: Exchange,
+  attempt: Attempt,
+): void => {
+  if (attempt.isJudged === true || !wasWarm(attempt)) return;
+  const tookMs = state.at - attempt.sentAt;
+  if (tookMs < slowAfterMs(rollout, exchange)) return;
+  attempt.isJudged = true;
+  const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
+  if (!isNew) noteOldTime(rollout, exchange, tookMs);
+  countAnswer(state, rollout, exchange, isNew, BadAnswer.Slow);
+};
+
+/** Counts answers that are late already, before they come; those that others replace too. */
 export const recordLateAnswers = (state: RelayState): void => {
   if (state.rollouts.services.size === 0) return;
   for (const exchange of state.exchanges.values()) {
-    const { attempt } = exchange;
     const rollout = rolloutToJudge(state, exchange);
-    if (rollout === undefined || attempt === undefined) continue;
-    if (attempt.isJudged === true || !wasWarm(attempt)) continue;
-    const tookMs = state.at - attempt.sentAt;
-    if (tookMs < slowAfterMs(rollout, exchange)) continue;
-    attempt.isJudged = true;
-    const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
-    if (!isNew) noteOldTime(rollout, exchange, tookMs);
-    countAnswer(state, rollout, exchange, isNew, BadAnswer.Slow);
+    if (rollout === undefined) continue;
+    for (const attempt of openAttemptsOf(exchange))
+      recordIfLate(state, rollout, exchange, attempt);
   }
 };
