Streams that pause count as slow for a roll-out

A stream was judged by its first event and by its end. A version whose streams begin in time and then stand still passed as good.

--- a/packages/relay/src/decisions/rollout/brokenAnswers.test.ts
+++ b/packages/relay/src/decisions/rollout/brokenAnswers.test.ts
@@ -3,7 +3,6 @@
 import {
   engines,
   idempotentPath,
-  okHead,
   plainService,
   Scenario,
   streamPath,
@@ -54,3 +53,20 @@
     assert.equal(counts?.oldFailed, 1);
   }
 });
+
+// Load: a version whose streams begin in time and then stand still.
+test("a stream that pauses for too long counts as slow once", () => {
+  const { scenario, exchange, rollout } = createUnderway();
+  scenario.streamEvents("s", 1, 2);
+  const countsNow = () => ({ ...[...rollout.own.values()][0] });
+  assert.equal(countsNow().oldAnswers, 1);
+  const { targetLatencyMs } = exchange.route;
+  scenario.advance(targetLatencyMs - 100);
+  scenario.streamEvents("s", 3, 3);
+  scenario.advance(targetLatencyMs - 100);
+  assert.equal(countsNow().oldSlow, 0);
+  scenario.advance(200);
+  assert.equal(countsNow().oldSlow, 1);
+  scenario.advance(2 * targetLatencyMs);
+  assert.equal(countsNow().oldSlow, 1);
+});
--- a/packages/relay/src/decisions/rollout/recordAnswer.ts
+++ b/packages/relay/src/decisions/rollout/recordAnswer.ts
@@ -143,13 +143,36 @@
   countAnswer(state, rollout, exchange, isNew, BadAnswer.Slow);
 };
 
+/** Whether a stream has begun, and could go on: its end is not being looked at, and nothing waits here. */
+const isStreaming = (attempt: Attempt): boolean =>
+  attempt.hasEvents &&
+  !attempt.isHeldBack &&
+  attempt.unconfirmedEnd === undefined;
+
+/** Counts a stream that pauses for longer than an answer may take to begin, once. */
+const recordIfPaused = (
+  state: RelayState,
+  rollout: Rollout,
+  exchange: Exchange,
+  attempt: Attempt,
+): void => {
+  if (attempt.isPauseJudged === true || !isStreaming(attempt)) return;
+  if (!wasWarm(attempt)) return;
+  if (state.at - attempt.heardAt < slowAfterMs(rollout, exchange)) return;
+  attempt.isPauseJudged = true;
+  const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
+  countAnswer(state, rollout, exchange, isNew, BadAnswer.Slow);
+};
+
 /** Counts answers that are late already, before they come; those that others replace too. */
 export const recordLateAnswers = (state: RelayState): void => {
   if (state.rollouts.services.size === 0) return;
   for (const exchange of state.exchanges.values()) {
     const rollout = rolloutToJudge(state, exchange);
     if (rollout === undefined) continue;
-    for (const attempt of openAttemptsOf(exchange))
+    for (const attempt of openAttemptsOf(exchange)) {
       recordIfLate(state, rollout, exchange, attempt);
+      recordIfPaused(state, rollout, exchange, attempt);
+    }
   }
 };
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -185,6 +185,8 @@
   stopCount: number;
   /** Whether its answer was counted for a roll-out. */
   isJudged?: boolean;
+  /** Whether a long pause of its stream was. */
+  isPauseJudged?: boolean;
 }
 
 /** How the end of a response's body is found. */
