Orders that are replaced, too many or lost by the store keep versions on trial back

Tests of orders without a network found four faults.

- A replaced order made its version one of the old ones: it got all requests that the new order's version did not get (217 in twelve seconds instead of none).
An order back to the version before even trusted the one on trial, and exposed the good one.
A version whose order was replaced before it was completed now gets nothing, until it is ordered again; the store's entry names it, for routers that start later.
- A store that came back from a copy from before the end kept the earlier phase and the status "active" for ever, as a router with a final phase writes nothing; and one that had written in the last three seconds passed the restored entry over.
The end is written again, under the same conditions as any phase.
- Orders beyond 64 services were dropped without a log line, and withdrawn ones never made room.
- Answers of versions that are held back no longer count for the old version.

Withdrawn orders, versions of which no replica comes, orders for a version that is under way, and bad versions of engines (first event, broken ends) were right already.

Evidence: of the tests in orders.test.ts, those of replaced, undone and turned-back orders, of both restored ends and of too many orders failed before.

--- a/packages/relay/src/decisions/rollout/constants.ts
+++ b/packages/relay/src/decisions/rollout/constants.ts
@@ -125,5 +125,6 @@
   services: 64,
   routes: 64,
   sources: 1024,
+  mistrusted: 8,
   faultLength: 200,
 } as const;
--- a/packages/relay/src/decisions/rollout/maintainRollouts.ts
+++ b/packages/relay/src/decisions/rollout/maintainRollouts.ts
@@ -14,6 +14,7 @@
   doubtfulCompletionDelayMs,
   maxMoveRatio,
   minMoveMs,
+  ownWriteShownMs,
   completionWaitRatio,
   phaseWriteRetryMs,
   phaseWriteSpacingMs,
@@ -38,6 +39,7 @@
   isNewVersion,
   rolloutLimitsOf,
 } from "./rolloutState.js";
+import { readPassedOver } from "./rolloutsRead.js";
 import { RolloutPhase, type Rollout } from "./types.js";
 
 /** Time by which the roll-out is to be completed if other routers may have to write it. */
@@ -105,13 +107,22 @@
   return isWaiting ? undefined : RolloutPhase.Completed;
 };
 
+/** A final phase that the store has lost is due again. */
+const lostEnd = (
+  { at }: RelayState,
+  { phase, phaseAt, storedPhase, withdrawnAt }: Rollout,
+): RolloutPhase | undefined => {
+  const isShown = storedPhase === phase || at - phaseAt < ownWriteShownMs;
+  return isShown || withdrawnAt !== undefined ? undefined : phase;
+};
+
 /** The phase that is due; undefined if the present one stays. */
 const duePhase = (
   state: RelayState,
   rollout: Rollout,
 ): RolloutPhase | undefined => {
   const { phase, fault, withdrawnAt } = rollout;
-  if (isFinal(phase)) return undefined;
+  if (isFinal(phase)) return lostEnd(state, rollout);
   if (fault !== undefined || withdrawnAt !== undefined)
     return RolloutPhase.RolledBack;
   if (!hasNewReplica(state, rollout)) return withoutNewReplica(state, rollout);
@@ -139,6 +150,7 @@
     orderId: order.id,
     phase,
     hasOldVersion: rollout.hasOldVersion,
+    mistrusted: [...rollout.mistrusted],
     replaces: rollout.entryRevision,
     orderRevision: withdrawnAt === undefined ? order.revision : 0,
   };
@@ -156,12 +168,17 @@
 
 /** Judges new versions, tells other routers of them and writes the phases that are due. */
 export const maintainRollouts = (state: RelayState): RelayCommand[] => {
+  const commands = readPassedOver(state);
   recordLateAnswers(state);
+  for (const rollout of state.rollouts.services.values()) {
+    const { order, mistrusted } = rollout;
+    rollout.hasOldVersion ||= hasOldReplica(state, order, mistrusted);
+  }
   for (const rollout of state.rollouts.services.values())
-    rollout.hasOldVersion ||= hasOldReplica(state, rollout.order);
-  return [...state.rollouts.services.values()].flatMap((rollout) => [
-    ...judge(state, rollout),
-    ...writePhase(state, rollout),
-    ...sendReport(state, rollout),
-  ]);
+    commands.push(
+      ...judge(state, rollout),
+      ...writePhase(state, rollout),
+      ...sendReport(state, rollout),
+    );
+  return commands;
 };
--- a/packages/relay/src/decisions/rollout/openVersions.ts
+++ b/packages/relay/src/decisions/rollout/openVersions.ts
@@ -3,6 +3,7 @@
 import type { Replica } from "../../types.js";
 import type { Exchange, RelayState } from "../types.js";
 import { unknownSoftwareVersion } from "../versions/constants.js";
+import { isMistrusted } from "./mistrustedVersions.js";
 import { isNewVersion, isStopped, rolloutInForce } from "./rolloutState.js";
 import { RolloutAim, RolloutPhase, type Rollout } from "./types.js";
 
@@ -25,6 +26,7 @@
   { service, softwareVersion }: Replica,
   query: VersionQuery,
 ): boolean => {
+  if (isMistrusted(state, service, softwareVersion)) return false;
   const rollout = rolloutInForce(state, service);
   if (rollout === undefined) return true;
   const isNew = isNewVersion(rollout, softwareVersion);
--- a/packages/relay/src/decisions/rollout/recordAnswer.ts
+++ b/packages/relay/src/decisions/rollout/recordAnswer.ts
@@ -115,6 +115,7 @@
   if (rollout === undefined) return;
   const isGood = quality === AnswerQuality.Good;
   if (attempt.isJudged === true && isGood) return;
+  if (rollout.mistrusted.has(attempt.replica.softwareVersion)) return;
   if (quality === AnswerQuality.Broken && isSameEnd(rollout, attempt, state.at))
     return;
   const tookMs = state.at - attempt.sentAt;
@@ -171,6 +172,7 @@
     const rollout = rolloutToJudge(state, exchange);
     if (rollout === undefined) continue;
     for (const attempt of openAttemptsOf(exchange)) {
+      if (rollout.mistrusted.has(attempt.replica.softwareVersion)) continue;
       recordIfLate(state, rollout, exchange, attempt);
       recordIfPaused(state, rollout, exchange, attempt);
     }
--- a/packages/relay/src/decisions/rollout/rolloutRefused.ts
+++ b/packages/relay/src/decisions/rollout/rolloutRefused.ts
@@ -8,7 +8,6 @@
 import type { RelayEventOf } from "../events.js";
 import type { RelayState } from "../types.js";
 import { applyPhase } from "./applyPhase.js";
-import { ownWriteShownMs } from "./constants.js";
 
 /** Applies the entry that stands in place of a phase that this router could not write. */
 export const rolloutRefused = (
@@ -21,10 +20,10 @@
   const revision = stored?.revision ?? 0;
   // Nothing would be different at once.
   if (revision === write.replaces) return [];
+  const isOwn = stored?.orderId === write.orderId;
   rollout.entryRevision = revision;
-  rollout.ownUntil = state.at + ownWriteShownMs;
+  rollout.storedPhase = isOwn ? stored.phase : undefined;
+  rollout.ownWriteAt = state.at;
   rollout.writeAt = state.at;
-  return stored?.orderId === write.orderId
-    ? applyPhase(state, rollout, stored.phase, "store")
-    : [];
+  return isOwn ? applyPhase(state, rollout, stored.phase, "store") : [];
 };
--- a/packages/relay/src/decisions/rollout/rolloutState.ts
+++ b/packages/relay/src/decisions/rollout/rolloutState.ts
@@ -20,6 +20,7 @@
 /** Creates the state of a router that knows of no order. */
 export const createRolloutState = (): RolloutState => ({
   services: new Map(),
+  passedOver: new Map(),
   completedCount: 0,
   rolledBackCount: 0,
 });
@@ -34,31 +35,36 @@
   softwareVersion: string,
 ): boolean => softwareVersion === order.version;
 
-/** Whether a replica of another version than the ordered one is known. */
+/** Whether a replica of another version than the ordered one is known, and may serve. */
 export const hasOldReplica = (
   state: RelayState,
   { service, version }: RolloutOrder,
+  mistrusted: ReadonlySet<string>,
 ): boolean =>
   replicasOf(state, service).some(
-    ({ replica }) => replica.softwareVersion !== version,
+    ({ replica: { softwareVersion } }) =>
+      softwareVersion !== version && !mistrusted.has(softwareVersion),
   );
 
 /** Creates a roll-out of which this router has just read. */
 export const createRollout = (
   state: RelayState,
   order: RolloutOrder,
+  mistrusted: Set<string>,
 ): Rollout => {
   return {
     order,
     startedAt: state.at,
     phase: undefined,
     phaseAt: state.at,
+    storedPhase: undefined,
     entryRevision: 0,
-    ownUntil: 0,
+    ownWriteAt: -Infinity,
     withdrawnAt: undefined,
     fault: undefined,
     faultToldUntil: 0,
-    hasOldVersion: hasOldReplica(state, order),
+    hasOldVersion: hasOldReplica(state, order, mistrusted),
+    mistrusted,
     // With a random start, the shares of many routers add up to the share of all.
     initialCredit: random(state),
     firstSent: 0,
--- a/packages/relay/src/decisions/rollout/rolloutsRead.ts
+++ b/packages/relay/src/decisions/rollout/rolloutsRead.ts
@@ -5,20 +5,52 @@
 import type { RelayEventOf } from "../events.js";
 import { logLine } from "../logLine.js";
 import type { RelayState } from "../types.js";
-import { maxRollouts, ownWriteShownMs } from "./constants.js";
+import { maxRollouts, ownWriteShownMs, withdrawnHoldMs } from "./constants.js";
 import { applyPhase } from "./applyPhase.js";
-import { createRollout } from "./rolloutState.js";
-import type { Rollout, RolloutOrder } from "./types.js";
+import { mistrustedBefore } from "./mistrustedVersions.js";
+import { createRollout, isFinal } from "./rolloutState.js";
+import type { Rollout, RolloutOrder, StoredRollout } from "./types.js";
 
-const readOrder = (state: RelayState, order: RolloutOrder): RelayCommand[] => {
-  const { services } = state.rollouts;
+/**
+ * Forgets withdrawn roll-outs that have ended, so that there is room for another one; a
+ * version that is held back still is not forgotten.
+ */
+const makeRoom = ({ rollouts: { services }, at }: RelayState): boolean => {
+  if (services.size < maxRollouts.services) return true;
+  for (const [service, { phase, withdrawnAt = Infinity }] of services)
+    if (isFinal(phase) && at - withdrawnAt >= withdrawnHoldMs)
+      services.delete(service);
+  return services.size < maxRollouts.services;
+};
+
+const passOver = (
+  { rollouts: { passedOver } }: RelayState,
+  order: RolloutOrder,
+): RelayCommand[] => {
+  const { service, version, id } = order;
+  const isKnown = passedOver.get(service)?.id === id;
+  passedOver.set(service, order);
+  const context = { service, softwareVersion: version, order: id };
+  return isKnown
+    ? []
+    : [logLine("roll-out waits: too many", context, Severity.Warn)];
+};
+
+const readOrder = (
+  state: RelayState,
+  order: RolloutOrder,
+  entry: StoredRollout | undefined,
+): RelayCommand[] => {
+  const { services, passedOver } = state.rollouts;
   const known = services.get(order.service);
   if (known?.order.id === order.id) {
     known.withdrawnAt = undefined;
     return [];
   }
-  if (known === undefined && services.size >= maxRollouts.services) return [];
-  services.set(order.service, createRollout(state, order));
+  if (known === undefined && !makeRoom(state)) return passOver(state, order);
+  passedOver.delete(order.service);
+  const mistrusted = mistrustedBefore(order, known, entry);
+  services.set(order.service, createRollout(state, order, mistrusted));
   return [
     logLine("roll-out ordered", {
       service: order.service,
@@ -30,6 +62,13 @@
   ];
 };
 
+/** Reads orders again for which there was no room. */
+export const readPassedOver = (state: RelayState): RelayCommand[] => {
+  const orders = [...state.rollouts.passedOver.values()];
+  if (orders.length === 0 || !makeRoom(state)) return [];
+  return orders.flatMap((order) => readOrder(state, order, undefined));
+};
+
 const noteWithdrawn = (state: RelayState, rollout: Rollout): RelayCommand[] => {
   if (rollout.withdrawnAt !== undefined) return [];
   rollout.withdrawnAt = state.at;
@@ -38,14 +77,20 @@
   return [logLine("roll-out withdrawn", context, Severity.Warn)];
 };
 
-/** Notes the revision of the entry; the watch shows one that was just written some time later. */
-const noteRevision = (
-  { at }: RelayState,
+/** Notes what the entry says; the watch shows one that was just written some time later. */
+const noteEntry = (
+  { at, restorations }: RelayState,
   rollout: Rollout,
-  revision: number,
+  entry: StoredRollout | undefined,
 ): void => {
-  const isBehind = revision < rollout.entryRevision && at < rollout.ownUntil;
-  if (!isBehind) rollout.entryRevision = revision;
+  const { ownWriteAt, entryRevision } = rollout;
+  const revision = entry?.revision ?? 0;
+  const isAwaited =
+    at - ownWriteAt < ownWriteShownMs && ownWriteAt >= restorations.latestAt;
+  if (revision < entryRevision && isAwaited) return;
+  const isOwn = entry?.orderId === rollout.order.id;
+  rollout.entryRevision = revision;
+  rollout.storedPhase = isOwn ? entry.phase : undefined;
 };
 
 /** Applies a phase that this router has written. */
@@ -56,7 +101,8 @@
   const rollout = state.rollouts.services.get(write.service);
   if (rollout?.order.id !== write.orderId) return [];
   rollout.entryRevision = revision;
-  rollout.ownUntil = state.at + ownWriteShownMs;
+  rollout.storedPhase = write.phase;
+  rollout.ownWriteAt = state.at;
   return applyPhase(state, rollout, write.phase, state.router);
 };
 
@@ -65,15 +111,20 @@
   state: RelayState,
   { orders, stored }: RelayEventOf<"rolloutsRead">,
 ): RelayCommand[] => {
-  const { services } = state.rollouts;
-  const commands = orders.flatMap((order) => readOrder(state, order));
+  const { services, passedOver } = state.rollouts;
   const ordered = new Set(orders.map(({ service }) => service));
+  for (const service of passedOver.keys())
+    if (!ordered.has(service)) passedOver.delete(service);
   const entries = new Map(stored.map((entry) => [entry.service, entry]));
+  const commands = orders.flatMap((order) =>
+    readOrder(state, order, entries.get(order.service)),
+  );
   for (const [service, rollout] of services) {
     const entry = entries.get(service);
-    noteRevision(state, rollout, entry?.revision ?? 0);
+    noteEntry(state, rollout, entry);
     if (entry?.orderId === rollout.order.id) {
       rollout.hasOldVersion ||= entry.hasOldVersion;
+      for (const version of entry.mistrusted) rollout.mistrusted.add(version);
       commands.push(...applyPhase(state, rollout, entry.phase, "store"));
     }
     if (!ordered.has(service)) commands.push(...noteWithdrawn(state, rollout));
--- a/packages/relay/src/decisions/rollout/types.ts
+++ b/packages/relay/src/decisions/rollout/types.ts
@@ -43,6 +43,8 @@
   readonly phase: RolloutPhase;
   /** Whether replicas of other versions served when the order came. */
   readonly hasOldVersion: boolean;
+  /** Versions of earlier orders that were not completed. */
+  readonly mistrusted: readonly string[];
   /** Revision of the store's entry. */
   readonly revision: number;
 }
@@ -142,10 +144,12 @@
   phase: RolloutPhase | undefined;
   /** Time at which this router learned of the phase. */
   phaseAt: Timestamp;
+  /** Phase in the store's entry; undefined if that is of no order or another one. */
+  storedPhase: RolloutPhase | undefined;
   /** Revision of the store's entry of the service; 0 if there is none. */
   entryRevision: number;
-  /** Time until which the store's watch may show an earlier entry than this router wrote. */
-  ownUntil: Timestamp;
+  /** Time at which this router learned that entry by a write of its own; the watch may show earlier ones for a while. */
+  ownWriteAt: Timestamp;
   /** Time at which the order was found missing in the store. */
   withdrawnAt: Timestamp | undefined;
   /** Why the version is bad; undefined while nothing says so. */
@@ -154,6 +158,8 @@
   faultToldUntil: Timestamp;
   /** Whether replicas of other versions have served since the order. */
   hasOldVersion: boolean;
+  /** Versions of earlier orders that were not completed, the oldest first; they get nothing. */
+  readonly mistrusted: Set<string>;
   /** Requests to the new version that this router may send ahead of its share. */
   readonly initialCredit: number;
   /** Requests that this router has sent to the service since the order. */
@@ -180,6 +186,8 @@
 export interface RolloutState {
   /** By service. */
   readonly services: Map<string, Rollout>;
+  /** Orders for which there is no room, by service. */
+  readonly passedOver: Map<string, RolloutOrder>;
   completedCount: number;
   rolledBackCount: number;
 }
