Log lines and metrics say where requests of a roll-out went, and why

Operators saw that a request went to the old version, and not whether the share was spent, the store silent or no replica open. "request sent" has `rolloutReason`. Each roll-out has metrics with its service, version, order and phase as labels: time left, requests and those to the new version over the routers heard of, answers and bad ones of both versions, the evidence, and whether a fault was found.

--- a/packages/relay/src/decisions/rollout/exposure.ts
+++ b/packages/relay/src/decisions/rollout/exposure.ts
@@ -21,7 +21,12 @@
   rolloutInForce,
   rolloutLimitsOf,
 } from "./rolloutState.js";
-import { RolloutAim, RolloutPhase, type Rollout } from "./types.js";
+import {
+  RolloutAim,
+  RolloutPhase,
+  RolloutReason,
+  type Rollout,
+} from "./types.js";
 
 /** Requests that this router may have sent to the new version by now. */
 const allowanceOf = (state: RelayState, rollout: Rollout): number => {
@@ -39,14 +44,18 @@
   );
 };
 
-const mayExpose = (state: RelayState, rollout: Rollout): boolean => {
-  if (rollout.phase === RolloutPhase.Completed) return true;
+const shareReason = (state: RelayState, rollout: Rollout): RolloutReason => {
+  if (rollout.phase === RolloutPhase.Completed) return RolloutReason.Completed;
   // Before the first entry no router can be told of a fault by the store.
-  if (rollout.phase === undefined || isStopped(rollout)) return false;
+  if (rollout.phase === undefined) return RolloutReason.NotBegun;
+  if (isStopped(rollout)) return RolloutReason.Stopped;
   // A fault that others found would not be known here.
   const { rollbackTimeoutMs } = rolloutLimitsOf(state);
-  if (state.at - state.storeHeardAt >= rollbackTimeoutMs) return false;
-  return rollout.exposed + 1 <= allowanceOf(state, rollout);
+  if (state.at - state.storeHeardAt >= rollbackTimeoutMs)
+    return RolloutReason.StoreSilent;
+  return rollout.exposed + 1 <= allowanceOf(state, rollout)
+    ? RolloutReason.WithinShare
+    : RolloutReason.ShareSpent;
 };
 
 const hasReplica = (
@@ -55,17 +64,34 @@
   rolloutAim: RolloutAim,
 ): boolean => hasCandidate(state, { service, excluded: triedIds, rolloutAim });
 
+const aimReason = (
+  state: RelayState,
+  rollout: Rollout,
+  exchange: Exchange,
+): RolloutReason => {
+  // Before the move a repeat goes to the old version.
+  if (exchange.nextNumber > 0 && rollout.phase === RolloutPhase.Exposing)
+    return RolloutReason.Repeat;
+  const reason = shareReason(state, rollout);
+  if (!isForNewVersion(reason)) return reason;
+  return hasReplica(state, exchange, RolloutAim.New)
+    ? reason
+    : RolloutReason.NoReplica;
+};
+
+const isForNewVersion = (reason: RolloutReason): boolean =>
+  reason === RolloutReason.WithinShare || reason === RolloutReason.Completed;
+
 /** Decides which version a request is sent to next. */
 export const aimAtVersion = (state: RelayState, exchange: Exchange): void => {
-  const { service, softwareVersion, rolloutAim, nextNumber } = exchange;
+  const { service, softwareVersion, rolloutAim } = exchange;
   const rollout = rolloutInForce(state, service);
   if (rollout === undefined || softwareVersion !== undefined) return;
   if (rolloutAim === RolloutAim.New) return;
+  const reason = aimReason(state, rollout, exchange);
+  exchange.rolloutReason = reason;
   exchange.rolloutAim = RolloutAim.Old;
-  // Before the move a repeat goes to the old version.
-  if (nextNumber > 0 && rollout.phase === RolloutPhase.Exposing) return;
-  if (!mayExpose(state, rollout)) return;
-  if (!hasReplica(state, exchange, RolloutAim.New)) return;
+  if (!isForNewVersion(reason)) return;
   exchange.rolloutAim = RolloutAim.New;
   rollout.exposed += 1;
 };
@@ -75,6 +101,7 @@
   if (exchange.rolloutAim !== RolloutAim.New) return;
   if (hasReplica(state, exchange, RolloutAim.New)) return;
   exchange.rolloutAim = RolloutAim.Old;
+  exchange.rolloutReason = RolloutReason.NoReplica;
   const rollout = rolloutInForce(state, exchange.service);
   if (rollout !== undefined) rollout.exposed -= 1;
 };
--- a/packages/relay/src/decisions/rollout/knownExposed.ts
+++ b/packages/relay/src/decisions/rollout/knownExposed.ts
@@ -1,28 +1,38 @@
 /** Sums of what routers reported, for log lines and metrics. */
 
-import type { DecisionContext } from "../commands.js";
 import type { Rollout } from "./types.js";
 
-/** Requests of the known routers, all and those to the new version, and its answers. */
-export const knownExposed = (rollout: Rollout): DecisionContext => {
+/** What is known of a roll-out's requests and answers, and of the evidence against its version. */
+interface KnownExposed extends Readonly<Record<string, number>> {
+  readonly knownRouters: number;
+  /** Requests of these routers, all and those to the new version. */
+  readonly knownRequests: number;
+  readonly knownExposed: number;
+  readonly newAnswers: number;
+  readonly newBad: number;
+  readonly oldAnswers: number;
+  readonly oldBad: number;
+  /** Log likelihood ratio of the test that says most against the version. */
+  readonly evidence: number;
+}
+
+/** Sums what this router and the known ones have counted. */
+export const knownExposed = (rollout: Rollout): KnownExposed => {
   const reports = [...rollout.others.values()].map(({ report }) => report);
-  let { firstSent, exposed } = rollout;
-  let newAnswers = 0;
-  let newBad = 0;
-  for (const report of reports) {
-    firstSent += report.firstSent;
-    exposed += report.exposed;
-  }
-  for (const counts of [rollout.own, ...reports.map((one) => one.counts)])
-    for (const one of counts.values()) {
-      newAnswers += one.newAnswers;
-      newBad += one.newFailed + one.newSlow;
-    }
+  const counts = [rollout.own, ...reports.map((one) => one.counts)].flatMap(
+    (one) => [...one.values()],
+  );
+  const sum = (numbers: readonly number[]) =>
+    numbers.reduce((total, one) => total + one, 0);
+  const evidence = [...rollout.tests.values()].map((one) => one.evidence);
   return {
     knownRouters: reports.length + 1,
-    knownRequests: firstSent,
-    knownExposed: exposed,
-    newAnswers,
-    newBad,
+    knownRequests: rollout.firstSent + sum(reports.map((one) => one.firstSent)),
+    knownExposed: rollout.exposed + sum(reports.map((one) => one.exposed)),
+    newAnswers: sum(counts.map((one) => one.newAnswers)),
+    newBad: sum(counts.map((one) => one.newFailed + one.newSlow)),
+    oldAnswers: sum(counts.map((one) => one.oldAnswers)),
+    oldBad: sum(counts.map((one) => one.oldFailed + one.oldSlow)),
+    evidence: Math.max(0, ...evidence),
   };
 };
--- a/packages/relay/src/decisions/rollout/orders.test.ts
+++ b/packages/relay/src/decisions/rollout/orders.test.ts
@@ -9,8 +9,9 @@
 } from "../../testing/orderedScenario.js";
 import type { Scenario } from "../../testing/scenario.js";
 import type { RelayCommand } from "../commands.js";
-import { maxRollouts, withdrawnHoldMs } from "./constants.js";
-import { RolloutPhase, type RolloutOrder } from "./types.js";
+import { badEvidence, maxRollouts, withdrawnHoldMs } from "./constants.js";
+import { rolloutGauges } from "./rolloutGauges.js";
+import { RolloutPhase, RolloutReason, type RolloutOrder } from "./types.js";
 
 const durationMs = 12_000;
 
@@ -182,3 +183,33 @@
   );
   assert.ok(services.size <= count);
 });
+
+test("metrics and log lines say where requests went and why", () => {
+  const ordered = OrderedScenario.create("v1", "v2");
+  ordered.order("v2", durationMs);
+  const { scenario } = ordered;
+  const respond = answerWith((version) => (version === "v2" ? 500 : 200));
+  ordered.play(durationMs / 2, respond);
+  const reasons = new Set(
+    scenario
+      .commandsOfType("log")
+      .filter(({ message }) => message === "request sent")
+      .map(({ context }) => context.rolloutReason),
+  );
+  for (const reason of [
+    RolloutReason.NotBegun,
+    RolloutReason.WithinShare,
+    RolloutReason.ShareSpent,
+    RolloutReason.Repeat,
+    RolloutReason.Stopped,
+  ])
+    assert.ok(reasons.has(reason), reason);
+  const gauges = rolloutGauges(scenario.state);
+  const labels = 'service="desk",version="v2",order="11-v2",phase="rolledBack"';
+  const gaugeOf = (name: string) => gauges[`rollout_${name}{${labels}}`] ?? 0;
+  assert.ok(gaugeOf("requests") > 100);
+  assert.ok(gaugeOf("requests_to_new") >= gaugeOf("new_bad_answers"));
+  assert.ok(gaugeOf("new_bad_answers") >= 3);
+  assert.ok(gaugeOf("evidence") >= badEvidence);
+  assert.equal(gaugeOf("is_bad"), 1);
+});
--- a/packages/relay/src/decisions/rollout/types.ts
+++ b/packages/relay/src/decisions/rollout/types.ts
@@ -65,6 +65,18 @@
   NewSent = "newSent",
 }
 
+/** Why a request goes to the new version, or does not. */
+export enum RolloutReason {
+  WithinShare = "within the share",
+  Completed = "completed",
+  NotBegun = "no phase is written yet",
+  Stopped = "the new version is stopped",
+  StoreSilent = "the store is silent",
+  ShareSpent = "the share is spent",
+  Repeat = "a repeat",
+  NoReplica = "no replica of the new version is open",
+}
+
 /** Answers of the old and of the new version on one route. */
 export interface VersionCounts {
   oldAnswers: number;
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -172,6 +172,7 @@
       replicaZone: replica.zone,
       softwareVersion: replica.softwareVersion,
       rolloutAim: exchange.rolloutAim,
+      rolloutReason: exchange.rolloutReason,
       resumes: request.resumes,
       copyTo: attempt.copyTo?.id,
       inFlight: view?.inFlight,
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -26,6 +26,7 @@
 import type {
   RolloutAim,
   RolloutLimits,
+  RolloutReason,
   RolloutState,
 } from "./rollout/types.js";
 import type { RouteTable } from "./routeTable.js";
@@ -304,6 +305,8 @@
   softwareVersion: string | undefined;
   /** Version to which a roll-out sends the request; undefined without one. */
   rolloutAim?: RolloutAim;
+  /** Why. */
+  rolloutReason?: RolloutReason;
   /** The stream ends if no replica of its software is open until then; undefined before it waited for one. */
   versionDeadline: Timestamp | undefined;
   /** Its search for an engine with room; undefined before one was needed. */
