Told reports and the order of writers have files of their own

`reports.ts` held three actions: to send reports, to take over others', and to say who writes first. The place of a router in the order of a key is about registration and stood with the quarantine. Nothing else changes.

--- a/packages/relay/src/decisions/decideRelay.ts
+++ b/packages/relay/src/decisions/decideRelay.ts
@@ -35,10 +35,10 @@
 } from "./probes.js";
 import { answerProgressed, requestProgressed } from "./progress.js";
 import { createRegistration, routersRead } from "./registration.js";
-import { rolloutTold } from "./rollout/reports.js";
 import { createRolloutState } from "./rollout/rolloutState.js";
 import { rolloutRefused } from "./rollout/rolloutRefused.js";
 import { rolloutsRead, rolloutWritten } from "./rollout/rolloutsRead.js";
+import { rolloutTold } from "./rollout/rolloutTold.js";
 import { recoverExchange } from "./recoverExchange.js";
 import { requestArrived } from "./requestArrived.js";
 import { eventsArrived, streamStarted, streamEnded } from "./streamEvents.js";
--- a/packages/relay/src/decisions/quarantine/quarantineState.ts
+++ b/packages/relay/src/decisions/quarantine/quarantineState.ts
@@ -1,6 +1,6 @@
 /** State of the quarantine: what is remembered, and for how long. */
 
-import { rendezvousOrder, type Timestamp } from "@cardamomglade/common";
+import type { Timestamp } from "@cardamomglade/common";
 import type { CallerRequest } from "../../types.js";
 import { removeOldest } from "../removeOldest.js";
 import type { RelayState } from "../types.js";
@@ -51,15 +51,6 @@
   );
 };
 
-/** This router's place in the order in which routers act on a quarantine. */
-export const rankOf = (
-  { router, registration }: RelayState,
-  key: string,
-): number => {
-  const names = new Set([...registration.routers.keys(), router]);
-  return rendezvousOrder(key, [...names]).indexOf(router);
-};
-
 /** Blocks that a known crash or quarantine mentions. */
 export const trackedBlocks = ({
   quarantine: { crashes, inForce },
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -18,12 +18,8 @@
   storeWriteSpacingMs,
 } from "./constants.js";
 import { hasAllBlocks } from "./findCulprits.js";
-import {
-  holdMsOf,
-  quarantineKeyOf,
-  quarantinesOf,
-  rankOf,
-} from "./quarantineState.js";
+import { rankOf } from "../registration.js";
+import { holdMsOf, quarantineKeyOf, quarantinesOf } from "./quarantineState.js";
 import type { EngineCrash, Quarantine, ReleasedQuarantine } from "./types.js";
 
 const heldReasonOf = ({ blockIds }: Quarantine): string =>
--- a/packages/relay/src/decisions/quarantine/quarantinesRead.ts
+++ b/packages/relay/src/decisions/quarantine/quarantinesRead.ts
@@ -10,6 +10,7 @@
 import { publishItem } from "../gossip/spreadGossip.js";
 import { logLine } from "../logLine.js";
 import { random } from "../random.js";
+import { rankOf } from "../registration.js";
 import type { RelayState } from "../types.js";
 import { describeCauses } from "./causes.js";
 import {
@@ -23,7 +24,7 @@
   recordSucceededAt,
   removeQuarantine,
 } from "./quarantines.js";
-import { holdMsOf, quarantineKeyOf, rankOf } from "./quarantineState.js";
+import { holdMsOf, quarantineKeyOf } from "./quarantineState.js";
 import type {
   HeldQuarantine,
   Quarantine,
--- a/packages/relay/src/decisions/quarantine/trials.ts
+++ b/packages/relay/src/decisions/quarantine/trials.ts
@@ -6,12 +6,13 @@
 
 import { publishItem } from "../gossip/spreadGossip.js";
 import { logLine } from "../logLine.js";
+import { rankOf } from "../registration.js";
 import type { RelayCommand } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
 import { describeCauses } from "./causes.js";
 import { trialHoldMs, trialSpacingMs } from "./constants.js";
 import { endHeldExchange, itemOf } from "./quarantines.js";
-import { quarantinesOf, rankOf } from "./quarantineState.js";
+import { quarantinesOf } from "./quarantineState.js";
 import type { Quarantine } from "./types.js";
 
 /** Whether this router may test now; the times of routers come one after the other. */
--- a/packages/relay/src/decisions/registration.ts
+++ b/packages/relay/src/decisions/registration.ts
@@ -5,6 +5,7 @@
  * fleet's additional retries.
  */
 
+import { rendezvousOrder } from "@cardamomglade/common";
 import {
   registrationTtlMs,
   registrationRenewIntervalMs,
@@ -97,6 +98,15 @@
     (1000 * registration.routers.size) / registrationsPerS,
   );
 
+/** This router's place in the order in which routers act on what a key names. */
+export const rankOf = (
+  { router, registration }: RelayState,
+  key: string,
+): number => {
+  const names = new Set([...registration.routers.keys(), router]);
+  return rendezvousOrder(key, [...names]).indexOf(router);
+};
+
 /** Applies the list of registered routers. */
 export const routersRead = (
   state: RelayState,
--- a/packages/relay/src/decisions/rollout/maintainRollouts.ts
+++ b/packages/relay/src/decisions/rollout/maintainRollouts.ts
@@ -30,7 +30,6 @@
   knownFirstSent,
   knowsMostRouters,
   sendReport,
-  writerRankOf,
 } from "./reports.js";
 import {
   deadlineOf,
@@ -41,6 +40,7 @@
 } from "./rolloutState.js";
 import { readPassedOver } from "./rolloutsRead.js";
 import { RolloutPhase, type Rollout } from "./types.js";
+import { writerRankOf } from "./writerRank.js";
 
 /** Time by which the roll-out is to be completed if other routers may have to write it. */
 const completeAtOf = (rollout: Rollout): Timestamp => {
--- a/packages/relay/src/decisions/rollout/reports.ts
+++ b/packages/relay/src/decisions/rollout/reports.ts
@@ -7,22 +7,17 @@
 import { rendezvousOrder } from "@cardamomglade/common";
 import type { Address } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
-import type { RelayEventOf } from "../events.js";
-import { rankOf } from "../quarantine/quarantineState.js";
 import { sampleWithoutReplacement } from "../random.js";
-import { isKnownRouter, otherRouterAddresses } from "../registration.js";
+import { otherRouterAddresses } from "../registration.js";
 import type { RelayState } from "../types.js";
 import {
   judgeCount,
   maxReportsPerS,
-  maxRollouts,
   minReportIntervalMs,
   newsFanout,
   phaseToldMs,
   otherReportFreshMs,
 } from "./constants.js";
-import { applyPhase } from "./applyPhase.js";
-import { noteFault } from "./noteFault.js";
 import { isFinal, isNewVersion } from "./rolloutState.js";
 import type { Rollout, RolloutReport } from "./types.js";
 
@@ -70,24 +65,6 @@
   return 2 * (freshCount + 1) > registration.routers.size;
 };
 
-const routerOf = ({ source }: RolloutReport): string =>
-  source.slice(0, source.lastIndexOf("@"));
-
-/**
- * This router's place among those that write phases: lost routers, which are not heard of
- * any more, have none where this one gets the reports of most.
- */
-export const writerRankOf = (state: RelayState, rollout: Rollout): number => {
-  const { router, at } = state;
-  const { service } = rollout.order;
-  if (!knowsMostRouters(state, rollout)) return rankOf(state, service);
-  const heard = [...rollout.others.values()]
-    .filter(({ heardAt }) => at - heardAt < otherReportFreshMs)
-    .map(({ report }) => routerOf(report));
-  const alive = new Set([...heard, router]);
-  return rendezvousOrder(service, [...alive]).indexOf(router);
-};
-
 /** Whether any router is known to have work at old replicas. */
 export const hasOldWork = (state: RelayState, rollout: Rollout): boolean =>
   oldInFlightOf(state, rollout) > 0 ||
@@ -134,30 +111,3 @@
     report,
   }));
 };
-
-/** Takes over another router's report. */
-export const rolloutTold = (
-  state: RelayState,
-  { from, report, at }: RelayEventOf<"rolloutTold">,
-): RelayCommand[] => {
-  const rollout = state.rollouts.services.get(report.service);
-  if (rollout === undefined || !isKnownRouter(state, from)) return [];
-  if (rollout.order.id !== report.orderId) return [];
-  const { others } = rollout;
-  const known = others.get(report.source);
-  const isOlder = known !== undefined && known.report.ageMs > report.ageMs;
-  if (!isOlder && (known !== undefined || others.size < maxRollouts.sources))
-    others.set(report.source, { report, heardAt: at });
-  const ageMs = Math.min(report.ageMs, rollout.order.durationMs);
-  rollout.startedAt = Math.min(rollout.startedAt, at - ageMs);
-  const { fault, phase } = report;
-  const learnedFrom = "another router";
-  return [
-    ...(phase === undefined
-      ? []
-      : applyPhase(state, rollout, phase, learnedFrom)),
-    ...(fault === undefined
-      ? []
-      : noteFault(state, rollout, fault, learnedFrom)),
-  ];
-};
--- a/packages/relay/src/decisions/versions/serviceVersions.ts
+++ b/packages/relay/src/decisions/versions/serviceVersions.ts
@@ -10,6 +10,7 @@
 import { publishItem } from "../gossip/spreadGossip.js";
 import type { SoftwareVersionItem } from "../gossip/types.js";
 import { logLine } from "../logLine.js";
+import { rankOf } from "../registration.js";
 import { removeOldest } from "../removeOldest.js";
 import type { RelayState } from "../types.js";
 import {
@@ -21,7 +22,6 @@
   versionRenewBeforeMs,
   versionWriteSpacingMs,
 } from "./constants.js";
-import { rankOf } from "../quarantine/quarantineState.js";
 import { tellRunningOrigins } from "./streamOrigins.js";
 import type { VersionState } from "./types.js";
 
