A stream that makes no progress is sent again after a pause

Seen in a trial: a stream whose only replica answered one event again and closed was resumed some 500 times a second, until its deadline.

The engine that was asked to stop the broken run kept its KV cache, and a request that resumes at a kept cache takes no retry of the budget, does not count as an attempt at a replica that is counted already, and waits for nothing. An answer to a probe ends the engine's suspicion, so a reset does not slow the loop either. Two engines with each other's copies pass a stream on in the same way.

Attempts in a row that delivered nothing are now kept with the stream. One at a replica that was tried in vain before follows after 0.25 s, and each further one after twice as long, up to 1 s; the time is stored, not the pause. After as many answers without a new event as the route allows attempts the stream ends. An event that is delivered, at whichever replica, clears the count, so a stream that goes on loses nothing, and a stream that finds another replica goes there at once, as before.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -26,6 +26,7 @@
 import { recordWholeAnswer } from "./quarantine/establishAttempt.js";
 import { suspectBrokenAttempt } from "./quarantine/engineCrashes.js";
 import { noteRequestLimit } from "./requestLimits.js";
+import { noteFruitless } from "./resumption/noteFruitless.js";
 import { recordRetry } from "./retryBudget.js";
 import { recordRefusal } from "./secondTry/tryBudget.js";
 import { hasAttempt, sendRetry } from "./sendAttempt.js";
@@ -115,6 +116,7 @@
   left: Departure,
 ): RelayCommand[] => {
   exchange.copy = copyLeftBy(attempt);
+  noteFruitless(state, exchange, attempt);
   const line = lossLogLine(state, exchange, attempt, left.reason);
   closeAttempt(state, exchange);
   return [line, ...goOnAfterRun(state, exchange, attempt, left)];
--- a/packages/relay/src/decisions/fallback/deliverLeaving.ts
+++ b/packages/relay/src/decisions/fallback/deliverLeaving.ts
@@ -8,6 +8,7 @@
 import type { RelayEventOf } from "../events.js";
 import { establishAttempt } from "../quarantine/establishAttempt.js";
 import { recordContact } from "../replicaViews.js";
+import { noFruitlessAttempts } from "../resumption/types.js";
 import type { Attempt, Exchange, RelayState } from "../types.js";
 
 /** Delivers the events up to a gap; what follows it comes from the other replica. */
@@ -24,6 +25,7 @@
   const last = events.at(-1);
   if (last === undefined) return [];
   exchange.lastEventId = last.id;
+  exchange.fruitless = noFruitlessAttempts;
   return [
     { type: "deliverEvents", key: exchange.key, events },
     ...establishAttempt(state, exchange, attempt, events.length),
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -21,6 +21,7 @@
 import { logLine } from "../logLine.js";
 import { heldBy } from "../quarantine/quarantines.js";
 import { refuse, refuseNotExecuted } from "../refusals.js";
+import { noFruitlessAttempts } from "../resumption/types.js";
 import { hasAttempt, sendRetry } from "../sendAttempt.js";
 import { recordOrigin } from "../versions/streamOrigins.js";
 import {
@@ -248,6 +249,7 @@
       return endSearch(state, exchange, "the stream went on at other software");
     commands.push(...leaveFallback(state, exchange));
     exchange.lastEventId = events.at(-1)?.id ?? exchange.lastEventId;
+    exchange.fruitless = noFruitlessAttempts;
     // The router that serves the stream has told others where it began.
     recordOrigin(state, exchange, exchange.softwareVersion ?? "", false);
     commands.push({ type: "deliverEvents", key, events });
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -20,6 +20,7 @@
 import { holdBack, startTrials } from "./quarantine/trials.js";
 import { startTakenOver } from "./handover/startTakenOver.js";
 import { copyOf, refusalOf, refuseHandover } from "./handover/takeOver.js";
+import { noFruitlessAttempts } from "./resumption/types.js";
 import { sendFirst } from "./sendAttempt.js";
 import { seekVersion } from "./versions/takeUps.js";
 import { restorationContext } from "./storeUpdates.js";
@@ -93,6 +94,7 @@
   offerDeadline: undefined,
   failedConnectionCount: 0,
   refusedAttempts: 0,
+  fruitless: noFruitlessAttempts,
   endedEngineCount: 0,
   mayHaveExecuted: false,
   head: undefined,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -58,6 +58,7 @@
 import { endHeldExchange, heldBy } from "./quarantine/quarantines.js";
 import { aimAtVersion, aimBack, noteRolloutSend } from "./rollout/exposure.js";
 import { isOpenToExchange } from "./rollout/openVersions.js";
+import { awaitResumption } from "./resumption/awaitResumption.js";
 import { hasRetry, recordFirstAttempt, takeRetry } from "./retryBudget.js";
 import { returnToSlow } from "./secondTry/returnToSlow.js";
 import { recordFirstSending } from "./secondTry/tryBudget.js";
@@ -381,6 +382,8 @@
   if (exchange.fallback?.hasSecondTry === true)
     return returnToSlow(state, exchange, exchange.fallback, reason);
   if (returnToSpeaking(state, exchange)) return [];
+  const pause = awaitResumption(state, exchange, reason, isRepeat);
+  if (pause !== undefined) return pause;
   const kept = takeKeptCopy(state, exchange);
   if (kept !== undefined)
     return sendTo(state, exchange, kept.holder, { type: "copy", copy: kept });
--- a/packages/relay/src/decisions/streamEvents.ts
+++ b/packages/relay/src/decisions/streamEvents.ts
@@ -25,6 +25,7 @@
 import { isStopAsked } from "./earlierRuns/followRuns.js";
 import { departure } from "./earlierRuns/goOn.js";
 import { leaveFallback } from "./fallback/fallbackEvents.js";
+import { noFruitlessAttempts } from "./resumption/types.js";
 import { learnReadingRate } from "./room/readingRate.js";
 import { hasSeveralVersions } from "./versions/serviceVersions.js";
 import { recordOrigin } from "./versions/streamOrigins.js";
@@ -100,6 +101,7 @@
   exchange.lastEventId = events.at(-1)?.id ?? exchange.lastEventId;
   const commands: RelayCommand[] = [];
   if (events.length > 0) {
+    exchange.fruitless = noFruitlessAttempts;
     commands.push(...leaveFallback(state, exchange));
     // Others know where the stream began before its caller can take it up.
     commands.push(...bindVersion(state, exchange, version));
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -160,6 +160,10 @@
       return state.at >= wait.retryAt
         ? sendAfterWait(state, exchange, wait.isCounted)
         : [];
+    case "resumption":
+      return state.at >= wait.at
+        ? sendRetry(state, exchange, wait.reason, wait.isRepeat)
+        : [];
     case "room":
       return checkRoom(state, exchange, wait);
     case "offer":
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -23,6 +23,7 @@
 import type { Path } from "./paths/types.js";
 import type { AnswerTimes, PlannedStop } from "./plannedStop/types.js";
 import type { QuarantineState } from "./quarantine/types.js";
+import type { FruitlessAttempts, ResumptionWait } from "./resumption/types.js";
 import type {
   RolloutAim,
   RolloutLimits,
@@ -291,6 +292,8 @@
   failedConnectionCount: number;
   /** Number of counted attempts that full replicas refused without executing them. */
   refusedAttempts: number;
+  /** Attempts since a stream made progress last. */
+  fruitless: FruitlessAttempts;
   /** Number of engines that ended while this request was about to be answered. */
   endedEngineCount: number;
   /** Whether any replica may have started to execute the request. */
@@ -359,6 +362,8 @@
       /** It is handed on then at the earliest. */
       readonly retryAt: Timestamp;
     }
+  /** The end of a pause, as the stream makes no progress. */
+  | (ResumptionWait & { readonly type: "resumption" })
   /** Room at an engine. */
   | (RoomWait & { readonly type: "room" })
   /** The end of the run that it left. */
