An overdue attempt counts once in the service times

An attempt that was overdue counted when another replica was asked, again when its own replica went on and was overdue or answered, and again at its deadline: a replica that stood still once looked as if it had done so up to three times. While all queues were long it did not count at all until its deadline, as the check for a standing queue came first, though that is when its time says most.

The attempt now notes that it was timed, and is recorded before that check.

--- a/packages/relay/src/decisions/placing/placing.test.ts
+++ b/packages/relay/src/decisions/placing/placing.test.ts
@@ -96,6 +96,24 @@
   assert.ok(repeated([500, 500, 500], [500, 500, 500]));
 });
 
+// Load: all queues are long, and one replica answers nothing at all.
+test("an overdue attempt counts only if it is repeated", () => {
+  const scenario = Scenario.create(replicas);
+  tell(scenario, [40, 40, 40], "/check/");
+  scenario.advance(5000);
+  tell(scenario, [500, 500, 500], "/check/");
+  scenario.request("1", idempotentPath);
+  const { replica } = scenario.lastSend("1").attempt;
+  scenario.advance(1000);
+  assert.equal(scenario.commandsOfType("send").length, 1);
+  const told = scenario
+    .commandsOfType("shareOutcomes")
+    .flatMap(({ outcomes }) => outcomes)
+    .filter((one) => one.replica === replica.id)
+    .flatMap(({ times }) => times);
+  assert.equal(told.length, 1);
+});
+
 const meanOf = (
   options: Omit<PlainLoadOptions, "seed" | "routerCount">,
   measure: (load: PlainLoad) => number,
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -134,6 +134,7 @@
     unconfirmedEnd: undefined,
     endEvidence: undefined,
     stopCount: 0,
+    isTimed: false,
   };
   forgetRunsAt(state, exchange, replica.id);
   noteRolloutSend(state, exchange, replica);
--- a/packages/relay/src/decisions/serviceTimes/estimateTime.test.ts
+++ b/packages/relay/src/decisions/serviceTimes/estimateTime.test.ts
@@ -131,6 +131,39 @@
   assert.ok((p50Ms ?? 0) > 300, String(p50Ms));
 });
 
+/** Number of answers of a replica that this router told others of. */
+const toldCountOf = (scenario: Scenario, id: string): number =>
+  scenario
+    .commandsOfType("shareOutcomes")
+    .flatMap(({ outcomes }) => outcomes)
+    .filter(({ replica }) => replica === id)
+    .flatMap(({ times }) => times)
+    .flatMap(({ buckets }) => buckets)
+    .reduce((sum, { count }) => sum + count, 0);
+
+// Load: a replica stands still, goes on after others were asked, and may not end in time.
+test("an attempt that was overdue counts again at its answer, or at its deadline", () => {
+  for (const isAnswered of [true, false]) {
+    const scenario = Scenario.create(replicas);
+    scenario.request("1", idempotentPath);
+    const { attempt } = scenario.lastSend("1");
+    scenario.advance(400);
+    assert.equal(scenario.commandsOfType("send").length, 2);
+    scenario.dispatch({
+      type: "answerProgressed",
+      at: scenario.at,
+      key: "1",
+      attempt: attempt.number,
+      isHeldBack: false,
+    });
+    scenario.advance(700);
+    if (isAnswered) scenario.answerAttempt("1", attempt.number);
+    scenario.advance(1000);
+    assert.equal(scenario.state.exchanges.size, 0);
+    assert.equal(toldCountOf(scenario, attempt.replica.id), 1);
+  }
+});
+
 test("failures say nothing of times, and other routers name few classes", () => {
   const scenario = Scenario.create(replicas);
   scenario.request("1", nonIdempotentPath);
--- a/packages/relay/src/decisions/serviceTimes/recordTime.ts
+++ b/packages/relay/src/decisions/serviceTimes/recordTime.ts
@@ -51,15 +51,19 @@
 };
 
 /**
- * Records that an attempt took the time until now, or longer. Load pattern: a replica that
- * stands still answers nothing, so attempts that are overdue count too.
+ * Records that an attempt took the time until now, or longer; each counts once. Load
+ * pattern: a replica that stands still answers nothing, so attempts that are overdue count
+ * too, and may be overdue again or answered later.
  */
 export const recordTime = (
   state: RelayState,
   exchange: Exchange,
-  { replica, sentAt }: Attempt,
+  attempt: Attempt,
   minMs = 0,
 ): void => {
+  const { replica, sentAt, isTimed } = attempt;
+  if (isTimed) return;
+  attempt.isTimed = true;
   const { kind, timeClass } = workOf(exchange);
   const view = state.replicas.get(replica.id);
   if (kind !== WorkKind.Answer || view === undefined) return;
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -101,11 +101,13 @@
   ];
 };
 
+/** Counts an attempt that takes too long, unless it was counted before. */
 const recordOverdue = (
   state: RelayState,
   exchange: Exchange,
   attempt: Attempt,
 ): void => {
+  if (attempt.isTimed) return;
   recordOutcome(state, attempt.replica.id, true);
   recordTime(state, exchange, attempt);
 };
@@ -120,9 +122,9 @@
   // A late response is better than none.
   if (!maySeek(state, exchange) || !canRetryElsewhere(state, exchange))
     return [];
+  recordOverdue(state, exchange, attempt);
   // The repeat would wait in a queue as long, and be later.
   if (hasStandingQueue(state, exchange)) return [];
-  recordOverdue(state, exchange, attempt);
   return seekSuccessor(state, exchange, attempt, "the answer is overdue");
 };
 
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -185,6 +185,8 @@
   endEvidence: EndEvidence | undefined;
   /** Number of questions to stop its run that may have reached the replica. */
   stopCount: number;
+  /** Whether its time was counted, or that it took too long. */
+  isTimed: boolean;
   /** Whether its answer was counted for a roll-out. */
   isJudged?: boolean;
   /** Whether a long pause of its stream was. */
--- a/packages/relay/src/testing/testAttempt.ts
+++ b/packages/relay/src/testing/testAttempt.ts
@@ -30,4 +30,5 @@
   unconfirmedEnd: undefined,
   endEvidence: undefined,
   stopCount: 0,
+  isTimed: false,
 });
