Room counts only at engines that a request may use

A request that waits for room was sent to a full engine because another one had room that it could not use: one that had refused it while its report, which is late, showed room, or that had said since the question that it leaves. The order of the line looked at all engines that were asked, and the choice after it left those out again, so the request fell through to the engine of least cost among full ones and lost its slack; a request behind it could have had the room.

The wait, the order and the choice now look at the request's candidates among the engines that answered. That is asked only where one of them has room, so the line costs no more.

Evidence: two tests in waitingLine.test.ts, which failed before.

--- a/packages/relay/src/decisions/chooseReplica.ts
+++ b/packages/relay/src/decisions/chooseReplica.ts
@@ -58,7 +58,8 @@
   timed: exchange,
 });
 
-const leastCostReplica = (
+/** The replica with the lowest cost for the query, of those given; undefined if there is none. */
+export const leastCostReplica = (
   state: RelayState,
   { service, timed }: CandidateQuery,
   views: readonly ReplicaView[],
@@ -245,18 +246,17 @@
 ): Replica | undefined =>
   leastCostReplica(state, query, candidatesOf(state, query));
 
-/** The engine with the lowest cost among the given ids, or undefined if none of them matches the query. */
-export const chooseAmong = (
+/** The replicas with the given ids that match the query and had no recent loss. */
+export const candidatesAmong = (
   state: RelayState,
   query: CandidateQuery,
-  ids: ReadonlySet<string>,
-): Replica | undefined => {
+  ids: Iterable<string>,
+): ReplicaView[] => {
   const candidates = new Set(candidatesOf(state, query));
-  const views = [...ids]
+  return [...ids]
     .map((id) => state.replicas.get(id))
     .filter((view) => view !== undefined)
     .filter((view) => candidates.has(view) && !isSuspected(view, state.at));
-  return leastCostReplica(state, query, views);
 };
 
 /** The replica whose limit lets this router send soonest, and when; undefined if none is available. */
--- a/packages/relay/src/decisions/sendAttempt.ts
+++ b/packages/relay/src/decisions/sendAttempt.ts
@@ -3,9 +3,10 @@
 import { RequestKind, type CallerRequest, type Replica } from "../types.js";
 import {
   candidateQueryOf,
-  chooseAmong,
+  candidatesAmong,
   chooseReplica,
   hasCandidate,
+  leastCostReplica,
   rankCandidates,
 } from "./chooseReplica.js";
 import { canCopy, chooseCopyHolder, isCopyUsable } from "./copyHolders.js";
@@ -200,8 +201,10 @@
   const answered = [...engineQuery.sample].filter(
     (id) => !engineQuery.pending.has(id),
   );
-  const ids = preferEnginesWithRoom(state, exchange, answered);
-  return chooseAmong(state, candidateQueryOf(exchange), new Set(ids));
+  const query = candidateQueryOf(exchange);
+  const usable = candidatesAmong(state, query, answered);
+  const views = preferEnginesWithRoom(state, exchange, usable);
+  return leastCostReplica(state, query, views);
 };
 
 /**
--- a/packages/relay/src/decisions/waitingLine/awaitEngineRoom.ts
+++ b/packages/relay/src/decisions/waitingLine/awaitEngineRoom.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Timestamp } from "@cardamomglade/common";
+import { candidateQueryOf, candidatesAmong } from "../chooseReplica.js";
 import type { RelayCommand } from "../commands.js";
 import { loadQueryEngineCount } from "../constants.js";
 import { canCopy } from "../copyHolders.js";
@@ -53,19 +54,16 @@
   );
 };
 
-/** The engines that have told their load to a request. */
-const answeredViews = (
-  state: RelayState,
-  exchange: Exchange,
-): ReplicaView[] => {
+/** The engines that have told their load to a request and that it may use. */
+const usableViews = (state: RelayState, exchange: Exchange): ReplicaView[] => {
   const query = engineQueryOf(exchange);
   if (query?.type !== "loadReports") return [];
   const size = sizeOf(exchange.request);
-  return [...query.sample]
-    .filter((id) => !query.pending.has(id))
-    .map((id) => state.replicas.get(id))
-    .filter((view) => view !== undefined)
-    .filter((view) => roomOf(state, view, size) !== undefined);
+  const answered = [...query.sample].filter((id) => !query.pending.has(id));
+  // Since it asked, an engine may have refused it, or said that it leaves.
+  return candidatesAmong(state, candidateQueryOf(exchange), answered).filter(
+    (view) => roomOf(state, view, size) !== undefined,
+  );
 };
 
 /** Time until which a request can wait and still be in its target latency at an idle engine. */
@@ -193,7 +191,7 @@
   exchange: Exchange,
 ): RelayCommand[] | undefined => {
   if (!mayWait(state, exchange)) return undefined;
-  const views = answeredViews(state, exchange);
+  const views = usableViews(state, exchange);
   if (views.length === 0) return undefined;
   if (views.some((view) => hasRoomFor(state, view, exchange))) return undefined;
   const { roomSearch, service } = exchange;
--- a/packages/relay/src/decisions/waitingLine/hasRoomFor.ts
+++ b/packages/relay/src/decisions/waitingLine/hasRoomFor.ts
@@ -31,12 +31,9 @@
 export const preferEnginesWithRoom = (
   state: RelayState,
   exchange: Exchange,
-  ids: readonly string[],
-): readonly string[] => {
-  if (!hasSeveralRanks(state, exchange.service)) return ids;
-  const open = ids.filter((id) => {
-    const view = state.replicas.get(id);
-    return view !== undefined && hasRoomFor(state, view, exchange);
-  });
-  return open.length === 0 ? ids : open;
+  views: readonly ReplicaView[],
+): readonly ReplicaView[] => {
+  if (!hasSeveralRanks(state, exchange.service)) return views;
+  const open = views.filter((view) => hasRoomFor(state, view, exchange));
+  return open.length === 0 ? views : open;
 };
--- a/packages/relay/src/decisions/waitingLine/order.ts
+++ b/packages/relay/src/decisions/waitingLine/order.ts
@@ -4,8 +4,9 @@
  * burst, and less urgent requests find the room that more urgent ones wait for.
  */
 
+import { candidateQueryOf, candidatesAmong } from "../chooseReplica.js";
 import { engineQueryOf } from "../queryEngines.js";
-import type { Exchange, RelayState } from "../types.js";
+import type { Exchange, RelayState, ReplicaView } from "../types.js";
 import { hasRoomFor } from "./hasRoomFor.js";
 
 /** The requests of a service that wait for room here. */
@@ -37,6 +38,20 @@
   underWayCount(state, a) - underWayCount(state, b) ||
   (a.roomSearch?.until ?? Infinity) - (b.roomSearch?.until ?? Infinity);
 
+/** Whether a request has room at one of the engines that it may use. */
+const hasUsableRoom = (
+  state: RelayState,
+  exchange: Exchange,
+  engines: readonly ReplicaView[],
+): boolean => {
+  const ids = engines
+    .filter((view) => hasRoomFor(state, view, exchange))
+    .map(({ replica }) => replica.id);
+  if (ids.length === 0) return false;
+  const query = candidateQueryOf(exchange);
+  return candidatesAmong(state, query, ids).length > 0;
+};
+
 /**
  * Gives the engines' answers to a request to a waiting one that goes before it and has room
  * at one of them, and returns that one, which is to be sent; undefined if there is none.
@@ -50,14 +65,12 @@
   const views = [...query.sample]
     .map((id) => state.replicas.get(id))
     .filter((view) => view !== undefined);
-  const [first] = waitingRequests(state, exchange.service)
+  const first = waitingRequests(state, exchange.service)
     .filter(
-      (one) =>
-        one.wait.type === "room" &&
-        compare(state, one, exchange) < 0 &&
-        views.some((view) => hasRoomFor(state, view, one)),
+      (one) => one.wait.type === "room" && compare(state, one, exchange) < 0,
     )
-    .sort((a, b) => compare(state, a, b));
+    .sort((a, b) => compare(state, a, b))
+    .find((one) => hasUsableRoom(state, one, views));
   if (first !== undefined) first.wait = exchange.wait;
   return first;
 };
--- a/packages/relay/src/decisions/waitingLine/waitingLine.test.ts
+++ b/packages/relay/src/decisions/waitingLine/waitingLine.test.ts
@@ -158,6 +158,38 @@
   assert.deepEqual(sentKeys(scenario), []);
 });
 
+// Load: the only engine with room says that it leaves while requests ask for its load.
+test("a request is sent to a full engine because one that leaves has room", () => {
+  const scenario = createScenario(1);
+  const { at, state, unresponsiveEngines } = scenario;
+  for (const id of state.replicas.keys()) unresponsiveEngines.add(id);
+  ask(scenario, "bulk", bulkPath);
+  const leaving = testReplica("c-0");
+  scenario.dispatch({ type: "leavingAnnounced", at, replica: leaving });
+  for (const { replica, probeSentAt = at } of state.replicas.values()) {
+    const report = replica.id === leaving.id ? idleReport : fullReport;
+    const answer = { isAnswered: true, report };
+    scenario.probeFinished(replica, probeSentAt, answer);
+  }
+  scenario.advance(200);
+  assert.deepEqual(sentKeys(scenario), []);
+});
+
+// Load: an engine refuses a request although its report, which is late, shows room.
+test("a waiting request is sent to a full engine because one that refused it has room", () => {
+  const scenario = createScenario(1);
+  ask(scenario, "urgent", streamPath);
+  const { id: refusing } = scenario.lastSend("urgent").attempt.replica;
+  for (const id of scenario.state.replicas.keys())
+    if (id !== refusing) scenario.reports.set(id, fullReport);
+  scenario.at += 500;
+  scenario.answer("urgent", { status: 503, isNotExecuted: true });
+  ask(scenario, "bulk", bulkPath);
+  scenario.advance(100);
+  assert.deepEqual(sentKeys(scenario), ["urgent", "bulk"]);
+  assert.equal(scenario.lastSend("bulk").attempt.replica.id, refusing);
+});
+
 const perEngineUrgentPerS = 0.042;
 const perEngineBulkPerS = 0.267;
 
