The memory of all engines is looked at once for a copy

Without a recent report an engine may hold a copy unless most engines lack memory; that was worked out again for each of the four engines considered, each time over all engines and all requests. It is now worked out once at most for a decision.

Evidence: room.test.ts counts the looks at one engine's report: 4 before, 1 or 2 now.

--- a/packages/relay/src/decisions/copyHolders.ts
+++ b/packages/relay/src/decisions/copyHolders.ts
@@ -6,7 +6,7 @@
 import { engineOf } from "./engineOf.js";
 import { isSuspected } from "./replicaViews.js";
 import { copyHolderCandidateCount } from "./room/constants.js";
-import { hasCopyRoom } from "./room/copyRoom.js";
+import { firstWithCopyRoom } from "./room/copyRoom.js";
 import { sizeOf } from "./room/requestSize.js";
 import { isVersionOpen } from "./rollout/openVersions.js";
 import { isWithinLimitDebt } from "./requestLimits.js";
@@ -43,9 +43,8 @@
   const { lastPromptBlockId } = request;
   const size = sizeOf(request);
   const count = lastPromptBlockId === undefined ? 1 : copyHolderCandidateCount;
-  return candidateSampleOf(state, query, lastPromptBlockId, count).find(
-    (view) => hasCopyRoom(state, view, size),
-  )?.replica;
+  const views = candidateSampleOf(state, query, lastPromptBlockId, count);
+  return firstWithCopyRoom(state, service, views, size)?.replica;
 };
 
 /**
--- a/packages/relay/src/decisions/room/copyRoom.ts
+++ b/packages/relay/src/decisions/room/copyRoom.ts
@@ -1,5 +1,5 @@
 /**
- * Tells whether an engine has memory for a copy of a run's KV cache. Load pattern: engines
+ * Finds an engine that has memory for a copy of a run's KV cache. Load pattern: engines
  * are short of memory; a copy takes as much of it as the run, and displaces runs whose
  * prompts are read again. After a loss of engines, all streams that go on elsewhere want a
  * new copy at once.
@@ -38,11 +38,22 @@
   return shortCount > memoryShortageRatio * known.length;
 };
 
-/** Whether an engine may hold a copy; one without a recent report may unless most others lack memory. */
-export const hasCopyRoom = (
+/**
+ * The first engine that may hold a copy; one without a recent report may unless most others
+ * lack memory. All engines of the service are looked at once at most.
+ */
+export const firstWithCopyRoom = (
   state: RelayState,
-  view: ReplicaView,
+  service: string,
+  views: readonly ReplicaView[],
   size: RequestSize,
-): boolean =>
-  knownCopyRoom(state, view, size) ??
-  !isMemoryShort(state, view.replica.service, size);
+): ReplicaView | undefined => {
+  let isShort: boolean | undefined;
+  const mayHoldUnknown = (): boolean => {
+    isShort ??= isMemoryShort(state, service, size);
+    return !isShort;
+  };
+  return views.find(
+    (view) => knownCopyRoom(state, view, size) ?? mayHoldUnknown(),
+  );
+};
--- a/packages/relay/src/decisions/room/room.test.ts
+++ b/packages/relay/src/decisions/room/room.test.ts
@@ -7,6 +7,7 @@
   testReplica,
 } from "../../testing/scenario.js";
 import type { EngineReport, ReportedRun } from "../../types.js";
+import { chooseCopyHolder } from "../copyHolders.js";
 import { readingMsOf } from "./readingRate.js";
 import { sizeOf } from "./requestSize.js";
 import { missingPlaces, roomOf } from "./roomOf.js";
@@ -15,6 +16,8 @@
 const maxOutputTokens = 1120;
 const long = { promptTokens, maxOutputTokens, lastPromptBlockId: "own" };
 
+const readsPerLook = 2; // of a report
+
 const generating = (kvTokens: number): ReportedRun => ({
   requestId: `run-${String(kvTokens)}`,
   generatedEventCount: 20,
@@ -180,3 +183,36 @@
   scenario.advance(300);
   assert.equal(scenario.commandsOfType("copyKvCache").length, 1);
 });
+
+// Load: a fleet whose engines are short of memory, and few of which reported lately.
+test("all engines are looked at for each one of unknown memory that may hold a copy", () => {
+  const ids = ["a", "b", "c", "d"].flatMap((zone) =>
+    [1, 2, 3].map((index) => `${zone}-${String(index)}`),
+  );
+  const scenario = Scenario.create(ids.map((id) => testReplica(id)));
+  for (const id of ids) scenario.unresponsiveEngines.add(id);
+  scenario.request("1", streamPath, long);
+  scenario.advance(100);
+  const exchange = scenario.state.exchanges.get("1");
+  const { replica } = scenario.lastSend("1").attempt;
+  const known = ids.filter((id) => id !== replica.id).slice(0, 2);
+  const report = busyReport(2, { kvUsedTokens: 80_000 });
+  for (const id of known)
+    scenario.probeFinished(testReplica(id), scenario.at, {
+      isAnswered: true,
+      report,
+    });
+  let readCount = 0;
+  Object.defineProperty(viewOf(scenario, known[0] ?? ""), "report", {
+    get: () => {
+      readCount += 1;
+      return report;
+    },
+  });
+  assert.ok(exchange);
+  const holder = chooseCopyHolder(scenario.state, exchange, replica);
+  assert.equal(holder, undefined);
+  const lookCount = readCount / readsPerLook;
+  // With all engines, and once more if it is among those that may hold the copy.
+  assert.ok(lookCount >= 1 && lookCount <= 2, String(lookCount));
+});
