No model is forgotten for another

A replica that is back under a new id is used without its entry if its models prove its service. Models of earlier configurations count so that one that two services had proves nothing; but the 257th model took the place of the oldest. If that one was configured again it proved one service, and requests could reach another service's process.

Forgetting a model of one service is no better: it may come back as another's. So no model is forgotten; one beyond the bound is not noted, and proves nothing.

--- a/packages/relay/src/decisions/adoptedReplicas/modelServices.ts
+++ b/packages/relay/src/decisions/adoptedReplicas/modelServices.ts
@@ -1,21 +1,32 @@
 /** Finds the service of an engine from the models that it reports. */
 
 import type { RelayConfig } from "../../types.js";
-import { removeOldest } from "../removeOldest.js";
 import type { RelayState } from "../types.js";
 import { maxAdoption } from "./constants.js";
 
-/** Notes which services the configuration gives each model; those of earlier configurations still count. */
-export const noteModels = (
+/** Notes a service of a model, unless too many models are known. */
+const noteModel = (
   { adoption: { servicesByModel } }: RelayState,
-  { services: configured }: RelayConfig,
+  model: string,
+  service: string,
+): void => {
+  const known = servicesByModel.get(model);
+  if (known !== undefined) known.add(service);
+  else if (servicesByModel.size < maxAdoption.models)
+    servicesByModel.set(model, new Set([service]));
+};
+
+/**
+ * Notes which services the configuration gives each model; those of earlier configurations
+ * still count. No model is forgotten for another: one that came back would prove a service
+ * that it had in common with a second one before. A model that is not noted proves nothing.
+ */
+export const noteModels = (
+  state: RelayState,
+  { services }: RelayConfig,
 ): void => {
-  for (const { name, engine } of configured)
-    for (const model of engine?.modelNames ?? []) {
-      const services = servicesByModel.get(model) ?? new Set<string>();
-      servicesByModel.set(model, services.add(name));
-    }
-  removeOldest(servicesByModel, maxAdoption.models, () => false);
+  for (const { name, engine } of services)
+    for (const model of engine?.modelNames ?? []) noteModel(state, model, name);
 };
 
 /** The only service whose engines ever had all of the models; undefined if there is none or any doubt. */
