Callers that are refused together come back apart

All callers of a moment were told the same time where the limits of the replicas were used up (the next permit, to the millisecond, though it serves one of them), where a prompt was quarantined, and where a request was kept from the last replica. Those that found all queues long were told 0.1 to 0.4 s, into the same queues.

Whoever is told a time from which replicas take requests again is now told a random one behind it: half as much again or 0.3 s, within the third of its time that a caller waits if some of that is left. At long queues it is between an eighth and a third of the caller's time, as for requests that no engine can begin in time. What is behind one function for each case was in two folders.

Evidence: returnTimes.test.ts, 240 callers at 60 routers: all of them within 100 ms before (permits, quarantine), a third now; at long queues from 0.1 s on before.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -11,6 +11,7 @@
 import { endSearch } from "./fallback/endSearch.js";
 import { refuse } from "./refusals.js";
 import { isSuspected } from "./replicaViews.js";
+import { drawReturnBehindMs } from "./returnTimes/drawReturn.js";
 import { takePermit } from "./requestLimits.js";
 import { logLine } from "./logLine.js";
 import { minVersionRetryMs, versionReturnMs } from "./versions/constants.js";
@@ -165,8 +166,10 @@
     reason,
     context: { ...context, ...describeOptions(state, exchange) },
   };
+  const permitInMs = permit.at - state.at;
+  const returnMs = drawReturnBehindMs(state, exchange, permitInMs);
   return [
     ...cancelExchange(state, exchange),
-    ...refuse(refused, serviceUnavailableStatus, permit.at - state.at),
+    ...refuse(refused, serviceUnavailableStatus, returnMs),
   ];
 };
--- a/packages/relay/src/decisions/backOff/constants.ts
+++ b/packages/relay/src/decisions/backOff/constants.ts
@@ -9,11 +9,5 @@
 /** Range of the delay with which requests that wait are sent to a replica that opens. */
 export const waitingSpreadMs = 100;
 
-/** Callers that are refused come back over this part of the time that is left. */
-export const returnSpreadRatio = 0.5;
-
-/** Smallest range of times over which refused callers come back. */
-export const minReturnSpreadMs = 300;
-
 /** Interval at which a request that waits looks for another replica that can take it. */
 export const reopeningLookIntervalMs = 250;
--- a/packages/relay/src/decisions/backOff/returnDelay.ts
+++ b/packages/relay/src/decisions/backOff/returnDelay.ts
@@ -5,15 +5,11 @@
   hasCandidate,
   soonestReopening,
 } from "../chooseReplica.js";
-import { random } from "../random.js";
+import { drawReturnBehindMs } from "../returnTimes/drawReturn.js";
 import type { Exchange, RelayState } from "../types.js";
-import { minReturnSpreadMs, returnSpreadRatio } from "./constants.js";
 
-/**
- * The time until the first replica opens, and a random part of what is spread behind it;
- * undefined if one is open, or none is expected.
- */
-export const drawReturnDelayMs = (
+/** A time behind that at which the first replica opens; undefined if one is open, or none is expected. */
+export const drawReopeningDelayMs = (
   state: RelayState,
   exchange: Exchange,
 ): number | undefined => {
@@ -25,8 +21,5 @@
   };
   if (hasCandidate(state, query)) return undefined;
   const opensAt = soonestReopening(state, query)?.at;
-  if (opensAt === undefined) return undefined;
-  const leftMs = opensAt - state.at;
-  const spreadMs = Math.max(minReturnSpreadMs, returnSpreadRatio * leftMs);
-  return leftMs + random(state) * spreadMs;
+  return opensAt && drawReturnBehindMs(state, exchange, opensAt - state.at);
 };
--- a/packages/relay/src/decisions/endExchange.ts
+++ b/packages/relay/src/decisions/endExchange.ts
@@ -3,7 +3,7 @@
 import type { Timestamp } from "@cardamomglade/common";
 import { Severity } from "@cardamomglade/observe";
 import { isIdBackingOff } from "./backOff/backOffs.js";
-import { drawReturnDelayMs } from "./backOff/returnDelay.js";
+import { drawReopeningDelayMs } from "./backOff/returnDelay.js";
 import { recordAnswerTimes } from "./plannedStop/answerTimes.js";
 import { describeOptions } from "./describeOptions.js";
 import {
@@ -13,7 +13,9 @@
 } from "../types.js";
 import type { Fallback } from "./fallback/types.js";
 import { isRetryable } from "./isRetryable.js";
+import { hasStandingQueue } from "./placing/standingQueue.js";
 import { refuse, refuseNotExecuted, type RefusedRequest } from "./refusals.js";
+import { drawReturnMs } from "./returnTimes/drawReturn.js";
 import { logLine } from "./logLine.js";
 import {
   settleAnswered,
@@ -161,16 +163,21 @@
   ];
 };
 
-/** Refuses a request that was not executed, with the time at which the first replica opens if all back off. */
+/** Refuses a request that was not executed: its caller comes back behind the time at which the first replica opens if all back off, and late to long queues. */
 const refuseForNow = (
   state: RelayState,
   exchange: Exchange,
   refused: RefusedRequest,
 ): RelayCommand[] => {
-  const delayMs = drawReturnDelayMs(state, exchange);
-  if (delayMs === undefined) return refuseNotExecuted(state, refused);
-  state.backOffs.refusedCount += 1;
-  return refuse(refused, serviceUnavailableStatus, delayMs);
+  const reopeningMs = drawReopeningDelayMs(state, exchange);
+  if (reopeningMs !== undefined) {
+    state.backOffs.refusedCount += 1;
+    return refuse(refused, serviceUnavailableStatus, reopeningMs);
+  }
+  if (!hasStandingQueue(state, exchange))
+    return refuseNotExecuted(state, refused);
+  const returnMs = drawReturnMs(state, exchange);
+  return refuse(refused, serviceUnavailableStatus, returnMs);
 };
 
 /** Ends an exchange that no replica can answer any more. */
--- a/packages/relay/src/decisions/quarantine/quarantines.ts
+++ b/packages/relay/src/decisions/quarantine/quarantines.ts
@@ -8,6 +8,7 @@
 import { isEstablished } from "../fallback/isEstablished.js";
 import { logLine } from "../logLine.js";
 import { refuse } from "../refusals.js";
+import { drawReturnBehindMs } from "../returnTimes/drawReturn.js";
 import { serviceUnavailableStatus } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import type { Exchange, RelayState } from "../types.js";
@@ -85,12 +86,13 @@
       ...failExchange(state, exchange, reason),
     ];
   const { requestId } = request;
+  const heldMs = Math.max(0, held.heldUntil - state.at);
   return [
     ...cancelExchange(state, exchange),
     ...refuse(
       { key, requestId, reason, context },
       serviceUnavailableStatus,
-      Math.max(0, held.heldUntil - state.at),
+      drawReturnBehindMs(state, exchange, heldMs),
     ),
   ];
 };
--- a/packages/relay/src/decisions/quarantine/suspectedRequests.ts
+++ b/packages/relay/src/decisions/quarantine/suspectedRequests.ts
@@ -7,6 +7,7 @@
 import type { Timestamp } from "@cardamomglade/common";
 import { refuse } from "../refusals.js";
 import { cancelExchange, summaryOf } from "../endExchange.js";
+import { drawReturnBehindMs } from "../returnTimes/drawReturn.js";
 import { endSearch } from "../fallback/endSearch.js";
 import { logLine } from "../logLine.js";
 import {
@@ -120,7 +121,7 @@
     ...refuse(
       { key, requestId, reason, context },
       serviceUnavailableStatus,
-      until - state.at,
+      drawReturnBehindMs(state, exchange, until - state.at),
     ),
   ];
 };
--- a/packages/relay/src/decisions/waitingLine/constants.ts
+++ b/packages/relay/src/decisions/waitingLine/constants.ts
@@ -18,11 +18,5 @@
 /** Places that a less urgent request leaves free at an engine for more urgent ones. */
 export const reservedPlaceCount = 1;
 
-/** Longest part of a caller's remaining time after which it is asked to return. */
-export const maxReturnRatio = 1 / 3;
-
-/** Shortest such part: callers that are refused together return apart. */
-export const minReturnRatio = 1 / 8;
-
 /** Engines that a log line names; bounds its length. */
 export const maxLoggedRoomCount = 8;
--- a/packages/relay/src/decisions/waitingLine/refuseLate.ts
+++ b/packages/relay/src/decisions/waitingLine/refuseLate.ts
@@ -7,9 +7,9 @@
 import { serviceUnavailableStatus } from "../../types.js";
 import type { RelayCommand } from "../commands.js";
 import { cancelExchange, summaryOf } from "../endExchange.js";
-import { drawRetryDelayMs, refuse } from "../refusals.js";
+import { refuse } from "../refusals.js";
+import { drawReturnMs } from "../returnTimes/drawReturn.js";
 import type { Exchange, RelayState } from "../types.js";
-import { maxReturnRatio, minReturnRatio } from "./constants.js";
 
 /** Whether a request's first event is expected only after its caller has left. */
 export const isTooLate = (
@@ -26,10 +26,7 @@
 ): RelayCommand[] => {
   const { key, request, deadline } = exchange;
   const leftMs = deadline - state.at;
-  const delayMs = drawRetryDelayMs(state, {
-    min: minReturnRatio * leftMs,
-    max: maxReturnRatio * leftMs,
-  });
+  const delayMs = drawReturnMs(state, exchange);
   const context = {
     ...summaryOf(exchange, state.at),
     expectedFirstEventMs: Math.round(expectedMs),
