--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -29,7 +29,7 @@
 import { noteFruitless } from "./resumption/noteFruitless.js";
 import { recordRetry } from "./retryBudget.js";
 import { recordRefusal } from "./secondTry/tryBudget.js";
-import { hasAttempt, sendRetry } from "./sendAttempt.js";
+import { hasAttempt, sendRetry } from "./sendRetry.js";
 import { recordFullReplica, recordTime } from "./serviceTimes/recordTime.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
--- a/packages/relay/src/decisions/backOff/checkReopening.ts
+++ b/packages/relay/src/decisions/backOff/checkReopening.ts
@@ -3,7 +3,7 @@
 import { candidateQueryOf, hasCandidate } from "../chooseReplica.js";
 import type { RelayCommand } from "../commands.js";
 import { mustHandOn } from "../handover/offers.js";
-import { sendWithoutCopy } from "../sendAttempt.js";
+import { sendWithoutCopy } from "../placeRequest.js";
 import type { Exchange, RelayState, Wait } from "../types.js";
 import { reopeningLookIntervalMs } from "./constants.js";
 
--- a/packages/relay/src/decisions/earlierRuns/goOn.ts
+++ b/packages/relay/src/decisions/earlierRuns/goOn.ts
@@ -10,7 +10,7 @@
 import type { RelayCommand } from "../commands.js";
 import { closeFallback } from "../endExchange.js";
 import { mustHandOn } from "../handover/offers.js";
-import { sendRetry } from "../sendAttempt.js";
+import { sendRetry } from "../sendRetry.js";
 import {
   noWait,
   type Attempt,
--- a/packages/relay/src/decisions/handover/handoverEvents.ts
+++ b/packages/relay/src/decisions/handover/handoverEvents.ts
@@ -22,7 +22,7 @@
 import { heldBy } from "../quarantine/quarantines.js";
 import { refuse, refuseNotExecuted } from "../refusals.js";
 import { noFruitlessAttempts } from "../resumption/types.js";
-import { hasAttempt, sendRetry } from "../sendAttempt.js";
+import { hasAttempt, sendRetry } from "../sendRetry.js";
 import { recordOrigin } from "../versions/streamOrigins.js";
 import {
   AttemptFailure,
--- a/packages/relay/src/decisions/leaveSilentReplica.ts
+++ b/packages/relay/src/decisions/leaveSilentReplica.ts
@@ -9,7 +9,7 @@
 import { chooseOffer, mustHandOn } from "./handover/offers.js";
 import { hasUsableCopy } from "./kvCacheCopies.js";
 import { heldBy } from "./quarantine/quarantines.js";
-import { hasAttempt } from "./sendAttempt.js";
+import { hasAttempt } from "./sendRetry.js";
 import type { Attempt, Exchange, RelayState } from "./types.js";
 
 /** Whether another replica can be expected to take a stream over from a silent one. */
--- a/packages/relay/src/decisions/lendRetry.ts
+++ b/packages/relay/src/decisions/lendRetry.ts
@@ -1,7 +1,7 @@
 /** Lends retries to other routers, and uses the retries that they lend. */
 
 import { addBorrowedRetry, tryLendRetry } from "./retryBudget.js";
-import { sendRetry } from "./sendAttempt.js";
+import { sendRetry } from "./sendRetry.js";
 import { isKnownRouter } from "./registration.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
--- a/packages/relay/src/decisions/probes.ts
+++ b/packages/relay/src/decisions/probes.ts
@@ -42,7 +42,7 @@
 import { departure } from "./earlierRuns/goOn.js";
 import { maySeek, seekSuccessor } from "./fallback/keepFallback.js";
 import { canLeaveSilentReplica } from "./leaveSilentReplica.js";
-import { sendWithoutCopy } from "./sendAttempt.js";
+import { sendWithoutCopy } from "./placeRequest.js";
 import { learnOrigins } from "./versions/streamOrigins.js";
 import { logLine } from "./logLine.js";
 import type { RelayCommand } from "./commands.js";
--- a/packages/relay/src/decisions/requestArrived.ts
+++ b/packages/relay/src/decisions/requestArrived.ts
@@ -21,7 +21,7 @@
 import { startTakenOver } from "./handover/startTakenOver.js";
 import { copyOf, refusalOf, refuseHandover } from "./handover/takeOver.js";
 import { noFruitlessAttempts } from "./resumption/types.js";
-import { sendFirst } from "./sendAttempt.js";
+import { sendFirst } from "./placeRequest.js";
 import { seekVersion } from "./versions/takeUps.js";
 import { restorationContext } from "./storeUpdates.js";
 import type { RelayCommand } from "./commands.js";
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -40,14 +40,12 @@
 import { ensureCopy, hasReservedCopy } from "./kvCacheCopies.js";
 import { recordOutcome, shareOutcomes } from "./outcomes.js";
 import { maintainRegistration } from "./registration.js";
+import { canRetryElsewhere, hasAttempt, sendRetry } from "./sendRetry.js";
 import {
-  canRetryElsewhere,
-  hasAttempt,
   sendAfterWait,
   sendWithPermit,
-  sendRetry,
   sendWithoutCopy,
-} from "./sendAttempt.js";
+} from "./placeRequest.js";
 import { recoverExchange } from "./recoverExchange.js";
 import { recordTime } from "./serviceTimes/recordTime.js";
 import { maintainRollouts } from "./rollout/maintainRollouts.js";
--- a/packages/relay/src/decisions/waitingLine/checkRoom.ts
+++ b/packages/relay/src/decisions/waitingLine/checkRoom.ts
@@ -3,7 +3,7 @@
 import type { RelayCommand } from "../commands.js";
 import { isEngineQueryPending, queryFurtherReports } from "../queryEngines.js";
 import { loadQueryEngineCount } from "../constants.js";
-import { sendWithoutCopy } from "../sendAttempt.js";
+import { sendWithoutCopy } from "../placeRequest.js";
 import type { Exchange, RelayState } from "../types.js";
 import { lookEngineCount } from "./constants.js";
 import { isMostUrgent } from "./ranks.js";
