Names that need no second look

awaitRoom waited for full replicas beside awaitEngineRoom, which waits for room before a request is sent: awaitFullReplicas. Two functions were called quantileOf, one of them of histograms. The factor for another zone says that it is one of time.

--- a/packages/relay/src/decisions/awaitReplica.ts
+++ b/packages/relay/src/decisions/awaitReplica.ts
@@ -102,11 +102,13 @@
 };
 
 /** Whether a stream that has begun can still go on at a replica that was full. */
-export const canAwaitRoom = ({ head, refusedAttempts }: Exchange): boolean =>
-  head !== undefined && refusedAttempts > 0;
+export const canAwaitFullReplicas = ({
+  head,
+  refusedAttempts,
+}: Exchange): boolean => head !== undefined && refusedAttempts > 0;
 
 /** Waits until replicas that were full may have room: attempts that they did not execute do not count. */
-export const awaitRoom = (
+export const awaitFullReplicas = (
   state: RelayState,
   exchange: Exchange,
 ): RelayCommand[] => {
--- a/packages/relay/src/decisions/secondTry/chooseSecond.ts
+++ b/packages/relay/src/decisions/secondTry/chooseSecond.ts
@@ -10,7 +10,7 @@
 import { EstimateSource } from "../serviceTimes/types.js";
 import { costJitter } from "../constants.js";
 import type { Attempt, Exchange, RelayState, ReplicaView } from "../types.js";
-import { crossZoneFactor } from "./constants.js";
+import { crossZoneTimeRatio } from "./constants.js";
 import { medianAt } from "./recentTimes.js";
 import type { UsualTimes } from "./types.js";
 
@@ -36,7 +36,7 @@
   const { replica, inFlight } = view;
   const usualMs = medianMsAt(state, exchange, view) ?? usual.medianMs;
   const load = inFlight / Math.max(1, replica.slots);
-  const wayFactor = replica.zone === state.zone ? 1 : crossZoneFactor;
+  const wayFactor = replica.zone === state.zone ? 1 : crossZoneTimeRatio;
   return usualMs * (1 + load) * wayFactor;
 };
 
--- a/packages/relay/src/decisions/secondTry/constants.ts
+++ b/packages/relay/src/decisions/secondTry/constants.ts
@@ -72,5 +72,5 @@
 /** Part of the shared budget of repeats that second tries leave for lost attempts. */
 export const reservedBudgetRatio = 0.5;
 
-/** Expected time at a replica of another zone, as a multiple. */
-export const crossZoneFactor = 1.12;
+/** Time at a replica of another zone as a multiple of that in the own one, for replicas without engines. */
+export const crossZoneTimeRatio = 1.12;
--- a/packages/relay/src/decisions/sendRetry.ts
+++ b/packages/relay/src/decisions/sendRetry.ts
@@ -2,7 +2,11 @@
 
 import { candidateQueryOf, hasCandidate } from "./chooseReplica.js";
 import { isCopyUsable } from "./copyHolders.js";
-import { awaitRoom, awaitVersion, canAwaitRoom } from "./awaitReplica.js";
+import {
+  awaitFullReplicas,
+  awaitVersion,
+  canAwaitFullReplicas,
+} from "./awaitReplica.js";
 import { borrowRetry } from "./borrowRetry.js";
 import { maxFailedConnectionCount, probeAfterSilenceMs } from "./constants.js";
 import { failExchange } from "./endExchange.js";
@@ -105,8 +109,8 @@
       `${reason}; several replicas ended under it`,
     );
   if (attempts >= route.maxAttempts)
-    return canAwaitRoom(exchange)
-      ? awaitRoom(state, exchange)
+    return canAwaitFullReplicas(exchange)
+      ? awaitFullReplicas(state, exchange)
       : endSearch(state, exchange, `${reason}; no attempt is left`);
   const { failedConnectionCount } = exchange;
   const hasNoConnectionLeft =
--- a/packages/relay/src/decisions/serviceTimes/estimateTime.ts
+++ b/packages/relay/src/decisions/serviceTimes/estimateTime.ts
@@ -7,7 +7,7 @@
 import { WorkKind, type Work } from "../plannedStop/types.js";
 import type { RelayState, ReplicaView } from "../types.js";
 import { minReplicaTimeWeight, minServiceTimeWeight } from "./constants.js";
-import { quantileOf, weightOf } from "./histogram.js";
+import { histogramQuantileMs, weightOf } from "./histogram.js";
 import {
   EstimateSource,
   type TimeEstimate,
@@ -53,8 +53,8 @@
   if (found === undefined) return undefined;
   const { histogram, weight, source } = found;
   return {
-    p50Ms: quantileOf(histogram, 0.5),
-    p95Ms: quantileOf(histogram, 0.95),
+    p50Ms: histogramQuantileMs(histogram, 0.5),
+    p95Ms: histogramQuantileMs(histogram, 0.95),
     weight,
     updatedAt: histogram.countedAt,
     source,
@@ -69,5 +69,5 @@
   part: number,
 ): number | undefined => {
   const found = findTimes(state, view, work);
-  return found && quantileOf(found.histogram, part);
+  return found && histogramQuantileMs(found.histogram, part);
 };
--- a/packages/relay/src/decisions/serviceTimes/histogram.ts
+++ b/packages/relay/src/decisions/serviceTimes/histogram.ts
@@ -46,7 +46,10 @@
   histogram.counts.reduce((sum, count) => sum + count, 0);
 
 /** Time that the given part of the answers took at most, in milliseconds; 0 without any. */
-export const quantileOf = ({ counts }: TimeHistogram, part: number): number => {
+export const histogramQuantileMs = (
+  { counts }: TimeHistogram,
+  part: number,
+): number => {
   const total = counts.reduce((sum, count) => sum + count, 0);
   if (total === 0) return 0;
   let left = part * total;
--- a/packages/relay/src/decisions/serviceTimes/standingDelay.ts
+++ b/packages/relay/src/decisions/serviceTimes/standingDelay.ts
@@ -11,7 +11,7 @@
 import type { RelayState } from "../types.js";
 import { minUnloadedTimeWeight, unloadedDoublingMs } from "./constants.js";
 import { estimateTime } from "./estimateTime.js";
-import { quantileOf, weightOf } from "./histogram.js";
+import { histogramQuantileMs, weightOf } from "./histogram.js";
 import { EstimateSource } from "./types.js";
 
 /** What a request's answer takes without a queue, and the queue's part of what it takes now. */
@@ -38,7 +38,7 @@
   const times = state.serviceTimes.get(timeClass);
   if (times === undefined) return;
   if (weightOf(times, state.at) < minUnloadedTimeWeight) return;
-  const ms = quantileOf(times, 0.5);
+  const ms = histogramQuantileMs(times, 0.5);
   if (ms < unloadedMsOf(state, timeClass))
     state.unloadedTimes.set(timeClass, { ms, notedAt: state.at });
 };
