A replica that cuts off an answer left unread here is not taken for failed

While callers read slowly and memory is short, answers wait for room unread. A replica cuts off what is left unread for some seconds; it was then suspected, with its zone if a second one did so, counted as failing, asked whether it had crashed under the request, and counted against its version in a roll-out, though this router had not read.

Evidence: plainRequests.test.ts, which failed before. The request is repeated elsewhere if it may be, as before.

--- a/packages/relay/src/decisions/attemptEvents.ts
+++ b/packages/relay/src/decisions/attemptEvents.ts
@@ -143,7 +143,11 @@
   ];
 };
 
-/** Closes an attempt whose answer broke off, and retries the request at another replica. */
+/**
+ * Closes an attempt whose answer broke off, and retries the request at another replica.
+ * Load pattern: callers read slowly and memory is short; replicas cut off answers that this
+ * router has left unread for seconds, which says nothing against them.
+ */
 export const loseBrokenAttempt = (
   state: RelayState,
   exchange: Exchange,
@@ -152,7 +156,7 @@
 ): RelayCommand[] => {
   const left = departure(`${AttemptFailure.Broken}: ${detail}`);
   // The replica ends the stream of a run that it stops.
-  if (isStopAsked(attempt))
+  if (isStopAsked(attempt) || attempt.isHeldBack)
     return handleLostAttempt(state, exchange, attempt, left);
   const commands = suspectBrokenAttempt(state, exchange, attempt);
   recordLoss(state, attempt.replica, state.at);
--- a/packages/relay/src/decisions/plainRequests.test.ts
+++ b/packages/relay/src/decisions/plainRequests.test.ts
@@ -262,3 +262,19 @@
   assert.equal(scenario.commandsOfType("borrowRetry").length, 0);
   assert.equal(scenario.commandsOfType("deliverResponse").length, 200);
 });
+
+// Load: callers read slowly, memory is short, and replicas cut off answers that wait for it here.
+test("a replica that cuts off an answer which this router left unread is taken for failed", () => {
+  const scenario = Scenario.create();
+  scenario.request("1", idempotentPath);
+  const { replica, number: attempt } = scenario.lastSend("1").attempt;
+  const { at } = scenario;
+  const type = "answerProgressed";
+  scenario.dispatch({ type, at, key: "1", attempt, isHeldBack: true });
+  fail(scenario, "1", AttemptFailure.Broken);
+  const view = scenario.state.replicas.get(replica.id);
+  assert.equal(view?.suspectUntil, 0);
+  assert.equal(view.outcomes.failed, 0);
+  assert.equal(scenario.state.quarantine.unconfirmed.size, 0);
+  assert.equal(scenario.commandsOfType("send").length, 2);
+});
