Answers are not slow for a roll-out because this process stood still

Beside heavy load routers stand still for some hundred milliseconds ("this process stood still"). All answers under way then counted as slow at the next tick, before those that had arrived were read, which is evidence against a good version: one in doubt is completed only after its deadline. Silence of replicas was judged without that time already; times of answers now are as well.

--- a/packages/relay/src/decisions/rollout/brokenAnswers.test.ts
+++ b/packages/relay/src/decisions/rollout/brokenAnswers.test.ts
@@ -70,3 +70,17 @@
   scenario.advance(2 * targetLatencyMs);
   assert.equal(countsNow().oldSlow, 1);
 });
+
+// Load: a busy host whose process stands still, with answers of a good version under way.
+test("an answer is not slow because this process stood still", () => {
+  const { scenario, exchange, attempt, rollout } = createUnderway(
+    plainService,
+    idempotentPath,
+  );
+  const stallMs = 3 * exchange.route.targetLatencyMs;
+  scenario.at += stallMs;
+  scenario.advance(25);
+  scenario.answerAttempt("s", attempt.number);
+  const [counts] = rollout.own.values();
+  assert.deepEqual([counts?.oldAnswers, counts?.oldSlow], [1, 0]);
+});
--- a/packages/relay/src/decisions/rollout/recordAnswer.ts
+++ b/packages/relay/src/decisions/rollout/recordAnswer.ts
@@ -104,6 +104,12 @@
 const wasWarm = ({ replica, sentAt }: Attempt): boolean =>
   sentAt >= (replica.warmAt ?? 0);
 
+/** Time since an attempt was sent, without that in which this process could not receive anything. */
+const tookMsOf = (
+  { at }: RelayState,
+  { sentAt, stalledMs = 0 }: Attempt,
+): number => at - sentAt - stalledMs;
+
 /** Counts an attempt's answer once, and once more if it breaks off after its start. */
 export const recordRolloutAnswer = (
   state: RelayState,
@@ -118,7 +124,7 @@
   if (rollout.mistrusted.has(attempt.replica.softwareVersion)) return;
   if (quality === AnswerQuality.Broken && isSameEnd(rollout, attempt, state.at))
     return;
-  const tookMs = state.at - attempt.sentAt;
+  const tookMs = tookMsOf(state, attempt);
   const isSlow = wasWarm(attempt) && tookMs >= slowAfterMs(rollout, exchange);
   attempt.isJudged = true;
   const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
@@ -136,7 +142,7 @@
   attempt: Attempt,
 ): void => {
   if (attempt.isJudged === true || !wasWarm(attempt)) return;
-  const tookMs = state.at - attempt.sentAt;
+  const tookMs = tookMsOf(state, attempt);
   if (tookMs < slowAfterMs(rollout, exchange)) return;
   attempt.isJudged = true;
   const isNew = isNewVersion(rollout, attempt.replica.softwareVersion);
--- a/packages/relay/src/decisions/timerTicked.ts
+++ b/packages/relay/src/decisions/timerTicked.ts
@@ -229,6 +229,7 @@
 const compensateAttempt = (attempt: Attempt, lateMs: number): void => {
   attempt.heardAt += lateMs;
   attempt.progressedAt += lateMs;
+  attempt.stalledMs = (attempt.stalledMs ?? 0) + lateMs;
 };
 
 /** Excludes a stall of this process from the replicas' silence: it could not receive anything. */
--- a/packages/relay/src/decisions/types/attempt.ts
+++ b/packages/relay/src/decisions/types/attempt.ts
@@ -64,6 +64,8 @@
   stopCount: number;
   /** Whether its time was counted, or that it took too long. */
   isTimed: boolean;
+  /** Time since its sending in which this process stood still, in milliseconds; undefined if it did not. */
+  stalledMs?: number;
   /** Whether its answer was counted for a roll-out. */
   isJudged?: boolean;
   /** Whether a long pause of its stream was. */
