--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,12 @@
 export { assertNever } from "./assertNever.js";
 export { nextRetryAt, type BackoffBounds } from "./backoff.js";
 export { canonicalJson } from "./canonicalJson.js";
+export {
+  awaitConnectionEnd,
+  ConnectionEnd,
+  holdUploadEnd,
+  unsentBytes,
+} from "./connectionEnds/index.js";
 export { createChannel, type Channel } from "./channel.js";
 export { createSinkDriver } from "./createSinkDriver.js";
 export { createSourceDriver } from "./createSourceDriver.js";
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -1,7 +1,12 @@
 /** One request to one replica, or to a router that takes it over, on its own connection. */
 
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
-import { now } from "@cardamomglade/common";
+import {
+  awaitConnectionEnd,
+  ConnectionEnd,
+  holdUploadEnd,
+  now,
+} from "@cardamomglade/common";
 import type { RetryAfter } from "../decisions/backOff/types.js";
 import type { RelayCommand } from "../decisions/commands.js";
 import { isBodiless } from "../decisions/answerEnds/isBodiless.js";
@@ -22,7 +27,6 @@
   type Address,
 } from "../types.js";
 import { AnswerBuffer } from "./answerBuffers.js";
-import { awaitConnectionEnd, ConnectionEnd } from "./connectionEnd.js";
 import { lengthOf } from "./lengthOf.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
@@ -442,6 +446,8 @@
   }
 
   private onBodyEnd(res: IncomingMessage, onEnd: () => void): void {
+    if (this.endsWithConnection(res))
+      holdUploadEnd(res.socket, () => this.command.request.body.length);
     const connectionEnd = this.endsWithConnection(res)
       ? awaitConnectionEnd(res.socket)
       : Promise.resolve(ConnectionEnd.Closed);
--- a/packages/upstream/src/resetAwareClient.ts
+++ b/packages/upstream/src/resetAwareClient.ts
@@ -1,7 +1,11 @@
-/** A client with one connection, whose answers fail if that was reset where their end should be. */
+/** A client with one connection, whose answers fail if that was reset where their end should be, or took only a part of the request. */
 
+import {
+  awaitConnectionEnd,
+  ConnectionEnd,
+  holdUploadEnd,
+} from "@cardamomglade/common";
 import { Client, type buildConnector, type Dispatcher } from "undici";
-import { awaitConnectionEnd, ConnectionEnd } from "./connectionEnd.js";
 
 type Handler = Dispatcher.DispatchHandler;
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
@@ -17,25 +21,39 @@
   headers["content-length"] === undefined &&
   headers["transfer-encoding"] === undefined;
 
+/** What is known of the request that a client sends. */
+interface SentRequest {
+  /** Bytes of its body; infinite if they are not known. */
+  readonly bodyBytes: number;
+  isUnframed: boolean;
+}
+
+const bodyBytesOf = (body: Dispatcher.DispatchOptions["body"]): number => {
+  if (body === undefined || body === null) return 0;
+  return typeof body === "string" || body instanceof Uint8Array
+    ? Buffer.byteLength(body)
+    : Infinity;
+};
+
 /** Lets an answer that ends with its connection wait until it is known how that ended. */
 const createHandler = (
   inner: Handler,
+  sent: SentRequest,
   connectionEnd: () => Promise<ConnectionEnd>,
 ): Handler => {
-  let isUnframed = false;
   return {
     onRequestStart: (controller, context) =>
       inner.onRequestStart?.(controller, context),
     onRequestUpgrade: (controller, statusCode, headers, socket) =>
       inner.onRequestUpgrade?.(controller, statusCode, headers, socket),
     onResponseStart: (controller, statusCode, headers, statusMessage) => {
-      isUnframed = endsWithConnection(statusCode, headers);
+      sent.isUnframed = endsWithConnection(statusCode, headers);
       inner.onResponseStart?.(controller, statusCode, headers, statusMessage);
     },
     onResponseData: (controller, chunk) =>
       inner.onResponseData?.(controller, chunk),
     onResponseEnd: (controller, trailers) => {
-      if (!isUnframed) {
+      if (!sent.isUnframed) {
         inner.onResponseEnd?.(controller, trailers);
         return;
       }
@@ -61,6 +79,7 @@
   connect: buildConnector.connector,
 ): Dispatcher => {
   let connectionEnd = Promise.resolve(ConnectionEnd.Closed);
+  let sent: SentRequest = { bodyBytes: 0, isUnframed: false };
   const client = new Client(origin, {
     ...options,
     connect: (target, callback) => {
@@ -70,15 +89,18 @@
           return;
         }
         connectionEnd = awaitConnectionEnd(socket);
+        holdUploadEnd(socket, () =>
+          sent.isUnframed ? sent.bodyBytes : undefined,
+        );
         callback(null, socket);
       });
     },
   });
-  return client.compose(
-    (dispatch) => (request, handler) =>
-      dispatch(
-        request,
-        createHandler(handler, () => connectionEnd),
-      ),
-  );
+  return client.compose((dispatch) => (request, handler) => {
+    sent = { bodyBytes: bodyBytesOf(request.body), isUnframed: false };
+    return dispatch(
+      request,
+      createHandler(handler, sent, () => connectionEnd),
+    );
+  });
 };
