Cases of answers during uploads stand once, for relay and upstream

Both test files had their own copies of the framings, ends and uploads, of what may be whole, and of the statuses that no final answer has.

--- a/packages/relay/src/answersDuringUploads.test.ts
+++ b/packages/relay/src/answersDuringUploads.test.ts
@@ -1,7 +1,17 @@
 import assert from "node:assert/strict";
-import type { Socket } from "node:net";
 import { test } from "node:test";
-import { assertNever } from "@cardamomglade/common";
+import {
+  answerInPart,
+  End,
+  Framing,
+  largeUploadBytes,
+  mayBeWhole,
+  oddStatuses,
+  Upload,
+  uploadBytes,
+  writeAndEnd,
+  type UploadCase,
+} from "@cardamomglade/common/testing/answersDuringUploads";
 import type { RawReader } from "./testing/rawReplica.js";
 import { engines, plainService } from "./testing/scenario.js";
 import {
@@ -17,45 +27,15 @@
 } from "./testing/testRelay.js";
 
 // Load: replicas answer a part while they are sent a long body, and end the connection.
-const uploadBytes = 1024 * 1024;
-const largeUploadBytes = 8 * 1024 * 1024; // more than the system takes for a replica that does not read
 const budgetMs = 1000;
 const maxWaitMs = 3000;
-const settleMs = 20;
-const readIntervalMs = 5;
-
-/** What marks the end of an answer. */
-enum Framing {
-  Length = "a length",
-  Chunks = "chunks",
-  Neither = "neither",
-}
-
-/** How a replica ends its connection behind a part of its answer. */
-enum End {
-  Closed = "closed",
-  Reset = "reset",
-  HalfClosed = "half closed",
-}
-
-/** How much of the body a replica reads. */
-enum Upload {
-  Written = "written",
-  /** It answers at the first bytes, and reads on slowly while its connection lasts. */
-  BeingWritten = "being written",
-  /** It answers at the first bytes, and reads no more. */
-  Stopped = "stopped",
-}
 
 enum Path {
   Plain = "/book/x",
   Stream = "/stream/x",
 }
 
-interface Case {
-  readonly framing: Framing;
-  readonly end: End;
-  readonly upload: Upload;
+interface Case extends UploadCase {
   readonly path: Path;
   readonly isChunkedUpload: boolean;
   readonly bytes?: number;
@@ -69,50 +49,14 @@
 const answerOf = (framing: Framing, path: Path): string => {
   const type = path === Path.Plain ? "" : "content-type: text/event-stream\r\n";
   const head = `HTTP/1.1 200 OK\r\n${sealed}${type}`;
-  const part = partOf(path);
-  switch (framing) {
-    case Framing.Length:
-      return `${head}content-length: ${String(part.length + 2)}\r\n\r\n${part}`;
-    case Framing.Chunks:
-      return `${head}transfer-encoding: chunked\r\n\r\n${part.length.toString(16)}\r\n${part}\r\n`;
-    case Framing.Neither:
-      return `${head}\r\n${part}`;
-    default:
-      return assertNever(framing);
-  }
-};
-
-const endConnection = (socket: Socket, end: End): void => {
-  switch (end) {
-    case End.Closed:
-      socket.destroy();
-      return;
-    case End.Reset:
-      socket.resetAndDestroy();
-      return;
-    case End.HalfClosed:
-      socket.end();
-      return;
-    default:
-      assertNever(end);
-  }
-};
-
-/** Reads one part of a body after the other, for longer than an answer takes to end. */
-const readSlowly = (socket: Socket): void => {
-  const pause = () => {
-    socket.pause();
-    setTimeout(() => socket.resume(), readIntervalMs);
-  };
-  socket.on("data", pause);
-  pause();
+  return answerInPart(framing, head, partOf(path));
 };
 
 /** A replica that answers its requests in the way of the case, and those of the router truly. */
 const reader =
   (one: Case, onRequest: () => void): RawReader =>
   (socket) => {
-    const { framing, end, upload, path } = one;
+    const { framing, upload, path } = one;
     let text = "";
     let isAnswered = false;
     socket.on("data", (chunk) => {
@@ -128,25 +72,10 @@
       if (upload === Upload.Written && !isUploaded) return;
       isAnswered = true;
       onRequest();
-      if (upload === Upload.Stopped) socket.pause();
-      if (upload === Upload.BeingWritten) readSlowly(socket);
-      socket.write(answerOf(framing, path), () => {
-        setTimeout(() => {
-          endConnection(socket, end);
-        }, settleMs);
-      });
+      writeAndEnd(socket, one, answerOf(framing, path));
     });
   };
 
-/** Whether the end of the connection may say that the answer is whole: the replica has taken the body. */
-const mayBeWhole = ({ framing, end, upload }: Case): boolean => {
-  if (framing !== Framing.Neither || end === End.Reset) return false;
-  return (
-    upload === Upload.Written ||
-    (upload === Upload.BeingWritten && end === End.HalfClosed)
-  );
-};
-
 /** Whether the end of a request does not depend on its deadline. */
 const isPatient = (one: Case): boolean =>
   mayBeWhole(one) || (one.path === Path.Plain && one.upload !== Upload.Stopped);
@@ -238,24 +167,9 @@
     });
   });
 
-const statuses = [
-  "000",
-  "0",
-  "99",
-  "600",
-  "999",
-  "1000",
-  "101",
-  "20",
-  "2000",
-  "abc",
-  "-200",
-  "",
-];
-
 for (const path of Object.values(Path))
   test(`an answer whose status is none of a final answer is passed on (${path})`, async () => {
-    for (const status of statuses) {
+    for (const status of oddStatuses) {
       const type =
         path === Path.Plain ? "" : "content-type: text/event-stream\r\n";
       const body = partOf(path);
--- a/packages/upstream/src/answersDuringUploads.test.ts
+++ b/packages/upstream/src/answersDuringUploads.test.ts
@@ -1,7 +1,19 @@
 import assert from "node:assert/strict";
 import { createServer, type AddressInfo, type Socket } from "node:net";
 import { test } from "node:test";
-import { assertNever, now } from "@cardamomglade/common";
+import { now } from "@cardamomglade/common";
+import {
+  answerInPart,
+  End,
+  Framing,
+  largeUploadBytes,
+  mayBeWhole,
+  oddStatuses,
+  Upload,
+  uploadBytes,
+  writeAndEnd,
+  type UploadCase,
+} from "@cardamomglade/common/testing/answersDuringUploads";
 import { CallMethod, Priority } from "@cardamomglade/schema";
 import { buildConnector } from "undici";
 import { EngineClient } from "./engineClient.js";
@@ -9,84 +21,12 @@
 import type { EngineStreamEvent, ServiceOutcome } from "./types.js";
 
 // Load: servers answer a part while they are sent a long body, and end the connection.
-const uploadBytes = 1024 * 1024;
-const largeUploadBytes = 8 * 1024 * 1024; // more than the system takes for a server that does not read
 const budgetMs = 1000;
 const patientMs = 20_000; // more than a busy machine needs
-const settleMs = 20;
-const readIntervalMs = 5;
+const head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
 
-/** What marks the end of an answer. */
-enum Framing {
-  Length = "a length",
-  Chunks = "chunks",
-  Neither = "neither",
-}
-
-/** How a server ends its connection behind a part of its answer. */
-enum End {
-  Closed = "closed",
-  Reset = "reset",
-  HalfClosed = "half closed",
-}
-
-/** How much of the body a server reads. */
-enum Upload {
-  Written = "written",
-  /** It answers at the first bytes, and reads on slowly while its connection lasts. */
-  BeingWritten = "being written",
-  /** It answers at the first bytes, and reads no more. */
-  Stopped = "stopped",
-}
-
-interface Case {
-  readonly framing: Framing;
-  readonly end: End;
-  readonly upload: Upload;
-}
-
-const answerOf = (framing: Framing, part: string): string => {
-  const head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
-  switch (framing) {
-    case Framing.Length:
-      return `${head}content-length: ${String(part.length + 2)}\r\n\r\n${part}`;
-    case Framing.Chunks:
-      return `${head}transfer-encoding: chunked\r\n\r\n${part.length.toString(16)}\r\n${part}\r\n`;
-    case Framing.Neither:
-      return `${head}\r\n${part}`;
-    default:
-      return assertNever(framing);
-  }
-};
-
-const endConnection = (socket: Socket, end: End): void => {
-  switch (end) {
-    case End.Closed:
-      socket.destroy();
-      return;
-    case End.Reset:
-      socket.resetAndDestroy();
-      return;
-    case End.HalfClosed:
-      socket.end();
-      return;
-    default:
-      assertNever(end);
-  }
-};
-
-/** Reads one part of a body after the other, for longer than an answer takes to end. */
-const readSlowly = (socket: Socket): void => {
-  const pause = () => {
-    socket.pause();
-    setTimeout(() => socket.resume(), readIntervalMs);
-  };
-  socket.on("data", pause);
-  pause();
-};
-
-const answerInPart = (socket: Socket, one: Case, part: string): void => {
-  const { framing, end, upload } = one;
+const respondInPart = (socket: Socket, one: UploadCase, part: string): void => {
+  const { framing, upload } = one;
   let receivedBytes = 0;
   let isAnswered = false;
   socket.on("error", () => undefined);
@@ -95,13 +35,7 @@
     if (isAnswered) return;
     if (upload === Upload.Written && receivedBytes < uploadBytes) return;
     isAnswered = true;
-    if (upload === Upload.Stopped) socket.pause();
-    if (upload === Upload.BeingWritten) readSlowly(socket);
-    socket.write(answerOf(framing, part), () => {
-      setTimeout(() => {
-        endConnection(socket, end);
-      }, settleMs);
-    });
+    writeAndEnd(socket, one, answerInPart(framing, head, part));
   });
 };
 
@@ -173,15 +107,6 @@
   return last;
 };
 
-/** Whether the end of the connection may say that the answer is whole: the server has taken the body. */
-const mayBeWhole = ({ framing, end, upload }: Case): boolean => {
-  if (framing !== Framing.Neither || end === End.Reset) return false;
-  return (
-    upload === Upload.Written ||
-    (upload === Upload.BeingWritten && end === End.HalfClosed)
-  );
-};
-
 const part = "hello, wor";
 const chunk = {
   id: "r1.0",
@@ -201,7 +126,7 @@
       test(`a part of a service's answer with ${name}`, async () => {
         const outcome = await withServer(
           (socket) => {
-            answerInPart(socket, one, part);
+            respondInPart(socket, one, part);
           },
           (url) => callOnce(url, mayBeWhole(one) ? patientMs : budgetMs),
         );
@@ -211,7 +136,7 @@
 
       test(`a part of an engine's stream with ${name}`, async () => {
         const last = await withServer((socket) => {
-          answerInPart(socket, one, event);
+          respondInPart(socket, one, event);
         }, streamOnce);
         assert.notEqual(last?.type, "finished");
       });
@@ -225,17 +150,14 @@
   };
   const outcome = await withServer(
     (socket) => {
-      answerInPart(socket, one, part);
+      respondInPart(socket, one, part);
     },
     (url) => callOnce(url, budgetMs, largeUploadBytes),
   );
   assert.equal(outcome.type, "unknown", JSON.stringify(outcome));
 });
 
-const statuses = ["000", "0", "99", "600", "999", "1000", "101", "20", "2000"];
-const oddStatuses = ["abc", "-200", ""];
-
-for (const status of [...statuses, ...oddStatuses]) {
+for (const status of oddStatuses) {
   const answer = `HTTP/1.1 ${status} X\r\ncontent-length: ${String(event.length)}\r\n\r\n${event}`;
   const respond = (socket: Socket) => {
     socket.on("error", () => undefined);
