The last connections that are closed in a burst are logged

Operators saw "connections closed: descriptors are short" with the first few of a burst: the count of those closed within the next second was written only with a later closure, which may never come. The count that is held back is now written when its second ends.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export { abortSignalAt } from "./abortSignalAt.js";
 export { assertNever } from "./assertNever.js";
 export { nextRetryAt, type BackoffBounds } from "./backoff.js";
+export { BurstCount } from "./burstCount.js";
 export { canonicalJson } from "./canonicalJson.js";
 export {
   awaitConnectionEnd,
--- a/packages/relay/src/drivers/connectionLimit.ts
+++ b/packages/relay/src/drivers/connectionLimit.ts
@@ -5,7 +5,7 @@
 
 import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { now } from "@cardamomglade/common";
+import { BurstCount } from "@cardamomglade/common";
 import {
   chooseClosing,
   closingCountOf,
@@ -24,7 +24,7 @@
   readonly maxDescriptors: () => number | undefined;
   /** Refuses a request if its body has stopped; returns whether it did. */
   readonly refuseStalled: (res: ServerResponse) => boolean;
-  /** Called with the number of connections that were closed since the last call. */
+  /** Called with the number of connections that were closed since the last call, soon after each of them. */
   readonly onClosed: (count: number) => void;
 }
 
@@ -32,10 +32,10 @@
 
 /** Limit of the connections of one server. */
 export class ConnectionLimit {
-  private closedCount = 0;
-  private nextLogAt = 0;
+  private readonly closed: BurstCount;
 
   private constructor(private readonly options: ConnectionLimitOptions) {
+    this.closed = BurstCount.create(logIntervalMs, options.onClosed);
     options.server.on("connection", (socket: Socket) => {
       this.check(socket);
     });
@@ -53,8 +53,8 @@
     const closed = this.closeWaiting(added, closingCountOf(maxCount));
     if (closed === 0) {
       added.destroy();
-      this.record(1);
-    } else this.record(closed);
+      this.closed.add(1);
+    } else this.closed.add(closed);
   }
 
   /** Closes connections without a request, else refuses bodies that have stopped; returns how many. */
@@ -88,12 +88,4 @@
     }
     return refused;
   }
-
-  private record(count: number): void {
-    this.closedCount += count;
-    if (now() < this.nextLogAt) return;
-    this.nextLogAt = now() + logIntervalMs;
-    this.options.onClosed(this.closedCount);
-    this.closedCount = 0;
-  }
 }
