--- a/packages/relay/src/decisions/connections/chooseClosing.test.ts
+++ b/packages/common/src/chooseClosing.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { chooseClosing, maxConnectionsOf } from "./chooseClosing.js";
+import { chooseClosing } from "./chooseClosing.js";
 
 const waiting = (texts: readonly string[]) =>
   texts.map((connection) => ({ connection, address: connection.slice(0, 1) }));
@@ -22,10 +22,3 @@
   const inOrder = waiting(["b1", "a1", "b2", "a2"]);
   assert.deepEqual(chooseClosing(inOrder, counts, 2), ["b1", "a1"]);
 });
-
-test("callers may take every descriptor", () => {
-  assert.equal(maxConnectionsOf(undefined), Infinity);
-  assert.equal(maxConnectionsOf(4100), 3412);
-  assert.equal(maxConnectionsOf(400), 175);
-  assert.equal(maxConnectionsOf(100), 1);
-});
--- a/packages/relay/src/decisions/connections/chooseClosing.ts
+++ b/packages/common/src/chooseClosing.ts
@@ -1,10 +1,8 @@
 /**
- * Decides which connections of callers give way when they take too many descriptors. Load
- * pattern: callers that open connections without end and send nothing, or stop in the middle.
+ * Decides which connections of callers give way when they take too many. Load pattern:
+ * callers that open connections without end and send nothing, or stop in the middle.
  */
 
-const fileDescriptors = 200; // of the machine's limit, which the platform keeps for files
-const callerRatio = 7 / 8; // of the others; the rest is for replicas, routers and the store
 const batchRatio = 1 / 64; // of the connections, closed at once
 
 /** A connection on which nothing is owed to its caller. */
@@ -13,10 +11,6 @@
   readonly address: string;
 }
 
-/** Returns how many connections callers may hold, with so many descriptors; infinity if their number is not known. */
-export const maxConnectionsOf = (maxDescriptors = Infinity): number =>
-  Math.max(1, Math.floor(callerRatio * (maxDescriptors - fileDescriptors)));
-
 /** Returns how many give way together. */
 export const closingCountOf = (maxConnections: number): number =>
   Math.ceil(batchRatio * maxConnections);
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,11 @@
 export { nextRetryAt, type BackoffBounds } from "./backoff.js";
 export { BurstCount } from "./burstCount.js";
 export { canonicalJson } from "./canonicalJson.js";
+export {
+  chooseClosing,
+  closingCountOf,
+  type WaitingConnection,
+} from "./chooseClosing.js";
 export {
   awaitConnectionEnd,
   ConnectionEnd,
--- a/packages/relay/src/drivers/connectionLimit.ts
+++ b/packages/relay/src/drivers/connectionLimit.ts
@@ -5,13 +5,13 @@
 
 import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { BurstCount } from "@cardamomglade/common";
 import {
+  BurstCount,
   chooseClosing,
   closingCountOf,
-  maxConnectionsOf,
   type WaitingConnection,
-} from "../decisions/connections/chooseClosing.js";
+} from "@cardamomglade/common";
+import { maxConnectionsOf } from "../decisions/connections/maxConnections.js";
 import type { OpenConnections } from "./openConnections.js";
 
 const logIntervalMs = 1000;
--- a/packages/router/src/administration/serveAdministration.ts
+++ b/packages/router/src/administration/serveAdministration.ts
@@ -2,6 +2,9 @@
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Operator } from "@cardamomglade/schema";
+import type { OpenBodies } from "../connections/openBodies.js";
+import { refuseLongHead } from "../connections/refuseLongHead.js";
+import { statusOf } from "../errors.js";
 import { readBody } from "../callers/readBody.js";
 import { authorize } from "./authorize.js";
 import type { AdministrationResponse, AdministrationRoute } from "./types.js";
@@ -31,12 +34,22 @@
 ): AdministrationRoute | undefined =>
   routes.find((route) => route.method === req.method && route.path === path);
 
+/** Dependencies of the administration API. */
+export interface AdministrationOptions {
+  readonly server: Server;
+  readonly operators: readonly Operator[];
+  readonly routes: readonly AdministrationRoute[];
+  /** Bodies of requests that are being read. */
+  readonly bodies: OpenBodies;
+}
+
 /** Handles a server's requests with the given routes; does not start listening. */
-export const serveAdministration = (
-  server: Server,
-  operators: readonly Operator[],
-  routes: readonly AdministrationRoute[],
-): void => {
+export const serveAdministration = ({
+  server,
+  operators,
+  routes,
+  bodies,
+}: AdministrationOptions): void => {
   const handleRequest = async (
     req: IncomingMessage,
   ): Promise<AdministrationResponse> => {
@@ -65,9 +78,13 @@
         `operator "${operator}" lacks the right "${right}"`,
       );
     }
-    const body = await readBody(req, maxBodyBytes);
+    const body = await readBody(req, maxBodyBytes, bodies);
     if (body.type === "err") {
-      return errorResponse(413, body.error.type, body.error.message);
+      return errorResponse(
+        statusOf(body.error),
+        body.error.type,
+        body.error.message,
+      );
     }
     const { operator } = authorization;
     return route.handle({
@@ -79,6 +96,7 @@
   };
 
   server.on("request", (req: IncomingMessage, res: ServerResponse) => {
+    if (refuseLongHead(req, res, server)) return;
     handleRequest(req)
       .catch((error: unknown) => errorResponse(500, "internal", String(error)))
       .then((response) => {
--- a/packages/router/src/createRouter.ts
+++ b/packages/router/src/createRouter.ts
@@ -35,6 +35,7 @@
 import { drainRouter } from "./drainRouter.js";
 import { createRouterState, decide } from "./decide.js";
 import { createLedgerState } from "./actions/ledgerState.js";
+import { OpenBodies } from "./connections/openBodies.js";
 import { createCallerDriver } from "./drivers/callerDriver.js";
 import { createConfigDriver } from "./drivers/configDriver.js";
 import { createHostListDriver } from "./drivers/hostListDriver.js";
@@ -142,16 +143,20 @@
   const started: { process?: EventLoop<RouterState> } = {};
   const view = () => started.process?.state() ?? initialState;
 
-  const maxHeaderBytes = settings.limits.headerBytes;
-  const { listen } = settings;
+  const { listen, limits } = settings;
+  const bodies = OpenBodies.create(
+    Math.max(limits.bodiesBytes, limits.bodyBytes),
+  );
   const callersServer = await createHttpServer({
     listen: listen.callers,
-    maxHeaderBytes,
+    limits,
+    bodies,
     log,
   });
   const administrationServer = await createHttpServer({
     listen: listen.administration,
-    maxHeaderBytes,
+    limits,
+    bodies,
     log,
   });
   const { prefix } = settings.keyValue;
@@ -160,6 +165,7 @@
     view,
     metrics,
     server: callersServer,
+    bodies,
   });
   const clock = createProcessClock(settings.router.name);
   const timeline = createTimelineDriver(settings.router.name, clock);
@@ -206,15 +212,20 @@
   });
   started.process = running;
 
-  serveAdministration(administrationServer, settings.operators, [
-    ...createHealthRoutes(view),
-    createMetricsRoute(view, metrics, keyValue),
-    createTimelineRoute(view, timeline.ring),
-    ...createPlanRoutes(planInputSources),
-    createConfirmRoute(planInputSources),
-    ...createStatusRoutes({ view, keyValue, prefix, store }),
-    createExplainRoute(view, timeline.ring),
-  ]);
+  serveAdministration({
+    server: administrationServer,
+    operators: settings.operators,
+    bodies,
+    routes: [
+      ...createHealthRoutes(view),
+      createMetricsRoute(view, metrics, keyValue),
+      createTimelineRoute(view, timeline.ring),
+      ...createPlanRoutes(planInputSources),
+      createConfirmRoute(planInputSources),
+      ...createStatusRoutes({ view, keyValue, prefix, store }),
+      createExplainRoute(view, timeline.ring),
+    ],
+  });
   const callersUrl = await startListening(callersServer, listen.callers);
   const administrationUrl = await startListening(
     administrationServer,
--- a/packages/router/src/drivers/callerDriver.ts
+++ b/packages/router/src/drivers/callerDriver.ts
@@ -36,6 +36,8 @@
 import { parseTimeout } from "../callers/parseTimeout.js";
 import { sendError } from "../callers/sendError.js";
 import { readBody } from "../callers/readBody.js";
+import type { OpenBodies } from "../connections/openBodies.js";
+import { refuseLongHead } from "../connections/refuseLongHead.js";
 import { ErrorType, notRunError, type ApiError } from "../errors.js";
 import { Counter, Latency, type Metrics } from "../metrics.js";
 import type { RouterCommand, RouterCommandOf, RouterEvent } from "../types.js";
@@ -48,6 +50,8 @@
   readonly metrics: Metrics;
   /** Server that receives the callers' requests; started by the owner. */
   readonly server: Server;
+  /** Bodies of requests that are being read. */
+  readonly bodies: OpenBodies;
 }
 
 interface PendingCall {
@@ -88,7 +92,7 @@
 export const createCallerDriver = (
   options: CallerDriverOptions,
 ): RouterDriver => {
-  const { settings, view, metrics, server } = options;
+  const { settings, view, metrics, server, bodies } = options;
   const channel = createChannel<RouterEvent>();
   const push = (event: RouterEvent) => {
     channel.push(event);
@@ -230,6 +234,7 @@
 
   const serve = async (req: IncomingMessage, res: ServerResponse) => {
     metrics.count(Counter.Requests);
+    if (refuseLongHead(req, res, server)) return;
     const { config } = view();
     const customer = authenticate(config, req.headers.authorization);
     if (customer === undefined) {
@@ -237,7 +242,7 @@
       sendError(res, unknownCallerError(req, config.revision));
       return;
     }
-    const body = await readBody(req, settings.limits.bodyBytes);
+    const body = await readBody(req, settings.limits.bodyBytes, bodies);
     if (body.type === "err") {
       res.setHeader("connection", "close");
       sendError(res, body.error);
--- a/packages/router/src/tls/createHttpServer.test.ts
+++ b/packages/router/src/tls/createHttpServer.test.ts
@@ -7,6 +7,8 @@
 import { after, test } from "node:test";
 import { TLSSocket } from "node:tls";
 import { generate } from "selfsigned";
+import { OpenBodies } from "../connections/openBodies.js";
+import { testSettings } from "../testing/callersListener.js";
 import { createHttpServer } from "./createHttpServer.js";
 import { TlsFiles } from "./tlsFiles.js";
 
@@ -63,7 +65,12 @@
 test("a server with TLS settings serves its certificate over TLS", async () => {
   await writeCertificate("listener");
   const listen = { address: "127.0.0.1", port: 0, tls: settings };
-  const options = { listen, maxHeaderBytes: 16_384, log: discardLog };
+  const options = {
+    listen,
+    limits: testSettings().limits,
+    bodies: OpenBodies.create(Infinity),
+    log: discardLog,
+  };
   const server = await createHttpServer(options);
   server.on("request", (_req, res: { end: () => void }) => {
     res.end();
--- a/packages/router/src/tls/handleClientErrors.test.ts
+++ b/packages/router/src/tls/handleClientErrors.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { connect, type AddressInfo } from "node:net";
 import { test } from "node:test";
+import { OpenBodies } from "../connections/openBodies.js";
+import { testSettings } from "../testing/callersListener.js";
 import { createHttpServer } from "./createHttpServer.js";
 
 const maxHeaderBytes = 1024;
@@ -26,8 +28,10 @@
 
 test("unparsable and oversized requests get typed errors and reach no handler", async () => {
   const listen = { address: "127.0.0.1", port: 0 };
+  const { limits } = testSettings({ headerBytes: maxHeaderBytes });
+  const bodies = OpenBodies.create(Infinity);
   const log = () => undefined;
-  const server = await createHttpServer({ listen, maxHeaderBytes, log });
+  const server = await createHttpServer({ listen, limits, bodies, log });
   let handled = 0;
   server.on("request", () => (handled += 1));
   await new Promise<void>((resolve) => {
