--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -76,15 +76,17 @@
   const metrics = createRelayMetrics();
   const portLog = (use: string, address: Address) =>
     createPortLog({ use, address }, log);
-  const front = createFrontDriver({
-    listen: options.front,
-    sender: Sender.Callers,
+  const { maxDescriptors } = options;
+  const frontOptions = {
     protocol,
     metrics,
     log,
-    ...(options.maxDescriptors !== undefined && {
-      maxDescriptors: options.maxDescriptors,
-    }),
+    ...(maxDescriptors !== undefined && { maxDescriptors }),
+  };
+  const front = createFrontDriver({
+    ...frontOptions,
+    listen: options.front,
+    sender: Sender.Callers,
   });
   const { address } = options.state;
   const peerDrivers =
@@ -96,11 +98,9 @@
       ? []
       : [
           createFrontDriver({
+            ...frontOptions,
             listen: handoverAddressOf(address),
             sender: Sender.Routers,
-            protocol,
-            metrics,
-            log,
           }),
         ];
   const fronts = [front, ...routerFronts];
--- a/packages/relay/src/drivers/connectionLimit.test.ts
+++ b/packages/relay/src/drivers/connectionLimit.test.ts
@@ -7,8 +7,8 @@
 import { ConnectionLimit } from "./connectionLimit.js";
 import { OpenConnections } from "./openConnections.js";
 
-const maxDescriptors = 400;
-const crowdCount = 230; // 55 more than are kept
+const maxCount = 175;
+const crowdCount = maxCount + 55;
 
 // Load: callers that open connections in one burst, and send nothing.
 test("the last closures of a burst are not logged", async (t) => {
@@ -18,7 +18,7 @@
   ConnectionLimit.create({
     server,
     connections,
-    maxDescriptors: () => maxDescriptors,
+    maxCount: () => maxCount,
     refuseStalled: () => false,
     onClosed: (count) => (loggedCount += count),
   });
--- a/packages/relay/src/drivers/connectionLimit.ts
+++ b/packages/relay/src/drivers/connectionLimit.ts
@@ -11,7 +11,6 @@
   closingCountOf,
   type WaitingConnection,
 } from "@cardamomglade/common";
-import { maxConnectionsOf } from "../decisions/connections/maxConnections.js";
 import type { OpenConnections } from "./openConnections.js";
 
 const logIntervalMs = 1000;
@@ -20,8 +19,8 @@
 export interface ConnectionLimitOptions {
   readonly server: Server;
   readonly connections: OpenConnections;
-  /** Descriptors of the process; undefined if their number is not known. */
-  readonly maxDescriptors: () => number | undefined;
+  /** How many connections may be open. */
+  readonly maxCount: () => number;
   /** Refuses a request if its body has stopped; returns whether it did. */
   readonly refuseStalled: (res: ServerResponse) => boolean;
   /** Called with the number of connections that were closed since the last call, soon after each of them. */
@@ -47,8 +46,8 @@
 
   /** Makes room for a new connection; without any it is closed unread. */
   private check(added: Socket): void {
-    const { connections, maxDescriptors } = this.options;
-    const maxCount = maxConnectionsOf(maxDescriptors());
+    const { connections } = this.options;
+    const maxCount = this.options.maxCount();
     if (connections.connectionCount() <= maxCount) return;
     const closed = this.closeWaiting(added, closingCountOf(maxCount));
     if (closed === 0) {
--- a/packages/relay/src/drivers/frontDriver.ts
+++ b/packages/relay/src/drivers/frontDriver.ts
@@ -9,6 +9,10 @@
 import { createChannel, now, type Timestamp } from "@cardamomglade/common";
 import { createPortLog, Severity, type Log } from "@cardamomglade/observe";
 import type { DecisionContext, RelayCommand } from "../decisions/commands.js";
+import {
+  maxConnectionsOf,
+  maxRouterConnectionsOf,
+} from "../decisions/connections/maxConnections.js";
 import { maxTakenOverCount } from "../decisions/handover/constants.js";
 import { HandoverRefusal } from "../decisions/handover/types.js";
 import { requestBytesOf } from "../decisions/memory/budgetBytes.js";
@@ -198,10 +202,11 @@
 
   /** Requests whose connections are closed with their refusals. */
   const shed = new WeakSet<ServerResponse>();
+  const maxCountOf = isFromRouters ? maxRouterConnectionsOf : maxConnectionsOf;
   ConnectionLimit.create({
     server,
     connections,
-    maxDescriptors: () => options.maxDescriptors?.(),
+    maxCount: () => maxCountOf(options.maxDescriptors?.()),
     refuseStalled: (res) => {
       const isRefused = readMemory.get(res)?.giveUpStalled() === true;
       if (isRefused) shed.add(res);
@@ -209,7 +214,7 @@
     },
     onClosed: (count) => {
       log(Severity.Warn, "connections closed: descriptors are short", {
-        detail: `${String(count)} closed`,
+        detail: `${String(count)} closed of ${sender}`,
       });
     },
   });
--- a/packages/relay/src/testing/relayPair.ts
+++ b/packages/relay/src/testing/relayPair.ts
@@ -51,6 +51,8 @@
   readonly registeredHost?: string;
   /** Whether routes leave requests all their budget. */
   readonly isPatient?: boolean;
+  /** Descriptors of each relay. */
+  readonly maxDescriptors?: number;
 }
 
 const startedPairs: RelayPair[] = [];
@@ -75,6 +77,7 @@
   router: string,
   replicas: readonly Replica[],
   config: RelayConfig,
+  maxDescriptors: number | undefined,
 ): Promise<PairedRelay & { readonly push: (event: RelayEvent) => void }> => {
   const address = { host, port: await freePort(2) }; // requests of routers come at the second
   const port = await freePort();
@@ -91,6 +94,7 @@
     platform: [createSourceDriver(events.stream)],
     onLoopEnded: () => undefined,
     gauges: () => ({}),
+    maxDescriptors: () => maxDescriptors,
   });
   events.push({ type: "configRead", at: now(), config });
   events.push({ type: "replicasRead", at: now(), replicas });
@@ -111,15 +115,16 @@
     isHelperCut = false,
     registeredHost = host,
     isPatient = false,
+    maxDescriptors,
   }: PairOptions = {},
 ): Promise<RelayPair> => {
   const replica = await startRawReplica(withReports(answer));
   const unreachable = replicasAt(service, await freePort());
   const reachable = replicasAt(service, replica.port);
   const config = isPatient ? patientConfig() : testConfig();
-  const cut = await startOne("r1", unreachable, config);
+  const cut = await startOne("r1", unreachable, config, maxDescriptors);
   const others = isHelperCut ? unreachable : reachable;
-  const helper = await startOne("r2", others, config);
+  const helper = await startOne("r2", others, config, maxDescriptors);
   const entries = [cut, helper].map(({ address }, index) => ({
     router: `r${String(index + 1)}`,
     lease: "l",
