An error of bytes behind a request is no answer to that request

A router wrote 400 with "ran: no" for bytes that are no HTTP, and 408 for a body that stayed away, also while an earlier request on the connection was being answered: the caller took the error for its answer, though the request may have run, or found it inside or behind a whole answer. Now the connection closes behind the answer that is due, without a further one; a request whose refusal was sent before its body had arrived gets no second one.

Evidence: two tests of handleClientErrors.test.ts failed on the code before (400 in place of 200; a second answer behind 200) and pass now.

--- a/packages/router/src/tls/handleClientErrors.ts
+++ b/packages/router/src/tls/handleClientErrors.ts
@@ -4,6 +4,7 @@
 import type { Duplex } from "node:stream";
 import { RequestExecuted } from "@cardamomglade/common";
 import { ErrorType } from "../errors.js";
+import { UnansweredRequests } from "./unansweredRequests.js";
 
 type ClientError = Error & { readonly code?: string };
 
@@ -36,11 +37,7 @@
   }
 };
 
-const respond = (error: ClientError, socket: Duplex): void => {
-  if (!socket.writable || error.code === "ECONNRESET") {
-    socket.destroy();
-    return;
-  }
+const refuse = (error: ClientError, socket: Duplex): void => {
   const { status, type, message } = responseHeadOf(error);
   const body = JSON.stringify({
     error: { type, message, ran: RequestExecuted.No },
@@ -54,6 +51,24 @@
   socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
 };
 
-/** Responds to malformed, oversized and timed-out requests with a typed error. */
-export const handleClientErrors = (server: Server): Server =>
-  server.on("clientError", respond);
+/**
+ * Responds to malformed, oversized and timed-out requests with a typed error. Behind a request
+ * that is owed an answer, the error would be taken for it: the connection closes after that
+ * answer, without one for what came behind it.
+ */
+export const handleClientErrors = (server: Server): Server => {
+  const unanswered = UnansweredRequests.create(server);
+  return server.on("clientError", (error: ClientError, socket: Duplex) => {
+    const isGone = !socket.writable || error.code === "ECONNRESET";
+    if (isGone || unanswered.isAnsweredEarly(socket)) {
+      socket.destroy();
+      return;
+    }
+    const due = unanswered.dueOn(socket).at(-1);
+    if (due === undefined) refuse(error, socket);
+    else
+      due.once("close", () => {
+        socket.destroy();
+      });
+  });
+};
