Calls to replicas: heads, framing and added headers have files of their own

What a call reports, the headers that it adds, how the end of a response is found, and how its head is read and checked are modules now; the call itself is left. No change of behaviour; two tests import the events' type from its new place.

--- a/packages/relay/src/drivers/oddAddresses.test.ts
+++ b/packages/relay/src/drivers/oddAddresses.test.ts
@@ -7,7 +7,8 @@
 import type { Replica } from "../types.js";
 import { httpCall } from "./httpCall.js";
 import { CallPeer } from "./memory/controlBudgets.js";
-import { ReplicaCall, type CallEvent } from "./replicaCall.js";
+import { ReplicaCall } from "./replicaCall.js";
+import type { CallEvent } from "./replicaCalls/types.js";
 
 const host = "127.0.0.1";
 const badPort = 70_000;
--- a/packages/relay/src/drivers/replicaCall.test.ts
+++ b/packages/relay/src/drivers/replicaCall.test.ts
@@ -8,7 +8,8 @@
 import { testAttempt } from "../testing/testAttempt.js";
 import { testProtocol } from "../testing/testProtocol.js";
 import { respondOk } from "../testing/testRelay.js";
-import { ReplicaCall, type CallEvent } from "./replicaCall.js";
+import { ReplicaCall } from "./replicaCall.js";
+import type { CallEvent } from "./replicaCalls/types.js";
 
 const startCall = (port: number) => {
   const events: CallEvent[] = [];
--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -7,181 +7,37 @@
   holdUploadEnd,
   now,
 } from "@cardamomglade/common";
-import type { RetryAfter } from "../decisions/backOff/types.js";
-import type { RelayCommand } from "../decisions/commands.js";
 import { isBodiless } from "../decisions/answerEnds/isBodiless.js";
 import { progressBytes } from "../decisions/constants.js";
-import {
-  AttemptFailure,
-  BodyFraming,
-  type AnsweringReplica,
-  type HandedBack,
-  type ResponseHead,
-  type StreamEvent,
-  type BufferedResponse,
-} from "../decisions/types.js";
-import {
-  misdirectedRequestStatus,
-  type ReplicaProtocol,
-  formatAddress,
-  type Address,
-} from "../types.js";
+import { AttemptFailure, type ResponseHead } from "../decisions/types.js";
+import type { Address, ReplicaProtocol } from "../types.js";
 import { AnswerBuffer } from "./answerBuffers.js";
-import { lengthOf } from "./lengthOf.js";
 import { forwardableHeaders } from "./connectionHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
+import { lengthOf } from "./lengthOf.js";
 import { memoryBudget } from "./memory/memoryBudget.js";
+import { addedHeaders } from "./replicaCalls/addedHeaders.js";
+import { endsWithConnection } from "./replicaCalls/responseFraming.js";
+import { responseHeadOf } from "./replicaCalls/responseHead.js";
+import type {
+  CallEvent,
+  HandOnCommand,
+  SendCommand,
+} from "./replicaCalls/types.js";
+import { validationErrorOf } from "./replicaCalls/validationError.js";
 import { retryAfterOf } from "./retryAfter.js";
 import { watchBody } from "./watchBody.js";
-import {
-  decodeAnswerOrigin,
-  decodeRefusal,
-  encodeHandover,
-  handoverHeaders,
-  type AnswerOrigin,
-} from "./handover/handoverHeaders.js";
-
-type SendCommand = Extract<RelayCommand, { readonly type: "send" }>;
-type HandOnCommand = Extract<RelayCommand, { readonly type: "handOn" }>;
-
-/** Events of a call; no event follows a response, the end of a stream or a failure. */
-export type CallEvent =
-  | { readonly type: "connectionOpened" }
-  | { readonly type: "requestProgressed" }
-  | { readonly type: "answerProgressed"; readonly isHeldBack: boolean }
-  | { readonly type: "leavingAnnounced"; readonly replica: AnsweringReplica }
-  | {
-      readonly type: "backOffRequested";
-      readonly replica: AnsweringReplica;
-      readonly retryAfter: RetryAfter;
-    }
-  | { readonly type: "responseReceived"; readonly answer: BufferedResponse }
-  | { readonly type: "streamStarted"; readonly head: ResponseHead }
-  | { readonly type: "eventsArrived"; readonly events: readonly StreamEvent[] }
-  | { readonly type: "streamEnded" }
-  | {
-      readonly type: "attemptFailed";
-      readonly failure: AttemptFailure;
-      readonly detail: string;
-    };
 
 // A live replica accepts a connection within a round trip and its handshake; an
 // unreachable one never does.
 const connectTimeoutMs = 250;
 
 const maxInformationalCount = 16; // a server sends one or none before its response
-const minFinalStatus = 200;
-const maxStatus = 599;
-
-const msPerSecond = 1000;
-const droppedHeaders: ReadonlySet<string> = new Set(
-  Object.values(handoverHeaders),
-);
 const framingHeaders: ReadonlySet<string> = new Set(["content-length"]);
 
-const lowestPriority = 9;
-
-const priorityHeaderOf = (priority: number): string =>
-  String(Math.min(lowestPriority, Math.max(0, Math.round(priority))));
-
-/** Headers that the relay adds to each request that it forwards. */
-const forwardingHeaders = (
-  { headers: names }: ReplicaProtocol,
-  {
-    request: callerRequest,
-    deadline,
-    lastEventId,
-  }: SendCommand | HandOnCommand,
-): string[] => {
-  const remainingMs = Math.max(1, Math.floor(deadline - now()));
-  const added = [names.timeBudgetMs, String(remainingMs)];
-  if (lastEventId !== undefined)
-    added.push(names.lastEventId, String(lastEventId));
-  if (callerRequest.body.length > 0 || callerRequest.hasBody)
-    added.push("content-length", String(callerRequest.body.length));
-  return added;
-};
-
-/** Headers that the relay adds to a request for a replica. */
-const replicaHeaders = (
-  { headers: names, formatCopyName }: ReplicaProtocol,
-  { attempt, customer, priority }: SendCommand,
-): string[] => {
-  const added = [names.expectedReplica, attempt.replica.id];
-  if (customer !== undefined) added.push(names.customer, customer);
-  if (priority !== undefined)
-    added.push(names.priority, priorityHeaderOf(priority));
-  const { copyTo, start } = attempt;
-  if (copyTo !== undefined) added.push(names.copyTo, formatAddress(copyTo));
-  if (start.type === "copy")
-    added.push(
-      names.continueFrom,
-      formatCopyName(start.copy.source, start.copy.handle),
-    );
-  return added;
-};
-
-/** Headers that the relay adds to a request for another router, which finds customer and replica itself. */
-const routerHeaders = ({
-  request: { key },
-  handover,
-}: HandOnCommand): string[] => [
-  handoverHeaders.request,
-  encodeHandover(handover, now()),
-  ...(key === undefined ? [] : ["authorization", `Bearer ${key}`]),
-];
-
 const addressOf = (command: SendCommand | HandOnCommand): Address =>
   command.type === "send" ? command.attempt.replica : command.to;
 
-const addedHeaders = (
-  protocol: ReplicaProtocol,
-  command: SendCommand | HandOnCommand,
-): string[] => [
-  ...forwardingHeaders(protocol, command),
-  ...(command.type === "send"
-    ? replicaHeaders(protocol, command)
-    : routerHeaders(command)),
-];
-
-/** Transfer codings of a response, in the order in which they were applied. */
-const transferCodingsOf = ({ headers }: IncomingMessage): readonly string[] =>
-  (headers["transfer-encoding"] ?? "")
-    .split(",")
-    .map((coding) => coding.trim().toLowerCase())
-    .filter((coding) => coding !== "");
-
-const framingOf = (res: IncomingMessage): BodyFraming => {
-  const codings = transferCodingsOf(res);
-  if (codings.at(-1) === "chunked") return BodyFraming.Chunked;
-  return codings.length > 0 || res.headers["content-length"] === undefined
-    ? BodyFraming.Connection
-    : BodyFraming.Length;
-};
-
-/** Whether nothing but the end of the connection marks the end of a response. */
-const endsWithConnection = (method: string, res: IncomingMessage): boolean =>
-  framingOf(res) === BodyFraming.Connection &&
-  !isBodiless(method, res.statusCode ?? 0);
-
-const maxRequestLimitPerS = 1_000_000; // a replica that takes more has no limit
-
-/** Decodes a limit of requests a second; undefined if it is none. */
-const decodeLimit = (
-  header: string | readonly string[] | undefined,
-): number | undefined => {
-  if (typeof header !== "string" || !/^\d+(\.\d+)?$/.test(header.trim()))
-    return undefined;
-  const limit = Number(header);
-  return limit <= maxRequestLimitPerS ? limit : undefined;
-};
-
-const eventStreamType = "text/event-stream";
-
-/** Media type of a response without parameters, in lower case; undefined if it names none. */
-const mediaTypeOf = ({ headers }: IncomingMessage): string | undefined =>
-  headers["content-type"]?.split(";")[0]?.trim().toLowerCase();
-
 /** A call in progress. */
 export class ReplicaCall {
   private readonly req: ClientRequest;
@@ -296,82 +152,6 @@
     this.abandon();
   }
 
-  /** Whether a response is a stream of events; one that names no type is what its route says. */
-  private hasEvents(res: IncomingMessage): boolean {
-    const type = mediaTypeOf(res);
-    return type === undefined
-      ? this.command.isStreamExpected
-      : type === eventStreamType;
-  }
-
-  private headOf(res: IncomingMessage): ResponseHead {
-    const { headers: names } = this.protocol;
-    const status = res.statusCode ?? 0;
-    const seal = res.headers[names.seal];
-    const origin = this.originOf(res);
-    return {
-      status,
-      headers: forwardableHeaders(res.rawHeaders, droppedHeaders),
-      seal: typeof seal === "string" ? seal : undefined,
-      isStream: status === 200 && this.hasEvents(res),
-      framing: origin.framing,
-      isNotExecuted:
-        res.headers[names.notExecuted] !== undefined ||
-        status === misdirectedRequestStatus,
-      requestLimitPerS: decodeLimit(res.headers[names.requestLimit]),
-      answeredBy: origin.answeredBy,
-      handedBack: this.handedBackOf(res),
-    };
-  }
-
-  /** Whose answer it is, and how its end is found: another router says so of one that it hands back. */
-  private originOf(
-    res: IncomingMessage,
-  ): Partial<AnswerOrigin> & Pick<AnswerOrigin, "framing"> {
-    const framing = framingOf(res);
-    if (this.command.type === "send")
-      return { answeredBy: this.command.attempt.replica, framing };
-    const header = res.headers[handoverHeaders.answer];
-    const origin =
-      typeof header === "string" ? decodeAnswerOrigin(header) : undefined;
-    return origin ?? { framing };
-  }
-
-  /** What another router says of a request that it does not serve. */
-  private handedBackOf(res: IncomingMessage): HandedBack | undefined {
-    if (this.command.type === "send") return undefined;
-    const header = res.headers[handoverHeaders.refusal];
-    const refusal = decodeRefusal(
-      typeof header === "string" ? header : undefined,
-    );
-    const seconds = Number(res.headers["retry-after"] ?? NaN);
-    const retryAfterMs = Number.isFinite(seconds)
-      ? Math.max(0, seconds * msPerSecond)
-      : undefined;
-    return { refusal, retryAfterMs };
-  }
-
-  /** Why the response head is invalid for this request, or undefined if it is valid. */
-  private validationErrorOf(
-    res: IncomingMessage,
-    head: ResponseHead,
-  ): string | undefined {
-    if (head.status < minFinalStatus || head.status > maxStatus)
-      return "the answer has no valid status";
-    const { requestId } = this.command.request;
-    const echoedRequestId = res.headers[this.protocol.headers.requestId];
-    // A refusal may name no request, but one of another request says nothing of this one.
-    const isNameRequired = echoedRequestId !== undefined || !head.isNotExecuted;
-    if (requestId !== "" && isNameRequired && echoedRequestId !== requestId)
-      return "the answer names another request";
-    if (head.isNotExecuted) return undefined;
-    if (res.headers["content-encoding"] !== undefined)
-      return "the answer is encoded";
-    const isSuccess = head.status >= 200 && head.status < 300;
-    if (isSuccess && head.seal === undefined) return "the answer is not sealed";
-    return undefined;
-  }
-
   /** Reports a time that the replica names; another router's is for its caller. */
   private reportRetryAfter(res: IncomingMessage, status: number): void {
     const { protocol, command } = this;
@@ -383,15 +163,17 @@
   }
 
   private read(res: IncomingMessage): void {
-    const head = this.headOf(res);
+    const { protocol, command } = this;
+    const head = responseHeadOf(protocol, command, res);
     const { answeredBy } = head;
     if (
-      res.headers[this.protocol.headers.leaving] !== undefined &&
+      res.headers[protocol.headers.leaving] !== undefined &&
       answeredBy !== undefined
     )
       this.report({ type: "leavingAnnounced", replica: answeredBy });
     this.reportRetryAfter(res, head.status);
-    const validationError = this.validationErrorOf(res, head);
+    const { requestId } = command.request;
+    const validationError = validationErrorOf(protocol, requestId, res, head);
     if (validationError !== undefined) {
       this.fail(AttemptFailure.Malformed, validationError);
       return;
--- a/packages/relay/src/drivers/replicaDriver.ts
+++ b/packages/relay/src/drivers/replicaDriver.ts
@@ -16,7 +16,8 @@
   probeEngine,
   type ReplicaNotice,
 } from "./engineCalls.js";
-import { ReplicaCall, type CallEvent } from "./replicaCall.js";
+import { ReplicaCall } from "./replicaCall.js";
+import type { CallEvent } from "./replicaCalls/types.js";
 import type { RelayDriver } from "./types.js";
 
 const callKey = (key: string, attempt: number): string =>
