A call between processes reads what has arrived before it gives up

Operators saw control calls (store, load reports, run stops) fail with "connection timed out" or "no response before the deadline" in processes that their machine had held up for longer than the deadline, though the other side had accepted or answered in time.

Cause: the deadlines of a call were plain timers. Node runs timers before it reads sockets, so after a hold-up the deadline came first, and a connection or an answer that lay ready in the system was thrown away.

A deadline now acts one turn later, after sockets have been read; what has not arrived by then fails as before.

--- a/packages/relay/src/drivers/httpCall.ts
+++ b/packages/relay/src/drivers/httpCall.ts
@@ -5,10 +5,11 @@
   type ClientRequest,
   type IncomingHttpHeaders,
 } from "node:http";
-import { now, type Timestamp } from "@cardamomglade/common";
+import type { Timestamp } from "@cardamomglade/common";
 import { AnswerBuffer } from "./answerBuffers.js";
 import { lengthOf } from "./lengthOf.js";
 import { controlBudgetOf, type CallPeer } from "./memory/controlBudgets.js";
+import { whenOverdue } from "./whenOverdue.js";
 
 /** Parameters of an HTTP call. */
 export interface HttpCall {
@@ -59,11 +60,11 @@
 ): Promise<HttpResult> =>
   new Promise((resolve) => {
     const { body, deadline } = call;
-    const timers: NodeJS.Timeout[] = [];
+    const pending: (() => void)[] = [];
     let buffer: AnswerBuffer | undefined;
     let isConnected = false;
     const finish = (outcome: HttpResult) => {
-      for (const timer of timers) clearTimeout(timer);
+      for (const giveUp of pending) giveUp();
       buffer?.close();
       resolve(outcome);
       req.destroy();
@@ -71,21 +72,21 @@
     const fail = (detail: string, isRefused = false) => {
       finish({ type: "failed", detail, isRefused, isConnected });
     };
-    const failAt = (at: Timestamp, detail: string): NodeJS.Timeout => {
-      const timer = setTimeout(() => {
+    const failAt = (at: Timestamp, detail: string): (() => void) => {
+      const giveUp = whenOverdue(at, () => {
         fail(detail);
-      }, at - now());
-      timers.push(timer);
-      return timer;
+      });
+      pending.push(giveUp);
+      return giveUp;
     };
     failAt(deadline, "no response before the deadline");
     req.on("socket", (socket) => {
       if (!socket.connecting) return;
       const connectedBy = call.connectDeadline ?? deadline;
-      const timer = failAt(connectedBy, "connection timed out");
+      const giveUp = failAt(connectedBy, "connection timed out");
       socket.once("connect", () => {
         isConnected = true;
-        clearTimeout(timer);
+        giveUp();
       });
     });
     req.on("error", (error: NodeJS.ErrnoException) => {
@@ -109,7 +110,7 @@
     req.end(body);
   });
 
-/** Sends the request; always resolves by the deadline, also if its parameters are invalid. */
+/** Sends the request; always resolves by the deadline, or once what had arrived by then has been read, also if its parameters are invalid. */
 export const httpCall = async (call: HttpCall): Promise<HttpResult> => {
   let req: ClientRequest;
   try {
