A router that was held up takes no replica for unreachable that accepted it

Callers got 503 "no replica is open" for requests that no replica had been sent, and the replica was avoided for a while, when the router's process stood still for a quarter of a second or more just after it had opened a connection.

Cause: the time in which a replica has to accept a connection (250 ms) was a plain timer. Node runs timers before it reads sockets, so after a hold-up the attempt ended as not sent although its connection lay ready. The time now ends one turn later, once what had arrived has been read; an unreachable replica is still left after 250 ms.

--- a/packages/relay/src/drivers/replicaCall.ts
+++ b/packages/relay/src/drivers/replicaCall.ts
@@ -27,6 +27,7 @@
 import { validationErrorOf } from "./replicaCalls/validationError.js";
 import { retryAfterOf } from "./retryAfter.js";
 import { watchBody } from "./watchBody.js";
+import { whenOverdue } from "./whenOverdue.js";
 
 // A live replica accepts a connection within a round trip and its handshake; an
 // unreachable one never does.
@@ -61,18 +62,18 @@
       headers: [...callerRequest.headers, ...addedHeaders(protocol, command)],
       agent: false,
     });
-    const connectTimer = setTimeout(() => {
+    const giveUpWaiting = whenOverdue(now() + connectTimeoutMs, () => {
       this.fail(AttemptFailure.NotSent, "no connection in time");
-    }, connectTimeoutMs);
+    });
     this.req.on("socket", (socket) => {
       socket.once("connect", () => {
-        clearTimeout(connectTimer);
+        giveUpWaiting();
         this.isConnected = true;
         this.report({ type: "connectionOpened" });
       });
     });
     this.req.on("error", (error) => {
-      clearTimeout(connectTimer);
+      giveUpWaiting();
       this.onError(error);
     });
     let informationalCount = 0;
