--- a/packages/relay/src/decisions/rollout/applyPhase.ts
+++ b/packages/relay/src/decisions/rollout/applyPhase.ts
@@ -4,7 +4,7 @@
 import { logLine } from "../logLine.js";
 import type { RelayState } from "../types.js";
 import { knownExposed } from "./knownExposed.js";
-import { deadlineOf, isFinal } from "./rolloutState.js";
+import { deadlineOf, describeOrder, isFinal } from "./rolloutState.js";
 import { RolloutPhase, type Rollout } from "./types.js";
 
 const phaseOrder = [
@@ -20,11 +20,8 @@
   phase: RolloutPhase,
   learnedFrom: string,
 ): RelayCommand => {
-  const { service, version, id } = rollout.order;
   const context = {
-    service,
-    softwareVersion: version,
-    order: id,
+    ...describeOrder(rollout.order),
     phase,
     learnedFrom,
     deadlineInMs: Math.round(deadlineOf(rollout) - state.at),
--- a/packages/relay/src/decisions/rollout/exposure.ts
+++ b/packages/relay/src/decisions/rollout/exposure.ts
@@ -64,6 +64,9 @@
   rolloutAim: RolloutAim,
 ): boolean => hasCandidate(state, { service, excluded: triedIds, rolloutAim });
 
+const isForNewVersion = (reason: RolloutReason): boolean =>
+  reason === RolloutReason.WithinShare || reason === RolloutReason.Completed;
+
 const aimReason = (
   state: RelayState,
   rollout: Rollout,
@@ -79,9 +82,6 @@
     : RolloutReason.NoReplica;
 };
 
-const isForNewVersion = (reason: RolloutReason): boolean =>
-  reason === RolloutReason.WithinShare || reason === RolloutReason.Completed;
-
 /** Decides which version a request is sent to next. */
 export const aimAtVersion = (state: RelayState, exchange: Exchange): void => {
   const { service, softwareVersion, rolloutAim } = exchange;
--- a/packages/relay/src/decisions/rollout/knownExposed.ts
+++ b/packages/relay/src/decisions/rollout/knownExposed.ts
@@ -1,5 +1,7 @@
 /** Sums of what routers reported, for log lines and metrics. */
 
+import { knownFirstSent } from "./reports.js";
+import { highestEvidence } from "./rolloutState.js";
 import type { Rollout } from "./types.js";
 
 /** What is known of a roll-out's requests and answers, and of the evidence against its version. */
@@ -24,15 +26,14 @@
   );
   const sum = (numbers: readonly number[]) =>
     numbers.reduce((total, one) => total + one, 0);
-  const evidence = [...rollout.tests.values()].map((one) => one.evidence);
   return {
     knownRouters: reports.length + 1,
-    knownRequests: rollout.firstSent + sum(reports.map((one) => one.firstSent)),
+    knownRequests: knownFirstSent(rollout),
     knownExposed: rollout.exposed + sum(reports.map((one) => one.exposed)),
     newAnswers: sum(counts.map((one) => one.newAnswers)),
     newBad: sum(counts.map((one) => one.newFailed + one.newSlow)),
     oldAnswers: sum(counts.map((one) => one.oldAnswers)),
     oldBad: sum(counts.map((one) => one.oldFailed + one.oldSlow)),
-    evidence: Math.max(0, ...evidence),
+    evidence: highestEvidence(rollout),
   };
 };
--- a/packages/relay/src/decisions/rollout/maintainRollouts.ts
+++ b/packages/relay/src/decisions/rollout/maintainRollouts.ts
@@ -35,6 +35,7 @@
 import {
   deadlineOf,
   hasOldReplica,
+  highestEvidence,
   isFinal,
   isNewVersion,
   rolloutLimitsOf,
@@ -98,15 +99,12 @@
   rollout: Rollout,
 ): RolloutPhase | undefined => {
   const { at } = state;
-  const { phaseAt, tests } = rollout;
   const deadline = deadlineOf(rollout);
   const marginMs = marginMsOf(rollout);
   const unreadMs = unreadMsOf(rollout);
   const completeAt = deadline - marginMs - unreadMs;
-  if (at < Math.max(completeAt, phaseAt + minMoveMs)) return undefined;
-  const isInDoubt = [...tests.values()].some(
-    ({ evidence }) => evidence >= doubtfulEvidence,
-  );
+  if (at < Math.max(completeAt, rollout.phaseAt + minMoveMs)) return undefined;
+  const isInDoubt = highestEvidence(rollout) >= doubtfulEvidence;
   if (isInDoubt && at < deadline + doubtfulCompletionDelayMs) return undefined;
   const waitsUntil = completeAt + completionWaitRatio * marginMs - unreadMs;
   const isWaiting = at < waitsUntil && hasOldWork(state, rollout);
@@ -179,12 +177,11 @@
   for (const rollout of state.rollouts.services.values()) {
     const { order, mistrusted } = rollout;
     rollout.hasOldVersion ||= hasOldReplica(state, order, mistrusted);
-  }
-  for (const rollout of state.rollouts.services.values())
     commands.push(
       ...judge(state, rollout),
       ...writePhase(state, rollout),
       ...sendReport(state, rollout),
     );
+  }
   return commands;
 };
--- a/packages/relay/src/decisions/rollout/noteFault.ts
+++ b/packages/relay/src/decisions/rollout/noteFault.ts
@@ -6,7 +6,7 @@
 import { logLine } from "../logLine.js";
 import type { RelayState } from "../types.js";
 import { knownExposed } from "./knownExposed.js";
-import { isFinal } from "./rolloutState.js";
+import { describeOrder, isFinal } from "./rolloutState.js";
 import type { Rollout } from "./types.js";
 
 /** Notes why a version is bad; it gets no new work from this router from now on. */
@@ -20,11 +20,8 @@
   rollout.fault = fault;
   rollout.faultToldUntil = state.at + faultToldMs;
   rollout.nextReportAt = state.at;
-  const { service, version, id } = rollout.order;
   const context = {
-    service,
-    softwareVersion: version,
-    order: id,
+    ...describeOrder(rollout.order),
     fault,
     learnedFrom,
     exposed: rollout.exposed,
--- a/packages/relay/src/decisions/rollout/reports.ts
+++ b/packages/relay/src/decisions/rollout/reports.ts
@@ -54,24 +54,28 @@
   return count;
 };
 
+/** The latest reports of the routers that were heard of lately. */
+export const freshReports = (
+  { at }: RelayState,
+  { others }: Rollout,
+): RolloutReport[] =>
+  [...others.values()]
+    .filter(({ heardAt }) => at - heardAt < otherReportFreshMs)
+    .map(({ report }) => report);
+
 /** Whether this router gets the counts of most of the registered ones. */
 export const knowsMostRouters = (
-  { registration, at }: RelayState,
-  { others }: Rollout,
+  state: RelayState,
+  rollout: Rollout,
 ): boolean => {
-  const freshCount = [...others.values()].filter(
-    ({ heardAt }) => at - heardAt < otherReportFreshMs,
-  ).length;
-  return 2 * (freshCount + 1) > registration.routers.size;
+  const freshCount = freshReports(state, rollout).length;
+  return 2 * (freshCount + 1) > state.registration.routers.size;
 };
 
 /** Whether any router is known to have work at old replicas. */
 export const hasOldWork = (state: RelayState, rollout: Rollout): boolean =>
   oldInFlightOf(state, rollout) > 0 ||
-  [...rollout.others.values()].some(
-    ({ report, heardAt }) =>
-      report.oldInFlight > 0 && state.at - heardAt < otherReportFreshMs,
-  );
+  freshReports(state, rollout).some(({ oldInFlight }) => oldInFlight > 0);
 
 /** The first routers in the service's order that this one reaches. */
 const judgesOf = (
--- a/packages/relay/src/decisions/rollout/rolloutGauges.ts
+++ b/packages/relay/src/decisions/rollout/rolloutGauges.ts
@@ -2,7 +2,12 @@
 
 import type { RelayState } from "../types.js";
 import { knownExposed } from "./knownExposed.js";
-import { deadlineOf, isFinal, isStopped } from "./rolloutState.js";
+import {
+  deadlineOf,
+  highestEvidence,
+  isFinal,
+  isStopped,
+} from "./rolloutState.js";
 import type { Rollout } from "./types.js";
 
 const escapeLabel = (text: string): string =>
@@ -46,7 +51,6 @@
   const { rollouts } = state;
   const all = [...rollouts.services.values()];
   const active = all.filter(({ phase }) => !isFinal(phase));
-  const evidence = active.map((one) => knownExposed(one).evidence);
   return {
     rollouts_under_way: active.length,
     rollouts_stopped: all.filter(isStopped).length,
@@ -57,7 +61,7 @@
       (sum, { exposed }) => sum + exposed,
       0,
     ),
-    rollout_evidence_of_fault: Math.max(0, ...evidence),
+    rollout_evidence_of_fault: Math.max(0, ...active.map(highestEvidence)),
     ...Object.fromEntries(all.flatMap((one) => gaugesOf(state, one))),
   };
 };
--- a/packages/relay/src/decisions/rollout/rolloutState.ts
+++ b/packages/relay/src/decisions/rollout/rolloutState.ts
@@ -2,6 +2,7 @@
 
 import type { Timestamp } from "@cardamomglade/common";
 import { random } from "../random.js";
+import type { DecisionContext } from "../commands.js";
 import { replicasOf } from "../replicaViews.js";
 import type { RelayState } from "../types.js";
 import {
@@ -29,6 +30,21 @@
 export const rolloutLimitsOf = ({ runtimeLimits }: RelayState): RolloutLimits =>
   runtimeLimits.rolloutLimits ?? defaultRolloutLimits;
 
+/** Log fields of an order. */
+export const describeOrder = ({
+  service,
+  version,
+  id,
+}: RolloutOrder): DecisionContext => ({
+  service,
+  softwareVersion: version,
+  order: id,
+});
+
+/** Evidence of the test that says most against the version. */
+export const highestEvidence = ({ tests }: Rollout): number =>
+  Math.max(0, ...[...tests.values()].map(({ evidence }) => evidence));
+
 /** Whether a replica's version is the one that an order moves its service to. */
 export const isNewVersion = (
   { order }: Rollout,
--- a/packages/relay/src/decisions/rollout/rolloutsRead.ts
+++ b/packages/relay/src/decisions/rollout/rolloutsRead.ts
@@ -9,7 +9,7 @@
 import { maxRollouts, ownWriteShownMs, withdrawnHoldMs } from "./constants.js";
 import { applyPhase } from "./applyPhase.js";
 import { mistrustedBefore } from "./mistrustedVersions.js";
-import { createRollout, isFinal } from "./rolloutState.js";
+import { createRollout, describeOrder, isFinal } from "./rolloutState.js";
 import type { Rollout, RolloutOrder, StoredRollout } from "./types.js";
 
 /**
@@ -28,10 +28,10 @@
   { rollouts: { passedOver } }: RelayState,
   order: RolloutOrder,
 ): RelayCommand[] => {
-  const { service, version, id } = order;
+  const { service, id } = order;
   const isKnown = passedOver.get(service)?.id === id;
   passedOver.set(service, order);
-  const context = { service, softwareVersion: version, order: id };
+  const context = describeOrder(order);
   return isKnown
     ? []
     : [logLine("roll-out waits: too many", context, Severity.Warn)];
@@ -58,9 +58,7 @@
   );
   return [
     logLine("roll-out ordered", {
-      service: order.service,
-      softwareVersion: order.version,
-      order: order.id,
+      ...describeOrder(order),
       durationMs: order.durationMs,
       replaces: known?.order.id,
     }),
@@ -79,8 +77,7 @@
 const noteWithdrawn = (state: RelayState, rollout: Rollout): RelayCommand[] => {
   if (rollout.withdrawnAt !== undefined) return [];
   rollout.withdrawnAt = state.at;
-  const { service, version, id } = rollout.order;
-  const context = { service, softwareVersion: version, order: id };
+  const context = describeOrder(rollout.order);
   return [logLine("roll-out withdrawn", context, Severity.Warn)];
 };
 
--- a/packages/relay/src/decisions/rollout/types.ts
+++ b/packages/relay/src/decisions/rollout/types.ts
@@ -24,6 +24,12 @@
   RolledBack = "rolledBack",
 }
 
+const phases = new Set<unknown>(Object.values(RolloutPhase));
+
+/** Whether a value of another program is a phase. */
+export const isRolloutPhase = (value: unknown): value is RolloutPhase =>
+  phases.has(value);
+
 /** Order of an operator as it lies in the store. */
 export interface RolloutOrder {
   readonly service: string;
--- a/packages/relay/src/decisions/rollout/writerRank.ts
+++ b/packages/relay/src/decisions/rollout/writerRank.ts
@@ -3,8 +3,7 @@
 import { rendezvousOrder } from "@cardamomglade/common";
 import { rankOf } from "../registration.js";
 import type { RelayState } from "../types.js";
-import { otherReportFreshMs } from "./constants.js";
-import { knowsMostRouters } from "./reports.js";
+import { freshReports, knowsMostRouters } from "./reports.js";
 import type { Rollout, RolloutReport } from "./types.js";
 
 const routerOf = ({ source }: RolloutReport): string =>
@@ -15,12 +14,10 @@
  * any more, have none where this one gets the reports of most.
  */
 export const writerRankOf = (state: RelayState, rollout: Rollout): number => {
-  const { router, at } = state;
+  const { router } = state;
   const { service } = rollout.order;
   if (!knowsMostRouters(state, rollout)) return rankOf(state, service);
-  const heard = [...rollout.others.values()]
-    .filter(({ heardAt }) => at - heardAt < otherReportFreshMs)
-    .map(({ report }) => routerOf(report));
+  const heard = freshReports(state, rollout).map(routerOf);
   const alive = new Set([...heard, router]);
   return rendezvousOrder(service, [...alive]).indexOf(router);
 };
--- a/packages/relay/src/drivers/rolloutReports.ts
+++ b/packages/relay/src/drivers/rolloutReports.ts
@@ -5,7 +5,7 @@
 
 import { pack } from "msgpackr";
 import {
-  RolloutPhase,
+  isRolloutPhase,
   type RolloutReport,
   type VersionCounts,
 } from "../decisions/rollout/types.js";
@@ -73,10 +73,6 @@
 
 const unnamedFault = "bad answers"; // names no route
 
-const phases = new Set<unknown>(Object.values(RolloutPhase));
-
-const isPhase = (value: unknown): value is RolloutPhase => phases.has(value);
-
 const isAmountList = (value: unknown, length: number): value is number[] =>
   Array.isArray(value) && value.length === length && value.every(isAmount);
 
@@ -101,7 +97,7 @@
     content as readonly unknown[];
   if (!isName(service) || !isName(orderId) || !isName(source)) return undefined;
   if (!isAmount(ageMs) || !isAmountList(sums, 3)) return undefined;
-  if (phase !== null && !isPhase(phase)) return undefined;
+  if (phase !== null && !isRolloutPhase(phase)) return undefined;
   if (fault !== null && !isName(fault)) return undefined;
   if (!Array.isArray(routes) || routes.length > maxRouteCount) return undefined;
   const counts = routes.map(decodeRoute).filter((one) => one !== undefined);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,12 +16,16 @@
   StoredQuarantine,
 } from "./decisions/quarantine/types.js";
 export {
+  isRolloutPhase,
   RolloutPhase,
   type RolloutOrder,
   type RolloutWrite,
   type StoredRollout,
 } from "./decisions/rollout/types.js";
-export { defaultRolloutLimits } from "./decisions/rollout/constants.js";
+export {
+  defaultRolloutLimits,
+  maxRollouts,
+} from "./decisions/rollout/constants.js";
 export type { StoredVersions } from "./decisions/versions/types.js";
 export type { RuntimeLimits } from "./decisions/types.js";
 export { applyMemoryLimit } from "./drivers/memory/applyMemoryLimit.js";
