--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -254,7 +254,7 @@
     });
     this.child = spawn(
       process.execPath,
-      [path.join(here, "replica.mjs"), settings],
+      [path.join(here, this.options.program ?? "replica.mjs"), settings],
       {
         stdio: ["pipe", "pipe", "inherit"],
       },
